Thin whole path: caller, entry, pool owner, worker, answer

Cause: a request's way is what all else hangs on, so it stands first.

Change: core types, verdicts, configuration log and a first-come pool owner; HTTP server and client, gRPC between entries, HTTP back ends for the platform; one binary with serve, check-settings, new-key and first operators' commands; stand-ins for platform and workers; demo, tests, format and lint.

Takeover, lease proofs between entries, allotments over pools and recorded answers are not built yet.

--- /dev/null
+++ b/src/Main.cpp
@@ -0,0 +1,83 @@
+#include "codec/KeyHash.h"
+#include "entry/Entry.h"
+#include "operators/Commands.h"
+
+#include <CLI/CLI.hpp>
+#include <glog/logging.h>
+
+#include <csignal>
+#include <iostream>
+
+using namespace comfreydeck;
+
+namespace {
+
+/// Exit codes of the program.
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitBadSettings = 2;
+
+int serve(const std::string &File) {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  entry::Entry Entry(settings::loadSettings(File));
+  Entry.start();
+  int Caught = 0;
+  sigwait(&Signals, &Caught);
+  Entry.stopGracefully();
+  return ExitOk;
+}
+
+int checkSettings(const std::string &File) {
+  settings::loadSettings(File);
+  std::cout << File << " is good\n";
+  return ExitOk;
+}
+
+int printNewKey() {
+  std::string Secret = codec::makeSecret();
+  std::cout << "secret " << Secret << "\nhash   "
+            << codec::toHex(codec::hashSecret(Secret)) << "\n";
+  return ExitOk;
+}
+
+int run(int Argc, char **Argv) {
+  CLI::App App("Fleet capacity and maintenance manager");
+  App.require_subcommand(1);
+  std::string File;
+  CLI::App *Serve = App.add_subcommand("serve", "Run an entry");
+  Serve->add_option("--settings", File, "The settings file")->required();
+  CLI::App *Check = App.add_subcommand("check-settings", "Check a file");
+  Check->add_option("file", File, "The settings file")->required();
+  CLI::App *NewKey = App.add_subcommand("new-key", "Make a secret, offline");
+  operators::OperatorAccess Access;
+  operators::addCommands(App, Access);
+  CLI11_PARSE(App, Argc, Argv);
+  if (Serve->parsed())
+    return serve(File);
+  if (Check->parsed())
+    return checkSettings(File);
+  if (NewKey->parsed())
+    return printNewKey();
+  return ExitOk;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  // Entries have no disks.
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(Argv[0]);
+  try {
+    return run(Argc, Argv);
+  } catch (const settings::SettingsError &E) {
+    std::cerr << E.what() << "\n";
+    return ExitBadSettings;
+  } catch (const std::exception &E) {
+    std::cerr << "comfreydeck: " << E.what() << "\n";
+    return ExitFailed;
+  }
+}
--- /dev/null
+++ b/src/cluster/PeerServer.h
@@ -0,0 +1,67 @@
+#ifndef COMFREYDECK_CLUSTER_PEERSERVER_H
+#define COMFREYDECK_CLUSTER_PEERSERVER_H
+
+#include "Peer.pb.h"
+
+#include "cluster/PeerSecurity.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+/// Calls between entry processes over gRPC.
+namespace comfreydeck::cluster {
+
+template <typename Reply> using PeerResponder = std::function<void(Reply)>;
+
+/// What an entry answers to the other entries. Every method is called on a
+/// thread of gRPC, must not block, and calls its responder once, from any
+/// thread.
+class PeerHandler {
+public:
+  virtual ~PeerHandler() = default;
+  virtual void greet(const wire::GreetRequest &Request,
+                     PeerResponder<wire::GreetReply> Respond) = 0;
+  virtual void prove(const wire::ProveRequest &Request,
+                     PeerResponder<wire::ProveReply> Respond) = 0;
+  virtual void notify(const wire::NotifyRequest &Request,
+                      PeerResponder<wire::NotifyReply> Respond) = 0;
+  virtual void acquire(const wire::AcquireRequest &Request,
+                       PeerResponder<wire::AcquireReply> Respond) = 0;
+  virtual void release(const wire::ReleaseRequest &Request,
+                       PeerResponder<wire::ReleaseReply> Respond) = 0;
+  virtual void handOver(const wire::HandOverRequest &Request,
+                        PeerResponder<wire::HandOverReply> Respond) = 0;
+  virtual void listRunning(const wire::ListRunningRequest &Request,
+                           PeerResponder<wire::ListRunningReply> Respond) = 0;
+};
+
+/// Serves the other entries' calls.
+class PeerServer {
+public:
+  /// \p Handler must outlive the server.
+  PeerServer(PeerHandler &Handler, PeerSecurity Security);
+  /// Stops as \ref stop does.
+  ~PeerServer();
+
+  PeerServer(const PeerServer &) = delete;
+  PeerServer &operator=(const PeerServer &) = delete;
+
+  /// Listens on IP:PORT. Throws std::runtime_error where it can't. Call once.
+  void start(const std::string &Address);
+
+  /// Cuts open calls and joins. Not to be called from the handler. May be
+  /// called twice.
+  void stop();
+
+  /// The bound port. Only after \ref start. Thread-safe.
+  int port() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace comfreydeck::cluster
+
+#endif // COMFREYDECK_CLUSTER_PEERSERVER_H
--- /dev/null
+++ b/src/codec/ConfigJson.h
@@ -0,0 +1,30 @@
+#ifndef COMFREYDECK_CODEC_CONFIGJSON_H
+#define COMFREYDECK_CODEC_CONFIGJSON_H
+
+#include "core/ConfigChange.h"
+
+#include <string>
+#include <string_view>
+
+/// The configuration and its changes as JSON text.
+namespace comfreydeck::codec {
+
+/// A document that does not have the expected shape.
+class CodecError : public std::runtime_error {
+public:
+  using std::runtime_error::runtime_error;
+};
+
+/// Each parse function throws CodecError. All are thread-safe.
+std::string toJson(const core::ConfigChange &Change);
+core::ConfigChange parseConfigChange(std::string_view Text);
+
+std::string toJson(const core::Configuration &C);
+core::Configuration parseConfiguration(std::string_view Text);
+
+/// A JSON list of edits, as operators send it.
+std::vector<core::ConfigEdit> parseEdits(std::string_view Text);
+
+} // namespace comfreydeck::codec
+
+#endif // COMFREYDECK_CODEC_CONFIGJSON_H
--- /dev/null
+++ b/src/entry/Entry.cpp
@@ -0,0 +1,225 @@
+#include "entry/Entry.h"
+
+#include "cluster/PeerServer.h"
+#include "entry/OperatorService.h"
+#include "entry/TaskService.h"
+#include "platform/HttpPlatform.h"
+
+#include <glog/logging.h>
+
+#include <charconv>
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <thread>
+
+namespace comfreydeck::entry {
+
+namespace {
+
+using namespace cluster;
+
+constexpr core::Duration DrainPoll = std::chrono::milliseconds(20);
+constexpr std::chrono::seconds LeaveLimit(3);
+
+core::Incarnation newIncarnation() {
+  std::random_device Device;
+  core::Incarnation Id;
+  while (!Id.isValid())
+    Id.Value = (std::uint64_t{Device()} << 32) | Device();
+  return Id;
+}
+
+std::string readFile(const std::string &File) {
+  if (File.empty())
+    return {};
+  std::ifstream Stream(File);
+  if (!Stream)
+    throw std::runtime_error("can't read " + File);
+  std::stringstream Content;
+  Content << Stream.rdbuf();
+  return Content.str();
+}
+
+PeerSecurity securityOf(const settings::ClusterSettings &Cluster) {
+  return {Cluster.Token, readFile(Cluster.CertificateFile),
+          readFile(Cluster.KeyFile), readFile(Cluster.AuthorityFile)};
+}
+
+net::HttpServerOptions serverOptions(const settings::Settings &S) {
+  std::size_t Colon = S.Entry.Listen.rfind(':');
+  net::HttpServerOptions Options;
+  Options.Address = S.Entry.Listen.substr(0, Colon);
+  std::from_chars(S.Entry.Listen.data() + Colon + 1,
+                  S.Entry.Listen.data() + S.Entry.Listen.size(), Options.Port);
+  Options.Threads = S.Entry.TrafficThreads;
+  Options.MaxBodyBytes = S.Traffic.MaxBodyBytes;
+  Options.HandleLimit = S.Traffic.MaxDeadline + std::chrono::seconds(30);
+  return Options;
+}
+
+} // namespace
+
+struct Entry::Impl final : PeerHandler {
+  explicit Impl(settings::Settings S);
+
+  settings::Settings Settings;
+  core::Incarnation Self = newIncarnation();
+  core::Rng Random{Self.Value};
+  Metrics Counters;
+  net::Loop Control;
+  net::HttpClient PlatformClient{net::HttpClientOptions()};
+  net::HttpClient WorkerClient{net::HttpClientOptions()};
+  PeerClient Peers;
+  std::unique_ptr<platform::TableService> Tables;
+  std::unique_ptr<platform::ObjectStore> Objects;
+  std::unique_ptr<platform::InstanceList> Instances;
+  Context Shared;
+  Membership Members;
+  ConfigStore Config;
+  Fleet Workers;
+  PoolService Pools;
+  TaskService Tasks;
+  OperatorService Operators;
+  PeerServer PeerListener;
+  net::HttpServer HttpListener;
+
+  void route(net::HttpRequest Request, net::HttpResponder Respond);
+  void startControl();
+
+  void greet(const wire::GreetRequest &Request,
+             PeerResponder<wire::GreetReply> Respond) override;
+  void prove(const wire::ProveRequest &Request,
+             PeerResponder<wire::ProveReply> Respond) override;
+  void notify(const wire::NotifyRequest &Request,
+              PeerResponder<wire::NotifyReply> Respond) override;
+  void acquire(const wire::AcquireRequest &Request,
+               PeerResponder<wire::AcquireReply> Respond) override;
+  void release(const wire::ReleaseRequest &Request,
+               PeerResponder<wire::ReleaseReply> Respond) override;
+  void handOver(const wire::HandOverRequest &Request,
+                PeerResponder<wire::HandOverReply> Respond) override;
+  void listRunning(const wire::ListRunningRequest &Request,
+                   PeerResponder<wire::ListRunningReply> Respond) override;
+};
+
+Entry::Impl::Impl(settings::Settings S)
+    : Settings(std::move(S)),
+      Peers({Self, Settings.Entry.Name}, securityOf(Settings.Cluster)),
+      Tables(platform::makeHttpTableService(
+          PlatformClient,
+          {Settings.Platform.TableService, Settings.Platform.CallLimit})),
+      Objects(platform::makeHttpObjectStore(
+          PlatformClient,
+          {Settings.Platform.ObjectStore, Settings.Platform.CallLimit})),
+      Instances(platform::makeHttpInstanceList(
+          PlatformClient,
+          {Settings.Platform.InstanceList, Settings.Platform.CallLimit})),
+      Shared{Settings,   Self,         Control, *Tables,  *Objects,
+             *Instances, WorkerClient, Peers,   Counters, Random},
+      Members(Shared), Config(Shared), Workers(Shared),
+      Pools(Shared, Members, Config, Workers),
+      Tasks(Shared, Members, Config, Pools),
+      Operators(Shared, Members, Config, Workers, Pools),
+      PeerListener(*this, securityOf(Settings.Cluster)),
+      HttpListener(serverOptions(Settings), [this](net::HttpRequest Request,
+                                                   net::HttpResponder Respond) {
+        route(std::move(Request), std::move(Respond));
+      }) {}
+
+void Entry::Impl::route(net::HttpRequest Request, net::HttpResponder Respond) {
+  if (Request.Path.starts_with("/v1/operator/"))
+    return Operators.handle(std::move(Request), std::move(Respond));
+  if (Request.Path.starts_with("/v1/"))
+    return Tasks.handle(std::move(Request), std::move(Respond));
+  net::HttpResponse Response;
+  if (Request.Path == "/metrics")
+    Response.Body = Counters.text();
+  else if (Request.Path == "/healthz")
+    Response.Body = "ok\n";
+  else if (Request.Path == "/readyz")
+    Response = Members.isCurrent(net::now())
+                   ? net::jsonResponse(200, R"({"ready":true})")
+                   : net::jsonResponse(503, R"({"ready":false})");
+  else
+    Response = net::jsonResponse(404, R"({"error":"there is no such path"})");
+  Respond(std::move(Response));
+}
+
+void Entry::Impl::startControl() {
+  Members.start([this] { Pools.refresh(); });
+  Config.start([this] { Pools.refresh(); });
+  Workers.start([this] { Pools.refresh(); });
+  Pools.start();
+}
+
+void Entry::Impl::greet(const wire::GreetRequest & /*Request*/,
+                        PeerResponder<wire::GreetReply> Respond) {
+  Respond({});
+}
+
+void Entry::Impl::prove(const wire::ProveRequest & /*Request*/,
+                        PeerResponder<wire::ProveReply> Respond) {
+  Respond({});
+}
+
+void Entry::Impl::notify(const wire::NotifyRequest & /*Request*/,
+                         PeerResponder<wire::NotifyReply> Respond) {
+  Respond({});
+}
+
+void Entry::Impl::acquire(const wire::AcquireRequest &Request,
+                          PeerResponder<wire::AcquireReply> Respond) {
+  Control.post([this, Request, Respond = std::move(Respond)] {
+    Pools.serveAcquire(Request, Respond);
+  });
+}
+
+void Entry::Impl::release(const wire::ReleaseRequest &Request,
+                          PeerResponder<wire::ReleaseReply> Respond) {
+  Control.post([this, Request, Respond = std::move(Respond)] {
+    Respond(Pools.serveRelease(Request));
+  });
+}
+
+void Entry::Impl::handOver(const wire::HandOverRequest & /*Request*/,
+                           PeerResponder<wire::HandOverReply> Respond) {
+  Respond({});
+}
+
+void Entry::Impl::listRunning(const wire::ListRunningRequest & /*Request*/,
+                              PeerResponder<wire::ListRunningReply> Respond) {
+  Respond({});
+}
+
+Entry::Entry(settings::Settings Settings)
+    : Impl_(std::make_unique<Impl>(std::move(Settings))) {}
+
+Entry::~Entry() {
+  Impl_->HttpListener.stop();
+  Impl_->Control.stop();
+  Impl_->PeerListener.stop();
+}
+
+void Entry::start() {
+  Impl_->PeerListener.start(Impl_->Settings.Entry.PeerListen);
+  Impl_->HttpListener.start();
+  Impl_->Control.start();
+  Impl_->Control.post([this] { Impl_->startControl(); });
+  LOG(INFO) << "entry: listening on " << Impl_->Settings.Entry.Listen;
+}
+
+void Entry::stopGracefully() {
+  LOG(INFO) << "entry: leaving";
+  Impl_->Tasks.beginShutdown();
+  core::TimePoint Until = net::now() + Impl_->Settings.Traffic.DrainLimit;
+  while (Impl_->Tasks.inFlight() > 0 && net::now() < Until)
+    std::this_thread::sleep_for(DrainPoll);
+  auto Left = std::make_shared<std::promise<void>>();
+  Impl_->Control.post(
+      [this, Left] { Impl_->Members.leave([Left] { Left->set_value(); }); });
+  Left->get_future().wait_for(LeaveLimit);
+  LOG(INFO) << "entry: left";
+}
+
+} // namespace comfreydeck::entry
--- /dev/null
+++ b/src/entry/TaskRequest.cpp
@@ -0,0 +1,107 @@
+#include "entry/TaskRequest.h"
+
+#include <charconv>
+
+namespace comfreydeck::entry {
+
+namespace {
+
+constexpr int BadRequest = 400;
+constexpr std::size_t MaxIdBytes = 128;
+constexpr std::uint64_t MilliPerCpu = 1000;
+constexpr std::uint64_t MaxCpus = 4096;
+constexpr std::uint64_t MaxMemoryMb = 1ULL << 24;
+constexpr std::uint64_t MaxAccelerators = 64;
+constexpr std::uint64_t MaxRunMs = 24ULL * 3600 * 1000;
+
+[[noreturn]] void malformed(const std::string &Message) {
+  throw RequestError(BadRequest, core::Reason::MalformedRequest, Message);
+}
+
+std::uint64_t number(const net::HttpRequest &Request, const char *Name,
+                     std::uint64_t Default, std::uint64_t Most) {
+  std::string_view Text = net::findHeader(Request.Headers, Name);
+  if (!net::hasHeader(Request.Headers, Name))
+    return Default;
+  std::uint64_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto [Rest, Error] = std::from_chars(Text.data(), End, Value);
+  if (Error != std::errc() || Rest != End || Value > Most)
+    malformed(std::string(Name) + " must be a whole number from 0 to " +
+              std::to_string(Most));
+  return Value;
+}
+
+std::optional<bool> flag(const net::HttpRequest &Request, const char *Name) {
+  if (!net::hasHeader(Request.Headers, Name))
+    return std::nullopt;
+  std::string_view Text = net::findHeader(Request.Headers, Name);
+  if (Text != "true" && Text != "false")
+    malformed(std::string(Name) + " must be true or false");
+  return Text == "true";
+}
+
+bool isIdCharacter(char C) { return C > ' ' && C < '\x7f'; }
+
+std::string id(const net::HttpRequest &Request, const char *Name) {
+  if (!net::hasHeader(Request.Headers, Name))
+    return {};
+  std::string Text(net::findHeader(Request.Headers, Name));
+  bool Good = !Text.empty() && Text.size() <= MaxIdBytes;
+  for (char C : Text)
+    Good = Good && isIdCharacter(C);
+  if (!Good)
+    malformed(std::string(Name) + " must have 1 to 128 visible characters");
+  return Text;
+}
+
+std::string bearer(const net::HttpRequest &Request) {
+  if (!net::hasHeader(Request.Headers, "Authorization"))
+    return {};
+  std::string_view Text = net::findHeader(Request.Headers, "Authorization");
+  constexpr std::string_view Scheme = "Bearer ";
+  if (!Text.starts_with(Scheme) || Text.size() == Scheme.size() ||
+      Text.size() > Scheme.size() + MaxIdBytes)
+    malformed("Authorization must be 'Bearer KEY'");
+  return std::string(Text.substr(Scheme.size()));
+}
+
+core::Duration milliseconds(std::uint64_t Ms) {
+  return std::chrono::milliseconds(static_cast<std::int64_t>(Ms));
+}
+
+std::uint64_t inMs(core::Duration D) {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
+}
+
+} // namespace
+
+TaskRequest parseTaskRequest(net::HttpRequest Request, std::string Queue,
+                             const settings::TrafficSettings &Limits) {
+  TaskRequest Task;
+  Task.Queue = std::move(Queue);
+  Task.KeySecret = bearer(Request);
+  Task.IdempotencyKey = id(Request, "Idempotency-Key");
+  Task.IssuedId = id(Request, "Comfreydeck-Request-Id");
+  Task.Idempotent = flag(Request, "Comfreydeck-Idempotent");
+  Task.Urgent = flag(Request, "Comfreydeck-Urgent").value_or(false);
+  std::uint64_t DeadlineMs =
+      number(Request, "Comfreydeck-Deadline-Ms", inMs(Limits.DefaultDeadline),
+             inMs(Limits.MaxDeadline));
+  Task.Deadline = milliseconds(DeadlineMs);
+  Task.Size.MilliCpus = static_cast<std::uint32_t>(
+      number(Request, "Comfreydeck-Cpus", 0, MaxCpus) * MilliPerCpu);
+  Task.Size.MemoryMb = static_cast<std::uint32_t>(
+      number(Request, "Comfreydeck-Memory-Mb", 0, MaxMemoryMb));
+  Task.Size.Accelerators = static_cast<std::uint32_t>(
+      number(Request, "Comfreydeck-Accelerators", 0, MaxAccelerators));
+  Task.Run = milliseconds(number(Request, "Comfreydeck-Run-Ms", 0, MaxRunMs));
+  Task.ContentType = net::findHeader(Request.Headers, "Content-Type");
+  Task.Body = std::move(Request.Body);
+  if (!Task.IdempotencyKey.empty() && !Task.IssuedId.empty())
+    malformed("give Idempotency-Key or Comfreydeck-Request-Id, not both");
+  return Task;
+}
+
+} // namespace comfreydeck::entry
--- /dev/null
+++ b/src/net/HttpClient.h
@@ -0,0 +1,75 @@
+#ifndef COMFREYDECK_NET_HTTPCLIENT_H
+#define COMFREYDECK_NET_HTTPCLIENT_H
+
+#include "core/Types.h"
+#include "core/Verdict.h"
+#include "net/Http.h"
+
+#include <functional>
+#include <memory>
+
+namespace comfreydeck::net {
+
+/// One request to send.
+struct HttpCall {
+  std::string Method = "GET";
+  std::string Url;
+  std::vector<HttpHeader> Headers;
+  std::string Body;
+  core::Duration ConnectLimit = std::chrono::seconds(1);
+  /// Longest time from the call to the whole answer.
+  core::Duration TotalLimit = std::chrono::seconds(5);
+  /// Whether the request may be sent once more by the library when a kept
+  /// connection turns out dead. Never so for a non-idempotent request: it goes
+  /// out on a connection of its own.
+  bool MayResend = true;
+};
+
+/// How the call ended and what came back.
+struct HttpResult {
+  core::ExchangeEnd End = core::ExchangeEnd::NeverSent;
+  /// Only where \ref End is Answered.
+  HttpResponse Response;
+  /// The library's words where there is no answer.
+  std::string Error;
+};
+
+using HttpCallback = std::function<void(HttpResult)>;
+
+/// Names a call in flight.
+struct HttpCallId {
+  std::uint64_t Value = 0;
+};
+
+struct HttpClientOptions {
+  /// Connections kept open to all hosts together.
+  std::size_t MaxKept = 256;
+  /// Connections to one host; calls beyond wait within their limits.
+  std::size_t MaxPerHost = 64;
+};
+
+/// Sends HTTP requests from a thread of its own.
+class HttpClient {
+public:
+  explicit HttpClient(HttpClientOptions Options);
+  /// Ends what is in flight as cut, then joins the thread.
+  ~HttpClient();
+
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+
+  /// Starts a call. \p Done is called once, on the client's thread, and must
+  /// not block. Thread-safe.
+  HttpCallId send(HttpCall Call, HttpCallback Done);
+
+  /// Gives a call up; its callback still comes. Thread-safe.
+  void cancel(HttpCallId Id);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace comfreydeck::net
+
+#endif // COMFREYDECK_NET_HTTPCLIENT_H
--- /dev/null
+++ b/src/operators/Commands.cpp
@@ -0,0 +1,71 @@
+#include "operators/Commands.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace comfreydeck::operators {
+
+namespace {
+
+using nlohmann::json;
+
+std::string readFile(const std::string &File) {
+  std::ifstream Stream(File);
+  if (!Stream)
+    throw OperatorError("can't read " + File);
+  std::stringstream Content;
+  Content << Stream.rdbuf();
+  return Content.str();
+}
+
+void print(const std::string &Json) {
+  std::cout << json::parse(Json).dump(2) << "\n";
+}
+
+void addConfigCommands(CLI::App &App, OperatorAccess &Access) {
+  CLI::App *Config = App.add_subcommand("config", "The whole configuration");
+  Config->require_subcommand(1);
+  Config->add_subcommand("show", "Print it")->callback([&Access] {
+    print(OperatorClient(Access).call("GET", "/v1/operator/config", ""));
+  });
+  CLI::App *Apply = Config->add_subcommand("apply", "Apply a list of edits");
+  auto File = std::make_shared<std::string>();
+  Apply->add_option("file", *File, "JSON with the edits")->required();
+  Apply->callback([&Access, File] {
+    print(OperatorClient(Access).call("POST", "/v1/operator/config/changes",
+                                      readFile(*File)));
+  });
+}
+
+void addInstanceCommands(CLI::App &App, OperatorAccess &Access) {
+  CLI::App *Instance = App.add_subcommand("instance", "Workers and pools");
+  Instance->require_subcommand(1);
+  CLI::App *Move = Instance->add_subcommand("move", "Put it into a pool");
+  auto Name = std::make_shared<std::string>();
+  auto Pool = std::make_shared<std::string>();
+  Move->add_option("name", *Name, "The instance")->required();
+  Move->add_option("--pool", *Pool, "The pool")->required();
+  Move->callback([&Access, Name, Pool] {
+    print(OperatorClient(Access).call("PUT", "/v1/operator/instances/" + *Name,
+                                      json({{"pool", *Pool}}).dump()));
+  });
+}
+
+} // namespace
+
+void addCommands(CLI::App &App, OperatorAccess &Access) {
+  App.add_option("--entry", Access.Entry, "Any entry, as http://IP:PORT");
+  App.add_option("--key", Access.KeySecret, "The operator's key")
+      ->envname("COMFREYDECK_OPERATOR_KEY");
+  App.add_subcommand("status", "The fleet at a glance")->callback([&Access] {
+    print(OperatorClient(Access).call("GET", "/v1/operator/status", ""));
+  });
+  addConfigCommands(App, Access);
+  addInstanceCommands(App, Access);
+}
+
+} // namespace comfreydeck::operators
--- /dev/null
+++ b/src/platform/ObjectStore.h
@@ -0,0 +1,30 @@
+#ifndef COMFREYDECK_PLATFORM_OBJECTSTORE_H
+#define COMFREYDECK_PLATFORM_OBJECTSTORE_H
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace comfreydeck::platform {
+
+struct ObjectResult {
+  /// Whether the store answered.
+  bool Ok = false;
+  /// Empty where there is no such object.
+  std::optional<std::string> Content;
+};
+
+/// A store of whole objects by name. Every method is thread-safe and returns at
+/// once; each callback comes once, on any thread, and must not block.
+class ObjectStore {
+public:
+  virtual ~ObjectStore() = default;
+  virtual void put(std::string Name, std::string Content,
+                   std::function<void(bool Ok)> Done) = 0;
+  virtual void get(std::string Name,
+                   std::function<void(ObjectResult)> Done) = 0;
+};
+
+} // namespace comfreydeck::platform
+
+#endif // COMFREYDECK_PLATFORM_OBJECTSTORE_H
--- /dev/null
+++ b/src/settings/ObjectReader.cpp
@@ -0,0 +1,139 @@
+#include "settings/ObjectReader_p.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+
+namespace comfreydeck::settings::detail {
+
+namespace {
+
+using nlohmann::json;
+
+const json EmptyObject = json::object();
+
+constexpr int MaxPort = 65535;
+
+bool isIpNumber(const std::string &Host) {
+  in6_addr Parsed{};
+  return inet_pton(AF_INET, Host.c_str(), &Parsed) == 1 ||
+         inet_pton(AF_INET6, Host.c_str(), &Parsed) == 1;
+}
+
+bool isPort(std::string_view Text) {
+  int Port = -1;
+  const char *End = Text.data() + Text.size();
+  auto [Rest, Error] = std::from_chars(Text.data(), End, Port);
+  return Error == std::errc() && Rest == End && Port >= 0 && Port <= MaxPort;
+}
+
+bool isAddress(std::string_view Text) {
+  std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos || !isPort(Text.substr(Colon + 1)))
+    return false;
+  std::string_view Host = Text.substr(0, Colon);
+  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
+    Host = Host.substr(1, Host.size() - 2);
+  return isIpNumber(std::string(Host));
+}
+
+} // namespace
+
+ObjectReader::ObjectReader(const json &Object, std::string Path,
+                           std::vector<SettingsFault> &Faults)
+    : Object_(Object), Path_(std::move(Path)), Faults_(Faults) {}
+
+void ObjectReader::fault(const char *Field, std::string Message) {
+  std::string Full = Path_.empty() ? Field : Path_ + "." + Field;
+  Faults_.push_back({std::move(Full), std::move(Message)});
+}
+
+const json *ObjectReader::take(const char *Field, Need Needed) {
+  Known_.insert(Field);
+  auto It = Object_.find(Field);
+  if (It != Object_.end())
+    return &*It;
+  if (Needed == Need::Required)
+    fault(Field, "is missing");
+  return nullptr;
+}
+
+void ObjectReader::text(const char *Field, std::string &Out, Need Needed) {
+  const json *Value = take(Field, Needed);
+  if (!Value)
+    return;
+  if (!Value->is_string() || Value->get_ref<const std::string &>().empty()) {
+    fault(Field, "must be a text that is not empty");
+    return;
+  }
+  Out = Value->get<std::string>();
+}
+
+void ObjectReader::number(const char *Field, std::uint32_t &Out,
+                          Range Allowed) {
+  const json *Value = take(Field, Need::Optional);
+  if (!Value)
+    return;
+  bool Fits = Value->is_number_integer() &&
+              Value->get<std::int64_t>() >= Allowed.Least &&
+              Value->get<std::int64_t>() <= Allowed.Most;
+  if (!Fits) {
+    fault(Field, "must be a whole number from " +
+                     std::to_string(Allowed.Least) + " to " +
+                     std::to_string(Allowed.Most));
+    return;
+  }
+  Out = Value->get<std::uint32_t>();
+}
+
+void ObjectReader::milliseconds(const char *Field, core::Duration &Out,
+                                Range Allowed) {
+  auto Old = std::chrono::duration_cast<std::chrono::milliseconds>(Out);
+  auto Ms = static_cast<std::uint32_t>(Old.count());
+  number(Field, Ms, Allowed);
+  Out = std::chrono::milliseconds(Ms);
+}
+
+void ObjectReader::address(const char *Field, std::string &Out, Need Needed) {
+  const json *Value = take(Field, Needed);
+  if (!Value)
+    return;
+  if (!Value->is_string() || !isAddress(Value->get<std::string>())) {
+    fault(Field, "must be an IP number with a port, as in 10.0.0.1:8080");
+    return;
+  }
+  Out = Value->get<std::string>();
+}
+
+void ObjectReader::url(const char *Field, std::string &Out) {
+  const json *Value = take(Field, Need::Required);
+  if (!Value)
+    return;
+  std::string Text = Value->is_string() ? Value->get<std::string>() : "";
+  bool Plain = Text.starts_with("http://") && isAddress(Text.substr(7));
+  bool Secure = Text.starts_with("https://") && isAddress(Text.substr(8));
+  if (!Plain && !Secure) {
+    fault(Field, "must be http:// or https://, an IP number and a port, as in "
+                 "http://10.0.0.1:7000");
+    return;
+  }
+  Out = std::move(Text);
+}
+
+ObjectReader ObjectReader::child(const char *Field, Need Needed) {
+  const json *Value = take(Field, Needed);
+  std::string Path = Path_.empty() ? Field : Path_ + "." + Field;
+  if (Value && !Value->is_object()) {
+    fault(Field, "must be an object");
+    Value = nullptr;
+  }
+  return {Value ? *Value : EmptyObject, std::move(Path), Faults_};
+}
+
+void ObjectReader::rejectUnknown() {
+  for (const auto &[Field, Value] : Object_.items())
+    if (!Known_.contains(Field))
+      fault(Field.c_str(), "is not a known field");
+}
+
+} // namespace comfreydeck::settings::detail
--- /dev/null
+++ b/tests/standins/Query.h
@@ -0,0 +1,17 @@
+#ifndef COMFREYDECK_TESTS_STANDINS_QUERY_H
+#define COMFREYDECK_TESTS_STANDINS_QUERY_H
+
+#include <string>
+#include <string_view>
+
+namespace comfreydeck::standins {
+
+/// Undoes percent-encoding.
+std::string unescape(std::string_view Text);
+
+/// The value of one query parameter; empty where there is none.
+std::string queryValue(std::string_view Query, std::string_view Name);
+
+} // namespace comfreydeck::standins
+
+#endif // COMFREYDECK_TESTS_STANDINS_QUERY_H
--- /dev/null
+++ b/tests/standins/WorkerStandin.cpp
@@ -0,0 +1,179 @@
+#include "standins/WorkerStandin.h"
+
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+
+namespace comfreydeck::standins {
+
+namespace {
+
+using nlohmann::json;
+
+std::uint64_t workerClockMs() {
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          net::now().time_since_epoch())
+          .count());
+}
+
+std::uint64_t numberHeader(const net::HttpRequest &Request, const char *Name,
+                           std::uint64_t Default) {
+  std::string Text(net::findHeader(Request.Headers, Name));
+  return Text.empty() ? Default : std::strtoull(Text.c_str(), nullptr, 10);
+}
+
+net::HttpResponse refusal(const std::string &Id, const char *Why) {
+  net::HttpResponse Response =
+      net::jsonResponse(409, json({{"refused", Why}}).dump());
+  Response.Headers.push_back({"Task-Id", Id});
+  Response.Headers.push_back({"Task-Refused", Why});
+  return Response;
+}
+
+} // namespace
+
+EventLog::EventLog(const std::string &File) : File_(nullptr, std::fclose) {
+  if (File.empty())
+    return;
+  File_.reset(std::fopen(File.c_str(), "a"));
+  if (!File_)
+    throw std::runtime_error("the log " + File + " can't be opened");
+}
+
+void EventLog::write(const std::string &Line) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  if (!File_)
+    return;
+  std::fputs((Line + "\n").c_str(), File_.get());
+  std::fflush(File_.get());
+}
+
+WorkerStandin::WorkerStandin(WorkerStandinOptions Options, net::Loop &Timers,
+                             EventLog &Log)
+    : Options_(std::move(Options)), Timers_(Timers), Log_(Log),
+      Server_(Options_.Http,
+              [this](net::HttpRequest Request, net::HttpResponder Respond) {
+                handle(std::move(Request), std::move(Respond));
+              }) {}
+
+void WorkerStandin::start() { Server_.start(); }
+
+void WorkerStandin::stop() { Server_.stop(); }
+
+std::uint16_t WorkerStandin::port() const { return Server_.port(); }
+
+void WorkerStandin::setFaults(WorkerFaults Faults) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Faults_ = Faults;
+}
+
+std::uint64_t WorkerStandin::startCount() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Starts_;
+}
+
+std::uint64_t WorkerStandin::duplicateCount() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Duplicates_;
+}
+
+void WorkerStandin::handle(net::HttpRequest Request,
+                           net::HttpResponder Respond) {
+  if (Request.Path == "/v1/tasks" && Request.Method == "POST")
+    return startTask(std::move(Request), std::move(Respond));
+  if (Request.Path == "/v1/status")
+    return Respond(status());
+  if (Request.Path == "/control/faults") {
+    json J = json::parse(Request.Body, nullptr, false);
+    if (!J.is_object())
+      return Respond(net::jsonResponse(400, R"({"error":"no JSON object"})"));
+    WorkerFaults F;
+    F.Delay = std::chrono::milliseconds(J.value("delay_ms", 0));
+    F.FailAll = J.value("fail_all", false);
+    F.WrongTask = J.value("wrong_task", false);
+    setFaults(F);
+    return Respond(net::jsonResponse(200, "{}"));
+  }
+  Respond(net::jsonResponse(404, R"({"error":"no such path"})"));
+}
+
+const char *WorkerStandin::refusalOf(const net::HttpRequest &Request,
+                                     const std::string &Id) const {
+  if (Id.empty())
+    return "no-task-id";
+  if (numberHeader(Request, "Task-Not-After-Ms", UINT64_MAX) < workerClockMs())
+    return "not-after";
+  if (Running_.size() >= Options_.Slots)
+    return "no-slot";
+  return nullptr;
+}
+
+void WorkerStandin::startTask(net::HttpRequest Request,
+                              net::HttpResponder Respond) {
+  std::string Id(net::findHeader(Request.Headers, "Task-Id"));
+  core::Duration Run = Options_.DefaultRun;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (const char *Why = refusalOf(Request, Id))
+      return Respond(refusal(Id, Why));
+    Running_.insert(Id);
+    ++Starts_;
+    bool IsNew = Seen_.insert(Id).second;
+    Duplicates_ += IsNew ? 0 : 1;
+    auto DefaultMs =
+        std::chrono::duration_cast<std::chrono::milliseconds>(Run).count();
+    Run = std::chrono::milliseconds(numberHeader(
+        Request, "Task-Run-Ms", static_cast<std::uint64_t>(DefaultMs)));
+    Run = Faults_.FailAll ? core::Duration(0) : Run + Faults_.Delay;
+  }
+  Log_.write(eventLine("start", Request, Id));
+  Timers_.after(
+      Run, [this, Id, Request = std::move(Request),
+            Respond = std::move(Respond)] { endTask(Id, Request, Respond); });
+}
+
+void WorkerStandin::endTask(const std::string &Id,
+                            const net::HttpRequest &Request,
+                            const net::HttpResponder &Respond) {
+  WorkerFaults Faults;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Running_.erase(Id);
+    Faults = Faults_;
+  }
+  Log_.write(eventLine("end", Request, Id));
+  net::HttpResponse Response;
+  Response.Status = Faults.FailAll ? 500 : 200;
+  Response.Headers.push_back({"Task-Id", Faults.WrongTask ? "other" : Id});
+  Response.Headers.push_back(
+      {"Task-Clock-Ms", std::to_string(workerClockMs())});
+  Response.Body = Request.Body;
+  Respond(std::move(Response));
+}
+
+net::HttpResponse WorkerStandin::status() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  json J = {{"name", Options_.Name},
+            {"clock_ms", workerClockMs()},
+            {"slots", Options_.Slots},
+            {"running", Running_}};
+  return net::jsonResponse(200, J.dump());
+}
+
+std::string WorkerStandin::eventLine(const char *Event,
+                                     const net::HttpRequest &Request,
+                                     const std::string &Id) const {
+  auto WallMs = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    std::chrono::system_clock::now().time_since_epoch())
+                    .count();
+  json J = {{"at_ms", WallMs},
+            {"event", Event},
+            {"worker", Options_.Name},
+            {"task", Id},
+            {"team", net::findHeader(Request.Headers, "Task-Team")},
+            {"queue", net::findHeader(Request.Headers, "Task-Queue")}};
+  return J.dump();
+}
+
+} // namespace comfreydeck::standins
