Name each attempt by its demand

Cause: a pool's owner has to match what workers report as running with the demands that it granted, and one request may take several attempts.

Change: the task id at a worker is the demand's name; the request's id goes along as Task-Request. Workers report each running task with its team.

--- a/src/entry/ConfigStore.cpp
+++ b/src/entry/ConfigStore.cpp
@@ -1,6 +1,7 @@
 #include "entry/ConfigStore.h"
 
 #include "codec/ConfigJson.h"
+#include "core/Names.h"
 #include "entry/Membership.h"
 
 #include <glog/logging.h>
@@ -98,7 +99,8 @@
                  "the configuration is at another version"});
   core::ConfigChange Change;
   Change.Version.Value = Now->Version.Value + 1;
-  Change.Id = toHex(Context_.Self) + "-" + std::to_string(Context_.Random());
+  Change.Id =
+      core::nameOf(Context_.Self) + "-" + std::to_string(Context_.Random());
   Change.By = Proposal.By;
   Change.AtUnixMs = unixMs();
   Change.Edits = std::move(Proposal.Edits);
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -1,10 +1,10 @@
 #include "entry/Membership.h"
 
+#include "core/Names.h"
+
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
-#include <charconv>
-
 namespace comfreydeck::entry {
 
 namespace {
@@ -13,14 +13,12 @@
 
 constexpr const char *SessionTable = "sessions";
 constexpr std::uint32_t MaxMembers = 1000;
-constexpr std::size_t IncarnationDigits = 16;
-constexpr int Hex = 16;
 constexpr core::Duration RegisterRetry = std::chrono::milliseconds(300);
 
 Member memberFrom(const platform::Row &Row) {
   json J = json::parse(Row.Value);
   Member M;
-  M.Id = incarnationFromHex(Row.Key);
+  M.Id = core::incarnationFrom(Row.Key).value_or(core::Incarnation{});
   M.Name = J.at("name").get<std::string>();
   M.DataCentre = J.at("datacentre").get<std::string>();
   M.PeerAddress = J.at("peer_address").get<std::string>();
@@ -36,25 +34,9 @@
 
 } // namespace
 
-std::string toHex(core::Incarnation Id) {
-  std::string Text(IncarnationDigits, '0');
-  std::array<char, IncarnationDigits> Digits{};
-  auto [End, Error] =
-      std::to_chars(Digits.begin(), Digits.end(), Id.Value, Hex);
-  auto Length = static_cast<std::size_t>(End - Digits.begin());
-  Text.replace(IncarnationDigits - Length, Length, Digits.data(), Length);
-  return Text;
-}
-
-core::Incarnation incarnationFromHex(std::string_view Text) {
-  core::Incarnation Id;
-  std::from_chars(Text.data(), Text.data() + Text.size(), Id.Value, Hex);
-  return Id;
-}
-
 Membership::Membership(const Context &C) : Context_(C) {}
 
-std::string Membership::rowKey() const { return toHex(Context_.Self); }
+std::string Membership::rowKey() const { return core::nameOf(Context_.Self); }
 
 void Membership::start(std::function<void()> OnChange) {
   OnChange_ = std::move(OnChange);
@@ -127,7 +109,7 @@
 
 void Membership::fence(core::Incarnation Id,
                        std::function<void(FenceOutcome)> Done) {
-  platform::RowKey Key{SessionTable, toHex(Id)};
+  platform::RowKey Key{SessionTable, core::nameOf(Id)};
   platform::Transaction T{"fence-" + Key.Key, {}, {{Key, std::nullopt}}};
   Context_.Tables.commit(std::move(T), [this, Done = std::move(Done)](
                                            platform::CommitResult Result) {
--- a/src/entry/Membership.h
+++ b/src/entry/Membership.h
@@ -70,10 +70,6 @@
   bool Leaving_ = false;
 };
 
-/// An incarnation as 16 hex digits, and back. Thread-safe.
-std::string toHex(core::Incarnation Id);
-core::Incarnation incarnationFromHex(std::string_view Text);
-
 } // namespace comfreydeck::entry
 
 #endif // COMFREYDECK_ENTRY_MEMBERSHIP_H
--- a/src/entry/OperatorService.cpp
+++ b/src/entry/OperatorService.cpp
@@ -3,6 +3,7 @@
 #include "codec/ConfigJson.h"
 #include "codec/InstanceJson.h"
 #include "codec/KeyHash.h"
+#include "core/Names.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -147,7 +148,7 @@
   for (const Member &M : Members_.members())
     Entries.push_back({{"name", M.Name},
                        {"datacentre", M.DataCentre},
-                       {"incarnation", toHex(M.Id)}});
+                       {"incarnation", core::nameOf(M.Id)}});
   json Instances = json::array();
   for (const auto &[Id, I] : Workers_.instances())
     Instances.push_back(json::parse(codec::toJson(I)));
--- a/src/entry/PoolService.cpp
+++ b/src/entry/PoolService.cpp
@@ -1,4 +1,5 @@
 #include "entry/PoolService.h"
+#include "core/Names.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -147,7 +148,8 @@
     json J = json::parse(Row.Value);
     core::PoolId Pool{J.at("pool").get<std::uint32_t>()};
     KnownOwner &Known = Owners_[Pool];
-    Known.Id = incarnationFromHex(J.at("owner").get<std::string>());
+    Known.Id = core::incarnationFrom(J.at("owner").get<std::string>())
+                   .value_or(core::Incarnation{});
     Known.Term.Value = J.at("epoch").get<std::uint64_t>();
     Known.RowVersion = Row.Version;
   }
@@ -178,7 +180,7 @@
 void PoolService::take(core::PoolId Pool, core::Epoch Term,
                        std::uint64_t RowVersion) {
   json J = {{"pool", Pool.Value},
-            {"owner", toHex(Context_.Self)},
+            {"owner", core::nameOf(Context_.Self)},
             {"epoch", Term.Value}};
   platform::RowKey Key{PoolTable, std::to_string(Pool.Value)};
   platform::Transaction T{
--- a/src/entry/TaskService.cpp
+++ b/src/entry/TaskService.cpp
@@ -1,6 +1,7 @@
 #include "entry/TaskService.h"
 
 #include "codec/KeyHash.h"
+#include "core/Names.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -144,7 +145,7 @@
   T->Demand.Urgent = T->Request.Urgent;
   T->Pool = Q->ServedBy;
   T->TeamName = core::findTeam(*C, T->Demand.Team)->Name;
-  T->Id = toHex(Context_.Self) + "-" + std::to_string(T->Demand.Id.Number);
+  T->Id = core::nameOf(T->Demand.Id);
   T->Idempotent = T->Request.Idempotent.value_or(Q->IdempotentByDefault);
   if (!T->Idempotent && T->Request.IdempotencyKey.empty())
     throw RequestError(400, core::Reason::MalformedRequest,
@@ -198,7 +199,8 @@
   Call.Method = "POST";
   Call.Url = "http://" + Result.WorkerAddress + "/v1/tasks";
   Call.Headers = {
-      {"Task-Id", T->Id},
+      {"Task-Id", core::nameOf(T->Demand.Id)},
+      {"Task-Request", T->Id},
       {"Task-Team", T->TeamName},
       {"Task-Queue", T->Request.Queue},
       {"Task-Not-After-Ms", std::to_string(Result.NotAfterWorkerMs)},
@@ -218,7 +220,7 @@
 }
 
 void TaskService::onExchange(const TaskPtr &T, net::HttpResult Result) {
-  core::Verdict V = core::verdictOf(judge(Result, T->Id));
+  core::Verdict V = core::verdictOf(judge(Result, core::nameOf(T->Demand.Id)));
   bool Known = V != core::Verdict::MayHaveRun;
   DemandEnd End;
   End.How = Known ? Ending::Ended : Ending::Unknown;
--- a/tests/standins/WorkerStandin.cpp
+++ b/tests/standins/WorkerStandin.cpp
@@ -117,9 +117,10 @@
     std::lock_guard<std::mutex> Lock(Mutex_);
     if (const char *Why = refusalOf(Request, Id))
       return Respond(refusal(Id, Why));
-    Running_.insert(Id);
+    Running_[Id] = net::findHeader(Request.Headers, "Task-Team");
     ++Starts_;
-    bool IsNew = Seen_.insert(Id).second;
+    std::string Whole(net::findHeader(Request.Headers, "Task-Request"));
+    bool IsNew = Seen_.insert(Whole.empty() ? Id : Whole).second;
     Duplicates_ += IsNew ? 0 : 1;
     auto DefaultMs =
         std::chrono::duration_cast<std::chrono::milliseconds>(Run).count();
@@ -154,10 +155,13 @@
 
 net::HttpResponse WorkerStandin::status() const {
   std::lock_guard<std::mutex> Lock(Mutex_);
+  json Running = json::array();
+  for (const auto &[Task, Team] : Running_)
+    Running.push_back({{"task", Task}, {"team", Team}});
   json J = {{"name", Options_.Name},
             {"clock_ms", workerClockMs()},
             {"slots", Options_.Slots},
-            {"running", Running_}};
+            {"running", Running}};
   return net::jsonResponse(200, J.dump());
 }
 
@@ -171,6 +175,7 @@
             {"event", Event},
             {"worker", Options_.Name},
             {"task", Id},
+            {"request", net::findHeader(Request.Headers, "Task-Request")},
             {"team", net::findHeader(Request.Headers, "Task-Team")},
             {"queue", net::findHeader(Request.Headers, "Task-Queue")}};
   return J.dump();
--- a/tests/standins/WorkerStandin.h
+++ b/tests/standins/WorkerStandin.h
@@ -76,7 +76,8 @@
   EventLog &Log_;
   mutable std::mutex Mutex_;
   WorkerFaults Faults_;
-  std::set<std::string> Running_;
+  /// Team by task.
+  std::map<std::string, std::string> Running_;
   std::set<std::string> Seen_;
   std::uint64_t Starts_ = 0;
   std::uint64_t Duplicates_ = 0;
