Run real processes under faults and check their logs

Cause: what must hold was shown without faults only.

The load tool repeats requests that did not run.

--- /dev/null
+++ b/tests/standins/RunCheck.h
@@ -0,0 +1,89 @@
+#ifndef COMFREYDECK_TESTS_STANDINS_RUNCHECK_H
+#define COMFREYDECK_TESTS_STANDINS_RUNCHECK_H
+
+#include <cstdint>
+#include <istream>
+#include <limits>
+#include <map>
+#include <string>
+#include <vector>
+
+/// Reads what workers, callers and operators noted during a run, and counts
+/// every breach of what must hold.
+namespace comfreydeck::standins {
+
+/// The time of what did not happen.
+constexpr std::int64_t Never = std::numeric_limits<std::int64_t>::max();
+
+/// A start or an end, in the order in which the workers noted them.
+struct WorkerEvent {
+  bool IsStart = false;
+  std::int64_t AtMs = 0;
+  std::string Worker;
+  std::string Task;
+  std::string Team;
+  std::string Body;
+};
+
+/// One call of a caller and its answer.
+struct CallerCall {
+  std::string Body;
+  std::string Label;
+  std::string Verdict;
+  bool NonIdempotent = false;
+  bool Whole = true;
+  std::uint32_t Call = 0;
+  std::int64_t SentMs = 0;
+  std::int64_t AnsweredMs = 0;
+};
+
+/// What operators changed: asked for at one time, in force at another. Kinds
+/// are limit, datacentre-out, datacentre-in and key-withdrawn.
+struct OperatorEvent {
+  std::string Kind;
+  std::string Name;
+  std::int64_t Value = 0;
+  std::int64_t AskedMs = 0;
+  std::int64_t InForceMs = Never;
+};
+
+struct Records {
+  std::vector<WorkerEvent> Workers;
+  std::vector<CallerCall> Callers;
+  std::vector<OperatorEvent> Operators;
+  std::map<std::string, std::string> DataCentres;
+};
+
+/// Breaches, each of which must be zero, and what was seen besides.
+struct Counts {
+  std::uint64_t DoubledRuns = 0;
+  std::uint64_t FalseNotRun = 0;
+  std::uint64_t StartsOverLimit = 0;
+  std::uint64_t StartsWhileOut = 0;
+  std::uint64_t StartsForWithdrawnKey = 0;
+  std::uint64_t SwappedAnswers = 0;
+  std::uint64_t Starts = 0;
+  std::uint64_t Requests = 0;
+  std::uint64_t Ran = 0;
+  std::uint64_t Unsettled = 0;
+};
+
+/// Each adds the lines of a log, one JSON object a line, to \p Into. Throws
+/// nlohmann::json::exception where a line is malformed. Not thread-safe.
+void readWorkerLog(std::istream &Log, Records &Into);
+void readCallerLog(std::istream &Log, Records &Into);
+void readOperatorLog(std::istream &Log, Records &Into);
+void readInstances(std::istream &List, Records &Into);
+
+/// Counts everything. Thread-safe.
+Counts countBreaches(const Records &R);
+
+/// Whether no breach was counted. Thread-safe.
+bool allHeld(const Counts &C);
+
+/// The counts as JSON text. Thread-safe.
+std::string report(const Counts &C);
+
+} // namespace comfreydeck::standins
+
+#endif // COMFREYDECK_TESTS_STANDINS_RUNCHECK_H
--- a/tests/standins/WorkerStandin.cpp
+++ b/tests/standins/WorkerStandin.cpp
@@ -10,6 +10,8 @@
 
 using nlohmann::json;
 
+constexpr std::size_t LoggedBodyBytes = 64;
+
 std::uint64_t workerClockMs() {
   return static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -177,7 +179,8 @@
             {"task", Id},
             {"request", net::findHeader(Request.Headers, "Task-Request")},
             {"team", net::findHeader(Request.Headers, "Task-Team")},
-            {"queue", net::findHeader(Request.Headers, "Task-Queue")}};
+            {"queue", net::findHeader(Request.Headers, "Task-Queue")},
+            {"body", Request.Body.substr(0, LoggedBodyBytes)}};
   return J.dump();
 }
 
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -20,15 +20,40 @@
   std::vector<std::string> Entries;
   std::vector<std::string> Queues;
   std::vector<std::string> Keys;
+  std::vector<std::string> Labels;
   std::uint32_t Count = 100;
   std::uint32_t PerSecond = 100;
+  std::uint32_t BurstSeconds = 0;
   std::uint32_t RunMs = 20;
   std::uint32_t DeadlineMs = 10000;
   std::uint32_t NonIdempotentPercent = 50;
+  std::uint32_t Retries = 0;
   std::uint64_t Seed = 1;
   std::string LogFile;
 };
 
+/// A queue in its turn asks for this many times its mean, any other queue for
+/// one part in this many.
+constexpr double BurstFactor = 5.0;
+constexpr double QuietDivisor = 20.0;
+constexpr core::Duration RetryDelay = std::chrono::milliseconds(200);
+constexpr std::uint32_t AnswerMarginMs = 2000;
+
+/// One request with all its calls.
+struct LoadRequest {
+  std::uint32_t Number = 0;
+  std::size_t Queue = 0;
+  bool NonIdempotent = false;
+  std::string Body;
+  std::uint32_t Calls = 0;
+};
+
+std::int64_t wallMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 /// What came back, and when.
 class Results {
 public:
@@ -37,28 +62,40 @@
       Log_.open(File, std::ios::app);
   }
 
-  void add(std::uint32_t Number, const std::string &Body,
-           const net::HttpResult &Result, core::Duration Took) {
-    std::lock_guard<std::mutex> Lock(Mutex_);
+  /// Notes one call's answer, and returns its verdict.
+  std::string note(const LoadRequest &Request, const std::string &Label,
+                   std::int64_t SentMs, const net::HttpResult &Result) {
     bool Answered = Result.End == core::ExchangeEnd::Answered;
     std::string Verdict(
         net::findHeader(Result.Response.Headers, "Comfreydeck-Verdict"));
-    if (Verdict.empty())
+    if (Verdict.empty() || !Answered)
       Verdict = "no-answer";
-    ++Verdicts_[Verdict];
-    bool Whole = Verdict != "ran" || Result.Response.Body == Body;
-    Swapped_ += Whole ? 0 : 1;
-    nlohmann::json J = {{"number", Number},
+    bool Whole = Verdict != "ran" || Result.Response.Body == Request.Body;
+    nlohmann::json J = {{"number", Request.Number},
+                        {"body", Request.Body},
+                        {"label", Label},
+                        {"non_idempotent", Request.NonIdempotent},
+                        {"call", Request.Calls},
                         {"verdict", Verdict},
                         {"status", Answered ? Result.Response.Status : 0},
                         {"id", net::findHeader(Result.Response.Headers,
                                                "Comfreydeck-Request-Id")},
                         {"whole", Whole},
-                        {"took_us", Took.count()}};
-    if (Verdict != "ran" && Answered)
-      J["body"] = Result.Response.Body;
+                        {"sent_ms", SentMs},
+                        {"answered_ms", wallMs()}};
+    if (Verdict != "ran")
+      J["answer"] = Answered ? Result.Response.Body : Result.Error;
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Swapped_ += Whole ? 0 : 1;
     if (Log_)
       Log_ << J.dump() << "\n";
+    return Verdict;
+  }
+
+  /// Notes that a request has its last answer.
+  void finish(const std::string &Verdict) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    ++Verdicts_[Verdict];
     ++Done_;
     Changed_.notify_all();
   }
@@ -68,7 +105,8 @@
     Changed_.wait(Lock, [&] { return Done_ >= Count; });
   }
 
-  nlohmann::json summary() const {
+  nlohmann::json summary() {
+    std::lock_guard<std::mutex> Lock(Mutex_);
     return {{"answers", Verdicts_}, {"swapped", Swapped_}};
   }
 
@@ -81,48 +119,129 @@
   std::uint32_t Done_ = 0;
 };
 
-net::HttpCall callFor(const LoadArguments &A, std::uint32_t Number,
-                      core::Rng &Random) {
-  std::size_t Which = Number % A.Queues.size();
-  bool NonIdempotent = Random() % 100 < A.NonIdempotentPercent;
-  net::HttpCall Call;
-  Call.Method = "POST";
-  Call.Url = A.Entries[Random() % A.Entries.size()] + "/v1/queues/" +
-             A.Queues[Which] + "/tasks";
-  Call.Body =
-      "request " + std::to_string(A.Seed) + "-" + std::to_string(Number);
-  Call.Headers = {{"Comfreydeck-Idempotent", NonIdempotent ? "false" : "true"},
-                  {"Comfreydeck-Deadline-Ms", std::to_string(A.DeadlineMs)},
-                  {"Comfreydeck-Run-Ms", std::to_string(A.RunMs)},
-                  {"Content-Type", "text/plain"}};
-  if (Which < A.Keys.size())
-    Call.Headers.push_back({"Authorization", "Bearer " + A.Keys[Which]});
-  if (NonIdempotent)
-    Call.Headers.push_back({"Idempotency-Key", std::to_string(A.Seed) + "-" +
-                                                   std::to_string(Number)});
-  Call.TotalLimit = std::chrono::milliseconds(A.DeadlineMs + 2000);
-  Call.MayResend = !NonIdempotent;
-  return Call;
-}
+/// Sends each request until it has an answer that settles it.
+class Caller {
+public:
+  Caller(const LoadArguments &Arguments, Results &Answers)
+      : Arguments_(Arguments), Answers_(Answers), Random_(Arguments.Seed),
+        Client_(clientOptions()) {
+    Timers_.start();
+  }
+
+  /// Not thread-safe: from the generator's thread only.
+  void send(LoadRequest Request) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Request.NonIdempotent = Random_() % 100 < Arguments_.NonIdempotentPercent;
+    call(std::move(Request));
+  }
+
+private:
+  static net::HttpClientOptions clientOptions() {
+    net::HttpClientOptions Options;
+    Options.MaxPerHost = 2048;
+    Options.MaxKept = 2048;
+    return Options;
+  }
+
+  std::string labelOf(const LoadRequest &Request) const {
+    return Request.Queue < Arguments_.Labels.size()
+               ? Arguments_.Labels[Request.Queue]
+               : Arguments_.Queues[Request.Queue];
+  }
+
+  net::HttpCall callFor(const LoadRequest &Request) {
+    net::HttpCall Call;
+    Call.Method = "POST";
+    Call.Url = Arguments_.Entries[Random_() % Arguments_.Entries.size()] +
+               "/v1/queues/" + Arguments_.Queues[Request.Queue] + "/tasks";
+    Call.Body = Request.Body;
+    Call.Headers = {
+        {"Comfreydeck-Idempotent", Request.NonIdempotent ? "false" : "true"},
+        {"Comfreydeck-Deadline-Ms", std::to_string(Arguments_.DeadlineMs)},
+        {"Comfreydeck-Run-Ms", std::to_string(Arguments_.RunMs)},
+        {"Content-Type", "text/plain"}};
+    if (Request.Queue < Arguments_.Keys.size())
+      Call.Headers.push_back(
+          {"Authorization", "Bearer " + Arguments_.Keys[Request.Queue]});
+    if (Request.NonIdempotent)
+      Call.Headers.push_back({"Idempotency-Key", Request.Body});
+    Call.TotalLimit =
+        std::chrono::milliseconds(Arguments_.DeadlineMs + AnswerMarginMs);
+    Call.MayResend = !Request.NonIdempotent;
+    return Call;
+  }
+
+  void call(LoadRequest Request) {
+    ++Request.Calls;
+    net::HttpCall Call = callFor(Request);
+    std::int64_t SentMs = wallMs();
+    Client_.send(std::move(Call), [this, Request, SentMs](auto Result) {
+      onAnswer(Request, SentMs, Result);
+    });
+  }
+
+  void onAnswer(const LoadRequest &Request, std::int64_t SentMs,
+                const net::HttpResult &Result) {
+    std::string Verdict =
+        Answers_.note(Request, labelOf(Request), SentMs, Result);
+    bool Settled = Verdict == "ran" || Request.Calls > Arguments_.Retries;
+    if (Settled)
+      return Answers_.finish(Verdict);
+    Timers_.after(RetryDelay, [this, Request] {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      call(Request);
+    });
+  }
+
+  const LoadArguments &Arguments_;
+  Results &Answers_;
+  std::mutex Mutex_;
+  core::Rng Random_;
+  net::Loop Timers_;
+  net::HttpClient Client_;
+};
+
+/// Which queue the next request goes to, by the demand at that time.
+class Demand {
+public:
+  explicit Demand(const LoadArguments &A)
+      : Arguments_(A), Random_(A.Seed + 1) {}
+
+  std::size_t next(core::Duration SinceStart) {
+    if (Arguments_.BurstSeconds == 0)
+      return Turn_++ % Arguments_.Queues.size();
+    auto Seconds =
+        std::chrono::duration_cast<std::chrono::seconds>(SinceStart).count();
+    auto InTurn = static_cast<std::size_t>(Seconds / Arguments_.BurstSeconds) %
+                  Arguments_.Queues.size();
+    std::vector<double> Weights(Arguments_.Queues.size(), 1.0 / QuietDivisor);
+    Weights[InTurn] = BurstFactor;
+    return std::discrete_distribution<std::size_t>(Weights.begin(),
+                                                   Weights.end())(Random_);
+  }
+
+private:
+  const LoadArguments &Arguments_;
+  core::Rng Random_;
+  std::size_t Turn_ = 0;
+};
 
 int runLoad(const LoadArguments &A) {
-  net::HttpClientOptions Options;
-  Options.MaxPerHost = 1024;
-  Options.MaxKept = 1024;
   Results Answers(A.LogFile);
-  net::HttpClient Client(Options);
-  core::Rng Random(A.Seed);
+  Caller Sender(A, Answers);
+  Demand Choice(A);
   auto Gap = std::chrono::microseconds(1000000 / A.PerSecond);
-  core::TimePoint Next = net::now();
+  core::TimePoint Start = net::now();
+  core::TimePoint Next = Start;
   for (std::uint32_t N = 0; N < A.Count; ++N) {
     std::this_thread::sleep_until(Next);
     Next += Gap;
-    net::HttpCall Call = callFor(A, N, Random);
-    core::TimePoint Sent = net::now();
-    std::string Body = Call.Body;
-    Client.send(std::move(Call), [&Answers, N, Sent, Body](auto Result) {
-      Answers.add(N, Body, Result, net::now() - Sent);
-    });
+    LoadRequest Request;
+    Request.Number = N;
+    Request.Queue = Choice.next(Next - Start);
+    Request.Body =
+        "request-" + std::to_string(A.Seed) + "-" + std::to_string(N);
+    Sender.send(std::move(Request));
   }
   Answers.waitFor(A.Count);
   std::cout << Answers.summary().dump() << "\n";
@@ -138,14 +257,20 @@
       ->required();
   App.add_option("--queue", A.Queues, "Queues in turn")->required();
   App.add_option("--key", A.Keys, "One key for each queue");
+  App.add_option("--label", A.Labels, "One name for each key, for the log");
   App.add_option("--count", A.Count, "How many requests");
   App.add_option("--per-second", A.PerSecond, "How many each second")
       ->check(CLI::Range(1, 100000));
+  App.add_option("--burst-seconds", A.BurstSeconds,
+                 "Each queue in its turn asks for five times its mean for this "
+                 "long; 0 for an even load");
   App.add_option("--run-ms", A.RunMs, "Run time of each");
   App.add_option("--deadline-ms", A.DeadlineMs, "Deadline of each");
   App.add_option("--non-idempotent-percent", A.NonIdempotentPercent,
                  "How many of a hundred")
       ->check(CLI::Range(0, 100));
+  App.add_option("--retries", A.Retries,
+                 "Calls more for a request that did not run");
   App.add_option("--seed", A.Seed, "Of the random choices");
   App.add_option("--log", A.LogFile, "Where each answer is noted");
   CLI11_PARSE(App, Argc, Argv);
