Decide drains, budgets and waves in the core

Cause: instances had states but no rule said which follows which, nothing counted absences, and a pool's row was written without a condition.

Change: the state machine of an instance (core/Drain), availability budgets for a pool and its racks and data centres (core/Budget), maintenance waves and the standing schedule (core/Wave), what may be inferred from silence and the list (core/FailureInference), gradual return (core/Warmup), and one step of a pool's owner over all of them (core/Maintenance).

The histories first showed overdrafts: a drain of a merely silent instance was free, and counted twice once the instance was heard again; and two writers for one pool, since the ledger's row alone does not fence a former owner. Both rules were changed for that.

Conclusion: a change of an instance conditions on its row, on its pool's ledger and on the row that names the pool's owner; reboots need the lease.

--- a/src/core/Instance.h
+++ b/src/core/Instance.h
@@ -35,6 +35,23 @@
   std::string Address;
   std::uint32_t Slots = 8;
   Resources Total;
+  /// The pool to move to once it is empty; invalid where it stays.
+  PoolId MoveTo;
+  /// Whether it is rebooted once it is empty.
+  bool RebootWhenEmpty = false;
+  /// Whether it has never served in its present pool, so that its absence takes
+  /// nothing from the pool.
+  bool Joining = false;
+  /// The wave that drains it; invalid where none does.
+  WaveId Wave;
+  /// The latest wave that it has been through; invalid where there is none.
+  WaveId LastWave;
+  /// The boot that a reboot has to replace.
+  std::string BootId;
+  /// Wall clock of the last maintenance and of the last change of state, in
+  /// milliseconds.
+  std::int64_t MaintainedUnixMs = 0;
+  std::int64_t SinceUnixMs = 0;
 };
 
 } // namespace comfreydeck::core
--- /dev/null
+++ b/src/core/Wave.cpp
@@ -0,0 +1,211 @@
+#include "core/Wave.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace comfreydeck::core {
+
+namespace {
+
+struct WaveTransition {
+  WaveState From;
+  WaveCommand Command;
+  WaveState To;
+};
+
+constexpr std::array WaveTransitions = {
+    WaveTransition{WaveState::Running, WaveCommand::Pause, WaveState::Paused},
+    WaveTransition{WaveState::Running, WaveCommand::Cancel,
+                   WaveState::Cancelled},
+    WaveTransition{WaveState::Running, WaveCommand::Finish, WaveState::Done},
+    WaveTransition{WaveState::Paused, WaveCommand::Resume, WaveState::Running},
+    WaveTransition{WaveState::Paused, WaveCommand::Cancel,
+                   WaveState::Cancelled},
+};
+
+bool failedIn(const Wave &W, const Instance &I) {
+  return I.State == InstanceState::Failed && I.Wave == W.Id &&
+         I.SinceUnixMs > W.FailuresAfterUnixMs;
+}
+
+bool isWarming(const Wave &W, const Instance &I) {
+  return I.State == InstanceState::Warming && I.LastWave == W.Id;
+}
+
+bool isActive(const Wave &W, const Instance &I) {
+  bool IsOut = I.Wave == W.Id && I.State != InstanceState::Failed;
+  return IsOut || isWarming(W, I);
+}
+
+bool hasTooManyFailures(const WaveProgress &P) {
+  if (P.Failed == 0)
+    return false;
+  std::uint32_t Allowed =
+      std::max(WaveFailuresLeast, P.Done * WaveFailuresPerHundred / 100);
+  // A canary that fails pauses at once.
+  return P.Done == 0 || P.Failed > Allowed;
+}
+
+/// What is still to be drained, in no order.
+std::vector<const BudgetMember *>
+leftOver(const Wave &W, std::span<const BudgetMember> Members) {
+  std::vector<const BudgetMember *> Left;
+  for (const BudgetMember &M : Members) {
+    bool IsLeft = M.Item->State == InstanceState::Serving && M.Reachable;
+    if (IsLeft && !isDone(W, *M.Item) && M.Kind != Absence::Planned)
+      Left.push_back(&M);
+  }
+  return Left;
+}
+
+/// Puts the data centre with the most left first, as it takes longest; within
+/// it one rack after another, the ones already begun first.
+void sortByDomain(std::vector<const BudgetMember *> &Left,
+                  const AbsenceTable &Table) {
+  std::map<std::string_view, std::uint32_t> LeftIn;
+  std::map<std::string_view, std::uint32_t> LeftInRack;
+  for (const BudgetMember *M : Left) {
+    ++LeftIn[M->Item->DataCentre];
+    ++LeftInRack[M->Item->Rack];
+  }
+  auto Key = [&](const BudgetMember *M) {
+    const Instance &I = *M->Item;
+    auto Rack = Table.Racks.find(I.Rack);
+    std::uint32_t Size = Rack == Table.Racks.end() ? 0 : Rack->second.Size;
+    bool Untouched = LeftInRack[I.Rack] >= Size;
+    return std::make_tuple(-static_cast<std::int64_t>(LeftIn[I.DataCentre]),
+                           std::string_view(I.DataCentre), Untouched,
+                           std::string_view(I.Rack), std::string_view(I.Name));
+  };
+  std::sort(Left.begin(), Left.end(),
+            [&](auto *A, auto *B) { return Key(A) < Key(B); });
+}
+
+/// Drains of \p Left as many as the budgets and \p Most allow.
+void takePermitted(std::span<const BudgetMember *const> Left,
+                   const Pool &Limits, std::size_t Most, AbsenceTable &Table,
+                   WaveStep &Step) {
+  for (const BudgetMember *M : Left) {
+    if (Step.Drain.size() >= Most)
+      return;
+    Permit P = permitDrain(Table, Limits, *M);
+    if (P.granted()) {
+      Step.Drain.push_back(M->Item->Id);
+      addPermit(Table, *M);
+      continue;
+    }
+    Step.Refusal = P;
+    if (P.Refused == PermitRefusal::PoolBudget && M->Kind != Absence::Joining)
+      return;
+  }
+}
+
+} // namespace
+
+std::optional<WaveState> next(WaveState From, WaveCommand Command) {
+  for (const WaveTransition &T : WaveTransitions)
+    if (T.From == From && T.Command == Command)
+      return T.To;
+  return std::nullopt;
+}
+
+bool covers(const Wave &W, const Instance &I, std::string_view PoolName) {
+  switch (W.Scope) {
+  case WaveScope::All:
+    return true;
+  case WaveScope::Pool:
+    return W.Name == PoolName;
+  case WaveScope::Rack:
+    return W.Name == I.Rack;
+  case WaveScope::DataCentre:
+    return W.Name == I.DataCentre;
+  }
+  return false;
+}
+
+bool isDone(const Wave &W, const Instance &I) {
+  return I.LastWave.isValid() && I.LastWave >= W.Id;
+}
+
+WaveProgress progressOf(const Wave &W, std::span<const BudgetMember> Members) {
+  WaveProgress P;
+  for (const BudgetMember &M : Members) {
+    ++P.Total;
+    P.Done += isDone(W, *M.Item) ? 1 : 0;
+    P.Active += isActive(W, *M.Item) ? 1 : 0;
+    P.Warming += isWarming(W, *M.Item) ? 1 : 0;
+    P.Failed += failedIn(W, *M.Item) ? 1 : 0;
+  }
+  return P;
+}
+
+std::optional<std::int64_t> remainingMs(const Wave &W, const WaveProgress &P,
+                                        std::int64_t NowUnixMs) {
+  if (P.Done == 0)
+    return std::nullopt;
+  std::int64_t Elapsed = NowUnixMs - W.StartedUnixMs;
+  return Elapsed * (P.Total - P.Done) / P.Done;
+}
+
+WaveStep stepWave(const Wave &W, const Pool &Limits,
+                  std::span<const BudgetMember> Members, AbsenceTable &Table) {
+  WaveStep Step;
+  WaveProgress P = progressOf(W, Members);
+  if (W.State != WaveState::Running) {
+    Step.Hold = WaveHold::NotRunning;
+    return Step;
+  }
+  if (hasTooManyFailures(P)) {
+    Step.Hold = WaveHold::Failures;
+    return Step;
+  }
+  if (P.isComplete()) {
+    Step.Hold = WaveHold::Complete;
+    return Step;
+  }
+  std::uint32_t Served = P.Done - P.Warming;
+  bool CanaryOut = Served == 0 && P.Active > 0;
+  if (CanaryOut) {
+    Step.Hold = WaveHold::Canary;
+    return Step;
+  }
+  std::vector<const BudgetMember *> Left = leftOver(W, Members);
+  sortByDomain(Left, Table);
+  std::size_t Most = Served == 0 ? 1 : Left.size();
+  takePermitted(Left, Limits, Most, Table, Step);
+  if (Step.Drain.empty() && !Left.empty())
+    Step.Hold = WaveHold::Budget;
+  return Step;
+}
+
+std::vector<WorkerId> dueForMaintenance(const Pool &Limits,
+                                        std::span<const BudgetMember> Members,
+                                        AbsenceTable &Table,
+                                        std::int64_t IntervalMs,
+                                        std::int64_t NowUnixMs) {
+  std::vector<const BudgetMember *> Oldest;
+  std::int64_t Latest = 0;
+  bool IsBusy = false;
+  for (const BudgetMember &M : Members) {
+    Latest = std::max(Latest, M.Item->MaintainedUnixMs);
+    IsBusy = IsBusy || M.Kind == Absence::Planned;
+    bool CanGo = M.Item->State == InstanceState::Serving && M.Reachable;
+    if (CanGo && M.Kind != Absence::Planned)
+      Oldest.push_back(&M);
+  }
+  std::sort(Oldest.begin(), Oldest.end(), [](auto *A, auto *B) {
+    return std::tie(A->Item->MaintainedUnixMs, A->Item->Name) <
+           std::tie(B->Item->MaintainedUnixMs, B->Item->Name);
+  });
+  std::int64_t Pace =
+      IntervalMs * 3 / 4 / std::max<std::int64_t>(1, std::ssize(Members));
+  std::size_t Due = !IsBusy && NowUnixMs - Latest >= Pace ? 1 : 0;
+  for (const BudgetMember *M : Oldest)
+    Due += NowUnixMs - M->Item->MaintainedUnixMs >= IntervalMs * 9 / 10 ? 1 : 0;
+  WaveStep Step;
+  takePermitted(Oldest, Limits, Due, Table, Step);
+  return Step.Drain;
+}
+
+} // namespace comfreydeck::core
--- /dev/null
+++ b/tests/core/FailureInferenceTest.cpp
@@ -0,0 +1,65 @@
+#include "core/FailureInference.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace comfreydeck::core;
+using std::chrono::seconds;
+
+TEST_CASE("one instance by its signals") {
+  struct Case {
+    const char *What;
+    InstanceSignals Signals;
+    Inference Expected;
+  };
+  const Case Cases[] = {
+      {"live and heard",
+       {WorkerId{1}, ListedAs::Live, seconds(0), seconds(1)},
+       Inference::Healthy},
+      {"missing for long but heard",
+       {WorkerId{1}, ListedAs::Missing, seconds(9000), seconds(1)},
+       Inference::Healthy},
+      {"silent for a moment",
+       {WorkerId{1}, ListedAs::Live, seconds(9000), seconds(4)},
+       Inference::Suspect},
+      {"silent, missing just now",
+       {WorkerId{1}, ListedAs::Missing, seconds(2), seconds(60)},
+       Inference::Suspect},
+      {"silent and missing",
+       {WorkerId{1}, ListedAs::Missing, seconds(30), seconds(30)},
+       Inference::Failed},
+      {"silent for minutes, the list lags",
+       {WorkerId{1}, ListedAs::Live, seconds(9000), seconds(300)},
+       Inference::Failed},
+      {"leaving",
+       {WorkerId{1}, ListedAs::Leaving, seconds(0), seconds(1)},
+       Inference::Leaving},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.What);
+    CHECK(inferPool({&C.Signals, 1}, {}).front() == C.Expected);
+  }
+}
+
+TEST_CASE("no signal empties a pool") {
+  InferenceLimits Limits;
+  for (std::uint32_t Size : {1U, 2U, 3U, 10U, 100U}) {
+    CAPTURE(Size);
+    std::vector<InstanceSignals> Signals;
+    for (std::uint32_t N = 0; N < Size; ++N)
+      Signals.push_back(
+          {WorkerId{N}, ListedAs::Missing, seconds(999), seconds(900 + N)});
+    std::vector<Inference> Result = inferPool(Signals, Limits);
+    auto Failed = std::count(Result.begin(), Result.end(), Inference::Failed);
+    auto Cap = std::max(1U, Size * Limits.FailedPerHundred / 100);
+    CHECK(Failed == Cap);
+    CHECK(Result.back() == Inference::Failed);
+    // What has failed already uses the cap up.
+    for (InstanceSignals &S : Signals)
+      S.Failed = true;
+    Signals.front().Failed = false;
+    Result = inferPool(Signals, Limits);
+    CHECK((Size == 1 || Result.front() == Inference::Suspect));
+  }
+}
