Give slots in a weighted fair order over teams

Cause: the pool owner took demands first come, first served, scanned all running tasks for each grant, and a demand without room held up the rest. Change: teams in an ordered set by virtual time with a bounded memory, within a team by the latest time to start, urgent work ahead in a bounded part of the slots, sizes in queues of their own, a worker kept free for a demand that was passed over, workers indexed by data centre and load, and run times learned from those observed.

--- /dev/null
+++ b/src/core/Estimates.cpp
@@ -0,0 +1,86 @@
+#include "core/Estimates.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace comfreydeck::core {
+
+namespace {
+
+constexpr double RunGain = 0.1;
+/// How fast the peak of sizes falls with each smaller report.
+constexpr double SizeFall = 0.02;
+/// One report moves the size ratio up by this factor at most.
+constexpr double SizeStep = 2;
+constexpr double LeastRatio = 1.0 / 16;
+constexpr double MostRatio = 16;
+/// Reports needed before a declared size is corrected.
+constexpr std::uint32_t SizeSamplesNeeded = 5;
+constexpr Duration UnknownRun = std::chrono::seconds(1);
+constexpr Duration LeastRun = std::chrono::milliseconds(1);
+
+double ratioOf(std::uint32_t Used, std::uint32_t Declared) {
+  return Declared == 0 ? 0 : static_cast<double>(Used) / Declared;
+}
+
+std::uint32_t scaled(std::uint32_t Value, double Ratio) {
+  return static_cast<std::uint32_t>(std::ceil(Value * Ratio));
+}
+
+} // namespace
+
+void observeRun(Estimates &E, WorkClass Class, Duration Declared,
+                Duration Ran) {
+  ObservedWork &Seen = E.Classes[Class];
+  Duration Run = std::max(Ran, LeastRun);
+  double Gain = std::max(RunGain, 1.0 / (Seen.RunSamples + 1));
+  double RunUs = static_cast<double>(Seen.Run.count());
+  RunUs += Gain * (static_cast<double>(Run.count()) - RunUs);
+  Seen.Run = Duration(static_cast<std::int64_t>(RunUs));
+  if (Declared.count() > 0) {
+    double Ratio = static_cast<double>(Run.count()) /
+                   static_cast<double>(Declared.count());
+    Ratio = std::clamp(Ratio, LeastRatio, MostRatio);
+    Seen.RunRatio += Gain * (Ratio - Seen.RunRatio);
+  }
+  ++Seen.RunSamples;
+}
+
+void observeSize(Estimates &E, WorkClass Class, const Resources &Declared,
+                 const Resources &Used) {
+  double Ratio = std::max(ratioOf(Used.MilliCpus, Declared.MilliCpus),
+                          ratioOf(Used.MemoryMb, Declared.MemoryMb));
+  if (Ratio == 0)
+    return;
+  ObservedWork &Seen = E.Classes[Class];
+  double Upper = std::min(MostRatio, Seen.SizeRatio * SizeStep);
+  double Target = std::clamp(Ratio, LeastRatio, Upper);
+  if (Target >= Seen.SizeRatio)
+    Seen.SizeRatio = Target;
+  else
+    Seen.SizeRatio += SizeFall * (Target - Seen.SizeRatio);
+  ++Seen.SizeSamples;
+}
+
+Duration expectedRun(const Estimates &E, WorkClass Class, Duration Declared) {
+  auto It = E.Classes.find(Class);
+  if (It == E.Classes.end() || It->second.RunSamples == 0)
+    return Declared.count() > 0 ? Declared : UnknownRun;
+  if (Declared.count() == 0)
+    return std::max(It->second.Run, LeastRun);
+  double Us = static_cast<double>(Declared.count()) * It->second.RunRatio;
+  return std::max(Duration(static_cast<std::int64_t>(Us)), LeastRun);
+}
+
+Resources expectedSize(const Estimates &E, WorkClass Class,
+                       const Resources &Declared) {
+  auto It = E.Classes.find(Class);
+  if (It == E.Classes.end() || It->second.SizeSamples < SizeSamplesNeeded)
+    return Declared;
+  double Ratio = It->second.SizeRatio;
+  // Accelerators are whole devices: what was asked for is held.
+  return {scaled(Declared.MilliCpus, Ratio), scaled(Declared.MemoryMb, Ratio),
+          Declared.Accelerators};
+}
+
+} // namespace comfreydeck::core
--- a/src/core/PoolOwner.cpp
+++ b/src/core/PoolOwner.cpp
@@ -1,105 +1,377 @@
 #include "core/PoolOwner.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace comfreydeck::core {
 
 namespace {
 
-std::size_t waitingCount(const PoolOwner &Owner) {
-  std::size_t Count = 0;
-  for (const auto &[Id, Team] : Owner.Teams)
-    Count += Team.Waiting.size();
-  return Count;
+constexpr Duration RetrySizesEvery = std::chrono::milliseconds(250);
+
+double secondsOf(Duration D) {
+  return std::chrono::duration<double>(D).count();
+}
+
+/// How many slots' worth of a worker a task takes: one, or more where it takes
+/// more than a slot's part of some resource.
+double slotsWorth(const PoolOwner &Owner, WorkerId Id, const Resources &Size) {
+  auto It = Owner.Workers.Workers.find(Id);
+  if (It == Owner.Workers.Workers.end())
+    return 1;
+  const PoolWorker &W = It->second.Worker;
+  auto Part = [&](std::uint32_t Need, std::uint32_t Total) {
+    return Total == 0 ? 0.0 : static_cast<double>(Need) * W.Slots / Total;
+  };
+  return std::max({1.0, Part(Size.MilliCpus, W.Total.MilliCpus),
+                   Part(Size.MemoryMb, W.Total.MemoryMb),
+                   Part(Size.Accelerators, W.Total.Accelerators)});
+}
+
+/// The learned size, unless no worker could hold that much.
+Resources plannedSize(const PoolOwner &Owner, const Demand &D) {
+  Resources Size = expectedSize(Owner.Learned, {D.Team, D.Queue}, D.Size);
+  return couldHold(Owner.Workers, Size) ? Size : D.Size;
+}
+
+WaitRank rankOf(const PoolOwner &Owner, const Demand &D) {
+  TimePoint Before = D.Arrived + Owner.Options.OvertakeLimit;
+  if (D.Deadline) {
+    Duration Run = expectedRun(Owner.Learned, {D.Team, D.Queue}, D.Run);
+    Before = std::min(Before, *D.Deadline - Run);
+  }
+  return {Before, D.Id};
+}
+
+void unlist(PoolOwner &Owner, TeamId Id, OwnedTeam &Team) {
+  if (!Team.Ready)
+    return;
+  Owner.ReadyTeams.erase({Team.VirtualTime, Id});
+  Owner.ReadyUrgent.erase({Team.VirtualTime, Id});
+  Team.Ready = false;
+}
+
+bool hasRoom(const PoolOwner &Owner, const OwnedTeam &Team) {
+  return Team.Running + Owner.UnknownSlots < Team.Allotment;
+}
+
+void list(PoolOwner &Owner, TeamId Id, OwnedTeam &Team) {
+  if (Team.Waiting == 0 || !hasRoom(Owner, Team))
+    return;
+  Team.Ready = true;
+  Owner.ReadyTeams.insert({Team.VirtualTime, Id});
+  if (!Team.Urgent.empty())
+    Owner.ReadyUrgent.insert({Team.VirtualTime, Id});
 }
 
-std::uint32_t usedSlots(const PoolOwner &Owner, WorkerId Id) {
-  std::uint32_t Used = 0;
-  for (const auto &[Demand, Task] : Owner.Running)
-    Used += Task.Worker == Id ? 1 : 0;
-  return Used;
+/// Puts the team where it belongs after any change; a team that was not ready
+/// returns with a bounded credit.
+void relist(PoolOwner &Owner, TeamId Id, OwnedTeam &Team, TimePoint Now) {
+  bool WasReady = Team.Ready;
+  unlist(Owner, Id, Team);
+  if (!WasReady && Team.Waiting > 0)
+    Team.VirtualTime =
+        std::max(Team.VirtualTime, returnFloor(Owner.Clock, Now));
+  list(Owner, Id, Team);
 }
 
-const PoolWorker *freestWorker(const PoolOwner &Owner) {
-  const PoolWorker *Best = nullptr;
-  std::uint32_t BestFree = 0;
-  for (const auto &[Id, Worker] : Owner.Workers) {
-    std::uint32_t Used = usedSlots(Owner, Id);
-    std::uint32_t Free = Worker.Slots > Used ? Worker.Slots - Used : 0;
-    if (!Worker.Open || Free <= BestFree)
+void charge(PoolOwner &Owner, TeamId Id, OwnedTeam &Team, double SlotSeconds) {
+  bool WasReady = Team.Ready;
+  unlist(Owner, Id, Team);
+  Team.VirtualTime += SlotSeconds / std::max<std::uint32_t>(Team.Share, 1);
+  if (WasReady)
+    list(Owner, Id, Team);
+}
+
+void dropReservation(PoolOwner &Owner, DemandId Id) {
+  auto IsFor = [&](const Reservation &R) { return R.For == Id; };
+  // Others may use the worker again.
+  if (std::erase_if(Owner.Reserved, IsFor) > 0)
+    Owner.NoRoom.clear();
+}
+
+/// Takes a demand out of every order that it stands in.
+WaitingDemand take(PoolOwner &Owner, DemandId Id) {
+  auto It = Owner.Waiting.find(Id);
+  WaitingDemand W = It->second;
+  OwnedTeam &Team = Owner.Teams[W.Asked.Team];
+  bool WasReady = Team.Ready;
+  unlist(Owner, W.Asked.Team, Team);
+  SizedQueues &Queues = W.Asked.Urgent ? Team.Urgent : Team.Ordinary;
+  auto Sized = Queues.find(W.Planned);
+  Sized->second.erase(W.Rank);
+  if (Sized->second.empty())
+    Queues.erase(Sized);
+  --Team.Waiting;
+  if (W.Asked.Deadline)
+    Owner.Deadlines.erase({*W.Asked.Deadline, Id});
+  Owner.Waiting.erase(It);
+  dropReservation(Owner, Id);
+  if (WasReady)
+    list(Owner, W.Asked.Team, Team);
+  return W;
+}
+
+/// The first waiting demand of a size that may have room.
+void considerQueues(const PoolOwner &Owner, const SizedQueues &Queues,
+                    const WaitRank *&Best) {
+  for (const auto &[Size, Ranks] : Queues) {
+    if (Owner.NoRoom.contains(Size))
       continue;
-    Best = &Worker;
-    BestFree = Free;
+    if (!Best || *Ranks.begin() < *Best)
+      Best = &*Ranks.begin();
   }
-  return Best;
 }
 
-OwnedTeam *nextTeam(PoolOwner &Owner) {
-  OwnedTeam *Best = nullptr;
-  for (auto &[Id, Team] : Owner.Teams) {
-    if (Team.Waiting.empty() || Team.Running >= Team.Allotment)
+const WaitingDemand *nextOf(const PoolOwner &Owner, const OwnedTeam &Team,
+                            bool OnlyUrgent) {
+  const WaitRank *Best = nullptr;
+  considerQueues(Owner, Team.Urgent, Best);
+  if (!OnlyUrgent)
+    considerQueues(Owner, Team.Ordinary, Best);
+  return Best ? &Owner.Waiting.at(Best->Id) : nullptr;
+}
+
+std::vector<WorkerId> reservedForOthers(const PoolOwner &Owner,
+                                        const Resources &Size) {
+  std::vector<WorkerId> Workers;
+  for (const Reservation &R : Owner.Reserved)
+    if (R.Size != Size)
+      Workers.push_back(R.Worker);
+  return Workers;
+}
+
+std::uint32_t reservationLimit(const PoolOwner &Owner) {
+  double Part = Owner.Options.ReservedPart *
+                static_cast<double>(Owner.Workers.Workers.size());
+  return std::max(1U, static_cast<std::uint32_t>(Part));
+}
+
+/// The open worker that could hold \p Size and has the most free slots.
+std::optional<WorkerId> emptiestFor(const PoolOwner &Owner,
+                                    const Resources &Size) {
+  std::optional<WorkerId> Best;
+  std::uint32_t BestLoad = std::numeric_limits<std::uint32_t>::max();
+  for (const auto &[Key, W] : Owner.Workers.Workers) {
+    WorkerId Id = Key;
+    bool Usable = W.Worker.Open && fits(Size, W.Worker.Total);
+    auto IsSame = [Id](const Reservation &R) { return R.Worker == Id; };
+    if (!Usable || W.Rank.Load >= BestLoad ||
+        std::any_of(Owner.Reserved.begin(), Owner.Reserved.end(), IsSame))
       continue;
-    if (!Best || Team.VirtualTime < Best->VirtualTime)
-      Best = &Team;
+    Best = Id;
+    BestLoad = W.Rank.Load;
   }
   return Best;
 }
 
+/// Keeps a worker free for a demand that smaller ones have passed for long.
+void reserveFor(PoolOwner &Owner, const WaitingDemand &W, TimePoint Now) {
+  if (Now - W.Asked.Arrived < Owner.Options.PassedOverLimit ||
+      Owner.Reserved.size() >= reservationLimit(Owner))
+    return;
+  auto IsSame = [&](const Reservation &R) { return R.Size == W.Planned; };
+  if (std::any_of(Owner.Reserved.begin(), Owner.Reserved.end(), IsSame))
+    return;
+  std::optional<WorkerId> Worker = emptiestFor(Owner, W.Planned);
+  if (Worker)
+    Owner.Reserved.push_back({*Worker, W.Planned, W.Asked.Id});
+}
+
+/// A team that may start nothing keeps no worker free.
+void dropIdleReservations(PoolOwner &Owner) {
+  auto IsIdle = [&](const Reservation &R) {
+    const WaitingDemand &W = Owner.Waiting.at(R.For);
+    auto It = Owner.Workers.Workers.find(R.Worker);
+    bool Open = It != Owner.Workers.Workers.end() && It->second.Worker.Open;
+    return !Open || !Owner.Teams.at(W.Asked.Team).Ready;
+  };
+  if (std::erase_if(Owner.Reserved, IsIdle) > 0)
+    Owner.NoRoom.clear();
+}
+
+/// Tries every size again now and then, so that one that is passed over for
+/// long gets its worker.
+void retryAllSizes(PoolOwner &Owner, TimePoint Now) {
+  if (Now - Owner.RoomTried < RetrySizesEvery)
+    return;
+  Owner.RoomTried = Now;
+  Owner.NoRoom.clear();
+}
+
+Grant grantTo(PoolOwner &Owner, DemandId Id, WorkerId Worker, TimePoint Now,
+              TimePoint NotAfter) {
+  WaitingDemand W = take(Owner, Id);
+  const Demand &D = W.Asked;
+  OwnedTeam &Team = Owner.Teams[D.Team];
+  Duration Run = expectedRun(Owner.Learned, {D.Team, D.Queue}, D.Run);
+  double Worth = slotsWorth(Owner, Worker, W.Planned);
+  RunningTask Task{
+      Id,      D.Team, Worker,   W.Planned, Now,
+      D.Queue, D.Run,  NotAfter, D.Urgent,  Worth * secondsOf(Run)};
+  Owner.Running[Id] = Task;
+  Owner.UrgentRunning += D.Urgent ? 1 : 0;
+  occupy(Owner.Workers, Worker, W.Planned);
+  ++Team.Running;
+  charge(Owner, D.Team, Team, Task.Charged);
+  relist(Owner, D.Team, Team, Now);
+  return {Id, D.Team, Worker, NotAfter};
+}
+
+/// The next grant from one order of teams; nothing where no demand of it has
+/// room.
+std::optional<Grant> grantNext(PoolOwner &Owner, bool OnlyUrgent, TimePoint Now,
+                               TimePoint NotAfter) {
+  const std::set<TeamRank> &Order =
+      OnlyUrgent ? Owner.ReadyUrgent : Owner.ReadyTeams;
+  for (const TeamRank &Rank : Order) {
+    const OwnedTeam &Team = Owner.Teams.at(Rank.Id);
+    while (const WaitingDemand *W = nextOf(Owner, Team, OnlyUrgent)) {
+      std::vector<WorkerId> Reserved = reservedForOthers(Owner, W->Planned);
+      std::optional<WorkerId> Worker =
+          findPlace(Owner.Workers, {W->Planned, W->Asked.Avoid, Reserved});
+      if (!Worker) {
+        reserveFor(Owner, *W, Now);
+        Owner.NoRoom.insert(W->Planned);
+        continue;
+      }
+      // Work out of turn does not move the clock of the fair order.
+      if (!OnlyUrgent)
+        advance(Owner.Clock, Rank.VirtualTime, Now);
+      return grantTo(Owner, W->Asked.Id, *Worker, Now, NotAfter);
+    }
+  }
+  return std::nullopt;
+}
+
+bool mayJumpAhead(const PoolOwner &Owner) {
+  double Limit = Owner.Options.UrgentPart * Owner.Workers.OpenSlots;
+  return Owner.UrgentRunning < std::max(1.0, Limit);
+}
+
+void refuseExpired(PoolOwner &Owner, TimePoint Now, PoolDecisions &Decided) {
+  while (!Owner.Deadlines.empty() && Owner.Deadlines.begin()->Before <= Now) {
+    DemandId Id = Owner.Deadlines.begin()->Id;
+    take(Owner, Id);
+    Decided.Refusals.push_back({Id, Reason::DeadlinePassed});
+  }
+}
+
+/// Sizes that have room on a worker after something ended there.
+void retrySizes(PoolOwner &Owner, WorkerId Id) {
+  auto It = Owner.Workers.Workers.find(Id);
+  if (It == Owner.Workers.Workers.end())
+    return;
+  std::erase_if(Owner.NoRoom, [&](const Resources &Size) {
+    return hasRoom(It->second, Size);
+  });
+}
+
 } // namespace
 
-Reason enqueue(PoolOwner &Owner, Demand D) {
-  if (waitingCount(Owner) >= Owner.WaitingLimit)
+bool ResourcesLess::operator()(const Resources &A, const Resources &B) const {
+  return std::tie(A.MilliCpus, A.MemoryMb, A.Accelerators) <
+         std::tie(B.MilliCpus, B.MemoryMb, B.Accelerators);
+}
+
+Reason enqueue(PoolOwner &Owner, Demand D, TimePoint Now) {
+  if (Owner.Waiting.contains(D.Id))
+    return Reason::None;
+  if (D.Deadline && *D.Deadline <= Now)
+    return Reason::DeadlinePassed;
+  if (Owner.Waiting.size() >= Owner.Options.WaitingLimit)
     return Reason::QueueFull;
-  Owner.Teams[D.Team].Waiting.push_back(D);
+  bool HasWorkers = !Owner.Workers.Workers.empty();
+  if (HasWorkers && !couldHold(Owner.Workers, D.Size))
+    return Reason::NeverRunnable;
+  WaitingDemand W{D, plannedSize(Owner, D), rankOf(Owner, D)};
+  OwnedTeam &Team = Owner.Teams[D.Team];
+  SizedQueues &Queues = D.Urgent ? Team.Urgent : Team.Ordinary;
+  Queues[W.Planned].insert(W.Rank);
+  ++Team.Waiting;
+  if (D.Deadline)
+    Owner.Deadlines.insert({*D.Deadline, D.Id});
+  Owner.Waiting.emplace(D.Id, W);
+  relist(Owner, D.Team, Team, Now);
   return Reason::None;
 }
 
 bool cancel(PoolOwner &Owner, DemandId Id) {
-  for (auto &[Key, Team] : Owner.Teams)
-    if (std::erase_if(Team.Waiting,
-                      [&](const Demand &D) { return D.Id == Id; }) > 0)
-      return true;
-  return false;
+  if (!Owner.Waiting.contains(Id))
+    return false;
+  take(Owner, Id);
+  return true;
 }
 
-bool finish(PoolOwner &Owner, DemandId Id, TimePoint /*Now*/) {
+bool finish(PoolOwner &Owner, DemandId Id, Duration Ran, TimePoint Now) {
   auto It = Owner.Running.find(Id);
   if (It == Owner.Running.end())
     return false;
-  --Owner.Teams[It->second.Team].Running;
+  RunningTask Task = It->second;
   Owner.Running.erase(It);
+  Owner.UrgentRunning -= Task.Urgent ? 1 : 0;
+  vacate(Owner.Workers, Task.Worker, Task.Size);
+  retrySizes(Owner, Task.Worker);
+  if (Ran.count() > 0)
+    observeRun(Owner.Learned, {Task.Team, Task.Queue}, Task.Run, Ran);
+  OwnedTeam &Team = Owner.Teams[Task.Team];
+  --Team.Running;
+  double Worth = slotsWorth(Owner, Task.Worker, Task.Size);
+  charge(Owner, Task.Team, Team, Worth * secondsOf(Ran) - Task.Charged);
+  relist(Owner, Task.Team, Team, Now);
   return true;
 }
 
+void adopt(PoolOwner &Owner, const RunningTask &Task, TimePoint Now) {
+  if (!Owner.Running.emplace(Task.Id, Task).second)
+    return;
+  if (Owner.Waiting.contains(Task.Id))
+    take(Owner, Task.Id);
+  Owner.UrgentRunning += Task.Urgent ? 1 : 0;
+  occupy(Owner.Workers, Task.Worker, Task.Size);
+  OwnedTeam &Team = Owner.Teams[Task.Team];
+  ++Team.Running;
+  relist(Owner, Task.Team, Team, Now);
+}
+
 void setTeam(PoolOwner &Owner, TeamId Id, std::uint32_t Share,
-             std::uint32_t Allotment) {
+             std::uint32_t Allotment, TimePoint Now) {
   OwnedTeam &Team = Owner.Teams[Id];
+  if (Team.Share == Share && Team.Allotment == Allotment)
+    return;
   Team.Share = Share;
   Team.Allotment = Allotment;
+  relist(Owner, Id, Team, Now);
 }
 
 void setWorkers(PoolOwner &Owner, std::span<const PoolWorker> Workers) {
-  Owner.Workers.clear();
-  for (const PoolWorker &Worker : Workers)
-    Owner.Workers[Worker.Id] = Worker;
+  setWorkers(Owner.Workers, Workers);
+  Owner.NoRoom.clear();
+}
+
+void setUnknownSlots(PoolOwner &Owner, std::uint32_t Slots, TimePoint Now) {
+  if (Owner.UnknownSlots == Slots)
+    return;
+  Owner.UnknownSlots = Slots;
+  for (auto &[Id, Team] : Owner.Teams)
+    relist(Owner, Id, Team, Now);
 }
 
 PoolDecisions decide(PoolOwner &Owner, TimePoint Now, TimePoint NotAfter) {
   PoolDecisions Decided;
-  while (OwnedTeam *Team = nextTeam(Owner)) {
-    const PoolWorker *Worker = freestWorker(Owner);
-    if (!Worker)
+  refuseExpired(Owner, Now, Decided);
+  dropIdleReservations(Owner);
+  retryAllSizes(Owner, Now);
+  while (Owner.Workers.FreeSlots > 0) {
+    std::optional<Grant> G;
+    if (!Owner.ReadyUrgent.empty() && mayJumpAhead(Owner))
+      G = grantNext(Owner, true, Now, NotAfter);
+    if (!G)
+      G = grantNext(Owner, false, Now, NotAfter);
+    if (!G)
       break;
-    Demand D = Team->Waiting.front();
-    Team->Waiting.pop_front();
-    if (D.Deadline && *D.Deadline <= Now) {
-      Decided.Refusals.push_back({D.Id, Reason::DeadlinePassed});
-      continue;
-    }
-    Owner.Running[D.Id] = {D.Id, D.Team, Worker->Id, D.Size, Now};
-    ++Team->Running;
-    Team->VirtualTime += 1.0 / std::max<std::uint32_t>(Team->Share, 1);
-    Decided.Grants.push_back({D.Id, D.Team, Worker->Id, NotAfter});
+    Decided.Grants.push_back(*G);
   }
   return Decided;
 }
--- a/src/entry/PoolService.cpp
+++ b/src/entry/PoolService.cpp
@@ -204,7 +204,7 @@
   std::shared_ptr<const core::Configuration> C = Config_.current();
   core::setWorkers(Owned.Owner, Workers_.workersOf(Owned.Owner.Pool, *C));
   for (const core::Team &T : C->Teams)
-    core::setTeam(Owned.Owner, T.Id, T.Share, T.UpperLimit);
+    core::setTeam(Owned.Owner, T.Id, T.Share, T.UpperLimit, net::now());
 }
 
 AcquireResult PoolService::resultOf(const core::Grant &G) const {
@@ -235,7 +235,7 @@
     Owned.Waiting.erase(It);
     AcquireResult Result = resultOf(G);
     if (Result.Refused != core::Reason::None)
-      core::finish(Owned.Owner, G.Id, Now);
+      core::finish(Owned.Owner, G.Id, core::Duration(0), Now);
     Done(Result);
   }
   for (const core::Refusal &R : Decided.Refusals) {
@@ -265,7 +265,7 @@
 void PoolService::acquireHere(OwnedPool &Owned, core::Demand D,
                               std::function<void(AcquireResult)> Done) {
   core::DemandId Id = D.Id;
-  core::Reason Refused = core::enqueue(Owned.Owner, D);
+  core::Reason Refused = core::enqueue(Owned.Owner, D, net::now());
   if (Refused != core::Reason::None) {
     AcquireResult Result;
     Result.Refused = Refused;
@@ -309,7 +309,7 @@
   auto Here = Owned_.find(Pool);
   if (Here != Owned_.end()) {
     core::cancel(Here->second.Owner, Id);
-    core::finish(Here->second.Owner, Id, net::now());
+    core::finish(Here->second.Owner, Id, End.Ran, net::now());
     pump(Here->second);
     return;
   }
