--- a/tools/slopes.cpp
+++ b/tools/slopes.cpp
@@ -147,7 +147,8 @@
   }
   core::setWorkers(Owner, List);
   for (std::uint32_t N = 0; N < Teams; ++N)
-    core::setTeam(Owner, core::TeamId{N}, 1 + N % 7, Workers * 8);
+    core::setTeam(Owner, core::TeamId{N}, 1 + N % 7, Workers * 8,
+                  core::TimePoint());
   return Owner;
 }
 
@@ -170,7 +171,7 @@
   std::uint64_t Next = 0;
   std::uint64_t Slots = std::uint64_t{Workers} * 8;
   for (; Next < 2 * Slots; ++Next)
-    core::enqueue(Owner, demandOf(Next, Teams, Now));
+    core::enqueue(Owner, demandOf(Next, Teams, Now), Now);
   std::deque<core::DemandId> Running;
   for (const core::Grant &G : core::decide(Owner, Now, Now).Grants)
     Running.push_back(G.Id);
@@ -178,9 +179,10 @@
   Decision.Points.push_back(
       {X, timeOf([&] {
          Now += std::chrono::microseconds(100);
-         core::finish(Owner, Running.front(), Now);
+         core::finish(Owner, Running.front(), std::chrono::milliseconds(1),
+                      Now);
          Running.pop_front();
-         core::enqueue(Owner, demandOf(Next++, Teams, Now));
+         core::enqueue(Owner, demandOf(Next++, Teams, Now), Now);
          for (const core::Grant &G : core::decide(Owner, Now, Now).Grants)
            Running.push_back(G.Id);
        })});
