--- a/src/cluster/PeerClient.cpp
+++ b/src/cluster/PeerClient.cpp
@@ -110,7 +110,9 @@
 PeerClient::PeerClient(PeerIdentity Identity, PeerSecurity Security)
     : Impl_(std::make_unique<Impl>(std::move(Identity), std::move(Security))) {}
 
-PeerClient::~PeerClient() {
+PeerClient::~PeerClient() { stop(); }
+
+void PeerClient::stop() {
   std::unique_lock<std::mutex> Lock(Impl_->Mutex);
   for (grpc::ClientContext *Context : Impl_->Flying)
     Context->TryCancel();
--- a/src/cluster/PeerClient.h
+++ b/src/cluster/PeerClient.h
@@ -29,12 +29,16 @@
 class PeerClient {
 public:
   PeerClient(PeerIdentity Identity, PeerSecurity Security);
-  /// Ends what is in flight and waits for the callbacks.
+  /// Stops as \ref stop does.
   ~PeerClient();
 
   PeerClient(const PeerClient &) = delete;
   PeerClient &operator=(const PeerClient &) = delete;
 
+  /// Ends what is in flight and waits for the callbacks. Not to be called from
+  /// a callback. May be called twice.
+  void stop();
+
   void greet(const std::string &Address, wire::GreetRequest Request,
              core::Duration Limit, PeerCallback<wire::GreetReply> Done);
   void prove(const std::string &Address, wire::ProveRequest Request,
--- a/src/codec/InstanceJson.cpp
+++ b/src/codec/InstanceJson.cpp
@@ -36,6 +36,14 @@
   I.Total.MilliCpus = J.at("milli_cpus").get<std::uint32_t>();
   I.Total.MemoryMb = J.at("memory_mb").get<std::uint32_t>();
   I.Total.Accelerators = J.at("accelerators").get<std::uint32_t>();
+  I.MoveTo.Value = J.value("move_to", PoolId::InvalidValue);
+  I.RebootWhenEmpty = J.value("reboot_when_empty", false);
+  I.Joining = J.value("joining", false);
+  I.Wave.Value = J.value("wave", WaveId::InvalidValue);
+  I.LastWave.Value = J.value("last_wave", WaveId::InvalidValue);
+  I.BootId = J.value("boot_id", "");
+  I.MaintainedUnixMs = J.value("maintained_unix_ms", std::int64_t{0});
+  I.SinceUnixMs = J.value("since_unix_ms", std::int64_t{0});
   return I;
 }
 
@@ -56,7 +64,18 @@
             {"slots", I.Slots},
             {"milli_cpus", I.Total.MilliCpus},
             {"memory_mb", I.Total.MemoryMb},
-            {"accelerators", I.Total.Accelerators}};
+            {"accelerators", I.Total.Accelerators},
+            {"reboot_when_empty", I.RebootWhenEmpty},
+            {"joining", I.Joining},
+            {"boot_id", I.BootId},
+            {"maintained_unix_ms", I.MaintainedUnixMs},
+            {"since_unix_ms", I.SinceUnixMs}};
+  if (I.MoveTo.isValid())
+    J["move_to"] = I.MoveTo.Value;
+  if (I.Wave.isValid())
+    J["wave"] = I.Wave.Value;
+  if (I.LastWave.isValid())
+    J["last_wave"] = I.LastWave.Value;
   return J.dump();
 }
 
--- a/src/core/Maintenance.cpp
+++ b/src/core/Maintenance.cpp
@@ -71,10 +71,8 @@
               std::vector<BudgetMember> &Members, AbsenceTable &Table) {
   std::vector<BudgetMember> Covered = coveredBy(W, Snapshot, Members);
   WaveStep Step = stepWave(W, Snapshot.Limits, Covered, Table);
-  if (Step.Hold == WaveHold::Failures)
-    Plan.Pause.push_back(W.Id);
-  if (Step.Hold == WaveHold::Complete)
-    Plan.Complete.push_back(W.Id);
+  Plan.Waves.push_back(
+      {W.Id, progressOf(W, Covered), Step.Hold, Step.Refusal});
   for (WorkerId Id : Step.Drain) {
     BudgetMember &Member = find(Members, Id);
     recordDrain(Plan, Snapshot, *Member.Item, W.Id);
--- a/src/core/Maintenance.h
+++ b/src/core/Maintenance.h
@@ -38,14 +38,21 @@
   InstanceEvent Event = InstanceEvent::DrainPermitted;
 };
 
+/// The pool's part of one wave.
+struct WavePart {
+  WaveId Wave;
+  WaveProgress Progress;
+  /// Failures: the wave has to be paused.
+  WaveHold Hold = WaveHold::None;
+  /// The refusal that holds it back, where it is the budget.
+  Permit Refusal;
+};
+
 /// What a step decided; its rows and the ledger are written in one transaction.
 struct PoolPlan {
   std::vector<InstanceChange> Changes;
   BudgetLedger Ledger;
-  /// Waves to pause because of failures here.
-  std::vector<WaveId> Pause;
-  /// Waves of which nothing is left in this pool.
-  std::vector<WaveId> Complete;
+  std::vector<WavePart> Waves;
 };
 
 /// What follows from what the instances do, from the waves and from the
--- a/src/core/Wave.h
+++ b/src/core/Wave.h
@@ -55,6 +55,7 @@
   std::uint32_t Failed = 0;
 
   bool isComplete() const { return Done == Total && Active == 0; }
+  bool operator==(const WaveProgress &) const = default;
 };
 
 /// Counts \p Members, which the wave covers. Thread-safe.
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -79,6 +79,8 @@
   ConfigStore Config;
   Fleet Workers;
   PoolService Pools;
+  Maintenance Upkeep;
+  FleetRoutes Routes;
   TaskService Tasks;
   OperatorService Operators;
   PeerServer PeerListener;
@@ -119,8 +121,10 @@
              *Instances, WorkerClient, Peers,   Counters, Random},
       Members(Shared), Config(Shared), Workers(Shared),
       Pools(Shared, Members, Config, Workers),
+      Upkeep(Shared, Members, Config, Workers, Pools),
+      Routes(Shared, Config, Workers, Pools, Upkeep),
       Tasks(Shared, Members, Config, Pools),
-      Operators(Shared, Members, Config, Workers, Pools),
+      Operators(Shared, Members, Config, Workers, Pools, Routes),
       PeerListener(*this, securityOf(Settings.Cluster)),
       HttpListener(serverOptions(Settings), [this](net::HttpRequest Request,
                                                    net::HttpResponder Respond) {
@@ -149,7 +153,10 @@
 void Entry::Impl::startControl() {
   Members.start([this] { Pools.refresh(); });
   Config.start([this] { Pools.refresh(); });
-  Workers.start([this] { Pools.refresh(); });
+  Workers.start([this] {
+    Pools.refresh();
+    Upkeep.step();
+  });
   Pools.start();
 }
 
@@ -199,6 +206,10 @@
   Impl_->HttpListener.stop();
   Impl_->Control.stop();
   Impl_->PeerListener.stop();
+  // Their callbacks use parts that are gone soon.
+  Impl_->PlatformClient.stop();
+  Impl_->WorkerClient.stop();
+  Impl_->Peers.stop();
 }
 
 void Entry::start() {
--- a/src/entry/Fleet.cpp
+++ b/src/entry/Fleet.cpp
@@ -1,7 +1,7 @@
 #include "entry/Fleet.h"
 
-#include "codec/ConfigJson.h"
-#include "codec/InstanceJson.h"
+#include "core/Warmup.h"
+#include "entry/WallClock.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -14,97 +14,174 @@
 
 using nlohmann::json;
 
-constexpr const char *InstanceTable = "instances";
-constexpr std::uint32_t PageRows = 1000;
 constexpr core::Duration PollEvery = std::chrono::seconds(1);
+constexpr core::Duration ListEvery = std::chrono::seconds(2);
 constexpr core::Duration ProbeLimit = std::chrono::milliseconds(800);
-/// A worker that has been silent for longer gets nothing new.
-constexpr core::Duration HeardLimit = std::chrono::seconds(3);
-
-/// A number for the instance that depends on its name alone.
-std::uint32_t idOfName(std::string_view Name) {
-  constexpr std::uint32_t Basis = 2166136261U;
-  constexpr std::uint32_t Prime = 16777619U;
-  std::uint32_t Hash = Basis;
-  for (unsigned char C : Name)
-    Hash = (Hash ^ C) * Prime;
-  return Hash == core::WorkerId::InvalidValue ? 0 : Hash;
-}
 
 bool isOut(const core::Configuration &C, std::string_view DataCentre) {
   const core::DataCentre *Found = core::findDataCentre(C, DataCentre);
   return Found && Found->Out;
 }
 
+core::DrainTimes timesOf(const settings::FleetSettings &S) {
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  core::DrainTimes Times;
+  Times.WarmUpMs = duration_cast<milliseconds>(S.WarmUp).count();
+  Times.RebootLimitMs = duration_cast<milliseconds>(S.RebootLimit).count();
+  return Times;
+}
+
 } // namespace
 
-Fleet::Fleet(const Context &C) : Context_(C) {}
+Fleet::Fleet(const Context &C) : Context_(C), Rows_(C) {}
 
 void Fleet::start(std::function<void()> OnChange) {
   OnChange_ = std::move(OnChange);
-  poll("");
-  Context_.Control.every(PollEvery, [this] {
-    if (!Polling_)
-      poll("");
+  pollNow();
+  Context_.Control.every(PollEvery, [this] { pollNow(); });
+  Context_.Control.every(ListEvery, [this] {
+    if (Listing_)
+      return;
+    Listing_ = true;
+    Context_.Instances.list([this](platform::ListResult Result) {
+      Context_.Control.post([this, Result] { onList(Result); });
+    });
   });
 }
 
-void Fleet::poll(std::string After) {
-  Polling_ = true;
-  Context_.Tables.scan(InstanceTable, "", std::move(After), PageRows,
-                       [this](platform::ScanResult Result) {
-                         Context_.Control.post(
-                             [this, Result] { onScan(Result); });
-                       });
+void Fleet::pollNow() {
+  Rows_.poll([this] { onRows(); });
+}
+
+void Fleet::onRows() {
+  std::erase_if(Held_, [&](const auto &Item) {
+    return Item.second != 0 && Rows_.finished() >= Item.second;
+  });
+  OnChange_();
 }
 
-void Fleet::onScan(const platform::ScanResult &Result) {
-  if (Result.Outcome != platform::ReadOutcome::Ok) {
-    Polling_ = false;
-    Reading_.clear();
+void Fleet::onList(const platform::ListResult &Result) {
+  Listing_ = false;
+  // A list that does not answer says nothing about any instance.
+  if (!Result.Ok)
     return;
+  core::TimePoint Now = net::now();
+  std::set<std::string> Present;
+  auto Note = [&](Listing &L, core::ListedAs As) {
+    if (L.Since == core::TimePoint() || L.As != As)
+      L.Since = Now;
+    L.As = As;
+  };
+  for (const platform::ListedInstance &Item : Result.Instances) {
+    if (Item.Kind != platform::InstanceKind::Worker)
+      continue;
+    bool Leaving = Item.State == platform::InstanceState::Leaving;
+    Listing &L = Listed_[Item.Name];
+    L.Item = Item;
+    Note(L, Leaving ? core::ListedAs::Leaving : core::ListedAs::Live);
+    Present.insert(Item.Name);
   }
-  for (const platform::Row &Row : Result.Rows) {
-    core::Instance I = codec::parseInstance(Row.Value);
-    Reading_[I.Id] = std::move(I);
+  for (auto &[Name, L] : Listed_)
+    if (!Present.contains(Name))
+      Note(L, core::ListedAs::Missing);
+}
+
+core::InstanceSignals Fleet::signalsOf(const core::Instance &I,
+                                       core::TimePoint Now) const {
+  core::InstanceSignals S;
+  S.Id = I.Id;
+  S.Failed = I.State == core::InstanceState::Failed;
+  auto L = Listed_.find(I.Name);
+  if (L != Listed_.end()) {
+    S.Listed = L->second.As;
+    S.ListedFor = Now - L->second.Since;
   }
-  if (Result.More)
-    return poll(Result.Rows.back().Key);
-  Polling_ = false;
-  Instances_ = std::move(Reading_);
-  Reading_.clear();
-  OnChange_();
+  // Nothing is held against a worker before this entry had time to ask it.
+  auto T = Taken_.find(I.Pool);
+  core::TimePoint Since = T == Taken_.end() ? Now : T->second.At;
+  auto R = Reports_.find(I.Id);
+  if (R != Reports_.end())
+    Since = std::max(Since, R->second.Received);
+  S.Silent = Now - Since;
+  return S;
+}
+
+std::vector<core::PoolInstance>
+Fleet::observe(core::PoolId Pool, const core::Configuration &C) const {
+  core::TimePoint Now = net::now();
+  std::vector<core::InstanceSignals> Signals;
+  std::vector<core::PoolInstance> Result;
+  for (core::WorkerId Id : Rows_.of(Pool)) {
+    core::PoolInstance I;
+    I.Row = Rows_.all().at(Id);
+    I.DataCentreIn = !isOut(C, I.Row.DataCentre);
+    Signals.push_back(signalsOf(I.Row, Now));
+    auto R = Reports_.find(Id);
+    if (R != Reports_.end()) {
+      I.Seen.Heard =
+          Now - R->second.Received <= core::InferenceLimits().SuspectAfter;
+      I.Seen.Running = R->second.Running;
+      I.Seen.BootId = R->second.BootId;
+    }
+    Result.push_back(std::move(I));
+  }
+  std::vector<core::Inference> Inferred = core::inferPool(Signals, {});
+  for (std::size_t N = 0; N < Result.size(); ++N)
+    Result[N].Inferred = Inferred[N];
+  return Result;
 }
 
 std::vector<core::PoolWorker>
 Fleet::workersOf(core::PoolId Pool, const core::Configuration &C) const {
   std::vector<core::PoolWorker> Workers;
-  core::TimePoint HeardSince = net::now() - HeardLimit;
-  for (const auto &[Id, I] : Instances_) {
-    if (I.Pool != Pool)
-      continue;
-    auto Clock = Clocks_.find(Id);
-    bool Heard = Clock != Clocks_.end() && Clock->second.Received > HeardSince;
+  std::int64_t NowMs = wallClockMs();
+  core::DrainTimes Times = timesOf(Context_.Settings.Fleet);
+  for (const core::PoolInstance &I : observe(Pool, C)) {
     core::PoolWorker Worker;
-    Worker.Id = Id;
-    Worker.Slots = I.Slots;
-    Worker.Total = I.Total;
-    Worker.Open = Heard && I.State == core::InstanceState::Serving &&
-                  !isOut(C, I.DataCentre);
+    Worker.Id = I.Row.Id;
+    Worker.Slots = I.Row.Slots;
+    if (I.Row.State == core::InstanceState::Warming)
+      Worker.Slots = core::warmSlots(I.Row.Slots, NowMs - I.Row.SinceUnixMs,
+                                     Times.WarmUpMs);
+    Worker.Total = I.Row.Total;
+    Worker.Open = isFresh(Pool) && I.Seen.Heard && I.isUsable() &&
+                  core::takesWork(I.Row.State) && !Held_.contains(I.Row.Id);
     Workers.push_back(Worker);
   }
   return Workers;
 }
 
+core::PoolSnapshot Fleet::snapshot(
+    const core::Pool &P, const core::Configuration &C,
+    const std::function<std::uint32_t(core::WorkerId)> &RunningOn) const {
+  core::PoolSnapshot S;
+  S.Limits = P;
+  S.Ledger = Rows_.ledgerOf(P.Id).Ledger;
+  S.Times = timesOf(Context_.Settings.Fleet);
+  S.NowUnixMs = wallClockMs();
+  S.Instances = observe(P.Id, C);
+  for (core::PoolInstance &I : S.Instances)
+    I.Seen.Running = std::max(I.Seen.Running, RunningOn(I.Row.Id));
+  return S;
+}
+
 const core::Instance *Fleet::find(core::WorkerId Id) const {
-  auto It = Instances_.find(Id);
-  return It == Instances_.end() ? nullptr : &It->second;
+  auto It = Rows_.all().find(Id);
+  return It == Rows_.all().end() ? nullptr : &It->second;
+}
+
+const core::Instance *Fleet::find(std::string_view Name) const {
+  for (const auto &[Id, I] : Rows_.all())
+    if (I.Name == Name)
+      return &I;
+  return nullptr;
 }
 
 std::optional<std::uint64_t> Fleet::workerClockMs(core::WorkerId Id,
                                                   core::TimePoint At) const {
-  auto It = Clocks_.find(Id);
-  if (It == Clocks_.end())
+  auto It = Reports_.find(Id);
+  if (It == Reports_.end())
     return std::nullopt;
   // The sample was taken before it was received, so that counting from its
   // arrival never runs ahead of the worker.
@@ -114,9 +191,24 @@
 }
 
 void Fleet::probe(std::span<const core::PoolId> Pools) {
-  for (const auto &[Id, I] : Instances_)
-    if (std::find(Pools.begin(), Pools.end(), I.Pool) != Pools.end())
-      probeWorker(I);
+  std::set<core::PoolId> Owned(Pools.begin(), Pools.end());
+  std::erase_if(Taken_, [&](const auto &Item) {
+    return !Owned.contains(Item.first);
+  });
+  bool IsNew = false;
+  for (core::PoolId Pool : Owned) {
+    // A reading that is under way may have begun before the pool was taken.
+    IsNew |= Taken_.try_emplace(Pool, Taking{Rows_.begun() + 1, net::now()}).second;
+    for (core::WorkerId Id : Rows_.of(Pool))
+      probeWorker(Rows_.all().at(Id));
+  }
+  if (IsNew)
+    pollNow();
+}
+
+bool Fleet::isFresh(core::PoolId Pool) const {
+  auto It = Taken_.find(Pool);
+  return It != Taken_.end() && Rows_.finished() >= It->second.Reading;
 }
 
 void Fleet::probeWorker(const core::Instance &I) {
@@ -126,50 +218,55 @@
   Context_.Workers.send(std::move(Call), [this, Id = I.Id](auto Result) {
     if (Result.End != core::ExchangeEnd::Answered)
       return;
-    core::TimePoint Received = net::now();
+    Report R;
+    R.Received = net::now();
     json J = json::parse(Result.Response.Body, nullptr, false);
-    if (!J.is_object() || !J.contains("clock_ms"))
+    bool IsGood = J.is_object() && J.contains("clock_ms") &&
+                  J["clock_ms"].is_number_unsigned() && J.contains("running") &&
+                  J["running"].is_array();
+    if (!IsGood)
       return;
-    std::uint64_t ClockMs = J["clock_ms"].template get<std::uint64_t>();
-    Context_.Control.post([this, Id, ClockMs, Received] {
-      Clocks_[Id] = {ClockMs, Received};
-    });
+    R.WorkerMs = J["clock_ms"].template get<std::uint64_t>();
+    R.Running = static_cast<std::uint32_t>(J["running"].size());
+    if (J.contains("boot_id") && J["boot_id"].is_string())
+      R.BootId = J["boot_id"].template get<std::string>();
+    Context_.Control.post([this, Id, R] { Reports_[Id] = R; });
   });
 }
 
-void Fleet::assign(const std::string &Name, core::PoolId Pool,
-                   std::function<void(std::string)> Done) {
-  Context_.Instances.list([this, Name, Pool, Done](auto Listed) {
-    Context_.Control.post([this, Name, Pool, Done, Listed] {
-      onListed(Name, Pool, Listed, Done);
-    });
-  });
+void Fleet::hold(core::WorkerId Id) { Held_[Id] = 0; }
+
+void Fleet::release(core::WorkerId Id) { Held_.erase(Id); }
+
+void Fleet::releaseAfterReading(std::span<const core::Instance> Items) {
+  for (const core::Instance &I : Items)
+    if (auto It = Held_.find(I.Id); It != Held_.end())
+      It->second = Rows_.begun() + 1;
 }
 
-void Fleet::onListed(const std::string &Name, core::PoolId Pool,
-                     const platform::ListResult &Listed,
-                     const std::function<void(std::string)> &Done) {
-  const auto &All = Listed.Instances;
-  auto It = std::find_if(All.begin(), All.end(), [&](const auto &Item) {
-    return Item.Name == Name && Item.Kind == platform::InstanceKind::Worker;
-  });
-  if (It == All.end())
-    return Done("the platform's list has no worker '" + Name + "'");
-  core::Instance I;
-  I.Id.Value = idOfName(Name);
-  I.Name = Name;
-  I.Pool = Pool;
-  I.DataCentre = It->DataCentre;
-  I.Rack = It->Rack;
-  I.Address = It->Address;
-  platform::RowKey Key{InstanceTable, Name};
-  platform::Transaction T{"assign-" + Name, {}, {{Key, codec::toJson(I)}}};
-  Context_.Tables.commit(
-      std::move(T), [this, Done](platform::CommitResult Result) {
-        bool Ok = Result.Outcome == platform::CommitOutcome::Committed;
-        Context_.Control.post(
-            [Done, Ok] { Done(Ok ? "" : "the store did not confirm"); });
-      });
+std::vector<platform::ListedInstance> Fleet::withoutRow() const {
+  std::set<std::string_view> Known;
+  for (const auto &[Id, I] : Rows_.all())
+    Known.insert(I.Name);
+  std::vector<platform::ListedInstance> Result;
+  for (const auto &[Name, L] : Listed_)
+    if (L.As == core::ListedAs::Live && !Known.contains(Name))
+      Result.push_back(L.Item);
+  return Result;
+}
+
+const platform::ListedInstance *Fleet::listed(const std::string &Name) const {
+  auto It = Listed_.find(Name);
+  bool Present =
+      It != Listed_.end() && It->second.As != core::ListedAs::Missing;
+  return Present ? &It->second.Item : nullptr;
+}
+
+std::optional<std::uint32_t> Fleet::reportedRunning(core::WorkerId Id) const {
+  auto It = Reports_.find(Id);
+  if (It == Reports_.end())
+    return std::nullopt;
+  return It->second.Running;
 }
 
 } // namespace comfreydeck::entry
--- a/src/entry/Fleet.h
+++ b/src/entry/Fleet.h
@@ -2,69 +2,113 @@
 #define COMFREYDECK_ENTRY_FLEET_H
 
 #include "core/Configuration.h"
-#include "core/Instance.h"
+#include "core/Maintenance.h"
 #include "core/PoolOwner.h"
-#include "entry/Context.h"
+#include "entry/InstanceRows.h"
 
 #include <map>
+#include <set>
 
 namespace comfreydeck::entry {
 
-/// The instances' rows and what was last heard of each worker.
+/// The instances: their rows, what the platform lists, and what was last heard
+/// of each worker. On the control thread only.
 class Fleet {
 public:
   explicit Fleet(const Context &C);
 
-  /// Reads the rows from now on. \p OnChange is called on the control thread
-  /// after each reading. Call once, on that thread.
+  /// Reads the rows and the list from now on. \p OnChange is called after each
+  /// reading of the rows. Call once.
   void start(std::function<void()> OnChange);
 
-  /// The pool's workers as its owner may use them. On the control thread.
+  /// Reads the rows soon rather than at the next turn.
+  void pollNow();
+
+  /// The pool's workers as its owner may use them: closed unless the rows were
+  /// read after the pool was taken.
   std::vector<core::PoolWorker> workersOf(core::PoolId Pool,
                                           const core::Configuration &C) const;
 
-  /// Nothing where there is no such instance. On the control thread.
+  /// Nothing where there is no such instance.
   const core::Instance *find(core::WorkerId Id) const;
+  const core::Instance *find(std::string_view Name) const;
 
   /// \p At in the worker's own clock, never later than it truly is; nothing
-  /// where the worker has not been heard of. In milliseconds. On the control
-  /// thread.
+  /// where the worker has not been heard of. In milliseconds.
   std::optional<std::uint64_t> workerClockMs(core::WorkerId Id,
                                              core::TimePoint At) const;
 
-  /// Asks every worker of these pools how it is. On the control thread.
+  /// Asks every worker of these pools, which this entry owns, how it is.
   void probe(std::span<const core::PoolId> Pools);
 
-  /// Puts an instance into a pool; \p Done gets an empty text or what went
-  /// wrong. On the control thread.
-  void assign(const std::string &Name, core::PoolId Pool,
-              std::function<void(std::string)> Done);
+  /// Whether the rows were read after this entry took the pool.
+  bool isFresh(core::PoolId Pool) const;
+
+  /// The pool's instances as its owner sees them, without the waves. What runs
+  /// on a worker by the owner's own count comes from \p RunningOn.
+  core::PoolSnapshot
+  snapshot(const core::Pool &P, const core::Configuration &C,
+           const std::function<std::uint32_t(core::WorkerId)> &RunningOn) const;
 
-  /// All instances. On the control thread.
+  /// No task starts on \p Id from now on, whatever its row says.
+  void hold(core::WorkerId Id);
+  /// Ends the hold, at once or only after the rows were read again.
+  void release(core::WorkerId Id);
+  void releaseAfterReading(std::span<const core::Instance> Items);
+
+  /// All instances.
   const std::map<core::WorkerId, core::Instance> &instances() const {
-    return Instances_;
+    return Rows_.all();
   }
+  InstanceRows &rows() { return Rows_; }
+  const InstanceRows &rows() const { return Rows_; }
+
+  /// Workers on the platform's list that have no row.
+  std::vector<platform::ListedInstance> withoutRow() const;
+  /// Nothing where the list has no such worker.
+  const platform::ListedInstance *listed(const std::string &Name) const;
+
+  /// When this worker last said that it had that many tasks; nothing where it
+  /// was never heard.
+  std::optional<std::uint32_t> reportedRunning(core::WorkerId Id) const;
 
 private:
-  /// When a worker said what its clock reads.
-  struct ClockSample {
+  /// What a worker said last.
+  struct Report {
     std::uint64_t WorkerMs = 0;
     core::TimePoint Received;
+    std::uint32_t Running = 0;
+    std::string BootId;
+  };
+  struct Listing {
+    platform::ListedInstance Item;
+    core::ListedAs As = core::ListedAs::Live;
+    core::TimePoint Since;
+  };
+  using ReadingNumber = std::uint64_t;
+  /// When a pool was taken, and the first reading that counts for it.
+  struct Taking {
+    ReadingNumber Reading = 0;
+    core::TimePoint At;
   };
 
-  void poll(std::string After);
-  void onScan(const platform::ScanResult &Result);
+  void onRows();
+  void onList(const platform::ListResult &Result);
   void probeWorker(const core::Instance &I);
-  void onListed(const std::string &Name, core::PoolId Pool,
-                const platform::ListResult &Listed,
-                const std::function<void(std::string)> &Done);
+  core::InstanceSignals signalsOf(const core::Instance &I,
+                                  core::TimePoint Now) const;
+  std::vector<core::PoolInstance> observe(core::PoolId Pool,
+                                          const core::Configuration &C) const;
 
   Context Context_;
   std::function<void()> OnChange_;
-  std::map<core::WorkerId, core::Instance> Instances_;
-  std::map<core::WorkerId, core::Instance> Reading_;
-  std::map<core::WorkerId, ClockSample> Clocks_;
-  bool Polling_ = false;
+  InstanceRows Rows_;
+  std::map<core::WorkerId, Report> Reports_;
+  std::map<std::string, Listing> Listed_;
+  std::map<core::PoolId, Taking> Taken_;
+  /// The reading that ends the hold; zero where nothing ends it yet.
+  std::map<core::WorkerId, ReadingNumber> Held_;
+  bool Listing_ = false;
 };
 
 } // namespace comfreydeck::entry
--- /dev/null
+++ b/src/entry/InstanceRows.h
@@ -0,0 +1,77 @@
+#ifndef COMFREYDECK_ENTRY_INSTANCEROWS_H
+#define COMFREYDECK_ENTRY_INSTANCEROWS_H
+
+#include "core/Budget.h"
+#include "entry/Context.h"
+
+#include <map>
+
+namespace comfreydeck::entry {
+
+constexpr const char *InstanceTable = "instances";
+constexpr const char *BudgetTable = "budgets";
+
+/// The key of a pool's row in the tables of budgets and of owners. Thread-safe.
+std::string poolKey(core::PoolId Pool);
+
+/// A pool's ledger as read.
+struct KnownLedger {
+  core::BudgetLedger Ledger;
+  /// Zero where the row has never been written.
+  std::uint64_t Version = 0;
+};
+
+/// A copy of the instances' rows and of the pools' ledgers. Each change of an
+/// instance also writes its pool's ledger, so that the instances are read again
+/// only when a ledger has changed. On the control thread only.
+class InstanceRows {
+public:
+  explicit InstanceRows(const Context &C);
+
+  /// Begins a reading unless one is under way. \p Done is called after a whole
+  /// reading, and not after a failed one.
+  void poll(std::function<void()> Done);
+
+  /// The number of the last reading that was begun, and of the last whole one.
+  std::uint64_t begun() const { return Begun_; }
+  std::uint64_t finished() const { return Finished_; }
+
+  const std::map<core::WorkerId, core::Instance> &all() const { return Rows_; }
+  /// Zero where there is no such row.
+  std::uint64_t versionOf(core::WorkerId Id) const;
+  std::span<const core::WorkerId> of(core::PoolId Pool) const;
+  KnownLedger ledgerOf(core::PoolId Pool) const;
+
+  /// Takes over what this entry has just committed. A reading under way is
+  /// thrown away, since it may be older.
+  void apply(const core::Instance &I, std::uint64_t Version);
+  void apply(const core::BudgetLedger &Ledger, std::uint64_t Version);
+
+private:
+  void scanLedgers(std::string After);
+  void onLedgers(const platform::ScanResult &Result);
+  void scanInstances(std::string After);
+  void onInstances(const platform::ScanResult &Result);
+  void finish(bool Whole);
+  void indexPools();
+
+  Context Context_;
+  std::function<void()> Done_;
+  std::uint64_t Begun_ = 0;
+  std::uint64_t Finished_ = 0;
+  /// Changes with each commit of this entry.
+  std::uint64_t Generation_ = 0;
+  std::uint64_t ReadingGeneration_ = 0;
+  std::map<core::WorkerId, core::Instance> Rows_;
+  std::map<core::WorkerId, std::uint64_t> Versions_;
+  std::map<core::PoolId, KnownLedger> Ledgers_;
+  std::map<core::PoolId, std::vector<core::WorkerId>> ByPool_;
+  std::map<core::WorkerId, core::Instance> NewRows_;
+  std::map<core::WorkerId, std::uint64_t> NewVersions_;
+  std::map<core::PoolId, KnownLedger> NewLedgers_;
+  bool Polling_ = false;
+};
+
+} // namespace comfreydeck::entry
+
+#endif // COMFREYDECK_ENTRY_INSTANCEROWS_H
--- /dev/null
+++ b/src/entry/Maintenance.cpp
@@ -0,0 +1,429 @@
+#include "entry/Maintenance.h"
+
+#include "codec/ConfigJson.h"
+#include "codec/InstanceJson.h"
+#include "entry/WallClock.h"
+
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace comfreydeck::entry {
+
+namespace {
+
+constexpr std::uint32_t PageRows = 1000;
+constexpr std::size_t WaveDigits = 10;
+/// A wish is tried again while another change of its pool is under way.
+constexpr int MaxTries = 40;
+constexpr core::Duration RetryEvery = std::chrono::milliseconds(150);
+constexpr core::Duration RebootCallLimit = std::chrono::seconds(2);
+/// New instances taken up in one transaction.
+constexpr std::size_t AdoptedAtOnce = 50;
+
+/// A number for the instance that depends on its name alone.
+std::uint32_t idOfName(std::string_view Name) {
+  constexpr std::uint32_t Basis = 2166136261U;
+  constexpr std::uint32_t Prime = 16777619U;
+  std::uint32_t Hash = Basis;
+  for (unsigned char C : Name)
+    Hash = (Hash ^ C) * Prime;
+  return Hash == core::WorkerId::InvalidValue ? 0 : Hash;
+}
+
+WishAnswer answerOf(WriteOutcome Outcome) {
+  switch (Outcome) {
+  case WriteOutcome::Written:
+    return {WishOutcome::Accepted, "recorded"};
+  case WriteOutcome::Conflict:
+    return {WishOutcome::Refused, "other changes came first; try again"};
+  case WriteOutcome::NotOwner:
+    return {WishOutcome::NotOwner, "the pool has another owner by now"};
+  case WriteOutcome::StoreAway:
+    return {WishOutcome::StoreAway, "the store is away; nothing was written"};
+  case WriteOutcome::Unknown:
+    break;
+  }
+  return {WishOutcome::Unknown,
+          "the store's answer was lost; look at the instance"};
+}
+
+std::string whyHeld(const core::WavePart &Part) {
+  switch (Part.Hold) {
+  case core::WaveHold::Budget:
+    return core::describe(Part.Refusal);
+  case core::WaveHold::Canary:
+    return "the first instance has not served again yet";
+  case core::WaveHold::Failures:
+    return std::to_string(Part.Progress.Failed) +
+           " instances did not come back";
+  case core::WaveHold::None:
+  case core::WaveHold::Complete:
+  case core::WaveHold::NotRunning:
+    break;
+  }
+  return "";
+}
+
+} // namespace
+
+std::string waveKey(core::WaveId Wave) {
+  std::string Digits = std::to_string(Wave.Value);
+  return std::string(WaveDigits - std::min(WaveDigits, Digits.size()), '0') +
+         Digits;
+}
+
+std::string waveProgressKey(core::WaveId Wave, core::PoolId Pool) {
+  return waveKey(Wave) + "/" + std::to_string(Pool.Value);
+}
+
+Maintenance::Maintenance(const Context &C, Membership &Members,
+                         ConfigStore &Config, Fleet &Workers,
+                         PoolService &Pools)
+    : Context_(C), Members_(Members), Config_(Config), Workers_(Workers),
+      Pools_(Pools), Writer_(C, Workers) {}
+
+bool Maintenance::isReady(core::PoolId Pool) const {
+  return Pools_.isOwner(Pool) && Workers_.isFresh(Pool) &&
+         Members_.isCurrent(net::now());
+}
+
+std::optional<core::PoolSnapshot>
+Maintenance::snapshotOf(core::PoolId Pool) const {
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  const core::Pool *P = core::findPool(*C, Pool);
+  if (!P || !isReady(Pool))
+    return std::nullopt;
+  return Workers_.snapshot(*P, *C, [this](core::WorkerId Id) {
+    return Pools_.runningOn(Id);
+  });
+}
+
+void Maintenance::step() {
+  readWaves();
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  for (const core::Pool &P : C->Pools)
+    if (isReady(P.Id))
+      stepPool(P);
+  finishWaves();
+}
+
+void Maintenance::stepPool(const core::Pool &P) {
+  std::optional<core::PoolSnapshot> S = snapshotOf(P.Id);
+  if (!S)
+    return;
+  sendReboots(*S);
+  if (Writer_.isBusy(P.Id))
+    return;
+  if (P.Spare && adoptListed(P))
+    return;
+  for (const auto &[Id, W] : Waves_)
+    if (W.State == core::WaveState::Running)
+      S->Waves.push_back(W);
+  core::PoolPlan Plan = core::planPool(*S);
+  noteWaves(P.Id, Plan.Waves);
+  if (Plan.Changes.empty())
+    return;
+  for (const core::InstanceChange &Change : Plan.Changes)
+    LOG(INFO) << "fleet: " << Change.After.Name << " goes to "
+              << codec::nameOf(Change.After.State);
+  Writer_.write(P.Id, Plan, [Pool = P.Id](WriteOutcome Outcome) {
+    if (Outcome != WriteOutcome::Written)
+      LOG(WARNING) << "fleet: step of pool " << Pool.Value
+                   << " not written: " << answerOf(Outcome).Message;
+  });
+}
+
+void Maintenance::sendReboots(const core::PoolSnapshot &S) {
+  for (const core::PoolInstance &I : S.Instances) {
+    bool IsDue = I.Row.State == core::InstanceState::Rebooting &&
+                 I.Seen.Heard && I.Seen.BootId == I.Row.BootId;
+    if (IsDue)
+      sendReboot(I);
+  }
+}
+
+/// The boot to be ended and a not-after make a late call harmless.
+void Maintenance::sendReboot(const core::PoolInstance &I) {
+  std::optional<std::uint64_t> NotAfter =
+      Workers_.workerClockMs(I.Row.Id, Members_.currentUntil());
+  if (!NotAfter)
+    return;
+  net::HttpCall Call;
+  Call.Method = "POST";
+  Call.Url = "http://" + I.Row.Address + "/v1/reboot";
+  Call.Headers = {{"Boot-Id", I.Row.BootId},
+                  {"Task-Not-After-Ms", std::to_string(*NotAfter)}};
+  Call.TotalLimit = RebootCallLimit;
+  Context_.Workers.send(std::move(Call), [](auto) {});
+}
+
+core::Instance
+Maintenance::instanceFrom(const platform::ListedInstance &Item,
+                          core::PoolId Pool, core::InstanceState S) const {
+  core::Instance I;
+  I.Id.Value = idOfName(Item.Name);
+  // Two names may have one number; the next free one is as good.
+  while (Workers_.find(I.Id) && Workers_.find(I.Id)->Name != Item.Name)
+    ++I.Id.Value;
+  I.Name = Item.Name;
+  I.Pool = Pool;
+  I.State = S;
+  I.DataCentre = Item.DataCentre;
+  I.Rack = Item.Rack;
+  I.Address = Item.Address;
+  I.MaintainedUnixMs = wallClockMs();
+  I.SinceUnixMs = I.MaintainedUnixMs;
+  return I;
+}
+
+/// Takes listed workers without a row into the spare pool.
+bool Maintenance::adoptListed(const core::Pool &Spare) {
+  core::PoolPlan Plan;
+  Plan.Ledger = Workers_.rows().ledgerOf(Spare.Id).Ledger;
+  for (const platform::ListedInstance &Item : Workers_.withoutRow()) {
+    if (Plan.Changes.size() >= AdoptedAtOnce)
+      break;
+    core::Instance I =
+        instanceFrom(Item, Spare.Id, core::InstanceState::Warming);
+    I.Joining = true;
+    Plan.Changes.push_back({I, core::InstanceEvent::CameBack});
+  }
+  if (Plan.Changes.empty())
+    return false;
+  LOG(INFO) << "fleet: " << Plan.Changes.size() << " new instances in the spare"
+            << " pool";
+  Writer_.write(Spare.Id, Plan, [](WriteOutcome) {});
+  return true;
+}
+
+void Maintenance::write(core::PoolId Pool, const core::PoolPlan &Plan,
+                        std::function<void()> Again, Callback Done) {
+  Writer_.write(Pool, Plan, [this, Again, Done](WriteOutcome Outcome) {
+    if (Outcome != WriteOutcome::Conflict)
+      return Done(answerOf(Outcome));
+    Context_.Control.after(RetryEvery, Again);
+  });
+}
+
+void Maintenance::drain(const core::DrainWish &Wish, Callback Done) {
+  tryDrain(Wish, MaxTries, std::move(Done));
+}
+
+void Maintenance::tryDrain(const core::DrainWish &Wish, int TriesLeft,
+                           Callback Done) {
+  const core::Instance *I = Workers_.find(Wish.Id);
+  if (!I)
+    return Done({WishOutcome::NotFound, "there is no such instance"});
+  core::PoolId Pool = I->Pool;
+  std::optional<core::PoolSnapshot> S = snapshotOf(Pool);
+  auto Again = [this, Wish, TriesLeft, Done] {
+    tryDrain(Wish, TriesLeft - 1, Done);
+  };
+  if (!S || Writer_.isBusy(Pool)) {
+    if (TriesLeft == 0)
+      return Done(answerOf(WriteOutcome::Conflict));
+    return Context_.Control.after(RetryEvery, Again);
+  }
+  core::DrainDecision Decision = core::decideDrain(*S, Wish);
+  if (!Decision.Answer.granted())
+    return Done({WishOutcome::Refused, core::describe(Decision.Answer)});
+  if (TriesLeft == 0)
+    return Done(answerOf(WriteOutcome::Conflict));
+  write(Pool, Decision.Plan, Again, Done);
+}
+
+void Maintenance::giveBack(core::WorkerId Id, Callback Done) {
+  tryReturn(Id, MaxTries, std::move(Done));
+}
+
+void Maintenance::tryReturn(core::WorkerId Id, int TriesLeft, Callback Done) {
+  const core::Instance *I = Workers_.find(Id);
+  if (!I)
+    return Done({WishOutcome::NotFound, "there is no such instance"});
+  core::PoolId Pool = I->Pool;
+  std::optional<core::PoolSnapshot> S = snapshotOf(Pool);
+  auto Again = [this, Id, TriesLeft, Done] {
+    tryReturn(Id, TriesLeft - 1, Done);
+  };
+  if (TriesLeft == 0)
+    return Done(answerOf(WriteOutcome::Conflict));
+  if (!S || Writer_.isBusy(Pool))
+    return Context_.Control.after(RetryEvery, Again);
+  core::PoolPlan Plan = core::planReturn(*S, Id);
+  if (Plan.Changes.empty())
+    return Done({WishOutcome::Refused,
+                 std::string("it is ") + codec::nameOf(I->State) +
+                     " and can't be put back"});
+  write(Pool, Plan, Again, Done);
+}
+
+void Maintenance::place(const std::string &Name, core::PoolId Pool,
+                        Callback Done) {
+  Context_.Instances.list([this, Name, Pool, Done](platform::ListResult Got) {
+    Context_.Control.post([this, Name, Pool, Done, Got] {
+      auto It = std::find_if(
+          Got.Instances.begin(), Got.Instances.end(), [&](const auto &Item) {
+            return Item.Name == Name &&
+                   Item.Kind == platform::InstanceKind::Worker;
+          });
+      if (It == Got.Instances.end())
+        return Done({WishOutcome::NotFound,
+                     "the platform's list has no worker '" + Name + "'"});
+      tryPlace(*It, Pool, MaxTries, Done);
+    });
+  });
+}
+
+void Maintenance::tryPlace(const platform::ListedInstance &Item,
+                           core::PoolId Pool, int TriesLeft, Callback Done) {
+  const core::Instance *Present = Workers_.find(Item.Name);
+  if (Present && Present->Pool == Pool)
+    return Done({WishOutcome::Done, "it is there already"});
+  if (Present || TriesLeft == 0)
+    return Done({WishOutcome::Refused, "it is in a pool by now; try again"});
+  auto Again = [this, Item, Pool, TriesLeft, Done] {
+    tryPlace(Item, Pool, TriesLeft - 1, Done);
+  };
+  if (!isReady(Pool) || Writer_.isBusy(Pool))
+    return Context_.Control.after(RetryEvery, Again);
+  core::PoolPlan Plan;
+  Plan.Ledger = Workers_.rows().ledgerOf(Pool).Ledger;
+  Plan.Changes.push_back(
+      {instanceFrom(Item, Pool, core::InstanceState::Serving),
+       core::InstanceEvent::CameBack});
+  write(Pool, Plan, Again, [Done](WishAnswer Answer) {
+    if (Answer.Outcome == WishOutcome::Accepted)
+      Answer.Outcome = WishOutcome::Done;
+    Done(Answer);
+  });
+}
+
+void Maintenance::readWaves() {
+  if (ReadingWaves_)
+    return;
+  ReadingWaves_ = true;
+  Context_.Tables.scan(WaveTable, "", "", PageRows,
+                       [this](platform::ScanResult Result) {
+                         Context_.Control.post([this, Result] {
+                           ReadingWaves_ = false;
+                           onWaves(Result);
+                         });
+                       });
+}
+
+void Maintenance::onWaves(const platform::ScanResult &Result) {
+  if (Result.Outcome != platform::ReadOutcome::Ok)
+    return;
+  Waves_.clear();
+  WaveVersions_.clear();
+  for (const platform::Row &Row : Result.Rows) {
+    try {
+      core::Wave W = codec::parseWave(Row.Value);
+      WaveVersions_[W.Id] = Row.Version;
+      Waves_[W.Id] = std::move(W);
+    } catch (const codec::CodecError &E) {
+      LOG(ERROR) << "waves: row " << Row.Key << " can't be read: " << E.what();
+    }
+  }
+  std::erase_if(Noted_, [&](const auto &Item) {
+    return !Waves_.contains(Item.first.first);
+  });
+}
+
+void Maintenance::noteWaves(core::PoolId Pool,
+                            std::span<const core::WavePart> Parts) {
+  for (const core::WavePart &Part : Parts) {
+    codec::WavePoolRow Row{Part.Wave, Pool, Part.Progress, Part.Hold,
+                           whyHeld(Part)};
+    codec::WavePoolRow &Known = Noted_[{Part.Wave, Pool}];
+    if (Part.Hold == core::WaveHold::Failures)
+      pauseWave(Part, Pool);
+    if (Known == Row)
+      continue;
+    Known = Row;
+    // The latest row counts; one that is lost or late is soon written over.
+    platform::RowKey Key{WaveProgressTable, waveProgressKey(Part.Wave, Pool)};
+    platform::Transaction T{
+        "wave-progress", {}, {{Key, codec::toJson(Row)}}};
+    Context_.Tables.commit(
+        std::move(T), [this, At = std::pair(Part.Wave, Pool)](auto Result) {
+          if (Result.Outcome != platform::CommitOutcome::Committed)
+            Context_.Control.post([this, At] { Noted_.erase(At); });
+        });
+  }
+}
+
+void Maintenance::pauseWave(const core::WavePart &Part, core::PoolId Pool) {
+  core::Wave W = Waves_.at(Part.Wave);
+  std::optional<core::WaveState> To =
+      core::next(W.State, core::WaveCommand::Pause);
+  if (!To)
+    return;
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  const core::Pool *P = core::findPool(*C, Pool);
+  W.State = *To;
+  W.Why = "paused: in pool " + (P ? P->Name : poolKey(Pool)) + " " +
+          whyHeld(Part);
+  LOG(WARNING) << "waves: wave " << W.Id.Value << " " << W.Why;
+  writeWave(std::move(W));
+}
+
+void Maintenance::writeWave(core::Wave W) {
+  platform::RowKey Key{WaveTable, waveKey(W.Id)};
+  platform::Transaction T{"wave-" + Key.Key,
+                          {{Key, WaveVersions_[W.Id]}},
+                          {{Key, codec::toJson(W)}}};
+  // Where the write fails, the next step comes to the same end.
+  Context_.Tables.commit(std::move(T), [this](auto) {
+    Context_.Control.post([this] { readWaves(); });
+  });
+}
+
+/// The owner of the first pool finishes waves that are complete in every pool.
+void Maintenance::finishWaves() {
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  if (C->Pools.empty() || !isReady(C->Pools.front().Id))
+    return;
+  for (const auto &[Id, W] : Waves_) {
+    auto Mine = Noted_.find({Id, C->Pools.front().Id});
+    bool MayBe = W.State == core::WaveState::Running && Mine != Noted_.end() &&
+                 Mine->second.Hold == core::WaveHold::Complete;
+    if (!MayBe)
+      continue;
+    Context_.Tables.scan(WaveProgressTable, waveKey(Id) + "/", "", PageRows,
+                         [this, Wave = Id](platform::ScanResult Result) {
+                           Context_.Control.post([this, Wave, Result] {
+                             onWaveProgress(Wave, Result);
+                           });
+                         });
+  }
+}
+
+void Maintenance::onWaveProgress(core::WaveId Wave,
+                                 const platform::ScanResult &Result) {
+  if (Result.Outcome != platform::ReadOutcome::Ok || !Waves_.contains(Wave))
+    return;
+  std::set<core::PoolId> Complete;
+  for (const platform::Row &Row : Result.Rows) {
+    codec::WavePoolRow Part = codec::parseWavePoolRow(Row.Value);
+    if (Part.Hold == core::WaveHold::Complete)
+      Complete.insert(Part.Pool);
+  }
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  bool IsDone =
+      std::all_of(C->Pools.begin(), C->Pools.end(),
+                  [&](const auto &P) { return Complete.contains(P.Id); });
+  core::Wave W = Waves_.at(Wave);
+  std::optional<core::WaveState> To =
+      core::next(W.State, core::WaveCommand::Finish);
+  if (!IsDone || !To)
+    return;
+  W.State = *To;
+  W.Why = "every instance is done";
+  LOG(INFO) << "waves: wave " << Wave.Value << " is done";
+  writeWave(std::move(W));
+}
+
+} // namespace comfreydeck::entry
--- a/src/entry/OperatorService.cpp
+++ b/src/entry/OperatorService.cpp
@@ -55,9 +55,9 @@
 
 OperatorService::OperatorService(const Context &C, Membership &Members,
                                  ConfigStore &Config, Fleet &Workers,
-                                 PoolService &Pools)
+                                 PoolService &Pools, FleetRoutes &Routes)
     : Context_(C), Members_(Members), Config_(Config), Workers_(Workers),
-      Pools_(Pools) {}
+      Pools_(Pools), Routes_(Routes) {}
 
 std::optional<core::OperatorKey>
 OperatorService::identify(const net::HttpRequest &R) const {
@@ -110,8 +110,8 @@
     return Respond(net::jsonResponse(200, codec::toJson(*Config_.current())));
   if (Subject == "config" && Parts.size() == 4 && Parts[3] == "changes")
     return postChange(Who, Request, Respond);
-  if (Subject == "instances" && Parts.size() == 4 && Request.Method == "PUT")
-    return putInstance(std::string(Parts[3]), Request, Respond);
+  if (Routes_.handle(Who, Request, Respond))
+    return;
   if (Subject == "status" && IsGet)
     return Respond(status());
   Respond(error(404, "there is no such path"));
@@ -125,23 +125,6 @@
       [Respond](const ProposalResult &Result) { Respond(responseOf(Result)); });
 }
 
-void OperatorService::putInstance(const std::string &Name,
-                                  const net::HttpRequest &Request,
-                                  const net::HttpResponder &Respond) {
-  std::string PoolName =
-      json::parse(Request.Body).at("pool").get<std::string>();
-  std::shared_ptr<const core::Configuration> C = Config_.current();
-  const core::Pool *P = core::findPool(*C, PoolName);
-  if (!P)
-    return Respond(error(404, "there is no pool '" + PoolName + "'"));
-  Workers_.assign(Name, P->Id, [Respond](const std::string &Failed) {
-    if (Failed.empty())
-      Respond(net::jsonResponse(200, "{}"));
-    else
-      Respond(error(503, Failed));
-  });
-}
-
 net::HttpResponse OperatorService::status() const {
   std::shared_ptr<const core::Configuration> C = Config_.current();
   json Entries = json::array();
--- a/src/entry/OperatorService.h
+++ b/src/entry/OperatorService.h
@@ -1,7 +1,7 @@
 #ifndef COMFREYDECK_ENTRY_OPERATORSERVICE_H
 #define COMFREYDECK_ENTRY_OPERATORSERVICE_H
 
-#include "entry/PoolService.h"
+#include "entry/FleetRoutes.h"
 #include "net/HttpServer.h"
 
 namespace comfreydeck::entry {
@@ -11,7 +11,7 @@
 public:
   /// The parts must outlive the service.
   OperatorService(const Context &C, Membership &Members, ConfigStore &Config,
-                  Fleet &Workers, PoolService &Pools);
+                  Fleet &Workers, PoolService &Pools, FleetRoutes &Routes);
 
   /// Handles `/v1/operator/...`. Thread-safe.
   void handle(net::HttpRequest Request, net::HttpResponder Respond);
@@ -23,8 +23,6 @@
              const net::HttpResponder &Respond);
   void postChange(const core::OperatorKey &Who, const net::HttpRequest &Request,
                   const net::HttpResponder &Respond);
-  void putInstance(const std::string &Name, const net::HttpRequest &Request,
-                   const net::HttpResponder &Respond);
   net::HttpResponse status() const;
 
   Context Context_;
@@ -32,6 +30,7 @@
   ConfigStore &Config_;
   Fleet &Workers_;
   PoolService &Pools_;
+  FleetRoutes &Routes_;
 };
 
 } // namespace comfreydeck::entry
--- /dev/null
+++ b/src/entry/WallClock.h
@@ -0,0 +1,19 @@
+#ifndef COMFREYDECK_ENTRY_WALLCLOCK_H
+#define COMFREYDECK_ENTRY_WALLCLOCK_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace comfreydeck::entry {
+
+/// The wall clock in milliseconds; for rows that other entries read, where
+/// seconds of skew do no harm. Thread-safe.
+inline std::int64_t wallClockMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+} // namespace comfreydeck::entry
+
+#endif // COMFREYDECK_ENTRY_WALLCLOCK_H
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -222,10 +222,16 @@
 }
 
 HttpClient::~HttpClient() {
+  stop();
+  curl_multi_cleanup(Impl_->Multi);
+}
+
+void HttpClient::stop() {
+  if (!Impl_->Thread.joinable())
+    return;
   Impl_->Stopping = true;
   curl_multi_wakeup(Impl_->Multi);
   Impl_->Thread.join();
-  curl_multi_cleanup(Impl_->Multi);
 }
 
 HttpCallId HttpClient::send(HttpCall Call, HttpCallback Done) {
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -52,7 +52,7 @@
 class HttpClient {
 public:
   explicit HttpClient(HttpClientOptions Options);
-  /// Ends what is in flight as cut, then joins the thread.
+  /// Stops as \ref stop does.
   ~HttpClient();
 
   HttpClient(const HttpClient &) = delete;
@@ -65,6 +65,11 @@
   /// Gives a call up; its callback still comes. Thread-safe.
   void cancel(HttpCallId Id);
 
+  /// Ends what is in flight as cut, then joins the thread. Later calls are
+  /// never sent and get no callback. Not to be called from a callback. May be
+  /// called twice.
+  void stop();
+
 private:
   struct Impl;
   std::unique_ptr<Impl> Impl_;
--- a/src/operators/Commands.cpp
+++ b/src/operators/Commands.cpp
@@ -1,5 +1,7 @@
 #include "operators/Commands.h"
 
+#include "operators/FleetCommands.h"
+
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
@@ -41,31 +43,19 @@
   });
 }
 
-void addInstanceCommands(CLI::App &App, OperatorAccess &Access) {
-  CLI::App *Instance = App.add_subcommand("instance", "Workers and pools");
-  Instance->require_subcommand(1);
-  CLI::App *Move = Instance->add_subcommand("move", "Put it into a pool");
-  auto Name = std::make_shared<std::string>();
-  auto Pool = std::make_shared<std::string>();
-  Move->add_option("name", *Name, "The instance")->required();
-  Move->add_option("--pool", *Pool, "The pool")->required();
-  Move->callback([&Access, Name, Pool] {
-    print(OperatorClient(Access).call("PUT", "/v1/operator/instances/" + *Name,
-                                      json({{"pool", *Pool}}).dump()));
-  });
-}
-
 } // namespace
 
 void addCommands(CLI::App &App, OperatorAccess &Access) {
   App.add_option("--entry", Access.Entry, "Any entry, as http://IP:PORT");
   App.add_option("--key", Access.KeySecret, "The operator's key")
       ->envname("COMFREYDECK_OPERATOR_KEY");
+  App.add_option("--output", Access.Output, "table or json")
+      ->check(CLI::IsMember({"table", "json"}));
   App.add_subcommand("status", "The fleet at a glance")->callback([&Access] {
     print(OperatorClient(Access).call("GET", "/v1/operator/status", ""));
   });
   addConfigCommands(App, Access);
-  addInstanceCommands(App, Access);
+  addFleetCommands(App, Access);
 }
 
 } // namespace comfreydeck::operators
--- a/src/operators/OperatorClient.h
+++ b/src/operators/OperatorClient.h
@@ -14,6 +14,8 @@
   /// `http://IP:PORT` of any entry.
   std::string Entry = "http://127.0.0.1:8080";
   std::string KeySecret;
+  /// `table` or `json`.
+  std::string Output = "table";
 };
 
 /// An entry's refusal, or no answer at all.
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -85,6 +85,12 @@
   R.rejectUnknown();
 }
 
+void readFleet(ObjectReader R, FleetSettings &Out) {
+  R.milliseconds("warm_up_ms", Out.WarmUp, {100, 3600000});
+  R.milliseconds("reboot_limit_ms", Out.RebootLimit, {1000, 86400000});
+  R.rejectUnknown();
+}
+
 void readBootstrapKey(ObjectReader &R, Settings &Out,
                       std::vector<SettingsFault> &Faults) {
   constexpr const char *Field = "bootstrap_operator_key_hash";
@@ -114,6 +120,7 @@
   readCluster(R.child("cluster", Need::Required), Out.Cluster, Faults);
   readLease(R.child("lease", Need::Optional), Out.Lease, Faults);
   readTraffic(R.child("traffic", Need::Optional), Out.Traffic);
+  readFleet(R.child("fleet", Need::Optional), Out.Fleet);
   readBootstrapKey(R, Out, Faults);
   R.rejectUnknown();
   if (!Faults.empty())
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -59,12 +59,21 @@
   core::Duration DrainLimit = std::chrono::seconds(60);
 };
 
+/// Times of maintenance.
+struct FleetSettings {
+  /// From the first task on a returning instance to all of its slots.
+  core::Duration WarmUp = std::chrono::seconds(30);
+  /// A reboot that takes longer has failed.
+  core::Duration RebootLimit = std::chrono::minutes(15);
+};
+
 struct Settings {
   EntrySettings Entry;
   PlatformSettings Platform;
   ClusterSettings Cluster;
   LeaseSettings Lease;
   TrafficSettings Traffic;
+  FleetSettings Fleet;
   /// Hash of the first operator's key as hex; used while no operator key is
   /// granted.
   std::string BootstrapOperatorKeyHash;
--- a/tests/standins/WorkerStandin.cpp
+++ b/tests/standins/WorkerStandin.cpp
@@ -82,6 +82,10 @@
 
 void WorkerStandin::handle(net::HttpRequest Request,
                            net::HttpResponder Respond) {
+  if (isSilent())
+    return Respond(net::jsonResponse(503, R"({"error":"rebooting"})"));
+  if (Request.Path == "/v1/reboot" && Request.Method == "POST")
+    return Respond(reboot(Request));
   if (Request.Path == "/v1/tasks" && Request.Method == "POST")
     return startTask(std::move(Request), std::move(Respond));
   if (Request.Path == "/v1/status")
@@ -155,6 +159,30 @@
   Respond(std::move(Response));
 }
 
+bool WorkerStandin::isSilent() const {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return net::now() < SilentUntil_;
+}
+
+std::string WorkerStandin::bootId() const {
+  return Options_.Name + "-boot-" + std::to_string(Boots_);
+}
+
+net::HttpResponse WorkerStandin::reboot(const net::HttpRequest &Request) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  bool Late = numberHeader(Request, "Task-Not-After-Ms", UINT64_MAX) <
+              workerClockMs();
+  if (Late || net::findHeader(Request.Headers, "Boot-Id") != bootId())
+    return net::jsonResponse(409, R"({"refused":"not this boot, or late"})");
+  ++Boots_;
+  SilentUntil_ = net::now() + RebootSilence;
+  Log_.write(json({{"event", "reboot"},
+                   {"worker", Options_.Name},
+                   {"cut", Running_.size()}})
+                 .dump());
+  return net::jsonResponse(200, "{}");
+}
+
 net::HttpResponse WorkerStandin::status() const {
   std::lock_guard<std::mutex> Lock(Mutex_);
   json Running = json::array();
@@ -162,6 +190,7 @@
     Running.push_back({{"task", Task}, {"team", Team}});
   json J = {{"name", Options_.Name},
             {"clock_ms", workerClockMs()},
+            {"boot_id", bootId()},
             {"slots", Options_.Slots},
             {"running", Running}};
   return net::jsonResponse(200, J.dump());
--- a/tests/standins/WorkerStandin.h
+++ b/tests/standins/WorkerStandin.h
@@ -22,6 +22,9 @@
   bool WrongTask = false;
 };
 
+/// How long a worker is silent while it reboots.
+constexpr core::Duration RebootSilence = std::chrono::milliseconds(1500);
+
 struct WorkerStandinOptions {
   std::string Name = "w1";
   std::uint32_t Slots = 8;
@@ -45,7 +48,8 @@
 
 /// A worker that holds each task for its run time and answers its body.
 ///
-/// `PUT /control/faults` sets the faults.
+/// `PUT /control/faults` sets the faults. `POST /v1/reboot` cuts what runs and
+/// makes it silent for a while, if `Boot-Id` names the present boot.
 class WorkerStandin {
 public:
   /// \p Timers and \p Log must outlive the worker.
@@ -68,6 +72,9 @@
   const char *refusalOf(const net::HttpRequest &Request,
                         const std::string &Id) const;
   net::HttpResponse status() const;
+  net::HttpResponse reboot(const net::HttpRequest &Request);
+  bool isSilent() const;
+  std::string bootId() const;
   std::string eventLine(const char *Event, const net::HttpRequest &Request,
                         const std::string &Id) const;
 
@@ -81,6 +88,8 @@
   std::set<std::string> Seen_;
   std::uint64_t Starts_ = 0;
   std::uint64_t Duplicates_ = 0;
+  std::uint32_t Boots_ = 1;
+  core::TimePoint SilentUntil_;
   net::HttpServer Server_;
 };
 
