Add templates with typed parameters and customers made from them

Cause: operators repeated a team, its queues and its limits by hand for each customer, and an edit list named only its first fault.

Change: templates and customers are items of the configuration. Putting a customer, or changing its template, expands it into teams and queues in the same change, so that all entries agree. What belongs to a customer can't be changed behind its back. Keys have a label.

--- a/src/codec/ConfigJson.h
+++ b/src/codec/ConfigJson.h
@@ -3,6 +3,7 @@
 
 #include "core/ConfigChange.h"
 
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -13,6 +14,14 @@
 class CodecError : public std::runtime_error {
 public:
   using std::runtime_error::runtime_error;
+  explicit CodecError(std::vector<core::ConfigFault> Faults);
+
+  /// Every fault of a list of edits; empty where the document as a whole is
+  /// wrong. Thread-safe.
+  std::span<const core::ConfigFault> faults() const { return Faults_; }
+
+private:
+  std::vector<core::ConfigFault> Faults_;
 };
 
 /// Each parse function throws CodecError. All are thread-safe.
@@ -23,6 +32,7 @@
 core::Configuration parseConfiguration(std::string_view Text);
 
 /// A JSON list of edits, as operators send it.
+std::string toJson(std::span<const core::ConfigEdit> Edits);
 std::vector<core::ConfigEdit> parseEdits(std::string_view Text);
 
 } // namespace comfreydeck::codec
--- a/src/core/ConfigChange.cpp
+++ b/src/core/ConfigChange.cpp
@@ -1,173 +1,216 @@
 #include "core/ConfigChange.h"
 
-#include <algorithm>
+#include "core/ConfigEdits_p.h"
+#include "core/ConfigLimits.h"
+#include "core/Names.h"
 
 namespace comfreydeck::core {
 
-namespace {
-
-constexpr std::size_t MaxNameBytes = 64;
-constexpr std::uint32_t MaxShare = 1000000;
-constexpr std::uint32_t MaxUpperLimit = 10000000;
+namespace detail {
 
-bool isNameCharacter(char C) {
-  return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9') || C == '-' ||
-         C == '_' || C == '.';
+void fault(Editing &E, std::string Field, std::string Message) {
+  E.Faults.push_back({E.Index, std::move(Field), std::move(Message)});
 }
 
-void checkName(const std::string &Name, const char *What) {
-  bool Good = !Name.empty() && Name.size() <= MaxNameBytes &&
-              std::all_of(Name.begin(), Name.end(), isNameCharacter);
-  if (!Good)
-    throw ConfigError(std::string(What) + " name '" + Name +
-                      "' must have 1 to 64 of a-z, 0-9, '-', '_' and '.'");
+bool checkName(Editing &E, const std::string &Name) {
+  if (isName(Name))
+    return true;
+  fault(E, "name", "'" + Name + "' " + std::string(NameRule));
+  return false;
 }
 
-void checkBound(std::uint32_t Value, std::uint32_t Least, std::uint32_t Most,
-                const std::string &What) {
-  if (Value < Least || Value > Most)
-    throw ConfigError(What + " must be from " + std::to_string(Least) + " to " +
-                      std::to_string(Most));
+bool checkBound(Editing &E, const char *Field, std::uint32_t Value,
+                std::uint32_t Least, std::uint32_t Most) {
+  if (Value >= Least && Value <= Most)
+    return true;
+  fault(E, Field,
+        "must be from " + std::to_string(Least) + " to " +
+            std::to_string(Most));
+  return false;
 }
 
-/// Puts \p Item in the place of the one with its name, or adds it.
-template <typename T>
-void put(Configuration &C, std::vector<T> &Items, T Item) {
-  auto It = std::find_if(Items.begin(), Items.end(), [&](const T &Present) {
-    return Present.Name == Item.Name;
-  });
-  if (It != Items.end()) {
-    Item.Id = It->Id;
-    *It = std::move(Item);
-    return;
-  }
-  Item.Id.Value = C.NextId++;
-  Items.push_back(std::move(Item));
+void putQueue(Editing &E, const ExpandedQueue &Names, CustomerId MadeBy) {
+  const Configuration &C = E.Config;
+  Queue Q;
+  Q.Name = Names.Name;
+  Q.MadeBy = MadeBy;
+  if (const Pool *P =
+          require(E, findPool(C, Names.Pool), "pool", "pool", Names.Pool))
+    Q.ServedBy = P->Id;
+  Q.Open = Names.Open;
+  if (Q.Open)
+    if (const Team *T = require(E, findTeam(C, Names.OpenTeam), "open_team",
+                                "team", Names.OpenTeam))
+      Q.OpenTeam = T->Id;
+  Q.IdempotentByDefault = Names.Idempotent;
+  for (const std::string &Name : Names.Teams)
+    if (const Team *T = require(E, findTeam(C, Name), "teams", "team", Name))
+      Q.AllowedTeams.push_back(T->Id);
+  put(E, E.Config.Queues, std::move(Q), MaxQueues);
 }
 
-template <typename T>
-const T &require(const T *Found, const char *What, const std::string &Name) {
-  if (!Found)
-    throw ConfigError(std::string("there is no ") + What + " '" + Name + "'");
-  return *Found;
-}
+namespace {
 
-template <typename T> void withdraw(std::vector<T> &Keys, KeyId Id) {
-  if (std::erase_if(Keys, [&](const T &K) { return K.Id == Id; }) == 0)
-    throw ConfigError("there is no key " + std::to_string(Id.Value));
+/// Notes a fault where the item was made for a customer.
+template <typename T> bool isMadeByHand(Editing &E, const T *Found) {
+  if (!Found || !Found->MadeBy.isValid())
+    return true;
+  const Customer *Owner = findCustomer(E.Config, Found->MadeBy);
+  fault(E, "name",
+        "'" + Found->Name + "' belongs to customer '" + Owner->Name +
+            "'; change the customer or its template");
+  return false;
 }
 
-void edit(Configuration &C, const PutDataCentre &E) {
-  checkName(E.Item.Name, "data centre");
-  put(C, C.DataCentres, E.Item);
+void edit(Editing &E, const PutDataCentre &Edit) {
+  if (checkName(E, Edit.Item.Name))
+    put(E, E.Config.DataCentres, Edit.Item, MaxDataCentres);
 }
 
-void edit(Configuration &C, const PutPool &E) {
-  checkName(E.Item.Name, "pool");
-  put(C, C.Pools, E.Item);
+void edit(Editing &E, const PutPool &Edit) {
+  checkName(E, Edit.Item.Name);
+  checkBound(E, "absent_limit", Edit.Item.AbsentLimit, 0, MaxAbsent);
+  checkBound(E, "absent_limit_per_domain", Edit.Item.AbsentLimitPerDomain, 0,
+             MaxAbsent);
+  put(E, E.Config.Pools, Edit.Item, MaxPools);
 }
 
-void edit(Configuration &C, const PutTeam &E) {
-  checkName(E.Item.Name, "team");
-  checkBound(E.Item.Share, 1, MaxShare, "share of team " + E.Item.Name);
-  checkBound(E.Item.UpperLimit, 0, MaxUpperLimit,
-             "upper limit of team " + E.Item.Name);
-  put(C, C.Teams, E.Item);
+void edit(Editing &E, const PutTeam &Edit) {
+  checkName(E, Edit.Item.Name);
+  checkBound(E, "share", Edit.Item.Share, 1, MaxShare);
+  checkBound(E, "upper_limit", Edit.Item.UpperLimit, 0, MaxUpperLimit);
+  if (!isMadeByHand(E, findTeam(E.Config, Edit.Item.Name)))
+    return;
+  Team T = Edit.Item;
+  T.MadeBy = CustomerId();
+  put(E, E.Config.Teams, std::move(T), MaxTeams);
+}
+
+void edit(Editing &E, const PutQueue &Edit) {
+  checkName(E, Edit.Name);
+  if (Edit.AllowedTeams.size() > MaxNamesInList)
+    return fault(E, "teams",
+                 "must have at most " + std::to_string(MaxNamesInList) +
+                     " names");
+  if (!isMadeByHand(E, findQueue(E.Config, Edit.Name)))
+    return;
+  putQueue(E,
+           {Edit.Name, Edit.Pool, Edit.Open, Edit.OpenTeam,
+            Edit.IdempotentByDefault, Edit.AllowedTeams},
+           CustomerId());
+}
+
+void edit(Editing &E, const GrantKey &Edit) {
+  if (!Edit.Label.empty() && !isName(Edit.Label))
+    fault(E, "label", std::string(NameRule));
+  const Team *Owner =
+      require(E, findTeam(E.Config, Edit.Team), "team", "team", Edit.Team);
+  if (!Owner)
+    return;
+  if (!Owner->TakesKeys)
+    return fault(E, "team", "team '" + Edit.Team + "' takes no keys");
+  if (E.Config.Keys.size() >= MaxKeys)
+    return fault(E, "",
+                 "there may be at most " + std::to_string(MaxKeys) + " keys");
+  Key K;
+  K.Owner = Owner->Id;
+  K.Hash = Edit.Hash;
+  K.Label = Edit.Label;
+  K.Id.Value = E.Config.NextId++;
+  E.Config.Keys.push_back(std::move(K));
 }
 
-void edit(Configuration &C, const PutQueue &E) {
-  checkName(E.Name, "queue");
-  Queue Q;
-  Q.Name = E.Name;
-  Q.ServedBy = require(findPool(C, E.Pool), "pool", E.Pool).Id;
-  Q.Open = E.Open;
-  if (E.Open)
-    Q.OpenTeam = require(findTeam(C, E.OpenTeam), "team", E.OpenTeam).Id;
-  Q.IdempotentByDefault = E.IdempotentByDefault;
-  for (const std::string &Name : E.AllowedTeams)
-    Q.AllowedTeams.push_back(require(findTeam(C, Name), "team", Name).Id);
-  put(C, C.Queues, std::move(Q));
-}
-
-void edit(Configuration &C, const GrantKey &E) {
-  Key K;
-  K.Owner = require(findTeam(C, E.Team), "team", E.Team).Id;
-  K.Hash = E.Hash;
-  K.Id.Value = C.NextId++;
-  C.Keys.push_back(K);
+template <typename T>
+void withdraw(Editing &E, std::vector<T> &Keys, KeyId Id) {
+  if (std::erase_if(Keys, [&](const T &K) { return K.Id == Id; }) == 0)
+    fault(E, "id", "there is no key " + std::to_string(Id.Value));
 }
 
-void edit(Configuration &C, const WithdrawKey &E) { withdraw(C.Keys, E.Id); }
+void edit(Editing &E, const WithdrawKey &Edit) {
+  withdraw(E, E.Config.Keys, Edit.Id);
+}
 
-void edit(Configuration &C, const GrantOperatorKey &E) {
-  checkName(E.Name, "operator");
+void edit(Editing &E, const GrantOperatorKey &Edit) {
+  checkName(E, Edit.Name);
+  if (E.Config.OperatorKeys.size() >= MaxOperatorKeys)
+    return fault(E, "",
+                 "there may be at most " + std::to_string(MaxOperatorKeys) +
+                     " operators' keys");
   OperatorKey K;
-  K.Name = E.Name;
-  K.Allowed = E.Allowed;
-  K.Hash = E.Hash;
-  K.Id.Value = C.NextId++;
-  C.OperatorKeys.push_back(std::move(K));
+  K.Name = Edit.Name;
+  K.Allowed = Edit.Allowed;
+  K.Hash = Edit.Hash;
+  K.Id.Value = E.Config.NextId++;
+  E.Config.OperatorKeys.push_back(std::move(K));
 }
 
-void edit(Configuration &C, const WithdrawOperatorKey &E) {
-  withdraw(C.OperatorKeys, E.Id);
+void edit(Editing &E, const WithdrawOperatorKey &Edit) {
+  withdraw(E, E.Config.OperatorKeys, Edit.Id);
 }
 
-template <typename T>
-void eraseByName(std::vector<T> &Items, const std::string &Name,
-                 const char *What) {
-  if (std::erase_if(Items, [&](const T &I) { return I.Name == Name; }) == 0)
-    throw ConfigError(std::string("there is no ") + What + " '" + Name + "'");
-}
-
-void removePool(Configuration &C, const std::string &Name) {
-  PoolId Id = require(findPool(C, Name), "pool", Name).Id;
-  for (const Queue &Q : C.Queues)
-    if (Q.ServedBy == Id)
-      throw ConfigError("pool '" + Name + "' still serves queue '" + Q.Name +
-                        "'");
-  eraseByName(C.Pools, Name, "pool");
-}
-
-void removeTeam(Configuration &C, const std::string &Name) {
-  TeamId Id = require(findTeam(C, Name), "team", Name).Id;
-  for (Queue &Q : C.Queues) {
-    if (Q.Open && Q.OpenTeam == Id)
-      throw ConfigError("open queue '" + Q.Name + "' still counts for team '" +
-                        Name + "'");
-    bool WasAllowed = std::erase(Q.AllowedTeams, Id) > 0;
-    // An empty list would let every team in.
-    if (WasAllowed && Q.AllowedTeams.empty())
-      throw ConfigError("team '" + Name + "' is the last one on queue '" +
-                        Q.Name + "'");
-  }
-  std::erase_if(C.Keys, [&](const Key &K) { return K.Owner == Id; });
-  eraseByName(C.Teams, Name, "team");
-}
-
-void edit(Configuration &C, const RemoveItem &E) {
-  switch (E.Kind) {
-  case ItemKind::DataCentre:
-    return eraseByName(C.DataCentres, E.Name, "data centre");
-  case ItemKind::Pool:
-    return removePool(C, E.Name);
-  case ItemKind::Team:
-    return removeTeam(C, E.Name);
-  case ItemKind::Queue:
-    return eraseByName(C.Queues, E.Name, "queue");
+template <typename T> constexpr bool IsTemplateEdit = false;
+template <> constexpr bool IsTemplateEdit<PutTemplate> = true;
+template <> constexpr bool IsTemplateEdit<PutCustomer> = true;
+
+/// Edits of templates and customers may depend on one another, so customers are
+/// expanded only once such a run of edits is over.
+struct EditRunner {
+  Editing &E;
+
+  template <typename T> void operator()(const T &Edit) const {
+    if (!IsTemplateEdit<T>)
+      realizeStale(E);
+    edit(E, Edit);
   }
+};
+
+/// With operators' keys but no administrator nobody could put that right.
+void checkAdministrator(Editing &E) {
+  const std::vector<OperatorKey> &Keys = E.Config.OperatorKeys;
+  bool Good =
+      Keys.empty() || std::any_of(Keys.begin(), Keys.end(), [](const auto &K) {
+        return K.Allowed == Role::Administer;
+      });
+  if (!Good)
+    fault(E, "", "at least one operator's key must have the role administer");
 }
 
 } // namespace
 
+} // namespace detail
+
+std::string textOf(std::span<const ConfigFault> Faults) {
+  std::string Text;
+  for (const ConfigFault &F : Faults) {
+    Text += (Text.empty() ? "" : "; ") + std::string("edit ") +
+            std::to_string(F.Edit);
+    if (!F.Field.empty())
+      Text += ", " + F.Field;
+    Text += ": " + F.Message;
+  }
+  return Text;
+}
+
+ConfigError::ConfigError(std::vector<ConfigFault> Faults)
+    : std::runtime_error(textOf(Faults)), Faults_(std::move(Faults)) {}
+
 Configuration apply(const Configuration &Before, const ConfigChange &Change) {
   if (Change.Version.Value != Before.Version.Value + 1)
     throw ConfigError("change " + std::to_string(Change.Version.Value) +
                       " does not follow version " +
                       std::to_string(Before.Version.Value));
+  if (Change.Edits.size() > MaxEditsInChange)
+    throw ConfigError("a change may have at most " +
+                      std::to_string(MaxEditsInChange) + " edits");
   Configuration After = Before;
-  for (const ConfigEdit &Edit : Change.Edits)
-    std::visit([&](const auto &E) { edit(After, E); }, Edit);
+  std::vector<ConfigFault> Faults;
+  detail::Editing E{After, Faults, 0, {}};
+  for (; E.Index < Change.Edits.size(); ++E.Index)
+    std::visit(detail::EditRunner{E}, Change.Edits[E.Index]);
+  detail::realizeStale(E);
+  detail::checkAdministrator(E);
+  if (!Faults.empty())
+    throw ConfigError(std::move(Faults));
   After.Version = Change.Version;
   return After;
 }
--- a/src/core/Configuration.cpp
+++ b/src/core/Configuration.cpp
@@ -55,6 +55,22 @@
   return findById(C.Queues, Id);
 }
 
+const Template *findTemplate(const Configuration &C, std::string_view Name) {
+  return findByName(C.Templates, Name);
+}
+
+const Customer *findCustomer(const Configuration &C, std::string_view Name) {
+  return findByName(C.Customers, Name);
+}
+
+const Template *findTemplate(const Configuration &C, TemplateId Id) {
+  return findById(C.Templates, Id);
+}
+
+const Customer *findCustomer(const Configuration &C, CustomerId Id) {
+  return findById(C.Customers, Id);
+}
+
 bool mayUse(const Queue &Q, TeamId Id) {
   if (Q.AllowedTeams.empty())
     return true;
--- a/src/core/Configuration.h
+++ b/src/core/Configuration.h
@@ -1,7 +1,7 @@
 #ifndef COMFREYDECK_CORE_CONFIGURATION_H
 #define COMFREYDECK_CORE_CONFIGURATION_H
 
-#include "core/Types.h"
+#include "core/Template.h"
 
 #include <array>
 #include <optional>
@@ -43,6 +43,10 @@
   std::uint32_t Share = 1;
   /// Tasks that may run at once across the fleet.
   std::uint32_t UpperLimit = 0;
+  /// Whether callers may be granted keys of the team.
+  bool TakesKeys = true;
+  /// The customer that the team was made for; invalid where made by hand.
+  CustomerId MadeBy;
 };
 
 /// A named queue that is served by one pool.
@@ -57,6 +61,8 @@
   bool IdempotentByDefault = false;
   /// Teams whose keys are good for the queue; empty means every team.
   std::vector<TeamId> AllowedTeams;
+  /// The customer that the queue was made for; invalid where made by hand.
+  CustomerId MadeBy;
 };
 
 /// A granted key of a team; only its hash is kept.
@@ -64,6 +70,8 @@
   KeyId Id;
   TeamId Owner;
   KeyHash Hash{};
+  /// What operators know the key by, as in `kiosk-3`; may be empty.
+  std::string Label;
 };
 
 /// What an operator may do.
@@ -88,6 +96,8 @@
   std::vector<Queue> Queues;
   std::vector<Key> Keys;
   std::vector<OperatorKey> OperatorKeys;
+  std::vector<Template> Templates;
+  std::vector<Customer> Customers;
 };
 
 /// Finds by name; nothing where there is none. Thread-safe.
@@ -95,12 +105,16 @@
 const Pool *findPool(const Configuration &C, std::string_view Name);
 const Team *findTeam(const Configuration &C, std::string_view Name);
 const Queue *findQueue(const Configuration &C, std::string_view Name);
+const Template *findTemplate(const Configuration &C, std::string_view Name);
+const Customer *findCustomer(const Configuration &C, std::string_view Name);
 
 /// Finds by handle; nothing where there is none. Thread-safe.
 const DataCentre *findDataCentre(const Configuration &C, DataCentreId Id);
 const Pool *findPool(const Configuration &C, PoolId Id);
 const Team *findTeam(const Configuration &C, TeamId Id);
 const Queue *findQueue(const Configuration &C, QueueId Id);
+const Template *findTemplate(const Configuration &C, TemplateId Id);
+const Customer *findCustomer(const Configuration &C, CustomerId Id);
 
 /// Whether a key of \p Id may submit to \p Q. Thread-safe.
 bool mayUse(const Queue &Q, TeamId Id);
--- /dev/null
+++ b/src/core/CustomerEdits.cpp
@@ -0,0 +1,152 @@
+#include "core/ConfigEdits_p.h"
+#include "core/ConfigLimits.h"
+#include "core/Names.h"
+
+#include <set>
+#include <utility>
+
+namespace comfreydeck::core::detail {
+
+namespace {
+
+void faults(Editing &E, const std::string &Prefix,
+            const std::vector<FieldFault> &Found) {
+  for (const FieldFault &F : Found)
+    fault(E, F.Field, Prefix + F.Message);
+}
+
+/// Whether the name is free, or the item is the customer's own.
+template <typename T>
+bool mayTake(Editing &E, const T *Present, const Customer &For,
+             const char *What) {
+  if (!Present || Present->MadeBy == For.Id)
+    return true;
+  const Customer *Owner = findCustomer(E.Config, Present->MadeBy);
+  fault(E, "name",
+        std::string(What) + " '" + Present->Name + "' " +
+            (Owner ? "belongs to customer '" + Owner->Name + "'"
+                   : "was made by hand") +
+            ", so customer '" + For.Name + "' can't have it");
+  return false;
+}
+
+void putTeam(Editing &E, const ExpandedTeam &Made, const Customer &For) {
+  if (!isName(Made.Name))
+    return fault(E, "name",
+                 "team '" + Made.Name + "' " + std::string(NameRule));
+  if (!mayTake(E, findTeam(E.Config, Made.Name), For, "team"))
+    return;
+  Team T;
+  T.Name = Made.Name;
+  T.Share = Made.Share;
+  T.UpperLimit = Made.UpperLimit;
+  T.TakesKeys = Made.TakesKeys;
+  T.MadeBy = For.Id;
+  put(E, E.Config.Teams, std::move(T), MaxTeams);
+}
+
+void putOwnQueue(Editing &E, const ExpandedQueue &Made, const Customer &For) {
+  if (!isName(Made.Name))
+    return fault(E, "name",
+                 "queue '" + Made.Name + "' " + std::string(NameRule));
+  if (mayTake(E, findQueue(E.Config, Made.Name), For, "queue"))
+    putQueue(E, Made, For.Id);
+}
+
+template <typename T> std::set<std::string> namesOf(const std::vector<T> &All) {
+  std::set<std::string> Names;
+  for (const T &Item : All)
+    Names.insert(Item.Name);
+  return Names;
+}
+
+void removeLeftOverQueues(Editing &E, CustomerId Id, const Expansion &Made) {
+  std::set<std::string> Kept = namesOf(Made.Queues);
+  std::erase_if(E.Config.Queues, [&](const Queue &Q) {
+    return Q.MadeBy == Id && !Kept.contains(Q.Name);
+  });
+}
+
+void removeLeftOverTeams(Editing &E, CustomerId Id, const Expansion &Made) {
+  std::set<std::string> Kept = namesOf(Made.Teams);
+  std::vector<TeamId> Leaving;
+  for (const Team &T : E.Config.Teams)
+    if (T.MadeBy == Id && !Kept.contains(T.Name))
+      Leaving.push_back(T.Id);
+  for (TeamId Team : Leaving)
+    removeTeam(E, Team);
+}
+
+/// A template may give a name to two things only by a customer's arguments.
+void checkNoTwins(Editing &E, const Expansion &Made) {
+  std::set<std::string> Seen;
+  for (const ExpandedQueue &Q : Made.Queues)
+    if (!Seen.insert(Q.Name).second)
+      fault(E, "name", "queue '" + Q.Name + "' would be made twice");
+}
+
+} // namespace
+
+void realize(Editing &E, CustomerId Id) {
+  const Customer For = *findCustomer(E.Config, Id);
+  const Template &From = *findTemplate(E.Config, For.MadeFrom);
+  std::vector<FieldFault> Wrong = checkArguments(From, For);
+  if (!Wrong.empty())
+    return faults(E, "customer '" + For.Name + "': ", Wrong);
+  Expansion Made = expand(From, For);
+  checkNoTwins(E, Made);
+  removeLeftOverQueues(E, Id, Made);
+  for (const ExpandedTeam &Team : Made.Teams)
+    putTeam(E, Team, For);
+  for (const ExpandedQueue &Queue : Made.Queues)
+    putOwnQueue(E, Queue, For);
+  removeLeftOverTeams(E, Id, Made);
+}
+
+void realizeStale(Editing &E) {
+  std::size_t Present = E.Index;
+  for (const auto &[Id, Edit] : std::exchange(E.Stale, {})) {
+    E.Index = Edit;
+    realize(E, Id);
+  }
+  E.Index = Present;
+}
+
+void edit(Editing &E, const PutTemplate &Edit) {
+  checkName(E, Edit.Item.Name);
+  std::vector<FieldFault> Wrong = checkTemplate(Edit.Item);
+  if (!Wrong.empty())
+    return faults(E, "", Wrong);
+  put(E, E.Config.Templates, Edit.Item, MaxTemplates);
+  const Template *Present = findTemplate(E.Config, Edit.Item.Name);
+  if (!Present)
+    return;
+  for (const Customer &C : E.Config.Customers)
+    if (C.MadeFrom == Present->Id)
+      E.Stale[C.Id] = E.Index;
+}
+
+void edit(Editing &E, const PutCustomer &Edit) {
+  checkName(E, Edit.Name);
+  const Template *From = require(E, findTemplate(E.Config, Edit.Template),
+                                 "template", "template", Edit.Template);
+  if (!From)
+    return;
+  Customer C;
+  C.Name = Edit.Name;
+  C.MadeFrom = From->Id;
+  C.Arguments = Edit.Arguments;
+  std::sort(
+      C.Arguments.begin(), C.Arguments.end(),
+      [](const Argument &A, const Argument &B) { return A.Name < B.Name; });
+  auto Twin = std::adjacent_find(
+      C.Arguments.begin(), C.Arguments.end(),
+      [](const Argument &A, const Argument &B) { return A.Name == B.Name; });
+  if (Twin != C.Arguments.end())
+    return fault(E, "arguments." + Twin->Name, "is there twice");
+  put(E, E.Config.Customers, std::move(C), MaxCustomers);
+  if (const Customer *Present = findCustomer(E.Config, Edit.Name))
+    E.Stale[Present->Id] = E.Index;
+}
+
+} // namespace comfreydeck::core::detail
--- a/src/core/Names.cpp
+++ b/src/core/Names.cpp
@@ -1,5 +1,8 @@
 #include "core/Names.h"
 
+#include "core/ConfigLimits.h"
+
+#include <algorithm>
 #include <array>
 #include <charconv>
 
@@ -20,8 +23,22 @@
   return Value;
 }
 
+bool isLetterOrDigit(char C) {
+  return (C >= 'a' && C <= 'z') || (C >= '0' && C <= '9');
+}
+
+bool isNameCharacter(char C) {
+  return isLetterOrDigit(C) || C == '-' || C == '_' || C == '.';
+}
+
 } // namespace
 
+bool isName(std::string_view Text) {
+  return !Text.empty() && Text.size() <= MaxNameBytes &&
+         isLetterOrDigit(Text.front()) &&
+         std::all_of(Text.begin(), Text.end(), isNameCharacter);
+}
+
 std::string nameOf(Incarnation Id) {
   std::array<char, IncarnationDigits> Digits{};
   auto [End, Error] =
--- a/src/core/Names.h
+++ b/src/core/Names.h
@@ -7,9 +7,17 @@
 #include <string>
 #include <string_view>
 
-/// Incarnations and demands as text, for rows, headers and logs.
+/// Configured names, and incarnations and demands as text, for rows, headers
+/// and logs.
 namespace comfreydeck::core {
 
+/// What is said of a name that \ref isName refuses.
+constexpr std::string_view NameRule =
+    "must have 1 to 64 of a-z, 0-9, '-', '_' and '.', a letter or digit first";
+
+/// Whether a configured thing may have that name. Thread-safe.
+bool isName(std::string_view Text);
+
 /// 16 lower-case hex digits. Thread-safe.
 std::string nameOf(Incarnation Id);
 
--- a/src/core/Types.h
+++ b/src/core/Types.h
@@ -42,6 +42,7 @@
 struct KeyTag;
 struct WorkerTag;
 struct TemplateTag;
+struct CustomerTag;
 struct WaveTag;
 } // namespace detail
 
@@ -53,6 +54,7 @@
 using KeyId = Handle<detail::KeyTag>;
 using WorkerId = Handle<detail::WorkerTag>;
 using TemplateId = Handle<detail::TemplateTag>;
+using CustomerId = Handle<detail::CustomerTag>;
 using WaveId = Handle<detail::WaveTag>;
 
 /// One run of one entry process. A restarted entry is another incarnation.
