--- a/src/core/ConfigEffect.cpp
+++ b/src/core/ConfigEffect.cpp
@@ -24,40 +24,43 @@
   return Items;
 }
 
-std::string valueIn(const ItemText *Item, const std::string &Field) {
-  if (!Item)
-    return {};
-  for (const FieldText &F : Item->Fields)
+std::string valueIn(const ItemText &Item, const std::string &Field) {
+  for (const FieldText &F : Item.Fields)
     if (F.Field == Field)
       return F.Value;
   return {};
 }
 
-/// Precondition: at least one of the two is there.
-std::optional<ItemEffect> compare(const ItemText *Before,
-                                  const ItemText *After) {
-  const ItemText &Present = After ? *After : *Before;
+/// The fields of either side, in order.
+std::vector<std::string> fieldsOf(const ItemText &Before,
+                                  const ItemText &After) {
+  std::vector<std::string> Fields;
+  for (const ItemText *Side : {&Before, &After})
+    for (const FieldText &F : Side->Fields)
+      if (std::find(Fields.begin(), Fields.end(), F.Field) == Fields.end())
+        Fields.push_back(F.Field);
+  return Fields;
+}
+
+/// An item without fields stands for what is not there.
+ItemEffect compare(const ItemText &Before, const ItemText &After) {
+  bool IsAdded = Before.Fields.empty();
+  const ItemText &Present = After.Fields.empty() ? Before : After;
   ItemEffect Effect;
-  Effect.How = !Before  ? EffectKind::Added
-               : !After ? EffectKind::Removed
-                        : EffectKind::Changed;
+  if (IsAdded)
+    Effect.How = EffectKind::Added;
+  else if (After.Fields.empty())
+    Effect.How = EffectKind::Removed;
   Effect.What = Present.What;
   Effect.Name = Present.Name;
   Effect.Customer = Present.Customer;
-  std::vector<std::string> Fields;
-  for (const ItemText *Side : {Before, After})
-    if (Side)
-      for (const FieldText &F : Side->Fields)
-        if (std::find(Fields.begin(), Fields.end(), F.Field) == Fields.end())
-          Fields.push_back(F.Field);
-  for (const std::string &Field : Fields) {
+  for (const std::string &Field : fieldsOf(Before, After)) {
     std::string Old = valueIn(Before, Field);
     std::string New = valueIn(After, Field);
     if (Old != New)
       Effect.Fields.push_back({Field, std::move(Old), std::move(New)});
   }
-  bool IsSame = Effect.How == EffectKind::Changed && Effect.Fields.empty();
-  return IsSame ? std::nullopt : std::optional(std::move(Effect));
+  return Effect;
 }
 
 /// The teams that may use some queue of the pool.
@@ -97,13 +100,10 @@
     Keys.insert(Key);
   std::vector<ItemEffect> Effects;
   for (const ItemKey &Key : Keys) {
-    auto OldIt = Old.find(Key);
-    auto NewIt = New.find(Key);
-    std::optional<ItemEffect> Effect =
-        compare(OldIt == Old.end() ? nullptr : &OldIt->second,
-                NewIt == New.end() ? nullptr : &NewIt->second);
-    if (Effect)
-      Effects.push_back(std::move(*Effect));
+    ItemEffect Effect = compare(Old[Key], New[Key]);
+    bool IsSame = Effect.How == EffectKind::Changed && Effect.Fields.empty();
+    if (!IsSame)
+      Effects.push_back(std::move(Effect));
   }
   return Effects;
 }
--- a/tests/core/ExpansionDifferentialTest.cpp
+++ b/tests/core/ExpansionDifferentialTest.cpp
@@ -25,20 +25,27 @@
   std::map<std::string, NaiveCustomer> Customers;
 };
 
+std::string sizesOf(std::uint32_t Share, std::uint32_t Limit) {
+  return std::to_string(Share) + "/" + std::to_string(Limit);
+}
+
+std::string queueOf(const std::string &Customer, const std::string &Pool) {
+  return "queue " + Customer + "-" + Pool;
+}
+
 /// What the naive model's teams and queues come to, as text.
 std::map<std::string, std::string> itemsOf(const NaiveModel &M) {
   std::map<std::string, std::string> Items;
   for (const auto &[Name, C] : M.Customers) {
     std::uint32_t Share = C.Share ? C.Share : M.DefaultShare;
-    std::string Text = std::to_string(Share) + "/" + std::to_string(C.Limit);
     std::string Teams = Name;
-    Items["team " + Name] = Text;
+    Items["team " + Name] = sizesOf(Share, C.Limit);
     if (M.HasNightTeam) {
       Items["team " + Name + "-night"] = "1/1";
-      Teams += "," + Name + "-night";
+      Teams.append(",").append(Name).append("-night");
     }
     for (const std::string &Pool : C.Pools)
-      Items["queue " + Name + "-" + Pool] = Pool + " " + Teams;
+      Items[queueOf(Name, Pool)] = std::string(Pool).append(" ").append(Teams);
   }
   return Items;
 }
@@ -46,8 +53,7 @@
 std::map<std::string, std::string> itemsOf(const Configuration &C) {
   std::map<std::string, std::string> Items;
   for (const Team &T : C.Teams)
-    Items["team " + T.Name] =
-        std::to_string(T.Share) + "/" + std::to_string(T.UpperLimit);
+    Items["team " + T.Name] = sizesOf(T.Share, T.UpperLimit);
   for (const Queue &Q : C.Queues) {
     std::string Teams;
     for (TeamId Id : Q.AllowedTeams)
@@ -116,10 +122,10 @@
 /// Whatever was there before and after has the same handle.
 void checkHandles(const Configuration &Before, const Configuration &After) {
   std::map<std::string, std::uint32_t> Old = handlesOf(Before);
-  for (const auto &[Name, Id] : handlesOf(After)) {
-    CAPTURE(Name);
-    if (Old.contains(Name))
-      CHECK(Old[Name] == Id);
+  for (const auto &Present : handlesOf(After)) {
+    CAPTURE(Present.first);
+    if (Old.contains(Present.first))
+      CHECK(Old[Present.first] == Present.second);
   }
 }
 
