--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -7,6 +7,7 @@
 
 #include <glog/logging.h>
 
+#include <atomic>
 #include <charconv>
 #include <fstream>
 #include <future>
@@ -19,7 +20,6 @@
 
 using namespace cluster;
 
-constexpr core::Duration DrainPoll = std::chrono::milliseconds(20);
 constexpr std::chrono::seconds LeaveLimit(3);
 
 core::Incarnation newIncarnation() {
@@ -67,6 +67,8 @@
   core::Incarnation Self = newIncarnation();
   core::Rng Random{Self.Value};
   Metrics Counters;
+  /// Set once a graceful stop has begun.
+  std::atomic<bool> Leaving = false;
   net::Loop Control;
   net::HttpClient PlatformClient{net::HttpClientOptions()};
   net::HttpClient WorkerClient{net::HttpClientOptions()};
@@ -138,7 +140,7 @@
   else if (Request.Path == "/healthz")
     Response.Body = "ok\n";
   else if (Request.Path == "/readyz")
-    Response = Members.isCurrent(net::now())
+    Response = !Leaving && Members.isCurrent(net::now())
                    ? net::jsonResponse(200, R"({"ready":true})")
                    : net::jsonResponse(503, R"({"ready":false})");
   else
@@ -211,10 +213,10 @@
 
 void Entry::stopGracefully() {
   LOG(INFO) << "entry: leaving";
-  Impl_->Tasks.beginShutdown();
-  core::TimePoint Until = net::now() + Impl_->Settings.Traffic.DrainLimit;
-  while (Impl_->Tasks.inFlight() > 0 && net::now() < Until)
-    std::this_thread::sleep_for(DrainPoll);
+  Impl_->Leaving = true;
+  Impl_->HttpListener.endConnections();
+  std::this_thread::sleep_for(Impl_->Settings.Traffic.LeaveNotice);
+  Impl_->HttpListener.drain(Impl_->Settings.Traffic.DrainLimit);
   auto Left = std::make_shared<std::promise<void>>();
   Impl_->Control.post(
       [this, Left] { Impl_->Members.leave([Left] { Left->set_value(); }); });
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -21,8 +21,9 @@
   /// bound. Call once.
   void start();
 
-  /// Refuses new requests, waits for those in flight, hands over what this
-  /// entry owns and leaves. Blocks; call once, after \ref start.
+  /// Says that it is not ready, takes no new connection, answers what it has
+  /// received, hands over what it owns and leaves. Blocks; call once, after
+  /// \ref start.
   void stopGracefully();
 
 private:
--- a/src/entry/TaskService.cpp
+++ b/src/entry/TaskService.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/KeyHash.h"
 #include "core/Names.h"
+#include "net/TaskAnswer.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
@@ -20,23 +21,6 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
 }
 
-/// Whether the target itself says that it did not start the task.
-bool isRefusal(const net::HttpResponse &Response) {
-  return net::hasHeader(Response.Headers, "Task-Refused");
-}
-
-/// What the exchange shows, its answer looked at as well.
-core::ExchangeEnd judge(const net::HttpResult &Result,
-                        const std::string &TaskId) {
-  if (Result.End != core::ExchangeEnd::Answered)
-    return Result.End;
-  if (net::findHeader(Result.Response.Headers, "Task-Id") != TaskId)
-    return core::ExchangeEnd::WrongRequest;
-  if (isRefusal(Result.Response))
-    return core::ExchangeEnd::RefusedByTarget;
-  return core::ExchangeEnd::Answered;
-}
-
 int statusOf(core::Reason Why) {
   switch (Why) {
   case core::Reason::OverUpperLimit:
@@ -126,8 +110,6 @@
   T->Respond = std::move(Respond);
   std::shared_ptr<const core::Configuration> C = Config_.current();
   core::TimePoint Now = net::now();
-  if (ShuttingDown_)
-    throw RequestError(503, core::Reason::ShuttingDown, "the entry is leaving");
   if (!Members_.isCurrent(Now))
     throw RequestError(503, core::Reason::NotCurrent,
                        "the entry may not serve now");
@@ -220,7 +202,8 @@
 }
 
 void TaskService::onExchange(const TaskPtr &T, net::HttpResult Result) {
-  core::Verdict V = core::verdictOf(judge(Result, core::nameOf(T->Demand.Id)));
+  core::Verdict V =
+      core::verdictOf(net::endOfStart(Result, core::nameOf(T->Demand.Id)));
   bool Known = V != core::Verdict::MayHaveRun;
   DemandEnd End;
   End.How = Known ? Ending::Ended : Ending::Unknown;
--- a/src/entry/TaskService.h
+++ b/src/entry/TaskService.h
@@ -19,9 +19,6 @@
   /// Handles `/v1/queues/...`. Thread-safe.
   void handle(net::HttpRequest Request, net::HttpResponder Respond);
 
-  /// New requests are refused from now on. Thread-safe.
-  void beginShutdown() { ShuttingDown_ = true; }
-
   /// Requests that wait for their answers. Thread-safe.
   std::size_t inFlight() const { return InFlight_; }
 
@@ -44,7 +41,6 @@
   Membership &Members_;
   ConfigStore &Config_;
   PoolService &Pools_;
-  std::atomic<bool> ShuttingDown_ = false;
   std::atomic<std::size_t> InFlight_ = 0;
   std::atomic<std::uint64_t> NextNumber_ = 1;
 };
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -41,6 +41,8 @@
 std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                    void *Target) {
   auto *T = static_cast<Transfer *>(Target);
+  if (T->Result.Response.Body.size() + Size * Count > T->Call.MaxAnswerBytes)
+    return 0;
   T->Result.Response.Body.append(Data, Size * Count);
   return Size * Count;
 }
@@ -49,6 +51,9 @@
                      void *Target) {
   auto *T = static_cast<Transfer *>(Target);
   std::string_view Line(Data, Size * Count);
+  // An interim answer may come before the real one.
+  if (Line.starts_with("HTTP/"))
+    T->Result.Response.Headers.clear();
   std::size_t Colon = Line.find(':');
   if (Colon != std::string_view::npos) {
     std::string_view Value = Line.substr(Colon + 1);
@@ -105,8 +110,23 @@
   return RequestBytes > 0;
 }
 
-core::ExchangeEnd endOf(CURL *Easy, CURLcode Code) {
-  if (Code == CURLE_OK)
+/// Whether the answer says where it ends. One that ends with its connection
+/// can't be told from one that was cut.
+bool isDelimited(const Transfer &T) {
+  constexpr long NoContent = 204;
+  constexpr long NotModified = 304;
+  long Status = 0;
+  curl_easy_getinfo(T.Easy, CURLINFO_RESPONSE_CODE, &Status);
+  bool HasNoBody =
+      Status == NoContent || Status == NotModified || T.Call.Method == "HEAD";
+  const std::vector<HttpHeader> &Headers = T.Result.Response.Headers;
+  return HasNoBody || hasHeader(Headers, "Content-Length") ||
+         hasHeader(Headers, "Transfer-Encoding");
+}
+
+core::ExchangeEnd endOf(const Transfer &T, CURLcode Code) {
+  CURL *Easy = T.Easy;
+  if (Code == CURLE_OK && isDelimited(T))
     return core::ExchangeEnd::Answered;
   if (!anySent(Easy))
     return core::ExchangeEnd::ConnectFailed;
@@ -150,8 +170,10 @@
     curl_multi_poll(Multi, nullptr, 0, PollMs, nullptr);
   }
   takeIncoming();
-  while (!Flying.empty())
+  while (!Flying.empty()) {
     finish(*Flying.begin()->second, CURLE_ABORTED_BY_CALLBACK);
+    takeIncoming();
+  }
 }
 
 void HttpClient::Impl::takeIncoming() {
@@ -181,8 +203,8 @@
 }
 
 void HttpClient::Impl::finish(Transfer &T, CURLcode Code) {
-  T.Result.End = endOf(T.Easy, Code);
-  if (Code == CURLE_OK) {
+  T.Result.End = endOf(T, Code);
+  if (T.Result.End == core::ExchangeEnd::Answered) {
     long Status = 0;
     curl_easy_getinfo(T.Easy, CURLINFO_RESPONSE_CODE, &Status);
     T.Result.Response.Status = static_cast<int>(Status);
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -19,6 +19,8 @@
   core::Duration ConnectLimit = std::chrono::seconds(1);
   /// Longest time from the call to the whole answer.
   core::Duration TotalLimit = std::chrono::seconds(5);
+  /// A longer answer counts as cut.
+  std::size_t MaxAnswerBytes = std::size_t{64} << 20;
   /// Whether the request may be sent once more by the library when a kept
   /// connection turns out dead. Never so for a non-idempotent request: it goes
   /// out on a connection of its own.
@@ -52,7 +54,8 @@
 class HttpClient {
 public:
   explicit HttpClient(HttpClientOptions Options);
-  /// Ends what is in flight as cut, then joins the thread.
+  /// Ends what is in flight as cut, then joins the thread. Calls that are sent
+  /// meanwhile end before any byte of them left.
   ~HttpClient();
 
   HttpClient(const HttpClient &) = delete;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -9,7 +9,8 @@
 
 namespace comfreydeck::net {
 
-/// Sends the answer of one request. May be called once, from any thread.
+/// Sends the answer of one request. May be called once, from any thread; it
+/// may outlive the server, and does nothing then.
 using HttpResponder = std::function<void(HttpResponse)>;
 
 /// Handles one request; called on a traffic thread.
@@ -40,6 +41,21 @@
   /// can't be bound. Call once.
   void start();
 
+  /// Takes no new connection, lets each answer end its connection, and waits
+  /// until every request received is answered and written, \p Limit at most.
+  /// Not to be called from a handler. Only after \ref start.
+  void drain(core::Duration Limit);
+
+  /// Whether \ref drain has closed the listener. Thread-safe.
+  bool isDraining() const;
+
+  /// Each answer ends its connection from now on, so that callers go elsewhere.
+  /// Thread-safe.
+  void endConnections();
+
+  /// Requests received whose answers are not written yet. Thread-safe.
+  std::size_t openRequests() const;
+
   /// Closes the listener, cuts what is still open and joins the threads. Not to
   /// be called from a handler. May be called twice.
   void stop();
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -81,6 +81,7 @@
   R.number("max_body_bytes", Out.MaxBodyBytes, {1024, 64 << 20});
   R.milliseconds("default_deadline_ms", Out.DefaultDeadline, {100, 3600000});
   R.milliseconds("max_deadline_ms", Out.MaxDeadline, {100, 3600000});
+  R.milliseconds("leave_notice_ms", Out.LeaveNotice, {0, 600000});
   R.milliseconds("drain_limit_ms", Out.DrainLimit, {0, 3600000});
   R.rejectUnknown();
 }
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -55,6 +55,9 @@
   std::uint32_t MaxBodyBytes = 8 << 20;
   core::Duration DefaultDeadline = std::chrono::seconds(60);
   core::Duration MaxDeadline = std::chrono::minutes(30);
+  /// How long a leaving entry still takes requests, so that callers' balancers
+  /// see that it is not ready.
+  core::Duration LeaveNotice = std::chrono::seconds(1);
   /// How long a graceful stop waits for requests in flight.
   core::Duration DrainLimit = std::chrono::seconds(60);
 };
