End a call that waits for a connection at its limit

Cause: libcurl does not time out a transfer that waits because its host has as many connections as it may; such a call ended only with the one before it, 20 s late in the test that found it. A responder that was kept after its answer also held a draining server up until the limit.

Change: the client ends overdue transfers itself; a responder gives its count up with its answer.

Conclusion: a call's limit holds whatever it waits for.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -3,8 +3,10 @@
 #include <curl/curl.h>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <set>
 #include <stdexcept>
 #include <thread>
 #include <unordered_map>
@@ -13,7 +15,9 @@
 
 namespace {
 
-constexpr int PollMs = 1000;
+constexpr int MaxPollMs = 1000;
+/// How much longer than its limit a transfer is left to libcurl.
+constexpr std::chrono::milliseconds Grace(10);
 
 /// One call in the hands of libcurl.
 struct Transfer {
@@ -23,6 +27,7 @@
   CURL *Easy = nullptr;
   curl_slist *Headers = nullptr;
   HttpResult Result;
+  std::chrono::steady_clock::time_point Until;
 
   Transfer() = default;
   Transfer(const Transfer &) = delete;
@@ -152,10 +157,14 @@
   std::vector<std::uint64_t> Cancelled;
   /// Only on the client's thread.
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> Flying;
+  std::set<std::pair<std::chrono::steady_clock::time_point, std::uint64_t>>
+      Overdue;
 
   void run();
   void takeIncoming();
   void takeCancelled();
+  void endOverdue();
+  int pollMs() const;
   void finish(Transfer &T, CURLcode Code);
   void collect();
 };
@@ -167,7 +176,8 @@
     int Active = 0;
     curl_multi_perform(Multi, &Active);
     collect();
-    curl_multi_poll(Multi, nullptr, 0, PollMs, nullptr);
+    endOverdue();
+    curl_multi_poll(Multi, nullptr, 0, pollMs(), nullptr);
   }
   takeIncoming();
   while (!Flying.empty()) {
@@ -185,6 +195,8 @@
   for (std::unique_ptr<Transfer> &T : Taken) {
     setUp(*T);
     curl_multi_add_handle(Multi, T->Easy);
+    T->Until = std::chrono::steady_clock::now() + T->Call.TotalLimit + Grace;
+    Overdue.emplace(T->Until, T->Id);
     Flying[T->Id] = std::move(T);
   }
 }
@@ -202,6 +214,21 @@
   }
 }
 
+/// libcurl's own limit does not end a transfer that waits for a connection.
+void HttpClient::Impl::endOverdue() {
+  auto Now = std::chrono::steady_clock::now();
+  while (!Overdue.empty() && Overdue.begin()->first <= Now)
+    finish(*Flying.at(Overdue.begin()->second), CURLE_OPERATION_TIMEDOUT);
+}
+
+int HttpClient::Impl::pollMs() const {
+  if (Overdue.empty())
+    return MaxPollMs;
+  auto Left = std::chrono::ceil<std::chrono::milliseconds>(
+      Overdue.begin()->first - std::chrono::steady_clock::now());
+  return static_cast<int>(std::clamp<std::int64_t>(Left.count(), 0, MaxPollMs));
+}
+
 void HttpClient::Impl::finish(Transfer &T, CURLcode Code) {
   T.Result.End = endOf(T, Code);
   if (T.Result.End == core::ExchangeEnd::Answered) {
@@ -215,6 +242,7 @@
   auto It = Flying.find(T.Id);
   std::unique_ptr<Transfer> Owned = std::move(It->second);
   Flying.erase(It);
+  Overdue.erase({Owned->Until, Owned->Id});
   Owned->Done(std::move(Owned->Result));
 }
 
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -66,7 +66,7 @@
   restinio::request_handle_t Request;
 };
 
-void respond(const OpenRequest &Open, HttpResponse Plain) {
+void respond(OpenRequest &Open, HttpResponse Plain) {
   auto Status = restinio::http_status_line_t(
       restinio::http_status_code_t(static_cast<std::uint16_t>(Plain.Status)),
       "Status");
@@ -76,7 +76,7 @@
   for (HttpHeader &Header : Plain.Headers)
     Response.append_header(std::move(Header.Name), std::move(Header.Value));
   Response.set_body(std::move(Plain.Body));
-  Response.done([Count = Open.Count](const asio::error_code &) {});
+  Response.done([Count = std::move(Open.Count)](const asio::error_code &) {});
 }
 
 } // namespace
--- a/tests/net/ExchangeTest.cpp
+++ b/tests/net/ExchangeTest.cpp
@@ -201,14 +201,16 @@
   Options.MaxPerHost = 1;
   net::HttpClient Client(Options);
   std::promise<void> FirstDone;
-  Client.send(startCall(Server.port(), std::chrono::seconds(3), false),
-              [&](net::HttpResult) { FirstDone.set_value(); });
+  net::HttpCallId First =
+      Client.send(startCall(Server.port(), LongLimit, false),
+                  [&](net::HttpResult) { FirstDone.set_value(); });
   while (Server.wholeRequests() < 1)
     std::this_thread::yield();
   net::HttpResult Second =
       send(Client, startCall(Server.port(), ShortLimit, false));
   CHECK(Second.End == ExchangeEnd::ConnectFailed);
   CHECK(Server.begunRequests() == 1);
+  Client.cancel(First);
   FirstDone.get_future().wait();
 }
 
