--- a/src/core/DataCentreChange.cpp
+++ b/src/core/DataCentreChange.cpp
@@ -31,7 +31,8 @@
   DataCentreDecision D;
   const DataCentre *Found = findDataCentre(C, Name);
   if (!Found || Found->Out) {
-    D.Answer = Found ? DataCentreAnswer::AlreadyThere : DataCentreAnswer::Unknown;
+    D.Answer =
+        Found ? DataCentreAnswer::AlreadyThere : DataCentreAnswer::Unknown;
     return D;
   }
   for (const Pool &P : C.Pools) {
@@ -73,8 +74,8 @@
   }
   Text += ": accepted";
   for (const PoolLoss &Loss : D.Losses)
-    Text += "; " + Loss.Name + " keeps " + std::to_string(Loss.After) +
-            " of " + std::to_string(Loss.Before);
+    Text += "; " + Loss.Name + " keeps " + std::to_string(Loss.After) + " of " +
+            std::to_string(Loss.Before);
   return Text;
 }
 
--- a/src/entry/Fleet.cpp
+++ b/src/entry/Fleet.cpp
@@ -192,13 +192,13 @@
 
 void Fleet::probe(std::span<const core::PoolId> Pools) {
   std::set<core::PoolId> Owned(Pools.begin(), Pools.end());
-  std::erase_if(Taken_, [&](const auto &Item) {
-    return !Owned.contains(Item.first);
-  });
+  std::erase_if(Taken_,
+                [&](const auto &Item) { return !Owned.contains(Item.first); });
   bool IsNew = false;
   for (core::PoolId Pool : Owned) {
     // A reading that is under way may have begun before the pool was taken.
-    IsNew |= Taken_.try_emplace(Pool, Taking{Rows_.begun() + 1, net::now()}).second;
+    IsNew |=
+        Taken_.try_emplace(Pool, Taking{Rows_.begun() + 1, net::now()}).second;
     for (core::WorkerId Id : Rows_.of(Pool))
       probeWorker(Rows_.all().at(Id));
   }
--- a/src/entry/FleetRoutes.cpp
+++ b/src/entry/FleetRoutes.cpp
@@ -253,9 +253,8 @@
   core::DrainWish Wish;
   Wish.Id = I.Id;
   Wish.Reboot = bodyOf(Request).value("reboot", false);
-  Work_.drain(Wish, [Respond](const WishAnswer &Answer) {
-    Respond(respond(Answer));
-  });
+  Work_.drain(
+      Wish, [Respond](const WishAnswer &Answer) { Respond(respond(Answer)); });
 }
 
 bool FleetRoutes::handlePools(const Parts &Path,
@@ -276,8 +275,8 @@
                            const net::HttpResponder &Respond) {
   std::optional<core::PoolSnapshot> S = Work_.snapshotOf(P.Id);
   if (!S)
-    return Respond(respond(WishAnswer{WishOutcome::NotOwner,
-                                      "the pool is being taken over"}));
+    return Respond(respond(
+        WishAnswer{WishOutcome::NotOwner, "the pool is being taken over"}));
   core::AbsenceTable Table = core::countAbsences(core::membersOf(*S));
   std::map<std::string, std::uint32_t> States;
   std::uint32_t Running = 0;
@@ -285,14 +284,14 @@
     ++States[codec::nameOf(I.Row.State)];
     Running += I.Seen.Running;
   }
-  json J = {{"pool", P.Name},
-            {"spare", P.Spare},
-            {"states", States},
-            {"running", Running},
-            {"budget", countJson(Table.Pool, P.AbsentLimit)},
-            {"datacentres",
-             domainsJson(Table.DataCentres, P.AbsentLimitPerDomain)},
-            {"racks", domainsJson(Table.Racks, P.AbsentLimitPerDomain)}};
+  json J = {
+      {"pool", P.Name},
+      {"spare", P.Spare},
+      {"states", States},
+      {"running", Running},
+      {"budget", countJson(Table.Pool, P.AbsentLimit)},
+      {"datacentres", domainsJson(Table.DataCentres, P.AbsentLimitPerDomain)},
+      {"racks", domainsJson(Table.Racks, P.AbsentLimitPerDomain)}};
   Respond(net::jsonResponse(200, J.dump()));
 }
 
@@ -359,8 +358,9 @@
       {WaveTable, waveKey(Id)},
       [this, Command, By = Who.Name, Respond](platform::ReadResult Result) {
         if (Result.Outcome != platform::ReadOutcome::Ok || !Result.Found)
-          return Respond(respond(WishAnswer{
-              WishOutcome::StoreAway, "the store is away; nothing was written"}));
+          return Respond(
+              respond(WishAnswer{WishOutcome::StoreAway,
+                                 "the store is away; nothing was written"}));
         core::Wave W = codec::parseWave(Result.Found->Value);
         std::optional<core::WaveState> To = core::next(W.State, Command);
         if (!To)
@@ -378,27 +378,26 @@
 void FleetRoutes::commitWave(const core::Wave &W, std::uint64_t Version,
                              const net::HttpResponder &Respond) {
   platform::RowKey Key{WaveTable, waveKey(W.Id)};
-  platform::Transaction T{"wave-" + Key.Key,
-                          {{Key, Version}},
-                          {{Key, codec::toJson(W)}}};
-  Context_.Tables.commit(
-      std::move(T), [W, Respond](platform::CommitResult Result) {
-        switch (Result.Outcome) {
-        case platform::CommitOutcome::Committed:
-          return Respond(net::jsonResponse(200, waveJson(W).dump()));
-        case platform::CommitOutcome::Conflict:
-          return Respond(respond(WishAnswer{
-              WishOutcome::Refused, "another change came first; look again"}));
-        case platform::CommitOutcome::NotApplied:
-          return Respond(respond(WishAnswer{
-              WishOutcome::StoreAway, "the store is away; nothing was written"}));
-        case platform::CommitOutcome::Unknown:
-          break;
-        }
-        Respond(respond(
-            WishAnswer{WishOutcome::Unknown,
-                       "the store's answer was lost; look at the waves"}));
-      });
+  platform::Transaction T{
+      "wave-" + Key.Key, {{Key, Version}}, {{Key, codec::toJson(W)}}};
+  Context_.Tables.commit(std::move(T), [W, Respond](
+                                           platform::CommitResult Result) {
+    switch (Result.Outcome) {
+    case platform::CommitOutcome::Committed:
+      return Respond(net::jsonResponse(200, waveJson(W).dump()));
+    case platform::CommitOutcome::Conflict:
+      return Respond(respond(WishAnswer{
+          WishOutcome::Refused, "another change came first; look again"}));
+    case platform::CommitOutcome::NotApplied:
+      return Respond(respond(WishAnswer{
+          WishOutcome::StoreAway, "the store is away; nothing was written"}));
+    case platform::CommitOutcome::Unknown:
+      break;
+    }
+    Respond(
+        respond(WishAnswer{WishOutcome::Unknown,
+                           "the store's answer was lost; look at the waves"}));
+  });
 }
 
 void FleetRoutes::showWave(core::WaveId Id, const net::HttpResponder &Respond) {
@@ -408,8 +407,8 @@
       WaveProgressTable, waveKey(Id) + "/", "", PageRows,
       [W, C, Respond](platform::ScanResult Result) {
         if (Result.Outcome != platform::ReadOutcome::Ok)
-          return Respond(respond(
-              WishAnswer{WishOutcome::StoreAway, "the store is away"}));
+          return Respond(
+              respond(WishAnswer{WishOutcome::StoreAway, "the store is away"}));
         json J = waveJson(W);
         core::WaveProgress Sum;
         J["pools"] = json::array();
@@ -465,8 +464,7 @@
   for (const auto &[Id, I] : Workers_.instances())
     Instances.push_back(&I);
   bool Force = bodyOf(Request).value("force", false);
-  core::DataCentreDecision D = Out
-                                   ? core::decideOut(*C, Name, Instances, Force)
+  core::DataCentreDecision D = Out ? core::decideOut(*C, Name, Instances, Force)
                                    : core::decideIn(*C, Name);
   std::string Text = core::describe(D, Name);
   if (D.Answer == core::DataCentreAnswer::Unknown)
@@ -515,21 +513,21 @@
     net::HttpCall Call;
     Call.Url = "http://" + I->Address + "/v1/status";
     Call.TotalLimit = AskLimit;
-    Context_.Workers.send(std::move(Call), [this, Survey, Finish,
-                                            Name = I->Name](auto Result) {
-      json J = json::parse(Result.Response.Body, nullptr, false);
-      Context_.Control.post([Survey, Finish, Name, J] {
-        if (!J.is_object() || !J.contains("running"))
-          Survey->Silent.push_back(Name);
-        else
-          for (json Task : J["running"]) {
-            Task["instance"] = Name;
-            Survey->Running.push_back(Task);
-          }
-        if (--Survey->Left == 0)
-          Finish();
-      });
-    });
+    Context_.Workers.send(
+        std::move(Call), [this, Survey, Finish, Name = I->Name](auto Result) {
+          json J = json::parse(Result.Response.Body, nullptr, false);
+          Context_.Control.post([Survey, Finish, Name, J] {
+            if (!J.is_object() || !J.contains("running"))
+              Survey->Silent.push_back(Name);
+            else
+              for (json Task : J["running"]) {
+                Task["instance"] = Name;
+                Survey->Running.push_back(Task);
+              }
+            if (--Survey->Left == 0)
+              Finish();
+          });
+        });
   }
 }
 
--- a/src/entry/InstanceRows.cpp
+++ b/src/entry/InstanceRows.cpp
@@ -16,11 +16,10 @@
 
 bool sameVersions(const std::map<core::PoolId, KnownLedger> &A,
                   const std::map<core::PoolId, KnownLedger> &B) {
-  return std::equal(A.begin(), A.end(), B.begin(), B.end(),
-                    [](const auto &X, const auto &Y) {
-                      return X.first == Y.first &&
-                             X.second.Version == Y.second.Version;
-                    });
+  return std::equal(
+      A.begin(), A.end(), B.begin(), B.end(), [](const auto &X, const auto &Y) {
+        return X.first == Y.first && X.second.Version == Y.second.Version;
+      });
 }
 
 } // namespace
--- a/src/entry/Maintenance.cpp
+++ b/src/entry/Maintenance.cpp
@@ -95,9 +95,8 @@
   const core::Pool *P = core::findPool(*C, Pool);
   if (!P || !isReady(Pool))
     return std::nullopt;
-  return Workers_.snapshot(*P, *C, [this](core::WorkerId Id) {
-    return Pools_.runningOn(Id);
-  });
+  return Workers_.snapshot(
+      *P, *C, [this](core::WorkerId Id) { return Pools_.runningOn(Id); });
 }
 
 void Maintenance::step() {
@@ -159,9 +158,9 @@
   Context_.Workers.send(std::move(Call), [](auto) {});
 }
 
-core::Instance
-Maintenance::instanceFrom(const platform::ListedInstance &Item,
-                          core::PoolId Pool, core::InstanceState S) const {
+core::Instance Maintenance::instanceFrom(const platform::ListedInstance &Item,
+                                         core::PoolId Pool,
+                                         core::InstanceState S) const {
   core::Instance I;
   I.Id.Value = idOfName(Item.Name);
   // Two names may have one number; the next free one is as good.
@@ -253,9 +252,9 @@
     return Context_.Control.after(RetryEvery, Again);
   core::PoolPlan Plan = core::planReturn(*S, Id);
   if (Plan.Changes.empty())
-    return Done({WishOutcome::Refused,
-                 std::string("it is ") + codec::nameOf(I->State) +
-                     " and can't be put back"});
+    return Done({WishOutcome::Refused, std::string("it is ") +
+                                           codec::nameOf(I->State) +
+                                           " and can't be put back"});
   write(Pool, Plan, Again, Done);
 }
 
@@ -345,8 +344,7 @@
     Known = Row;
     // The latest row counts; one that is lost or late is soon written over.
     platform::RowKey Key{WaveProgressTable, waveProgressKey(Part.Wave, Pool)};
-    platform::Transaction T{
-        "wave-progress", {}, {{Key, codec::toJson(Row)}}};
+    platform::Transaction T{"wave-progress", {}, {{Key, codec::toJson(Row)}}};
     Context_.Tables.commit(
         std::move(T), [this, At = std::pair(Part.Wave, Pool)](auto Result) {
           if (Result.Outcome != platform::CommitOutcome::Committed)
@@ -364,8 +362,8 @@
   std::shared_ptr<const core::Configuration> C = Config_.current();
   const core::Pool *P = core::findPool(*C, Pool);
   W.State = *To;
-  W.Why = "paused: in pool " + (P ? P->Name : poolKey(Pool)) + " " +
-          whyHeld(Part);
+  W.Why =
+      "paused: in pool " + (P ? P->Name : poolKey(Pool)) + " " + whyHeld(Part);
   LOG(WARNING) << "waves: wave " << W.Id.Value << " " << W.Why;
   writeWave(std::move(W));
 }
--- a/src/entry/PoolWriter.cpp
+++ b/src/entry/PoolWriter.cpp
@@ -39,11 +39,10 @@
   for (const core::Instance &I : A->Rows)
     if (!core::takesWork(I.State))
       Workers_.hold(I.Id);
-  Context_.Tables.read({OwnerTable, poolKey(Pool)},
-                       [this, A](platform::ReadResult Result) {
-                         Context_.Control.post(
-                             [this, A, Result] { onOwnerRow(A, Result); });
-                       });
+  Context_.Tables.read(
+      {OwnerTable, poolKey(Pool)}, [this, A](platform::ReadResult Result) {
+        Context_.Control.post([this, A, Result] { onOwnerRow(A, Result); });
+      });
 }
 
 PoolWriter::AttemptPtr PoolWriter::prepare(core::PoolId Pool,
@@ -51,8 +50,7 @@
   auto A = std::make_shared<Attempt>();
   A->Pool = Pool;
   A->Plan = Plan;
-  A->Change =
-      core::nameOf(Context_.Self) + "-" + std::to_string(NextChange_++);
+  A->Change = core::nameOf(Context_.Self) + "-" + std::to_string(NextChange_++);
   A->LedgerVersion = Workers_.rows().ledgerOf(Pool).Version;
   A->Transaction.Id = A->Change;
   std::set<core::PoolId> Joined;
@@ -135,11 +133,10 @@
   T.Id = "settle-" + A->Change;
   T.Conditions.push_back({Key, A->LedgerVersion});
   T.Writes.push_back({Key, codec::toJson({Before.Ledger, T.Id})});
-  Context_.Tables.commit(
-      std::move(T), [this, A](platform::CommitResult Result) {
-        Context_.Control.post(
-            [this, A, Result] { onSettled(A, Result.Outcome); });
-      });
+  Context_.Tables.commit(std::move(T), [this,
+                                        A](platform::CommitResult Result) {
+    Context_.Control.post([this, A, Result] { onSettled(A, Result.Outcome); });
+  });
 }
 
 void PoolWriter::onSettled(const AttemptPtr &A,
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -19,6 +19,8 @@
   core::Duration ConnectLimit = std::chrono::seconds(1);
   /// Longest time from the call to the whole answer.
   core::Duration TotalLimit = std::chrono::seconds(5);
+  /// A longer answer counts as cut.
+  std::size_t MaxAnswerBytes = std::size_t{64} << 20;
   /// Whether the request may be sent once more by the library when a kept
   /// connection turns out dead. Never so for a non-idempotent request: it goes
   /// out on a connection of its own.
@@ -65,9 +67,9 @@
   /// Gives a call up; its callback still comes. Thread-safe.
   void cancel(HttpCallId Id);
 
-  /// Ends what is in flight as cut, then joins the thread. Later calls are
-  /// never sent and get no callback. Not to be called from a callback. May be
-  /// called twice.
+  /// Ends what is in flight as cut, then joins the thread. Calls that are sent
+  /// meanwhile end before any byte of them left; later ones get no callback.
+  /// Not to be called from a callback. May be called twice.
   void stop();
 
 private:
--- a/src/operators/FleetCommands.cpp
+++ b/src/operators/FleetCommands.cpp
@@ -42,8 +42,8 @@
           const std::string &Path, const json &Body,
           const std::function<void(const json &)> &AsTable) {
   std::string Sent = Body.is_null() ? "" : Body.dump();
-  json Answer = json::parse(OperatorClient(Access).call(
-      Method, "/v1/operator/" + Path, Sent));
+  json Answer = json::parse(
+      OperatorClient(Access).call(Method, "/v1/operator/" + Path, Sent));
   if (Access.Output == "json")
     std::cout << Answer.dump(2) << "\n";
   else
@@ -116,8 +116,8 @@
             << ", in work " << text(W, "active") << ", failed "
             << text(W, "failed");
   if (W.contains("remaining_ms"))
-    std::cout << ", about "
-              << minutesOf(W["remaining_ms"].get<std::int64_t>()) << " left";
+    std::cout << ", about " << minutesOf(W["remaining_ms"].get<std::int64_t>())
+              << " left";
   std::cout << "\n";
   std::vector<Row> Rows = {
       {"POOL", "DONE", "OF", "IN WORK", "FAILED", "HELD BY", "WHY"}};
@@ -134,8 +134,8 @@
             << J.at("running").size() << " tasks run there\n";
   std::vector<Row> Rows = {{"INSTANCE", "TEAM", "TASK"}};
   for (const json &Task : J.at("running"))
-    Rows.push_back({text(Task, "instance"), text(Task, "team"),
-                    text(Task, "task")});
+    Rows.push_back(
+        {text(Task, "instance"), text(Task, "team"), text(Task, "task")});
   for (const json &Name : J.at("silent"))
     Rows.push_back({Name.get<std::string>(), "-", "does not answer"});
   if (Rows.size() > 1)
@@ -162,8 +162,10 @@
 
 void addInstanceChanges(CLI::App *Instance, OperatorAccess &Access) {
   auto D = std::make_shared<Arguments>();
-  CLI::App *Drain = addNamed(Instance, "drain", "Let its tasks end, then hold "
-                             "it empty", "The instance", D);
+  CLI::App *Drain = addNamed(Instance, "drain",
+                             "Let its tasks end, then hold "
+                             "it empty",
+                             "The instance", D);
   Drain->add_flag("--reboot", D->Flag, "Reboot it and bring it back");
   Drain->callback([&Access, D] {
     call(Access, "POST", "instances/" + D->Name + "/drain",
@@ -236,8 +238,9 @@
                                                   "pool, rack or data centre");
   auto *Pool = Start->add_option("--pool", A->Pool, "The pool");
   auto *Rack = Start->add_option("--rack", A->Rack, "The rack");
-  auto *Zone = Start->add_option("--datacentre", A->DataCentre, "The data "
-                                                                "centre");
+  auto *Zone = Start->add_option("--datacentre", A->DataCentre,
+                                 "The data "
+                                 "centre");
   auto *All = Start->add_flag("--all", A->Flag, "The whole fleet");
   Pool->excludes(Rack)->excludes(Zone)->excludes(All);
   Rack->excludes(Zone)->excludes(All);
--- a/tests/codec/MaintenanceJsonTest.cpp
+++ b/tests/codec/MaintenanceJsonTest.cpp
@@ -24,8 +24,8 @@
   W.FailuresAfterUnixMs = 77;
   CHECK(codec::toJson(codec::parseWave(codec::toJson(W))) == codec::toJson(W));
 
-  codec::WavePoolRow Progress{W.Id, core::PoolId{3}, {10, 4, 2, 1, 0},
-                              core::WaveHold::Budget, "full"};
+  codec::WavePoolRow Progress{
+      W.Id, core::PoolId{3}, {10, 4, 2, 1, 0}, core::WaveHold::Budget, "full"};
   CHECK(codec::parseWavePoolRow(codec::toJson(Progress)) == Progress);
 }
 
--- a/tests/entry/FleetTest.cpp
+++ b/tests/entry/FleetTest.cpp
@@ -135,18 +135,19 @@
   void startEntry(std::uint32_t N) {
     std::string Url = "http://" + local(Platform.port());
     Addresses.push_back(local(freePort()));
-    json S = {
-        {"entry",
-         {{"name", "e" + std::to_string(N)},
-          {"datacentre", "dc1"},
-          {"listen", Addresses.back()},
-          {"peer_listen", local(freePort())}}},
-        {"platform",
-         {{"table_service", Url}, {"object_store", Url}, {"instance_list", Url}}},
-        {"cluster", {{"token", "a-token-for-loopback-only"}}},
-        {"fleet", {{"warm_up_ms", 200}}},
-        {"bootstrap_operator_key_hash",
-         codec::toHex(codec::hashSecret(Secret))}};
+    json S = {{"entry",
+               {{"name", "e" + std::to_string(N)},
+                {"datacentre", "dc1"},
+                {"listen", Addresses.back()},
+                {"peer_listen", local(freePort())}}},
+              {"platform",
+               {{"table_service", Url},
+                {"object_store", Url},
+                {"instance_list", Url}}},
+              {"cluster", {{"token", "a-token-for-loopback-only"}}},
+              {"fleet", {{"warm_up_ms", 200}}},
+              {"bootstrap_operator_key_hash",
+               codec::toHex(codec::hashSecret(Secret))}};
     Entries.push_back(
         std::make_unique<entry::Entry>(settings::parseSettings(S.dump())));
     Entries.back()->start();
@@ -199,8 +200,7 @@
   CHECK(J.value("outcome", "") == "accepted");
   CHECK(Cluster::eventually([&] {
     json I = C.call(0, "GET", "instances/w1");
-    return I.value("pool", "") == "filing" &&
-           I.value("state", "") == "serving";
+    return I.value("pool", "") == "filing" && I.value("state", "") == "serving";
   }));
   json Pool = C.call(0, "GET", "pools/signing");
   CHECK(Pool["budget"]["size"] == 3);
@@ -214,7 +214,8 @@
   Faults.LoseAnswerEvery = 4;
   C.Platform.setFaults(Faults);
   REQUIRE(Cluster::eventually([&] {
-    json J = C.call(0, "POST", "waves", {{"scope", "pool"}, {"name", "signing"}});
+    json J =
+        C.call(0, "POST", "waves", {{"scope", "pool"}, {"name", "signing"}});
     return J.value("state", "") == "running" ||
            !C.call(0, "GET", "waves")["waves"].empty();
   }));
--- a/tests/standins/WorkerStandin.cpp
+++ b/tests/standins/WorkerStandin.cpp
@@ -170,8 +170,8 @@
 
 net::HttpResponse WorkerStandin::reboot(const net::HttpRequest &Request) {
   std::lock_guard<std::mutex> Lock(Mutex_);
-  bool Late = numberHeader(Request, "Task-Not-After-Ms", UINT64_MAX) <
-              workerClockMs();
+  bool Late =
+      numberHeader(Request, "Task-Not-After-Ms", UINT64_MAX) < workerClockMs();
   if (Late || net::findHeader(Request.Headers, "Boot-Id") != bootId())
     return net::jsonResponse(409, R"({"refused":"not this boot, or late"})");
   ++Boots_;
