--- a/tests/entry/FleetTest.cpp
+++ b/tests/entry/FleetTest.cpp
@@ -32,14 +32,14 @@
 class Cluster {
 public:
   Cluster(std::uint32_t WorkerCount, std::uint32_t EntryCount)
-      : Platform({}), Log("") {
+      : Platform({}), Log_("") {
     Platform.start();
-    Timers.start();
+    Timers_.start();
     json List = json::array();
     for (std::uint32_t N = 1; N <= WorkerCount; ++N) {
       standins::WorkerStandinOptions Options;
       Options.Name = "w" + std::to_string(N);
-      Workers.emplace_back(Options, Timers, Log).start();
+      Workers.emplace_back(Options, Timers_, Log_).start();
       std::string Zone = N % 2 == 0 ? "dc2" : "dc1";
       List.push_back({{"name", Options.Name},
                       {"kind", "worker"},
@@ -57,7 +57,7 @@
     Entries.clear();
     for (standins::WorkerStandin &W : Workers)
       W.stop();
-    Timers.stop();
+    Timers_.stop();
     Platform.stop();
   }
 
@@ -153,8 +153,8 @@
     Entries.back()->start();
   }
 
-  net::Loop Timers;
-  standins::EventLog Log;
+  net::Loop Timers_;
+  standins::EventLog Log_;
 };
 
 } // namespace
