Serving lease as a core rule with its proof and explorer

Cause: the thin membership knew only readings of the store, so that an outage stopped every entry, and nothing showed that a change reported as in force was so. Change: core/ServingLease with the rule of docs/design/serving-lease.md; a model of entries, store and list that drives it; an exhaustive search, random histories, and 13 variants with a rule left out. Ruled out: leaving out dropped entries without a standing proof, and answering a removed incarnation (both found by the search, fixed here). Conclusion: the rule stands; withholding proofs while a write's outcome is unknown adds nothing and would stop all entries in an outage.

--- /dev/null
+++ b/tests/core/LeaseExplorerTest.cpp
@@ -0,0 +1,262 @@
+#include "LeaseModel.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreydeck::model;
+
+namespace {
+
+constexpr std::size_t MaxStates = 3000000;
+constexpr std::size_t MaxStatesOfPart = 250000;
+constexpr std::uint64_t Seed = 20240611;
+
+Scenario named(const char *Name, std::size_t Nodes, int Ticks) {
+  Scenario S;
+  S.Name = Name;
+  S.Nodes = Nodes;
+  S.Ticks = Ticks;
+  return S;
+}
+
+/// Bits for \ref Scenario::Readers and its like.
+constexpr unsigned Node0 = 1;
+constexpr unsigned Node1 = 2;
+constexpr unsigned Node2 = 4;
+
+Scenario change() {
+  Scenario S = named("change, answers lost", 2, 4);
+  S.Changes = 1;
+  S.LostAnswers = 1;
+  S.Writers = Node0;
+  return S;
+}
+
+/// The other node is cut off from the store.
+Scenario changeInOutage() {
+  Scenario S = named("change, store away from one", 2, 6);
+  S.Changes = 1;
+  S.LostAnswers = 1;
+  S.Writers = Node0;
+  S.Readers = Node0;
+  return S;
+}
+
+Scenario join() {
+  Scenario S = named("join while the store is away from one", 2, 8);
+  S.Joining = 1;
+  S.Changes = 1;
+  S.Writers = Node1;
+  S.Readers = Node1;
+  return S;
+}
+
+Scenario joinBeside() {
+  Scenario S = named("join beside a change", 2, 4);
+  S.Joining = 1;
+  S.Changes = 1;
+  S.Writers = Node0;
+  return S;
+}
+
+Scenario lateReading() {
+  Scenario S = named("join, readings under way", 2, 3);
+  S.Joining = 1;
+  S.Changes = 1;
+  S.Writers = Node1;
+  S.LateReaders = Node0;
+  return S;
+}
+
+Scenario takeover() {
+  Scenario S = named("takeover, answers lost", 2, 5);
+  S.Takeovers = 1;
+  S.LostAnswers = 1;
+  S.Writers = Node1;
+  return S;
+}
+
+Scenario takeoverInOutage() {
+  Scenario S = named("takeover, store away from the owner", 2, 7);
+  S.Takeovers = 1;
+  S.Crashes = 1;
+  S.Standing = true;
+  S.Writers = Node1;
+  S.Readers = Node1;
+  S.Askers = Node0;
+  return S;
+}
+
+Scenario slowOwner() {
+  Scenario S = named("takeover from a slow clock", 2, 7);
+  S.Takeovers = 1;
+  S.Writers = Node1;
+  S.SlowNode = 0;
+  return S;
+}
+
+Scenario slowReader() {
+  Scenario S = named("change, a slow clock", 2, 6);
+  S.Changes = 1;
+  S.Writers = Node0;
+  S.SlowNode = 1;
+  return S;
+}
+
+Scenario crash() {
+  Scenario S = named("crash in an outage, standing proofs", 2, 7);
+  S.Changes = 1;
+  S.Crashes = 1;
+  S.Standing = true;
+  S.Writers = Node0;
+  S.Readers = Node0;
+  S.Askers = Node1;
+  return S;
+}
+
+Scenario reclaim() {
+  Scenario S = named("allotment reclaimed", 2, 5);
+  S.Reclaims = 1;
+  S.Writers = Node1;
+  return S;
+}
+
+Scenario gift() {
+  Scenario S = named("allotment given, answers lost", 2, 3);
+  S.Gifts = 1;
+  S.LostAnswers = 1;
+  S.Writers = Node0;
+  return S;
+}
+
+Scenario leave() {
+  Scenario S = named("leave during a change", 2, 4);
+  S.Changes = 1;
+  S.Leaves = 1;
+  S.Writers = Node0;
+  S.Readers = Node0;
+  return S;
+}
+
+/// Too large to be searched to the end.
+Scenario threeTakeovers() {
+  Scenario S = named("two takeovers, a crash, 3 nodes", 3, 5);
+  S.Takeovers = 2;
+  S.Crashes = 1;
+  S.Standing = true;
+  S.Writers = Node1 | Node2;
+  S.Readers = Node1 | Node2;
+  return S;
+}
+
+Scenario threeChanges() {
+  Scenario S = named("change, crash, leave, 3 nodes", 3, 5);
+  S.Changes = 1;
+  S.Crashes = 1;
+  S.Leaves = 1;
+  S.Standing = true;
+  S.Writers = Node0;
+  S.Readers = Node0;
+  return S;
+}
+
+Scenario threeWithJoin() {
+  Scenario S = named("join, crash, 3 nodes", 3, 8);
+  S.Joining = 1;
+  S.Changes = 1;
+  S.Crashes = 1;
+  S.Standing = true;
+  S.Writers = Node2;
+  S.Readers = Node2;
+  return S;
+}
+
+Scenario everything() {
+  Scenario S = named("all together, 4 nodes", 4, 14);
+  S.Joining = 1;
+  S.Changes = 2;
+  S.Crashes = 1;
+  S.Leaves = 1;
+  S.LostAnswers = 1;
+  S.Takeovers = 2;
+  S.Standing = true;
+  S.LateReaders = ~0U;
+  S.LateProofs = true;
+  S.SlowNode = 1;
+  return S;
+}
+
+struct BrokenCase {
+  const char *Left;
+  Broken Rule;
+  Scenario S;
+};
+
+void print(const Exploration &E, const Scenario &S) {
+  MESSAGE(S.Name, ": ", E.States, " states, ",
+          std::string(E.Whole ? "searched to the end" : "a part"));
+}
+
+} // namespace
+
+TEST_CASE("no history of a small world breaks a promise") {
+  const Scenario Scenarios[] = {
+      change(),     changeInOutage(),   join(),      joinBeside(),
+      takeover(),   takeoverInOutage(), slowOwner(), slowReader(),
+      crash(),      reclaim(),          gift(),      leave(),
+      lateReading()};
+  for (const Scenario &S : Scenarios) {
+    Exploration E = explore(S, MaxStates);
+    print(E, S);
+    CAPTURE(E.Trace);
+    CHECK(E.Fault == "");
+    CHECK(E.Whole);
+  }
+}
+
+TEST_CASE("no history found in a part of a larger world breaks a promise") {
+  const Scenario Scenarios[] = {threeTakeovers(), threeChanges(),
+                                threeWithJoin()};
+  for (const Scenario &S : Scenarios) {
+    Exploration E = explore(S, MaxStatesOfPart);
+    print(E, S);
+    CAPTURE(E.Trace);
+    CHECK(E.Fault == "");
+  }
+}
+
+TEST_CASE("each rule left out is caught") {
+  const BrokenCase Cases[] = {
+      {"greeting", Broken::NoGreeting, join()},
+      {"wait for strangers", Broken::NoWaitForStrangers, join()},
+      {"unknown taken as failed", Broken::UnknownIsFailed, gift()},
+      {"unknown taken as done", Broken::UnknownIsDone, takeover()},
+      {"wait after the last proof", Broken::NoWaitAfterLastProof,
+       changeInOutage()},
+      {"fence", Broken::NoFence, takeover()},
+      {"drift margin, change", Broken::NoDriftMargin, slowReader()},
+      {"drift margin, takeover", Broken::NoDriftMargin, slowOwner()},
+      {"reading after the commit", Broken::NoReadingAfterCommit, joinBeside()},
+      {"standing proof for a drop", Broken::DropWithoutStanding, crash()},
+      {"wait for standing proofs", Broken::NoWaitForStanding, crash()},
+      {"new ones kept", Broken::ReadingForgetsNew, lateReading()},
+      {"progress compared", Broken::ProofForAnyVersion, changeInOutage()},
+  };
+  for (const BrokenCase &Case : Cases) {
+    Scenario S = Case.S;
+    S.Rule = Case.Rule;
+    Exploration E = explore(S, MaxStates);
+    MESSAGE("without ", std::string(Case.Left), ": ", E.Fault, " after ",
+            E.States, " states");
+    CAPTURE(Case.Left);
+    CHECK(E.Fault != "");
+  }
+}
+
+TEST_CASE("random histories of a larger world break no promise") {
+  HistoryCount Counted = runHistories(everything(), Seed, 300, 160);
+  MESSAGE(Counted.Histories, " histories, seed ", Seed, ", ",
+          Counted.WithReport, " with a change in force everywhere");
+  CAPTURE(Counted.Fault);
+  CHECK(Counted.Faulty == 0);
+  CHECK(Counted.WithReport > 0);
+}
--- /dev/null
+++ b/tests/core/ServingLeaseTest.cpp
@@ -0,0 +1,115 @@
+#include "core/ServingLease.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreydeck::core;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Incarnation Self{1};
+constexpr Incarnation Other{2};
+
+TimePoint at(Duration D) { return TimePoint(100s + D); }
+
+ServingLease registered() {
+  ServingLease L;
+  L.Self = Self;
+  onRegistered(L, at(0s));
+  onReading(L, {at(0s), {0}, {{Self, {}, false}, {Other, {}, false}}}, at(0s));
+  return L;
+}
+
+ProofReply granted() {
+  ProofReply Reply;
+  Reply.Granted = true;
+  Reply.NeedsProof = true;
+  return Reply;
+}
+
+} // namespace
+
+TEST_CASE("a wait outlasts the slowest clock") {
+  LeaseBounds B;
+  B.DriftPpm = 0;
+  CHECK(outlasting(2s, B) == 2s);
+  B.DriftPpm = 200000;
+  CHECK(outlasting(2s, B) == 3s);
+  CHECK(outlasting(1us, B) == 2us);
+}
+
+TEST_CASE("a lease runs from when a reading was sent") {
+  ServingLease L = registered();
+  CHECK(currentUntil(L) == at(2s));
+  onProof(L, Other, at(1s), granted(), at(5s));
+  CHECK(currentUntil(L) == at(3s));
+}
+
+TEST_CASE("proofs carry a lease to the end of the store's grace") {
+  ServingLease L = registered();
+  TimePoint Late = at(15min - 1s);
+  onProof(L, Other, Late, granted(), Late);
+  CHECK(currentUntil(L) == at(15min));
+}
+
+TEST_CASE("what is known but not taken in ends a lease") {
+  ServingLease L = registered();
+  ProofReply Refusal;
+  Refusal.Version.Value = 3;
+  onProof(L, Other, at(1s), Refusal, at(1s));
+  CHECK(currentUntil(L) == TimePoint());
+  onApplied(L, {3}, at(1s));
+  CHECK(currentUntil(L) == at(2s));
+}
+
+TEST_CASE("a fence ends a lease for good") {
+  ServingLease L = registered();
+  onReading(L, {at(1s), {0}, {{Self, {}, true}, {Other, {}, false}}}, at(1s));
+  onReading(L, {at(2s), {0}, {{Self, {}, false}, {Other, {}, false}}}, at(2s));
+  CHECK(currentUntil(L) == TimePoint());
+}
+
+TEST_CASE("a row that is gone ends a lease for good") {
+  ServingLease L = registered();
+  onReading(L, {at(1s), {0}, {{Other, {}, false}}}, at(1s));
+  CHECK(L.Fenced);
+}
+
+TEST_CASE("proofs are withheld until a version is acknowledged") {
+  ServingLease L = registered();
+  onApplied(L, {1}, at(0s));
+  ProofRequest Request{Other, {{0}, {}}, at(0s), at(0s), true};
+  CHECK_FALSE(answerProof(L, Request, false, at(1s)).Granted);
+  Request.Progress.Version.Value = 1;
+  CHECK(answerProof(L, Request, false, at(1s)).Granted);
+}
+
+TEST_CASE("a version is in force at one that acknowledged or timed out") {
+  ServingLease L = registered();
+  L.Peers[0].NeedsSelf = true;
+  onApplied(L, {1}, at(1s));
+  onReading(L, {at(2s), {1}, {{Self, {}, false}, {Other, {}, false}}}, at(2s));
+  CHECK(countInForce(L, {1}, at(2s)).InForce == 1);
+  CHECK(countInForce(L, {1}, at(3s)).InForce == 1);
+  CHECK(countInForce(L, {1}, at(3010ms)).everywhere());
+  onAcknowledged(L, Other, {{1}, {}});
+  CHECK(countInForce(L, {1}, at(2s)).everywhere());
+}
+
+TEST_CASE("one that never needed this entry is waited for to the end") {
+  ServingLease L = registered();
+  onFenceCommitted(L, Other, at(1s));
+  CHECK_FALSE(fenceInEffect(L, Other, at(10min)));
+  CHECK(fenceInEffect(L, Other, at(16min)));
+}
+
+TEST_CASE("an unknown asker and a removed one get no proof") {
+  ServingLease L = registered();
+  ProofRequest Request{{3}, {}, at(0s), at(0s), true};
+  CHECK_FALSE(answerProof(L, Request, false, at(0s)).Granted);
+  onReading(L, {at(1s), {0}, {{Self, {}, false}}}, at(1s));
+  Request.From = Other;
+  CHECK_FALSE(answerProof(L, Request, false, at(1s)).Granted);
+  onProof(L, Other, at(1s), granted(), at(1s));
+  CHECK(findPeer(L, Other)->Gone);
+}
