--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -15,7 +15,7 @@
 /// Exit codes of the program.
 constexpr int ExitOk = 0;
 constexpr int ExitFailed = 1;
-constexpr int ExitBadSettings = 2;
+constexpr int ExitUsage = 2;
 
 int serve(const std::string &File) {
   sigset_t Signals;
@@ -53,16 +53,20 @@
   CLI::App *Check = App.add_subcommand("check-settings", "Check a file");
   Check->add_option("file", File, "The settings file")->required();
   CLI::App *NewKey = App.add_subcommand("new-key", "Make a secret, offline");
-  operators::OperatorAccess Access;
-  operators::addCommands(App, Access);
-  CLI11_PARSE(App, Argc, Argv);
+  operators::CommandContext Context;
+  operators::addCommands(App, Context);
+  try {
+    App.parse(Argc, Argv);
+  } catch (const CLI::ParseError &E) {
+    return App.exit(E) == 0 ? ExitOk : ExitUsage;
+  }
   if (Serve->parsed())
     return serve(File);
   if (Check->parsed())
     return checkSettings(File);
   if (NewKey->parsed())
     return printNewKey();
-  return ExitOk;
+  return static_cast<int>(Context.Exit);
 }
 
 } // namespace
@@ -75,7 +79,10 @@
     return run(Argc, Argv);
   } catch (const settings::SettingsError &E) {
     std::cerr << E.what() << "\n";
-    return ExitBadSettings;
+    return ExitUsage;
+  } catch (const operators::OperatorError &E) {
+    std::cerr << "comfreydeck: " << E.what() << "\n";
+    return static_cast<int>(E.exitCode());
   } catch (const std::exception &E) {
     std::cerr << "comfreydeck: " << E.what() << "\n";
     return ExitFailed;
--- a/src/entry/ConfigStore.cpp
+++ b/src/entry/ConfigStore.cpp
@@ -41,6 +41,19 @@
   return {ProposalOutcome::Unknown, Version, "the store's answer was lost"};
 }
 
+LogPage pageOf(const platform::ScanResult &Result) {
+  LogPage Page;
+  Page.More = Result.More;
+  try {
+    for (const platform::Row &Row : Result.Rows)
+      Page.Changes.push_back(codec::parseConfigChange(Row.Value));
+    Page.Available = Result.Outcome == platform::ReadOutcome::Ok;
+  } catch (const codec::CodecError &E) {
+    LOG(ERROR) << "config: a row of the log can't be read: " << E.what();
+  }
+  return Page;
+}
+
 } // namespace
 
 ConfigStore::ConfigStore(const Context &C)
@@ -122,4 +135,13 @@
       });
 }
 
+void ConfigStore::readLog(core::ConfigVersion After, std::uint32_t Limit,
+                          std::function<void(LogPage)> Done) {
+  Context_.Tables.scan(
+      LogTable, "", logKey(After), Limit,
+      [this, Done = std::move(Done)](const platform::ScanResult &Result) {
+        Context_.Control.post([Done, Page = pageOf(Result)] { Done(Page); });
+      });
+}
+
 } // namespace comfreydeck::entry
--- a/src/entry/ConfigStore.h
+++ b/src/entry/ConfigStore.h
@@ -38,6 +38,15 @@
   std::string Message;
 };
 
+/// Part of the log.
+struct LogPage {
+  /// False where the store is away.
+  bool Available = false;
+  std::vector<core::ConfigChange> Changes;
+  /// Whether later changes were left out.
+  bool More = false;
+};
+
 /// The configuration's log in the table service, and this entry's copy of it.
 class ConfigStore {
 public:
@@ -55,6 +64,11 @@
   void propose(ConfigProposal Proposal,
                std::function<void(ProposalResult)> Done);
 
+  /// Reads changes after \p After from the store, oldest first; \p Done comes
+  /// on the control thread. \p Limit is from 1 to 1000. On the control thread.
+  void readLog(core::ConfigVersion After, std::uint32_t Limit,
+               std::function<void(LogPage)> Done);
+
 private:
   void poll();
   void onScan(platform::ScanResult Result);
--- a/src/entry/OperatorService.cpp
+++ b/src/entry/OperatorService.cpp
@@ -1,63 +1,74 @@
 #include "entry/OperatorService.h"
 
 #include "codec/ConfigJson.h"
-#include "codec/InstanceJson.h"
 #include "codec/KeyHash.h"
-#include "core/Names.h"
+#include "codec/ReportJson.h"
+#include "entry/ConfigRoutes.h"
+#include "entry/StatusSections.h"
 
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
-#include <array>
-
 namespace comfreydeck::entry {
 
 namespace {
 
 using nlohmann::json;
 
-constexpr std::array<const char *, 6> OutcomeNames = {
-    "in-force", "pending", "conflict", "invalid", "unavailable", "unknown"};
-constexpr std::array<int, 6> OutcomeStatuses = {200, 202, 409, 400, 503, 504};
+constexpr std::string_view Root = "/v1/operator/";
+constexpr std::size_t MaxBodyBytes = 1 << 20;
 
-net::HttpResponse error(int Status, std::string_view Message) {
-  return net::jsonResponse(Status, json({{"error", Message}}).dump());
+/// The segments that \p Pattern leaves open, or nothing where it does not fit.
+std::optional<std::vector<std::string>> match(std::string_view Pattern,
+                                              std::string_view Path) {
+  std::vector<std::string_view> Wanted = net::splitPath(Pattern);
+  std::vector<std::string_view> Given = net::splitPath(Path);
+  if (Wanted.size() != Given.size())
+    return std::nullopt;
+  std::vector<std::string> Open;
+  for (std::size_t I = 0; I < Wanted.size(); ++I) {
+    if (Wanted[I] == "*")
+      Open.emplace_back(Given[I]);
+    else if (Wanted[I] != Given[I])
+      return std::nullopt;
+  }
+  return Open;
 }
 
-/// What a request of that method needs.
-core::Role neededRole(const net::HttpRequest &Request) {
-  if (Request.Method == "GET")
-    return core::Role::Read;
-  bool IsConfig = Request.Path.starts_with("/v1/operator/config");
-  return IsConfig ? core::Role::Administer : core::Role::Operate;
+template <typename E> net::HttpResponse faultsResponse(const E &Error) {
+  json Body = {{"error", Error.what()},
+               {"outcome", "invalid"},
+               {"faults", json::parse(codec::toJson(Error.faults()))}};
+  return net::jsonResponse(400, Body.dump());
 }
 
-ConfigProposal proposalFrom(const std::string &Body, const std::string &By) {
-  json J = json::parse(Body);
-  ConfigProposal Proposal;
-  Proposal.By = By;
-  Proposal.Edits = codec::parseEdits(J.at("edits").dump());
-  if (J.contains("expected_version"))
-    Proposal.Expected =
-        core::ConfigVersion{J["expected_version"].get<std::uint64_t>()};
-  return Proposal;
-}
+} // namespace
 
-net::HttpResponse responseOf(const ProposalResult &Result) {
-  auto Index = static_cast<std::size_t>(Result.Outcome);
-  json J = {{"outcome", OutcomeNames.at(Index)},
-            {"version", Result.Version.Value},
-            {"message", Result.Message}};
-  return net::jsonResponse(OutcomeStatuses.at(Index), J.dump());
+net::HttpResponse operatorError(int Status, std::string_view Message) {
+  return net::jsonResponse(Status, json({{"error", Message}}).dump());
 }
 
-} // namespace
-
 OperatorService::OperatorService(const Context &C, Membership &Members,
                                  ConfigStore &Config, Fleet &Workers,
                                  PoolService &Pools)
-    : Context_(C), Members_(Members), Config_(Config), Workers_(Workers),
-      Pools_(Pools) {}
+    : Context_(C), Members_(Members), Config_(Config), Workers_(Workers) {
+  addStatusSections(Board_, {Members, Config, Workers, Pools});
+  add(configRoutes(Config, Workers));
+  add(customerRoutes(Config, Workers));
+  add({{"GET", "status", core::Role::Read,
+        [this](const OperatorCall &, const net::HttpResponder &Respond) {
+          Respond(status());
+        }},
+       {"PUT", "instances/*", core::Role::Operate,
+        [this](const OperatorCall &Call, const net::HttpResponder &Respond) {
+          putInstance(Call, Respond);
+        }}});
+}
+
+void OperatorService::add(std::vector<OperatorRoute> Routes) {
+  for (OperatorRoute &Route : Routes)
+    Routes_.push_back(std::move(Route));
+}
 
 std::optional<core::OperatorKey>
 OperatorService::identify(const net::HttpRequest &R) const {
@@ -85,78 +96,67 @@
                              net::HttpResponder Respond) {
   std::optional<core::OperatorKey> Who = identify(Request);
   if (!Who)
-    return Respond(error(401, "the operator's key is not known"));
-  if (Who->Allowed < neededRole(Request))
-    return Respond(error(403, "the operator's role does not allow this"));
+    return Respond(operatorError(401, "the operator's key is not known"));
+  if (Request.Body.size() > MaxBodyBytes)
+    return Respond(operatorError(413, "the body is larger than 1 MiB"));
+  bool IsKnownPath = false;
+  for (const OperatorRoute &Route : Routes_) {
+    auto Open =
+        match(Route.Path, std::string_view(Request.Path).substr(Root.size()));
+    if (!Open)
+      continue;
+    IsKnownPath = true;
+    if (Route.Method != Request.Method)
+      continue;
+    if (Who->Allowed < Route.Needed)
+      return Respond(
+          operatorError(403, "the operator's role does not allow this"));
+    return dispatch(Route, {*Who, std::move(Request), std::move(*Open)},
+                    std::move(Respond));
+  }
+  if (IsKnownPath)
+    return Respond(operatorError(405, "the path does not take this method"));
+  Respond(operatorError(404, "there is no such path"));
+}
+
+void OperatorService::dispatch(const OperatorRoute &Route, OperatorCall Call,
+                               net::HttpResponder Respond) {
   Context_.Control.post(
-      [this, Who, Request = std::move(Request), Respond = std::move(Respond)] {
+      [&Route, Call = std::move(Call), Respond = std::move(Respond)] {
         try {
-          route(*Who, Request, Respond);
+          Route.Handle(Call, Respond);
         } catch (const json::exception &E) {
-          Respond(error(400, E.what()));
+          Respond(operatorError(400, E.what()));
         } catch (const codec::CodecError &E) {
-          Respond(error(400, E.what()));
+          Respond(faultsResponse(E));
+        } catch (const core::ConfigError &E) {
+          Respond(faultsResponse(E));
         }
       });
 }
 
-void OperatorService::route(const core::OperatorKey &Who,
-                            const net::HttpRequest &Request,
-                            const net::HttpResponder &Respond) {
-  std::vector<std::string_view> Parts = net::splitPath(Request.Path);
-  std::string_view Subject = Parts.size() > 2 ? Parts[2] : std::string_view();
-  bool IsGet = Request.Method == "GET";
-  if (Subject == "config" && Parts.size() == 3 && IsGet)
-    return Respond(net::jsonResponse(200, codec::toJson(*Config_.current())));
-  if (Subject == "config" && Parts.size() == 4 && Parts[3] == "changes")
-    return postChange(Who, Request, Respond);
-  if (Subject == "instances" && Parts.size() == 4 && Request.Method == "PUT")
-    return putInstance(std::string(Parts[3]), Request, Respond);
-  if (Subject == "status" && IsGet)
-    return Respond(status());
-  Respond(error(404, "there is no such path"));
-}
-
-void OperatorService::postChange(const core::OperatorKey &Who,
-                                 const net::HttpRequest &Request,
-                                 const net::HttpResponder &Respond) {
-  Config_.propose(
-      proposalFrom(Request.Body, Who.Name),
-      [Respond](const ProposalResult &Result) { Respond(responseOf(Result)); });
-}
-
-void OperatorService::putInstance(const std::string &Name,
-                                  const net::HttpRequest &Request,
+void OperatorService::putInstance(const OperatorCall &Call,
                                   const net::HttpResponder &Respond) {
   std::string PoolName =
-      json::parse(Request.Body).at("pool").get<std::string>();
+      json::parse(Call.Request.Body).at("pool").get<std::string>();
   std::shared_ptr<const core::Configuration> C = Config_.current();
   const core::Pool *P = core::findPool(*C, PoolName);
   if (!P)
-    return Respond(error(404, "there is no pool '" + PoolName + "'"));
-  Workers_.assign(Name, P->Id, [Respond](const std::string &Failed) {
-    if (Failed.empty())
-      Respond(net::jsonResponse(200, "{}"));
-    else
-      Respond(error(503, Failed));
-  });
+    return Respond(operatorError(404, "there is no pool '" + PoolName + "'"));
+  Workers_.assign(Call.Open.front(), P->Id,
+                  [Respond](const std::string &Failed) {
+                    if (Failed.empty())
+                      Respond(net::jsonResponse(200, "{}"));
+                    else
+                      Respond(operatorError(503, Failed));
+                  });
 }
 
 net::HttpResponse OperatorService::status() const {
-  std::shared_ptr<const core::Configuration> C = Config_.current();
-  json Entries = json::array();
-  for (const Member &M : Members_.members())
-    Entries.push_back({{"name", M.Name},
-                       {"datacentre", M.DataCentre},
-                       {"incarnation", core::nameOf(M.Id)}});
-  json Instances = json::array();
-  for (const auto &[Id, I] : Workers_.instances())
-    Instances.push_back(json::parse(codec::toJson(I)));
-  json J = {{"config_version", C->Version.Value},
-            {"current", Members_.isCurrent(net::now())},
-            {"entries", Entries},
-            {"instances", Instances}};
-  return net::jsonResponse(200, J.dump());
+  json Body = {{"config_version", Config_.current()->Version.Value},
+               {"current", Members_.isCurrent(net::now())},
+               {"sections", json::parse(Board_.toJson())}};
+  return net::jsonResponse(200, Body.dump());
 }
 
 } // namespace comfreydeck::entry
--- /dev/null
+++ b/src/entry/StatusSections.h
@@ -0,0 +1,22 @@
+#ifndef COMFREYDECK_ENTRY_STATUSSECTIONS_H
+#define COMFREYDECK_ENTRY_STATUSSECTIONS_H
+
+#include "entry/PoolService.h"
+#include "entry/StatusBoard.h"
+
+namespace comfreydeck::entry {
+
+/// What the sections read from. The referents outlive the board.
+struct StatusSources {
+  const Membership &Members;
+  const ConfigStore &Config;
+  const Fleet &Workers;
+  const PoolService &Pools;
+};
+
+/// Adds pools, teams, data centres and entries. Before the entry starts.
+void addStatusSections(StatusBoard &Board, const StatusSources &Sources);
+
+} // namespace comfreydeck::entry
+
+#endif // COMFREYDECK_ENTRY_STATUSSECTIONS_H
--- a/src/operators/Commands.cpp
+++ b/src/operators/Commands.cpp
@@ -1,11 +1,11 @@
 #include "operators/Commands.h"
 
+#include "operators/CommandGroups_p.h"
+
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
-#include <fstream>
-#include <iostream>
-#include <sstream>
+#include <map>
 
 namespace comfreydeck::operators {
 
@@ -13,34 +13,6 @@
 
 using nlohmann::json;
 
-std::string readFile(const std::string &File) {
-  std::ifstream Stream(File);
-  if (!Stream)
-    throw OperatorError("can't read " + File);
-  std::stringstream Content;
-  Content << Stream.rdbuf();
-  return Content.str();
-}
-
-void print(const std::string &Json) {
-  std::cout << json::parse(Json).dump(2) << "\n";
-}
-
-void addConfigCommands(CLI::App &App, OperatorAccess &Access) {
-  CLI::App *Config = App.add_subcommand("config", "The whole configuration");
-  Config->require_subcommand(1);
-  Config->add_subcommand("show", "Print it")->callback([&Access] {
-    print(OperatorClient(Access).call("GET", "/v1/operator/config", ""));
-  });
-  CLI::App *Apply = Config->add_subcommand("apply", "Apply a list of edits");
-  auto File = std::make_shared<std::string>();
-  Apply->add_option("file", *File, "JSON with the edits")->required();
-  Apply->callback([&Access, File] {
-    print(OperatorClient(Access).call("POST", "/v1/operator/config/changes",
-                                      readFile(*File)));
-  });
-}
-
 void addInstanceCommands(CLI::App &App, OperatorAccess &Access) {
   CLI::App *Instance = App.add_subcommand("instance", "Workers and pools");
   Instance->require_subcommand(1);
@@ -50,22 +22,35 @@
   Move->add_option("name", *Name, "The instance")->required();
   Move->add_option("--pool", *Pool, "The pool")->required();
   Move->callback([&Access, Name, Pool] {
-    print(OperatorClient(Access).call("PUT", "/v1/operator/instances/" + *Name,
-                                      json({{"pool", *Pool}}).dump()));
+    OperatorClient(Access).call("PUT", "/v1/operator/instances/" + *Name,
+                                json({{"pool", *Pool}}).dump());
   });
 }
 
 } // namespace
 
-void addCommands(CLI::App &App, OperatorAccess &Access) {
-  App.add_option("--entry", Access.Entry, "Any entry, as http://IP:PORT");
-  App.add_option("--key", Access.KeySecret, "The operator's key")
+void addCommands(CLI::App &App, CommandContext &Context) {
+  const std::map<std::string, OutputFormat> Formats = {
+      {"table", OutputFormat::Table}, {"json", OutputFormat::Json}};
+  App.add_option("--entry", Context.Access.Entries,
+                 "Entries to try in turn, as http://IP:PORT")
+      ->allow_extra_args(false);
+  App.add_option("--key", Context.Access.KeySecret, "The operator's key")
       ->envname("COMFREYDECK_OPERATOR_KEY");
-  App.add_subcommand("status", "The fleet at a glance")->callback([&Access] {
-    print(OperatorClient(Access).call("GET", "/v1/operator/status", ""));
-  });
-  addConfigCommands(App, Access);
-  addInstanceCommands(App, Access);
+  App.add_option("--output", Context.Format, "table or json")
+      ->transform(CLI::CheckedTransformer(Formats));
+  App.fallthrough();
+  detail::addStatusCommand(App, Context);
+  detail::addCustomerCommands(App, Context);
+  detail::addTemplateCommands(App, Context);
+  detail::addTeamCommands(App, Context);
+  detail::addQueueCommands(App, Context);
+  detail::addPoolCommands(App, Context);
+  detail::addDataCentreCommands(App, Context);
+  detail::addKeyCommands(App, Context);
+  detail::addOperatorCommands(App, Context);
+  detail::addConfigCommands(App, Context);
+  addInstanceCommands(App, Context.Access);
 }
 
 } // namespace comfreydeck::operators
--- a/src/operators/Commands.h
+++ b/src/operators/Commands.h
@@ -3,7 +3,7 @@
 
 #include "operators/OperatorClient.h"
 
-#include <memory>
+#include <iostream>
 
 namespace CLI {
 class App;
@@ -11,9 +11,22 @@
 
 namespace comfreydeck::operators {
 
-/// Adds the operators' commands to \p App; each runs when it is parsed, and
-/// throws OperatorError. \p Access must outlive the parsing. Not thread-safe.
-void addCommands(CLI::App &App, OperatorAccess &Access);
+enum class OutputFormat : std::uint8_t { Table, Json };
+
+/// What all commands share.
+struct CommandContext {
+  OperatorAccess Access;
+  OutputFormat Format = OutputFormat::Table;
+  std::ostream &Out = std::cout;
+  std::istream &In = std::cin;
+  /// Set by the command that was run.
+  ExitCode Exit = ExitCode::Ok;
+};
+
+/// Adds the operators' commands to \p App; each runs when it is parsed, sets
+/// the context's exit code and throws OperatorError. \p Context must outlive
+/// the parsing. Not thread-safe.
+void addCommands(CLI::App &App, CommandContext &Context);
 
 } // namespace comfreydeck::operators
 
