--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -3,8 +3,10 @@
 #include <curl/curl.h>
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
+#include <set>
 #include <stdexcept>
 #include <thread>
 #include <unordered_map>
@@ -13,7 +15,9 @@
 
 namespace {
 
-constexpr int PollMs = 1000;
+constexpr int MaxPollMs = 1000;
+/// How much longer than its limit a transfer is left to libcurl.
+constexpr std::chrono::milliseconds Grace(10);
 
 /// One call in the hands of libcurl.
 struct Transfer {
@@ -23,6 +27,7 @@
   CURL *Easy = nullptr;
   curl_slist *Headers = nullptr;
   HttpResult Result;
+  std::chrono::steady_clock::time_point Until;
 
   Transfer() = default;
   Transfer(const Transfer &) = delete;
@@ -41,6 +46,8 @@
 std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                    void *Target) {
   auto *T = static_cast<Transfer *>(Target);
+  if (T->Result.Response.Body.size() + Size * Count > T->Call.MaxAnswerBytes)
+    return 0;
   T->Result.Response.Body.append(Data, Size * Count);
   return Size * Count;
 }
@@ -49,6 +56,9 @@
                      void *Target) {
   auto *T = static_cast<Transfer *>(Target);
   std::string_view Line(Data, Size * Count);
+  // An interim answer may come before the real one.
+  if (Line.starts_with("HTTP/"))
+    T->Result.Response.Headers.clear();
   std::size_t Colon = Line.find(':');
   if (Colon != std::string_view::npos) {
     std::string_view Value = Line.substr(Colon + 1);
@@ -105,8 +115,23 @@
   return RequestBytes > 0;
 }
 
-core::ExchangeEnd endOf(CURL *Easy, CURLcode Code) {
-  if (Code == CURLE_OK)
+/// Whether the answer says where it ends. One that ends with its connection
+/// can't be told from one that was cut.
+bool isDelimited(const Transfer &T) {
+  constexpr long NoContent = 204;
+  constexpr long NotModified = 304;
+  long Status = 0;
+  curl_easy_getinfo(T.Easy, CURLINFO_RESPONSE_CODE, &Status);
+  bool HasNoBody =
+      Status == NoContent || Status == NotModified || T.Call.Method == "HEAD";
+  const std::vector<HttpHeader> &Headers = T.Result.Response.Headers;
+  return HasNoBody || hasHeader(Headers, "Content-Length") ||
+         hasHeader(Headers, "Transfer-Encoding");
+}
+
+core::ExchangeEnd endOf(const Transfer &T, CURLcode Code) {
+  CURL *Easy = T.Easy;
+  if (Code == CURLE_OK && isDelimited(T))
     return core::ExchangeEnd::Answered;
   if (!anySent(Easy))
     return core::ExchangeEnd::ConnectFailed;
@@ -132,10 +157,14 @@
   std::vector<std::uint64_t> Cancelled;
   /// Only on the client's thread.
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> Flying;
+  std::set<std::pair<std::chrono::steady_clock::time_point, std::uint64_t>>
+      Overdue;
 
   void run();
   void takeIncoming();
   void takeCancelled();
+  void endOverdue();
+  int pollMs() const;
   void finish(Transfer &T, CURLcode Code);
   void collect();
 };
@@ -147,11 +176,14 @@
     int Active = 0;
     curl_multi_perform(Multi, &Active);
     collect();
-    curl_multi_poll(Multi, nullptr, 0, PollMs, nullptr);
+    endOverdue();
+    curl_multi_poll(Multi, nullptr, 0, pollMs(), nullptr);
   }
   takeIncoming();
-  while (!Flying.empty())
+  while (!Flying.empty()) {
     finish(*Flying.begin()->second, CURLE_ABORTED_BY_CALLBACK);
+    takeIncoming();
+  }
 }
 
 void HttpClient::Impl::takeIncoming() {
@@ -163,6 +195,8 @@
   for (std::unique_ptr<Transfer> &T : Taken) {
     setUp(*T);
     curl_multi_add_handle(Multi, T->Easy);
+    T->Until = std::chrono::steady_clock::now() + T->Call.TotalLimit + Grace;
+    Overdue.emplace(T->Until, T->Id);
     Flying[T->Id] = std::move(T);
   }
 }
@@ -180,9 +214,24 @@
   }
 }
 
+/// libcurl's own limit does not end a transfer that waits for a connection.
+void HttpClient::Impl::endOverdue() {
+  auto Now = std::chrono::steady_clock::now();
+  while (!Overdue.empty() && Overdue.begin()->first <= Now)
+    finish(*Flying.at(Overdue.begin()->second), CURLE_OPERATION_TIMEDOUT);
+}
+
+int HttpClient::Impl::pollMs() const {
+  if (Overdue.empty())
+    return MaxPollMs;
+  auto Left = std::chrono::ceil<std::chrono::milliseconds>(
+      Overdue.begin()->first - std::chrono::steady_clock::now());
+  return static_cast<int>(std::clamp<std::int64_t>(Left.count(), 0, MaxPollMs));
+}
+
 void HttpClient::Impl::finish(Transfer &T, CURLcode Code) {
-  T.Result.End = endOf(T.Easy, Code);
-  if (Code == CURLE_OK) {
+  T.Result.End = endOf(T, Code);
+  if (T.Result.End == core::ExchangeEnd::Answered) {
     long Status = 0;
     curl_easy_getinfo(T.Easy, CURLINFO_RESPONSE_CODE, &Status);
     T.Result.Response.Status = static_cast<int>(Status);
@@ -193,6 +242,7 @@
   auto It = Flying.find(T.Id);
   std::unique_ptr<Transfer> Owned = std::move(It->second);
   Flying.erase(It);
+  Overdue.erase({Owned->Until, Owned->Id});
   Owned->Done(std::move(Owned->Result));
 }
 
