--- a/src/codec/ReportJson.cpp
+++ b/src/codec/ReportJson.cpp
@@ -108,7 +108,8 @@
   for (const ConfigFault &F : Faults)
     List.push_back(
         {{"edit", F.Edit}, {"field", F.Field}, {"message", F.Message}});
-  return List.dump();
+  // A message may repeat bytes that an operator sent.
+  return List.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 } // namespace comfreydeck::codec
--- a/src/entry/OperatorService.cpp
+++ b/src/entry/OperatorService.cpp
@@ -35,17 +35,22 @@
   return Open;
 }
 
+/// The JSON of what may hold an operator's own bytes, valid UTF-8 or not.
+std::string dumpSafely(const json &J) {
+  return J.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 template <typename E> net::HttpResponse faultsResponse(const E &Error) {
   json Body = {{"error", Error.what()},
                {"outcome", "invalid"},
                {"faults", json::parse(codec::toJson(Error.faults()))}};
-  return net::jsonResponse(400, Body.dump());
+  return net::jsonResponse(400, dumpSafely(Body));
 }
 
 } // namespace
 
 net::HttpResponse operatorError(int Status, std::string_view Message) {
-  return net::jsonResponse(Status, json({{"error", Message}}).dump());
+  return net::jsonResponse(Status, dumpSafely({{"error", Message}}));
 }
 
 OperatorService::OperatorService(const Context &C, Membership &Members,
