--- a/src/operators/TextTable.cpp
+++ b/src/operators/TextTable.cpp
@@ -53,9 +53,9 @@
   for (const std::string &Column : Table.Columns)
     Lines[0].push_back(upper(Column));
   for (const std::vector<std::string> &Row : Table.Rows) {
-    std::vector<std::string> Cells;
-    for (const std::string &Cell : Row)
-      Cells.push_back(cellText(Cell));
+    std::vector<std::string> Cells = Row;
+    for (std::string &Cell : Cells)
+      Cell = cellText(Cell);
     Lines.push_back(std::move(Cells));
   }
   std::vector<std::size_t> Widths(Table.Columns.size(), 0);
