--- a/src/entry/FleetRoutes.h
+++ b/src/entry/FleetRoutes.h
@@ -2,7 +2,7 @@
 #define COMFREYDECK_ENTRY_FLEETROUTES_H
 
 #include "entry/Maintenance.h"
-#include "net/HttpServer.h"
+#include "entry/OperatorRoute.h"
 
 namespace comfreydeck::entry {
 
@@ -14,15 +14,14 @@
   FleetRoutes(const Context &C, ConfigStore &Config, Fleet &Workers,
               PoolService &Pools, Maintenance &Work);
 
-  /// Answers a request under `/v1/operator/` by the operator \p Who; false
-  /// where the path is none of these. May throw nlohmann's exceptions on a
-  /// malformed body.
-  bool handle(const core::OperatorKey &Who, const net::HttpRequest &Request,
-              const net::HttpResponder &Respond);
+  /// The rows of the operators' interface; they refer to this object.
+  std::vector<OperatorRoute> routes();
 
 private:
   using Parts = std::vector<std::string_view>;
 
+  bool handle(const core::OperatorKey &Who, const net::HttpRequest &Request,
+              const net::HttpResponder &Respond);
   bool handleInstances(const Parts &Path, const net::HttpRequest &Request,
                        const net::HttpResponder &Respond);
   bool handlePools(const Parts &Path, const net::HttpRequest &Request,
--- a/src/operators/FleetCommands.cpp
+++ b/src/operators/FleetCommands.cpp
@@ -38,13 +38,21 @@
 }
 
 /// One call; prints JSON, or passes the answer to \p AsTable.
-void call(const OperatorAccess &Access, const std::string &Method,
+/// The group of that name, made where it is not there yet.
+CLI::App *groupOf(CLI::App &App, const std::string &Name,
+                  const std::string &Help) {
+  auto IsIt = [&](const CLI::App *Group) { return Group->get_name() == Name; };
+  std::vector<CLI::App *> Present = App.get_subcommands(IsIt);
+  return Present.empty() ? App.add_subcommand(Name, Help) : Present.front();
+}
+
+void call(const CommandContext &Context, const std::string &Method,
           const std::string &Path, const json &Body,
           const std::function<void(const json &)> &AsTable) {
   std::string Sent = Body.is_null() ? "" : Body.dump();
-  json Answer = json::parse(
-      OperatorClient(Access).call(Method, "/v1/operator/" + Path, Sent));
-  if (Access.Output == "json")
+  json Answer = json::parse(OperatorClient(Context.Access)
+                                .call(Method, "/v1/operator/" + Path, Sent));
+  if (Context.Format == OutputFormat::Json)
     std::cout << Answer.dump(2) << "\n";
   else
     AsTable(Answer);
@@ -160,65 +168,65 @@
   return Sub;
 }
 
-void addInstanceChanges(CLI::App *Instance, OperatorAccess &Access) {
+void addInstanceChanges(CLI::App *Instance, CommandContext &Context) {
   auto D = std::make_shared<Arguments>();
   CLI::App *Drain = addNamed(Instance, "drain",
                              "Let its tasks end, then hold "
                              "it empty",
                              "The instance", D);
   Drain->add_flag("--reboot", D->Flag, "Reboot it and bring it back");
-  Drain->callback([&Access, D] {
-    call(Access, "POST", "instances/" + D->Name + "/drain",
+  Drain->callback([&Context, D] {
+    call(Context, "POST", "instances/" + D->Name + "/drain",
          {{"reboot", D->Flag}}, printOutcome);
   });
   auto R = std::make_shared<Arguments>();
   addNamed(Instance, "return", "Put it back into service", "The instance", R)
-      ->callback([&Access, R] {
-        call(Access, "POST", "instances/" + R->Name + "/return", {},
+      ->callback([&Context, R] {
+        call(Context, "POST", "instances/" + R->Name + "/return", {},
              printOutcome);
       });
   auto M = std::make_shared<Arguments>();
   CLI::App *Move = addNamed(Instance, "move", "Drain it and put it into a pool",
                             "The instance", M);
   Move->add_option("--pool", M->Pool, "The pool")->required();
-  Move->callback([&Access, M] {
-    call(Access, "PUT", "instances/" + M->Name, {{"pool", M->Pool}},
+  Move->callback([&Context, M] {
+    call(Context, "PUT", "instances/" + M->Name, {{"pool", M->Pool}},
          printOutcome);
   });
 }
 
-void addInstanceCommands(CLI::App &App, OperatorAccess &Access) {
-  CLI::App *Instance = App.add_subcommand("instance", "Workers and pools");
+void addInstanceCommands(CLI::App &App, CommandContext &Context) {
+  CLI::App *Instance = groupOf(App, "instance", "Workers and pools");
   Instance->require_subcommand(1);
   auto L = std::make_shared<Arguments>();
   CLI::App *List = Instance->add_subcommand("list", "All, or those of a pool");
   List->add_option("--pool", L->Pool, "The pool");
-  List->callback([&Access, L] {
+  List->callback([&Context, L] {
     std::string Query = L->Pool.empty() ? "" : "?pool=" + L->Pool;
-    call(Access, "GET", "instances" + Query, {},
+    call(Context, "GET", "instances" + Query, {},
          [](const json &J) { printInstances(J.at("instances")); });
   });
   auto S = std::make_shared<Arguments>();
   addNamed(Instance, "show", "One of them", "The instance", S)
-      ->callback([&Access, S] {
-        call(Access, "GET", "instances/" + S->Name, {},
+      ->callback([&Context, S] {
+        call(Context, "GET", "instances/" + S->Name, {},
              [](const json &J) { printInstances(json::array({J})); });
       });
-  addInstanceChanges(Instance, Access);
+  addInstanceChanges(Instance, Context);
 }
 
-void addPoolCommands(CLI::App &App, OperatorAccess &Access) {
-  CLI::App *Pool = App.add_subcommand("pool", "Pools and their budgets");
+void addPoolCommands(CLI::App &App, CommandContext &Context) {
+  CLI::App *Pool = groupOf(App, "pool", "Pools and their budgets");
   Pool->require_subcommand(1);
   auto S = std::make_shared<Arguments>();
   addNamed(Pool, "show", "Its instances by state", "The pool", S)
-      ->callback([&Access, S] {
-        call(Access, "GET", "pools/" + S->Name, {}, printPool);
+      ->callback([&Context, S] {
+        call(Context, "GET", "pools/" + S->Name, {}, printPool);
       });
   auto B = std::make_shared<Arguments>();
   addNamed(Pool, "budget", "Who is absent, and who may be", "The pool", B)
-      ->callback([&Access, B] {
-        call(Access, "GET", "pools/" + B->Name, {}, printBudget);
+      ->callback([&Context, B] {
+        call(Context, "GET", "pools/" + B->Name, {}, printBudget);
       });
 }
 
@@ -232,7 +240,7 @@
   return {{"scope", "all"}};
 }
 
-void addWaveStart(CLI::App *Wave, OperatorAccess &Access) {
+void addWaveStart(CLI::App *Wave, CommandContext &Context) {
   auto A = std::make_shared<Arguments>();
   CLI::App *Start = Wave->add_subcommand("start", "Reboot every instance of a "
                                                   "pool, rack or data centre");
@@ -245,68 +253,68 @@
   Pool->excludes(Rack)->excludes(Zone)->excludes(All);
   Rack->excludes(Zone)->excludes(All);
   Zone->excludes(All);
-  Start->callback([&Access, A] {
+  Start->callback([&Context, A] {
     if (A->Pool.empty() && A->Rack.empty() && A->DataCentre.empty() && !A->Flag)
       throw OperatorError("say --pool, --rack, --datacentre or --all");
-    call(Access, "POST", "waves", waveBody(*A),
+    call(Context, "POST", "waves", waveBody(*A),
          [](const json &J) { printWaves(json::array({J})); });
   });
 }
 
-void addWaveCommands(CLI::App &App, OperatorAccess &Access) {
-  CLI::App *Wave = App.add_subcommand("wave", "Planned maintenance of many");
+void addWaveCommands(CLI::App &App, CommandContext &Context) {
+  CLI::App *Wave = groupOf(App, "wave", "Planned maintenance of many");
   Wave->require_subcommand(1);
-  addWaveStart(Wave, Access);
-  Wave->add_subcommand("list", "All waves")->callback([&Access] {
-    call(Access, "GET", "waves", {},
+  addWaveStart(Wave, Context);
+  Wave->add_subcommand("list", "All waves")->callback([&Context] {
+    call(Context, "GET", "waves", {},
          [](const json &J) { printWaves(J.at("waves")); });
   });
   auto S = std::make_shared<Arguments>();
   addNamed(Wave, "status", "How far it is", "The wave", S)
-      ->callback([&Access, S] {
-        call(Access, "GET", "waves/" + S->Name, {}, printWave);
+      ->callback([&Context, S] {
+        call(Context, "GET", "waves/" + S->Name, {}, printWave);
       });
   for (const char *Command : {"pause", "resume", "cancel"}) {
     auto A = std::make_shared<Arguments>();
     addNamed(Wave, Command, "What it says", "The wave", A)
-        ->callback([&Access, A, Command] {
-          call(Access, "POST", "waves/" + A->Name + "/" + Command, {},
+        ->callback([&Context, A, Command] {
+          call(Context, "POST", "waves/" + A->Name + "/" + Command, {},
                [](const json &J) { printWaves(json::array({J})); });
         });
   }
 }
 
-void addDataCentreCommands(CLI::App &App, OperatorAccess &Access) {
-  CLI::App *Zone = App.add_subcommand("datacentre", "Take out or bring back");
+void addDataCentreCommands(CLI::App &App, CommandContext &Context) {
+  CLI::App *Zone = groupOf(App, "datacentre", "Take out or bring back");
   Zone->require_subcommand(1);
   auto O = std::make_shared<Arguments>();
   CLI::App *Out = addNamed(Zone, "out", "Nothing starts there any more",
                            "The data centre", O);
   Out->add_flag("--force", O->Flag, "Even where a pool has nothing left");
-  Out->callback([&Access, O] {
-    call(Access, "POST", "datacentres/" + O->Name + "/out",
+  Out->callback([&Context, O] {
+    call(Context, "POST", "datacentres/" + O->Name + "/out",
          {{"force", O->Flag}}, printOutcome);
   });
   auto I = std::make_shared<Arguments>();
   addNamed(Zone, "in", "Bring it back", "The data centre", I)
-      ->callback([&Access, I] {
-        call(Access, "POST", "datacentres/" + I->Name + "/in", {},
+      ->callback([&Context, I] {
+        call(Context, "POST", "datacentres/" + I->Name + "/in", {},
              printOutcome);
       });
   auto S = std::make_shared<Arguments>();
   addNamed(Zone, "show", "What runs there", "The data centre", S)
-      ->callback([&Access, S] {
-        call(Access, "GET", "datacentres/" + S->Name, {}, printDataCentre);
+      ->callback([&Context, S] {
+        call(Context, "GET", "datacentres/" + S->Name, {}, printDataCentre);
       });
 }
 
 } // namespace
 
-void addFleetCommands(CLI::App &App, OperatorAccess &Access) {
-  addInstanceCommands(App, Access);
-  addPoolCommands(App, Access);
-  addWaveCommands(App, Access);
-  addDataCentreCommands(App, Access);
+void addFleetCommands(CLI::App &App, CommandContext &Context) {
+  addInstanceCommands(App, Context);
+  addPoolCommands(App, Context);
+  addWaveCommands(App, Context);
+  addDataCentreCommands(App, Context);
 }
 
 } // namespace comfreydeck::operators
--- a/tests/entry/FleetTest.cpp
+++ b/tests/entry/FleetTest.cpp
@@ -64,13 +64,13 @@
   /// One operator's call to entry \p N; a refusal comes back as its body.
   json call(std::size_t N, const char *Method, const std::string &Path,
             const json &Body = {}) const {
-    operators::OperatorClient Client({"http://" + Addresses[N], Secret});
-    try {
-      return json::parse(Client.call(Method, "/v1/operator/" + Path,
-                                     Body.is_null() ? "" : Body.dump()));
-    } catch (const operators::OperatorError &E) {
-      return json::parse(E.what(), nullptr, false);
-    }
+    operators::OperatorAccess Access;
+    Access.Entries = {"http://" + Addresses[N]};
+    Access.KeySecret = Secret;
+    operators::OperatorClient Client(Access);
+    net::HttpResponse Response = Client.send(Method, "/v1/operator/" + Path,
+                                             Body.is_null() ? "" : Body.dump());
+    return json::parse(Response.Body, nullptr, false);
   }
 
   /// Whether \p Holds came true within the time that any machine needs.
