Serve through an outage of the store, and tell when a change is in force

Cause: the thin membership stopped with the store, deleted the row of a fenced entry, and a change was answered as pending whatever came of it. Change: Membership drives core/ServingLease: one reading in flight with jitter and backoff, proofs over Prove, goodbyes, a fenced mark in place of a deleted row, fences of silent or dropped entries, removal of old rows. GET config/changes/VERSION asks later. A fenced process ends as on SIGTERM.

--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -8,6 +8,8 @@
 #include <csignal>
 #include <iostream>
 
+#include <unistd.h>
+
 using namespace comfreydeck;
 
 namespace {
@@ -23,7 +25,9 @@
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  entry::Entry Entry(settings::loadSettings(File));
+  // A fenced entry ends like one that is told to, and is started anew.
+  entry::Entry Entry(settings::loadSettings(File),
+                     [] { ::kill(::getpid(), SIGTERM); });
   Entry.start();
   int Caught = 0;
   sigwait(&Signals, &Caught);
--- a/src/entry/ConfigStore.cpp
+++ b/src/entry/ConfigStore.cpp
@@ -2,10 +2,11 @@
 
 #include "codec/ConfigJson.h"
 #include "core/Names.h"
-#include "entry/Membership.h"
 
 #include <glog/logging.h>
 
+#include <algorithm>
+
 namespace comfreydeck::entry {
 
 namespace {
@@ -13,6 +14,19 @@
 constexpr const char *LogTable = "config-log";
 constexpr std::uint32_t MaxChangesRead = 200;
 constexpr std::size_t VersionDigits = 20;
+/// Changes kept at hand for the other entries.
+constexpr std::size_t MaxRecent = 100;
+constexpr std::uint64_t SnapshotEvery = 50;
+/// Log rows kept beside the snapshot, so that entries that are a little behind
+/// need not read it.
+constexpr std::uint64_t KeptChanges = 50;
+constexpr core::Duration InForceLimit = std::chrono::seconds(5);
+constexpr core::Duration InForcePoll = std::chrono::milliseconds(10);
+constexpr core::Duration ReadBackEvery = std::chrono::milliseconds(300);
+/// How long an operator waits for a commit whose answer was lost.
+constexpr core::Duration ReadBackLimit = std::chrono::seconds(10);
+/// Commits that only a snapshot came before are tried again.
+constexpr int CommitTries = 3;
 
 /// Zero-padded, so that rows come in the order of versions.
 std::string logKey(core::ConfigVersion Version) {
@@ -20,36 +34,49 @@
   return std::string(VersionDigits - Digits.size(), '0') + Digits;
 }
 
+std::string snapshotName(core::ConfigVersion Version) {
+  return "config-" + logKey(Version);
+}
+
 std::int64_t unixMs() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
-ProposalResult resultOf(platform::CommitOutcome Outcome,
-                        core::ConfigVersion Version) {
-  switch (Outcome) {
-  case platform::CommitOutcome::Committed:
-    return {ProposalOutcome::Pending, Version, "committed"};
-  case platform::CommitOutcome::Conflict:
-    return {ProposalOutcome::Conflict, Version, "another change came first"};
-  case platform::CommitOutcome::NotApplied:
-    return {ProposalOutcome::Unavailable, Version, "the store is away"};
-  case platform::CommitOutcome::Unknown:
-    break;
-  }
-  return {ProposalOutcome::Unknown, Version, "the store's answer was lost"};
-}
-
 } // namespace
 
-ConfigStore::ConfigStore(const Context &C)
-    : Context_(C), Current_(std::make_shared<core::Configuration>()) {}
+/// One proposal on its way.
+struct ConfigStore::Proposed {
+  ConfigProposal Asked;
+  std::function<void(ProposalResult)> Done;
+  core::ConfigChange Change;
+  LogHead Head;
+  core::TimePoint Since;
+  int TriesLeft = CommitTries;
+  /// Whether some sending of the change may have been applied, or may be yet.
+  bool Unsettled = false;
+
+  void answer(ProposalOutcome Outcome, core::ConfigVersion Version,
+              std::string Message) {
+    if (Done)
+      std::exchange(Done, nullptr)({Outcome, Version, std::move(Message)});
+  }
+};
+
+ConfigStore::ConfigStore(const Context &C, Membership &Members)
+    : Context_(C), Members_(Members),
+      Current_(std::make_shared<core::Configuration>()) {
+  LogAccess Log;
+  Log.ChangesAfter = [this](core::ConfigVersion V) { return changesAfter(V); };
+  Log.OnChanges = [this](const std::vector<std::string> &Changes) {
+    onChanges(Changes);
+  };
+  Members_.setLog(std::move(Log), [this](core::ConfigVersion V) { onHead(V); });
+}
 
 void ConfigStore::start(std::function<void()> OnChange) {
   OnChange_ = std::move(OnChange);
-  poll();
-  Context_.Control.every(Context_.Settings.Lease.PollEvery, [this] { poll(); });
 }
 
 std::shared_ptr<const core::Configuration> ConfigStore::current() const {
@@ -57,69 +84,303 @@
   return Current_;
 }
 
-void ConfigStore::poll() {
-  if (Polling_)
+void ConfigStore::onHead(core::ConfigVersion Head) {
+  Head_ = std::max(Head_, Head);
+  if (current()->Version < Head_)
+    readLog();
+}
+
+void ConfigStore::readLog() {
+  if (Reading_)
     return;
-  Polling_ = true;
+  Reading_ = true;
   Context_.Tables.scan(LogTable, "", logKey(current()->Version), MaxChangesRead,
                        [this](platform::ScanResult Result) {
                          Context_.Control.post([this, Result] {
-                           Polling_ = false;
-                           onScan(Result);
+                           Reading_ = false;
+                           onLog(Result);
                          });
                        });
 }
 
-void ConfigStore::onScan(platform::ScanResult Result) {
-  if (Result.Outcome != platform::ReadOutcome::Ok || Result.Rows.empty())
+void ConfigStore::onLog(const platform::ScanResult &Result) {
+  if (Result.Outcome != platform::ReadOutcome::Ok)
     return;
-  core::Configuration Next = *current();
-  for (const platform::Row &Row : Result.Rows)
-    Next = core::apply(Next, codec::parseConfigChange(Row.Value));
-  replace(std::move(Next));
+  core::ConfigVersion Next{current()->Version.Value + 1};
+  bool Trimmed = Result.Rows.empty() || Result.Rows.front().Key != logKey(Next);
+  if (Trimmed && current()->Version < Head_)
+    return readSnapshot();
+  onRows(Result.Rows);
   if (Result.More)
-    poll();
+    readLog();
+}
+
+void ConfigStore::onRows(const std::vector<platform::Row> &Rows) {
+  std::vector<std::string> Changes;
+  Changes.reserve(Rows.size());
+  for (const platform::Row &Row : Rows)
+    Changes.push_back(Row.Value);
+  onChanges(Changes);
+}
+
+/// The log's rows after the present version were trimmed.
+void ConfigStore::readSnapshot() {
+  Reading_ = true;
+  Context_.Tables.read(headKey(), [this](const platform::ReadResult &Result) {
+    Context_.Control.post([this, Result] {
+      if (!Result.Found) {
+        Reading_ = false;
+        return;
+      }
+      std::string Name = snapshotName(headFrom(*Result.Found).Snapshot);
+      Context_.Objects.get(Name, [this](platform::ObjectResult Object) {
+        Context_.Control.post([this, Object = std::move(Object)] {
+          Reading_ = false;
+          if (!Object.Content)
+            return;
+          core::Configuration C = codec::parseConfiguration(*Object.Content);
+          if (C.Version <= current()->Version)
+            return;
+          Recent_.clear();
+          replace(std::move(C));
+          if (current()->Version < Head_)
+            readLog();
+        });
+      });
+    });
+  });
+}
+
+void ConfigStore::onChanges(const std::vector<std::string> &Changes) {
+  try {
+    for (const std::string &Text : Changes) {
+      core::ConfigChange Change = codec::parseConfigChange(Text);
+      if (Change.Version.Value == current()->Version.Value + 1)
+        applyNext(Change, Text);
+    }
+  } catch (const std::runtime_error &E) {
+    // Without the change this entry isn't current; it must not skip it.
+    LOG(ERROR) << "config: a change can't be applied: " << E.what();
+  }
+}
+
+std::vector<std::string>
+ConfigStore::changesAfter(core::ConfigVersion Version) const {
+  std::vector<std::string> Changes;
+  for (const LogEntry &E : Recent_)
+    if (E.Version > Version)
+      Changes.push_back(E.Text);
+  return Changes;
+}
+
+void ConfigStore::applyNext(const core::ConfigChange &Change,
+                            std::string Text) {
+  core::Configuration Next = core::apply(*current(), Change);
+  Recent_.push_back({Change.Version, std::move(Text)});
+  if (Recent_.size() > MaxRecent)
+    Recent_.pop_front();
+  replace(std::move(Next));
 }
 
 void ConfigStore::replace(core::Configuration Next) {
-  LOG(INFO) << "config: version " << Next.Version.Value << " in force";
+  core::ConfigVersion Version = Next.Version;
+  LOG(INFO) << "config: version " << Version.Value << " in use";
   auto Shared = std::make_shared<const core::Configuration>(std::move(Next));
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
     Current_ = std::move(Shared);
   }
+  Head_ = std::max(Head_, Version);
+  // The parts that decide act on it before it counts as taken in.
   OnChange_();
+  Members_.applied(Version);
 }
 
 void ConfigStore::propose(ConfigProposal Proposal,
                           std::function<void(ProposalResult)> Done) {
+  auto P = std::make_shared<Proposed>();
+  P->Asked = std::move(Proposal);
+  P->Done = std::move(Done);
+  P->Since = net::now();
+  readHead(std::move(P));
+}
+
+void ConfigStore::readHead(std::shared_ptr<Proposed> P) {
+  Context_.Tables.read(headKey(), [this, P](const platform::ReadResult &Read) {
+    Context_.Control.post([this, P, Read] {
+      if (Read.Outcome != platform::ReadOutcome::Ok)
+        return P->answer(ProposalOutcome::Unavailable, current()->Version,
+                         "the store is away; nothing was written");
+      P->Head = Read.Found ? headFrom(*Read.Found) : LogHead{};
+      onHead(P->Head.Version);
+      prepare(P);
+    });
+  });
+}
+
+void ConfigStore::prepare(const std::shared_ptr<Proposed> &P) {
   std::shared_ptr<const core::Configuration> Now = current();
-  if (Proposal.Expected && *Proposal.Expected != Now->Version)
-    return Done({ProposalOutcome::Conflict, Now->Version,
-                 "the configuration is at another version"});
-  core::ConfigChange Change;
-  Change.Version.Value = Now->Version.Value + 1;
-  Change.Id =
+  if (P->Change.Version.Value != 0 &&
+      P->Head.Version.Value > P->Change.Version.Value)
+    return P->answer(ProposalOutcome::Unknown, P->Change.Version,
+                     "the log was trimmed before the change was read back");
+  if (Now->Version != P->Head.Version)
+    return P->answer(ProposalOutcome::Conflict, P->Head.Version,
+                     "another change came first");
+  if (P->Asked.Expected && *P->Asked.Expected != Now->Version)
+    return P->answer(ProposalOutcome::Conflict, Now->Version,
+                     "the configuration is at another version");
+  P->Change.Version.Value = Now->Version.Value + 1;
+  P->Change.Id =
       core::nameOf(Context_.Self) + "-" + std::to_string(Context_.Random());
-  Change.By = Proposal.By;
-  Change.AtUnixMs = unixMs();
-  Change.Edits = std::move(Proposal.Edits);
+  P->Change.By = P->Asked.By;
+  P->Change.AtUnixMs = unixMs();
+  P->Change.Edits = P->Asked.Edits;
   try {
-    core::apply(*Now, Change);
+    core::apply(*Now, P->Change);
   } catch (const core::ConfigError &E) {
-    return Done({ProposalOutcome::Invalid, Now->Version, E.what()});
+    return P->answer(ProposalOutcome::Invalid, Now->Version, E.what());
   }
-  platform::RowKey Key{LogTable, logKey(Change.Version)};
+  commit(P);
+}
+
+void ConfigStore::commit(const std::shared_ptr<Proposed> &P) {
+  LogHead Next = P->Head;
+  Next.Version = P->Change.Version;
+  platform::RowKey Key{LogTable, logKey(P->Change.Version)};
   platform::Transaction T{
-      Change.Id, {{Key, 0}}, {{Key, codec::toJson(Change)}}};
+      P->Change.Id,
+      {{headKey(), P->Head.RowVersion}, {Key, 0}},
+      {{headKey(), valueOf(Next)}, {Key, codec::toJson(P->Change)}}};
   Context_.Tables.commit(
-      std::move(T), [this, Version = Change.Version,
-                     Done = std::move(Done)](platform::CommitResult Result) {
-        Context_.Control.post([this, Version, Done, Result] {
-          poll();
-          Done(resultOf(Result.Outcome, Version));
-        });
+      std::move(T), [this, P](const platform::CommitResult &Result) {
+        Context_.Control.post(
+            [this, P, Outcome = Result.Outcome] { onCommitted(P, Outcome); });
       });
 }
 
+void ConfigStore::onCommitted(const std::shared_ptr<Proposed> &P,
+                              platform::CommitOutcome Outcome) {
+  switch (Outcome) {
+  case platform::CommitOutcome::Committed:
+    return finish(P);
+  case platform::CommitOutcome::Conflict:
+    // The head has moved on, so that no sending can be applied from now on.
+    P->Unsettled = false;
+    return readBack(P);
+  case platform::CommitOutcome::NotApplied:
+    if (!P->Unsettled)
+      return P->answer(ProposalOutcome::Unavailable, current()->Version,
+                       "the store is away; nothing was written");
+    return readBack(P);
+  case platform::CommitOutcome::Unknown:
+    P->Unsettled = true;
+    return readBack(P);
+  }
+}
+
+/// Looks for the change by its id: an earlier sending may have been applied.
+void ConfigStore::readBack(const std::shared_ptr<Proposed> &P) {
+  platform::RowKey Key{LogTable, logKey(P->Change.Version)};
+  Context_.Tables.read(Key, [this, P](const platform::ReadResult &Result) {
+    Context_.Control.post([this, P, Result] { onReadBack(P, Result); });
+  });
+}
+
+void ConfigStore::onReadBack(const std::shared_ptr<Proposed> &P,
+                             const platform::ReadResult &Result) {
+  bool Ok = Result.Outcome == platform::ReadOutcome::Ok;
+  if (Ok && Result.Found) {
+    if (codec::parseConfigChange(Result.Found->Value).Id == P->Change.Id)
+      return finish(P);
+    onHead(P->Change.Version);
+    return P->answer(ProposalOutcome::Conflict, P->Change.Version,
+                     "another change came first");
+  }
+  if (net::now() - P->Since > ReadBackLimit)
+    P->answer(ProposalOutcome::Unknown, P->Change.Version,
+              "the store's answer was lost and can't be read back yet");
+  if (Ok && !P->Unsettled)
+    return startAgain(P);
+  // Until the outcome is definite, the same change with the same conditions is
+  // sent again, so that it can't be applied later unnoticed.
+  Context_.Control.after(ReadBackEvery, [this, P, Ok] {
+    if (Ok)
+      commit(P);
+    else
+      readBack(P);
+  });
+}
+
+/// The head's row was written by something else than a change.
+void ConfigStore::startAgain(const std::shared_ptr<Proposed> &P) {
+  if (--P->TriesLeft > 0 && P->Done)
+    return readHead(P);
+  P->answer(ProposalOutcome::Conflict, current()->Version,
+            "another change came first");
+}
+
+void ConfigStore::finish(const std::shared_ptr<Proposed> &P) {
+  onChanges({codec::toJson(P->Change)});
+  onHead(P->Change.Version);
+  Members_.pushChanges();
+  awaitInForce(P);
+  if (P->Change.Version.Value % SnapshotEvery == 0)
+    snapshot();
+}
+
+void ConfigStore::awaitInForce(const std::shared_ptr<Proposed> &P) {
+  ProposalResult Progress = progressOf(P->Change.Version);
+  bool TimeUp = net::now() - P->Since > InForceLimit;
+  if (Progress.Outcome == ProposalOutcome::InForce || TimeUp)
+    return P->answer(Progress.Outcome, Progress.Version, Progress.Message);
+  Context_.Control.after(InForcePoll, [this, P] { awaitInForce(P); });
+}
+
+ProposalResult ConfigStore::progressOf(core::ConfigVersion Version) const {
+  if (Version > current()->Version)
+    return {ProposalOutcome::Invalid, current()->Version,
+            "there is no such version yet"};
+  core::InForceCount Count = Members_.countInForce(Version);
+  if (Count.everywhere())
+    return {ProposalOutcome::InForce, Version, "in force everywhere"};
+  return {ProposalOutcome::Pending, Version,
+          "in force on " + std::to_string(Count.InForce) + " of " +
+              std::to_string(Count.Entries)};
+}
+
+/// Puts the present version into the object store, then names it in the head.
+void ConfigStore::snapshot() {
+  std::shared_ptr<const core::Configuration> Now = current();
+  core::ConfigVersion Version = Now->Version;
+  Context_.Objects.put(
+      snapshotName(Version), codec::toJson(*Now), [this, Version](bool Ok) {
+        if (!Ok)
+          return;
+        Context_.Tables.read(headKey(),
+                             [this, Version](const platform::ReadResult &Read) {
+                               Context_.Control.post([this, Version, Read] {
+                                 if (Read.Found)
+                                   trim(headFrom(*Read.Found), Version);
+                               });
+                             });
+      });
+}
+
+void ConfigStore::trim(LogHead Head, core::ConfigVersion Snapshot) {
+  if (Head.Snapshot >= Snapshot)
+    return;
+  std::uint64_t Kept = std::min(Snapshot.Value, KeptChanges);
+  std::uint64_t First = Head.Snapshot.Value;
+  First -= std::min(First, KeptChanges);
+  platform::Transaction T{
+      "snapshot-" + logKey(Snapshot), {{headKey(), Head.RowVersion}}, {}};
+  for (std::uint64_t V = First + 1; V + Kept <= Snapshot.Value; ++V)
+    T.Writes.push_back({{LogTable, logKey({V})}, std::nullopt});
+  Head.Snapshot = Snapshot;
+  T.Writes.push_back({headKey(), valueOf(Head)});
+  LOG(INFO) << "config: snapshot of version " << Snapshot.Value;
+  Context_.Tables.commit(std::move(T), [](const platform::CommitResult &) {});
+}
+
 } // namespace comfreydeck::entry
--- a/src/entry/ConfigStore.h
+++ b/src/entry/ConfigStore.h
@@ -2,8 +2,9 @@
 #define COMFREYDECK_ENTRY_CONFIGSTORE_H
 
 #include "core/ConfigChange.h"
-#include "entry/Context.h"
+#include "entry/Membership.h"
 
+#include <deque>
 #include <mutex>
 
 namespace comfreydeck::entry {
@@ -38,33 +39,76 @@
   std::string Message;
 };
 
+/// One change of the log as JSON.
+struct LogEntry {
+  core::ConfigVersion Version;
+  std::string Text;
+};
+
 /// The configuration's log in the table service, and this entry's copy of it.
+///
+/// The log has one row for each change; the head's row names the latest version
+/// and the latest snapshot in the object store. A commit has the head's row as
+/// its condition.
 class ConfigStore {
 public:
-  explicit ConfigStore(const Context &C);
+  /// \p Members must outlive the store.
+  ConfigStore(const Context &C, Membership &Members);
 
   /// Follows the log from now on. \p OnChange is called on the control thread
-  /// after each new version. Call once, on that thread.
+  /// after each new version. Call once, on that thread, before the membership's
+  /// start.
   void start(std::function<void()> OnChange);
 
   /// This entry's copy. Never null. Thread-safe.
   std::shared_ptr<const core::Configuration> current() const;
 
-  /// Commits a change; \p Done comes on the control thread. On the control
-  /// thread.
+  /// Commits a change; \p Done comes on the control thread when the change is
+  /// in force everywhere, or is not after some seconds. On the control thread.
   void propose(ConfigProposal Proposal,
                std::function<void(ProposalResult)> Done);
 
+  /// How far a version has come by now; Pending or InForce, or Invalid where
+  /// there is no such version yet. On the control thread.
+  ProposalResult progressOf(core::ConfigVersion Version) const;
+
 private:
-  void poll();
-  void onScan(platform::ScanResult Result);
+  struct Proposed;
+
+  void onHead(core::ConfigVersion Head);
+  void readLog();
+  void onLog(const platform::ScanResult &Result);
+  void onRows(const std::vector<platform::Row> &Rows);
+  void readSnapshot();
+  void onChanges(const std::vector<std::string> &Changes);
+  std::vector<std::string> changesAfter(core::ConfigVersion Version) const;
+  void applyNext(const core::ConfigChange &Change, std::string Text);
   void replace(core::Configuration Next);
 
+  void readHead(std::shared_ptr<Proposed> P);
+  void prepare(const std::shared_ptr<Proposed> &P);
+  void commit(const std::shared_ptr<Proposed> &P);
+  void onCommitted(const std::shared_ptr<Proposed> &P,
+                   platform::CommitOutcome Outcome);
+  void readBack(const std::shared_ptr<Proposed> &P);
+  void onReadBack(const std::shared_ptr<Proposed> &P,
+                  const platform::ReadResult &Result);
+  void startAgain(const std::shared_ptr<Proposed> &P);
+  void finish(const std::shared_ptr<Proposed> &P);
+  void awaitInForce(const std::shared_ptr<Proposed> &P);
+
+  void snapshot();
+  void trim(LogHead Head, core::ConfigVersion Snapshot);
+
   Context Context_;
+  Membership &Members_;
   std::function<void()> OnChange_;
   mutable std::mutex Mutex_;
   std::shared_ptr<const core::Configuration> Current_;
-  bool Polling_ = false;
+  core::ConfigVersion Head_;
+  /// The latest changes as JSON, oldest first, for the other entries.
+  std::deque<LogEntry> Recent_;
+  bool Reading_ = false;
 };
 
 } // namespace comfreydeck::entry
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -119,7 +119,7 @@
           {Settings.Platform.InstanceList, Settings.Platform.CallLimit})),
       Shared{Settings,   Self,         Control, *Tables,  *Objects,
              *Instances, WorkerClient, Peers,   Counters, Random},
-      Members(Shared), Config(Shared), Workers(Shared),
+      Members(Shared), Config(Shared, Members), Workers(Shared),
       Pools(Shared, Members, Config, Workers),
       Tasks(Shared, Members, Config, Pools),
       Operators(Shared, Members, Config, Workers, Pools),
@@ -149,25 +149,31 @@
 }
 
 void Entry::Impl::startControl() {
-  Members.start([this] { Pools.refresh(); });
   Config.start([this] { Pools.refresh(); });
+  Members.start([this] { Pools.refresh(); });
   Workers.start([this] { Pools.refresh(); });
   Pools.start();
 }
 
-void Entry::Impl::greet(const wire::GreetRequest & /*Request*/,
+void Entry::Impl::greet(const wire::GreetRequest &Request,
                         PeerResponder<wire::GreetReply> Respond) {
-  Respond({});
+  Control.post([this, Request, Respond = std::move(Respond)] {
+    Respond(Members.exchange().serveGreet(Request));
+  });
 }
 
-void Entry::Impl::prove(const wire::ProveRequest & /*Request*/,
+void Entry::Impl::prove(const wire::ProveRequest &Request,
                         PeerResponder<wire::ProveReply> Respond) {
-  Respond({});
+  Control.post([this, Request, Respond = std::move(Respond)] {
+    Respond(Members.exchange().serveProve(Request));
+  });
 }
 
-void Entry::Impl::notify(const wire::NotifyRequest & /*Request*/,
+void Entry::Impl::notify(const wire::NotifyRequest &Request,
                          PeerResponder<wire::NotifyReply> Respond) {
-  Respond({});
+  Control.post([this, Request, Respond = std::move(Respond)] {
+    Respond(Members.exchange().serveNotify(Request));
+  });
 }
 
 void Entry::Impl::acquire(const wire::AcquireRequest &Request,
@@ -194,8 +200,10 @@
   Respond({});
 }
 
-Entry::Entry(settings::Settings Settings)
-    : Impl_(std::make_unique<Impl>(std::move(Settings))) {}
+Entry::Entry(settings::Settings Settings, std::function<void()> OnFenced)
+    : Impl_(std::make_unique<Impl>(std::move(Settings))) {
+  Impl_->Members.setOnFenced(std::move(OnFenced));
+}
 
 Entry::~Entry() {
   Impl_->HttpListener.stop();
--- a/src/entry/Entry.h
+++ b/src/entry/Entry.h
@@ -3,6 +3,7 @@
 
 #include "settings/Settings.h"
 
+#include <functional>
 #include <memory>
 
 namespace comfreydeck::entry {
@@ -10,7 +11,10 @@
 /// One whole entry process.
 class Entry {
 public:
-  explicit Entry(settings::Settings Settings);
+  /// \p OnFenced is called once, on the control thread, when the other entries
+  /// have taken this one's leave to serve for good. It must not block.
+  explicit Entry(settings::Settings Settings,
+                 std::function<void()> OnFenced = {});
   /// Stops at once where it still runs.
   ~Entry();
 
--- a/src/entry/OperatorService.cpp
+++ b/src/entry/OperatorService.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <charconv>
 
 namespace comfreydeck::entry {
 
@@ -43,6 +44,12 @@
   return Proposal;
 }
 
+core::ConfigVersion versionFrom(std::string_view Text) {
+  core::ConfigVersion Version;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Version.Value);
+  return Version;
+}
+
 net::HttpResponse responseOf(const ProposalResult &Result) {
   auto Index = static_cast<std::size_t>(Result.Outcome);
   json J = {{"outcome", OutcomeNames.at(Index)},
@@ -110,6 +117,8 @@
     return Respond(net::jsonResponse(200, codec::toJson(*Config_.current())));
   if (Subject == "config" && Parts.size() == 4 && Parts[3] == "changes")
     return postChange(Who, Request, Respond);
+  if (Subject == "config" && Parts.size() == 5 && Parts[3] == "changes")
+    return Respond(responseOf(Config_.progressOf(versionFrom(Parts[4]))));
   if (Subject == "instances" && Parts.size() == 4 && Request.Method == "PUT")
     return putInstance(std::string(Parts[3]), Request, Respond);
   if (Subject == "status" && IsGet)
--- /dev/null
+++ b/src/entry/Sessions.h
@@ -0,0 +1,63 @@
+#ifndef COMFREYDECK_ENTRY_SESSIONS_H
+#define COMFREYDECK_ENTRY_SESSIONS_H
+
+#include "core/ServingLease.h"
+#include "platform/TableService.h"
+
+#include <map>
+
+/// The table that each renewal of the lease reads: session rows and the head of
+/// the configuration's log.
+namespace comfreydeck::entry {
+
+/// A registered entry, this one included.
+struct Member {
+  core::Incarnation Id;
+  std::string Name;
+  std::string DataCentre;
+  /// IP:PORT for gRPC.
+  std::string PeerAddress;
+  /// IP:PORT for callers and operators.
+  std::string HttpAddress;
+};
+
+/// One session as its row keeps it.
+struct Session {
+  Member Entry;
+  core::NoticeNumber Notice;
+  bool Fenced = false;
+  /// Version of the row.
+  std::uint64_t RowVersion = 0;
+};
+
+/// The head of the log as its row keeps it.
+struct LogHead {
+  core::ConfigVersion Version;
+  /// The latest snapshot in the object store; zero where there is none.
+  core::ConfigVersion Snapshot;
+  /// Version of the row; zero where there is none.
+  std::uint64_t RowVersion = 0;
+};
+
+struct SessionRows {
+  LogHead Head;
+  std::map<core::Incarnation, Session> Sessions;
+};
+
+/// Most rows that the table may have.
+constexpr std::uint32_t MaxSessionRows = 1000;
+
+const char *sessionTable();
+platform::RowKey sessionKey(core::Incarnation Id);
+platform::RowKey headKey();
+
+/// Each throws std::runtime_error or a JSON error where a row has another
+/// shape. Thread-safe.
+SessionRows sessionsFrom(std::span<const platform::Row> Rows);
+LogHead headFrom(const platform::Row &Row);
+std::string valueOf(const Session &S);
+std::string valueOf(const LogHead &Head);
+
+} // namespace comfreydeck::entry
+
+#endif // COMFREYDECK_ENTRY_SESSIONS_H
