--- a/src/entry/ConfigRoutes.cpp
+++ b/src/entry/ConfigRoutes.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <charconv>
 
 namespace comfreydeck::entry {
 
@@ -129,6 +130,20 @@
                  });
 }
 
+void getProgress(ConfigStore &Config, const OperatorCall &Call,
+                 const net::HttpResponder &Respond) {
+  const std::string &Text = Call.Open.front();
+  core::ConfigVersion Version;
+  const char *End = Text.data() + Text.size();
+  auto [Rest, Error] = std::from_chars(Text.data(), End, Version.Value);
+  if (Error != std::errc() || Rest != End)
+    return Respond(operatorError(400, "a version is a whole number"));
+  ProposalResult Result = Config.progressOf(Version);
+  if (Result.Outcome == ProposalOutcome::Invalid)
+    return Respond(operatorError(404, Result.Message));
+  Respond(responseOf(Result, bodyOf(Result)));
+}
+
 void getHistory(ConfigStore &Config, const OperatorCall &Call,
                 const net::HttpResponder &Respond) {
   constexpr std::uint64_t Any = std::numeric_limits<std::int64_t>::max();
@@ -177,6 +192,10 @@
                            const net::HttpResponder &Respond) {
          postChange(Config, Workers, Call, Respond);
        }},
+      {"GET", "config/changes/*", core::Role::Read,
+       [&Config](const OperatorCall &Call, const net::HttpResponder &Respond) {
+         getProgress(Config, Call, Respond);
+       }},
       {"GET", "history", core::Role::Read,
        [&Config](const OperatorCall &Call, const net::HttpResponder &Respond) {
          getHistory(Config, Call, Respond);
