--- a/src/entry/Fleet.cpp
+++ b/src/entry/Fleet.cpp
@@ -144,6 +144,11 @@
     if (I.Row.State == core::InstanceState::Warming)
       Worker.Slots = core::warmSlots(I.Row.Slots, NowMs - I.Row.SinceUnixMs,
                                      Times.WarmUpMs);
+    auto Back = CameBackMs_.find(I.Row.DataCentre);
+    if (Back != CameBackMs_.end())
+      Worker.Slots = std::min(
+          Worker.Slots,
+          core::warmSlots(I.Row.Slots, NowMs - Back->second, Times.WarmUpMs));
     Worker.Total = I.Row.Total;
     Worker.Open = isFresh(Pool) && I.Seen.Heard && I.isUsable() &&
                   core::takesWork(I.Row.State) && !Held_.contains(I.Row.Id);
@@ -206,6 +211,13 @@
     pollNow();
 }
 
+void Fleet::noteDataCentres(const core::Configuration &C) {
+  // The last moment at which it was out counts as its return.
+  for (const core::DataCentre &D : C.DataCentres)
+    if (D.Out)
+      CameBackMs_[D.Name] = wallClockMs();
+}
+
 bool Fleet::isFresh(core::PoolId Pool) const {
   auto It = Taken_.find(Pool);
   return It != Taken_.end() && Rows_.finished() >= It->second.Reading;
--- a/src/entry/Fleet.h
+++ b/src/entry/Fleet.h
@@ -41,6 +41,10 @@
   /// Asks every worker of these pools, which this entry owns, how it is.
   void probe(std::span<const core::PoolId> Pools);
 
+  /// Takes note of data centres that come back, so that their workers are
+  /// given work gradually.
+  void noteDataCentres(const core::Configuration &C);
+
   /// Whether the rows were read after this entry took the pool.
   bool isFresh(core::PoolId Pool) const;
 
@@ -108,6 +112,8 @@
   std::map<core::PoolId, Taking> Taken_;
   /// The reading that ends the hold; zero where nothing ends it yet.
   std::map<core::WorkerId, ReadingNumber> Held_;
+  /// When each data centre was last known to be out.
+  std::map<std::string, std::int64_t> CameBackMs_;
   bool Listing_ = false;
 };
 
--- a/src/entry/Maintenance.cpp
+++ b/src/entry/Maintenance.cpp
@@ -102,6 +102,7 @@
 void Maintenance::step() {
   readWaves();
   std::shared_ptr<const core::Configuration> C = Config_.current();
+  Workers_.noteDataCentres(*C);
   for (const core::Pool &P : C->Pools)
     if (isReady(P.Id))
       stepPool(P);
--- /dev/null
+++ b/tools/fleet.cpp
@@ -0,0 +1,356 @@
+#include "core/Forecast.h"
+#include "core/LineFit.h"
+#include "core/Maintenance.h"
+#include "core/Warmup.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <ctime>
+#include <iostream>
+
+// The policy of maintenance on a virtual clock: roll-out of waves, moves and
+// buffers, work while a data centre leaves and returns, and processor time.
+
+using namespace comfreydeck;
+using namespace comfreydeck::core;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::uint32_t SlotsEach = 8;
+constexpr std::uint32_t RackSize = 4;
+constexpr std::int64_t TickMs = 1000;
+
+struct Site {
+  const char *Name;
+  std::uint32_t DataCentres;
+  std::uint32_t Pools;
+  std::uint32_t PoolSize;
+  std::uint32_t AbsentLimit;
+  std::uint32_t AbsentPerDomain;
+};
+
+/// One pool of a site, with its racks spread over the data centres.
+PoolSnapshot poolOf(const Site &S, std::uint32_t Number) {
+  PoolSnapshot Snapshot;
+  Snapshot.Limits.Id.Value = Number;
+  Snapshot.Limits.Name = "pool" + std::to_string(Number);
+  Snapshot.Limits.AbsentLimit = S.AbsentLimit;
+  Snapshot.Limits.AbsentLimitPerDomain = S.AbsentPerDomain;
+  Snapshot.NowUnixMs = TickMs;
+  for (std::uint32_t N = 0; N < S.PoolSize; ++N) {
+    PoolInstance I;
+    I.Row.Id.Value = Number * S.PoolSize + N;
+    I.Row.Name = "w" + std::to_string(I.Row.Id.Value);
+    I.Row.Pool = Snapshot.Limits.Id;
+    std::uint32_t Zone = N % S.DataCentres;
+    std::uint32_t Rack = N / S.DataCentres / RackSize;
+    I.Row.DataCentre = "dc" + std::to_string(Zone);
+    I.Row.Rack = I.Row.DataCentre + "-" + std::to_string(Rack);
+    I.Row.MaintainedUnixMs = Snapshot.NowUnixMs;
+    I.Seen = {true, 0, "b0"};
+    Snapshot.Instances.push_back(std::move(I));
+  }
+  return Snapshot;
+}
+
+struct RollOut {
+  std::int64_t TookMs = 0;
+  /// The least time that the budgets allow for these very instances.
+  double LeastMs = 0;
+  /// All instances, one after another.
+  double SerialMs = 0;
+};
+
+/// When the instance ends its tasks and its reboot.
+struct Trip {
+  std::int64_t TasksEndMs = 0;
+  std::int64_t BackMs = 0;
+};
+
+void writeBack(PoolSnapshot &S, const PoolPlan &Plan) {
+  S.Ledger = Plan.Ledger;
+  for (const InstanceChange &C : Plan.Changes)
+    for (PoolInstance &I : S.Instances)
+      if (I.Row.Id == C.After.Id)
+        I.Row = C.After;
+}
+
+RollOut rollOut(const Site &Where, std::uint32_t Number, Rng &Random) {
+  PoolSnapshot S = poolOf(Where, Number);
+  Wave W;
+  W.Id.Value = 1;
+  W.StartedUnixMs = S.NowUnixMs;
+  S.Waves.push_back(W);
+  std::exponential_distribution<double> Tasks(1.0 / 20000);
+  std::uniform_int_distribution<std::int64_t> Reboot(120000, 240000);
+  std::map<WorkerId, Trip> Trips;
+  std::map<std::string, double> InDomain;
+  RollOut R;
+  for (const PoolInstance &I : S.Instances) {
+    Trip &T = Trips[I.Row.Id];
+    T.TasksEndMs = static_cast<std::int64_t>(Tasks(Random));
+    T.BackMs = Reboot(Random);
+    double All =
+        static_cast<double>(T.TasksEndMs + T.BackMs + S.Times.WarmUpMs);
+    R.SerialMs += All;
+    InDomain[I.Row.DataCentre] += All;
+    InDomain[I.Row.Rack] += All;
+  }
+  R.LeastMs = R.SerialMs / Where.AbsentLimit;
+  for (const auto &[Name, Sum] : InDomain)
+    R.LeastMs = std::max(R.LeastMs, Sum / Where.AbsentPerDomain);
+  while (true) {
+    for (PoolInstance &I : S.Instances) {
+      std::int64_t InState = S.NowUnixMs - I.Row.SinceUnixMs;
+      const Trip &T = Trips[I.Row.Id];
+      bool Drains = I.Row.State == InstanceState::Draining;
+      I.Seen.Running = Drains && InState < T.TasksEndMs ? 1 : 0;
+      if (I.Row.State == InstanceState::Rebooting && InState >= T.BackMs)
+        I.Seen.BootId = "b1";
+    }
+    PoolPlan Plan = planPool(S);
+    if (Plan.Waves.front().Hold == WaveHold::Complete)
+      break;
+    writeBack(S, Plan);
+    S.NowUnixMs += TickMs;
+  }
+  R.TookMs = S.NowUnixMs - W.StartedUnixMs;
+  return R;
+}
+
+json measureWave(const Site &S, std::uint64_t Seed) {
+  Rng Random(Seed);
+  double Longest = 0;
+  double Least = 0;
+  double Serial = 0;
+  for (std::uint32_t P = 0; P < S.Pools; ++P) {
+    RollOut R = rollOut(S, P, Random);
+    Longest = std::max(Longest, static_cast<double>(R.TookMs));
+    Least = std::max(Least, R.LeastMs);
+    Serial += R.SerialMs;
+  }
+  return {{"site", S.Name},
+          {"instances", S.Pools * S.PoolSize},
+          {"minutes", Longest / 60000},
+          {"against_least", Longest / Least},
+          {"against_one_at_a_time", Longest / Serial}};
+}
+
+/// Each queue in its turn asks for five times its mean, and for a twentieth in
+/// between; the mean drifts over hours.
+json measureMoves(const Site &S, std::uint64_t Seed, bool Smoothed) {
+  constexpr std::uint32_t BurstSeconds = 6;
+  constexpr std::uint32_t Hours = 48;
+  constexpr double MeanShare = 0.5;
+  Rng Random(Seed);
+  std::vector<DemandForecast> Forecasts(S.Pools);
+  std::vector<PoolNeed> Needs(S.Pools);
+  double Mean = MeanShare * S.PoolSize * SlotsEach;
+  std::vector<double> Means(S.Pools, Mean);
+  std::uint32_t Spare = S.PoolSize;
+  std::uint64_t Moves = 0;
+  double Idle = 0;
+  double Short = 0;
+  double FixedShort = 0;
+  const double FixedSize = std::floor(1.2 * Mean / SlotsEach);
+  std::uint64_t Samples = 0;
+  std::uniform_real_distribution<double> Drift(0.95, 1.05);
+  for (std::uint32_t P = 0; P < S.Pools; ++P) {
+    Needs[P].Pool.Value = P;
+    Needs[P].Size = S.PoolSize - 2;
+    Needs[P].AbsentLimit = S.AbsentLimit;
+  }
+  TimePoint Now{};
+  for (std::uint32_t T = 0; T < Hours * 3600;
+       ++T, Now += std::chrono::seconds(1)) {
+    for (std::uint32_t P = 0; P < S.Pools; ++P) {
+      if (T % 600 == 0)
+        Means[P] = std::clamp(Means[P] * Drift(Random), Mean * 0.6, Mean * 1.4);
+      bool Burst = T / BurstSeconds % S.Pools == P;
+      double Slots = Means[P] * (Burst ? 5.0 : 0.05);
+      observe(Forecasts[P], Slots, Now);
+      Needs[P].DemandSlots = Smoothed ? Forecasts[P].Slots : Slots;
+      std::uint32_t Wanted = neededSize(Needs[P]);
+      if (Needs[P].Size >= Wanted)
+        Needs[P].ShortSince = Now;
+      if (Needs[P].Size < Wanted + ReleaseMargin)
+        Needs[P].LongSince = Now;
+    }
+    if (T % 60 != 0)
+      continue;
+    // Without smoothing every excess of the moment moves an instance.
+    std::vector<PoolNeed> Asked = Needs;
+    if (!Smoothed)
+      for (PoolNeed &Need : Asked)
+        Need.ShortSince = Need.LongSince = Now - MoveHold;
+    for (const PoolMove &M : planMoves(Asked, PoolId{S.Pools}, Spare, Now)) {
+      bool IsOut = M.To.Value == S.Pools;
+      Needs[IsOut ? M.From.Value : M.To.Value].Size += IsOut ? -1 : 1;
+      Spare += IsOut ? 1 : -1;
+      ++Moves;
+    }
+    double Total = 0;
+    for (std::uint32_t P = 0; P < S.Pools; ++P) {
+      double Used = Forecasts[P].Slots / SlotsEach;
+      Total += Used;
+      // Short: not enough for the smoothed demand with the allowed absence.
+      double Wanted = std::ceil(Used) + S.AbsentLimit;
+      Short += Needs[P].Size < Wanted ? 1.0 / S.Pools : 0;
+      FixedShort += FixedSize < Wanted ? 1.0 / S.Pools : 0;
+    }
+    // Held for absence and in the spare pool, as the policy sizes it.
+    double Held = spareSize(Needs, RackSize);
+    for (std::uint32_t P = 0; P < S.Pools; ++P)
+      Held += Needs[P].Size - Forecasts[P].Slots / SlotsEach;
+    Idle += Held / Total;
+    ++Samples;
+  }
+  return {{"site", S.Name},
+          {"smoothed", Smoothed},
+          {"moves_an_hour", static_cast<double>(Moves) / Hours},
+          {"idle_against_need", Idle / static_cast<double>(Samples)},
+          {"time_short", Short / static_cast<double>(Samples)},
+          {"time_short_with_fixed_fifth",
+           FixedShort / static_cast<double>(Samples)}};
+}
+
+/// How a data centre leaves.
+struct Leaving {
+  const char *Name;
+  bool Sudden;
+  /// Pools of owners there give nothing for this long.
+  double StallSeconds;
+};
+
+json measureDataCentre(const Site &S, const Leaving &How, std::uint64_t Seed) {
+  constexpr double OutAt = 120;
+  constexpr double InAt = 420;
+  constexpr double EndAt = 600;
+  constexpr double Tick = 0.1;
+  constexpr std::int64_t WarmUpMs = DrainTimes().WarmUpMs;
+  Rng Random(Seed);
+  std::exponential_distribution<double> Length(1.0 / 5);
+  struct Slot {
+    double Until = -1;
+    double Started = 0;
+  };
+  std::uint32_t All = S.Pools * S.PoolSize * SlotsEach;
+  std::vector<Slot> Slots(All);
+  double Done = 0;
+  double Most = 0;
+  std::uint64_t Cut = 0;
+  for (double T = 0; T < EndAt; T += Tick) {
+    bool IsOut = T >= OutAt && T < InAt;
+    auto Warm = static_cast<double>(warmSlots(
+        SlotsEach, static_cast<std::int64_t>((T - InAt) * 1000), WarmUpMs));
+    for (std::uint32_t N = 0; N < All; ++N) {
+      Slot &Here = Slots[N];
+      std::uint32_t Worker = N / SlotsEach;
+      bool There = Worker % S.DataCentres == 0;
+      bool Stalled = Worker / S.PoolSize % S.DataCentres == 0 && T >= OutAt &&
+                     T < OutAt + How.StallSeconds;
+      bool Dead = There && IsOut && How.Sudden;
+      Most += There && IsOut ? 0 : Tick;
+      bool Busy = Here.Until >= 0;
+      if (Busy && Dead) {
+        ++Cut;
+        Here.Until = -1;
+        continue;
+      }
+      if (Busy && Here.Until <= T) {
+        // Work that ends there after it left is not of the remaining capacity.
+        Done += There && IsOut ? 0 : Here.Until - Here.Started;
+        Here.Until = -1;
+      }
+      bool Cold = There && T >= InAt && N % SlotsEach >= Warm;
+      bool Closed = (There && IsOut) || Cold || Stalled;
+      if (Here.Until < 0 && !Closed)
+        Here = {T + Length(Random), T};
+    }
+  }
+  for (const Slot &Here : Slots)
+    Done += Here.Until >= 0 ? EndAt - Here.Started : 0;
+  return {{"site", S.Name},
+          {"leaving", How.Name},
+          {"work_against_most", Done / Most},
+          {"cut", Cut}};
+}
+
+double threadSeconds() {
+  timespec Time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
+  return static_cast<double>(Time.tv_sec) +
+         static_cast<double>(Time.tv_nsec) * 1e-9;
+}
+
+/// Processor time of a step over pools of 150 instances in a running wave.
+json measureSlope() {
+  std::vector<Point> Points;
+  json Sizes = json::array();
+  for (std::uint32_t Pools : {4U, 12U, 36U, 108U, 187U}) {
+    Site S{"slope", 3, Pools, 150, 8, 4};
+    std::vector<PoolSnapshot> Snapshots;
+    for (std::uint32_t P = 0; P < Pools; ++P) {
+      Snapshots.push_back(poolOf(S, P));
+      Wave W;
+      W.Id.Value = 1;
+      Snapshots.back().Waves.push_back(W);
+    }
+    constexpr int Rounds = 20;
+    std::size_t Changes = 0;
+    double Start = threadSeconds();
+    for (int N = 0; N < Rounds; ++N)
+      for (const PoolSnapshot &Snapshot : Snapshots)
+        Changes += planPool(Snapshot).Changes.size();
+    double Ms = (threadSeconds() - Start) * 1000 / Rounds;
+    Points.push_back({static_cast<double>(Pools) * 150, Ms});
+    Sizes.push_back({{"instances", Pools * 150},
+                     {"step_ms", Ms},
+                     {"changes", Changes / Rounds}});
+  }
+  return Sizes;
+}
+
+void print(const char *Title, const json &Rows) {
+  std::cout << Title << "\n";
+  for (const json &Row : Rows)
+    std::cout << "  " << Row.dump() << "\n";
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  CLI::App App("Measures the policy of maintenance on a virtual clock");
+  std::uint64_t Seed = 1;
+  bool AsJson = false;
+  App.add_option("--seed", Seed, "Of every random choice");
+  App.add_flag("--json", AsJson, "One JSON object instead of lines");
+  CLI11_PARSE(App, Argc, Argv);
+  const Site Sites[] = {{"three data centres", 3, 5, 10, 2, 1},
+                        {"four data centres", 4, 5, 10, 2, 1},
+                        {"target, 20 of its 187 pools", 3, 20, 150, 8, 4}};
+  const Leaving Ways[] = {{"planned, ownership handed over", false, 0.05},
+                          {"planned, no hand-over", false, 4},
+                          {"sudden loss", true, 4}};
+  json Result;
+  for (const Site &S : Sites)
+    Result["waves"].push_back(measureWave(S, Seed));
+  for (const Site &S : std::span(Sites).first(2)) {
+    for (bool Smoothed : {true, false})
+      Result["moves"].push_back(measureMoves(S, Seed, Smoothed));
+    for (const Leaving &How : Ways)
+      Result["data_centres"].push_back(measureDataCentre(S, How, Seed));
+  }
+  Result["slope"] = measureSlope();
+  if (AsJson) {
+    std::cout << Result.dump(2) << "\n";
+    return 0;
+  }
+  for (const auto &[Name, Rows] : Result.items())
+    print(Name.c_str(), Rows);
+  return 0;
+}
