Split an upper limit into allotments by pool

Cause: each pool took a team's whole upper limit for its own, so a team in two pools could have twice its limit running. Change: one row for each team gives each pool its part; only a part's owner lowers it, after it has stopped using what it gives; rows carry the configuration version of the limit that they were written under. Pure decisions and their rows; the entries use them next. Ruled out: checking only the sum against the limit.

--- a/src/codec/ConfigJson.cpp
+++ b/src/codec/ConfigJson.cpp
@@ -44,7 +44,8 @@
   return {{"id", T.Id.Value},
           {"name", T.Name},
           {"share", T.Share},
-          {"upper_limit", T.UpperLimit}};
+          {"upper_limit", T.UpperLimit},
+          {"limit_since", T.LimitSince.Value}};
 }
 
 json write(const Queue &Q) {
@@ -95,6 +96,7 @@
   T.Name = J.at("name").get<std::string>();
   T.Share = J.value("share", T.Share);
   T.UpperLimit = J.value("upper_limit", T.UpperLimit);
+  T.LimitSince.Value = J.value("limit_since", std::uint64_t{0});
 }
 
 void read(const json &J, Queue &Q) {
--- /dev/null
+++ b/src/codec/OwnershipJson.h
@@ -0,0 +1,33 @@
+#ifndef COMFREYDECK_CODEC_OWNERSHIPJSON_H
+#define COMFREYDECK_CODEC_OWNERSHIPJSON_H
+
+#include "core/Allotment.h"
+
+#include <string>
+#include <string_view>
+
+/// Rows of pool ownership and of allotments as JSON.
+namespace comfreydeck::codec {
+
+/// Who owns a pool, as its row says.
+struct OwnershipRow {
+  core::PoolId Pool;
+  core::Incarnation Owner;
+  core::Epoch Term;
+};
+
+/// Thread-safe.
+std::string toJson(const OwnershipRow &Row);
+
+/// Throws std::runtime_error where \p Text is no such row. Thread-safe.
+OwnershipRow parseOwnership(std::string_view Text);
+
+/// Thread-safe.
+std::string toJson(const core::AllotmentRow &Row);
+
+/// Throws std::runtime_error where \p Text is no such row. Thread-safe.
+core::AllotmentRow parseAllotment(std::string_view Text);
+
+} // namespace comfreydeck::codec
+
+#endif // COMFREYDECK_CODEC_OWNERSHIPJSON_H
--- /dev/null
+++ b/src/core/Allotment.cpp
@@ -0,0 +1,180 @@
+#include "core/Allotment.h"
+
+#include <algorithm>
+
+namespace comfreydeck::core {
+
+namespace {
+
+/// An owner that is behind with the configuration goes by the lower limit.
+std::uint32_t boundOf(const AllotmentRow &Row, TeamLimit Limit) {
+  if (Row.Under.Since > Limit.Since)
+    return std::min(Row.Under.Tasks, Limit.Tasks);
+  return Limit.Tasks;
+}
+
+/// Tasks that another pool wants and has not been given.
+std::uint32_t lackOf(const AllotmentRow &Row, PoolId Pool) {
+  auto It = Row.Wanted.find(Pool);
+  std::uint32_t Wanted = It == Row.Wanted.end() ? 0 : It->second;
+  std::uint32_t Given = givenTo(Row, Pool);
+  return Wanted > Given ? Wanted - Given : 0;
+}
+
+std::uint32_t lackOfOthers(const AllotmentRow &Row, PoolId Pool) {
+  std::uint32_t Lack = 0;
+  for (const auto &[Other, Wanted] : Row.Wanted)
+    Lack += Other == Pool ? 0 : lackOf(Row, Other);
+  return Lack;
+}
+
+std::uint32_t wantingPools(const AllotmentRow &Row, PoolId Pool) {
+  std::uint32_t Count = 1;
+  for (const auto &[Other, Wanted] : Row.Wanted)
+    Count += Other != Pool && lackOf(Row, Other) > 0 ? 1 : 0;
+  return Count;
+}
+
+std::uint32_t needOf(const PoolUse &Use) {
+  return std::max(Use.Running, std::min(Use.Running + Use.Waiting, Use.Slots));
+}
+
+/// What the pool keeps when others lack: its recent peak, or an equal part
+/// while it lacks as well.
+std::uint32_t keepOf(const AllotmentRow &Row, PoolId Pool, const PoolUse &Use,
+                     std::uint32_t Limit) {
+  std::uint32_t Equal = Limit / wantingPools(Row, Pool);
+  bool Lacks = needOf(Use) >= givenTo(Row, Pool);
+  std::uint32_t Keep = Lacks ? Equal : std::max(needOf(Use), Use.Peak);
+  return std::min(Keep, givenTo(Row, Pool));
+}
+
+void lowerCeiling(AllotmentView &View, std::uint32_t Bound) {
+  View.Ceiling = std::min(View.Ceiling.value_or(Bound), Bound);
+}
+
+/// Over the limit each pool goes down to its proportion, or to what runs.
+std::optional<AllotmentRow> rowBelowLimit(AllotmentView &View, PoolId Pool,
+                                          const PoolUse &Use,
+                                          std::uint32_t Limit) {
+  std::uint32_t Given = givenTo(View.Row, Pool);
+  auto Part = static_cast<std::uint32_t>(std::uint64_t{Given} * Limit /
+                                         givenSum(View.Row));
+  std::uint32_t Target = std::max(Use.Running, Part);
+  if (Target >= Given)
+    return std::nullopt;
+  AllotmentRow Next = View.Row;
+  Next.Given[Pool] = Target;
+  lowerCeiling(View, Target);
+  return Next;
+}
+
+/// Gives what this pool does not keep to the pools that lack.
+std::optional<AllotmentRow> rowWithGift(AllotmentView &View, PoolId Pool,
+                                        const PoolUse &Use,
+                                        std::uint32_t Limit) {
+  if (lackOfOthers(View.Row, Pool) == 0)
+    return std::nullopt;
+  std::uint32_t Given = givenTo(View.Row, Pool);
+  std::uint32_t Keep = keepOf(View.Row, Pool, Use, Limit);
+  std::uint32_t Gift = std::min(Given - Keep, lackOfOthers(View.Row, Pool));
+  if (Gift == 0)
+    return std::nullopt;
+  // Nothing new starts in what is to go, even while it still runs there.
+  lowerCeiling(View, Given - Gift);
+  if (Use.Running >= Given)
+    return std::nullopt;
+  Gift = std::min(Gift, Given - Use.Running);
+  AllotmentRow Next = View.Row;
+  Next.Given[Pool] -= Gift;
+  for (const auto &[Other, Wanted] : View.Row.Wanted) {
+    if (Other == Pool)
+      continue;
+    std::uint32_t Part = std::min(Gift, lackOf(View.Row, Other));
+    Next.Given[Other] += Part;
+    Gift -= Part;
+  }
+  return Next;
+}
+
+/// Takes of the free part, and tells the others what still lacks.
+std::optional<AllotmentRow> rowWithMore(const AllotmentView &View, PoolId Pool,
+                                        const PoolUse &Use,
+                                        std::uint32_t Limit) {
+  std::uint32_t Need = needOf(Use);
+  std::uint32_t Given = givenTo(View.Row, Pool);
+  auto Free = static_cast<std::uint32_t>(Limit - givenSum(View.Row));
+  AllotmentRow Next = View.Row;
+  if (Need > Given && Free > 0) {
+    // More than the present need, so that a growing burst asks few times.
+    std::uint32_t Equal = Limit / std::max(Use.PoolCount, 1U);
+    std::uint32_t Target = std::min(std::max(2 * Need, Equal), Use.Slots);
+    Target = std::max(Target, Need);
+    Given += std::min(Target - Given, Free);
+    Next.Given[Pool] = Given;
+  }
+  std::uint32_t Told = Next.Wanted.contains(Pool) ? Next.Wanted[Pool] : 0;
+  if (Need > Given && (Told < Need - Need / 4 || Told > 2 * Need))
+    Next.Wanted[Pool] = Need;
+  if (Need <= Given && Told > Given)
+    Next.Wanted.erase(Pool);
+  return Next == View.Row ? std::nullopt : std::optional(Next);
+}
+
+} // namespace
+
+std::uint64_t givenSum(const AllotmentRow &Row) {
+  std::uint64_t Sum = 0;
+  for (const auto &[Pool, Given] : Row.Given)
+    Sum += Given;
+  return Sum;
+}
+
+std::uint32_t givenTo(const AllotmentRow &Row, PoolId Pool) {
+  auto It = Row.Given.find(Pool);
+  return It == Row.Given.end() ? 0 : It->second;
+}
+
+std::uint32_t usableAllotment(const AllotmentView &View, PoolId Pool,
+                              TeamLimit Limit) {
+  if (!View.Known || View.Row.Under.Since < Limit.Since ||
+      givenSum(View.Row) > boundOf(View.Row, Limit))
+    return 0;
+  std::uint32_t Given = givenTo(View.Row, Pool);
+  return std::min(Given, View.Ceiling.value_or(Given));
+}
+
+std::optional<AllotmentRow> nextRow(AllotmentView &View, PoolId Pool,
+                                    const PoolUse &Use, TeamLimit Limit) {
+  if (View.Row.Under.Since < Limit.Since) {
+    AllotmentRow Next = View.Row;
+    Next.Under = Limit;
+    return Next;
+  }
+  std::uint32_t Bound = boundOf(View.Row, Limit);
+  if (givenSum(View.Row) > Bound)
+    return rowBelowLimit(View, Pool, Use, Bound);
+  if (std::optional<AllotmentRow> Gift = rowWithGift(View, Pool, Use, Bound))
+    return Gift;
+  return rowWithMore(View, Pool, Use, Bound);
+}
+
+void takeIn(AllotmentView &View, const AllotmentRow &Row,
+            std::uint64_t Version) {
+  if (View.Known && Version <= View.Version)
+    return;
+  View.Known = true;
+  View.Row = Row;
+  View.Version = Version;
+  View.Ceiling.reset();
+  View.Uncertain = false;
+}
+
+void onNotApplied(AllotmentView &View) {
+  if (!View.Uncertain)
+    View.Ceiling.reset();
+}
+
+void onUnknown(AllotmentView &View) { View.Uncertain = true; }
+
+} // namespace comfreydeck::core
--- a/src/core/ConfigChange.cpp
+++ b/src/core/ConfigChange.cpp
@@ -158,6 +158,15 @@
   }
 }
 
+/// Marks the teams whose upper limits are not as they were.
+void markLimitChanges(const Configuration &Before, Configuration &After) {
+  for (Team &T : After.Teams) {
+    const Team *Old = findTeam(Before, T.Id);
+    bool Same = Old && Old->UpperLimit == T.UpperLimit;
+    T.LimitSince = Same ? Old->LimitSince : After.Version;
+  }
+}
+
 } // namespace
 
 Configuration apply(const Configuration &Before, const ConfigChange &Change) {
@@ -169,6 +178,7 @@
   for (const ConfigEdit &Edit : Change.Edits)
     std::visit([&](const auto &E) { edit(After, E); }, Edit);
   After.Version = Change.Version;
+  markLimitChanges(Before, After);
   return After;
 }
 
--- a/src/core/Configuration.h
+++ b/src/core/Configuration.h
@@ -43,6 +43,8 @@
   std::uint32_t Share = 1;
   /// Tasks that may run at once across the fleet.
   std::uint32_t UpperLimit = 0;
+  /// The version that last changed the upper limit.
+  ConfigVersion LimitSince;
 };
 
 /// A named queue that is served by one pool.
--- /dev/null
+++ b/tests/codec/OwnershipJsonTest.cpp
@@ -0,0 +1,24 @@
+#include "codec/OwnershipJson.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreydeck;
+
+TEST_CASE("rows of ownership and allotments come back as they were") {
+  codec::OwnershipRow Owned{{3}, {0xABCDEF}, {17}};
+  codec::OwnershipRow Read = codec::parseOwnership(codec::toJson(Owned));
+  CHECK(Read.Pool == Owned.Pool);
+  CHECK(Read.Owner == Owned.Owner);
+  CHECK(Read.Term == Owned.Term);
+  core::AllotmentRow Row{{7}, {40, {9}}, {{{1}, 30}, {{2}, 10}}, {{{2}, 25}}};
+  CHECK(codec::parseAllotment(codec::toJson(Row)) == Row);
+}
+
+TEST_CASE("malformed rows are refused") {
+  for (const char *Text :
+       {"", "[]", "{}", "{\"pool\":1}", "{\"team\":\"x\"}", "{\"pool\":-1,"}) {
+    CAPTURE(Text);
+    CHECK_THROWS_AS(codec::parseOwnership(Text), std::runtime_error);
+    CHECK_THROWS_AS(codec::parseAllotment(Text), std::runtime_error);
+  }
+}
--- a/tests/core/ConfigChangeTest.cpp
+++ b/tests/core/ConfigChangeTest.cpp
@@ -73,3 +73,15 @@
   Change.Version.Value += 1;
   CHECK_THROWS_AS(apply(Before, Change), ConfigError);
 }
+
+TEST_CASE("a team's row tells which version last changed its limit") {
+  Configuration C = sample();
+  ConfigVersion First = findTeam(C, "beach")->LimitSince;
+  Team Beach = team("beach");
+  Beach.Share = 7;
+  C = apply(C, changeAfter(C, {PutTeam{Beach}}));
+  CHECK(findTeam(C, "beach")->LimitSince == First);
+  Beach.UpperLimit += 1;
+  C = apply(C, changeAfter(C, {PutTeam{Beach}}));
+  CHECK(findTeam(C, "beach")->LimitSince == C.Version);
+}
