--- a/src/entry/Fleet.cpp
+++ b/src/entry/Fleet.cpp
@@ -31,6 +31,20 @@
   return Hash == core::WorkerId::InvalidValue ? 0 : Hash;
 }
 
+std::optional<WorkerStatus> statusFrom(const std::string &Body) {
+  try {
+    json J = json::parse(Body);
+    WorkerStatus Status;
+    Status.ClockMs = J.at("clock_ms").get<std::uint64_t>();
+    for (const json &Item : J.at("running"))
+      Status.Running.push_back({Item.at("task").get<std::string>(),
+                                Item.at("team").get<std::string>()});
+    return Status;
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
 bool isOut(const core::Configuration &C, std::string_view DataCentre) {
   const core::DataCentre *Found = core::findDataCentre(C, DataCentre);
   return Found && Found->Out;
@@ -83,8 +97,8 @@
   for (const auto &[Id, I] : Instances_) {
     if (I.Pool != Pool)
       continue;
-    auto Clock = Clocks_.find(Id);
-    bool Heard = Clock != Clocks_.end() && Clock->second.Received > HeardSince;
+    auto Clock = Statuses_.find(Id);
+    bool Heard = Clock != Statuses_.end() && Clock->second.Received > HeardSince;
     core::PoolWorker Worker;
     Worker.Id = Id;
     Worker.Slots = I.Slots;
@@ -103,14 +117,14 @@
 
 std::optional<std::uint64_t> Fleet::workerClockMs(core::WorkerId Id,
                                                   core::TimePoint At) const {
-  auto It = Clocks_.find(Id);
-  if (It == Clocks_.end())
+  auto It = Statuses_.find(Id);
+  if (It == Statuses_.end())
     return std::nullopt;
   // The sample was taken before it was received, so that counting from its
   // arrival never runs ahead of the worker.
   auto Since = std::chrono::duration_cast<std::chrono::milliseconds>(
       At - It->second.Received);
-  return It->second.WorkerMs + static_cast<std::uint64_t>(Since.count());
+  return It->second.ClockMs + static_cast<std::uint64_t>(Since.count());
 }
 
 void Fleet::probe(std::span<const core::PoolId> Pools) {
@@ -123,20 +137,26 @@
   net::HttpCall Call;
   Call.Url = "http://" + I.Address + "/v1/status";
   Call.TotalLimit = ProbeLimit;
-  Context_.Workers.send(std::move(Call), [this, Id = I.Id](auto Result) {
+  core::TimePoint Asked = net::now();
+  Context_.Workers.send(std::move(Call), [this, Id = I.Id, Asked](auto Result) {
     if (Result.End != core::ExchangeEnd::Answered)
       return;
-    core::TimePoint Received = net::now();
-    json J = json::parse(Result.Response.Body, nullptr, false);
-    if (!J.is_object() || !J.contains("clock_ms"))
+    std::optional<WorkerStatus> Status = statusFrom(Result.Response.Body);
+    if (!Status)
       return;
-    std::uint64_t ClockMs = J["clock_ms"].template get<std::uint64_t>();
-    Context_.Control.post([this, Id, ClockMs, Received] {
-      Clocks_[Id] = {ClockMs, Received};
+    Status->Asked = Asked;
+    Status->Received = net::now();
+    Context_.Control.post([this, Id, Status = std::move(*Status)]() mutable {
+      Statuses_[Id] = std::move(Status);
     });
   });
 }
 
+const WorkerStatus *Fleet::statusOf(core::WorkerId Id) const {
+  auto It = Statuses_.find(Id);
+  return It == Statuses_.end() ? nullptr : &It->second;
+}
+
 void Fleet::assign(const std::string &Name, core::PoolId Pool,
                    std::function<void(std::string)> Done) {
   Context_.Instances.list([this, Name, Pool, Done](auto Listed) {
--- a/src/entry/Fleet.h
+++ b/src/entry/Fleet.h
@@ -10,6 +10,23 @@
 
 namespace comfreydeck::entry {
 
+/// A task that a worker says it runs.
+struct ListedTask {
+  /// The attempt's id, as the worker was given it.
+  std::string Task;
+  std::string Team;
+};
+
+/// What a worker last said of itself.
+struct WorkerStatus {
+  /// Its own clock when it answered.
+  std::uint64_t ClockMs = 0;
+  /// When it was asked and when it had answered, in this entry's clock.
+  core::TimePoint Asked;
+  core::TimePoint Received;
+  std::vector<ListedTask> Running;
+};
+
 /// The instances' rows and what was last heard of each worker.
 class Fleet {
 public:
@@ -32,6 +49,10 @@
   std::optional<std::uint64_t> workerClockMs(core::WorkerId Id,
                                              core::TimePoint At) const;
 
+  /// What a worker last said; nothing where it has not been heard of. On the
+  /// control thread.
+  const WorkerStatus *statusOf(core::WorkerId Id) const;
+
   /// Asks every worker of these pools how it is. On the control thread.
   void probe(std::span<const core::PoolId> Pools);
 
@@ -46,12 +67,6 @@
   }
 
 private:
-  /// When a worker said what its clock reads.
-  struct ClockSample {
-    std::uint64_t WorkerMs = 0;
-    core::TimePoint Received;
-  };
-
   void poll(std::string After);
   void onScan(const platform::ScanResult &Result);
   void probeWorker(const core::Instance &I);
@@ -63,7 +78,7 @@
   std::function<void()> OnChange_;
   std::map<core::WorkerId, core::Instance> Instances_;
   std::map<core::WorkerId, core::Instance> Reading_;
-  std::map<core::WorkerId, ClockSample> Clocks_;
+  std::map<core::WorkerId, WorkerStatus> Statuses_;
   bool Polling_ = false;
 };
 
--- /dev/null
+++ b/src/entry/OwnedPool.cpp
@@ -0,0 +1,256 @@
+#include "entry/OwnedPool.h"
+
+#include "core/Names.h"
+
+#include <glog/logging.h>
+
+#include <set>
+
+namespace comfreydeck::entry {
+
+namespace {
+
+/// A grant is for at most this long, whatever the lease allows.
+constexpr core::Duration GrantLimit = std::chrono::seconds(2);
+/// After this no start of a grant can be under way even where a worker's clock
+/// began anew.
+constexpr core::Duration ClockResetMargin = std::chrono::seconds(10);
+constexpr core::Duration RememberEnded = std::chrono::seconds(10);
+/// How long a rebuild waits for silent workers.
+constexpr core::Duration RebuildLimit = std::chrono::seconds(1);
+/// A demand of an entry that is not known yet is kept for this long.
+constexpr core::Duration StrangerLimit = std::chrono::seconds(5);
+
+} // namespace
+
+OwnedPool::OwnedPool(core::PoolId Pool, core::Epoch Term, const Fleet &Workers)
+    : Workers_(Workers) {
+  Owner_.Pool = Pool;
+  Owner_.Term = Term;
+}
+
+OwnedPool::~OwnedPool() {
+  AcquireResult Result;
+  Result.Refused = core::Reason::NoOwner;
+  for (auto &[Id, Done] : Waiting_)
+    Done(Result);
+}
+
+void OwnedPool::acquire(const core::Demand &D, AcquireCallback Done) {
+  AcquireResult Refused;
+  if (Ended_.contains(D.Id)) {
+    Refused.Refused = core::Reason::Cancelled;
+    return Done(Refused);
+  }
+  if (Owner_.Running.contains(D.Id))
+    return Done(renewed(D.Id, LeaseEnd_));
+  Refused.Refused = core::enqueue(Owner_, D, net::now());
+  if (Refused.Refused != core::Reason::None)
+    return Done(Refused);
+  AcquireCallback Earlier = std::move(Waiting_[D.Id]);
+  Waiting_[D.Id] = std::move(Done);
+  Refused.Refused = core::Reason::NoOwner;
+  if (Earlier)
+    Earlier(Refused);
+}
+
+AcquireResult OwnedPool::renewed(core::DemandId Id, core::TimePoint LeaseEnd) {
+  core::RunningTask &Task = Owner_.Running.at(Id);
+  auto It = Granted_.find(Id);
+  AcquireResult Result;
+  Result.Refused = core::Reason::NoOwner;
+  // Once the worker has it, the one who asks has sent it already.
+  bool Startable = It == Granted_.end() || !It->second.Listed;
+  if (!Startable || net::now() >= LeaseEnd)
+    return Result;
+  Task.NotAfter = std::min(LeaseEnd, net::now() + GrantLimit);
+  Result = resultOf({Id, Task.Team, Task.Worker, Task.NotAfter});
+  if (Result.Refused == core::Reason::None)
+    Granted_[Id] = {Result, false};
+  return Result;
+}
+
+void OwnedPool::answer(core::DemandId Id, const AcquireResult &Result) {
+  auto It = Waiting_.find(Id);
+  // A demand that was handed over waits until its entry asks again.
+  if (It == Waiting_.end())
+    return;
+  AcquireCallback Done = std::move(It->second);
+  Waiting_.erase(It);
+  Done(Result);
+}
+
+void OwnedPool::end(core::DemandId Id, core::Duration Ran) {
+  core::finish(Owner_, Id, Ran, net::now());
+  Granted_.erase(Id);
+  Ended_[Id] = net::now();
+}
+
+void OwnedPool::release(core::DemandId Id, const DemandEnd &End) {
+  // The worker says when it is over.
+  if (End.How == Ending::Unknown)
+    return;
+  core::cancel(Owner_, Id);
+  AcquireResult Cancelled;
+  Cancelled.Refused = core::Reason::Cancelled;
+  answer(Id, Cancelled);
+  end(Id, End.Ran);
+}
+
+AcquireResult OwnedPool::resultOf(const core::Grant &G) const {
+  AcquireResult Result;
+  const core::Instance *I = Workers_.find(G.Worker);
+  std::optional<std::uint64_t> NotAfter =
+      Workers_.workerClockMs(G.Worker, G.NotAfter);
+  if (!I || !NotAfter) {
+    Result.Refused = core::Reason::NoWorker;
+    return Result;
+  }
+  Result.Worker = G.Worker;
+  Result.WorkerAddress = I->Address;
+  Result.SendBy = G.NotAfter;
+  Result.NotAfterWorkerMs = *NotAfter;
+  return Result;
+}
+
+void OwnedPool::decide(core::TimePoint LeaseEnd) {
+  core::TimePoint Now = net::now();
+  LeaseEnd_ = LeaseEnd;
+  if (Rebuilding_ || Now >= LeaseEnd)
+    return;
+  core::TimePoint NotAfter = std::min(LeaseEnd, Now + GrantLimit);
+  core::PoolDecisions Decided = core::decide(Owner_, Now, NotAfter);
+  for (const core::Grant &G : Decided.Grants) {
+    AcquireResult Result = resultOf(G);
+    if (Result.Refused == core::Reason::None)
+      Granted_[G.Id] = {Result, false};
+    else
+      core::finish(Owner_, G.Id, core::Duration(0), Now);
+    answer(G.Id, Result);
+  }
+  for (const core::Refusal &R : Decided.Refusals) {
+    AcquireResult Result;
+    Result.Refused = R.Why;
+    answer(R.Id, Result);
+  }
+}
+
+void OwnedPool::rebuild() {
+  Rebuilding_ = true;
+  CountsSilent_ = true;
+  RebuildSince_ = net::now();
+}
+
+void OwnedPool::takeHandOver(std::span<const core::Demand> Waiting,
+                             std::span<const core::RunningTask> Running) {
+  Rebuilding_ = false;
+  CountsSilent_ = false;
+  core::setUnknownSlots(Owner_, 0, net::now());
+  for (const core::RunningTask &Task : Running)
+    if (!Ended_.contains(Task.Id))
+      core::adopt(Owner_, Task, net::now());
+  for (const core::Demand &D : Waiting)
+    if (!Owner_.Running.contains(D.Id) && !Ended_.contains(D.Id))
+      core::enqueue(Owner_, D, net::now());
+}
+
+void OwnedPool::reconcile(const core::Configuration &C) {
+  for (const auto &[Id, W] : Owner_.Workers.Workers) {
+    const WorkerStatus *Status = Workers_.statusOf(Id);
+    if (!Status || Reconciled_[Id] == Status->Received)
+      continue;
+    Reconciled_[Id] = Status->Received;
+    adoptListed(Id, *Status, C);
+    endUnlisted(Id, *Status);
+  }
+  countUnknown();
+  forgetEnded();
+}
+
+void OwnedPool::adoptListed(core::WorkerId Worker, const WorkerStatus &Status,
+                            const core::Configuration &C) {
+  for (const ListedTask &Listed : Status.Running) {
+    std::optional<core::DemandId> Id = core::demandFrom(Listed.Task);
+    if (!Id || Ended_.contains(*Id))
+      continue;
+    auto Known = Granted_.find(*Id);
+    if (Known != Granted_.end())
+      Known->second.Listed = true;
+    if (Owner_.Running.contains(*Id))
+      continue;
+    core::RunningTask Task;
+    Task.Id = *Id;
+    if (const core::Team *T = core::findTeam(C, Listed.Team))
+      Task.Team = T->Id;
+    Task.Worker = Worker;
+    Task.Started = Status.Received;
+    Task.NotAfter = Status.Asked;
+    core::adopt(Owner_, Task, net::now());
+  }
+}
+
+bool OwnedPool::isOver(const core::RunningTask &Task,
+                       const WorkerStatus &Status) const {
+  auto It = Granted_.find(Task.Id);
+  bool PastNotAfter = It != Granted_.end() &&
+                      Status.ClockMs > It->second.Result.NotAfterWorkerMs;
+  bool Adopted = It == Granted_.end() && Status.Asked > Task.NotAfter;
+  return PastNotAfter || Adopted ||
+         Status.Asked > Task.NotAfter + ClockResetMargin;
+}
+
+void OwnedPool::endUnlisted(core::WorkerId Worker, const WorkerStatus &Status) {
+  std::set<core::DemandId> Listed;
+  for (const ListedTask &Task : Status.Running)
+    if (std::optional<core::DemandId> Id = core::demandFrom(Task.Task))
+      Listed.insert(*Id);
+  std::vector<core::RunningTask> Over;
+  for (const auto &[Id, Task] : Owner_.Running)
+    if (Task.Worker == Worker && !Listed.contains(Id) && isOver(Task, Status))
+      Over.push_back(Task);
+  for (const core::RunningTask &Task : Over) {
+    auto It = Granted_.find(Task.Id);
+    bool Started = It == Granted_.end() || It->second.Listed;
+    core::Duration Ran = Started ? net::now() - Task.Started : core::Duration(0);
+    end(Task.Id, Ran);
+  }
+}
+
+void OwnedPool::countUnknown() {
+  if (!CountsSilent_)
+    return;
+  std::uint32_t Slots = 0;
+  for (const auto &[Id, W] : Owner_.Workers.Workers) {
+    const WorkerStatus *Status = Workers_.statusOf(Id);
+    bool Heard = Status && Status->Asked >= RebuildSince_;
+    Slots += Heard ? 0 : W.Worker.Slots;
+  }
+  core::setUnknownSlots(Owner_, Slots, net::now());
+  CountsSilent_ = Slots > 0;
+  bool HasWorkers = !Owner_.Workers.Workers.empty();
+  bool WaitedEnough = net::now() - RebuildSince_ > RebuildLimit;
+  if (Rebuilding_ && ((HasWorkers && Slots == 0) || WaitedEnough)) {
+    Rebuilding_ = false;
+    LOG(INFO) << "pools: pool " << Owner_.Pool.Value << " rebuilt, "
+              << Owner_.Running.size() << " running, " << Slots
+              << " slots unknown";
+  }
+}
+
+void OwnedPool::forgetEnded() {
+  core::TimePoint Before = net::now() - RememberEnded;
+  std::erase_if(Ended_,
+                [&](const auto &Item) { return Item.second < Before; });
+}
+
+void OwnedPool::dropDemandsOf(
+    const std::function<bool(core::Incarnation)> &IsGone) {
+  std::vector<core::DemandId> Gone;
+  for (const auto &[Id, W] : Owner_.Waiting)
+    if (net::now() - W.Asked.Arrived > StrangerLimit && IsGone(Id.From))
+      Gone.push_back(Id);
+  for (core::DemandId Id : Gone)
+    release(Id, {});
+}
+
+} // namespace comfreydeck::entry
--- /dev/null
+++ b/src/entry/PoolOwnership.cpp
@@ -0,0 +1,364 @@
+#include "codec/OwnershipJson.h"
+#include "core/Names.h"
+#include "core/Ownership.h"
+#include "entry/PoolService.h"
+#include "entry/PoolWire_p.h"
+
+#include <glog/logging.h>
+
+namespace comfreydeck::entry {
+
+namespace {
+
+using namespace cluster;
+
+constexpr const char *PoolTable = "pools";
+constexpr std::uint32_t MaxPools = 1000;
+constexpr core::Duration WatchEvery = std::chrono::milliseconds(300);
+/// Longest wait for a sign of life.
+constexpr core::Duration WatchLimit = std::chrono::seconds(1);
+/// Signs of life in a row that must fail before an owner is fenced.
+constexpr std::uint32_t SuspectAfter = 3;
+/// Between two hand-overs to a better place.
+constexpr core::Duration MoveEvery = std::chrono::seconds(1);
+/// A pool stays where it is for at least this long.
+constexpr core::Duration StayLeast = std::chrono::seconds(5);
+constexpr core::Duration HandOverLimit = std::chrono::milliseconds(500);
+constexpr core::Duration CommitAgain = std::chrono::milliseconds(100);
+constexpr core::Duration LeaveLimit = std::chrono::seconds(2);
+
+platform::RowKey rowOf(core::PoolId Pool) {
+  return {PoolTable, std::to_string(Pool.Value)};
+}
+
+} // namespace
+
+void PoolService::startWatching() {
+  Context_.Control.every(WatchEvery, [this] { probeMembers(); });
+}
+
+void PoolService::poll() {
+  if (Polling_) {
+    PollAgain_ = true;
+    return;
+  }
+  Polling_ = true;
+  Context_.Tables.scan(
+      PoolTable, "", "", MaxPools, [this](platform::ScanResult Result) {
+        Context_.Control.post([this, Result] {
+          Polling_ = false;
+          onScan(Result);
+          if (std::exchange(PollAgain_, false))
+            poll();
+        });
+      });
+}
+
+void PoolService::onScan(const platform::ScanResult &Result) {
+  if (Result.Outcome != platform::ReadOutcome::Ok)
+    return;
+  std::vector<core::PoolId> Changed;
+  for (const platform::Row &Row : Result.Rows) {
+    try {
+      codec::OwnershipRow Read = codec::parseOwnership(Row.Value);
+      KnownOwner &Known = Owners_[Read.Pool];
+      // Readings may cross with the answer of a write.
+      if (Row.Version <= Known.RowVersion)
+        continue;
+      if (Known.Id != Read.Owner)
+        Changed.push_back(Read.Pool);
+      Known = {Read.Owner, Read.Term, Row.Version};
+    } catch (const std::runtime_error &) {
+      LOG(ERROR) << "pools: ownership row " << Row.Key << " can't be read";
+    }
+  }
+  considerAll();
+  for (core::PoolId Pool : Changed) {
+    askAgainOf(Pool);
+    flushReleases(Pool);
+  }
+}
+
+void PoolService::considerAll() {
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  for (const core::Pool &P : C->Pools)
+    consider(P);
+}
+
+void PoolService::consider(const core::Pool &P) {
+  KnownOwner Known = Owners_[P.Id];
+  auto Here = Owned_.find(P.Id);
+  bool IsMine = Known.Id == Context_.Self;
+  if (Here != Owned_.end() &&
+      (!IsMine || Known.Term != Here->second.Pool->state().Term)) {
+    // Only while it is being handed over may the row be ahead of this entry.
+    if (!Here->second.Leaving)
+      disown(P.Id);
+    return;
+  }
+  if (Leaving_ || !Members_.isCurrent(net::now()) || Writing_.contains(P.Id))
+    return;
+  if (IsMine && Here == Owned_.end())
+    return own(P.Id, Known);
+  core::Incarnation Preferred = preferredFor(P.Id);
+  if (IsMine)
+    return considerMoving(P.Id, Here->second, Preferred);
+  bool Ownerless = !Known.Id.isValid();
+  if (Preferred != Context_.Self || !(Ownerless || isSuspect(Known.Id)))
+    return;
+  if (Ownerless || Fenced_.contains(Known.Id))
+    return take(P.Id, Known);
+  fence(Known.Id);
+}
+
+void PoolService::considerMoving(core::PoolId Pool, Holding &Held,
+                                 core::Incarnation Preferred) {
+  core::TimePoint Now = net::now();
+  const Member *To = Members_.find(Preferred);
+  bool Due = Now - LastHandOver_ > MoveEvery && Now - Held.Since > StayLeast;
+  if (!To || Preferred == Context_.Self || Held.Leaving || !Due)
+    return;
+  LastHandOver_ = Now;
+  handOver(Pool, *To, [] {});
+}
+
+bool PoolService::isSuspect(core::Incarnation Id) const {
+  auto It = Health_.find(Id);
+  bool Silent = It != Health_.end() && It->second.Failures >= SuspectAfter;
+  return Silent || !Members_.find(Id);
+}
+
+core::Incarnation PoolService::preferredFor(core::PoolId Pool) const {
+  std::vector<core::Incarnation> Candidates;
+  for (const Member &M : Members_.members())
+    if (!isSuspect(M.Id) && !(Leaving_ && M.Id == Context_.Self))
+      Candidates.push_back(M.Id);
+  return core::preferredOwner(Pool, Candidates);
+}
+
+void PoolService::fence(core::Incarnation Id) {
+  if (!Fencing_.insert(Id).second)
+    return;
+  LOG(WARNING) << "pools: fencing " << core::nameOf(Id);
+  Members_.fence(Id, [this, Id](FenceOutcome Outcome) {
+    Fencing_.erase(Id);
+    if (Outcome == FenceOutcome::Fenced)
+      Fenced_.insert(Id);
+    considerAll();
+  });
+}
+
+void PoolService::take(core::PoolId Pool, const KnownOwner &Known) {
+  writeRow(Pool, Known, Context_.Self,
+           [this](platform::CommitOutcome) { poll(); });
+}
+
+void PoolService::writeRow(
+    core::PoolId Pool, const KnownOwner &Known, core::Incarnation Owner,
+    std::function<void(platform::CommitOutcome)> Done) {
+  codec::OwnershipRow Row{Pool, Owner, {Known.Term.Value + 1}};
+  platform::RowKey Key = rowOf(Pool);
+  platform::Transaction T{"own-" + Key.Key,
+                          {{Key, Known.RowVersion}},
+                          {{Key, codec::toJson(Row)}}};
+  Writing_.insert(Pool);
+  Context_.Tables.commit(
+      std::move(T),
+      [this, Pool, Done = std::move(Done)](platform::CommitResult Result) {
+        Context_.Control.post([this, Pool, Done, Outcome = Result.Outcome] {
+          Writing_.erase(Pool);
+          Done(Outcome);
+        });
+      });
+}
+
+void PoolService::own(core::PoolId Pool, const KnownOwner &Known) {
+  LOG(INFO) << "pools: owner of pool " << Pool.Value << " in epoch "
+            << Known.Term.Value;
+  Holding &Held = Owned_[Pool];
+  Held.Pool = std::make_unique<OwnedPool>(Pool, Known.Term, Workers_);
+  Held.RowVersion = Known.RowVersion;
+  Held.Since = net::now();
+  Allotments_.begin(Pool);
+  update(Held);
+  Held.Pool->rebuild();
+  takeHandedOver(Pool, Held);
+  Workers_.probe(owned());
+  askAgainOf(Pool);
+}
+
+void PoolService::disown(core::PoolId Pool) {
+  LOG(INFO) << "pools: no longer owner of pool " << Pool.Value;
+  Allotments_.end(Pool);
+  Owned_.erase(Pool);
+}
+
+void PoolService::takeHandedOver(core::PoolId Pool, Holding &Held) {
+  auto It = HandedOver_.find(Pool);
+  if (It == HandedOver_.end())
+    return;
+  core::TimePoint Now = net::now();
+  const wire::HandOverRequest &Request = It->second;
+  if (Request.epoch() == Held.Pool->state().Term.Value) {
+    std::vector<core::Demand> Waiting;
+    for (const wire::DemandMessage &Item : Request.waiting())
+      Waiting.push_back(detail::demandFrom(Item, Now));
+    std::vector<core::RunningTask> Running;
+    for (const wire::RunningMessage &Item : Request.running())
+      Running.push_back(detail::runningFrom(Item, Now));
+    Held.Pool->takeHandOver(Waiting, Running);
+  }
+  HandedOver_.erase(It);
+}
+
+void PoolService::probeMembers() {
+  for (const Member &M : Members_.members())
+    if (M.Id != Context_.Self)
+      probeMember(M);
+  std::erase_if(Health_, [this](const auto &Item) {
+    return !Item.second.Asking && !Members_.find(Item.first);
+  });
+}
+
+void PoolService::probeMember(const Member &M) {
+  Health &H = Health_[M.Id];
+  if (H.Asking)
+    return;
+  H.Asking = true;
+  Context_.Peers.listRunning(
+      M.PeerAddress, {}, WatchLimit, [this, Id = M.Id](auto Reply) {
+        Context_.Control.post([this, Id, Alive = Reply.has_value()] {
+          Health &Known = Health_[Id];
+          Known.Asking = false;
+          Known.Failures = Alive ? 0 : Known.Failures + 1;
+          if (Known.Failures == SuspectAfter)
+            considerAll();
+        });
+      });
+}
+
+void PoolService::handOver(core::PoolId Pool, const Member &To,
+                           std::function<void()> Done) {
+  // The connection is made, and the other asked, before anything stops.
+  Context_.Peers.listRunning(
+      To.PeerAddress, {}, HandOverLimit,
+      [this, Pool, To, Done = std::move(Done)](auto Reply) {
+        bool Ready = Reply && Reply->complete();
+        Context_.Control.post([this, Pool, To, Done, Ready] {
+          if (!Ready || !Owned_.contains(Pool))
+            return Done();
+          commitHandOver(Pool, To, Done);
+        });
+      });
+}
+
+void PoolService::commitHandOver(core::PoolId Pool, const Member &To,
+                                 std::function<void()> Done) {
+  auto Here = Owned_.find(Pool);
+  if (Here == Owned_.end() || Writing_.contains(Pool))
+    return Done();
+  Holding &Held = Here->second;
+  Held.Leaving = true;
+  KnownOwner Known{Context_.Self, Held.Pool->state().Term, Held.RowVersion};
+  writeRow(Pool, Known, To.Id,
+           [this, Pool, To, Done](platform::CommitOutcome Outcome) {
+             onHandOverCommitted(Pool, To, Outcome, Done);
+           });
+}
+
+void PoolService::onHandOverCommitted(core::PoolId Pool, const Member &To,
+                                      platform::CommitOutcome Outcome,
+                                      const std::function<void()> &Done) {
+  switch (Outcome) {
+  case platform::CommitOutcome::Committed:
+    return sendHandOver(Pool, To, Done);
+  case platform::CommitOutcome::NotApplied:
+    Owned_[Pool].Leaving = false;
+    return Done();
+  case platform::CommitOutcome::Conflict:
+    // The lost write before it, or another's, was applied.
+    disown(Pool);
+    poll();
+    return Done();
+  case platform::CommitOutcome::Unknown:
+    // The same condition once more: one of the two writes at most applies.
+    Context_.Control.after(CommitAgain, [this, Pool, To, Done] {
+      commitHandOver(Pool, To, Done);
+    });
+    return;
+  }
+}
+
+void PoolService::sendHandOver(core::PoolId Pool, const Member &To,
+                               std::function<void()> Done) {
+  const core::PoolOwner &State = Owned_[Pool].Pool->state();
+  wire::HandOverRequest Request;
+  Request.set_pool(Pool.Value);
+  Request.set_epoch(State.Term.Value + 1);
+  core::TimePoint Now = net::now();
+  for (const auto &[Id, W] : State.Waiting)
+    detail::fill(*Request.add_waiting(), W.Asked, Now);
+  for (const auto &[Id, Task] : State.Running)
+    detail::fill(*Request.add_running(), Task, Now);
+  LOG(INFO) << "pools: handing pool " << Pool.Value << " over with "
+            << State.Waiting.size() << " waiting and " << State.Running.size()
+            << " running";
+  Context_.Peers.handOver(To.PeerAddress, std::move(Request), HandOverLimit,
+                          [this, Pool, Done = std::move(Done)](auto) {
+                            Context_.Control.post([this, Pool, Done] {
+                              // Who waited here asks the new owner.
+                              disown(Pool);
+                              poll();
+                              Done();
+                            });
+                          });
+}
+
+wire::HandOverReply
+PoolService::serveHandOver(const wire::HandOverRequest &Request) {
+  wire::HandOverReply Reply;
+  if (Leaving_)
+    return Reply;
+  core::PoolId Pool{Request.pool()};
+  HandedOver_[Pool] = Request;
+  auto Here = Owned_.find(Pool);
+  if (Here != Owned_.end() && Here->second.Pool->isRebuilding())
+    takeHandedOver(Pool, Here->second);
+  else
+    poll();
+  Reply.set_accepted(true);
+  return Reply;
+}
+
+wire::ListRunningReply
+PoolService::serveListRunning(const wire::ListRunningRequest & /*Request*/) {
+  wire::ListRunningReply Reply;
+  Reply.set_complete(!Leaving_ && Members_.isCurrent(net::now()));
+  return Reply;
+}
+
+void PoolService::leave(std::function<void()> Done) {
+  Leaving_ = true;
+  auto Left = std::make_shared<std::size_t>(Owned_.size());
+  auto Once = std::make_shared<std::function<void()>>(std::move(Done));
+  auto Finish = [Once] {
+    if (std::function<void()> Call = std::exchange(*Once, nullptr))
+      Call();
+  };
+  if (*Left == 0)
+    return Finish();
+  Context_.Control.after(LeaveLimit, Finish);
+  for (core::PoolId Pool : owned()) {
+    const Member *To = Members_.find(preferredFor(Pool));
+    auto OneDone = [Left, Finish] {
+      if (--*Left == 0)
+        Finish();
+    };
+    if (To)
+      handOver(Pool, *To, OneDone);
+    else
+      OneDone();
+  }
+}
+
+} // namespace comfreydeck::entry
--- a/src/entry/PoolService.cpp
+++ b/src/entry/PoolService.cpp
@@ -1,8 +1,9 @@
 #include "entry/PoolService.h"
+
 #include "core/Names.h"
+#include "entry/PoolWire_p.h"
 
 #include <glog/logging.h>
-#include <nlohmann/json.hpp>
 
 #include <algorithm>
 
@@ -11,96 +12,35 @@
 namespace {
 
 using namespace cluster;
-using nlohmann::json;
 
-constexpr const char *PoolTable = "pools";
-constexpr std::uint32_t MaxPools = 1000;
 constexpr core::Duration PollEvery = std::chrono::milliseconds(500);
 constexpr core::Duration PumpEvery = std::chrono::milliseconds(20);
+constexpr core::Duration TeamsEvery = std::chrono::milliseconds(200);
 constexpr core::Duration ProbeEvery = std::chrono::seconds(1);
-constexpr core::Duration ReleaseLimit = std::chrono::seconds(5);
-
-/// Spreads pools evenly and moves few of them when a member comes or goes.
-std::uint64_t rendezvousWeight(core::PoolId Pool, core::Incarnation Member) {
-  std::uint64_t Mixed = Member.Value ^ (Pool.Value * 0x9E3779B97F4A7C15ULL);
-  Mixed = (Mixed ^ (Mixed >> 30)) * 0xBF58476D1CE4E5B9ULL;
-  Mixed = (Mixed ^ (Mixed >> 27)) * 0x94D049BB133111EBULL;
-  return Mixed ^ (Mixed >> 31);
-}
-
-core::Incarnation preferredOwner(core::PoolId Pool,
-                                 std::span<const Member> Members) {
-  auto It = std::max_element(
-      Members.begin(), Members.end(), [&](const Member &A, const Member &B) {
-        return rendezvousWeight(Pool, A.Id) < rendezvousWeight(Pool, B.Id);
-      });
-  return It == Members.end() ? core::Incarnation{} : It->Id;
-}
+constexpr core::Duration ReleaseEvery = std::chrono::milliseconds(50);
+constexpr core::Duration ReleaseLimit = std::chrono::seconds(2);
+constexpr core::Duration RetryLeast = std::chrono::milliseconds(20);
+constexpr core::Duration RetryMost = std::chrono::milliseconds(500);
+constexpr std::uint32_t RetryDoublings = 5;
+constexpr int MaxReleasesInCall = 1000;
+/// More are dropped; workers' reports then free the slots.
+constexpr std::size_t MaxReleasesKept = 50000;
+
+/// For demands without a deadline.
+constexpr core::Duration LongestWait = std::chrono::minutes(1);
 
 core::TimePoint deadlineOf(const core::Demand &D) {
-  return D.Deadline.value_or(net::now() + std::chrono::minutes(1));
+  return D.Deadline.value_or(D.Arrived + LongestWait);
 }
 
-void fill(wire::DemandMessage &Out, const core::Demand &D) {
-  Out.set_from_incarnation(D.Id.From.Value);
-  Out.set_number(D.Id.Number);
-  Out.set_team(D.Team.Value);
-  Out.set_queue(D.Queue.Value);
-  Out.mutable_size()->set_milli_cpus(D.Size.MilliCpus);
-  Out.mutable_size()->set_memory_mb(D.Size.MemoryMb);
-  Out.mutable_size()->set_accelerators(D.Size.Accelerators);
-  Out.set_run_us(static_cast<std::uint64_t>(D.Run.count()));
-  Out.set_urgent(D.Urgent);
-  auto Left = std::max(deadlineOf(D) - net::now(), core::Duration(1));
-  Out.set_deadline_in_us(static_cast<std::uint64_t>(Left.count()));
-}
-
-core::Demand demandFrom(const wire::DemandMessage &In) {
-  core::Demand D;
-  D.Id.From.Value = In.from_incarnation();
-  D.Id.Number = In.number();
-  D.Team.Value = In.team();
-  D.Queue.Value = In.queue();
-  D.Size = {In.size().milli_cpus(), In.size().memory_mb(),
-            In.size().accelerators()};
-  D.Run = core::Duration(static_cast<std::int64_t>(In.run_us()));
-  D.Urgent = In.urgent();
-  D.Arrived = net::now();
-  if (In.deadline_in_us() > 0)
-    D.Deadline = net::now() +
-                 core::Duration(static_cast<std::int64_t>(In.deadline_in_us()));
-  return D;
-}
-
-wire::AcquireReply replyOf(const AcquireResult &Result) {
-  wire::AcquireReply Reply;
-  Reply.set_granted(Result.Refused == core::Reason::None);
-  Reply.set_refusal_reason(static_cast<std::uint32_t>(Result.Refused));
-  Reply.set_worker(Result.Worker.Value);
-  Reply.set_worker_address(Result.WorkerAddress);
-  auto Valid = std::max(Result.SendBy - net::now(), core::Duration(0));
-  Reply.set_valid_for_us(static_cast<std::uint64_t>(Valid.count()));
-  Reply.set_not_after_worker_ms(Result.NotAfterWorkerMs);
-  return Reply;
+core::Duration retryDelay(std::uint32_t Attempt) {
+  std::uint32_t Doublings = std::min(Attempt, RetryDoublings);
+  return std::min(RetryLeast * (1 << Doublings), RetryMost);
 }
 
-AcquireResult resultFrom(const std::optional<wire::AcquireReply> &Reply) {
+AcquireResult refusal(core::Reason Why) {
   AcquireResult Result;
-  if (!Reply) {
-    Result.Refused = core::Reason::NoOwner;
-    return Result;
-  }
-  bool IsKnown =
-      Reply->refusal_reason() < static_cast<std::uint32_t>(core::Reason::Count);
-  Result.Refused = IsKnown ? static_cast<core::Reason>(Reply->refusal_reason())
-                           : core::Reason::NoOwner;
-  Result.Worker.Value = Reply->worker();
-  Result.WorkerAddress = Reply->worker_address();
-  // The answer took some time, which only the worker's clock counts.
-  Result.SendBy =
-      net::now() +
-      core::Duration(static_cast<std::int64_t>(Reply->valid_for_us()));
-  Result.NotAfterWorkerMs = Reply->not_after_worker_ms();
+  Result.Refused = Why;
   return Result;
 }
 
@@ -108,252 +48,310 @@
 
 PoolService::PoolService(const Context &C, Membership &Members,
                          ConfigStore &Config, Fleet &Workers)
-    : Context_(C), Members_(Members), Config_(Config), Workers_(Workers) {}
+    : Context_(C), Members_(Members), Config_(Config), Workers_(Workers),
+      Allotments_(C) {}
 
 void PoolService::start() {
+  Allotments_.start([this] { pumpAll(); });
   poll();
   Context_.Control.every(PollEvery, [this] { poll(); });
   Context_.Control.every(PumpEvery, [this] {
-    for (auto &[Id, Pool] : Owned_)
-      pump(Pool);
+    for (auto &[Id, Held] : Owned_)
+      pump(Held);
   });
+  Context_.Control.every(TeamsEvery, [this] { pumpAll(); });
   Context_.Control.every(ProbeEvery, [this] { Workers_.probe(owned()); });
+  Context_.Control.every(ReleaseEvery, [this] { flushReleases(); });
+  startWatching();
 }
 
 std::vector<core::PoolId> PoolService::owned() const {
   std::vector<core::PoolId> Pools;
-  for (const auto &[Id, Pool] : Owned_)
+  for (const auto &[Id, Held] : Owned_)
     Pools.push_back(Id);
   return Pools;
 }
 
-void PoolService::poll() {
-  if (Polling_)
-    return;
-  Polling_ = true;
-  Context_.Tables.scan(PoolTable, "", "", MaxPools,
-                       [this](platform::ScanResult Result) {
-                         Context_.Control.post([this, Result] {
-                           Polling_ = false;
-                           onScan(Result);
-                         });
-                       });
+const Member *PoolService::ownerOf(core::PoolId Pool) const {
+  auto Known = Owners_.find(Pool);
+  return Known == Owners_.end() ? nullptr : Members_.find(Known->second.Id);
 }
 
-void PoolService::onScan(const platform::ScanResult &Result) {
-  if (Result.Outcome != platform::ReadOutcome::Ok)
-    return;
-  Owners_.clear();
-  for (const platform::Row &Row : Result.Rows) {
-    json J = json::parse(Row.Value);
-    core::PoolId Pool{J.at("pool").get<std::uint32_t>()};
-    KnownOwner &Known = Owners_[Pool];
-    Known.Id = core::incarnationFrom(J.at("owner").get<std::string>())
-                   .value_or(core::Incarnation{});
-    Known.Term.Value = J.at("epoch").get<std::uint64_t>();
-    Known.RowVersion = Row.Version;
+std::uint32_t PoolService::runningOn(core::WorkerId Worker) const {
+  std::uint32_t Count = 0;
+  for (const auto &[Pool, Held] : Owned_) {
+    const auto &Indexed = Held.Pool->state().Workers.Workers;
+    auto It = Indexed.find(Worker);
+    Count += It == Indexed.end() ? 0 : It->second.UsedSlots;
   }
-  refresh();
+  return Count;
 }
 
 void PoolService::refresh() {
-  std::shared_ptr<const core::Configuration> C = Config_.current();
-  for (const core::Pool &P : C->Pools)
-    consider(P);
-  for (auto &[Id, Pool] : Owned_)
-    update(Pool);
+  countPools();
+  considerAll();
+  for (auto &[Id, Held] : Owned_) {
+    update(Held);
+    Held.Pool->dropDemandsOf(
+        [this](core::Incarnation Id) { return !Members_.find(Id); });
+  }
 }
 
-void PoolService::consider(const core::Pool &P) {
-  auto It = Owners_.find(P.Id);
-  bool HasOwner = It != Owners_.end() && Members_.find(It->second.Id);
-  if (HasOwner && It->second.Id == Context_.Self && !Owned_.contains(P.Id))
-    own(P.Id, It->second.Term);
-  if (HasOwner || !Members_.isCurrent(net::now()))
-    return;
-  if (preferredOwner(P.Id, Members_.members()) != Context_.Self)
+void PoolService::countPools() {
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  if (PoolCountsOf_ == C->Version && !PoolCounts_.empty())
     return;
-  KnownOwner Known = It == Owners_.end() ? KnownOwner{} : It->second;
-  take(P.Id, {Known.Term.Value + 1}, Known.RowVersion);
-}
-
-void PoolService::take(core::PoolId Pool, core::Epoch Term,
-                       std::uint64_t RowVersion) {
-  json J = {{"pool", Pool.Value},
-            {"owner", core::nameOf(Context_.Self)},
-            {"epoch", Term.Value}};
-  platform::RowKey Key{PoolTable, std::to_string(Pool.Value)};
-  platform::Transaction T{
-      "own-" + Key.Key, {{Key, RowVersion}}, {{Key, J.dump()}}};
-  Context_.Tables.commit(std::move(T), [this](platform::CommitResult) {
-    Context_.Control.post([this] { poll(); });
-  });
+  PoolCountsOf_ = C->Version;
+  PoolCounts_.clear();
+  for (const core::Team &T : C->Teams) {
+    std::set<core::PoolId> Pools;
+    for (const core::Queue &Q : C->Queues)
+      if (core::mayUse(Q, T.Id) || (Q.Open && Q.OpenTeam == T.Id))
+        Pools.insert(Q.ServedBy);
+    PoolCounts_[T.Id] = static_cast<std::uint32_t>(Pools.size());
+  }
 }
 
-void PoolService::own(core::PoolId Pool, core::Epoch Term) {
-  LOG(INFO) << "pools: owner of pool " << Pool.Value << " in epoch "
-            << Term.Value;
-  OwnedPool &Owned = Owned_[Pool];
-  Owned.Owner.Pool = Pool;
-  Owned.Owner.Term = Term;
-  update(Owned);
-  Workers_.probe(owned());
+void PoolService::update(Holding &Held) {
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  core::PoolOwner &State = Held.Pool->state();
+  core::setWorkers(State, Workers_.workersOf(State.Pool, *C));
+  updateTeams(Held);
 }
 
-void PoolService::update(OwnedPool &Owned) {
+void PoolService::updateTeams(Holding &Held) {
   std::shared_ptr<const core::Configuration> C = Config_.current();
-  core::setWorkers(Owned.Owner, Workers_.workersOf(Owned.Owner.Pool, *C));
   for (const core::Team &T : C->Teams)
-    core::setTeam(Owned.Owner, T.Id, T.Share, T.UpperLimit, net::now());
+    updateTeam(Held, T);
 }
 
-AcquireResult PoolService::resultOf(const core::Grant &G) const {
-  AcquireResult Result;
-  const core::Instance *I = Workers_.find(G.Worker);
-  std::optional<std::uint64_t> NotAfter =
-      Workers_.workerClockMs(G.Worker, G.NotAfter);
-  if (!I || !NotAfter) {
-    Result.Refused = core::Reason::NoWorker;
-    return Result;
+void PoolService::updateTeam(Holding &Held, const core::Team &T) {
+  core::PoolOwner &State = Held.Pool->state();
+  core::PoolUse Use;
+  auto It = State.Teams.find(T.Id);
+  if (It != State.Teams.end()) {
+    Use.Running = It->second.Running + State.UnknownSlots;
+    Use.Waiting = It->second.Waiting;
   }
-  Result.Worker = G.Worker;
-  Result.WorkerAddress = I->Address;
-  Result.SendBy = G.NotAfter;
-  Result.NotAfterWorkerMs = *NotAfter;
-  return Result;
+  Use.Slots = State.Workers.OpenSlots;
+  Use.PoolCount = PoolCounts_[T.Id];
+  bool MayWrite = !Held.Leaving && !Held.Pool->isRebuilding() &&
+                  Members_.isCurrent(net::now());
+  if (MayWrite)
+    Allotments_.update({State.Pool, Held.RowVersion}, T, Use);
+  core::setTeam(State, T.Id, T.Share, Allotments_.usable(State.Pool, T),
+                net::now());
 }
 
-void PoolService::pump(OwnedPool &Owned) {
-  core::TimePoint Now = net::now();
-  core::TimePoint Until = Members_.currentUntil();
-  if (Now >= Until)
-    return;
-  core::PoolDecisions Decided = core::decide(Owned.Owner, Now, Until);
-  for (const core::Grant &G : Decided.Grants) {
-    auto It = Owned.Waiting.find(G.Id);
-    auto Done = std::move(It->second);
-    Owned.Waiting.erase(It);
-    AcquireResult Result = resultOf(G);
-    if (Result.Refused != core::Reason::None)
-      core::finish(Owned.Owner, G.Id, core::Duration(0), Now);
-    Done(Result);
-  }
-  for (const core::Refusal &R : Decided.Refusals) {
-    auto It = Owned.Waiting.find(R.Id);
-    auto Done = std::move(It->second);
-    Owned.Waiting.erase(It);
-    AcquireResult Result;
-    Result.Refused = R.Why;
-    Done(Result);
-  }
+void PoolService::pump(Holding &Held) {
+  if (!Held.Leaving)
+    Held.Pool->decide(Members_.currentUntil());
 }
 
-void PoolService::acquire(core::PoolId Pool, core::Demand D,
-                          std::function<void(AcquireResult)> Done) {
-  auto Here = Owned_.find(Pool);
-  if (Here != Owned_.end())
-    return acquireHere(Here->second, D, std::move(Done));
-  const Member *Owner = ownerOf(Pool);
-  if (!Owner) {
-    AcquireResult Result;
-    Result.Refused = core::Reason::NoOwner;
-    return Done(Result);
+void PoolService::pumpAll() {
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  for (auto &[Id, Held] : Owned_) {
+    Held.Pool->reconcile(*C);
+    updateTeams(Held);
+    pump(Held);
   }
-  acquireThere(*Owner, Pool, D, std::move(Done));
 }
 
-void PoolService::acquireHere(OwnedPool &Owned, core::Demand D,
-                              std::function<void(AcquireResult)> Done) {
+void PoolService::acquire(core::PoolId Pool, core::Demand D,
+                          AcquireCallback Done) {
   core::DemandId Id = D.Id;
-  core::Reason Refused = core::enqueue(Owned.Owner, D, net::now());
-  if (Refused != core::Reason::None) {
-    AcquireResult Result;
-    Result.Refused = Refused;
-    return Done(Result);
-  }
-  Owned.Waiting[Id] = std::move(Done);
-  pump(Owned);
+  Pending_[Id] = {Pool, std::move(D), std::move(Done), 0};
+  ask(Id);
+}
+
+void PoolService::ask(core::DemandId Id) {
+  auto It = Pending_.find(Id);
+  if (It == Pending_.end())
+    return;
+  Pending &P = It->second;
+  ++P.Attempt;
+  if (net::now() >= deadlineOf(P.Asked))
+    return answer(Id, refusal(core::Reason::DeadlinePassed));
+  auto Here = Owned_.find(P.Pool);
+  if (Here != Owned_.end() && !Here->second.Leaving)
+    return askHere(Here->second, Id, P);
+  const Member *Owner = ownerOf(P.Pool);
+  if (Owner && Owner->Id != Context_.Self)
+    return askThere(*Owner, Id, P);
+  poll();
+  askLater(Id, P.Attempt);
+}
+
+void PoolService::askHere(Holding &Held, core::DemandId Id, const Pending &P) {
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  core::TeamId Team = P.Asked.Team;
+  Held.Pool->acquire(P.Asked, [this, Id, Attempt = P.Attempt](auto Result) {
+    Context_.Control.post(
+        [this, Id, Attempt, Result] { onAnswer(Id, Attempt, Result); });
+  });
+  if (const core::Team *T = core::findTeam(*C, Team))
+    updateTeam(Held, *T);
+  pump(Held);
 }
 
-void PoolService::acquireThere(const Member &Owner, core::PoolId Pool,
-                               const core::Demand &D,
-                               std::function<void(AcquireResult)> Done) {
+void PoolService::askThere(const Member &Owner, core::DemandId Id,
+                           const Pending &P) {
   wire::AcquireRequest Request;
-  Request.set_pool(Pool.Value);
-  Request.set_epoch(Owners_[Pool].Term.Value);
-  fill(*Request.mutable_demand(), D);
-  core::Duration Limit = deadlineOf(D) - net::now();
-  Context_.Peers.acquire(Owner.PeerAddress, std::move(Request), Limit,
-                         [this, Done = std::move(Done)](auto Reply) {
-                           AcquireResult Result = resultFrom(Reply);
-                           Context_.Control.post(
-                               [Done, Result] { Done(Result); });
-                         });
+  Request.set_pool(P.Pool.Value);
+  Request.set_epoch(Owners_[P.Pool].Term.Value);
+  detail::fill(*Request.mutable_demand(), P.Asked, net::now());
+  core::Duration Limit = deadlineOf(P.Asked) - net::now();
+  Context_.Peers.acquire(
+      Owner.PeerAddress, std::move(Request), Limit,
+      [this, Id, Attempt = P.Attempt](auto Reply) {
+        AcquireResult Result = refusal(core::Reason::NoOwner);
+        if (Reply)
+          Result = detail::resultFrom(*Reply, net::now());
+        Context_.Control.post(
+            [this, Id, Attempt, Result] { onAnswer(Id, Attempt, Result); });
+      });
 }
 
-const Member *PoolService::ownerOf(core::PoolId Pool) const {
-  auto Known = Owners_.find(Pool);
-  return Known == Owners_.end() ? nullptr : Members_.find(Known->second.Id);
+void PoolService::askAgainOf(core::PoolId Pool) {
+  std::vector<core::DemandId> Ids;
+  for (const auto &[Id, P] : Pending_)
+    if (P.Pool == Pool)
+      Ids.push_back(Id);
+  for (core::DemandId Id : Ids)
+    ask(Id);
 }
 
-std::uint32_t PoolService::runningOn(core::WorkerId Worker) const {
-  std::uint32_t Count = 0;
-  for (const auto &[Pool, Owned] : Owned_)
-    for (const auto &[Id, Running] : Owned.Owner.Running)
-      Count += Running.Worker == Worker ? 1 : 0;
-  return Count;
+void PoolService::askLater(core::DemandId Id, std::uint32_t Attempt) {
+  Context_.Control.after(retryDelay(Attempt), [this, Id, Attempt] {
+    auto It = Pending_.find(Id);
+    if (It != Pending_.end() && It->second.Attempt == Attempt)
+      ask(Id);
+  });
+}
+
+void PoolService::onAnswer(core::DemandId Id, std::uint32_t Attempt,
+                           const AcquireResult &Result) {
+  auto It = Pending_.find(Id);
+  // An earlier attempt's grant is passed over: the owner gives it once more to
+  // the present attempt, or frees it when the worker never lists the task.
+  if (It == Pending_.end() || It->second.Attempt != Attempt)
+    return;
+  if (Result.Refused != core::Reason::NoOwner)
+    return answer(Id, Result);
+  Context_.Counters.countRetry(core::Reason::NoOwner);
+  poll();
+  askLater(Id, Attempt);
+}
+
+void PoolService::answer(core::DemandId Id, const AcquireResult &Result) {
+  auto It = Pending_.find(Id);
+  AcquireCallback Done = std::move(It->second.Done);
+  core::PoolId Pool = It->second.Pool;
+  Pending_.erase(It);
+  // The owner may still have the demand, or may have granted it unheard.
+  if (Result.Refused == core::Reason::DeadlinePassed)
+    release(Pool, Id, {});
+  Done(Result);
 }
 
 void PoolService::release(core::PoolId Pool, core::DemandId Id,
                           const DemandEnd &End) {
-  auto Here = Owned_.find(Pool);
-  if (Here != Owned_.end()) {
-    core::cancel(Here->second.Owner, Id);
-    core::finish(Here->second.Owner, Id, End.Ran, net::now());
-    pump(Here->second);
+  auto It = Pending_.find(Id);
+  if (It != Pending_.end()) {
+    AcquireCallback Done = std::move(It->second.Done);
+    Pending_.erase(It);
+    Context_.Control.post(
+        [Done] { Done(refusal(core::Reason::Cancelled)); });
+  }
+  // The owner learns an unknown end from the worker.
+  if (End.How == Ending::Unknown)
     return;
+  Releases &Waiting = Releases_[Pool];
+  if (Waiting.size() >= MaxReleasesKept)
+    Waiting.erase(Waiting.begin());
+  Waiting[Id] = End;
+  flushReleases(Pool);
+}
+
+void PoolService::flushReleases() {
+  std::vector<core::PoolId> Pools;
+  for (const auto &[Pool, Waiting] : Releases_)
+    if (!Waiting.empty())
+      Pools.push_back(Pool);
+  for (core::PoolId Pool : Pools)
+    flushReleases(Pool);
+}
+
+void PoolService::flushReleases(core::PoolId Pool) {
+  auto Here = Owned_.find(Pool);
+  if (Here != Owned_.end() && !Here->second.Leaving) {
+    Releases Waiting = std::move(Releases_[Pool]);
+    Releases_.erase(Pool);
+    for (const auto &[Id, End] : Waiting)
+      Here->second.Pool->release(Id, End);
+    return pump(Here->second);
   }
   const Member *Owner = ownerOf(Pool);
-  if (!Owner)
-    return;
+  if (Owner && Owner->Id != Context_.Self && !Releasing_.contains(Pool))
+    sendReleases(Pool, *Owner);
+}
+
+void PoolService::sendReleases(core::PoolId Pool, const Member &Owner) {
   wire::ReleaseRequest Request;
   Request.set_pool(Pool.Value);
-  wire::ReleasedDemand &Demand = *Request.add_demands();
-  Demand.set_from_incarnation(Id.From.Value);
-  Demand.set_number(Id.Number);
-  Demand.set_ending(static_cast<std::uint32_t>(End.How));
-  Demand.set_ran_us(static_cast<std::uint64_t>(End.Ran.count()));
-  Demand.set_target_failed(End.TargetFailed);
-  Context_.Peers.release(Owner->PeerAddress, std::move(Request), ReleaseLimit,
-                         [](auto) {});
+  Request.set_epoch(Owners_[Pool].Term.Value);
+  std::vector<core::DemandId> Sent;
+  for (const auto &[Id, End] : Releases_[Pool]) {
+    if (Request.demands_size() == MaxReleasesInCall)
+      break;
+    detail::fill(*Request.add_demands(), Id, End);
+    Sent.push_back(Id);
+  }
+  Releasing_.insert(Pool);
+  Context_.Peers.release(
+      Owner.PeerAddress, std::move(Request), ReleaseLimit,
+      [this, Pool, Sent = std::move(Sent)](auto Reply) {
+        bool Accepted = Reply && Reply->accepted();
+        Context_.Control.post([this, Pool, Sent, Accepted] {
+          Releasing_.erase(Pool);
+          if (!Accepted)
+            return;
+          for (core::DemandId Id : Sent)
+            Releases_[Pool].erase(Id);
+          if (!Releases_[Pool].empty())
+            flushReleases(Pool);
+        });
+      });
 }
 
 void PoolService::serveAcquire(
     const wire::AcquireRequest &Request,
     std::function<void(wire::AcquireReply)> Respond) {
   auto Here = Owned_.find(core::PoolId{Request.pool()});
-  if (Here == Owned_.end()) {
-    AcquireResult Result;
-    Result.Refused = core::Reason::NoOwner;
-    return Respond(replyOf(Result));
-  }
-  acquireHere(Here->second, demandFrom(Request.demand()),
-              [Respond = std::move(Respond)](const AcquireResult &Result) {
-                Respond(replyOf(Result));
-              });
+  if (Here == Owned_.end() || Here->second.Leaving)
+    return Respond(
+        detail::replyOf(refusal(core::Reason::NoOwner), net::now()));
+  core::Demand D = detail::demandFrom(Request.demand(), net::now());
+  Here->second.Pool->acquire(
+      D, [Respond = std::move(Respond)](const AcquireResult &Result) {
+        Respond(detail::replyOf(Result, net::now()));
+      });
+  std::shared_ptr<const core::Configuration> C = Config_.current();
+  if (const core::Team *T = core::findTeam(*C, D.Team))
+    updateTeam(Here->second, *T);
+  pump(Here->second);
 }
 
 wire::ReleaseReply
 PoolService::serveRelease(const wire::ReleaseRequest &Request) {
   wire::ReleaseReply Reply;
   auto Here = Owned_.find(core::PoolId{Request.pool()});
-  if (Here == Owned_.end())
+  if (Here == Owned_.end() || Here->second.Leaving)
     return Reply;
   for (const wire::ReleasedDemand &Demand : Request.demands())
-    release(Here->first, {{Demand.from_incarnation()}, Demand.number()},
-            {static_cast<Ending>(Demand.ending()),
-             core::Duration(static_cast<std::int64_t>(Demand.ran_us())),
-             Demand.target_failed()});
+    Here->second.Pool->release({{Demand.from_incarnation()}, Demand.number()},
+                               detail::endFrom(Demand));
+  pump(Here->second);
   Reply.set_accepted(true);
   return Reply;
 }
--- a/src/entry/PoolService.h
+++ b/src/entry/PoolService.h
@@ -1,39 +1,16 @@
 #ifndef COMFREYDECK_ENTRY_POOLSERVICE_H
 #define COMFREYDECK_ENTRY_POOLSERVICE_H
 
-#include "core/PoolOwner.h"
+#include "entry/AllotmentService.h"
 #include "entry/ConfigStore.h"
-#include "entry/Fleet.h"
 #include "entry/Membership.h"
+#include "entry/OwnedPool.h"
 
 #include <map>
+#include <memory>
 
 namespace comfreydeck::entry {
 
-/// What came of asking for a slot.
-struct AcquireResult {
-  /// None where a slot was granted.
-  core::Reason Refused = core::Reason::None;
-  core::WorkerId Worker;
-  std::string WorkerAddress;
-  /// The start must be sent before this.
-  core::TimePoint SendBy;
-  /// The worker refuses the start after this, in its own clock.
-  std::uint64_t NotAfterWorkerMs = 0;
-};
-
-/// How a granted or waiting demand ended.
-enum class Ending : std::uint8_t { NeverStarted, Ended, Unknown };
-
-/// What the pool's owner learns when a demand ends.
-struct DemandEnd {
-  Ending How = Ending::NeverStarted;
-  /// How long the target took; zero where it never started.
-  core::Duration Ran{0};
-  /// Whether the target failed the task rather than answered it.
-  bool TargetFailed = false;
-};
-
 /// Who owns which pool, and the pools that this entry owns.
 class PoolService {
 public:
@@ -44,23 +21,33 @@
   /// Takes and gives up pools from now on. Call once, on the control thread.
   void start();
 
+  /// Hands every owned pool over and takes none from now on; \p Done comes on
+  /// the control thread once all are handed over or a bound has passed. On the
+  /// control thread.
+  void leave(std::function<void()> Done);
+
   /// Looks at owners again after a change of members, configuration or
   /// workers. On the control thread.
   void refresh();
 
-  /// Asks the pool's owner, here or elsewhere, for a slot; \p Done comes on
-  /// the control thread. On the control thread.
-  void acquire(core::PoolId Pool, core::Demand D,
-               std::function<void(AcquireResult)> Done);
+  /// Asks the pool's owner, here or elsewhere, for a slot, through changes of
+  /// owners until the deadline; \p Done comes once, on the control thread. On
+  /// the control thread.
+  void acquire(core::PoolId Pool, core::Demand D, AcquireCallback Done);
 
-  /// Tells the pool's owner how a demand ended. On the control thread.
+  /// Tells the pool's owner how a demand ended, again until it has heard. A
+  /// demand that still waits is refused as cancelled. On the control thread.
   void release(core::PoolId Pool, core::DemandId Id, const DemandEnd &End);
 
-  /// The same for the other entries' calls. On the control thread.
+  /// The other entries' calls. On the control thread.
   void serveAcquire(const cluster::wire::AcquireRequest &Request,
                     std::function<void(cluster::wire::AcquireReply)> Respond);
   cluster::wire::ReleaseReply
   serveRelease(const cluster::wire::ReleaseRequest &Request);
+  cluster::wire::HandOverReply
+  serveHandOver(const cluster::wire::HandOverRequest &Request);
+  cluster::wire::ListRunningReply
+  serveListRunning(const cluster::wire::ListRunningRequest &Request);
 
   /// The pool's owner as last read; nothing where there is none. On the control
   /// thread.
@@ -77,38 +64,115 @@
   std::vector<core::PoolId> owned() const;
 
 private:
-  struct OwnedPool {
-    core::PoolOwner Owner;
-    std::map<core::DemandId, std::function<void(AcquireResult)>> Waiting;
-  };
-
+  /// Who owns a pool, as its row was last read.
   struct KnownOwner {
     core::Incarnation Id;
     core::Epoch Term;
     std::uint64_t RowVersion = 0;
   };
 
+  /// A pool that this entry owns and since when.
+  struct Holding {
+    std::unique_ptr<OwnedPool> Pool;
+    std::uint64_t RowVersion = 0;
+    core::TimePoint Since;
+    /// Being handed over: grants nothing any more.
+    bool Leaving = false;
+  };
+
+  /// A demand of this entry that has no answer yet.
+  struct Pending {
+    core::PoolId Pool;
+    core::Demand Asked;
+    AcquireCallback Done;
+    /// Answers to earlier attempts do not count.
+    std::uint32_t Attempt = 0;
+  };
+
+  /// How an owner answered lately.
+  struct Health {
+    std::uint32_t Failures = 0;
+    bool Asking = false;
+  };
+
+  using Releases = std::map<core::DemandId, DemandEnd>;
+
+  // Ownership.
+  void startWatching();
   void poll();
   void onScan(const platform::ScanResult &Result);
+  void considerAll();
   void consider(const core::Pool &P);
-  void take(core::PoolId Pool, core::Epoch Term, std::uint64_t RowVersion);
-  void own(core::PoolId Pool, core::Epoch Term);
-  void update(OwnedPool &Owned);
-  void pump(OwnedPool &Owned);
-  void acquireHere(OwnedPool &Owned, core::Demand D,
-                   std::function<void(AcquireResult)> Done);
-  void acquireThere(const Member &Owner, core::PoolId Pool,
-                    const core::Demand &D,
-                    std::function<void(AcquireResult)> Done);
-  AcquireResult resultOf(const core::Grant &G) const;
+  void considerMoving(core::PoolId Pool, Holding &Held,
+                      core::Incarnation Preferred);
+  bool isSuspect(core::Incarnation Id) const;
+  core::Incarnation preferredFor(core::PoolId Pool) const;
+  void fence(core::Incarnation Id);
+  void take(core::PoolId Pool, const KnownOwner &Known);
+  void writeRow(core::PoolId Pool, const KnownOwner &Known,
+                core::Incarnation Owner,
+                std::function<void(platform::CommitOutcome)> Done);
+  void own(core::PoolId Pool, const KnownOwner &Known);
+  void disown(core::PoolId Pool);
+  void probeMembers();
+  void probeMember(const Member &M);
+
+  // Handing over.
+  void handOver(core::PoolId Pool, const Member &To,
+                std::function<void()> Done);
+  void commitHandOver(core::PoolId Pool, const Member &To,
+                      std::function<void()> Done);
+  void onHandOverCommitted(core::PoolId Pool, const Member &To,
+                           platform::CommitOutcome Outcome,
+                           const std::function<void()> &Done);
+  void sendHandOver(core::PoolId Pool, const Member &To,
+                    std::function<void()> Done);
+  void takeHandedOver(core::PoolId Pool, Holding &Held);
+
+  // Owned pools.
+  void update(Holding &Held);
+  void updateTeams(Holding &Held);
+  void updateTeam(Holding &Held, const core::Team &T);
+  void countPools();
+  void pump(Holding &Held);
+  void pumpAll();
+
+  // This entry's own demands.
+  void ask(core::DemandId Id);
+  void askAgainOf(core::PoolId Pool);
+  void onAnswer(core::DemandId Id, std::uint32_t Attempt,
+                const AcquireResult &Result);
+  void askHere(Holding &Held, core::DemandId Id, const Pending &P);
+  void askThere(const Member &Owner, core::DemandId Id, const Pending &P);
+  void answer(core::DemandId Id, const AcquireResult &Result);
+  void askLater(core::DemandId Id, std::uint32_t Attempt);
+  void flushReleases();
+  void flushReleases(core::PoolId Pool);
+  void sendReleases(core::PoolId Pool, const Member &Owner);
 
   Context Context_;
   Membership &Members_;
   ConfigStore &Config_;
   Fleet &Workers_;
+  AllotmentService Allotments_;
   std::map<core::PoolId, KnownOwner> Owners_;
-  std::map<core::PoolId, OwnedPool> Owned_;
+  std::map<core::PoolId, Holding> Owned_;
+  std::map<core::DemandId, Pending> Pending_;
+  std::map<core::PoolId, Releases> Releases_;
+  std::set<core::PoolId> Releasing_;
+  std::map<core::Incarnation, Health> Health_;
+  std::map<core::PoolId, cluster::wire::HandOverRequest> HandedOver_;
+  std::set<core::PoolId> Writing_;
+  /// Incarnations that this entry fences, and those that it has fenced.
+  std::set<core::Incarnation> Fencing_;
+  std::set<core::Incarnation> Fenced_;
+  /// How many pools each team may use, and in which configuration.
+  std::map<core::TeamId, std::uint32_t> PoolCounts_;
+  core::ConfigVersion PoolCountsOf_;
+  core::TimePoint LastHandOver_;
   bool Polling_ = false;
+  bool PollAgain_ = false;
+  bool Leaving_ = false;
 };
 
 } // namespace comfreydeck::entry
--- /dev/null
+++ b/src/entry/PoolWire.cpp
@@ -0,0 +1,128 @@
+#include "entry/PoolWire_p.h"
+
+#include <algorithm>
+
+namespace comfreydeck::entry::detail {
+
+namespace {
+
+using namespace cluster;
+
+/// Longest validity of a grant that was given elsewhere.
+constexpr core::Duration GrantValidity = std::chrono::seconds(3);
+
+std::uint64_t spanOf(core::Duration D) {
+  return static_cast<std::uint64_t>(std::max<std::int64_t>(D.count(), 0));
+}
+
+core::Duration durationOf(std::uint64_t Us) {
+  return core::Duration(static_cast<std::int64_t>(Us));
+}
+
+} // namespace
+
+void fill(wire::DemandMessage &Out, const core::Demand &D,
+          core::TimePoint Now) {
+  Out.set_from_incarnation(D.Id.From.Value);
+  Out.set_number(D.Id.Number);
+  Out.set_team(D.Team.Value);
+  Out.set_queue(D.Queue.Value);
+  Out.mutable_size()->set_milli_cpus(D.Size.MilliCpus);
+  Out.mutable_size()->set_memory_mb(D.Size.MemoryMb);
+  Out.mutable_size()->set_accelerators(D.Size.Accelerators);
+  Out.set_run_us(spanOf(D.Run));
+  Out.set_urgent(D.Urgent);
+  if (D.Deadline)
+    Out.set_deadline_in_us(std::max<std::uint64_t>(spanOf(*D.Deadline - Now), 1));
+  Out.set_waited_us(spanOf(Now - D.Arrived));
+}
+
+core::Demand demandFrom(const wire::DemandMessage &In, core::TimePoint Now) {
+  core::Demand D;
+  D.Id.From.Value = In.from_incarnation();
+  D.Id.Number = In.number();
+  D.Team.Value = In.team();
+  D.Queue.Value = In.queue();
+  D.Size = {In.size().milli_cpus(), In.size().memory_mb(),
+            In.size().accelerators()};
+  D.Run = durationOf(In.run_us());
+  D.Urgent = In.urgent();
+  D.Arrived = Now - durationOf(In.waited_us());
+  if (In.deadline_in_us() > 0)
+    D.Deadline = Now + durationOf(In.deadline_in_us());
+  return D;
+}
+
+void fill(wire::RunningMessage &Out, const core::RunningTask &Task,
+          core::TimePoint Now) {
+  core::Demand D;
+  D.Id = Task.Id;
+  D.Team = Task.Team;
+  D.Queue = Task.Queue;
+  D.Size = Task.Size;
+  D.Run = Task.Run;
+  D.Urgent = Task.Urgent;
+  D.Arrived = Now;
+  fill(*Out.mutable_demand(), D, Now);
+  Out.set_worker(Task.Worker.Value);
+  Out.set_running_us(spanOf(Now - Task.Started));
+}
+
+core::RunningTask runningFrom(const wire::RunningMessage &In,
+                              core::TimePoint Now) {
+  core::Demand D = demandFrom(In.demand(), Now);
+  core::RunningTask Task;
+  Task.Id = D.Id;
+  Task.Team = D.Team;
+  Task.Worker.Value = In.worker();
+  Task.Size = D.Size;
+  Task.Started = Now - durationOf(In.running_us());
+  Task.Queue = D.Queue;
+  Task.Run = D.Run;
+  Task.NotAfter = Now + GrantValidity;
+  Task.Urgent = D.Urgent;
+  return Task;
+}
+
+wire::AcquireReply replyOf(const AcquireResult &Result, core::TimePoint Now) {
+  wire::AcquireReply Reply;
+  Reply.set_granted(Result.Refused == core::Reason::None);
+  Reply.set_refusal_reason(static_cast<std::uint32_t>(Result.Refused));
+  Reply.set_worker(Result.Worker.Value);
+  Reply.set_worker_address(Result.WorkerAddress);
+  Reply.set_valid_for_us(spanOf(Result.SendBy - Now));
+  Reply.set_not_after_worker_ms(Result.NotAfterWorkerMs);
+  return Reply;
+}
+
+AcquireResult resultFrom(const wire::AcquireReply &Reply, core::TimePoint Now) {
+  AcquireResult Result;
+  bool IsKnown =
+      Reply.refusal_reason() < static_cast<std::uint32_t>(core::Reason::Count);
+  Result.Refused = IsKnown ? static_cast<core::Reason>(Reply.refusal_reason())
+                           : core::Reason::NoOwner;
+  Result.Worker.Value = Reply.worker();
+  Result.WorkerAddress = Reply.worker_address();
+  // The answer took some time, which only the worker's clock counts.
+  Result.SendBy = Now + durationOf(Reply.valid_for_us());
+  Result.NotAfterWorkerMs = Reply.not_after_worker_ms();
+  return Result;
+}
+
+void fill(wire::ReleasedDemand &Out, core::DemandId Id, const DemandEnd &End) {
+  Out.set_from_incarnation(Id.From.Value);
+  Out.set_number(Id.Number);
+  Out.set_ending(static_cast<std::uint32_t>(End.How));
+  Out.set_ran_us(spanOf(End.Ran));
+  Out.set_target_failed(End.TargetFailed);
+}
+
+DemandEnd endFrom(const wire::ReleasedDemand &In) {
+  // What can't be read is not known to have ended.
+  Ending How = In.ending() > static_cast<std::uint32_t>(Ending::Unknown)
+                   ? Ending::Unknown
+                   : static_cast<Ending>(In.ending());
+  return {How, durationOf(In.ran_us()), In.target_failed()};
+}
+
+} // namespace comfreydeck::entry::detail
