--- a/src/entry/AllotmentService.cpp
+++ b/src/entry/AllotmentService.cpp
@@ -127,8 +127,8 @@
   bool Idle = V.Seen.Version == 0 && Use.Running + Use.Waiting == 0;
   if (V.Writing || Idle || net::now() - V.LastWrite < WriteEvery)
     return;
-  std::optional<core::AllotmentRow> Next = core::nextRow(
-      V.Seen, Term.Pool, Seen, {T.UpperLimit, T.LimitSince});
+  std::optional<core::AllotmentRow> Next =
+      core::nextRow(V.Seen, Term.Pool, Seen, {T.UpperLimit, T.LimitSince});
   if (!Next)
     return;
   V.Writing = true;
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -20,7 +20,7 @@
 using namespace cluster;
 
 constexpr core::Duration DrainPoll = std::chrono::milliseconds(20);
-constexpr std::chrono::seconds LeaveLimit(3);
+constexpr std::chrono::seconds LeaveLimit(5);
 
 core::Incarnation newIncarnation() {
   std::random_device Device;
@@ -182,14 +182,18 @@
   });
 }
 
-void Entry::Impl::handOver(const wire::HandOverRequest & /*Request*/,
+void Entry::Impl::handOver(const wire::HandOverRequest &Request,
                            PeerResponder<wire::HandOverReply> Respond) {
-  Respond({});
+  Control.post([this, Request, Respond = std::move(Respond)] {
+    Pools.serveHandOver(Request, Respond);
+  });
 }
 
-void Entry::Impl::listRunning(const wire::ListRunningRequest & /*Request*/,
+void Entry::Impl::listRunning(const wire::ListRunningRequest &Request,
                               PeerResponder<wire::ListRunningReply> Respond) {
-  Respond({});
+  Control.post([this, Request, Respond = std::move(Respond)] {
+    Respond(Pools.serveListRunning(Request));
+  });
 }
 
 Entry::Entry(settings::Settings Settings)
@@ -216,8 +220,10 @@
   while (Impl_->Tasks.inFlight() > 0 && net::now() < Until)
     std::this_thread::sleep_for(DrainPoll);
   auto Left = std::make_shared<std::promise<void>>();
-  Impl_->Control.post(
-      [this, Left] { Impl_->Members.leave([Left] { Left->set_value(); }); });
+  Impl_->Control.post([this, Left] {
+    Impl_->Pools.leave(
+        [this, Left] { Impl_->Members.leave([Left] { Left->set_value(); }); });
+  });
   Left->get_future().wait_for(LeaveLimit);
   LOG(INFO) << "entry: left";
 }
--- a/src/entry/Fleet.cpp
+++ b/src/entry/Fleet.cpp
@@ -98,7 +98,8 @@
     if (I.Pool != Pool)
       continue;
     auto Clock = Statuses_.find(Id);
-    bool Heard = Clock != Statuses_.end() && Clock->second.Received > HeardSince;
+    bool Heard =
+        Clock != Statuses_.end() && Clock->second.Received > HeardSince;
     core::PoolWorker Worker;
     Worker.Id = Id;
     Worker.Slots = I.Slots;
--- a/src/entry/OwnedPool.cpp
+++ b/src/entry/OwnedPool.cpp
@@ -211,13 +211,14 @@
   for (const core::RunningTask &Task : Over) {
     auto It = Granted_.find(Task.Id);
     bool Started = It == Granted_.end() || It->second.Listed;
-    core::Duration Ran = Started ? net::now() - Task.Started : core::Duration(0);
+    core::Duration Ran =
+        Started ? net::now() - Task.Started : core::Duration(0);
     end(Task.Id, Ran);
   }
 }
 
 void OwnedPool::countUnknown() {
-  if (!CountsSilent_)
+  if (!CountsSilent_ && !Rebuilding_)
     return;
   std::uint32_t Slots = 0;
   for (const auto &[Id, W] : Owner_.Workers.Workers) {
@@ -239,8 +240,7 @@
 
 void OwnedPool::forgetEnded() {
   core::TimePoint Before = net::now() - RememberEnded;
-  std::erase_if(Ended_,
-                [&](const auto &Item) { return Item.second < Before; });
+  std::erase_if(Ended_, [&](const auto &Item) { return Item.second < Before; });
 }
 
 void OwnedPool::dropDemandsOf(
--- a/src/entry/OwnedPool.h
+++ b/src/entry/OwnedPool.h
@@ -71,8 +71,7 @@
   void reconcile(const core::Configuration &C);
 
   /// Drops the waiting demands of entries that are gone.
-  void
-  dropDemandsOf(const std::function<bool(core::Incarnation)> &IsGone);
+  void dropDemandsOf(const std::function<bool(core::Incarnation)> &IsGone);
 
   const core::PoolOwner &state() const { return Owner_; }
   core::PoolOwner &state() { return Owner_; }
--- a/src/entry/PoolOwnership.cpp
+++ b/src/entry/PoolOwnership.cpp
@@ -24,6 +24,8 @@
 /// A pool stays where it is for at least this long.
 constexpr core::Duration StayLeast = std::chrono::seconds(5);
 constexpr core::Duration HandOverLimit = std::chrono::milliseconds(500);
+/// Time for the next owner to hear of the workers, before the hand-over.
+constexpr core::Duration WarmUp = std::chrono::milliseconds(100);
 constexpr core::Duration CommitAgain = std::chrono::milliseconds(100);
 constexpr core::Duration LeaveLimit = std::chrono::seconds(2);
 
@@ -43,15 +45,17 @@
     return;
   }
   Polling_ = true;
-  Context_.Tables.scan(
-      PoolTable, "", "", MaxPools, [this](platform::ScanResult Result) {
-        Context_.Control.post([this, Result] {
-          Polling_ = false;
-          onScan(Result);
-          if (std::exchange(PollAgain_, false))
-            poll();
-        });
-      });
+  Context_.Tables.scan(PoolTable, "", "", MaxPools,
+                       [this](platform::ScanResult Result) {
+                         Context_.Control.post([this, Result] {
+                           Polling_ = false;
+                           onScan(Result);
+                           if (std::exchange(PollAgain_, false))
+                             return poll();
+                           for (auto &Next : std::exchange(AfterPoll_, {}))
+                             Next();
+                         });
+                       });
 }
 
 void PoolService::onScan(const platform::ScanResult &Result) {
@@ -153,23 +157,21 @@
            [this](platform::CommitOutcome) { poll(); });
 }
 
-void PoolService::writeRow(
-    core::PoolId Pool, const KnownOwner &Known, core::Incarnation Owner,
-    std::function<void(platform::CommitOutcome)> Done) {
+void PoolService::writeRow(core::PoolId Pool, const KnownOwner &Known,
+                           core::Incarnation Owner,
+                           std::function<void(platform::CommitOutcome)> Done) {
   codec::OwnershipRow Row{Pool, Owner, {Known.Term.Value + 1}};
   platform::RowKey Key = rowOf(Pool);
-  platform::Transaction T{"own-" + Key.Key,
-                          {{Key, Known.RowVersion}},
-                          {{Key, codec::toJson(Row)}}};
+  platform::Transaction T{
+      "own-" + Key.Key, {{Key, Known.RowVersion}}, {{Key, codec::toJson(Row)}}};
   Writing_.insert(Pool);
-  Context_.Tables.commit(
-      std::move(T),
-      [this, Pool, Done = std::move(Done)](platform::CommitResult Result) {
-        Context_.Control.post([this, Pool, Done, Outcome = Result.Outcome] {
-          Writing_.erase(Pool);
-          Done(Outcome);
-        });
-      });
+  Context_.Tables.commit(std::move(T), [this, Pool, Done = std::move(Done)](
+                                           platform::CommitResult Result) {
+    Context_.Control.post([this, Pool, Done, Outcome = Result.Outcome] {
+      Writing_.erase(Pool);
+      Done(Outcome);
+    });
+  });
 }
 
 void PoolService::own(core::PoolId Pool, const KnownOwner &Known) {
@@ -199,7 +201,8 @@
     return;
   core::TimePoint Now = net::now();
   const wire::HandOverRequest &Request = It->second;
-  if (Request.epoch() == Held.Pool->state().Term.Value) {
+  if (Request.epoch() == Held.Pool->state().Term.Value &&
+      Held.Pool->isRebuilding()) {
     std::vector<core::Demand> Waiting;
     for (const wire::DemandMessage &Item : Request.waiting())
       Waiting.push_back(detail::demandFrom(Item, Now));
@@ -239,16 +242,16 @@
 
 void PoolService::handOver(core::PoolId Pool, const Member &To,
                            std::function<void()> Done) {
-  // The connection is made, and the other asked, before anything stops.
+  // The connection is made, and the other gets ready, before anything stops.
+  wire::ListRunningRequest Request;
+  Request.set_pool(Pool.Value);
   Context_.Peers.listRunning(
-      To.PeerAddress, {}, HandOverLimit,
+      To.PeerAddress, std::move(Request), HandOverLimit,
       [this, Pool, To, Done = std::move(Done)](auto Reply) {
-        bool Ready = Reply && Reply->complete();
-        Context_.Control.post([this, Pool, To, Done, Ready] {
-          if (!Ready || !Owned_.contains(Pool))
-            return Done();
-          commitHandOver(Pool, To, Done);
-        });
+        if (!Reply || !Reply->complete())
+          return Context_.Control.post(Done);
+        Context_.Control.after(
+            WarmUp, [this, Pool, To, Done] { commitHandOver(Pool, To, Done); });
       });
 }
 
@@ -314,26 +317,31 @@
                           });
 }
 
-wire::HandOverReply
-PoolService::serveHandOver(const wire::HandOverRequest &Request) {
+void PoolService::serveHandOver(
+    const wire::HandOverRequest &Request,
+    std::function<void(wire::HandOverReply)> Respond) {
   wire::HandOverReply Reply;
   if (Leaving_)
-    return Reply;
+    return Respond(Reply);
   core::PoolId Pool{Request.pool()};
   HandedOver_[Pool] = Request;
+  Reply.set_accepted(true);
   auto Here = Owned_.find(Pool);
-  if (Here != Owned_.end() && Here->second.Pool->isRebuilding())
+  if (Here != Owned_.end()) {
     takeHandedOver(Pool, Here->second);
-  else
-    poll();
-  Reply.set_accepted(true);
-  return Reply;
+    return Respond(Reply);
+  }
+  AfterPoll_.push_back([Respond, Reply] { Respond(Reply); });
+  poll();
 }
 
 wire::ListRunningReply
-PoolService::serveListRunning(const wire::ListRunningRequest & /*Request*/) {
+PoolService::serveListRunning(const wire::ListRunningRequest &Request) {
   wire::ListRunningReply Reply;
   Reply.set_complete(!Leaving_ && Members_.isCurrent(net::now()));
+  core::PoolId Pool{Request.pool()};
+  if (Pool.Value != 0)
+    Workers_.probe(std::span(&Pool, 1));
   return Reply;
 }
 
--- a/src/entry/PoolService.cpp
+++ b/src/entry/PoolService.cpp
@@ -90,10 +90,10 @@
 void PoolService::refresh() {
   countPools();
   considerAll();
-  for (auto &[Id, Held] : Owned_) {
+  auto IsGone = [this](core::Incarnation Id) { return !Members_.find(Id); };
+  for (auto &[Pool, Held] : Owned_) {
     update(Held);
-    Held.Pool->dropDemandsOf(
-        [this](core::Incarnation Id) { return !Members_.find(Id); });
+    Held.Pool->dropDemandsOf(IsGone);
   }
 }
 
@@ -151,6 +151,8 @@
 void PoolService::pumpAll() {
   std::shared_ptr<const core::Configuration> C = Config_.current();
   for (auto &[Id, Held] : Owned_) {
+    if (Held.Pool->isRebuilding())
+      update(Held);
     Held.Pool->reconcile(*C);
     updateTeams(Held);
     pump(Held);
@@ -201,15 +203,16 @@
   Request.set_epoch(Owners_[P.Pool].Term.Value);
   detail::fill(*Request.mutable_demand(), P.Asked, net::now());
   core::Duration Limit = deadlineOf(P.Asked) - net::now();
-  Context_.Peers.acquire(
-      Owner.PeerAddress, std::move(Request), Limit,
-      [this, Id, Attempt = P.Attempt](auto Reply) {
-        AcquireResult Result = refusal(core::Reason::NoOwner);
-        if (Reply)
-          Result = detail::resultFrom(*Reply, net::now());
-        Context_.Control.post(
-            [this, Id, Attempt, Result] { onAnswer(Id, Attempt, Result); });
-      });
+  Context_.Peers.acquire(Owner.PeerAddress, std::move(Request), Limit,
+                         [this, Id, Attempt = P.Attempt](auto Reply) {
+                           AcquireResult Result =
+                               refusal(core::Reason::NoOwner);
+                           if (Reply)
+                             Result = detail::resultFrom(*Reply, net::now());
+                           Context_.Control.post([this, Id, Attempt, Result] {
+                             onAnswer(Id, Attempt, Result);
+                           });
+                         });
 }
 
 void PoolService::askAgainOf(core::PoolId Pool) {
@@ -260,8 +263,7 @@
   if (It != Pending_.end()) {
     AcquireCallback Done = std::move(It->second.Done);
     Pending_.erase(It);
-    Context_.Control.post(
-        [Done] { Done(refusal(core::Reason::Cancelled)); });
+    Context_.Control.post([Done] { Done(refusal(core::Reason::Cancelled)); });
   }
   // The owner learns an unknown end from the worker.
   if (End.How == Ending::Unknown)
@@ -308,20 +310,19 @@
     Sent.push_back(Id);
   }
   Releasing_.insert(Pool);
-  Context_.Peers.release(
-      Owner.PeerAddress, std::move(Request), ReleaseLimit,
-      [this, Pool, Sent = std::move(Sent)](auto Reply) {
-        bool Accepted = Reply && Reply->accepted();
-        Context_.Control.post([this, Pool, Sent, Accepted] {
-          Releasing_.erase(Pool);
-          if (!Accepted)
-            return;
-          for (core::DemandId Id : Sent)
-            Releases_[Pool].erase(Id);
-          if (!Releases_[Pool].empty())
-            flushReleases(Pool);
-        });
-      });
+  Context_.Peers.release(Owner.PeerAddress, std::move(Request), ReleaseLimit,
+                         [this, Pool, Sent = std::move(Sent)](auto Reply) {
+                           bool Accepted = Reply && Reply->accepted();
+                           Context_.Control.post([this, Pool, Sent, Accepted] {
+                             Releasing_.erase(Pool);
+                             if (!Accepted)
+                               return;
+                             for (core::DemandId Id : Sent)
+                               Releases_[Pool].erase(Id);
+                             if (!Releases_[Pool].empty())
+                               flushReleases(Pool);
+                           });
+                         });
 }
 
 void PoolService::serveAcquire(
@@ -329,8 +330,7 @@
     std::function<void(wire::AcquireReply)> Respond) {
   auto Here = Owned_.find(core::PoolId{Request.pool()});
   if (Here == Owned_.end() || Here->second.Leaving)
-    return Respond(
-        detail::replyOf(refusal(core::Reason::NoOwner), net::now()));
+    return Respond(detail::replyOf(refusal(core::Reason::NoOwner), net::now()));
   core::Demand D = detail::demandFrom(Request.demand(), net::now());
   Here->second.Pool->acquire(
       D, [Respond = std::move(Respond)](const AcquireResult &Result) {
--- a/src/entry/PoolService.h
+++ b/src/entry/PoolService.h
@@ -44,8 +44,8 @@
                     std::function<void(cluster::wire::AcquireReply)> Respond);
   cluster::wire::ReleaseReply
   serveRelease(const cluster::wire::ReleaseRequest &Request);
-  cluster::wire::HandOverReply
-  serveHandOver(const cluster::wire::HandOverRequest &Request);
+  void serveHandOver(const cluster::wire::HandOverRequest &Request,
+                     std::function<void(cluster::wire::HandOverReply)> Respond);
   cluster::wire::ListRunningReply
   serveListRunning(const cluster::wire::ListRunningRequest &Request);
 
@@ -169,6 +169,8 @@
   /// How many pools each team may use, and in which configuration.
   std::map<core::TeamId, std::uint32_t> PoolCounts_;
   core::ConfigVersion PoolCountsOf_;
+  /// What waits for the rows to be read once more.
+  std::vector<std::function<void()>> AfterPoll_;
   core::TimePoint LastHandOver_;
   bool Polling_ = false;
   bool PollAgain_ = false;
--- a/src/entry/PoolWire.cpp
+++ b/src/entry/PoolWire.cpp
@@ -33,7 +33,8 @@
   Out.set_run_us(spanOf(D.Run));
   Out.set_urgent(D.Urgent);
   if (D.Deadline)
-    Out.set_deadline_in_us(std::max<std::uint64_t>(spanOf(*D.Deadline - Now), 1));
+    Out.set_deadline_in_us(
+        std::max<std::uint64_t>(spanOf(*D.Deadline - Now), 1));
   Out.set_waited_us(spanOf(Now - D.Arrived));
 }
 
