--- a/src/entry/OwnedPool.cpp
+++ b/src/entry/OwnedPool.cpp
@@ -156,7 +156,7 @@
 
 void OwnedPool::reconcile(const core::Configuration &C) {
   for (const auto &[Id, W] : Owner_.Workers.Workers) {
-    const WorkerStatus *Status = Workers_.statusOf(Id);
+    const WorkerReport *Status = Workers_.reportOf(Id);
     if (!Status || Reconciled_[Id] == Status->Received)
       continue;
     Reconciled_[Id] = Status->Received;
@@ -167,7 +167,7 @@
   forgetEnded();
 }
 
-void OwnedPool::adoptListed(core::WorkerId Worker, const WorkerStatus &Status,
+void OwnedPool::adoptListed(core::WorkerId Worker, const WorkerReport &Status,
                             const core::Configuration &C) {
   for (const ListedTask &Listed : Status.Running) {
     std::optional<core::DemandId> Id = core::demandFrom(Listed.Task);
@@ -190,16 +190,16 @@
 }
 
 bool OwnedPool::isOver(const core::RunningTask &Task,
-                       const WorkerStatus &Status) const {
+                       const WorkerReport &Status) const {
   auto It = Granted_.find(Task.Id);
   bool PastNotAfter = It != Granted_.end() &&
-                      Status.ClockMs > It->second.Result.NotAfterWorkerMs;
+                      Status.WorkerMs > It->second.Result.NotAfterWorkerMs;
   bool Adopted = It == Granted_.end() && Status.Asked > Task.NotAfter;
   return PastNotAfter || Adopted ||
          Status.Asked > Task.NotAfter + ClockResetMargin;
 }
 
-void OwnedPool::endUnlisted(core::WorkerId Worker, const WorkerStatus &Status) {
+void OwnedPool::endUnlisted(core::WorkerId Worker, const WorkerReport &Status) {
   std::set<core::DemandId> Listed;
   for (const ListedTask &Task : Status.Running)
     if (std::optional<core::DemandId> Id = core::demandFrom(Task.Task))
@@ -222,7 +222,7 @@
     return;
   std::uint32_t Slots = 0;
   for (const auto &[Id, W] : Owner_.Workers.Workers) {
-    const WorkerStatus *Status = Workers_.statusOf(Id);
+    const WorkerReport *Status = Workers_.reportOf(Id);
     bool Heard = Status && Status->Asked >= RebuildSince_;
     Slots += Heard ? 0 : W.Worker.Slots;
   }
--- a/src/entry/OwnedPool.h
+++ b/src/entry/OwnedPool.h
@@ -89,10 +89,10 @@
   AcquireResult renewed(core::DemandId Id, core::TimePoint LeaseEnd);
   void answer(core::DemandId Id, const AcquireResult &Result);
   void end(core::DemandId Id, core::Duration Ran);
-  void adoptListed(core::WorkerId Worker, const WorkerStatus &Status,
+  void adoptListed(core::WorkerId Worker, const WorkerReport &Status,
                    const core::Configuration &C);
-  void endUnlisted(core::WorkerId Worker, const WorkerStatus &Status);
-  bool isOver(const core::RunningTask &Task, const WorkerStatus &Status) const;
+  void endUnlisted(core::WorkerId Worker, const WorkerReport &Status);
+  bool isOver(const core::RunningTask &Task, const WorkerReport &Status) const;
   void countUnknown();
   void forgetEnded();
 
--- a/src/entry/PoolOwnership.cpp
+++ b/src/entry/PoolOwnership.cpp
@@ -341,7 +341,7 @@
   Reply.set_complete(!Leaving_ && Members_.isCurrent(net::now()));
   core::PoolId Pool{Request.pool()};
   if (Pool.Value != 0)
-    Workers_.probe(std::span(&Pool, 1));
+    Workers_.probeAhead(Pool);
   return Reply;
 }
 
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -55,16 +55,28 @@
   std::uint32_t MaxBodyBytes = 8 << 20;
   core::Duration DefaultDeadline = std::chrono::seconds(60);
   core::Duration MaxDeadline = std::chrono::minutes(30);
+  /// How long a leaving entry still takes requests, so that callers' balancers
+  /// see that it is not ready.
+  core::Duration LeaveNotice = std::chrono::seconds(1);
   /// How long a graceful stop waits for requests in flight.
   core::Duration DrainLimit = std::chrono::seconds(60);
 };
 
+/// Times of maintenance.
+struct FleetSettings {
+  /// From the first task on a returning instance to all of its slots.
+  core::Duration WarmUp = std::chrono::seconds(30);
+  /// A reboot that takes longer has failed.
+  core::Duration RebootLimit = std::chrono::minutes(15);
+};
+
 struct Settings {
   EntrySettings Entry;
   PlatformSettings Platform;
   ClusterSettings Cluster;
   LeaseSettings Lease;
   TrafficSettings Traffic;
+  FleetSettings Fleet;
   /// Hash of the first operator's key as hex; used while no operator key is
   /// granted.
   std::string BootstrapOperatorKeyHash;
