--- a/src/core/Allotment.cpp
+++ b/src/core/Allotment.cpp
@@ -58,8 +58,9 @@
                                           const PoolUse &Use,
                                           std::uint32_t Limit) {
   std::uint32_t Given = givenTo(View.Row, Pool);
+  std::uint64_t Sum = givenSum(View.Row);
   auto Part = static_cast<std::uint32_t>(std::uint64_t{Given} * Limit /
-                                         givenSum(View.Row));
+                                         std::max<std::uint64_t>(Sum, 1));
   std::uint32_t Target = std::max(Use.Running, Part);
   if (Target >= Given)
     return std::nullopt;
