--- a/src/cluster/PeerServer.cpp
+++ b/src/cluster/PeerServer.cpp
@@ -4,7 +4,11 @@
 
 #include <grpcpp/grpcpp.h>
 
+#include <functional>
+#include <memory>
+#include <mutex>
 #include <stdexcept>
+#include <vector>
 
 namespace comfreydeck::cluster {
 
@@ -22,11 +26,71 @@
   return Different == 0;
 }
 
+/// A call that is answered once, by the handler or when the server stops.
+class OpenCall {
+public:
+  explicit OpenCall(grpc::ServerUnaryReactor *Reactor) : Reactor_(Reactor) {}
+
+  /// Thread-safe. \p Fill runs only where the call is still open.
+  void finish(const std::function<void()> &Fill, const grpc::Status &Status) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (!Reactor_)
+      return;
+    Fill();
+    std::exchange(Reactor_, nullptr)->Finish(Status);
+  }
+
+private:
+  std::mutex Mutex_;
+  grpc::ServerUnaryReactor *Reactor_;
+};
+
+/// The calls that may be open; a server waits for all of them when it stops.
+class OpenCalls {
+public:
+  /// Thread-safe.
+  void add(const std::shared_ptr<OpenCall> &Call) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    if (Stopped_)
+      return Call->finish([] {}, cut());
+    if (Calls_.size() >= SweepAt_) {
+      std::erase_if(Calls_, [](const auto &Item) { return Item.expired(); });
+      SweepAt_ = std::max(LeastSweep, 2 * Calls_.size());
+    }
+    Calls_.push_back(Call);
+  }
+
+  /// Thread-safe. Cuts every call that the handler has not answered, and all
+  /// that come yet.
+  void stop() {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Stopped_ = true;
+    for (const std::weak_ptr<OpenCall> &Item : Calls_)
+      if (std::shared_ptr<OpenCall> Call = Item.lock())
+        Call->finish([] {}, cut());
+    Calls_.clear();
+  }
+
+private:
+  static grpc::Status cut() {
+    return {grpc::StatusCode::UNAVAILABLE, "the entry stops"};
+  }
+
+  static constexpr std::size_t LeastSweep = 1024;
+  std::mutex Mutex_;
+  std::vector<std::weak_ptr<OpenCall>> Calls_;
+  std::size_t SweepAt_ = LeastSweep;
+  bool Stopped_ = false;
+};
+
 class PeerService final : public wire::Peer::CallbackService {
 public:
   PeerService(PeerHandler &Handler, std::string Token)
       : Handler_(Handler), Token_(std::move(Token)) {}
 
+  /// Thread-safe. No call stays open from now on.
+  void cutCalls() { Calls_.stop(); }
+
   grpc::ServerUnaryReactor *Greet(grpc::CallbackServerContext *Context,
                                   const wire::GreetRequest *Request,
                                   wire::GreetReply *Reply) override {
@@ -80,15 +144,17 @@
       Reactor->Finish({grpc::StatusCode::UNAUTHENTICATED, "wrong token"});
       return Reactor;
     }
-    (Handler_.*Method)(*Asked, [Reactor, Out](Reply Answer) {
-      *Out = std::move(Answer);
-      Reactor->Finish(grpc::Status::OK);
+    auto Open = std::make_shared<OpenCall>(Reactor);
+    Calls_.add(Open);
+    (Handler_.*Method)(*Asked, [Open, Out](Reply Answer) {
+      Open->finish([&] { *Out = std::move(Answer); }, grpc::Status::OK);
     });
     return Reactor;
   }
 
   PeerHandler &Handler_;
   std::string Token_;
+  OpenCalls Calls_;
 };
 
 std::shared_ptr<grpc::ServerCredentials>
@@ -133,6 +199,7 @@
 void PeerServer::stop() {
   if (!Impl_->Server)
     return;
+  Impl_->Service.cutCalls();
   Impl_->Server->Shutdown(std::chrono::system_clock::now() + StopLimit);
   Impl_->Server->Wait();
   Impl_->Server.reset();
--- a/src/codec/ConfigJson.cpp
+++ b/src/codec/ConfigJson.cpp
@@ -22,6 +22,7 @@
   json J = fieldsOf(T);
   J["id"] = T.Id.Value;
   J["made_by"] = T.MadeBy.Value;
+  J["limit_since"] = T.LimitSince.Value;
   return J;
 }
 
@@ -68,6 +69,7 @@
 void read(FieldReader &R, Team &T) {
   R.id("id", T.Id);
   R.id("made_by", T.MadeBy);
+  R.number64("limit_since", T.LimitSince.Value);
   readFields(R, T);
 }
 
--- a/src/core/ConfigChange.cpp
+++ b/src/core/ConfigChange.cpp
@@ -179,6 +179,19 @@
 
 } // namespace detail
 
+namespace {
+
+/// Marks the teams whose upper limits are not as they were.
+void markLimitChanges(const Configuration &Before, Configuration &After) {
+  for (Team &T : After.Teams) {
+    const Team *Old = findTeam(Before, T.Id);
+    bool Same = Old && Old->UpperLimit == T.UpperLimit;
+    T.LimitSince = Same ? Old->LimitSince : After.Version;
+  }
+}
+
+} // namespace
+
 std::string textOf(std::span<const ConfigFault> Faults) {
   std::string Text;
   for (const ConfigFault &F : Faults) {
@@ -212,6 +225,7 @@
   if (!Faults.empty())
     throw ConfigError(std::move(Faults));
   After.Version = Change.Version;
+  markLimitChanges(Before, After);
   return After;
 }
 
--- a/src/core/Configuration.h
+++ b/src/core/Configuration.h
@@ -47,6 +47,8 @@
   bool TakesKeys = true;
   /// The customer that the team was made for; invalid where made by hand.
   CustomerId MadeBy;
+  /// The version that last changed the upper limit.
+  ConfigVersion LimitSince{};
 };
 
 /// A named queue that is served by one pool.
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -21,7 +21,7 @@
 
 using namespace cluster;
 
-constexpr std::chrono::seconds LeaveLimit(3);
+constexpr std::chrono::seconds LeaveLimit(5);
 
 core::Incarnation newIncarnation() {
   std::random_device Device;
@@ -200,14 +200,18 @@
   });
 }
 
-void Entry::Impl::handOver(const wire::HandOverRequest & /*Request*/,
+void Entry::Impl::handOver(const wire::HandOverRequest &Request,
                            PeerResponder<wire::HandOverReply> Respond) {
-  Respond({});
+  Control.post([this, Request, Respond = std::move(Respond)] {
+    Pools.serveHandOver(Request, Respond);
+  });
 }
 
-void Entry::Impl::listRunning(const wire::ListRunningRequest & /*Request*/,
+void Entry::Impl::listRunning(const wire::ListRunningRequest &Request,
                               PeerResponder<wire::ListRunningReply> Respond) {
-  Respond({});
+  Control.post([this, Request, Respond = std::move(Respond)] {
+    Respond(Pools.serveListRunning(Request));
+  });
 }
 
 Entry::Entry(settings::Settings Settings, std::function<void()> OnFenced)
@@ -240,8 +244,10 @@
   std::this_thread::sleep_for(Impl_->Settings.Traffic.LeaveNotice);
   Impl_->HttpListener.drain(Impl_->Settings.Traffic.DrainLimit);
   auto Left = std::make_shared<std::promise<void>>();
-  Impl_->Control.post(
-      [this, Left] { Impl_->Members.leave([Left] { Left->set_value(); }); });
+  Impl_->Control.post([this, Left] {
+    Impl_->Pools.leave(
+        [this, Left] { Impl_->Members.leave([Left] { Left->set_value(); }); });
+  });
   Left->get_future().wait_for(LeaveLimit);
   LOG(INFO) << "entry: left";
 }
--- a/src/entry/Fleet.cpp
+++ b/src/entry/Fleet.cpp
@@ -18,6 +18,21 @@
 constexpr core::Duration ListEvery = std::chrono::seconds(2);
 constexpr core::Duration ProbeLimit = std::chrono::milliseconds(800);
 
+std::optional<WorkerReport> reportFrom(const std::string &Body) {
+  try {
+    json J = json::parse(Body);
+    WorkerReport R;
+    R.WorkerMs = J.at("clock_ms").get<std::uint64_t>();
+    R.BootId = J.value("boot_id", std::string());
+    for (const json &Item : J.at("running"))
+      R.Running.push_back({Item.at("task").get<std::string>(),
+                           Item.at("team").get<std::string>()});
+    return R;
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
 bool isOut(const core::Configuration &C, std::string_view DataCentre) {
   const core::DataCentre *Found = core::findDataCentre(C, DataCentre);
   return Found && Found->Out;
@@ -121,7 +136,7 @@
     if (R != Reports_.end()) {
       I.Seen.Heard =
           Now - R->second.Received <= core::InferenceLimits().SuspectAfter;
-      I.Seen.Running = R->second.Running;
+      I.Seen.Running = static_cast<std::uint32_t>(R->second.Running.size());
       I.Seen.BootId = R->second.BootId;
     }
     Result.push_back(std::move(I));
@@ -218,6 +233,16 @@
       CameBackMs_[D.Name] = wallClockMs();
 }
 
+void Fleet::probeAhead(core::PoolId Pool) {
+  for (core::WorkerId Id : Rows_.of(Pool))
+    probeWorker(Rows_.all().at(Id));
+}
+
+const WorkerReport *Fleet::reportOf(core::WorkerId Id) const {
+  auto It = Reports_.find(Id);
+  return It == Reports_.end() ? nullptr : &It->second;
+}
+
 bool Fleet::isFresh(core::PoolId Pool) const {
   auto It = Taken_.find(Pool);
   return It != Taken_.end() && Rows_.finished() >= It->second.Reading;
@@ -227,22 +252,18 @@
   net::HttpCall Call;
   Call.Url = "http://" + I.Address + "/v1/status";
   Call.TotalLimit = ProbeLimit;
-  Context_.Workers.send(std::move(Call), [this, Id = I.Id](auto Result) {
+  core::TimePoint Asked = net::now();
+  Context_.Workers.send(std::move(Call), [this, Id = I.Id, Asked](auto Result) {
     if (Result.End != core::ExchangeEnd::Answered)
       return;
-    Report R;
-    R.Received = net::now();
-    json J = json::parse(Result.Response.Body, nullptr, false);
-    bool IsGood = J.is_object() && J.contains("clock_ms") &&
-                  J["clock_ms"].is_number_unsigned() && J.contains("running") &&
-                  J["running"].is_array();
-    if (!IsGood)
+    std::optional<WorkerReport> R = reportFrom(Result.Response.Body);
+    if (!R)
       return;
-    R.WorkerMs = J["clock_ms"].template get<std::uint64_t>();
-    R.Running = static_cast<std::uint32_t>(J["running"].size());
-    if (J.contains("boot_id") && J["boot_id"].is_string())
-      R.BootId = J["boot_id"].template get<std::string>();
-    Context_.Control.post([this, Id, R] { Reports_[Id] = R; });
+    R->Asked = Asked;
+    R->Received = net::now();
+    Context_.Control.post([this, Id, Report = std::move(*R)]() mutable {
+      Reports_[Id] = std::move(Report);
+    });
   });
 }
 
@@ -278,7 +299,7 @@
   auto It = Reports_.find(Id);
   if (It == Reports_.end())
     return std::nullopt;
-  return It->second.Running;
+  return static_cast<std::uint32_t>(It->second.Running.size());
 }
 
 } // namespace comfreydeck::entry
--- a/src/entry/Fleet.h
+++ b/src/entry/Fleet.h
@@ -11,6 +11,24 @@
 
 namespace comfreydeck::entry {
 
+/// A task that a worker says it runs.
+struct ListedTask {
+  /// The attempt's id, as the worker was given it.
+  std::string Task;
+  std::string Team;
+};
+
+/// What a worker said last.
+struct WorkerReport {
+  /// Its own clock when it answered.
+  std::uint64_t WorkerMs = 0;
+  /// When it was asked and when its answer came, in this entry's clock.
+  core::TimePoint Asked;
+  core::TimePoint Received;
+  std::vector<ListedTask> Running;
+  std::string BootId;
+};
+
 /// The instances: their rows, what the platform lists, and what was last heard
 /// of each worker. On the control thread only.
 class Fleet {
@@ -45,6 +63,12 @@
   /// given work gradually.
   void noteDataCentres(const core::Configuration &C);
 
+  /// Asks the workers of a pool that this entry is about to take.
+  void probeAhead(core::PoolId Pool);
+
+  /// Nothing where the worker has not been heard of.
+  const WorkerReport *reportOf(core::WorkerId Id) const;
+
   /// Whether the rows were read after this entry took the pool.
   bool isFresh(core::PoolId Pool) const;
 
@@ -77,13 +101,6 @@
   std::optional<std::uint32_t> reportedRunning(core::WorkerId Id) const;
 
 private:
-  /// What a worker said last.
-  struct Report {
-    std::uint64_t WorkerMs = 0;
-    core::TimePoint Received;
-    std::uint32_t Running = 0;
-    std::string BootId;
-  };
   struct Listing {
     platform::ListedInstance Item;
     core::ListedAs As = core::ListedAs::Live;
@@ -107,7 +124,7 @@
   Context Context_;
   std::function<void()> OnChange_;
   InstanceRows Rows_;
-  std::map<core::WorkerId, Report> Reports_;
+  std::map<core::WorkerId, WorkerReport> Reports_;
   std::map<std::string, Listing> Listed_;
   std::map<core::PoolId, Taking> Taken_;
   /// The reading that ends the hold; zero where nothing ends it yet.
