--- a/src/entry/ConfigStore.cpp
+++ b/src/entry/ConfigStore.cpp
@@ -44,6 +44,19 @@
       .count();
 }
 
+LogPage pageOf(const platform::ScanResult &Result) {
+  LogPage Page;
+  Page.More = Result.More;
+  try {
+    for (const platform::Row &Row : Result.Rows)
+      Page.Changes.push_back(codec::parseConfigChange(Row.Value));
+    Page.Available = Result.Outcome == platform::ReadOutcome::Ok;
+  } catch (const codec::CodecError &E) {
+    LOG(ERROR) << "config: a row of the log can't be read: " << E.what();
+  }
+  return Page;
+}
+
 } // namespace
 
 /// One proposal on its way.
@@ -383,4 +396,13 @@
   Context_.Tables.commit(std::move(T), [](const platform::CommitResult &) {});
 }
 
+void ConfigStore::readLog(core::ConfigVersion After, std::uint32_t Limit,
+                          std::function<void(LogPage)> Done) {
+  Context_.Tables.scan(
+      LogTable, "", logKey(After), Limit,
+      [this, Done = std::move(Done)](const platform::ScanResult &Result) {
+        Context_.Control.post([Done, Page = pageOf(Result)] { Done(Page); });
+      });
+}
+
 } // namespace comfreydeck::entry
--- a/src/entry/ConfigStore.h
+++ b/src/entry/ConfigStore.h
@@ -45,6 +45,15 @@
   std::string Text;
 };
 
+/// Part of the log.
+struct LogPage {
+  /// False where the store is away.
+  bool Available = false;
+  std::vector<core::ConfigChange> Changes;
+  /// Whether later changes were left out.
+  bool More = false;
+};
+
 /// The configuration's log in the table service, and this entry's copy of it.
 ///
 /// The log has one row for each change; the head's row names the latest version
@@ -72,6 +81,11 @@
   /// there is no such version yet. On the control thread.
   ProposalResult progressOf(core::ConfigVersion Version) const;
 
+  /// Reads changes after \p After from the store, oldest first; \p Done comes
+  /// on the control thread. \p Limit is from 1 to 1000. On the control thread.
+  void readLog(core::ConfigVersion After, std::uint32_t Limit,
+               std::function<void(LogPage)> Done);
+
 private:
   struct Proposed;
 
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -1,6 +1,7 @@
 #include "entry/Entry.h"
 
 #include "cluster/PeerServer.h"
+#include "entry/FleetRoutes.h"
 #include "entry/OperatorService.h"
 #include "entry/TaskService.h"
 #include "platform/HttpPlatform.h"
@@ -126,12 +127,14 @@
       Upkeep(Shared, Members, Config, Workers, Pools),
       Routes(Shared, Config, Workers, Pools, Upkeep),
       Tasks(Shared, Members, Config, Pools),
-      Operators(Shared, Members, Config, Workers, Pools, Routes),
+      Operators(Shared, Members, Config, Workers, Pools),
       PeerListener(*this, securityOf(Settings.Cluster)),
       HttpListener(serverOptions(Settings), [this](net::HttpRequest Request,
                                                    net::HttpResponder Respond) {
         route(std::move(Request), std::move(Respond));
-      }) {}
+      }) {
+  Operators.add(Routes.routes());
+}
 
 void Entry::Impl::route(net::HttpRequest Request, net::HttpResponder Respond) {
   if (Request.Path.starts_with("/v1/operator/"))
--- a/src/entry/FleetRoutes.cpp
+++ b/src/entry/FleetRoutes.cpp
@@ -124,6 +124,27 @@
     : Context_(C), Config_(Config), Workers_(Workers), Pools_(Pools),
       Work_(Work) {}
 
+std::vector<OperatorRoute> FleetRoutes::routes() {
+  auto Handle = [this](const OperatorCall &Call,
+                       const net::HttpResponder &Respond) {
+    if (!handle(Call.Who, Call.Request, Respond))
+      Respond(notFound("there is no such path"));
+  };
+  constexpr core::Role Read = core::Role::Read;
+  constexpr core::Role Operate = core::Role::Operate;
+  return {{"GET", "instances", Read, Handle},
+          {"GET", "instances/*", Read, Handle},
+          {"PUT", "instances/*", Operate, Handle},
+          {"POST", "instances/*/*", Operate, Handle},
+          {"GET", "pools/*", Read, Handle},
+          {"GET", "waves", Read, Handle},
+          {"POST", "waves", Operate, Handle},
+          {"GET", "waves/*", Read, Handle},
+          {"POST", "waves/*/*", Operate, Handle},
+          {"GET", "datacentres/*", Read, Handle},
+          {"POST", "datacentres/*/*", Operate, Handle}};
+}
+
 bool FleetRoutes::handle(const core::OperatorKey &Who,
                          const net::HttpRequest &Request,
                          const net::HttpResponder &Respond) {
--- a/src/operators/FleetCommands.h
+++ b/src/operators/FleetCommands.h
@@ -1,17 +1,13 @@
 #ifndef COMFREYDECK_OPERATORS_FLEETCOMMANDS_H
 #define COMFREYDECK_OPERATORS_FLEETCOMMANDS_H
 
-#include "operators/OperatorClient.h"
-
-namespace CLI {
-class App;
-} // namespace CLI
+#include "operators/Commands.h"
 
 namespace comfreydeck::operators {
 
 /// Adds the commands on instances, pools, waves and data centres, as
 /// addCommands does. Not thread-safe.
-void addFleetCommands(CLI::App &App, OperatorAccess &Access);
+void addFleetCommands(CLI::App &App, CommandContext &Context);
 
 } // namespace comfreydeck::operators
 
