--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -1,6 +1,7 @@
 #include "codec/KeyHash.h"
-#include "entry/Entry.h"
+#include "comfreydeck/comfreydeck.h"
 #include "operators/Commands.h"
+#include "settings/Settings.h"
 
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
@@ -23,11 +24,12 @@
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  entry::Entry Entry(settings::loadSettings(File));
-  Entry.start();
+  Init Options;
+  Options.SettingsFile = File;
+  EntryHandle Entry = start(Options);
   int Caught = 0;
   sigwait(&Signals, &Caught);
-  Entry.stopGracefully();
+  stop(Entry);
   return ExitOk;
 }
 
--- a/src/core/ConfigChange.cpp
+++ b/src/core/ConfigChange.cpp
@@ -207,6 +207,7 @@
   detail::Editing E{After, Faults, 0, {}};
   for (; E.Index < Change.Edits.size(); ++E.Index)
     std::visit(detail::EditRunner{E}, Change.Edits[E.Index]);
+  E.Index = Change.Edits.empty() ? 0 : Change.Edits.size() - 1;
   detail::realizeStale(E);
   detail::checkAdministrator(E);
   if (!Faults.empty())
--- a/src/operators/ConfigAccess.cpp
+++ b/src/operators/ConfigAccess.cpp
@@ -88,6 +88,12 @@
   return json::parse(post(Context, Body).Body);
 }
 
+json bodyOf(core::ConfigVersion Seen,
+            const std::vector<core::ConfigEdit> &Edits) {
+  return {{"edits", json::parse(codec::toJson(Edits))},
+          {"expected_version", Seen.Value}};
+}
+
 bool agrees(CommandContext &Context) {
   Context.Out << "make this change? [y/N] " << std::flush;
   std::string Line;
@@ -149,12 +155,14 @@
                Response.Status == AcceptedStatus);
 }
 
+void checkEdits(const CommandContext &Context, core::ConfigVersion Seen,
+                const std::vector<core::ConfigEdit> &Edits) {
+  dryRun(Context, bodyOf(Seen, Edits));
+}
+
 void sendEdits(CommandContext &Context, core::ConfigVersion Seen,
                const std::vector<core::ConfigEdit> &Edits, EditMode Mode) {
-  sendChange(Context,
-             {{"edits", json::parse(codec::toJson(Edits))},
-              {"expected_version", Seen.Value}},
-             Mode);
+  sendChange(Context, bodyOf(Seen, Edits), Mode);
 }
 
 } // namespace comfreydeck::operators::detail
--- a/src/operators/ConfigAccess_p.h
+++ b/src/operators/ConfigAccess_p.h
@@ -25,6 +25,10 @@
 void sendEdits(CommandContext &Context, core::ConfigVersion Seen,
                const std::vector<core::ConfigEdit> &Edits, EditMode Mode);
 
+/// Throws OperatorError where the edits would be refused; changes nothing.
+void checkEdits(const CommandContext &Context, core::ConfigVersion Seen,
+                const std::vector<core::ConfigEdit> &Edits);
+
 /// Sends a whole body; otherwise as \ref sendEdits.
 void sendChange(CommandContext &Context, nlohmann::json Body, EditMode Mode);
 
--- a/src/operators/KeyCommands.cpp
+++ b/src/operators/KeyCommands.cpp
@@ -27,7 +27,8 @@
   std::string Secret = codec::makeSecret();
   Edit.Hash = codec::hashSecret(Secret);
   core::ConfigVersion Seen = readConfiguration(Context).Version;
-  // The secret comes first: it must not be lost with the answer.
+  checkEdits(Context, Seen, {Edit});
+  // Shown before the change is sent: it must not be lost with the answer.
   if (!Mode.DryRun && Context.Format == OutputFormat::Json)
     Context.Out << json({{"secret", Secret}}).dump() << "\n";
   else if (!Mode.DryRun)
--- a/tests/operators/CommandsTest.cpp
+++ b/tests/operators/CommandsTest.cpp
@@ -209,6 +209,13 @@
   CHECK(Harness.versionAt(0) == Version);
 }
 
+TEST_CASE("a refused grant shows no secret") {
+  OperatorHarness Harness(1);
+  CommandLine Run{Harness};
+  for (const char *Line : {"key grant nobody", "operator grant a --role read"})
+    CHECK(Run(Line).Out == "");
+}
+
 TEST_CASE("a change that came too late is refused with the newer one") {
   OperatorHarness Harness(1);
   Harness.apply(SampleEdits);
