--- a/src/entry/OperatorService.cpp
+++ b/src/entry/OperatorService.cpp
@@ -47,6 +47,20 @@
   return net::jsonResponse(400, dumpSafely(Body));
 }
 
+/// Runs a handler; what it throws is the operator's error.
+template <typename F>
+void guarded(const net::HttpResponder &Respond, F Handle) {
+  try {
+    Handle();
+  } catch (const json::exception &E) {
+    Respond(operatorError(400, E.what()));
+  } catch (const codec::CodecError &E) {
+    Respond(faultsResponse(E));
+  } catch (const core::ConfigError &E) {
+    Respond(faultsResponse(E));
+  }
+}
+
 } // namespace
 
 net::HttpResponse operatorError(int Status, std::string_view Message) {
@@ -55,18 +69,14 @@
 
 OperatorService::OperatorService(const Context &C, Membership &Members,
                                  ConfigStore &Config, Fleet &Workers,
-                                 PoolService &Pools)
-    : Context_(C), Members_(Members), Config_(Config), Workers_(Workers) {
+                                 PoolService &Pools, FleetRoutes &Routes)
+    : Context_(C), Members_(Members), Config_(Config), Fleet_(Routes) {
   addStatusSections(Board_, {Members, Config, Workers, Pools});
   add(configRoutes(Config, Workers));
   add(customerRoutes(Config, Workers));
   add({{"GET", "status", core::Role::Read,
         [this](const OperatorCall &, const net::HttpResponder &Respond) {
           Respond(status());
-        }},
-       {"PUT", "instances/*", core::Role::Operate,
-        [this](const OperatorCall &Call, const net::HttpResponder &Respond) {
-          putInstance(Call, Respond);
         }}});
 }
 
@@ -121,40 +131,32 @@
   }
   if (IsKnownPath)
     return Respond(operatorError(405, "the path does not take this method"));
-  Respond(operatorError(404, "there is no such path"));
+  dispatchToFleet(*Who, std::move(Request), std::move(Respond));
 }
 
 void OperatorService::dispatch(const OperatorRoute &Route, OperatorCall Call,
                                net::HttpResponder Respond) {
   Context_.Control.post(
       [&Route, Call = std::move(Call), Respond = std::move(Respond)] {
-        try {
-          Route.Handle(Call, Respond);
-        } catch (const json::exception &E) {
-          Respond(operatorError(400, E.what()));
-        } catch (const codec::CodecError &E) {
-          Respond(faultsResponse(E));
-        } catch (const core::ConfigError &E) {
-          Respond(faultsResponse(E));
-        }
+        guarded(Respond, [&] { Route.Handle(Call, Respond); });
       });
 }
 
-void OperatorService::putInstance(const OperatorCall &Call,
-                                  const net::HttpResponder &Respond) {
-  std::string PoolName =
-      json::parse(Call.Request.Body).at("pool").get<std::string>();
-  std::shared_ptr<const core::Configuration> C = Config_.current();
-  const core::Pool *P = core::findPool(*C, PoolName);
-  if (!P)
-    return Respond(operatorError(404, "there is no pool '" + PoolName + "'"));
-  Workers_.assign(Call.Open.front(), P->Id,
-                  [Respond](const std::string &Failed) {
-                    if (Failed.empty())
-                      Respond(net::jsonResponse(200, "{}"));
-                    else
-                      Respond(operatorError(503, Failed));
-                  });
+void OperatorService::dispatchToFleet(const core::OperatorKey &Who,
+                                      net::HttpRequest Request,
+                                      net::HttpResponder Respond) {
+  core::Role Needed =
+      Request.Method == "GET" ? core::Role::Read : core::Role::Operate;
+  if (Who.Allowed < Needed)
+    return Respond(
+        operatorError(403, "the operator's role does not allow this"));
+  Context_.Control.post(
+      [this, Who, Request = std::move(Request), Respond = std::move(Respond)] {
+        guarded(Respond, [&] {
+          if (!Fleet_.handle(Who, Request, Respond))
+            Respond(operatorError(404, "there is no such path"));
+        });
+      });
 }
 
 net::HttpResponse OperatorService::status() const {
--- a/src/entry/OperatorService.h
+++ b/src/entry/OperatorService.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_ENTRY_OPERATORSERVICE_H
 #define COMFREYDECK_ENTRY_OPERATORSERVICE_H
 
+#include "entry/FleetRoutes.h"
 #include "entry/OperatorRoute.h"
 #include "entry/PoolService.h"
 #include "entry/StatusBoard.h"
@@ -12,7 +13,7 @@
 public:
   /// The parts must outlive the service.
   OperatorService(const Context &C, Membership &Members, ConfigStore &Config,
-                  Fleet &Workers, PoolService &Pools);
+                  Fleet &Workers, PoolService &Pools, FleetRoutes &Routes);
 
   /// Adds routes of another part. Before the entry starts.
   void add(std::vector<OperatorRoute> Routes);
@@ -28,13 +29,15 @@
   std::optional<core::OperatorKey> identify(const net::HttpRequest &R) const;
   void dispatch(const OperatorRoute &Route, OperatorCall Call,
                 net::HttpResponder Respond);
-  void putInstance(const OperatorCall &Call, const net::HttpResponder &Respond);
+  /// For the paths of instances, pools, waves and data centres.
+  void dispatchToFleet(const core::OperatorKey &Who, net::HttpRequest Request,
+                       net::HttpResponder Respond);
   net::HttpResponse status() const;
 
   Context Context_;
   Membership &Members_;
   ConfigStore &Config_;
-  Fleet &Workers_;
+  FleetRoutes &Fleet_;
   StatusBoard Board_;
   std::vector<OperatorRoute> Routes_;
 };
--- a/src/operators/CommandOptions_p.h
+++ b/src/operators/CommandOptions_p.h
@@ -10,8 +10,13 @@
 /// What the groups of commands are put together from.
 namespace comfreydeck::operators::detail {
 
-/// A group that needs one of its commands.
+/// A group that needs one of its commands; the one of that name where another
+/// part has made it.
 inline CLI::App *addGroup(CLI::App &App, const char *Name, const char *Help) {
+  auto Present = App.get_subcommands(
+      [&](const CLI::App *Command) { return Command->get_name() == Name; });
+  if (!Present.empty())
+    return Present.front();
   CLI::App *Group = App.add_subcommand(Name, Help);
   Group->require_subcommand(1);
   return Group;
--- a/src/operators/Commands.cpp
+++ b/src/operators/Commands.cpp
@@ -1,45 +1,29 @@
 #include "operators/Commands.h"
 
 #include "operators/CommandGroups_p.h"
+#include "operators/FleetCommands.h"
 
 #include <CLI/CLI.hpp>
-#include <nlohmann/json.hpp>
-
-#include <map>
 
 namespace comfreydeck::operators {
 
-namespace {
-
-using nlohmann::json;
-
-void addInstanceCommands(CLI::App &App, OperatorAccess &Access) {
-  CLI::App *Instance = App.add_subcommand("instance", "Workers and pools");
-  Instance->require_subcommand(1);
-  CLI::App *Move = Instance->add_subcommand("move", "Put it into a pool");
-  auto Name = std::make_shared<std::string>();
-  auto Pool = std::make_shared<std::string>();
-  Move->add_option("name", *Name, "The instance")->required();
-  Move->add_option("--pool", *Pool, "The pool")->required();
-  Move->callback([&Access, Name, Pool] {
-    OperatorClient(Access).call("PUT", "/v1/operator/instances/" + *Name,
-                                json({{"pool", *Pool}}).dump());
-  });
-}
-
-} // namespace
-
 void addCommands(CLI::App &App, CommandContext &Context) {
-  const std::map<std::string, OutputFormat> Formats = {
-      {"table", OutputFormat::Table}, {"json", OutputFormat::Json}};
   App.add_option("--entry", Context.Access.Entries,
                  "Entries to try in turn, as http://IP:PORT")
       ->allow_extra_args(false);
   App.add_option("--key", Context.Access.KeySecret, "The operator's key")
       ->envname("COMFREYDECK_OPERATOR_KEY");
-  App.add_option("--output", Context.Format, "table or json")
-      ->transform(CLI::CheckedTransformer(Formats));
+  App.add_option_function<std::string>(
+         "--output",
+         [&Context](const std::string &Format) {
+           Context.Access.Output = Format;
+           Context.Format =
+               Format == "json" ? OutputFormat::Json : OutputFormat::Table;
+         },
+         "table or json")
+      ->check(CLI::IsMember({"table", "json"}));
   App.fallthrough();
+  addFleetCommands(App, Context.Access);
   detail::addStatusCommand(App, Context);
   detail::addCustomerCommands(App, Context);
   detail::addTemplateCommands(App, Context);
@@ -50,7 +34,6 @@
   detail::addKeyCommands(App, Context);
   detail::addOperatorCommands(App, Context);
   detail::addConfigCommands(App, Context);
-  addInstanceCommands(App, Context.Access);
 }
 
 } // namespace comfreydeck::operators
--- a/src/operators/OperatorClient.h
+++ b/src/operators/OperatorClient.h
@@ -26,6 +26,8 @@
   /// `http://IP:PORT`, tried in turn; any entry will do.
   std::vector<std::string> Entries = {"http://127.0.0.1:8080"};
   std::string KeySecret;
+  /// `table` or `json`.
+  std::string Output = "table";
 };
 
 /// What the operator is told instead of an answer.
