--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -1,6 +1,7 @@
 #include "codec/KeyHash.h"
-#include "entry/Entry.h"
+#include "comfreydeck/comfreydeck.h"
 #include "operators/Commands.h"
+#include "settings/Settings.h"
 
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
@@ -25,13 +26,14 @@
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  Init Options;
+  Options.SettingsFile = File;
   // A fenced entry ends like one that is told to, and is started anew.
-  entry::Entry Entry(settings::loadSettings(File),
-                     [] { ::kill(::getpid(), SIGTERM); });
-  Entry.start();
+  Options.OnFenced = [] { ::kill(::getpid(), SIGTERM); };
+  EntryHandle Entry = start(Options);
   int Caught = 0;
   sigwait(&Signals, &Caught);
-  Entry.stopGracefully();
+  stop(Entry);
   return ExitOk;
 }
 
--- a/src/entry/OperatorService.cpp
+++ b/src/entry/OperatorService.cpp
@@ -47,6 +47,20 @@
   return net::jsonResponse(400, dumpSafely(Body));
 }
 
+/// Runs a handler; what it throws is the operator's error.
+template <typename F>
+void guarded(const net::HttpResponder &Respond, F Handle) {
+  try {
+    Handle();
+  } catch (const json::exception &E) {
+    Respond(operatorError(400, E.what()));
+  } catch (const codec::CodecError &E) {
+    Respond(faultsResponse(E));
+  } catch (const core::ConfigError &E) {
+    Respond(faultsResponse(E));
+  }
+}
+
 } // namespace
 
 net::HttpResponse operatorError(int Status, std::string_view Message) {
@@ -124,15 +138,7 @@
                                net::HttpResponder Respond) {
   Context_.Control.post(
       [&Route, Call = std::move(Call), Respond = std::move(Respond)] {
-        try {
-          Route.Handle(Call, Respond);
-        } catch (const json::exception &E) {
-          Respond(operatorError(400, E.what()));
-        } catch (const codec::CodecError &E) {
-          Respond(faultsResponse(E));
-        } catch (const core::ConfigError &E) {
-          Respond(faultsResponse(E));
-        }
+        guarded(Respond, [&] { Route.Handle(Call, Respond); });
       });
 }
 
--- a/src/operators/Commands.cpp
+++ b/src/operators/Commands.cpp
@@ -4,9 +4,6 @@
 #include "operators/FleetCommands.h"
 
 #include <CLI/CLI.hpp>
-#include <nlohmann/json.hpp>
-
-#include <map>
 
 namespace comfreydeck::operators {
 
--- a/src/operators/FleetCommands.cpp
+++ b/src/operators/FleetCommands.cpp
@@ -1,5 +1,7 @@
 #include "operators/FleetCommands.h"
 
+#include "operators/CommandOptions_p.h"
+
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
@@ -38,14 +40,6 @@
 }
 
 /// One call; prints JSON, or passes the answer to \p AsTable.
-/// The group of that name, made where it is not there yet.
-CLI::App *groupOf(CLI::App &App, const std::string &Name,
-                  const std::string &Help) {
-  auto IsIt = [&](const CLI::App *Group) { return Group->get_name() == Name; };
-  std::vector<CLI::App *> Present = App.get_subcommands(IsIt);
-  return Present.empty() ? App.add_subcommand(Name, Help) : Present.front();
-}
-
 void call(const CommandContext &Context, const std::string &Method,
           const std::string &Path, const json &Body,
           const std::function<void(const json &)> &AsTable) {
@@ -196,8 +190,7 @@
 }
 
 void addInstanceCommands(CLI::App &App, CommandContext &Context) {
-  CLI::App *Instance = groupOf(App, "instance", "Workers and pools");
-  Instance->require_subcommand(1);
+  CLI::App *Instance = detail::addGroup(App, "instance", "Workers and pools");
   auto L = std::make_shared<Arguments>();
   CLI::App *List = Instance->add_subcommand("list", "All, or those of a pool");
   List->add_option("--pool", L->Pool, "The pool");
@@ -216,8 +209,7 @@
 }
 
 void addPoolCommands(CLI::App &App, CommandContext &Context) {
-  CLI::App *Pool = groupOf(App, "pool", "Pools and their budgets");
-  Pool->require_subcommand(1);
+  CLI::App *Pool = detail::addGroup(App, "pool", "Pools and their budgets");
   auto S = std::make_shared<Arguments>();
   addNamed(Pool, "show", "Its instances by state", "The pool", S)
       ->callback([&Context, S] {
@@ -262,8 +254,7 @@
 }
 
 void addWaveCommands(CLI::App &App, CommandContext &Context) {
-  CLI::App *Wave = groupOf(App, "wave", "Planned maintenance of many");
-  Wave->require_subcommand(1);
+  CLI::App *Wave = detail::addGroup(App, "wave", "Planned maintenance of many");
   addWaveStart(Wave, Context);
   Wave->add_subcommand("list", "All waves")->callback([&Context] {
     call(Context, "GET", "waves", {},
@@ -285,8 +276,8 @@
 }
 
 void addDataCentreCommands(CLI::App &App, CommandContext &Context) {
-  CLI::App *Zone = groupOf(App, "datacentre", "Take out or bring back");
-  Zone->require_subcommand(1);
+  CLI::App *Zone =
+      detail::addGroup(App, "datacentre", "Take out or bring back");
   auto O = std::make_shared<Arguments>();
   CLI::App *Out = addNamed(Zone, "out", "Nothing starts there any more",
                            "The data centre", O);
