--- /dev/null
+++ b/src/core/Quarantine.cpp
@@ -0,0 +1,92 @@
+#include "core/Quarantine.h"
+
+#include <algorithm>
+
+namespace comfreydeck::core {
+
+namespace {
+
+/// How long a probe that never ends keeps the next one back.
+constexpr Duration ProbeLimit = std::chrono::minutes(1);
+
+double peersFailurePart(const Quarantine &Q, WorkerId Except) {
+  double Ends = 0;
+  double Failures = 0;
+  for (const auto &[Id, Health] : Q.Workers) {
+    if (Id == Except || Health.Quarantined)
+      continue;
+    Ends += Health.Ends;
+    Failures += Health.Failures;
+  }
+  return Ends > 0 ? Failures / Ends : 0;
+}
+
+bool failsAgainstPeers(const Quarantine &Q, WorkerId Id) {
+  const WorkerHealth &Health = Q.Workers.at(Id);
+  if (Health.Ends < Q.Policy.LeastEnds)
+    return false;
+  double Own = Health.Failures / Health.Ends;
+  return Own > peersFailurePart(Q, Id) + Q.Policy.Excess;
+}
+
+bool hasRoom(const Quarantine &Q, std::size_t PoolSize) {
+  auto Out = std::count_if(Q.Workers.begin(), Q.Workers.end(),
+                           [](const auto &W) { return W.second.Quarantined; });
+  auto Most = static_cast<std::int64_t>(static_cast<double>(PoolSize) *
+                                        Q.Policy.MostOut);
+  return Out < std::max<std::int64_t>(Most, 1) &&
+         Out + 1 < static_cast<std::int64_t>(PoolSize);
+}
+
+Duration backoff(const QuarantinePolicy &Policy, std::uint32_t FailedProbes) {
+  Duration Wait = Policy.FirstBackoff;
+  for (std::uint32_t N = 0; N < FailedProbes; ++N)
+    Wait = std::min(Wait * 2, Policy.LongestBackoff);
+  return Wait;
+}
+
+void endProbe(Quarantine &Q, WorkerHealth &Health, bool Failed, TimePoint Now) {
+  if (!Failed) {
+    Health = {};
+    return;
+  }
+  Health.Probing = false;
+  ++Health.FailedProbes;
+  Health.ProbeAt = Now + backoff(Q.Policy, Health.FailedProbes);
+}
+
+} // namespace
+
+void recordEnd(Quarantine &Q, WorkerId Worker, bool Failed,
+               std::size_t PoolSize, TimePoint Now) {
+  WorkerHealth &Health = Q.Workers[Worker];
+  if (Health.Quarantined) {
+    // Tasks from before the quarantine still end; only a probe speaks.
+    if (Health.Probing)
+      endProbe(Q, Health, Failed, Now);
+    return;
+  }
+  Health.Ends = Health.Ends * Q.Policy.Fade + 1;
+  Health.Failures = Health.Failures * Q.Policy.Fade + (Failed ? 1 : 0);
+  if (!failsAgainstPeers(Q, Worker) || !hasRoom(Q, PoolSize))
+    return;
+  Health.Quarantined = true;
+  Health.ProbeAt = Now + backoff(Q.Policy, 0);
+}
+
+bool mayStart(const Quarantine &Q, WorkerId Worker, TimePoint Now) {
+  auto It = Q.Workers.find(Worker);
+  if (It == Q.Workers.end() || !It->second.Quarantined)
+    return true;
+  return Now >= It->second.ProbeAt;
+}
+
+void recordStart(Quarantine &Q, WorkerId Worker, TimePoint Now) {
+  auto It = Q.Workers.find(Worker);
+  if (It == Q.Workers.end() || !It->second.Quarantined)
+    return;
+  It->second.Probing = true;
+  It->second.ProbeAt = Now + ProbeLimit;
+}
+
+} // namespace comfreydeck::core
