Take a request its whole way, at most once

Cause: a claim's lost answer was told as not-run, a repeat got no answer, ids could not be issued ahead, nothing could be cancelled or asked for, and what was left unresolved was kept nowhere.

Change: TaskService is split. TaskGate lets in (keys by an index instead of a scan), ClaimStore claims, reads lost claims back and records answers, WriteBatcher puts writes of 3 ms into one transaction and halves one that conflicts, TaskRunner takes slots and starts and looks at everything again right before the start, TaskForwarder passes calls to an id's issuer, RequestRoutes issues, tells and cancels, UnresolvedStore keeps what operators must resolve. A pool's owner answers a demand that is cancelled while it waits. Refusals of named work that could not be looked up say may-have-run, since an earlier submission may have run.

Two writes of one row in one transaction would both be told that they were first; the batcher keeps them apart.

Conclusion: a non-idempotent request is started once over repeats, entries, crashes and lost answers; with ids issued ahead also while the store is away.

--- a/src/core/Verdict.cpp
+++ b/src/core/Verdict.cpp
@@ -34,6 +34,7 @@
         "cancelled",
         "shutting-down",
         "target-failed",
+        "key-used-for-other-work",
 };
 
 /// A target that received only part of a request may still act on it, so a
--- a/src/core/Verdict.h
+++ b/src/core/Verdict.h
@@ -42,6 +42,7 @@
   Cancelled,
   ShuttingDown,
   TargetFailed,
+  KeyUsedForOtherWork,
   Count,
 };
 
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -21,6 +21,9 @@
 using namespace cluster;
 
 constexpr std::chrono::seconds LeaveLimit(3);
+/// How long a leaving entry tries to write what it knows of requests.
+constexpr std::chrono::seconds WriteLimit(5);
+constexpr std::chrono::milliseconds WritePoll(5);
 
 core::Incarnation newIncarnation() {
   std::random_device Device;
@@ -53,7 +56,8 @@
   std::from_chars(S.Entry.Listen.data() + Colon + 1,
                   S.Entry.Listen.data() + S.Entry.Listen.size(), Options.Port);
   Options.Threads = S.Entry.TrafficThreads;
-  Options.MaxBodyBytes = S.Traffic.MaxBodyBytes;
+  // Somewhat larger ones are read, so that they get an answer.
+  Options.MaxBodyBytes = std::size_t{S.Traffic.MaxBodyBytes} * 2;
   Options.HandleLimit = S.Traffic.MaxDeadline + std::chrono::seconds(30);
   return Options;
 }
@@ -88,6 +92,8 @@
 
   void route(net::HttpRequest Request, net::HttpResponder Respond);
   void startControl();
+  std::size_t openWrites();
+  void waitForWrites(core::TimePoint Until);
 
   void greet(const wire::GreetRequest &Request,
              PeerResponder<wire::GreetReply> Respond) override;
@@ -121,8 +127,8 @@
              *Instances, WorkerClient, Peers,   Counters, Random},
       Members(Shared), Config(Shared), Workers(Shared),
       Pools(Shared, Members, Config, Workers),
-      Tasks(Shared, Members, Config, Pools),
-      Operators(Shared, Members, Config, Workers, Pools),
+      Tasks(Shared, Members, Config, Pools, Workers),
+      Operators(Shared, Members, Config, Workers, Pools, Tasks.unresolved()),
       PeerListener(*this, securityOf(Settings.Cluster)),
       HttpListener(serverOptions(Settings), [this](net::HttpRequest Request,
                                                    net::HttpResponder Respond) {
@@ -194,6 +200,17 @@
   Respond({});
 }
 
+std::size_t Entry::Impl::openWrites() {
+  auto Count = std::make_shared<std::promise<std::size_t>>();
+  Control.post([this, Count] { Count->set_value(Tasks.openWrites()); });
+  return Count->get_future().get();
+}
+
+void Entry::Impl::waitForWrites(core::TimePoint Until) {
+  while (openWrites() > 0 && net::now() < Until)
+    std::this_thread::sleep_for(WritePoll);
+}
+
 Entry::Entry(settings::Settings Settings)
     : Impl_(std::make_unique<Impl>(std::move(Settings))) {}
 
@@ -217,6 +234,7 @@
   Impl_->HttpListener.endConnections();
   std::this_thread::sleep_for(Impl_->Settings.Traffic.LeaveNotice);
   Impl_->HttpListener.drain(Impl_->Settings.Traffic.DrainLimit);
+  Impl_->waitForWrites(net::now() + WriteLimit);
   auto Left = std::make_shared<std::promise<void>>();
   Impl_->Control.post(
       [this, Left] { Impl_->Members.leave([Left] { Left->set_value(); }); });
--- a/src/entry/OperatorService.cpp
+++ b/src/entry/OperatorService.cpp
@@ -55,9 +55,10 @@
 
 OperatorService::OperatorService(const Context &C, Membership &Members,
                                  ConfigStore &Config, Fleet &Workers,
-                                 PoolService &Pools)
+                                 PoolService &Pools,
+                                 UnresolvedStore &Unresolved)
     : Context_(C), Members_(Members), Config_(Config), Workers_(Workers),
-      Pools_(Pools) {}
+      Pools_(Pools), Unresolved_(Unresolved) {}
 
 std::optional<core::OperatorKey>
 OperatorService::identify(const net::HttpRequest &R) const {
@@ -112,6 +113,8 @@
     return postChange(Who, Request, Respond);
   if (Subject == "instances" && Parts.size() == 4 && Request.Method == "PUT")
     return putInstance(std::string(Parts[3]), Request, Respond);
+  if (Subject == "unresolved")
+    return Unresolved_.handle(Who.Name, Request, Respond);
   if (Subject == "status" && IsGet)
     return Respond(status());
   Respond(error(404, "there is no such path"));
--- a/src/entry/OperatorService.h
+++ b/src/entry/OperatorService.h
@@ -2,6 +2,7 @@
 #define COMFREYDECK_ENTRY_OPERATORSERVICE_H
 
 #include "entry/PoolService.h"
+#include "entry/UnresolvedRoutes.h"
 #include "net/HttpServer.h"
 
 namespace comfreydeck::entry {
@@ -11,7 +12,8 @@
 public:
   /// The parts must outlive the service.
   OperatorService(const Context &C, Membership &Members, ConfigStore &Config,
-                  Fleet &Workers, PoolService &Pools);
+                  Fleet &Workers, PoolService &Pools,
+                  UnresolvedStore &Unresolved);
 
   /// Handles `/v1/operator/...`. Thread-safe.
   void handle(net::HttpRequest Request, net::HttpResponder Respond);
@@ -32,6 +34,7 @@
   ConfigStore &Config_;
   Fleet &Workers_;
   PoolService &Pools_;
+  UnresolvedRoutes Unresolved_;
 };
 
 } // namespace comfreydeck::entry
--- a/src/entry/PoolService.cpp
+++ b/src/entry/PoolService.cpp
@@ -304,11 +304,24 @@
   return Count;
 }
 
+void PoolService::refuseWaiting(OwnedPool &Owned, core::DemandId Id,
+                                core::Reason Why) {
+  auto It = Owned.Waiting.find(Id);
+  if (It == Owned.Waiting.end())
+    return;
+  auto Done = std::move(It->second);
+  Owned.Waiting.erase(It);
+  AcquireResult Result;
+  Result.Refused = Why;
+  Done(Result);
+}
+
 void PoolService::release(core::PoolId Pool, core::DemandId Id,
                           const DemandEnd &End) {
   auto Here = Owned_.find(Pool);
   if (Here != Owned_.end()) {
     core::cancel(Here->second.Owner, Id);
+    refuseWaiting(Here->second, Id, core::Reason::Cancelled);
     core::finish(Here->second.Owner, Id, End.Ran, net::now());
     pump(Here->second);
     return;
--- a/src/entry/PoolService.h
+++ b/src/entry/PoolService.h
@@ -101,6 +101,9 @@
                     const core::Demand &D,
                     std::function<void(AcquireResult)> Done);
   AcquireResult resultOf(const core::Grant &G) const;
+  /// Answers a demand that does not wait any more.
+  static void refuseWaiting(OwnedPool &Owned, core::DemandId Id,
+                            core::Reason Why);
 
   Context Context_;
   Membership &Members_;
--- /dev/null
+++ b/src/entry/RequestRoutes.h
@@ -0,0 +1,52 @@
+#ifndef COMFREYDECK_ENTRY_REQUESTROUTES_H
+#define COMFREYDECK_ENTRY_REQUESTROUTES_H
+
+#include "entry/TaskForwarder.h"
+#include "entry/TaskRunner.h"
+
+namespace comfreydeck::entry {
+
+/// The requests of this entry: what is known of them, and those under way.
+struct RequestTable {
+  core::RequestBook Book;
+  std::map<std::uint64_t, TaskPtr> Active;
+};
+
+/// `/v1/requests`: issues ids ahead, tells outcomes, cancels.
+class RequestRoutes {
+public:
+  /// The parts must outlive the routes.
+  RequestRoutes(const Context &C, TaskGate &Gate, ClaimStore &Claims,
+                TaskForwarder &Forwarder, TaskRunner &Runner,
+                RequestTable &Requests);
+
+  /// Thread-safe.
+  void handle(net::HttpRequest Request, net::HttpResponder Respond);
+
+private:
+  /// One call that was let in.
+  struct Call {
+    net::HttpRequest Request;
+    net::HttpResponder Respond;
+    core::TeamId Team;
+    core::RequestId Id;
+    bool IsCancel = false;
+  };
+
+  void issueId(core::TeamId Team, const net::HttpResponder &Respond);
+  void handleOne(const Call &C);
+  void handleOwn(const Call &C);
+  void cancel(std::uint64_t Number);
+  void handleGone(const Call &C);
+
+  Context Context_;
+  TaskGate &Gate_;
+  ClaimStore &Claims_;
+  TaskForwarder &Forwarder_;
+  TaskRunner &Runner_;
+  RequestTable &Requests_;
+};
+
+} // namespace comfreydeck::entry
+
+#endif // COMFREYDECK_ENTRY_REQUESTROUTES_H
--- a/src/entry/TaskRequest.cpp
+++ b/src/entry/TaskRequest.cpp
@@ -1,5 +1,6 @@
 #include "entry/TaskRequest.h"
 
+#include <array>
 #include <charconv>
 
 namespace comfreydeck::entry {
@@ -7,6 +8,7 @@
 namespace {
 
 constexpr int BadRequest = 400;
+constexpr int TooLarge = 413;
 constexpr std::size_t MaxIdBytes = 128;
 constexpr std::uint64_t MilliPerCpu = 1000;
 constexpr std::uint64_t MaxCpus = 4096;
@@ -55,15 +57,14 @@
   return Text;
 }
 
-std::string bearer(const net::HttpRequest &Request) {
-  if (!net::hasHeader(Request.Headers, "Authorization"))
-    return {};
-  std::string_view Text = net::findHeader(Request.Headers, "Authorization");
-  constexpr std::string_view Scheme = "Bearer ";
-  if (!Text.starts_with(Scheme) || Text.size() == Scheme.size() ||
-      Text.size() > Scheme.size() + MaxIdBytes)
-    malformed("Authorization must be 'Bearer KEY'");
-  return std::string(Text.substr(Scheme.size()));
+std::optional<core::RequestId> issuedId(const net::HttpRequest &Request) {
+  std::string Text = id(Request, "Comfreydeck-Request-Id");
+  if (Text.empty())
+    return std::nullopt;
+  std::optional<core::RequestId> Id = core::requestFrom(Text);
+  if (!Id)
+    malformed("Comfreydeck-Request-Id is not an id that was issued");
+  return Id;
 }
 
 core::Duration milliseconds(std::uint64_t Ms) {
@@ -75,15 +76,51 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
 }
 
+/// A header that comes twice could be read in two ways.
+void checkSingle(const net::HttpRequest &Request) {
+  constexpr std::array<std::string_view, 11> Single = {
+      "Authorization",
+      "Idempotency-Key",
+      "Comfreydeck-Request-Id",
+      "Comfreydeck-Idempotent",
+      "Comfreydeck-Urgent",
+      "Comfreydeck-Deadline-Ms",
+      "Comfreydeck-Cpus",
+      "Comfreydeck-Memory-Mb",
+      "Comfreydeck-Run-Ms",
+      "Comfreydeck-Accelerators",
+      "Content-Type"};
+  for (std::string_view Name : Single)
+    if (net::countHeaders(Request.Headers, Name) > 1)
+      malformed(std::string(Name) + " came more than once");
+}
+
 } // namespace
 
+std::string bearerKey(const net::HttpRequest &Request) {
+  if (!net::hasHeader(Request.Headers, "Authorization"))
+    return {};
+  std::string_view Text = net::findHeader(Request.Headers, "Authorization");
+  constexpr std::string_view Scheme = "Bearer ";
+  if (!Text.starts_with(Scheme) || Text.size() == Scheme.size() ||
+      Text.size() > Scheme.size() + MaxIdBytes)
+    malformed("Authorization must be 'Bearer KEY'");
+  return std::string(Text.substr(Scheme.size()));
+}
+
 TaskRequest parseTaskRequest(net::HttpRequest Request, std::string Queue,
                              const settings::TrafficSettings &Limits) {
+  if (Request.Body.size() > Limits.MaxBodyBytes)
+    throw RequestError(TooLarge, core::Reason::BodyTooLarge,
+                       "the body may have " +
+                           std::to_string(Limits.MaxBodyBytes) + " bytes");
+  checkSingle(Request);
   TaskRequest Task;
   Task.Queue = std::move(Queue);
-  Task.KeySecret = bearer(Request);
+  Task.KeySecret = bearerKey(Request);
   Task.IdempotencyKey = id(Request, "Idempotency-Key");
-  Task.IssuedId = id(Request, "Comfreydeck-Request-Id");
+  Task.IssuedId = issuedId(Request);
+  Task.Forwarded = net::hasHeader(Request.Headers, "Comfreydeck-Forwarded");
   Task.Idempotent = flag(Request, "Comfreydeck-Idempotent");
   Task.Urgent = flag(Request, "Comfreydeck-Urgent").value_or(false);
   std::uint64_t DeadlineMs =
@@ -99,7 +136,7 @@
   Task.Run = milliseconds(number(Request, "Comfreydeck-Run-Ms", 0, MaxRunMs));
   Task.ContentType = net::findHeader(Request.Headers, "Content-Type");
   Task.Body = std::move(Request.Body);
-  if (!Task.IdempotencyKey.empty() && !Task.IssuedId.empty())
+  if (!Task.IdempotencyKey.empty() && Task.IssuedId)
     malformed("give Idempotency-Key or Comfreydeck-Request-Id, not both");
   return Task;
 }
--- a/src/entry/TaskService.cpp
+++ b/src/entry/TaskService.cpp
@@ -1,245 +1,289 @@
 #include "entry/TaskService.h"
 
-#include "codec/KeyHash.h"
-#include "core/Names.h"
-#include "net/TaskAnswer.h"
-
-#include <glog/logging.h>
-#include <nlohmann/json.hpp>
-
 namespace comfreydeck::entry {
 
 namespace {
 
-using nlohmann::json;
+/// How long an answer "not run" waits until its key may be used again.
+constexpr core::Duration ReleaseLimit = std::chrono::milliseconds(300);
+constexpr int OtherWorkStatus = 422;
 
-constexpr const char *ClaimTable = "claims";
-constexpr std::uint32_t MaxAttempts = 3;
+std::int64_t unixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
 
-std::uint64_t inMs(core::Duration D) {
-  return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(D).count());
+core::RequestOutcome outcomeOf(const TaskResult &Result) {
+  core::RequestOutcome Outcome;
+  Outcome.Status = Result.Response.Status;
+  Outcome.ContentType =
+      net::findHeader(Result.Response.Headers, "Content-Type");
+  Outcome.Body = Result.Response.Body;
+  return Outcome;
 }
 
-int statusOf(core::Reason Why) {
-  switch (Why) {
-  case core::Reason::OverUpperLimit:
-  case core::Reason::QueueFull:
-  case core::Reason::RetryBudgetSpent:
-    return 429;
-  case core::Reason::DeadlinePassed:
-    return 504;
-  default:
-    return 503;
+core::RequestState stateOf(const TaskResult &Result) {
+  if (Result.Verdict == core::Verdict::Ran)
+    return core::RequestState::Ended;
+  if (Result.Verdict == core::Verdict::MayHaveRun)
+    return core::RequestState::Unknown;
+  return Result.Why == core::Reason::Cancelled ? core::RequestState::Cancelled
+                                               : core::RequestState::NotRun;
+}
+
+core::ClaimState claimStateOf(core::Verdict V) {
+  switch (V) {
+  case core::Verdict::Ran:
+    return core::ClaimState::Ended;
+  case core::Verdict::NotRun:
+    return core::ClaimState::NotRun;
+  case core::Verdict::MayHaveRun:
+    return core::ClaimState::Unresolved;
   }
+  return core::ClaimState::Unresolved;
 }
 
 } // namespace
 
-net::HttpResponse refusalResponse(int Status, core::Reason Why, core::Verdict V,
-                                  std::string_view Message) {
-  json J = {
-      {"reason", nameOf(Why)}, {"verdict", nameOf(V)}, {"message", Message}};
-  return net::jsonResponse(Status, J.dump());
-}
-
-/// One request on its way; owned by whoever acts for it next.
-struct TaskService::Task {
-  TaskRequest Request;
-  net::HttpResponder Respond;
-  core::Demand Demand;
-  core::PoolId Pool;
-  std::string TeamName;
-  std::string Id;
-  bool Idempotent = false;
-  std::uint32_t Attempts = 0;
-  core::TimePoint Sent;
-};
-
 TaskService::TaskService(const Context &C, Membership &Members,
-                         ConfigStore &Config, PoolService &Pools)
-    : Context_(C), Members_(Members), Config_(Config), Pools_(Pools) {}
+                         ConfigStore &Config, PoolService &Pools,
+                         const Fleet &Workers)
+    : Context_(C), Gate_(C, Members, Config), Writes_(C),
+      Claims_(C, Members, Writes_), Unresolved_(C, Writes_),
+      Forwarder_(C, Members), Runner_(C, Members, Pools, Workers, Gate_),
+      Routes_(C, Gate_, Claims_, Forwarder_, Runner_, Requests_) {}
 
 void TaskService::handle(net::HttpRequest Request, net::HttpResponder Respond) {
-  TaskPtr T;
   try {
-    T = admit(std::move(Request), Respond);
+    if (Request.Path.starts_with("/v1/requests"))
+      return Routes_.handle(std::move(Request), Respond);
+    TaskPtr T = Gate_.admit(std::move(Request), Respond);
+    ++InFlight_;
+    Context_.Control.post([this, T] { begin(T); });
   } catch (const RequestError &E) {
     Context_.Counters.countRefusal(E.reason());
+    Context_.Counters.countAnswer(E.verdict());
+    Respond(refusalResponse(E));
+  }
+}
+
+void TaskService::begin(const TaskPtr &T) {
+  if (!T->Idempotent && T->Request.IssuedId)
+    return beginIssued(T);
+  core::begin(Requests_.Book, T->Id.Number, T->Owner, T->Fingerprint);
+  Requests_.Active[T->Id.Number] = T;
+  if (T->Idempotent)
+    return execute(T);
+  claim(T);
+}
+
+void TaskService::beginIssued(const TaskPtr &T) {
+  if (T->Id.From != Context_.Self)
+    return forward(T);
+  if (!Gate_.tagger().isOwn(T->Id))
+    return refuse(T, core::Reason::IdNotIssuedHere, core::Verdict::NotRun);
+  switch (core::take(Requests_.Book, T->Id.Number, T->Owner, T->Fingerprint)) {
+  case core::TakeStep::Execute:
+    Requests_.Active[T->Id.Number] = T;
+    T->Claim.RowKey = ClaimStore::rowKeyOf(T->Id);
+    T->Claim.Record = {T->Id, core::ClaimState::Claimed, T->Fingerprint};
+    return execute(T);
+  case core::TakeStep::Repeat:
+    return repeatOwn(T, *core::find(Requests_.Book, T->Id.Number));
+  case core::TakeStep::InProgress:
+    return refuse(T, core::Reason::DuplicateInProgress,
+                  core::Verdict::MayHaveRun);
+  case core::TakeStep::OtherWork:
+    return refuseOtherWork(T);
+  case core::TakeStep::Cancelled:
+    return refuse(T, core::Reason::Cancelled, core::Verdict::NotRun);
+  case core::TakeStep::Unresolved:
+    return refuse(T, core::Reason::OutcomeUnknown, core::Verdict::MayHaveRun);
+  case core::TakeStep::NotOwner:
+    return refuse(T, core::Reason::IdNotIssuedHere, core::Verdict::NotRun);
+  }
+}
+
+void TaskService::forward(const TaskPtr &T) {
+  if (T->Request.Forwarded) {
     net::HttpResponse Response = refusalResponse(
-        E.status(), E.reason(), core::Verdict::NotRun, E.what());
-    Response.Headers.push_back({"Comfreydeck-Verdict", "not-run"});
-    return Respond(std::move(Response));
+        409, core::Reason::IdNotIssuedHere, core::Verdict::MayHaveRun,
+        "the id was issued elsewhere");
+    Response.Headers.push_back({"Comfreydeck-Not-Issuer", "true"});
+    return answer(T, std::move(Response), core::Verdict::MayHaveRun);
   }
-  ++InFlight_;
-  Context_.Control.post([this, T] {
-    if (T->Idempotent)
-      acquire(T);
-    else
-      claim(T);
+  Forwarder_.forward(*T, [this, T](ForwardResult Forwarded) {
+    if (Forwarded.IsGone)
+      return onIssuerGone(T);
+    // The issuer may know more than is known here, so nothing is recorded.
+    if (!Forwarded.Response)
+      return refuse(T, core::Reason::OutcomeUnknown, core::Verdict::MayHaveRun);
+    T->Respond(std::move(*Forwarded.Response));
+    --InFlight_;
   });
 }
 
-core::TeamId TaskService::authorize(const core::Configuration &C,
-                                    const core::Queue &Q,
-                                    const std::string &Secret) const {
-  if (Q.Open)
-    return Q.OpenTeam;
-  core::KeyHash Hash = codec::hashSecret(Secret);
-  for (const core::Key &K : C.Keys) {
-    if (!codec::sameHash(K.Hash, Hash))
-      continue;
-    if (!core::mayUse(Q, K.Owner))
-      throw RequestError(403, core::Reason::KeyNotForQueue,
-                         "the key is not good for this queue");
-    return K.Owner;
-  }
-  throw RequestError(401, core::Reason::UnknownKey, "the key is not known");
-}
-
-TaskService::TaskPtr TaskService::admit(net::HttpRequest Request,
-                                        net::HttpResponder Respond) {
-  std::vector<std::string_view> Parts = net::splitPath(Request.Path);
-  if (Parts.size() != 4 || Parts[3] != "tasks" || Request.Method != "POST")
-    throw RequestError(404, core::Reason::UnknownQueue,
-                       "there is no such path");
-  std::string QueueName(Parts[2]);
-  auto T = std::make_shared<Task>();
-  T->Request = parseTaskRequest(std::move(Request), QueueName,
-                                Context_.Settings.Traffic);
-  T->Respond = std::move(Respond);
-  std::shared_ptr<const core::Configuration> C = Config_.current();
-  core::TimePoint Now = net::now();
-  if (!Members_.isCurrent(Now))
-    throw RequestError(503, core::Reason::NotCurrent,
-                       "the entry may not serve now");
-  const core::Queue *Q = core::findQueue(*C, QueueName);
-  if (!Q)
-    throw RequestError(404, core::Reason::UnknownQueue,
-                       "there is no such queue");
-  T->Demand.Team = authorize(*C, *Q, T->Request.KeySecret);
-  T->Demand.Id = {Context_.Self, NextNumber_++};
-  T->Demand.Queue = Q->Id;
-  T->Demand.Size = T->Request.Size;
-  T->Demand.Run = T->Request.Run;
-  T->Demand.Arrived = Now;
-  T->Demand.Deadline = Now + T->Request.Deadline;
-  T->Demand.Urgent = T->Request.Urgent;
-  T->Pool = Q->ServedBy;
-  T->TeamName = core::findTeam(*C, T->Demand.Team)->Name;
-  T->Id = core::nameOf(T->Demand.Id);
-  T->Idempotent = T->Request.Idempotent.value_or(Q->IdempotentByDefault);
-  if (!T->Idempotent && T->Request.IdempotencyKey.empty())
-    throw RequestError(400, core::Reason::MalformedRequest,
-                       "a non-idempotent request needs an Idempotency-Key");
-  return T;
+void TaskService::onIssuerGone(const TaskPtr &T) {
+  Claims_.read(ClaimStore::rowKeyOf(T->Id), [this, T](ClaimResult Found) {
+    if (Found.Step == core::ClaimStep::Repeat)
+      return repeat(T, Found.Found);
+    recordUnresolved(*T, T->Id, core::Reason::IdNotIssuedHere);
+    refuse(T, core::Reason::OutcomeUnknown, core::Verdict::MayHaveRun);
+  });
 }
 
 void TaskService::claim(const TaskPtr &T) {
-  platform::RowKey Key{ClaimTable, std::to_string(T->Demand.Team.Value) + "/" +
-                                       T->Request.IdempotencyKey};
-  json J = {{"id", T->Id}, {"state", "claimed"}};
-  platform::Transaction Claim{T->Id, {{Key, 0}}, {{Key, J.dump()}}};
-  Context_.Tables.commit(std::move(Claim), [this,
-                                            T](platform::CommitResult Result) {
-    Context_.Control.post([this, T, Result] { onClaim(T, Result.Outcome); });
+  ClaimRequest Request;
+  Request.Team = T->Demand.Team;
+  Request.Queue = T->Demand.Queue;
+  Request.Key = T->Request.IdempotencyKey;
+  Request.Request = T->Id;
+  Request.Fingerprint = T->Fingerprint;
+  Claims_.claim(Request, [this, T](ClaimResult Result) {
+    onClaimed(T, std::move(Result));
   });
 }
 
-void TaskService::onClaim(const TaskPtr &T, platform::CommitOutcome Outcome) {
-  switch (Outcome) {
-  case platform::CommitOutcome::Committed:
-    return acquire(T);
-  case platform::CommitOutcome::Conflict:
-    return refuse(T, 409, core::Reason::DuplicateInProgress,
+void TaskService::onClaimed(const TaskPtr &T, ClaimResult Result) {
+  if (Result.Step == core::ClaimStep::Execute) {
+    T->Claim = std::move(Result.Held);
+    return execute(T);
+  }
+  Requests_.Active.erase(T->Id.Number);
+  core::setState(Requests_.Book, T->Id.Number, core::RequestState::NotRun);
+  switch (Result.Step) {
+  case core::ClaimStep::Repeat:
+    return repeat(T, Result.Found);
+  case core::ClaimStep::InProgress:
+    if (Result.Found.Record.Request.From == Context_.Self)
+      return onOwnClaim(T, Result.Found.Record);
+    return refuse(T, core::Reason::DuplicateInProgress,
                   core::Verdict::MayHaveRun);
-  case platform::CommitOutcome::NotApplied:
-  case platform::CommitOutcome::Unknown:
-    return refuse(T, 503, core::Reason::StoreUnavailable,
-                  core::Verdict::NotRun);
+  case core::ClaimStep::OtherWork:
+    return refuseOtherWork(T);
+  case core::ClaimStep::Unresolved:
+    T->Claim.RowKey = Result.Held.RowKey;
+    if (Result.Found.Record.State == core::ClaimState::Claimed)
+      recordUnresolved(*T, Result.Found.Record.Request,
+                       core::Reason::OutcomeUnknown);
+    return refuse(T, core::Reason::OutcomeUnknown, core::Verdict::MayHaveRun);
+  default:
+    // An earlier request may have run under the key, which can't be read.
+    return refuse(T, core::Reason::StoreUnavailable, core::Verdict::MayHaveRun);
   }
 }
 
-void TaskService::acquire(const TaskPtr &T) {
-  ++T->Attempts;
-  Pools_.acquire(T->Pool, T->Demand, [this, T](const AcquireResult &Result) {
-    onAcquired(T, Result);
-  });
+/// The row still says that this entry holds the key; it knows better itself.
+void TaskService::onOwnClaim(const TaskPtr &T, const core::ClaimRecord &Found) {
+  const core::RequestRecord *Record =
+      core::find(Requests_.Book, Found.Request.Number);
+  if (!Record || Record->State == core::RequestState::Unknown)
+    return refuse(T, core::Reason::OutcomeUnknown, core::Verdict::MayHaveRun);
+  if (Record->State == core::RequestState::Ended)
+    return repeatOwn(T, *Record);
+  refuse(T, core::Reason::DuplicateInProgress, core::Verdict::MayHaveRun);
 }
 
-void TaskService::onAcquired(const TaskPtr &T, const AcquireResult &Result) {
-  if (Result.Refused != core::Reason::None)
-    return refuse(T, statusOf(Result.Refused), Result.Refused,
-                  core::Verdict::NotRun);
-  core::TimePoint Now = net::now();
-  bool InTime = Now < Result.SendBy && Members_.isCurrent(Now);
-  if (!InTime || *T->Demand.Deadline <= Now) {
-    Pools_.release(T->Pool, T->Demand.Id, {});
-    return refuse(T, 504, core::Reason::DeadlinePassed, core::Verdict::NotRun);
+void TaskService::execute(const TaskPtr &T) {
+  Runner_.run(T,
+              [this, T](TaskResult Result) { onResult(T, std::move(Result)); });
+}
+
+void TaskService::onResult(const TaskPtr &T, TaskResult Result) {
+  core::RequestOutcome Outcome;
+  if (Result.Verdict == core::Verdict::Ran)
+    Outcome = outcomeOf(Result);
+  if (T->Idempotent) {
+    Outcome.Body.clear();
+    Outcome.BodyDropped = true;
   }
-  net::HttpCall Call;
-  Call.Method = "POST";
-  Call.Url = "http://" + Result.WorkerAddress + "/v1/tasks";
-  Call.Headers = {
-      {"Task-Id", core::nameOf(T->Demand.Id)},
-      {"Task-Request", T->Id},
-      {"Task-Team", T->TeamName},
-      {"Task-Queue", T->Request.Queue},
-      {"Task-Not-After-Ms", std::to_string(Result.NotAfterWorkerMs)},
-      {"Content-Type", T->Request.ContentType}};
-  if (T->Request.Run.count() > 0)
-    Call.Headers.push_back(
-        {"Task-Run-Ms", std::to_string(inMs(T->Request.Run))});
-  Call.Body = T->Request.Body;
-  Call.TotalLimit = *T->Demand.Deadline - Now;
-  Call.MayResend = T->Idempotent;
-  T->Sent = Now;
-  Context_.Workers.send(std::move(Call), [this, T](net::HttpResult Exchange) {
-    Context_.Control.post([this, T, Exchange = std::move(Exchange)]() mutable {
-      onExchange(T, std::move(Exchange));
-    });
+  core::setState(Requests_.Book, T->Id.Number, stateOf(Result),
+                 std::move(Outcome));
+  Requests_.Active.erase(T->Id.Number);
+  if (Result.Why != core::Reason::None)
+    Context_.Counters.countRefusal(Result.Why);
+  auto Respond = [this, T, Result, Sent = std::make_shared<bool>(false)] {
+    if (std::exchange(*Sent, true))
+      return;
+    answer(T, answerOf(T->Id, Result), Result.Verdict);
+  };
+  if (T->Idempotent)
+    return Respond();
+  // A caller who is told "not run" may come back at once.
+  bool Waits = Result.Verdict == core::Verdict::NotRun && !T->Request.IssuedId;
+  keep(
+      T, Result, Waits ? std::function<void()>(Respond) : [] {});
+  if (Waits)
+    Context_.Control.after(ReleaseLimit, Respond);
+  else
+    Respond();
+}
+
+void TaskService::keep(const TaskPtr &T, const TaskResult &Result,
+                       std::function<void()> Done) {
+  bool IsIssued = T->Request.IssuedId.has_value();
+  if (IsIssued && Result.Verdict == core::Verdict::NotRun)
+    return;
+  core::RequestOutcome Outcome;
+  if (Result.Verdict == core::Verdict::Ran)
+    Outcome = outcomeOf(Result);
+  Claims_.end(T->Claim, claimStateOf(Result.Verdict), std::move(Outcome),
+              std::move(Done));
+  if (Result.Verdict == core::Verdict::MayHaveRun)
+    recordUnresolved(*T, T->Id, Result.Why);
+}
+
+void TaskService::recordUnresolved(const Task &T, const core::RequestId &Id,
+                                   core::Reason Why) {
+  codec::UnresolvedRow Row;
+  Row.Request = Id;
+  Row.Team = T.TeamName;
+  Row.Queue = T.Request.Queue;
+  Row.Reason = nameOf(Why);
+  Row.Worker = T.WorkerAddress;
+  Row.AtUnixMs = unixMs();
+  Row.ClaimKey = T.Claim.RowKey;
+  Unresolved_.record(std::move(Row));
+}
+
+void TaskService::repeat(const TaskPtr &T, const codec::ClaimRow &Row) {
+  Claims_.fetchBody(Row, [this, T, Row](std::optional<std::string> Body) {
+    answer(T, repeatOf(Row.Record.Request, Row.Outcome, std::move(Body)),
+           core::Verdict::Ran);
   });
 }
 
-void TaskService::onExchange(const TaskPtr &T, net::HttpResult Result) {
-  core::Verdict V =
-      core::verdictOf(net::endOfStart(Result, core::nameOf(T->Demand.Id)));
-  bool Known = V != core::Verdict::MayHaveRun;
-  DemandEnd End;
-  End.How = Known ? Ending::Ended : Ending::Unknown;
-  End.Ran = net::now() - T->Sent;
-  End.TargetFailed = V != core::Verdict::Ran;
-  Pools_.release(T->Pool, T->Demand.Id, End);
-  if (V == core::Verdict::Ran)
-    return answer(T, std::move(Result.Response), V);
-  bool MayRetry = V == core::Verdict::NotRun || T->Idempotent;
-  if (MayRetry && T->Attempts < MaxAttempts) {
-    Context_.Counters.countRetry(core::Reason::TargetFailed);
-    T->Demand.Id.Number = NextNumber_++;
-    return acquire(T);
-  }
-  refuse(T, V == core::Verdict::NotRun ? 503 : 504, core::Reason::TargetFailed,
-         V);
+void TaskService::repeatOwn(const TaskPtr &T,
+                            const core::RequestRecord &Record) {
+  std::optional<std::string> Body;
+  if (!Record.Outcome.BodyDropped)
+    Body = Record.Outcome.Body;
+  answer(T, repeatOf(T->Id, Record.Outcome, std::move(Body)),
+         core::Verdict::Ran);
 }
 
-void TaskService::refuse(const TaskPtr &T, int Status, core::Reason Why,
-                         core::Verdict V) {
+void TaskService::refuse(const TaskPtr &T, core::Reason Why, core::Verdict V) {
   Context_.Counters.countRefusal(Why);
-  answer(T, refusalResponse(Status, Why, V, nameOf(Why)), V);
+  TaskResult Result;
+  Result.Verdict = V;
+  Result.Why = Why;
+  answer(T, answerOf(T->Id, std::move(Result)), V);
+}
+
+void TaskService::refuseOtherWork(const TaskPtr &T) {
+  Context_.Counters.countRefusal(core::Reason::KeyUsedForOtherWork);
+  answer(T,
+         refusalResponse(OtherWorkStatus, core::Reason::KeyUsedForOtherWork,
+                         core::Verdict::NotRun,
+                         "the key or id was used with another body"),
+         core::Verdict::NotRun);
 }
 
 void TaskService::answer(const TaskPtr &T, net::HttpResponse Response,
                          core::Verdict V) {
   Context_.Counters.countAnswer(V);
-  net::HttpResponse Out;
-  Out.Status = Response.Status;
-  Out.Body = std::move(Response.Body);
-  Out.Headers = {{"Comfreydeck-Request-Id", T->Id},
-                 {"Comfreydeck-Verdict", std::string(nameOf(V))}};
-  std::string_view Type = net::findHeader(Response.Headers, "Content-Type");
-  if (!Type.empty())
-    Out.Headers.push_back({"Content-Type", std::string(Type)});
-  T->Respond(std::move(Out));
+  T->Respond(std::move(Response));
   --InFlight_;
 }
 
--- a/src/net/Http.cpp
+++ b/src/net/Http.cpp
@@ -34,6 +34,15 @@
   return find(Headers, Name) != nullptr;
 }
 
+std::size_t countHeaders(std::span<const HttpHeader> Headers,
+                         std::string_view Name) {
+  auto Count = std::count_if(Headers.begin(), Headers.end(),
+                             [&](const HttpHeader &Header) {
+                               return equalsIgnoringCase(Header.Name, Name);
+                             });
+  return static_cast<std::size_t>(Count);
+}
+
 HttpResponse jsonResponse(int Status, std::string Body) {
   HttpResponse Response;
   Response.Status = Status;
--- a/src/net/Http.h
+++ b/src/net/Http.h
@@ -38,6 +38,10 @@
 /// Whether a header of that name is there. Thread-safe.
 bool hasHeader(std::span<const HttpHeader> Headers, std::string_view Name);
 
+/// How many headers of that name there are. Thread-safe.
+std::size_t countHeaders(std::span<const HttpHeader> Headers,
+                         std::string_view Name);
+
 /// An answer with a JSON body. Thread-safe.
 HttpResponse jsonResponse(int Status, std::string Body);
 
--- a/src/operators/Commands.cpp
+++ b/src/operators/Commands.cpp
@@ -1,5 +1,7 @@
 #include "operators/Commands.h"
 
+#include "operators/UnresolvedCommands.h"
+
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
@@ -66,6 +68,7 @@
   });
   addConfigCommands(App, Access);
   addInstanceCommands(App, Access);
+  addUnresolvedCommands(App, Access);
 }
 
 } // namespace comfreydeck::operators
--- a/tests/standins/WorkerStandin.cpp
+++ b/tests/standins/WorkerStandin.cpp
@@ -86,6 +86,8 @@
     return startTask(std::move(Request), std::move(Respond));
   if (Request.Path == "/v1/status")
     return Respond(status());
+  if (Request.Path.starts_with("/v1/tasks/") && Request.Method == "POST")
+    return steer(Request, Respond);
   if (Request.Path == "/control/faults") {
     json J = json::parse(Request.Body, nullptr, false);
     if (!J.is_object())
@@ -94,6 +96,9 @@
     F.Delay = std::chrono::milliseconds(J.value("delay_ms", 0));
     F.FailAll = J.value("fail_all", false);
     F.WrongTask = J.value("wrong_task", false);
+    F.LoseAnswers = J.value("lose_answers", false);
+    F.CrossAnswers = J.value("cross_answers", false);
+    F.RefuseAll = J.value("refuse_all", false);
     setFaults(F);
     return Respond(net::jsonResponse(200, "{}"));
   }
@@ -106,7 +111,7 @@
     return "no-task-id";
   if (numberHeader(Request, "Task-Not-After-Ms", UINT64_MAX) < workerClockMs())
     return "not-after";
-  if (Running_.size() >= Options_.Slots)
+  if (Faults_.RefuseAll || Running_.size() >= Options_.Slots)
     return "no-slot";
   return nullptr;
 }
@@ -119,7 +124,10 @@
     std::lock_guard<std::mutex> Lock(Mutex_);
     if (const char *Why = refusalOf(Request, Id))
       return Respond(refusal(Id, Why));
-    Running_[Id] = net::findHeader(Request.Headers, "Task-Team");
+    RunningTask &Task = Running_[Id];
+    Task.Team = net::findHeader(Request.Headers, "Task-Team");
+    Task.Request = Request;
+    Task.Respond = std::move(Respond);
     ++Starts_;
     std::string Whole(net::findHeader(Request.Headers, "Task-Request"));
     bool IsNew = Seen_.insert(Whole.empty() ? Id : Whole).second;
@@ -131,35 +139,107 @@
     Run = Faults_.FailAll ? core::Duration(0) : Run + Faults_.Delay;
   }
   Log_.write(eventLine("start", Request, Id));
-  Timers_.after(
-      Run, [this, Id, Request = std::move(Request),
-            Respond = std::move(Respond)] { endTask(Id, Request, Respond); });
+  Timers_.after(Run, [this, Id] { endTask(Id, false); });
+  std::uint64_t LeaseMs = numberHeader(Request, "Task-Lease-Ms", 0);
+  if (LeaseMs > 0)
+    watchLease(Id, LeaseMs);
 }
 
-void WorkerStandin::endTask(const std::string &Id,
-                            const net::HttpRequest &Request,
-                            const net::HttpResponder &Respond) {
+void WorkerStandin::watchLease(const std::string &Id, std::uint64_t LeaseMs) {
+  std::uint32_t Lease = 0;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    auto It = Running_.find(Id);
+    if (It == Running_.end())
+      return;
+    It->second.LeaseUntilMs = workerClockMs() + LeaseMs;
+    Lease = ++It->second.Lease;
+  }
+  auto Wait = std::chrono::milliseconds(static_cast<std::int64_t>(LeaseMs));
+  Timers_.after(Wait, [this, Id, Lease] {
+    bool Lapsed = false;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      auto It = Running_.find(Id);
+      Lapsed = It != Running_.end() && It->second.Lease == Lease;
+    }
+    if (Lapsed)
+      endTask(Id, true);
+  });
+}
+
+void WorkerStandin::steer(const net::HttpRequest &Request,
+                          const net::HttpResponder &Respond) {
+  std::vector<std::string_view> Parts = net::splitPath(Request.Path);
+  std::string Id(Parts.size() == 4 ? Parts[2] : std::string_view());
+  std::string_view What = Parts.size() == 4 ? Parts[3] : std::string_view();
+  bool IsRunning = false;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    IsRunning = Running_.contains(Id);
+  }
+  if (What == "stop")
+    endTask(Id, true);
+  else if (What == "lease" && IsRunning)
+    watchLease(Id, numberHeader(Request, "Task-Lease-Ms", 1));
+  else if (What != "checkpoint" && What != "throttle" && What != "lease")
+    return Respond(net::jsonResponse(404, R"({"error":"no such path"})"));
+  json J = {{"task", Id}, {"running", IsRunning && What != "stop"}};
+  Respond(net::jsonResponse(200, J.dump()));
+}
+
+bool WorkerStandin::endTask(const std::string &Id, bool Stopped) {
   WorkerFaults Faults;
+  RunningTask Task;
   {
     std::lock_guard<std::mutex> Lock(Mutex_);
-    Running_.erase(Id);
+    auto It = Running_.find(Id);
+    if (It == Running_.end())
+      return false;
+    Task = std::move(It->second);
+    Running_.erase(It);
     Faults = Faults_;
   }
-  Log_.write(eventLine("end", Request, Id));
+  Log_.write(eventLine("end", Task.Request, Id));
   net::HttpResponse Response;
   Response.Status = Faults.FailAll ? 500 : 200;
   Response.Headers.push_back({"Task-Id", Faults.WrongTask ? "other" : Id});
   Response.Headers.push_back(
       {"Task-Clock-Ms", std::to_string(workerClockMs())});
-  Response.Body = Request.Body;
-  Respond(std::move(Response));
+  if (Stopped)
+    Response.Headers.push_back({"Task-Stopped", "true"});
+  std::string_view Type = net::findHeader(Task.Request.Headers, "Content-Type");
+  if (!Type.empty())
+    Response.Headers.push_back({"Content-Type", std::string(Type)});
+  Response.Body = Stopped ? std::string() : std::move(Task.Request.Body);
+  sendAnswer(std::move(Task.Respond), std::move(Response), Faults);
+  return true;
+}
+
+void WorkerStandin::sendAnswer(net::HttpResponder Respond,
+                               net::HttpResponse Response,
+                               const WorkerFaults &Faults) {
+  if (!Faults.CrossAnswers && !Faults.LoseAnswers)
+    return Respond(std::move(Response));
+  std::optional<std::pair<net::HttpResponder, net::HttpResponse>> Other;
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Other = std::move(Crossing_);
+    Crossing_.reset();
+    if (!Other || Faults.LoseAnswers)
+      Crossing_.emplace(Respond, Response);
+  }
+  if (!Other || Faults.LoseAnswers)
+    return;
+  Other->first(std::move(Response));
+  Respond(std::move(Other->second));
 }
 
 net::HttpResponse WorkerStandin::status() const {
   std::lock_guard<std::mutex> Lock(Mutex_);
   json Running = json::array();
-  for (const auto &[Task, Team] : Running_)
-    Running.push_back({{"task", Task}, {"team", Team}});
+  for (const auto &[Id, Task] : Running_)
+    Running.push_back({{"task", Id}, {"team", Task.Team}});
   json J = {{"name", Options_.Name},
             {"clock_ms", workerClockMs()},
             {"slots", Options_.Slots},
--- a/tests/standins/WorkerStandin.h
+++ b/tests/standins/WorkerStandin.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <set>
 
 namespace comfreydeck::standins {
@@ -20,6 +21,12 @@
   bool FailAll = false;
   /// Answers name another task.
   bool WrongTask = false;
+  /// Tasks run, and their answers are never sent.
+  bool LoseAnswers = false;
+  /// Of two tasks that end after one another, each gets the other's answer.
+  bool CrossAnswers = false;
+  /// No task is started.
+  bool RefuseAll = false;
 };
 
 struct WorkerStandinOptions {
@@ -43,7 +50,8 @@
   std::unique_ptr<std::FILE, int (*)(std::FILE *)> File_;
 };
 
-/// A worker that holds each task for its run time and answers its body.
+/// A worker that holds each task for its run time and answers its body. A task
+/// with a lease is stopped when the lease lapses.
 ///
 /// `PUT /control/faults` sets the faults.
 class WorkerStandin {
@@ -63,8 +71,22 @@
 private:
   void handle(net::HttpRequest Request, net::HttpResponder Respond);
   void startTask(net::HttpRequest Request, net::HttpResponder Respond);
-  void endTask(const std::string &Id, const net::HttpRequest &Request,
-               const net::HttpResponder &Respond);
+  /// A task in its slot.
+  struct RunningTask {
+    std::string Team;
+    net::HttpRequest Request;
+    net::HttpResponder Respond;
+    std::uint64_t LeaseUntilMs = UINT64_MAX;
+    std::uint32_t Lease = 0;
+  };
+
+  /// Ends a task, by itself or stopped; false where it does not run.
+  bool endTask(const std::string &Id, bool Stopped);
+  void sendAnswer(net::HttpResponder Respond, net::HttpResponse Response,
+                  const WorkerFaults &Faults);
+  void steer(const net::HttpRequest &Request,
+             const net::HttpResponder &Respond);
+  void watchLease(const std::string &Id, std::uint64_t LeaseMs);
   const char *refusalOf(const net::HttpRequest &Request,
                         const std::string &Id) const;
   net::HttpResponse status() const;
@@ -76,8 +98,9 @@
   EventLog &Log_;
   mutable std::mutex Mutex_;
   WorkerFaults Faults_;
-  /// Team by task.
-  std::map<std::string, std::string> Running_;
+  std::map<std::string, RunningTask> Running_;
+  /// Kept back until another answer crosses it.
+  std::optional<std::pair<net::HttpResponder, net::HttpResponse>> Crossing_;
   std::set<std::string> Seen_;
   std::uint64_t Starts_ = 0;
   std::uint64_t Duplicates_ = 0;
