--- a/src/entry/OperatorService.h
+++ b/src/entry/OperatorService.h
@@ -1,7 +1,7 @@
 #ifndef COMFREYDECK_ENTRY_OPERATORSERVICE_H
 #define COMFREYDECK_ENTRY_OPERATORSERVICE_H
 
-#include "entry/PoolService.h"
+#include "entry/FleetRoutes.h"
 #include "entry/UnresolvedRoutes.h"
 #include "net/HttpServer.h"
 
@@ -12,7 +12,7 @@
 public:
   /// The parts must outlive the service.
   OperatorService(const Context &C, Membership &Members, ConfigStore &Config,
-                  Fleet &Workers, PoolService &Pools,
+                  Fleet &Workers, PoolService &Pools, FleetRoutes &Routes,
                   UnresolvedStore &Unresolved);
 
   /// Handles `/v1/operator/...`. Thread-safe.
@@ -25,8 +25,6 @@
              const net::HttpResponder &Respond);
   void postChange(const core::OperatorKey &Who, const net::HttpRequest &Request,
                   const net::HttpResponder &Respond);
-  void putInstance(const std::string &Name, const net::HttpRequest &Request,
-                   const net::HttpResponder &Respond);
   net::HttpResponse status() const;
 
   Context Context_;
@@ -34,6 +32,7 @@
   ConfigStore &Config_;
   Fleet &Workers_;
   PoolService &Pools_;
+  FleetRoutes &Routes_;
   UnresolvedRoutes Unresolved_;
 };
 
--- a/tests/entry/EntrySite.cpp
+++ b/tests/entry/EntrySite.cpp
@@ -141,8 +141,7 @@
   operate("POST", "/v1/operator/config/changes",
           json({{"edits", edits(Beach, Guide)}}).dump());
   for (std::size_t N = 0; N < Workers_.size(); ++N)
-    operate("PUT", "/v1/operator/instances/w" + std::to_string(N),
-            R"({"pool":"signing"})");
+    waitUntil([&] { return assign("w" + std::to_string(N)); });
   for (std::size_t N = 0; N < Entries_.size(); ++N)
     waitUntil([&] {
       CallerRequest Probe;
@@ -151,6 +150,16 @@
     });
 }
 
+/// False while the pool has no owner yet.
+bool EntrySite::assign(const std::string &Worker) {
+  try {
+    operate("PUT", "/v1/operator/instances/" + Worker, R"({"pool":"signing"})");
+    return true;
+  } catch (const operators::OperatorError &) {
+    return false;
+  }
+}
+
 std::string EntrySite::operate(const std::string &Method,
                                const std::string &Path,
                                const std::string &Body) {
--- a/tests/entry/EntrySite.h
+++ b/tests/entry/EntrySite.h
@@ -72,6 +72,7 @@
   settings::Settings settingsOf(std::size_t N, const std::string &Platform);
   void startWorkers(std::size_t Count);
   void configure();
+  bool assign(const std::string &Worker);
 
   std::string OperatorSecret_;
   std::vector<std::string> Addresses_;
