--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -1,8 +1,10 @@
 #include "entry/Entry.h"
 
 #include "cluster/PeerServer.h"
+#include "entry/FleetRoutes.h"
 #include "entry/OperatorService.h"
 #include "entry/TaskService.h"
+#include "entry/UnresolvedRoutes.h"
 #include "platform/HttpPlatform.h"
 
 #include <glog/logging.h>
@@ -132,13 +134,15 @@
       Upkeep(Shared, Members, Config, Workers, Pools),
       Routes(Shared, Config, Workers, Pools, Upkeep),
       Tasks(Shared, Members, Config, Pools, Workers),
-      Operators(Shared, Members, Config, Workers, Pools, Routes,
-                Tasks.unresolved()),
+      Operators(Shared, Members, Config, Workers, Pools),
       PeerListener(*this, securityOf(Settings.Cluster)),
       HttpListener(serverOptions(Settings), [this](net::HttpRequest Request,
                                                    net::HttpResponder Respond) {
         route(std::move(Request), std::move(Respond));
-      }) {}
+      }) {
+  Operators.add(Routes.routes());
+  Operators.add(unresolvedRoutes(Tasks.unresolved()));
+}
 
 void Entry::Impl::route(net::HttpRequest Request, net::HttpResponder Respond) {
   if (Request.Path.starts_with("/v1/operator/"))
--- a/src/entry/UnresolvedRoutes.cpp
+++ b/src/entry/UnresolvedRoutes.cpp
@@ -22,29 +22,10 @@
     {503, "the table service is away; nothing was resolved"},
 }};
 
-net::HttpResponse error(int Status, std::string_view Message) {
-  return net::jsonResponse(Status, json({{"error", Message}}).dump());
-}
-
-} // namespace
-
-void UnresolvedRoutes::handle(const std::string &Operator,
-                              const net::HttpRequest &Request,
-                              const net::HttpResponder &Respond) {
-  std::vector<std::string_view> Parts = net::splitPath(Request.Path);
-  if (Parts.size() == 3 && Request.Method == "GET")
-    return list(Respond);
-  std::optional<core::RequestId> Id =
-      Parts.size() == 4 ? core::requestFrom(Parts[3]) : std::nullopt;
-  if (Id && Request.Method == "POST")
-    return resolve(Operator, Request, *Id, Respond);
-  Respond(error(404, "there is no such path"));
-}
-
-void UnresolvedRoutes::list(const net::HttpResponder &Respond) {
-  Store_.list([Respond](const auto &Rows) {
+void list(UnresolvedStore &Store, const net::HttpResponder &Respond) {
+  Store.list([Respond](const auto &Rows) {
     if (!Rows)
-      return Respond(error(503, "the table service is away"));
+      return Respond(operatorError(503, "the table service is away"));
     json Listed = json::array();
     for (const codec::UnresolvedRow &Row : *Rows)
       Listed.push_back(json::parse(codec::toJson(Row)));
@@ -52,22 +33,37 @@
   });
 }
 
-void UnresolvedRoutes::resolve(const std::string &Operator,
-                               const net::HttpRequest &Request,
-                               const core::RequestId &Id,
-                               const net::HttpResponder &Respond) {
-  json J = json::parse(Request.Body, nullptr, false);
+void resolve(UnresolvedStore &Store, const OperatorCall &Call,
+             const net::HttpResponder &Respond) {
+  std::optional<core::RequestId> Id = core::requestFrom(Call.Open.front());
+  if (!Id)
+    return Respond(operatorError(404, "there is no such request"));
+  json J = json::parse(Call.Request.Body, nullptr, false);
   std::string Outcome = J.is_object() ? J.value("outcome", "") : "";
   if (Outcome != "ran" && Outcome != "not-run")
-    return Respond(error(400, "outcome must be ran or not-run"));
-  Store_.resolve(Id, Outcome == "ran", Operator,
-                 [Respond](ResolveOutcome Resolved) {
-                   const ResolveAnswer &Answer =
-                       ResolveAnswers.at(static_cast<std::size_t>(Resolved));
-                   bool Ok = Resolved == ResolveOutcome::Resolved;
-                   Respond(Ok ? net::jsonResponse(200, "{}")
-                              : error(Answer.Status, Answer.Message));
-                 });
+    return Respond(operatorError(400, "outcome must be ran or not-run"));
+  Store.resolve(*Id, Outcome == "ran", Call.Who.Name,
+                [Respond](ResolveOutcome Resolved) {
+                  const ResolveAnswer &Answer =
+                      ResolveAnswers.at(static_cast<std::size_t>(Resolved));
+                  bool Ok = Resolved == ResolveOutcome::Resolved;
+                  Respond(Ok ? net::jsonResponse(200, "{}")
+                             : operatorError(Answer.Status, Answer.Message));
+                });
+}
+
+} // namespace
+
+std::vector<OperatorRoute> unresolvedRoutes(UnresolvedStore &Store) {
+  return {
+      {"GET", "unresolved", core::Role::Read,
+       [&Store](const OperatorCall &, const net::HttpResponder &Respond) {
+         list(Store, Respond);
+       }},
+      {"POST", "unresolved/*", core::Role::Operate,
+       [&Store](const OperatorCall &Call, const net::HttpResponder &Respond) {
+         resolve(Store, Call, Respond);
+       }}};
 }
 
 } // namespace comfreydeck::entry
--- a/src/operators/UnresolvedCommands.cpp
+++ b/src/operators/UnresolvedCommands.cpp
@@ -5,7 +5,7 @@
 
 #include <ctime>
 #include <iomanip>
-#include <iostream>
+#include <sstream>
 
 namespace comfreydeck::operators {
 
@@ -24,46 +24,44 @@
   return Text.str();
 }
 
-void printTable(const json &Rows) {
+void printTable(CommandContext &Context, const json &Rows) {
   if (Rows.empty()) {
-    std::cout << "nothing is unresolved\n";
+    Context.Out << "nothing is unresolved\n";
     return;
   }
   for (const json &Row : Rows)
-    std::cout << Row.at("request").get<std::string>() << "  "
-              << timeOf(Row.at("at_unix_ms").get<std::int64_t>()) << "  team "
-              << Row.at("team").get<std::string>() << "  queue "
-              << Row.at("queue").get<std::string>() << "  "
-              << Row.at("reason").get<std::string>() << "  "
-              << Row.at("worker").get<std::string>() << "\n";
+    Context.Out << Row.at("request").get<std::string>() << "  "
+                << timeOf(Row.at("at_unix_ms").get<std::int64_t>()) << "  team "
+                << Row.at("team").get<std::string>() << "  queue "
+                << Row.at("queue").get<std::string>() << "  "
+                << Row.at("reason").get<std::string>() << "  "
+                << Row.at("worker").get<std::string>() << "\n";
 }
 
-void list(const OperatorAccess &Access, const std::string &Output) {
-  json J = json::parse(OperatorClient(Access).call("GET", Path, ""));
-  if (Output == "json")
-    std::cout << J.dump(2) << "\n";
+void list(CommandContext &Context) {
+  json J = json::parse(OperatorClient(Context.Access).call("GET", Path, ""));
+  if (Context.Format == OutputFormat::Json)
+    Context.Out << J.dump(2) << "\n";
   else
-    printTable(J.at("unresolved"));
+    printTable(Context, J.at("unresolved"));
 }
 
-void resolve(const OperatorAccess &Access, const std::string &Request,
+void resolve(CommandContext &Context, const std::string &Request,
              const std::string &Outcome) {
-  OperatorClient(Access).call("POST", std::string(Path) + "/" + Request,
-                              json({{"outcome", Outcome}}).dump());
-  std::cout << Request << " is resolved as " << Outcome << "\n";
+  OperatorClient(Context.Access)
+      .call("POST", std::string(Path) + "/" + Request,
+            json({{"outcome", Outcome}}).dump());
+  Context.Out << Request << " is resolved as " << Outcome << "\n";
 }
 
 } // namespace
 
-void addUnresolvedCommands(CLI::App &App, OperatorAccess &Access) {
+void addUnresolvedCommands(CLI::App &App, CommandContext &Context) {
   CLI::App *Unresolved = App.add_subcommand(
       "unresolved", "Requests of which nobody knows whether they ran");
   Unresolved->require_subcommand(1);
-  CLI::App *List = Unresolved->add_subcommand("list", "Print the open ones");
-  auto Output = std::make_shared<std::string>("table");
-  List->add_option("--output", *Output, "table or json")
-      ->check(CLI::IsMember({"table", "json"}));
-  List->callback([&Access, Output] { list(Access, *Output); });
+  Unresolved->add_subcommand("list", "Print the open ones")
+      ->callback([&Context] { list(Context); });
   CLI::App *Resolve = Unresolved->add_subcommand(
       "resolve", "Note what was found out; its key can be used again where it "
                  "did not run");
@@ -74,7 +72,7 @@
       ->required()
       ->check(CLI::IsMember({"ran", "not-run"}));
   Resolve->callback(
-      [&Access, Request, Outcome] { resolve(Access, *Request, *Outcome); });
+      [&Context, Request, Outcome] { resolve(Context, *Request, *Outcome); });
 }
 
 } // namespace comfreydeck::operators
--- a/src/operators/UnresolvedCommands.h
+++ b/src/operators/UnresolvedCommands.h
@@ -1,17 +1,13 @@
 #ifndef COMFREYDECK_OPERATORS_UNRESOLVEDCOMMANDS_H
 #define COMFREYDECK_OPERATORS_UNRESOLVEDCOMMANDS_H
 
-#include "operators/OperatorClient.h"
-
-namespace CLI {
-class App;
-} // namespace CLI
+#include "operators/Commands.h"
 
 namespace comfreydeck::operators {
 
-/// Adds `unresolved list` and `unresolved resolve`. \p App and \p Access must
-/// outlive the parsing.
-void addUnresolvedCommands(CLI::App &App, OperatorAccess &Access);
+/// Adds `unresolved list` and `unresolved resolve`, as addCommands does. Not
+/// thread-safe.
+void addUnresolvedCommands(CLI::App &App, CommandContext &Context);
 
 } // namespace comfreydeck::operators
 
--- a/tests/entry/EntrySite.cpp
+++ b/tests/entry/EntrySite.cpp
@@ -164,7 +164,7 @@
                                const std::string &Path,
                                const std::string &Body) {
   operators::OperatorClient Client(
-      {"http://" + Addresses_.front(), OperatorSecret_});
+      {{"http://" + Addresses_.front()}, OperatorSecret_});
   return Client.call(Method, Path, Body);
 }
 
