--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -4,6 +4,7 @@
 #include "entry/FleetRoutes.h"
 #include "entry/OperatorService.h"
 #include "entry/TaskService.h"
+#include "entry/UnresolvedRoutes.h"
 #include "platform/HttpPlatform.h"
 
 #include <glog/logging.h>
@@ -22,6 +23,9 @@
 using namespace cluster;
 
 constexpr std::chrono::seconds LeaveLimit(5);
+/// How long a leaving entry tries to write what it knows of requests.
+constexpr std::chrono::seconds WriteLimit(5);
+constexpr std::chrono::milliseconds WritePoll(5);
 
 core::Incarnation newIncarnation() {
   std::random_device Device;
@@ -54,7 +58,8 @@
   std::from_chars(S.Entry.Listen.data() + Colon + 1,
                   S.Entry.Listen.data() + S.Entry.Listen.size(), Options.Port);
   Options.Threads = S.Entry.TrafficThreads;
-  Options.MaxBodyBytes = S.Traffic.MaxBodyBytes;
+  // Somewhat larger ones are read, so that they get an answer.
+  Options.MaxBodyBytes = std::size_t{S.Traffic.MaxBodyBytes} * 2;
   Options.HandleLimit = S.Traffic.MaxDeadline + std::chrono::seconds(30);
   return Options;
 }
@@ -91,6 +96,8 @@
 
   void route(net::HttpRequest Request, net::HttpResponder Respond);
   void startControl();
+  std::size_t openWrites();
+  void waitForWrites(core::TimePoint Until);
 
   void greet(const wire::GreetRequest &Request,
              PeerResponder<wire::GreetReply> Respond) override;
@@ -126,7 +133,7 @@
       Pools(Shared, Members, Config, Workers),
       Upkeep(Shared, Members, Config, Workers, Pools),
       Routes(Shared, Config, Workers, Pools, Upkeep),
-      Tasks(Shared, Members, Config, Pools),
+      Tasks(Shared, Members, Config, Pools, Workers),
       Operators(Shared, Members, Config, Workers, Pools),
       PeerListener(*this, securityOf(Settings.Cluster)),
       HttpListener(serverOptions(Settings), [this](net::HttpRequest Request,
@@ -134,6 +141,7 @@
         route(std::move(Request), std::move(Respond));
       }) {
   Operators.add(Routes.routes());
+  Operators.add(unresolvedRoutes(Tasks.unresolved()));
 }
 
 void Entry::Impl::route(net::HttpRequest Request, net::HttpResponder Respond) {
@@ -214,6 +222,17 @@
   });
 }
 
+std::size_t Entry::Impl::openWrites() {
+  auto Count = std::make_shared<std::promise<std::size_t>>();
+  Control.post([this, Count] { Count->set_value(Tasks.openWrites()); });
+  return Count->get_future().get();
+}
+
+void Entry::Impl::waitForWrites(core::TimePoint Until) {
+  while (openWrites() > 0 && net::now() < Until)
+    std::this_thread::sleep_for(WritePoll);
+}
+
 Entry::Entry(settings::Settings Settings, std::function<void()> OnFenced)
     : Impl_(std::make_unique<Impl>(std::move(Settings))) {
   Impl_->Members.setOnFenced(std::move(OnFenced));
@@ -243,6 +262,7 @@
   Impl_->HttpListener.endConnections();
   std::this_thread::sleep_for(Impl_->Settings.Traffic.LeaveNotice);
   Impl_->HttpListener.drain(Impl_->Settings.Traffic.DrainLimit);
+  Impl_->waitForWrites(net::now() + WriteLimit);
   auto Left = std::make_shared<std::promise<void>>();
   Impl_->Control.post([this, Left] {
     Impl_->Pools.leave(
--- a/src/operators/Commands.cpp
+++ b/src/operators/Commands.cpp
@@ -2,6 +2,7 @@
 
 #include "operators/CommandGroups_p.h"
 #include "operators/FleetCommands.h"
+#include "operators/UnresolvedCommands.h"
 
 #include <CLI/CLI.hpp>
 
@@ -29,6 +30,7 @@
   detail::addOperatorCommands(App, Context);
   detail::addConfigCommands(App, Context);
   addFleetCommands(App, Context);
+  addUnresolvedCommands(App, Context);
 }
 
 } // namespace comfreydeck::operators
