Measure nearness to share; ask again for a pool's new owner

Change: tools/shares.cpp plays the bursts over the owner's decisions, slices by entry and the naive version against a fluid division by share. Operators' calls that met no owner or an earlier one are tried again for 4 s; nothing was done in them.

--- a/src/entry/FleetRoutes.cpp
+++ b/src/entry/FleetRoutes.cpp
@@ -19,6 +19,9 @@
 constexpr core::Duration ForwardLimit = std::chrono::seconds(20);
 constexpr core::Duration AskLimit = std::chrono::milliseconds(800);
 constexpr std::uint32_t PageRows = 1000;
+/// How often, and how many times, another owner is looked for.
+constexpr core::Duration OwnerRetry = std::chrono::milliseconds(200);
+constexpr int OwnerTries = 20;
 
 struct OutcomeText {
   int Status;
@@ -54,6 +57,15 @@
                  Answer.Message);
 }
 
+bool isNotOwner(const net::HttpResponse &Response) {
+  const OutcomeText &Text =
+      WishTexts.at(static_cast<std::size_t>(WishOutcome::NotOwner));
+  if (Response.Status != Text.Status)
+    return false;
+  json Body = json::parse(Response.Body, nullptr, false);
+  return Body.is_object() && Body.value("outcome", "") == Text.Name;
+}
+
 net::HttpResponse notFound(const std::string &Message) {
   return respond(WishAnswer{WishOutcome::NotFound, Message});
 }
@@ -127,8 +139,7 @@
 std::vector<OperatorRoute> FleetRoutes::routes() {
   auto Handle = [this](const OperatorCall &Call,
                        const net::HttpResponder &Respond) {
-    if (!handle(Call.Who, Call.Request, Respond))
-      Respond(notFound("there is no such path"));
+    tryCall(Call, Respond, OwnerTries);
   };
   constexpr core::Role Read = core::Role::Read;
   constexpr core::Role Operate = core::Role::Operate;
@@ -145,6 +156,23 @@
           {"POST", "datacentres/*/*", Operate, Handle}};
 }
 
+void FleetRoutes::tryCall(const OperatorCall &Call,
+                          const net::HttpResponder &Respond, int TriesLeft) {
+  net::HttpResponder Last = Respond;
+  // Nothing was done where the owner was another one, so that it may be asked
+  // again; a new pool has its owner within some polls of its row.
+  net::HttpResponder Retrying = [this, Call, Respond,
+                                 TriesLeft](net::HttpResponse Response) {
+    if (!isNotOwner(Response))
+      return Respond(std::move(Response));
+    Context_.Control.after(OwnerRetry, [this, Call, Respond, TriesLeft] {
+      tryCall(Call, Respond, TriesLeft - 1);
+    });
+  };
+  if (!handle(Call.Who, Call.Request, TriesLeft > 1 ? Retrying : Last))
+    Respond(notFound("there is no such path"));
+}
+
 bool FleetRoutes::handle(const core::OperatorKey &Who,
                          const net::HttpRequest &Request,
                          const net::HttpResponder &Respond) {
--- a/src/entry/FleetRoutes.h
+++ b/src/entry/FleetRoutes.h
@@ -20,6 +20,8 @@
 private:
   using Parts = std::vector<std::string_view>;
 
+  void tryCall(const OperatorCall &Call, const net::HttpResponder &Respond,
+               int TriesLeft);
   bool handle(const core::OperatorKey &Who, const net::HttpRequest &Request,
               const net::HttpResponder &Respond);
   bool handleInstances(const Parts &Path, const net::HttpRequest &Request,
--- /dev/null
+++ b/tools/shares.cpp
@@ -0,0 +1,343 @@
+#include "core/PoolOwner.h"
+#include "standins/NaiveScheduler.h"
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cmath>
+#include <functional>
+#include <iomanip>
+#include <iostream>
+#include <queue>
+
+// How near each team comes to what it is owed, on a virtual clock over the pool
+// owner's decisions, against slices of the pool by entry and the naive version.
+
+using namespace comfreydeck;
+using nlohmann::json;
+using std::chrono::duration;
+
+namespace {
+
+constexpr core::Duration Tick = std::chrono::milliseconds(10);
+constexpr double TickSeconds = duration<double>(Tick).count();
+
+/// One pool and what is asked of it.
+struct Scenario {
+  std::string Name = "three-centres";
+  std::uint32_t DataCentres = 3;
+  std::uint32_t Workers = 10;
+  std::uint32_t SlotsEach = 8;
+  std::uint32_t Queues = 5;
+  std::uint32_t Entries = 8;
+  std::vector<std::uint32_t> Shares = {1, 1, 1, 1, 3, 3};
+  /// How much each team asks for, in proportion.
+  std::vector<double> Asks = {1, 1, 1, 1, 8, 12};
+  std::uint32_t LargestLimit = 60;
+  /// Mean demand over the pool's capacity; a queue in its turn asks for
+  /// BurstFactor times the mean, else for one part in QuietDivisor.
+  double MeanLoad = 0.6;
+  double BurstFactor = 5;
+  double QuietDivisor = 20;
+  std::uint32_t BurstSeconds = 8;
+  double MeanRunSeconds = 1;
+  double DeadlineSeconds = 10;
+  double UrgentPart = 0.02;
+  std::uint32_t Periods = 10;
+
+  std::uint32_t slots() const { return Workers * SlotsEach; }
+  std::uint32_t periodSeconds() const { return BurstSeconds * Queues; }
+};
+
+/// Every request of a run, in the order of arrival.
+std::vector<core::Demand> makeDemands(const Scenario &S, std::uint64_t Seed) {
+  core::Rng Random(Seed);
+  std::exponential_distribution<double> Run(1 / S.MeanRunSeconds);
+  std::discrete_distribution<std::uint32_t> Team(S.Asks.begin(), S.Asks.end());
+  std::bernoulli_distribution Urgent(S.UrgentPart);
+  double Mean = S.MeanLoad * S.slots() / S.MeanRunSeconds;
+  std::vector<core::Demand> Demands;
+  auto Ticks =
+      static_cast<std::uint64_t>(S.Periods * S.periodSeconds() / TickSeconds);
+  for (std::uint64_t T = 0; T < Ticks; ++T) {
+    double At = static_cast<double>(T) * TickSeconds;
+    bool InTurn = std::fmod(At, S.periodSeconds()) < S.BurstSeconds;
+    double Rate = Mean * (InTurn ? S.BurstFactor : 1 / S.QuietDivisor);
+    std::poisson_distribution<int> Arrivals(Rate * TickSeconds);
+    for (int N = Arrivals(Random); N > 0; --N) {
+      core::Demand D;
+      D.Id = {{1}, Demands.size() + 1};
+      D.Team.Value = Team(Random);
+      D.Queue.Value = 0;
+      D.Arrived = core::TimePoint(Tick * T);
+      D.Run = std::chrono::duration_cast<core::Duration>(
+          duration<double>(Run(Random)));
+      D.Deadline = D.Arrived + std::chrono::duration_cast<core::Duration>(
+                                   duration<double>(S.DeadlineSeconds));
+      D.Urgent = Urgent(Random);
+      Demands.push_back(D);
+    }
+  }
+  return Demands;
+}
+
+std::uint32_t limitOf(const Scenario &S, std::size_t Team) {
+  return std::min(S.LargestLimit, 20 * S.Shares[Team]);
+}
+
+/// Whatever hands out the slots.
+struct Policy {
+  std::function<void(const core::Demand &)> Enqueue;
+  std::function<std::vector<core::DemandId>(core::TimePoint)> Decide;
+  std::function<void(const core::Demand &, core::TimePoint)> Finish;
+};
+
+struct Outcome {
+  /// Slot seconds by team.
+  std::vector<double> Served;
+  double WorstUrgentWait = 0;
+
+  double work() const {
+    double Sum = 0;
+    for (double S : Served)
+      Sum += S;
+    return Sum;
+  }
+};
+
+Outcome play(const Scenario &S, const std::vector<core::Demand> &Demands,
+             const Policy &P) {
+  struct Ending {
+    core::TimePoint At;
+    std::size_t Index;
+    bool operator>(const Ending &Other) const { return At > Other.At; }
+  };
+  std::priority_queue<Ending, std::vector<Ending>, std::greater<>> Endings;
+  Outcome Out;
+  Out.Served.resize(S.Shares.size());
+  std::size_t Next = 0;
+  core::TimePoint Now{};
+  while (Next < Demands.size() || !Endings.empty()) {
+    for (; Next < Demands.size() && Demands[Next].Arrived <= Now; ++Next)
+      P.Enqueue(Demands[Next]);
+    for (; !Endings.empty() && Endings.top().At <= Now; Endings.pop())
+      P.Finish(Demands[Endings.top().Index], Now);
+    for (core::DemandId Id : P.Decide(Now)) {
+      const core::Demand &D = Demands[Id.Number - 1];
+      Out.Served[D.Team.Value] += duration<double>(D.Run).count();
+      Endings.push({Now + D.Run, Id.Number - 1});
+      if (D.Urgent)
+        Out.WorstUrgentWait = std::max(
+            Out.WorstUrgentWait, duration<double>(Now - D.Arrived).count());
+    }
+    Now += Tick;
+  }
+  return Out;
+}
+
+/// What the teams are owed: the same demand through a fluid that divides the
+/// slots by share at every moment, within the limits.
+std::vector<double> owed(const Scenario &S,
+                         const std::vector<core::Demand> &Demands) {
+  struct Piece {
+    core::TimePoint Until;
+    double Left;
+  };
+  std::size_t Teams = S.Shares.size();
+  std::vector<std::deque<Piece>> Waiting(Teams);
+  std::vector<double> Owed(Teams);
+  std::size_t Next = 0;
+  bool Any = true;
+  for (core::TimePoint Now{}; Next < Demands.size() || Any; Now += Tick) {
+    for (; Next < Demands.size() && Demands[Next].Arrived <= Now; ++Next)
+      Waiting[Demands[Next].Team.Value].push_back(
+          {*Demands[Next].Deadline,
+           duration<double>(Demands[Next].Run).count()});
+    std::vector<double> Wish(Teams);
+    for (std::size_t T = 0; T < Teams; ++T) {
+      while (!Waiting[T].empty() && Waiting[T].front().Until <= Now)
+        Waiting[T].pop_front();
+      double Sum = 0;
+      double Most = limitOf(S, T) * TickSeconds;
+      for (auto It = Waiting[T].begin(); It != Waiting[T].end() && Sum < Most;
+           ++It)
+        Sum += It->Left;
+      Wish[T] = std::min(Sum, Most);
+    }
+    double Free = S.slots() * TickSeconds;
+    std::vector<double> Given(Teams);
+    for (bool Changed = true; Changed && Free > 1e-12;) {
+      double Weight = 0;
+      for (std::size_t T = 0; T < Teams; ++T)
+        Weight += Given[T] < Wish[T] ? S.Shares[T] : 0;
+      Changed = Weight > 0;
+      double Round = Free;
+      for (std::size_t T = 0; T < Teams && Changed; ++T) {
+        double Part =
+            std::min(Round * S.Shares[T] / Weight, Wish[T] - Given[T]);
+        Part = std::max(Part, 0.0);
+        Given[T] += Part;
+        Free -= Part;
+      }
+      Changed = Changed && Free > S.slots() * TickSeconds * 1e-9;
+    }
+    Any = false;
+    for (std::size_t T = 0; T < Teams; ++T) {
+      Owed[T] += Given[T];
+      for (double Left = Given[T]; Left > 1e-12 && !Waiting[T].empty();) {
+        double Part = std::min(Left, Waiting[T].front().Left);
+        Waiting[T].front().Left -= Part;
+        Left -= Part;
+        if (Waiting[T].front().Left <= 1e-12)
+          Waiting[T].pop_front();
+      }
+      Any = Any || !Waiting[T].empty();
+    }
+  }
+  return Owed;
+}
+
+std::vector<core::PoolWorker> workersOf(const Scenario &S,
+                                        std::uint32_t SlotsEach) {
+  std::vector<core::PoolWorker> Workers;
+  for (std::uint32_t N = 0; N < S.Workers; ++N) {
+    core::PoolWorker W;
+    W.Id.Value = N;
+    W.Zone.Value = N % S.DataCentres;
+    W.Rack.Value = N / 4;
+    W.Slots = SlotsEach;
+    W.Total = {64000, 131072, 0};
+    Workers.push_back(W);
+  }
+  return Workers;
+}
+
+core::PoolOwner ownerOf(const Scenario &S, std::uint32_t SlotsEach,
+                        std::uint32_t Parts, core::Duration Memory) {
+  core::PoolOwner Owner;
+  Owner.Clock.Memory = Memory;
+  core::setWorkers(Owner, workersOf(S, SlotsEach));
+  for (std::uint32_t T = 0; T < S.Shares.size(); ++T)
+    core::setTeam(Owner, core::TeamId{T}, S.Shares[T],
+                  (limitOf(S, T) + Parts - 1) / Parts, {});
+  return Owner;
+}
+
+/// One owner for each entry's slice; a single one is the owner design.
+Policy ownersPolicy(std::vector<core::PoolOwner> &Owners) {
+  auto OwnerOf = [&Owners](core::DemandId Id) -> core::PoolOwner & {
+    return Owners[(Id.Number * 0x9E3779B97F4A7C15ULL >> 32) % Owners.size()];
+  };
+  Policy P;
+  P.Enqueue = [OwnerOf](const core::Demand &D) {
+    core::enqueue(OwnerOf(D.Id), D, D.Arrived);
+  };
+  P.Decide = [&Owners](core::TimePoint Now) {
+    std::vector<core::DemandId> Started;
+    for (core::PoolOwner &Owner : Owners)
+      for (const core::Grant &G :
+           core::decide(Owner, Now, Now + std::chrono::seconds(2)).Grants)
+        Started.push_back(G.Id);
+    return Started;
+  };
+  P.Finish = [OwnerOf](const core::Demand &D, core::TimePoint Now) {
+    core::finish(OwnerOf(D.Id), D.Id, D.Run, Now);
+  };
+  return P;
+}
+
+Policy naivePolicy(const Scenario &S, standins::NaiveScheduler &Naive) {
+  Naive.Slots = S.slots();
+  for (std::uint32_t T = 0; T < S.Shares.size(); ++T)
+    Naive.Teams[core::TeamId{T}] = {S.Shares[T], limitOf(S, T), 0, 0};
+  Policy P;
+  P.Enqueue = [&Naive](const core::Demand &D) { Naive.Waiting.push_back(D); };
+  P.Decide = [&Naive](core::TimePoint Now) {
+    std::vector<core::DemandId> Started;
+    for (const core::Demand &D : standins::naiveDecide(Naive, Now))
+      Started.push_back(D.Id);
+    return Started;
+  };
+  P.Finish = [&Naive](const core::Demand &D, core::TimePoint) {
+    standins::naiveFinish(Naive, D.Team);
+  };
+  return P;
+}
+
+json report(const char *Name, const Outcome &Out,
+            const std::vector<double> &Owed, double NaiveWork) {
+  json Teams = json::array();
+  double Worst = 0;
+  for (std::size_t T = 0; T < Owed.size(); ++T) {
+    double Off = std::abs(Out.Served[T] - Owed[T]) / Owed[T];
+    Worst = std::max(Worst, Off);
+    Teams.push_back(std::round(Off * 1e4) / 1e4);
+  }
+  return {{"design", Name},
+          {"off_by_team", Teams},
+          {"worst", std::round(Worst * 1e4) / 1e4},
+          {"work_to_naive", std::round(Out.work() / NaiveWork * 1e4) / 1e4},
+          {"worst_urgent_wait_s", Out.WorstUrgentWait}};
+}
+
+json measure(const Scenario &S, std::uint64_t Seed) {
+  std::vector<core::Demand> Demands = makeDemands(S, Seed);
+  std::vector<double> Owed = owed(S, Demands);
+  standins::NaiveScheduler Naive;
+  Outcome ByNaive = play(S, Demands, naivePolicy(S, Naive));
+  json Rows = json::array();
+  Rows.push_back(report("naive", ByNaive, Owed, ByNaive.work()));
+  auto Add = [&](const char *Name, std::uint32_t Parts, std::uint32_t Each,
+                 core::Duration Memory) {
+    std::vector<core::PoolOwner> Owners;
+    for (std::uint32_t N = 0; N < Parts; ++N)
+      Owners.push_back(ownerOf(S, Each, Parts, Memory));
+    Outcome Out = play(S, Demands, ownersPolicy(Owners));
+    Rows.push_back(report(Name, Out, Owed, ByNaive.work()));
+  };
+  constexpr std::chrono::seconds Minute(60);
+  Add("owner", 1, S.SlotsEach, Minute);
+  Add("owner, no memory", 1, S.SlotsEach, core::Duration(0));
+  Add("owner, memory 600 s", 1, S.SlotsEach, 10 * Minute);
+  Add("slices by entry", S.Entries, S.SlotsEach / S.Entries, Minute);
+  return {{"scenario", S.Name},
+          {"seed", Seed},
+          {"requests", Demands.size()},
+          {"designs", Rows}};
+}
+
+void print(const json &Result) {
+  std::cout << Result["scenario"].get<std::string>() << ", seed "
+            << Result["seed"] << ", " << Result["requests"] << " requests\n";
+  for (const json &Row : Result["designs"])
+    std::cout << "  " << std::left << std::setw(22)
+              << Row["design"].get<std::string>() << "worst off "
+              << std::setw(8) << Row["worst"].dump() << "work to naive "
+              << std::setw(8) << Row["work_to_naive"].dump() << "urgent "
+              << std::setw(8) << Row["worst_urgent_wait_s"].dump()
+              << Row["off_by_team"].dump() << "\n";
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  CLI::App App("Nearness to share on a virtual clock");
+  std::uint64_t Seed = 1;
+  bool AsJson = false;
+  App.add_option("--seed", Seed, "Of the demand");
+  App.add_flag("--json", AsJson, "JSON instead of a table");
+  CLI11_PARSE(App, Argc, Argv);
+  Scenario Four;
+  Four.Name = "four-centres";
+  Four.DataCentres = 4;
+  Four.Asks = {1, 1, 1, 1, 16, 16};
+  json All = json::array();
+  for (const Scenario &S : {Scenario{}, Four})
+    All.push_back(measure(S, Seed));
+  if (AsJson)
+    std::cout << All.dump(2) << "\n";
+  else
+    for (const json &Result : All)
+      print(Result);
+  return 0;
+}
