--- a/src/entry/PoolService.cpp
+++ b/src/entry/PoolService.cpp
@@ -162,7 +162,7 @@
 void PoolService::acquire(core::PoolId Pool, core::Demand D,
                           AcquireCallback Done) {
   core::DemandId Id = D.Id;
-  Pending_[Id] = {Pool, std::move(D), std::move(Done), 0};
+  Pending_[Id] = {Pool, D, std::move(Done), 0};
   ask(Id);
 }
 
