--- a/src/entry/PoolOwnership.cpp
+++ b/src/entry/PoolOwnership.cpp
@@ -1,5 +1,6 @@
 #include "codec/OwnershipJson.h"
 #include "core/Names.h"
+#include "core/OwnerWatch.h"
 #include "core/Ownership.h"
 #include "entry/PoolService.h"
 #include "entry/PoolWire_p.h"
@@ -84,6 +85,7 @@
 }
 
 void PoolService::considerAll() {
+  watchOwners();
   std::shared_ptr<const core::Configuration> C = Config_.current();
   for (const core::Pool &P : C->Pools)
     consider(P);
@@ -127,9 +129,37 @@
 }
 
 bool PoolService::isSuspect(core::Incarnation Id) const {
+  core::OwnerSight Sight;
   auto It = Health_.find(Id);
-  bool Silent = It != Health_.end() && It->second.Failures >= SuspectAfter;
-  return Silent || !Members_.find(Id);
+  Sight.Failures = It == Health_.end() ? 0 : It->second.Failures;
+  Sight.IsMember = Members_.find(Id) != nullptr;
+  Sight.WasMember = SeenMembers_.contains(Id);
+  auto Unknown = UnknownSince_.find(Id);
+  if (Unknown != UnknownSince_.end())
+    Sight.UnknownSince = Unknown->second;
+  core::OwnerWatchBounds Bounds;
+  Bounds.SuspectAfter = SuspectAfter;
+  Bounds.UnknownGrace = Context_.Settings.Lease.Freshness;
+  return core::isLost(Sight, Bounds, net::now());
+}
+
+/// Remembers who was a member, and since when an owner is not one.
+void PoolService::watchOwners() {
+  std::set<core::Incarnation> Named;
+  for (const auto &[Pool, Known] : Owners_)
+    if (Known.Id.isValid())
+      Named.insert(Known.Id);
+  std::erase_if(SeenMembers_, [&](core::Incarnation Id) {
+    return !Named.contains(Id) && !Members_.find(Id);
+  });
+  std::erase_if(UnknownSince_, [&](const auto &Item) {
+    return !Named.contains(Item.first) || Members_.find(Item.first);
+  });
+  for (const Member &M : Members_.members())
+    SeenMembers_.insert(M.Id);
+  for (core::Incarnation Id : Named)
+    if (!Members_.find(Id))
+      UnknownSince_.emplace(Id, net::now());
 }
 
 core::Incarnation PoolService::preferredFor(core::PoolId Pool) const {
--- a/src/entry/PoolService.h
+++ b/src/entry/PoolService.h
@@ -106,6 +106,7 @@
   void considerMoving(core::PoolId Pool, Holding &Held,
                       core::Incarnation Preferred);
   bool isSuspect(core::Incarnation Id) const;
+  void watchOwners();
   core::Incarnation preferredFor(core::PoolId Pool) const;
   void fence(core::Incarnation Id);
   void take(core::PoolId Pool, const KnownOwner &Known);
@@ -161,6 +162,9 @@
   std::map<core::PoolId, Releases> Releases_;
   std::set<core::PoolId> Releasing_;
   std::map<core::Incarnation, Health> Health_;
+  std::set<core::Incarnation> SeenMembers_;
+  /// Owners that are no members, and since when.
+  std::map<core::Incarnation, core::TimePoint> UnknownSince_;
   std::map<core::PoolId, cluster::wire::HandOverRequest> HandedOver_;
   std::set<core::PoolId> Writing_;
   /// Incarnations that this entry fences, and those that it has fenced.
--- /dev/null
+++ b/tests/core/OwnerWatchTest.cpp
@@ -0,0 +1,42 @@
+#include "core/OwnerWatch.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreydeck::core;
+
+namespace {
+
+constexpr TimePoint Start{};
+
+struct WatchCase {
+  const char *Name;
+  OwnerSight Sight;
+  Duration After;
+  bool Lost;
+};
+
+const WatchCase Cases[] = {
+    {"a member that answers", {true, true, 0, {}}, {}, false},
+    {"a member that misses two calls", {true, true, 2, {}}, {}, false},
+    {"a member that misses three", {true, true, 3, {}}, {}, true},
+    {"one that left", {false, true, 0, Start}, {}, true},
+    {"one that has just registered", {false, false, 0, Start}, {}, false},
+    {"the same within the grace",
+     {false, false, 0, Start},
+     std::chrono::milliseconds(1999),
+     false},
+    {"one that never registered",
+     {false, false, 0, Start},
+     std::chrono::seconds(2),
+     true},
+    {"one that is not named yet", {false, false, 0, {}}, {}, false},
+};
+
+} // namespace
+
+TEST_CASE("an owner is taken for lost only when it is") {
+  for (const WatchCase &Case : Cases) {
+    CAPTURE(Case.Name);
+    CHECK(isLost(Case.Sight, {}, Start + Case.After) == Case.Lost);
+  }
+}
