--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -1,3 +1,4 @@
+#include "DispatchMain.h"
 #include "codec/KeyHash.h"
 #include "comfreydeck/comfreydeck.h"
 #include "operators/Commands.h"
@@ -56,6 +57,9 @@
   std::string File;
   CLI::App *Serve = App.add_subcommand("serve", "Run an entry");
   Serve->add_option("--settings", File, "The settings file")->required();
+  CLI::App *Dispatch =
+      App.add_subcommand("dispatch", "Run an entry of the job path");
+  Dispatch->add_option("--settings", File, "The settings file")->required();
   CLI::App *Check = App.add_subcommand("check-settings", "Check a file");
   Check->add_option("file", File, "The settings file")->required();
   CLI::App *NewKey = App.add_subcommand("new-key", "Make a secret, offline");
@@ -68,6 +72,10 @@
   }
   if (Serve->parsed())
     return serve(File);
+  if (Dispatch->parsed()) {
+    platform::runDispatch(File);
+    return ExitOk;
+  }
   if (Check->parsed())
     return checkSettings(File);
   if (NewKey->parsed())
--- /dev/null
+++ b/src/codec/JobJson.cpp
@@ -0,0 +1,171 @@
+#include "codec/JobJson.h"
+
+#include <nlohmann/json.hpp>
+
+#include <stdexcept>
+
+namespace comfreydeck::codec {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/// Sets the field only where the value differs from its default.
+template <typename T>
+void put(Json &Object, const char *Field, const T &Value, const T &Default) {
+  if (Value != Default)
+    Object[Field] = Value;
+}
+
+template <typename T>
+void take(const Json &Object, const char *Field, T &Value) {
+  auto It = Object.find(Field);
+  if (It != Object.end())
+    Value = It->get<T>();
+}
+
+Json stepJson(const jobs::StepSpec &Step) {
+  const jobs::StepSpec Default;
+  Json Row = Json::object();
+  put(Row, "tasks", Step.Tasks, Default.Tasks);
+  put(Row, "cpu", Step.Need.MilliCpus, 0U);
+  put(Row, "memory", Step.Need.MemoryMb, 0U);
+  put(Row, "accelerators", Step.Need.Accelerators, 0U);
+  put(Row, "estimate", Step.EstimateMs, 0U);
+  put(Row, "after", Step.After, Default.After);
+  put(Row, "gang", Step.Gang, false);
+  put(Row, "same_rack", Step.SameRack, false);
+  put(Row, "checkpoints", Step.Checkpoints, false);
+  put(Row, "copies", Step.Copies, false);
+  put(Row, "lasting", Step.Lasting, false);
+  put(Row, "filling", Step.Filling, false);
+  put(Row, "label", Step.Label, Default.Label);
+  put(Row, "near", Step.NearRack, Default.NearRack);
+  put(Row, "per_worker", Step.MaxPerWorker, 0U);
+  put(Row, "image", Step.Image, Default.Image);
+  put(Row, "tail_target", Step.TailTargetMs, 0U);
+  put(Row, "absence", Step.AbsenceAllowance, 0U);
+  return Row;
+}
+
+jobs::StepSpec stepOf(const Json &Row) {
+  jobs::StepSpec Step;
+  take(Row, "tasks", Step.Tasks);
+  take(Row, "cpu", Step.Need.MilliCpus);
+  take(Row, "memory", Step.Need.MemoryMb);
+  take(Row, "accelerators", Step.Need.Accelerators);
+  take(Row, "estimate", Step.EstimateMs);
+  take(Row, "after", Step.After);
+  take(Row, "gang", Step.Gang);
+  take(Row, "same_rack", Step.SameRack);
+  take(Row, "checkpoints", Step.Checkpoints);
+  take(Row, "copies", Step.Copies);
+  take(Row, "lasting", Step.Lasting);
+  take(Row, "filling", Step.Filling);
+  take(Row, "label", Step.Label);
+  take(Row, "near", Step.NearRack);
+  take(Row, "per_worker", Step.MaxPerWorker);
+  take(Row, "image", Step.Image);
+  take(Row, "tail_target", Step.TailTargetMs);
+  take(Row, "absence", Step.AbsenceAllowance);
+  return Step;
+}
+
+/// Runs a decoder and turns the library's errors into one kind.
+template <typename F> auto decoding(const std::string &Text, F Decode) {
+  try {
+    return Decode(Json::parse(Text));
+  } catch (const Json::exception &E) {
+    throw std::invalid_argument(E.what());
+  }
+}
+
+} // namespace
+
+std::string encodeJob(const jobs::JobSpec &Spec) {
+  Json Object = {{"id", Spec.Id},
+                 {"queue", Spec.Queue},
+                 {"pool", Spec.Pool},
+                 {"payload", Spec.Payload},
+                 {"accepted", Spec.AcceptedMs},
+                 {"attempts", Spec.MaxAttempts},
+                 {"slack", Spec.SlackFactor},
+                 {"target", Spec.TargetMs},
+                 {"steps", Json::array()}};
+  put(Object, "team", Spec.Team, std::string());
+  put(Object, "priority", Spec.Priority, 0U);
+  put(Object, "repetitions", Spec.Repetitions, 0U);
+  put(Object, "first_due", Spec.FirstDueMs, std::int64_t{0});
+  put(Object, "interval", Spec.IntervalMs, std::int64_t{0});
+  for (const jobs::StepSpec &Step : Spec.Steps)
+    Object["steps"].push_back(stepJson(Step));
+  // Texts come from callers and may hold any bytes.
+  return Object.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+jobs::JobSpec decodeJob(const std::string &Text) {
+  return decoding(Text, [](const Json &Object) {
+    jobs::JobSpec Spec;
+    Spec.Id = Object.at("id").get<std::string>();
+    Spec.Pool = Object.at("pool").get<std::string>();
+    take(Object, "queue", Spec.Queue);
+    take(Object, "payload", Spec.Payload);
+    take(Object, "accepted", Spec.AcceptedMs);
+    take(Object, "attempts", Spec.MaxAttempts);
+    take(Object, "slack", Spec.SlackFactor);
+    take(Object, "target", Spec.TargetMs);
+    take(Object, "team", Spec.Team);
+    take(Object, "priority", Spec.Priority);
+    take(Object, "repetitions", Spec.Repetitions);
+    take(Object, "first_due", Spec.FirstDueMs);
+    take(Object, "interval", Spec.IntervalMs);
+    for (const Json &Row : Object.at("steps"))
+      Spec.Steps.push_back(stepOf(Row));
+    std::string Fault = jobs::faultOf(Spec);
+    if (!Fault.empty())
+      throw std::invalid_argument(Fault);
+    return Spec;
+  });
+}
+
+std::string encodeProgress(const jobs::JobProgress &Progress) {
+  Json Object = {{"state", static_cast<unsigned>(Progress.State)}};
+  std::string Done;
+  Json Marks = Json::array();
+  for (std::size_t T = 0; T < Progress.Tasks.size(); ++T) {
+    const jobs::TaskProgress &Task = Progress.Tasks[T];
+    Done += Task.Done ? '1' : '0';
+    if (Task.Failures > 0 || !Task.Checkpoint.empty())
+      Marks.push_back({T, Task.Failures, Task.LastFailed, Task.Checkpoint});
+  }
+  if (!Done.empty())
+    Object["done"] = Done;
+  if (!Marks.empty())
+    Object["marks"] = Marks;
+  return Object.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+jobs::JobProgress decodeProgress(const std::string &Text) {
+  return decoding(Text, [](const Json &Object) {
+    jobs::JobProgress Progress;
+    unsigned State = Object.at("state").get<unsigned>();
+    if (State > static_cast<unsigned>(jobs::JobState::Cancelled))
+      throw std::invalid_argument("the job's state is unknown");
+    Progress.State = static_cast<jobs::JobState>(State);
+    std::string Done;
+    take(Object, "done", Done);
+    for (char C : Done) {
+      Progress.Tasks.emplace_back();
+      Progress.Tasks.back().Done = C == '1';
+    }
+    for (const Json &Mark : Object.value("marks", Json::array())) {
+      auto &Task = Progress.Tasks.at(Mark.at(0).get<std::size_t>());
+      Task.Failures = Mark.at(1).get<std::uint32_t>();
+      Task.LastFailed = Mark.at(2).get<jobs::RunId>();
+      Task.Checkpoint = Mark.at(3).get<std::string>();
+    }
+    return Progress;
+  });
+}
+
+} // namespace comfreydeck::codec
--- /dev/null
+++ b/src/dispatch/Context.cpp
@@ -0,0 +1,21 @@
+#include "dispatch/Context.h"
+
+namespace comfreydeck::dispatch::rows {
+
+std::string jobPart(const std::string &JobId) {
+  // The ids are drawn at random: their last digit spreads them.
+  std::uint32_t Digit =
+      JobId.empty() ? 0 : static_cast<unsigned char>(JobId.back());
+  return std::to_string(Digit % JobParts);
+}
+
+std::vector<std::string> jobParts() {
+  std::vector<std::string> Parts;
+  for (std::uint32_t N = 0; N < JobParts; ++N)
+    Parts.push_back(std::to_string(N));
+  return Parts;
+}
+
+std::string poolPart(const std::string &Pool) { return PoolPrefix + Pool; }
+
+} // namespace comfreydeck::dispatch::rows
--- /dev/null
+++ b/src/dispatch/DispatchEntry.cpp
@@ -0,0 +1,161 @@
+#include "dispatch/DispatchEntry.h"
+
+#include "dispatch/Clock.h"
+#include "dispatch/EventLog.h"
+#include "dispatch/FrontDoor.h"
+#include "dispatch/TeamRooms.h"
+#include "net/HttpServer.h"
+
+#include <charconv>
+#include <future>
+#include <random>
+
+namespace comfreydeck::dispatch {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/// The balancer sends new connections until it has missed two probes, one a
+/// second.
+constexpr milliseconds LeaveNotice(2300);
+/// Part of the grace period that is kept for the end of the process.
+constexpr milliseconds EndMargin(1000);
+constexpr int StatusOk = 200;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusNotFound = 404;
+
+std::string drawLife() {
+  std::random_device Device;
+  std::uint64_t High = Device();
+  return std::to_string((High << 32U) | Device());
+}
+
+net::HttpServerOptions listenAt(const std::string &Address) {
+  net::HttpServerOptions Options;
+  std::size_t Colon = Address.rfind(':');
+  Options.Address = Address.substr(0, Colon);
+  std::from_chars(Address.data() + Colon + 1, Address.data() + Address.size(),
+                  Options.Port);
+  Options.MaxBodyBytes = std::size_t{1} << 20;
+  return Options;
+}
+
+} // namespace
+
+struct DispatchEntry::Impl {
+  settings::DispatchSettings Settings;
+  PlatformPorts Ports;
+  net::Loop Loop;
+  Counters Count;
+  Context Ctx;
+  FleetView View;
+  Ownership Owners;
+  Peers PeerCalls;
+  TeamRooms Rooms;
+  FrontDoor Door;
+  std::atomic<bool> Ready = false;
+  std::atomic<bool> Leaving = false;
+  net::HttpServer CallerServer;
+  net::HttpServer ReadinessServer;
+  net::HttpServer PeerServer;
+  std::unique_ptr<net::HttpServer> MetricsServer;
+
+  Impl(settings::DispatchSettings S, net::HttpClient &Client, PlatformPorts P)
+      : Settings(std::move(S)), Ports(std::move(P)),
+        Ctx{Settings,      Loop,       Client,     Ports.Store, Ports.Workers,
+            Ports.Machines, Ports.Rows, Ports.Wire, Count,       drawLife()},
+        View(Ctx, [this] { refresh(); }), Owners(Ctx, View),
+        PeerCalls(Ctx, View, Owners), Rooms(Ctx, View, Owners),
+        Door(Ctx, View, PeerCalls),
+        CallerServer(listenAt(Settings.Callers),
+                     [this](net::HttpRequest Request,
+                            net::HttpResponder Respond) {
+                       Door.receive(Request, std::move(Respond));
+                     }),
+        ReadinessServer(listenAt(Settings.Readiness),
+                        [this](const net::HttpRequest &Request,
+                               const net::HttpResponder &Respond) {
+                          probe(Request, Respond);
+                        }),
+        PeerServer(listenAt(Settings.Peers),
+                   [this](net::HttpRequest Request,
+                          net::HttpResponder Respond) {
+                     Loop.post([this, Request = std::move(Request),
+                                Respond = std::move(Respond)] {
+                       Respond(PeerCalls.handle(Request));
+                     });
+                   }) {
+    if (!Settings.Metrics.empty())
+      MetricsServer = std::make_unique<net::HttpServer>(
+          listenAt(Settings.Metrics),
+          [this](const net::HttpRequest &, const net::HttpResponder &Respond) {
+            Respond({StatusOk,
+                     {{"Content-Type", "text/plain; version=0.0.4"}},
+                     Count.text()});
+          });
+  }
+
+  void refresh() {
+    Owners.refresh();
+    Rooms.apply();
+  }
+
+  void probe(const net::HttpRequest &Request,
+             const net::HttpResponder &Respond) const {
+    int Status = Ready && !Leaving ? StatusOk : StatusUnavailable;
+    if (Request.Path != Ports.Wire.ReadinessPath)
+      Status = StatusNotFound;
+    Respond(net::jsonResponse(Status, "{}"));
+  }
+
+  /// Events of the store bring changes; what only time changes is looked at
+  /// here.
+  void tick() {
+    constexpr milliseconds Period(250);
+    Ready = Door.isCurrent();
+    Owners.refresh();
+    Loop.after(Period, [this] { tick(); });
+  }
+};
+
+DispatchEntry::DispatchEntry(settings::DispatchSettings Settings,
+                             net::HttpClient &Client, PlatformPorts Ports)
+    : Impl_(std::make_unique<Impl>(std::move(Settings), Client,
+                                   std::move(Ports))) {}
+
+DispatchEntry::~DispatchEntry() { Impl_->Loop.stop(); }
+
+void DispatchEntry::start() {
+  Impl &I = *Impl_;
+  I.CallerServer.start();
+  I.ReadinessServer.start();
+  I.PeerServer.start();
+  if (I.MetricsServer)
+    I.MetricsServer->start();
+  I.Loop.start();
+  I.Loop.post([&I] {
+    I.View.start();
+    I.Owners.start();
+    I.Rooms.start();
+    I.tick();
+  });
+  logEvent("started", {{"entry", I.Settings.Name}, {"life", I.Ctx.Life}});
+}
+
+void DispatchEntry::stop() {
+  Impl &I = *Impl_;
+  core::TimePoint Until = bootNow() + I.Settings.Grace - EndMargin;
+  logEvent("stopping", {{"entry", I.Settings.Name}});
+  I.Leaving = true;
+  auto Left = std::make_shared<std::promise<void>>();
+  auto Released = Left->get_future();
+  I.Loop.post([&I, Left] { I.Owners.leave([Left] { Left->set_value(); }); });
+  std::this_thread::sleep_for(LeaveNotice);
+  Released.wait_for(std::max(Until - bootNow(), core::Duration::zero()));
+  I.CallerServer.drain(std::max(Until - bootNow(), core::Duration::zero()));
+  logEvent("stopped", {{"entry", I.Settings.Name},
+                       {"open", I.CallerServer.openRequests()}});
+}
+
+} // namespace comfreydeck::dispatch
--- /dev/null
+++ b/src/dispatch/EventLog.cpp
@@ -0,0 +1,86 @@
+#include "dispatch/EventLog.h"
+
+#include "dispatch/Clock.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstring>
+#include <map>
+#include <mutex>
+
+#include <fcntl.h>
+#include <poll.h>
+#include <unistd.h>
+
+namespace comfreydeck::dispatch {
+
+namespace {
+
+/// Lines of one event in one second; bounds the log under load.
+constexpr std::uint32_t LinesPerSecond = 40;
+
+struct EventRate {
+  std::int64_t Second = 0;
+  std::uint32_t Lines = 0;
+  std::uint64_t LeftOut = 0;
+};
+
+std::mutex RateMutex;
+std::map<std::string, EventRate> Rates;
+
+/// Whether the line may go out; \p LeftOut are those that did not before it.
+bool mayWrite(const char *Event, std::int64_t WallMs, std::uint64_t &LeftOut) {
+  constexpr std::int64_t SecondMs = 1000;
+  std::lock_guard<std::mutex> Lock(RateMutex);
+  EventRate &Rate = Rates[Event];
+  if (Rate.Second != WallMs / SecondMs) {
+    Rate.Second = WallMs / SecondMs;
+    Rate.Lines = 0;
+  }
+  if (Rate.Lines >= LinesPerSecond) {
+    ++Rate.LeftOut;
+    return false;
+  }
+  ++Rate.Lines;
+  LeftOut = std::exchange(Rate.LeftOut, 0);
+  return true;
+}
+
+void countLeftOut(const char *Event) {
+  std::lock_guard<std::mutex> Lock(RateMutex);
+  ++Rates[Event].LeftOut;
+}
+
+/// Writes the whole line or nothing where the reader is slow.
+bool writeLine(const std::string &Line) {
+  pollfd Out{STDOUT_FILENO, POLLOUT, 0};
+  if (::poll(&Out, 1, 0) != 1 || (Out.revents & POLLOUT) == 0)
+    return false;
+  // A pipe that is ready takes PIPE_BUF bytes without blocking.
+  constexpr std::size_t MostBytes = 4096;
+  if (Line.size() > MostBytes)
+    return false;
+  return ::write(STDOUT_FILENO, Line.data(), Line.size()) ==
+         static_cast<ssize_t>(Line.size());
+}
+
+} // namespace
+
+void logEvent(const char *Event, std::initializer_list<LogField> Fields) {
+  std::int64_t Now = wallMs();
+  std::uint64_t LeftOut = 0;
+  if (!mayWrite(Event, Now, LeftOut))
+    return;
+  nlohmann::ordered_json Line = {{"ts", Now}, {"event", Event}};
+  for (const LogField &Field : Fields)
+    std::visit([&](const auto &Value) { Line[Field.Name] = Value; },
+               Field.Value);
+  if (LeftOut > 0)
+    Line["left_out"] = LeftOut;
+  std::string Text =
+      Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  if (!writeLine(Text + '\n'))
+    countLeftOut(Event);
+}
+
+} // namespace comfreydeck::dispatch
--- /dev/null
+++ b/src/dispatch/EventLog.h
@@ -0,0 +1,37 @@
+#ifndef COMFREYDECK_DISPATCH_EVENTLOG_H
+#define COMFREYDECK_DISPATCH_EVENTLOG_H
+
+#include <cstdint>
+#include <initializer_list>
+#include <string>
+#include <utility>
+#include <variant>
+
+/// Structured lines on standard output.
+namespace comfreydeck::dispatch {
+
+/// A value of a log line.
+using LogValue = std::variant<std::string, std::int64_t, std::uint64_t, double>;
+
+/// One named value; numbers of any type are taken.
+struct LogField {
+  const char *Name;
+  LogValue Value;
+
+  LogField(const char *N, const char *V) : Name(N), Value(std::string(V)) {}
+  LogField(const char *N, std::string V) : Name(N), Value(std::move(V)) {}
+  LogField(const char *N, std::int64_t V) : Name(N), Value(V) {}
+  LogField(const char *N, int V) : Name(N), Value(std::int64_t{V}) {}
+  LogField(const char *N, std::uint64_t V) : Name(N), Value(V) {}
+  LogField(const char *N, std::uint32_t V) : Name(N), Value(std::uint64_t{V}) {}
+  LogField(const char *N, double V) : Name(N), Value(V) {}
+};
+
+/// Writes one line of JSON. Lines of one event beyond the rate are left out and
+/// counted in the next one; a line that can't be written at once is dropped and
+/// counted. Keys and bodies never go into it. Thread-safe; never blocks.
+void logEvent(const char *Event, std::initializer_list<LogField> Fields = {});
+
+} // namespace comfreydeck::dispatch
+
+#endif // COMFREYDECK_DISPATCH_EVENTLOG_H
--- /dev/null
+++ b/src/dispatch/FleetView.cpp
@@ -0,0 +1,323 @@
+#include "dispatch/FleetView.h"
+
+#include "dispatch/Clock.h"
+#include "dispatch/EventLog.h"
+
+#include <nlohmann/json.hpp>
+
+namespace comfreydeck::dispatch {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// A withdrawn key is refused by entries whose last reading is old, so that
+/// readings come several times within its bound.
+constexpr milliseconds OperatorWait(1000);
+constexpr milliseconds WorkerWait(2000);
+/// Bounds how soon the loss of an owner is seen, and the readings a second.
+constexpr milliseconds ControlPause(400);
+/// A worker that vanished may run what it had for as long as an owner's
+/// authority lasts.
+constexpr milliseconds KeepVanished(12000);
+/// After a gap of that length in the readings, signs of life are old for no
+/// fault of the other entries.
+constexpr milliseconds ReadingGap(1500);
+
+} // namespace
+
+FleetView::FleetView(Context &Ctx, std::function<void()> Changed)
+    : Ctx_(Ctx), Changed_(std::move(Changed)),
+      Operators_(Ctx.Loop, Ctx.Store,
+                 {Ctx.Rows.OperatorTable, OperatorWait, {}, nullptr},
+                 [this](const auto &Rows, bool All) {
+                   takeOperatorRows(Rows, All);
+                 }),
+      Workers_(Ctx.Loop, Ctx.Store,
+               {Ctx.Rows.WorkerTable, WorkerWait, {}, nullptr},
+               [this](const auto &Rows, bool All) {
+                 takeWorkerRows(Rows, All);
+               }),
+      Control_(Ctx.Loop, Ctx.Store,
+               {rows::Control,
+                {},
+                ControlPause,
+                [this] { return controlParts(); }},
+               [this](const auto &Rows, bool All) {
+                 takeControlRows(Rows, All);
+               }) {}
+
+void FleetView::start() {
+  Operators_.start();
+  Workers_.start();
+}
+
+bool FleetView::isSynced() const {
+  return Config_ && Workers_.isSynced() && Control_.isSynced();
+}
+
+std::vector<std::string> FleetView::controlParts() const {
+  std::vector<std::string> Parts = {"", rows::LimitsPart,
+                                    rows::poolPart(rows::FleetDuty)};
+  if (Config_)
+    for (const jobs::Pool &Pool : Config_->Pools)
+      Parts.push_back(rows::poolPart(Pool.Name));
+  return Parts;
+}
+
+void FleetView::takeOperatorRows(const std::vector<store::PartRow> &Rows,
+                                 bool All) {
+  if (All) {
+    Closed_.clear();
+    Waves_.clear();
+  }
+  for (const store::PartRow &Row : Rows)
+    takeOperatorRow(Row);
+  Changed_();
+}
+
+void FleetView::takeOperatorRow(const store::PartRow &Row) {
+  OperatorRow Decoded;
+  try {
+    Decoded = Ctx_.Rows.Operator(Row);
+  } catch (const std::invalid_argument &E) {
+    logEvent("operator_row_unreadable",
+             {{"key", Row.Where.Key}, {"error", E.what()}});
+    return;
+  }
+  switch (Decoded.What) {
+  case OperatorRow::Kind::Config: {
+    bool Newer = Decoded.Config &&
+                 (!Config_ || Decoded.Config->Version > Config_->Version);
+    if (!Newer)
+      return;
+    bool MorePools = !Config_;
+    for (const jobs::Pool &Pool : Decoded.Config->Pools)
+      MorePools = MorePools || !jobs::findPool(*Config_, Pool.Name);
+    Config_ = Decoded.Config;
+    logEvent("config", {{"version", Config_->Version},
+                        {"row_version", Row.Version}});
+    if (!Control_.isStarted())
+      Control_.start();
+    else if (MorePools)
+      Control_.resync();
+    return;
+  }
+  case OperatorRow::Kind::Evacuation:
+    logEvent("evacuation", {{"data_centre", Decoded.Name},
+                            {"removed", Decoded.Removed ? 1 : 0}});
+    if (Decoded.Removed)
+      Closed_.erase(Decoded.Name);
+    else
+      Closed_.insert(Decoded.Name);
+    return;
+  case OperatorRow::Kind::Wave:
+    if (Decoded.Removed)
+      Waves_.erase(Decoded.Name);
+    else
+      Waves_[Decoded.Name] = Decoded.Wave;
+    return;
+  case OperatorRow::Kind::Other:
+    return;
+  }
+}
+
+void FleetView::takeWorkerRows(const std::vector<store::PartRow> &Rows,
+                               bool All) {
+  core::TimePoint Now = bootNow();
+  std::map<std::string, jobs::WorkerEntry> Before;
+  if (All)
+    Before.swap(Listed_);
+  for (const store::PartRow &Row : Rows) {
+    auto It = Listed_.find(Row.Where.Key);
+    if (Row.Removed && It != Listed_.end()) {
+      Vanished_[Row.Where.Key] = {It->second, Now};
+      Listed_.erase(It);
+    }
+    if (Row.Removed)
+      continue;
+    try {
+      Listed_[Row.Where.Key] = Ctx_.Rows.Worker(Row);
+      Vanished_.erase(Row.Where.Key);
+    } catch (const std::invalid_argument &E) {
+      logEvent("worker_row_unreadable",
+               {{"worker", Row.Where.Key}, {"error", E.what()}});
+    }
+  }
+  for (auto &[Id, Entry] : Before)
+    if (Listed_.count(Id) == 0)
+      Vanished_[Id] = {Entry, Now};
+  forgetVanished();
+  Changed_();
+}
+
+void FleetView::forgetVanished() {
+  core::TimePoint Now = bootNow();
+  std::erase_if(Vanished_, [Now](const auto &Item) {
+    return Now - Item.second.At > KeepVanished;
+  });
+}
+
+void FleetView::takeControlRows(const std::vector<store::PartRow> &Rows,
+                                bool All) {
+  core::TimePoint Now = bootNow();
+  bool Gap = Now - ControlSeenAt_ > ReadingGap;
+  ControlSeenAt_ = Now;
+  if (Gap)
+    for (auto &[Name, Entry] : Entries_)
+      Entry.ChangedAt = Now;
+  if (All) {
+    std::map<std::string, jobs::EntryView> Before;
+    Before.swap(Entries_);
+    Pools_.clear();
+    Allotments_.clear();
+    for (const store::PartRow &Row : Rows)
+      takeControlRow(Row);
+    // Reading a row again is no sign of life.
+    for (auto &[Name, Entry] : Entries_) {
+      auto Old = Before.find(Name);
+      if (Old != Before.end() && Old->second.Version == Entry.Version)
+        Entry.ChangedAt = Old->second.ChangedAt;
+    }
+  } else {
+    for (const store::PartRow &Row : Rows)
+      takeControlRow(Row);
+  }
+  Changed_();
+}
+
+void FleetView::takeControlRow(const store::PartRow &Row) {
+  const std::string &Part = Row.Where.Part;
+  const std::string &Key = Row.Where.Key;
+  try {
+    if (Part.empty() && Key.starts_with(rows::EntryPrefix)) {
+      std::string Name = Key.substr(std::string_view(rows::EntryPrefix).size());
+      if (Row.Removed) {
+        Entries_.erase(Name);
+        return;
+      }
+      Json Object = Json::parse(Row.Value);
+      jobs::EntryView Entry;
+      Entry.Name = Name;
+      Entry.Life = Object.at("life").get<std::string>();
+      Entry.PeerAddress = Object.at("peer").get<std::string>();
+      Entry.DataCentre = Object.at("dc").get<std::string>();
+      Entry.Leaving = Object.at("leaving").get<bool>();
+      Entry.Version = Row.Version;
+      Entry.ChangedAt = bootNow();
+      Entries_[Name] = Entry;
+    } else if (Part == rows::LimitsPart) {
+      if (Row.Removed)
+        Allotments_.erase(Key);
+      else if (Row.Version > Allotments_[Key].Version)
+        Allotments_[Key] = decodeAllotment(Row);
+    } else if (Key == rows::OwnerKey) {
+      setPool(decodeOwner(Row));
+    }
+  } catch (const Json::exception &E) {
+    logEvent("control_row_unreadable", {{"key", Key}, {"error", E.what()}});
+  }
+}
+
+std::vector<jobs::WorkerEntry>
+FleetView::workersOf(const std::string &Pool) const {
+  std::vector<jobs::WorkerEntry> Entries;
+  for (const auto &[Id, Entry] : Listed_)
+    if (Entry.Pool == Pool)
+      Entries.push_back(Entry);
+  return Entries;
+}
+
+std::vector<jobs::EntryView> FleetView::entries() const {
+  std::vector<jobs::EntryView> Views;
+  for (const auto &[Name, Entry] : Entries_)
+    Views.push_back(Entry);
+  return Views;
+}
+
+std::vector<jobs::PoolView> FleetView::pools() const {
+  std::vector<jobs::PoolView> Views;
+  if (!Config_)
+    return Views;
+  auto Add = [&](const std::string &Name) {
+    auto It = Pools_.find(Name);
+    Views.push_back(It == Pools_.end() ? jobs::PoolView{Name, "", "", 0}
+                                       : It->second);
+  };
+  for (const jobs::Pool &Pool : Config_->Pools)
+    Add(Pool.Name);
+  Add(rows::FleetDuty);
+  return Views;
+}
+
+const jobs::PoolView *FleetView::pool(const std::string &Name) const {
+  auto It = Pools_.find(Name);
+  return It == Pools_.end() ? nullptr : &It->second;
+}
+
+const jobs::EntryView *FleetView::entry(const std::string &Name) const {
+  auto It = Entries_.find(Name);
+  return It == Entries_.end() ? nullptr : &It->second;
+}
+
+void FleetView::setPool(jobs::PoolView Pool) {
+  jobs::PoolView &Known = Pools_[Pool.Pool];
+  // A reading that overtook a write of this entry is older.
+  if (Pool.Version >= Known.Version)
+    Known = std::move(Pool);
+}
+
+void FleetView::setAllotment(const std::string &Team, TeamAllotment Allotment) {
+  TeamAllotment &Known = Allotments_[Team];
+  if (Allotment.Version >= Known.Version)
+    Known = std::move(Allotment);
+}
+
+std::string FleetView::ownerValue(const std::string &Name,
+                                  const std::string &Life) {
+  return Json({{"name", Name}, {"life", Life}}).dump();
+}
+
+std::string FleetView::entryValue(const jobs::EntryView &Entry,
+                                  std::uint64_t Beat) {
+  return Json({{"life", Entry.Life},
+               {"peer", Entry.PeerAddress},
+               {"dc", Entry.DataCentre},
+               {"leaving", Entry.Leaving},
+               {"beat", Beat}})
+      .dump();
+}
+
+jobs::PoolView FleetView::decodeOwner(const store::PartRow &Row) {
+  jobs::PoolView View;
+  View.Pool =
+      Row.Where.Part.substr(std::string_view(rows::PoolPrefix).size());
+  View.Version = Row.Version;
+  if (Row.Removed)
+    return View;
+  Json Object = Json::parse(Row.Value);
+  View.OwnerName = Object.at("name").get<std::string>();
+  View.OwnerLife = Object.at("life").get<std::string>();
+  return View;
+}
+
+std::string FleetView::allotmentValue(const TeamAllotment &Allotment) {
+  Json Object = Json::object();
+  for (const auto &[Pool, Room] : Allotment.ByPool)
+    Object[Pool] = {Room.MilliCpus, Room.MemoryMb, Room.Accelerators};
+  return Object.dump();
+}
+
+TeamAllotment FleetView::decodeAllotment(const store::PartRow &Row) {
+  TeamAllotment Allotment;
+  Allotment.Version = Row.Version;
+  Json Object = Json::parse(Row.Value);
+  for (const auto &[Pool, Room] : Object.items())
+    Allotment.ByPool[Pool] = {Room.at(0).get<std::uint32_t>(),
+                              Room.at(1).get<std::uint32_t>(),
+                              Room.at(2).get<std::uint32_t>()};
+  return Allotment;
+}
+
+} // namespace comfreydeck::dispatch
--- /dev/null
+++ b/src/dispatch/FleetView.h
@@ -0,0 +1,95 @@
+#ifndef COMFREYDECK_DISPATCH_FLEETVIEW_H
+#define COMFREYDECK_DISPATCH_FLEETVIEW_H
+
+#include "dispatch/Context.h"
+#include "dispatch/Follower.h"
+#include "jobs/OwnerChoice.h"
+
+#include <functional>
+#include <map>
+#include <set>
+
+namespace comfreydeck::dispatch {
+
+/// A worker whose entry went from the list.
+struct VanishedWorker {
+  jobs::WorkerEntry Entry;
+  core::TimePoint At;
+};
+
+/// What one team may have running in each pool, as stored.
+struct TeamAllotment {
+  std::map<std::string, core::Resources> ByPool;
+  std::uint64_t Version = 0;
+};
+
+/// What this entry knows of the fleet from the store. On the loop's thread.
+class FleetView {
+public:
+  FleetView(Context &Ctx, std::function<void()> Changed);
+
+  void start();
+
+  /// Null: none was read yet.
+  std::shared_ptr<const jobs::FleetConfig> config() const { return Config_; }
+  /// When the reading was sent that the configuration is known to be current
+  /// by.
+  core::TimePoint configCurrentAt() const { return Operators_.currentAt(); }
+  core::TimePoint controlCurrentAt() const { return Control_.currentAt(); }
+  bool isSynced() const;
+
+  const std::set<std::string> &closedDataCentres() const { return Closed_; }
+  const std::map<std::string, WaveRequest> &waves() const { return Waves_; }
+  std::vector<jobs::WorkerEntry> workersOf(const std::string &Pool) const;
+  const std::map<std::string, VanishedWorker> &vanished() const {
+    return Vanished_;
+  }
+  std::vector<jobs::EntryView> entries() const;
+  std::vector<jobs::PoolView> pools() const;
+  const jobs::PoolView *pool(const std::string &Name) const;
+  const jobs::EntryView *entry(const std::string &Name) const;
+  const std::map<std::string, TeamAllotment> &allotments() const {
+    return Allotments_;
+  }
+
+  /// Takes over what a transaction of this entry has written.
+  void setPool(jobs::PoolView Pool);
+  void setAllotment(const std::string &Team, TeamAllotment Allotment);
+
+  /// Encodes and decodes the product's own control rows.
+  static std::string ownerValue(const std::string &Name,
+                                const std::string &Life);
+  static std::string entryValue(const jobs::EntryView &Entry,
+                                std::uint64_t Beat);
+  static std::string allotmentValue(const TeamAllotment &Allotment);
+  static TeamAllotment decodeAllotment(const store::PartRow &Row);
+  static jobs::PoolView decodeOwner(const store::PartRow &Row);
+
+private:
+  void takeOperatorRows(const std::vector<store::PartRow> &Rows, bool All);
+  void takeOperatorRow(const store::PartRow &Row);
+  void takeWorkerRows(const std::vector<store::PartRow> &Rows, bool All);
+  void takeControlRows(const std::vector<store::PartRow> &Rows, bool All);
+  void takeControlRow(const store::PartRow &Row);
+  void forgetVanished();
+  std::vector<std::string> controlParts() const;
+
+  Context &Ctx_;
+  std::function<void()> Changed_;
+  Follower Operators_;
+  Follower Workers_;
+  Follower Control_;
+  std::shared_ptr<const jobs::FleetConfig> Config_;
+  std::set<std::string> Closed_;
+  std::map<std::string, WaveRequest> Waves_;
+  std::map<std::string, jobs::WorkerEntry> Listed_;
+  std::map<std::string, VanishedWorker> Vanished_;
+  std::map<std::string, jobs::EntryView> Entries_;
+  std::map<std::string, jobs::PoolView> Pools_;
+  std::map<std::string, TeamAllotment> Allotments_;
+  core::TimePoint ControlSeenAt_;
+};
+
+} // namespace comfreydeck::dispatch
+
+#endif // COMFREYDECK_DISPATCH_FLEETVIEW_H
--- /dev/null
+++ b/src/dispatch/Follower.cpp
@@ -0,0 +1,156 @@
+#include "dispatch/Follower.h"
+
+#include "dispatch/Clock.h"
+#include "dispatch/EventLog.h"
+
+namespace comfreydeck::dispatch {
+
+using store::PartAnswer;
+using store::PartOutcome;
+
+namespace {
+
+/// Pause after a reading that failed.
+constexpr std::chrono::milliseconds RetryPause(150);
+
+/// One reading of several parts in turn.
+struct PartsReading : std::enable_shared_from_this<PartsReading> {
+  store::PartitionedStore &Store;
+  std::string Table;
+  std::vector<std::string> Parts;
+  store::PartCallback Done;
+  PartAnswer Whole;
+  std::size_t Part = 0;
+  std::string From;
+
+  PartsReading(store::PartitionedStore &S, std::string T,
+               std::vector<std::string> P, store::PartCallback D)
+      : Store(S), Table(std::move(T)), Parts(std::move(P)), Done(std::move(D)) {
+  }
+
+  void next() {
+    if (Part == Parts.size()) {
+      Whole.Outcome = PartOutcome::Ok;
+      Done(std::move(Whole));
+      return;
+    }
+    auto Self = shared_from_this();
+    Store.read({Table, Parts[Part], From, ""},
+               [Self](PartAnswer Page) { Self->take(std::move(Page)); });
+  }
+
+  void take(PartAnswer Page) {
+    if (Page.Outcome != PartOutcome::Ok) {
+      Done(std::move(Page));
+      return;
+    }
+    // What changes while the pages are read is followed from the first one on.
+    if (Whole.Version == 0)
+      Whole.Version = Page.Version;
+    if (Page.More && !Page.Rows.empty()) {
+      // The smallest key after the last one.
+      From = Page.Rows.back().Where.Key + '\x01';
+    } else {
+      From.clear();
+      ++Part;
+    }
+    for (store::PartRow &Row : Page.Rows)
+      Whole.Rows.push_back(std::move(Row));
+    next();
+  }
+};
+
+} // namespace
+
+void readParts(store::PartitionedStore &Store, std::string Table,
+               std::vector<std::string> Parts, store::PartCallback Done) {
+  std::make_shared<PartsReading>(Store, std::move(Table), std::move(Parts),
+                                 std::move(Done))
+      ->next();
+}
+
+Follower::Follower(net::Loop &Loop, store::PartitionedStore &Store,
+                   FollowerOptions Options, RowsCallback Rows)
+    : Loop_(Loop), Store_(Store), Options_(std::move(Options)),
+      Rows_(std::move(Rows)) {}
+
+void Follower::start() {
+  Started_ = true;
+  turn();
+}
+
+void Follower::startAt(std::uint64_t Version) {
+  Started_ = true;
+  Synced_ = true;
+  Version_ = Version;
+  turn();
+}
+
+void Follower::turn() {
+  core::TimePoint SentAt = bootNow();
+  if (Synced_)
+    readChanges(SentAt);
+  else
+    readAll(SentAt);
+}
+
+void Follower::readAll(core::TimePoint SentAt) {
+  std::vector<std::string> Parts = {""};
+  if (Options_.Parts)
+    Parts = Options_.Parts();
+  readParts(Store_, Options_.Table, std::move(Parts),
+            [this, SentAt](PartAnswer Answer) {
+              Loop_.post([this, SentAt, Answer = std::move(Answer)] {
+                take(Answer, true, SentAt);
+              });
+            });
+}
+
+void Follower::readChanges(core::TimePoint SentAt) {
+  Store_.changes(Options_.Table, Version_, Options_.Wait,
+                 [this, SentAt](PartAnswer Answer) {
+                   Loop_.post([this, SentAt, Answer = std::move(Answer)] {
+                     take(Answer, false, SentAt);
+                   });
+                 });
+}
+
+void Follower::take(const PartAnswer &Answer, bool All,
+                    core::TimePoint SentAt) {
+  if (Answer.Outcome == PartOutcome::HistoryGone) {
+    logEvent("history_gone", {{"table", Options_.Table}});
+    Synced_ = false;
+    next(core::Duration::zero());
+    return;
+  }
+  if (Answer.Outcome != PartOutcome::Ok) {
+    if (++Failures_ == 1)
+      logEvent("store_reading_lost",
+               {{"table", Options_.Table}, {"error", Answer.Error}});
+    next(RetryPause);
+    return;
+  }
+  if (Failures_ > 0)
+    logEvent("store_reading_regained",
+             {{"table", Options_.Table}, {"failures", Failures_}});
+  Failures_ = 0;
+  bool WasSynced = Synced_;
+  if (All)
+    Synced_ = true;
+  // A resync that was asked for meanwhile still has to come.
+  if (All || WasSynced)
+    Version_ = std::max(All ? 0 : Version_, Answer.Version);
+  CurrentAt_ = SentAt;
+  if (All || !Answer.Rows.empty())
+    Rows_(Answer.Rows, All);
+  next(Options_.Pause);
+}
+
+void Follower::next(core::Duration Pause) {
+  if (Pause == core::Duration::zero())
+    Loop_.post([this] { turn(); });
+  else
+    Loop_.after(Pause, [this] { turn(); });
+}
+
+} // namespace comfreydeck::dispatch
--- /dev/null
+++ b/src/dispatch/FrontDoor.cpp
@@ -0,0 +1,368 @@
+#include "dispatch/FrontDoor.h"
+
+#include "codec/JobJson.h"
+#include "dispatch/Clock.h"
+#include "dispatch/EventLog.h"
+
+#include <algorithm>
+
+namespace comfreydeck::dispatch {
+
+using std::chrono::milliseconds;
+using store::PartAnswer;
+using store::PartOutcome;
+
+namespace {
+
+/// Spare time before a withdrawn key's bound: the answer's way and the start of
+/// the work.
+constexpr milliseconds RevocationMargin(700);
+/// An answer leaves that long before its caller stops waiting.
+constexpr milliseconds AnswerMargin(150);
+constexpr milliseconds StoreLimit(900);
+constexpr milliseconds StoreRetry(60);
+/// When a caller should come back after a refusal, in seconds.
+constexpr const char *RetryAfterS = "1";
+
+constexpr int StatusOk = 200;
+constexpr int StatusBad = 400;
+constexpr int StatusUnauthorized = 401;
+constexpr int StatusNotFound = 404;
+constexpr int StatusGone = 410;
+constexpr int StatusTooLarge = 413;
+constexpr int StatusUnavailable = 503;
+constexpr int StatusUnknown = 504;
+
+const char *nameOf(CallKind Kind) {
+  switch (Kind) {
+  case CallKind::Submit:
+    return "submit";
+  case CallKind::ReadState:
+    return "state";
+  case CallKind::Cancel:
+    return "cancel";
+  case CallKind::CountPending:
+    return "pending";
+  }
+  return "";
+}
+
+} // namespace
+
+/// One caller's call on its way.
+struct FrontDoor::Call {
+  CallerCall Asked;
+  net::HttpResponder Respond;
+  core::TimePoint ReceivedAt;
+  const jobs::Queue *Queue = nullptr;
+  /// Keeps \ref Queue alive.
+  std::shared_ptr<const jobs::FleetConfig> Config;
+  std::string Team;
+  std::string JobId;
+  jobs::JobSpec Spec;
+  /// What is wrong with the job; empty: nothing.
+  std::string JobFault;
+};
+
+FrontDoor::FrontDoor(Context &Ctx, FleetView &View, Peers &Owners)
+    : Ctx_(Ctx), View_(View), Owners_(Owners) {}
+
+void FrontDoor::receive(const net::HttpRequest &Request,
+                        net::HttpResponder Respond) {
+  auto C = std::make_shared<Call>();
+  C->ReceivedAt = bootNow();
+  C->Respond = std::move(Respond);
+  try {
+    C->Asked = Ctx_.Wire.Decode(Request);
+  } catch (const std::invalid_argument &) {
+    Ctx_.Loop.post([this, C] { refuse(C, StatusBad, "malformed-request"); });
+    return;
+  }
+  if (C->Asked.Kind == CallKind::Submit) {
+    try {
+      Ctx_.Wire.Job(C->Asked.Body, C->Spec);
+    } catch (const std::invalid_argument &E) {
+      C->JobFault = E.what();
+    }
+  }
+  Ctx_.Loop.post([this, C] { handle(C); });
+}
+
+bool FrontDoor::isCurrent() const {
+  return View_.config() && bootNow() - View_.configCurrentAt() <
+                               Ctx_.Settings.Revocation - RevocationMargin;
+}
+
+/// Checks route, key and age of the configuration.
+bool FrontDoor::admit(const CallPtr &C) {
+  C->Config = View_.config();
+  if (!C->Config) {
+    refuse(C, StatusUnavailable, "no-configuration");
+    return false;
+  }
+  C->Queue = jobs::findQueue(*C->Config, C->Asked.Host, C->Asked.Path);
+  if (!C->Queue) {
+    refuse(C, StatusNotFound, "unknown-queue");
+    return false;
+  }
+  C->JobId = C->Asked.Path.substr(C->Queue->PathPrefix.size());
+  if (C->Queue->OpenToAll)
+    return true;
+  if (!isCurrent()) {
+    refuse(C, StatusUnavailable, "not-current");
+    return false;
+  }
+  auto Key = C->Config->Keys.find(C->Asked.Key);
+  if (Key == C->Config->Keys.end()) {
+    refuse(C, StatusUnauthorized, "unknown-key");
+    return false;
+  }
+  C->Team = Key->second;
+  return true;
+}
+
+void FrontDoor::handle(const CallPtr &C) {
+  if (!admit(C))
+    return;
+  bool NamesQueue = C->JobId.empty();
+  switch (C->Asked.Kind) {
+  case CallKind::Submit:
+    submit(C);
+    return;
+  case CallKind::Cancel:
+    if (NamesQueue)
+      refuse(C, StatusBad, "malformed-request");
+    else
+      cancel(C);
+    return;
+  case CallKind::ReadState:
+  case CallKind::CountPending:
+    if (NamesQueue)
+      countPending(C);
+    else
+      readState(C);
+    return;
+  }
+}
+
+// Taking jobs.
+
+void FrontDoor::submit(const CallPtr &C) {
+  if (C->Asked.Body.size() > C->Config->MaxBodyBytes) {
+    refuse(C, StatusTooLarge, "body-too-large");
+    return;
+  }
+  jobs::JobSpec &Spec = C->Spec;
+  Spec.Id = C->JobId;
+  Spec.Queue = C->Queue->Name;
+  Spec.Pool = C->Queue->Pool;
+  Spec.Team = C->Team;
+  Spec.AcceptedMs = wallMs();
+  Spec.MaxAttempts = C->Queue->MaxAttempts;
+  Spec.Priority = C->Queue->Priority;
+  Spec.SlackFactor = C->Queue->SlackFactor;
+  Spec.TargetMs = C->Queue->TargetMs;
+  if (C->JobFault.empty())
+    C->JobFault = jobs::faultOf(Spec);
+  if (!C->JobFault.empty()) {
+    logEvent("job_rejected", {{"job", Spec.Id}, {"error", C->JobFault}});
+    refuse(C, StatusBad, "malformed-job");
+    return;
+  }
+  store(C, false);
+}
+
+void FrontDoor::store(const CallPtr &C, bool Again) {
+  store::PartTransaction T;
+  store::PartKey Key = {rows::Jobs, rows::jobPart(C->Spec.Id), C->Spec.Id};
+  T.Conditions.push_back({Key, 0});
+  T.Puts.push_back({Key, codec::encodeJob(C->Spec)});
+  core::Duration Left =
+      C->ReceivedAt + C->Asked.Deadline - AnswerMargin - bootNow();
+  core::Duration Limit = std::clamp<core::Duration>(Left, StoreRetry,
+                                                    StoreLimit);
+  Ctx_.Store.commit(std::move(T), Limit, [this, C, Again](PartAnswer Answer) {
+    Ctx_.Loop.post([this, C, Again, Answer = std::move(Answer)] {
+      stored(C, Answer, Again);
+    });
+  });
+}
+
+void FrontDoor::stored(const CallPtr &C, const PartAnswer &Answer,
+                       bool Again) {
+  bool Accepted = Answer.Outcome == PartOutcome::Ok ||
+                  Answer.Outcome == PartOutcome::Conflict;
+  if (Accepted) {
+    // A row that was there already is the same job, sent again.
+    if (Answer.Outcome == PartOutcome::Ok || Again)
+      Owners_.pushJob(C->Spec);
+    logEvent("job_accepted", {{"job", C->Spec.Id},
+                              {"pool", C->Spec.Pool},
+                              {"queue", C->Spec.Queue},
+                              {"config", C->Config->Version},
+                              {"row_version", Answer.Version}});
+    answer(C, StatusOk, "{}");
+    return;
+  }
+  bool Unsure = Again || Answer.Outcome == PartOutcome::Unknown;
+  if (!Unsure) {
+    refuse(C, StatusUnavailable, "store-unavailable");
+    return;
+  }
+  // The lost try may be stored: only an answered one tells.
+  core::TimePoint Until = C->ReceivedAt + C->Asked.Deadline - AnswerMargin;
+  if (bootNow() + StoreRetry >= Until) {
+    refuse(C, StatusUnknown, "outcome-unknown");
+    return;
+  }
+  Ctx_.Count.retried("store-job");
+  Ctx_.Loop.after(StoreRetry, [this, C] { store(C, true); });
+}
+
+// States.
+
+void FrontDoor::readState(const CallPtr &C) {
+  Owners_.askState(C->Queue->Pool, C->JobId, [this, C](OwnerAnswer Answer) {
+    if (Answer.Known)
+      answer(C, StatusOk, Ctx_.Wire.State(Answer.State));
+    else
+      readStored(C);
+  });
+}
+
+/// The owner does not know the job or can't be reached: the store tells.
+void FrontDoor::readStored(const CallPtr &C) {
+  store::PartRange Range = {rows::Jobs, rows::jobPart(C->JobId), C->JobId,
+                            C->JobId + "~"};
+  Ctx_.Store.read(Range, [this, C](PartAnswer Answer) {
+    Ctx_.Loop.post([this, C, Answer = std::move(Answer)] {
+      if (Answer.Outcome != PartOutcome::Ok) {
+        refuse(C, StatusUnavailable, "store-unavailable");
+        return;
+      }
+      for (const store::PartRow &Row : Answer.Rows) {
+        if (Row.Where.Key != C->JobId)
+          continue;
+        try {
+          readProgress(C, codec::decodeJob(Row.Value));
+        } catch (const std::invalid_argument &E) {
+          logEvent("job_row_unreadable",
+                   {{"job", C->JobId}, {"error", E.what()}});
+          refuse(C, StatusUnavailable, "job-row-unreadable");
+        }
+        return;
+      }
+      refuse(C, StatusGone, "unknown-job");
+    });
+  });
+}
+
+void FrontDoor::readProgress(const CallPtr &C, const jobs::JobSpec &Spec) {
+  store::PartRange Range = {rows::Progress, rows::poolPart(Spec.Pool), Spec.Id,
+                            Spec.Id + "~"};
+  Ctx_.Store.read(Range, [this, C](PartAnswer Answer) {
+    Ctx_.Loop.post([this, C, Answer = std::move(Answer)] {
+      if (Answer.Outcome != PartOutcome::Ok) {
+        refuse(C, StatusUnavailable, "store-unavailable");
+        return;
+      }
+      jobs::JobState State = jobs::JobState::Queued;
+      try {
+        if (!Answer.Rows.empty())
+          State = codec::decodeProgress(Answer.Rows.front().Value).State;
+      } catch (const std::invalid_argument &E) {
+        logEvent("progress_row_unreadable",
+                 {{"job", C->JobId}, {"error", E.what()}});
+      }
+      answer(C, StatusOk, Ctx_.Wire.State(State));
+    });
+  });
+}
+
+void FrontDoor::countPending(const CallPtr &C) {
+  Owners_.askPending(C->Queue->Pool, C->Queue->Name,
+                     [this, C](OwnerAnswer Answer) {
+                       if (Answer.Answered)
+                         answer(C, StatusOk, Ctx_.Wire.Pending(Answer.Pending));
+                       else
+                         refuse(C, StatusUnavailable, "no-owner");
+                     });
+}
+
+// Cancelling.
+
+void FrontDoor::cancel(const CallPtr &C) {
+  store::PartRange Range = {rows::Jobs, rows::jobPart(C->JobId), C->JobId,
+                            C->JobId + "~"};
+  Ctx_.Store.read(Range, [this, C](PartAnswer Answer) {
+    Ctx_.Loop.post([this, C, Answer = std::move(Answer)] {
+      if (Answer.Outcome != PartOutcome::Ok) {
+        refuse(C, StatusUnavailable, "store-unavailable");
+        return;
+      }
+      for (const store::PartRow &Row : Answer.Rows) {
+        if (Row.Where.Key != C->JobId)
+          continue;
+        try {
+          storeCancel(C, codec::decodeJob(Row.Value));
+        } catch (const std::invalid_argument &E) {
+          logEvent("job_row_unreadable",
+                   {{"job", C->JobId}, {"error", E.what()}});
+          refuse(C, StatusUnavailable, "job-row-unreadable");
+        }
+        return;
+      }
+      refuse(C, StatusGone, "unknown-job");
+    });
+  });
+}
+
+void FrontDoor::storeCancel(const CallPtr &C, const jobs::JobSpec &Spec) {
+  store::PartTransaction T;
+  T.Puts.push_back(
+      {{rows::Jobs, rows::jobPart(Spec.Id), Spec.Id + rows::CancelSuffix}, ""});
+  std::string Pool = Spec.Pool;
+  Ctx_.Store.commit(std::move(T), StoreLimit, [this, C, Pool](PartAnswer A) {
+    Ctx_.Loop.post([this, C, Pool, Outcome = A.Outcome] {
+      if (Outcome == PartOutcome::Ok) {
+        logEvent("job_cancelled", {{"job", C->JobId}, {"pool", Pool}});
+        Owners_.pushCancel(Pool, C->JobId);
+        answer(C, StatusOk, "{}");
+      } else if (Outcome == PartOutcome::Unknown) {
+        refuse(C, StatusUnknown, "outcome-unknown");
+      } else {
+        refuse(C, StatusUnavailable, "store-unavailable");
+      }
+    });
+  });
+}
+
+// Answers.
+
+void FrontDoor::answer(const CallPtr &C, int Status, std::string Body) {
+  const char *Name = nameOf(C->Asked.Kind);
+  Ctx_.Count.answered(Name, Status, "");
+  std::chrono::duration<double> Took = bootNow() - C->ReceivedAt;
+  Ctx_.Count.took(Name, Took.count());
+  C->Respond(net::jsonResponse(Status, std::move(Body)));
+}
+
+void FrontDoor::refuse(const CallPtr &C, int Status, const char *Reason) {
+  const char *Name = nameOf(C->Asked.Kind);
+  Ctx_.Count.answered(Name, Status, Reason);
+  auto AgeMs = std::chrono::duration_cast<milliseconds>(
+      bootNow() - View_.configCurrentAt());
+  if (Status != StatusGone)
+    logEvent("call_refused", {{"call", Name},
+                              {"job", C->JobId},
+                              {"status", Status},
+                              {"reason", Reason},
+                              {"config_age_ms", AgeMs.count()}});
+  net::HttpResponse Response =
+      net::jsonResponse(Status, R"({"error":")" + std::string(Reason) + "\"}");
+  if (Status == StatusUnavailable)
+    Response.Headers.push_back({"Retry-After", RetryAfterS});
+  C->Respond(std::move(Response));
+}
+
+} // namespace comfreydeck::dispatch
--- /dev/null
+++ b/src/dispatch/FrontDoor.h
@@ -0,0 +1,46 @@
+#ifndef COMFREYDECK_DISPATCH_FRONTDOOR_H
+#define COMFREYDECK_DISPATCH_FRONTDOOR_H
+
+#include "dispatch/Peers.h"
+
+namespace comfreydeck::dispatch {
+
+/// Answers callers: takes jobs, tells their states, cancels them. On the loop's
+/// thread, but for \ref receive.
+class FrontDoor {
+public:
+  FrontDoor(Context &Ctx, FleetView &View, Peers &Owners);
+
+  /// Decodes a call and passes it on. Thread-safe.
+  void receive(const net::HttpRequest &Request, net::HttpResponder Respond);
+
+  /// Whether this entry's configuration is recent enough for callers' keys.
+  bool isCurrent() const;
+
+private:
+  struct Call;
+  using CallPtr = std::shared_ptr<Call>;
+
+  void handle(const CallPtr &C);
+  bool admit(const CallPtr &C);
+  void submit(const CallPtr &C);
+  void store(const CallPtr &C, bool Again);
+  void stored(const CallPtr &C, const store::PartAnswer &Answer, bool Again);
+  void readState(const CallPtr &C);
+  void readStored(const CallPtr &C);
+  void readProgress(const CallPtr &C, const jobs::JobSpec &Spec);
+  void cancel(const CallPtr &C);
+  void storeCancel(const CallPtr &C, const jobs::JobSpec &Spec);
+  void countPending(const CallPtr &C);
+
+  void answer(const CallPtr &C, int Status, std::string Body);
+  void refuse(const CallPtr &C, int Status, const char *Reason);
+
+  Context &Ctx_;
+  FleetView &View_;
+  Peers &Owners_;
+};
+
+} // namespace comfreydeck::dispatch
+
+#endif // COMFREYDECK_DISPATCH_FRONTDOOR_H
--- /dev/null
+++ b/src/dispatch/Ownership.cpp
@@ -0,0 +1,252 @@
+#include "dispatch/Ownership.h"
+
+#include "dispatch/Clock.h"
+#include "dispatch/EventLog.h"
+
+namespace comfreydeck::dispatch {
+
+using std::chrono::milliseconds;
+using store::PartAnswer;
+using store::PartOutcome;
+
+namespace {
+
+/// Two missed signs of life and the time to read them.
+constexpr milliseconds BeatPeriod(900);
+constexpr milliseconds DeadAfter(2700);
+constexpr milliseconds StoreLimit(1500);
+constexpr milliseconds TakeRetry(200);
+/// How long the first choice waits for the other entries to register.
+constexpr milliseconds GatherTime(1000);
+/// A pool that was lost is not taken back at once: its new owner may be about
+/// to show itself.
+constexpr milliseconds LostPause(1500);
+/// Pace at which owners look for jobs of which they were not told.
+constexpr milliseconds JobsPause(400);
+
+} // namespace
+
+Ownership::Ownership(Context &Ctx, FleetView &View)
+    : Ctx_(Ctx), View_(View),
+      Jobs_(Ctx.Loop, Ctx.Store,
+            {rows::Jobs, {}, JobsPause, [] { return rows::jobParts(); }},
+            [this](const auto &Rows, bool) {
+              for (const auto &[Pool, Keeper] : Keepers_)
+                for (const store::PartRow &Row : Rows)
+                  Keeper->takeJobRow(Row);
+            }) {}
+
+void Ownership::start() {
+  StartedAt_ = bootNow();
+  beat();
+}
+
+std::shared_ptr<PoolKeeper> Ownership::keeper(const std::string &Pool) const {
+  auto It = Keepers_.find(Pool);
+  bool Usable = It != Keepers_.end() && It->second->isLoaded();
+  return Usable ? It->second : nullptr;
+}
+
+/// Signs of life are written until the process ends, the last ones as leaving.
+void Ownership::beat() {
+  Ctx_.Loop.after(BeatPeriod, [this] { beat(); });
+  writeBeat();
+}
+
+void Ownership::writeBeat() {
+  if (BeatInFlight_)
+    return;
+  BeatInFlight_ = true;
+  jobs::EntryView Me;
+  Me.Name = Ctx_.Settings.Name;
+  Me.Life = Ctx_.Life;
+  Me.PeerAddress = Ctx_.Settings.Peers;
+  Me.DataCentre = Ctx_.Settings.DataCentre;
+  Me.Leaving = Leaving_;
+  store::PartTransaction T;
+  T.Puts.push_back({{rows::Control, "", rows::EntryPrefix + Me.Name},
+                    FleetView::entryValue(Me, ++Beats_)});
+  Ctx_.Store.commit(std::move(T), StoreLimit, [this](PartAnswer Answer) {
+    Ctx_.Loop.post([this, Outcome = Answer.Outcome] {
+      BeatInFlight_ = false;
+      Registered_ = Registered_ || Outcome == PartOutcome::Ok;
+    });
+  });
+}
+
+void Ownership::refresh() {
+  dropForeign();
+  for (const auto &[Pool, Keeper] : Keepers_)
+    if (Keeper->isLoaded())
+      Keeper->refresh();
+  choose();
+}
+
+/// Pools whose rows name another owner.
+void Ownership::dropForeign() {
+  std::vector<std::string> Foreign;
+  for (const auto &[Pool, Keeper] : Keepers_) {
+    const jobs::PoolView *Row = View_.pool(Pool);
+    if (Row && Row->Version > Keeper->token())
+      Foreign.push_back(Pool);
+  }
+  for (const std::string &Pool : Foreign) {
+    logEvent("pool_lost", {{"pool", Pool}, {"reason", "taken by another"}});
+    LostAt_[Pool] = bootNow();
+    Keepers_[Pool]->drop();
+    Keepers_.erase(Pool);
+  }
+  const jobs::PoolView *Fleet = View_.pool(rows::FleetDuty);
+  if (Fleet && Fleet->Version > FleetToken_)
+    FleetToken_ = 0;
+}
+
+void Ownership::choose() {
+  core::TimePoint Now = bootNow();
+  bool Ready = View_.isSynced() && Registered_ && !Leaving_ &&
+               Now - StartedAt_ > GatherTime;
+  if (!Ready)
+    return;
+  std::vector<jobs::EntryView> Entries = View_.entries();
+  std::vector<jobs::PoolView> Pools = View_.pools();
+  for (const std::string &Pool : jobs::poolsToTake(
+           Ctx_.Settings.Name, Entries, Pools, Now, DeadAfter)) {
+    auto Lost = LostAt_.find(Pool);
+    if (Lost != LostAt_.end() && Now - Lost->second < LostPause)
+      continue;
+    take(Pool);
+  }
+  // A pool that was given up here, and that nobody else has taken since.
+  for (const jobs::PoolView &Pool : Pools) {
+    auto Lost = LostAt_.find(Pool.Pool);
+    bool MineByRow = Pool.OwnerName == Ctx_.Settings.Name &&
+                     Pool.OwnerLife == Ctx_.Life;
+    bool GivenUp = Lost != LostAt_.end() && Now - Lost->second >= LostPause &&
+                   Keepers_.count(Pool.Pool) == 0;
+    if (MineByRow && GivenUp)
+      take(Pool.Pool);
+  }
+}
+
+void Ownership::take(const std::string &Pool) {
+  if (Taking_.count(Pool) != 0)
+    return;
+  Taking_.insert(Pool);
+  const jobs::PoolView *Row = View_.pool(Pool);
+  store::PartKey Key = {rows::Control, rows::poolPart(Pool), rows::OwnerKey};
+  store::PartTransaction T;
+  T.Conditions.push_back({Key, Row ? Row->Version : 0});
+  T.Puts.push_back(
+      {Key, FleetView::ownerValue(Ctx_.Settings.Name, Ctx_.Life)});
+  core::TimePoint SentAt = bootNow();
+  Ctx_.Store.commit(
+      std::move(T), StoreLimit, [this, Pool, SentAt](PartAnswer Answer) {
+        Ctx_.Loop.post([this, Pool, SentAt, Answer = std::move(Answer)] {
+          if (Answer.Outcome == PartOutcome::Ok)
+            taken(Pool, Answer.Version, SentAt);
+          else if (Answer.Outcome == PartOutcome::NotDone)
+            Taking_.erase(Pool);
+          else
+            checkTake(Pool, SentAt);
+        });
+      });
+}
+
+/// Reads the owner's row after a try that was not answered or came too late.
+void Ownership::checkTake(const std::string &Pool, core::TimePoint SentAt) {
+  store::PartRange Range = {rows::Control, rows::poolPart(Pool),
+                            rows::OwnerKey, ""};
+  Ctx_.Store.read(Range, [this, Pool, SentAt](PartAnswer Answer) {
+    Ctx_.Loop.post([this, Pool, SentAt, Answer = std::move(Answer)] {
+      if (Answer.Outcome != PartOutcome::Ok) {
+        Ctx_.Loop.after(TakeRetry,
+                        [this, Pool, SentAt] { checkTake(Pool, SentAt); });
+        return;
+      }
+      for (const store::PartRow &Row : Answer.Rows) {
+        if (Row.Where.Key != rows::OwnerKey)
+          continue;
+        jobs::PoolView Owner = FleetView::decodeOwner(Row);
+        View_.setPool(Owner);
+        bool Mine = Owner.OwnerName == Ctx_.Settings.Name &&
+                    Owner.OwnerLife == Ctx_.Life;
+        if (Mine) {
+          taken(Pool, Row.Version, SentAt);
+          return;
+        }
+      }
+      Taking_.erase(Pool);
+    });
+  });
+}
+
+void Ownership::taken(const std::string &Pool, std::uint64_t Token,
+                      core::TimePoint SentAt) {
+  Taking_.erase(Pool);
+  View_.setPool({Pool, Ctx_.Settings.Name, Ctx_.Life, Token});
+  logEvent("pool_taken", {{"pool", Pool}, {"token", Token}});
+  if (Pool == rows::FleetDuty) {
+    FleetToken_ = Token;
+    return;
+  }
+  auto Lost = [this](const std::string &Name) {
+    LostAt_[Name] = bootNow();
+    Keepers_.erase(Name);
+  };
+  auto Keeper = std::make_shared<PoolKeeper>(Ctx_, View_, Pool, Token, SentAt,
+                                             std::move(Lost));
+  Keepers_[Pool] = Keeper;
+  Keeper->load([this](std::uint64_t Version) { follow(Version); });
+}
+
+void Ownership::follow(std::uint64_t Version) {
+  if (!Jobs_.isStarted())
+    Jobs_.startAt(Version);
+}
+
+void Ownership::release(const std::string &Pool, std::uint64_t Token,
+                        std::function<void()> Done) {
+  store::PartKey Key = {rows::Control, rows::poolPart(Pool), rows::OwnerKey};
+  store::PartTransaction T;
+  T.Conditions.push_back({Key, Token});
+  T.Puts.push_back({Key, FleetView::ownerValue("", "")});
+  Ctx_.Store.commit(std::move(T), StoreLimit,
+                    [this, Pool, Done](PartAnswer Answer) {
+                      Ctx_.Loop.post([Pool, Done, Answer] {
+                        logEvent("pool_released",
+                                 {{"pool", Pool},
+                                  {"outcome",
+                                   static_cast<int>(Answer.Outcome)}});
+                        Done();
+                      });
+                    });
+}
+
+void Ownership::leave(std::function<void()> Done) {
+  Leaving_ = true;
+  writeBeat();
+  auto Left = std::make_shared<std::size_t>(Keepers_.size() + 1);
+  auto One = [Left, Done = std::move(Done)] {
+    if (--*Left == 0)
+      Done();
+  };
+  auto Keepers = std::move(Keepers_);
+  Keepers_.clear();
+  for (const auto &[Pool, Keeper] : Keepers) {
+    std::uint64_t Token = Keeper->token();
+    auto Release = [this, Pool = Pool, Keeper = Keeper, Token, One] {
+      Keeper->drop();
+      release(Pool, Token, One);
+    };
+    if (Keeper->isLoaded())
+      Keeper->leave(Release);
+    else
+      Release();
+  }
+  if (FleetToken_ != 0)
+    release(rows::FleetDuty, std::exchange(FleetToken_, 0), One);
+  else
+    One();
+}
+
+} // namespace comfreydeck::dispatch
--- /dev/null
+++ b/src/dispatch/Ownership.h
@@ -0,0 +1,58 @@
+#ifndef COMFREYDECK_DISPATCH_OWNERSHIP_H
+#define COMFREYDECK_DISPATCH_OWNERSHIP_H
+
+#include "dispatch/PoolKeeper.h"
+
+namespace comfreydeck::dispatch {
+
+/// Shows this entry's sign of life, takes pools that have no living owner and
+/// gives them away at the end. On the loop's thread.
+class Ownership {
+public:
+  Ownership(Context &Ctx, FleetView &View);
+
+  void start();
+  /// The view changed.
+  void refresh();
+
+  /// Null: the pool is not owned here, or not loaded yet.
+  std::shared_ptr<PoolKeeper> keeper(const std::string &Pool) const;
+  const std::map<std::string, std::shared_ptr<PoolKeeper>> &keepers() const {
+    return Keepers_;
+  }
+  /// The token under which this entry maintains machines; zero: it doesn't.
+  std::uint64_t fleetToken() const { return FleetToken_; }
+
+  /// Gives all pools away; then \p Done is called.
+  void leave(std::function<void()> Done);
+
+private:
+  void beat();
+  void writeBeat();
+  void choose();
+  void take(const std::string &Pool);
+  void taken(const std::string &Pool, std::uint64_t Token,
+             core::TimePoint SentAt);
+  void checkTake(const std::string &Pool, core::TimePoint SentAt);
+  void dropForeign();
+  void follow(std::uint64_t Version);
+  void release(const std::string &Pool, std::uint64_t Token,
+               std::function<void()> Done);
+
+  Context &Ctx_;
+  FleetView &View_;
+  Follower Jobs_;
+  std::map<std::string, std::shared_ptr<PoolKeeper>> Keepers_;
+  std::set<std::string> Taking_;
+  std::map<std::string, core::TimePoint> LostAt_;
+  std::uint64_t FleetToken_ = 0;
+  std::uint64_t Beats_ = 0;
+  bool Registered_ = false;
+  bool BeatInFlight_ = false;
+  bool Leaving_ = false;
+  core::TimePoint StartedAt_;
+};
+
+} // namespace comfreydeck::dispatch
+
+#endif // COMFREYDECK_DISPATCH_OWNERSHIP_H
--- /dev/null
+++ b/src/dispatch/Peers.cpp
@@ -0,0 +1,154 @@
+#include "dispatch/Peers.h"
+
+#include "codec/JobJson.h"
+#include "dispatch/EventLog.h"
+
+#include <nlohmann/json.hpp>
+
+namespace comfreydeck::dispatch {
+
+using Json = nlohmann::json;
+
+namespace {
+
+/// An owner answers from memory; one that doesn't is asked no longer than a
+/// quarter of the shortest objective allows.
+constexpr std::chrono::milliseconds AskLimit(400);
+constexpr std::chrono::milliseconds ConnectLimit(250);
+constexpr const char *Path = "/v1/pool";
+constexpr int StatusOk = 200;
+constexpr int StatusBad = 400;
+constexpr int StatusNotOwner = 409;
+
+OwnerAnswer decode(const net::HttpResult &Result) {
+  OwnerAnswer Answer;
+  bool Ok = Result.End == core::ExchangeEnd::Answered &&
+            Result.Response.Status == StatusOk;
+  if (!Ok)
+    return Answer;
+  Json Object = Json::parse(Result.Response.Body, nullptr, false);
+  if (!Object.is_object())
+    return Answer;
+  Answer.Answered = true;
+  Answer.Known = Object.value("known", false);
+  Answer.State =
+      static_cast<jobs::JobState>(Object.value("state", 0U) %
+                                  (unsigned(jobs::JobState::Cancelled) + 1));
+  Answer.Pending = Object.value("pending", 0U);
+  return Answer;
+}
+
+} // namespace
+
+Peers::Peers(Context &Ctx, FleetView &View, Ownership &Owners)
+    : Ctx_(Ctx), View_(View), Owners_(Owners) {}
+
+std::optional<std::string> Peers::addressOf(const std::string &Pool) const {
+  const jobs::PoolView *Row = View_.pool(Pool);
+  const jobs::EntryView *Owner = Row ? View_.entry(Row->OwnerName) : nullptr;
+  if (!Owner || Owner->Name == Ctx_.Settings.Name)
+    return std::nullopt;
+  return Owner->PeerAddress;
+}
+
+void Peers::ask(const std::string &Pool, std::string Body,
+                std::function<void(OwnerAnswer)> Done) {
+  std::optional<std::string> Address = addressOf(Pool);
+  if (!Address) {
+    Done(OwnerAnswer());
+    return;
+  }
+  net::HttpCall Call;
+  Call.Method = "POST";
+  Call.Url = "http://" + *Address + Path;
+  Call.Body = std::move(Body);
+  Call.ConnectLimit = ConnectLimit;
+  Call.TotalLimit = AskLimit;
+  Ctx_.Client.send(std::move(Call),
+                   [this, Done = std::move(Done)](net::HttpResult Result) {
+                     OwnerAnswer Answer = decode(Result);
+                     Ctx_.Loop.post([Done, Answer] { Done(Answer); });
+                   });
+}
+
+void Peers::pushJob(const jobs::JobSpec &Spec) {
+  if (auto Keeper = Owners_.keeper(Spec.Pool)) {
+    Keeper->addJob(Spec);
+    return;
+  }
+  Json Body = {{"pool", Spec.Pool}, {"add", codec::encodeJob(Spec)}};
+  ask(Spec.Pool, Body.dump(), [this, Id = Spec.Id](OwnerAnswer Answer) {
+    if (!Answer.Answered)
+      Ctx_.Count.retried("push-job");
+  });
+}
+
+void Peers::pushCancel(const std::string &Pool, const std::string &JobId) {
+  if (auto Keeper = Owners_.keeper(Pool)) {
+    Keeper->cancelJob(JobId);
+    return;
+  }
+  Json Body = {{"pool", Pool}, {"cancel", JobId}};
+  ask(Pool, Body.dump(), [this](OwnerAnswer Answer) {
+    if (!Answer.Answered)
+      Ctx_.Count.retried("push-cancel");
+  });
+}
+
+OwnerAnswer Peers::answerHere(const PoolKeeper &Keeper,
+                              const std::string &JobId,
+                              const std::string &Queue) const {
+  OwnerAnswer Answer;
+  Answer.Answered = true;
+  if (const jobs::JobRecord *Job = Keeper.state().findJob(JobId)) {
+    Answer.Known = true;
+    Answer.State = jobs::PoolState::shownState(*Job);
+  }
+  if (!Queue.empty())
+    Answer.Pending = Keeper.state().pending(Queue);
+  return Answer;
+}
+
+void Peers::askState(const std::string &Pool, const std::string &JobId,
+                     std::function<void(OwnerAnswer)> Done) {
+  if (auto Keeper = Owners_.keeper(Pool)) {
+    Done(answerHere(*Keeper, JobId, ""));
+    return;
+  }
+  ask(Pool, Json({{"pool", Pool}, {"job", JobId}}).dump(), std::move(Done));
+}
+
+void Peers::askPending(const std::string &Pool, const std::string &Queue,
+                       std::function<void(OwnerAnswer)> Done) {
+  if (auto Keeper = Owners_.keeper(Pool)) {
+    Done(answerHere(*Keeper, "", Queue));
+    return;
+  }
+  ask(Pool, Json({{"pool", Pool}, {"queue", Queue}}).dump(), std::move(Done));
+}
+
+net::HttpResponse Peers::handle(const net::HttpRequest &Request) {
+  Json Object = Json::parse(Request.Body, nullptr, false);
+  if (Request.Path != Path || !Object.is_object())
+    return net::jsonResponse(StatusBad, "{}");
+  try {
+    auto Keeper = Owners_.keeper(Object.at("pool").get<std::string>());
+    if (!Keeper)
+      return net::jsonResponse(StatusNotOwner, "{}");
+    if (Object.contains("add"))
+      Keeper->addJob(codec::decodeJob(Object["add"].get<std::string>()));
+    if (Object.contains("cancel"))
+      Keeper->cancelJob(Object["cancel"].get<std::string>());
+    OwnerAnswer Answer = answerHere(*Keeper, Object.value("job", ""),
+                                    Object.value("queue", ""));
+    Json Body = {{"known", Answer.Known},
+                 {"state", static_cast<unsigned>(Answer.State)},
+                 {"pending", Answer.Pending}};
+    return net::jsonResponse(StatusOk, Body.dump());
+  } catch (const std::exception &E) {
+    logEvent("peer_call_unreadable", {{"error", E.what()}});
+    return net::jsonResponse(StatusBad, "{}");
+  }
+}
+
+} // namespace comfreydeck::dispatch
--- /dev/null
+++ b/src/dispatch/PoolKeeper.cpp
@@ -0,0 +1,370 @@
+#include "dispatch/PoolKeeper.h"
+
+#include "codec/JobJson.h"
+#include "dispatch/Clock.h"
+#include "dispatch/EventLog.h"
+
+#include <algorithm>
+
+namespace comfreydeck::dispatch {
+
+using std::chrono::milliseconds;
+using store::PartAnswer;
+using store::PartOutcome;
+
+namespace {
+
+/// Pace of decisions that no event brings about: due times, lapsed leases.
+constexpr milliseconds TickPeriod(60);
+/// Pause before a reading or a write of the store is tried again.
+constexpr milliseconds StoreRetry(120);
+/// Gathers the ends of some tasks into one write.
+constexpr milliseconds FlushPause(20);
+/// Longest wait for one write's answer; a lost one is found out soon.
+constexpr milliseconds StoreLimit(1500);
+/// A transaction takes 100 entries; two are conditions and one is the chain.
+constexpr std::size_t BatchJobs = 90;
+/// Finished jobs are kept a little longer than promised.
+constexpr milliseconds KeepSlack(10000);
+
+jobs::OwnerLimits limitsFor(const settings::DispatchSettings &Settings) {
+  jobs::OwnerLimits Limits;
+  Limits.Lease = std::min(Limits.Lease, Settings.MaxLease);
+  return Limits;
+}
+
+} // namespace
+
+PoolKeeper::PoolKeeper(Context &Ctx, FleetView &View, std::string Pool,
+                       std::uint64_t Token, core::TimePoint TakenAt,
+                       std::function<void(const std::string &)> Lost)
+    : Ctx_(Ctx), View_(View),
+      State_(Pool, Token, bootNow(), limitsFor(Ctx.Settings)),
+      TakenAt_(TakenAt), Lost_(std::move(Lost)), Part_(rows::poolPart(Pool)) {}
+
+// Loading.
+
+void PoolKeeper::load(std::function<void(std::uint64_t)> Loaded) {
+  auto Self = shared_from_this();
+  readParts(Ctx_.Store, rows::Jobs, rows::jobParts(),
+            [Self, Loaded = std::move(Loaded)](PartAnswer Answer) {
+              Self->Ctx_.Loop.post([Self, Loaded, Answer = std::move(Answer)] {
+                if (Self->Dropped_)
+                  return;
+                if (Answer.Outcome == PartOutcome::Ok) {
+                  Self->loadProgress(Loaded, Answer.Rows, Answer.Version);
+                  return;
+                }
+                Self->Ctx_.Count.retried("load-jobs");
+                Self->Ctx_.Loop.after(StoreRetry,
+                                      [Self, Loaded] { Self->load(Loaded); });
+              });
+            });
+}
+
+void PoolKeeper::loadProgress(std::function<void(std::uint64_t)> Loaded,
+                              std::vector<store::PartRow> JobRows,
+                              std::uint64_t Version) {
+  auto Self = shared_from_this();
+  auto Jobs = std::make_shared<std::vector<store::PartRow>>(std::move(JobRows));
+  readParts(
+      Ctx_.Store, rows::Progress, {Part_},
+      [Self, Loaded = std::move(Loaded), Jobs, Version](PartAnswer Answer) {
+        Self->Ctx_.Loop.post(
+            [Self, Loaded, Jobs, Version, Answer = std::move(Answer)] {
+              if (Self->Dropped_)
+                return;
+              if (Answer.Outcome != PartOutcome::Ok) {
+                Self->Ctx_.Count.retried("load-progress");
+                Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, Jobs,
+                                                   Version] {
+                  Self->loadProgress(Loaded, *Jobs, Version);
+                });
+                return;
+              }
+              Self->takeUp(*Jobs, Answer.Rows);
+              Loaded(Version);
+            });
+      });
+}
+
+void PoolKeeper::takeUp(const std::vector<store::PartRow> &JobRows,
+                        const std::vector<store::PartRow> &ProgressRows) {
+  std::map<std::string, jobs::JobProgress> Kept;
+  for (const store::PartRow &Row : ProgressRows) {
+    if (Row.Where.Key == rows::ChainKey) {
+      Chain_ = Row.Version;
+      continue;
+    }
+    try {
+      Kept[Row.Where.Key] = codec::decodeProgress(Row.Value);
+    } catch (const std::invalid_argument &E) {
+      logEvent("progress_row_unreadable",
+               {{"job", Row.Where.Key}, {"error", E.what()}});
+    }
+  }
+  core::TimePoint Now = bootNow();
+  for (const store::PartRow &Row : JobRows) {
+    if (Row.Where.Key.ends_with(rows::CancelSuffix))
+      continue;
+    try {
+      jobs::JobSpec Spec = codec::decodeJob(Row.Value);
+      if (Spec.Pool != State_.pool())
+        continue;
+      auto It = Kept.find(Spec.Id);
+      State_.inheritJob(Spec, It == Kept.end() ? nullptr : &It->second, Now);
+    } catch (const std::invalid_argument &E) {
+      logEvent("job_row_unreadable",
+               {{"job", Row.Where.Key}, {"error", E.what()}});
+    }
+  }
+  Loaded_ = true;
+  for (const store::PartRow &Row : JobRows)
+    if (Row.Where.Key.ends_with(rows::CancelSuffix))
+      takeJobRow(Row);
+  for (const auto &[Id, Gone] : View_.vanished())
+    if (Gone.Entry.Pool == State_.pool())
+      State_.addVanished(Gone.Entry, Now);
+  refresh();
+  logEvent("pool_loaded", {{"pool", State_.pool()},
+                           {"token", State_.token()},
+                           {"jobs", State_.jobs().size()}});
+  tick();
+}
+
+// Events.
+
+void PoolKeeper::refresh() {
+  State_.setConfig(View_.config());
+  State_.setClosedDataCentres(View_.closedDataCentres());
+  std::vector<jobs::WorkerEntry> Entries = View_.workersOf(State_.pool());
+  State_.setWorkers(Entries, bootNow());
+  wake();
+}
+
+void PoolKeeper::takeJobRow(const store::PartRow &Row) {
+  const std::string &Key = Row.Where.Key;
+  if (Row.Removed || !Loaded_)
+    return;
+  if (Key.ends_with(rows::CancelSuffix)) {
+    std::string_view Suffix(rows::CancelSuffix);
+    cancelJob(Key.substr(0, Key.size() - Suffix.size()));
+    return;
+  }
+  if (State_.findJob(Key))
+    return;
+  try {
+    jobs::JobSpec Spec = codec::decodeJob(Row.Value);
+    if (Spec.Pool == State_.pool())
+      addJob(Spec);
+  } catch (const std::invalid_argument &E) {
+    logEvent("job_row_unreadable", {{"job", Key}, {"error", E.what()}});
+  }
+}
+
+void PoolKeeper::addJob(const jobs::JobSpec &Spec) {
+  State_.addJob(Spec, bootNow());
+  wake();
+}
+
+void PoolKeeper::cancelJob(const std::string &Id) {
+  State_.cancelJob(Id);
+  wake();
+}
+
+void PoolKeeper::setTeamRoom(std::map<std::string, core::Resources> Room) {
+  State_.setTeamRoom(std::move(Room));
+}
+
+void PoolKeeper::setClosedWorkers(std::set<std::string> Ids) {
+  State_.setClosedWorkers(Ids);
+  wake();
+}
+
+void PoolKeeper::leave(std::function<void()> Done) {
+  Leaving_ = true;
+  Left_ = std::move(Done);
+  flush();
+}
+
+void PoolKeeper::drop() { Dropped_ = true; }
+
+void PoolKeeper::lose(const char *Why) {
+  if (Dropped_)
+    return;
+  Dropped_ = true;
+  logEvent("pool_lost", {{"pool", State_.pool()},
+                         {"token", State_.token()},
+                         {"reason", Why}});
+  Lost_(State_.pool());
+}
+
+// Decisions.
+
+void PoolKeeper::tick() {
+  if (Dropped_)
+    return;
+  plan();
+  auto Self = shared_from_this();
+  Ctx_.Loop.after(TickPeriod, [Self] { Self->tick(); });
+}
+
+void PoolKeeper::wake() {
+  if (PlanQueued_ || Dropped_ || !Loaded_)
+    return;
+  PlanQueued_ = true;
+  auto Self = shared_from_this();
+  Ctx_.Loop.post([Self] {
+    Self->PlanQueued_ = false;
+    Self->plan();
+  });
+}
+
+core::TimePoint PoolKeeper::authorityEnd() const {
+  core::TimePoint Confirmed = std::max(TakenAt_, View_.controlCurrentAt());
+  return Confirmed + jobs::OwnerLimits().Authority;
+}
+
+void PoolKeeper::plan() {
+  if (Dropped_ || !Loaded_)
+    return;
+  jobs::PlanInput In;
+  In.Now = bootNow();
+  In.WallMs = wallMs();
+  In.AuthorityEnd = authorityEnd();
+  In.MayStart = !Leaving_ && In.Now < In.AuthorityEnd;
+  send(State_.plan(In));
+  if (State_.isFenced()) {
+    lose("fenced");
+    return;
+  }
+  auto Keep = std::chrono::duration_cast<milliseconds>(
+      Ctx_.Settings.KeepFinished + KeepSlack);
+  State_.dropFinished(In.WallMs - Keep.count());
+  flush();
+}
+
+const jobs::WorkerEntry *
+PoolKeeper::entryOf(const std::string &Worker) const {
+  auto It = State_.workers().find(Worker);
+  return It == State_.workers().end() ? nullptr : &It->second->Entry;
+}
+
+void PoolKeeper::send(jobs::Orders Orders) {
+  auto Self = shared_from_this();
+  core::TimePoint SentAt = bootNow();
+  for (jobs::StopOrder &Order : Orders.Stops)
+    if (const jobs::WorkerEntry *To = entryOf(Order.Worker))
+      Ctx_.Workers.stop(
+          *To, State_.token(), Order, [Self, Order](jobs::OrderResult Result) {
+            Self->Ctx_.Loop.post([Self, Order, Result] {
+              Self->State_.onStop(Order, Result, bootNow());
+              Self->wake();
+            });
+          });
+  for (jobs::StartOrder &Order : Orders.Starts)
+    if (const jobs::WorkerEntry *To = entryOf(Order.Worker))
+      Ctx_.Workers.start(
+          *To, State_.token(), Order, [Self, Order](jobs::OrderResult Result) {
+            Self->Ctx_.Loop.post([Self, Order, Result] {
+              Self->State_.onStart(Order, Result, bootNow());
+              if (Result.Outcome != jobs::OrderOutcome::Accepted) {
+                logEvent("start_refused",
+                         {{"job", Order.Task.JobId},
+                          {"worker", Order.Worker},
+                          {"run", Order.Run},
+                          {"outcome", static_cast<int>(Result.Outcome)}});
+                Self->wake();
+              }
+            });
+          });
+  for (jobs::HoldOrder &Order : Orders.Holds)
+    if (const jobs::WorkerEntry *To = entryOf(Order.Worker))
+      Ctx_.Workers.report(
+          *To, State_.token(), Order,
+          [Self, Order, SentAt](jobs::ReportResult Result) {
+            Self->Ctx_.Loop.post([Self, Order, SentAt, Result] {
+              Self->State_.onReport(Order, Result, SentAt, bootNow());
+              Self->wake();
+            });
+          });
+}
+
+// Storing.
+
+void PoolKeeper::flush() {
+  if (Storing_ || Dropped_ || !Loaded_)
+    return;
+  auto Batch = std::make_shared<jobs::ProgressBatch>(
+      State_.takeChanges(BatchJobs));
+  if (Batch->Writes.empty()) {
+    if (Leaving_ && Left_) {
+      auto Left = std::exchange(Left_, nullptr);
+      Left();
+    }
+    return;
+  }
+  Storing_ = true;
+  sendBatch(Batch, false);
+}
+
+void PoolKeeper::sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch,
+                           bool Again) {
+  store::PartTransaction T;
+  store::PartKey Chain = {rows::Progress, Part_, rows::ChainKey};
+  T.Conditions = {{{rows::Control, Part_, rows::OwnerKey}, State_.token()},
+                  {Chain, Chain_}};
+  T.Puts.push_back({Chain, ""});
+  for (const jobs::ProgressWrite &Write : Batch->Writes)
+    T.Puts.push_back({{rows::Progress, Part_, Write.JobId},
+                      codec::encodeProgress(Write.Progress)});
+  auto Self = shared_from_this();
+  Ctx_.Store.commit(std::move(T), StoreLimit,
+                    [Self, Batch, Again](PartAnswer Answer) {
+                      Self->Ctx_.Loop.post(
+                          [Self, Batch, Again, Answer = std::move(Answer)] {
+                            Self->stored(Batch, Answer, Again);
+                          });
+                    });
+}
+
+void PoolKeeper::stored(const std::shared_ptr<jobs::ProgressBatch> &Batch,
+                        const PartAnswer &Answer, bool Again) {
+  if (Dropped_)
+    return;
+  bool Applied = Answer.Outcome == PartOutcome::Ok;
+  if (Applied)
+    Chain_ = Answer.Version;
+  if (Answer.Outcome == PartOutcome::Conflict) {
+    std::uint64_t Owner = 0;
+    std::uint64_t Chain = 0;
+    for (const store::PartRow &Row : Answer.Rows)
+      (Row.Where.Key == rows::OwnerKey ? Owner : Chain) = Row.Version;
+    // Only this owner moves the chain: the try without an answer applied.
+    Applied = Owner == State_.token() && Again && Chain > Chain_;
+    if (!Applied) {
+      lose("owner row changed");
+      return;
+    }
+    Chain_ = Chain;
+  }
+  if (!Applied) {
+    Ctx_.Count.retried("store-progress");
+    bool Unsure = Again || Answer.Outcome == PartOutcome::Unknown;
+    auto Self = shared_from_this();
+    Ctx_.Loop.after(StoreRetry, [Self, Batch, Unsure] {
+      if (!Self->Dropped_)
+        Self->sendBatch(Batch, Unsure);
+    });
+    return;
+  }
+  State_.onStored(Batch->Mark);
+  wake();
+  auto Self = shared_from_this();
+  Ctx_.Loop.after(Leaving_ ? core::Duration::zero() : FlushPause, [Self] {
+    Self->Storing_ = false;
+    Self->flush();
+  });
+}
+
+} // namespace comfreydeck::dispatch
--- /dev/null
+++ b/src/dispatch/PoolKeeper.h
@@ -0,0 +1,79 @@
+#ifndef COMFREYDECK_DISPATCH_POOLKEEPER_H
+#define COMFREYDECK_DISPATCH_POOLKEEPER_H
+
+#include "dispatch/FleetView.h"
+
+#include <memory>
+
+namespace comfreydeck::dispatch {
+
+/// One pool that this entry owns: loads its jobs, carries out its decisions and
+/// stores what has ended. On the loop's thread.
+class PoolKeeper : public std::enable_shared_from_this<PoolKeeper> {
+public:
+  /// The pool's row was taken with \p Token by a transaction sent at
+  /// \p TakenAt. \p Lost is called once if the pool is owned no more.
+  PoolKeeper(Context &Ctx, FleetView &View, std::string Pool,
+             std::uint64_t Token, core::TimePoint TakenAt,
+             std::function<void(const std::string &)> Lost);
+
+  /// Reads the pool's jobs, then takes up its work. \p Loaded gets the store's
+  /// version from which on changes of jobs have to be followed.
+  void load(std::function<void(std::uint64_t)> Loaded);
+
+  /// The configuration, the workers or the closed data centres changed.
+  void refresh();
+  /// A row of the jobs' table changed.
+  void takeJobRow(const store::PartRow &Row);
+  void addJob(const jobs::JobSpec &Spec);
+  void cancelJob(const std::string &Id);
+  void setTeamRoom(std::map<std::string, core::Resources> Room);
+  /// Gets nothing new, so that it can be taken out.
+  void setClosedWorkers(std::set<std::string> Ids);
+
+  /// Starts no more and stores what there is; then \p Done is called.
+  void leave(std::function<void()> Done);
+  /// Gives no more orders.
+  void drop();
+
+  const jobs::PoolState &state() const { return State_; }
+  std::uint64_t token() const { return State_.token(); }
+  bool isLoaded() const { return Loaded_; }
+  /// Plans soon.
+  void wake();
+
+private:
+  void loadProgress(std::function<void(std::uint64_t)> Loaded,
+                    std::vector<store::PartRow> JobRows,
+                    std::uint64_t Version);
+  void takeUp(const std::vector<store::PartRow> &JobRows,
+              const std::vector<store::PartRow> &ProgressRows);
+  void tick();
+  void plan();
+  void send(jobs::Orders Orders);
+  void flush();
+  void sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch, bool Again);
+  void stored(const std::shared_ptr<jobs::ProgressBatch> &Batch,
+              const store::PartAnswer &Answer, bool Again);
+  void lose(const char *Why);
+  core::TimePoint authorityEnd() const;
+  const jobs::WorkerEntry *entryOf(const std::string &Worker) const;
+
+  Context &Ctx_;
+  FleetView &View_;
+  jobs::PoolState State_;
+  core::TimePoint TakenAt_;
+  std::function<void(const std::string &)> Lost_;
+  std::function<void()> Left_;
+  std::string Part_;
+  std::uint64_t Chain_ = 0;
+  bool Loaded_ = false;
+  bool Leaving_ = false;
+  bool Dropped_ = false;
+  bool Storing_ = false;
+  bool PlanQueued_ = false;
+};
+
+} // namespace comfreydeck::dispatch
+
+#endif // COMFREYDECK_DISPATCH_POOLKEEPER_H
--- a/src/entry/AllotmentService.cpp
+++ b/src/entry/AllotmentService.cpp
@@ -54,16 +54,16 @@
 
 void AllotmentService::readPage(core::TimePoint Sent, std::string After) {
   Context_.Tables.scan(AllotmentTable, "", std::move(After), PageRows,
-                       [this, Sent](platform::ScanResult Result) {
+                       [this, Sent](store::ScanResult Result) {
                          Context_.Control.post(
                              [this, Sent, Result] { onScan(Sent, Result); });
                        });
 }
 
 void AllotmentService::onScan(core::TimePoint Sent,
-                              const platform::ScanResult &Result) {
-  bool Ok = Result.Outcome == platform::ReadOutcome::Ok;
-  for (const platform::Row &Row : Result.Rows) {
+                              const store::ScanResult &Result) {
+  bool Ok = Result.Outcome == store::ReadOutcome::Ok;
+  for (const store::Row &Row : Result.Rows) {
     try {
       core::AllotmentRow Read = codec::parseAllotment(Row.Value);
       Reading_[Read.Team] = {Read, Row.Version};
@@ -139,16 +139,16 @@
 void AllotmentService::write(const PoolTerm &Term, core::TeamId Team,
                              const core::AllotmentRow &Row,
                              std::uint64_t Version) {
-  platform::RowKey Key{AllotmentTable, std::to_string(Team.Value)};
-  platform::RowKey Owner{PoolTable, std::to_string(Term.Pool.Value)};
-  platform::Transaction T;
+  store::RowKey Key{AllotmentTable, std::to_string(Team.Value)};
+  store::RowKey Owner{PoolTable, std::to_string(Term.Pool.Value)};
+  store::Transaction T;
   T.Id = "allot-" + Key.Key + "-" + Owner.Key;
   // A term that has ended must not write any more.
   T.Conditions = {{Key, Version}, {Owner, Term.RowVersion}};
   T.Writes = {{Key, codec::toJson(Row)}};
   Context_.Tables.commit(
       std::move(T), [this, Pool = Term.Pool, Team,
-                     Row](const platform::CommitResult &Result) {
+                     Row](const store::CommitResult &Result) {
         Context_.Control.post([this, Pool, Team, Row, Result] {
           onWritten({Pool, Team}, Row, Result);
         });
@@ -157,25 +157,25 @@
 
 void AllotmentService::onWritten(const ViewKey &Key,
                                  const core::AllotmentRow &Row,
-                                 const platform::CommitResult &Result) {
+                                 const store::CommitResult &Result) {
   auto It = Views_.find(Key);
   if (It == Views_.end())
     return;
   View &V = It->second;
   V.Writing = false;
   switch (Result.Outcome) {
-  case platform::CommitOutcome::Committed:
+  case store::CommitOutcome::Committed:
     core::takeIn(V.Seen, Row, Result.Versions.front());
     Rows_[Key.second] = {Row, Result.Versions.front()};
     return OnChange_();
-  case platform::CommitOutcome::NotApplied:
+  case store::CommitOutcome::NotApplied:
     return core::onNotApplied(V.Seen);
-  case platform::CommitOutcome::Conflict:
+  case store::CommitOutcome::Conflict:
     // Another owner was first: look at once and try again.
     core::onNotApplied(V.Seen);
     V.LastWrite = {};
     return poll();
-  case platform::CommitOutcome::Unknown:
+  case store::CommitOutcome::Unknown:
     core::onUnknown(V.Seen);
     return poll();
   }
--- a/src/entry/AllotmentService.h
+++ b/src/entry/AllotmentService.h
@@ -54,12 +54,12 @@
   };
 
   void poll();
-  void onScan(core::TimePoint Sent, const platform::ScanResult &Result);
+  void onScan(core::TimePoint Sent, const store::ScanResult &Result);
   void readPage(core::TimePoint Sent, std::string After);
   void write(const PoolTerm &Term, core::TeamId Team,
              const core::AllotmentRow &Row, std::uint64_t Version);
   void onWritten(const ViewKey &Key, const core::AllotmentRow &Row,
-                 const platform::CommitResult &Result);
+                 const store::CommitResult &Result);
   static std::uint32_t peakOf(View &V, const core::PoolUse &Use);
 
   Context Context_;
--- a/src/entry/ClaimStore.cpp
+++ b/src/entry/ClaimStore.cpp
@@ -11,15 +11,15 @@
 constexpr const char *ClaimTable = "claims";
 constexpr core::Duration ReadAgainAfter = std::chrono::milliseconds(100);
 
-core::ClaimWrite claimWriteOf(platform::CommitOutcome Outcome) {
+core::ClaimWrite claimWriteOf(store::CommitOutcome Outcome) {
   switch (Outcome) {
-  case platform::CommitOutcome::Committed:
+  case store::CommitOutcome::Committed:
     return core::ClaimWrite::Committed;
-  case platform::CommitOutcome::Conflict:
+  case store::CommitOutcome::Conflict:
     return core::ClaimWrite::Conflict;
-  case platform::CommitOutcome::NotApplied:
+  case store::CommitOutcome::NotApplied:
     return core::ClaimWrite::NotApplied;
-  case platform::CommitOutcome::Unknown:
+  case store::CommitOutcome::Unknown:
     return core::ClaimWrite::Lost;
   }
   return core::ClaimWrite::Lost;
@@ -80,9 +80,9 @@
 }
 
 void ClaimStore::readBack(const AttemptPtr &A) {
-  auto OnRead = [this, A](const platform::ReadResult &Result) {
+  auto OnRead = [this, A](const store::ReadResult &Result) {
     core::ClaimReading Reading;
-    Reading.Known = Result.Outcome == platform::ReadOutcome::Ok;
+    Reading.Known = Result.Outcome == store::ReadOutcome::Ok;
     A->Found = {};
     if (Result.Found) {
       A->Found = parseOrUnresolved(Result.Found->Value);
@@ -95,7 +95,7 @@
     follow(A, core::afterRead(A->Core, Reading));
   };
   Context_.Tables.read({ClaimTable, A->RowKey},
-                       [this, OnRead](const platform::ReadResult &Result) {
+                       [this, OnRead](const store::ReadResult &Result) {
                          Context_.Control.post(
                              [OnRead, Result] { OnRead(Result); });
                        });
@@ -182,9 +182,9 @@
                       std::function<void(ClaimResult)> Done) {
   Context_.Tables.read(
       {ClaimTable, RowKey},
-      [this, RowKey, Done = std::move(Done)](const platform::ReadResult &Read) {
+      [this, RowKey, Done = std::move(Done)](const store::ReadResult &Read) {
         ClaimResult Result;
-        bool Ok = Read.Outcome == platform::ReadOutcome::Ok;
+        bool Ok = Read.Outcome == store::ReadOutcome::Ok;
         Result.Step =
             Ok ? core::ClaimStep::Unresolved : core::ClaimStep::StoreDown;
         if (Read.Found) {
@@ -206,7 +206,7 @@
                     : std::optional<std::string>(Row.Outcome.Body));
   Context_.Objects.get(
       Row.BodyObject,
-      [this, Done = std::move(Done)](const platform::ObjectResult &Result) {
+      [this, Done = std::move(Done)](const store::ObjectResult &Result) {
         Context_.Control.post(
             [Done, Content = Result.Content] { Done(Content); });
       });
--- a/src/entry/ConfigStore.cpp
+++ b/src/entry/ConfigStore.cpp
@@ -44,13 +44,13 @@
       .count();
 }
 
-LogPage pageOf(const platform::ScanResult &Result) {
+LogPage pageOf(const store::ScanResult &Result) {
   LogPage Page;
   Page.More = Result.More;
   try {
-    for (const platform::Row &Row : Result.Rows)
+    for (const store::Row &Row : Result.Rows)
       Page.Changes.push_back(codec::parseConfigChange(Row.Value));
-    Page.Available = Result.Outcome == platform::ReadOutcome::Ok;
+    Page.Available = Result.Outcome == store::ReadOutcome::Ok;
   } catch (const codec::CodecError &E) {
     LOG(ERROR) << "config: a row of the log can't be read: " << E.what();
   }
@@ -108,7 +108,7 @@
     return;
   Reading_ = true;
   Context_.Tables.scan(LogTable, "", logKey(current()->Version), MaxChangesRead,
-                       [this](platform::ScanResult Result) {
+                       [this](store::ScanResult Result) {
                          Context_.Control.post([this, Result] {
                            Reading_ = false;
                            onLog(Result);
@@ -116,8 +116,8 @@
                        });
 }
 
-void ConfigStore::onLog(const platform::ScanResult &Result) {
-  if (Result.Outcome != platform::ReadOutcome::Ok)
+void ConfigStore::onLog(const store::ScanResult &Result) {
+  if (Result.Outcome != store::ReadOutcome::Ok)
     return;
   core::ConfigVersion Next{current()->Version.Value + 1};
   bool Trimmed = Result.Rows.empty() || Result.Rows.front().Key != logKey(Next);
@@ -128,10 +128,10 @@
     readLog();
 }
 
-void ConfigStore::onRows(const std::vector<platform::Row> &Rows) {
+void ConfigStore::onRows(const std::vector<store::Row> &Rows) {
   std::vector<std::string> Changes;
   Changes.reserve(Rows.size());
-  for (const platform::Row &Row : Rows)
+  for (const store::Row &Row : Rows)
     Changes.push_back(Row.Value);
   onChanges(Changes);
 }
@@ -139,14 +139,14 @@
 /// The log's rows after the present version were trimmed.
 void ConfigStore::readSnapshot() {
   Reading_ = true;
-  Context_.Tables.read(headKey(), [this](const platform::ReadResult &Result) {
+  Context_.Tables.read(headKey(), [this](const store::ReadResult &Result) {
     Context_.Control.post([this, Result] {
       if (!Result.Found) {
         Reading_ = false;
         return;
       }
       std::string Name = snapshotName(headFrom(*Result.Found).Snapshot);
-      Context_.Objects.get(Name, [this](platform::ObjectResult Object) {
+      Context_.Objects.get(Name, [this](store::ObjectResult Object) {
         Context_.Control.post([this, Object = std::move(Object)] {
           Reading_ = false;
           if (!Object.Content)
@@ -219,9 +219,9 @@
 }
 
 void ConfigStore::readHead(std::shared_ptr<Proposed> P) {
-  Context_.Tables.read(headKey(), [this, P](const platform::ReadResult &Read) {
+  Context_.Tables.read(headKey(), [this, P](const store::ReadResult &Read) {
     Context_.Control.post([this, P, Read] {
-      if (Read.Outcome != platform::ReadOutcome::Ok)
+      if (Read.Outcome != store::ReadOutcome::Ok)
         return P->answer(ProposalOutcome::Unavailable, current()->Version,
                          "the store is away; nothing was written");
       P->Head = Read.Found ? headFrom(*Read.Found) : LogHead{};
@@ -260,13 +260,13 @@
 void ConfigStore::commit(const std::shared_ptr<Proposed> &P) {
   LogHead Next = P->Head;
   Next.Version = P->Change.Version;
-  platform::RowKey Key{LogTable, logKey(P->Change.Version)};
-  platform::Transaction T{
+  store::RowKey Key{LogTable, logKey(P->Change.Version)};
+  store::Transaction T{
       P->Change.Id,
       {{headKey(), P->Head.RowVersion}, {Key, 0}},
       {{headKey(), valueOf(Next)}, {Key, codec::toJson(P->Change)}}};
   Context_.Tables.commit(
-      std::move(T), [this, P](const platform::CommitResult &Result) {
+      std::move(T), [this, P](const store::CommitResult &Result) {
         Context_.Control.post(
             [this, P, Outcome = Result.Outcome] { onCommitted(P, Outcome); });
       });
@@ -276,26 +276,26 @@
                           std::function<void(LogPage)> Done) {
   Context_.Tables.scan(
       LogTable, "", logKey(After), Limit,
-      [this, Done = std::move(Done)](const platform::ScanResult &Result) {
+      [this, Done = std::move(Done)](const store::ScanResult &Result) {
         Context_.Control.post([Done, Page = pageOf(Result)] { Done(Page); });
       });
 }
 
 void ConfigStore::onCommitted(const std::shared_ptr<Proposed> &P,
-                              platform::CommitOutcome Outcome) {
+                              store::CommitOutcome Outcome) {
   switch (Outcome) {
-  case platform::CommitOutcome::Committed:
+  case store::CommitOutcome::Committed:
     return finish(P);
-  case platform::CommitOutcome::Conflict:
+  case store::CommitOutcome::Conflict:
     // The head has moved on, so that no sending can be applied from now on.
     P->Unsettled = false;
     return readBack(P);
-  case platform::CommitOutcome::NotApplied:
+  case store::CommitOutcome::NotApplied:
     if (!P->Unsettled)
       return P->answer(ProposalOutcome::Unavailable, current()->Version,
                        "the store is away; nothing was written");
     return readBack(P);
-  case platform::CommitOutcome::Unknown:
+  case store::CommitOutcome::Unknown:
     P->Unsettled = true;
     return readBack(P);
   }
@@ -303,15 +303,15 @@
 
 /// Looks for the change by its id: an earlier sending may have been applied.
 void ConfigStore::readBack(const std::shared_ptr<Proposed> &P) {
-  platform::RowKey Key{LogTable, logKey(P->Change.Version)};
-  Context_.Tables.read(Key, [this, P](const platform::ReadResult &Result) {
+  store::RowKey Key{LogTable, logKey(P->Change.Version)};
+  Context_.Tables.read(Key, [this, P](const store::ReadResult &Result) {
     Context_.Control.post([this, P, Result] { onReadBack(P, Result); });
   });
 }
 
 void ConfigStore::onReadBack(const std::shared_ptr<Proposed> &P,
-                             const platform::ReadResult &Result) {
-  bool Ok = Result.Outcome == platform::ReadOutcome::Ok;
+                             const store::ReadResult &Result) {
+  bool Ok = Result.Outcome == store::ReadOutcome::Ok;
   if (Ok && Result.Found) {
     if (codec::parseConfigChange(Result.Found->Value).Id == P->Change.Id)
       return finish(P);
@@ -380,7 +380,7 @@
         if (!Ok)
           return;
         Context_.Tables.read(headKey(),
-                             [this, Version](const platform::ReadResult &Read) {
+                             [this, Version](const store::ReadResult &Read) {
                                Context_.Control.post([this, Version, Read] {
                                  if (Read.Found)
                                    trim(headFrom(*Read.Found), Version);
@@ -395,14 +395,14 @@
   std::uint64_t Kept = std::min(Snapshot.Value, KeptChanges);
   std::uint64_t First = Head.Snapshot.Value;
   First -= std::min(First, KeptChanges);
-  platform::Transaction T{
+  store::Transaction T{
       "snapshot-" + logKey(Snapshot), {{headKey(), Head.RowVersion}}, {}};
   for (std::uint64_t V = First + 1; V + Kept <= Snapshot.Value; ++V)
     T.Writes.push_back({{LogTable, logKey({V})}, std::nullopt});
   Head.Snapshot = Snapshot;
   T.Writes.push_back({headKey(), valueOf(Head)});
   LOG(INFO) << "config: snapshot of version " << Snapshot.Value;
-  Context_.Tables.commit(std::move(T), [](const platform::CommitResult &) {});
+  Context_.Tables.commit(std::move(T), [](const store::CommitResult &) {});
 }
 
 } // namespace comfreydeck::entry
--- a/src/entry/ConfigStore.h
+++ b/src/entry/ConfigStore.h
@@ -91,8 +91,8 @@
 
   void onHead(core::ConfigVersion Head);
   void readLog();
-  void onLog(const platform::ScanResult &Result);
-  void onRows(const std::vector<platform::Row> &Rows);
+  void onLog(const store::ScanResult &Result);
+  void onRows(const std::vector<store::Row> &Rows);
   void readSnapshot();
   void onChanges(const std::vector<std::string> &Changes);
   std::vector<std::string> changesAfter(core::ConfigVersion Version) const;
@@ -103,10 +103,10 @@
   void prepare(const std::shared_ptr<Proposed> &P);
   void commit(const std::shared_ptr<Proposed> &P);
   void onCommitted(const std::shared_ptr<Proposed> &P,
-                   platform::CommitOutcome Outcome);
+                   store::CommitOutcome Outcome);
   void readBack(const std::shared_ptr<Proposed> &P);
   void onReadBack(const std::shared_ptr<Proposed> &P,
-                  const platform::ReadResult &Result);
+                  const store::ReadResult &Result);
   void startAgain(const std::shared_ptr<Proposed> &P);
   void finish(const std::shared_ptr<Proposed> &P);
   void awaitInForce(const std::shared_ptr<Proposed> &P);
--- a/src/entry/Context.h
+++ b/src/entry/Context.h
@@ -5,9 +5,9 @@
 #include "entry/Metrics.h"
 #include "net/HttpClient.h"
 #include "net/Loop.h"
-#include "platform/InstanceList.h"
-#include "platform/ObjectStore.h"
-#include "platform/TableService.h"
+#include "store/InstanceList.h"
+#include "store/ObjectStore.h"
+#include "store/TableService.h"
 #include "settings/Settings.h"
 
 /// One entry process: its control thread, its traffic and what joins them.
@@ -19,9 +19,9 @@
   core::Incarnation Self;
   /// The control thread.
   net::Loop &Control;
-  platform::TableService &Tables;
-  platform::ObjectStore &Objects;
-  platform::InstanceList &Instances;
+  store::TableService &Tables;
+  store::ObjectStore &Objects;
+  store::InstanceList &Instances;
   /// Calls to workers and to other entries' callers' interface.
   net::HttpClient &Workers;
   cluster::PeerClient &Peers;
--- a/src/entry/Entry.cpp
+++ b/src/entry/Entry.cpp
@@ -5,7 +5,7 @@
 #include "entry/OperatorService.h"
 #include "entry/TaskService.h"
 #include "entry/UnresolvedRoutes.h"
-#include "platform/HttpPlatform.h"
+#include "store/HttpPlatform.h"
 
 #include <glog/logging.h>
 
@@ -79,9 +79,9 @@
   net::HttpClient PlatformClient{net::HttpClientOptions()};
   net::HttpClient WorkerClient{net::HttpClientOptions()};
   PeerClient Peers;
-  std::unique_ptr<platform::TableService> Tables;
-  std::unique_ptr<platform::ObjectStore> Objects;
-  std::unique_ptr<platform::InstanceList> Instances;
+  std::unique_ptr<store::TableService> Tables;
+  std::unique_ptr<store::ObjectStore> Objects;
+  std::unique_ptr<store::InstanceList> Instances;
   Context Shared;
   Membership Members;
   ConfigStore Config;
@@ -118,13 +118,13 @@
 Entry::Impl::Impl(settings::Settings S)
     : Settings(std::move(S)),
       Peers({Self, Settings.Entry.Name}, securityOf(Settings.Cluster)),
-      Tables(platform::makeHttpTableService(
+      Tables(store::makeHttpTableService(
           PlatformClient,
           {Settings.Platform.TableService, Settings.Platform.CallLimit})),
-      Objects(platform::makeHttpObjectStore(
+      Objects(store::makeHttpObjectStore(
           PlatformClient,
           {Settings.Platform.ObjectStore, Settings.Platform.CallLimit})),
-      Instances(platform::makeHttpInstanceList(
+      Instances(store::makeHttpInstanceList(
           PlatformClient,
           {Settings.Platform.InstanceList, Settings.Platform.CallLimit})),
       Shared{Settings,   Self,         Control, *Tables,  *Objects,
--- a/src/entry/Fleet.cpp
+++ b/src/entry/Fleet.cpp
@@ -59,7 +59,7 @@
     if (Listing_)
       return;
     Listing_ = true;
-    Context_.Instances.list([this](platform::ListResult Result) {
+    Context_.Instances.list([this](store::ListResult Result) {
       Context_.Control.post([this, Result] { onList(Result); });
     });
   });
@@ -76,7 +76,7 @@
   OnChange_();
 }
 
-void Fleet::onList(const platform::ListResult &Result) {
+void Fleet::onList(const store::ListResult &Result) {
   Listing_ = false;
   // A list that does not answer says nothing about any instance.
   if (!Result.Ok)
@@ -88,10 +88,10 @@
       L.Since = Now;
     L.As = As;
   };
-  for (const platform::ListedInstance &Item : Result.Instances) {
-    if (Item.Kind != platform::InstanceKind::Worker)
+  for (const store::ListedInstance &Item : Result.Instances) {
+    if (Item.Kind != store::InstanceKind::Worker)
       continue;
-    bool Leaving = Item.State == platform::InstanceState::Leaving;
+    bool Leaving = Item.State == store::InstanceState::Leaving;
     Listing &L = Listed_[Item.Name];
     L.Item = Item;
     Note(L, Leaving ? core::ListedAs::Leaving : core::ListedAs::Live);
@@ -277,18 +277,18 @@
       It->second = Rows_.begun() + 1;
 }
 
-std::vector<platform::ListedInstance> Fleet::withoutRow() const {
+std::vector<store::ListedInstance> Fleet::withoutRow() const {
   std::set<std::string_view> Known;
   for (const auto &[Id, I] : Rows_.all())
     Known.insert(I.Name);
-  std::vector<platform::ListedInstance> Result;
+  std::vector<store::ListedInstance> Result;
   for (const auto &[Name, L] : Listed_)
     if (L.As == core::ListedAs::Live && !Known.contains(Name))
       Result.push_back(L.Item);
   return Result;
 }
 
-const platform::ListedInstance *Fleet::listed(const std::string &Name) const {
+const store::ListedInstance *Fleet::listed(const std::string &Name) const {
   auto It = Listed_.find(Name);
   bool Present =
       It != Listed_.end() && It->second.As != core::ListedAs::Missing;
--- a/src/entry/Fleet.h
+++ b/src/entry/Fleet.h
@@ -92,9 +92,9 @@
   const InstanceRows &rows() const { return Rows_; }
 
   /// Workers on the platform's list that have no row.
-  std::vector<platform::ListedInstance> withoutRow() const;
+  std::vector<store::ListedInstance> withoutRow() const;
   /// Nothing where the list has no such worker.
-  const platform::ListedInstance *listed(const std::string &Name) const;
+  const store::ListedInstance *listed(const std::string &Name) const;
 
   /// When this worker last said that it had that many tasks; nothing where it
   /// was never heard.
@@ -102,7 +102,7 @@
 
 private:
   struct Listing {
-    platform::ListedInstance Item;
+    store::ListedInstance Item;
     core::ListedAs As = core::ListedAs::Live;
     core::TimePoint Since;
   };
@@ -114,7 +114,7 @@
   };
 
   void onRows();
-  void onList(const platform::ListResult &Result);
+  void onList(const store::ListResult &Result);
   void probeWorker(const core::Instance &I);
   core::InstanceSignals signalsOf(const core::Instance &I,
                                   core::TimePoint Now) const;
--- a/src/entry/FleetRoutes.cpp
+++ b/src/entry/FleetRoutes.cpp
@@ -405,8 +405,8 @@
   // The row itself decides, since this entry's copy may be a second old.
   Context_.Tables.read(
       {WaveTable, waveKey(Id)},
-      [this, Command, By = Who.Name, Respond](platform::ReadResult Result) {
-        if (Result.Outcome != platform::ReadOutcome::Ok || !Result.Found)
+      [this, Command, By = Who.Name, Respond](store::ReadResult Result) {
+        if (Result.Outcome != store::ReadOutcome::Ok || !Result.Found)
           return Respond(
               respond(WishAnswer{WishOutcome::StoreAway,
                                  "the store is away; nothing was written"}));
@@ -426,21 +426,21 @@
 
 void FleetRoutes::commitWave(const core::Wave &W, std::uint64_t Version,
                              const net::HttpResponder &Respond) {
-  platform::RowKey Key{WaveTable, waveKey(W.Id)};
-  platform::Transaction T{
+  store::RowKey Key{WaveTable, waveKey(W.Id)};
+  store::Transaction T{
       "wave-" + Key.Key, {{Key, Version}}, {{Key, codec::toJson(W)}}};
   Context_.Tables.commit(std::move(T), [W, Respond](
-                                           platform::CommitResult Result) {
+                                           store::CommitResult Result) {
     switch (Result.Outcome) {
-    case platform::CommitOutcome::Committed:
+    case store::CommitOutcome::Committed:
       return Respond(net::jsonResponse(200, waveJson(W).dump()));
-    case platform::CommitOutcome::Conflict:
+    case store::CommitOutcome::Conflict:
       return Respond(respond(WishAnswer{
           WishOutcome::Refused, "another change came first; look again"}));
-    case platform::CommitOutcome::NotApplied:
+    case store::CommitOutcome::NotApplied:
       return Respond(respond(WishAnswer{
           WishOutcome::StoreAway, "the store is away; nothing was written"}));
-    case platform::CommitOutcome::Unknown:
+    case store::CommitOutcome::Unknown:
       break;
     }
     Respond(
@@ -454,14 +454,14 @@
   std::shared_ptr<const core::Configuration> C = Config_.current();
   Context_.Tables.scan(
       WaveProgressTable, waveKey(Id) + "/", "", PageRows,
-      [W, C, Respond](platform::ScanResult Result) {
-        if (Result.Outcome != platform::ReadOutcome::Ok)
+      [W, C, Respond](store::ScanResult Result) {
+        if (Result.Outcome != store::ReadOutcome::Ok)
           return Respond(
               respond(WishAnswer{WishOutcome::StoreAway, "the store is away"}));
         json J = waveJson(W);
         core::WaveProgress Sum;
         J["pools"] = json::array();
-        for (const platform::Row &Row : Result.Rows) {
+        for (const store::Row &Row : Result.Rows) {
           codec::WavePoolRow Part = codec::parseWavePoolRow(Row.Value);
           const core::Pool *P = core::findPool(*C, Part.Pool);
           json Item = json::parse(Row.Value);
--- a/src/entry/InstanceRows.cpp
+++ b/src/entry/InstanceRows.cpp
@@ -43,17 +43,17 @@
 
 void InstanceRows::scanLedgers(std::string After) {
   Context_.Tables.scan(BudgetTable, "", std::move(After), PageRows,
-                       [this](platform::ScanResult Result) {
+                       [this](store::ScanResult Result) {
                          Context_.Control.post(
                              [this, Result] { onLedgers(Result); });
                        });
 }
 
-void InstanceRows::onLedgers(const platform::ScanResult &Result) {
-  if (Result.Outcome != platform::ReadOutcome::Ok)
+void InstanceRows::onLedgers(const store::ScanResult &Result) {
+  if (Result.Outcome != store::ReadOutcome::Ok)
     return finish(false);
   try {
-    for (const platform::Row &Row : Result.Rows) {
+    for (const store::Row &Row : Result.Rows) {
       codec::LedgerRow Parsed = codec::parseLedgerRow(Row.Value);
       NewLedgers_[Parsed.Ledger.Pool] = {Parsed.Ledger, Row.Version};
     }
@@ -74,16 +74,16 @@
 
 void InstanceRows::scanInstances(std::string After) {
   Context_.Tables.scan(InstanceTable, "", std::move(After), PageRows,
-                       [this](platform::ScanResult Result) {
+                       [this](store::ScanResult Result) {
                          Context_.Control.post(
                              [this, Result] { onInstances(Result); });
                        });
 }
 
-void InstanceRows::onInstances(const platform::ScanResult &Result) {
-  if (Result.Outcome != platform::ReadOutcome::Ok)
+void InstanceRows::onInstances(const store::ScanResult &Result) {
+  if (Result.Outcome != store::ReadOutcome::Ok)
     return finish(false);
-  for (const platform::Row &Row : Result.Rows) {
+  for (const store::Row &Row : Result.Rows) {
     try {
       core::Instance I = codec::parseInstance(Row.Value);
       NewVersions_[I.Id] = Row.Version;
--- a/src/entry/InstanceRows.h
+++ b/src/entry/InstanceRows.h
@@ -49,9 +49,9 @@
 
 private:
   void scanLedgers(std::string After);
-  void onLedgers(const platform::ScanResult &Result);
+  void onLedgers(const store::ScanResult &Result);
   void scanInstances(std::string After);
-  void onInstances(const platform::ScanResult &Result);
+  void onInstances(const store::ScanResult &Result);
   void finish(bool Whole);
   void indexPools();
 
--- a/src/entry/Maintenance.cpp
+++ b/src/entry/Maintenance.cpp
@@ -159,7 +159,7 @@
   Context_.Workers.send(std::move(Call), [](auto) {});
 }
 
-core::Instance Maintenance::instanceFrom(const platform::ListedInstance &Item,
+core::Instance Maintenance::instanceFrom(const store::ListedInstance &Item,
                                          core::PoolId Pool,
                                          core::InstanceState S) const {
   core::Instance I;
@@ -182,7 +182,7 @@
 bool Maintenance::adoptListed(const core::Pool &Spare) {
   core::PoolPlan Plan;
   Plan.Ledger = Workers_.rows().ledgerOf(Spare.Id).Ledger;
-  for (const platform::ListedInstance &Item : Workers_.withoutRow()) {
+  for (const store::ListedInstance &Item : Workers_.withoutRow()) {
     if (Plan.Changes.size() >= AdoptedAtOnce)
       break;
     core::Instance I =
@@ -261,12 +261,12 @@
 
 void Maintenance::place(const std::string &Name, core::PoolId Pool,
                         Callback Done) {
-  Context_.Instances.list([this, Name, Pool, Done](platform::ListResult Got) {
+  Context_.Instances.list([this, Name, Pool, Done](store::ListResult Got) {
     Context_.Control.post([this, Name, Pool, Done, Got] {
       auto It = std::find_if(
           Got.Instances.begin(), Got.Instances.end(), [&](const auto &Item) {
             return Item.Name == Name &&
-                   Item.Kind == platform::InstanceKind::Worker;
+                   Item.Kind == store::InstanceKind::Worker;
           });
       if (It == Got.Instances.end())
         return Done({WishOutcome::NotFound,
@@ -276,7 +276,7 @@
   });
 }
 
-void Maintenance::tryPlace(const platform::ListedInstance &Item,
+void Maintenance::tryPlace(const store::ListedInstance &Item,
                            core::PoolId Pool, int TriesLeft, Callback Done) {
   const core::Instance *Present = Workers_.find(Item.Name);
   if (Present && Present->Pool == Pool)
@@ -305,7 +305,7 @@
     return;
   ReadingWaves_ = true;
   Context_.Tables.scan(WaveTable, "", "", PageRows,
-                       [this](platform::ScanResult Result) {
+                       [this](store::ScanResult Result) {
                          Context_.Control.post([this, Result] {
                            ReadingWaves_ = false;
                            onWaves(Result);
@@ -313,12 +313,12 @@
                        });
 }
 
-void Maintenance::onWaves(const platform::ScanResult &Result) {
-  if (Result.Outcome != platform::ReadOutcome::Ok)
+void Maintenance::onWaves(const store::ScanResult &Result) {
+  if (Result.Outcome != store::ReadOutcome::Ok)
     return;
   Waves_.clear();
   WaveVersions_.clear();
-  for (const platform::Row &Row : Result.Rows) {
+  for (const store::Row &Row : Result.Rows) {
     try {
       core::Wave W = codec::parseWave(Row.Value);
       WaveVersions_[W.Id] = Row.Version;
@@ -344,11 +344,11 @@
       continue;
     Known = Row;
     // The latest row counts; one that is lost or late is soon written over.
-    platform::RowKey Key{WaveProgressTable, waveProgressKey(Part.Wave, Pool)};
-    platform::Transaction T{"wave-progress", {}, {{Key, codec::toJson(Row)}}};
+    store::RowKey Key{WaveProgressTable, waveProgressKey(Part.Wave, Pool)};
+    store::Transaction T{"wave-progress", {}, {{Key, codec::toJson(Row)}}};
     Context_.Tables.commit(
         std::move(T), [this, At = std::pair(Part.Wave, Pool)](auto Result) {
-          if (Result.Outcome != platform::CommitOutcome::Committed)
+          if (Result.Outcome != store::CommitOutcome::Committed)
             Context_.Control.post([this, At] { Noted_.erase(At); });
         });
   }
@@ -370,8 +370,8 @@
 }
 
 void Maintenance::writeWave(core::Wave W) {
-  platform::RowKey Key{WaveTable, waveKey(W.Id)};
-  platform::Transaction T{"wave-" + Key.Key,
+  store::RowKey Key{WaveTable, waveKey(W.Id)};
+  store::Transaction T{"wave-" + Key.Key,
                           {{Key, WaveVersions_[W.Id]}},
                           {{Key, codec::toJson(W)}}};
   // Where the write fails, the next step comes to the same end.
@@ -392,7 +392,7 @@
     if (!MayBe)
       continue;
     Context_.Tables.scan(WaveProgressTable, waveKey(Id) + "/", "", PageRows,
-                         [this, Wave = Id](platform::ScanResult Result) {
+                         [this, Wave = Id](store::ScanResult Result) {
                            Context_.Control.post([this, Wave, Result] {
                              onWaveProgress(Wave, Result);
                            });
@@ -401,11 +401,11 @@
 }
 
 void Maintenance::onWaveProgress(core::WaveId Wave,
-                                 const platform::ScanResult &Result) {
-  if (Result.Outcome != platform::ReadOutcome::Ok || !Waves_.contains(Wave))
+                                 const store::ScanResult &Result) {
+  if (Result.Outcome != store::ReadOutcome::Ok || !Waves_.contains(Wave))
     return;
   std::set<core::PoolId> Complete;
-  for (const platform::Row &Row : Result.Rows) {
+  for (const store::Row &Row : Result.Rows) {
     codec::WavePoolRow Part = codec::parseWavePoolRow(Row.Value);
     if (Part.Hold == core::WaveHold::Complete)
       Complete.insert(Part.Pool);
--- a/src/entry/Maintenance.h
+++ b/src/entry/Maintenance.h
@@ -65,7 +65,7 @@
 
 private:
   void readWaves();
-  void onWaves(const platform::ScanResult &Result);
+  void onWaves(const store::ScanResult &Result);
   void stepPool(const core::Pool &P);
   void sendReboots(const core::PoolSnapshot &S);
   void sendReboot(const core::PoolInstance &I);
@@ -73,16 +73,16 @@
   void noteWaves(core::PoolId Pool, std::span<const core::WavePart> Parts);
   void pauseWave(const core::WavePart &Part, core::PoolId Pool);
   void finishWaves();
-  void onWaveProgress(core::WaveId Wave, const platform::ScanResult &Result);
+  void onWaveProgress(core::WaveId Wave, const store::ScanResult &Result);
   void writeWave(core::Wave W);
   void tryDrain(const core::DrainWish &Wish, int TriesLeft, Callback Done);
   void tryReturn(core::WorkerId Id, int TriesLeft, Callback Done);
-  void tryPlace(const platform::ListedInstance &Item, core::PoolId Pool,
+  void tryPlace(const store::ListedInstance &Item, core::PoolId Pool,
                 int TriesLeft, Callback Done);
   void write(core::PoolId Pool, const core::PoolPlan &Plan,
              std::function<void()> Again, Callback Done);
   bool isReady(core::PoolId Pool) const;
-  core::Instance instanceFrom(const platform::ListedInstance &Item,
+  core::Instance instanceFrom(const store::ListedInstance &Item,
                               core::PoolId Pool, core::InstanceState S) const;
 
   Context Context_;
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -69,11 +69,11 @@
   Session S;
   S.Entry = {Context_.Self, Entry.Name, Entry.DataCentre, Entry.PeerListen,
              Entry.Listen};
-  platform::RowKey Key = sessionKey(Context_.Self);
-  platform::Transaction T{"register-" + Key.Key, {}, {{Key, valueOf(S)}}};
-  Context_.Tables.commit(std::move(T), [this](platform::CommitResult Result) {
+  store::RowKey Key = sessionKey(Context_.Self);
+  store::Transaction T{"register-" + Key.Key, {}, {{Key, valueOf(S)}}};
+  Context_.Tables.commit(std::move(T), [this](store::CommitResult Result) {
     Context_.Control.post([this, Outcome = Result.Outcome] {
-      if (Outcome != platform::CommitOutcome::Committed) {
+      if (Outcome != store::CommitOutcome::Committed) {
         LOG(WARNING) << "membership: registration failed, trying again";
         Context_.Control.after(jittered(RegisterRetry, Context_.Random),
                                [this] { registerSelf(); });
@@ -112,7 +112,7 @@
   Reading_ = true;
   core::TimePoint Sent = net::now();
   Context_.Tables.scan(sessionTable(), "", "", MaxSessionRows,
-                       [this, Sent](platform::ScanResult Result) {
+                       [this, Sent](store::ScanResult Result) {
                          Context_.Control.post([this, Sent, Result] {
                            Reading_ = false;
                            onScan(Sent, Result);
@@ -122,7 +122,7 @@
                        });
 }
 
-bool Membership::takeRows(const std::vector<platform::Row> &Rows) {
+bool Membership::takeRows(const std::vector<store::Row> &Rows) {
   try {
     Rows_ = sessionsFrom(Rows);
     return true;
@@ -133,8 +133,8 @@
 }
 
 void Membership::onScan(core::TimePoint Sent,
-                        const platform::ScanResult &Result) {
-  bool Ok = Result.Outcome == platform::ReadOutcome::Ok && !Result.More &&
+                        const store::ScanResult &Result) {
+  bool Ok = Result.Outcome == store::ReadOutcome::Ok && !Result.More &&
             takeRows(Result.Rows);
   if (Ok != (FailedReads_ == 0))
     LOG(WARNING) << "membership: the store is " << (Ok ? "back" : "away");
@@ -190,7 +190,7 @@
 }
 
 void Membership::readList() {
-  Context_.Instances.list([this](platform::ListResult Result) {
+  Context_.Instances.list([this](store::ListResult Result) {
     Context_.Control.post([this, Result] {
       onList(Result);
       Context_.Control.after(jittered(ListEvery, Context_.Random),
@@ -199,12 +199,12 @@
   });
 }
 
-void Membership::onList(const platform::ListResult &Result) {
+void Membership::onList(const store::ListResult &Result) {
   if (!Result.Ok || Leaving_)
     return;
   std::set<std::string> Now;
-  for (const platform::ListedInstance &I : Result.Instances)
-    if (I.Kind == platform::InstanceKind::Entry)
+  for (const store::ListedInstance &I : Result.Instances)
+    if (I.Kind == store::InstanceKind::Entry)
       Now.insert(I.Name);
   for (const auto &[Id, S] : Rows_.Sessions)
     if (Id != Context_.Self && Listed_.contains(S.Entry.Name) &&
@@ -229,11 +229,11 @@
 void Membership::removeRow(core::Incarnation Id) {
   if (!Removing_.insert(Id).second)
     return;
-  platform::RowKey Key = sessionKey(Id);
-  platform::Transaction T{"remove-" + Key.Key,
+  store::RowKey Key = sessionKey(Id);
+  store::Transaction T{"remove-" + Key.Key,
                           {{Key, Rows_.Sessions[Id].RowVersion}},
                           {{Key, std::nullopt}}};
-  Context_.Tables.commit(std::move(T), [this, Id](platform::CommitResult) {
+  Context_.Tables.commit(std::move(T), [this, Id](store::CommitResult) {
     Context_.Control.post([this, Id] { Removing_.erase(Id); });
   });
 }
@@ -265,16 +265,16 @@
   LOG(INFO) << "membership: fencing " << Target->second.Entry.Name;
   Session Fenced = Target->second;
   Fenced.Fenced = true;
-  platform::RowKey Key = sessionKey(Id);
+  store::RowKey Key = sessionKey(Id);
   // Of two that fence each other, one stays.
-  platform::Transaction T{"fence-" + Key.Key,
+  store::Transaction T{"fence-" + Key.Key,
                           {{Key, Fenced.RowVersion},
                            {sessionKey(Context_.Self), Own->second.RowVersion}},
                           {{Key, valueOf(Fenced)}}};
   Context_.Tables.commit(std::move(T), [this, Id, Asked, TriesLeft,
-                                        Done](platform::CommitResult Result) {
+                                        Done](store::CommitResult Result) {
     Context_.Control.post([this, Id, Asked, TriesLeft, Done, Result] {
-      if (Result.Outcome != platform::CommitOutcome::Committed)
+      if (Result.Outcome != store::CommitOutcome::Committed)
         return retryFence(Id, Asked, TriesLeft, Done);
       core::onFenceCommitted(Lease_, Id, net::now());
       awaitFence(Id, Done);
@@ -306,9 +306,9 @@
   Leaving_ = true;
   publish();
   Exchange_.sayGoodbye([this, Done = std::move(Done)] {
-    platform::RowKey Key = sessionKey(Context_.Self);
-    platform::Transaction T{"leave-" + Key.Key, {}, {{Key, std::nullopt}}};
-    Context_.Tables.commit(std::move(T), [this, Done](platform::CommitResult) {
+    store::RowKey Key = sessionKey(Context_.Self);
+    store::Transaction T{"leave-" + Key.Key, {}, {{Key, std::nullopt}}};
+    Context_.Tables.commit(std::move(T), [this, Done](store::CommitResult) {
       Context_.Control.post(Done);
     });
   });
--- a/src/entry/Membership.h
+++ b/src/entry/Membership.h
@@ -76,12 +76,12 @@
   void registerSelf();
   void scheduleRead();
   void read();
-  void onScan(core::TimePoint Sent, const platform::ScanResult &Result);
-  bool takeRows(const std::vector<platform::Row> &Rows);
+  void onScan(core::TimePoint Sent, const store::ScanResult &Result);
+  bool takeRows(const std::vector<store::Row> &Rows);
   void publish();
   void updateMembers();
   void readList();
-  void onList(const platform::ListResult &Result);
+  void onList(const store::ListResult &Result);
   void endReplaced();
   void cleanUp();
   void commitFence(core::Incarnation Id, core::TimePoint Asked, int TriesLeft,
--- a/src/entry/PoolOwnership.cpp
+++ b/src/entry/PoolOwnership.cpp
@@ -30,7 +30,7 @@
 constexpr core::Duration CommitAgain = std::chrono::milliseconds(100);
 constexpr core::Duration LeaveLimit = std::chrono::seconds(2);
 
-platform::RowKey rowOf(core::PoolId Pool) {
+store::RowKey rowOf(core::PoolId Pool) {
   return {PoolTable, std::to_string(Pool.Value)};
 }
 
@@ -47,7 +47,7 @@
   }
   Polling_ = true;
   Context_.Tables.scan(PoolTable, "", "", MaxPools,
-                       [this](platform::ScanResult Result) {
+                       [this](store::ScanResult Result) {
                          Context_.Control.post([this, Result] {
                            Polling_ = false;
                            onScan(Result);
@@ -59,11 +59,11 @@
                        });
 }
 
-void PoolService::onScan(const platform::ScanResult &Result) {
-  if (Result.Outcome != platform::ReadOutcome::Ok)
+void PoolService::onScan(const store::ScanResult &Result) {
+  if (Result.Outcome != store::ReadOutcome::Ok)
     return;
   std::vector<core::PoolId> Changed;
-  for (const platform::Row &Row : Result.Rows) {
+  for (const store::Row &Row : Result.Rows) {
     try {
       codec::OwnershipRow Read = codec::parseOwnership(Row.Value);
       KnownOwner &Known = Owners_[Read.Pool];
@@ -184,19 +184,19 @@
 
 void PoolService::take(core::PoolId Pool, const KnownOwner &Known) {
   writeRow(Pool, Known, Context_.Self,
-           [this](platform::CommitOutcome) { poll(); });
+           [this](store::CommitOutcome) { poll(); });
 }
 
 void PoolService::writeRow(core::PoolId Pool, const KnownOwner &Known,
                            core::Incarnation Owner,
-                           std::function<void(platform::CommitOutcome)> Done) {
+                           std::function<void(store::CommitOutcome)> Done) {
   codec::OwnershipRow Row{Pool, Owner, {Known.Term.Value + 1}};
-  platform::RowKey Key = rowOf(Pool);
-  platform::Transaction T{
+  store::RowKey Key = rowOf(Pool);
+  store::Transaction T{
       "own-" + Key.Key, {{Key, Known.RowVersion}}, {{Key, codec::toJson(Row)}}};
   Writing_.insert(Pool);
   Context_.Tables.commit(std::move(T), [this, Pool, Done = std::move(Done)](
-                                           platform::CommitResult Result) {
+                                           store::CommitResult Result) {
     Context_.Control.post([this, Pool, Done, Outcome = Result.Outcome] {
       Writing_.erase(Pool);
       Done(Outcome);
@@ -294,26 +294,26 @@
   Held.Leaving = true;
   KnownOwner Known{Context_.Self, Held.Pool->state().Term, Held.RowVersion};
   writeRow(Pool, Known, To.Id,
-           [this, Pool, To, Done](platform::CommitOutcome Outcome) {
+           [this, Pool, To, Done](store::CommitOutcome Outcome) {
              onHandOverCommitted(Pool, To, Outcome, Done);
            });
 }
 
 void PoolService::onHandOverCommitted(core::PoolId Pool, const Member &To,
-                                      platform::CommitOutcome Outcome,
+                                      store::CommitOutcome Outcome,
                                       const std::function<void()> &Done) {
   switch (Outcome) {
-  case platform::CommitOutcome::Committed:
+  case store::CommitOutcome::Committed:
     return sendHandOver(Pool, To, Done);
-  case platform::CommitOutcome::NotApplied:
+  case store::CommitOutcome::NotApplied:
     Owned_[Pool].Leaving = false;
     return Done();
-  case platform::CommitOutcome::Conflict:
+  case store::CommitOutcome::Conflict:
     // The lost write before it, or another's, was applied.
     disown(Pool);
     poll();
     return Done();
-  case platform::CommitOutcome::Unknown:
+  case store::CommitOutcome::Unknown:
     // The same condition once more: one of the two writes at most applies.
     Context_.Control.after(CommitAgain, [this, Pool, To, Done] {
       commitHandOver(Pool, To, Done);
--- a/src/entry/PoolService.h
+++ b/src/entry/PoolService.h
@@ -100,7 +100,7 @@
   // Ownership.
   void startWatching();
   void poll();
-  void onScan(const platform::ScanResult &Result);
+  void onScan(const store::ScanResult &Result);
   void considerAll();
   void consider(const core::Pool &P);
   void considerMoving(core::PoolId Pool, Holding &Held,
@@ -112,7 +112,7 @@
   void take(core::PoolId Pool, const KnownOwner &Known);
   void writeRow(core::PoolId Pool, const KnownOwner &Known,
                 core::Incarnation Owner,
-                std::function<void(platform::CommitOutcome)> Done);
+                std::function<void(store::CommitOutcome)> Done);
   void own(core::PoolId Pool, const KnownOwner &Known);
   void disown(core::PoolId Pool);
   void probeMembers();
@@ -124,7 +124,7 @@
   void commitHandOver(core::PoolId Pool, const Member &To,
                       std::function<void()> Done);
   void onHandOverCommitted(core::PoolId Pool, const Member &To,
-                           platform::CommitOutcome Outcome,
+                           store::CommitOutcome Outcome,
                            const std::function<void()> &Done);
   void sendHandOver(core::PoolId Pool, const Member &To,
                     std::function<void()> Done);
--- a/src/entry/PoolWriter.cpp
+++ b/src/entry/PoolWriter.cpp
@@ -18,7 +18,7 @@
 constexpr core::Duration SettleEvery = std::chrono::milliseconds(500);
 
 /// Whether the row names \p Self as the pool's owner.
-bool namesOwner(const std::optional<platform::Row> &Row,
+bool namesOwner(const std::optional<store::Row> &Row,
                 core::Incarnation Self) {
   if (!Row)
     return false;
@@ -40,7 +40,7 @@
     if (!core::takesWork(I.State))
       Workers_.hold(I.Id);
   Context_.Tables.read(
-      {OwnerTable, poolKey(Pool)}, [this, A](platform::ReadResult Result) {
+      {OwnerTable, poolKey(Pool)}, [this, A](store::ReadResult Result) {
         Context_.Control.post([this, A, Result] { onOwnerRow(A, Result); });
       });
 }
@@ -55,7 +55,7 @@
   A->Transaction.Id = A->Change;
   std::set<core::PoolId> Joined;
   for (const core::InstanceChange &C : Plan.Changes) {
-    platform::RowKey Key{InstanceTable, C.After.Name};
+    store::RowKey Key{InstanceTable, C.After.Name};
     A->Transaction.Conditions.push_back(
         {Key, Workers_.rows().versionOf(C.After.Id)});
     A->Transaction.Writes.push_back({Key, codec::toJson(C.After)});
@@ -73,7 +73,7 @@
 }
 
 void PoolWriter::addLedger(Attempt &A, core::BudgetLedger Ledger) {
-  platform::RowKey Key{BudgetTable, poolKey(Ledger.Pool)};
+  store::RowKey Key{BudgetTable, poolKey(Ledger.Pool)};
   A.Transaction.Conditions.push_back(
       {Key, Workers_.rows().ledgerOf(Ledger.Pool).Version});
   A.Transaction.Writes.push_back({Key, codec::toJson({Ledger, A.Change})});
@@ -81,30 +81,30 @@
 }
 
 void PoolWriter::onOwnerRow(const AttemptPtr &A,
-                            const platform::ReadResult &Result) {
-  if (Result.Outcome != platform::ReadOutcome::Ok)
+                            const store::ReadResult &Result) {
+  if (Result.Outcome != store::ReadOutcome::Ok)
     return end(A, WriteOutcome::StoreAway);
   if (!namesOwner(Result.Found, Context_.Self))
     return end(A, WriteOutcome::NotOwner);
   A->Transaction.Conditions.push_back(
       {{OwnerTable, poolKey(A->Pool)}, Result.Found->Version});
   Context_.Tables.commit(
-      A->Transaction, [this, A](platform::CommitResult Committed) {
+      A->Transaction, [this, A](store::CommitResult Committed) {
         Context_.Control.post([this, A, Committed] { onCommit(A, Committed); });
       });
 }
 
 void PoolWriter::onCommit(const AttemptPtr &A,
-                          const platform::CommitResult &Result) {
+                          const store::CommitResult &Result) {
   switch (Result.Outcome) {
-  case platform::CommitOutcome::Committed:
+  case store::CommitOutcome::Committed:
     applyHere(*A, Result.Versions);
     return end(A, WriteOutcome::Written);
-  case platform::CommitOutcome::Conflict:
+  case store::CommitOutcome::Conflict:
     return end(A, WriteOutcome::Conflict);
-  case platform::CommitOutcome::NotApplied:
+  case store::CommitOutcome::NotApplied:
     return end(A, WriteOutcome::StoreAway);
-  case platform::CommitOutcome::Unknown:
+  case store::CommitOutcome::Unknown:
     break;
   }
   LOG(WARNING) << "fleet: answer lost for pool " << A->Pool.Value;
@@ -127,32 +127,32 @@
 /// Rewrites the ledger as it was before, under the version that the lost write
 /// needs: once that has an answer, the lost write has applied or never will.
 void PoolWriter::settle(const AttemptPtr &A) {
-  platform::RowKey Key{BudgetTable, poolKey(A->Pool)};
+  store::RowKey Key{BudgetTable, poolKey(A->Pool)};
   KnownLedger Before = Workers_.rows().ledgerOf(A->Pool);
-  platform::Transaction T;
+  store::Transaction T;
   T.Id = "settle-" + A->Change;
   T.Conditions.push_back({Key, A->LedgerVersion});
   T.Writes.push_back({Key, codec::toJson({Before.Ledger, T.Id})});
   Context_.Tables.commit(std::move(T), [this,
-                                        A](platform::CommitResult Result) {
+                                        A](store::CommitResult Result) {
     Context_.Control.post([this, A, Result] { onSettled(A, Result.Outcome); });
   });
 }
 
 void PoolWriter::onSettled(const AttemptPtr &A,
-                           platform::CommitOutcome Outcome) {
-  if (Outcome == platform::CommitOutcome::Committed)
+                           store::CommitOutcome Outcome) {
+  if (Outcome == store::CommitOutcome::Committed)
     return end(A, WriteOutcome::StoreAway);
-  if (Outcome == platform::CommitOutcome::Conflict)
+  if (Outcome == store::CommitOutcome::Conflict)
     return readBack(A);
   Context_.Control.after(SettleEvery, [this, A] { settle(A); });
 }
 
 void PoolWriter::readBack(const AttemptPtr &A) {
-  platform::RowKey Key{BudgetTable, poolKey(A->Pool)};
-  Context_.Tables.read(Key, [this, A](platform::ReadResult Result) {
+  store::RowKey Key{BudgetTable, poolKey(A->Pool)};
+  Context_.Tables.read(Key, [this, A](store::ReadResult Result) {
     Context_.Control.post([this, A, Result] {
-      if (Result.Outcome != platform::ReadOutcome::Ok) {
+      if (Result.Outcome != store::ReadOutcome::Ok) {
         Context_.Control.after(SettleEvery, [this, A] { readBack(A); });
         return;
       }
--- a/src/entry/PoolWriter.h
+++ b/src/entry/PoolWriter.h
@@ -44,7 +44,7 @@
     core::PoolPlan Plan;
     std::string Change;
     std::uint64_t LedgerVersion = 0;
-    platform::Transaction Transaction;
+    store::Transaction Transaction;
     /// The rows of the transaction's writes that are instances.
     std::vector<core::Instance> Rows;
     std::vector<core::BudgetLedger> Ledgers;
@@ -54,11 +54,11 @@
 
   AttemptPtr prepare(core::PoolId Pool, const core::PoolPlan &Plan);
   void addLedger(Attempt &A, core::BudgetLedger Ledger);
-  void onOwnerRow(const AttemptPtr &A, const platform::ReadResult &Result);
-  void onCommit(const AttemptPtr &A, const platform::CommitResult &Result);
+  void onOwnerRow(const AttemptPtr &A, const store::ReadResult &Result);
+  void onCommit(const AttemptPtr &A, const store::CommitResult &Result);
   void applyHere(const Attempt &A, std::span<const std::uint64_t> Versions);
   void settle(const AttemptPtr &A);
-  void onSettled(const AttemptPtr &A, platform::CommitOutcome Outcome);
+  void onSettled(const AttemptPtr &A, store::CommitOutcome Outcome);
   void readBack(const AttemptPtr &A);
   void end(const AttemptPtr &A, WriteOutcome Outcome);
 
--- a/src/entry/Sessions.cpp
+++ b/src/entry/Sessions.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char *HeadRow = "head";
 
-Session sessionFrom(const platform::Row &Row) {
+Session sessionFrom(const store::Row &Row) {
   std::optional<core::Incarnation> Id = core::incarnationFrom(Row.Key);
   if (!Id)
     throw std::runtime_error("a session row has the key '" + Row.Key + "'");
@@ -35,15 +35,15 @@
 
 const char *sessionTable() { return "sessions"; }
 
-platform::RowKey sessionKey(core::Incarnation Id) {
+store::RowKey sessionKey(core::Incarnation Id) {
   return {sessionTable(), core::nameOf(Id)};
 }
 
-platform::RowKey headKey() { return {sessionTable(), HeadRow}; }
+store::RowKey headKey() { return {sessionTable(), HeadRow}; }
 
-SessionRows sessionsFrom(std::span<const platform::Row> Rows) {
+SessionRows sessionsFrom(std::span<const store::Row> Rows) {
   SessionRows Read;
-  for (const platform::Row &Row : Rows) {
+  for (const store::Row &Row : Rows) {
     if (Row.Key == HeadRow) {
       Read.Head = headFrom(Row);
       continue;
@@ -54,7 +54,7 @@
   return Read;
 }
 
-LogHead headFrom(const platform::Row &Row) {
+LogHead headFrom(const store::Row &Row) {
   json J = json::parse(Row.Value);
   LogHead Head;
   Head.Version.Value = J.at("version").get<std::uint64_t>();
--- a/src/entry/Sessions.h
+++ b/src/entry/Sessions.h
@@ -2,7 +2,7 @@
 #define COMFREYDECK_ENTRY_SESSIONS_H
 
 #include "core/ServingLease.h"
-#include "platform/TableService.h"
+#include "store/TableService.h"
 
 #include <map>
 
@@ -48,13 +48,13 @@
 constexpr std::uint32_t MaxSessionRows = 1000;
 
 const char *sessionTable();
-platform::RowKey sessionKey(core::Incarnation Id);
-platform::RowKey headKey();
+store::RowKey sessionKey(core::Incarnation Id);
+store::RowKey headKey();
 
 /// Each throws std::runtime_error or a JSON error where a row has another
 /// shape. Thread-safe.
-SessionRows sessionsFrom(std::span<const platform::Row> Rows);
-LogHead headFrom(const platform::Row &Row);
+SessionRows sessionsFrom(std::span<const store::Row> Rows);
+LogHead headFrom(const store::Row &Row);
 std::string valueOf(const Session &S);
 std::string valueOf(const LogHead &Head);
 
--- a/src/entry/UnresolvedStore.cpp
+++ b/src/entry/UnresolvedStore.cpp
@@ -30,11 +30,11 @@
 void UnresolvedStore::list(
     std::function<void(std::optional<std::vector<codec::UnresolvedRow>>)>
         Done) {
-  auto OnScan = [Done = std::move(Done)](const platform::ScanResult &Result) {
-    if (Result.Outcome != platform::ReadOutcome::Ok)
+  auto OnScan = [Done = std::move(Done)](const store::ScanResult &Result) {
+    if (Result.Outcome != store::ReadOutcome::Ok)
       return Done(std::nullopt);
     std::vector<codec::UnresolvedRow> Open;
-    for (const platform::Row &Row : Result.Rows) {
+    for (const store::Row &Row : Result.Rows) {
       codec::UnresolvedRow Parsed = codec::parseUnresolvedRow(Row.Value);
       if (Parsed.State == "open")
         Open.push_back(std::move(Parsed));
@@ -42,7 +42,7 @@
     Done(std::move(Open));
   };
   Context_.Tables.scan(UnresolvedTable, "", "", MostListed,
-                       [this, OnScan](const platform::ScanResult &Result) {
+                       [this, OnScan](const store::ScanResult &Result) {
                          Context_.Control.post(
                              [OnScan, Result] { OnScan(Result); });
                        });
@@ -53,17 +53,17 @@
                               std::function<void(ResolveOutcome)> Done) {
   Context_.Tables.read({UnresolvedTable, core::nameOf(Id)},
                        [this, Ran, By = std::move(By), Done = std::move(Done)](
-                           const platform::ReadResult &Found) {
+                           const store::ReadResult &Found) {
                          Context_.Control.post([this, Found, Ran, By, Done] {
                            onRead(Found, Ran, By, Done);
                          });
                        });
 }
 
-void UnresolvedStore::onRead(const platform::ReadResult &Found, bool Ran,
+void UnresolvedStore::onRead(const store::ReadResult &Found, bool Ran,
                              const std::string &By,
                              const std::function<void(ResolveOutcome)> &Done) {
-  if (Found.Outcome != platform::ReadOutcome::Ok)
+  if (Found.Outcome != store::ReadOutcome::Ok)
     return Done(ResolveOutcome::Unavailable);
   if (!Found.Found)
     return Done(ResolveOutcome::NotFound);
@@ -76,9 +76,9 @@
                   Found.Found->Version,
                   codec::toJson(Row),
                   [this, Row, Done](RowWriteResult Result) {
-                    if (Result.Outcome == platform::CommitOutcome::Conflict)
+                    if (Result.Outcome == store::CommitOutcome::Conflict)
                       return Done(ResolveOutcome::Conflict);
-                    if (Result.Outcome != platform::CommitOutcome::Committed)
+                    if (Result.Outcome != store::CommitOutcome::Committed)
                       return Done(ResolveOutcome::Unavailable);
                     resolveClaim(Row);
                     Done(ResolveOutcome::Resolved);
@@ -89,15 +89,15 @@
   if (Row.ClaimKey.empty())
     return;
   Context_.Tables.read({ClaimTable, Row.ClaimKey},
-                       [this, Row](const platform::ReadResult &Found) {
+                       [this, Row](const store::ReadResult &Found) {
                          Context_.Control.post(
                              [this, Row, Found] { onClaimRead(Row, Found); });
                        });
 }
 
 void UnresolvedStore::onClaimRead(const codec::UnresolvedRow &Row,
-                                  const platform::ReadResult &Found) {
-  if (Found.Outcome != platform::ReadOutcome::Ok)
+                                  const store::ReadResult &Found) {
+  if (Found.Outcome != store::ReadOutcome::Ok)
     return Context_.Control.after(ReadAgainAfter,
                                   [this, Row] { resolveClaim(Row); });
   if (!Found.Found)
--- a/src/entry/UnresolvedStore.h
+++ b/src/entry/UnresolvedStore.h
@@ -37,12 +37,12 @@
                std::function<void(ResolveOutcome)> Done);
 
 private:
-  void onRead(const platform::ReadResult &Found, bool Ran,
+  void onRead(const store::ReadResult &Found, bool Ran,
               const std::string &By,
               const std::function<void(ResolveOutcome)> &Done);
   void resolveClaim(const codec::UnresolvedRow &Row);
   void onClaimRead(const codec::UnresolvedRow &Row,
-                   const platform::ReadResult &Found);
+                   const store::ReadResult &Found);
 
   Context Context_;
   WriteBatcher &Writes_;
--- a/src/entry/WriteBatcher.cpp
+++ b/src/entry/WriteBatcher.cpp
@@ -19,7 +19,7 @@
   ++Open_;
   if (Waiting_.size() >= Options_.MostWaiting)
     return Context_.Control.post([this, Write = std::move(Write)] {
-      finish(Write, {platform::CommitOutcome::NotApplied, 0});
+      finish(Write, {store::CommitOutcome::NotApplied, 0});
     });
   Waiting_.push_back(std::move(Write));
   if (Waiting_.size() >= Options_.MostRows)
@@ -31,8 +31,8 @@
 void WriteBatcher::submitUntilDone(RowWrite Write) {
   auto Kept = std::make_shared<RowWrite>(Write);
   Write.Done = [this, Kept](RowWriteResult Result) {
-    bool IsOpen = Result.Outcome == platform::CommitOutcome::NotApplied ||
-                  Result.Outcome == platform::CommitOutcome::Unknown;
+    bool IsOpen = Result.Outcome == store::CommitOutcome::NotApplied ||
+                  Result.Outcome == store::CommitOutcome::Unknown;
     if (!IsOpen)
       return Kept->Done(Result);
     ++Open_;
@@ -63,7 +63,7 @@
 /// hold, and both would be told that they were first.
 WriteBatcher::Batch WriteBatcher::takeBatch() {
   Batch Taken;
-  std::set<platform::RowKey> Rows;
+  std::set<store::RowKey> Rows;
   std::deque<RowWrite> Left;
   while (!Waiting_.empty() && Taken.size() < Options_.MostRows) {
     RowWrite Write = std::move(Waiting_.front());
@@ -79,7 +79,7 @@
 }
 
 void WriteBatcher::send(Batch Writes) {
-  platform::Transaction T;
+  store::Transaction T;
   T.Id = core::nameOf(core::DemandId{Context_.Self, NextId_++});
   for (const RowWrite &Write : Writes) {
     T.Conditions.push_back({Write.Row, Write.Expected});
@@ -88,7 +88,7 @@
   ++Flying_;
   auto Kept = std::make_shared<Batch>(std::move(Writes));
   Context_.Tables.commit(std::move(T),
-                         [this, Kept](const platform::CommitResult &Result) {
+                         [this, Kept](const store::CommitResult &Result) {
                            Context_.Control.post([this, Kept, Result] {
                              --Flying_;
                              onCommitted(std::move(*Kept), Result);
@@ -98,17 +98,17 @@
 }
 
 void WriteBatcher::onCommitted(Batch Writes,
-                               const platform::CommitResult &Result) {
-  bool IsCommitted = Result.Outcome == platform::CommitOutcome::Committed &&
+                               const store::CommitResult &Result) {
+  bool IsCommitted = Result.Outcome == store::CommitOutcome::Committed &&
                      Result.Versions.size() == Writes.size();
-  if (Result.Outcome == platform::CommitOutcome::Conflict && Writes.size() > 1)
+  if (Result.Outcome == store::CommitOutcome::Conflict && Writes.size() > 1)
     return split(std::move(Writes));
   for (std::size_t N = 0; N < Writes.size(); ++N) {
     RowWriteResult Each{Result.Outcome, 0};
     if (IsCommitted)
       Each.Version = Result.Versions[N];
-    else if (Result.Outcome == platform::CommitOutcome::Committed)
-      Each.Outcome = platform::CommitOutcome::Unknown;
+    else if (Result.Outcome == store::CommitOutcome::Committed)
+      Each.Outcome = store::CommitOutcome::Unknown;
     finish(Writes[N], Each);
   }
 }
--- a/src/entry/WriteBatcher.h
+++ b/src/entry/WriteBatcher.h
@@ -8,14 +8,14 @@
 namespace comfreydeck::entry {
 
 struct RowWriteResult {
-  platform::CommitOutcome Outcome = platform::CommitOutcome::NotApplied;
+  store::CommitOutcome Outcome = store::CommitOutcome::NotApplied;
   /// The version written; only when committed.
   std::uint64_t Version = 0;
 };
 
 /// A conditional write of one row.
 struct RowWrite {
-  platform::RowKey Row;
+  store::RowKey Row;
   /// Zero: the row must be absent.
   std::uint64_t Expected = 0;
   std::string Value;
@@ -57,7 +57,7 @@
   void flush();
   Batch takeBatch();
   void send(Batch Writes);
-  void onCommitted(Batch Writes, const platform::CommitResult &Result);
+  void onCommitted(Batch Writes, const store::CommitResult &Result);
   void split(Batch Writes);
   void finish(const RowWrite &Write, RowWriteResult Result);
 
--- /dev/null
+++ b/src/jobs/Job.cpp
@@ -0,0 +1,58 @@
+#include "jobs/Job.h"
+
+namespace comfreydeck::jobs {
+
+namespace {
+
+constexpr std::size_t IdDigits = 16;
+/// Bound of the interface.
+constexpr std::size_t MaxPayloadBytes = 4000;
+/// Keeps one job's state small; far above any real job.
+constexpr std::uint32_t MaxSteps = 64;
+constexpr std::uint32_t MaxTasks = 20000;
+
+bool isHexId(const std::string &Id) {
+  return Id.size() == IdDigits &&
+         Id.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+}
+
+std::string stepFault(const JobSpec &Spec, std::size_t Number) {
+  const StepSpec &Step = Spec.Steps[Number];
+  std::string Where = "step " + std::to_string(Number);
+  if (Step.Tasks == 0)
+    return Where + " has no tasks";
+  for (std::uint32_t Earlier : Step.After)
+    if (Earlier >= Number)
+      return Where + " waits for a step that is not earlier";
+  return "";
+}
+
+} // namespace
+
+std::uint32_t tasksPerOccurrence(const JobSpec &Spec) {
+  std::uint32_t Count = 0;
+  for (const StepSpec &Step : Spec.Steps)
+    Count += Step.Tasks;
+  return Count;
+}
+
+std::string faultOf(const JobSpec &Spec) {
+  if (!isHexId(Spec.Id))
+    return "the id is not 16 hexadecimal digits";
+  if (Spec.Payload.size() > MaxPayloadBytes)
+    return "the task's text is longer than 4000 bytes";
+  if (Spec.Steps.empty() || Spec.Steps.size() > MaxSteps)
+    return "a job has from 1 to 64 steps";
+  std::uint64_t Tasks = 0;
+  for (std::size_t N = 0; N < Spec.Steps.size(); ++N) {
+    std::string Fault = stepFault(Spec, N);
+    if (!Fault.empty())
+      return Fault;
+    Tasks += Spec.Steps[N].Tasks;
+  }
+  if (Tasks * occurrences(Spec) > MaxTasks)
+    return "the job has more than 20000 tasks";
+  return "";
+}
+
+} // namespace comfreydeck::jobs
--- /dev/null
+++ b/src/jobs/OwnerChoice.cpp
@@ -0,0 +1,72 @@
+#include "jobs/OwnerChoice.h"
+
+#include <algorithm>
+#include <functional>
+#include <tuple>
+
+namespace comfreydeck::jobs {
+
+namespace {
+
+const EntryView *findLiving(std::span<const EntryView> Living,
+                            const std::string &Name) {
+  for (const EntryView &Entry : Living)
+    if (Entry.Name == Name)
+      return &Entry;
+  return nullptr;
+}
+
+} // namespace
+
+bool isAlive(const EntryView &Entry, core::TimePoint Now,
+             core::Duration DeadAfter) {
+  return !Entry.Leaving && Now - Entry.ChangedAt < DeadAfter;
+}
+
+std::vector<std::string> poolsToTake(const std::string &Me,
+                                     std::span<const EntryView> Entries,
+                                     std::span<const PoolView> Pools,
+                                     core::TimePoint Now,
+                                     core::Duration DeadAfter) {
+  std::vector<EntryView> Living;
+  for (const EntryView &Entry : Entries)
+    if (isAlive(Entry, Now, DeadAfter))
+      Living.push_back(Entry);
+  std::map<std::string, std::uint32_t> Owned;
+  std::vector<const PoolView *> Orphans;
+  for (const PoolView &Pool : Pools) {
+    const EntryView *Owner = findLiving(Living, Pool.OwnerName);
+    if (Owner && Owner->Life == Pool.OwnerLife)
+      ++Owned[Owner->Name];
+    else
+      Orphans.push_back(&Pool);
+  }
+  std::sort(Orphans.begin(), Orphans.end(),
+            [](const PoolView *A, const PoolView *B) {
+              return A->Pool < B->Pool;
+            });
+  std::vector<std::string> Mine;
+  for (const PoolView *Pool : Orphans) {
+    const EntryView *Taker = findLiving(Living, Pool->OwnerName);
+    if (!Taker) {
+      auto Rank = [&](const EntryView &Entry) {
+        std::size_t Spread = std::hash<std::string>()(Pool->Pool + Entry.Name);
+        return std::make_tuple(Owned[Entry.Name], Spread, Entry.Name);
+      };
+      auto Best = std::min_element(
+          Living.begin(), Living.end(),
+          [&](const EntryView &A, const EntryView &B) {
+            return Rank(A) < Rank(B);
+          });
+      Taker = Best == Living.end() ? nullptr : &*Best;
+    }
+    if (!Taker)
+      continue;
+    ++Owned[Taker->Name];
+    if (Taker->Name == Me)
+      Mine.push_back(Pool->Pool);
+  }
+  return Mine;
+}
+
+} // namespace comfreydeck::jobs
--- /dev/null
+++ b/src/jobs/OwnerChoice.h
@@ -0,0 +1,56 @@
+#ifndef COMFREYDECK_JOBS_OWNERCHOICE_H
+#define COMFREYDECK_JOBS_OWNERCHOICE_H
+
+#include "core/Types.h"
+
+#include <map>
+#include <span>
+#include <string>
+#include <vector>
+
+/// Which entry takes which pool that has no owner.
+namespace comfreydeck::jobs {
+
+/// One entry, as the others see it.
+struct EntryView {
+  std::string Name;
+  /// Tells its processes apart.
+  std::string Life;
+  /// IP number and port for the other entries.
+  std::string PeerAddress;
+  std::string DataCentre;
+  /// Gives its pools away.
+  bool Leaving = false;
+  /// Version of its row; rises with each sign of life.
+  std::uint64_t Version = 0;
+  /// When its sign of life was last seen to change.
+  core::TimePoint ChangedAt;
+};
+
+/// One pool's owner as it is stored.
+struct PoolView {
+  std::string Pool;
+  /// Empty: none.
+  std::string OwnerName;
+  std::string OwnerLife;
+  /// Version of the owner's row; zero: there is no row.
+  std::uint64_t Version = 0;
+};
+
+/// Whether the entry counts as alive. Thread-safe.
+bool isAlive(const EntryView &Entry, core::TimePoint Now,
+             core::Duration DeadAfter);
+
+/// The pools without a living owner that \p Me should take: each goes to the
+/// entry that owned it before its process was started anew, else to the one
+/// with the fewest pools. Every entry finds the same from the same views.
+/// Thread-safe.
+std::vector<std::string> poolsToTake(const std::string &Me,
+                                     std::span<const EntryView> Entries,
+                                     std::span<const PoolView> Pools,
+                                     core::TimePoint Now,
+                                     core::Duration DeadAfter);
+
+} // namespace comfreydeck::jobs
+
+#endif // COMFREYDECK_JOBS_OWNERCHOICE_H
--- /dev/null
+++ b/src/jobs/PoolState.h
@@ -0,0 +1,338 @@
+#ifndef COMFREYDECK_JOBS_POOLSTATE_H
+#define COMFREYDECK_JOBS_POOLSTATE_H
+
+#include "jobs/FleetConfig.h"
+#include "jobs/Worker.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <span>
+#include <unordered_map>
+
+namespace comfreydeck::jobs {
+
+/// Bits of a run's number that count the starts of one owner; the token above
+/// them makes numbers rise from owner to owner, within 53 bits for JSON.
+inline constexpr std::uint32_t RunCounterBits = 22;
+
+/// Bounds of one owner's orders.
+struct OwnerLimits {
+  /// Lease that each order gives everything on a worker: long enough to
+  /// survive the loss of an owner, short enough to restart work of a worker
+  /// that was cut off.
+  core::Duration Lease = std::chrono::milliseconds(5000);
+  /// How much slower a worker's clock may run (bound of the platform).
+  double ClockDrift = 0.02;
+  /// Longest time that an earlier owner's orders may keep a run alive.
+  core::Duration Authority = std::chrono::milliseconds(8000);
+  /// How long a worker holds a report back while nothing ends.
+  core::Duration ReportWait = std::chrono::milliseconds(800);
+  /// Pause after a report with ends, so that the next one brings several.
+  core::Duration ReportPause = std::chrono::milliseconds(25);
+  /// Pause after a report that failed.
+  core::Duration ReportRetry = std::chrono::milliseconds(250);
+  /// How long a worker that refused an order gets no other.
+  core::Duration RefusalPause = std::chrono::milliseconds(700);
+  /// How long a worker is avoided whose runs fail.
+  core::Duration Quarantine = std::chrono::milliseconds(6000);
+  /// Failed runs in a row, of more than one job, that quarantine a worker.
+  std::uint32_t QuarantineFailures = 2;
+  /// Jobs accepted that much after a takeover are unknown to earlier owners.
+  core::Duration NewJobAge = std::chrono::milliseconds(2500);
+};
+
+/// Starts one run.
+struct StartOrder {
+  std::string Worker;
+  TaskRef Task;
+  RunId Run = 0;
+  std::string Payload;
+  std::string Checkpoint;
+  std::string Ticket;
+  std::int64_t DeadlineMs = 0;
+};
+
+/// Ends one run; also forbids one that has not arrived yet.
+struct StopOrder {
+  std::string Worker;
+  TaskRef Task;
+  RunId Run = 0;
+};
+
+/// Extends the lease of all runs of a worker and asks for its report.
+struct HoldOrder {
+  std::string Worker;
+  /// Zero: extends nothing.
+  std::int64_t DeadlineMs = 0;
+  /// Ends up to this number are noted and may be forgotten.
+  std::uint64_t NotedUpTo = 0;
+  core::Duration Wait{0};
+};
+
+struct Orders {
+  std::vector<StartOrder> Starts;
+  std::vector<StopOrder> Stops;
+  std::vector<HoldOrder> Holds;
+};
+
+/// What one planning decides from.
+struct PlanInput {
+  core::TimePoint Now;
+  /// Time of day, in Unix milliseconds.
+  std::int64_t WallMs = 0;
+  /// Nothing may be ordered for longer than this.
+  core::TimePoint AuthorityEnd;
+  /// Whether runs may be started; reports go on anyway.
+  bool MayStart = true;
+};
+
+/// One job's progress to be stored.
+struct ProgressWrite {
+  std::string JobId;
+  JobProgress Progress;
+};
+
+/// What is to be stored next, and the mark to hand back once it is.
+struct ProgressBatch {
+  std::uint64_t Mark = 0;
+  std::vector<ProgressWrite> Writes;
+};
+
+/// One live run of a task.
+struct LiveRun {
+  RunId Run = 0;
+  std::string Worker;
+  /// The start was answered or reported.
+  bool Confirmed = false;
+  /// A stop was ordered.
+  bool Stopping = false;
+  bool StopInFlight = false;
+  core::TimePoint OrderedAt;
+  core::TimePoint ConfirmedAt;
+  core::TimePoint StopAt;
+  std::uint32_t Percent = 0;
+  double Load = 0;
+};
+
+struct TaskState {
+  TaskProgress Kept;
+  std::vector<LiveRun> Runs;
+  /// Not before this time again.
+  core::TimePoint NotBefore;
+  /// Worker on which the last run failed.
+  std::string FailedOn;
+};
+
+struct JobRecord {
+  JobSpec Spec;
+  std::vector<TaskState> Tasks;
+  /// First task of each step within an occurrence.
+  std::vector<std::uint32_t> StepBegin;
+  /// Tasks not yet done, by occurrence and step.
+  std::vector<std::uint32_t> Undone;
+  JobState Now = JobState::Queued;
+  /// The state that is stored; final states are shown only then.
+  JobState Stored = JobState::Queued;
+  bool Started = false;
+  core::TimePoint KnownSince;
+  /// An earlier owner may have started it.
+  bool Inherited = false;
+  /// Place in the queue of changes; zero: not in it.
+  std::uint64_t FirstTouch = 0;
+};
+
+/// What an owner knows of one worker.
+struct WorkerState {
+  WorkerEntry Entry;
+  /// Its entry is gone from the list.
+  bool Gone = false;
+  core::TimePoint GoneAt;
+  /// Heard since this owner took the pool.
+  bool Heard = false;
+  std::int64_t Born = 0;
+  std::int64_t ClockMs = 0;
+  core::TimePoint ClockAt;
+  /// Latest lease end that was ordered, on the worker's clock.
+  std::int64_t DeadlineMs = 0;
+  /// Ends handled so far in this life.
+  std::uint64_t Handled = 0;
+  /// Ends handled and the mark with which each is stored, in order.
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> Unstored;
+  /// Ends that are stored.
+  std::uint64_t Noted = 0;
+  /// What the worker was told of \ref Noted.
+  std::uint64_t NotedTold = 0;
+  /// Runs there of jobs that this owner doesn't know.
+  std::uint32_t UnknownRuns = 0;
+  core::Resources Used;
+  std::uint32_t Serving = 0;
+  std::uint32_t Filling = 0;
+  /// Tasks with a run there.
+  std::set<std::pair<JobRecord *, std::uint32_t>> Tasks;
+  bool HoldInFlight = false;
+  core::TimePoint NextHold;
+  core::TimePoint AvoidUntil;
+  std::uint32_t FailuresInRow = 0;
+  std::string LastFailedJob;
+  /// Taken out for maintenance: gets nothing new.
+  bool Closed = false;
+};
+
+/// Counters of one pool, for metrics and logs.
+struct PoolCounters {
+  std::uint64_t Starts = 0;
+  std::uint64_t Done = 0;
+  std::uint64_t Failed = 0;
+  std::uint64_t Lapsed = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Uncertain = 0;
+  std::uint64_t UnexpectedRuns = 0;
+};
+
+/// Run times of one queue's tasks.
+struct RunTimes {
+  std::uint32_t Samples = 0;
+  /// Moving mean, in milliseconds.
+  double MeanMs = 0;
+};
+
+/// All that the owner of one pool knows and decides. Does no I/O: events go in,
+/// orders come out. Not thread-safe.
+class PoolState {
+public:
+  /// \p Token fences earlier owners; \p TakenAt is when the pool was taken.
+  PoolState(std::string Pool, std::uint64_t Token, core::TimePoint TakenAt,
+            OwnerLimits Limits);
+
+  /// Takes a job up that is new; does nothing if it is known.
+  void addJob(const JobSpec &Spec, core::TimePoint Now);
+  /// Takes up a job that earlier owners knew; null: nothing of it is done.
+  void inheritJob(const JobSpec &Spec, const JobProgress *Kept,
+                  core::TimePoint Now);
+  void cancelJob(const std::string &Id);
+  /// Forgets finished jobs that were accepted before \p AcceptedBeforeMs.
+  void dropFinished(std::int64_t AcceptedBeforeMs);
+
+  /// The workers listed for this pool now.
+  void setWorkers(std::span<const WorkerEntry> Entries, core::TimePoint Now);
+  /// A worker whose entry went shortly before the takeover: it may run what an
+  /// earlier owner started.
+  void addVanished(const WorkerEntry &Entry, core::TimePoint Now);
+  void setConfig(std::shared_ptr<const FleetConfig> Config);
+  /// Data centres that get nothing new.
+  void setClosedDataCentres(std::set<std::string> Names);
+  /// Workers that are about to be taken out.
+  void setClosedWorkers(const std::set<std::string> &Ids);
+  /// What each team may have running in this pool; teams without an entry have
+  /// no bound.
+  void setTeamRoom(std::map<std::string, core::Resources> Room);
+
+  void onStart(const StartOrder &Order, const OrderResult &Result,
+               core::TimePoint Now);
+  void onStop(const StopOrder &Order, const OrderResult &Result,
+              core::TimePoint Now);
+  /// \p SentAt is when the order went out.
+  void onReport(const HoldOrder &Order, const ReportResult &Result,
+                core::TimePoint SentAt, core::TimePoint Now);
+
+  /// What has changed since the last call and is not stored yet.
+  ProgressBatch takeChanges(std::size_t Most);
+  /// The batches up to that mark are stored.
+  void onStored(std::uint64_t Mark);
+
+  /// Decides what to order now.
+  Orders plan(const PlanInput &In);
+
+  const JobRecord *findJob(const std::string &Id) const;
+  /// The state to show.
+  static JobState shownState(const JobRecord &Job);
+  /// Accepted jobs of the queue without a started task.
+  std::uint32_t pending(const std::string &Queue) const;
+  /// What the team's runs reserve in this pool.
+  core::Resources teamUse(const std::string &Team) const;
+  /// What the team's waiting tasks would use besides.
+  core::Resources teamDemand(const std::string &Team) const;
+
+  std::uint64_t token() const { return Token_; }
+  const std::string &pool() const { return Pool_; }
+  const PoolCounters &counters() const { return Counters_; }
+  /// An order was refused since a higher token was used.
+  bool isFenced() const { return Fenced_; }
+  const std::unordered_map<std::string, std::unique_ptr<WorkerState>> &
+  workers() const {
+    return Workers_;
+  }
+  const std::unordered_map<std::string, std::unique_ptr<JobRecord>> &
+  jobs() const {
+    return Jobs_;
+  }
+  /// Whether every worker that may run something was heard.
+  bool allHeard(core::TimePoint Now) const;
+
+private:
+  friend class StartPlan;
+
+  JobRecord *jobOf(const std::string &Id);
+  JobRecord &makeJob(const JobSpec &Spec, core::TimePoint Now);
+  const StepSpec &stepOf(const JobRecord &Job, std::uint32_t Task) const;
+  std::uint32_t indexOf(const JobRecord &Job, const TaskRef &Ref) const;
+  TaskRef refOf(const JobRecord &Job, std::uint32_t Task) const;
+  bool stepReady(const JobRecord &Job, std::uint32_t Task) const;
+  LiveRun *findRun(JobRecord &Job, std::uint32_t Task, RunId Run);
+
+  void addRun(JobRecord &Job, std::uint32_t Task, LiveRun Run);
+  void removeRun(JobRecord &Job, std::uint32_t Task, RunId Run);
+  void reserve(WorkerState &W, const JobRecord &Job, const StepSpec &Step);
+  void release(WorkerState &W, const JobRecord &Job, const StepSpec &Step);
+  void touch(JobRecord &Job);
+
+  void handleEnd(WorkerState &W, const EndReport &End, core::TimePoint Now);
+  void taskDone(JobRecord &Job, std::uint32_t Task);
+  void taskFailed(JobRecord &Job, std::uint32_t Task, WorkerState &W,
+                  core::TimePoint Now);
+  void handleRunning(WorkerState &W, const RunReport &Run,
+                     core::TimePoint SentAt, core::TimePoint Now);
+  void dropMissing(WorkerState &W, const WorkerReport &Report,
+                   core::TimePoint SentAt);
+  void newLife(WorkerState &W, std::int64_t Born, core::TimePoint Now);
+  void loseRuns(WorkerState &W);
+  void endJob(JobRecord &Job, JobState State);
+  void noteClock(WorkerState &W, std::int64_t ClockMs, core::TimePoint Now);
+  std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
+  bool leaseLapsed(const WorkerState &W, core::TimePoint Now) const;
+
+  double runTimeMs(const JobRecord &Job, const StepSpec &Step) const;
+  void noteRunTime(const JobRecord &Job, const LiveRun &Run,
+                   core::TimePoint Now);
+  void planStops(const PlanInput &In, Orders &Out);
+  void planHolds(const PlanInput &In, Orders &Out);
+  void expireSilent(const PlanInput &In);
+
+  std::string Pool_;
+  std::uint64_t Token_;
+  core::TimePoint TakenAt_;
+  OwnerLimits Limits_;
+  std::shared_ptr<const FleetConfig> Config_;
+  std::set<std::string> ClosedDataCentres_;
+  std::map<std::string, core::Resources> TeamRoom_;
+  std::map<std::string, core::Resources> TeamUse_;
+  std::unordered_map<std::string, std::unique_ptr<JobRecord>> Jobs_;
+  std::unordered_map<std::string, std::unique_ptr<WorkerState>> Workers_;
+  /// Jobs with something left to start.
+  std::set<JobRecord *> Open_;
+  std::deque<JobRecord *> Changed_;
+  std::uint64_t Touches_ = 0;
+  /// States in the batch that is being stored.
+  std::vector<std::pair<std::string, JobState>> Storing_;
+  std::uint64_t NextRun_ = 1;
+  /// Run times of each queue's tasks, as measured.
+  std::map<std::string, RunTimes> RunTimes_;
+  bool Fenced_ = false;
+  PoolCounters Counters_;
+};
+
+} // namespace comfreydeck::jobs
+
+#endif // COMFREYDECK_JOBS_POOLSTATE_H
--- /dev/null
+++ b/src/jobs/StartPlan.cpp
@@ -0,0 +1,278 @@
+#include "jobs/StartPlan_p.h"
+
+#include <algorithm>
+
+namespace comfreydeck::jobs {
+
+namespace {
+
+/// Weights of the worker's score; free processor share counts from 0 to 1.
+constexpr double NearRackBonus = 4.0;
+constexpr double MixedPenalty = 8.0;
+constexpr double FailedHerePenalty = 2.0;
+constexpr double SameRackPenalty = 1.5;
+constexpr double ColdPenalty = 0.5;
+
+core::Resources freeOn(const WorkerState &W) {
+  const core::Resources &All = W.Entry.Capacity;
+  auto Left = [](std::uint32_t Has, std::uint32_t Used) {
+    return Has > Used ? Has - Used : 0;
+  };
+  return {Left(All.MilliCpus, W.Used.MilliCpus),
+          Left(All.MemoryMb, W.Used.MemoryMb),
+          Left(All.Accelerators, W.Used.Accelerators)};
+}
+
+/// What the step takes of a worker's room.
+core::Resources reserved(const StepSpec &Step) {
+  core::Resources Need = Step.Need;
+  if (Step.Filling)
+    Need.MilliCpus = 0;
+  return Need;
+}
+
+} // namespace
+
+StartPlan::StartPlan(PoolState &Owner, const PlanInput &In)
+    : Owner_(Owner), In_(In), AllHeard_(Owner.allHeard(In.Now)) {
+  for (auto &[Id, W] : Owner_.Workers_)
+    if (canTake(*W))
+      Usable_.push_back(W.get());
+}
+
+bool StartPlan::canTake(const WorkerState &W) const {
+  return W.Heard && !W.Gone && !W.Closed && !W.Entry.Draining &&
+         W.UnknownRuns == 0 && W.ClockMs > 0 && W.AvoidUntil <= In_.Now &&
+         Owner_.ClosedDataCentres_.count(W.Entry.DataCentre) == 0 &&
+         Owner_.leaseFor(W, In_) > 0;
+}
+
+StartPlan::Candidate StartPlan::assess(JobRecord &Job) const {
+  Candidate C;
+  C.Job = &Job;
+  C.Lasting = Job.Spec.Steps.front().Lasting;
+  const Queue *Q = findQueueByName(*Owner_.Config_, Job.Spec.Queue);
+  C.Priority = Q ? Q->Priority : Job.Spec.Priority;
+  std::vector<double> Whole;
+  std::vector<double> Left;
+  double Chain = 0;
+  double Remaining = 0;
+  for (std::size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
+    const StepSpec &Step = Job.Spec.Steps[S];
+    double Ms = Owner_.runTimeMs(Job, Step);
+    double Before = 0;
+    double LeftBefore = 0;
+    for (std::uint32_t Earlier : Step.After) {
+      Before = std::max(Before, Whole[Earlier]);
+      LeftBefore = std::max(LeftBefore, Left[Earlier]);
+    }
+    Whole.push_back(Before + Ms);
+    Left.push_back(LeftBefore + (Job.Undone[S] > 0 ? Ms : 0));
+    Chain = std::max(Chain, Whole.back());
+    Remaining = std::max(Remaining, Left.back());
+  }
+  C.DeadlineMs = static_cast<double>(Job.Spec.AcceptedMs) +
+                 Job.Spec.SlackFactor * Chain + Job.Spec.TargetMs;
+  C.Late = static_cast<double>(In_.WallMs) + Remaining > C.DeadlineMs;
+  return C;
+}
+
+bool StartPlan::before(const Candidate &A, const Candidate &B) {
+  if (A.Lasting != B.Lasting)
+    return A.Lasting;
+  if (A.Priority != B.Priority)
+    return A.Priority < B.Priority;
+  if (A.Late != B.Late)
+    return !A.Late;
+  if (A.Job->Started != B.Job->Started)
+    return A.Job->Started;
+  return A.DeadlineMs < B.DeadlineMs;
+}
+
+std::vector<StartOrder> StartPlan::run() {
+  if (Usable_.empty())
+    return {};
+  std::vector<Candidate> Order;
+  for (JobRecord *Job : Owner_.Open_)
+    if (!Job->Inherited || AllHeard_)
+      Order.push_back(assess(*Job));
+  std::sort(Order.begin(), Order.end(), before);
+  for (const Candidate &C : Order)
+    planJob(*C.Job);
+  return std::move(Starts_);
+}
+
+bool StartPlan::mayStart(const JobRecord &Job, std::uint32_t Task) const {
+  const TaskState &State = Job.Tasks[Task];
+  if (State.Kept.Done || !State.Runs.empty() || State.NotBefore > In_.Now)
+    return false;
+  if (Job.Spec.Repetitions > 0) {
+    std::int64_t K = Owner_.refOf(Job, Task).Occurrence;
+    if (In_.WallMs < Job.Spec.FirstDueMs + K * Job.Spec.IntervalMs)
+      return false;
+  }
+  return Owner_.stepReady(Job, Task);
+}
+
+bool StartPlan::hasTeamRoom(const JobRecord &Job, const StepSpec &Step,
+                            std::uint32_t Count) const {
+  auto Room = Owner_.TeamRoom_.find(Job.Spec.Team);
+  if (Room == Owner_.TeamRoom_.end())
+    return true;
+  core::Resources Use = Owner_.teamUse(Job.Spec.Team);
+  auto Fits = [Count](std::uint64_t Used, std::uint64_t Need,
+                      std::uint64_t Bound) {
+    return Used + Need * Count <= Bound;
+  };
+  return Fits(Use.MilliCpus, Step.Need.MilliCpus, Room->second.MilliCpus) &&
+         Fits(Use.MemoryMb, Step.Need.MemoryMb, Room->second.MemoryMb) &&
+         Fits(Use.Accelerators, Step.Need.Accelerators,
+              Room->second.Accelerators);
+}
+
+bool StartPlan::isBeyondKnownLimit(const StepSpec &Step) const {
+  core::Resources Need = reserved(Step);
+  return std::any_of(
+      Unplaced_.begin(), Unplaced_.end(),
+      [&](const core::Resources &Least) { return core::fits(Least, Need); });
+}
+
+void StartPlan::planJob(JobRecord &Job) {
+  const Queue *Q = findQueueByName(*Owner_.Config_, Job.Spec.Queue);
+  if (Q && Q->Advised)
+    return;
+  for (std::uint32_t Task = 0; Task < Job.Tasks.size(); ++Task) {
+    if (!mayStart(Job, Task))
+      continue;
+    const StepSpec &Step = Owner_.stepOf(Job, Task);
+    if (isBeyondKnownLimit(Step))
+      continue;
+    if (Step.Gang) {
+      std::uint32_t First = Task - Owner_.refOf(Job, Task).Index;
+      if (First == Task)
+        planGang(Job, First, Step);
+      continue;
+    }
+    if (!hasTeamRoom(Job, Step, 1))
+      continue;
+    WorkerState *W = chooseWorker(Job, Task, "");
+    if (W)
+      start(Job, Task, *W, nextRun());
+    else if (Step.Label.empty() && Step.MaxPerWorker == 0)
+      Unplaced_.push_back(reserved(Step));
+  }
+}
+
+/// Starts all members or none.
+void StartPlan::planGang(JobRecord &Job, std::uint32_t First,
+                         const StepSpec &Step) {
+  for (std::uint32_t T = First; T < First + Step.Tasks; ++T)
+    if (!mayStart(Job, T))
+      return;
+  if (!hasTeamRoom(Job, Step, Step.Tasks))
+    return;
+  std::size_t StartsBefore = Starts_.size();
+  RunId Run = nextRun();
+  std::string Rack;
+  for (std::uint32_t T = First; T < First + Step.Tasks; ++T) {
+    WorkerState *W = chooseWorker(Job, T, Rack);
+    if (!W) {
+      for (std::uint32_t Back = First; Back < T; ++Back)
+        Owner_.removeRun(Job, Back, Run);
+      Starts_.resize(StartsBefore);
+      return;
+    }
+    if (Step.SameRack)
+      Rack = W->Entry.Rack;
+    start(Job, T, *W, Run);
+  }
+}
+
+std::uint32_t StartPlan::mates(const WorkerState &W, const JobRecord &Job,
+                               std::uint32_t Task) const {
+  TaskRef Ref = Owner_.refOf(Job, Task);
+  std::uint32_t First = Task - Ref.Index;
+  std::uint32_t Last = First + Job.Spec.Steps[Ref.Step].Tasks;
+  std::uint32_t Count = 0;
+  for (std::uint32_t T = First; T < Last; ++T)
+    for (const LiveRun &Run : Job.Tasks[T].Runs)
+      Count += Run.Worker == W.Entry.Id ? 1 : 0;
+  return Count;
+}
+
+bool StartPlan::suits(const WorkerState &W, const JobRecord &Job,
+                      std::uint32_t Task, const StepSpec &Step) const {
+  if (!core::fits(reserved(Step), freeOn(W)))
+    return false;
+  const std::vector<std::string> &Labels = W.Entry.Labels;
+  bool HasLabel =
+      Step.Label.empty() ||
+      std::find(Labels.begin(), Labels.end(), Step.Label) != Labels.end();
+  return HasLabel &&
+         (Step.MaxPerWorker == 0 || mates(W, Job, Task) < Step.MaxPerWorker);
+}
+
+double StartPlan::score(const WorkerState &W, const JobRecord &Job,
+                        std::uint32_t Task, const StepSpec &Step) const {
+  double Score = static_cast<double>(freeOn(W).MilliCpus) /
+                 std::max<std::uint32_t>(W.Entry.Capacity.MilliCpus, 1);
+  if (!Step.NearRack.empty() && W.Entry.Rack == Step.NearRack)
+    Score += NearRackBonus;
+  bool Mixed = (Step.Filling && W.Serving > 0) ||
+               (Step.TailTargetMs > 0 && W.Filling > 0);
+  if (Mixed)
+    Score -= MixedPenalty;
+  if (Job.Tasks[Task].FailedOn == W.Entry.Id)
+    Score -= FailedHerePenalty;
+  if (W.Entry.ColdFor > core::Duration::zero())
+    Score -= ColdPenalty;
+  if (Step.Lasting)
+    for (const auto &[Id, Other] : Owner_.Workers_)
+      if (Other->Entry.Rack == W.Entry.Rack)
+        Score -= SameRackPenalty * mates(*Other, Job, Task);
+  return Score;
+}
+
+WorkerState *StartPlan::chooseWorker(const JobRecord &Job, std::uint32_t Task,
+                                     const std::string &OnlyRack) const {
+  const StepSpec &Step = Owner_.stepOf(Job, Task);
+  WorkerState *Best = nullptr;
+  double BestScore = 0;
+  for (WorkerState *W : Usable_) {
+    if (!OnlyRack.empty() && W->Entry.Rack != OnlyRack)
+      continue;
+    if (!suits(*W, Job, Task, Step))
+      continue;
+    double Score = score(*W, Job, Task, Step);
+    if (!Best || Score > BestScore) {
+      Best = W;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+RunId StartPlan::nextRun() {
+  return (Owner_.Token_ << RunCounterBits) + Owner_.NextRun_++;
+}
+
+void StartPlan::start(JobRecord &Job, std::uint32_t Task, WorkerState &W,
+                      RunId Run) {
+  LiveRun Live;
+  Live.Run = Run;
+  Live.Worker = W.Entry.Id;
+  Live.OrderedAt = In_.Now;
+  Owner_.addRun(Job, Task, std::move(Live));
+  ++Owner_.Counters_.Starts;
+  StartOrder Order;
+  Order.Worker = W.Entry.Id;
+  Order.Task = Owner_.refOf(Job, Task);
+  Order.Run = Run;
+  Order.Payload = Job.Spec.Payload;
+  Order.Checkpoint = Job.Tasks[Task].Kept.Checkpoint;
+  Order.DeadlineMs = Owner_.leaseFor(W, In_);
+  W.DeadlineMs = std::max(W.DeadlineMs, Order.DeadlineMs);
+  Starts_.push_back(std::move(Order));
+}
+
+} // namespace comfreydeck::jobs
--- /dev/null
+++ b/src/jobs/TeamAllotment.cpp
@@ -0,0 +1,76 @@
+#include "jobs/TeamAllotment.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace comfreydeck::jobs {
+
+namespace {
+
+/// Kept beyond what is asked for, as a share of the limit: saves a write for
+/// each start.
+constexpr std::uint64_t SpareDivisor = 16;
+/// Given back only if the excess is at least that share of the limit.
+constexpr std::uint64_t ReturnDivisor = 8;
+constexpr std::uint32_t Unbounded = std::numeric_limits<std::uint32_t>::max();
+
+using Part = std::uint32_t core::Resources::*;
+constexpr Part Kinds[] = {&core::Resources::MilliCpus,
+                          &core::Resources::MemoryMb,
+                          &core::Resources::Accelerators};
+
+std::uint64_t sumOf(const PoolParts &Parts, Part Kind) {
+  std::uint64_t Sum = 0;
+  for (const auto &[Pool, Held] : Parts)
+    Sum += Held.*Kind;
+  return Sum;
+}
+
+core::Resources held(const std::string &Pool, const PoolParts &Parts) {
+  auto It = Parts.find(Pool);
+  return It == Parts.end() ? core::Resources{} : It->second;
+}
+
+} // namespace
+
+core::Resources roomOf(const std::string &Pool, const PoolParts &Parts,
+                       const core::Resources &Limit) {
+  core::Resources Mine = held(Pool, Parts);
+  core::Resources Room;
+  for (Part Kind : Kinds) {
+    std::uint64_t Sum = sumOf(Parts, Kind);
+    std::uint64_t Bound = Limit.*Kind;
+    std::uint64_t Part = Mine.*Kind;
+    if (Sum > Bound && Sum > 0)
+      Part = Part * Bound / Sum;
+    Room.*Kind = Bound == 0 ? Unbounded : static_cast<std::uint32_t>(Part);
+  }
+  return Room;
+}
+
+core::Resources wantedPart(const std::string &Pool, const PoolParts &Parts,
+                           const core::Resources &Limit,
+                           const core::Resources &Use,
+                           const core::Resources &Demand) {
+  core::Resources Mine = held(Pool, Parts);
+  core::Resources Wanted;
+  for (Part Kind : Kinds) {
+    std::uint64_t Bound = Limit.*Kind;
+    if (Bound == 0)
+      continue;
+    std::uint64_t Sum = sumOf(Parts, Kind);
+    std::uint64_t Free = Bound > Sum ? Bound - Sum : 0;
+    std::uint64_t Mine64 = Mine.*Kind;
+    std::uint64_t Asked = std::uint64_t{Use.*Kind} + Demand.*Kind;
+    std::uint64_t Goal = std::min(Asked + Bound / SpareDivisor, Bound);
+    std::uint64_t Part = Mine64;
+    if (Asked > Mine64)
+      Part = std::min(Goal, Mine64 + Free);
+    else if (Mine64 > Goal + Bound / ReturnDivisor)
+      Part = Goal;
+    Wanted.*Kind = static_cast<std::uint32_t>(Part);
+  }
+  return Wanted;
+}
+
+} // namespace comfreydeck::jobs
--- /dev/null
+++ b/src/settings/DispatchSettings.cpp
@@ -0,0 +1,74 @@
+#include "settings/DispatchSettings.h"
+
+#include "settings/ObjectReader_p.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace comfreydeck::settings {
+
+namespace {
+
+using detail::Need;
+using detail::ObjectReader;
+
+void readEntry(ObjectReader R, DispatchSettings &Out) {
+  R.text("name", Out.Name, Need::Required);
+  R.text("data_centre", Out.DataCentre, Need::Required);
+  R.address("callers", Out.Callers, Need::Required);
+  R.address("readiness", Out.Readiness, Need::Required);
+  R.address("peers", Out.Peers, Need::Required);
+  R.address("metrics", Out.Metrics, Need::Optional);
+  R.rejectUnknown();
+}
+
+void readPlatform(ObjectReader R, DispatchSettings &Out) {
+  R.address("store", Out.Store, Need::Required);
+  R.address("machines", Out.Machines, Need::Optional);
+  R.address("advisor", Out.Advisor, Need::Optional);
+  R.rejectUnknown();
+}
+
+void readBounds(ObjectReader R, DispatchSettings &Out) {
+  R.milliseconds("revocation_ms", Out.Revocation, {500, 600000});
+  R.milliseconds("max_lease_ms", Out.MaxLease, {500, 600000});
+  R.milliseconds("stop_ms", Out.StopTime, {0, 60000});
+  R.milliseconds("absence_ms", Out.AbsenceNotice, {0, 600000});
+  R.seconds("grace_s", Out.Grace, {1, 600});
+  R.seconds("status_s", Out.KeepFinished, {1, 86400});
+  R.rejectUnknown();
+}
+
+} // namespace
+
+DispatchSettings parseDispatchSettings(std::string_view Json) {
+  std::vector<SettingsFault> Faults;
+  DispatchSettings Out;
+  nlohmann::json Document = nlohmann::json::parse(Json, nullptr, false);
+  if (!Document.is_object()) {
+    Faults.push_back({"", "is not a JSON object"});
+    throw SettingsError(std::move(Faults));
+  }
+  ObjectReader R(Document, "", Faults);
+  readEntry(R.child("entry", Need::Required), Out);
+  readPlatform(R.child("platform", Need::Required), Out);
+  readBounds(R.child("bounds", Need::Optional), Out);
+  R.rejectUnknown();
+  if (!Faults.empty())
+    throw SettingsError(std::move(Faults));
+  return Out;
+}
+
+DispatchSettings loadDispatchSettings(const std::string &File) {
+  std::ifstream In(File);
+  if (!In) {
+    std::vector<SettingsFault> Faults;
+    Faults.push_back({"", "can't be read from " + File});
+    throw SettingsError(std::move(Faults));
+  }
+  std::stringstream Text;
+  Text << In.rdbuf();
+  return parseDispatchSettings(Text.str());
+}
+
+} // namespace comfreydeck::settings
--- a/src/settings/ObjectReader.cpp
+++ b/src/settings/ObjectReader.cpp
@@ -94,6 +94,23 @@
   Out = std::chrono::milliseconds(Ms);
 }
 
+void ObjectReader::seconds(const char *Field, core::Duration &Out,
+                           Range Allowed) {
+  const json *Value = take(Field, Need::Optional);
+  if (!Value)
+    return;
+  double Seconds = Value->is_number() ? Value->get<double>() : -1;
+  bool Fits = Seconds >= static_cast<double>(Allowed.Least) &&
+              Seconds <= static_cast<double>(Allowed.Most);
+  if (!Fits) {
+    fault(Field, "must be a number from " + std::to_string(Allowed.Least) +
+                     " to " + std::to_string(Allowed.Most));
+    return;
+  }
+  Out = std::chrono::duration_cast<core::Duration>(
+      std::chrono::duration<double>(Seconds));
+}
+
 void ObjectReader::address(const char *Field, std::string &Out, Need Needed) {
   const json *Value = take(Field, Needed);
   if (!Value)
--- a/src/platform/HttpInstanceList.cpp
+++ b/src/store/HttpInstanceList.cpp
@@ -1,8 +1,8 @@
-#include "platform/HttpPlatform.h"
+#include "store/HttpPlatform.h"
 
 #include <nlohmann/json.hpp>
 
-namespace comfreydeck::platform {
+namespace comfreydeck::store {
 
 namespace {
 
@@ -65,4 +65,4 @@
   return std::make_unique<HttpInstanceList>(Client, std::move(Options));
 }
 
-} // namespace comfreydeck::platform
+} // namespace comfreydeck::store
--- a/src/platform/HttpObjectStore.cpp
+++ b/src/store/HttpObjectStore.cpp
@@ -1,7 +1,7 @@
-#include "platform/HttpPlatform.h"
-#include "platform/Url_p.h"
+#include "store/HttpPlatform.h"
+#include "store/Url_p.h"
 
-namespace comfreydeck::platform {
+namespace comfreydeck::store {
 
 namespace {
 
@@ -55,4 +55,4 @@
   return std::make_unique<HttpObjectStore>(Client, std::move(Options));
 }
 
-} // namespace comfreydeck::platform
+} // namespace comfreydeck::store
--- a/src/platform/HttpPlatform.h
+++ b/src/store/HttpPlatform.h
@@ -1,14 +1,14 @@
-#ifndef COMFREYDECK_PLATFORM_HTTPPLATFORM_H
-#define COMFREYDECK_PLATFORM_HTTPPLATFORM_H
+#ifndef COMFREYDECK_STORE_HTTPPLATFORM_H
+#define COMFREYDECK_STORE_HTTPPLATFORM_H
 
 #include "net/HttpClient.h"
-#include "platform/InstanceList.h"
-#include "platform/ObjectStore.h"
-#include "platform/TableService.h"
+#include "store/InstanceList.h"
+#include "store/ObjectStore.h"
+#include "store/TableService.h"
 
 #include <memory>
 
-namespace comfreydeck::platform {
+namespace comfreydeck::store {
 
 /// How the platform's services are reached over HTTP.
 struct HttpPlatformOptions {
@@ -27,6 +27,6 @@
 std::unique_ptr<InstanceList> makeHttpInstanceList(net::HttpClient &Client,
                                                    HttpPlatformOptions Options);
 
-} // namespace comfreydeck::platform
+} // namespace comfreydeck::store
 
-#endif // COMFREYDECK_PLATFORM_HTTPPLATFORM_H
+#endif // COMFREYDECK_STORE_HTTPPLATFORM_H
--- a/src/platform/HttpTableService.cpp
+++ b/src/store/HttpTableService.cpp
@@ -1,9 +1,9 @@
-#include "platform/HttpPlatform.h"
-#include "platform/Url_p.h"
+#include "store/HttpPlatform.h"
+#include "store/Url_p.h"
 
 #include <nlohmann/json.hpp>
 
-namespace comfreydeck::platform {
+namespace comfreydeck::store {
 
 namespace {
 
@@ -154,4 +154,4 @@
   return std::make_unique<HttpTableService>(Client, std::move(Options));
 }
 
-} // namespace comfreydeck::platform
+} // namespace comfreydeck::store
--- a/src/platform/InstanceList.h
+++ b/src/store/InstanceList.h
@@ -1,12 +1,12 @@
-#ifndef COMFREYDECK_PLATFORM_INSTANCELIST_H
-#define COMFREYDECK_PLATFORM_INSTANCELIST_H
+#ifndef COMFREYDECK_STORE_INSTANCELIST_H
+#define COMFREYDECK_STORE_INSTANCELIST_H
 
 #include <cstdint>
 #include <functional>
 #include <string>
 #include <vector>
 
-namespace comfreydeck::platform {
+namespace comfreydeck::store {
 
 enum class InstanceState : std::uint8_t { Live, Leaving };
 
@@ -37,6 +37,6 @@
   virtual void list(std::function<void(ListResult)> Done) = 0;
 };
 
-} // namespace comfreydeck::platform
+} // namespace comfreydeck::store
 
-#endif // COMFREYDECK_PLATFORM_INSTANCELIST_H
+#endif // COMFREYDECK_STORE_INSTANCELIST_H
--- a/src/platform/ObjectStore.h
+++ b/src/store/ObjectStore.h
@@ -1,11 +1,11 @@
-#ifndef COMFREYDECK_PLATFORM_OBJECTSTORE_H
-#define COMFREYDECK_PLATFORM_OBJECTSTORE_H
+#ifndef COMFREYDECK_STORE_OBJECTSTORE_H
+#define COMFREYDECK_STORE_OBJECTSTORE_H
 
 #include <functional>
 #include <optional>
 #include <string>
 
-namespace comfreydeck::platform {
+namespace comfreydeck::store {
 
 struct ObjectResult {
   /// Whether the store answered.
@@ -25,6 +25,6 @@
                    std::function<void(ObjectResult)> Done) = 0;
 };
 
-} // namespace comfreydeck::platform
+} // namespace comfreydeck::store
 
-#endif // COMFREYDECK_PLATFORM_OBJECTSTORE_H
+#endif // COMFREYDECK_STORE_OBJECTSTORE_H
--- a/src/platform/TableService.h
+++ b/src/store/TableService.h
@@ -1,5 +1,5 @@
-#ifndef COMFREYDECK_PLATFORM_TABLESERVICE_H
-#define COMFREYDECK_PLATFORM_TABLESERVICE_H
+#ifndef COMFREYDECK_STORE_TABLESERVICE_H
+#define COMFREYDECK_STORE_TABLESERVICE_H
 
 #include "core/Types.h"
 
@@ -10,7 +10,7 @@
 #include <vector>
 
 /// The platform's services behind narrow interfaces.
-namespace comfreydeck::platform {
+namespace comfreydeck::store {
 
 /// Names one row.
 struct RowKey {
@@ -97,6 +97,6 @@
                       std::function<void(CommitResult)> Done) = 0;
 };
 
-} // namespace comfreydeck::platform
+} // namespace comfreydeck::store
 
-#endif // COMFREYDECK_PLATFORM_TABLESERVICE_H
+#endif // COMFREYDECK_STORE_TABLESERVICE_H
--- a/src/platform/Url.cpp
+++ b/src/store/Url.cpp
@@ -1,11 +1,11 @@
-#include "platform/Url_p.h"
+#include "store/Url_p.h"
 
 #include <curl/curl.h>
 
 #include <memory>
 #include <new>
 
-namespace comfreydeck::platform::detail {
+namespace comfreydeck::store::detail {
 
 std::string escape(std::string_view Part) {
   if (Part.empty())
@@ -18,4 +18,4 @@
   return Escaped.get();
 }
 
-} // namespace comfreydeck::platform::detail
+} // namespace comfreydeck::store::detail
--- a/tests/platform/TableServiceTest.cpp
+++ b/tests/platform/TableServiceTest.cpp
@@ -1,4 +1,4 @@
-#include "platform/HttpPlatform.h"
+#include "store/HttpPlatform.h"
 #include "standins/MemoryTableService.h"
 #include "standins/PlatformStandin.h"
 
@@ -7,7 +7,7 @@
 #include <future>
 
 using namespace comfreydeck;
-using namespace comfreydeck::platform;
+using namespace comfreydeck::store;
 using standins::TableFaults;
 
 namespace {
--- a/tests/standins/MemoryTableService.h
+++ b/tests/standins/MemoryTableService.h
@@ -15,33 +15,33 @@
 
 /// A table service in memory that answers at once, on the caller's thread. Not
 /// thread-safe.
-class MemoryTableService final : public platform::TableService {
+class MemoryTableService final : public store::TableService {
 public:
   void setFaults(TableFaults Faults) { Faults_ = Faults; }
 
-  void read(platform::RowKey Key,
-            std::function<void(platform::ReadResult)> Done) override {
-    platform::ReadResult Result;
+  void read(store::RowKey Key,
+            std::function<void(store::ReadResult)> Done) override {
+    store::ReadResult Result;
     if (!Faults_.ReadsDown)
-      Result = {platform::ReadOutcome::Ok, Tables_.read(Key)};
+      Result = {store::ReadOutcome::Ok, Tables_.read(Key)};
     Done(std::move(Result));
   }
 
   void scan(std::string Table, std::string Prefix, std::string After,
             std::uint32_t Limit,
-            std::function<void(platform::ScanResult)> Done) override {
+            std::function<void(store::ScanResult)> Done) override {
     if (Faults_.ReadsDown)
       return Done({});
     Done(Tables_.scan(Table, Prefix, After, Limit));
   }
 
-  void commit(platform::Transaction T,
-              std::function<void(platform::CommitResult)> Done) override {
+  void commit(store::Transaction T,
+              std::function<void(store::CommitResult)> Done) override {
     if (Faults_.WritesDown)
       return Done({});
-    platform::CommitResult Result = Tables_.commit(T);
+    store::CommitResult Result = Tables_.commit(T);
     if (Faults_.LosesAnswers)
-      Result = {platform::CommitOutcome::Unknown, {}};
+      Result = {store::CommitOutcome::Unknown, {}};
     Done(std::move(Result));
   }
 
--- a/tests/standins/MemoryTables.cpp
+++ b/tests/standins/MemoryTables.cpp
@@ -2,7 +2,7 @@
 
 namespace comfreydeck::standins {
 
-using namespace platform;
+using namespace store;
 
 std::optional<Row> MemoryTables::read(const RowKey &Key) const {
   auto It = Rows_.find(Key);
--- a/tests/standins/MemoryTables.h
+++ b/tests/standins/MemoryTables.h
@@ -1,7 +1,7 @@
 #ifndef COMFREYDECK_TESTS_STANDINS_MEMORYTABLES_H
 #define COMFREYDECK_TESTS_STANDINS_MEMORYTABLES_H
 
-#include "platform/TableService.h"
+#include "store/TableService.h"
 
 #include <map>
 
@@ -10,19 +10,19 @@
 /// Tables in memory with conditional transactions. Not thread-safe.
 class MemoryTables {
 public:
-  std::optional<platform::Row> read(const platform::RowKey &Key) const;
+  std::optional<store::Row> read(const store::RowKey &Key) const;
 
-  platform::ScanResult scan(const std::string &Table, const std::string &Prefix,
+  store::ScanResult scan(const std::string &Table, const std::string &Prefix,
                             const std::string &After,
                             std::uint32_t Limit) const;
 
   /// Committed or Conflict.
-  platform::CommitResult commit(const platform::Transaction &T);
+  store::CommitResult commit(const store::Transaction &T);
 
 private:
-  std::uint64_t versionOf(const platform::RowKey &Key) const;
+  std::uint64_t versionOf(const store::RowKey &Key) const;
 
-  std::map<platform::RowKey, platform::Row> Rows_;
+  std::map<store::RowKey, store::Row> Rows_;
   std::uint64_t NextVersion_ = 1;
 };
 
--- a/tests/standins/PlatformStandin.cpp
+++ b/tests/standins/PlatformStandin.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 using nlohmann::json;
-using namespace platform;
+using namespace store;
 
 json rowJson(const Row &R) {
   return {{"key", R.Key}, {"value", R.Value}, {"version", R.Version}};
