Run maintenance waves from one entry; count failed runs by number

The entry that owns the fleet's duty closes workers through their pools' owners, moves lasting tasks as their allowance permits, and orders the maintenance when a worker is clear.

--- a/src/codec/JobJson.cpp
+++ b/src/codec/JobJson.cpp
@@ -135,8 +135,8 @@
   for (std::size_t T = 0; T < Progress.Tasks.size(); ++T) {
     const jobs::TaskProgress &Task = Progress.Tasks[T];
     Done += Task.Done ? '1' : '0';
-    if (Task.Failures > 0 || !Task.Checkpoint.empty())
-      Marks.push_back({T, Task.Failures, Task.LastFailed, Task.Checkpoint});
+    if (!Task.FailedRuns.empty() || !Task.Checkpoint.empty())
+      Marks.push_back({T, Task.FailedRuns, Task.Checkpoint});
   }
   if (!Done.empty())
     Object["done"] = Done;
@@ -159,10 +159,12 @@
       Progress.Tasks.back().Done = C == '1';
     }
     for (const Json &Mark : Object.value("marks", Json::array())) {
-      auto &Task = Progress.Tasks.at(Mark.at(0).get<std::size_t>());
-      Task.Failures = Mark.at(1).get<std::uint32_t>();
-      Task.LastFailed = Mark.at(2).get<jobs::RunId>();
-      Task.Checkpoint = Mark.at(3).get<std::string>();
+      std::size_t Number = Mark.at(0).get<std::size_t>();
+      if (Number >= Progress.Tasks.size())
+        throw std::invalid_argument("a mark names no task");
+      jobs::TaskProgress &Task = Progress.Tasks[Number];
+      Task.FailedRuns = Mark.at(1).get<std::vector<jobs::RunId>>();
+      Task.Checkpoint = Mark.at(2).get<std::string>();
     }
     return Progress;
   });
--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -2,6 +2,7 @@
 
 #include "dispatch/Clock.h"
 #include "dispatch/EventLog.h"
+#include "dispatch/FleetDuty.h"
 #include "dispatch/FrontDoor.h"
 #include "dispatch/TeamRooms.h"
 #include "net/HttpServer.h"
@@ -53,6 +54,7 @@
   Ownership Owners;
   Peers PeerCalls;
   TeamRooms Rooms;
+  FleetDuty Duty;
   FrontDoor Door;
   std::atomic<bool> Ready = false;
   std::atomic<bool> Leaving = false;
@@ -67,6 +69,7 @@
             Ports.Machines, Ports.Rows, Ports.Wire, Count,       drawLife()},
         View(Ctx, [this] { refresh(); }), Owners(Ctx, View),
         PeerCalls(Ctx, View, Owners), Rooms(Ctx, View, Owners),
+        Duty(Ctx, View, Owners, PeerCalls),
         Door(Ctx, View, PeerCalls),
         CallerServer(listenAt(Settings.Callers),
                      [this](net::HttpRequest Request,
@@ -138,6 +141,7 @@
     I.View.start();
     I.Owners.start();
     I.Rooms.start();
+    I.Duty.start();
     I.tick();
   });
   logEvent("started", {{"entry", I.Settings.Name}, {"life", I.Ctx.Life}});
--- /dev/null
+++ b/src/dispatch/FleetDuty.cpp
@@ -0,0 +1,316 @@
+#include "dispatch/FleetDuty.h"
+
+#include "dispatch/Clock.h"
+#include "dispatch/EventLog.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+
+namespace comfreydeck::dispatch {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+using store::PartAnswer;
+using store::PartOutcome;
+
+namespace {
+
+constexpr milliseconds TurnPeriod(300);
+/// Pace at which the machines are listed while a wave runs.
+constexpr milliseconds ListPeriod(600);
+/// A new holder of the duty orders nothing for the platform's lease time: the
+/// holder before it may be about to.
+constexpr milliseconds TakeoverPause(3000);
+/// How long an order's machine counts as down, until the list shows it.
+constexpr milliseconds OrderShownAfter(3000);
+/// How long a machine's tasks may end by themselves before they are cut off.
+constexpr milliseconds EmptyingPatience(4000);
+constexpr milliseconds StoreLimit(1500);
+constexpr const char *KeptPrefix = "wave/";
+
+} // namespace
+
+FleetDuty::FleetDuty(Context &Ctx, FleetView &View, Ownership &Owners,
+                     Peers &Calls)
+    : Ctx_(Ctx), View_(View), Owners_(Owners), Calls_(Calls) {}
+
+void FleetDuty::start() {
+  if (Ctx_.Machines)
+    turn();
+}
+
+void FleetDuty::reset(std::uint64_t Token) {
+  Token_ = Token;
+  Waves_.clear();
+  Machines_.clear();
+  ListedAt_ = core::TimePoint();
+  OrderFrom_ = bootNow() + TakeoverPause;
+}
+
+void FleetDuty::turn() {
+  Ctx_.Loop.after(TurnPeriod, [this] { turn(); });
+  if (Owners_.fleetToken() != Token_)
+    reset(Owners_.fleetToken());
+  if (Token_ == 0)
+    return;
+  bool Active = false;
+  for (const auto &[Name, Wave] : View_.waves()) {
+    WaveProgress &So = Waves_[Name];
+    if (So.Completed)
+      continue;
+    Active = true;
+    if (So.Loaded)
+      advance(Wave, So);
+    else
+      load(Name);
+  }
+  if (Active)
+    refreshMachines();
+}
+
+void FleetDuty::refreshMachines() {
+  core::TimePoint Now = bootNow();
+  if (Listing_ || Now - ListedAt_ < ListPeriod)
+    return;
+  Listing_ = true;
+  Ctx_.Machines->list([this, Now](MachineList List) {
+    Ctx_.Loop.post([this, Now, List = std::move(List)] {
+      Listing_ = false;
+      if (!List.Ok) {
+        Ctx_.Count.retried("list-machines");
+        return;
+      }
+      ListedAt_ = Now;
+      Machines_.clear();
+      for (const Machine &M : List.Machines)
+        Machines_[M.Id] = M;
+    });
+  });
+}
+
+const Machine *FleetDuty::machine(const std::string &Id) const {
+  auto It = Machines_.find(Id);
+  return It == Machines_.end() ? nullptr : &It->second;
+}
+
+/// Reads which machines were maintained under earlier holders of the duty.
+void FleetDuty::load(const std::string &Wave) {
+  WaveProgress &So = Waves_[Wave];
+  if (So.Loading)
+    return;
+  So.Loading = true;
+  std::string Key = KeptPrefix + Wave;
+  store::PartRange Range = {rows::Control, rows::poolPart(rows::FleetDuty), Key,
+                            Key + "!"};
+  Ctx_.Store.read(Range, [this, Wave, Token = Token_](PartAnswer Answer) {
+    Ctx_.Loop.post([this, Wave, Token, Answer = std::move(Answer)] {
+      if (Token != Token_)
+        return;
+      WaveProgress &Read = Waves_[Wave];
+      Read.Loading = false;
+      if (Answer.Outcome != PartOutcome::Ok)
+        return;
+      Read.Loaded = true;
+      Read.SeenAt = bootNow();
+      for (const store::PartRow &Row : Answer.Rows) {
+        Json Kept = Json::parse(Row.Value, nullptr, false);
+        if (!Kept.is_object())
+          continue;
+        Read.Completed = Kept.value("completed", false);
+        for (const Json &Id : Kept.value("done", Json::array()))
+          if (Id.is_string())
+            Read.Machines[Id.get<std::string>()].Done = true;
+      }
+    });
+  });
+}
+
+std::vector<jobs::WaveMachine>
+FleetDuty::describe(const WaveRequest &Wave, const WaveProgress &So) const {
+  core::TimePoint Now = bootNow();
+  std::vector<jobs::WaveMachine> Described;
+  for (const std::string &Id : Wave.Machines) {
+    jobs::WaveMachine M;
+    M.Id = Id;
+    const Machine *Known = machine(Id);
+    if (Known) {
+      M.Pool = Known->Pool;
+      M.Worker = Known->Worker;
+      M.Up = Known->State == MachineState::Up;
+      M.Down = Known->State == MachineState::Maintenance;
+      auto Config = View_.config();
+      const jobs::Pool *Pool = jobs::findPool(*Config, Known->Pool);
+      if (Pool && Pool->Standby)
+        M.Worker.clear();
+    }
+    auto It = So.Machines.find(Id);
+    if (It != So.Machines.end()) {
+      const MachineProgress &P = It->second;
+      M.Done = P.Done;
+      M.Closing = P.Closing && !P.Done;
+      M.Clear = P.Clear;
+      M.Down = M.Down || P.InFlight ||
+               (P.OrderedAt != core::TimePoint() &&
+                Now - P.OrderedAt < OrderShownAfter);
+    }
+    // A machine that is gone for good needs no maintenance.
+    M.Done = M.Done || !Known;
+    Described.push_back(std::move(M));
+  }
+  return Described;
+}
+
+void FleetDuty::advance(const WaveRequest &Wave, WaveProgress &So) {
+  if (ListedAt_ == core::TimePoint())
+    return;
+  if (!So.Announced) {
+    So.Announced = true;
+    keep(Wave.Name);
+  }
+  std::vector<jobs::WaveMachine> Machines = describe(Wave, So);
+  bool AllDone = std::all_of(Machines.begin(), Machines.end(),
+                             [](const auto &M) { return M.Done; });
+  if (AllDone) {
+    So.Completed = true;
+    logEvent("wave_completed", {{"wave", Wave.Name}});
+    keep(Wave.Name);
+    return;
+  }
+  jobs::WaveBounds Bounds;
+  Bounds.MaxAtOnce = Wave.MaxAtOnce;
+  Bounds.Left = So.SeenAt + Wave.Within - bootNow();
+  for (const auto &[Id, M] : Machines_)
+    ++Bounds.PoolWorkers[M.Pool];
+  jobs::WaveStep Step = jobs::planWave(Machines, Bounds);
+  for (const std::string &Worker : Step.Close)
+    for (jobs::WaveMachine &M : Machines)
+      if (M.Worker == Worker) {
+        MachineProgress &P = So.Machines[M.Id];
+        P.Closing = M.Closing = true;
+        P.ClosingSince = bootNow();
+      }
+  close(Machines, So);
+  if (bootNow() < OrderFrom_)
+    return;
+  for (const std::string &Id : Step.Maintain)
+    maintain(Wave.Name, Id);
+}
+
+/// Closings are told again and again: an owner forgets them otherwise.
+void FleetDuty::close(const std::vector<jobs::WaveMachine> &Machines,
+                      WaveProgress &So) {
+  std::map<std::string, CloseRequest> ByPool;
+  for (const jobs::WaveMachine &M : Machines) {
+    if (!M.Closing || M.Done || M.Worker.empty())
+      continue;
+    bool Patient =
+        bootNow() - So.Machines[M.Id].ClosingSince < EmptyingPatience;
+    (Patient ? ByPool[M.Pool].Patient : ByPool[M.Pool].Pressing)
+        .push_back(M.Worker);
+  }
+  for (auto &[Pool, Request] : ByPool)
+    Calls_.askClose(Pool, Request, [this](const std::vector<std::string> &Ids) {
+      for (auto &[Name, Wave] : Waves_)
+        for (auto &[Id, Progress] : Wave.Machines) {
+          const Machine *M = machine(Id);
+          if (M && std::find(Ids.begin(), Ids.end(), M->Worker) != Ids.end())
+            Progress.Clear = true;
+        }
+    });
+}
+
+void FleetDuty::maintain(const std::string &Wave, const std::string &Id) {
+  MachineProgress &P = Waves_[Wave].Machines[Id];
+  P.InFlight = true;
+  P.OrderedAt = bootNow();
+  logEvent("maintain", {{"wave", Wave}, {"machine", Id}, {"token", Token_}});
+  Ctx_.Machines->maintain(
+      Id, Wave, Token_, [this, Wave, Id, Token = Token_](DutyOutcome Outcome) {
+        Ctx_.Loop.post([this, Wave, Id, Token, Outcome] {
+          if (Token == Token_)
+            ended(Wave, Id, Outcome);
+        });
+      });
+}
+
+void FleetDuty::ended(const std::string &Wave, const std::string &Id,
+                      DutyOutcome Outcome) {
+  MachineProgress &P = Waves_[Wave].Machines[Id];
+  P.InFlight = false;
+  if (Outcome != DutyOutcome::Done)
+    logEvent("maintain_refused", {{"wave", Wave},
+                                  {"machine", Id},
+                                  {"outcome", static_cast<int>(Outcome)}});
+  switch (Outcome) {
+  case DutyOutcome::Done:
+    P.Done = true;
+    if (const Machine *M = machine(Id))
+      Calls_.tellEnded(M->Pool, M->Worker);
+    keep(Wave);
+    return;
+  case DutyOutcome::Fenced:
+    // Another holder's order was newer; its row shows soon.
+    OrderFrom_ = bootNow() + TakeoverPause;
+    return;
+  case DutyOutcome::Unknown:
+    // The same order again is harmless.
+    return;
+  case DutyOutcome::Busy:
+  case DutyOutcome::Wrong:
+  case DutyOutcome::NotDone:
+    P.OrderedAt = core::TimePoint();
+    return;
+  }
+}
+
+/// Stores how far the wave is, for operators and for later holders.
+void FleetDuty::keep(const std::string &Wave) {
+  const WaveProgress &So = Waves_[Wave];
+  Json Done = Json::array();
+  for (const auto &[Id, Progress] : So.Machines)
+    if (Progress.Done)
+      Done.push_back(Id);
+  std::string Part = rows::poolPart(rows::FleetDuty);
+  store::PartTransaction T;
+  T.Conditions.push_back({{rows::Control, Part, rows::OwnerKey}, Token_});
+  T.Puts.push_back({{rows::Control, Part, KeptPrefix + Wave},
+                    Json({{"completed", So.Completed}, {"done", Done}}).dump()});
+  Ctx_.Store.commit(
+      std::move(T), StoreLimit,
+      [this, Wave, Token = Token_, Completed = So.Completed](PartAnswer A) {
+        Ctx_.Loop.post([this, Wave, Token, Completed, Outcome = A.Outcome] {
+          if (Token != Token_ || Outcome == PartOutcome::Conflict)
+            return;
+          if (Outcome != PartOutcome::Ok) {
+            Ctx_.Loop.after(TurnPeriod, [this, Wave, Token] {
+              if (Token == Token_)
+                keep(Wave);
+            });
+            return;
+          }
+          announce(Wave, Completed);
+        });
+      });
+}
+
+/// Tells operators how far the wave is.
+void FleetDuty::announce(const std::string &Wave, bool Completed) {
+  store::PartTransaction T;
+  T.Puts.push_back(
+      {{Ctx_.Rows.StatusTable, "", Ctx_.Rows.WaveStatusKeyPrefix + Wave},
+       Ctx_.Rows.WaveStatus(Completed)});
+  Ctx_.Store.commit(std::move(T), StoreLimit,
+                    [this, Wave, Completed, Token = Token_](PartAnswer A) {
+                      Ctx_.Loop.post([this, Wave, Completed, Token,
+                                      Outcome = A.Outcome] {
+                        if (Outcome == PartOutcome::Ok || Token != Token_)
+                          return;
+                        Ctx_.Loop.after(TurnPeriod, [this, Wave, Completed] {
+                          announce(Wave, Completed);
+                        });
+                      });
+                    });
+}
+
+} // namespace comfreydeck::dispatch
--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -15,7 +15,9 @@
 /// A withdrawn key is refused by entries whose last reading is old, so that
 /// readings come several times within its bound.
 constexpr milliseconds OperatorWait(1000);
-constexpr milliseconds WorkerWait(2000);
+/// Workers write their entries all the time: a waiting reading would return at
+/// once. Bounds how soon a leaving worker is seen.
+constexpr milliseconds WorkerPause(500);
 /// Bounds how soon the loss of an owner is seen, and the readings a second.
 constexpr milliseconds ControlPause(400);
 /// A worker that vanished may run what it had for as long as an owner's
@@ -35,7 +37,7 @@
                    takeOperatorRows(Rows, All);
                  }),
       Workers_(Ctx.Loop, Ctx.Store,
-               {Ctx.Rows.WorkerTable, WorkerWait, {}, nullptr},
+               {Ctx.Rows.WorkerTable, {}, WorkerPause, nullptr},
                [this](const auto &Rows, bool All) {
                  takeWorkerRows(Rows, All);
                }),
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -35,6 +35,7 @@
       static_cast<jobs::JobState>(Object.value("state", 0U) %
                                   (unsigned(jobs::JobState::Cancelled) + 1));
   Answer.Pending = Object.value("pending", 0U);
+  Answer.Clear = Object.value("clear", std::vector<std::string>());
   return Answer;
 }
 
@@ -127,6 +128,30 @@
   ask(Pool, Json({{"pool", Pool}, {"queue", Queue}}).dump(), std::move(Done));
 }
 
+void Peers::askClose(
+    const std::string &Pool, const CloseRequest &Request,
+    std::function<void(const std::vector<std::string> &)> Done) {
+  if (auto Keeper = Owners_.keeper(Pool)) {
+    Done(Keeper->closeWorkers(Request.Patient, Request.Pressing));
+    return;
+  }
+  Json Body = {{"pool", Pool},
+               {"close", Request.Patient},
+               {"press", Request.Pressing}};
+  ask(Pool, Body.dump(), [Done = std::move(Done)](const OwnerAnswer &Answer) {
+    Done(Answer.Clear);
+  });
+}
+
+void Peers::tellEnded(const std::string &Pool, const std::string &Worker) {
+  if (auto Keeper = Owners_.keeper(Pool)) {
+    Keeper->endWorker(Worker);
+    return;
+  }
+  ask(Pool, Json({{"pool", Pool}, {"ended", Worker}}).dump(),
+      [](const OwnerAnswer &) {});
+}
+
 net::HttpResponse Peers::handle(const net::HttpRequest &Request) {
   Json Object = Json::parse(Request.Body, nullptr, false);
   if (Request.Path != Path || !Object.is_object())
@@ -139,11 +164,19 @@
       Keeper->addJob(codec::decodeJob(Object["add"].get<std::string>()));
     if (Object.contains("cancel"))
       Keeper->cancelJob(Object["cancel"].get<std::string>());
+    if (Object.contains("ended"))
+      Keeper->endWorker(Object["ended"].get<std::string>());
+    std::vector<std::string> Clear;
+    if (Object.contains("close"))
+      Clear = Keeper->closeWorkers(
+          Object["close"].get<std::vector<std::string>>(),
+          Object.at("press").get<std::vector<std::string>>());
     OwnerAnswer Answer = answerHere(*Keeper, Object.value("job", ""),
                                     Object.value("queue", ""));
     Json Body = {{"known", Answer.Known},
                  {"state", static_cast<unsigned>(Answer.State)},
-                 {"pending", Answer.Pending}};
+                 {"pending", Answer.Pending},
+                 {"clear", Clear}};
     return net::jsonResponse(StatusOk, Body.dump());
   } catch (const std::exception &E) {
     logEvent("peer_call_unreadable", {{"error", E.what()}});
--- a/src/dispatch/Peers.h
+++ b/src/dispatch/Peers.h
@@ -15,6 +15,16 @@
   bool Known = false;
   jobs::JobState State = jobs::JobState::Queued;
   std::uint32_t Pending = 0;
+  /// Closed workers that can be taken out.
+  std::vector<std::string> Clear;
+};
+
+/// Workers that are to get nothing new.
+struct CloseRequest {
+  /// Their tasks may end by themselves.
+  std::vector<std::string> Patient;
+  /// Only lasting tasks are waited for.
+  std::vector<std::string> Pressing;
 };
 
 /// Asks the owners of pools, here or at other entries, and answers for the
@@ -32,6 +42,12 @@
   void askPending(const std::string &Pool, const std::string &Queue,
                   std::function<void(OwnerAnswer)> Done);
 
+  /// Closes workers for a while; \p Done gets those that can be taken out.
+  void askClose(const std::string &Pool, const CloseRequest &Request,
+                std::function<void(const std::vector<std::string> &)> Done);
+  /// The platform has ended that worker.
+  void tellEnded(const std::string &Pool, const std::string &Worker);
+
   /// Handles a call of another entry. On the loop's thread.
   net::HttpResponse handle(const net::HttpRequest &Request);
 
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -24,6 +24,8 @@
 constexpr milliseconds StoreLimit(1500);
 /// A transaction takes 100 entries; two are conditions and one is the chain.
 constexpr std::size_t BatchJobs = 90;
+/// A worker is open again if nobody has asked for its closing for that long.
+constexpr milliseconds ClosedFor(2500);
 /// Finished jobs are kept a little longer than promised.
 constexpr milliseconds KeepSlack(10000);
 
@@ -176,8 +178,40 @@
   State_.setTeamRoom(std::move(Room));
 }
 
-void PoolKeeper::setClosedWorkers(std::set<std::string> Ids) {
+std::vector<std::string>
+PoolKeeper::closeWorkers(std::span<const std::string> Patient,
+                         std::span<const std::string> Pressing) {
+  std::vector<std::string> Clear;
+  core::TimePoint Now = bootNow();
+  for (const std::string &Id : Patient) {
+    bool WasClosed = Closed_.count(Id) != 0;
+    Closed_[Id] = Now;
+    if (WasClosed && State_.isClear(Id, true))
+      Clear.push_back(Id);
+  }
+  for (const std::string &Id : Pressing) {
+    Closed_[Id] = Now;
+    if (State_.isClear(Id, false))
+      Clear.push_back(Id);
+  }
+  applyClosed();
+  wake();
+  return Clear;
+}
+
+void PoolKeeper::applyClosed() {
+  core::TimePoint Now = bootNow();
+  std::erase_if(Closed_, [Now](const auto &Item) {
+    return Now - Item.second > ClosedFor;
+  });
+  std::set<std::string> Ids;
+  for (const auto &[Id, At] : Closed_)
+    Ids.insert(Id);
   State_.setClosedWorkers(Ids);
+}
+
+void PoolKeeper::endWorker(const std::string &Id) {
+  State_.endWorker(Id);
   wake();
 }
 
@@ -228,6 +262,7 @@
 void PoolKeeper::plan() {
   if (Dropped_ || !Loaded_)
     return;
+  applyClosed();
   jobs::PlanInput In;
   In.Now = bootNow();
   In.WallMs = wallMs();
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -28,8 +28,12 @@
   void addJob(const jobs::JobSpec &Spec);
   void cancelJob(const std::string &Id);
   void setTeamRoom(std::map<std::string, core::Resources> Room);
-  /// Gets nothing new, so that it can be taken out.
-  void setClosedWorkers(std::set<std::string> Ids);
+  /// The workers get nothing new for a while; returns those that can be taken
+  /// out. Of \p Pressing only lasting tasks are waited for.
+  std::vector<std::string> closeWorkers(std::span<const std::string> Patient,
+                                        std::span<const std::string> Pressing);
+  /// The platform has ended the worker.
+  void endWorker(const std::string &Id);
 
   /// Starts no more and stores what there is; then \p Done is called.
   void leave(std::function<void()> Done);
@@ -55,6 +59,7 @@
   void sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch, bool Again);
   void stored(const std::shared_ptr<jobs::ProgressBatch> &Batch,
               const store::PartAnswer &Answer, bool Again);
+  void applyClosed();
   void lose(const char *Why);
   core::TimePoint authorityEnd() const;
   const jobs::WorkerEntry *entryOf(const std::string &Worker) const;
@@ -67,6 +72,8 @@
   std::function<void()> Left_;
   std::string Part_;
   std::uint64_t Chain_ = 0;
+  /// Closed workers and when they were last asked to be.
+  std::map<std::string, core::TimePoint> Closed_;
   bool Loaded_ = false;
   bool Leaving_ = false;
   bool Dropped_ = false;
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -96,10 +96,9 @@
 /// What is kept of one task between owners.
 struct TaskProgress {
   bool Done = false;
-  /// Runs that ended as failed.
-  std::uint32_t Failures = 0;
-  /// The last run counted in \ref Failures.
-  RunId LastFailed = 0;
+  /// Runs that ended as failed. Each is listed again to a later owner, in any
+  /// order.
+  std::vector<RunId> FailedRuns;
   std::string Checkpoint;
 };
 
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -212,14 +212,13 @@
   const StepSpec &Step = stepOf(Job, Task);
   if (Step.Lasting || isFinal(Job.Now) || State.Kept.Done)
     return;
-  ++State.Kept.Failures;
   touch(Job);
-  std::uint32_t Failures = State.Kept.Failures;
+  std::size_t Failures = State.Kept.FailedRuns.size();
   if (Step.Gang) {
     Failures = 0;
     std::uint32_t First = Task - refOf(Job, Task).Index;
     for (std::uint32_t Mate = 0; Mate < Step.Tasks; ++Mate)
-      Failures += Job.Tasks[First + Mate].Kept.Failures;
+      Failures += Job.Tasks[First + Mate].Kept.FailedRuns.size();
   }
   if (Failures >= Job.Spec.MaxAttempts)
     endJob(Job, JobState::Failed);
@@ -312,6 +311,7 @@
   W.Unstored.clear();
   W.UnknownRuns = 0;
   W.FailuresInRow = 0;
+  W.Ended = false;
   W.ClockAt = Now;
 }
 
@@ -366,6 +366,64 @@
   TeamRoom_ = std::move(Room);
 }
 
+void PoolState::endWorker(const std::string &Id) {
+  auto At = Workers_.find(Id);
+  if (At == Workers_.end())
+    return;
+  loseRuns(*At->second);
+  At->second->Ended = true;
+}
+
+bool PoolState::isClear(const std::string &Id, bool Patient) const {
+  auto At = Workers_.find(Id);
+  if (At == Workers_.end())
+    return true;
+  const WorkerState &W = *At->second;
+  if (W.UnknownRuns > 0)
+    return false;
+  for (const auto &[Job, Task] : W.Tasks)
+    if (Patient || stepOf(*Job, Task).Lasting)
+      return false;
+  return true;
+}
+
+std::uint32_t PoolState::absent(const JobRecord &Job,
+                                std::uint32_t Task) const {
+  constexpr std::uint32_t AtWork = 100;
+  TaskRef Ref = refOf(Job, Task);
+  std::uint32_t First = Task - Ref.Index;
+  std::uint32_t Count = 0;
+  for (std::uint32_t T = First; T < First + Job.Spec.Steps[Ref.Step].Tasks;
+       ++T) {
+    const std::vector<LiveRun> &Runs = Job.Tasks[T].Runs;
+    bool Works = std::any_of(Runs.begin(), Runs.end(), [](const LiveRun &Run) {
+      return !Run.Stopping && Run.Percent >= AtWork;
+    });
+    Count += Works || T == Task ? 0 : 1;
+  }
+  return Count;
+}
+
+/// Lasting tasks on workers that are to be taken out go elsewhere, as many at a
+/// time as their steps allow.
+void PoolState::clearClosed(const PlanInput &In) {
+  for (auto &[Id, W] : Workers_) {
+    if (!W->Closed)
+      continue;
+    for (const auto &[Job, Task] : W->Tasks) {
+      const StepSpec &Step = stepOf(*Job, Task);
+      std::uint32_t Allowed = std::max<std::uint32_t>(Step.AbsenceAllowance, 1);
+      if (!Step.Lasting || absent(*Job, Task) >= Allowed)
+        continue;
+      for (LiveRun &Run : Job->Tasks[Task].Runs)
+        if (!Run.Stopping && Run.Worker == Id) {
+          Run.Stopping = true;
+          Run.StopAt = In.Now;
+        }
+    }
+  }
+}
+
 void PoolState::noteClock(WorkerState &W, std::int64_t ClockMs,
                           core::TimePoint Now) {
   if (ClockMs <= 0)
@@ -557,8 +615,12 @@
       W.FailuresInRow = 0;
       taskDone(*Job, Task);
     }
-    if (End.How == RunEnd::Failed && End.Run > State.Kept.LastFailed) {
-      State.Kept.LastFailed = End.Run;
+    std::vector<RunId> &Failed = State.Kept.FailedRuns;
+    bool Counted =
+        std::find(Failed.begin(), Failed.end(), End.Run) != Failed.end();
+    if (End.How == RunEnd::Failed && !Counted) {
+      if (!stepOf(*Job, Task).Lasting)
+        Failed.push_back(End.Run);
       taskFailed(*Job, Task, W, Now);
     }
   }
@@ -726,7 +788,7 @@
   for (auto &[Id, W] : Workers_) {
     bool Wanted = !W->Tasks.empty() || W->Noted > W->NotedTold ||
                   W->UnknownRuns > 0 || !W->Heard;
-    if (!Wanted || W->HoldInFlight || In.Now < W->NextHold)
+    if (!Wanted || W->Ended || W->HoldInFlight || In.Now < W->NextHold)
       continue;
     HoldOrder Hold;
     Hold.Worker = Id;
@@ -747,6 +809,7 @@
     return Out;
   }
   expireSilent(In);
+  clearClosed(In);
   if (In.MayStart && Config_) {
     StartPlan Plan(*this, In);
     Out.Starts = Plan.run();
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -149,6 +149,8 @@
   /// Its entry is gone from the list.
   bool Gone = false;
   core::TimePoint GoneAt;
+  /// The platform has ended this life.
+  bool Ended = false;
   /// Heard since this owner took the pool.
   bool Heard = false;
   std::int64_t Born = 0;
@@ -225,6 +227,11 @@
   void setClosedDataCentres(std::set<std::string> Names);
   /// Workers that are about to be taken out.
   void setClosedWorkers(const std::set<std::string> &Ids);
+  /// The platform has ended the worker with all that ran there.
+  void endWorker(const std::string &Id);
+  /// Whether a closed worker can be taken out: no lasting task is there, and
+  /// where \p Patient no other one either.
+  bool isClear(const std::string &Id, bool Patient) const;
   /// What each team may have running in this pool; teams without an entry have
   /// no bound.
   void setTeamRoom(std::map<std::string, core::Resources> Room);
@@ -306,6 +313,8 @@
   double runTimeMs(const JobRecord &Job, const StepSpec &Step) const;
   void noteRunTime(const JobRecord &Job, const LiveRun &Run,
                    core::TimePoint Now);
+  std::uint32_t absent(const JobRecord &Job, std::uint32_t Task) const;
+  void clearClosed(const PlanInput &In);
   void planStops(const PlanInput &In, Orders &Out);
   void planHolds(const PlanInput &In, Orders &Out);
   void expireSilent(const PlanInput &In);
