Give silent workers no longer lease; clear workers by stops only

Nothing is taken for ended by a maintenance order any more; where it presses, tasks are stopped by order.

--- a/src/dispatch/FleetDuty.cpp
+++ b/src/dispatch/FleetDuty.cpp
@@ -202,10 +202,12 @@
                       WaveProgress &So) {
   std::map<std::string, CloseRequest> ByPool;
   for (const jobs::WaveMachine &M : Machines) {
-    if (!M.Closing || M.Done || M.Worker.empty())
+    const MachineProgress &P = So.Machines[M.Id];
+    // Until the list shows it, a machine that was taken down stays closed.
+    bool Closed = P.Closing && (!P.Done || M.Down);
+    if (!Closed || M.Worker.empty())
       continue;
-    bool Patient =
-        bootNow() - So.Machines[M.Id].ClosingSince < EmptyingPatience;
+    bool Patient = bootNow() - P.ClosingSince < EmptyingPatience;
     (Patient ? ByPool[M.Pool].Patient : ByPool[M.Pool].Pressing)
         .push_back(M.Worker);
   }
@@ -245,8 +247,6 @@
   switch (Outcome) {
   case DutyOutcome::Done:
     P.Done = true;
-    if (const Machine *M = machine(Id))
-      Calls_.tellEnded(M->Pool, M->Worker);
     keep(Wave);
     return;
   case DutyOutcome::Fenced:
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -143,15 +143,6 @@
   });
 }
 
-void Peers::tellEnded(const std::string &Pool, const std::string &Worker) {
-  if (auto Keeper = Owners_.keeper(Pool)) {
-    Keeper->endWorker(Worker);
-    return;
-  }
-  ask(Pool, Json({{"pool", Pool}, {"ended", Worker}}).dump(),
-      [](const OwnerAnswer &) {});
-}
-
 net::HttpResponse Peers::handle(const net::HttpRequest &Request) {
   Json Object = Json::parse(Request.Body, nullptr, false);
   if (Request.Path != Path || !Object.is_object())
@@ -164,8 +155,6 @@
       Keeper->addJob(codec::decodeJob(Object["add"].get<std::string>()));
     if (Object.contains("cancel"))
       Keeper->cancelJob(Object["cancel"].get<std::string>());
-    if (Object.contains("ended"))
-      Keeper->endWorker(Object["ended"].get<std::string>());
     std::vector<std::string> Clear;
     if (Object.contains("close"))
       Clear = Keeper->closeWorkers(
--- a/src/dispatch/Peers.h
+++ b/src/dispatch/Peers.h
@@ -23,7 +23,7 @@
 struct CloseRequest {
   /// Their tasks may end by themselves.
   std::vector<std::string> Patient;
-  /// Only lasting tasks are waited for.
+  /// Their tasks are stopped.
   std::vector<std::string> Pressing;
 };
 
@@ -45,8 +45,6 @@
   /// Closes workers for a while; \p Done gets those that can be taken out.
   void askClose(const std::string &Pool, const CloseRequest &Request,
                 std::function<void(const std::vector<std::string> &)> Done);
-  /// The platform has ended that worker.
-  void tellEnded(const std::string &Pool, const std::string &Worker);
 
   /// Handles a call of another entry. On the loop's thread.
   net::HttpResponse handle(const net::HttpRequest &Request);
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -181,38 +181,34 @@
 std::vector<std::string>
 PoolKeeper::closeWorkers(std::span<const std::string> Patient,
                          std::span<const std::string> Pressing) {
-  std::vector<std::string> Clear;
   core::TimePoint Now = bootNow();
-  for (const std::string &Id : Patient) {
-    bool WasClosed = Closed_.count(Id) != 0;
-    Closed_[Id] = Now;
-    if (WasClosed && State_.isClear(Id, true))
-      Clear.push_back(Id);
-  }
-  for (const std::string &Id : Pressing) {
-    Closed_[Id] = Now;
-    if (State_.isClear(Id, false))
-      Clear.push_back(Id);
-  }
+  for (const std::string &Id : Patient)
+    Closed_[Id] = {Now, false};
+  for (const std::string &Id : Pressing)
+    Closed_[Id] = {Now, true};
   applyClosed();
   wake();
+  std::vector<std::string> Clear;
+  for (std::span<const std::string> Asked : {Patient, Pressing})
+    std::copy_if(Asked.begin(), Asked.end(), std::back_inserter(Clear),
+                 [this](const std::string &Id) { return State_.isClear(Id); });
   return Clear;
 }
 
 void PoolKeeper::applyClosed() {
   core::TimePoint Now = bootNow();
   std::erase_if(Closed_, [Now](const auto &Item) {
-    return Now - Item.second > ClosedFor;
+    return Now - Item.second.At > ClosedFor;
   });
-  std::set<std::string> Ids;
-  for (const auto &[Id, At] : Closed_)
-    Ids.insert(Id);
-  State_.setClosedWorkers(Ids);
-}
-
-void PoolKeeper::endWorker(const std::string &Id) {
-  State_.endWorker(Id);
-  wake();
+  std::set<std::string> All;
+  std::set<std::string> Pressed;
+  for (const auto &[Id, Asked] : Closed_) {
+    All.insert(Id);
+    if (Asked.Pressing)
+      Pressed.insert(Id);
+  }
+  State_.setClosedWorkers(All);
+  State_.setPressedWorkers(Pressed);
 }
 
 void PoolKeeper::leave(std::function<void()> Done) {
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -29,11 +29,9 @@
   void cancelJob(const std::string &Id);
   void setTeamRoom(std::map<std::string, core::Resources> Room);
   /// The workers get nothing new for a while; returns those that can be taken
-  /// out. Of \p Pressing only lasting tasks are waited for.
+  /// out. The tasks of \p Pressing are stopped.
   std::vector<std::string> closeWorkers(std::span<const std::string> Patient,
                                         std::span<const std::string> Pressing);
-  /// The platform has ended the worker.
-  void endWorker(const std::string &Id);
 
   /// Starts no more and stores what there is; then \p Done is called.
   void leave(std::function<void()> Done);
@@ -72,8 +70,13 @@
   std::function<void()> Left_;
   std::string Part_;
   std::uint64_t Chain_ = 0;
-  /// Closed workers and when they were last asked to be.
-  std::map<std::string, core::TimePoint> Closed_;
+  /// A worker that gets nothing new.
+  struct Closing {
+    /// When it was last asked for.
+    core::TimePoint At;
+    bool Pressing = false;
+  };
+  std::map<std::string, Closing> Closed_;
   bool Loaded_ = false;
   bool Leaving_ = false;
   bool Dropped_ = false;
--- /dev/null
+++ b/src/jobs/PoolSizes.cpp
@@ -0,0 +1,94 @@
+#include "jobs/PoolSizes.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace comfreydeck::jobs {
+
+namespace {
+
+/// Room beyond what is used, for tasks that don't fit exactly.
+constexpr double Headroom = 1.15;
+/// Share of the waiting tasks that is to run at once; the rest runs after them,
+/// within its objective.
+constexpr double WaitingShare = 0.7;
+/// Machines kept beyond the need, for the next task.
+constexpr std::uint32_t SpareMachines = 1;
+/// A surplus that lasts shorter is worth no move.
+constexpr std::chrono::milliseconds SurplusTime(1500);
+/// Moves of one planning; more follow with the next one.
+constexpr std::size_t MaxMoves = 10;
+
+double machinesFor(std::uint64_t Lasting, std::uint64_t Used,
+                   std::uint64_t Waiting, std::uint32_t PerMachine) {
+  if (PerMachine == 0)
+    return 0;
+  double Need = static_cast<double>(Lasting) +
+                (static_cast<double>(Used) +
+                 static_cast<double>(Waiting) * WaitingShare) *
+                    Headroom;
+  return std::ceil(Need / PerMachine);
+}
+
+/// One pool while machines are given and taken.
+struct Balance {
+  const PoolLoad *Load = nullptr;
+  std::uint32_t Needed = 0;
+  std::uint32_t Has = 0;
+  std::size_t NextIdle = 0;
+
+  bool canGive() const {
+    bool HasIdle = NextIdle < Load->Idle.size();
+    return HasIdle && (Load->Standby || Has > Needed + SpareMachines);
+  }
+};
+
+MachineMove moveOne(Balance &From, Balance &To) {
+  MachineMove Move{From.Load->Idle[From.NextIdle++], From.Load->Pool,
+                   To.Load->Pool};
+  --From.Has;
+  ++To.Has;
+  return Move;
+}
+
+} // namespace
+
+std::uint32_t machinesNeeded(const PoolLoad &Load) {
+  if (Load.Standby)
+    return 0;
+  double Cpu = machinesFor(Load.LastingCpu, Load.UsedCpu, Load.WaitingCpu,
+                           Load.PerMachine.MilliCpus);
+  double Memory = machinesFor(Load.LastingMemory, Load.UsedMemory,
+                              Load.WaitingMemory, Load.PerMachine.MemoryMb);
+  auto Needed = static_cast<std::uint32_t>(std::max(Cpu, Memory));
+  return std::max({Needed, Load.SpreadOver, std::uint32_t{1}});
+}
+
+std::vector<MachineMove> planMoves(std::span<const PoolLoad> Loads) {
+  std::vector<Balance> Pools;
+  for (const PoolLoad &Load : Loads)
+    Pools.push_back({&Load, machinesNeeded(Load), Load.Machines, 0});
+  std::vector<MachineMove> Moves;
+  // The standby pool gives first: nothing else lacks what it gives.
+  std::stable_sort(Pools.begin(), Pools.end(),
+                   [](const Balance &A, const Balance &B) {
+                     return A.Load->Standby && !B.Load->Standby;
+                   });
+  for (Balance &To : Pools) {
+    for (Balance &From : Pools) {
+      while (!To.Load->Standby && To.Has < To.Needed && &From != &To &&
+             From.canGive() && Moves.size() < MaxMoves)
+        Moves.push_back(moveOne(From, To));
+    }
+  }
+  if (Pools.empty() || !Pools.front().Load->Standby)
+    return Moves;
+  Balance &Standby = Pools.front();
+  for (Balance &From : Pools)
+    while (!From.Load->Standby && From.Load->SurplusFor >= SurplusTime &&
+           From.canGive() && Moves.size() < MaxMoves)
+      Moves.push_back(moveOne(From, Standby));
+  return Moves;
+}
+
+} // namespace comfreydeck::jobs
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -311,7 +311,6 @@
   W.Unstored.clear();
   W.UnknownRuns = 0;
   W.FailuresInRow = 0;
-  W.Ended = false;
   W.ClockAt = Now;
 }
 
@@ -366,46 +365,42 @@
   TeamRoom_ = std::move(Room);
 }
 
-void PoolState::endWorker(const std::string &Id) {
-  auto At = Workers_.find(Id);
-  if (At == Workers_.end())
-    return;
-  loseRuns(*At->second);
-  At->second->Ended = true;
+void PoolState::setPressedWorkers(const std::set<std::string> &Ids) {
+  for (auto &[Id, W] : Workers_)
+    W->Pressed = Ids.count(Id) != 0;
 }
 
-bool PoolState::isClear(const std::string &Id, bool Patient) const {
+bool PoolState::isClear(const std::string &Id) const {
   auto At = Workers_.find(Id);
-  if (At == Workers_.end())
-    return true;
-  const WorkerState &W = *At->second;
-  if (W.UnknownRuns > 0)
-    return false;
-  for (const auto &[Job, Task] : W.Tasks)
-    if (Patient || stepOf(*Job, Task).Lasting)
-      return false;
-  return true;
+  return At == Workers_.end() ||
+         (At->second->Tasks.empty() && At->second->UnknownRuns == 0);
 }
 
-std::uint32_t PoolState::absent(const JobRecord &Job,
-                                std::uint32_t Task) const {
+bool PoolState::isAtWork(const LiveRun &Run, core::TimePoint Now) const {
   constexpr std::uint32_t AtWork = 100;
+  const WorkerState &W = *Workers_.at(Run.Worker);
+  return !Run.Stopping && Run.Percent >= AtWork && !W.Gone &&
+         Now - W.ReportedAt < Limits_.ReportStale;
+}
+
+std::uint32_t PoolState::absent(const JobRecord &Job, std::uint32_t Task,
+                                core::TimePoint Now) const {
   TaskRef Ref = refOf(Job, Task);
   std::uint32_t First = Task - Ref.Index;
   std::uint32_t Count = 0;
   for (std::uint32_t T = First; T < First + Job.Spec.Steps[Ref.Step].Tasks;
        ++T) {
     const std::vector<LiveRun> &Runs = Job.Tasks[T].Runs;
-    bool Works = std::any_of(Runs.begin(), Runs.end(), [](const LiveRun &Run) {
-      return !Run.Stopping && Run.Percent >= AtWork;
-    });
+    bool Works =
+        std::any_of(Runs.begin(), Runs.end(),
+                    [&](const LiveRun &Run) { return isAtWork(Run, Now); });
     Count += Works || T == Task ? 0 : 1;
   }
   return Count;
 }
 
 /// Lasting tasks on workers that are to be taken out go elsewhere, as many at a
-/// time as their steps allow.
+/// time as their steps allow; other tasks only where it presses.
 void PoolState::clearClosed(const PlanInput &In) {
   for (auto &[Id, W] : Workers_) {
     if (!W->Closed)
@@ -413,7 +408,9 @@
     for (const auto &[Job, Task] : W->Tasks) {
       const StepSpec &Step = stepOf(*Job, Task);
       std::uint32_t Allowed = std::max<std::uint32_t>(Step.AbsenceAllowance, 1);
-      if (!Step.Lasting || absent(*Job, Task) >= Allowed)
+      bool May = Step.Lasting ? absent(*Job, Task, In.Now) < Allowed
+                              : W->Pressed;
+      if (!May)
         continue;
       for (LiveRun &Run : Job->Tasks[Task].Runs)
         if (!Run.Stopping && Run.Worker == Id) {
@@ -581,6 +578,7 @@
   }
   noteClock(W, Report.ClockMs, Now);
   W.Heard = true;
+  W.ReportedAt = Now;
   W.NotedTold = std::max(W.NotedTold, Order.NotedUpTo);
   W.NextHold =
       Report.Ended.empty() ? Now : Now + Limits_.ReportPause;
@@ -788,11 +786,15 @@
   for (auto &[Id, W] : Workers_) {
     bool Wanted = !W->Tasks.empty() || W->Noted > W->NotedTold ||
                   W->UnknownRuns > 0 || !W->Heard;
-    if (!Wanted || W->Ended || W->HoldInFlight || In.Now < W->NextHold)
+    if (!Wanted || W->HoldInFlight || In.Now < W->NextHold)
       continue;
     HoldOrder Hold;
     Hold.Worker = Id;
-    Hold.DeadlineMs = W->Tasks.empty() ? 0 : leaseFor(*W, In);
+    // A worker that is silent gets no longer lease: its runs end with the one
+    // that it has, and can then be started elsewhere.
+    bool Extend = !W->Tasks.empty() &&
+                  In.Now - W->ReportedAt < Limits_.ReportStale;
+    Hold.DeadlineMs = Extend ? leaseFor(*W, In) : 0;
     Hold.NotedUpTo = W->Noted;
     bool MayWait = W->Heard && !W->Tasks.empty();
     Hold.Wait = MayWait ? Limits_.ReportWait : core::Duration::zero();
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -31,6 +31,8 @@
   core::Duration ReportWait = std::chrono::milliseconds(800);
   /// Pause after a report with ends, so that the next one brings several.
   core::Duration ReportPause = std::chrono::milliseconds(25);
+  /// A worker that was silent for longer may have lost what it ran.
+  core::Duration ReportStale = std::chrono::milliseconds(1800);
   /// Pause after a report that failed.
   core::Duration ReportRetry = std::chrono::milliseconds(250);
   /// How long a worker that refused an order gets no other.
@@ -149,8 +151,6 @@
   /// Its entry is gone from the list.
   bool Gone = false;
   core::TimePoint GoneAt;
-  /// The platform has ended this life.
-  bool Ended = false;
   /// Heard since this owner took the pool.
   bool Heard = false;
   std::int64_t Born = 0;
@@ -180,6 +180,10 @@
   std::string LastFailedJob;
   /// Taken out for maintenance: gets nothing new.
   bool Closed = false;
+  /// Its tasks are stopped besides.
+  bool Pressed = false;
+  /// When its last report came.
+  core::TimePoint ReportedAt;
 };
 
 /// Counters of one pool, for metrics and logs.
@@ -227,11 +231,10 @@
   void setClosedDataCentres(std::set<std::string> Names);
   /// Workers that are about to be taken out.
   void setClosedWorkers(const std::set<std::string> &Ids);
-  /// The platform has ended the worker with all that ran there.
-  void endWorker(const std::string &Id);
-  /// Whether a closed worker can be taken out: no lasting task is there, and
-  /// where \p Patient no other one either.
-  bool isClear(const std::string &Id, bool Patient) const;
+  /// Workers whose tasks are to be stopped, each as its step allows.
+  void setPressedWorkers(const std::set<std::string> &Ids);
+  /// Whether nothing runs on the worker.
+  bool isClear(const std::string &Id) const;
   /// What each team may have running in this pool; teams without an entry have
   /// no bound.
   void setTeamRoom(std::map<std::string, core::Resources> Room);
@@ -313,7 +316,9 @@
   double runTimeMs(const JobRecord &Job, const StepSpec &Step) const;
   void noteRunTime(const JobRecord &Job, const LiveRun &Run,
                    core::TimePoint Now);
-  std::uint32_t absent(const JobRecord &Job, std::uint32_t Task) const;
+  bool isAtWork(const LiveRun &Run, core::TimePoint Now) const;
+  std::uint32_t absent(const JobRecord &Job, std::uint32_t Task,
+                       core::TimePoint Now) const;
   void clearClosed(const PlanInput &In);
   void planStops(const PlanInput &In, Orders &Out);
   void planHolds(const PlanInput &In, Orders &Out);
