Move machines to the pools that need them

Cause: each queue asks for five times its mean in its turn, more than its pool holds, while the other pools and the standby pool are idle; a seventh of the jobs was late. The fleet's duty asks owners for their load, pulls idle machines from the standby pool and from pools above a reserve, and sends back what has been too many for 2.5 s. Tasks are packed, so that workers fall idle.

--- a/src/dispatch/FleetDuty.cpp
+++ b/src/dispatch/FleetDuty.cpp
@@ -17,8 +17,9 @@
 namespace {
 
 constexpr milliseconds TurnPeriod(300);
-/// Pace at which the machines are listed while a wave runs.
-constexpr milliseconds ListPeriod(600);
+/// An owner's word that a worker is empty holds no longer: it opens the worker
+/// again if it isn't asked anew.
+constexpr milliseconds ClearFor(1200);
 /// A new holder of the duty orders nothing for the platform's lease time: the
 /// holder before it may be about to.
 constexpr milliseconds TakeoverPause(3000);
@@ -33,7 +34,11 @@
 
 FleetDuty::FleetDuty(Context &Ctx, FleetView &View, Ownership &Owners,
                      Peers &Calls)
-    : Ctx_(Ctx), View_(View), Owners_(Owners), Calls_(Calls) {}
+    : Ctx_(Ctx), View_(View), Owners_(Owners), Calls_(Calls), Book_(Ctx),
+      Moves_(Ctx, View, Calls, Book_) {
+  Moves_.setTaken(
+      [this](const std::string &Machine) { return isInHand(Machine); });
+}
 
 void FleetDuty::start() {
   if (Ctx_.Machines)
@@ -43,8 +48,8 @@
 void FleetDuty::reset(std::uint64_t Token) {
   Token_ = Token;
   Waves_.clear();
-  Machines_.clear();
-  ListedAt_ = core::TimePoint();
+  Book_.forget();
+  Moves_.reset();
   OrderFrom_ = bootNow() + TakeoverPause;
 }
 
@@ -54,46 +59,29 @@
     reset(Owners_.fleetToken());
   if (Token_ == 0)
     return;
-  bool Active = false;
   for (const auto &[Name, Wave] : View_.waves()) {
     WaveProgress &So = Waves_[Name];
     if (So.Completed)
       continue;
-    Active = true;
     if (So.Loaded)
       advance(Wave, So);
     else
       load(Name);
   }
-  if (Active)
-    refreshMachines();
+  if (bootNow() >= OrderFrom_)
+    Moves_.turn(Token_);
+  Book_.refresh();
 }
 
-void FleetDuty::refreshMachines() {
-  core::TimePoint Now = bootNow();
-  if (Listing_ || Now - ListedAt_ < ListPeriod)
-    return;
-  Listing_ = true;
-  Ctx_.Machines->list([this, Now](MachineList List) {
-    Ctx_.Loop.post([this, Now, List = std::move(List)] {
-      Listing_ = false;
-      if (!List.Ok) {
-        Ctx_.Count.retried("list-machines");
-        return;
-      }
-      ListedAt_ = Now;
-      Machines_.clear();
-      for (const Machine &M : List.Machines)
-        Machines_[M.Id] = M;
-    });
+/// Whether a wave empties the machine or takes it down.
+bool FleetDuty::isInHand(const std::string &Machine) const {
+  return std::any_of(Waves_.begin(), Waves_.end(), [&](const auto &Item) {
+    auto It = Item.second.Machines.find(Machine);
+    return It != Item.second.Machines.end() && It->second.Closing &&
+           !It->second.Done;
   });
 }
 
-const Machine *FleetDuty::machine(const std::string &Id) const {
-  auto It = Machines_.find(Id);
-  return It == Machines_.end() ? nullptr : &It->second;
-}
-
 /// Reads which machines were maintained under earlier holders of the duty.
 void FleetDuty::load(const std::string &Wave) {
   WaveProgress &So = Waves_[Wave];
@@ -133,7 +121,7 @@
   for (const std::string &Id : Wave.Machines) {
     jobs::WaveMachine M;
     M.Id = Id;
-    const Machine *Known = machine(Id);
+    const Machine *Known = Book_.find(Id);
     if (Known) {
       M.Pool = Known->Pool;
       M.Worker = Known->Worker;
@@ -149,7 +137,7 @@
       const MachineProgress &P = It->second;
       M.Done = P.Done;
       M.Closing = P.Closing && !P.Done;
-      M.Clear = P.Clear;
+      M.Clear = P.ClearWorker == M.Worker && Now - P.ClearAt < ClearFor;
       M.Down = M.Down || P.InFlight ||
                (P.OrderedAt != core::TimePoint() &&
                 Now - P.OrderedAt < OrderShownAfter);
@@ -162,7 +150,7 @@
 }
 
 void FleetDuty::advance(const WaveRequest &Wave, WaveProgress &So) {
-  if (ListedAt_ == core::TimePoint())
+  if (!Book_.isListed())
     return;
   if (!So.Announced) {
     So.Announced = true;
@@ -180,7 +168,7 @@
   jobs::WaveBounds Bounds;
   Bounds.MaxAtOnce = Wave.MaxAtOnce;
   Bounds.Left = So.SeenAt + Wave.Within - bootNow();
-  for (const auto &[Id, M] : Machines_)
+  for (const auto &[Id, M] : Book_.machines())
     ++Bounds.PoolWorkers[M.Pool];
   jobs::WaveStep Step = jobs::planWave(Machines, Bounds);
   for (const std::string &Worker : Step.Close)
@@ -215,9 +203,11 @@
     Calls_.askClose(Pool, Request, [this](const std::vector<std::string> &Ids) {
       for (auto &[Name, Wave] : Waves_)
         for (auto &[Id, Progress] : Wave.Machines) {
-          const Machine *M = machine(Id);
-          if (M && std::find(Ids.begin(), Ids.end(), M->Worker) != Ids.end())
-            Progress.Clear = true;
+          const Machine *M = Book_.find(Id);
+          if (!M || std::find(Ids.begin(), Ids.end(), M->Worker) == Ids.end())
+            continue;
+          Progress.ClearWorker = M->Worker;
+          Progress.ClearAt = bootNow();
         }
     });
 }
--- a/src/dispatch/FleetDuty.h
+++ b/src/dispatch/FleetDuty.h
@@ -1,12 +1,12 @@
 #ifndef COMFREYDECK_DISPATCH_FLEETDUTY_H
 #define COMFREYDECK_DISPATCH_FLEETDUTY_H
 
-#include "dispatch/Peers.h"
+#include "dispatch/PoolMoves.h"
 #include "jobs/WavePlan.h"
 
 namespace comfreydeck::dispatch {
 
-/// Runs the waves of maintenance at the entry that owns the fleet's duty. On
+/// Runs the waves of maintenance and the moves between pools at the entry that owns the fleet's duty. On
 /// the loop's thread.
 class FleetDuty {
 public:
@@ -18,7 +18,9 @@
   struct MachineProgress {
     core::TimePoint ClosingSince;
     bool Closing = false;
-    bool Clear = false;
+    /// The worker that its pool's owner found empty, and when.
+    std::string ClearWorker;
+    core::TimePoint ClearAt;
     bool InFlight = false;
     bool Done = false;
     core::TimePoint OrderedAt;
@@ -34,7 +36,6 @@
 
   void turn();
   void reset(std::uint64_t Token);
-  void refreshMachines();
   void load(const std::string &Wave);
   void advance(const WaveRequest &Wave, WaveProgress &So);
   std::vector<jobs::WaveMachine> describe(const WaveRequest &Wave,
@@ -45,7 +46,7 @@
              DutyOutcome Outcome);
   void keep(const std::string &Wave);
   void announce(const std::string &Wave, bool Completed);
-  const Machine *machine(const std::string &Id) const;
+  bool isInHand(const std::string &Machine) const;
 
   Context &Ctx_;
   FleetView &View_;
@@ -54,9 +55,8 @@
   std::uint64_t Token_ = 0;
   core::TimePoint OrderFrom_;
   std::map<std::string, WaveProgress> Waves_;
-  std::map<std::string, Machine> Machines_;
-  core::TimePoint ListedAt_;
-  bool Listing_ = false;
+  MachineBook Book_;
+  PoolMoves Moves_;
 };
 
 } // namespace comfreydeck::dispatch
--- /dev/null
+++ b/src/dispatch/MachineBook.cpp
@@ -0,0 +1,44 @@
+#include "dispatch/MachineBook.h"
+
+#include "dispatch/Clock.h"
+
+namespace comfreydeck::dispatch {
+
+namespace {
+
+/// Bounds how late a machine that came back is used, and the listings a second.
+constexpr std::chrono::milliseconds ListPeriod(500);
+
+} // namespace
+
+void MachineBook::refresh() {
+  core::TimePoint Now = bootNow();
+  if (Listing_ || Now - ListedAt_ < ListPeriod)
+    return;
+  Listing_ = true;
+  Ctx_.Machines->list([this, Now](MachineList List) {
+    Ctx_.Loop.post([this, Now, List = std::move(List)] {
+      Listing_ = false;
+      if (!List.Ok) {
+        Ctx_.Count.retried("list-machines");
+        return;
+      }
+      ListedAt_ = Now;
+      Machines_.clear();
+      for (const Machine &M : List.Machines)
+        Machines_[M.Id] = M;
+    });
+  });
+}
+
+void MachineBook::forget() {
+  Machines_.clear();
+  ListedAt_ = core::TimePoint();
+}
+
+const Machine *MachineBook::find(const std::string &Id) const {
+  auto It = Machines_.find(Id);
+  return It == Machines_.end() ? nullptr : &It->second;
+}
+
+} // namespace comfreydeck::dispatch
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/Peers.h"
 
 #include "codec/JobJson.h"
+#include "dispatch/Clock.h"
 #include "dispatch/EventLog.h"
 
 #include <nlohmann/json.hpp>
@@ -20,6 +21,34 @@
 constexpr int StatusBad = 400;
 constexpr int StatusNotOwner = 409;
 
+Json encodeLoad(const jobs::PoolLoad &Load) {
+  return {{"cpu", Load.PerMachine.MilliCpus},
+          {"memory", Load.PerMachine.MemoryMb},
+          {"lasting_cpu", Load.LastingCpu},
+          {"lasting_memory", Load.LastingMemory},
+          {"used_cpu", Load.UsedCpu},
+          {"used_memory", Load.UsedMemory},
+          {"waiting_cpu", Load.WaitingCpu},
+          {"waiting_memory", Load.WaitingMemory},
+          {"spread", Load.SpreadOver},
+          {"idle", Load.Idle}};
+}
+
+jobs::PoolLoad decodeLoad(const Json &Object) {
+  jobs::PoolLoad Load;
+  Load.PerMachine.MilliCpus = Object.value("cpu", 0U);
+  Load.PerMachine.MemoryMb = Object.value("memory", 0U);
+  Load.LastingCpu = Object.value("lasting_cpu", std::uint64_t{0});
+  Load.LastingMemory = Object.value("lasting_memory", std::uint64_t{0});
+  Load.UsedCpu = Object.value("used_cpu", std::uint64_t{0});
+  Load.UsedMemory = Object.value("used_memory", std::uint64_t{0});
+  Load.WaitingCpu = Object.value("waiting_cpu", std::uint64_t{0});
+  Load.WaitingMemory = Object.value("waiting_memory", std::uint64_t{0});
+  Load.SpreadOver = Object.value("spread", 0U);
+  Load.Idle = Object.value("idle", std::vector<std::string>());
+  return Load;
+}
+
 OwnerAnswer decode(const net::HttpResult &Result) {
   OwnerAnswer Answer;
   bool Ok = Result.End == core::ExchangeEnd::Answered &&
@@ -36,6 +65,8 @@
                                   (unsigned(jobs::JobState::Cancelled) + 1));
   Answer.Pending = Object.value("pending", 0U);
   Answer.Clear = Object.value("clear", std::vector<std::string>());
+  if (Object.contains("load"))
+    Answer.Load = decodeLoad(Object["load"]);
   return Answer;
 }
 
@@ -143,6 +174,19 @@
   });
 }
 
+void Peers::askLoad(const std::string &Pool,
+                    std::function<void(const OwnerLoad &)> Done) {
+  if (auto Keeper = Owners_.keeper(Pool)) {
+    Done({Keeper->state().load(wallMs()), {}});
+    return;
+  }
+  ask(Pool, Json({{"pool", Pool}, {"load", true}}).dump(),
+      [Done = std::move(Done)](const OwnerAnswer &Answer) {
+        if (Answer.Answered)
+          Done({Answer.Load, {}});
+      });
+}
+
 net::HttpResponse Peers::handle(const net::HttpRequest &Request) {
   Json Object = Json::parse(Request.Body, nullptr, false);
   if (Request.Path != Path || !Object.is_object())
@@ -166,6 +210,8 @@
                  {"state", static_cast<unsigned>(Answer.State)},
                  {"pending", Answer.Pending},
                  {"clear", Clear}};
+    if (Object.contains("load"))
+      Body["load"] = encodeLoad(Keeper->state().load(wallMs()));
     return net::jsonResponse(StatusOk, Body.dump());
   } catch (const std::exception &E) {
     logEvent("peer_call_unreadable", {{"error", E.what()}});
--- a/src/dispatch/Peers.h
+++ b/src/dispatch/Peers.h
@@ -2,6 +2,7 @@
 #define COMFREYDECK_DISPATCH_PEERS_H
 
 #include "dispatch/Ownership.h"
+#include "jobs/PoolSizes.h"
 #include "net/HttpServer.h"
 
 #include <optional>
@@ -17,6 +18,13 @@
   std::uint32_t Pending = 0;
   /// Closed workers that can be taken out.
   std::vector<std::string> Clear;
+  jobs::PoolLoad Load;
+};
+
+/// What a pool's owner says of its load.
+struct OwnerLoad {
+  jobs::PoolLoad Load;
+  core::TimePoint At;
 };
 
 /// Workers that are to get nothing new.
@@ -46,6 +54,10 @@
   void askClose(const std::string &Pool, const CloseRequest &Request,
                 std::function<void(const std::vector<std::string> &)> Done);
 
+  /// \p Done is called only if the owner answers.
+  void askLoad(const std::string &Pool,
+               std::function<void(const OwnerLoad &)> Done);
+
   /// Handles a call of another entry. On the loop's thread.
   net::HttpResponse handle(const net::HttpRequest &Request);
 
--- a/src/jobs/PoolSizes.cpp
+++ b/src/jobs/PoolSizes.cpp
@@ -15,7 +15,10 @@
 /// Machines kept beyond the need, for the next task.
 constexpr std::uint32_t SpareMachines = 1;
 /// A surplus that lasts shorter is worth no move.
-constexpr std::chrono::milliseconds SurplusTime(1500);
+constexpr std::chrono::milliseconds SurplusTime(2500);
+/// Share of the mean number of machines that a pool keeps for the start of a
+/// burst: a machine that is called takes longer than most jobs can wait.
+constexpr double ReserveShare = 0.8;
 /// Moves of one planning; more follow with the next one.
 constexpr std::size_t MaxMoves = 10;
 
@@ -35,14 +38,25 @@
   const PoolLoad *Load = nullptr;
   std::uint32_t Needed = 0;
   std::uint32_t Has = 0;
+  std::uint32_t Reserve = 0;
   std::size_t NextIdle = 0;
 
   bool canGive() const {
     bool HasIdle = NextIdle < Load->Idle.size();
-    return HasIdle && (Load->Standby || Has > Needed + SpareMachines);
+    return HasIdle && (Load->Standby ||
+                       Has > std::max(Needed + SpareMachines, Reserve));
   }
 };
 
+std::uint32_t reserveOf(std::span<const PoolLoad> Loads) {
+  double Machines = 0;
+  for (const PoolLoad &Load : Loads)
+    Machines += Load.Machines;
+  double Mean = Machines / static_cast<double>(std::max<std::size_t>(
+                               Loads.size(), 1));
+  return static_cast<std::uint32_t>(std::ceil(Mean * ReserveShare));
+}
+
 MachineMove moveOne(Balance &From, Balance &To) {
   MachineMove Move{From.Load->Idle[From.NextIdle++], From.Load->Pool,
                    To.Load->Pool};
@@ -67,7 +81,8 @@
 std::vector<MachineMove> planMoves(std::span<const PoolLoad> Loads) {
   std::vector<Balance> Pools;
   for (const PoolLoad &Load : Loads)
-    Pools.push_back({&Load, machinesNeeded(Load), Load.Machines, 0});
+    Pools.push_back(
+        {&Load, machinesNeeded(Load), Load.Machines, reserveOf(Loads), 0});
   std::vector<MachineMove> Moves;
   // The standby pool gives first: nothing else lacks what it gives.
   std::stable_sort(Pools.begin(), Pools.end(),
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -240,6 +240,7 @@
   W.Used.MemoryMb += Step.Need.MemoryMb;
   W.Used.Accelerators += Step.Need.Accelerators;
   W.Serving += Step.TailTargetMs > 0 ? 1 : 0;
+  W.Lasting += Step.Lasting ? 1 : 0;
   W.Filling += Step.Filling ? 1 : 0;
   core::Resources &Use = TeamUse_[Job.Spec.Team];
   Use.MilliCpus += Step.Need.MilliCpus;
@@ -254,6 +255,7 @@
   W.Used.MemoryMb -= Step.Need.MemoryMb;
   W.Used.Accelerators -= Step.Need.Accelerators;
   W.Serving -= Step.TailTargetMs > 0 ? 1 : 0;
+  W.Lasting -= Step.Lasting ? 1 : 0;
   W.Filling -= Step.Filling ? 1 : 0;
   core::Resources &Use = TeamUse_[Job.Spec.Team];
   Use.MilliCpus -= Step.Need.MilliCpus;
@@ -739,6 +741,48 @@
   return Demand;
 }
 
+PoolLoad PoolState::load(std::int64_t WallMs) const {
+  // What has waited for longer is late, and machines come too late for it.
+  constexpr std::int64_t WorthwhileMs = 6000;
+  PoolLoad Load;
+  Load.Pool = Pool_;
+  for (const auto &[Id, W] : Workers_) {
+    Load.PerMachine.MilliCpus =
+        std::max(Load.PerMachine.MilliCpus, W->Entry.Capacity.MilliCpus);
+    Load.PerMachine.MemoryMb =
+        std::max(Load.PerMachine.MemoryMb, W->Entry.Capacity.MemoryMb);
+    for (const auto &[Job, Task] : W->Tasks) {
+      const StepSpec &Step = stepOf(*Job, Task);
+      std::uint64_t Cpu = Step.Filling ? 0 : Step.Need.MilliCpus;
+      (Step.Lasting ? Load.LastingCpu : Load.UsedCpu) += Cpu;
+      (Step.Lasting ? Load.LastingMemory : Load.UsedMemory) +=
+          Step.Need.MemoryMb;
+    }
+    bool Idle = W->Heard && !W->Gone && !W->Closed && !W->Entry.Draining &&
+                W->Tasks.empty() && W->UnknownRuns == 0;
+    if (Idle)
+      Load.Idle.push_back(Id);
+  }
+  for (const JobRecord *Job : Open_) {
+    for (const StepSpec &Step : Job->Spec.Steps)
+      if (Step.Lasting && Step.MaxPerWorker > 0)
+        Load.SpreadOver =
+            std::max(Load.SpreadOver, (Step.Tasks + Step.MaxPerWorker - 1) /
+                                          Step.MaxPerWorker);
+    if (WallMs - Job->Spec.AcceptedMs > WorthwhileMs)
+      continue;
+    for (std::uint32_t T = 0; T < Job->Tasks.size(); ++T) {
+      const TaskState &Task = Job->Tasks[T];
+      if (Task.Kept.Done || !Task.Runs.empty() || !stepReady(*Job, T))
+        continue;
+      const StepSpec &Step = stepOf(*Job, T);
+      Load.WaitingCpu += Step.Filling ? 0 : Step.Need.MilliCpus;
+      Load.WaitingMemory += Step.Need.MemoryMb;
+    }
+  }
+  return Load;
+}
+
 void PoolState::noteRunTime(const JobRecord &Job, const LiveRun &Run,
                             core::TimePoint Now) {
   // The first samples count fully, later ones as in a window of that many.
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -2,6 +2,7 @@
 #define COMFREYDECK_JOBS_POOLSTATE_H
 
 #include "jobs/FleetConfig.h"
+#include "jobs/PoolSizes.h"
 #include "jobs/Worker.h"
 
 #include <deque>
@@ -170,6 +171,7 @@
   std::uint32_t UnknownRuns = 0;
   core::Resources Used;
   std::uint32_t Serving = 0;
+  std::uint32_t Lasting = 0;
   std::uint32_t Filling = 0;
   /// Tasks with a run there.
   std::set<std::pair<JobRecord *, std::uint32_t>> Tasks;
@@ -265,6 +267,9 @@
   /// What the team's waiting tasks would use besides.
   core::Resources teamDemand(const std::string &Team) const;
 
+  /// What the pool's machines are asked for; without their number.
+  PoolLoad load(std::int64_t WallMs) const;
+
   std::uint64_t token() const { return Token_; }
   const std::string &pool() const { return Pool_; }
   const PoolCounters &counters() const { return Counters_; }
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -10,7 +10,8 @@
 constexpr double NearRackBonus = 4.0;
 constexpr double MixedPenalty = 8.0;
 constexpr double FailedHerePenalty = 2.0;
-constexpr double SameRackPenalty = 1.5;
+/// A worker with lasting tasks stays where it is anyway.
+constexpr double LastingBonus = 1.0;
 constexpr double ColdPenalty = 0.5;
 
 core::Resources freeOn(const WorkerState &W) {
@@ -214,8 +215,11 @@
 
 double StartPlan::score(const WorkerState &W, const JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step) const {
-  double Score = static_cast<double>(freeOn(W).MilliCpus) /
-                 std::max<std::uint32_t>(W.Entry.Capacity.MilliCpus, 1);
+  // Fuller workers first: empty ones can go to another pool.
+  double Score = 1 - static_cast<double>(freeOn(W).MilliCpus) /
+                         std::max<std::uint32_t>(W.Entry.Capacity.MilliCpus, 1);
+  if (W.Lasting > 0)
+    Score += LastingBonus;
   if (!Step.NearRack.empty() && W.Entry.Rack == Step.NearRack)
     Score += NearRackBonus;
   bool Mixed = (Step.Filling && W.Serving > 0) ||
@@ -226,10 +230,6 @@
     Score -= FailedHerePenalty;
   if (W.Entry.ColdFor > core::Duration::zero())
     Score -= ColdPenalty;
-  if (Step.Lasting)
-    for (const auto &[Id, Other] : Owner_.Workers_)
-      if (Other->Entry.Rack == W.Entry.Rack)
-        Score -= SameRackPenalty * mates(*Other, Job, Task);
   return Score;
 }
 
