--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -119,6 +119,9 @@
   REQUIRE(Out.Starts.size() == 1);
   REQUIRE(Out.Starts[0].Worker == "w1");
   B.answer(Out.Starts[0], OrderOutcome::Accepted);
+  B.report("w2");
+  for (const HoldOrder &Hold : Out.Holds)
+    B.silent(Hold);
   bool Again = false;
   for (int Turn = 0; Turn < 80 && !Again; ++Turn) {
     B.pass(milliseconds(100));
