Size pools by the rate of arrivals, look at them twice as often

Cause: a burst was seen only by what already waited, and machines came 2.5 s after its start. The processor time of the jobs taken within the last second now tells what keeps coming; loads are asked for every 150 ms, the list of workers every 250 ms.

--- a/src/dispatch/FleetDuty.cpp
+++ b/src/dispatch/FleetDuty.cpp
@@ -16,7 +16,8 @@
 
 namespace {
 
-constexpr milliseconds TurnPeriod(300);
+/// Bounds how late a burst is answered, and the questions to owners a second.
+constexpr milliseconds TurnPeriod(150);
 /// An owner's word that a worker is empty holds no longer: it opens the worker
 /// again if it isn't asked anew.
 constexpr milliseconds ClearFor(1200);
--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -17,7 +17,7 @@
 constexpr milliseconds OperatorWait(1000);
 /// Workers write their entries all the time: a waiting reading would return at
 /// once. Bounds how soon a leaving worker is seen.
-constexpr milliseconds WorkerPause(500);
+constexpr milliseconds WorkerPause(250);
 /// Bounds how soon the loss of an owner is seen, and the readings a second.
 constexpr milliseconds ControlPause(400);
 /// A worker that vanished may run what it had for as long as an owner's
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -30,6 +30,7 @@
           {"used_memory", Load.UsedMemory},
           {"waiting_cpu", Load.WaitingCpu},
           {"waiting_memory", Load.WaitingMemory},
+          {"arriving_cpu", Load.ArrivingCpu},
           {"spread", Load.SpreadOver},
           {"idle", Load.Idle}};
 }
@@ -44,6 +45,7 @@
   Load.UsedMemory = Object.value("used_memory", std::uint64_t{0});
   Load.WaitingCpu = Object.value("waiting_cpu", std::uint64_t{0});
   Load.WaitingMemory = Object.value("waiting_memory", std::uint64_t{0});
+  Load.ArrivingCpu = Object.value("arriving_cpu", std::uint64_t{0});
   Load.SpreadOver = Object.value("spread", 0U);
   Load.Idle = Object.value("idle", std::vector<std::string>());
   return Load;
@@ -177,7 +179,7 @@
 void Peers::askLoad(const std::string &Pool,
                     std::function<void(const OwnerLoad &)> Done) {
   if (auto Keeper = Owners_.keeper(Pool)) {
-    Done({Keeper->state().load(wallMs()), {}});
+    Done({Keeper->state().load(bootNow(), wallMs()), {}});
     return;
   }
   ask(Pool, Json({{"pool", Pool}, {"load", true}}).dump(),
@@ -211,7 +213,7 @@
                  {"pending", Answer.Pending},
                  {"clear", Clear}};
     if (Object.contains("load"))
-      Body["load"] = encodeLoad(Keeper->state().load(wallMs()));
+      Body["load"] = encodeLoad(Keeper->state().load(bootNow(), wallMs()));
     return net::jsonResponse(StatusOk, Body.dump());
   } catch (const std::exception &E) {
     logEvent("peer_call_unreadable", {{"error", E.what()}});
--- a/src/jobs/PoolSizes.cpp
+++ b/src/jobs/PoolSizes.cpp
@@ -22,15 +22,16 @@
 /// Moves of one planning; more follow with the next one.
 constexpr std::size_t MaxMoves = 10;
 
-double machinesFor(std::uint64_t Lasting, std::uint64_t Used,
-                   std::uint64_t Waiting, std::uint32_t PerMachine) {
-  if (PerMachine == 0)
-    return 0;
-  double Need = static_cast<double>(Lasting) +
-                (static_cast<double>(Used) +
-                 static_cast<double>(Waiting) * WaitingShare) *
-                    Headroom;
-  return std::ceil(Need / PerMachine);
+/// What tasks that end ask for: those there are, or those that keep coming.
+double passing(std::uint64_t Used, std::uint64_t Waiting,
+               std::uint64_t Arriving) {
+  double Present = static_cast<double>(Used) +
+                   static_cast<double>(Waiting) * WaitingShare;
+  return std::max(Present, static_cast<double>(Arriving)) * Headroom;
+}
+
+double machinesFor(double Need, std::uint32_t PerMachine) {
+  return PerMachine == 0 ? 0 : std::ceil(Need / PerMachine);
 }
 
 /// One pool while machines are given and taken.
@@ -70,10 +71,14 @@
 std::uint32_t machinesNeeded(const PoolLoad &Load) {
   if (Load.Standby)
     return 0;
-  double Cpu = machinesFor(Load.LastingCpu, Load.UsedCpu, Load.WaitingCpu,
-                           Load.PerMachine.MilliCpus);
-  double Memory = machinesFor(Load.LastingMemory, Load.UsedMemory,
-                              Load.WaitingMemory, Load.PerMachine.MemoryMb);
+  double Cpu = machinesFor(
+      static_cast<double>(Load.LastingCpu) +
+          passing(Load.UsedCpu, Load.WaitingCpu, Load.ArrivingCpu),
+      Load.PerMachine.MilliCpus);
+  double Memory =
+      machinesFor(static_cast<double>(Load.LastingMemory) +
+                      passing(Load.UsedMemory, Load.WaitingMemory, 0),
+                  Load.PerMachine.MemoryMb);
   auto Needed = static_cast<std::uint32_t>(std::max(Cpu, Memory));
   return std::max({Needed, Load.SpreadOver, std::uint32_t{1}});
 }
--- a/src/jobs/PoolSizes.h
+++ b/src/jobs/PoolSizes.h
@@ -29,6 +29,9 @@
   /// Asked for by tasks that could start now.
   std::uint64_t WaitingCpu = 0;
   std::uint64_t WaitingMemory = 0;
+  /// Processor that the jobs taken in the last second would keep busy, if they
+  /// went on coming at that rate.
+  std::uint64_t ArrivingCpu = 0;
   /// Most workers that the tasks of one step must be spread over.
   std::uint32_t SpreadOver = 0;
   /// Machines that run nothing and can move.
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t MaxEndsListed = 500;
 /// Added to each computed lease end for rounding.
 constexpr std::int64_t LeaseSlackMs = 60;
+/// Jobs that came within this show the rate at which more will.
+constexpr milliseconds ArrivalWindow(1000);
 /// Pause between stops of one run that were not answered.
 constexpr milliseconds StopRetry(300);
 
@@ -55,6 +57,7 @@
   JobRecord &Job = makeJob(Spec, Now);
   Job.Inherited = Now - TakenAt_ < Limits_.NewJobAge;
   Open_.insert(&Job);
+  noteArrival(Job, Now);
 }
 
 void PoolState::inheritJob(const JobSpec &Spec, const JobProgress *Kept,
@@ -741,11 +744,26 @@
   return Demand;
 }
 
-PoolLoad PoolState::load(std::int64_t WallMs) const {
+void PoolState::noteArrival(const JobRecord &Job, core::TimePoint Now) {
+  double Work = 0;
+  for (const StepSpec &Step : Job.Spec.Steps)
+    if (!Step.Lasting && !Step.Filling)
+      Work += runTimeMs(Job, Step) * Step.Tasks * Step.Need.MilliCpus;
+  Arrivals_.emplace_back(Now, Work);
+  while (Now - Arrivals_.front().first > ArrivalWindow)
+    Arrivals_.pop_front();
+}
+
+PoolLoad PoolState::load(core::TimePoint Now, std::int64_t WallMs) const {
   // What has waited for longer is late, and machines come too late for it.
   constexpr std::int64_t WorthwhileMs = 6000;
   PoolLoad Load;
   Load.Pool = Pool_;
+  double Arriving = 0;
+  for (const auto &[At, Work] : Arrivals_)
+    Arriving += Now - At <= ArrivalWindow ? Work : 0;
+  Load.ArrivingCpu =
+      static_cast<std::uint64_t>(Arriving / ArrivalWindow.count());
   for (const auto &[Id, W] : Workers_) {
     Load.PerMachine.MilliCpus =
         std::max(Load.PerMachine.MilliCpus, W->Entry.Capacity.MilliCpus);
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -268,7 +268,7 @@
   core::Resources teamDemand(const std::string &Team) const;
 
   /// What the pool's machines are asked for; without their number.
-  PoolLoad load(std::int64_t WallMs) const;
+  PoolLoad load(core::TimePoint Now, std::int64_t WallMs) const;
 
   std::uint64_t token() const { return Token_; }
   const std::string &pool() const { return Pool_; }
@@ -318,6 +318,7 @@
   std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
   bool leaseLapsed(const WorkerState &W, core::TimePoint Now) const;
 
+  void noteArrival(const JobRecord &Job, core::TimePoint Now);
   double runTimeMs(const JobRecord &Job, const StepSpec &Step) const;
   void noteRunTime(const JobRecord &Job, const LiveRun &Run,
                    core::TimePoint Now);
@@ -348,6 +349,9 @@
   std::uint64_t NextRun_ = 1;
   /// Run times of each queue's tasks, as measured.
   std::map<std::string, RunTimes> RunTimes_;
+  /// When jobs came that end, and the processor time that each asks for, in
+  /// thousandths of a core times milliseconds.
+  std::deque<std::pair<core::TimePoint, double>> Arrivals_;
   bool Fenced_ = false;
   PoolCounters Counters_;
 };
