Own each pool once after a restart

Ruled out: the recovery's leases and the store (all rows were there). The entry now knows its own life, never takes what it owns, and drops an earlier keeper.

--- a/src/dispatch/Clock.cpp
+++ b/src/dispatch/Clock.cpp
@@ -7,10 +7,9 @@
 core::TimePoint bootNow() {
   timespec Time{};
   clock_gettime(CLOCK_BOOTTIME, &Time);
-  return core::TimePoint(
-      std::chrono::seconds(Time.tv_sec) +
-      std::chrono::duration_cast<core::Duration>(
-          std::chrono::nanoseconds(Time.tv_nsec)));
+  return core::TimePoint(std::chrono::seconds(Time.tv_sec) +
+                         std::chrono::duration_cast<core::Duration>(
+                             std::chrono::nanoseconds(Time.tv_nsec)));
 }
 
 std::int64_t wallMs() {
--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -64,31 +64,32 @@
   std::unique_ptr<net::HttpServer> MetricsServer;
 
   Impl(settings::DispatchSettings S, net::HttpClient &Client, PlatformPorts P)
-      : Settings(std::move(S)), Ports(std::move(P)),
-        Ctx{Settings,      Loop,       Client,     Ports.Store, Ports.Workers,
-            Ports.Machines, Ports.Rows, Ports.Wire, Count,       drawLife()},
+      : Settings(std::move(S)),
+        Ports(std::move(P)), Ctx{Settings,    Loop,          Client,
+                                 Ports.Store, Ports.Workers, Ports.Machines,
+                                 Ports.Rows,  Ports.Wire,    Count,
+                                 drawLife()},
         View(Ctx, [this] { refresh(); }), Owners(Ctx, View),
         PeerCalls(Ctx, View, Owners), Rooms(Ctx, View, Owners),
-        Duty(Ctx, View, Owners, PeerCalls),
-        Door(Ctx, View, PeerCalls),
-        CallerServer(listenAt(Settings.Callers),
-                     [this](net::HttpRequest Request,
-                            net::HttpResponder Respond) {
-                       Door.receive(Request, std::move(Respond));
-                     }),
+        Duty(Ctx, View, Owners, PeerCalls), Door(Ctx, View, PeerCalls),
+        CallerServer(
+            listenAt(Settings.Callers),
+            [this](net::HttpRequest Request, net::HttpResponder Respond) {
+              Door.receive(Request, std::move(Respond));
+            }),
         ReadinessServer(listenAt(Settings.Readiness),
                         [this](const net::HttpRequest &Request,
                                const net::HttpResponder &Respond) {
                           probe(Request, Respond);
                         }),
-        PeerServer(listenAt(Settings.Peers),
-                   [this](net::HttpRequest Request,
-                          net::HttpResponder Respond) {
-                     Loop.post([this, Request = std::move(Request),
-                                Respond = std::move(Respond)] {
-                       Respond(PeerCalls.handle(Request));
-                     });
-                   }) {
+        PeerServer(
+            listenAt(Settings.Peers),
+            [this](net::HttpRequest Request, net::HttpResponder Respond) {
+              Loop.post([this, Request = std::move(Request),
+                         Respond = std::move(Respond)] {
+                Respond(PeerCalls.handle(Request));
+              });
+            }) {
     if (!Settings.Metrics.empty())
       MetricsServer = std::make_unique<net::HttpServer>(
           listenAt(Settings.Metrics),
--- a/src/dispatch/FleetDuty.cpp
+++ b/src/dispatch/FleetDuty.cpp
@@ -265,8 +265,9 @@
   std::string Part = rows::poolPart(rows::FleetDuty);
   store::PartTransaction T;
   T.Conditions.push_back({{rows::Control, Part, rows::OwnerKey}, Token_});
-  T.Puts.push_back({{rows::Control, Part, KeptPrefix + Wave},
-                    Json({{"completed", So.Completed}, {"done", Done}}).dump()});
+  T.Puts.push_back(
+      {{rows::Control, Part, KeptPrefix + Wave},
+       Json({{"completed", So.Completed}, {"done", Done}}).dump()});
   Ctx_.Store.commit(
       std::move(T), StoreLimit,
       [this, Wave, Token = Token_, Completed = So.Completed](PartAnswer A) {
@@ -291,17 +292,17 @@
   T.Puts.push_back(
       {{Ctx_.Rows.StatusTable, "", Ctx_.Rows.WaveStatusKeyPrefix + Wave},
        Ctx_.Rows.WaveStatus(Completed)});
-  Ctx_.Store.commit(std::move(T), StoreLimit,
-                    [this, Wave, Completed, Token = Token_](PartAnswer A) {
-                      Ctx_.Loop.post([this, Wave, Completed, Token,
-                                      Outcome = A.Outcome] {
-                        if (Outcome == PartOutcome::Ok || Token != Token_)
-                          return;
-                        Ctx_.Loop.after(TurnPeriod, [this, Wave, Completed] {
-                          announce(Wave, Completed);
-                        });
-                      });
-                    });
+  Ctx_.Store.commit(
+      std::move(T), StoreLimit,
+      [this, Wave, Completed, Token = Token_](PartAnswer A) {
+        Ctx_.Loop.post([this, Wave, Completed, Token, Outcome = A.Outcome] {
+          if (Outcome == PartOutcome::Ok || Token != Token_)
+            return;
+          Ctx_.Loop.after(TurnPeriod, [this, Wave, Completed] {
+            announce(Wave, Completed);
+          });
+        });
+      });
 }
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/FleetDuty.h
+++ b/src/dispatch/FleetDuty.h
@@ -6,8 +6,8 @@
 
 namespace comfreydeck::dispatch {
 
-/// Runs the waves of maintenance and the moves between pools at the entry that owns the fleet's duty. On
-/// the loop's thread.
+/// Runs the waves of maintenance and the moves between pools at the entry that
+/// owns the fleet's duty. On the loop's thread.
 class FleetDuty {
 public:
   FleetDuty(Context &Ctx, FleetView &View, Ownership &Owners, Peers &Calls);
--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -31,24 +31,17 @@
 
 FleetView::FleetView(Context &Ctx, std::function<void()> Changed)
     : Ctx_(Ctx), Changed_(std::move(Changed)),
-      Operators_(Ctx.Loop, Ctx.Store,
-                 {Ctx.Rows.OperatorTable, OperatorWait, {}, nullptr},
-                 [this](const auto &Rows, bool All) {
-                   takeOperatorRows(Rows, All);
-                 }),
-      Workers_(Ctx.Loop, Ctx.Store,
-               {Ctx.Rows.WorkerTable, {}, WorkerPause, nullptr},
-               [this](const auto &Rows, bool All) {
-                 takeWorkerRows(Rows, All);
-               }),
-      Control_(Ctx.Loop, Ctx.Store,
-               {rows::Control,
-                {},
-                ControlPause,
-                [this] { return controlParts(); }},
-               [this](const auto &Rows, bool All) {
-                 takeControlRows(Rows, All);
-               }) {}
+      Operators_(
+          Ctx.Loop, Ctx.Store,
+          {Ctx.Rows.OperatorTable, OperatorWait, {}, nullptr},
+          [this](const auto &Rows, bool All) { takeOperatorRows(Rows, All); }),
+      Workers_(
+          Ctx.Loop, Ctx.Store, {Ctx.Rows.WorkerTable, {}, WorkerPause, nullptr},
+          [this](const auto &Rows, bool All) { takeWorkerRows(Rows, All); }),
+      Control_(
+          Ctx.Loop, Ctx.Store,
+          {rows::Control, {}, ControlPause, [this] { return controlParts(); }},
+          [this](const auto &Rows, bool All) { takeControlRows(Rows, All); }) {}
 
 void FleetView::start() {
   Operators_.start();
@@ -98,8 +91,8 @@
     for (const jobs::Pool &Pool : Decoded.Config->Pools)
       MorePools = MorePools || !jobs::findPool(*Config_, Pool.Name);
     Config_ = Decoded.Config;
-    logEvent("config", {{"version", Config_->Version},
-                        {"row_version", Row.Version}});
+    logEvent("config",
+             {{"version", Config_->Version}, {"row_version", Row.Version}});
     if (!Control_.isStarted())
       Control_.start();
     else if (MorePools)
@@ -293,8 +286,7 @@
 
 jobs::PoolView FleetView::decodeOwner(const store::PartRow &Row) {
   jobs::PoolView View;
-  View.Pool =
-      Row.Where.Part.substr(std::string_view(rows::PoolPrefix).size());
+  View.Pool = Row.Where.Part.substr(std::string_view(rows::PoolPrefix).size());
   View.Version = Row.Version;
   if (Row.Removed)
     return View;
--- a/src/dispatch/Follower.cpp
+++ b/src/dispatch/Follower.cpp
@@ -24,8 +24,7 @@
   PartAnswer Whole;
   std::size_t Open = 0;
 
-  PartsReading(store::PartitionedStore &S, std::string T,
-               store::PartCallback D)
+  PartsReading(store::PartitionedStore &S, std::string T, store::PartCallback D)
       : Store(S), Table(std::move(T)), Done(std::move(D)) {
     Whole.Outcome = PartOutcome::Ok;
   }
@@ -38,10 +37,9 @@
 
   void read(const std::string &Part, std::string From) {
     auto Self = shared_from_this();
-    Store.read({Table, Part, std::move(From), ""},
-               [Self, Part](PartAnswer Page) {
-                 Self->take(Part, std::move(Page));
-               });
+    Store.read(
+        {Table, Part, std::move(From), ""},
+        [Self, Part](PartAnswer Page) { Self->take(Part, std::move(Page)); });
   }
 
   void take(const std::string &Part, PartAnswer Page) {
--- a/src/dispatch/FrontDoor.cpp
+++ b/src/dispatch/FrontDoor.cpp
@@ -179,8 +179,8 @@
   T.Puts.push_back({Key, codec::encodeJob(C->Spec)});
   core::Duration Left =
       C->ReceivedAt + C->Asked.Deadline - AnswerMargin - bootNow();
-  core::Duration Limit = std::clamp<core::Duration>(Left, StoreRetry,
-                                                    StoreLimit);
+  core::Duration Limit =
+      std::clamp<core::Duration>(Left, StoreRetry, StoreLimit);
   Ctx_.Store.commit(std::move(T), Limit, [this, C, Again](PartAnswer Answer) {
     Ctx_.Loop.post([this, C, Again, Answer = std::move(Answer)] {
       stored(C, Answer, Again);
@@ -188,8 +188,7 @@
   });
 }
 
-void FrontDoor::stored(const CallPtr &C, const PartAnswer &Answer,
-                       bool Again) {
+void FrontDoor::stored(const CallPtr &C, const PartAnswer &Answer, bool Again) {
   bool Accepted = Answer.Outcome == PartOutcome::Ok ||
                   Answer.Outcome == PartOutcome::Conflict;
   if (Accepted) {
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -53,16 +53,21 @@
   writeBeat();
 }
 
-void Ownership::writeBeat() {
-  if (BeatInFlight_)
-    return;
-  BeatInFlight_ = true;
+jobs::EntryView Ownership::self() const {
   jobs::EntryView Me;
   Me.Name = Ctx_.Settings.Name;
   Me.Life = Ctx_.Life;
   Me.PeerAddress = Ctx_.Settings.Peers;
   Me.DataCentre = Ctx_.Settings.DataCentre;
   Me.Leaving = Leaving_;
+  return Me;
+}
+
+void Ownership::writeBeat() {
+  if (BeatInFlight_)
+    return;
+  BeatInFlight_ = true;
+  jobs::EntryView Me = self();
   store::PartTransaction T;
   T.Puts.push_back({{rows::Control, "", rows::EntryPrefix + Me.Name},
                     FleetView::entryValue(Me, ++Beats_)});
@@ -110,20 +115,20 @@
     return;
   std::vector<jobs::EntryView> Entries = View_.entries();
   std::vector<jobs::PoolView> Pools = View_.pools();
-  for (const std::string &Pool : jobs::poolsToTake(
-           Ctx_.Settings.Name, Entries, Pools, Now, DeadAfter)) {
+  for (const std::string &Pool :
+       jobs::poolsToTake(self(), Entries, Pools, Now, DeadAfter)) {
     auto Lost = LostAt_.find(Pool);
-    if (Lost != LostAt_.end() && Now - Lost->second < LostPause)
-      continue;
-    take(Pool);
+    bool TooSoon = Lost != LostAt_.end() && Now - Lost->second < LostPause;
+    if (!TooSoon && !isOwned(Pool))
+      take(Pool);
   }
   // A pool that was given up here, and that nobody else has taken since.
   for (const jobs::PoolView &Pool : Pools) {
     auto Lost = LostAt_.find(Pool.Pool);
-    bool MineByRow = Pool.OwnerName == Ctx_.Settings.Name &&
-                     Pool.OwnerLife == Ctx_.Life;
+    bool MineByRow =
+        Pool.OwnerName == Ctx_.Settings.Name && Pool.OwnerLife == Ctx_.Life;
     bool GivenUp = Lost != LostAt_.end() && Now - Lost->second >= LostPause &&
-                   Keepers_.count(Pool.Pool) == 0;
+                   !isOwned(Pool.Pool);
     if (MineByRow && GivenUp)
       take(Pool.Pool);
   }
@@ -132,10 +137,16 @@
 /// Pools that an earlier process of this entry owned: it runs no more.
 void Ownership::takeBack() {
   for (const jobs::PoolView &Pool : View_.pools())
-    if (Pool.OwnerName == Ctx_.Settings.Name && Pool.OwnerLife != Ctx_.Life)
+    if (Pool.OwnerName == Ctx_.Settings.Name && Pool.OwnerLife != Ctx_.Life &&
+        !isOwned(Pool.Pool))
       take(Pool.Pool);
 }
 
+bool Ownership::isOwned(const std::string &Pool) const {
+  return Keepers_.count(Pool) != 0 ||
+         (Pool == rows::FleetDuty && FleetToken_ != 0);
+}
+
 void Ownership::take(const std::string &Pool) {
   if (Taking_.count(Pool) != 0)
     return;
@@ -144,8 +155,7 @@
   store::PartKey Key = {rows::Control, rows::poolPart(Pool), rows::OwnerKey};
   store::PartTransaction T;
   T.Conditions.push_back({Key, Row ? Row->Version : 0});
-  T.Puts.push_back(
-      {Key, FleetView::ownerValue(Ctx_.Settings.Name, Ctx_.Life)});
+  T.Puts.push_back({Key, FleetView::ownerValue(Ctx_.Settings.Name, Ctx_.Life)});
   core::TimePoint SentAt = bootNow();
   Ctx_.Store.commit(
       std::move(T), StoreLimit, [this, Pool, SentAt](PartAnswer Answer) {
@@ -162,8 +172,8 @@
 
 /// Reads the owner's row after a try that was not answered or came too late.
 void Ownership::checkTake(const std::string &Pool, core::TimePoint SentAt) {
-  store::PartRange Range = {rows::Control, rows::poolPart(Pool),
-                            rows::OwnerKey, ""};
+  store::PartRange Range = {rows::Control, rows::poolPart(Pool), rows::OwnerKey,
+                            ""};
   Ctx_.Store.read(Range, [this, Pool, SentAt](PartAnswer Answer) {
     Ctx_.Loop.post([this, Pool, SentAt, Answer = std::move(Answer)] {
       if (Answer.Outcome != PartOutcome::Ok) {
@@ -201,6 +211,9 @@
     LostAt_[Name] = bootNow();
     Keepers_.erase(Name);
   };
+  auto Old = Keepers_.find(Pool);
+  if (Old != Keepers_.end())
+    Old->second->drop();
   auto Keeper = std::make_shared<PoolKeeper>(Ctx_, View_, Pool, Token, SentAt,
                                              std::move(Lost));
   Keepers_[Pool] = Keeper;
@@ -218,16 +231,15 @@
   store::PartTransaction T;
   T.Conditions.push_back({Key, Token});
   T.Puts.push_back({Key, FleetView::ownerValue("", "")});
-  Ctx_.Store.commit(std::move(T), StoreLimit,
-                    [this, Pool, Done](PartAnswer Answer) {
-                      Ctx_.Loop.post([Pool, Done, Answer] {
-                        logEvent("pool_released",
-                                 {{"pool", Pool},
-                                  {"outcome",
-                                   static_cast<int>(Answer.Outcome)}});
-                        Done();
-                      });
-                    });
+  Ctx_.Store.commit(
+      std::move(T), StoreLimit, [this, Pool, Done](PartAnswer Answer) {
+        Ctx_.Loop.post([Pool, Done, Answer] {
+          logEvent(
+              "pool_released",
+              {{"pool", Pool}, {"outcome", static_cast<int>(Answer.Outcome)}});
+          Done();
+        });
+      });
 }
 
 void Ownership::leave(std::function<void()> Done) {
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -29,8 +29,10 @@
 private:
   void beat();
   void writeBeat();
+  jobs::EntryView self() const;
   void choose();
   void takeBack();
+  bool isOwned(const std::string &Pool) const;
   void take(const std::string &Pool);
   void taken(const std::string &Pool, std::uint64_t Token,
              core::TimePoint SentAt);
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -62,9 +62,8 @@
     return Answer;
   Answer.Answered = true;
   Answer.Known = Object.value("known", false);
-  Answer.State =
-      static_cast<jobs::JobState>(Object.value("state", 0U) %
-                                  (unsigned(jobs::JobState::Cancelled) + 1));
+  Answer.State = static_cast<jobs::JobState>(
+      Object.value("state", 0U) % (unsigned(jobs::JobState::Cancelled) + 1));
   Answer.Pending = Object.value("pending", 0U);
   Answer.Clear = Object.value("clear", std::vector<std::string>());
   if (Object.contains("load"))
@@ -168,9 +167,8 @@
     Done(Keeper->closeWorkers(Request.Patient, Request.Pressing));
     return;
   }
-  Json Body = {{"pool", Pool},
-               {"close", Request.Patient},
-               {"press", Request.Pressing}};
+  Json Body = {
+      {"pool", Pool}, {"close", Request.Patient}, {"press", Request.Pressing}};
   ask(Pool, Body.dump(), [Done = std::move(Done)](const OwnerAnswer &Answer) {
     Done(Answer.Clear);
   });
@@ -206,8 +204,8 @@
       Clear = Keeper->closeWorkers(
           Object["close"].get<std::vector<std::string>>(),
           Object.at("press").get<std::vector<std::string>>());
-    OwnerAnswer Answer = answerHere(*Keeper, Object.value("job", ""),
-                                    Object.value("queue", ""));
+    OwnerAnswer Answer =
+        answerHere(*Keeper, Object.value("job", ""), Object.value("queue", ""));
     Json Body = {{"known", Answer.Known},
                  {"state", static_cast<unsigned>(Answer.State)},
                  {"pending", Answer.Pending},
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -72,21 +72,20 @@
   readParts(
       Ctx_.Store, rows::Progress, {Part_},
       [Self, Loaded = std::move(Loaded), Jobs, Version](PartAnswer Answer) {
-        Self->Ctx_.Loop.post(
-            [Self, Loaded, Jobs, Version, Answer = std::move(Answer)] {
-              if (Self->Dropped_)
-                return;
-              if (Answer.Outcome != PartOutcome::Ok) {
-                Self->Ctx_.Count.retried("load-progress");
-                Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, Jobs,
-                                                   Version] {
-                  Self->loadProgress(Loaded, *Jobs, Version);
-                });
-                return;
-              }
-              Self->takeUp(*Jobs, Answer.Rows);
-              Loaded(Version);
+        Self->Ctx_.Loop.post([Self, Loaded, Jobs, Version,
+                              Answer = std::move(Answer)] {
+          if (Self->Dropped_)
+            return;
+          if (Answer.Outcome != PartOutcome::Ok) {
+            Self->Ctx_.Count.retried("load-progress");
+            Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, Jobs, Version] {
+              Self->loadProgress(Loaded, *Jobs, Version);
             });
+            return;
+          }
+          Self->takeUp(*Jobs, Answer.Rows);
+          Loaded(Version);
+        });
       });
 }
 
@@ -223,9 +222,9 @@
   if (Dropped_)
     return;
   Dropped_ = true;
-  logEvent("pool_lost", {{"pool", State_.pool()},
-                         {"token", State_.token()},
-                         {"reason", Why}});
+  logEvent(
+      "pool_lost",
+      {{"pool", State_.pool()}, {"token", State_.token()}, {"reason", Why}});
   Lost_(State_.pool());
 }
 
@@ -275,8 +274,7 @@
   flush();
 }
 
-const jobs::WorkerEntry *
-PoolKeeper::entryOf(const std::string &Worker) const {
+const jobs::WorkerEntry *PoolKeeper::entryOf(const std::string &Worker) const {
   auto It = State_.workers().find(Worker);
   return It == State_.workers().end() ? nullptr : &It->second->Entry;
 }
@@ -286,13 +284,13 @@
   core::TimePoint SentAt = bootNow();
   for (jobs::StopOrder &Order : Orders.Stops)
     if (const jobs::WorkerEntry *To = entryOf(Order.Worker))
-      Ctx_.Workers.stop(
-          *To, State_.token(), Order, [Self, Order](jobs::OrderResult Result) {
-            Self->Ctx_.Loop.post([Self, Order, Result] {
-              Self->State_.onStop(Order, Result, bootNow());
-              Self->wake();
-            });
-          });
+      Ctx_.Workers.stop(*To, State_.token(), Order,
+                        [Self, Order](jobs::OrderResult Result) {
+                          Self->Ctx_.Loop.post([Self, Order, Result] {
+                            Self->State_.onStop(Order, Result, bootNow());
+                            Self->wake();
+                          });
+                        });
   for (jobs::StartOrder &Order : Orders.Starts)
     if (const jobs::WorkerEntry *To = entryOf(Order.Worker))
       Ctx_.Workers.start(
@@ -311,14 +309,14 @@
           });
   for (jobs::HoldOrder &Order : Orders.Holds)
     if (const jobs::WorkerEntry *To = entryOf(Order.Worker))
-      Ctx_.Workers.report(
-          *To, State_.token(), Order,
-          [Self, Order, SentAt](jobs::ReportResult Result) {
-            Self->Ctx_.Loop.post([Self, Order, SentAt, Result] {
-              Self->State_.onReport(Order, Result, SentAt, bootNow());
-              Self->wake();
-            });
-          });
+      Ctx_.Workers.report(*To, State_.token(), Order,
+                          [Self, Order, SentAt](jobs::ReportResult Result) {
+                            Self->Ctx_.Loop.post([Self, Order, SentAt, Result] {
+                              Self->State_.onReport(Order, Result, SentAt,
+                                                    bootNow());
+                              Self->wake();
+                            });
+                          });
 }
 
 // Storing.
@@ -326,8 +324,8 @@
 void PoolKeeper::flush() {
   if (Storing_ || Dropped_ || !Loaded_)
     return;
-  auto Batch = std::make_shared<jobs::ProgressBatch>(
-      State_.takeChanges(BatchJobs));
+  auto Batch =
+      std::make_shared<jobs::ProgressBatch>(State_.takeChanges(BatchJobs));
   if (Batch->Writes.empty()) {
     if (Leaving_ && Left_) {
       auto Left = std::exchange(Left_, nullptr);
@@ -350,13 +348,12 @@
     T.Puts.push_back({{rows::Progress, Part_, Write.JobId},
                       codec::encodeProgress(Write.Progress)});
   auto Self = shared_from_this();
-  Ctx_.Store.commit(std::move(T), StoreLimit,
-                    [Self, Batch, Again](PartAnswer Answer) {
-                      Self->Ctx_.Loop.post(
-                          [Self, Batch, Again, Answer = std::move(Answer)] {
-                            Self->stored(Batch, Answer, Again);
-                          });
-                    });
+  Ctx_.Store.commit(
+      std::move(T), StoreLimit, [Self, Batch, Again](PartAnswer Answer) {
+        Self->Ctx_.Loop.post([Self, Batch, Again, Answer = std::move(Answer)] {
+          Self->stored(Batch, Answer, Again);
+        });
+      });
 }
 
 void PoolKeeper::stored(const std::shared_ptr<jobs::ProgressBatch> &Batch,
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -46,8 +46,7 @@
 
 private:
   void loadProgress(std::function<void(std::uint64_t)> Loaded,
-                    std::vector<store::PartRow> JobRows,
-                    std::uint64_t Version);
+                    std::vector<store::PartRow> JobRows, std::uint64_t Version);
   void takeUp(const std::vector<store::PartRow> &JobRows,
               const std::vector<store::PartRow> &ProgressRows);
   void tick();
--- a/src/dispatch/PoolMoves.cpp
+++ b/src/dispatch/PoolMoves.cpp
@@ -137,21 +137,20 @@
                     {"from", Move.From},
                     {"to", Move.To},
                     {"token", Token_}});
-  Ctx_.Machines->move(
-      Move.Machine, Move.To, Token_,
-      [this, Move, Token = Token_](DutyOutcome Outcome) {
-        Ctx_.Loop.post([this, Move, Token, Outcome] {
-          if (Token == Token_)
-            ended(Move, Outcome);
-        });
-      });
+  Ctx_.Machines->move(Move.Machine, Move.To, Token_,
+                      [this, Move, Token = Token_](DutyOutcome Outcome) {
+                        Ctx_.Loop.post([this, Move, Token, Outcome] {
+                          if (Token == Token_)
+                            ended(Move, Outcome);
+                        });
+                      });
 }
 
 void PoolMoves::ended(const jobs::MachineMove &Move, DutyOutcome Outcome) {
   if (Outcome == DutyOutcome::Done || Outcome == DutyOutcome::Unknown)
     return;
-  logEvent("move_refused", {{"machine", Move.Machine},
-                            {"outcome", static_cast<int>(Outcome)}});
+  logEvent("move_refused",
+           {{"machine", Move.Machine}, {"outcome", static_cast<int>(Outcome)}});
   Going_.erase(Move.Machine);
 }
 
--- a/src/jobs/OwnerChoice.cpp
+++ b/src/jobs/OwnerChoice.cpp
@@ -23,15 +23,16 @@
   return !Entry.Leaving && Now - Entry.ChangedAt < DeadAfter;
 }
 
-std::vector<std::string> poolsToTake(const std::string &Me,
+std::vector<std::string> poolsToTake(const EntryView &Me,
                                      std::span<const EntryView> Entries,
                                      std::span<const PoolView> Pools,
                                      core::TimePoint Now,
                                      core::Duration DeadAfter) {
   std::vector<EntryView> Living;
   for (const EntryView &Entry : Entries)
-    if (isAlive(Entry, Now, DeadAfter))
+    if (Entry.Name != Me.Name && isAlive(Entry, Now, DeadAfter))
       Living.push_back(Entry);
+  Living.push_back(Me);
   std::map<std::string, std::uint32_t> Owned;
   std::vector<const PoolView *> Orphans;
   for (const PoolView &Pool : Pools) {
@@ -41,10 +42,9 @@
     else
       Orphans.push_back(&Pool);
   }
-  std::sort(Orphans.begin(), Orphans.end(),
-            [](const PoolView *A, const PoolView *B) {
-              return A->Pool < B->Pool;
-            });
+  std::sort(
+      Orphans.begin(), Orphans.end(),
+      [](const PoolView *A, const PoolView *B) { return A->Pool < B->Pool; });
   std::vector<std::string> Mine;
   for (const PoolView *Pool : Orphans) {
     const EntryView *Taker = findLiving(Living, Pool->OwnerName);
@@ -53,17 +53,14 @@
         std::size_t Spread = std::hash<std::string>()(Pool->Pool + Entry.Name);
         return std::make_tuple(Owned[Entry.Name], Spread, Entry.Name);
       };
-      auto Best = std::min_element(
-          Living.begin(), Living.end(),
-          [&](const EntryView &A, const EntryView &B) {
-            return Rank(A) < Rank(B);
-          });
-      Taker = Best == Living.end() ? nullptr : &*Best;
+      auto Best = std::min_element(Living.begin(), Living.end(),
+                                   [&](const EntryView &A, const EntryView &B) {
+                                     return Rank(A) < Rank(B);
+                                   });
+      Taker = &*Best;
     }
-    if (!Taker)
-      continue;
     ++Owned[Taker->Name];
-    if (Taker->Name == Me)
+    if (Taker->Name == Me.Name)
       Mine.push_back(Pool->Pool);
   }
   return Mine;
--- a/src/jobs/OwnerChoice.h
+++ b/src/jobs/OwnerChoice.h
@@ -43,9 +43,10 @@
 
 /// The pools without a living owner that \p Me should take: each goes to the
 /// entry that owned it before its process was started anew, else to the one
-/// with the fewest pools. Every entry finds the same from the same views.
+/// with the fewest pools. Every entry finds the same from the same views, but
+/// for itself: what others see of it may still be its process before this one.
 /// Thread-safe.
-std::vector<std::string> poolsToTake(const std::string &Me,
+std::vector<std::string> poolsToTake(const EntryView &Me,
                                      std::span<const EntryView> Entries,
                                      std::span<const PoolView> Pools,
                                      core::TimePoint Now,
--- a/src/jobs/PoolSizes.cpp
+++ b/src/jobs/PoolSizes.cpp
@@ -25,8 +25,8 @@
 /// What tasks that end ask for: those there are, or those that keep coming.
 double passing(std::uint64_t Used, std::uint64_t Waiting,
                std::uint64_t Arriving) {
-  double Present = static_cast<double>(Used) +
-                   static_cast<double>(Waiting) * WaitingShare;
+  double Present =
+      static_cast<double>(Used) + static_cast<double>(Waiting) * WaitingShare;
   return std::max(Present, static_cast<double>(Arriving)) * Headroom;
 }
 
@@ -44,8 +44,8 @@
 
   bool canGive() const {
     bool HasIdle = NextIdle < Load->Idle.size();
-    return HasIdle && (Load->Standby ||
-                       Has > std::max(Needed + SpareMachines, Reserve));
+    return HasIdle &&
+           (Load->Standby || Has > std::max(Needed + SpareMachines, Reserve));
   }
 };
 
@@ -53,8 +53,8 @@
   double Machines = 0;
   for (const PoolLoad &Load : Loads)
     Machines += Load.Machines;
-  double Mean = Machines / static_cast<double>(std::max<std::size_t>(
-                               Loads.size(), 1));
+  double Mean =
+      Machines / static_cast<double>(std::max<std::size_t>(Loads.size(), 1));
   return static_cast<std::uint32_t>(std::ceil(Mean * ReserveShare));
 }
 
@@ -71,10 +71,10 @@
 std::uint32_t machinesNeeded(const PoolLoad &Load) {
   if (Load.Standby)
     return 0;
-  double Cpu = machinesFor(
-      static_cast<double>(Load.LastingCpu) +
-          passing(Load.UsedCpu, Load.WaitingCpu, Load.ArrivingCpu),
-      Load.PerMachine.MilliCpus);
+  double Cpu =
+      machinesFor(static_cast<double>(Load.LastingCpu) +
+                      passing(Load.UsedCpu, Load.WaitingCpu, Load.ArrivingCpu),
+                  Load.PerMachine.MilliCpus);
   double Memory =
       machinesFor(static_cast<double>(Load.LastingMemory) +
                       passing(Load.UsedMemory, Load.WaitingMemory, 0),
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -286,9 +286,9 @@
   Runs.erase(It);
   WorkerState &W = *Workers_.at(Worker);
   release(W, Job, stepOf(Job, Task));
-  bool Another =
-      std::any_of(Runs.begin(), Runs.end(),
-                  [&](const LiveRun &L) { return L.Worker == Worker; });
+  bool Another = std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &L) {
+    return L.Worker == Worker;
+  });
   if (!Another)
     W.Tasks.erase({&Job, Task});
 }
@@ -396,9 +396,9 @@
   for (std::uint32_t T = First; T < First + Job.Spec.Steps[Ref.Step].Tasks;
        ++T) {
     const std::vector<LiveRun> &Runs = Job.Tasks[T].Runs;
-    bool Works =
-        std::any_of(Runs.begin(), Runs.end(),
-                    [&](const LiveRun &Run) { return isAtWork(Run, Now); });
+    bool Works = std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
+      return isAtWork(Run, Now);
+    });
     Count += Works || T == Task ? 0 : 1;
   }
   return Count;
@@ -413,8 +413,8 @@
     for (const auto &[Job, Task] : W->Tasks) {
       const StepSpec &Step = stepOf(*Job, Task);
       std::uint32_t Allowed = std::max<std::uint32_t>(Step.AbsenceAllowance, 1);
-      bool May = Step.Lasting ? absent(*Job, Task, In.Now) < Allowed
-                              : W->Pressed;
+      bool May =
+          Step.Lasting ? absent(*Job, Task, In.Now) < Allowed : W->Pressed;
       if (!May)
         continue;
       for (LiveRun &Run : Job->Tasks[Task].Runs)
@@ -455,8 +455,8 @@
     return false;
   if (W.DeadlineMs == 0)
     return true;
-  double Passed = static_cast<double>(toMs(Now - W.ClockAt)) *
-                  (1 - Limits_.ClockDrift);
+  double Passed =
+      static_cast<double>(toMs(Now - W.ClockAt)) * (1 - Limits_.ClockDrift);
   return W.ClockMs + static_cast<std::int64_t>(Passed) >=
          W.DeadlineMs + LeaseSlackMs;
 }
@@ -585,8 +585,7 @@
   W.Heard = true;
   W.ReportedAt = Now;
   W.NotedTold = std::max(W.NotedTold, Order.NotedUpTo);
-  W.NextHold =
-      Report.Ended.empty() ? Now : Now + Limits_.ReportPause;
+  W.NextHold = Report.Ended.empty() ? Now : Now + Limits_.ReportPause;
   for (const EndReport &End : Report.Ended)
     if (End.Number > W.Handled)
       handleEnd(W, End, Now);
@@ -785,8 +784,8 @@
     for (const StepSpec &Step : Job->Spec.Steps)
       if (Step.Lasting && Step.MaxPerWorker > 0)
         Load.SpreadOver =
-            std::max(Load.SpreadOver, (Step.Tasks + Step.MaxPerWorker - 1) /
-                                          Step.MaxPerWorker);
+            std::max(Load.SpreadOver,
+                     (Step.Tasks + Step.MaxPerWorker - 1) / Step.MaxPerWorker);
     if (WallMs - Job->Spec.AcceptedMs > WorthwhileMs)
       continue;
     for (std::uint32_t T = 0; T < Job->Tasks.size(); ++T) {
@@ -854,8 +853,8 @@
     Hold.Worker = Id;
     // A worker that is silent gets no longer lease: its runs end with the one
     // that it has, and can then be started elsewhere.
-    bool Extend = !W->Tasks.empty() &&
-                  In.Now - W->ReportedAt < Limits_.ReportStale;
+    bool Extend =
+        !W->Tasks.empty() && In.Now - W->ReportedAt < Limits_.ReportStale;
     Hold.DeadlineMs = Extend ? leaseFor(*W, In) : 0;
     Hold.NotedUpTo = W->Noted;
     bool MayWait = W->Heard && !W->Tasks.empty();
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -205,9 +205,8 @@
   if (!core::fits(reserved(Step), freeOn(W)))
     return false;
   const std::vector<std::string> &Labels = W.Entry.Labels;
-  bool HasLabel =
-      Step.Label.empty() ||
-      std::find(Labels.begin(), Labels.end(), Step.Label) != Labels.end();
+  bool HasLabel = Step.Label.empty() || std::find(Labels.begin(), Labels.end(),
+                                                  Step.Label) != Labels.end();
   return HasLabel &&
          (Step.MaxPerWorker == 0 || mates(W, Job, Task) < Step.MaxPerWorker);
 }
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -20,7 +20,8 @@
     bool Late = false;
     std::uint32_t Priority = 0;
     double DeadlineMs = 0;
-    /// Processor time that is left, in thousandths of a core times milliseconds.
+    /// Processor time that is left, in thousandths of a core times
+    /// milliseconds.
     double RemainingWork = 0;
   };
 
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -43,9 +43,9 @@
   REQUIRE(First.Starts.size() == 1);
   CHECK(First.Starts[0].Task.Step == 0);
   B.answer(First.Starts[0], OrderOutcome::Accepted);
-  B.report("w1", {},
-           {endedAs(1, First.Starts[0].Task, First.Starts[0].Run,
-                    RunEnd::Done)});
+  B.report(
+      "w1", {},
+      {endedAs(1, First.Starts[0].Task, First.Starts[0].Run, RunEnd::Done)});
   Orders Second = B.plan();
   REQUIRE(Second.Starts.size() == 1);
   CHECK(Second.Starts[0].Task.Step == 1);
