Leave a start without an answer alone where a report lists its run

One way found by reading: a start whose answer was lost was stopped even after a report had shown its run at work. Ruled out: the closing of workers (a stop there counts silent and stopping runs as away). The case fails without the change.

--- a/src/dispatch/DispatchEntry.h
+++ b/src/dispatch/DispatchEntry.h
@@ -8,7 +8,7 @@
 
 namespace comfreydeck::net {
 class HttpClient;
-}
+} // namespace comfreydeck::net
 
 namespace comfreydeck::dispatch {
 
--- a/src/entry/Context.h
+++ b/src/entry/Context.h
@@ -5,10 +5,10 @@
 #include "entry/Metrics.h"
 #include "net/HttpClient.h"
 #include "net/Loop.h"
+#include "settings/Settings.h"
 #include "store/InstanceList.h"
 #include "store/ObjectStore.h"
 #include "store/TableService.h"
-#include "settings/Settings.h"
 
 /// One entry process: its control thread, its traffic and what joins them.
 namespace comfreydeck::entry {
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -492,9 +492,10 @@
     Fenced_ = true;
     return;
   case OrderOutcome::Unknown:
-    // It may run, now or later: a stop that is answered settles it.
+    // It may run, now or later: a report that lists it or a stop that is
+    // answered settles it.
     ++Counters_.Uncertain;
-    if (Run) {
+    if (Run && !Run->Confirmed) {
       Run->Stopping = true;
       Run->StopAt = Now;
     }
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -168,6 +168,21 @@
   }
 }
 
+// Suspected after a hunt: a lasting task at work was stopped, since its start
+// had not been answered, while another one of its step was away.
+TEST_CASE("a start without an answer stays where a report lists its run") {
+  OwnerBench B;
+  B.list({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  B.report("w1", {runningAs(Out.Starts[0])});
+  B.answer(Out.Starts[0], OrderOutcome::Unknown);
+  CHECK(B.plan().Stops.empty());
+}
+
 TEST_CASE("an inherited task waits until each worker was heard") {
   OwnerBench B;
   B.list({"w1", "w2"});
