--- a/src/entry/AllotmentService.cpp
+++ b/src/entry/AllotmentService.cpp
@@ -146,13 +146,12 @@
   // A term that has ended must not write any more.
   T.Conditions = {{Key, Version}, {Owner, Term.RowVersion}};
   T.Writes = {{Key, codec::toJson(Row)}};
-  Context_.Tables.commit(
-      std::move(T), [this, Pool = Term.Pool, Team,
-                     Row](const store::CommitResult &Result) {
-        Context_.Control.post([this, Pool, Team, Row, Result] {
-          onWritten({Pool, Team}, Row, Result);
-        });
-      });
+  Context_.Tables.commit(std::move(T), [this, Pool = Term.Pool, Team, Row](
+                                           const store::CommitResult &Result) {
+    Context_.Control.post([this, Pool, Team, Row, Result] {
+      onWritten({Pool, Team}, Row, Result);
+    });
+  });
 }
 
 void AllotmentService::onWritten(const ViewKey &Key,
--- a/src/entry/ClaimStore.cpp
+++ b/src/entry/ClaimStore.cpp
@@ -94,11 +94,10 @@
     }
     follow(A, core::afterRead(A->Core, Reading));
   };
-  Context_.Tables.read({ClaimTable, A->RowKey},
-                       [this, OnRead](const store::ReadResult &Result) {
-                         Context_.Control.post(
-                             [OnRead, Result] { OnRead(Result); });
-                       });
+  Context_.Tables.read(
+      {ClaimTable, A->RowKey}, [this, OnRead](const store::ReadResult &Result) {
+        Context_.Control.post([OnRead, Result] { OnRead(Result); });
+      });
 }
 
 void ClaimStore::follow(const AttemptPtr &A, core::ClaimStep Step) {
@@ -204,12 +203,10 @@
     return Done(Row.Outcome.BodyDropped
                     ? std::nullopt
                     : std::optional<std::string>(Row.Outcome.Body));
-  Context_.Objects.get(
-      Row.BodyObject,
-      [this, Done = std::move(Done)](const store::ObjectResult &Result) {
-        Context_.Control.post(
-            [Done, Content = Result.Content] { Done(Content); });
-      });
+  Context_.Objects.get(Row.BodyObject, [this, Done = std::move(Done)](
+                                           const store::ObjectResult &Result) {
+    Context_.Control.post([Done, Content = Result.Content] { Done(Content); });
+  });
 }
 
 } // namespace comfreydeck::entry
--- a/src/entry/FleetRoutes.cpp
+++ b/src/entry/FleetRoutes.cpp
@@ -403,25 +403,24 @@
                               const core::OperatorKey &Who,
                               const net::HttpResponder &Respond) {
   // The row itself decides, since this entry's copy may be a second old.
-  Context_.Tables.read(
-      {WaveTable, waveKey(Id)},
-      [this, Command, By = Who.Name, Respond](store::ReadResult Result) {
-        if (Result.Outcome != store::ReadOutcome::Ok || !Result.Found)
-          return Respond(
-              respond(WishAnswer{WishOutcome::StoreAway,
-                                 "the store is away; nothing was written"}));
-        core::Wave W = codec::parseWave(Result.Found->Value);
-        std::optional<core::WaveState> To = core::next(W.State, Command);
-        if (!To)
-          return Respond(respond(
-              WishAnswer{WishOutcome::Refused,
-                         std::string("it is ") + codec::nameOf(W.State)}));
-        W.State = *To;
-        W.Why = std::string(codec::nameOf(*To)) + " by " + By;
-        if (Command == core::WaveCommand::Resume)
-          W.FailuresAfterUnixMs = wallClockMs();
-        commitWave(W, Result.Found->Version, Respond);
-      });
+  Context_.Tables.read({WaveTable, waveKey(Id)}, [this, Command, By = Who.Name,
+                                                  Respond](
+                                                     store::ReadResult Result) {
+    if (Result.Outcome != store::ReadOutcome::Ok || !Result.Found)
+      return Respond(respond(WishAnswer{
+          WishOutcome::StoreAway, "the store is away; nothing was written"}));
+    core::Wave W = codec::parseWave(Result.Found->Value);
+    std::optional<core::WaveState> To = core::next(W.State, Command);
+    if (!To)
+      return Respond(
+          respond(WishAnswer{WishOutcome::Refused,
+                             std::string("it is ") + codec::nameOf(W.State)}));
+    W.State = *To;
+    W.Why = std::string(codec::nameOf(*To)) + " by " + By;
+    if (Command == core::WaveCommand::Resume)
+      W.FailuresAfterUnixMs = wallClockMs();
+    commitWave(W, Result.Found->Version, Respond);
+  });
 }
 
 void FleetRoutes::commitWave(const core::Wave &W, std::uint64_t Version,
@@ -429,8 +428,8 @@
   store::RowKey Key{WaveTable, waveKey(W.Id)};
   store::Transaction T{
       "wave-" + Key.Key, {{Key, Version}}, {{Key, codec::toJson(W)}}};
-  Context_.Tables.commit(std::move(T), [W, Respond](
-                                           store::CommitResult Result) {
+  Context_.Tables.commit(std::move(T), [W,
+                                        Respond](store::CommitResult Result) {
     switch (Result.Outcome) {
     case store::CommitOutcome::Committed:
       return Respond(net::jsonResponse(200, waveJson(W).dump()));
--- a/src/entry/Maintenance.cpp
+++ b/src/entry/Maintenance.cpp
@@ -263,11 +263,11 @@
                         Callback Done) {
   Context_.Instances.list([this, Name, Pool, Done](store::ListResult Got) {
     Context_.Control.post([this, Name, Pool, Done, Got] {
-      auto It = std::find_if(
-          Got.Instances.begin(), Got.Instances.end(), [&](const auto &Item) {
-            return Item.Name == Name &&
-                   Item.Kind == store::InstanceKind::Worker;
-          });
+      auto It = std::find_if(Got.Instances.begin(), Got.Instances.end(),
+                             [&](const auto &Item) {
+                               return Item.Name == Name &&
+                                      Item.Kind == store::InstanceKind::Worker;
+                             });
       if (It == Got.Instances.end())
         return Done({WishOutcome::NotFound,
                      "the platform's list has no worker '" + Name + "'"});
@@ -276,8 +276,8 @@
   });
 }
 
-void Maintenance::tryPlace(const store::ListedInstance &Item,
-                           core::PoolId Pool, int TriesLeft, Callback Done) {
+void Maintenance::tryPlace(const store::ListedInstance &Item, core::PoolId Pool,
+                           int TriesLeft, Callback Done) {
   const core::Instance *Present = Workers_.find(Item.Name);
   if (Present && Present->Pool == Pool)
     return Done({WishOutcome::Done, "it is there already"});
@@ -372,8 +372,8 @@
 void Maintenance::writeWave(core::Wave W) {
   store::RowKey Key{WaveTable, waveKey(W.Id)};
   store::Transaction T{"wave-" + Key.Key,
-                          {{Key, WaveVersions_[W.Id]}},
-                          {{Key, codec::toJson(W)}}};
+                       {{Key, WaveVersions_[W.Id]}},
+                       {{Key, codec::toJson(W)}}};
   // Where the write fails, the next step comes to the same end.
   Context_.Tables.commit(std::move(T), [this](auto) {
     Context_.Control.post([this] { readWaves(); });
--- a/src/entry/Membership.cpp
+++ b/src/entry/Membership.cpp
@@ -132,8 +132,7 @@
   }
 }
 
-void Membership::onScan(core::TimePoint Sent,
-                        const store::ScanResult &Result) {
+void Membership::onScan(core::TimePoint Sent, const store::ScanResult &Result) {
   bool Ok = Result.Outcome == store::ReadOutcome::Ok && !Result.More &&
             takeRows(Result.Rows);
   if (Ok != (FailedReads_ == 0))
@@ -231,8 +230,8 @@
     return;
   store::RowKey Key = sessionKey(Id);
   store::Transaction T{"remove-" + Key.Key,
-                          {{Key, Rows_.Sessions[Id].RowVersion}},
-                          {{Key, std::nullopt}}};
+                       {{Key, Rows_.Sessions[Id].RowVersion}},
+                       {{Key, std::nullopt}}};
   Context_.Tables.commit(std::move(T), [this, Id](store::CommitResult) {
     Context_.Control.post([this, Id] { Removing_.erase(Id); });
   });
@@ -268,9 +267,9 @@
   store::RowKey Key = sessionKey(Id);
   // Of two that fence each other, one stays.
   store::Transaction T{"fence-" + Key.Key,
-                          {{Key, Fenced.RowVersion},
-                           {sessionKey(Context_.Self), Own->second.RowVersion}},
-                          {{Key, valueOf(Fenced)}}};
+                       {{Key, Fenced.RowVersion},
+                        {sessionKey(Context_.Self), Own->second.RowVersion}},
+                       {{Key, valueOf(Fenced)}}};
   Context_.Tables.commit(std::move(T), [this, Id, Asked, TriesLeft,
                                         Done](store::CommitResult Result) {
     Context_.Control.post([this, Id, Asked, TriesLeft, Done, Result] {
--- a/src/entry/PoolWriter.cpp
+++ b/src/entry/PoolWriter.cpp
@@ -18,8 +18,7 @@
 constexpr core::Duration SettleEvery = std::chrono::milliseconds(500);
 
 /// Whether the row names \p Self as the pool's owner.
-bool namesOwner(const std::optional<store::Row> &Row,
-                core::Incarnation Self) {
+bool namesOwner(const std::optional<store::Row> &Row, core::Incarnation Self) {
   if (!Row)
     return false;
   auto J = nlohmann::json::parse(Row->Value, nullptr, false);
@@ -133,14 +132,12 @@
   T.Id = "settle-" + A->Change;
   T.Conditions.push_back({Key, A->LedgerVersion});
   T.Writes.push_back({Key, codec::toJson({Before.Ledger, T.Id})});
-  Context_.Tables.commit(std::move(T), [this,
-                                        A](store::CommitResult Result) {
+  Context_.Tables.commit(std::move(T), [this, A](store::CommitResult Result) {
     Context_.Control.post([this, A, Result] { onSettled(A, Result.Outcome); });
   });
 }
 
-void PoolWriter::onSettled(const AttemptPtr &A,
-                           store::CommitOutcome Outcome) {
+void PoolWriter::onSettled(const AttemptPtr &A, store::CommitOutcome Outcome) {
   if (Outcome == store::CommitOutcome::Committed)
     return end(A, WriteOutcome::StoreAway);
   if (Outcome == store::CommitOutcome::Conflict)
--- a/src/entry/UnresolvedStore.cpp
+++ b/src/entry/UnresolvedStore.cpp
@@ -88,11 +88,10 @@
 void UnresolvedStore::resolveClaim(const codec::UnresolvedRow &Row) {
   if (Row.ClaimKey.empty())
     return;
-  Context_.Tables.read({ClaimTable, Row.ClaimKey},
-                       [this, Row](const store::ReadResult &Found) {
-                         Context_.Control.post(
-                             [this, Row, Found] { onClaimRead(Row, Found); });
-                       });
+  Context_.Tables.read(
+      {ClaimTable, Row.ClaimKey}, [this, Row](const store::ReadResult &Found) {
+        Context_.Control.post([this, Row, Found] { onClaimRead(Row, Found); });
+      });
 }
 
 void UnresolvedStore::onClaimRead(const codec::UnresolvedRow &Row,
--- a/src/entry/UnresolvedStore.h
+++ b/src/entry/UnresolvedStore.h
@@ -37,8 +37,7 @@
                std::function<void(ResolveOutcome)> Done);
 
 private:
-  void onRead(const store::ReadResult &Found, bool Ran,
-              const std::string &By,
+  void onRead(const store::ReadResult &Found, bool Ran, const std::string &By,
               const std::function<void(ResolveOutcome)> &Done);
   void resolveClaim(const codec::UnresolvedRow &Row);
   void onClaimRead(const codec::UnresolvedRow &Row,
--- a/tests/platform/TableServiceTest.cpp
+++ b/tests/platform/TableServiceTest.cpp
@@ -1,6 +1,6 @@
-#include "store/HttpPlatform.h"
 #include "standins/MemoryTableService.h"
 #include "standins/PlatformStandin.h"
+#include "store/HttpPlatform.h"
 
 #include <doctest/doctest.h>
 
--- a/tests/standins/MemoryTables.h
+++ b/tests/standins/MemoryTables.h
@@ -13,8 +13,7 @@
   std::optional<store::Row> read(const store::RowKey &Key) const;
 
   store::ScanResult scan(const std::string &Table, const std::string &Prefix,
-                            const std::string &After,
-                            std::uint32_t Limit) const;
+                         const std::string &After, std::uint32_t Limit) const;
 
   /// Committed or Conflict.
   store::CommitResult commit(const store::Transaction &T);
