--- /dev/null
+++ b/tests/codec/JobJsonTest.cpp
@@ -0,0 +1,88 @@
+#include "codec/JobJson.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+#include <stdexcept>
+
+using namespace comfreydeck;
+using namespace comfreydeck::codec;
+
+namespace {
+
+jobs::JobSpec fullJob() {
+  jobs::JobSpec Spec;
+  Spec.Id = "00000000000000aa";
+  Spec.Queue = "queue";
+  Spec.Pool = "pool";
+  Spec.Team = "team";
+  Spec.Payload = "a \"text\"";
+  Spec.MaxAttempts = 4;
+  Spec.SlackFactor = 1.6;
+  jobs::StepSpec First;
+  First.Tasks = 3;
+  First.Need = {500, 256, 1};
+  First.NearRack = "r1-2";
+  jobs::StepSpec Second;
+  Second.Lasting = true;
+  Second.AbsenceAllowance = 2;
+  Second.After = {0};
+  Spec.Steps = {First, Second};
+  return Spec;
+}
+
+} // namespace
+
+TEST_CASE("a job comes back as it was stored") {
+  jobs::JobSpec Read = decodeJob(encodeJob(fullJob()));
+  CHECK(Read.Payload == "a \"text\"");
+  CHECK(Read.Team == "team");
+  REQUIRE(Read.Steps.size() == 2);
+  CHECK(Read.Steps[0].Need == core::Resources{500, 256, 1});
+  CHECK(Read.Steps[0].NearRack == "r1-2");
+  CHECK(Read.Steps[1].Lasting);
+  CHECK(Read.Steps[1].AbsenceAllowance == 2);
+  CHECK(Read.Steps[1].After == std::vector<std::uint32_t>{0});
+}
+
+TEST_CASE("progress comes back as it was stored") {
+  jobs::JobProgress Kept;
+  Kept.State = jobs::JobState::Running;
+  Kept.Tasks.resize(3);
+  Kept.Tasks[0].Done = true;
+  Kept.Tasks[2].FailedRuns = {5, 9};
+  Kept.Tasks[2].Checkpoint = "c";
+  jobs::JobProgress Read = decodeProgress(encodeProgress(Kept));
+  CHECK(Read.State == jobs::JobState::Running);
+  REQUIRE(Read.Tasks.size() == 3);
+  CHECK(Read.Tasks[0].Done);
+  CHECK(Read.Tasks[2].FailedRuns == std::vector<jobs::RunId>{5, 9});
+  CHECK(Read.Tasks[2].Checkpoint == "c");
+}
+
+TEST_CASE("rows that are no jobs are refused and do no harm") {
+  for (const char *Text :
+       {"", "{", "[]", "{}", R"({"id":7})", R"({"state":99})",
+        R"({"state":1,"done":"1","marks":[[4,[],""]]})",
+        R"({"id":"00000000000000aa","pool":"p","steps":[]})"}) {
+    CAPTURE(Text);
+    CHECK_THROWS_AS(decodeJob(Text), std::invalid_argument);
+    CHECK_THROWS_AS(decodeProgress(Text), std::invalid_argument);
+  }
+}
+
+TEST_CASE("a row with any bytes changed is read or refused") {
+  std::string Good = encodeJob(fullJob());
+  for (unsigned Seed = 0; Seed < 2000; ++Seed) {
+    std::mt19937 Rng(Seed);
+    std::string Text = Good;
+    for (int Change = 0; Change < 3; ++Change)
+      Text[Rng() % Text.size()] = static_cast<char>(Rng() % 256);
+    try {
+      jobs::JobSpec Read = decodeJob(Text);
+      CHECK(jobs::faultOf(Read).empty());
+    } catch (const std::invalid_argument &E) {
+      CHECK(std::string(E.what()).size() > 0);
+    }
+  }
+}
--- /dev/null
+++ b/tests/settings/DispatchSettingsTest.cpp
@@ -0,0 +1,53 @@
+#include "settings/DispatchSettings.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace comfreydeck;
+using namespace comfreydeck::settings;
+
+namespace {
+
+constexpr const char *Good = R"({
+  "entry": {"name": "e1", "data_centre": "dc1", "callers": "127.0.0.1:1",
+            "readiness": "127.0.0.1:2", "peers": "127.0.0.1:3"},
+  "platform": {"store": "127.0.0.1:4"},
+  "bounds": {"revocation_ms": 5000, "grace_s": 6.5}})";
+
+bool names(const SettingsError &E, const std::string &Path) {
+  auto Faults = E.faults();
+  return std::any_of(Faults.begin(), Faults.end(),
+                     [&](const SettingsFault &F) { return F.Path == Path; });
+}
+
+} // namespace
+
+TEST_CASE("an entry's settings are read with their defaults") {
+  DispatchSettings Read = parseDispatchSettings(Good);
+  CHECK(Read.Name == "e1");
+  CHECK(Read.Machines.empty());
+  CHECK(Read.Grace == std::chrono::milliseconds(6500));
+  CHECK(Read.MaxLease == std::chrono::seconds(10));
+}
+
+TEST_CASE("every fault of the settings is named at once") {
+  try {
+    parseDispatchSettings(R"({"entry": {"name": "", "data_centre": "dc1",
+      "callers": "nowhere", "readiness": "127.0.0.1:2"},
+      "platform": {"store": "127.0.0.1:4", "stor": 1},
+      "bounds": {"grace_s": -1}})");
+    FAIL("wrong settings were taken");
+  } catch (const SettingsError &E) {
+    for (const char *Path : {"entry.name", "entry.callers", "entry.peers",
+                             "platform.stor", "bounds.grace_s"}) {
+      CAPTURE(Path);
+      CHECK(names(E, Path));
+    }
+  }
+}
+
+TEST_CASE("what is no JSON object is no settings file") {
+  for (const char *Text : {"", "[]", "{", "7"})
+    CHECK_THROWS_AS(parseDispatchSettings(Text), SettingsError);
+}
