--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -377,8 +377,9 @@
 
 bool PoolState::isClear(const std::string &Id) const {
   auto At = Workers_.find(Id);
-  return At == Workers_.end() ||
-         (At->second->Tasks.empty() && At->second->UnknownRuns == 0);
+  // What an earlier owner started there is known from the first report on.
+  return At != Workers_.end() && At->second->Heard &&
+         At->second->Tasks.empty() && At->second->UnknownRuns == 0;
 }
 
 bool PoolState::isAtWork(const LiveRun &Run, core::TimePoint Now) const {
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -247,6 +247,21 @@
   }
 }
 
+// Found by a hunt: a new owner took workers for empty before it had heard them,
+// and the wave took them down with the lasting tasks of the owner before.
+TEST_CASE("a worker is clear only once it was heard and runs nothing") {
+  OwnerBench B;
+  B.list({"w1"});
+  B.plan();
+  CHECK_FALSE(B.Owner.isClear("w1"));
+  CHECK_FALSE(B.Owner.isClear("unknown"));
+  B.report("w1");
+  CHECK(B.Owner.isClear("w1"));
+  B.Owner.addJob(sampleJob(1), B.Now);
+  B.plan();
+  CHECK_FALSE(B.Owner.isClear("w1"));
+}
+
 TEST_CASE("a worker's new life has nothing of the old one") {
   OwnerBench B;
   B.list({"w1"});
