Keep machines whose ends are not stored; tell a new life of no noted end

Cause of TWICE: an owner that can't reach the store knows an end only from the worker's list. Once nothing runs there the worker counted as empty, its machine was moved to another pool, and the list went with it. When the owner then lost power, the next one started the task again. Second cause, found in reading: a worker that comes back under its id counts its ends anew, and the next report told it to forget up to the old life's count. Ruled out: lost progress rows (the chain of writes is conditional), an owner that had not heard the worker (it was in the list no more). Both tests fail before.

--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -309,6 +309,7 @@
 void PoolState::newLife(WorkerState &W, std::int64_t Born,
                         core::TimePoint Now) {
   loseRuns(W);
+  W.LifeSure = false;
   W.Born = Born;
   W.ClockMs = 0;
   W.DeadlineMs = 0;
@@ -377,9 +378,13 @@
 
 bool PoolState::isClear(const std::string &Id) const {
   auto At = Workers_.find(Id);
-  // What an earlier owner started there is known from the first report on.
-  return At != Workers_.end() && At->second->Heard &&
-         At->second->Tasks.empty() && At->second->UnknownRuns == 0;
+  return At != Workers_.end() && isEmpty(*At->second);
+}
+
+bool PoolState::isEmpty(const WorkerState &W) {
+  // What an earlier owner started there is known from the first report on; ends
+  // that are not stored are known to the worker alone if this owner is lost.
+  return W.Heard && W.Tasks.empty() && W.UnknownRuns == 0 && W.Unstored.empty();
 }
 
 bool PoolState::isAtWork(const LiveRun &Run, core::TimePoint Now) const {
@@ -562,6 +567,7 @@
   WorkerState &W = *At->second;
   W.HoldInFlight = false;
   W.NextHold = Now + Limits_.ReportRetry;
+  W.LifeSure = false;
   if (Result.Outcome == OrderOutcome::Fenced) {
     Fenced_ = true;
     return;
@@ -584,7 +590,7 @@
     newLife(W, Report.Born, Now);
   }
   noteClock(W, Report.ClockMs, Now);
-  W.Heard = true;
+  W.Heard = W.LifeSure = true;
   W.ReportedAt = Now;
   W.NotedTold = std::max(W.NotedTold, Order.NotedUpTo);
   W.NextHold = Report.Ended.empty() ? Now : Now + Limits_.ReportPause;
@@ -777,8 +783,7 @@
       (Step.Lasting ? Load.LastingMemory : Load.UsedMemory) +=
           Step.Need.MemoryMb;
     }
-    bool Idle = W->Heard && !W->Gone && !W->Closed && !W->Entry.Draining &&
-                W->Tasks.empty() && W->UnknownRuns == 0;
+    bool Idle = isEmpty(*W) && !W->Gone && !W->Closed && !W->Entry.Draining;
     if (Idle)
       Load.Idle.push_back(Id);
   }
@@ -858,8 +863,9 @@
     bool Extend =
         !W->Tasks.empty() && In.Now - W->ReportedAt < Limits_.ReportStale;
     Hold.DeadlineMs = Extend ? leaseFor(*W, In) : 0;
-    Hold.NotedUpTo = W->Noted;
-    bool MayWait = W->Heard && !W->Tasks.empty();
+    // A new life counts its ends anew: it must not forget by the old count.
+    Hold.NotedUpTo = W->LifeSure ? W->Noted : 0;
+    bool MayWait = W->LifeSure && !W->Tasks.empty();
     Hold.Wait = MayWait ? Limits_.ReportWait : core::Duration::zero();
     W->DeadlineMs = std::max(W->DeadlineMs, Hold.DeadlineMs);
     W->HoldInFlight = true;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -167,6 +167,8 @@
   std::uint64_t Noted = 0;
   /// What the worker was told of \ref Noted.
   std::uint64_t NotedTold = 0;
+  /// The last report came: the worker is still in the life that is known here.
+  bool LifeSure = false;
   /// Runs there of jobs that this owner doesn't know.
   std::uint32_t UnknownRuns = 0;
   core::Resources Used;
@@ -235,7 +237,8 @@
   void setClosedWorkers(const std::set<std::string> &Ids);
   /// Workers whose tasks are to be stopped, each as its step allows.
   void setPressedWorkers(const std::set<std::string> &Ids);
-  /// Whether nothing runs on the worker.
+  /// Whether nothing runs on the worker, and nothing that ended there would be
+  /// lost with it.
   bool isClear(const std::string &Id) const;
   /// What each team may have running in this pool; teams without an entry have
   /// no bound.
@@ -322,6 +325,7 @@
   double runTimeMs(const JobRecord &Job, const StepSpec &Step) const;
   void noteRunTime(const JobRecord &Job, const LiveRun &Run,
                    core::TimePoint Now);
+  static bool isEmpty(const WorkerState &W);
   bool isAtWork(const LiveRun &Run, core::TimePoint Now) const;
   std::uint32_t absent(const JobRecord &Job, std::uint32_t Task,
                        core::TimePoint Now) const;
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -288,3 +288,55 @@
   CHECK(B.Owner.isFenced());
   CHECK(B.plan().Holds.empty());
 }
+
+// Found by a hunt: a machine was moved away while the end of a task was listed
+// there and not stored yet; the next owner ran the task again.
+TEST_CASE("a worker is not clear before its ends are stored") {
+  OwnerBench B;
+  B.list({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Owner.addJob(sampleJob(1, 2), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 2);
+  B.report("w1", {},
+           {endedAs(1, Out.Starts[0].Task, Out.Starts[0].Run, RunEnd::Done),
+            endedAs(2, Out.Starts[1].Task, Out.Starts[1].Run, RunEnd::Done)});
+  CHECK_FALSE(B.Owner.isClear("w1"));
+  CHECK(B.Owner.load(B.Now, 0).Idle.empty());
+  ProgressBatch Batch = B.Owner.takeChanges(10);
+  CHECK_FALSE(B.Owner.isClear("w1"));
+  B.Owner.onStored(Batch.Mark);
+  CHECK(B.Owner.isClear("w1"));
+  CHECK(B.Owner.load(B.Now, 0).Idle.size() == 1);
+}
+
+// A worker that came back under its id counts its ends anew: what was noted of
+// the old life must not be told to the new one.
+TEST_CASE("a worker that may have begun a new life is told of no noted end") {
+  OwnerBench B;
+  B.list({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Owner.addJob(sampleJob(1, 2), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 2);
+  B.report("w1", {runningAs(Out.Starts[1])},
+           {endedAs(1, Out.Starts[0].Task, Out.Starts[0].Run, RunEnd::Done)});
+  ProgressBatch Batch = B.Owner.takeChanges(10);
+  B.Owner.onStored(Batch.Mark);
+  B.pass(milliseconds(300));
+  Orders Told = B.plan();
+  REQUIRE(Told.Holds.size() == 1);
+  CHECK(Told.Holds[0].NotedUpTo == 1);
+  B.silent(Told.Holds[0]);
+  B.pass(milliseconds(300));
+  Orders Unsure = B.plan();
+  REQUIRE(Unsure.Holds.size() == 1);
+  CHECK(Unsure.Holds[0].NotedUpTo == 0);
+  B.report("w1", {runningAs(Out.Starts[1])});
+  B.pass(milliseconds(300));
+  Orders Sure = B.plan();
+  REQUIRE(Sure.Holds.size() == 1);
+  CHECK(Sure.Holds[0].NotedUpTo == 1);
+}
