Take pools whose rows name this process though it does not work on them

Cause of LOST: a transaction that takes a pool got no answer, the owner's row was read, it named another, and the try was given up. The transaction applied seconds later. The row then named a living owner that worked on nothing, so nobody took the pool; its lasting tasks lapsed and stayed away. Ruled out: lost jobs (the rows were there), a pool without room (half of it was free). Besides: a sign of life whose answer was lost kept the next one back for 1.5 s, which made living entries look dead; it is now given up after 0.5 s.

--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -15,6 +15,9 @@
 constexpr milliseconds BeatPeriod(700);
 constexpr milliseconds DeadAfter(2200);
 constexpr milliseconds StoreLimit(1500);
+/// A sign of life whose answer is late is written again within its period: a
+/// lost answer must not look like a lost entry.
+constexpr milliseconds BeatLimit(500);
 constexpr milliseconds TakeRetry(200);
 /// How long the first choice waits for the other entries to register.
 constexpr milliseconds GatherTime(1000);
@@ -71,7 +74,7 @@
   store::PartTransaction T;
   T.Puts.push_back({{rows::Control, "", rows::EntryPrefix + Me.Name},
                     FleetView::entryValue(Me, ++Beats_)});
-  Ctx_.Store.commit(std::move(T), StoreLimit, [this](PartAnswer Answer) {
+  Ctx_.Store.commit(std::move(T), BeatLimit, [this](PartAnswer Answer) {
     Ctx_.Loop.post([this, Outcome = Answer.Outcome] {
       BeatInFlight_ = false;
       Registered_ = Registered_ || Outcome == PartOutcome::Ok;
@@ -116,22 +119,21 @@
   std::vector<jobs::EntryView> Entries = View_.entries();
   std::vector<jobs::PoolView> Pools = View_.pools();
   for (const std::string &Pool :
-       jobs::poolsToTake(self(), Entries, Pools, Now, DeadAfter)) {
-    auto Lost = LostAt_.find(Pool);
-    bool TooSoon = Lost != LostAt_.end() && Now - Lost->second < LostPause;
-    if (!TooSoon && !isOwned(Pool))
+       jobs::poolsToTake(self(), Entries, Pools, Now, DeadAfter))
+    if (!wasJustLost(Pool) && !isOwned(Pool))
       take(Pool);
-  }
-  // A pool that was given up here, and that nobody else has taken since.
-  for (const jobs::PoolView &Pool : Pools) {
-    auto Lost = LostAt_.find(Pool.Pool);
-    bool MineByRow =
-        Pool.OwnerName == Ctx_.Settings.Name && Pool.OwnerLife == Ctx_.Life;
-    bool GivenUp = Lost != LostAt_.end() && Now - Lost->second >= LostPause &&
-                   !isOwned(Pool.Pool);
-    if (MineByRow && GivenUp)
-      take(Pool.Pool);
-  }
+  std::set<std::string> WorkedOn;
+  for (const jobs::PoolView &Pool : Pools)
+    if (isOwned(Pool.Pool))
+      WorkedOn.insert(Pool.Pool);
+  for (const std::string &Pool : jobs::poolsInNameOnly(self(), Pools, WorkedOn))
+    if (!wasJustLost(Pool))
+      take(Pool);
+}
+
+bool Ownership::wasJustLost(const std::string &Pool) const {
+  auto Lost = LostAt_.find(Pool);
+  return Lost != LostAt_.end() && bootNow() - Lost->second < LostPause;
 }
 
 /// Pools that an earlier process of this entry owned: it runs no more.
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -33,6 +33,7 @@
   void choose();
   void takeBack();
   bool isOwned(const std::string &Pool) const;
+  bool wasJustLost(const std::string &Pool) const;
   void take(const std::string &Pool);
   void taken(const std::string &Pool, std::uint64_t Token,
              core::TimePoint SentAt);
--- a/src/jobs/OwnerChoice.cpp
+++ b/src/jobs/OwnerChoice.cpp
@@ -66,4 +66,16 @@
   return Mine;
 }
 
+std::vector<std::string>
+poolsInNameOnly(const EntryView &Me, std::span<const PoolView> Pools,
+                const std::set<std::string> &WorkedOn) {
+  std::vector<std::string> Names;
+  for (const PoolView &Pool : Pools) {
+    bool MineByRow = Pool.OwnerName == Me.Name && Pool.OwnerLife == Me.Life;
+    if (MineByRow && WorkedOn.count(Pool.Pool) == 0)
+      Names.push_back(Pool.Pool);
+  }
+  return Names;
+}
+
 } // namespace comfreydeck::jobs
--- a/src/jobs/OwnerChoice.h
+++ b/src/jobs/OwnerChoice.h
@@ -4,6 +4,7 @@
 #include "core/Types.h"
 
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -52,6 +53,13 @@
                                      core::TimePoint Now,
                                      core::Duration DeadAfter);
 
+/// The pools whose rows name this process as the owner though it doesn't work
+/// on them: a transaction that was given up has applied late, or the pool was
+/// given up here. Nobody else takes them. Thread-safe.
+std::vector<std::string> poolsInNameOnly(const EntryView &Me,
+                                         std::span<const PoolView> Pools,
+                                         const std::set<std::string> &WorkedOn);
+
 } // namespace comfreydeck::jobs
 
 #endif // COMFREYDECK_JOBS_OWNERCHOICE_H
--- a/tests/jobs/OwnerChoiceTest.cpp
+++ b/tests/jobs/OwnerChoiceTest.cpp
@@ -68,3 +68,17 @@
   std::vector<PoolView> Pools = {{"p", "a", "2", 5}};
   CHECK(poolsToTake(entry("a", "2"), Entries, Pools, Now, DeadAfter).empty());
 }
+
+// Found by a hunt: a transaction that took a pool applied seconds after it was
+// given up; its row named a living owner that did not work on the pool.
+TEST_CASE(
+    "a pool whose row names a process that does not work on it is found") {
+  EntryView Me = entry("a", "2");
+  std::vector<PoolView> Pools = {{"late", "a", "2", 9},
+                                 {"worked", "a", "2", 8},
+                                 {"earlier life", "a", "1", 7},
+                                 {"another's", "b", "2", 6},
+                                 {"nobody's", "", "", 0}};
+  CHECK(poolsInNameOnly(Me, Pools, {"worked"}) ==
+        std::vector<std::string>{"late"});
+}
