Keep what workers list of jobs that are not known yet; lose no early job rows

The new owner's reading of the jobs was sent earlier, so that it heard the worker first and was told of the job afterwards; the run it had seen was only counted, and the task was started again. Ends of such jobs were noted at once, with nothing stored. Now runs are adopted when their job comes, and ends are noted only once the job is known or a later reading of the jobs doesn't have it. Besides, rows that came while a keeper was still reading were dropped: a job could stay unknown until the next change of owner. They are kept and replayed. Both tests fail on the code before.

--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -216,8 +216,8 @@
   auto Old = Keepers_.find(Pool);
   if (Old != Keepers_.end())
     Old->second->drop();
-  auto Keeper = std::make_shared<PoolKeeper>(Ctx_, View_, Pool, Token, SentAt,
-                                             std::move(Lost));
+  auto Keeper = std::make_shared<PoolKeeper>(Ctx_, View_, Jobs_, Pool, Token,
+                                             SentAt, std::move(Lost));
   Keepers_[Pool] = Keeper;
   Keeper->load([this](std::uint64_t Version) { follow(Version); });
 }
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -37,10 +37,11 @@
 
 } // namespace
 
-PoolKeeper::PoolKeeper(Context &Ctx, FleetView &View, std::string Pool,
-                       std::uint64_t Token, core::TimePoint TakenAt,
+PoolKeeper::PoolKeeper(Context &Ctx, FleetView &View, const Follower &Jobs,
+                       std::string Pool, std::uint64_t Token,
+                       core::TimePoint TakenAt,
                        std::function<void(const std::string &)> Lost)
-    : Ctx_(Ctx), View_(View),
+    : Ctx_(Ctx), View_(View), Jobs_(Jobs),
       State_(Pool, Token, bootNow(), limitsFor(Ctx.Settings)),
       TakenAt_(TakenAt), Lost_(std::move(Lost)), Part_(rows::poolPart(Pool)) {}
 
@@ -123,6 +124,8 @@
   for (const store::PartRow &Row : JobRows)
     if (Row.Where.Key.ends_with(rows::CancelSuffix))
       takeJobRow(Row);
+  for (const store::PartRow &Row : std::exchange(Early_, {}))
+    takeJobRow(Row);
   for (const auto &[Id, Gone] : View_.vanished())
     if (Gone.Entry.Pool == State_.pool())
       State_.addVanished(Gone.Entry, Now);
@@ -145,8 +148,12 @@
 
 void PoolKeeper::takeJobRow(const store::PartRow &Row) {
   const std::string &Key = Row.Where.Key;
-  if (Row.Removed || !Loaded_)
+  if (Row.Removed)
     return;
+  if (!Loaded_) {
+    Early_.push_back(Row);
+    return;
+  }
   if (Key.ends_with(rows::CancelSuffix)) {
     std::string_view Suffix(rows::CancelSuffix);
     cancelJob(Key.substr(0, Key.size() - Suffix.size()));
@@ -263,6 +270,7 @@
   In.WallMs = wallMs();
   In.AuthorityEnd = authorityEnd();
   In.MayStart = !Leaving_ && In.Now < In.AuthorityEnd;
+  In.JobsReadAt = Jobs_.currentAt();
   send(State_.plan(In));
   if (State_.isFenced()) {
     lose("fenced");
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -12,9 +12,10 @@
 class PoolKeeper : public std::enable_shared_from_this<PoolKeeper> {
 public:
   /// The pool's row was taken with \p Token by a transaction sent at
-  /// \p TakenAt. \p Lost is called once if the pool is owned no more.
-  PoolKeeper(Context &Ctx, FleetView &View, std::string Pool,
-             std::uint64_t Token, core::TimePoint TakenAt,
+  /// \p TakenAt. \p Jobs follows the table of jobs. \p Lost is called once if
+  /// the pool is owned no more.
+  PoolKeeper(Context &Ctx, FleetView &View, const Follower &Jobs,
+             std::string Pool, std::uint64_t Token, core::TimePoint TakenAt,
              std::function<void(const std::string &)> Lost);
 
   /// Reads the pool's jobs, then takes up its work. \p Loaded gets the store's
@@ -63,12 +64,15 @@
 
   Context &Ctx_;
   FleetView &View_;
+  const Follower &Jobs_;
   jobs::PoolState State_;
   core::TimePoint TakenAt_;
   std::function<void(const std::string &)> Lost_;
   std::function<void()> Left_;
   std::string Part_;
   std::uint64_t Chain_ = 0;
+  /// Changes of jobs that came while the jobs were read.
+  std::vector<store::PartRow> Early_;
   /// A worker that gets nothing new.
   struct Closing {
     /// When it was last asked for.
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -3,6 +3,8 @@
 #include "jobs/StartPlan_p.h"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 namespace comfreydeck::jobs {
 
@@ -17,6 +19,8 @@
 constexpr std::int64_t LeaseSlackMs = 60;
 /// Jobs that came within this show the rate at which more will.
 constexpr milliseconds ArrivalWindow(1000);
+/// Mark of an end that may not be noted yet, whatever is stored.
+constexpr std::uint64_t NeverStored = std::numeric_limits<std::uint64_t>::max();
 /// Pause between stops of one run that were not answered.
 constexpr milliseconds StopRetry(300);
 
@@ -58,6 +62,27 @@
   Job.Inherited = Now - TakenAt_ < Limits_.NewJobAge;
   Open_.insert(&Job);
   noteArrival(Job, Now);
+  adoptReported(Job, Now);
+}
+
+/// What workers have listed of the job before it was known here.
+void PoolState::adoptReported(const JobRecord &Job, core::TimePoint Now) {
+  for (auto &[Id, W] : Workers_) {
+    std::vector<ParkedEnd> Parked = std::exchange(W->Parked, {});
+    for (ParkedEnd &Waiting : Parked) {
+      if (Waiting.End.Task.JobId != Job.Spec.Id) {
+        W->Parked.push_back(std::move(Waiting));
+        continue;
+      }
+      applyEnd(*jobOf(Job.Spec.Id), *W, Waiting.End, Now);
+      for (auto &[Number, Mark] : W->Unstored)
+        if (Number == Waiting.End.Number)
+          Mark = Touches_;
+    }
+    std::vector<RunReport> Runs = std::exchange(W->UnknownRuns, {});
+    for (const RunReport &Run : Runs)
+      handleRunning(*W, Run, W->ReportedAt, Now);
+  }
 }
 
 void PoolState::inheritJob(const JobSpec &Spec, const JobProgress *Kept,
@@ -79,6 +104,7 @@
   }
   if (!isFinal(Job.Now))
     Open_.insert(&Job);
+  adoptReported(Job, Now);
 }
 
 void PoolState::cancelJob(const std::string &Id) {
@@ -315,7 +341,8 @@
   W.DeadlineMs = 0;
   W.Handled = W.Noted = W.NotedTold = 0;
   W.Unstored.clear();
-  W.UnknownRuns = 0;
+  W.Parked.clear();
+  W.UnknownRuns.clear();
   W.FailuresInRow = 0;
   W.ClockAt = Now;
 }
@@ -384,7 +411,8 @@
 bool PoolState::isEmpty(const WorkerState &W) {
   // What an earlier owner started there is known from the first report on; ends
   // that are not stored are known to the worker alone if this owner is lost.
-  return W.Heard && W.Tasks.empty() && W.UnknownRuns == 0 && W.Unstored.empty();
+  return W.Heard && W.Tasks.empty() && W.UnknownRuns.empty() &&
+         W.Unstored.empty();
 }
 
 bool PoolState::isAtWork(const LiveRun &Run, core::TimePoint Now) const {
@@ -597,7 +625,7 @@
   for (const EndReport &End : Report.Ended)
     if (End.Number > W.Handled)
       handleEnd(W, End, Now);
-  W.UnknownRuns = 0;
+  W.UnknownRuns.clear();
   for (const RunReport &Run : Report.Running)
     handleRunning(W, Run, SentAt, Now);
   if (Report.Ended.size() < MaxEndsListed)
@@ -608,44 +636,72 @@
                           core::TimePoint Now) {
   W.Handled = End.Number;
   JobRecord *Job = jobOf(End.Task.JobId);
-  std::uint32_t Task = Job ? indexOf(*Job, End.Task) : 0;
-  bool Known = Job && Task < Job->Tasks.size();
-  if (Known) {
-    TaskState &State = Job->Tasks[Task];
-    if (!End.Checkpoint.empty() && !State.Kept.Done &&
-        State.Kept.Checkpoint != End.Checkpoint) {
-      State.Kept.Checkpoint = End.Checkpoint;
-      touch(*Job);
-    }
-    LiveRun *Run = findRun(*Job, Task, End.Run);
-    if (Run && End.How == RunEnd::Done)
-      noteRunTime(*Job, *Run, Now);
-    removeRun(*Job, Task, End.Run);
-    if (End.How == RunEnd::Done) {
-      W.FailuresInRow = 0;
-      taskDone(*Job, Task);
-    }
-    std::vector<RunId> &Failed = State.Kept.FailedRuns;
-    bool Counted =
-        std::find(Failed.begin(), Failed.end(), End.Run) != Failed.end();
-    if (End.How == RunEnd::Failed && !Counted) {
-      if (!stepOf(*Job, Task).Lasting)
-        Failed.push_back(End.Run);
-      taskFailed(*Job, Task, W, Now);
-    }
+  if (!Job) {
+    // The owner before may have started a job of which this one is told later:
+    // its end must not be forgotten meanwhile.
+    W.Parked.push_back({End, Now});
+    W.Unstored.emplace_back(End.Number, NeverStored);
+    return;
   }
+  applyEnd(*Job, W, End, Now);
   W.Unstored.emplace_back(End.Number, Touches_);
   // Nothing of it has to be stored where nothing waits to be.
   if (Changed_.empty() && Storing_.empty())
     onStored(Touches_);
 }
 
+void PoolState::applyEnd(JobRecord &Job, WorkerState &W, const EndReport &End,
+                         core::TimePoint Now) {
+  std::uint32_t Task = indexOf(Job, End.Task);
+  if (Task >= Job.Tasks.size())
+    return;
+  TaskState &State = Job.Tasks[Task];
+  if (!End.Checkpoint.empty() && !State.Kept.Done &&
+      State.Kept.Checkpoint != End.Checkpoint) {
+    State.Kept.Checkpoint = End.Checkpoint;
+    touch(Job);
+  }
+  LiveRun *Run = findRun(Job, Task, End.Run);
+  if (Run && End.How == RunEnd::Done)
+    noteRunTime(Job, *Run, Now);
+  removeRun(Job, Task, End.Run);
+  if (End.How == RunEnd::Done) {
+    W.FailuresInRow = 0;
+    taskDone(Job, Task);
+  }
+  std::vector<RunId> &Failed = State.Kept.FailedRuns;
+  bool Counted =
+      std::find(Failed.begin(), Failed.end(), End.Run) != Failed.end();
+  if (End.How == RunEnd::Failed && !Counted) {
+    if (!stepOf(Job, Task).Lasting)
+      Failed.push_back(End.Run);
+    taskFailed(Job, Task, W, Now);
+  }
+}
+
+/// Ends of jobs that a whole reading of the jobs doesn't have matter no more.
+void PoolState::settleParked(const PlanInput &In) {
+  for (auto &[Id, W] : Workers_) {
+    if (W->Parked.empty())
+      continue;
+    for (const ParkedEnd &Waiting : W->Parked)
+      if (Waiting.SeenAt < In.JobsReadAt)
+        for (auto &[Number, Mark] : W->Unstored)
+          if (Number == Waiting.End.Number)
+            Mark = 0;
+    std::erase_if(W->Parked, [&](const ParkedEnd &Waiting) {
+      return Waiting.SeenAt < In.JobsReadAt;
+    });
+    advanceNoted(*W);
+  }
+}
+
 void PoolState::handleRunning(WorkerState &W, const RunReport &Report,
                               core::TimePoint SentAt, core::TimePoint Now) {
   JobRecord *Job = jobOf(Report.Task.JobId);
   std::uint32_t Task = Job ? indexOf(*Job, Report.Task) : 0;
   if (!Job || Task >= Job->Tasks.size()) {
-    ++W.UnknownRuns;
+    W.UnknownRuns.push_back(Report);
     return;
   }
   LiveRun *Run = findRun(*Job, Task, Report.Run);
@@ -719,11 +775,16 @@
     if (JobRecord *Job = jobOf(Id))
       Job->Stored = State;
   Storing_.clear();
+  StoredMark_ = std::max(StoredMark_, Mark);
   for (auto &[Id, W] : Workers_)
-    while (!W->Unstored.empty() && W->Unstored.front().second <= Mark) {
-      W->Noted = W->Unstored.front().first;
-      W->Unstored.pop_front();
-    }
+    advanceNoted(*W);
+}
+
+void PoolState::advanceNoted(WorkerState &W) {
+  while (!W.Unstored.empty() && W.Unstored.front().second <= StoredMark_) {
+    W.Noted = W.Unstored.front().first;
+    W.Unstored.pop_front();
+  }
 }
 
 // Decisions.
@@ -853,7 +914,7 @@
 void PoolState::planHolds(const PlanInput &In, Orders &Out) {
   for (auto &[Id, W] : Workers_) {
     bool Wanted = !W->Tasks.empty() || W->Noted > W->NotedTold ||
-                  W->UnknownRuns > 0 || !W->Heard;
+                  !W->UnknownRuns.empty() || !W->Heard;
     if (!Wanted || W->HoldInFlight || In.Now < W->NextHold)
       continue;
     HoldOrder Hold;
@@ -879,6 +940,7 @@
     Fenced_ = true;
     return Out;
   }
+  settleParked(In);
   expireSilent(In);
   clearClosed(In);
   if (In.MayStart && Config_) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -89,6 +89,8 @@
   core::TimePoint AuthorityEnd;
   /// Whether runs may be started; reports go on anyway.
   bool MayStart = true;
+  /// Every job that was accepted before this is known here.
+  core::TimePoint JobsReadAt;
 };
 
 /// One job's progress to be stored.
@@ -146,6 +148,12 @@
   std::uint64_t FirstTouch = 0;
 };
 
+/// An end of a job that is not known here, or not yet.
+struct ParkedEnd {
+  EndReport End;
+  core::TimePoint SeenAt;
+};
+
 /// What an owner knows of one worker.
 struct WorkerState {
   WorkerEntry Entry;
@@ -163,14 +171,16 @@
   std::uint64_t Handled = 0;
   /// Ends handled and the mark with which each is stored, in order.
   std::deque<std::pair<std::uint64_t, std::uint64_t>> Unstored;
+  /// Ends among \ref Unstored that wait for their jobs to become known.
+  std::vector<ParkedEnd> Parked;
   /// Ends that are stored.
   std::uint64_t Noted = 0;
   /// What the worker was told of \ref Noted.
   std::uint64_t NotedTold = 0;
   /// The last report came: the worker is still in the life that is known here.
   bool LifeSure = false;
-  /// Runs there of jobs that this owner doesn't know.
-  std::uint32_t UnknownRuns = 0;
+  /// Runs there of jobs that this owner doesn't know, or not yet.
+  std::vector<RunReport> UnknownRuns;
   core::Resources Used;
   std::uint32_t Serving = 0;
   std::uint32_t Lasting = 0;
@@ -294,6 +304,7 @@
 
   JobRecord *jobOf(const std::string &Id);
   JobRecord &makeJob(const JobSpec &Spec, core::TimePoint Now);
+  void adoptReported(const JobRecord &Job, core::TimePoint Now);
   const StepSpec &stepOf(const JobRecord &Job, std::uint32_t Task) const;
   std::uint32_t indexOf(const JobRecord &Job, const TaskRef &Ref) const;
   TaskRef refOf(const JobRecord &Job, std::uint32_t Task) const;
@@ -307,6 +318,10 @@
   void touch(JobRecord &Job);
 
   void handleEnd(WorkerState &W, const EndReport &End, core::TimePoint Now);
+  void applyEnd(JobRecord &Job, WorkerState &W, const EndReport &End,
+                core::TimePoint Now);
+  void settleParked(const PlanInput &In);
+  void advanceNoted(WorkerState &W);
   void taskDone(JobRecord &Job, std::uint32_t Task);
   void taskFailed(JobRecord &Job, std::uint32_t Task, WorkerState &W,
                   core::TimePoint Now);
@@ -348,6 +363,8 @@
   std::set<JobRecord *> Open_;
   std::deque<JobRecord *> Changed_;
   std::uint64_t Touches_ = 0;
+  /// All changes up to this one are stored.
+  std::uint64_t StoredMark_ = 0;
   /// States in the batch that is being stored.
   std::vector<std::pair<std::string, JobState>> Storing_;
   std::uint64_t NextRun_ = 1;
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -43,7 +43,7 @@
 
 bool StartPlan::canTake(const WorkerState &W) const {
   return W.Heard && !W.Gone && !W.Closed && !W.Entry.Draining &&
-         W.UnknownRuns == 0 && W.ClockMs > 0 && W.AvoidUntil <= In_.Now &&
+         W.UnknownRuns.empty() && W.ClockMs > 0 && W.AvoidUntil <= In_.Now &&
          Owner_.ClosedDataCentres_.count(W.Entry.DataCentre) == 0 &&
          Owner_.leaseFor(W, In_) > 0;
 }
--- a/tests/jobs/JobSamples.h
+++ b/tests/jobs/JobSamples.h
@@ -45,6 +45,7 @@
   core::TimePoint Now{std::chrono::hours(1)};
   PoolState Owner;
   std::vector<WorkerEntry> Entries;
+  core::TimePoint JobsReadAt;
 
   explicit OwnerBench(std::uint64_t Token = 7)
       : Owner("pool", Token, Now, OwnerLimits()) {
@@ -65,6 +66,7 @@
     In.Now = Now;
     In.WallMs = 1000000;
     In.AuthorityEnd = Now + std::chrono::seconds(8);
+    In.JobsReadAt = JobsReadAt;
     return Owner.plan(In);
   }
 
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -340,3 +340,45 @@
   REQUIRE(Sure.Holds.size() == 1);
   CHECK(Sure.Holds[0].NotedUpTo == 1);
 }
+
+// Found by a hunt: the owner before had started a job of which the new owner
+// was told only after it had heard the worker, and started it again.
+TEST_CASE("runs that were reported before their job was known are kept") {
+  OwnerBench B;
+  B.list({"w1", "w2"});
+  B.plan();
+  TaskRef Task{jobId(1), 0, 0, 0};
+  RunReport Run;
+  Run.Task = Task;
+  Run.Run = 5;
+  B.report("w1", {Run});
+  B.report("w2");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  CHECK(B.plan().Starts.empty());
+  B.report("w1", {}, {endedAs(1, Task, 5, RunEnd::Done)});
+  CHECK(B.Owner.findJob(jobId(1))->Now == JobState::Completed);
+}
+
+TEST_CASE("an end of an unknown job is noted only once the jobs were read") {
+  OwnerBench B;
+  B.list({"w1"});
+  B.plan();
+  TaskRef Task{jobId(1), 0, 0, 0};
+  B.report("w1", {}, {endedAs(1, Task, 5, RunEnd::Done)});
+  B.plan();
+  CHECK(B.Owner.workers().at("w1")->Noted == 0);
+  B.pass(milliseconds(100));
+  SUBCASE("the job comes: its end counts") {
+    B.Owner.addJob(sampleJob(1), B.Now);
+    CHECK(B.plan().Starts.empty());
+    CHECK(B.Owner.findJob(jobId(1))->Now == JobState::Completed);
+    CHECK(B.Owner.workers().at("w1")->Noted == 0);
+    B.Owner.onStored(B.Owner.takeChanges(10).Mark);
+    CHECK(B.Owner.workers().at("w1")->Noted == 1);
+  }
+  SUBCASE("a later reading of the jobs doesn't have it") {
+    B.JobsReadAt = B.Now;
+    B.plan();
+    CHECK(B.Owner.workers().at("w1")->Noted == 1);
+  }
+}
