Judge no entry by an old reading; end the fleet's duty with the reading

Cause: an entry that the store had turned away for seven seconds found every other entry silent by its own old view, and took all five pools in the moment the store served it again, before its first reading. And the holder of the fleet's duty went on ordering maintenance seconds after another entry had taken it; the two worked against each other and the wave was late. Ruled out: fences (they held), the choice itself (right for the view it had).

--- a/src/dispatch/FleetDuty.cpp
+++ b/src/dispatch/FleetDuty.cpp
@@ -28,6 +28,9 @@
 constexpr milliseconds OrderShownAfter(3000);
 /// How long a machine's tasks may end by themselves before they are cut off.
 constexpr milliseconds EmptyingPatience(4000);
+/// An entry that was out of the store's reach for longer may have lost the
+/// duty.
+constexpr milliseconds DutyAuthority(2000);
 constexpr milliseconds StoreLimit(1500);
 constexpr const char *KeptPrefix = "wave/";
 
@@ -69,11 +72,18 @@
     else
       load(Name);
   }
-  if (bootNow() >= OrderFrom_)
+  if (mayOrder())
     Moves_.turn(Token_);
   Book_.refresh();
 }
 
+/// Whether no other holder of the duty may be giving orders: not shortly after
+/// it was taken, and not once others may take it.
+bool FleetDuty::mayOrder() const {
+  core::TimePoint Now = bootNow();
+  return Now >= OrderFrom_ && Now - View_.controlCurrentAt() < DutyAuthority;
+}
+
 /// Whether a wave empties the machine or takes it down.
 bool FleetDuty::isInHand(const std::string &Machine) const {
   return std::any_of(Waves_.begin(), Waves_.end(), [&](const auto &Item) {
@@ -180,7 +190,7 @@
         P.ClosingSince = bootNow();
       }
   close(Machines, So);
-  if (bootNow() < OrderFrom_)
+  if (!mayOrder())
     return;
   for (const std::string &Id : Step.Maintain)
     maintain(Wave.Name, Id);
--- a/src/dispatch/FleetDuty.h
+++ b/src/dispatch/FleetDuty.h
@@ -35,6 +35,7 @@
   };
 
   void turn();
+  bool mayOrder() const;
   void reset(std::uint64_t Token);
   void load(const std::string &Wave);
   void advance(const WaveRequest &Wave, WaveProgress &So);
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -118,8 +118,8 @@
     return;
   std::vector<jobs::EntryView> Entries = View_.entries();
   std::vector<jobs::PoolView> Pools = View_.pools();
-  for (const std::string &Pool :
-       jobs::poolsToTake(self(), Entries, Pools, Now, DeadAfter))
+  for (const std::string &Pool : jobs::poolsToTake(
+           self(), Entries, Pools, View_.controlCurrentAt(), Now, DeadAfter))
     if (!wasJustLost(Pool) && !isOwned(Pool))
       take(Pool);
   std::set<std::string> WorkedOn;
--- a/src/jobs/OwnerChoice.cpp
+++ b/src/jobs/OwnerChoice.cpp
@@ -23,11 +23,13 @@
   return !Entry.Leaving && Now - Entry.ChangedAt < DeadAfter;
 }
 
-std::vector<std::string> poolsToTake(const EntryView &Me,
-                                     std::span<const EntryView> Entries,
-                                     std::span<const PoolView> Pools,
-                                     core::TimePoint Now,
-                                     core::Duration DeadAfter) {
+std::vector<std::string>
+poolsToTake(const EntryView &Me, std::span<const EntryView> Entries,
+            std::span<const PoolView> Pools, core::TimePoint SeenAt,
+            core::TimePoint Now, core::Duration DeadAfter) {
+  // An entry that was cut off itself must not take the others for lost.
+  if (Now - SeenAt > DeadAfter / 2)
+    return {};
   std::vector<EntryView> Living;
   for (const EntryView &Entry : Entries)
     if (Entry.Name != Me.Name && isAlive(Entry, Now, DeadAfter))
--- a/src/jobs/OwnerChoice.h
+++ b/src/jobs/OwnerChoice.h
@@ -46,12 +46,12 @@
 /// entry that owned it before its process was started anew, else to the one
 /// with the fewest pools. Every entry finds the same from the same views, but
 /// for itself: what others see of it may still be its process before this one.
-/// Thread-safe.
-std::vector<std::string> poolsToTake(const EntryView &Me,
-                                     std::span<const EntryView> Entries,
-                                     std::span<const PoolView> Pools,
-                                     core::TimePoint Now,
-                                     core::Duration DeadAfter);
+/// \p SeenAt is when the reading was sent that the views are from; nobody is
+/// judged by an old one. Thread-safe.
+std::vector<std::string>
+poolsToTake(const EntryView &Me, std::span<const EntryView> Entries,
+            std::span<const PoolView> Pools, core::TimePoint SeenAt,
+            core::TimePoint Now, core::Duration DeadAfter);
 
 /// The pools whose rows name this process as the owner though it doesn't work
 /// on them: a transaction that was given up has applied late, or the pool was
--- a/tests/jobs/OwnerChoiceTest.cpp
+++ b/tests/jobs/OwnerChoiceTest.cpp
@@ -29,7 +29,7 @@
       {"p", "", "", 0}, {"q", "", "", 0}, {"r", "", "", 0}};
   std::multiset<std::string> Taken;
   for (const EntryView &Entry : Entries) {
-    auto Mine = poolsToTake(Entry, Entries, Pools, Now, DeadAfter);
+    auto Mine = poolsToTake(Entry, Entries, Pools, Now, Now, DeadAfter);
     CHECK(Mine.size() == 1);
     Taken.insert(Mine.begin(), Mine.end());
   }
@@ -40,24 +40,33 @@
   std::vector<EntryView> Entries = {entry("a", "1"), entry("b", "1")};
   std::vector<PoolView> Pools = {{"p", "a", "1", 5}};
   SUBCASE("alive") {
-    CHECK(poolsToTake(entry("b", "1"), Entries, Pools, Now, DeadAfter).empty());
-    CHECK(poolsToTake(entry("a", "1"), Entries, Pools, Now, DeadAfter).empty());
+    CHECK(poolsToTake(entry("b", "1"), Entries, Pools, Now, Now, DeadAfter)
+              .empty());
+    CHECK(poolsToTake(entry("a", "1"), Entries, Pools, Now, Now, DeadAfter)
+              .empty());
   }
   SUBCASE("dead") {
     Entries[0].ChangedAt = Now - DeadAfter;
-    CHECK(poolsToTake(entry("b", "1"), Entries, Pools, Now, DeadAfter).size() ==
-          1);
+    CHECK(poolsToTake(entry("b", "1"), Entries, Pools, Now, Now, DeadAfter)
+              .size() == 1);
+  }
+  SUBCASE("dead, but by a reading that is old itself") {
+    Entries[0].ChangedAt = Now - DeadAfter;
+    CHECK(poolsToTake(entry("b", "1"), Entries, Pools, Now - DeadAfter, Now,
+                      DeadAfter)
+              .empty());
   }
   SUBCASE("leaving") {
     Entries[0].Leaving = true;
-    CHECK(poolsToTake(entry("b", "1"), Entries, Pools, Now, DeadAfter).size() ==
-          1);
+    CHECK(poolsToTake(entry("b", "1"), Entries, Pools, Now, Now, DeadAfter)
+              .size() == 1);
   }
   SUBCASE("started anew: it takes the pool back itself") {
     Entries[0] = entry("a", "2");
-    CHECK(poolsToTake(entry("a", "2"), Entries, Pools, Now, DeadAfter).size() ==
-          1);
-    CHECK(poolsToTake(entry("b", "1"), Entries, Pools, Now, DeadAfter).empty());
+    CHECK(poolsToTake(entry("a", "2"), Entries, Pools, Now, Now, DeadAfter)
+              .size() == 1);
+    CHECK(poolsToTake(entry("b", "1"), Entries, Pools, Now, Now, DeadAfter)
+              .empty());
   }
 }
 
@@ -66,7 +75,8 @@
 TEST_CASE("an entry keeps its pool though others see its process before") {
   std::vector<EntryView> Entries = {entry("a", "1"), entry("b", "1")};
   std::vector<PoolView> Pools = {{"p", "a", "2", 5}};
-  CHECK(poolsToTake(entry("a", "2"), Entries, Pools, Now, DeadAfter).empty());
+  CHECK(poolsToTake(entry("a", "2"), Entries, Pools, Now, Now, DeadAfter)
+            .empty());
 }
 
 // Found by a hunt: a transaction that took a pool applied seconds after it was
