Look up the end of vanished workers; start nothing on a silent worker

Cause: a machine that moves to another pool takes its worker's entry with it. A takeover within 12 s of any move counted that worker as one that may still run something, and held all inherited tasks back for 8 s. The platform's list of machines tells that such a life is over; a machine that is only down proves nothing. Second cause: starts went to workers of a rack that had fallen silent again and again, 0.6 s each. A worker that did not take a start gets none before a report of it came. Ruled out: slow loading of the jobs (30 ms), missing room.

--- a/src/dispatch/MachineBook.cpp
+++ b/src/dispatch/MachineBook.cpp
@@ -2,6 +2,8 @@
 
 #include "dispatch/Clock.h"
 
+#include <algorithm>
+
 namespace comfreydeck::dispatch {
 
 namespace {
@@ -11,6 +13,13 @@
 
 } // namespace
 
+bool isLifeOver(const std::string &Worker, std::span<const Machine> Machines) {
+  return std::none_of(Machines.begin(), Machines.end(), [&](const Machine &M) {
+    return M.Worker == Worker &&
+           (M.State == MachineState::Up || M.State == MachineState::Down);
+  });
+}
+
 void MachineBook::refresh() {
   core::TimePoint Now = bootNow();
   if (Listing_ || Now - ListedAt_ < ListPeriod)
--- a/src/dispatch/MachineBook.h
+++ b/src/dispatch/MachineBook.h
@@ -4,9 +4,15 @@
 #include "dispatch/Context.h"
 
 #include <map>
+#include <span>
 
 namespace comfreydeck::dispatch {
 
+/// Whether the worker's life is over: its machine is off, being taken down, or
+/// in another life. A machine that is only out of reach proves nothing.
+/// Thread-safe.
+bool isLifeOver(const std::string &Worker, std::span<const Machine> Machines);
+
 /// The platform's machines as last listed. On the loop's thread.
 class MachineBook {
 public:
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -3,6 +3,7 @@
 #include "codec/JobJson.h"
 #include "dispatch/Clock.h"
 #include "dispatch/EventLog.h"
+#include "dispatch/MachineBook.h"
 
 #include <algorithm>
 
@@ -26,6 +27,8 @@
 constexpr std::size_t BatchJobs = 90;
 /// A worker is open again if nobody has asked for its closing for that long.
 constexpr milliseconds ClosedFor(2500);
+/// Pause between two looks at what became of workers that are listed no more.
+constexpr milliseconds VanishedRetry(400);
 /// Finished jobs are kept a little longer than promised.
 constexpr milliseconds KeepSlack(10000);
 
@@ -133,9 +136,33 @@
   logEvent("pool_loaded", {{"pool", State_.pool()},
                            {"token", State_.token()},
                            {"jobs", State_.jobs().size()}});
+  checkVanished();
   tick();
 }
 
+/// Workers whose entries went before this owner came: most were moved.
+/// Inherited tasks wait for the others until any lease has lapsed.
+void PoolKeeper::checkVanished() {
+  std::vector<std::string> Open;
+  for (const auto &[Id, Worker] : State_.workers())
+    if (Worker->Gone && !Worker->Heard)
+      Open.push_back(Id);
+  if (Open.empty() || Dropped_ || !Ctx_.Machines)
+    return;
+  auto Self = shared_from_this();
+  Ctx_.Machines->list([Self, Open](MachineList List) {
+    Self->Ctx_.Loop.post([Self, Open, List = std::move(List)] {
+      if (!List.Ok)
+        Self->Ctx_.Count.retried("list-machines");
+      for (const std::string &Id : Open)
+        if (List.Ok && isLifeOver(Id, List.Machines))
+          Self->State_.confirmOver(Id);
+      Self->wake();
+      Self->Ctx_.Loop.after(VanishedRetry, [Self] { Self->checkVanished(); });
+    });
+  });
+}
+
 // Events.
 
 void PoolKeeper::refresh() {
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -50,6 +50,7 @@
                     std::vector<store::PartRow> JobRows, std::uint64_t Version);
   void takeUp(const std::vector<store::PartRow> &JobRows,
               const std::vector<store::PartRow> &ProgressRows);
+  void checkVanished();
   void tick();
   void plan();
   void send(jobs::Orders Orders);
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -381,6 +381,14 @@
   Slot->GoneAt = Now;
 }
 
+void PoolState::confirmOver(const std::string &Id) {
+  auto At = Workers_.find(Id);
+  if (At == Workers_.end() || !At->second->Gone)
+    return;
+  loseRuns(*At->second);
+  At->second->Heard = true;
+}
+
 void PoolState::setConfig(std::shared_ptr<const FleetConfig> Config) {
   Config_ = std::move(Config);
 }
@@ -534,6 +542,7 @@
       Run->StopAt = Now;
     }
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
+    W.LifeSure = false;
     return;
   case OrderOutcome::OtherIncarnation:
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
@@ -546,6 +555,8 @@
   case OrderOutcome::Refused:
   case OrderOutcome::NotSent:
     ++Counters_.Refused;
+    if (Result.Outcome == OrderOutcome::NotSent)
+      W.LifeSure = false;
     if (Result.Outcome != OrderOutcome::OldRun)
       W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
     // A report may have shown it running already: then it stays.
@@ -914,7 +925,7 @@
 void PoolState::planHolds(const PlanInput &In, Orders &Out) {
   for (auto &[Id, W] : Workers_) {
     bool Wanted = !W->Tasks.empty() || W->Noted > W->NotedTold ||
-                  !W->UnknownRuns.empty() || !W->Heard;
+                  !W->UnknownRuns.empty() || !W->LifeSure;
     if (!Wanted || W->HoldInFlight || In.Now < W->NextHold)
       continue;
     HoldOrder Hold;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -240,6 +240,9 @@
   /// A worker whose entry went shortly before the takeover: it may run what an
   /// earlier owner started.
   void addVanished(const WorkerEntry &Entry, core::TimePoint Now);
+  /// The life of a worker that is listed no more has ended, and its runs with
+  /// it.
+  void confirmOver(const std::string &Id);
   void setConfig(std::shared_ptr<const FleetConfig> Config);
   /// Data centres that get nothing new.
   void setClosedDataCentres(std::set<std::string> Names);
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -382,3 +382,41 @@
     CHECK(B.Owner.workers().at("w1")->Noted == 1);
   }
 }
+
+// Found on a day with the loss of a rack: starts went to silent workers again
+// and again.
+TEST_CASE("a worker that did not take a start gets none before it is heard") {
+  OwnerBench B;
+  B.list({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  B.answer(Out.Starts[0], OrderOutcome::NotSent);
+  for (const HoldOrder &Hold : Out.Holds)
+    B.silent(Hold);
+  B.pass(milliseconds(2000));
+  Orders Next = B.plan();
+  CHECK(Next.Starts.empty());
+  REQUIRE(Next.Holds.size() == 1);
+  B.report("w1");
+  CHECK(B.plan().Starts.size() == 1);
+}
+
+// Found on a day with a cut: each machine that had moved away shortly before a
+// takeover held back all inherited tasks for eight seconds.
+TEST_CASE(
+    "a worker that went keeps inherited tasks back until its end is sure") {
+  OwnerBench B;
+  B.list({"w1"});
+  B.Owner.addVanished(sampleWorker("w2"), B.Now);
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.plan();
+  B.report("w1");
+  CHECK(B.plan().Starts.empty());
+  B.Owner.confirmOver("w1");
+  CHECK(B.plan().Starts.empty());
+  B.Owner.confirmOver("w2");
+  CHECK(B.plan().Starts.size() == 1);
+}
