Move or copy runs that fall far behind; keep the fleet's duty going where it was taken back

Cause: a task on a worker that stands still or runs at a fifth of its speed was left there; only failures made a worker one to avoid. Reports tell how far a run is: one that would need over 2.5 times the usual run time and the cost of a restart is stopped and started elsewhere, once for each task, and only where there is room; where the step allows copies, a second run starts beside it, also beside one on a silent worker. Two jobs with such runs make a worker one to avoid for a while. Besides, the holder of the fleet's duty waited 3 s after its own restart. Ruled out: the declared run times as a measure (off by up to 90 %).

--- a/src/dispatch/FleetDuty.cpp
+++ b/src/dispatch/FleetDuty.cpp
@@ -54,7 +54,10 @@
   Waves_.clear();
   Book_.forget();
   Moves_.reset();
-  OrderFrom_ = bootNow() + TakeoverPause;
+  // Nobody else gave orders where an earlier process of this entry did.
+  OrderFrom_ = bootNow();
+  if (!Owners_.isFleetTakenBack())
+    OrderFrom_ += TakeoverPause;
 }
 
 void FleetDuty::turn() {
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -251,10 +251,13 @@
   Taking.Token = Token;
   const std::string &Pool = Taking.Pool;
   Taking_.erase(Pool);
+  const jobs::PoolView *Before = View_.pool(Pool);
+  bool TakenBack = Before && Before->OwnerName == Ctx_.Settings.Name;
   View_.setPool({Pool, Ctx_.Settings.Name, Ctx_.Life, Token});
   logEvent("pool_taken", {{"pool", Pool}, {"token", Token}});
   if (Pool == rows::FleetDuty) {
     FleetToken_ = Token;
+    FleetTakenBack_ = TakenBack;
     return;
   }
   auto Lost = [this](const std::string &Name) {
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -22,6 +22,8 @@
   }
   /// The token under which this entry maintains machines; zero: it doesn't.
   std::uint64_t fleetToken() const { return FleetToken_; }
+  /// Whether an earlier process of this entry held that duty last.
+  bool isFleetTakenBack() const { return FleetTakenBack_; }
 
   /// Asks a pool's owner, as the store names it, whether it still works on the
   /// pool and reaches the store.
@@ -64,6 +66,7 @@
   std::map<std::string, core::TimePoint> AnsweredAt_;
   std::map<std::string, core::TimePoint> LostAt_;
   std::uint64_t FleetToken_ = 0;
+  bool FleetTakenBack_ = false;
   std::uint64_t Beats_ = 0;
   bool Registered_ = false;
   bool BeatInFlight_ = false;
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -1,6 +1,7 @@
 #include "jobs/PoolState.h"
 
 #include "jobs/StartPlan_p.h"
+#include "jobs/StragglerPlan_p.h"
 
 #include <algorithm>
 #include <limits>
@@ -21,6 +22,8 @@
 constexpr milliseconds ArrivalWindow(1000);
 /// Mark of an end that may not be noted yet, whatever is stored.
 constexpr std::uint64_t NeverStored = std::numeric_limits<std::uint64_t>::max();
+/// A lasting task with that is at work.
+constexpr std::uint32_t AtWorkPercent = 100;
 /// Pause between stops of one run that were not answered.
 constexpr milliseconds StopRetry(300);
 
@@ -424,9 +427,8 @@
 }
 
 bool PoolState::isAtWork(const LiveRun &Run, core::TimePoint Now) const {
-  constexpr std::uint32_t AtWork = 100;
   const WorkerState &W = *Workers_.at(Run.Worker);
-  return !Run.Stopping && Run.Percent >= AtWork && !W.Gone &&
+  return !Run.Stopping && Run.Percent >= AtWorkPercent && !W.Gone &&
          Now - W.ReportedAt < Limits_.ReportStale;
 }
 
@@ -672,8 +674,11 @@
     touch(Job);
   }
   LiveRun *Run = findRun(Job, Task, End.Run);
-  if (Run && End.How == RunEnd::Done)
+  if (Run && End.How == RunEnd::Done) {
     noteRunTime(Job, *Run, Now);
+    if (!State.Moved)
+      W.SlowJobs = 0;
+  }
   removeRun(Job, Task, End.Run);
   if (End.How == RunEnd::Done) {
     W.FailuresInRow = 0;
@@ -734,6 +739,9 @@
     Run->ConfirmedAt = Now;
   }
   Run->Percent = Report.Percent;
+  noteProgress(Run->Pace, Report.Percent, Now);
+  if (Report.Percent >= AtWorkPercent)
+    Run->AtWorkAt = Now;
   Run->Load = Report.Load;
   TaskState &State = Job->Tasks[Task];
   if (!Report.Checkpoint.empty() && !State.Kept.Done)
@@ -953,6 +961,8 @@
   settleParked(In);
   expireSilent(In);
   clearClosed(In);
+  if (In.MayStart)
+    StragglerPlan(*this, In).run();
   if (In.MayStart && Config_) {
     StartPlan Plan(*this, In);
     Out.Starts = Plan.run();
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -3,6 +3,7 @@
 
 #include "jobs/FleetConfig.h"
 #include "jobs/PoolSizes.h"
+#include "jobs/RunPace.h"
 #include "jobs/Worker.h"
 
 #include <deque>
@@ -121,6 +122,9 @@
   core::TimePoint OrderedAt;
   core::TimePoint ConfirmedAt;
   core::TimePoint StopAt;
+  /// When a report last showed a lasting task at work.
+  core::TimePoint AtWorkAt;
+  RunPace Pace;
   std::uint32_t Percent = 0;
   double Load = 0;
 };
@@ -130,8 +134,12 @@
   std::vector<LiveRun> Runs;
   /// Not before this time again.
   core::TimePoint NotBefore;
-  /// Worker on which the last run failed.
+  /// Worker on which the last run failed or fell behind.
   std::string FailedOn;
+  /// A run of it was given up as far behind.
+  bool Moved = false;
+  /// Another run is to start beside the one there is.
+  bool WantsCopy = false;
 };
 
 struct JobRecord {
@@ -196,6 +204,9 @@
   core::TimePoint AvoidUntil;
   std::uint32_t FailuresInRow = 0;
   std::string LastFailedJob;
+  /// Jobs with runs far behind, since one ended in time.
+  std::uint32_t SlowJobs = 0;
+  std::string LastSlowJob;
   /// Taken out for maintenance: gets nothing new.
   bool Closed = false;
   /// Its tasks are stopped besides.
@@ -213,6 +224,7 @@
   std::uint64_t Refused = 0;
   std::uint64_t Uncertain = 0;
   std::uint64_t UnexpectedRuns = 0;
+  std::uint64_t Stragglers = 0;
 };
 
 /// Run times of one queue's tasks.
@@ -308,6 +320,7 @@
 
 private:
   friend class StartPlan;
+  friend class StragglerPlan;
 
   JobRecord *jobOf(const std::string &Id);
   JobRecord &makeJob(const JobSpec &Spec, core::TimePoint Now);
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -104,7 +104,9 @@
 
 bool StartPlan::mayStart(const JobRecord &Job, std::uint32_t Task) const {
   const TaskState &State = Job.Tasks[Task];
-  if (State.Kept.Done || !State.Runs.empty() || State.NotBefore > In_.Now)
+  bool Wanted =
+      State.Runs.empty() || (State.WantsCopy && State.Runs.size() == 1);
+  if (State.Kept.Done || !Wanted || State.NotBefore > In_.Now)
     return false;
   if (Job.Spec.Repetitions > 0) {
     std::int64_t K = Owner_.refOf(Job, Task).Occurrence;
@@ -205,9 +207,14 @@
   if (!core::fits(reserved(Step), freeOn(W)))
     return false;
   const std::vector<std::string> &Labels = W.Entry.Labels;
+  // A copy beside the run that is behind would be behind as well.
+  const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
+  bool HasRun = std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
+    return Run.Worker == W.Entry.Id;
+  });
   bool HasLabel = Step.Label.empty() || std::find(Labels.begin(), Labels.end(),
                                                   Step.Label) != Labels.end();
-  return HasLabel &&
+  return HasLabel && !HasRun &&
          (Step.MaxPerWorker == 0 || mates(W, Job, Task) < Step.MaxPerWorker);
 }
 
@@ -261,6 +268,7 @@
   Live.Worker = W.Entry.Id;
   Live.OrderedAt = In_.Now;
   Owner_.addRun(Job, Task, std::move(Live));
+  Job.Tasks[Task].WantsCopy = false;
   ++Owner_.Counters_.Starts;
   StartOrder Order;
   Order.Worker = W.Entry.Id;
--- /dev/null
+++ b/src/jobs/StragglerPlan.cpp
@@ -0,0 +1,83 @@
+#include "jobs/StragglerPlan_p.h"
+
+#include <algorithm>
+
+namespace comfreydeck::jobs {
+
+namespace {
+
+/// A lasting task starts up within a second or so, also on a loaded worker.
+constexpr std::chrono::milliseconds StartUpLimit(3000);
+/// Jobs with runs far behind that make the worker the cause.
+constexpr std::uint32_t SlowJobsLimit = 2;
+
+} // namespace
+
+void StragglerPlan::run() {
+  for (auto &[Id, W] : Owner_.Workers_)
+    for (const auto &[Job, Task] : W->Tasks)
+      for (LiveRun &Run : Job->Tasks[Task].Runs)
+        if (Run.Worker == Id)
+          consider(*W, *Job, Task, Run);
+}
+
+void StragglerPlan::consider(WorkerState &W, JobRecord &Job, std::uint32_t Task,
+                             LiveRun &Run) {
+  const StepSpec &Step = Owner_.stepOf(Job, Task);
+  TaskState &State = Job.Tasks[Task];
+  // Once for each task: what is slow everywhere is slow by itself.
+  bool Settled = Run.Stopping || State.Moved || Step.Gang || Step.Filling;
+  if (Settled || !isBehind(W, Job, Step, Run) || !hasRoomElsewhere(W, Step))
+    return;
+  State.Moved = !Step.Lasting;
+  State.FailedOn = W.Entry.Id;
+  noteSlow(W, Job);
+  ++Owner_.Counters_.Stragglers;
+  if (Step.Copies) {
+    State.WantsCopy = true;
+    return;
+  }
+  if (!W.LifeSure)
+    return;
+  Run.Stopping = true;
+  Run.StopAt = In_.Now;
+}
+
+bool StragglerPlan::isBehind(const WorkerState &W, const JobRecord &Job,
+                             const StepSpec &Step, const LiveRun &Run) const {
+  core::Duration Silent = In_.Now - std::max(W.ReportedAt, Run.OrderedAt);
+  if (Silent > Owner_.Limits_.ReportStale / 2)
+    return Step.Copies;
+  if (!Run.Confirmed)
+    return false;
+  if (Step.Lasting)
+    return In_.Now - std::max(Run.ConfirmedAt, Run.AtWorkAt) > StartUpLimit;
+  auto Expected = std::chrono::milliseconds(
+      static_cast<std::int64_t>(Owner_.runTimeMs(Job, Step)));
+  return isStraggling(Run.Pace, Expected);
+}
+
+bool StragglerPlan::hasRoomElsewhere(const WorkerState &W,
+                                     const StepSpec &Step) const {
+  auto Fits = [&](const WorkerState &Other) {
+    bool Usable = Other.LifeSure && !Other.Gone && !Other.Closed &&
+                  !Other.Entry.Draining && Other.AvoidUntil <= In_.Now;
+    core::Resources Used = Other.Used;
+    Used.MilliCpus += Step.Need.MilliCpus;
+    Used.MemoryMb += Step.Need.MemoryMb;
+    Used.Accelerators += Step.Need.Accelerators;
+    return &Other != &W && Usable && core::fits(Used, Other.Entry.Capacity);
+  };
+  return std::any_of(Owner_.Workers_.begin(), Owner_.Workers_.end(),
+                     [&](const auto &Item) { return Fits(*Item.second); });
+}
+
+void StragglerPlan::noteSlow(WorkerState &W, const JobRecord &Job) {
+  if (W.LastSlowJob == Job.Spec.Id)
+    return;
+  W.LastSlowJob = Job.Spec.Id;
+  if (++W.SlowJobs >= SlowJobsLimit)
+    W.AvoidUntil = std::max(W.AvoidUntil, In_.Now + Owner_.Limits_.Quarantine);
+}
+
+} // namespace comfreydeck::jobs
--- /dev/null
+++ b/src/jobs/StragglerPlan_p.h
@@ -0,0 +1,32 @@
+#ifndef COMFREYDECK_JOBS_STRAGGLERPLAN_P_H
+#define COMFREYDECK_JOBS_STRAGGLERPLAN_P_H
+
+#include "jobs/PoolState.h"
+
+namespace comfreydeck::jobs {
+
+/// Decides which runs are so far behind that another worker would be done
+/// sooner. Lives for one planning.
+class StragglerPlan {
+public:
+  StragglerPlan(PoolState &Owner, const PlanInput &In)
+      : Owner_(Owner), In_(In) {}
+
+  /// Stops such runs, or asks for a copy beside them where the step allows it.
+  void run();
+
+private:
+  void consider(WorkerState &W, JobRecord &Job, std::uint32_t Task,
+                LiveRun &Run);
+  bool isBehind(const WorkerState &W, const JobRecord &Job,
+                const StepSpec &Step, const LiveRun &Run) const;
+  bool hasRoomElsewhere(const WorkerState &W, const StepSpec &Step) const;
+  void noteSlow(WorkerState &W, const JobRecord &Job);
+
+  PoolState &Owner_;
+  const PlanInput &In_;
+};
+
+} // namespace comfreydeck::jobs
+
+#endif // COMFREYDECK_JOBS_STRAGGLERPLAN_P_H
--- /dev/null
+++ b/tests/jobs/RunPaceTest.cpp
@@ -0,0 +1,116 @@
+#include "jobs/RunPace.h"
+#include "jobs/JobSamples.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreydeck;
+using namespace comfreydeck::jobs;
+
+TEST_CASE("a run is a straggler only where another one would be done sooner") {
+  struct Case {
+    const char *What;
+    std::uint32_t First;
+    std::uint32_t Last;
+    int WatchedMs;
+    int ExpectedMs;
+    bool Straggles;
+  };
+  const Case Cases[] = {
+      {"on pace", 0, 50, 500, 1000, false},
+      {"twice as long", 0, 25, 500, 1000, false},
+      {"eight times as long", 0, 7, 600, 1000, true},
+      {"watched too shortly", 0, 1, 300, 1000, false},
+      {"slow, but nearly done", 80, 92, 800, 1000, false},
+      {"at a standstill", 0, 0, 1200, 1000, true},
+      {"not begun yet", 0, 0, 800, 1000, false},
+      {"resumed, at a standstill", 60, 60, 1100, 1000, true},
+      {"a long task on pace", 0, 10, 600, 6000, false},
+  };
+  for (const Case &C : Cases) {
+    CAPTURE(C.What);
+    core::TimePoint At{std::chrono::hours(1)};
+    RunPace Pace;
+    noteProgress(Pace, C.First, At);
+    noteProgress(Pace, C.Last, At + milliseconds(C.WatchedMs));
+    CHECK(isStraggling(Pace, milliseconds(C.ExpectedMs)) == C.Straggles);
+  }
+}
+
+namespace {
+
+/// Two workers and one running task that reports no progress.
+struct StandstillBench : OwnerBench {
+  StartOrder Start;
+
+  explicit StandstillBench(const JobSpec &Spec) {
+    list({"w1", "w2"});
+    plan();
+    report("w1");
+    report("w2");
+    Owner.addJob(Spec, Now);
+    Orders Out = plan();
+    REQUIRE(Out.Starts.size() == 1);
+    Start = Out.Starts[0];
+    answer(Start, OrderOutcome::Accepted);
+  }
+
+  void standStill(int Steps) {
+    for (int Step = 0; Step < Steps; ++Step) {
+      report(Start.Worker, {runningAs(Start, 0)});
+      report(other());
+      pass(milliseconds(400));
+    }
+    report(Start.Worker, {runningAs(Start, 0)});
+    report(other());
+  }
+
+  std::string other() const { return Start.Worker == "w1" ? "w2" : "w1"; }
+};
+
+} // namespace
+
+TEST_CASE("a run at a standstill is stopped once and starts elsewhere") {
+  StandstillBench B(sampleJob(1));
+  B.standStill(2);
+  CHECK(B.plan().Stops.empty());
+  B.standStill(2);
+  Orders Out = B.plan();
+  REQUIRE(Out.Stops.size() == 1);
+  CHECK(Out.Starts.empty());
+  B.report(B.Start.Worker, {},
+           {endedAs(1, B.Start.Task, B.Start.Run, RunEnd::Stopped)});
+  Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  CHECK(Out.Starts[0].Worker == B.other());
+  B.answer(Out.Starts[0], OrderOutcome::Accepted);
+  B.Start = Out.Starts[0];
+  B.standStill(6);
+  CHECK(B.plan().Stops.empty());
+}
+
+TEST_CASE("where copies are allowed another run starts beside it") {
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Copies = true;
+  StandstillBench B(Spec);
+  B.standStill(4);
+  Orders Out = B.plan();
+  CHECK(Out.Stops.empty());
+  REQUIRE(Out.Starts.size() == 1);
+  CHECK(Out.Starts[0].Worker == B.other());
+  B.answer(Out.Starts[0], OrderOutcome::Accepted);
+  CHECK(B.plan().Starts.empty());
+  B.report(B.other(), {},
+           {endedAs(1, Out.Starts[0].Task, Out.Starts[0].Run, RunEnd::Done)});
+  CHECK(B.Owner.findJob(jobId(1))->Now == JobState::Completed);
+  Orders After = B.plan();
+  REQUIRE(After.Stops.size() == 1);
+  CHECK(After.Stops[0].Run == B.Start.Run);
+}
+
+TEST_CASE("without room elsewhere a run at a standstill stays") {
+  StandstillBench B(sampleJob(1));
+  B.Entries = {sampleWorker(B.Start.Worker)};
+  B.Owner.setWorkers(B.Entries, B.Now);
+  B.standStill(6);
+  CHECK(B.plan().Stops.empty());
+}
