--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -19,7 +19,10 @@
 /// Added to each computed lease end for rounding.
 constexpr std::int64_t LeaseSlackMs = 60;
 /// Jobs that came within this show the rate at which more will.
-constexpr milliseconds ArrivalWindow(1000);
+constexpr core::Duration ArrivalWindow = milliseconds(1000);
+constexpr core::Duration BurstWindow = milliseconds(350);
+/// Fewer jobs in the shorter window show no rate.
+constexpr std::size_t BurstJobs = 3;
 /// Mark of an end that may not be noted yet, whatever is stored.
 constexpr std::uint64_t NeverStored = std::numeric_limits<std::uint64_t>::max();
 /// A lasting task with that is at work.
@@ -840,16 +843,31 @@
     Arrivals_.pop_front();
 }
 
+/// The start of a burst shows in the shorter window first; one large job alone
+/// is no burst.
+std::uint64_t PoolState::arrivingCpu(core::TimePoint Now) const {
+  double Rate = 0;
+  for (core::Duration Window : {BurstWindow, ArrivalWindow}) {
+    double Work = 0;
+    std::size_t Jobs = 0;
+    for (const auto &[At, Asked] : Arrivals_) {
+      bool Inside = Now - At <= Window;
+      Work += Inside ? Asked : 0;
+      Jobs += Inside ? 1 : 0;
+    }
+    auto Ms = std::chrono::duration_cast<milliseconds>(Window).count();
+    if (Window == ArrivalWindow || Jobs >= BurstJobs)
+      Rate = std::max(Rate, Work / static_cast<double>(Ms));
+  }
+  return static_cast<std::uint64_t>(Rate);
+}
+
 PoolLoad PoolState::load(core::TimePoint Now, std::int64_t WallMs) const {
   // What has waited for longer is late, and machines come too late for it.
   constexpr std::int64_t WorthwhileMs = 6000;
   PoolLoad Load;
   Load.Pool = Pool_;
-  double Arriving = 0;
-  for (const auto &[At, Work] : Arrivals_)
-    Arriving += Now - At <= ArrivalWindow ? Work : 0;
-  Load.ArrivingCpu =
-      static_cast<std::uint64_t>(Arriving / ArrivalWindow.count());
+  Load.ArrivingCpu = arrivingCpu(Now);
   for (const auto &[Id, W] : Workers_) {
     Load.PerMachine.MilliCpus =
         std::max(Load.PerMachine.MilliCpus, W->Entry.Capacity.MilliCpus);
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -356,6 +356,7 @@
   std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
   bool leaseLapsed(const WorkerState &W, core::TimePoint Now) const;
 
+  std::uint64_t arrivingCpu(core::TimePoint Now) const;
   void noteArrival(const JobRecord &Job, core::TimePoint Now);
   double runTimeMs(const JobRecord &Job, const StepSpec &Step) const;
   void noteRunTime(const JobRecord &Job, const LiveRun &Run,
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -420,3 +420,26 @@
   B.Owner.confirmOver("w2");
   CHECK(B.plan().Starts.size() == 1);
 }
+
+// Machines take two seconds to come: the start of a burst has to show at once.
+TEST_CASE("the start of a burst shows before a whole second has passed") {
+  OwnerBench B;
+  B.list({"w1"});
+  auto Arriving = [&] { return B.Owner.load(B.Now, 1000000).ArrivingCpu; };
+  B.Owner.addJob(sampleJob(1, 4), B.Now);
+  CHECK(Arriving() == 4000);
+  SUBCASE("a second job alone is no burst") {
+    B.pass(milliseconds(100));
+    B.Owner.addJob(sampleJob(2, 4), B.Now);
+    CHECK(Arriving() == 8000);
+  }
+  SUBCASE("three jobs within a third of a second are") {
+    for (unsigned Job = 2; Job <= 3; ++Job) {
+      B.pass(milliseconds(100));
+      B.Owner.addJob(sampleJob(Job, 4), B.Now);
+    }
+    CHECK(Arriving() > 30000);
+    B.pass(milliseconds(600));
+    CHECK(Arriving() == 12000);
+  }
+}
