Tell owners of machines that were moved away

Cause: a moved machine's worker stays listed for up to three heartbeats. Ruled out: too many connections at once (all starts of one worker failed).

--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -169,12 +169,13 @@
 void Peers::askClose(const std::string &Pool, const CloseRequest &Request,
                      std::function<void(const CloseAnswer &)> Done) {
   if (auto Keeper = Owners_.keeper(Pool)) {
-    Done({Keeper->closeWorkers(Request.Patient, Request.Pressing),
-          Keeper->token()});
+    Done({Keeper->closeWorkers(Request), Keeper->token()});
     return;
   }
-  Json Body = {
-      {"pool", Pool}, {"close", Request.Patient}, {"press", Request.Pressing}};
+  Json Body = {{"pool", Pool},
+               {"close", Request.Patient},
+               {"press", Request.Pressing},
+               {"ended", Request.Ended}};
   ask(Pool, Body.dump(), [Done = std::move(Done)](const OwnerAnswer &Answer) {
     Done({Answer.Clear, Answer.Token});
   });
@@ -222,8 +223,9 @@
     std::vector<std::string> Clear;
     if (Object.contains("close"))
       Clear = Keeper->closeWorkers(
-          Object["close"].get<std::vector<std::string>>(),
-          Object.at("press").get<std::vector<std::string>>());
+          {Object["close"].get<std::vector<std::string>>(),
+           Object.at("press").get<std::vector<std::string>>(),
+           Object.at("ended").get<std::vector<std::string>>()});
     OwnerAnswer Answer =
         answerHere(*Keeper, Object.value("job", ""), Object.value("queue", ""));
     Json Body = {{"known", Answer.Known},
--- a/src/dispatch/Peers.h
+++ b/src/dispatch/Peers.h
@@ -38,14 +38,6 @@
   std::uint64_t Token = 0;
 };
 
-/// Workers that are to get nothing new.
-struct CloseRequest {
-  /// Their tasks may end by themselves.
-  std::vector<std::string> Patient;
-  /// Their tasks are stopped.
-  std::vector<std::string> Pressing;
-};
-
 /// Asks the owners of pools, here or at other entries, and answers for the
 /// pools owned here. On the loop's thread.
 class Peers {
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -214,19 +214,19 @@
   State_.setTeamRoom(std::move(Room));
 }
 
-std::vector<std::string>
-PoolKeeper::closeWorkers(std::span<const std::string> Patient,
-                         std::span<const std::string> Pressing) {
+std::vector<std::string> PoolKeeper::closeWorkers(const CloseRequest &Request) {
   core::TimePoint Now = bootNow();
-  for (const std::string &Id : Patient)
+  for (const std::string &Id : Request.Patient)
     Closed_[Id] = {Now, false};
-  for (const std::string &Id : Pressing)
+  for (const std::string &Id : Request.Pressing)
     Closed_[Id] = {Now, true};
+  for (const std::string &Id : Request.Ended)
+    State_.endLife(Id);
   applyClosed();
   wake();
   std::vector<std::string> Clear;
-  for (std::span<const std::string> Asked : {Patient, Pressing})
-    std::copy_if(Asked.begin(), Asked.end(), std::back_inserter(Clear),
+  for (const auto *Asked : {&Request.Patient, &Request.Pressing})
+    std::copy_if(Asked->begin(), Asked->end(), std::back_inserter(Clear),
                  [this](const std::string &Id) { return State_.isClear(Id); });
   return Clear;
 }
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -19,6 +19,16 @@
   core::Duration EarlierOrders = jobs::OwnerLimits().Authority;
 };
 
+/// Workers that are to get nothing new.
+struct CloseRequest {
+  /// Their tasks may end by themselves.
+  std::vector<std::string> Patient;
+  /// Their tasks are stopped.
+  std::vector<std::string> Pressing;
+  /// Their machines were taken away: nothing answers there any more.
+  std::vector<std::string> Ended;
+};
+
 /// One pool that this entry owns: loads its jobs, carries out its decisions and
 /// stores what has ended. On the loop's thread.
 class PoolKeeper : public std::enable_shared_from_this<PoolKeeper> {
@@ -41,9 +51,8 @@
   void cancelJob(const std::string &Id);
   void setTeamRoom(std::map<std::string, core::Resources> Room);
   /// The workers get nothing new for a while; returns those that can be taken
-  /// out. The tasks of \p Pressing are stopped.
-  std::vector<std::string> closeWorkers(std::span<const std::string> Patient,
-                                        std::span<const std::string> Pressing);
+  /// out.
+  std::vector<std::string> closeWorkers(const CloseRequest &Request);
 
   /// Starts no more and stores what there is; then \p Done is called.
   void leave(std::function<void()> Done);
--- a/src/dispatch/PoolMoves.cpp
+++ b/src/dispatch/PoolMoves.cpp
@@ -138,16 +138,25 @@
                     {"from", Move.From},
                     {"to", Move.To},
                     {"token", Token_}});
-  Ctx_.Machines->move(Move.Machine, Move.To, Token_,
-                      [this, Move, Token = Token_](DutyOutcome Outcome) {
-                        Ctx_.Loop.post([this, Move, Token, Outcome] {
-                          if (Token == Token_)
-                            ended(Move, Outcome);
-                        });
-                      });
+  const Machine *M = Book_.find(Move.Machine);
+  std::string Worker = M ? M->Worker : "";
+  Ctx_.Machines->move(
+      Move.Machine, Move.To, Token_,
+      [this, Move, Worker, Token = Token_](DutyOutcome Outcome) {
+        Ctx_.Loop.post([this, Move, Worker, Token, Outcome] {
+          if (Token == Token_)
+            ended(Move, Worker, Outcome);
+        });
+      });
 }
 
-void PoolMoves::ended(const jobs::MachineMove &Move, DutyOutcome Outcome) {
+void PoolMoves::ended(const jobs::MachineMove &Move, const std::string &Worker,
+                      DutyOutcome Outcome) {
+  if (Outcome == DutyOutcome::Done && !Worker.empty()) {
+    CloseRequest Request;
+    Request.Ended = {Worker};
+    Calls_.askClose(Move.From, Request, [](const CloseAnswer &) {});
+  }
   if (Outcome == DutyOutcome::Done || Outcome == DutyOutcome::Unknown)
     return;
   logEvent("move_refused",
--- a/src/dispatch/PoolMoves.h
+++ b/src/dispatch/PoolMoves.h
@@ -33,7 +33,8 @@
   std::vector<jobs::PoolLoad> describe();
   void begin(const jobs::MachineMove &Move);
   void order(const jobs::MachineMove &Move);
-  void ended(const jobs::MachineMove &Move, DutyOutcome Outcome);
+  void ended(const jobs::MachineMove &Move, const std::string &Worker,
+             DutyOutcome Outcome);
   void forgetArrived();
 
   Context &Ctx_;
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -342,6 +342,7 @@
                         core::TimePoint Now) {
   loseRuns(W);
   W.LifeSure = false;
+  W.Ended = false;
   W.Born = Born;
   W.ClockMs = 0;
   W.DeadlineMs = 0;
@@ -395,6 +396,14 @@
   At->second->Heard = true;
 }
 
+void PoolState::endLife(const std::string &Id) {
+  auto At = Workers_.find(Id);
+  if (At == Workers_.end())
+    return;
+  loseRuns(*At->second);
+  At->second->Ended = true;
+}
+
 void PoolState::setConfig(std::shared_ptr<const FleetConfig> Config) {
   Config_ = std::move(Config);
 }
@@ -880,7 +889,8 @@
       (Step.Lasting ? Load.LastingMemory : Load.UsedMemory) +=
           Step.Need.MemoryMb;
     }
-    bool Idle = isEmpty(*W) && !W->Gone && !W->Closed && !W->Entry.Draining;
+    bool Idle = isEmpty(*W) && !W->Ended && !W->Gone && !W->Closed &&
+                !W->Entry.Draining;
     if (Idle)
       Load.Idle.push_back(Id);
   }
@@ -949,6 +959,8 @@
 
 void PoolState::planHolds(const PlanInput &In, Orders &Out) {
   for (auto &[Id, W] : Workers_) {
+    if (W->Ended)
+      continue;
     bool Wanted = !W->Tasks.empty() || W->Noted > W->NotedTold ||
                   !W->UnknownRuns.empty() || !W->LifeSure;
     if (!Wanted || W->HoldInFlight || In.Now < W->NextHold)
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -207,6 +207,8 @@
   /// Jobs with runs far behind, since one ended in time.
   std::uint32_t SlowJobs = 0;
   std::string LastSlowJob;
+  /// This life has ended, though the worker is still listed.
+  bool Ended = false;
   /// Taken out for maintenance: gets nothing new.
   bool Closed = false;
   /// Its tasks are stopped besides.
@@ -262,6 +264,9 @@
   void setConfig(std::shared_ptr<const FleetConfig> Config);
   /// Data centres that get nothing new.
   void setClosedDataCentres(std::set<std::string> Names);
+  /// A listed worker's machine was taken away: its entry goes later, and it
+  /// gets nothing before its next life shows.
+  void endLife(const std::string &Id);
   /// Workers that are about to be taken out.
   void setClosedWorkers(const std::set<std::string> &Ids);
   /// Workers whose tasks are to be stopped, each as its step allows.
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -443,3 +443,28 @@
     CHECK(Arriving() == 12000);
   }
 }
+
+// Found on days with moves: a moved machine's worker stays listed for seconds,
+// and starts sent to it were lost time.
+TEST_CASE(
+    "a worker whose machine was taken away gets nothing while it is listed") {
+  OwnerBench B;
+  B.list({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Owner.endLife("w1");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  CHECK(Out.Starts.empty());
+  CHECK(Out.Holds.empty());
+  B.Entries[0].Born = 2;
+  B.Owner.setWorkers(B.Entries, B.Now);
+  B.plan();
+  HoldOrder Order;
+  Order.Worker = "w1";
+  ReportResult Result;
+  Result.Outcome = OrderOutcome::Accepted;
+  Result.Report = {B.clockMs(), 2, {}, {}};
+  B.Owner.onReport(Order, Result, B.Now, B.Now);
+  CHECK(B.plan().Starts.size() == 1);
+}
