Plan moves right after the owners' answers

Cause: moves were planned before the loads were asked for, so by loads of the turn before: 0.15 s lost at the start of each burst, of the two seconds that a machine takes to come. And no more than ten moves were ordered in a turn.

--- a/src/dispatch/PoolMoves.cpp
+++ b/src/dispatch/PoolMoves.cpp
@@ -13,6 +13,8 @@
 
 /// An owner's word on its load is too old to move machines by.
 constexpr milliseconds LoadStale(1200);
+/// Owners answer from memory within that.
+constexpr milliseconds AnswerTime(40);
 /// A machine that has not shown in its new pool by then counts no more.
 constexpr milliseconds GoingLimit(6000);
 
@@ -33,9 +35,13 @@
   Token_ = Token;
   if (!Book_.isListed() || !View_.config())
     return;
-  forgetArrived();
-  plan();
   askLoads();
+  Ctx_.Loop.after(AnswerTime, [this, Token] {
+    if (Token != Token_ || !Book_.isListed() || !View_.config())
+      return;
+    forgetArrived();
+    plan();
+  });
 }
 
 void PoolMoves::askLoads() {
--- a/src/jobs/PoolSizes.cpp
+++ b/src/jobs/PoolSizes.cpp
@@ -20,7 +20,7 @@
 /// burst: a machine that is called takes longer than most jobs can wait.
 constexpr double ReserveShare = 0.6;
 /// Moves of one planning; more follow with the next one.
-constexpr std::size_t MaxMoves = 10;
+constexpr std::size_t MaxMoves = 20;
 
 /// What tasks that end ask for: those there are, or those that keep coming.
 double passing(std::uint64_t Used, std::uint64_t Waiting,
