Settle a cancel's lost answer; one line for each ended job; one reading of jobs

Cause: a cancel whose write was not answered got 504 at once, though the same row again is harmless; it is now written again while the caller waits. A job whose progress row can't be read was shown as queued; it is refused with 503. The reason of a failed job stood in no log: its owner now logs each ended job with its failed runs and the worker of the last one. The two readings of a job's row are one function.

--- a/src/dispatch/FrontDoor.cpp
+++ b/src/dispatch/FrontDoor.cpp
@@ -177,15 +177,25 @@
   store::PartKey Key = {rows::Jobs, rows::jobPart(C->Spec.Id), C->Spec.Id};
   T.Conditions.push_back({Key, 0});
   T.Puts.push_back({Key, codec::encodeJob(C->Spec)});
+  Ctx_.Store.commit(
+      std::move(T), storeLimit(C), [this, C, Again](PartAnswer Answer) {
+        Ctx_.Loop.post([this, C, Again, Answer = std::move(Answer)] {
+          stored(C, Answer, Again);
+        });
+      });
+}
+
+/// How long a write for the call may take.
+core::Duration FrontDoor::storeLimit(const CallPtr &C) const {
   core::Duration Left =
       C->ReceivedAt + C->Asked.Deadline - AnswerMargin - bootNow();
-  core::Duration Limit =
-      std::clamp<core::Duration>(Left, StoreRetry, StoreLimit);
-  Ctx_.Store.commit(std::move(T), Limit, [this, C, Again](PartAnswer Answer) {
-    Ctx_.Loop.post([this, C, Again, Answer = std::move(Answer)] {
-      stored(C, Answer, Again);
-    });
-  });
+  return std::clamp<core::Duration>(Left, StoreRetry, StoreLimit);
+}
+
+/// Whether another try can be answered before the caller stops waiting.
+bool FrontDoor::isTimeLeft(const CallPtr &C) const {
+  core::TimePoint Until = C->ReceivedAt + C->Asked.Deadline - AnswerMargin;
+  return bootNow() + StoreRetry < Until;
 }
 
 void FrontDoor::stored(const CallPtr &C, const PartAnswer &Answer, bool Again) {
@@ -209,8 +219,7 @@
     return;
   }
   // The lost try may be stored: only an answered one tells.
-  core::TimePoint Until = C->ReceivedAt + C->Asked.Deadline - AnswerMargin;
-  if (bootNow() + StoreRetry >= Until) {
+  if (!isTimeLeft(C)) {
     refuse(C, StatusUnknown, "outcome-unknown");
     return;
   }
@@ -231,10 +240,16 @@
 
 /// The owner does not know the job or can't be reached: the store tells.
 void FrontDoor::readStored(const CallPtr &C) {
+  readJob(C, [this, C](const jobs::JobSpec &Spec) { readProgress(C, Spec); });
+}
+
+/// Reads the job's own row; answers by itself where there is none to act on.
+void FrontDoor::readJob(const CallPtr &C,
+                        std::function<void(const jobs::JobSpec &)> Found) {
   store::PartRange Range = {rows::Jobs, rows::jobPart(C->JobId), C->JobId,
                             C->JobId + "~"};
-  Ctx_.Store.read(Range, [this, C](PartAnswer Answer) {
-    Ctx_.Loop.post([this, C, Answer = std::move(Answer)] {
+  Ctx_.Store.read(Range, [this, C, Found = std::move(Found)](PartAnswer A) {
+    Ctx_.Loop.post([this, C, Found, Answer = std::move(A)] {
       if (Answer.Outcome != PartOutcome::Ok) {
         refuse(C, StatusUnavailable, "store-unavailable");
         return;
@@ -243,7 +258,7 @@
         if (Row.Where.Key != C->JobId)
           continue;
         try {
-          readProgress(C, codec::decodeJob(Row.Value));
+          Found(codec::decodeJob(Row.Value));
         } catch (const std::invalid_argument &E) {
           logEvent("job_row_unreadable",
                    {{"job", C->JobId}, {"error", E.what()}});
@@ -272,6 +287,8 @@
       } catch (const std::invalid_argument &E) {
         logEvent("progress_row_unreadable",
                  {{"job", C->JobId}, {"error", E.what()}});
+        refuse(C, StatusUnavailable, "progress-row-unreadable");
+        return;
       }
       answer(C, StatusOk, Ctx_.Wire.State(State));
     });
@@ -291,51 +308,41 @@
 // Cancelling.
 
 void FrontDoor::cancel(const CallPtr &C) {
-  store::PartRange Range = {rows::Jobs, rows::jobPart(C->JobId), C->JobId,
-                            C->JobId + "~"};
-  Ctx_.Store.read(Range, [this, C](PartAnswer Answer) {
-    Ctx_.Loop.post([this, C, Answer = std::move(Answer)] {
-      if (Answer.Outcome != PartOutcome::Ok) {
-        refuse(C, StatusUnavailable, "store-unavailable");
-        return;
-      }
-      for (const store::PartRow &Row : Answer.Rows) {
-        if (Row.Where.Key != C->JobId)
-          continue;
-        try {
-          storeCancel(C, codec::decodeJob(Row.Value));
-        } catch (const std::invalid_argument &E) {
-          logEvent("job_row_unreadable",
-                   {{"job", C->JobId}, {"error", E.what()}});
-          refuse(C, StatusUnavailable, "job-row-unreadable");
-        }
-        return;
-      }
-      refuse(C, StatusGone, "unknown-job");
-    });
+  readJob(C, [this, C](const jobs::JobSpec &Spec) {
+    C->Spec = Spec;
+    storeCancel(C);
   });
 }
 
-void FrontDoor::storeCancel(const CallPtr &C, const jobs::JobSpec &Spec) {
+void FrontDoor::storeCancel(const CallPtr &C) {
   store::PartTransaction T;
+  const jobs::JobSpec &Spec = C->Spec;
   T.Puts.push_back(
       {{rows::Jobs, rows::jobPart(Spec.Id), Spec.Id + rows::CancelSuffix}, ""});
-  std::string Pool = Spec.Pool;
-  Ctx_.Store.commit(std::move(T), StoreLimit, [this, C, Pool](PartAnswer A) {
-    Ctx_.Loop.post([this, C, Pool, Outcome = A.Outcome] {
-      if (Outcome == PartOutcome::Ok) {
-        logEvent("job_cancelled", {{"job", C->JobId}, {"pool", Pool}});
-        Owners_.pushCancel(Pool, C->JobId);
-        answer(C, StatusOk, "{}");
-      } else if (Outcome == PartOutcome::Unknown) {
-        refuse(C, StatusUnknown, "outcome-unknown");
-      } else {
-        refuse(C, StatusUnavailable, "store-unavailable");
-      }
-    });
+  Ctx_.Store.commit(std::move(T), storeLimit(C), [this, C](PartAnswer A) {
+    Ctx_.Loop.post([this, C, Outcome = A.Outcome] { cancelled(C, Outcome); });
   });
 }
 
+void FrontDoor::cancelled(const CallPtr &C, PartOutcome Outcome) {
+  if (Outcome == PartOutcome::Ok) {
+    logEvent("job_cancelled", {{"job", C->JobId}, {"pool", C->Spec.Pool}});
+    Owners_.pushCancel(C->Spec.Pool, C->JobId);
+    answer(C, StatusOk, "{}");
+    return;
+  }
+  // The same row again is harmless, whether the lost try applied or not.
+  bool Unsure = Outcome == PartOutcome::Unknown;
+  if (isTimeLeft(C)) {
+    Ctx_.Count.retried("store-cancel");
+    Ctx_.Loop.after(StoreRetry, [this, C] { storeCancel(C); });
+  } else if (Unsure) {
+    refuse(C, StatusUnknown, "outcome-unknown");
+  } else {
+    refuse(C, StatusUnavailable, "store-unavailable");
+  }
+}
+
 // Answers.
 
 void FrontDoor::answer(const CallPtr &C, int Status, std::string Body) {
--- a/src/dispatch/FrontDoor.h
+++ b/src/dispatch/FrontDoor.h
@@ -29,8 +29,13 @@
   void readState(const CallPtr &C);
   void readStored(const CallPtr &C);
   void readProgress(const CallPtr &C, const jobs::JobSpec &Spec);
+  void readJob(const CallPtr &C,
+               std::function<void(const jobs::JobSpec &)> Found);
   void cancel(const CallPtr &C);
-  void storeCancel(const CallPtr &C, const jobs::JobSpec &Spec);
+  void storeCancel(const CallPtr &C);
+  void cancelled(const CallPtr &C, store::PartOutcome Outcome);
+  core::Duration storeLimit(const CallPtr &C) const;
+  bool isTimeLeft(const CallPtr &C) const;
   void countPending(const CallPtr &C);
 
   void answer(const CallPtr &C, int Status, std::string Body);
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -394,6 +394,31 @@
       });
 }
 
+/// One line for each job that is over, with what a failed one died of.
+void PoolKeeper::logEnded(const jobs::ProgressBatch &Batch,
+                          std::uint64_t RowVersion) {
+  for (const jobs::ProgressWrite &Write : Batch.Writes) {
+    const jobs::JobRecord *Job = State_.findJob(Write.JobId);
+    if (!Job || !jobs::isFinal(Write.Progress.State))
+      continue;
+    std::size_t FailedRuns = 0;
+    std::string FailedOn;
+    for (const jobs::TaskState &Task : Job->Tasks) {
+      FailedRuns += Task.Kept.FailedRuns.size();
+      if (!Task.FailedOn.empty())
+        FailedOn = Task.FailedOn;
+    }
+    logEvent("job_ended", {{"job", Write.JobId},
+                           {"pool", State_.pool()},
+                           {"state", jobs::nameOf(Write.Progress.State)},
+                           {"failed_runs", FailedRuns},
+                           {"max_attempts", Job->Spec.MaxAttempts},
+                           {"last_failed_on", FailedOn},
+                           {"token", State_.token()},
+                           {"row_version", RowVersion}});
+  }
+}
+
 void PoolKeeper::stored(const std::shared_ptr<jobs::ProgressBatch> &Batch,
                         const PartAnswer &Answer, bool Again) {
   if (Dropped_)
@@ -425,6 +450,7 @@
     return;
   }
   State_.onStored(Batch->Mark);
+  logEnded(*Batch, Answer.Version);
   wake();
   auto Self = shared_from_this();
   Ctx_.Loop.after(Leaving_ ? core::Duration::zero() : FlushPause, [Self] {
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -78,6 +78,7 @@
   void sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch, bool Again);
   void stored(const std::shared_ptr<jobs::ProgressBatch> &Batch,
               const store::PartAnswer &Answer, bool Again);
+  void logEnded(const jobs::ProgressBatch &Batch, std::uint64_t RowVersion);
   void applyClosed();
   void lose(const char *Why);
   core::TimePoint authorityEnd() const;
--- a/src/jobs/Job.cpp
+++ b/src/jobs/Job.cpp
@@ -55,4 +55,20 @@
   return "";
 }
 
+const char *nameOf(JobState State) {
+  switch (State) {
+  case JobState::Queued:
+    return "queued";
+  case JobState::Running:
+    return "running";
+  case JobState::Completed:
+    return "completed";
+  case JobState::Failed:
+    return "failed";
+  case JobState::Cancelled:
+    return "cancelled";
+  }
+  return "";
+}
+
 } // namespace comfreydeck::jobs
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -81,6 +81,9 @@
 /// Whether a job in that state can change no more. Thread-safe.
 inline bool isFinal(JobState S) { return S >= JobState::Completed; }
 
+/// The state's name in logs and answers. Thread-safe.
+const char *nameOf(JobState State);
+
 /// Names one task of one job.
 struct TaskRef {
   std::string JobId;
