--- a/src/jobs/PoolSizes.cpp
+++ b/src/jobs/PoolSizes.cpp
@@ -18,7 +18,7 @@
 constexpr std::chrono::milliseconds SurplusTime(2500);
 /// Share of the mean number of machines that a pool keeps for the start of a
 /// burst: a machine that is called takes longer than most jobs can wait.
-constexpr double ReserveShare = 0.6;
+constexpr double ReserveShare = 0.7;
 /// Moves of one planning; more follow with the next one.
 constexpr std::size_t MaxMoves = 20;
 
