--- /dev/null
+++ b/tests/adapter/JobPathTest.cpp
@@ -0,0 +1,225 @@
+#include "Rows.h"
+#include "WireStore.h"
+#include "WireWorkers.h"
+#include "adapter/PlatformServer.h"
+#include "dispatch/DispatchEntry.h"
+
+#include <asio.hpp>
+#include <doctest/doctest.h>
+
+#include <future>
+#include <thread>
+
+using namespace comfreydeck;
+using namespace comfreydeck::tests;
+
+namespace {
+
+constexpr std::chrono::milliseconds PollEvery(20);
+/// Far above what any wait here takes; ends a test that hangs.
+constexpr std::chrono::seconds WaitLimit(60);
+constexpr int TaskMs = 150;
+constexpr int WorkerCount = 2;
+
+std::string freeAddress() {
+  asio::io_context Io;
+  asio::ip::tcp::acceptor Acceptor(
+      Io, {asio::ip::address_v4::loopback(), std::uint16_t{0}});
+  return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+}
+
+void waitUntil(const std::function<bool()> &Holds) {
+  auto Until = std::chrono::steady_clock::now() + WaitLimit;
+  while (!Holds()) {
+    REQUIRE(std::chrono::steady_clock::now() < Until);
+    std::this_thread::sleep_for(PollEvery);
+  }
+}
+
+/// One entry of the job path with its own connections.
+struct JobEntry {
+  settings::DispatchSettings Settings;
+  net::HttpClient Client{{}};
+  platform::WireStore Store;
+  platform::WireWorkers Workers;
+  dispatch::DispatchEntry Entry;
+
+  JobEntry(const std::string &Name, const std::string &StoreAddress)
+      : Settings(settingsOf(Name, StoreAddress)), Store(Client, StoreAddress),
+        Workers(Client),
+        Entry(Settings, Client,
+              {Store, Workers, nullptr, platform::makeRowDecoder(),
+               platform::makeCallerWire()}) {
+    Entry.start();
+  }
+  ~JobEntry() { Client.stop(); }
+
+  static settings::DispatchSettings
+  settingsOf(const std::string &Name, const std::string &StoreAddress) {
+    settings::DispatchSettings S;
+    S.Name = Name;
+    S.DataCentre = "z1";
+    S.Callers = freeAddress();
+    S.Readiness = freeAddress();
+    S.Peers = freeAddress();
+    S.Store = StoreAddress;
+    return S;
+  }
+};
+
+/// The platform, its workers and some entries, in one process.
+struct JobSite {
+  net::Loop Timers;
+  RowsServer Rows{Timers};
+  std::list<RunsServer> Workers;
+  std::vector<std::unique_ptr<JobEntry>> Entries;
+  net::HttpClient Caller{{}};
+  std::unique_ptr<platform::WireStore> Operators;
+
+  explicit JobSite(int EntryCount) {
+    Timers.start();
+    Rows.start();
+    Operators = std::make_unique<platform::WireStore>(Caller, Rows.address());
+    for (int N = 0; N < WorkerCount; ++N) {
+      RunsServer &Worker =
+          Workers.emplace_back(Timers, "w" + std::to_string(N), TaskMs);
+      Worker.start();
+      put("servers", Worker.id(), Worker.entry("p"));
+    }
+    put("op", "config",
+        R"({"Version":1,"Routes":[{"Name":"r","Hostname":"h",
+             "PathPrefix":"/q/","ServiceName":"p","MaxAttempts":3}],
+             "Services":[{"Name":"p"}],
+             "Tenants":[{"Name":"t","ApiKeys":["k"]}]})");
+    for (int N = 0; N < EntryCount; ++N)
+      Entries.push_back(
+          std::make_unique<JobEntry>("e" + std::to_string(N), Rows.address()));
+    for (int N = 0; N < EntryCount; ++N)
+      waitUntil([&] { return call(N, "GET", "/q/", "").Status == 200; });
+  }
+
+  ~JobSite() {
+    Entries.clear();
+    Caller.stop();
+    Timers.stop();
+    for (RunsServer &Worker : Workers)
+      Worker.stop();
+    Rows.stop();
+  }
+
+  /// Writes a row as the operators or a worker would.
+  void put(const std::string &Table, const std::string &Key,
+           const std::string &Value) {
+    store::PartTransaction T;
+    T.Puts.push_back({{Table, "", Key}, Value});
+    std::promise<store::PartOutcome> Done;
+    Operators->commit(std::move(T), WaitLimit, [&](store::PartAnswer Answer) {
+      Done.set_value(Answer.Outcome);
+    });
+    REQUIRE(Done.get_future().get() == store::PartOutcome::Ok);
+  }
+
+  net::HttpResponse call(int Entry, const std::string &Method,
+                         const std::string &Path, const std::string &Body,
+                         const std::string &Key = "k") {
+    net::HttpCall Call;
+    Call.Method = Method;
+    Call.Url = "http://" +
+               Entries.at(static_cast<std::size_t>(Entry))->Settings.Callers +
+               Path;
+    Call.Headers = {{"Host", "h"}, {"Authorization", "Bearer " + Key}};
+    Call.Body = Body;
+    auto Done = std::make_shared<std::promise<net::HttpResponse>>();
+    auto Answer = Done->get_future();
+    Caller.send(std::move(Call), [Done](net::HttpResult Result) {
+      if (Result.End != core::ExchangeEnd::Answered)
+        Result.Response.Status = 0;
+      Done->set_value(std::move(Result.Response));
+    });
+    return Answer.get();
+  }
+
+  static std::string idOf(int Number) {
+    std::string Digits = std::to_string(Number);
+    return std::string(16 - Digits.size(), '0') + Digits;
+  }
+
+  /// Hands a job in until it is accepted, as a caller would.
+  void submit(int Entry, int Number) {
+    const char *Body =
+        R"({"TaskSpec":"x","Steps":[{"TaskCount":2,"Cpu":1000,
+        "MemoryRequestMb":100,"EstimatedMs":150},{"TaskCount":1,"Cpu":1000,
+        "MemoryRequestMb":100,"EstimatedMs":150,"After":[0]}]})";
+    waitUntil([&] {
+      return call(Entry, "POST", "/q/" + idOf(Number), Body).Status == 200;
+    });
+  }
+
+  bool isCompleted(int Entry, int Number) {
+    net::HttpResponse Answer = call(Entry, "GET", "/q/" + idOf(Number), "");
+    return Answer.Body.find("completed") != std::string::npos;
+  }
+
+  /// Starts of each task, over all workers.
+  std::map<std::string, int> starts() {
+    std::map<std::string, int> Sum;
+    for (RunsServer &Worker : Workers)
+      for (const auto &[Task, Count] : Worker.starts())
+        Sum[Task] += Count;
+    return Sum;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a job goes from its caller to workers and back as completed") {
+  JobSite Site(2);
+  Site.submit(0, 1);
+  waitUntil([&] { return Site.isCompleted(1, 1); });
+  std::map<std::string, int> Starts = Site.starts();
+  CHECK(Starts.size() == 3);
+  for (const auto &[Task, Count] : Starts)
+    CHECK(Count == 1);
+}
+
+TEST_CASE("callers get clear answers to what can't be done") {
+  JobSite Site(1);
+  std::string Job = "/q/" + JobSite::idOf(1);
+  CHECK(Site.call(0, "POST", Job, "{").Status == 400);
+  CHECK(Site.call(0, "POST", Job, "{}", "other").Status == 401);
+  CHECK(Site.call(0, "POST", "/none/1", "{}").Status == 404);
+  CHECK(Site.call(0, "GET", Job, "").Status == 410);
+  CHECK(Site.call(0, "DELETE", Job, "").Status == 410);
+}
+
+TEST_CASE("jobs survive what the store does") {
+  JobSite Site(2);
+  SUBCASE("it loses answers") { Site.Rows.loseAnswers(2); }
+  SUBCASE("it loses its history") { Site.Rows.dropHistory(); }
+  SUBCASE("it refuses everything for a second") {
+    Site.Rows.refuseAll(503);
+    Site.Timers.after(std::chrono::seconds(1),
+                      [&Site] { Site.Rows.refuseAll(0); });
+  }
+  for (int Job = 1; Job <= 6; ++Job)
+    Site.submit(Job % 2, Job);
+  for (int Job = 1; Job <= 6; ++Job)
+    waitUntil([&] { return Site.isCompleted(0, Job); });
+  for (const auto &Started : Site.starts()) {
+    CAPTURE(Started.first);
+    CHECK(Started.second == 1);
+  }
+}
+
+TEST_CASE("jobs survive the loss of an entry") {
+  JobSite Site(3);
+  for (int Job = 1; Job <= 6; ++Job)
+    Site.submit(Job % 3, Job);
+  Site.Entries.erase(Site.Entries.begin());
+  for (int Job = 7; Job <= 9; ++Job)
+    Site.submit(0, Job);
+  for (int Job = 1; Job <= 9; ++Job)
+    waitUntil([&] { return Site.isCompleted(1, Job); });
+  for (RunsServer &Worker : Site.Workers)
+    CHECK(Worker.doubles() == 0);
+}
--- /dev/null
+++ b/tests/adapter/PlatformServer.cpp
@@ -0,0 +1,332 @@
+#include "adapter/PlatformServer.h"
+
+#include <curl/curl.h>
+
+#include <algorithm>
+
+namespace comfreydeck::tests {
+
+using Json = nlohmann::json;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// How often a call that waits is looked at again.
+constexpr int WaitStepMs = 10;
+constexpr int StatusOk = 200;
+constexpr int StatusBad = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 409;
+constexpr int StatusGone = 410;
+constexpr int StatusFailed = 412;
+constexpr std::size_t PageRows = 500;
+
+std::string unescape(const std::string &Text) {
+  int Length = 0;
+  char *Plain = curl_easy_unescape(nullptr, Text.data(),
+                                   static_cast<int>(Text.size()), &Length);
+  std::string Result(Plain, static_cast<std::size_t>(Length));
+  curl_free(Plain);
+  return Result;
+}
+
+std::map<std::string, std::string> parseQuery(const std::string &Query) {
+  std::map<std::string, std::string> Fields;
+  std::size_t At = 0;
+  while (At < Query.size()) {
+    std::size_t End = std::min(Query.find('&', At), Query.size());
+    std::string Field = Query.substr(At, End - At);
+    std::size_t Equals = std::min(Field.find('='), Field.size() - 1);
+    Fields[Field.substr(0, Equals)] = unescape(Field.substr(Equals + 1));
+    At = End + 1;
+  }
+  return Fields;
+}
+
+std::string fieldOf(const std::map<std::string, std::string> &Query,
+                    const char *Name) {
+  auto It = Query.find(Name);
+  return It == Query.end() ? "" : It->second;
+}
+
+std::uint64_t numberOf(const std::map<std::string, std::string> &Query,
+                       const char *Name) {
+  std::string Text = fieldOf(Query, Name);
+  return Text.empty() ? 0 : std::stoull(Text);
+}
+
+std::int64_t clockMs() {
+  return std::chrono::duration_cast<milliseconds>(net::now().time_since_epoch())
+      .count();
+}
+
+} // namespace
+
+// The store.
+
+RowsServer::RowsServer(net::Loop &Timers)
+    : Timers_(Timers),
+      Server_({}, [this](net::HttpRequest Request, net::HttpResponder Respond) {
+        handle(Request, std::move(Respond));
+      }) {}
+
+std::string RowsServer::address() const {
+  return "127.0.0.1:" + std::to_string(Server_.port());
+}
+
+void RowsServer::dropHistory() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  HistoryFrom_ = ++Version_;
+}
+
+void RowsServer::handle(const net::HttpRequest &Request,
+                        net::HttpResponder Respond) {
+  if (int Status = Refusal_) {
+    Respond(net::jsonResponse(Status, "{}"));
+    return;
+  }
+  std::map<std::string, std::string> Query = parseQuery(Request.Query);
+  if (Request.Path == "/v1/rows-tx") {
+    net::HttpResponse Answer = commit(Json::parse(Request.Body));
+    // A call whose responder is dropped stays without an answer.
+    if (Lost_ > 0)
+      --Lost_;
+    else
+      Respond(std::move(Answer));
+  } else if (Request.Path == "/v1/rows-get") {
+    Respond(read(Query));
+  } else if (Request.Path == "/v1/rows-feed") {
+    follow(Query, static_cast<int>(numberOf(Query, "WaitMs")), Respond);
+  } else {
+    Respond(net::jsonResponse(StatusNotFound, "{}"));
+  }
+}
+
+Json RowsServer::rowJson(const Place &Where, const Row &Kept) const {
+  Json Object = {{"TableName", Where[0]},
+                 {"part", Where[1]},
+                 {"Key", Where[2]},
+                 {"RowVersion", Kept.Version}};
+  if (Kept.Removed)
+    Object["Deleted"] = true;
+  else
+    Object["Value"] = Kept.Value;
+  return Object;
+}
+
+net::HttpResponse RowsServer::commit(const Json &Body) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  auto PlaceOf = [](const Json &Entry) {
+    return Place{Entry.at("TableName"), Entry.value("part", ""),
+                 Entry.at("Key")};
+  };
+  bool Holds = true;
+  Json Current = Json::array();
+  for (const Json &Entry : Body.at("Expected")) {
+    auto It = Rows_.find(PlaceOf(Entry));
+    bool There = It != Rows_.end() && !It->second.Removed;
+    std::uint64_t Has = There ? It->second.Version : 0;
+    Holds = Holds && Has == Entry.at("RowVersion").get<std::uint64_t>();
+    if (There)
+      Current.push_back(rowJson(It->first, It->second));
+  }
+  if (!Holds)
+    return net::jsonResponse(
+        StatusFailed,
+        Json({{"rows", Current}, {"RowVersion", Version_}}).dump());
+  ++Version_;
+  for (const Json &Entry : Body.at("Puts"))
+    Rows_[PlaceOf(Entry)] = {Entry.at("Value"), Version_, false};
+  for (const Json &Entry : Body.at("Remove"))
+    Rows_[PlaceOf(Entry)] = {"", Version_, true};
+  return net::jsonResponse(StatusOk, Json({{"RowVersion", Version_}}).dump());
+}
+
+net::HttpResponse
+RowsServer::read(const std::map<std::string, std::string> &Query) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Json Rows = Json::array();
+  bool More = false;
+  std::string To = fieldOf(Query, "To");
+  Place From = {fieldOf(Query, "TableName"), fieldOf(Query, "part"),
+                fieldOf(Query, "From")};
+  for (auto It = Rows_.lower_bound(From); It != Rows_.end(); ++It) {
+    bool Inside = It->first[0] == From[0] && It->first[1] == From[1] &&
+                  (To.empty() || It->first[2] < To);
+    if (!Inside)
+      break;
+    More = Rows.size() >= PageRows;
+    if (More)
+      break;
+    if (!It->second.Removed)
+      Rows.push_back(rowJson(It->first, It->second));
+  }
+  return net::jsonResponse(
+      StatusOk,
+      Json({{"rows", Rows}, {"HasMore", More}, {"RowVersion", Version_}})
+          .dump());
+}
+
+void RowsServer::follow(const std::map<std::string, std::string> &Query,
+                        int LeftMs, const net::HttpResponder &Respond) {
+  std::unique_lock<std::mutex> Lock(Mutex_);
+  std::uint64_t After = numberOf(Query, "After");
+  if (After < HistoryFrom_) {
+    Respond(net::jsonResponse(StatusGone, "{}"));
+    return;
+  }
+  std::map<std::uint64_t, Json> Changed;
+  for (const auto &[Where, Kept] : Rows_)
+    if (Where[0] == fieldOf(Query, "TableName") && Kept.Version > After)
+      Changed[Kept.Version].push_back(rowJson(Where, Kept));
+  Json Rows = Json::array();
+  for (const auto &[Version, Same] : Changed)
+    for (const Json &Changes : Same)
+      Rows.push_back(Changes);
+  if (Rows.empty() && LeftMs > 0) {
+    Timers_.after(milliseconds(WaitStepMs), [this, Query, LeftMs, Respond] {
+      follow(Query, LeftMs - WaitStepMs, Respond);
+    });
+    return;
+  }
+  Respond(net::jsonResponse(
+      StatusOk, Json({{"rows", Rows}, {"RowVersion", Version_}}).dump()));
+}
+
+// A worker.
+
+RunsServer::RunsServer(net::Loop &Timers, std::string Id, int TaskMs)
+    : Timers_(Timers), Id_(std::move(Id)), TaskMs_(TaskMs),
+      Server_({}, [this](const net::HttpRequest &Request,
+                         const net::HttpResponder &Respond) {
+        handle(Request, Respond);
+      }) {}
+
+std::string RunsServer::entry(const std::string &Pool) const {
+  return Json({{"ServiceName", Pool},
+               {"Address", "127.0.0.1:" + std::to_string(Server_.port())},
+               {"Zone", "z1"},
+               {"State", "ready"},
+               {"born", 1},
+               {"Labels", {"a", "r1-1"}},
+               {"Capacity",
+                {{"Cpu", 8000}, {"MemoryRequestMb", 8000}, {"Gpus", 0}}}})
+      .dump();
+}
+
+std::map<std::string, int> RunsServer::starts() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Starts_;
+}
+
+int RunsServer::doubles() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Doubles_;
+}
+
+void RunsServer::handle(const net::HttpRequest &Request,
+                        const net::HttpResponder &Respond) {
+  Json Body = Json::parse(Request.Body, nullptr, false);
+  if (!Body.is_object()) {
+    Respond(net::jsonResponse(StatusBad, "{}"));
+    return;
+  }
+  if (Request.Path == "/v1/hold") {
+    hold(Body, Body.value("WaitMs", 0), Respond);
+    return;
+  }
+  Json Answer = Request.Path == "/v1/run-start" ? start(Body) : stopRun(Body);
+  int Status = Answer.contains("Reason") ? StatusConflict : StatusOk;
+  Answer["ClockMs"] = clockMs();
+  Respond(net::jsonResponse(Status, Answer.dump()));
+}
+
+bool RunsServer::fence(const Json &Body) {
+  std::uint64_t Token = Body.value("FencingToken", std::uint64_t{0});
+  if (Token < Fence_)
+    return false;
+  Fence_ = Token;
+  LeaseEndMs_ =
+      std::max(LeaseEndMs_, Body.value("DeadlineMs", std::int64_t{0}));
+  return true;
+}
+
+void RunsServer::end(const std::string &Task, std::uint64_t RunId,
+                     const char *How) {
+  Ended_.push_back({++LastEnd_, Task, RunId, How, ""});
+}
+
+void RunsServer::advance() {
+  core::TimePoint Now = net::now();
+  for (auto It = Running_.begin(); It != Running_.end();) {
+    bool Lapsed = clockMs() >= LeaseEndMs_;
+    bool Over = Lapsed || Now >= It->second.EndsAt;
+    if (Over)
+      end(It->first, It->second.Id, Lapsed ? "lapsed" : "done");
+    It = Over ? Running_.erase(It) : std::next(It);
+  }
+}
+
+Json RunsServer::start(const Json &Body) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  advance();
+  if (!fence(Body))
+    return {{"Reason", "fence"}};
+  std::string Task = Body.at("Task");
+  std::uint64_t RunId = Body.at("RunId");
+  auto It = Running_.find(Task);
+  if (It != Running_.end() && It->second.Id == RunId)
+    return Json::object();
+  Doubles_ += It != Running_.end() ? 1 : 0;
+  ++Starts_[Task];
+  Running_[Task] = {RunId, net::now() + milliseconds(TaskMs_)};
+  return Json::object();
+}
+
+Json RunsServer::stopRun(const Json &Body) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  advance();
+  if (!fence(Body))
+    return {{"Reason", "fence"}};
+  auto It = Running_.find(Body.at("Task").get<std::string>());
+  if (It != Running_.end() &&
+      It->second.Id == Body.at("RunId").get<std::uint64_t>()) {
+    end(It->first, It->second.Id, "stopped");
+    Running_.erase(It);
+  }
+  return Json::object();
+}
+
+void RunsServer::hold(const Json &Body, int LeftMs,
+                      const net::HttpResponder &Respond) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  advance();
+  if (!fence(Body)) {
+    Respond(net::jsonResponse(
+        StatusConflict,
+        Json({{"Reason", "fence"}, {"ClockMs", clockMs()}}).dump()));
+    return;
+  }
+  std::uint64_t Seen = Body.value("LastSeen", std::uint64_t{0});
+  Json Left = Json::array();
+  for (const Json &End : Ended_)
+    if (End.at(0).get<std::uint64_t>() > Seen)
+      Left.push_back(End);
+  Ended_ = Left;
+  if (Ended_.empty() && LeftMs > 0) {
+    Timers_.after(milliseconds(WaitStepMs), [this, Body, LeftMs, Respond] {
+      hold(Body, LeftMs - WaitStepMs, Respond);
+    });
+    return;
+  }
+  Json Running = Json::array();
+  for (const auto &[Task, Live] : Running_)
+    Running.push_back({Task, Live.Id, "", 50, 0});
+  Respond(net::jsonResponse(StatusOk, Json({{"ClockMs", clockMs()},
+                                            {"born", 1},
+                                            {"Running", Running},
+                                            {"EndedRuns", Ended_}})
+                                          .dump()));
+}
+
+} // namespace comfreydeck::tests
