Never tell a cancel that may be stored to be refused

Cause: found in reading. A cancel whose write was lost is written again; the answer went by the last try alone, so a refused try after a lost one was told as 503, though the lost one may have applied. Now a refusal is answered at once, as it was before, and after a lost try the caller gets 504 unless the row was stored. A comment on machines is made true.

--- a/src/dispatch/FrontDoor.cpp
+++ b/src/dispatch/FrontDoor.cpp
@@ -62,6 +62,8 @@
   jobs::JobSpec Spec;
   /// What is wrong with the job; empty: nothing.
   std::string JobFault;
+  /// A try to store the cancel was not answered: it may have applied.
+  bool CancelUnsure = false;
 };
 
 FrontDoor::FrontDoor(Context &Ctx, FleetView &View, Peers &Owners)
@@ -331,16 +333,18 @@
     answer(C, StatusOk, "{}");
     return;
   }
+  C->CancelUnsure = C->CancelUnsure || Outcome == PartOutcome::Unknown;
+  if (!C->CancelUnsure) {
+    refuse(C, StatusUnavailable, "store-unavailable");
+    return;
+  }
   // The same row again is harmless, whether the lost try applied or not.
-  bool Unsure = Outcome == PartOutcome::Unknown;
-  if (isTimeLeft(C)) {
-    Ctx_.Count.retried("store-cancel");
-    Ctx_.Loop.after(StoreRetry, [this, C] { storeCancel(C); });
-  } else if (Unsure) {
+  if (!isTimeLeft(C)) {
     refuse(C, StatusUnknown, "outcome-unknown");
-  } else {
-    refuse(C, StatusUnavailable, "store-unavailable");
+    return;
   }
+  Ctx_.Count.retried("store-cancel");
+  Ctx_.Loop.after(StoreRetry, [this, C] { storeCancel(C); });
 }
 
 // Answers.
--- a/src/dispatch/MachineBook.h
+++ b/src/dispatch/MachineBook.h
@@ -8,8 +8,8 @@
 
 namespace comfreydeck::dispatch {
 
-/// Whether the worker's life is over: its machine is off, being taken down, or
-/// in another life. A machine that is only out of reach proves nothing.
+/// Whether the worker's life is over: its machine moves, is maintained, or
+/// shows another worker or none. A machine that is down with it proves nothing.
 /// Thread-safe.
 bool isLifeOver(const std::string &Worker, std::span<const Machine> Machines);
 
--- a/tests/adapter/JobPathTest.cpp
+++ b/tests/adapter/JobPathTest.cpp
@@ -20,6 +20,8 @@
 constexpr std::chrono::seconds WaitLimit(60);
 constexpr int TaskMs = 150;
 constexpr int WorkerCount = 2;
+/// More transactions than come within a test.
+constexpr int WholeStore = 1000;
 
 std::string freeAddress() {
   asio::io_context Io;
@@ -223,3 +225,15 @@
   for (RunsServer &Worker : Site.Workers)
     CHECK(Worker.doubles() == 0);
 }
+
+// Found in reading: a refused try after a lost one was answered as not done.
+TEST_CASE("a cancel that may have been stored is not told to be refused") {
+  JobSite Site(1);
+  Site.submit(0, 1);
+  Site.Rows.loseAnswers(WholeStore);
+  Site.Timers.after(std::chrono::milliseconds(300),
+                    [&Site] { Site.Rows.refuseAll(503); });
+  CHECK(Site.call(0, "DELETE", "/q/" + JobSite::idOf(1), "").Status == 504);
+  Site.Rows.refuseAll(0);
+  Site.Rows.loseAnswers(0);
+}
