Say at a takeover which workers its decisions rest on

The log could not tell a worker that was unknown to the new owner from one that was heard by mistake: pool_loaded named the jobs alone, and nothing told when inherited tasks became free to start. pool_loaded now has the workers known, those of them that are not listed and the age of the list; pool_settled says how many of the known workers were heard, and after what wait.

--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -52,6 +52,12 @@
   return Config_ && Workers_.isSynced() && Control_.isSynced();
 }
 
+std::int64_t FleetView::workersAgeMs() const {
+  return std::chrono::duration_cast<milliseconds>(bootNow() -
+                                                  Workers_.currentAt())
+      .count();
+}
+
 std::vector<std::string> FleetView::controlParts() const {
   std::vector<std::string> Parts = {"", rows::LimitsPart,
                                     rows::poolPart(rows::FleetDuty)};
--- a/src/dispatch/FleetView.h
+++ b/src/dispatch/FleetView.h
@@ -37,6 +37,8 @@
   core::TimePoint configCurrentAt() const { return Operators_.currentAt(); }
   core::TimePoint controlCurrentAt() const { return Control_.currentAt(); }
   bool isSynced() const;
+  /// Age of the reading that the list of workers is from, in milliseconds.
+  std::int64_t workersAgeMs() const;
 
   const std::set<std::string> &closedDataCentres() const { return Closed_; }
   const std::map<std::string, WaveRequest> &waves() const { return Waves_; }
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -32,6 +32,20 @@
 /// Finished jobs are kept a little longer than promised.
 constexpr milliseconds KeepSlack(10000);
 
+struct WorkerCount {
+  std::size_t Heard = 0;
+  std::size_t NotListed = 0;
+};
+
+WorkerCount countWorkers(const jobs::PoolState &State) {
+  WorkerCount Count;
+  for (const auto &[Id, Worker] : State.workers()) {
+    Count.Heard += Worker->Heard ? 1 : 0;
+    Count.NotListed += Worker->Gone ? 1 : 0;
+  }
+  return Count;
+}
+
 jobs::OwnerLimits limitsFor(const settings::DispatchSettings &Settings,
                             const PoolTaking &Taking) {
   jobs::OwnerLimits Limits;
@@ -136,9 +150,13 @@
     if (Gone.Entry.Pool == State_.pool())
       State_.addVanished(Gone.Entry, Now);
   refresh();
+  WorkerCount Count = countWorkers(State_);
   logEvent("pool_loaded", {{"pool", State_.pool()},
                            {"token", State_.token()},
-                           {"jobs", State_.jobs().size()}});
+                           {"jobs", State_.jobs().size()},
+                           {"workers", State_.workers().size()},
+                           {"workers_not_listed", Count.NotListed},
+                           {"list_age_ms", View_.workersAgeMs()}});
   checkVanished();
   tick();
 }
@@ -301,6 +319,7 @@
   In.AuthorityEnd = authorityEnd();
   In.MayStart = !Leaving_ && In.Now < In.AuthorityEnd;
   In.JobsReadAt = Jobs_.currentAt();
+  noteSettled(In.Now);
   send(State_.plan(In));
   if (State_.isFenced()) {
     lose("fenced");
@@ -312,6 +331,21 @@
   flush();
 }
 
+/// Says on which workers' word inherited tasks may start from now on.
+void PoolKeeper::noteSettled(core::TimePoint Now) {
+  if (Settled_ || !State_.allHeard(Now))
+    return;
+  Settled_ = true;
+  WorkerCount Count = countWorkers(State_);
+  auto Waited = std::chrono::duration_cast<milliseconds>(Now - TakenAt_);
+  logEvent("pool_settled", {{"pool", State_.pool()},
+                            {"token", State_.token()},
+                            {"workers", State_.workers().size()},
+                            {"workers_heard", Count.Heard},
+                            {"workers_not_listed", Count.NotListed},
+                            {"waited_ms", Waited.count()}});
+}
+
 const jobs::WorkerEntry *PoolKeeper::entryOf(const std::string &Worker) const {
   auto It = State_.workers().find(Worker);
   return It == State_.workers().end() ? nullptr : &It->second->Entry;
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -73,6 +73,7 @@
   void checkVanished();
   void tick();
   void plan();
+  void noteSettled(core::TimePoint Now);
   void send(jobs::Orders Orders);
   void flush();
   void sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch, bool Again);
@@ -103,6 +104,8 @@
   };
   std::map<std::string, Closing> Closed_;
   bool Loaded_ = false;
+  /// Every worker that may run inherited tasks was heard, or runs none.
+  bool Settled_ = false;
   bool Leaving_ = false;
   bool Dropped_ = false;
   bool Storing_ = false;
