--- a/tests/adapter/JobPathTest.cpp
+++ b/tests/adapter/JobPathTest.cpp
@@ -23,6 +23,14 @@
 /// More transactions than come within a test.
 constexpr int WholeStore = 1000;
 
+constexpr const char *TwoSteps =
+    R"({"TaskSpec":"x","Steps":[{"TaskCount":2,"Cpu":1000,
+    "MemoryRequestMb":100,"EstimatedMs":150},{"TaskCount":1,"Cpu":1000,
+    "MemoryRequestMb":100,"EstimatedMs":150,"After":[0]}]})";
+constexpr const char *OneLongTask =
+    R"({"TaskSpec":"x","Steps":[{"TaskCount":1,"Cpu":1000,
+    "MemoryRequestMb":100,"EstimatedMs":60000}]})";
+
 std::string freeAddress() {
   asio::io_context Io;
   asio::ip::tcp::acceptor Acceptor(
@@ -78,13 +86,13 @@
   net::HttpClient Caller{{}};
   std::unique_ptr<platform::WireStore> Operators;
 
-  explicit JobSite(int EntryCount) {
+  explicit JobSite(int EntryCount, int RunMs = TaskMs) {
     Timers.start();
     Rows.start();
     Operators = std::make_unique<platform::WireStore>(Caller, Rows.address());
     for (int N = 0; N < WorkerCount; ++N) {
       RunsServer &Worker =
-          Workers.emplace_back(Timers, "w" + std::to_string(N), TaskMs);
+          Workers.emplace_back(Timers, "w" + std::to_string(N), RunMs);
       Worker.start();
       put("servers", Worker.id(), Worker.entry("p"));
     }
@@ -114,6 +122,16 @@
            const std::string &Value) {
     store::PartTransaction T;
     T.Puts.push_back({{Table, "", Key}, Value});
+    commit(std::move(T));
+  }
+
+  void remove(const std::string &Table, const std::string &Key) {
+    store::PartTransaction T;
+    T.Removals.push_back({Table, "", Key});
+    commit(std::move(T));
+  }
+
+  void commit(store::PartTransaction T) {
     std::promise<store::PartOutcome> Done;
     Operators->commit(std::move(T), WaitLimit, [&](store::PartAnswer Answer) {
       Done.set_value(Answer.Outcome);
@@ -141,17 +159,23 @@
     return Answer.get();
   }
 
+  /// Ends the entry without notice and starts a new process of its name.
+  void restart(int Entry, const std::function<void()> &Between) {
+    std::unique_ptr<JobEntry> &Slot =
+        Entries.at(static_cast<std::size_t>(Entry));
+    std::string Name = Slot->Settings.Name;
+    Slot.reset();
+    Between();
+    Slot = std::make_unique<JobEntry>(Name, Rows.address());
+  }
+
   static std::string idOf(int Number) {
     std::string Digits = std::to_string(Number);
     return std::string(16 - Digits.size(), '0') + Digits;
   }
 
   /// Hands a job in until it is accepted, as a caller would.
-  void submit(int Entry, int Number) {
-    const char *Body =
-        R"({"TaskSpec":"x","Steps":[{"TaskCount":2,"Cpu":1000,
-        "MemoryRequestMb":100,"EstimatedMs":150},{"TaskCount":1,"Cpu":1000,
-        "MemoryRequestMb":100,"EstimatedMs":150,"After":[0]}]})";
+  void submit(int Entry, int Number, const char *Body = TwoSteps) {
     waitUntil([&] {
       return call(Entry, "POST", "/q/" + idOf(Number), Body).Status == 200;
     });
@@ -237,3 +261,29 @@
   Site.Rows.refuseAll(0);
   Site.Rows.loseAnswers(0);
 }
+
+TEST_CASE("an entry that starts anew runs nothing twice beside a worker whose "
+          "row has lapsed" *
+          doctest::should_fail()) {
+  constexpr int LongMs = 60000;
+  JobSite Site(1, LongMs);
+  Site.submit(0, 1, OneLongTask);
+  std::string Task = JobSite::idOf(1) + ".0.0.0";
+  RunsServer *At = nullptr;
+  waitUntil([&] {
+    for (RunsServer &Worker : Site.Workers)
+      At = Worker.runs(Task) ? &Worker : At;
+    return At != nullptr;
+  });
+  std::uint64_t Fence = At->fence();
+  Site.restart(0, [&] { Site.remove("servers", At->id()); });
+  bool Doubled = false;
+  waitUntil([&] {
+    std::size_t Running = 0;
+    for (RunsServer &Worker : Site.Workers)
+      Running += Worker.runs(Task) ? 1 : 0;
+    Doubled = Running > 1;
+    return Doubled || At->fence() > Fence;
+  });
+  CHECK_FALSE(Doubled);
+}
--- a/tests/adapter/PlatformServer.cpp
+++ b/tests/adapter/PlatformServer.cpp
@@ -224,6 +224,17 @@
   return Doubles_;
 }
 
+bool RunsServer::runs(const std::string &Task) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  advance();
+  return Running_.count(Task) != 0;
+}
+
+std::uint64_t RunsServer::fence() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  return Fence_;
+}
+
 void RunsServer::handle(const net::HttpRequest &Request,
                         const net::HttpResponder &Respond) {
   Json Body = Json::parse(Request.Body, nullptr, false);
@@ -241,7 +252,7 @@
   Respond(net::jsonResponse(Status, Answer.dump()));
 }
 
-bool RunsServer::fence(const Json &Body) {
+bool RunsServer::raiseFence(const Json &Body) {
   std::uint64_t Token = Body.value("FencingToken", std::uint64_t{0});
   if (Token < Fence_)
     return false;
@@ -270,7 +281,7 @@
 Json RunsServer::start(const Json &Body) {
   std::lock_guard<std::mutex> Lock(Mutex_);
   advance();
-  if (!fence(Body))
+  if (!raiseFence(Body))
     return {{"Reason", "fence"}};
   std::string Task = Body.at("Task");
   std::uint64_t RunId = Body.at("RunId");
@@ -286,7 +297,7 @@
 Json RunsServer::stopRun(const Json &Body) {
   std::lock_guard<std::mutex> Lock(Mutex_);
   advance();
-  if (!fence(Body))
+  if (!raiseFence(Body))
     return {{"Reason", "fence"}};
   auto It = Running_.find(Body.at("Task").get<std::string>());
   if (It != Running_.end() &&
@@ -301,7 +312,7 @@
                       const net::HttpResponder &Respond) {
   std::lock_guard<std::mutex> Lock(Mutex_);
   advance();
-  if (!fence(Body)) {
+  if (!raiseFence(Body)) {
     Respond(net::jsonResponse(
         StatusConflict,
         Json({{"Reason", "fence"}, {"ClockMs", clockMs()}}).dump()));
--- a/tests/adapter/PlatformServer.h
+++ b/tests/adapter/PlatformServer.h
@@ -70,6 +70,10 @@
   std::map<std::string, int> starts();
   /// Tasks that ran twice at the same time on this worker.
   int doubles();
+  /// Whether the task is at work here now.
+  bool runs(const std::string &Task);
+  /// The highest fencing token that was seen.
+  std::uint64_t fence();
 
 private:
   struct Run {
@@ -84,7 +88,7 @@
   void hold(const nlohmann::json &Body, int LeftMs,
             const net::HttpResponder &Respond);
   void advance();
-  bool fence(const nlohmann::json &Body);
+  bool raiseFence(const nlohmann::json &Body);
   void end(const std::string &Task, std::uint64_t RunId, const char *How);
 
   net::Loop &Timers_;
--- a/tests/jobs/PoolWorld.cpp
+++ b/tests/jobs/PoolWorld.cpp
@@ -113,6 +113,10 @@
     W.CutOff = true;
     later(500, 9000, [&W] { W.CutOff = false; });
   }
+  if (Options_.RowsLapse && W.Up && W.Listed && chance(0.008)) {
+    W.Listed = false;
+    later(500, 6000, [&W] { W.Listed = W.Listed || W.Up; });
+  }
 }
 
 /// The current owner is told at once, late, or only by its own reading.
@@ -158,8 +162,9 @@
       later(0, 900, [this, O, Spec = Spec] { O->State->addJob(Spec, Now_); });
     }
   }
+  bool SawRowsGo = !Options_.RowsLapse || chance(0.3);
   for (const Worker &W : Workers_)
-    if (!W.Listed) {
+    if (!W.Listed && SawRowsGo) {
       WorkerEntry Entry = sampleWorker(W.Id);
       Entry.Born = W.Born;
       O->State->addVanished(Entry, Now_);
--- a/tests/jobs/PoolWorld.h
+++ b/tests/jobs/PoolWorld.h
@@ -31,6 +31,9 @@
 struct WorldOptions {
   std::uint64_t Seed = 1;
   Broken Rule = Broken::Nothing;
+  /// Rows of living workers go for some seconds, and most new owners have not
+  /// seen them before.
+  bool RowsLapse = false;
 };
 
 /// What one history showed.
--- a/tests/jobs/PoolWorldTest.cpp
+++ b/tests/jobs/PoolWorldTest.cpp
@@ -42,6 +42,22 @@
   MESSAGE(Histories, " histories, ", Jobs, " jobs, ", Takeovers, " owners");
 }
 
+TEST_CASE("in random histories no task runs twice while rows of living workers "
+          "lapse" *
+          doctest::should_fail()) {
+  std::uint64_t Takeovers = 0;
+  for (std::uint64_t N = 0; N < Histories; ++N) {
+    WorldOptions Options;
+    Options.Seed = FirstSeed + N;
+    Options.RowsLapse = true;
+    WorldResult Result = PoolWorld(Options).play();
+    CAPTURE(Options.Seed);
+    CHECK(Result.Fault == "");
+    Takeovers += Result.Takeovers;
+  }
+  MESSAGE(Histories, " histories, ", Takeovers, " owners");
+}
+
 // Found by a search of 8,000 histories: a worker that had been cut off counted
 // as empty once its lease had lapsed, and was taken away with unreported ends.
 TEST_CASE("histories that once showed a fault keep every promise") {
