Keep a worker that left the list while it alone knows runs of later jobs

What callers saw: a task of theirs could run twice. An owner hears of a job from the entry that accepted it; the owner after it may hear of the job later than of its run, from the worker's report. Such runs and ends wait at the worker's record. The record was dropped as soon as the worker's entry left the list and nothing known ran there, and the job was then started as new.

The new test fails without the change in both cases, a run and an end. The record now goes when nothing waits there, or when every lease has lapsed.

--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -12,8 +12,10 @@
     WorkerState &W = *It->second;
     if (!W.Tasks.empty() && leaseLapsed(W, In.Now))
       loseRuns(W);
+    // Runs and ends of jobs that come later may be known from it alone.
+    bool HoldsNothing = W.Heard && W.UnknownRuns.empty() && W.Parked.empty();
     bool Forget = W.Gone && W.Tasks.empty() && !W.HoldInFlight &&
-                  (W.Heard || leaseLapsed(W, In.Now));
+                  (HoldsNothing || leaseLapsed(W, In.Now));
     It = Forget ? Workers_.erase(It) : std::next(It);
   }
 }
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -70,6 +70,8 @@
   if (At == Workers_.end() || !At->second->Gone)
     return;
   loseRuns(*At->second);
+  At->second->UnknownRuns.clear();
+  At->second->Parked.clear();
   At->second->Heard = true;
 }
 
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -421,6 +421,32 @@
   CHECK(B.plan().Starts.size() == 1);
 }
 
+TEST_CASE(
+    "a worker that is listed no more is kept while it alone knows runs or "
+    "ends of jobs that come later") {
+  OwnerBench B;
+  B.list({"w1", "w2"});
+  JobSpec Spec = sampleJob(1);
+  TaskRef Task = {Spec.Id, 0, 0, 0};
+  bool Ended = false;
+  SUBCASE("it runs one") {}
+  SUBCASE("it has ended one") { Ended = true; }
+  RunReport Running;
+  Running.Task = Task;
+  Running.Run = 5;
+  B.plan();
+  B.report("w2");
+  if (Ended)
+    B.report("w1", {}, {endedAs(1, Task, 5, RunEnd::Done)});
+  else
+    B.report("w1", {Running});
+  B.list({"w2"});
+  B.plan();
+  B.plan();
+  B.Owner.addJob(Spec, B.Now);
+  CHECK(B.plan().Starts.empty());
+}
+
 // Machines take two seconds to come: the start of a burst has to show at once.
 TEST_CASE("the start of a burst shows before a whole second has passed") {
   OwnerBench B;
