Measure an owner's decisions against workers and open jobs

tools/planning.cpp drives a PoolState whose workers answer at once: plan() after an event that changed nothing, and a report with one end, the storing of it and the plan after it.

--- /dev/null
+++ b/tools/planning.cpp
@@ -0,0 +1,181 @@
+#include "jobs/PoolState.h"
+
+#include <benchmark/benchmark.h>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+// Processor time of an owner's decisions against its workers and open jobs. The
+// open jobs are a backlog beyond what the workers have room for.
+
+using namespace comfreydeck;
+using namespace comfreydeck::jobs;
+
+namespace {
+
+/// Long after the jobs came: all are late.
+constexpr std::int64_t WallMs = 1000000;
+constexpr std::uint32_t Teams = 20;
+constexpr std::uint32_t WorkersPerRack = 12;
+constexpr unsigned IdDigits = 16;
+constexpr std::size_t BatchJobs = 90;
+/// One job in so many lasts.
+constexpr std::uint32_t LastingEvery = 100;
+/// Finished jobs that are kept, as callers may still ask for them.
+constexpr std::int64_t KeptJobs = 800;
+
+bool lasts(std::uint32_t Number) { return Number % LastingEvery == 1; }
+
+JobSpec jobOf(std::uint32_t Number) {
+  std::string Digits = std::to_string(Number);
+  JobSpec Spec;
+  Spec.Id = std::string(IdDigits - Digits.size(), '0') + Digits;
+  bool Lasting = lasts(Number);
+  Spec.Queue = Lasting ? "lasting" : "short";
+  Spec.Pool = "pool";
+  Spec.Team = "team-" + std::to_string(Number % Teams);
+  Spec.Payload = "text";
+  Spec.MaxAttempts = 3;
+  Spec.SlackFactor = 2;
+  Spec.TargetMs = 600;
+  Spec.AcceptedMs = Number;
+  StepSpec Step;
+  Step.Tasks = Lasting ? 24 : 8;
+  Step.Need = {Lasting ? 500U : 4000U, 500, 0};
+  Step.EstimateMs = 600;
+  Step.Lasting = Lasting;
+  Step.MaxPerWorker = Lasting ? 2 : 0;
+  Spec.Steps = {Step};
+  if (Lasting)
+    return Spec;
+  Step.After = {0};
+  Spec.Steps.push_back(Step);
+  return Spec;
+}
+
+/// An owner whose workers answer at once.
+class Driver {
+public:
+  Driver(std::uint32_t Workers, std::uint32_t Jobs)
+      : Owner_("pool", 7, Now_ - OwnerLimits().NewJobAge * 2, OwnerLimits()) {
+    auto Config = std::make_shared<FleetConfig>();
+    Config->Pools.push_back({"pool", false, false});
+    for (std::uint32_t N = 0; N < Teams; ++N)
+      Config->Queues.push_back({"queue-" + std::to_string(N), "host", "/"});
+    for (const char *Name : {"lasting", "short"})
+      Config->Queues.push_back({Name, "host", "/", "pool"});
+    Owner_.setConfig(Config);
+    std::map<std::string, core::Resources> Room;
+    for (std::uint32_t N = 0; N < Teams; ++N)
+      Room["team-" + std::to_string(N)] = {4000000, 4000000, 100};
+    Owner_.setTeamRoom(Room);
+    std::vector<WorkerEntry> Entries;
+    for (std::uint32_t N = 0; N < Workers; ++N) {
+      WorkerEntry Entry;
+      Entry.Id = "worker-of-a-pool-" + std::to_string(N);
+      Entry.Pool = "pool";
+      Entry.DataCentre = "dc" + std::to_string(N % 3);
+      Entry.Rack = "rack-" + std::to_string(N / WorkersPerRack);
+      Entry.Capacity = {32000, 65536, 0};
+      Entry.Born = 1;
+      Entries.push_back(Entry);
+    }
+    Owner_.setWorkers(Entries, Now_);
+    for (const WorkerEntry &Entry : Entries)
+      report(Entry.Id, {});
+    while (NextJob_ < Jobs)
+      Owner_.addJob(jobOf(++NextJob_), Now_);
+    plan();
+  }
+
+  /// A decision after an event that changed nothing.
+  void plan() {
+    PlanInput In;
+    In.Now = Now_;
+    In.WallMs = WallMs;
+    In.AuthorityEnd = Now_ + std::chrono::seconds(8);
+    Orders Out = Owner_.plan(In);
+    for (StartOrder &Start : Out.Starts) {
+      Owner_.onStart(Start, {OrderOutcome::Accepted, clockMs()}, Now_);
+      if (!lasts(static_cast<std::uint32_t>(std::stoul(Start.Task.JobId))))
+        Started_.push_back(std::move(Start));
+    }
+  }
+
+  /// The oldest start ends, its worker reports that, the end is stored and the
+  /// owner decides anew.
+  void endOne() {
+    StartOrder Ended = std::move(Started_.front());
+    Started_.pop_front();
+    EndReport End;
+    End.Number = ++Ends_[Ended.Worker];
+    End.Task = Ended.Task;
+    End.Run = Ended.Run;
+    End.How = RunEnd::Done;
+    report(Ended.Worker, {End});
+    Owner_.onStored(Owner_.takeChanges(BatchJobs).Mark);
+    const JobRecord *Job = Owner_.findJob(Ended.Task.JobId);
+    if (Job && isFinal(Job->Now)) {
+      NextJob_ += lasts(NextJob_ + 1) ? 2 : 1;
+      Owner_.addJob(jobOf(NextJob_), Now_);
+    }
+    plan();
+    Owner_.dropFinished(std::int64_t{NextJob_} - KeptJobs);
+  }
+
+  bool hasStarted() const { return !Started_.empty(); }
+
+private:
+  void report(const std::string &Worker, std::vector<EndReport> Ended) {
+    HoldOrder Order;
+    Order.Worker = Worker;
+    ReportResult Result;
+    Result.Outcome = OrderOutcome::Accepted;
+    Result.Report.ClockMs = clockMs();
+    Result.Report.Born = 1;
+    Result.Report.Ended = std::move(Ended);
+    for (const StartOrder &Start : Started_)
+      if (Start.Worker == Worker)
+        Result.Report.Running.push_back({Start.Task, Start.Run, "", 50, 0});
+    Owner_.onReport(Order, Result, Now_, Now_);
+  }
+
+  std::int64_t clockMs() const {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               Now_.time_since_epoch())
+        .count();
+  }
+
+  core::TimePoint Now_{std::chrono::hours(1)};
+  PoolState Owner_;
+  std::uint32_t NextJob_ = 0;
+  std::deque<StartOrder> Started_;
+  std::map<std::string, std::uint64_t> Ends_;
+};
+
+void planUnchanged(benchmark::State &State) {
+  Driver D(static_cast<std::uint32_t>(State.range(0)),
+           static_cast<std::uint32_t>(State.range(1)));
+  for (auto Round : State)
+    D.plan();
+}
+
+void planAfterAnEnd(benchmark::State &State) {
+  Driver D(static_cast<std::uint32_t>(State.range(0)),
+           static_cast<std::uint32_t>(State.range(1)));
+  for (auto Round : State)
+    if (D.hasStarted())
+      D.endOne();
+}
+
+const std::vector<std::vector<std::int64_t>> Sizes = {{10, 87, 150},
+                                                      {10, 50, 200, 800}};
+
+BENCHMARK(planUnchanged)->ArgNames({"workers", "jobs"})->ArgsProduct(Sizes);
+BENCHMARK(planAfterAnEnd)->ArgNames({"workers", "jobs"})->ArgsProduct(Sizes);
+
+} // namespace
+
+BENCHMARK_MAIN();
