Let the cost of a decision follow what changed, not the backlog

Each answer of a worker brings a decision, and each decision looked at every task of every open job: for each task the job's id was copied (a heap allocation) to find its step, run times, teams and queues were looked up by name, and all jobs were put in order even where nothing had room. A decision also looked at each finished job that callers may still ask for.

A job now keeps the tasks that wait for a run, found anew only after one of its runs or ends changed, and holds its queue's priority, run times and its team directly. Jobs of which nothing fits the most that is free anywhere, or the team's room, are not put in order; the order is taken from a heap, and what has no room is dropped from it as that becomes known. Finished jobs are kept by their time of acceptance. Places in a job are found without its id.

Decisions stay the same but for two things: jobs that are alike are taken by their ids, not by their addresses; and a copy for which only its own worker has room no longer keeps other tasks from that worker.

--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -19,18 +19,21 @@
 } // namespace
 
 core::Resources PoolState::teamUse(const std::string &Team) const {
-  auto It = TeamUse_.find(Team);
-  return It == TeamUse_.end() ? core::Resources{} : It->second;
+  auto It = Teams_.find(Team);
+  return It == Teams_.end() ? core::Resources{} : It->second.Use;
 }
 
 core::Resources PoolState::teamDemand(const std::string &Team) const {
   core::Resources Demand;
-  for (const JobRecord *Job : Open_) {
-    if (Job->Spec.Team != Team)
+  auto Wanted = Teams_.find(Team);
+  if (Wanted == Teams_.end())
+    return Demand;
+  for (JobRecord *Job : Open_) {
+    if (Job->Team != &Wanted->second)
       continue;
-    for (std::uint32_t T = 0; T < Job->Tasks.size(); ++T) {
-      const TaskState &Task = Job->Tasks[T];
-      if (Task.Kept.Done || !Task.Runs.empty() || !stepReady(*Job, T))
+    refreshWaiting(*Job);
+    for (std::uint32_t T : Job->Waiting) {
+      if (!Job->Tasks[T].Runs.empty())
         continue;
       const core::Resources &Need = stepOf(*Job, T).Need;
       Demand.MilliCpus += Need.MilliCpus;
@@ -93,7 +96,7 @@
     if (Idle)
       Load.Idle.push_back(Id);
   }
-  for (const JobRecord *Job : Open_) {
+  for (JobRecord *Job : Open_) {
     for (const StepSpec &Step : Job->Spec.Steps)
       if (Step.Lasting && Step.MaxPerWorker > 0)
         Load.SpreadOver =
@@ -101,9 +104,9 @@
                      (Step.Tasks + Step.MaxPerWorker - 1) / Step.MaxPerWorker);
     if (WallMs - Job->Spec.AcceptedMs > WorthwhileMs)
       continue;
-    for (std::uint32_t T = 0; T < Job->Tasks.size(); ++T) {
-      const TaskState &Task = Job->Tasks[T];
-      if (Task.Kept.Done || !Task.Runs.empty() || !stepReady(*Job, T))
+    refreshWaiting(*Job);
+    for (std::uint32_t T : Job->Waiting) {
+      if (!Job->Tasks[T].Runs.empty())
         continue;
       const StepSpec &Step = stepOf(*Job, T);
       Load.WaitingCpu += Step.Filling ? 0 : Step.Need.MilliCpus;
@@ -117,18 +120,15 @@
                             core::TimePoint Now) {
   // The first samples count fully, later ones as in a window of that many.
   constexpr std::uint32_t Window = 50;
-  RunTimes &Times = RunTimes_[Job.Spec.Queue];
+  RunTimes &Times = *Job.Times;
   Times.Samples = std::min(Times.Samples + 1, Window);
   double Ms = static_cast<double>(toMs(Now - Run.OrderedAt));
   Times.MeanMs += (Ms - Times.MeanMs) / Times.Samples;
 }
 
-double PoolState::runTimeMs(const JobRecord &Job, const StepSpec &Step) const {
+double PoolState::runTimeMs(const JobRecord &Job, const StepSpec &Step) {
   constexpr std::uint32_t Enough = 10;
-  auto It = RunTimes_.find(Job.Spec.Queue);
-  if (It == RunTimes_.end() || It->second.Samples < Enough)
-    return Step.EstimateMs;
-  return It->second.MeanMs;
+  return Job.Times->Samples < Enough ? Step.EstimateMs : Job.Times->MeanMs;
 }
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace comfreydeck::jobs {
 
@@ -260,17 +261,20 @@
 /// is gone.
 void PoolState::dropMissing(WorkerState &W, const WorkerReport &Report,
                             core::TimePoint SentAt) {
-  std::set<RunId> Listed;
+  std::vector<RunId> Listed;
+  Listed.reserve(Report.Running.size());
   for (const RunReport &Run : Report.Running)
-    Listed.insert(Run.Run);
-  auto Tasks = W.Tasks;
-  for (const auto &[Job, Task] : Tasks) {
-    std::vector<LiveRun> Runs = Job->Tasks[Task].Runs;
-    for (const LiveRun &Run : Runs)
+    Listed.push_back(Run.Run);
+  std::sort(Listed.begin(), Listed.end());
+  std::vector<std::tuple<JobRecord *, std::uint32_t, RunId>> Missing;
+  for (const auto &[Job, Task] : W.Tasks)
+    for (const LiveRun &Run : Job->Tasks[Task].Runs)
       if (Run.Worker == W.Entry.Id && Run.Confirmed &&
-          Run.ConfirmedAt < SentAt && Listed.count(Run.Run) == 0)
-        removeRun(*Job, Task, Run.Run);
-  }
+          Run.ConfirmedAt < SentAt &&
+          !std::binary_search(Listed.begin(), Listed.end(), Run.Run))
+        Missing.emplace_back(Job, Task, Run.Run);
+  for (const auto &[Job, Task, Run] : Missing)
+    removeRun(*Job, Task, Run);
 }
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -23,17 +23,40 @@
   for (std::uint32_t K = 0; K < occurrences(Spec); ++K)
     for (const StepSpec &Step : Spec.Steps)
       Job->Undone.push_back(Step.Tasks);
+  Job->PerOccurrence = Begin;
+  Job->Times = &RunTimes_[Spec.Queue];
+  Job->Team = &Teams_[Spec.Team];
+  noteQueue(*Job);
   JobRecord &Made = *Job;
   Jobs_[Spec.Id] = std::move(Job);
   return Made;
 }
 
+void PoolState::noteQueue(JobRecord &Job) const {
+  const Queue *Q =
+      Config_ ? findQueueByName(*Config_, Job.Spec.Queue) : nullptr;
+  Job.Priority = Q ? Q->Priority : Job.Spec.Priority;
+  Job.Advised = Q && Q->Advised;
+}
+
+void PoolState::openJob(JobRecord &Job) {
+  Job.OpenAt = Open_.size();
+  Open_.push_back(&Job);
+}
+
+void PoolState::closeJob(JobRecord &Job) {
+  Open_.back()->OpenAt = Job.OpenAt;
+  Open_[Job.OpenAt] = Open_.back();
+  Open_.pop_back();
+  Finished_.insert({Job.Spec.AcceptedMs, &Job});
+}
+
 void PoolState::addJob(const JobSpec &Spec, core::TimePoint Now) {
   if (Jobs_.count(Spec.Id) != 0)
     return;
   JobRecord &Job = makeJob(Spec, Now);
   Job.Inherited = Now - TakenAt_ < Limits_.NewJobAge;
-  Open_.insert(&Job);
+  openJob(Job);
   noteArrival(Job, Now);
   adoptReported(Job, Now);
 }
@@ -70,13 +93,15 @@
     std::size_t Known = std::min(Job.Tasks.size(), Kept->Tasks.size());
     for (std::uint32_t T = 0; T < Known; ++T) {
       Job.Tasks[T].Kept = Kept->Tasks[T];
-      TaskRef Ref = refOf(Job, T);
+      TaskPlace Place = placeOf(Job, T);
       if (Kept->Tasks[T].Done)
-        --Job.Undone[Ref.Occurrence * Spec.Steps.size() + Ref.Step];
+        --Job.Undone[Place.Occurrence * Spec.Steps.size() + Place.Step];
     }
   }
-  if (!isFinal(Job.Now))
-    Open_.insert(&Job);
+  if (isFinal(Job.Now))
+    Finished_.insert({Spec.AcceptedMs, &Job});
+  else
+    openJob(Job);
   adoptReported(Job, Now);
 }
 
@@ -87,14 +112,18 @@
 }
 
 void PoolState::dropFinished(std::int64_t AcceptedBeforeMs) {
-  for (auto It = Jobs_.begin(); It != Jobs_.end();) {
+  for (auto It = Finished_.begin();
+       It != Finished_.end() && It->first < AcceptedBeforeMs;) {
     const JobRecord &Job = *It->second;
     bool HasRuns =
         std::any_of(Job.Tasks.begin(), Job.Tasks.end(),
                     [](const TaskState &T) { return !T.Runs.empty(); });
-    bool Drop = isFinal(Job.Stored) && Job.FirstTouch == 0 && !HasRuns &&
-                Job.Spec.AcceptedMs < AcceptedBeforeMs;
-    It = Drop ? Jobs_.erase(It) : std::next(It);
+    if (!isFinal(Job.Stored) || Job.FirstTouch != 0 || HasRuns) {
+      ++It;
+      continue;
+    }
+    It = Finished_.erase(It);
+    Jobs_.erase(Jobs_.find(Job.Spec.Id));
   }
 }
 
@@ -122,44 +151,74 @@
   return Count;
 }
 
-const StepSpec &PoolState::stepOf(const JobRecord &Job,
-                                  std::uint32_t Task) const {
-  return Job.Spec.Steps[refOf(Job, Task).Step];
+const StepSpec &PoolState::stepOf(const JobRecord &Job, std::uint32_t Task) {
+  return Job.Spec.Steps[placeOf(Job, Task).Step];
 }
 
 std::uint32_t PoolState::indexOf(const JobRecord &Job,
                                  const TaskRef &Ref) const {
-  std::uint32_t PerOccurrence = tasksPerOccurrence(Job.Spec);
   if (Ref.Step >= Job.StepBegin.size() ||
       Ref.Index >= Job.Spec.Steps[Ref.Step].Tasks ||
       Ref.Occurrence >= occurrences(Job.Spec))
     return static_cast<std::uint32_t>(Job.Tasks.size());
-  return Ref.Occurrence * PerOccurrence + Job.StepBegin[Ref.Step] + Ref.Index;
+  return Ref.Occurrence * Job.PerOccurrence + Job.StepBegin[Ref.Step] +
+         Ref.Index;
 }
 
-TaskRef PoolState::refOf(const JobRecord &Job, std::uint32_t Task) const {
-  std::uint32_t PerOccurrence =
-      static_cast<std::uint32_t>(Job.Tasks.size()) / occurrences(Job.Spec);
-  TaskRef Ref;
-  Ref.JobId = Job.Spec.Id;
-  Ref.Occurrence = Task / PerOccurrence;
-  std::uint32_t Within = Task % PerOccurrence;
+TaskPlace PoolState::placeOf(const JobRecord &Job, std::uint32_t Task) {
+  TaskPlace Place;
+  Place.Occurrence = Task / Job.PerOccurrence;
+  std::uint32_t Within = Task % Job.PerOccurrence;
   auto After =
       std::upper_bound(Job.StepBegin.begin(), Job.StepBegin.end(), Within);
-  Ref.Step = static_cast<std::uint32_t>(After - Job.StepBegin.begin()) - 1;
-  Ref.Index = Within - Job.StepBegin[Ref.Step];
-  return Ref;
+  Place.Step = static_cast<std::uint32_t>(After - Job.StepBegin.begin()) - 1;
+  Place.Index = Within - Job.StepBegin[Place.Step];
+  return Place;
 }
 
-bool PoolState::stepReady(const JobRecord &Job, std::uint32_t Task) const {
-  TaskRef Ref = refOf(Job, Task);
-  const std::vector<std::uint32_t> &After = Job.Spec.Steps[Ref.Step].After;
-  std::size_t Base = Ref.Occurrence * Job.Spec.Steps.size();
+TaskRef PoolState::refOf(const JobRecord &Job, std::uint32_t Task) {
+  TaskPlace Place = placeOf(Job, Task);
+  return {Job.Spec.Id, Place.Occurrence, Place.Step, Place.Index};
+}
+
+bool PoolState::stepReady(const JobRecord &Job, const TaskPlace &Place) {
+  const std::vector<std::uint32_t> &After = Job.Spec.Steps[Place.Step].After;
+  std::size_t Base = Place.Occurrence * Job.Spec.Steps.size();
   return std::all_of(After.begin(), After.end(), [&](std::uint32_t Earlier) {
     return Job.Undone[Base + Earlier] == 0;
   });
 }
 
+void PoolState::refreshWaiting(JobRecord &Job) {
+  if (Job.WaitingKnown)
+    return;
+  Job.WaitingKnown = true;
+  Job.Waiting.clear();
+  Job.WaitingSteps.clear();
+  auto IsWanted = [](const TaskState &Task) {
+    bool Wanted =
+        Task.Runs.empty() || (Task.WantsCopy && Task.Runs.size() == 1);
+    return Wanted && !Task.Kept.Done;
+  };
+  auto Steps = static_cast<std::uint32_t>(Job.Spec.Steps.size());
+  for (std::uint32_t N = 0; N < Job.Undone.size(); ++N) {
+    TaskPlace Place = {N / Steps, N % Steps, 0};
+    const StepSpec &Step = Job.Spec.Steps[Place.Step];
+    if (Job.Undone[N] == 0 || !stepReady(Job, Place))
+      continue;
+    std::uint32_t First =
+        Place.Occurrence * Job.PerOccurrence + Job.StepBegin[Place.Step];
+    std::size_t Before = Job.Waiting.size();
+    for (std::uint32_t Task = First; Task < First + Step.Tasks; ++Task)
+      if (IsWanted(Job.Tasks[Task]))
+        Job.Waiting.push_back(Task);
+    bool IsNew = std::find(Job.WaitingSteps.begin(), Job.WaitingSteps.end(),
+                           &Step) == Job.WaitingSteps.end();
+    if (Job.Waiting.size() > Before && IsNew)
+      Job.WaitingSteps.push_back(&Step);
+  }
+}
+
 void PoolState::touch(JobRecord &Job) {
   ++Touches_;
   if (Job.FirstTouch != 0)
@@ -170,7 +229,7 @@
 
 void PoolState::endJob(JobRecord &Job, JobState State) {
   Job.Now = State;
-  Open_.erase(&Job);
+  closeJob(Job);
   for (TaskState &Task : Job.Tasks)
     for (LiveRun &Run : Task.Runs)
       Run.Stopping = true;
@@ -181,19 +240,20 @@
   TaskState &State = Job.Tasks[Task];
   for (LiveRun &Run : State.Runs)
     Run.Stopping = true;
-  TaskRef Ref = refOf(Job, Task);
-  const StepSpec &Step = Job.Spec.Steps[Ref.Step];
+  TaskPlace Place = placeOf(Job, Task);
+  const StepSpec &Step = Job.Spec.Steps[Place.Step];
   if (State.Kept.Done || isFinal(Job.Now) || Step.Lasting)
     return;
   State.Kept.Done = true;
   State.Kept.Checkpoint.clear();
   ++Counters_.Done;
-  --Job.Undone[Ref.Occurrence * Job.Spec.Steps.size() + Ref.Step];
+  --Job.Undone[Place.Occurrence * Job.Spec.Steps.size() + Place.Step];
+  Job.WaitingKnown = false;
   touch(Job);
   // One member's end stands for the whole gang.
   if (Step.Gang)
     for (std::uint32_t Mate = 0; Mate < Step.Tasks; ++Mate)
-      taskDone(Job, Task - Ref.Index + Mate);
+      taskDone(Job, Task - Place.Index + Mate);
   bool AllDone = std::all_of(Job.Undone.begin(), Job.Undone.end(),
                              [](std::uint32_t Left) { return Left == 0; });
   if (AllDone && !isFinal(Job.Now))
@@ -218,7 +278,7 @@
   std::size_t Failures = State.Kept.FailedRuns.size();
   if (Step.Gang) {
     Failures = 0;
-    std::uint32_t First = Task - refOf(Job, Task).Index;
+    std::uint32_t First = Task - placeOf(Job, Task).Index;
     for (std::uint32_t Mate = 0; Mate < Step.Tasks; ++Mate)
       Failures += Job.Tasks[First + Mate].Kept.FailedRuns.size();
   }
@@ -244,7 +304,7 @@
   W.Serving += Step.TailTargetMs > 0 ? 1 : 0;
   W.Lasting += Step.Lasting ? 1 : 0;
   W.Filling += Step.Filling ? 1 : 0;
-  core::Resources &Use = TeamUse_[Job.Spec.Team];
+  core::Resources &Use = Job.Team->Use;
   Use.MilliCpus += Step.Need.MilliCpus;
   Use.MemoryMb += Step.Need.MemoryMb;
   Use.Accelerators += Step.Need.Accelerators;
@@ -259,7 +319,7 @@
   W.Serving -= Step.TailTargetMs > 0 ? 1 : 0;
   W.Lasting -= Step.Lasting ? 1 : 0;
   W.Filling -= Step.Filling ? 1 : 0;
-  core::Resources &Use = TeamUse_[Job.Spec.Team];
+  core::Resources &Use = Job.Team->Use;
   Use.MilliCpus -= Step.Need.MilliCpus;
   Use.MemoryMb -= Step.Need.MemoryMb;
   Use.Accelerators -= Step.Need.Accelerators;
@@ -270,6 +330,7 @@
   reserve(W, Job, stepOf(Job, Task));
   W.Tasks.insert({&Job, Task});
   Job.Tasks[Task].Runs.push_back(std::move(Run));
+  Job.WaitingKnown = false;
   Job.Started = true;
   if (Job.Now == JobState::Queued)
     Job.Now = JobState::Running;
@@ -283,6 +344,7 @@
     return;
   std::string Worker = It->Worker;
   Runs.erase(It);
+  Job.WaitingKnown = false;
   WorkerState &W = *Workers_.at(Worker);
   release(W, Job, stepOf(Job, Task));
   bool Another = std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &L) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <unordered_map>
@@ -150,6 +151,28 @@
   bool WantsCopy = false;
 };
 
+/// Run times of one queue's tasks.
+struct RunTimes {
+  std::uint32_t Samples = 0;
+  /// Moving mean, in milliseconds.
+  double MeanMs = 0;
+};
+
+/// One team's part of this pool.
+struct TeamState {
+  /// What its runs reserve.
+  core::Resources Use;
+  /// What it may have running; empty: no bound.
+  std::optional<core::Resources> Room;
+};
+
+/// Where a task stands in its job.
+struct TaskPlace {
+  std::uint32_t Occurrence = 0;
+  std::uint32_t Step = 0;
+  std::uint32_t Index = 0;
+};
+
 struct JobRecord {
   JobSpec Spec;
   std::vector<TaskState> Tasks;
@@ -166,6 +189,20 @@
   bool Inherited = false;
   /// Place in the queue of changes; zero: not in it.
   std::uint64_t FirstTouch = 0;
+  /// Place among the open jobs.
+  std::size_t OpenAt = 0;
+  /// Of its queue; its own where the queue is not configured.
+  std::uint32_t Priority = 0;
+  bool Advised = false;
+  RunTimes *Times = nullptr;
+  TeamState *Team = nullptr;
+  std::uint32_t PerOccurrence = 1;
+  /// Whether the next two hold; cleared by each change of a run or an end.
+  bool WaitingKnown = false;
+  /// Tasks that want a run and whose step is ready, in order.
+  std::vector<std::uint32_t> Waiting;
+  /// Steps of these tasks, each once.
+  std::vector<const StepSpec *> WaitingSteps;
 };
 
 /// An end of a job that is not known here, or not yet.
@@ -240,13 +277,6 @@
   std::uint64_t Stragglers = 0;
 };
 
-/// Run times of one queue's tasks.
-struct RunTimes {
-  std::uint32_t Samples = 0;
-  /// Moving mean, in milliseconds.
-  double MeanMs = 0;
-};
-
 /// All that the owner of one pool knows and decides. Does no I/O: events go in,
 /// orders come out. Not thread-safe.
 class PoolState {
@@ -334,6 +364,9 @@
   }
   /// Whether every worker that may run something was heard.
   bool allHeard(core::TimePoint Now) const;
+  /// How long a task of the step is expected to run: as its queue's tasks did,
+  /// or as the caller guessed.
+  static double runTimeMs(const JobRecord &Job, const StepSpec &Step);
 
 private:
   friend class StartPlan;
@@ -342,10 +375,16 @@
   JobRecord *jobOf(const std::string &Id);
   JobRecord &makeJob(const JobSpec &Spec, core::TimePoint Now);
   void adoptReported(const JobRecord &Job, core::TimePoint Now);
-  const StepSpec &stepOf(const JobRecord &Job, std::uint32_t Task) const;
+  void openJob(JobRecord &Job);
+  void closeJob(JobRecord &Job);
+  void noteQueue(JobRecord &Job) const;
+  static TaskPlace placeOf(const JobRecord &Job, std::uint32_t Task);
+  static const StepSpec &stepOf(const JobRecord &Job, std::uint32_t Task);
   std::uint32_t indexOf(const JobRecord &Job, const TaskRef &Ref) const;
-  TaskRef refOf(const JobRecord &Job, std::uint32_t Task) const;
-  bool stepReady(const JobRecord &Job, std::uint32_t Task) const;
+  static TaskRef refOf(const JobRecord &Job, std::uint32_t Task);
+  static bool stepReady(const JobRecord &Job, const TaskPlace &Place);
+  /// Finds the tasks that wait, if something has changed.
+  static void refreshWaiting(JobRecord &Job);
   LiveRun *findRun(JobRecord &Job, std::uint32_t Task, RunId Run);
 
   void addRun(JobRecord &Job, std::uint32_t Task, LiveRun Run);
@@ -378,9 +417,8 @@
 
   std::uint64_t arrivingCpu(core::TimePoint Now) const;
   void noteArrival(const JobRecord &Job, core::TimePoint Now);
-  double runTimeMs(const JobRecord &Job, const StepSpec &Step) const;
-  void noteRunTime(const JobRecord &Job, const LiveRun &Run,
-                   core::TimePoint Now);
+  static void noteRunTime(const JobRecord &Job, const LiveRun &Run,
+                          core::TimePoint Now);
   static bool isEmpty(const WorkerState &W);
   bool isAtWork(const LiveRun &Run, core::TimePoint Now) const;
   std::uint32_t absent(const JobRecord &Job, std::uint32_t Task,
@@ -396,12 +434,13 @@
   OwnerLimits Limits_;
   std::shared_ptr<const FleetConfig> Config_;
   std::set<std::string> ClosedDataCentres_;
-  std::map<std::string, core::Resources> TeamRoom_;
-  std::map<std::string, core::Resources> TeamUse_;
+  std::map<std::string, TeamState> Teams_;
   std::unordered_map<std::string, std::unique_ptr<JobRecord>> Jobs_;
   std::unordered_map<std::string, std::unique_ptr<WorkerState>> Workers_;
-  /// Jobs with something left to start.
-  std::set<JobRecord *> Open_;
+  /// Jobs with something left to start, in no order.
+  std::vector<JobRecord *> Open_;
+  /// Jobs that have ended, by the time of their acceptance.
+  std::set<std::pair<std::int64_t, JobRecord *>> Finished_;
   std::deque<JobRecord *> Changed_;
   std::uint64_t Touches_ = 0;
   /// All changes up to this one are stored.
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -90,7 +90,11 @@
 }
 
 void PoolState::setConfig(std::shared_ptr<const FleetConfig> Config) {
+  if (Config == Config_)
+    return;
   Config_ = std::move(Config);
+  for (JobRecord *Job : Open_)
+    noteQueue(*Job);
 }
 
 void PoolState::setClosedDataCentres(std::set<std::string> Names) {
@@ -103,7 +107,10 @@
 }
 
 void PoolState::setTeamRoom(std::map<std::string, core::Resources> Room) {
-  TeamRoom_ = std::move(Room);
+  for (auto &[Name, Team] : Teams_)
+    Team.Room.reset();
+  for (const auto &[Name, Bound] : Room)
+    Teams_[Name].Room = Bound;
 }
 
 void PoolState::setPressedWorkers(const std::set<std::string> &Ids) {
@@ -132,10 +139,10 @@
 
 std::uint32_t PoolState::absent(const JobRecord &Job, std::uint32_t Task,
                                 core::TimePoint Now) const {
-  TaskRef Ref = refOf(Job, Task);
-  std::uint32_t First = Task - Ref.Index;
+  TaskPlace Place = placeOf(Job, Task);
+  std::uint32_t First = Task - Place.Index;
   std::uint32_t Count = 0;
-  for (std::uint32_t T = First; T < First + Job.Spec.Steps[Ref.Step].Tasks;
+  for (std::uint32_t T = First; T < First + Job.Spec.Steps[Place.Step].Tasks;
        ++T) {
     const std::vector<LiveRun> &Runs = Job.Tasks[T].Runs;
     bool Works = std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -39,6 +39,13 @@
   for (auto &[Id, W] : Owner_.Workers_)
     if (canTake(*W))
       Usable_.push_back(W.get());
+  for (const WorkerState *W : Usable_) {
+    core::Resources Free = freeOn(*W);
+    MostFree_.MilliCpus = std::max(MostFree_.MilliCpus, Free.MilliCpus);
+    MostFree_.MemoryMb = std::max(MostFree_.MemoryMb, Free.MemoryMb);
+    MostFree_.Accelerators =
+        std::max(MostFree_.Accelerators, Free.Accelerators);
+  }
 }
 
 bool StartPlan::canTake(const WorkerState &W) const {
@@ -49,14 +56,13 @@
          Owner_.leaseFor(W, In_) > 0;
 }
 
-StartPlan::Candidate StartPlan::assess(JobRecord &Job) const {
+StartPlan::Candidate StartPlan::assess(JobRecord &Job) {
   Candidate C;
   C.Job = &Job;
   C.Lasting = Job.Spec.Steps.front().Lasting;
-  const Queue *Q = findQueueByName(*Owner_.Config_, Job.Spec.Queue);
-  C.Priority = Q ? Q->Priority : Job.Spec.Priority;
-  std::vector<double> Whole;
-  std::vector<double> Left;
+  C.Priority = Job.Priority;
+  Whole_.clear();
+  Left_.clear();
   double Chain = 0;
   double Remaining = 0;
   for (std::size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
@@ -65,14 +71,14 @@
     double Before = 0;
     double LeftBefore = 0;
     for (std::uint32_t Earlier : Step.After) {
-      Before = std::max(Before, Whole[Earlier]);
-      LeftBefore = std::max(LeftBefore, Left[Earlier]);
+      Before = std::max(Before, Whole_[Earlier]);
+      LeftBefore = std::max(LeftBefore, Left_[Earlier]);
     }
-    Whole.push_back(Before + Ms);
-    Left.push_back(LeftBefore + (Job.Undone[S] > 0 ? Ms : 0));
+    Whole_.push_back(Before + Ms);
+    Left_.push_back(LeftBefore + (Job.Undone[S] > 0 ? Ms : 0));
     C.RemainingWork += Job.Undone[S] * Ms * Step.Need.MilliCpus;
-    Chain = std::max(Chain, Whole.back());
-    Remaining = std::max(Remaining, Left.back());
+    Chain = std::max(Chain, Whole_.back());
+    Remaining = std::max(Remaining, Left_.back());
   }
   C.DeadlineMs = static_cast<double>(Job.Spec.AcceptedMs) +
                  Job.Spec.SlackFactor * Chain + Job.Spec.TargetMs;
@@ -87,7 +93,21 @@
     return A.Priority < B.Priority;
   if (A.Late != B.Late)
     return !A.Late;
-  return A.RemainingWork < B.RemainingWork;
+  if (A.RemainingWork != B.RemainingWork)
+    return A.RemainingWork < B.RemainingWork;
+  return A.Job->Spec.Id < B.Job->Spec.Id;
+}
+
+bool StartPlan::mayFindRoom(JobRecord &Job) const {
+  if (Job.Advised || (Job.Inherited && !AllHeard_))
+    return false;
+  PoolState::refreshWaiting(Job);
+  return std::any_of(Job.WaitingSteps.begin(), Job.WaitingSteps.end(),
+                     [&](const StepSpec *Step) {
+                       return core::fits(reserved(*Step), MostFree_) &&
+                              !isBeyondKnownLimit(*Step) &&
+                              hasTeamRoom(Job, *Step, 1);
+                     });
 }
 
 std::vector<StartOrder> StartPlan::run() {
@@ -95,11 +115,25 @@
     return {};
   std::vector<Candidate> Order;
   for (JobRecord *Job : Owner_.Open_)
-    if (!Job->Inherited || AllHeard_)
+    if (mayFindRoom(*Job))
       Order.push_back(assess(*Job));
-  std::sort(Order.begin(), Order.end(), before);
-  for (const Candidate &C : Order)
-    planJob(*C.Job);
+  // Room is mostly used up by a few jobs: only those are put in order.
+  auto Later = [](const Candidate &A, const Candidate &B) {
+    return before(B, A);
+  };
+  std::make_heap(Order.begin(), Order.end(), Later);
+  while (!Order.empty()) {
+    std::pop_heap(Order.begin(), Order.end(), Later);
+    JobRecord &Job = *Order.back().Job;
+    Order.pop_back();
+    std::size_t Limits = Unplaced_.size();
+    planJob(Job);
+    if (Unplaced_.size() == Limits)
+      continue;
+    std::erase_if(Order,
+                  [this](const Candidate &C) { return !mayFindRoom(*C.Job); });
+    std::make_heap(Order.begin(), Order.end(), Later);
+  }
   return std::move(Starts_);
 }
 
@@ -109,28 +143,25 @@
       State.Runs.empty() || (State.WantsCopy && State.Runs.size() == 1);
   if (State.Kept.Done || !Wanted || State.NotBefore > In_.Now)
     return false;
-  if (Job.Spec.Repetitions > 0) {
-    std::int64_t K = Owner_.refOf(Job, Task).Occurrence;
-    if (In_.WallMs < Job.Spec.FirstDueMs + K * Job.Spec.IntervalMs)
-      return false;
-  }
-  return Owner_.stepReady(Job, Task);
+  if (Job.Spec.Repetitions == 0)
+    return true;
+  std::int64_t K = PoolState::placeOf(Job, Task).Occurrence;
+  return In_.WallMs >= Job.Spec.FirstDueMs + K * Job.Spec.IntervalMs;
 }
 
 bool StartPlan::hasTeamRoom(const JobRecord &Job, const StepSpec &Step,
-                            std::uint32_t Count) const {
-  auto Room = Owner_.TeamRoom_.find(Job.Spec.Team);
-  if (Room == Owner_.TeamRoom_.end())
+                            std::uint32_t Count) {
+  const std::optional<core::Resources> &Room = Job.Team->Room;
+  if (!Room)
     return true;
-  core::Resources Use = Owner_.teamUse(Job.Spec.Team);
+  const core::Resources &Use = Job.Team->Use;
   auto Fits = [Count](std::uint64_t Used, std::uint64_t Need,
                       std::uint64_t Bound) {
     return Used + Need * Count <= Bound;
   };
-  return Fits(Use.MilliCpus, Step.Need.MilliCpus, Room->second.MilliCpus) &&
-         Fits(Use.MemoryMb, Step.Need.MemoryMb, Room->second.MemoryMb) &&
-         Fits(Use.Accelerators, Step.Need.Accelerators,
-              Room->second.Accelerators);
+  return Fits(Use.MilliCpus, Step.Need.MilliCpus, Room->MilliCpus) &&
+         Fits(Use.MemoryMb, Step.Need.MemoryMb, Room->MemoryMb) &&
+         Fits(Use.Accelerators, Step.Need.Accelerators, Room->Accelerators);
 }
 
 bool StartPlan::isBeyondKnownLimit(const StepSpec &Step) const {
@@ -141,28 +172,34 @@
 }
 
 void StartPlan::planJob(JobRecord &Job) {
-  const Queue *Q = findQueueByName(*Owner_.Config_, Job.Spec.Queue);
-  if (Q && Q->Advised)
-    return;
-  for (std::uint32_t Task = 0; Task < Job.Tasks.size(); ++Task) {
+  // First task of the last step for which no worker was found: its other tasks
+  // would find none either.
+  std::optional<std::uint32_t> Hopeless;
+  for (std::uint32_t Task : Job.Waiting) {
     if (!mayStart(Job, Task))
       continue;
-    const StepSpec &Step = Owner_.stepOf(Job, Task);
+    TaskPlace Place = PoolState::placeOf(Job, Task);
+    const StepSpec &Step = Job.Spec.Steps[Place.Step];
     if (isBeyondKnownLimit(Step))
       continue;
+    std::uint32_t First = Task - Place.Index;
     if (Step.Gang) {
-      std::uint32_t First = Task - Owner_.refOf(Job, Task).Index;
       if (First == Task)
         planGang(Job, First, Step);
       continue;
     }
-    if (!hasTeamRoom(Job, Step, 1))
+    bool IsCopy = !Job.Tasks[Task].Runs.empty();
+    if (!hasTeamRoom(Job, Step, 1) || (First == Hopeless && !IsCopy))
       continue;
     WorkerState *W = chooseWorker(Job, Task, "");
     if (W)
       start(Job, Task, *W, nextRun());
-    else if (Step.Label.empty() && Step.MaxPerWorker == 0)
+    if (W || IsCopy)
+      continue;
+    if (Step.Label.empty() && Step.MaxPerWorker == 0)
       Unplaced_.push_back(reserved(Step));
+    else
+      Hopeless = First;
   }
 }
 
@@ -191,20 +228,21 @@
   }
 }
 
-std::uint32_t StartPlan::mates(const WorkerState &W, const JobRecord &Job,
-                               std::uint32_t Task) const {
-  TaskRef Ref = Owner_.refOf(Job, Task);
-  std::uint32_t First = Task - Ref.Index;
-  std::uint32_t Last = First + Job.Spec.Steps[Ref.Step].Tasks;
+std::uint32_t StartPlan::mates(const WorkerState &W, JobRecord &Job,
+                               std::uint32_t Task) {
+  TaskPlace Place = PoolState::placeOf(Job, Task);
+  std::uint32_t First = Task - Place.Index;
+  std::uint32_t Last = First + Job.Spec.Steps[Place.Step].Tasks;
   std::uint32_t Count = 0;
-  for (std::uint32_t T = First; T < Last; ++T)
-    for (const LiveRun &Run : Job.Tasks[T].Runs)
+  for (auto It = W.Tasks.lower_bound({&Job, First});
+       It != W.Tasks.end() && It->first == &Job && It->second < Last; ++It)
+    for (const LiveRun &Run : Job.Tasks[It->second].Runs)
       Count += Run.Worker == W.Entry.Id ? 1 : 0;
   return Count;
 }
 
-bool StartPlan::suits(const WorkerState &W, const JobRecord &Job,
-                      std::uint32_t Task, const StepSpec &Step) const {
+bool StartPlan::suits(const WorkerState &W, JobRecord &Job, std::uint32_t Task,
+                      const StepSpec &Step) {
   if (!core::fits(reserved(Step), freeOn(W)))
     return false;
   const std::vector<std::string> &Labels = W.Entry.Labels;
@@ -239,7 +277,7 @@
   return Score;
 }
 
-WorkerState *StartPlan::chooseWorker(const JobRecord &Job, std::uint32_t Task,
+WorkerState *StartPlan::chooseWorker(JobRecord &Job, std::uint32_t Task,
                                      const std::string &OnlyRack) const {
   const StepSpec &Step = Owner_.stepOf(Job, Task);
   WorkerState *Best = nullptr;
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -25,23 +25,26 @@
     double RemainingWork = 0;
   };
 
-  Candidate assess(JobRecord &Job) const;
+  Candidate assess(JobRecord &Job);
   static bool before(const Candidate &A, const Candidate &B);
+  /// Whether something of the job may find room. Room only shrinks while this
+  /// plans, so what doesn't fit once needs no other look.
+  bool mayFindRoom(JobRecord &Job) const;
   void planJob(JobRecord &Job);
   void planGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step);
   bool mayStart(const JobRecord &Job, std::uint32_t Task) const;
-  bool hasTeamRoom(const JobRecord &Job, const StepSpec &Step,
-                   std::uint32_t Count) const;
+  static bool hasTeamRoom(const JobRecord &Job, const StepSpec &Step,
+                          std::uint32_t Count);
   bool isBeyondKnownLimit(const StepSpec &Step) const;
-  WorkerState *chooseWorker(const JobRecord &Job, std::uint32_t Task,
+  WorkerState *chooseWorker(JobRecord &Job, std::uint32_t Task,
                             const std::string &OnlyRack) const;
   bool canTake(const WorkerState &W) const;
-  bool suits(const WorkerState &W, const JobRecord &Job, std::uint32_t Task,
-             const StepSpec &Step) const;
+  static bool suits(const WorkerState &W, JobRecord &Job, std::uint32_t Task,
+                    const StepSpec &Step);
   double score(const WorkerState &W, const JobRecord &Job, std::uint32_t Task,
                const StepSpec &Step) const;
-  std::uint32_t mates(const WorkerState &W, const JobRecord &Job,
-                      std::uint32_t Task) const;
+  static std::uint32_t mates(const WorkerState &W, JobRecord &Job,
+                             std::uint32_t Task);
   void start(JobRecord &Job, std::uint32_t Task, WorkerState &W, RunId Run);
   RunId nextRun();
 
@@ -49,9 +52,14 @@
   const PlanInput &In_;
   bool AllHeard_;
   std::vector<WorkerState *> Usable_;
+  /// Most of each kind that is free on any of these.
+  core::Resources MostFree_;
   /// Needs for which no worker had room.
   std::vector<core::Resources> Unplaced_;
   std::vector<StartOrder> Starts_;
+  /// Times of one job's chains of steps, whole and what is left of them.
+  std::vector<double> Whole_;
+  std::vector<double> Left_;
 };
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/StragglerPlan.cpp
+++ b/src/jobs/StragglerPlan.cpp
@@ -35,6 +35,7 @@
   ++Owner_.Counters_.Stragglers;
   if (Step.Copies) {
     State.WantsCopy = true;
+    Job.WaitingKnown = false;
     return;
   }
   if (!W.LifeSure)
--- a/tools/planning.cpp
+++ b/tools/planning.cpp
@@ -63,7 +63,8 @@
     auto Config = std::make_shared<FleetConfig>();
     Config->Pools.push_back({"pool", false, false});
     for (std::uint32_t N = 0; N < Teams; ++N)
-      Config->Queues.push_back({"queue-" + std::to_string(N), "host", "/"});
+      Config->Queues.push_back(
+          {"queue-" + std::to_string(N), "host", "/", "other"});
     for (const char *Name : {"lasting", "short"})
       Config->Queues.push_back({Name, "host", "/", "pool"});
     Owner_.setConfig(Config);
