--- a/tests/jobs/NaiveStarts.cpp
+++ b/tests/jobs/NaiveStarts.cpp
@@ -59,9 +59,9 @@
   bool isUsable(const WorkerState &W) const {
     core::Duration Lease =
         std::min(Input_.Limits.Lease, Input_.In.AuthorityEnd - Input_.In.Now);
-    return W.Heard && W.LifeSure && !W.Ended && !W.Gone && !W.Closed &&
-           !W.Entry.Draining && W.UnknownRuns.empty() && W.ClockMs > 0 &&
-           W.AvoidUntil <= Input_.In.Now &&
+    return W.Enrolled && W.Heard && W.LifeSure && !W.Ended && !W.Gone &&
+           !W.Closed && !W.Entry.Draining && W.UnknownRuns.empty() &&
+           W.ClockMs > 0 && W.AvoidUntil <= Input_.In.Now &&
            Input_.ClosedDataCentres.count(W.Entry.DataCentre) == 0 &&
            Lease > core::Duration::zero();
   }
--- a/tests/jobs/StartPlanTest.cpp
+++ b/tests/jobs/StartPlanTest.cpp
@@ -14,6 +14,7 @@
 constexpr std::uint64_t FirstSeed = 20261204;
 constexpr std::uint64_t Pools = 150;
 constexpr int Steps = 40;
+constexpr std::size_t BatchRows = 20;
 constexpr int SettlingRounds = 4;
 
 /// A pool in which everything changes at random; before each decision the
@@ -26,6 +27,7 @@
     for (int N = draw(2, 10); N > 0; --N)
       Entries_.push_back(worker(N));
     Owner_.setWorkers(Entries_, Now_);
+    store();
     for (int N = draw(0, 4); N > 0; --N)
       inherit();
   }
@@ -138,6 +140,8 @@
     Owner_.inheritJob(Spec, &Kept, Now_);
   }
 
+  void store() { Owner_.onStored(Owner_.takeChanges(BatchRows).Mark); }
+
   void change() {
     if (chance(0.1))
       setConfig();
@@ -163,7 +167,7 @@
     if (chance(0.1))
       Owner_.cancelJob(jobId(pick(1, static_cast<int>(Jobs_) + 1)));
     if (chance(0.2)) {
-      Owner_.onStored(Owner_.takeChanges(20).Mark);
+      store();
       Owner_.dropFinished(ms() - 2000);
     }
     std::vector<WorkerEntry> Listed = Entries_;
--- a/tools/planning.cpp
+++ b/tools/planning.cpp
@@ -77,6 +77,7 @@
       WorkerEntry Entry;
       Entry.Id = "worker-of-a-pool-" + std::to_string(N);
       Entry.Pool = "pool";
+      Entry.Address = "127.0.0.1:1";
       Entry.DataCentre = "dc" + std::to_string(N % 3);
       Entry.Rack = "rack-" + std::to_string(N / WorkersPerRack);
       Entry.Capacity = {32000, 65536, 0};
@@ -84,6 +85,7 @@
       Entries.push_back(Entry);
     }
     Owner_.setWorkers(Entries, Now_);
+    Owner_.onStored(Owner_.takeChanges(Entries.size()).Mark);
     for (const WorkerEntry &Entry : Entries)
       report(Entry.Id, {});
     while (NextJob_ < Jobs)
