--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -79,6 +79,9 @@
                   return;
                 }
                 Self->Ctx_.Count.retried("load-jobs");
+                logEvent("pool_load_retried", {{"pool", Self->State_.pool()},
+                                               {"table", "jobs"},
+                                               {"error", Answer.Error}});
                 Self->Ctx_.Loop.after(StoreRetry,
                                       [Self, Loaded] { Self->load(Loaded); });
               });
@@ -99,6 +102,9 @@
             return;
           if (Answer.Outcome != PartOutcome::Ok) {
             Self->Ctx_.Count.retried("load-progress");
+            logEvent("pool_load_retried", {{"pool", Self->State_.pool()},
+                                           {"table", "progress"},
+                                           {"error", Answer.Error}});
             Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, Jobs, Version] {
               Self->loadProgress(Loaded, *Jobs, Version);
             });
