Let the HTTP client look at a socket only when something happened to it

Seen: an owner with a waiting report at each of 87 workers used processor time for each of them at every single answer, and closed and reopened connections.

Cause: curl_multi_poll and curl_multi_perform go through all transfers in flight at each wake-up, with system calls for each of them. A limit of libcurl on the connections to a host wakes one waiting transfer at each end, whichever host it waits for; the client now has a queue for each host and hands a call to libcurl when its host has room. A call that waits ends at its limit as one that was never sent, as before.

Now epoll: a kept connection stays registered while no call uses it, so that it costs no registration when it is used again. Handles are reused, and the thread is woken only when it sleeps.

More kept connections would make one failure worse: those that went silent together cost a call each. A call that times out now ends its host's connections that no call uses. Test "connections that went silent cost one call, not one call each" failed before. Test "bursts to many workers reuse connections" failed before with 1461 connections for 100 hosts; a process now says how many descriptors it has, and half of them are for kept connections. What may be resent is unchanged; tests/net/ExchangeTest.cpp passes unchanged.

--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "net/HttpClient.h"
 
-#include <curl/curl.h>
+#include "net/Transfer_p.h"
+
 #include <glog/logging.h>
 
 #include <algorithm>
@@ -8,192 +9,128 @@
 #include <mutex>
 #include <set>
 #include <stdexcept>
+#include <sys/resource.h>
+#include <sys/socket.h>
 #include <thread>
-#include <unordered_map>
 
 namespace comfreydeck::net {
 
 namespace {
 
+using detail::SocketBook;
+using detail::SteadyTime;
+using detail::Transfer;
+
 constexpr int MaxPollMs = 1000;
+/// Handles kept for later calls.
+constexpr std::size_t MaxSpareHandles = 32;
+/// One part in this many of a process's descriptors is for kept connections.
+constexpr std::size_t ClientShare = 2;
+constexpr std::size_t MinKept = 256;
+/// Bounds the memory of kept connections, of which each takes a few KB.
+constexpr std::size_t MaxKeptEver = 2048;
 /// How much longer than its limit a transfer is left to libcurl.
 constexpr std::chrono::milliseconds Grace(10);
 
-/// One call in the hands of libcurl.
-struct Transfer {
-  std::uint64_t Id = 0;
-  HttpCall Call;
-  HttpCallback Done;
-  CURL *Easy = nullptr;
-  curl_slist *Headers = nullptr;
-  HttpResult Result;
-  std::chrono::steady_clock::time_point Until;
-
-  Transfer() = default;
-  Transfer(const Transfer &) = delete;
-  Transfer &operator=(const Transfer &) = delete;
-  ~Transfer() {
-    curl_slist_free_all(Headers);
-    curl_easy_cleanup(Easy);
-  }
-};
-
-long toMs(core::Duration D) {
-  auto Ms = std::chrono::ceil<std::chrono::milliseconds>(D).count();
-  return Ms > 0 ? static_cast<long>(Ms) : 1;
-}
-
-std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
-                   void *Target) {
-  auto *T = static_cast<Transfer *>(Target);
-  if (T->Result.Response.Body.size() + Size * Count > T->Call.MaxAnswerBytes)
-    return 0;
-  T->Result.Response.Body.append(Data, Size * Count);
-  return Size * Count;
-}
-
-std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
-                     void *Target) {
-  auto *T = static_cast<Transfer *>(Target);
-  std::string_view Line(Data, Size * Count);
-  // An interim answer may come before the real one.
-  if (Line.starts_with("HTTP/"))
-    T->Result.Response.Headers.clear();
-  std::size_t Colon = Line.find(':');
-  if (Colon != std::string_view::npos) {
-    std::string_view Value = Line.substr(Colon + 1);
-    while (!Value.empty() && Value.front() == ' ')
-      Value.remove_prefix(1);
-    while (!Value.empty() && (Value.back() == '\r' || Value.back() == '\n'))
-      Value.remove_suffix(1);
-    T->Result.Response.Headers.push_back(
-        {std::string(Line.substr(0, Colon)), std::string(Value)});
-  }
-  return Size * Count;
-}
-
-/// The text must live as long as the transfer.
-curl_blob blobOf(const std::string &Text) {
-  return {const_cast<char *>(Text.data()), Text.size(), CURL_BLOB_NOCOPY};
-}
-
-void setIdentity(CURL *E, const TlsIdentity &Identity) {
-  curl_blob Certificate = blobOf(Identity.Certificate);
-  curl_blob Key = blobOf(Identity.Key);
-  curl_blob Authority = blobOf(Identity.Authority);
-  curl_easy_setopt(E, CURLOPT_SSLCERT_BLOB, &Certificate);
-  curl_easy_setopt(E, CURLOPT_SSLKEY_BLOB, &Key);
-  curl_easy_setopt(E, CURLOPT_CAINFO_BLOB, &Authority);
-}
-
-void setUp(Transfer &T) {
-  T.Easy = curl_easy_init();
-  if (!T.Easy)
-    throw std::runtime_error("net: no memory for a transfer");
-  CURL *E = T.Easy;
-  curl_easy_setopt(E, CURLOPT_URL, T.Call.Url.c_str());
-  curl_easy_setopt(E, CURLOPT_CUSTOMREQUEST, T.Call.Method.c_str());
-  curl_easy_setopt(E, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(E, CURLOPT_NOPROXY, "*");
-  curl_easy_setopt(E, CURLOPT_PROTOCOLS_STR, "http,https");
-  curl_easy_setopt(E, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt(E, CURLOPT_CONNECTTIMEOUT_MS, toMs(T.Call.ConnectLimit));
-  curl_easy_setopt(E, CURLOPT_TIMEOUT_MS, toMs(T.Call.TotalLimit));
-  curl_easy_setopt(E, CURLOPT_WRITEFUNCTION, onBody);
-  curl_easy_setopt(E, CURLOPT_WRITEDATA, &T);
-  curl_easy_setopt(E, CURLOPT_HEADERFUNCTION, onHeader);
-  curl_easy_setopt(E, CURLOPT_HEADERDATA, &T);
-  curl_easy_setopt(E, CURLOPT_PRIVATE, &T);
-  if (T.Call.Tls)
-    setIdentity(E, *T.Call.Tls);
-  if (!T.Call.MayResend) {
-    curl_easy_setopt(E, CURLOPT_FRESH_CONNECT, 1L);
-    curl_easy_setopt(E, CURLOPT_FORBID_REUSE, 1L);
-  }
-  if (!T.Call.Body.empty() || T.Call.Method == "POST" ||
-      T.Call.Method == "PUT") {
-    curl_easy_setopt(E, CURLOPT_POSTFIELDS, T.Call.Body.data());
-    curl_easy_setopt(E, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(T.Call.Body.size()));
-    T.Headers = curl_slist_append(T.Headers, "Expect:");
-  }
-  for (const HttpHeader &Header : T.Call.Headers) {
-    std::string Line = Header.Name + ": " + Header.Value;
-    T.Headers = curl_slist_append(T.Headers, Line.c_str());
-  }
-  curl_easy_setopt(E, CURLOPT_HTTPHEADER, T.Headers);
-}
-
-/// Whether any byte of the request left this process.
-bool anySent(CURL *Easy) {
-  long RequestBytes = 0;
-  curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &RequestBytes);
-  return RequestBytes > 0;
-}
-
-/// Whether the answer says where it ends. One that ends with its connection
-/// can't be told from one that was cut.
-bool isDelimited(const Transfer &T) {
-  constexpr long NoContent = 204;
-  constexpr long NotModified = 304;
-  long Status = 0;
-  curl_easy_getinfo(T.Easy, CURLINFO_RESPONSE_CODE, &Status);
-  bool HasNoBody =
-      Status == NoContent || Status == NotModified || T.Call.Method == "HEAD";
-  const std::vector<HttpHeader> &Headers = T.Result.Response.Headers;
-  return HasNoBody || hasHeader(Headers, "Content-Length") ||
-         hasHeader(Headers, "Transfer-Encoding");
-}
-
-core::ExchangeEnd endOf(const Transfer &T, CURLcode Code) {
-  CURL *Easy = T.Easy;
-  if (Code == CURLE_OK && isDelimited(T))
-    return core::ExchangeEnd::Answered;
-  if (!anySent(Easy))
-    return core::ExchangeEnd::ConnectFailed;
-  if (Code == CURLE_OPERATION_TIMEDOUT)
-    return core::ExchangeEnd::TimedOut;
-  if (Code == CURLE_SEND_ERROR)
-    return core::ExchangeEnd::SendCut;
-  return core::ExchangeEnd::AnswerCut;
-}
-
 } // namespace
 
 struct HttpClient::Impl {
-  explicit Impl(HttpClientOptions ClientOptions) : Options(ClientOptions) {}
+  explicit Impl(HttpClientOptions ClientOptions);
+  ~Impl();
+
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
 
   HttpClientOptions Options;
   CURLM *Multi = nullptr;
   std::thread Thread;
   std::atomic<bool> Stopping = false;
+  /// Whether the thread waits, or is about to, and has to be woken.
+  std::atomic<bool> Asleep = false;
   std::mutex Mutex;
   std::uint64_t NextId = 1;
   std::vector<std::unique_ptr<Transfer>> Incoming;
   std::vector<std::uint64_t> Cancelled;
-  /// Only on the client's thread.
+  /// Only on the client's thread, as all that follows.
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> Flying;
-  std::set<std::pair<std::chrono::steady_clock::time_point, std::uint64_t>>
-      Overdue;
+  std::set<std::pair<SteadyTime, std::uint64_t>> Overdue;
+  SocketBook Book;
+  std::vector<CURL *> Spare;
 
+  void wakeUp();
   void run();
+  void wait();
   void takeIncoming();
   void takeCancelled();
   void endOverdue();
+  bool hasPosted();
   int pollMs() const;
+  bool isFull(const Transfer &T) const;
+  void begin(Transfer &T);
+  void beginWaiting(const std::string &Name);
+  void endKept(const std::string &Name);
+  CURL *takeHandle();
+  void release(Transfer &T);
   void finish(Transfer &T, CURLcode Code);
   void collect();
 };
 
+HttpClient::Impl::Impl(HttpClientOptions ClientOptions)
+    : Options(ClientOptions), Multi(curl_multi_init()) {
+  if (!Multi)
+    throw std::runtime_error("net: no memory for a client");
+  curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS,
+                    static_cast<long>(Options.MaxKept));
+  curl_multi_setopt(Multi, CURLMOPT_SOCKETFUNCTION, detail::onSocket);
+  curl_multi_setopt(Multi, CURLMOPT_SOCKETDATA, &Book);
+  curl_multi_setopt(Multi, CURLMOPT_TIMERFUNCTION, detail::onTimer);
+  curl_multi_setopt(Multi, CURLMOPT_TIMERDATA, &Book);
+}
+
+HttpClient::Impl::~Impl() {
+  for (CURL *Easy : Spare)
+    curl_easy_cleanup(Easy);
+  curl_multi_cleanup(Multi);
+}
+
+void HttpClient::Impl::wakeUp() {
+  if (Asleep.exchange(false))
+    Book.Poller.wake();
+}
+
+bool HttpClient::Impl::hasPosted() {
+  std::lock_guard<std::mutex> Lock(Mutex);
+  return !Incoming.empty() || !Cancelled.empty();
+}
+
+void HttpClient::Impl::wait() {
+  Asleep = true;
+  // Whoever posts after this look sees that the thread has to be woken.
+  bool IsBusy = hasPosted() || Stopping;
+  const std::vector<detail::SocketEvent> &Events =
+      Book.Poller.wait(IsBusy ? 0 : pollMs());
+  Asleep = false;
+  int Active = 0;
+  for (const detail::SocketEvent &Event : Events) {
+    int Bits = (Event.Readable ? CURL_CSELECT_IN : 0) |
+               (Event.Writable ? CURL_CSELECT_OUT : 0) |
+               (Event.Failed ? CURL_CSELECT_ERR : 0);
+    curl_multi_socket_action(Multi, Event.Socket, Bits, &Active);
+  }
+}
+
 void HttpClient::Impl::run() {
   while (!Stopping) {
     takeIncoming();
     takeCancelled();
     int Active = 0;
-    curl_multi_perform(Multi, &Active);
+    if (Book.TimerAt && *Book.TimerAt <= std::chrono::steady_clock::now()) {
+      Book.TimerAt.reset();
+      curl_multi_socket_action(Multi, CURL_SOCKET_TIMEOUT, 0, &Active);
+    }
     collect();
     endOverdue();
-    curl_multi_poll(Multi, nullptr, 0, pollMs(), nullptr);
+    wait();
   }
   takeIncoming();
   while (!Flying.empty()) {
@@ -208,12 +145,18 @@
     std::lock_guard<std::mutex> Lock(Mutex);
     Taken.swap(Incoming);
   }
-  for (std::unique_ptr<Transfer> &T : Taken) {
-    setUp(*T);
-    curl_multi_add_handle(Multi, T->Easy);
-    T->Until = std::chrono::steady_clock::now() + T->Call.TotalLimit + Grace;
-    Overdue.emplace(T->Until, T->Id);
-    Flying[T->Id] = std::move(T);
+  for (std::unique_ptr<Transfer> &Owned : Taken) {
+    Transfer &T = *Owned;
+    T.Book = &Book;
+    T.HostName = detail::hostOf(T.Call.Url);
+    Overdue.emplace(T.Until, T.Id);
+    Flying[T.Id] = std::move(Owned);
+    if (Stopping)
+      continue;
+    if (isFull(T))
+      Book.Hosts[T.HostName].Waiting.push_back(T.Id);
+    else
+      begin(T);
   }
 }
 
@@ -238,15 +181,89 @@
 }
 
 int HttpClient::Impl::pollMs() const {
-  if (Overdue.empty())
-    return MaxPollMs;
-  auto Left = std::chrono::ceil<std::chrono::milliseconds>(
-      Overdue.begin()->first - std::chrono::steady_clock::now());
+  SteadyTime Now = std::chrono::steady_clock::now();
+  SteadyTime Until = Now + std::chrono::milliseconds(MaxPollMs);
+  if (!Overdue.empty())
+    Until = std::min(Until, Overdue.begin()->first);
+  if (Book.TimerAt)
+    Until = std::min(Until, *Book.TimerAt);
+  auto Left = std::chrono::ceil<std::chrono::milliseconds>(Until - Now);
   return static_cast<int>(std::clamp<std::int64_t>(Left.count(), 0, MaxPollMs));
 }
 
+/// Whether the call has to wait until another to its host has ended.
+bool HttpClient::Impl::isFull(const Transfer &T) const {
+  auto It = Book.Hosts.find(T.HostName);
+  std::size_t Most = Options.MaxPerHost;
+  if (T.Call.MaxToHost > 0)
+    Most = std::min(Most, T.Call.MaxToHost);
+  return It != Book.Hosts.end() && It->second.Flying >= Most;
+}
+
+CURL *HttpClient::Impl::takeHandle() {
+  if (!Spare.empty()) {
+    CURL *Easy = Spare.back();
+    Spare.pop_back();
+    return Easy;
+  }
+  CURL *Easy = curl_easy_init();
+  if (!Easy)
+    throw std::runtime_error("net: no memory for a transfer");
+  return Easy;
+}
+
+void HttpClient::Impl::begin(Transfer &T) {
+  T.Easy = takeHandle();
+  detail::setUp(T, std::chrono::ceil<core::Duration>(
+                       T.Until - Grace - std::chrono::steady_clock::now()));
+  curl_multi_add_handle(Multi, T.Easy);
+  ++Book.Hosts[T.HostName].Flying;
+}
+
+/// Lets calls begin that waited for this host.
+void HttpClient::Impl::beginWaiting(const std::string &Name) {
+  auto It = Book.Hosts.find(Name);
+  if (It == Book.Hosts.end())
+    return;
+  std::deque<std::uint64_t> &Waiting = It->second.Waiting;
+  while (!Waiting.empty() && !Stopping) {
+    auto Next = Flying.find(Waiting.front());
+    if (Next != Flying.end()) {
+      if (isFull(*Next->second))
+        return;
+      begin(*Next->second);
+    }
+    Waiting.pop_front();
+  }
+  detail::forgetIfIdle(Book, Name);
+}
+
+/// Ends the host's connections that no call uses. They may have gone silent
+/// together with one on which no answer came.
+void HttpClient::Impl::endKept(const std::string &Name) {
+  auto It = Book.Hosts.find(Name);
+  if (It == Book.Hosts.end())
+    return;
+  for (int Socket : It->second.Sockets)
+    // libcurl drops an ended connection instead of using it again.
+    if (Book.Poller.isResting(Socket) && shutdown(Socket, SHUT_RDWR) != 0)
+      VLOG(1) << "net: a kept connection had ended already";
+}
+
+/// Takes the call's handle from libcurl and keeps it for another call.
+void HttpClient::Impl::release(Transfer &T) {
+  curl_multi_remove_handle(Multi, T.Easy);
+  --Book.Hosts[T.HostName].Flying;
+  // One with an identity is not used for others.
+  if (T.Call.Tls || Spare.size() >= MaxSpareHandles)
+    return;
+  curl_easy_reset(T.Easy);
+  Spare.push_back(T.Easy);
+  T.Easy = nullptr;
+}
+
 void HttpClient::Impl::finish(Transfer &T, CURLcode Code) {
-  T.Result.End = endOf(T, Code);
+  T.Result.End = detail::endOf(T, Code);
   if (T.Result.End == core::ExchangeEnd::Answered) {
     long Status = 0;
     curl_easy_getinfo(T.Easy, CURLINFO_RESPONSE_CODE, &Status);
@@ -254,12 +271,17 @@
   } else {
     T.Result.Error = curl_easy_strerror(Code);
   }
-  curl_multi_remove_handle(Multi, T.Easy);
   auto It = Flying.find(T.Id);
   std::unique_ptr<Transfer> Owned = std::move(It->second);
   Flying.erase(It);
-  Overdue.erase({Owned->Until, Owned->Id});
-  Owned->Done(std::move(Owned->Result));
+  Overdue.erase({T.Until, T.Id});
+  if (T.Easy) {
+    release(T);
+    if (T.Result.End == core::ExchangeEnd::TimedOut)
+      endKept(T.HostName);
+    beginWaiting(T.HostName);
+  }
+  T.Done(std::move(T.Result));
 }
 
 void HttpClient::Impl::collect() {
@@ -274,34 +296,48 @@
   }
 }
 
-HttpClient::HttpClient(HttpClientOptions Options)
-    : Impl_(std::make_unique<Impl>(Options)) {
+namespace {
+
+void startLibrary() {
   static const CURLcode Global = curl_global_init(CURL_GLOBAL_DEFAULT);
   if (Global != CURLE_OK)
     throw std::runtime_error("net: libcurl can't start");
-  Impl_->Multi = curl_multi_init();
-  curl_multi_setopt(Impl_->Multi, CURLMOPT_MAXCONNECTS,
-                    static_cast<long>(Options.MaxKept));
-  curl_multi_setopt(Impl_->Multi, CURLMOPT_MAX_HOST_CONNECTIONS,
-                    static_cast<long>(Options.MaxPerHost));
-  Impl_->Thread = std::thread([this] { Impl_->run(); });
 }
 
-HttpClient::~HttpClient() {
-  stop();
-  curl_multi_cleanup(Impl_->Multi);
+} // namespace
+
+HttpClientOptions optionsFor(std::size_t Descriptors) {
+  HttpClientOptions Options;
+  Options.MaxKept = std::clamp(Descriptors / ClientShare, MinKept, MaxKeptEver);
+  return Options;
+}
+
+std::size_t grantedDescriptors() {
+  rlimit Limit{};
+  if (getrlimit(RLIMIT_NOFILE, &Limit) != 0)
+    return 0;
+  return Limit.rlim_cur;
 }
 
+HttpClient::HttpClient(HttpClientOptions Options) {
+  startLibrary();
+  Impl_ = std::make_unique<Impl>(Options);
+  Impl_->Thread = std::thread([this] { Impl_->run(); });
+}
+
+HttpClient::~HttpClient() { stop(); }
+
 void HttpClient::stop() {
   if (!Impl_->Thread.joinable())
     return;
   Impl_->Stopping = true;
-  curl_multi_wakeup(Impl_->Multi);
+  Impl_->wakeUp();
   Impl_->Thread.join();
 }
 
 HttpCallId HttpClient::send(HttpCall Call, HttpCallback Done) {
   auto T = std::make_unique<Transfer>();
+  T->Until = std::chrono::steady_clock::now() + Call.TotalLimit + Grace;
   T->Call = std::move(Call);
   T->Done = std::move(Done);
   std::uint64_t Id = 0;
@@ -311,7 +347,7 @@
     T->Id = Id;
     Impl_->Incoming.push_back(std::move(T));
   }
-  curl_multi_wakeup(Impl_->Multi);
+  Impl_->wakeUp();
   return {Id};
 }
 
@@ -320,7 +356,7 @@
     std::lock_guard<std::mutex> Lock(Impl_->Mutex);
     Impl_->Cancelled.push_back(Id.Value);
   }
-  curl_multi_wakeup(Impl_->Multi);
+  Impl_->wakeUp();
 }
 
 } // namespace comfreydeck::net
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -25,6 +25,9 @@
   /// connection turns out dead. Never so for a non-idempotent request: it goes
   /// out on a connection of its own.
   bool MayResend = true;
+  /// Calls to its host, this one among them, that may be in flight at once; it
+  /// waits for that within its limit. Zero: as the client's options say.
+  std::size_t MaxToHost = 0;
   /// For https: what this side shows, and whom it trusts.
   std::shared_ptr<const TlsIdentity> Tls;
 };
@@ -48,10 +51,17 @@
 struct HttpClientOptions {
   /// Connections kept open to all hosts together.
   std::size_t MaxKept = 256;
-  /// Connections to one host; calls beyond wait within their limits.
+  /// Calls in flight to one host; those beyond wait within their limits.
   std::size_t MaxPerHost = 64;
 };
 
+/// Options of a process that may open that many descriptors: connections are
+/// ended for room only where its servers and files could want it. Thread-safe.
+HttpClientOptions optionsFor(std::size_t Descriptors);
+
+/// How many descriptors the system grants this process. Thread-safe.
+std::size_t grantedDescriptors();
+
 /// Sends HTTP requests from a thread of its own.
 class HttpClient {
 public:
--- /dev/null
+++ b/src/net/SocketPoller.cpp
@@ -0,0 +1,115 @@
+#include "net/SocketPoller_p.h"
+
+#include <glog/logging.h>
+
+#include <array>
+#include <cerrno>
+#include <cstring>
+#include <stdexcept>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <unistd.h>
+
+namespace comfreydeck::net::detail {
+
+namespace {
+
+/// Events taken with one system call.
+constexpr std::size_t MaxEvents = 128;
+
+} // namespace
+
+SocketPoller::SocketPoller()
+    : Poll_(epoll_create1(EPOLL_CLOEXEC)),
+      Wake_(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+  epoll_event Event{};
+  Event.events = EPOLLIN;
+  Event.data.fd = Wake_;
+  if (Poll_ < 0 || Wake_ < 0 ||
+      epoll_ctl(Poll_, EPOLL_CTL_ADD, Wake_, &Event) != 0) {
+    close(Poll_);
+    close(Wake_);
+    throw std::runtime_error("net: no descriptors to wait for sockets");
+  }
+}
+
+SocketPoller::~SocketPoller() {
+  close(Wake_);
+  close(Poll_);
+}
+
+void SocketPoller::wake() {
+  std::uint64_t One = 1;
+  ssize_t Written = write(Wake_, &One, sizeof(One));
+  // A full counter ends the wait as well.
+  if (Written < 0 && errno != EAGAIN)
+    LOG(ERROR) << "net: the client's thread can't be woken: "
+               << std::strerror(errno);
+}
+
+void SocketPoller::registerAs(int Socket, Watch &W, std::uint32_t Events) {
+  if (W.Registered == Events)
+    return;
+  epoll_event Event{};
+  Event.events = Events;
+  Event.data.fd = Socket;
+  int Change = W.Registered == 0 ? EPOLL_CTL_ADD
+               : Events == 0     ? EPOLL_CTL_DEL
+                                 : EPOLL_CTL_MOD;
+  if (epoll_ctl(Poll_, Change, Socket, &Event) != 0)
+    // The transfer then ends by its time limit.
+    LOG(ERROR) << "net: a socket can't be waited for: " << std::strerror(errno);
+  W.Registered = Events;
+}
+
+void SocketPoller::watch(int Socket, bool In, bool Out) {
+  Watch &W = Watches_[Socket];
+  W.IsResting = false;
+  registerAs(Socket, W, (In ? EPOLLIN : 0U) | (Out ? EPOLLOUT : 0U));
+}
+
+void SocketPoller::rest(int Socket) {
+  auto It = Watches_.find(Socket);
+  if (It != Watches_.end())
+    It->second.IsResting = true;
+}
+
+void SocketPoller::forget(int Socket) { Watches_.erase(Socket); }
+
+bool SocketPoller::isResting(int Socket) const {
+  auto It = Watches_.find(Socket);
+  return It != Watches_.end() && It->second.IsResting;
+}
+
+void SocketPoller::take(int Socket, std::uint32_t Events) {
+  if (Socket == Wake_) {
+    std::uint64_t Count = 0;
+    ssize_t Taken = read(Wake_, &Count, sizeof(Count));
+    if (Taken < 0 && errno != EAGAIN)
+      LOG(ERROR) << "net: a wake-up can't be taken: " << std::strerror(errno);
+    return;
+  }
+  auto It = Watches_.find(Socket);
+  if (It == Watches_.end())
+    return;
+  if (It->second.IsResting) {
+    // Its peer ended it: whoever uses it next finds that out.
+    registerAs(Socket, It->second, 0);
+    return;
+  }
+  Events_.push_back({Socket, (Events & (EPOLLIN | EPOLLHUP)) != 0,
+                     (Events & EPOLLOUT) != 0, (Events & EPOLLERR) != 0});
+}
+
+const std::vector<SocketEvent> &SocketPoller::wait(int Ms) {
+  std::array<epoll_event, MaxEvents> Taken{};
+  Events_.clear();
+  int Count = epoll_wait(Poll_, Taken.data(), MaxEvents, Ms);
+  if (Count < 0 && errno != EINTR)
+    throw std::runtime_error("net: sockets can't be waited for");
+  for (int N = 0; N < Count; ++N)
+    take(Taken[N].data.fd, Taken[N].events);
+  return Events_;
+}
+
+} // namespace comfreydeck::net::detail
--- /dev/null
+++ b/src/net/Transfer.cpp
@@ -0,0 +1,201 @@
+#include "net/Transfer_p.h"
+
+#include <algorithm>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace comfreydeck::net::detail {
+
+namespace {
+
+long toMs(core::Duration D) {
+  auto Ms = std::chrono::ceil<std::chrono::milliseconds>(D).count();
+  return Ms > 0 ? static_cast<long>(Ms) : 1;
+}
+
+std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
+                   void *Target) {
+  auto *T = static_cast<Transfer *>(Target);
+  if (T->Result.Response.Body.size() + Size * Count > T->Call.MaxAnswerBytes)
+    return 0;
+  T->Result.Response.Body.append(Data, Size * Count);
+  return Size * Count;
+}
+
+std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
+                     void *Target) {
+  auto *T = static_cast<Transfer *>(Target);
+  std::string_view Line(Data, Size * Count);
+  // An interim answer may come before the real one.
+  if (Line.starts_with("HTTP/"))
+    T->Result.Response.Headers.clear();
+  std::size_t Colon = Line.find(':');
+  if (Colon != std::string_view::npos) {
+    std::string_view Value = Line.substr(Colon + 1);
+    while (!Value.empty() && Value.front() == ' ')
+      Value.remove_prefix(1);
+    while (!Value.empty() && (Value.back() == '\r' || Value.back() == '\n'))
+      Value.remove_suffix(1);
+    T->Result.Response.Headers.push_back(
+        {std::string(Line.substr(0, Colon)), std::string(Value)});
+  }
+  return Size * Count;
+}
+
+/// The text must live as long as the transfer.
+curl_blob blobOf(const std::string &Text) {
+  return {const_cast<char *>(Text.data()), Text.size(), CURL_BLOB_NOCOPY};
+}
+
+void setIdentity(CURL *E, const TlsIdentity &Identity) {
+  curl_blob Certificate = blobOf(Identity.Certificate);
+  curl_blob Key = blobOf(Identity.Key);
+  curl_blob Authority = blobOf(Identity.Authority);
+  curl_easy_setopt(E, CURLOPT_SSLCERT_BLOB, &Certificate);
+  curl_easy_setopt(E, CURLOPT_SSLKEY_BLOB, &Key);
+  curl_easy_setopt(E, CURLOPT_CAINFO_BLOB, &Authority);
+}
+
+curl_socket_t onOpen(void *Of, curlsocktype, curl_sockaddr *Address) {
+  auto *T = static_cast<Transfer *>(Of);
+  int Socket = socket(Address->family, Address->socktype | SOCK_CLOEXEC,
+                      Address->protocol);
+  if (Socket < 0)
+    return CURL_SOCKET_BAD;
+  T->Book->Poller.forget(Socket);
+  T->Book->HostOfSocket[Socket] = T->HostName;
+  T->Book->Hosts[T->HostName].Sockets.push_back(Socket);
+  return Socket;
+}
+
+int onClose(void *Of, curl_socket_t Socket) {
+  auto *Book = static_cast<SocketBook *>(Of);
+  Book->Poller.forget(Socket);
+  auto It = Book->HostOfSocket.find(Socket);
+  if (It != Book->HostOfSocket.end()) {
+    std::string Name = std::move(It->second);
+    Book->HostOfSocket.erase(It);
+    std::erase(Book->Hosts[Name].Sockets, Socket);
+    forgetIfIdle(*Book, Name);
+  }
+  return close(Socket);
+}
+
+/// What is the same for all calls of a client.
+void setCommon(CURL *E) {
+  curl_easy_setopt(E, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(E, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt(E, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt(E, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(E, CURLOPT_WRITEFUNCTION, onBody);
+  curl_easy_setopt(E, CURLOPT_HEADERFUNCTION, onHeader);
+  curl_easy_setopt(E, CURLOPT_OPENSOCKETFUNCTION, onOpen);
+  curl_easy_setopt(E, CURLOPT_CLOSESOCKETFUNCTION, onClose);
+}
+
+/// Whether any byte of the request left this process.
+bool anySent(CURL *Easy) {
+  long RequestBytes = 0;
+  curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &RequestBytes);
+  return RequestBytes > 0;
+}
+
+/// Whether the answer says where it ends. One that ends with its connection
+/// can't be told from one that was cut.
+bool isDelimited(const Transfer &T) {
+  constexpr long NoContent = 204;
+  constexpr long NotModified = 304;
+  long Status = 0;
+  curl_easy_getinfo(T.Easy, CURLINFO_RESPONSE_CODE, &Status);
+  bool HasNoBody =
+      Status == NoContent || Status == NotModified || T.Call.Method == "HEAD";
+  const std::vector<HttpHeader> &Headers = T.Result.Response.Headers;
+  return HasNoBody || hasHeader(Headers, "Content-Length") ||
+         hasHeader(Headers, "Transfer-Encoding");
+}
+
+} // namespace
+
+std::string hostOf(const std::string &Url) {
+  std::size_t Scheme = Url.find("://");
+  std::size_t Start = Scheme == std::string::npos ? 0 : Scheme + 3;
+  return Url.substr(0, Url.find('/', Start));
+}
+
+void forgetIfIdle(SocketBook &Book, const std::string &Name) {
+  auto It = Book.Hosts.find(Name);
+  if (It != Book.Hosts.end() && It->second.Flying == 0 &&
+      It->second.Waiting.empty() && It->second.Sockets.empty())
+    Book.Hosts.erase(It);
+}
+
+int onSocket(CURL *, curl_socket_t Socket, int What, void *Of, void *) {
+  auto *Book = static_cast<SocketBook *>(Of);
+  if (What == CURL_POLL_REMOVE)
+    Book->Poller.rest(Socket);
+  else
+    Book->Poller.watch(Socket, (What & CURL_POLL_IN) != 0,
+                       (What & CURL_POLL_OUT) != 0);
+  return 0;
+}
+
+int onTimer(CURLM *, long Ms, void *Of) {
+  auto *Book = static_cast<SocketBook *>(Of);
+  if (Ms < 0)
+    Book->TimerAt.reset();
+  else
+    Book->TimerAt =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(Ms);
+  return 0;
+}
+
+void setUp(Transfer &T, core::Duration Left) {
+  CURL *E = T.Easy;
+  setCommon(E);
+  curl_easy_setopt(E, CURLOPT_URL, T.Call.Url.c_str());
+  curl_easy_setopt(E, CURLOPT_CUSTOMREQUEST, T.Call.Method.c_str());
+  curl_easy_setopt(E, CURLOPT_CONNECTTIMEOUT_MS, toMs(T.Call.ConnectLimit));
+  curl_easy_setopt(E, CURLOPT_TIMEOUT_MS, toMs(Left));
+  curl_easy_setopt(E, CURLOPT_WRITEDATA, &T);
+  curl_easy_setopt(E, CURLOPT_HEADERDATA, &T);
+  curl_easy_setopt(E, CURLOPT_OPENSOCKETDATA, &T);
+  // The connection may outlive the call.
+  curl_easy_setopt(E, CURLOPT_CLOSESOCKETDATA, T.Book);
+  curl_easy_setopt(E, CURLOPT_PRIVATE, &T);
+  if (T.Call.Tls)
+    setIdentity(E, *T.Call.Tls);
+  if (!T.Call.MayResend) {
+    curl_easy_setopt(E, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(E, CURLOPT_FORBID_REUSE, 1L);
+  }
+  if (!T.Call.Body.empty() || T.Call.Method == "POST" ||
+      T.Call.Method == "PUT") {
+    curl_easy_setopt(E, CURLOPT_POSTFIELDS, T.Call.Body.data());
+    curl_easy_setopt(E, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(T.Call.Body.size()));
+    T.Headers = curl_slist_append(T.Headers, "Expect:");
+  }
+  for (const HttpHeader &Header : T.Call.Headers) {
+    std::string Line = Header.Name + ": " + Header.Value;
+    T.Headers = curl_slist_append(T.Headers, Line.c_str());
+  }
+  curl_easy_setopt(E, CURLOPT_HTTPHEADER, T.Headers);
+}
+
+core::ExchangeEnd endOf(const Transfer &T, CURLcode Code) {
+  CURL *Easy = T.Easy;
+  if (!Easy)
+    return core::ExchangeEnd::ConnectFailed;
+  if (Code == CURLE_OK && isDelimited(T))
+    return core::ExchangeEnd::Answered;
+  if (!anySent(Easy))
+    return core::ExchangeEnd::ConnectFailed;
+  if (Code == CURLE_OPERATION_TIMEDOUT)
+    return core::ExchangeEnd::TimedOut;
+  if (Code == CURLE_SEND_ERROR)
+    return core::ExchangeEnd::SendCut;
+  return core::ExchangeEnd::AnswerCut;
+}
+
+} // namespace comfreydeck::net::detail
--- /dev/null
+++ b/tools/traffic.cpp
@@ -0,0 +1,141 @@
+#include "net/HttpClient.h"
+#include "standins/HostRow.h"
+
+#include <CLI/CLI.hpp>
+
+#include <condition_variable>
+#include <ctime>
+#include <iostream>
+#include <mutex>
+
+// Connections opened and processor time of the client's thread for bursts of
+// calls to many hosts, while a waiting call is open to each of them.
+
+using namespace comfreydeck;
+
+namespace {
+
+constexpr double MicrosecondsPerSecond = 1e6;
+constexpr double NanosecondsPerMicrosecond = 1e3;
+constexpr core::Duration Limit = std::chrono::seconds(60);
+
+struct Plan {
+  std::size_t Hosts = 100;
+  std::size_t PerHost = 8;
+  std::size_t Bursts = 10;
+  std::size_t Waiting = 1;
+  std::size_t MaxToHost = 6;
+  std::size_t Descriptors = 4096;
+};
+
+double threadMicroseconds() {
+  timespec Time{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &Time);
+  return static_cast<double>(Time.tv_sec) * MicrosecondsPerSecond +
+         static_cast<double>(Time.tv_nsec) / NanosecondsPerMicrosecond;
+}
+
+/// The last end of a batch of calls, and the client thread's time then.
+class Batch {
+public:
+  explicit Batch(std::size_t Calls) : Left_(Calls) {}
+
+  net::HttpCallback counter() {
+    return [this](const net::HttpResult &Result) {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      if (Result.End != core::ExchangeEnd::Answered)
+        ++Failed_;
+      Microseconds_ = threadMicroseconds();
+      --Left_;
+      Changed_.notify_all();
+    };
+  }
+
+  void wait() {
+    std::unique_lock<std::mutex> Lock(Mutex_);
+    Changed_.wait(Lock, [&] { return Left_ == 0; });
+  }
+
+  double microseconds() const { return Microseconds_; }
+  std::size_t failed() const { return Failed_; }
+
+private:
+  std::mutex Mutex_;
+  std::condition_variable Changed_;
+  std::size_t Left_;
+  std::size_t Failed_ = 0;
+  double Microseconds_ = 0;
+};
+
+net::HttpCall callTo(const Plan &P, const std::string &Address,
+                     std::size_t DelayMs) {
+  net::HttpCall Call;
+  Call.Method = "POST";
+  Call.Url = "http://" + Address + "/v1/order";
+  Call.Headers = {{"Content-Type", "application/json"}};
+  if (DelayMs > 0)
+    Call.Headers.push_back({"Delay-Ms", std::to_string(DelayMs)});
+  Call.Body = std::string(200, ' ');
+  Call.TotalLimit = Limit;
+  Call.MaxToHost = P.MaxToHost;
+  return Call;
+}
+
+void measure(const Plan &P) {
+  constexpr std::size_t Forever = 1000000;
+  standins::HostRow Row(P.Hosts);
+  Batch Reports(P.Hosts * P.Waiting);
+  net::HttpClient Client(net::optionsFor(P.Descriptors));
+  Batch First(P.Hosts);
+  for (std::size_t N = 0; N < P.Hosts; ++N)
+    Client.send(callTo(P, Row.address(N), 0), First.counter());
+  First.wait();
+  for (std::size_t N = 0; N < P.Hosts * P.Waiting; ++N)
+    Client.send(callTo(P, Row.address(N % P.Hosts), Forever),
+                Reports.counter());
+  double Start = First.microseconds();
+  std::uint32_t Opened = Row.connections();
+  std::size_t Failed = 0;
+  double End = Start;
+  std::size_t Calls = P.Hosts * P.PerHost;
+  for (std::size_t Burst = 0; Burst < P.Bursts; ++Burst) {
+    Batch B(Calls);
+    for (std::size_t N = 0; N < Calls; ++N)
+      Client.send(callTo(P, Row.address(N % P.Hosts), 0), B.counter());
+    B.wait();
+    Failed += B.failed();
+    End = B.microseconds();
+  }
+  double All = static_cast<double>(Calls * P.Bursts);
+  std::cout << "calls " << Calls * P.Bursts << ", failed " << Failed
+            << ", new connections " << Row.connections() - Opened
+            << ", client thread " << (End - Start) / All << " us a call\n";
+  // The rest one at a time, as answers come from workers.
+  constexpr std::size_t Single = 2000;
+  Start = End;
+  for (std::size_t N = 0; N < Single; ++N) {
+    Batch B(1);
+    Client.send(callTo(P, Row.address(N % P.Hosts), 0), B.counter());
+    B.wait();
+    End = B.microseconds();
+  }
+  std::cout << "one at a time: client thread "
+            << (End - Start) / static_cast<double>(Single) << " us a call\n";
+  Client.stop();
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  CLI::App App("Connections and processor time of bursts of HTTP calls");
+  Plan P;
+  App.add_option("--hosts", P.Hosts, "Hosts that are called");
+  App.add_option("--per-host", P.PerHost, "Calls to each host in a burst");
+  App.add_option("--bursts", P.Bursts, "Bursts, one after the other");
+  App.add_option("--waiting", P.Waiting, "Waiting calls open to each host");
+  App.add_option("--to-host", P.MaxToHost, "Calls in flight to one host");
+  App.add_option("--descriptors", P.Descriptors, "Descriptors of the process");
+  CLI11_PARSE(App, Argc, Argv);
+  measure(P);
+  return 0;
+}
