--- /dev/null
+++ b/tests/adapter/WireWorkersTest.cpp
@@ -0,0 +1,47 @@
+#include "WireWorkers.h"
+#include "standins/HostRow.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <future>
+
+using namespace comfreydeck;
+
+namespace {
+
+constexpr std::size_t Orders = 40;
+/// A worker takes 64 connections from all entries together.
+constexpr std::uint32_t FewConnections = 8;
+
+jobs::StartOrder orderOf(std::uint32_t Index) {
+  jobs::StartOrder Order;
+  Order.Worker = "w";
+  Order.Task = {"0123456789abcdef", 0, 0, Index};
+  Order.Run = Index + 1;
+  return Order;
+}
+
+} // namespace
+
+TEST_CASE("a burst of orders to one worker opens few connections") {
+  standins::HostRow Row(1);
+  net::HttpClient Client(net::HttpClientOptions{});
+  platform::WireWorkers Workers(Client);
+  jobs::WorkerEntry To;
+  To.Id = "w";
+  To.Address = Row.address(0);
+  std::atomic<std::size_t> Accepted = 0;
+  std::atomic<std::size_t> Ended = 0;
+  std::promise<void> AllEnded;
+  for (std::uint32_t N = 0; N < Orders; ++N)
+    Workers.start(To, 1, orderOf(N), [&](const jobs::OrderResult &Result) {
+      if (Result.Outcome == jobs::OrderOutcome::Accepted)
+        ++Accepted;
+      if (++Ended == Orders)
+        AllEnded.set_value();
+    });
+  AllEnded.get_future().wait();
+  CHECK(Accepted == Orders);
+  CHECK(Row.connections() <= FewConnections);
+}
