Tell why a pool is slow: summaries by pool and entry, metrics, named outcomes

Callers saw too little served on large fleets, and neither logs nor metrics could tell a busy control thread from silent workers, missing room, refused orders or connections: start_refused named its outcome by a number, what pools counted was exported nowhere, and the metrics were served where nobody fetched them.

Each owner writes pool_summary and each entry entry_summary every 5 s; the same figures are metrics. Waits are timed for one posted function in 8, and label look-ups of prometheus happen once in 5 s, or once for each name on the paths of callers. Starts that a planning took back for a gang no longer count as starts.

New tests in core, jobs, net, dispatch, settings and adapter cover what did not exist before; they don't compile on the code before.

--- /dev/null
+++ b/src/core/TimeBins.h
@@ -0,0 +1,35 @@
+#ifndef COMFREYDECK_CORE_TIMEBINS_H
+#define COMFREYDECK_CORE_TIMEBINS_H
+
+#include "core/Types.h"
+
+#include <array>
+
+namespace comfreydeck::core {
+
+/// How often times of some sizes were seen, with their sum and the most.
+struct TimeBins {
+  /// Upper bounds; the last bin has none.
+  static constexpr std::array<Duration, 11> Bounds = {
+      Duration(1000),   Duration(2500),    Duration(5000),   Duration(10000),
+      Duration(25000),  Duration(50000),   Duration(100000), Duration(250000),
+      Duration(500000), Duration(1000000), Duration(2500000)};
+
+  std::array<std::uint64_t, Bounds.size() + 1> Counts{};
+  std::uint64_t Total = 0;
+  Duration Sum{0};
+  Duration Most{0};
+};
+
+/// Counts one time.
+void note(TimeBins &Bins, Duration Time);
+
+/// Mean in milliseconds; zero where nothing was counted.
+double meanMs(const TimeBins &Bins);
+
+/// A time in milliseconds.
+double inMs(Duration Time);
+
+} // namespace comfreydeck::core
+
+#endif // COMFREYDECK_CORE_TIMEBINS_H
--- a/src/dispatch/Counters.cpp
+++ b/src/dispatch/Counters.cpp
@@ -6,55 +6,222 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <map>
+#include <mutex>
+#include <tuple>
+
 namespace comfreydeck::dispatch {
 
+namespace {
+
+using CounterFamily = prometheus::Family<prometheus::Counter>;
+using GaugeFamily = prometheus::Family<prometheus::Gauge>;
+using HistogramFamily = prometheus::Family<prometheus::Histogram>;
+
+constexpr double MsInSecond = 1000;
+
+double inSeconds(core::Duration Time) { return core::inMs(Time) / MsInSecond; }
+
+CounterFamily &counters(prometheus::Registry &In, const char *Name,
+                        const char *Help) {
+  return prometheus::BuildCounter().Name(Name).Help(Help).Register(In);
+}
+
+GaugeFamily &gauges(prometheus::Registry &In, const char *Name,
+                    const char *Help) {
+  return prometheus::BuildGauge().Name(Name).Help(Help).Register(In);
+}
+
+HistogramFamily &histograms(prometheus::Registry &In, const char *Name,
+                            const char *Help) {
+  return prometheus::BuildHistogram().Name(Name).Help(Help).Register(In);
+}
+
+void observe(HistogramFamily &Family, const prometheus::Labels &Labels,
+             const core::TimeBins &Bins) {
+  prometheus::Histogram::BucketBoundaries Bounds;
+  for (core::Duration Bound : core::TimeBins::Bounds)
+    Bounds.push_back(inSeconds(Bound));
+  std::vector<double> Counts(Bins.Counts.begin(), Bins.Counts.end());
+  Family.Add(Labels, Bounds).ObserveMultiple(Counts, inSeconds(Bins.Sum));
+}
+
+/// Adds counts by the values of an enum; names that never came don't show.
+template <typename Enum, std::size_t Values>
+void add(CounterFamily &Family, const std::string &Pool, const char *Label,
+         const std::array<std::uint64_t, Values> &Counts) {
+  for (std::size_t V = 0; V < Values; ++V)
+    if (Counts[V] > 0)
+      Family.Add({{"pool", Pool}, {Label, nameOf(static_cast<Enum>(V))}})
+          .Increment(static_cast<double>(Counts[V]));
+}
+
+} // namespace
+
 struct Counters::Impl {
   prometheus::Registry Registry;
-  prometheus::Family<prometheus::Counter> &Answers =
-      prometheus::BuildCounter()
-          .Name("comfreydeck_job_answers_total")
-          .Help("Answers to callers by call, status and reason")
-          .Register(Registry);
-  prometheus::Family<prometheus::Counter> &Retries =
-      prometheus::BuildCounter()
-          .Name("comfreydeck_job_retries_total")
-          .Help("Second tries by reason")
-          .Register(Registry);
-  prometheus::Family<prometheus::Histogram> &Times =
-      prometheus::BuildHistogram()
-          .Name("comfreydeck_job_call_seconds")
-          .Help("Time from a call to its answer")
-          .Register(Registry);
-  prometheus::Family<prometheus::Gauge> &Gauges =
-      prometheus::BuildGauge()
-          .Name("comfreydeck_job_state")
-          .Help("State of the entry by name")
-          .Register(Registry);
+  CounterFamily &Answers =
+      counters(Registry, "comfreydeck_job_answers_total",
+               "Answers to callers by call, status and reason");
+  CounterFamily &Retries = counters(Registry, "comfreydeck_job_retries_total",
+                                    "Second tries by reason");
+  HistogramFamily &Times = histograms(Registry, "comfreydeck_job_call_seconds",
+                                      "Time from a call to its answer");
+
+  HistogramFamily &LoopWaits =
+      histograms(Registry, "comfreydeck_job_loop_wait_seconds",
+                 "How long work waited for the control thread, sampled");
+  GaugeFamily &LoopWaitMost =
+      gauges(Registry, "comfreydeck_job_loop_wait_most_seconds",
+             "Longest sampled wait of the last period");
+  GaugeFamily &LoopBusy = gauges(
+      Registry, "comfreydeck_job_loop_busy_share",
+      "Estimated share of the last period in which the control thread worked");
+  CounterFamily &Calls =
+      counters(Registry, "comfreydeck_job_http_total",
+               "Calls sent and what became of them by kind of host");
+
+  HistogramFamily &Plans = histograms(Registry, "comfreydeck_job_plan_seconds",
+                                      "How long a planning took by pool");
+  HistogramFamily &PlanWaits =
+      histograms(Registry, "comfreydeck_job_plan_wait_seconds",
+                 "How long a planning waited for the control thread by pool");
+  HistogramFamily &ReportAges =
+      histograms(Registry, "comfreydeck_job_report_age_seconds",
+                 "Age of the worker's report behind a start by pool");
+  CounterFamily &Starts = counters(Registry, "comfreydeck_job_starts_total",
+                                   "Starts ordered by pool");
+  CounterFamily &StartAnswers =
+      counters(Registry, "comfreydeck_job_start_answers_total",
+               "Answers of workers to starts by pool and outcome");
+  CounterFamily &Reports =
+      counters(Registry, "comfreydeck_job_worker_reports_total",
+               "Answers of workers that were asked for a report by pool and "
+               "outcome");
+  CounterFamily &Ends = counters(Registry, "comfreydeck_job_ends_total",
+                                 "Runs that workers listed as ended by pool "
+                                 "and kind");
+  CounterFamily &Lapsed =
+      counters(Registry, "comfreydeck_job_lapsed_total",
+               "Runs given up with their worker's lease by pool");
+  GaugeFamily &OpenJobs =
+      gauges(Registry, "comfreydeck_job_pool_jobs", "Open jobs by pool");
+  GaugeFamily &Runs =
+      gauges(Registry, "comfreydeck_job_pool_runs", "Live runs by pool");
+  GaugeFamily &Waiting =
+      gauges(Registry, "comfreydeck_job_pool_waiting",
+             "Tasks that could run and don't by pool and reason");
+  GaugeFamily &Workers = gauges(Registry, "comfreydeck_job_pool_workers",
+                                "Workers by pool and standing");
+  GaugeFamily &MostByOneReport =
+      gauges(Registry, "comfreydeck_job_pool_most_starts_by_one_report",
+             "Most starts decided by one report in the last period by pool");
+
+  /// Looking a metric up by its labels costs more than counting: calls of
+  /// every request keep what they found, by the addresses of their names.
+  std::mutex Mutex;
+  std::map<std::tuple<const char *, int, const char *>, prometheus::Counter *>
+      KnownAnswers;
+  std::map<const char *, prometheus::Counter *> KnownRetries;
+  std::map<const char *, prometheus::Histogram *> KnownTimes;
+  /// What is shown of each pool that is owned here.
+  std::map<std::string,
+           std::vector<std::pair<GaugeFamily *, prometheus::Gauge *>>>
+      Shown;
+
+  void show(GaugeFamily &Family, const std::string &Pool,
+            prometheus::Labels Labels, double Value) {
+    Labels["pool"] = Pool;
+    prometheus::Gauge &Gauge = Family.Add(Labels);
+    Gauge.Set(Value);
+    Shown[Pool].emplace_back(&Family, &Gauge);
+  }
 };
 
 Counters::Counters() : Impl_(std::make_unique<Impl>()) {}
 Counters::~Counters() = default;
 
 void Counters::answered(const char *Call, int Status, const char *Reason) {
-  Impl_->Answers
-      .Add({{"call", Call},
-            {"status", std::to_string(Status)},
-            {"reason", Reason}})
-      .Increment();
+  std::lock_guard<std::mutex> Lock(Impl_->Mutex);
+  prometheus::Counter *&Known = Impl_->KnownAnswers[{Call, Status, Reason}];
+  if (!Known)
+    Known = &Impl_->Answers.Add({{"call", Call},
+                                 {"status", std::to_string(Status)},
+                                 {"reason", Reason}});
+  Known->Increment();
 }
 
 void Counters::retried(const char *Reason) {
-  Impl_->Retries.Add({{"reason", Reason}}).Increment();
+  std::lock_guard<std::mutex> Lock(Impl_->Mutex);
+  prometheus::Counter *&Known = Impl_->KnownRetries[Reason];
+  if (!Known)
+    Known = &Impl_->Retries.Add({{"reason", Reason}});
+  Known->Increment();
 }
 
 void Counters::took(const char *Call, double Seconds) {
   static const prometheus::Histogram::BucketBoundaries Bounds = {
       0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5};
-  Impl_->Times.Add({{"call", Call}}, Bounds).Observe(Seconds);
+  std::lock_guard<std::mutex> Lock(Impl_->Mutex);
+  prometheus::Histogram *&Known = Impl_->KnownTimes[Call];
+  if (!Known)
+    Known = &Impl_->Times.Add({{"call", Call}}, Bounds);
+  Known->Observe(Seconds);
+}
+
+void Counters::pool(const PoolFigures &F) {
+  Impl &I = *Impl_;
+  std::lock_guard<std::mutex> Lock(I.Mutex);
+  prometheus::Labels Labels = {{"pool", F.Pool}};
+  observe(I.Plans, Labels, F.Plans);
+  observe(I.PlanWaits, Labels, F.Waits);
+  observe(I.ReportAges, Labels, F.Since.ReportAge);
+  I.Starts.Add(Labels).Increment(static_cast<double>(F.Since.Starts));
+  I.Lapsed.Add(Labels).Increment(static_cast<double>(F.Since.Lapsed));
+  add<jobs::OrderOutcome>(I.StartAnswers, F.Pool, "outcome",
+                          F.Since.StartAnswers);
+  add<jobs::OrderOutcome>(I.Reports, F.Pool, "outcome", F.Since.ReportAnswers);
+  add<jobs::RunEnd>(I.Ends, F.Pool, "kind", F.Since.Ends);
+  I.Shown.erase(F.Pool);
+  I.show(I.OpenJobs, F.Pool, {}, static_cast<double>(F.There.OpenJobs));
+  I.show(I.Runs, F.Pool, {}, static_cast<double>(F.There.Runs));
+  I.show(I.MostByOneReport, F.Pool, {}, F.Since.MostByOneReport);
+  for (std::size_t V = 0; V < jobs::WaitReasons; ++V)
+    I.show(I.Waiting, F.Pool,
+           {{"reason", nameOf(static_cast<jobs::WaitReason>(V))}},
+           static_cast<double>(F.There.Waiting[V]));
+  for (std::size_t V = 0; V < jobs::WorkerStandings; ++V)
+    I.show(I.Workers, F.Pool,
+           {{"standing", nameOf(static_cast<jobs::WorkerStanding>(V))}},
+           static_cast<double>(F.There.Workers[V]));
+}
+
+void Counters::forgetPool(const std::string &Pool) {
+  std::lock_guard<std::mutex> Lock(Impl_->Mutex);
+  for (const auto &[Family, Gauge] : Impl_->Shown[Pool])
+    Family->Remove(Gauge);
+  Impl_->Shown.erase(Pool);
 }
 
-void Counters::gauge(const std::string &Name, double Value) {
-  Impl_->Gauges.Add({{"name", Name}}).Set(Value);
+void Counters::entry(const EntryFigures &F) {
+  Impl &I = *Impl_;
+  observe(I.LoopWaits, {}, F.Loop.Waits);
+  I.LoopWaitMost.Add({}).Set(inSeconds(F.Loop.Waits.Most));
+  double Period = std::max(inSeconds(F.Period), 1 / MsInSecond);
+  I.LoopBusy.Add({}).Set(inSeconds(F.Loop.Busy) / Period);
+  for (std::size_t T = 0; T < net::HttpTargets; ++T) {
+    const net::HttpCounts &C = F.Calls[T];
+    const std::pair<const char *, std::uint64_t> Named[] = {
+        {"call", C.Calls},         {"connect", C.Connects},
+        {"not-sent", C.NotSent},   {"not-sent-in-time", C.NotSentInTime},
+        {"timed-out", C.TimedOut}, {"cut", C.Cut}};
+    const char *Target = net::nameOf(static_cast<net::HttpTarget>(T));
+    for (const auto &[What, Count] : Named)
+      if (Count > 0)
+        I.Calls.Add({{"target", Target}, {"what", What}})
+            .Increment(static_cast<double>(Count));
+  }
 }
 
 std::string Counters::text() const {
--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/DispatchEntry.h"
 
 #include "dispatch/Clock.h"
+#include "dispatch/EntryWatch.h"
 #include "dispatch/EventLog.h"
 #include "dispatch/FleetDuty.h"
 #include "dispatch/FrontDoor.h"
@@ -56,6 +57,7 @@
   TeamRooms Rooms;
   FleetDuty Duty;
   FrontDoor Door;
+  EntryWatch Watch;
   std::atomic<bool> Ready = false;
   std::atomic<bool> Leaving = false;
   net::HttpServer CallerServer;
@@ -72,11 +74,11 @@
         View(Ctx, [this] { refresh(); }), Owners(Ctx, View),
         PeerCalls(Ctx, View, Owners), Rooms(Ctx, View, Owners),
         Duty(Ctx, View, Owners, PeerCalls), Door(Ctx, View, PeerCalls),
-        CallerServer(
-            listenAt(Settings.Callers),
-            [this](net::HttpRequest Request, net::HttpResponder Respond) {
-              Door.receive(Request, std::move(Respond));
-            }),
+        Watch(Ctx), CallerServer(listenAt(Settings.Callers),
+                                 [this](net::HttpRequest Request,
+                                        net::HttpResponder Respond) {
+                                   Door.receive(Request, std::move(Respond));
+                                 }),
         ReadinessServer(listenAt(Settings.Readiness),
                         [this](const net::HttpRequest &Request,
                                const net::HttpResponder &Respond) {
@@ -147,6 +149,7 @@
     I.Owners.start();
     I.Rooms.start();
     I.Duty.start();
+    I.Watch.start();
     I.tick();
   });
   logEvent("started", {{"entry", I.Settings.Name}, {"life", I.Ctx.Life}});
--- /dev/null
+++ b/src/dispatch/EntryWatch.cpp
@@ -0,0 +1,72 @@
+#include "dispatch/EntryWatch.h"
+
+#include "dispatch/Clock.h"
+#include "dispatch/PoolWatch.h"
+
+#include <algorithm>
+
+namespace comfreydeck::dispatch {
+
+namespace {
+
+net::HttpCounts operator-(const net::HttpCounts &A, const net::HttpCounts &B) {
+  return {A.Calls - B.Calls,       A.Connects - B.Connects,
+          A.NotSent - B.NotSent,   A.NotSentInTime - B.NotSentInTime,
+          A.TimedOut - B.TimedOut, A.Cut - B.Cut};
+}
+
+/// The counts that are not zero, as "name=count name=count".
+std::string textOf(const net::HttpCounts &Counts) {
+  const std::pair<const char *, std::uint64_t> Named[] = {
+      {"calls", Counts.Calls},
+      {"connects", Counts.Connects},
+      {"not-sent", Counts.NotSent},
+      {"not-sent-in-time", Counts.NotSentInTime},
+      {"timed-out", Counts.TimedOut},
+      {"cut", Counts.Cut}};
+  std::string Text;
+  for (const auto &[Name, Count] : Named)
+    if (Count > 0)
+      Text += (Text.empty() ? "" : " ") + std::string(Name) + '=' +
+              std::to_string(Count);
+  return Text;
+}
+
+} // namespace
+
+std::vector<LogField> summaryOf(const EntryFigures &F) {
+  std::vector<LogField> Fields = {
+      {"period_ms", core::inMs(F.Period)},
+      {"loop_posts", F.Loop.Posts},
+      {"loop_wait_mean_ms", core::meanMs(F.Loop.Waits)},
+      {"loop_wait_most_ms", core::inMs(F.Loop.Waits.Most)},
+      {"loop_run_most_ms", core::inMs(F.Loop.Runs.Most)},
+      {"loop_busy",
+       core::inMs(F.Loop.Busy) / std::max(core::inMs(F.Period), 1.0)}};
+  for (std::size_t T = 0; T < net::HttpTargets; ++T)
+    if (F.Calls[T].Calls > 0)
+      Fields.emplace_back(net::nameOf(static_cast<net::HttpTarget>(T)),
+                          textOf(F.Calls[T]));
+  return Fields;
+}
+
+void EntryWatch::start() {
+  ToldAt_ = bootNow();
+  Ctx_.Loop.every(SummaryPeriod, [this] { tell(); });
+}
+
+void EntryWatch::tell() {
+  core::TimePoint Now = bootNow();
+  auto Calls = Ctx_.Client.counts();
+  EntryFigures Figures;
+  Figures.Period = Now - ToldAt_;
+  Figures.Loop = Ctx_.Loop.takeUse();
+  for (std::size_t T = 0; T < net::HttpTargets; ++T)
+    Figures.Calls[T] = Calls[T] - CallsBefore_[T];
+  logEvent("entry_summary", summaryOf(Figures));
+  Ctx_.Count.entry(Figures);
+  CallsBefore_ = Calls;
+  ToldAt_ = Now;
+}
+
+} // namespace comfreydeck::dispatch
--- a/src/dispatch/EventLog.cpp
+++ b/src/dispatch/EventLog.cpp
@@ -67,6 +67,10 @@
 } // namespace
 
 void logEvent(const char *Event, std::initializer_list<LogField> Fields) {
+  logEvent(Event, std::span(Fields.begin(), Fields.size()));
+}
+
+void logEvent(const char *Event, std::span<const LogField> Fields) {
   std::int64_t Now = wallMs();
   std::uint64_t LeftOut = 0;
   if (!mayWrite(Event, Now, LeftOut))
--- a/src/dispatch/EventLog.h
+++ b/src/dispatch/EventLog.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <span>
 #include <string>
 #include <utility>
 #include <variant>
@@ -31,6 +32,7 @@
 /// counted in the next one; a line that can't be written at once is dropped and
 /// counted. Keys and bodies never go into it. Thread-safe; never blocks.
 void logEvent(const char *Event, std::initializer_list<LogField> Fields = {});
+void logEvent(const char *Event, std::span<const LogField> Fields);
 
 } // namespace comfreydeck::dispatch
 
--- a/src/dispatch/FleetDuty.cpp
+++ b/src/dispatch/FleetDuty.cpp
@@ -249,9 +249,8 @@
   MachineProgress &P = Waves_[Wave].Machines[Id];
   P.InFlight = false;
   if (Outcome != DutyOutcome::Done)
-    logEvent("maintain_refused", {{"wave", Wave},
-                                  {"machine", Id},
-                                  {"outcome", static_cast<int>(Outcome)}});
+    logEvent("maintain_refused",
+             {{"wave", Wave}, {"machine", Id}, {"outcome", nameOf(Outcome)}});
   switch (Outcome) {
   case DutyOutcome::Done:
     P.Done = true;
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -284,15 +284,15 @@
   store::PartTransaction T;
   T.Conditions.push_back({Key, Token});
   T.Puts.push_back({Key, FleetView::ownerValue("", "")});
-  Ctx_.Store.commit(
-      std::move(T), StoreLimit, [this, Pool, Done](PartAnswer Answer) {
-        Ctx_.Loop.post([Pool, Done, Answer] {
-          logEvent(
-              "pool_released",
-              {{"pool", Pool}, {"outcome", static_cast<int>(Answer.Outcome)}});
-          Done();
-        });
-      });
+  Ctx_.Store.commit(std::move(T), StoreLimit,
+                    [this, Pool, Done](PartAnswer Answer) {
+                      Ctx_.Loop.post([Pool, Done, Answer] {
+                        logEvent("pool_released",
+                                 {{"pool", Pool},
+                                  {"outcome", store::nameOf(Answer.Outcome)}});
+                        Done();
+                      });
+                    });
 }
 
 void Ownership::leave(std::function<void()> Done) {
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -98,6 +98,7 @@
     return;
   }
   net::HttpCall Call;
+  Call.Target = net::HttpTarget::Peer;
   Call.Method = "POST";
   Call.Url = "http://" + *Address + Path;
   Call.Body = std::move(Body);
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -62,8 +62,8 @@
     : Ctx_(Ctx), View_(View), Jobs_(Jobs),
       State_(Taking.Pool, Taking.Token, bootNow(),
              limitsFor(Ctx.Settings, Taking)),
-      TakenAt_(Taking.At), Lost_(std::move(Lost)),
-      Part_(rows::poolPart(Taking.Pool)) {}
+      Watch_(Ctx.Count, Taking.Pool, Taking.Token), TakenAt_(Taking.At),
+      Lost_(std::move(Lost)), Part_(rows::poolPart(Taking.Pool)) {}
 
 // Loading.
 
@@ -287,12 +287,17 @@
   flush();
 }
 
-void PoolKeeper::drop() { Dropped_ = true; }
+void PoolKeeper::drop() {
+  if (Dropped_)
+    return;
+  Dropped_ = true;
+  Watch_.end(State_, bootNow(), wallMs());
+}
 
 void PoolKeeper::lose(const char *Why) {
   if (Dropped_)
     return;
-  Dropped_ = true;
+  drop();
   logEvent(
       "pool_lost",
       {{"pool", State_.pool()}, {"token", State_.token()}, {"reason", Why}});
@@ -305,6 +310,7 @@
   if (Dropped_)
     return;
   plan();
+  Watch_.look(State_, bootNow(), wallMs());
   auto Self = shared_from_this();
   Ctx_.Loop.after(TickPeriod, [Self] { Self->tick(); });
 }
@@ -314,7 +320,8 @@
     return;
   PlanQueued_ = true;
   auto Self = shared_from_this();
-  Ctx_.Loop.post([Self] {
+  Ctx_.Loop.post([Self, At = bootNow()] {
+    Self->Watch_.noteWait(bootNow() - At);
     Self->PlanQueued_ = false;
     Self->plan();
   });
@@ -336,7 +343,9 @@
   In.MayStart = !Leaving_ && In.Now < In.AuthorityEnd;
   In.JobsReadAt = Jobs_.currentAt();
   noteSettled(In.Now);
-  send(State_.plan(In));
+  jobs::Orders Orders = State_.plan(In);
+  Watch_.notePlan(bootNow() - In.Now);
+  send(std::move(Orders));
   if (State_.isFenced()) {
     lose("fenced");
     return;
@@ -390,7 +399,7 @@
                          {{"job", Order.Task.JobId},
                           {"worker", Order.Worker},
                           {"run", Order.Run},
-                          {"outcome", static_cast<int>(Result.Outcome)}});
+                          {"outcome", jobs::nameOf(Result.Outcome)}});
                 Self->wake();
               }
             });
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -2,6 +2,7 @@
 #define COMFREYDECK_DISPATCH_POOLKEEPER_H
 
 #include "dispatch/FleetView.h"
+#include "dispatch/PoolWatch.h"
 
 #include <memory>
 
@@ -90,6 +91,7 @@
   FleetView &View_;
   const Follower &Jobs_;
   jobs::PoolState State_;
+  PoolWatch Watch_;
   core::TimePoint TakenAt_;
   std::function<void(const std::string &)> Lost_;
   std::function<void()> Left_;
--- a/src/dispatch/PoolMoves.cpp
+++ b/src/dispatch/PoolMoves.cpp
@@ -166,7 +166,7 @@
   if (Outcome == DutyOutcome::Done || Outcome == DutyOutcome::Unknown)
     return;
   logEvent("move_refused",
-           {{"machine", Move.Machine}, {"outcome", static_cast<int>(Outcome)}});
+           {{"machine", Move.Machine}, {"outcome", nameOf(Outcome)}});
   Going_.erase(Move.Machine);
 }
 
--- a/src/dispatch/Ports.h
+++ b/src/dispatch/Ports.h
@@ -69,6 +69,10 @@
   Unknown,
 };
 
+inline constexpr std::size_t DutyOutcomes = 6;
+
+const char *nameOf(DutyOutcome Outcome);
+
 struct MachineList {
   bool Ok = false;
   std::vector<Machine> Machines;
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -74,6 +74,7 @@
   if (In.MayStart && Config_) {
     StartPlan Plan(*this, In);
     Out.Starts = Plan.run();
+    noteStarts(Out.Starts, In.Now);
   }
   planStops(In, Out);
   planHolds(In, Out);
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -22,6 +22,7 @@
 
 void PoolState::onStart(const StartOrder &Order, const OrderResult &Result,
                         core::TimePoint Now) {
+  ++Counters_.StartAnswers[jobs::indexOf(Result.Outcome)];
   auto At = Workers_.find(Order.Worker);
   if (At == Workers_.end())
     return;
@@ -45,7 +46,6 @@
   case OrderOutcome::Unknown:
     // It may run, now or later: a report that lists it or a stop that is
     // answered settles it.
-    ++Counters_.Uncertain;
     if (Run && !Run->Confirmed) {
       Run->Stopping = true;
       Run->StopAt = Now;
@@ -63,7 +63,6 @@
   case OrderOutcome::NoTicket:
   case OrderOutcome::Refused:
   case OrderOutcome::NotSent:
-    ++Counters_.Refused;
     if (Result.Outcome == OrderOutcome::NotSent)
       W.LifeSure = false;
     if (Result.Outcome != OrderOutcome::OldRun)
@@ -77,6 +76,7 @@
 
 void PoolState::onStop(const StopOrder &Order, const OrderResult &Result,
                        core::TimePoint Now) {
+  ++Counters_.StopAnswers[jobs::indexOf(Result.Outcome)];
   auto At = Workers_.find(Order.Worker);
   JobRecord *Job = jobOf(Order.Task.JobId);
   if (At == Workers_.end() || !Job)
@@ -109,6 +109,7 @@
 
 void PoolState::onReport(const HoldOrder &Order, const ReportResult &Result,
                          core::TimePoint SentAt, core::TimePoint Now) {
+  ++Counters_.ReportAnswers[jobs::indexOf(Result.Outcome)];
   auto At = Workers_.find(Order.Worker);
   if (At == Workers_.end())
     return;
@@ -140,6 +141,7 @@
   noteClock(W, Report.ClockMs, Now);
   W.Heard = W.LifeSure = true;
   W.ReportedAt = Now;
+  W.StartsSinceReport = 0;
   W.NotedTold = std::max(W.NotedTold, Order.NotedUpTo);
   W.NextHold = Report.Ended.empty() ? Now : Now + Limits_.ReportPause;
   for (const EndReport &End : Report.Ended)
@@ -155,6 +157,7 @@
 void PoolState::handleEnd(WorkerState &W, const EndReport &End,
                           core::TimePoint Now) {
   W.Handled = End.Number;
+  ++Counters_.Ends[jobs::indexOf(End.How)];
   JobRecord *Job = jobOf(End.Task.JobId);
   if (!Job) {
     // The owner before may have started a job of which this one is told later:
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -2,9 +2,9 @@
 #define COMFREYDECK_JOBS_POOLSTATE_H
 
 #include "jobs/FleetConfig.h"
+#include "jobs/PoolFigures.h"
 #include "jobs/PoolSizes.h"
 #include "jobs/RunPace.h"
-#include "jobs/Worker.h"
 
 #include <deque>
 #include <map>
@@ -226,18 +226,8 @@
   bool Pressed = false;
   /// When its last report came.
   core::TimePoint ReportedAt;
-};
-
-/// Counters of one pool, for metrics and logs.
-struct PoolCounters {
-  std::uint64_t Starts = 0;
-  std::uint64_t Done = 0;
-  std::uint64_t Failed = 0;
-  std::uint64_t Lapsed = 0;
-  std::uint64_t Refused = 0;
-  std::uint64_t Uncertain = 0;
-  std::uint64_t UnexpectedRuns = 0;
-  std::uint64_t Stragglers = 0;
+  /// Starts that were decided by that report.
+  std::uint32_t StartsSinceReport = 0;
 };
 
 /// Run times of one queue's tasks.
@@ -321,7 +311,9 @@
 
   std::uint64_t token() const { return Token_; }
   const std::string &pool() const { return Pool_; }
-  const PoolCounters &counters() const { return Counters_; }
+  /// What happened since the last call.
+  PoolCounters takeCounters();
+  PoolCensus census(core::TimePoint Now, std::int64_t WallMs) const;
   /// An order was refused since a higher token was used.
   bool isFenced() const { return Fenced_; }
   const std::unordered_map<std::string, std::unique_ptr<WorkerState>> &
@@ -376,6 +368,11 @@
   std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
   bool leaseLapsed(const WorkerState &W, core::TimePoint Now) const;
 
+  WorkerStanding standingOf(const WorkerState &W, core::TimePoint Now) const;
+  WaitReason waitReason(const JobRecord &Job, std::uint32_t Task, bool AllHeard,
+                        core::TimePoint Now) const;
+  void noteStarts(const std::vector<StartOrder> &Starts, core::TimePoint Now);
+
   std::uint64_t arrivingCpu(core::TimePoint Now) const;
   void noteArrival(const JobRecord &Job, core::TimePoint Now);
   double runTimeMs(const JobRecord &Job, const StepSpec &Step) const;
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -270,7 +270,6 @@
   Live.OrderedAt = In_.Now;
   Owner_.addRun(Job, Task, std::move(Live));
   Job.Tasks[Task].WantsCopy = false;
-  ++Owner_.Counters_.Starts;
   StartOrder Order;
   Order.Worker = W.Entry.Id;
   Order.Task = Owner_.refOf(Job, Task);
--- a/src/jobs/Worker.h
+++ b/src/jobs/Worker.h
@@ -46,6 +46,10 @@
   Alone,
 };
 
+inline constexpr std::size_t RunEnds = 6;
+
+const char *nameOf(RunEnd How);
+
 /// One end that a worker lists until it is told that the end is noted.
 struct EndReport {
   std::uint64_t Number = 0;
@@ -84,6 +88,10 @@
   Unknown,
 };
 
+inline constexpr std::size_t OrderOutcomes = 10;
+
+const char *nameOf(OrderOutcome Outcome);
+
 struct OrderResult {
   OrderOutcome Outcome = OrderOutcome::Unknown;
   /// Zero: none was given.
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -19,6 +19,16 @@
 /// How much longer than its limit a transfer is left to libcurl.
 constexpr std::chrono::milliseconds Grace(10);
 
+/// Written on the client's thread.
+struct LiveCounts {
+  std::atomic<std::uint64_t> Calls = 0;
+  std::atomic<std::uint64_t> Connects = 0;
+  std::atomic<std::uint64_t> NotSent = 0;
+  std::atomic<std::uint64_t> NotSentInTime = 0;
+  std::atomic<std::uint64_t> TimedOut = 0;
+  std::atomic<std::uint64_t> Cut = 0;
+};
+
 /// One call in the hands of libcurl.
 struct Transfer {
   std::uint64_t Id = 0;
@@ -160,6 +170,22 @@
 
 } // namespace
 
+const char *nameOf(HttpTarget Target) {
+  switch (Target) {
+  case HttpTarget::Other:
+    return "other";
+  case HttpTarget::Store:
+    return "store";
+  case HttpTarget::Worker:
+    return "worker";
+  case HttpTarget::Peer:
+    return "peer";
+  case HttpTarget::Machines:
+    return "machines";
+  }
+  return "";
+}
+
 struct HttpClient::Impl {
   explicit Impl(HttpClientOptions ClientOptions) : Options(ClientOptions) {}
 
@@ -175,6 +201,7 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> Flying;
   std::set<std::pair<std::chrono::steady_clock::time_point, std::uint64_t>>
       Overdue;
+  std::array<LiveCounts, HttpTargets> Counts;
 
   void run();
   void takeIncoming();
@@ -182,6 +209,7 @@
   void endOverdue();
   int pollMs() const;
   void finish(Transfer &T, CURLcode Code);
+  void count(const Transfer &T, CURLcode Code);
   void collect();
 };
 
@@ -254,6 +282,7 @@
   } else {
     T.Result.Error = curl_easy_strerror(Code);
   }
+  count(T, Code);
   curl_multi_remove_handle(Multi, T.Easy);
   auto It = Flying.find(T.Id);
   std::unique_ptr<Transfer> Owned = std::move(It->second);
@@ -262,6 +291,34 @@
   Owned->Done(std::move(Owned->Result));
 }
 
+void HttpClient::Impl::count(const Transfer &T, CURLcode Code) {
+  LiveCounts &To = Counts[static_cast<std::size_t>(T.Call.Target)];
+  auto Add = [](std::atomic<std::uint64_t> &Count, std::uint64_t More) {
+    Count.fetch_add(More, std::memory_order_relaxed);
+  };
+  long Connects = 0;
+  curl_easy_getinfo(T.Easy, CURLINFO_NUM_CONNECTS, &Connects);
+  Add(To.Calls, 1);
+  Add(To.Connects, static_cast<std::uint64_t>(Connects));
+  switch (T.Result.End) {
+  case core::ExchangeEnd::Answered:
+    return;
+  case core::ExchangeEnd::NeverSent:
+  case core::ExchangeEnd::ConnectFailed:
+    Add(Code == CURLE_OPERATION_TIMEDOUT ? To.NotSentInTime : To.NotSent, 1);
+    return;
+  case core::ExchangeEnd::TimedOut:
+    Add(To.TimedOut, 1);
+    return;
+  case core::ExchangeEnd::SendCut:
+  case core::ExchangeEnd::AnswerCut:
+  case core::ExchangeEnd::WrongRequest:
+  case core::ExchangeEnd::RefusedByTarget:
+    Add(To.Cut, 1);
+    return;
+  }
+}
+
 void HttpClient::Impl::collect() {
   int Left = 0;
   while (CURLMsg *Message = curl_multi_info_read(Multi, &Left)) {
@@ -323,4 +380,14 @@
   curl_multi_wakeup(Impl_->Multi);
 }
 
+std::array<HttpCounts, HttpTargets> HttpClient::counts() const {
+  std::array<HttpCounts, HttpTargets> Read;
+  for (std::size_t T = 0; T < HttpTargets; ++T) {
+    const LiveCounts &From = Impl_->Counts[T];
+    Read[T] = {From.Calls,         From.Connects, From.NotSent,
+               From.NotSentInTime, From.TimedOut, From.Cut};
+  }
+  return Read;
+}
+
 } // namespace comfreydeck::net
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -5,11 +5,34 @@
 #include "core/Verdict.h"
 #include "net/Http.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 
 namespace comfreydeck::net {
 
+/// What kind of host a call goes to; for counting only.
+enum class HttpTarget : std::uint8_t { Other, Store, Worker, Peer, Machines };
+
+inline constexpr std::size_t HttpTargets = 5;
+
+const char *nameOf(HttpTarget Target);
+
+/// Calls that ended, to one kind of host.
+struct HttpCounts {
+  std::uint64_t Calls = 0;
+  /// Connections opened for them.
+  std::uint64_t Connects = 0;
+  /// Nothing was sent: the host refused the connection or gave none.
+  std::uint64_t NotSent = 0;
+  /// Nothing was sent in time: no connection came about, or none was free.
+  std::uint64_t NotSentInTime = 0;
+  /// Sent, and not answered in time.
+  std::uint64_t TimedOut = 0;
+  /// The connection broke within the exchange, or the call was given up.
+  std::uint64_t Cut = 0;
+};
+
 /// One request to send.
 struct HttpCall {
   std::string Method = "GET";
@@ -27,6 +50,7 @@
   bool MayResend = true;
   /// For https: what this side shows, and whom it trusts.
   std::shared_ptr<const TlsIdentity> Tls;
+  HttpTarget Target = HttpTarget::Other;
 };
 
 /// How the call ended and what came back.
@@ -69,6 +93,10 @@
   /// Gives a call up; its callback still comes. Thread-safe.
   void cancel(HttpCallId Id);
 
+  /// Counts since the start, by target. Thread-safe; the figures of one moment
+  /// may be of calls apart.
+  std::array<HttpCounts, HttpTargets> counts() const;
+
   /// Ends what is in flight as cut, then joins the thread. Calls that are sent
   /// meanwhile end before any byte of them left; later ones get no callback.
   /// Not to be called from a callback. May be called twice.
--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -2,7 +2,9 @@
 
 #include <asio.hpp>
 
+#include <atomic>
 #include <thread>
+#include <utility>
 
 namespace comfreydeck::net {
 
@@ -16,6 +18,10 @@
   asio::executor_work_guard<asio::io_context::executor_type> Work =
       asio::make_work_guard(Io);
   std::thread Thread;
+  std::atomic<std::uint64_t> Posts = 0;
+  /// Only on the thread.
+  std::uint64_t PostsTaken = 0;
+  LoopUse Use;
 };
 
 Loop::Loop() : Impl_(std::make_unique<Impl>()) {}
@@ -33,15 +39,36 @@
 }
 
 void Loop::post(std::function<void()> Work) {
-  asio::post(Impl_->Io, std::move(Work));
+  if (Impl_->Posts.fetch_add(1, std::memory_order_relaxed) % SampleEvery != 0) {
+    asio::post(Impl_->Io, std::move(Work));
+    return;
+  }
+  asio::post(Impl_->Io,
+             [this, At = now(), Work = std::move(Work)] { timed(At, Work); });
+}
+
+void Loop::timed(core::TimePoint PostedAt, const std::function<void()> &Work) {
+  LoopUse &Use = Impl_->Use;
+  core::TimePoint Begin = now();
+  core::note(Use.Waits, Begin - PostedAt);
+  Work();
+  core::Duration Ran = now() - Begin;
+  core::note(Use.Runs, Ran);
+  Use.Busy += Ran * SampleEvery;
 }
 
 void Loop::after(core::Duration Delay, std::function<void()> Work) {
   auto Timer = std::make_shared<asio::steady_timer>(Impl_->Io, Delay);
-  Timer->async_wait([Timer, Work = std::move(Work)](std::error_code Failed) {
-    if (!Failed)
-      Work();
-  });
+  Timer->async_wait(
+      [this, Timer, Work = std::move(Work)](std::error_code Failed) {
+        if (Failed)
+          return;
+        core::TimePoint Begin = now();
+        Work();
+        core::Duration Ran = now() - Begin;
+        core::note(Impl_->Use.Runs, Ran);
+        Impl_->Use.Busy += Ran;
+      });
 }
 
 void Loop::every(core::Duration Period, std::function<void()> Work) {
@@ -51,4 +78,11 @@
   });
 }
 
+LoopUse Loop::takeUse() {
+  std::uint64_t Posts = Impl_->Posts.load(std::memory_order_relaxed);
+  LoopUse Taken = std::exchange(Impl_->Use, {});
+  Taken.Posts = Posts - std::exchange(Impl_->PostsTaken, Posts);
+  return Taken;
+}
+
 } // namespace comfreydeck::net
--- a/src/net/Loop.h
+++ b/src/net/Loop.h
@@ -1,7 +1,7 @@
 #ifndef COMFREYDECK_NET_LOOP_H
 #define COMFREYDECK_NET_LOOP_H
 
-#include "core/Types.h"
+#include "core/TimeBins.h"
 
 #include <functional>
 #include <memory>
@@ -11,6 +11,19 @@
 /// The monotonic clock. Thread-safe.
 core::TimePoint now();
 
+/// How a loop's thread was used for a while.
+struct LoopUse {
+  /// Functions posted.
+  std::uint64_t Posts = 0;
+  /// How long sampled functions waited from their posting to their run.
+  core::TimeBins Waits;
+  /// How long sampled functions and all timers' functions ran.
+  core::TimeBins Runs;
+  /// Estimate of the time that the thread was at work, pauses that the system
+  /// made in it included.
+  core::Duration Busy{0};
+};
+
 /// One thread that runs posted functions and timers in turn.
 class Loop {
 public:
@@ -37,7 +50,15 @@
   /// Runs \p Work each \p Period from now on. Thread-safe.
   void every(core::Duration Period, std::function<void()> Work);
 
+  /// One posted function in that many is timed, so that the rest costs nothing.
+  static constexpr std::uint64_t SampleEvery = 8;
+
+  /// What was seen since the last call. Only on the loop's thread.
+  LoopUse takeUse();
+
 private:
+  void timed(core::TimePoint PostedAt, const std::function<void()> &Work);
+
   struct Impl;
   std::unique_ptr<Impl> Impl_;
 };
--- a/src/store/PartitionedStore.h
+++ b/src/store/PartitionedStore.h
@@ -61,6 +61,10 @@
   HistoryGone,
 };
 
+inline constexpr std::size_t PartOutcomes = 5;
+
+const char *nameOf(PartOutcome Outcome);
+
 struct PartAnswer {
   PartOutcome Outcome = PartOutcome::NotDone;
   /// The rows read or changed; after a conflict the rows of the conditions.
--- a/tests/adapter/JobPathTest.cpp
+++ b/tests/adapter/JobPathTest.cpp
@@ -72,6 +72,7 @@
     S.Callers = freeAddress();
     S.Readiness = freeAddress();
     S.Peers = freeAddress();
+    S.Metrics = freeAddress();
     S.Store = StoreAddress;
     return S;
   }
@@ -169,6 +170,19 @@
     Slot = std::make_unique<JobEntry>(Name, Rows.address());
   }
 
+  /// What the platform fetches from the entry's metrics address.
+  std::string metrics(int Entry) {
+    net::HttpCall Call;
+    Call.Url = "http://" +
+               Entries.at(static_cast<std::size_t>(Entry))->Settings.Metrics +
+               "/metrics";
+    std::promise<std::string> Text;
+    Caller.send(std::move(Call), [&](const net::HttpResult &Result) {
+      Text.set_value(Result.Response.Body);
+    });
+    return Text.get_future().get();
+  }
+
   static std::string idOf(int Number) {
     std::string Digits = std::to_string(Number);
     return std::string(16 - Digits.size(), '0') + Digits;
@@ -286,3 +300,28 @@
   });
   CHECK_FALSE(Doubled);
 }
+
+TEST_CASE("an owner's metrics show its pool, its workers and its thread") {
+  JobSite Site(1);
+  Site.submit(0, 1);
+  waitUntil([&] { return Site.isCompleted(0, 1); });
+  std::string Text;
+  for (const char *Part :
+       {"comfreydeck_job_answers_total{call=\"submit\"",
+        "comfreydeck_job_starts_total{pool=\"p\"} 3",
+        "comfreydeck_job_start_answers_total{outcome=\"accepted\",pool=\"p\"} "
+        "3",
+        "comfreydeck_job_ends_total{kind=\"done\",pool=\"p\"} 3",
+        "comfreydeck_job_pool_workers{pool=\"p\",standing=\"usable\"} 2",
+        "comfreydeck_job_pool_runs{pool=\"p\"} 0",
+        "comfreydeck_job_plan_seconds_count{pool=\"p\"}",
+        "comfreydeck_job_loop_wait_seconds_count",
+        "comfreydeck_job_http_total{target=\"worker\",what=\"connect\"}",
+        "comfreydeck_job_http_total{target=\"store\",what=\"call\"}"}) {
+    CAPTURE(Part);
+    waitUntil([&] {
+      Text = Site.metrics(0);
+      return Text.find(Part) != std::string::npos;
+    });
+  }
+}
--- /dev/null
+++ b/tests/dispatch/PoolWatchTest.cpp
@@ -0,0 +1,173 @@
+#include "dispatch/PoolWatch.h"
+
+#include "dispatch/EntryWatch.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace comfreydeck;
+using namespace comfreydeck::dispatch;
+using std::chrono::milliseconds;
+
+namespace {
+
+const LogValue &field(const std::vector<LogField> &Fields,
+                      const std::string &Name) {
+  auto At = std::find_if(Fields.begin(), Fields.end(),
+                         [&](const LogField &F) { return Name == F.Name; });
+  REQUIRE(At != Fields.end());
+  return At->Value;
+}
+
+bool has(const std::string &Text, const std::string &Part) {
+  bool Found = Text.find(Part) != std::string::npos;
+  if (!Found)
+    MESSAGE(Text);
+  return Found;
+}
+
+PoolFigures sampleFigures() {
+  PoolFigures F;
+  F.Pool = "p1";
+  F.Token = 5;
+  F.Period = std::chrono::seconds(5);
+  F.There.OpenJobs = 4;
+  F.There.Workers[jobs::indexOf(jobs::WorkerStanding::Silent)] = 3;
+  F.There.Workers[jobs::indexOf(jobs::WorkerStanding::Usable)] = 60;
+  F.There.Waiting[jobs::indexOf(jobs::WaitReason::Room)] = 7;
+  F.Since.Starts = 20;
+  F.Since.StartAnswers[jobs::indexOf(jobs::OrderOutcome::OtherIncarnation)] = 2;
+  F.Since.ReportAnswers[jobs::indexOf(jobs::OrderOutcome::Unknown)] = 9;
+  F.Since.Ends[jobs::indexOf(jobs::RunEnd::Lapsed)] = 1;
+  core::note(F.Since.ReportAge, milliseconds(400));
+  core::note(F.Plans, milliseconds(20));
+  core::note(F.Waits, milliseconds(300));
+  return F;
+}
+
+} // namespace
+
+TEST_CASE("outcomes of orders to machines have names of their own") {
+  std::set<std::string> Names;
+  for (std::size_t V = 0; V < DutyOutcomes; ++V)
+    CHECK(Names.insert(nameOf(static_cast<DutyOutcome>(V))).second);
+  for (std::size_t V = 0; V < store::PartOutcomes; ++V)
+    CHECK(!std::string(store::nameOf(static_cast<store::PartOutcome>(V)))
+               .empty());
+  CHECK(Names.count("") == 0);
+}
+
+TEST_CASE("a pool's summary names outcomes and leaves out what did not come") {
+  std::vector<LogField> Fields = summaryOf(sampleFigures());
+  CHECK(std::get<std::string>(field(Fields, "workers")) ==
+        "silent=3 usable=60");
+  CHECK(std::get<std::string>(field(Fields, "waiting")) == "room=7");
+  CHECK(std::get<std::string>(field(Fields, "start_answers")) ==
+        "other-incarnation=2");
+  CHECK(std::get<std::string>(field(Fields, "reports")) == "unknown=9");
+  CHECK(std::get<std::string>(field(Fields, "ends")) == "lapsed=1");
+  CHECK(std::get<double>(field(Fields, "report_age_mean_ms")) == 400);
+  CHECK(std::get<double>(field(Fields, "plan_most_ms")) == 20);
+  CHECK(std::get<double>(field(Fields, "plan_wait_most_ms")) == 300);
+}
+
+TEST_CASE("what a pool counts is exported by outcome, kind and standing") {
+  Counters Count;
+  Count.pool(sampleFigures());
+  Count.pool(sampleFigures());
+  std::string Text = Count.text();
+  CHECK(has(Text, "comfreydeck_job_pool_workers{pool=\"p1\",standing="
+                  "\"silent\"} 3"));
+  CHECK(has(Text, "comfreydeck_job_pool_waiting{pool=\"p1\",reason=\"room\"} "
+                  "7"));
+  CHECK(has(Text, "comfreydeck_job_start_answers_total{outcome="
+                  "\"other-incarnation\",pool=\"p1\"} 4"));
+  CHECK(has(Text, "comfreydeck_job_worker_reports_total{outcome=\"unknown\","
+                  "pool=\"p1\"} 18"));
+  CHECK(has(Text, "comfreydeck_job_ends_total{kind=\"lapsed\",pool=\"p1\"} 2"));
+  CHECK(has(Text, "comfreydeck_job_starts_total{pool=\"p1\"} 40"));
+  CHECK(has(Text, "comfreydeck_job_plan_seconds_count{pool=\"p1\"} 2"));
+  CHECK(has(Text, "comfreydeck_job_plan_seconds_bucket{pool=\"p1\",le="
+                  "\"0.025\"} 2"));
+  CHECK(has(Text, "comfreydeck_job_report_age_seconds_count{pool=\"p1\"} 2"));
+}
+
+TEST_CASE("a pool that is owned here no more shows no state") {
+  Counters Count;
+  Count.pool(sampleFigures());
+  Count.forgetPool("p1");
+  Count.forgetPool("p2");
+  std::string Text = Count.text();
+  CHECK(Text.find("comfreydeck_job_pool_workers{") == std::string::npos);
+  CHECK(has(Text, "comfreydeck_job_starts_total{pool=\"p1\"} 20"));
+  Count.pool(sampleFigures());
+  CHECK(has(Count.text(), "comfreydeck_job_pool_jobs{pool=\"p1\"} 4"));
+}
+
+TEST_CASE("a pool is told of once in a period and when it is lost") {
+  Counters Count;
+  core::TimePoint Now{std::chrono::hours(1)};
+  jobs::PoolState State("p1", 5, Now, jobs::OwnerLimits());
+  PoolWatch Watch(Count, "p1", 5);
+  auto Plans = [&] {
+    std::string Text = Count.text();
+    std::string Name = "comfreydeck_job_plan_seconds_count{pool=\"p1\"} ";
+    std::size_t At = Text.find(Name);
+    return At == std::string::npos ? 0
+                                   : std::stoi(Text.substr(At + Name.size()));
+  };
+  Watch.look(State, Now, 0);
+  Watch.notePlan(milliseconds(1));
+  Watch.look(State, Now + SummaryPeriod - milliseconds(1), 0);
+  CHECK(Plans() == 0);
+  Watch.look(State, Now + SummaryPeriod, 0);
+  CHECK(Plans() == 1);
+  Watch.notePlan(milliseconds(1));
+  Watch.look(State, Now + SummaryPeriod + milliseconds(1), 0);
+  CHECK(Plans() == 1);
+  Watch.end(State, Now + SummaryPeriod + milliseconds(2), 0);
+  CHECK(Plans() == 2);
+}
+
+TEST_CASE("an entry's summary tells calls apart by host and by end") {
+  EntryFigures F;
+  F.Period = std::chrono::seconds(5);
+  F.Loop.Busy = std::chrono::milliseconds(4000);
+  F.Loop.Posts = 100;
+  core::note(F.Loop.Waits, milliseconds(250));
+  auto &Worker = F.Calls[static_cast<std::size_t>(net::HttpTarget::Worker)];
+  Worker.Calls = 30;
+  Worker.Connects = 20;
+  Worker.NotSentInTime = 2;
+  Worker.TimedOut = 4;
+  std::vector<LogField> Fields = summaryOf(F);
+  CHECK(std::get<std::string>(field(Fields, "worker")) ==
+        "calls=30 connects=20 not-sent-in-time=2 timed-out=4");
+  CHECK(std::get<double>(field(Fields, "loop_busy")) == doctest::Approx(0.8));
+  CHECK(std::get<double>(field(Fields, "loop_wait_most_ms")) == 250);
+  Counters Count;
+  Count.entry(F);
+  std::string Text = Count.text();
+  CHECK(has(Text, "comfreydeck_job_http_total{target=\"worker\",what="
+                  "\"connect\"} 20"));
+  CHECK(has(Text, "comfreydeck_job_http_total{target=\"worker\",what="
+                  "\"timed-out\"} 4"));
+  CHECK(has(Text, "comfreydeck_job_loop_wait_seconds_count 1"));
+  CHECK(has(Text, "comfreydeck_job_loop_wait_most_seconds 0.25"));
+  CHECK(has(Text, "comfreydeck_job_loop_busy_share 0.8"));
+}
+
+TEST_CASE("calls are counted under the same names as before") {
+  Counters Count;
+  for (int I = 0; I < 3; ++I) {
+    Count.answered("submit", 503, "no-owner");
+    Count.took("submit", 0.02);
+  }
+  Count.retried("load-jobs");
+  std::string Text = Count.text();
+  CHECK(has(Text, "comfreydeck_job_answers_total{call=\"submit\",reason="
+                  "\"no-owner\",status=\"503\"} 3"));
+  CHECK(has(Text, "comfreydeck_job_retries_total{reason=\"load-jobs\"} 1"));
+  CHECK(has(Text, "comfreydeck_job_call_seconds_count{call=\"submit\"} 3"));
+}
