Say when a pool's rows can't be read, and count bytes received by kind of host

Failed readings at a takeover were only counted, not logged, and nothing told an answer that was too large for the link from a silent store.

pool_load_failed names the table, the outcome and the age of the takeover; entry_summary and comfreydeck_job_http_total count bytes received. The count of bytes has a test in tests/net; the line has none.

--- a/src/dispatch/EntryWatch.cpp
+++ b/src/dispatch/EntryWatch.cpp
@@ -23,7 +23,8 @@
       {"not-sent", Counts.NotSent},
       {"not-sent-in-time", Counts.NotSentInTime},
       {"timed-out", Counts.TimedOut},
-      {"cut", Counts.Cut}};
+      {"cut", Counts.Cut},
+      {"bytes-in", Counts.BytesIn}};
   std::string Text;
   for (const auto &[Name, Count] : Named)
     if (Count > 0)
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -79,12 +79,25 @@
                   return;
                 }
                 Self->Ctx_.Count.retried("load-jobs");
+                Self->logLoadFailure(rows::Jobs, Answer);
                 Self->Ctx_.Loop.after(StoreRetry,
                                       [Self, Loaded] { Self->load(Loaded); });
               });
             });
 }
 
+/// A pool whose rows can't be read has an owner that does not work.
+void PoolKeeper::logLoadFailure(const char *Table, const PartAnswer &Answer) {
+  logEvent("pool_load_failed",
+           {{"pool", State_.pool()},
+            {"token", State_.token()},
+            {"table", Table},
+            {"outcome", store::nameOf(Answer.Outcome)},
+            {"error", Answer.Error},
+            {"rows_read", Answer.Rows.size()},
+            {"since_ms", core::inMs(bootNow() - TakenAt_)}});
+}
+
 void PoolKeeper::loadProgress(std::function<void(std::uint64_t)> Loaded,
                               std::vector<store::PartRow> JobRows,
                               std::uint64_t Version) {
@@ -99,6 +112,7 @@
             return;
           if (Answer.Outcome != PartOutcome::Ok) {
             Self->Ctx_.Count.retried("load-progress");
+            Self->logLoadFailure(rows::Progress, Answer);
             Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, Jobs, Version] {
               Self->loadProgress(Loaded, *Jobs, Version);
             });
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -67,6 +67,7 @@
   void wake();
 
 private:
+  void logLoadFailure(const char *Table, const store::PartAnswer &Answer);
   void loadProgress(std::function<void(std::uint64_t)> Loaded,
                     std::vector<store::PartRow> JobRows, std::uint64_t Version);
   void takeUp(const std::vector<store::PartRow> &JobRows,
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -27,6 +27,7 @@
   std::atomic<std::uint64_t> NotSentInTime = 0;
   std::atomic<std::uint64_t> TimedOut = 0;
   std::atomic<std::uint64_t> Cut = 0;
+  std::atomic<std::uint64_t> BytesIn = 0;
 };
 
 /// One call in the hands of libcurl.
@@ -300,6 +301,7 @@
   curl_easy_getinfo(T.Easy, CURLINFO_NUM_CONNECTS, &Connects);
   Add(To.Calls, 1);
   Add(To.Connects, static_cast<std::uint64_t>(Connects));
+  Add(To.BytesIn, T.Result.Response.Body.size());
   switch (T.Result.End) {
   case core::ExchangeEnd::Answered:
     return;
@@ -384,8 +386,8 @@
   std::array<HttpCounts, HttpTargets> Read;
   for (std::size_t T = 0; T < HttpTargets; ++T) {
     const LiveCounts &From = Impl_->Counts[T];
-    Read[T] = {From.Calls,         From.Connects, From.NotSent,
-               From.NotSentInTime, From.TimedOut, From.Cut};
+    Read[T] = {From.Calls,    From.Connects, From.NotSent, From.NotSentInTime,
+               From.TimedOut, From.Cut,      From.BytesIn};
   }
   return Read;
 }
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -31,6 +31,8 @@
   std::uint64_t TimedOut = 0;
   /// The connection broke within the exchange, or the call was given up.
   std::uint64_t Cut = 0;
+  /// Bytes of bodies received, of answers that were not whole as well.
+  std::uint64_t BytesIn = 0;
 };
 
 /// One request to send.
--- a/tests/net/HttpCountsTest.cpp
+++ b/tests/net/HttpCountsTest.cpp
@@ -66,6 +66,7 @@
   net::HttpCounts Seen = countsOf(Client, HttpTarget::Worker);
   CHECK(Seen.Calls == 3);
   CHECK(Seen.Connects == Server.connections());
+  CHECK(Seen.BytesIn == 3 * std::string("done").size());
   CHECK(countsOf(Client, HttpTarget::Store).Calls == 0);
 }
 
