--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -62,8 +62,8 @@
     : Ctx_(Ctx), View_(View), Jobs_(Jobs),
       State_(Taking.Pool, Taking.Token, bootNow(),
              limitsFor(Ctx.Settings, Taking)),
-      TakenAt_(Taking.At), Lost_(std::move(Lost)),
-      Part_(rows::poolPart(Taking.Pool)) {}
+      Watch_(Ctx.Count, Taking.Pool, Taking.Token), TakenAt_(Taking.At),
+      Lost_(std::move(Lost)), Part_(rows::poolPart(Taking.Pool)) {}
 
 // Loading.
 
@@ -79,15 +79,25 @@
                   return;
                 }
                 Self->Ctx_.Count.retried("load-jobs");
-                logEvent("pool_load_retried", {{"pool", Self->State_.pool()},
-                                               {"table", "jobs"},
-                                               {"error", Answer.Error}});
+                Self->logLoadFailure(rows::Jobs, Answer);
                 Self->Ctx_.Loop.after(StoreRetry,
                                       [Self, Loaded] { Self->load(Loaded); });
               });
             });
 }
 
+/// A pool whose rows can't be read has an owner that does not work.
+void PoolKeeper::logLoadFailure(const char *Table, const PartAnswer &Answer) {
+  logEvent("pool_load_failed",
+           {{"pool", State_.pool()},
+            {"token", State_.token()},
+            {"table", Table},
+            {"outcome", store::nameOf(Answer.Outcome)},
+            {"error", Answer.Error},
+            {"rows_read", Answer.Rows.size()},
+            {"since_ms", core::inMs(bootNow() - TakenAt_)}});
+}
+
 void PoolKeeper::loadProgress(std::function<void(std::uint64_t)> Loaded,
                               std::vector<store::PartRow> JobRows,
                               std::uint64_t Version) {
@@ -102,9 +112,7 @@
             return;
           if (Answer.Outcome != PartOutcome::Ok) {
             Self->Ctx_.Count.retried("load-progress");
-            logEvent("pool_load_retried", {{"pool", Self->State_.pool()},
-                                           {"table", "progress"},
-                                           {"error", Answer.Error}});
+            Self->logLoadFailure(rows::Progress, Answer);
             Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, Jobs, Version] {
               Self->loadProgress(Loaded, *Jobs, Version);
             });
@@ -293,12 +301,17 @@
   flush();
 }
 
-void PoolKeeper::drop() { Dropped_ = true; }
+void PoolKeeper::drop() {
+  if (Dropped_)
+    return;
+  Dropped_ = true;
+  Watch_.end(State_, bootNow(), wallMs());
+}
 
 void PoolKeeper::lose(const char *Why) {
   if (Dropped_)
     return;
-  Dropped_ = true;
+  drop();
   logEvent(
       "pool_lost",
       {{"pool", State_.pool()}, {"token", State_.token()}, {"reason", Why}});
@@ -311,6 +324,7 @@
   if (Dropped_)
     return;
   plan();
+  Watch_.look(State_, bootNow(), wallMs());
   auto Self = shared_from_this();
   Ctx_.Loop.after(TickPeriod, [Self] { Self->tick(); });
 }
@@ -320,7 +334,8 @@
     return;
   PlanQueued_ = true;
   auto Self = shared_from_this();
-  Ctx_.Loop.post([Self] {
+  Ctx_.Loop.post([Self, At = bootNow()] {
+    Self->Watch_.noteWait(bootNow() - At);
     Self->PlanQueued_ = false;
     Self->plan();
   });
@@ -342,7 +357,9 @@
   In.MayStart = !Leaving_ && In.Now < In.AuthorityEnd;
   In.JobsReadAt = Jobs_.currentAt();
   noteSettled(In.Now);
-  send(State_.plan(In));
+  jobs::Orders Orders = State_.plan(In);
+  Watch_.notePlan(bootNow() - In.Now);
+  send(std::move(Orders));
   if (State_.isFenced()) {
     lose("fenced");
     return;
@@ -396,7 +413,7 @@
                          {{"job", Order.Task.JobId},
                           {"worker", Order.Worker},
                           {"run", Order.Run},
-                          {"outcome", static_cast<int>(Result.Outcome)}});
+                          {"outcome", jobs::nameOf(Result.Outcome)}});
                 Self->wake();
               }
             });
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -2,6 +2,7 @@
 #define COMFREYDECK_DISPATCH_POOLKEEPER_H
 
 #include "dispatch/FleetView.h"
+#include "dispatch/PoolWatch.h"
 
 #include <memory>
 
@@ -66,6 +67,7 @@
   void wake();
 
 private:
+  void logLoadFailure(const char *Table, const store::PartAnswer &Answer);
   void loadProgress(std::function<void(std::uint64_t)> Loaded,
                     std::vector<store::PartRow> JobRows, std::uint64_t Version);
   void takeUp(const std::vector<store::PartRow> &JobRows,
@@ -90,6 +92,7 @@
   FleetView &View_;
   const Follower &Jobs_;
   jobs::PoolState State_;
+  PoolWatch Watch_;
   core::TimePoint TakenAt_;
   std::function<void(const std::string &)> Lost_;
   std::function<void()> Left_;
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -32,8 +32,35 @@
 /// How much longer than its limit a transfer is left to libcurl.
 constexpr std::chrono::milliseconds Grace(10);
 
+/// Written on the client's thread.
+struct LiveCounts {
+  std::atomic<std::uint64_t> Calls = 0;
+  std::atomic<std::uint64_t> Connects = 0;
+  std::atomic<std::uint64_t> NotSent = 0;
+  std::atomic<std::uint64_t> NotSentInTime = 0;
+  std::atomic<std::uint64_t> TimedOut = 0;
+  std::atomic<std::uint64_t> Cut = 0;
+  std::atomic<std::uint64_t> BytesIn = 0;
+};
+
 } // namespace
 
+const char *nameOf(HttpTarget Target) {
+  switch (Target) {
+  case HttpTarget::Other:
+    return "other";
+  case HttpTarget::Store:
+    return "store";
+  case HttpTarget::Worker:
+    return "worker";
+  case HttpTarget::Peer:
+    return "peer";
+  case HttpTarget::Machines:
+    return "machines";
+  }
+  return "";
+}
+
 struct HttpClient::Impl {
   explicit Impl(HttpClientOptions ClientOptions);
   ~Impl();
@@ -54,6 +81,7 @@
   /// Only on the client's thread, as all that follows.
   std::unordered_map<std::uint64_t, std::unique_ptr<Transfer>> Flying;
   std::set<std::pair<SteadyTime, std::uint64_t>> Overdue;
+  std::array<LiveCounts, HttpTargets> Counts;
   SocketBook Book;
   std::vector<CURL *> Spare;
 
@@ -72,6 +100,7 @@
   CURL *takeHandle();
   void release(Transfer &T);
   void finish(Transfer &T, CURLcode Code);
+  void count(const Transfer &T, CURLcode Code);
   void collect();
 };
 
@@ -271,6 +300,7 @@
   } else {
     T.Result.Error = curl_easy_strerror(Code);
   }
+  count(T, Code);
   auto It = Flying.find(T.Id);
   std::unique_ptr<Transfer> Owned = std::move(It->second);
   Flying.erase(It);
@@ -284,6 +314,36 @@
   T.Done(std::move(T.Result));
 }
 
+void HttpClient::Impl::count(const Transfer &T, CURLcode Code) {
+  LiveCounts &To = Counts[static_cast<std::size_t>(T.Call.Target)];
+  auto Add = [](std::atomic<std::uint64_t> &Count, std::uint64_t More) {
+    Count.fetch_add(More, std::memory_order_relaxed);
+  };
+  long Connects = 0;
+  if (T.Easy)
+    curl_easy_getinfo(T.Easy, CURLINFO_NUM_CONNECTS, &Connects);
+  Add(To.Calls, 1);
+  Add(To.Connects, static_cast<std::uint64_t>(Connects));
+  Add(To.BytesIn, T.Result.Response.Body.size());
+  switch (T.Result.End) {
+  case core::ExchangeEnd::Answered:
+    return;
+  case core::ExchangeEnd::NeverSent:
+  case core::ExchangeEnd::ConnectFailed:
+    Add(Code == CURLE_OPERATION_TIMEDOUT ? To.NotSentInTime : To.NotSent, 1);
+    return;
+  case core::ExchangeEnd::TimedOut:
+    Add(To.TimedOut, 1);
+    return;
+  case core::ExchangeEnd::SendCut:
+  case core::ExchangeEnd::AnswerCut:
+  case core::ExchangeEnd::WrongRequest:
+  case core::ExchangeEnd::RefusedByTarget:
+    Add(To.Cut, 1);
+    return;
+  }
+}
+
 void HttpClient::Impl::collect() {
   int Left = 0;
   while (CURLMsg *Message = curl_multi_info_read(Multi, &Left)) {
@@ -359,4 +419,14 @@
   Impl_->wakeUp();
 }
 
+std::array<HttpCounts, HttpTargets> HttpClient::counts() const {
+  std::array<HttpCounts, HttpTargets> Read;
+  for (std::size_t T = 0; T < HttpTargets; ++T) {
+    const LiveCounts &From = Impl_->Counts[T];
+    Read[T] = {From.Calls,    From.Connects, From.NotSent, From.NotSentInTime,
+               From.TimedOut, From.Cut,      From.BytesIn};
+  }
+  return Read;
+}
+
 } // namespace comfreydeck::net
