Read a pool's jobs a few pages at a time, so that a thin link carries them

A new owner asked for all parts of the jobs' table at once. 1,300 rows of 3.4 KB take 3.5 s on such a link; each answer is given up after 1.5 s, all together, and the whole reading began anew without end.

Now two pages of 100 rows are asked for at a time: 0.7 MB under way pass within the limit whatever the number of jobs.

FollowerTest fails with all parts asked for at once, as before.

--- a/src/dispatch/Follower.cpp
+++ b/src/dispatch/Follower.cpp
@@ -14,14 +14,22 @@
 
 /// Pause after a reading that failed.
 constexpr std::chrono::milliseconds RetryPause(150);
-
-/// One reading of several parts at once, each page by page.
+/// Rows of one page, and pages that are asked for at once. All that is under
+/// way shares the entry's link, and has to come within the time limit of one
+/// page: jobs have rows of some thousand bytes, and a thin link carries a
+/// megabyte a second.
+constexpr std::uint32_t PageRows = 100;
+constexpr std::size_t PagesAtOnce = 2;
+
+/// One reading of several parts, some at once, each page by page.
 struct PartsReading : std::enable_shared_from_this<PartsReading> {
   store::PartitionedStore &Store;
   std::string Table;
   store::PartCallback Done;
   std::mutex Mutex;
   PartAnswer Whole;
+  /// Parts that nothing was asked of yet, the last one first.
+  std::vector<std::string> Left;
   std::size_t Open = 0;
 
   PartsReading(store::PartitionedStore &S, std::string T, store::PartCallback D)
@@ -29,16 +37,30 @@
     Whole.Outcome = PartOutcome::Ok;
   }
 
-  void start(const std::vector<std::string> &Parts) {
+  void start(std::vector<std::string> Parts) {
+    Left.assign(Parts.rbegin(), Parts.rend());
     Open = Parts.size();
-    for (const std::string &Part : Parts)
-      read(Part, "");
+    for (std::size_t Started = 0; Started < PagesAtOnce; ++Started)
+      readNext();
+  }
+
+  /// Begins with the next part, if there is one.
+  void readNext() {
+    std::string Part;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      if (Left.empty())
+        return;
+      Part = std::move(Left.back());
+      Left.pop_back();
+    }
+    read(Part, "");
   }
 
   void read(const std::string &Part, std::string From) {
     auto Self = shared_from_this();
     Store.read(
-        {Table, Part, std::move(From), ""},
+        {Table, Part, std::move(From), "", PageRows},
         [Self, Part](PartAnswer Page) { Self->take(Part, std::move(Page)); });
   }
 
@@ -50,13 +72,20 @@
       if (Page.Outcome == PartOutcome::Ok && Page.More && !Page.Rows.empty())
         // The smallest key after the last one.
         Next = Page.Rows.back().Where.Key + '\x01';
+      if (Page.Outcome != PartOutcome::Ok) {
+        // What was read so far is of no use.
+        Open -= Left.size();
+        Left.clear();
+      }
       merge(std::move(Page));
       Last = Next.empty() && --Open == 0;
     }
     if (!Next.empty())
       read(Part, Next);
-    if (Last)
+    else if (Last)
       Done(std::move(Whole));
+    else
+      readNext();
   }
 
   void merge(PartAnswer Page) {
@@ -78,7 +107,7 @@
 void readParts(store::PartitionedStore &Store, std::string Table,
                std::vector<std::string> Parts, store::PartCallback Done) {
   std::make_shared<PartsReading>(Store, std::move(Table), std::move(Done))
-      ->start(Parts);
+      ->start(std::move(Parts));
 }
 
 Follower::Follower(net::Loop &Loop, store::PartitionedStore &Store,
--- a/src/store/PartitionedStore.h
+++ b/src/store/PartitionedStore.h
@@ -83,6 +83,8 @@
   std::string From;
   /// First key left out; empty: to the end.
   std::string To;
+  /// Most rows of one answer; zero: as many as the store gives.
+  std::uint32_t Most = 0;
 };
 
 /// The store's client. Every method is thread-safe and returns at once; each
--- /dev/null
+++ b/tests/dispatch/FollowerTest.cpp
@@ -0,0 +1,148 @@
+#include "dispatch/Follower.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+#include <utility>
+
+using namespace comfreydeck;
+
+namespace {
+
+/// Bytes of one job's row on the wire.
+constexpr std::size_t RowBytes = 3400;
+/// What a link of 10 Mbit/s carries within the time limit of one reading.
+constexpr std::size_t LinkBytes = 1'800'000;
+
+/// A store behind a thin link: what is asked for at once has to pass within
+/// the time limit of one reading, else all of it is given up.
+class ThinLinkStore : public store::PartitionedStore {
+public:
+  void fill(const std::vector<std::string> &Parts, std::size_t RowsOfEach) {
+    for (const std::string &Part : Parts)
+      for (std::size_t Row = 0; Row < RowsOfEach; ++Row)
+        Rows_[Part].push_back(
+            {{"t", Part, std::to_string(100000 + Row)}, "", Version_++, false});
+  }
+
+  void commit(store::PartTransaction, core::Duration,
+              store::PartCallback Done) override {
+    Done({});
+  }
+  void read(store::PartRange Range, store::PartCallback Done) override {
+    Asked_.emplace_back(std::move(Range), std::move(Done));
+  }
+  void changes(std::string, std::uint64_t, core::Duration,
+               store::PartCallback Done) override {
+    Done({});
+  }
+
+  /// Answers what was asked for until nothing more is.
+  void serve() {
+    while (!Asked_.empty()) {
+      auto Asked = std::exchange(Asked_, {});
+      std::vector<store::PartAnswer> Answers;
+      std::size_t Bytes = 0;
+      for (const auto &[Range, Done] : Asked) {
+        Answers.push_back(page(Range));
+        Bytes += Answers.back().Rows.size() * RowBytes;
+      }
+      for (std::size_t I = 0; I < Asked.size(); ++I) {
+        store::PartAnswer Lost;
+        Lost.Outcome = store::PartOutcome::Unknown;
+        Asked[I].second(Bytes > LinkBytes ? Lost : Answers[I]);
+      }
+    }
+  }
+
+  /// Loses the answers to what was asked for; returns how many those are.
+  std::size_t loseAll() {
+    auto Asked = std::exchange(Asked_, {});
+    store::PartAnswer Lost;
+    Lost.Outcome = store::PartOutcome::Unknown;
+    for (const auto &[Range, Done] : Asked)
+      Done(Lost);
+    return Asked.size();
+  }
+
+private:
+  store::PartAnswer page(const store::PartRange &Range) const {
+    constexpr std::size_t StoreMost = 500;
+    std::size_t Most = Range.Most == 0
+                           ? StoreMost
+                           : std::min<std::size_t>(Range.Most, StoreMost);
+    store::PartAnswer Answer;
+    Answer.Outcome = store::PartOutcome::Ok;
+    Answer.Version = Version_;
+    auto Part = Rows_.find(Range.Part);
+    if (Part == Rows_.end())
+      return Answer;
+    for (const store::PartRow &Row : Part->second) {
+      if (Row.Where.Key < Range.From)
+        continue;
+      Answer.More = Answer.Rows.size() == Most;
+      if (Answer.More)
+        break;
+      Answer.Rows.push_back(Row);
+    }
+    return Answer;
+  }
+
+  std::map<std::string, std::vector<store::PartRow>> Rows_;
+  std::vector<std::pair<store::PartRange, store::PartCallback>> Asked_;
+  std::uint64_t Version_ = 1;
+};
+
+/// Keys with their parts of a whole reading; empty where it failed.
+std::multiset<std::string> readAll(ThinLinkStore &Store,
+                                   const std::vector<std::string> &Parts) {
+  std::multiset<std::string> Keys;
+  std::size_t Calls = 0;
+  dispatch::readParts(Store, "t", Parts, [&](store::PartAnswer Answer) {
+    ++Calls;
+    if (Answer.Outcome == store::PartOutcome::Ok)
+      for (const store::PartRow &Row : Answer.Rows)
+        Keys.insert(Row.Where.Part + "/" + Row.Where.Key);
+  });
+  Store.serve();
+  CHECK(Calls == 1);
+  return Keys;
+}
+
+} // namespace
+
+TEST_CASE("a new owner behind a thin link reads all jobs, however many") {
+  std::vector<std::string> Parts;
+  for (char Digit : std::string("0123456789abcdef"))
+    Parts.emplace_back(1, Digit);
+  for (std::size_t RowsOfEach : {0U, 1U, 100U, 101U, 700U}) {
+    CAPTURE(RowsOfEach);
+    ThinLinkStore Store;
+    Store.fill(Parts, RowsOfEach);
+    std::multiset<std::string> Keys = readAll(Store, Parts);
+    CHECK(Keys.size() == RowsOfEach * Parts.size());
+    CHECK(std::set<std::string>(Keys.begin(), Keys.end()).size() ==
+          Keys.size());
+  }
+}
+
+TEST_CASE("a reading that fails is told once, and asks for nothing more") {
+  ThinLinkStore Store;
+  Store.fill({"a", "b", "c", "d"}, 1);
+  std::size_t Calls = 0;
+  dispatch::readParts(Store, "t", {"a", "b", "c", "d"},
+                      [&](const store::PartAnswer &Answer) {
+                        ++Calls;
+                        CHECK(Answer.Outcome == store::PartOutcome::Unknown);
+                      });
+  CHECK(Store.loseAll() == 2);
+  CHECK(Store.loseAll() == 0);
+  CHECK(Calls == 1);
+}
+
+TEST_CASE("a reading of one part ends as one of many does") {
+  ThinLinkStore Store;
+  Store.fill({"p"}, 150);
+  CHECK(readAll(Store, {"p"}).size() == 150);
+}
