Ask workers for ends before a late owner starts tasks again

Now a silent worker counts as over only if it was asked and had a second to answer. The test fails without the change.

--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -56,6 +56,8 @@
     Hold.Wait = MayWait ? Limits_.ReportWait : core::Duration::zero();
     W->DeadlineMs = std::max(W->DeadlineMs, Hold.DeadlineMs);
     W->HoldInFlight = true;
+    if (W->AskedAt == core::TimePoint())
+      W->AskedAt = In.Now;
     Out.Holds.push_back(std::move(Hold));
   }
 }
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -39,6 +39,8 @@
   core::Duration ReportPause = std::chrono::milliseconds(25);
   /// A worker that was silent for longer may have lost what it ran.
   core::Duration ReportStale = std::chrono::milliseconds(1800);
+  /// A worker that is up answers within this where it has nothing to wait for.
+  core::Duration ReportAnswer = std::chrono::milliseconds(1000);
   /// Pause after a report that failed.
   core::Duration ReportRetry = std::chrono::milliseconds(250);
   /// How long a worker that refused an order gets no other.
@@ -185,6 +187,8 @@
   bool Enrolled = false;
   /// Heard since this owner took the pool.
   bool Heard = false;
+  /// When this owner first asked for its report.
+  core::TimePoint AskedAt;
   std::int64_t Born = 0;
   std::int64_t ClockMs = 0;
   core::TimePoint ClockAt;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -204,7 +204,12 @@
 
 bool PoolState::allHeard(core::TimePoint Now) const {
   return std::all_of(Workers_.begin(), Workers_.end(), [&](const auto &Item) {
-    return Item.second->Heard || leaseLapsed(*Item.second, Now);
+    const WorkerState &W = *Item.second;
+    // Where the jobs took long to read, any lease has lapsed before anybody was
+    // asked; but ends of runs are still listed, and count.
+    bool Asked = W.Ended || (W.AskedAt != core::TimePoint() &&
+                             Now - W.AskedAt >= Limits_.ReportAnswer);
+    return W.Heard || (Asked && leaseLapsed(W, Now));
   });
 }
 
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -211,6 +211,33 @@
   }
 }
 
+TEST_CASE("an owner that was late to load asks for ends before it starts") {
+  OwnerBench B;
+  B.pass(milliseconds(10000));
+  B.list({"w1", "w2"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  Orders Out = B.plan();
+  CHECK(Out.Starts.empty());
+  CHECK(Out.Holds.size() == 2);
+  SUBCASE("an end is still listed") {
+    B.report("w1", {}, {endedAs(1, {jobId(1), 0, 0, 0}, 5, RunEnd::Done)});
+    B.report("w2");
+    CHECK(B.plan().Starts.empty());
+    CHECK(B.Owner.findJob(jobId(1))->Now == JobState::Completed);
+  }
+  SUBCASE("nobody has an end") {
+    B.report("w1");
+    B.report("w2");
+    CHECK(B.plan().Starts.size() == 1);
+  }
+  SUBCASE("one stays silent") {
+    B.report("w1");
+    CHECK(B.plan().Starts.empty());
+    B.pass(milliseconds(1000));
+    CHECK(B.plan().Starts.size() == 1);
+  }
+}
+
 // Found by a hunt: a second task of a step was stopped while one was lost with
 // a silent worker.
 TEST_CASE("lasting tasks leave a closed worker as their step allows") {
