Repeat lapsed runs only as an owner by a reading since then

It took the lease of its own last order as the end of the run. But the owner after it may have reached that worker, given it a longer lease and noted the end; the repeated start went to a worker that had not seen the new token yet, so that no fence stopped it.

Now a lease counts as lapsed only up to the sending of the last reading that showed this owner: whoever took the pool later came after the lapse. The test fails without the change.

--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -8,9 +8,13 @@
 
 /// Runs on workers that are out of reach end with their leases.
 void PoolState::expireSilent(const PlanInput &In) {
+  // An owner that came since the last reading may have given the worker a
+  // longer lease: only until that reading no lease but ours can have counted.
+  core::TimePoint SureAt =
+      std::min(In.Now, In.AuthorityEnd - Limits_.Authority);
   for (auto It = Workers_.begin(); It != Workers_.end();) {
     WorkerState &W = *It->second;
-    if (!W.Tasks.empty() && leaseLapsed(W, In.Now))
+    if (!W.Tasks.empty() && leaseLapsed(W, SureAt))
       loseRuns(W);
     // Runs and ends of jobs that come later may be known from it alone.
     bool HoldsNothing = W.Heard && W.UnknownRuns.empty() && W.Parked.empty();
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -238,6 +238,29 @@
   }
 }
 
+// Found by a run: two owners at work, the earlier one repeated what had ended.
+TEST_CASE("a run is repeated after its lease only by who is owner since then") {
+  OwnerBench B;
+  B.pass(milliseconds(10000));
+  B.list({"w1", "w2"});
+  B.plan();
+  B.report("w1");
+  B.report("w2");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  B.answer(Out.Starts[0], OrderOutcome::Accepted);
+  PlanInput In;
+  In.WallMs = 1000000;
+  In.AuthorityEnd = B.Now + OwnerLimits().Authority;
+  B.pass(milliseconds(5000));
+  B.report(Out.Starts[0].Worker == "w1" ? "w2" : "w1");
+  In.Now = B.Now;
+  CHECK(B.Owner.plan(In).Starts.empty());
+  In.AuthorityEnd = B.Now + OwnerLimits().Authority;
+  CHECK(B.Owner.plan(In).Starts.size() == 1);
+}
+
 // Found by a hunt: a second task of a step was stopped while one was lost with
 // a silent worker.
 TEST_CASE("lasting tasks leave a closed worker as their step allows") {
