--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -211,6 +211,56 @@
   }
 }
 
+TEST_CASE("an owner that was late to load asks for ends before it starts") {
+  OwnerBench B;
+  B.pass(milliseconds(10000));
+  B.list({"w1", "w2"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  Orders Out = B.plan();
+  CHECK(Out.Starts.empty());
+  CHECK(Out.Holds.size() == 2);
+  SUBCASE("an end is still listed") {
+    B.report("w1", {}, {endedAs(1, {jobId(1), 0, 0, 0}, 5, RunEnd::Done)});
+    B.report("w2");
+    CHECK(B.plan().Starts.empty());
+    CHECK(B.Owner.findJob(jobId(1))->Now == JobState::Completed);
+  }
+  SUBCASE("nobody has an end") {
+    B.report("w1");
+    B.report("w2");
+    CHECK(B.plan().Starts.size() == 1);
+  }
+  SUBCASE("one stays silent") {
+    B.report("w1");
+    CHECK(B.plan().Starts.empty());
+    B.pass(milliseconds(1000));
+    CHECK(B.plan().Starts.size() == 1);
+  }
+}
+
+// Found by a run: two owners at work, the earlier one repeated what had ended.
+TEST_CASE("a run is repeated after its lease only by who is owner since then") {
+  OwnerBench B;
+  B.pass(milliseconds(10000));
+  B.list({"w1", "w2"});
+  B.plan();
+  B.report("w1");
+  B.report("w2");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  B.answer(Out.Starts[0], OrderOutcome::Accepted);
+  PlanInput In;
+  In.WallMs = 1000000;
+  In.AuthorityEnd = B.Now + OwnerLimits().Authority;
+  B.pass(milliseconds(5000));
+  B.report(Out.Starts[0].Worker == "w1" ? "w2" : "w1");
+  In.Now = B.Now;
+  CHECK(B.Owner.plan(In).Starts.empty());
+  In.AuthorityEnd = B.Now + OwnerLimits().Authority;
+  CHECK(B.Owner.plan(In).Starts.size() == 1);
+}
+
 // Found by a hunt: a second task of a step was stopped while one was lost with
 // a silent worker.
 TEST_CASE("lasting tasks leave a closed worker as their step allows") {
