Give pools to the entries with the most capacity for them

Callers saw jobs start late or not at all on a fleet of 10 entries with half a core and 33 with 0.12 cores and 10 Mbit/s: a pool without an owner went to the entry with the fewest pools, by a hash, so mostly to one of the 33, whose processor could not keep up with 87 workers and their jobs.

Entries now publish what their settings give them (processor share times speed, bounded by the link), and each pool goes to the entry with the most capacity for each of its pools. Pools that start no jobs (the standby pool, the fleet's duty) are placed last and on entries that own no other. A living owner keeps its pools, and an entry that was started anew takes its own back, as before. Pools that never had an owner wait until entries stopped showing up (1 s, 5 s at most).

--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -178,14 +178,7 @@
         Entries_.erase(Name);
         return;
       }
-      Json Object = Json::parse(Row.Value);
-      jobs::EntryView Entry;
-      Entry.Name = Name;
-      Entry.Life = Object.at("life").get<std::string>();
-      Entry.PeerAddress = Object.at("peer").get<std::string>();
-      Entry.DataCentre = Object.at("dc").get<std::string>();
-      Entry.Leaving = Object.at("leaving").get<bool>();
-      Entry.Version = Row.Version;
+      jobs::EntryView Entry = decodeEntry(Row);
       Entry.ChangedAt = bootNow();
       Entries_[Name] = Entry;
     } else if (Part == rows::LimitsPart) {
@@ -221,14 +214,15 @@
   std::vector<jobs::PoolView> Views;
   if (!Config_)
     return Views;
-  auto Add = [&](const std::string &Name) {
+  auto Add = [&](const std::string &Name, bool Light) {
     auto It = Pools_.find(Name);
     Views.push_back(It == Pools_.end() ? jobs::PoolView{Name, "", "", 0}
                                        : It->second);
+    Views.back().Light = Light;
   };
   for (const jobs::Pool &Pool : Config_->Pools)
-    Add(Pool.Name);
-  Add(rows::FleetDuty);
+    Add(Pool.Name, Pool.Standby);
+  Add(rows::FleetDuty, true);
   return Views;
 }
 
@@ -266,10 +260,24 @@
                {"peer", Entry.PeerAddress},
                {"dc", Entry.DataCentre},
                {"leaving", Entry.Leaving},
+               {"capacity", Entry.Capacity},
                {"beat", Beat}})
       .dump();
 }
 
+jobs::EntryView FleetView::decodeEntry(const store::PartRow &Row) {
+  Json Object = Json::parse(Row.Value);
+  jobs::EntryView Entry;
+  Entry.Name = Row.Where.Key.substr(std::string_view(rows::EntryPrefix).size());
+  Entry.Life = Object.at("life").get<std::string>();
+  Entry.PeerAddress = Object.at("peer").get<std::string>();
+  Entry.DataCentre = Object.at("dc").get<std::string>();
+  Entry.Leaving = Object.at("leaving").get<bool>();
+  Entry.Capacity = Object.value("capacity", jobs::UnknownCapacity);
+  Entry.Version = Row.Version;
+  return Entry;
+}
+
 jobs::PoolView FleetView::decodeOwner(const store::PartRow &Row) {
   jobs::PoolView View;
   View.Pool = Row.Where.Part.substr(std::string_view(rows::PoolPrefix).size());
--- a/src/dispatch/FleetView.h
+++ b/src/dispatch/FleetView.h
@@ -52,6 +52,9 @@
   /// Encodes and decodes the product's own control rows.
   static std::string ownerValue(const std::string &Name,
                                 const std::string &Life);
+  /// Rows of entries that tell no capacity are read too. Throws
+  /// nlohmann::json::exception.
+  static jobs::EntryView decodeEntry(const store::PartRow &Row);
   static std::string entryValue(const jobs::EntryView &Entry,
                                 std::uint64_t Beat);
   static std::string allotmentValue(const TeamAllotment &Allotment);
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -66,6 +66,8 @@
   Me.PeerAddress = Ctx_.Settings.Peers;
   Me.DataCentre = Ctx_.Settings.DataCentre;
   Me.Leaving = Leaving_;
+  if (Ctx_.Settings.Cores > 0 && Ctx_.Settings.LinkMbps > 0)
+    Me.Capacity = jobs::capacityOf(Ctx_.Settings.Cores, Ctx_.Settings.LinkMbps);
   return Me;
 }
 
@@ -121,11 +123,20 @@
     return;
   std::vector<jobs::EntryView> Entries = View_.entries();
   std::vector<jobs::PoolView> Pools = View_.pools();
+  // While a whole fleet starts, the first that are up must not take all.
+  if (Entries.size() > MostEntries_) {
+    MostEntries_ = Entries.size();
+    NewestSeenAt_ = Now;
+  }
+  bool Gathered = jobs::hasGathered(StartedAt_, NewestSeenAt_, Now);
   for (const std::string &Pool : jobs::poolsToTake(
            self(), Entries, Pools, View_.controlCurrentAt(), Now, DeadAfter)) {
     if (wasJustLost(Pool) || isOwned(Pool))
       continue;
     const jobs::PoolView *Row = View_.pool(Pool);
+    bool NeverOwned = !Row || Row->Version == 0;
+    if (NeverOwned && !Gathered)
+      continue;
     if (Row && mayAnswer(*Row))
       askOwner(Pool);
     else
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -68,6 +68,9 @@
   std::uint64_t FleetToken_ = 0;
   bool FleetTakenBack_ = false;
   std::uint64_t Beats_ = 0;
+  std::size_t MostEntries_ = 0;
+  /// When more entries than ever before were seen.
+  core::TimePoint NewestSeenAt_;
   bool Registered_ = false;
   bool BeatInFlight_ = false;
   bool Leaving_ = false;
--- a/src/jobs/OwnerChoice.cpp
+++ b/src/jobs/OwnerChoice.cpp
@@ -2,12 +2,43 @@
 
 #include <algorithm>
 #include <functional>
+#include <string_view>
 #include <tuple>
 
 namespace comfreydeck::jobs {
 
 namespace {
 
+/// Processor time, in thousandths of a core, that goes with the bytes of a link
+/// of 1 Mbit/s that is full.
+constexpr double MilliCpusPerMbps = 10;
+constexpr double MilliCpusPerCore = 1000;
+/// Entries that start together are up within that of one another.
+constexpr std::chrono::milliseconds SettleTime(1000);
+/// Longest wait for entries that may be up soon.
+constexpr std::chrono::milliseconds GatherLimit(5000);
+
+/// What one entry owns, pools that are being given to it among them.
+struct Holding {
+  std::uint32_t Working = 0;
+  std::uint32_t Light = 0;
+};
+
+void addTo(Holding &Held, const PoolView &Pool) {
+  ++(Pool.Light ? Held.Light : Held.Working);
+}
+
+/// The lowest of these gets the pool.
+auto rankOf(const EntryView &Entry, const Holding &Held, const PoolView &Pool) {
+  // A light pool's owner must not stand in the way of one that starts jobs.
+  bool Busy = Pool.Light && Held.Working > 0;
+  std::uint32_t Shared = Held.Working + (Pool.Light ? Held.Light : 0) + 1;
+  double Capacity = static_cast<double>(Entry.Capacity) / Shared;
+  std::size_t Spread = std::hash<std::string>()(Pool.Pool + Entry.Name);
+  return std::make_tuple(Busy, -Capacity, Held.Working + Held.Light, Spread,
+                         std::string_view(Entry.Name));
+}
+
 const EntryView *findLiving(std::span<const EntryView> Living,
                             const std::string &Name) {
   for (const EntryView &Entry : Living)
@@ -18,6 +49,18 @@
 
 } // namespace
 
+std::uint32_t capacityOf(double Cores, double LinkMbps) {
+  double Least =
+      std::min(Cores * MilliCpusPerCore, LinkMbps * MilliCpusPerMbps);
+  return static_cast<std::uint32_t>(std::max(Least, 1.0));
+}
+
+bool hasGathered(core::TimePoint StartedAt, core::TimePoint NewestSeenAt,
+                 core::TimePoint Now) {
+  return Now - std::max(StartedAt, NewestSeenAt) >= SettleTime ||
+         Now - StartedAt >= GatherLimit;
+}
+
 bool isAlive(const EntryView &Entry, core::TimePoint Now,
              core::Duration DeadAfter) {
   return !Entry.Leaving && Now - Entry.ChangedAt < DeadAfter;
@@ -35,25 +78,25 @@
     if (Entry.Name != Me.Name && isAlive(Entry, Now, DeadAfter))
       Living.push_back(Entry);
   Living.push_back(Me);
-  std::map<std::string, std::uint32_t> Owned;
+  std::map<std::string, Holding> Owned;
   std::vector<const PoolView *> Orphans;
   for (const PoolView &Pool : Pools) {
     const EntryView *Owner = findLiving(Living, Pool.OwnerName);
     if (Owner && Owner->Life == Pool.OwnerLife)
-      ++Owned[Owner->Name];
+      addTo(Owned[Owner->Name], Pool);
     else
       Orphans.push_back(&Pool);
   }
-  std::sort(
-      Orphans.begin(), Orphans.end(),
-      [](const PoolView *A, const PoolView *B) { return A->Pool < B->Pool; });
+  std::sort(Orphans.begin(), Orphans.end(),
+            [](const PoolView *A, const PoolView *B) {
+              return std::tie(A->Light, A->Pool) < std::tie(B->Light, B->Pool);
+            });
   std::vector<std::string> Mine;
   for (const PoolView *Pool : Orphans) {
     const EntryView *Taker = findLiving(Living, Pool->OwnerName);
     if (!Taker) {
       auto Rank = [&](const EntryView &Entry) {
-        std::size_t Spread = std::hash<std::string>()(Pool->Pool + Entry.Name);
-        return std::make_tuple(Owned[Entry.Name], Spread, Entry.Name);
+        return rankOf(Entry, Owned[Entry.Name], *Pool);
       };
       auto Best = std::min_element(Living.begin(), Living.end(),
                                    [&](const EntryView &A, const EntryView &B) {
@@ -61,7 +104,7 @@
                                    });
       Taker = &*Best;
     }
-    ++Owned[Taker->Name];
+    addTo(Owned[Taker->Name], *Pool);
     if (Taker->Name == Me.Name)
       Mine.push_back(Pool->Pool);
   }
--- a/src/settings/DispatchSettings.cpp
+++ b/src/settings/DispatchSettings.cpp
@@ -29,6 +29,19 @@
   R.rejectUnknown();
 }
 
+void readLimits(ObjectReader R, DispatchSettings &Out) {
+  constexpr std::int64_t MostCores = 1024;
+  constexpr std::int64_t MostMbps = 10000000;
+  double Share = 0;
+  // A core that is so many times as fast as one.
+  double Speed = 1;
+  R.real("cpu_share", Share, {0, MostCores});
+  R.real("cores", Speed, {0, MostCores});
+  R.real("link_mbps", Out.LinkMbps, {0, MostMbps});
+  R.rejectUnknown();
+  Out.Cores = Share * Speed;
+}
+
 void readBounds(ObjectReader R, DispatchSettings &Out) {
   R.milliseconds("revocation_ms", Out.Revocation, {500, 600000});
   R.milliseconds("max_lease_ms", Out.MaxLease, {500, 600000});
@@ -52,6 +65,7 @@
   ObjectReader R(Document, "", Faults);
   readEntry(R.child("entry", Need::Required), Out);
   readPlatform(R.child("platform", Need::Required), Out);
+  readLimits(R.child("limits", Need::Optional), Out);
   readBounds(R.child("bounds", Need::Optional), Out);
   R.rejectUnknown();
   if (!Faults.empty())
--- a/src/settings/DispatchSettings.h
+++ b/src/settings/DispatchSettings.h
@@ -18,6 +18,11 @@
   /// IP number and port of the counters; empty: not served.
   std::string Metrics;
 
+  /// Processor share of the entry, in cores; zero: not told.
+  double Cores = 0;
+  /// Bandwidth of the entry's link in Mbit/s; zero: not told.
+  double LinkMbps = 0;
+
   std::string Store;
   /// Empty: the platform moves and maintains no machines.
   std::string Machines;
--- a/src/settings/ObjectReader.cpp
+++ b/src/settings/ObjectReader.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 
 #include <charconv>
+#include <limits>
 
 namespace comfreydeck::settings::detail {
 
@@ -94,19 +95,26 @@
   Out = std::chrono::milliseconds(Ms);
 }
 
-void ObjectReader::seconds(const char *Field, core::Duration &Out,
-                           Range Allowed) {
+void ObjectReader::real(const char *Field, double &Out, Range Allowed) {
   const json *Value = take(Field, Need::Optional);
   if (!Value)
     return;
-  double Seconds = Value->is_number() ? Value->get<double>() : -1;
-  bool Fits = Seconds >= static_cast<double>(Allowed.Least) &&
-              Seconds <= static_cast<double>(Allowed.Most);
+  double Number = Value->is_number() ? Value->get<double>()
+                                     : std::numeric_limits<double>::quiet_NaN();
+  bool Fits = Number >= static_cast<double>(Allowed.Least) &&
+              Number <= static_cast<double>(Allowed.Most);
   if (!Fits) {
     fault(Field, "must be a number from " + std::to_string(Allowed.Least) +
                      " to " + std::to_string(Allowed.Most));
     return;
   }
+  Out = Number;
+}
+
+void ObjectReader::seconds(const char *Field, core::Duration &Out,
+                           Range Allowed) {
+  double Seconds = std::chrono::duration<double>(Out).count();
+  real(Field, Seconds, Allowed);
   Out = std::chrono::duration_cast<core::Duration>(
       std::chrono::duration<double>(Seconds));
 }
--- a/src/settings/ObjectReader_p.h
+++ b/src/settings/ObjectReader_p.h
@@ -29,6 +29,8 @@
   void text(const char *Field, std::string &Out, Need Needed);
   void number(const char *Field, std::uint32_t &Out, Range Allowed);
   void milliseconds(const char *Field, core::Duration &Out, Range Allowed);
+  /// A number, whole or not.
+  void real(const char *Field, double &Out, Range Allowed);
   /// A number of seconds, whole or not.
   void seconds(const char *Field, core::Duration &Out, Range Allowed);
   /// An IP number with a port.
--- a/tests/settings/DispatchSettingsTest.cpp
+++ b/tests/settings/DispatchSettingsTest.cpp
@@ -31,16 +31,28 @@
   CHECK(Read.MaxLease == std::chrono::seconds(10));
 }
 
+TEST_CASE("an entry's share of the machine is read") {
+  std::string Text = Good;
+  Text.insert(
+      Text.find("\"bounds\""),
+      R"("limits": {"cpu_share": 0.5, "cores": 2, "link_mbps": 10.5},)");
+  DispatchSettings Read = parseDispatchSettings(Text);
+  CHECK(Read.Cores == doctest::Approx(1.0));
+  CHECK(Read.LinkMbps == doctest::Approx(10.5));
+  CHECK(parseDispatchSettings(Good).Cores == 0);
+}
+
 TEST_CASE("every fault of the settings is named at once") {
   try {
     parseDispatchSettings(R"({"entry": {"name": "", "data_centre": "dc1",
       "callers": "nowhere", "readiness": "127.0.0.1:2"},
       "platform": {"store": "127.0.0.1:4", "stor": 1},
-      "bounds": {"grace_s": -1}})");
+      "limits": {"cpu_share": "much"}, "bounds": {"grace_s": -1}})");
     FAIL("wrong settings were taken");
   } catch (const SettingsError &E) {
-    for (const char *Path : {"entry.name", "entry.callers", "entry.peers",
-                             "platform.stor", "bounds.grace_s"}) {
+    for (const char *Path :
+         {"entry.name", "entry.callers", "entry.peers", "platform.stor",
+          "limits.cpu_share", "bounds.grace_s"}) {
       CAPTURE(Path);
       CHECK(names(E, Path));
     }
