Neither decode nor tell workers' signs of life; read the list seldom without a pool

350 workers renew their rows every 1.5 s, and each of 43 entries read them four times a second and decoded all fields of each row, though only PoolKeeper uses the list, so only entries that own pools. Each reading, each reading of entries' signs of life and each tick of 250 ms then made every pool take over copies of all its workers and plan anew, though nothing had changed for it.

A row whose text is the same but for its clock and its number is passed over; the view says what changed, and only workers, configuration and evacuations reach the keepers; an entry without a pool reads the list every 3 s. A new owner waits for a reading of the list that was sent after it took the pool, before it loads. Owners still read every 250 ms, so that draining and evacuations are seen as soon as before.

The tests use what is new here, so that they don't compile before.

--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -69,9 +69,10 @@
                                  Ports.Store, Ports.Workers, Ports.Machines,
                                  Ports.Rows,  Ports.Wire,    Count,
                                  drawLife()},
-        View(Ctx, [this] { refresh(); }), Owners(Ctx, View),
-        PeerCalls(Ctx, View, Owners), Rooms(Ctx, View, Owners),
-        Duty(Ctx, View, Owners, PeerCalls), Door(Ctx, View, PeerCalls),
+        View(Ctx, [this](ViewChange What) { refresh(What); }),
+        Owners(Ctx, View), PeerCalls(Ctx, View, Owners),
+        Rooms(Ctx, View, Owners), Duty(Ctx, View, Owners, PeerCalls),
+        Door(Ctx, View, PeerCalls),
         CallerServer(
             listenAt(Settings.Callers),
             [this](net::HttpRequest Request, net::HttpResponder Respond) {
@@ -104,9 +105,15 @@
           });
   }
 
-  void refresh() {
-    Owners.refresh();
-    Rooms.apply();
+  void refresh(ViewChange What) {
+    if (What != ViewChange::Workers) {
+      Owners.review();
+      Rooms.apply();
+    }
+    // Rows of entries and teams change all the time; they tell the keepers
+    // nothing.
+    if (What != ViewChange::Control)
+      Owners.refreshKeepers();
   }
 
   void probe(const net::HttpRequest &Request,
@@ -122,7 +129,7 @@
   void tick() {
     constexpr milliseconds Period(250);
     Ready = Door.isCurrent();
-    Owners.refresh();
+    Owners.review();
     Loop.after(Period, [this] { tick(); });
   }
 };
--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -18,6 +18,8 @@
 /// Workers write their entries all the time: a waiting reading would return at
 /// once. Bounds how soon a leaving worker is seen.
 constexpr milliseconds WorkerPause(250);
+/// For entries without a pool; a pool that is taken has the list read at once.
+constexpr milliseconds WorkerIdlePause(3000);
 /// Bounds how soon the loss of an owner is seen, and the readings a second.
 constexpr milliseconds ControlPause(400);
 /// After a gap of that length in the readings, signs of life are old for no
@@ -26,14 +28,15 @@
 
 } // namespace
 
-FleetView::FleetView(Context &Ctx, std::function<void()> Changed)
+FleetView::FleetView(Context &Ctx, std::function<void(ViewChange)> Changed)
     : Ctx_(Ctx), Changed_(std::move(Changed)),
       Operators_(
           Ctx.Loop, Ctx.Store,
           {Ctx.Rows.OperatorTable, OperatorWait, {}, nullptr},
           [this](const auto &Rows, bool All) { takeOperatorRows(Rows, All); }),
       Workers_(
-          Ctx.Loop, Ctx.Store, {Ctx.Rows.WorkerTable, {}, WorkerPause, nullptr},
+          Ctx.Loop, Ctx.Store,
+          {Ctx.Rows.WorkerTable, {}, WorkerIdlePause, nullptr},
           [this](const auto &Rows, bool All) { takeWorkerRows(Rows, All); }),
       Control_(
           Ctx.Loop, Ctx.Store,
@@ -72,7 +75,7 @@
   }
   for (const store::PartRow &Row : Rows)
     takeOperatorRow(Row);
-  Changed_();
+  Changed_(ViewChange::Operators);
 }
 
 void FleetView::takeOperatorRow(const store::PartRow &Row) {
@@ -123,21 +126,32 @@
 
 void FleetView::takeWorkerRows(const std::vector<store::PartRow> &Rows,
                                bool All) {
+  bool Changed = All;
   if (All)
     Listed_.clear();
   for (const store::PartRow &Row : Rows) {
-    if (Row.Removed) {
-      Listed_.erase(Row.Where.Key);
-      continue;
-    }
-    try {
-      Listed_[Row.Where.Key] = Ctx_.Rows.Worker(Row);
-    } catch (const std::invalid_argument &E) {
-      logEvent("worker_row_unreadable",
-               {{"worker", Row.Where.Key}, {"error", E.what()}});
-    }
+    bool Tells =
+        Row.Removed ? Listed_.erase(Row.Where.Key) > 0 : takeWorkerRow(Row);
+    Changed = Changed || Tells;
+  }
+  if (Changed)
+    Changed_(ViewChange::Workers);
+}
+
+/// Whether the row tells more than a sign of life.
+bool FleetView::takeWorkerRow(const store::PartRow &Row) {
+  const std::string &Id = Row.Where.Key;
+  std::string Facts = Ctx_.Rows.WorkerFacts(Row.Value);
+  auto Known = Listed_.find(Id);
+  if (Known != Listed_.end() && Known->second.Facts == Facts)
+    return false;
+  try {
+    Listed_[Id] = {Ctx_.Rows.Worker(Row), std::move(Facts)};
+  } catch (const std::invalid_argument &E) {
+    logEvent("worker_row_unreadable", {{"worker", Id}, {"error", E.what()}});
+    return false;
   }
-  Changed_();
+  return true;
 }
 
 void FleetView::takeControlRows(const std::vector<store::PartRow> &Rows,
@@ -165,7 +179,7 @@
     for (const store::PartRow &Row : Rows)
       takeControlRow(Row);
   }
-  Changed_();
+  Changed_(ViewChange::Control);
 }
 
 void FleetView::takeControlRow(const store::PartRow &Row) {
@@ -197,9 +211,9 @@
 std::vector<jobs::WorkerEntry>
 FleetView::workersOf(const std::string &Pool) const {
   std::vector<jobs::WorkerEntry> Entries;
-  for (const auto &[Id, Entry] : Listed_)
-    if (Entry.Pool == Pool)
-      Entries.push_back(Entry);
+  for (const auto &[Id, Worker] : Listed_)
+    if (Worker.Entry.Pool == Pool)
+      Entries.push_back(Worker.Entry);
   return Entries;
 }
 
@@ -236,6 +250,14 @@
   return It == Entries_.end() ? nullptr : &It->second;
 }
 
+void FleetView::followWorkersClosely(bool Closely) {
+  Workers_.setPause(Closely ? WorkerPause : WorkerIdlePause);
+}
+
+void FleetView::whenWorkersRead(std::function<void()> Done) {
+  Workers_.whenCurrent(std::move(Done));
+}
+
 void FleetView::setPool(jobs::PoolView Pool) {
   jobs::PoolView &Known = Pools_[Pool.Pool];
   // A reading that overtook a write of this entry is older.
--- a/src/dispatch/FleetView.h
+++ b/src/dispatch/FleetView.h
@@ -17,10 +17,20 @@
   std::uint64_t Version = 0;
 };
 
+/// What changed in a view.
+enum class ViewChange : std::uint8_t {
+  /// What operators have written.
+  Operators,
+  /// More of the list of workers than their signs of life.
+  Workers,
+  /// Entries, owners and what teams may use.
+  Control,
+};
+
 /// What this entry knows of the fleet from the store. On the loop's thread.
 class FleetView {
 public:
-  FleetView(Context &Ctx, std::function<void()> Changed);
+  FleetView(Context &Ctx, std::function<void(ViewChange)> Changed);
 
   void start();
 
@@ -45,6 +55,12 @@
     return Allotments_;
   }
 
+  /// Whether this entry owns pools: only owners need the list of workers as it
+  /// is.
+  void followWorkersClosely(bool Closely);
+  /// Calls \p Done once the list of workers was read anew.
+  void whenWorkersRead(std::function<void()> Done);
+
   /// Takes over what a transaction of this entry has written.
   void setPool(jobs::PoolView Pool);
   void setAllotment(const std::string &Team, TeamAllotment Allotment);
@@ -65,19 +81,25 @@
   void takeOperatorRows(const std::vector<store::PartRow> &Rows, bool All);
   void takeOperatorRow(const store::PartRow &Row);
   void takeWorkerRows(const std::vector<store::PartRow> &Rows, bool All);
+  bool takeWorkerRow(const store::PartRow &Row);
   void takeControlRows(const std::vector<store::PartRow> &Rows, bool All);
   void takeControlRow(const store::PartRow &Row);
   std::vector<std::string> controlParts() const;
 
   Context &Ctx_;
-  std::function<void()> Changed_;
+  std::function<void(ViewChange)> Changed_;
   Follower Operators_;
   Follower Workers_;
   Follower Control_;
   std::shared_ptr<const jobs::FleetConfig> Config_;
   std::set<std::string> Closed_;
   std::map<std::string, WaveRequest> Waves_;
-  std::map<std::string, jobs::WorkerEntry> Listed_;
+  /// A worker of the list, and the text that it was decoded from.
+  struct ListedWorker {
+    jobs::WorkerEntry Entry;
+    std::string Facts;
+  };
+  std::map<std::string, ListedWorker> Listed_;
   std::map<std::string, jobs::EntryView> Entries_;
   std::map<std::string, jobs::PoolView> Pools_;
   std::map<std::string, TeamAllotment> Allotments_;
--- a/src/dispatch/Follower.cpp
+++ b/src/dispatch/Follower.cpp
@@ -155,14 +155,50 @@
   CurrentAt_ = SentAt;
   if (All || !Answer.Rows.empty())
     Rows_(Answer.Rows, All);
-  next(Options_.Pause);
+  tellWaiting();
+  next(Waiting_.empty() ? Options_.Pause : core::Duration::zero());
 }
 
 void Follower::next(core::Duration Pause) {
-  if (Pause == core::Duration::zero())
+  if (Pause == core::Duration::zero()) {
     Loop_.post([this] { turn(); });
-  else
-    Loop_.after(Pause, [this] { turn(); });
+    return;
+  }
+  Pausing_ = true;
+  Loop_.after(Pause, [this, Number = ++PauseNumber_] {
+    if (Pausing_ && Number == PauseNumber_)
+      hurry();
+  });
+}
+
+/// Ends the pause.
+void Follower::hurry() {
+  Pausing_ = false;
+  turn();
+}
+
+void Follower::setPause(core::Duration Pause) {
+  bool Shorter = Pause < Options_.Pause;
+  Options_.Pause = Pause;
+  if (Shorter && Pausing_)
+    hurry();
+}
+
+void Follower::whenCurrent(std::function<void()> Done) {
+  Waiting_.push_back({bootNow(), std::move(Done)});
+  if (Pausing_)
+    hurry();
+}
+
+void Follower::tellWaiting() {
+  std::vector<Waiting> Left;
+  for (Waiting &Waits : std::exchange(Waiting_, {})) {
+    if (Waits.Since <= CurrentAt_)
+      Waits.Done();
+    else
+      Left.push_back(std::move(Waits));
+  }
+  std::move(Left.begin(), Left.end(), std::back_inserter(Waiting_));
 }
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/Follower.h
+++ b/src/dispatch/Follower.h
@@ -40,6 +40,11 @@
   void start();
   /// Follows from that version on; all rows are known. Call once.
   void startAt(std::uint64_t Version);
+  /// A pause that has begun is cut short where the new one is shorter.
+  void setPause(core::Duration Pause);
+  /// Calls \p Done once a reading is answered that was sent from now on. Such
+  /// readings follow without a pause while somebody waits.
+  void whenCurrent(std::function<void()> Done);
   /// Reads all rows anew at the next turn.
   void resync() { Synced_ = false; }
 
@@ -57,6 +62,8 @@
   void readChanges(core::TimePoint SentAt);
   void take(const store::PartAnswer &Answer, bool All, core::TimePoint SentAt);
   void next(core::Duration Pause);
+  void hurry();
+  void tellWaiting();
 
   net::Loop &Loop_;
   store::PartitionedStore &Store_;
@@ -67,6 +74,15 @@
   std::uint64_t Version_ = 0;
   std::uint32_t Failures_ = 0;
   core::TimePoint CurrentAt_;
+  /// Who waits for a reading that was sent from that moment on.
+  struct Waiting {
+    core::TimePoint Since;
+    std::function<void()> Done;
+  };
+  std::vector<Waiting> Waiting_;
+  /// Tells a pause that was cut short from the one that counts.
+  std::uint64_t PauseNumber_ = 0;
+  bool Pausing_ = false;
 };
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -87,12 +87,16 @@
   });
 }
 
-void Ownership::refresh() {
+void Ownership::review() {
   dropForeign();
+  choose();
+  View_.followWorkersClosely(!Keepers_.empty());
+}
+
+void Ownership::refreshKeepers() {
   for (const auto &[Pool, Keeper] : Keepers_)
     if (Keeper->isLoaded())
       Keeper->refresh();
-  choose();
 }
 
 /// Pools whose rows name another owner.
@@ -281,7 +285,11 @@
   auto Keeper =
       std::make_shared<PoolKeeper>(Ctx_, View_, Jobs_, Taking, std::move(Lost));
   Keepers_[Pool] = Keeper;
-  Keeper->load([this](std::uint64_t Version) { follow(Version); });
+  View_.followWorkersClosely(true);
+  // Until now the list of workers was followed seldom here.
+  View_.whenWorkersRead([this, Keeper] {
+    Keeper->load([this](std::uint64_t Version) { follow(Version); });
+  });
 }
 
 void Ownership::follow(std::uint64_t Version) {
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -12,8 +12,10 @@
   Ownership(Context &Ctx, FleetView &View);
 
   void start();
-  /// The view changed.
-  void refresh();
+  /// Looks at who owns what: the view changed, or time has passed.
+  void review();
+  /// Workers, configuration or closed data centres changed.
+  void refreshKeepers();
 
   /// Null: the pool is not owned here, or not loaded yet.
   std::shared_ptr<PoolKeeper> keeper(const std::string &Pool) const;
--- a/src/dispatch/Ports.h
+++ b/src/dispatch/Ports.h
@@ -111,6 +111,9 @@
 struct RowDecoder {
   std::function<OperatorRow(const store::PartRow &)> Operator;
   std::function<jobs::WorkerEntry(const store::PartRow &)> Worker;
+  /// A worker's value without what changes with each sign of life: rows with
+  /// equal facts are decoded to the same.
+  std::function<std::string(const std::string &)> WorkerFacts;
   /// Value of the row that tells operators of a wave.
   std::function<std::string(bool Completed)> WaveStatus;
   std::string OperatorTable;
--- a/tests/adapter/AdapterTest.cpp
+++ b/tests/adapter/AdapterTest.cpp
@@ -49,6 +49,29 @@
     CHECK_THROWS_AS(Decoder.Worker(row("w", Text)), std::invalid_argument);
 }
 
+// Guards against workers whose draining or new life passes for a sign of life.
+TEST_CASE("a worker's sign of life is told from what it says of itself") {
+  dispatch::RowDecoder Decoder = platform::makeRowDecoder();
+  auto Facts = [&](const char *From, const std::string &To) {
+    std::string Text =
+        R"({"ServiceName":"p","Address":"10.0.0.1:80","State":"ready",
+        "ColdRemainingMs":0,"Labels":["\"Sequence\":1"],"born":5,
+        "ClockMs":482113,"Sequence":4})";
+    std::size_t At = Text.find(From);
+    REQUIRE(At != std::string::npos);
+    return Decoder.WorkerFacts(Text.replace(At, std::string(From).size(), To));
+  };
+  std::string Same = Facts("p", "p");
+  CHECK(Facts("482113", "483613") == Same);
+  CHECK(Facts("\"Sequence\":4", "\"Sequence\":5") == Same);
+  CHECK(Facts("ready", "draining") != Same);
+  CHECK(Facts("\"born\":5", "\"born\":6") != Same);
+  CHECK(Facts(":80", ":81") != Same);
+  CHECK(Facts("\"ColdRemainingMs\":0", "\"ColdRemainingMs\":9") != Same);
+  CHECK(Facts("\\\"Sequence\\\":1", "\\\"Sequence\\\":2") != Same);
+  CHECK(Facts("482113", "-1") != Same);
+}
+
 TEST_CASE("any bytes in a row are read or refused") {
   dispatch::RowDecoder Decoder = platform::makeRowDecoder();
   for (unsigned Seed = 0; Seed < 2000; ++Seed) {
--- a/tests/dispatch/FleetViewTest.cpp
+++ b/tests/dispatch/FleetViewTest.cpp
@@ -1,9 +1,17 @@
 #include "dispatch/FleetView.h"
 
+#include "dispatch/RowsInMemory.h"
+#include "net/HttpClient.h"
+
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <future>
+#include <thread>
+
 using namespace comfreydeck;
 using namespace comfreydeck::dispatch;
+using namespace comfreydeck::tests;
 
 namespace {
 
@@ -15,6 +23,102 @@
   return Row;
 }
 
+constexpr char FactsEnd = '#';
+
+struct NoOrders : WorkerOrders {
+  void start(const jobs::WorkerEntry &, std::uint64_t, const jobs::StartOrder &,
+             std::function<void(jobs::OrderResult)>) override {}
+  void stop(const jobs::WorkerEntry &, std::uint64_t, const jobs::StopOrder &,
+            std::function<void(jobs::OrderResult)>) override {}
+  void report(const jobs::WorkerEntry &, std::uint64_t, const jobs::HoldOrder &,
+              std::function<void(jobs::ReportResult)>) override {}
+};
+
+/// A view on rows in memory. A worker's value is its state, a mark and its sign
+/// of life; unreadable without the mark.
+struct ViewSite {
+  settings::DispatchSettings Settings;
+  net::Loop Loop;
+  net::HttpClient Client{{}};
+  RowsInMemory Store;
+  NoOrders Orders;
+  RowDecoder Rows = tables();
+  CallerWire Wire;
+  Counters Count;
+  Context Ctx{Settings, Loop, Client, Store, Orders,
+              nullptr,  Rows, Wire,   Count, "1"};
+  /// On the loop's thread.
+  std::uint32_t Decoded = 0;
+  std::uint32_t Changes = 0;
+  FleetView View{Ctx, [this](ViewChange What) {
+                   Changes += What == ViewChange::Workers ? 1 : 0;
+                 }};
+
+  ViewSite() {
+    Rows.Operator = [](const store::PartRow &) { return OperatorRow(); };
+    Rows.WorkerFacts = [](const std::string &Value) {
+      return Value.substr(0, Value.find(FactsEnd));
+    };
+    Rows.Worker = [this](const store::PartRow &Row) {
+      ++Decoded;
+      if (Row.Value.find(FactsEnd) == std::string::npos)
+        throw std::invalid_argument("no mark");
+      jobs::WorkerEntry Entry;
+      Entry.Id = Row.Where.Key;
+      Entry.Pool = "p";
+      Entry.Draining = Row.Value.starts_with("draining");
+      return Entry;
+    };
+    putWorker("w1", "ready#1");
+    putWorker("w2", "ready#1");
+    Loop.start();
+    on([this] { View.start(); });
+    read();
+  }
+  ~ViewSite() {
+    Loop.stop();
+    Client.stop();
+  }
+
+  /// The view copies the names.
+  static RowDecoder tables() {
+    RowDecoder Named;
+    Named.OperatorTable = "op";
+    Named.WorkerTable = "servers";
+    return Named;
+  }
+  void putWorker(const std::string &Id, const std::string &Value) {
+    Store.put({"servers", "", Id}, Value);
+  }
+  /// Runs on the loop's thread and waits for it.
+  void on(const std::function<void()> &Work) {
+    std::promise<void> Done;
+    Loop.post([&] {
+      Work();
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+  /// Reads the list of workers anew; returns how many drain.
+  std::ptrdiff_t read() {
+    std::promise<std::ptrdiff_t> Done;
+    Loop.post([&] {
+      View.whenWorkersRead([&] {
+        std::vector<jobs::WorkerEntry> Workers = View.workersOf("p");
+        Done.set_value(
+            std::count_if(Workers.begin(), Workers.end(),
+                          [](const auto &Entry) { return Entry.Draining; }));
+      });
+    });
+    return Done.get_future().get();
+  }
+  std::size_t listed() {
+    std::size_t Found = 0;
+    on([&] { Found = View.workersOf("p").size(); });
+    return Found;
+  }
+};
+
 } // namespace
 
 TEST_CASE("an entry's row tells its capacity") {
@@ -37,3 +141,72 @@
   CHECK(Read.Capacity == jobs::UnknownCapacity);
   CHECK(Read.Leaving);
 }
+
+TEST_CASE("a new owner reads the list of workers though it was read seldom") {
+  ViewSite Site;
+  CHECK(Site.listed() == 2);
+  // Far within the pause of an entry without a pool.
+  Site.putWorker("w1", "draining#2");
+  CHECK(Site.read() == 1);
+  Site.Store.remove({"servers", "", "w2"});
+  Site.read();
+  CHECK(Site.listed() == 1);
+}
+
+// 350 workers renew their rows every 1.5 s; every entry decoded all their
+// fields, and owners took over all their workers anew.
+TEST_CASE("a worker's sign of life is neither decoded nor told") {
+  ViewSite Site;
+  std::uint32_t Decoded = 0;
+  std::uint32_t Changes = 0;
+  Site.on([&] {
+    Decoded = Site.Decoded;
+    Changes = Site.Changes;
+  });
+  Site.putWorker("w1", "ready#2");
+  Site.putWorker("w2", "ready#2");
+  Site.read();
+  Site.on([&] {
+    CHECK(Site.Decoded == Decoded);
+    CHECK(Site.Changes == Changes);
+  });
+  Site.putWorker("w2", "draining#3");
+  CHECK(Site.read() == 1);
+  Site.on([&] {
+    CHECK(Site.Decoded == Decoded + 1);
+    CHECK(Site.Changes == Changes + 1);
+  });
+}
+
+TEST_CASE("a worker's row that can't be read leaves the worker as it was") {
+  ViewSite Site;
+  Site.putWorker("w1", "???");
+  CHECK(Site.read() == 0);
+  CHECK(Site.listed() == 2);
+}
+
+TEST_CASE("an owner follows the list of workers without being asked") {
+  ViewSite Site;
+  Site.on([&] { Site.View.followWorkersClosely(true); });
+  Site.putWorker("w1", "draining#2");
+  std::ptrdiff_t Draining = 0;
+  while (Draining == 0)
+    Site.on([&] {
+      for (const jobs::WorkerEntry &Entry : Site.View.workersOf("p"))
+        Draining += Entry.Draining ? 1 : 0;
+    });
+  CHECK(Draining == 1);
+}
+
+TEST_CASE("an entry without a pool reads the list of workers less often") {
+  ViewSite Owner;
+  ViewSite Other;
+  Owner.on([&] { Owner.View.followWorkersClosely(true); });
+  Other.on([&] { Other.View.followWorkersClosely(false); });
+  std::uint32_t OwnersFirst = Owner.Store.readings();
+  std::uint32_t OthersFirst = Other.Store.readings();
+  constexpr std::uint32_t Enough = 8;
+  while (Owner.Store.readings() - OwnersFirst < Enough)
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  CHECK(Other.Store.readings() - OthersFirst < Enough / 2);
+}
--- /dev/null
+++ b/tests/dispatch/RowsInMemory.h
@@ -0,0 +1,70 @@
+#ifndef COMFREYDECK_TESTS_DISPATCH_ROWSINMEMORY_H
+#define COMFREYDECK_TESTS_DISPATCH_ROWSINMEMORY_H
+
+#include "store/PartitionedStore.h"
+
+#include <map>
+#include <mutex>
+
+namespace comfreydeck::tests {
+
+/// A store in memory that answers at once; a reading of changes that waits is
+/// answered no more where there is none. Thread-safe.
+class RowsInMemory : public store::PartitionedStore {
+public:
+  void put(const store::PartKey &Where, const std::string &Value) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Rows_[Where] = {Where, Value, ++Version_, false};
+  }
+  void remove(const store::PartKey &Where) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Rows_[Where] = {Where, "", ++Version_, true};
+  }
+  std::uint32_t readings() const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return Readings_;
+  }
+
+  void commit(store::PartTransaction T, core::Duration,
+              store::PartCallback Done) override {
+    for (const store::PartWrite &Put : T.Puts)
+      put(Put.Where, Put.Value);
+    Done(answer([](const store::PartRow &) { return false; }));
+  }
+  void read(store::PartRange Range, store::PartCallback Done) override {
+    Done(answer([&](const store::PartRow &Row) {
+      return Row.Where.Table == Range.Table && Row.Where.Part == Range.Part &&
+             !Row.Removed;
+    }));
+  }
+  void changes(std::string Table, std::uint64_t After, core::Duration Wait,
+               store::PartCallback Done) override {
+    store::PartAnswer Answer = answer([&](const store::PartRow &Row) {
+      return Row.Where.Table == Table && Row.Version > After;
+    });
+    if (!Answer.Rows.empty() || Wait == core::Duration::zero())
+      Done(std::move(Answer));
+  }
+
+private:
+  template <typename Wanted> store::PartAnswer answer(Wanted IsWanted) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    ++Readings_;
+    store::PartAnswer Answer;
+    Answer.Outcome = store::PartOutcome::Ok;
+    Answer.Version = Version_;
+    for (const auto &[Where, Row] : Rows_)
+      if (IsWanted(Row))
+        Answer.Rows.push_back(Row);
+    return Answer;
+  }
+
+  mutable std::mutex Mutex_;
+  std::map<store::PartKey, store::PartRow> Rows_;
+  std::uint64_t Version_ = 0;
+  std::uint32_t Readings_ = 0;
+};
+
+} // namespace comfreydeck::tests
+
+#endif // COMFREYDECK_TESTS_DISPATCH_ROWSINMEMORY_H
