Don't decode jobs of pools that are owned elsewhere

Each owner follows the jobs of all pools, and each keeper decoded every job that it didn't know, with its payload and steps, to find that another entry owns its pool. The pool's name is now found in the text, and a row goes to that pool's keeper only; a row without a plain name goes to all, as before.

--- a/src/codec/JobJson.cpp
+++ b/src/codec/JobJson.cpp
@@ -128,6 +128,19 @@
   });
 }
 
+std::string_view poolOf(std::string_view Text) {
+  // Within a text every quotation mark has a backslash before it, so that this
+  // is found as a field only; the steps have none of that name.
+  constexpr std::string_view Field = "\"pool\":\"";
+  std::size_t At = Text.find(Field);
+  if (At == std::string_view::npos)
+    return {};
+  std::string_view Name = Text.substr(At + Field.size());
+  std::size_t End = Name.find_first_of("\"\\");
+  bool Plain = End != std::string_view::npos && Name[End] == '"';
+  return Plain ? Name.substr(0, End) : std::string_view();
+}
+
 std::string encodeProgress(const jobs::JobProgress &Progress) {
   Json Object = {{"state", static_cast<unsigned>(Progress.State)}};
   std::string Done;
--- a/src/codec/JobJson.h
+++ b/src/codec/JobJson.h
@@ -4,6 +4,7 @@
 #include "jobs/Worker.h"
 
 #include <string>
+#include <string_view>
 
 /// Jobs, their progress and the workers of a pool's roster as rows. Decoders
 /// throw std::invalid_argument.
@@ -12,6 +13,9 @@
 /// Thread-safe, as all of these.
 std::string encodeJob(const jobs::JobSpec &Spec);
 jobs::JobSpec decodeJob(const std::string &Text);
+/// The pool of an encoded job, found without decoding the rest of it; empty
+/// where that takes a decoding.
+std::string_view poolOf(std::string_view Text);
 
 std::string encodeProgress(const jobs::JobProgress &Progress);
 jobs::JobProgress decodeProgress(const std::string &Text);
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/Ownership.h"
 
+#include "codec/JobJson.h"
 #include "dispatch/Clock.h"
 #include "dispatch/EventLog.h"
 
@@ -37,9 +38,8 @@
       Jobs_(Ctx.Loop, Ctx.Store,
             {rows::Jobs, {}, JobsPause, [] { return rows::jobParts(); }},
             [this](const auto &Rows, bool) {
-              for (const auto &[Pool, Keeper] : Keepers_)
-                for (const store::PartRow &Row : Rows)
-                  Keeper->takeJobRow(Row);
+              for (const store::PartRow &Row : Rows)
+                takeJobRow(Row);
             }) {}
 
 void Ownership::start() {
@@ -292,6 +292,14 @@
   });
 }
 
+/// Jobs of other entries' pools are not decoded here.
+void Ownership::takeJobRow(const store::PartRow &Row) {
+  std::string_view Named = codec::poolOf(Row.Value);
+  for (const auto &[Pool, Keeper] : Keepers_)
+    if (Named.empty() || Named == Pool)
+      Keeper->takeJobRow(Row);
+}
+
 void Ownership::follow(std::uint64_t Version) {
   if (!Jobs_.isStarted())
     Jobs_.startAt(Version);
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -53,6 +53,7 @@
   void taken(PoolTaking Taking, std::uint64_t Token);
   void checkTake(const PoolTaking &Taking);
   void dropForeign();
+  void takeJobRow(const store::PartRow &Row);
   void follow(std::uint64_t Version);
   void release(const std::string &Pool, std::uint64_t Token,
                std::function<void()> Done);
--- a/tests/codec/JobJsonTest.cpp
+++ b/tests/codec/JobJsonTest.cpp
@@ -100,3 +100,18 @@
     }
   }
 }
+
+// Guards against jobs that an owner passes over, as another pool's.
+TEST_CASE("a job's pool is found without decoding the job") {
+  jobs::JobSpec Spec = fullJob();
+  CHECK(poolOf(encodeJob(Spec)) == "pool");
+  Spec.Payload = R"(","pool":"other","x":")";
+  Spec.Queue = "\"pool\":\"other\"";
+  CHECK(poolOf(encodeJob(Spec)) == "pool");
+  Spec.Pool = "a \"pool\"";
+  CHECK(poolOf(encodeJob(Spec)).empty());
+  Spec.Pool = "a\\b";
+  CHECK(poolOf(encodeJob(Spec)).empty());
+  for (const char *Text : {"", "{", "\"pool\":\"", "{\"pool\":7}"})
+    CHECK(poolOf(Text).empty());
+}
