--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -71,14 +71,15 @@
                                  Ports.Store, Ports.Workers, Ports.Machines,
                                  Ports.Rows,  Ports.Wire,    Count,
                                  drawLife()},
-        View(Ctx, [this] { refresh(); }), Owners(Ctx, View),
-        PeerCalls(Ctx, View, Owners), Rooms(Ctx, View, Owners),
-        Duty(Ctx, View, Owners, PeerCalls), Door(Ctx, View, PeerCalls),
-        Watch(Ctx), CallerServer(listenAt(Settings.Callers),
-                                 [this](net::HttpRequest Request,
-                                        net::HttpResponder Respond) {
-                                   Door.receive(Request, std::move(Respond));
-                                 }),
+        View(Ctx, [this](ViewChange What) { refresh(What); }),
+        Owners(Ctx, View), PeerCalls(Ctx, View, Owners),
+        Rooms(Ctx, View, Owners), Duty(Ctx, View, Owners, PeerCalls),
+        Door(Ctx, View, PeerCalls), Watch(Ctx),
+        CallerServer(
+            listenAt(Settings.Callers),
+            [this](net::HttpRequest Request, net::HttpResponder Respond) {
+              Door.receive(Request, std::move(Respond));
+            }),
         ReadinessServer(listenAt(Settings.Readiness),
                         [this](const net::HttpRequest &Request,
                                const net::HttpResponder &Respond) {
@@ -106,9 +107,15 @@
           });
   }
 
-  void refresh() {
-    Owners.refresh();
-    Rooms.apply();
+  void refresh(ViewChange What) {
+    if (What != ViewChange::Workers) {
+      Owners.review();
+      Rooms.apply();
+    }
+    // Rows of entries and teams change all the time; they tell the keepers
+    // nothing.
+    if (What != ViewChange::Control)
+      Owners.refreshKeepers();
   }
 
   void probe(const net::HttpRequest &Request,
@@ -124,7 +131,7 @@
   void tick() {
     constexpr milliseconds Period(250);
     Ready = Door.isCurrent();
-    Owners.refresh();
+    Owners.review();
     Loop.after(Period, [this] { tick(); });
   }
 };
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/Ownership.h"
 
+#include "codec/JobJson.h"
 #include "dispatch/Clock.h"
 #include "dispatch/EventLog.h"
 
@@ -37,9 +38,8 @@
       Jobs_(Ctx.Loop, Ctx.Store,
             {rows::Jobs, {}, JobsPause, [] { return rows::jobParts(); }},
             [this](const auto &Rows, bool) {
-              for (const auto &[Pool, Keeper] : Keepers_)
-                for (const store::PartRow &Row : Rows)
-                  Keeper->takeJobRow(Row);
+              for (const store::PartRow &Row : Rows)
+                takeJobRow(Row);
             }) {}
 
 void Ownership::start() {
@@ -66,6 +66,8 @@
   Me.PeerAddress = Ctx_.Settings.Peers;
   Me.DataCentre = Ctx_.Settings.DataCentre;
   Me.Leaving = Leaving_;
+  if (Ctx_.Settings.Cores > 0 && Ctx_.Settings.LinkMbps > 0)
+    Me.Capacity = jobs::capacityOf(Ctx_.Settings.Cores, Ctx_.Settings.LinkMbps);
   return Me;
 }
 
@@ -85,12 +87,16 @@
   });
 }
 
-void Ownership::refresh() {
+void Ownership::review() {
   dropForeign();
+  choose();
+  View_.followWorkersClosely(!Keepers_.empty());
+}
+
+void Ownership::refreshKeepers() {
   for (const auto &[Pool, Keeper] : Keepers_)
     if (Keeper->isLoaded())
       Keeper->refresh();
-  choose();
 }
 
 /// Pools whose rows name another owner.
@@ -121,11 +127,20 @@
     return;
   std::vector<jobs::EntryView> Entries = View_.entries();
   std::vector<jobs::PoolView> Pools = View_.pools();
+  // While a whole fleet starts, the first that are up must not take all.
+  if (Entries.size() > MostEntries_) {
+    MostEntries_ = Entries.size();
+    NewestSeenAt_ = Now;
+  }
+  bool Gathered = jobs::hasGathered(StartedAt_, NewestSeenAt_, Now);
   for (const std::string &Pool : jobs::poolsToTake(
            self(), Entries, Pools, View_.controlCurrentAt(), Now, DeadAfter)) {
     if (wasJustLost(Pool) || isOwned(Pool))
       continue;
     const jobs::PoolView *Row = View_.pool(Pool);
+    bool NeverOwned = !Row || Row->Version == 0;
+    if (NeverOwned && !Gathered)
+      continue;
     if (Row && mayAnswer(*Row))
       askOwner(Pool);
     else
@@ -270,7 +285,19 @@
   auto Keeper =
       std::make_shared<PoolKeeper>(Ctx_, View_, Jobs_, Taking, std::move(Lost));
   Keepers_[Pool] = Keeper;
-  Keeper->load([this](std::uint64_t Version) { follow(Version); });
+  View_.followWorkersClosely(true);
+  // Until now the list of workers was followed seldom here.
+  View_.whenWorkersRead([this, Keeper] {
+    Keeper->load([this](std::uint64_t Version) { follow(Version); });
+  });
+}
+
+/// Jobs of other entries' pools are not decoded here.
+void Ownership::takeJobRow(const store::PartRow &Row) {
+  std::string_view Named = codec::poolOf(Row.Value);
+  for (const auto &[Pool, Keeper] : Keepers_)
+    if (Named.empty() || Named == Pool)
+      Keeper->takeJobRow(Row);
 }
 
 void Ownership::follow(std::uint64_t Version) {
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -12,8 +12,10 @@
   Ownership(Context &Ctx, FleetView &View);
 
   void start();
-  /// The view changed.
-  void refresh();
+  /// Looks at who owns what: the view changed, or time has passed.
+  void review();
+  /// Workers, configuration or closed data centres changed.
+  void refreshKeepers();
 
   /// Null: the pool is not owned here, or not loaded yet.
   std::shared_ptr<PoolKeeper> keeper(const std::string &Pool) const;
@@ -51,6 +53,7 @@
   void taken(PoolTaking Taking, std::uint64_t Token);
   void checkTake(const PoolTaking &Taking);
   void dropForeign();
+  void takeJobRow(const store::PartRow &Row);
   void follow(std::uint64_t Version);
   void release(const std::string &Pool, std::uint64_t Token,
                std::function<void()> Done);
@@ -68,6 +71,9 @@
   std::uint64_t FleetToken_ = 0;
   bool FleetTakenBack_ = false;
   std::uint64_t Beats_ = 0;
+  std::size_t MostEntries_ = 0;
+  /// When more entries than ever before were seen.
+  core::TimePoint NewestSeenAt_;
   bool Registered_ = false;
   bool BeatInFlight_ = false;
   bool Leaving_ = false;
