--- a/tests/adapter/WireWorkersTest.cpp
+++ b/tests/adapter/WireWorkersTest.cpp
@@ -1,4 +1,5 @@
 #include "WireWorkers.h"
+#include "WireMachines.h"
 #include "standins/HostRow.h"
 
 #include <doctest/doctest.h>
@@ -45,3 +46,22 @@
   CHECK(Accepted == Orders);
   CHECK(Row.connections() <= FewConnections);
 }
+
+TEST_CASE("an answer without its fields is no word that nothing runs there") {
+  standins::HostRow Row(1);
+  net::HttpClient Client(net::HttpClientOptions{});
+  platform::WireWorkers Workers(Client);
+  jobs::WorkerEntry To;
+  To.Id = "w";
+  To.Address = Row.address(0);
+  std::promise<jobs::ReportResult> Report;
+  Workers.report(To, 1, {}, [&](jobs::ReportResult Result) {
+    Report.set_value(std::move(Result));
+  });
+  CHECK(Report.get_future().get().Outcome == jobs::OrderOutcome::Unknown);
+  platform::WireMachines Machines(Client, Row.address(0), "e1");
+  std::promise<dispatch::MachineList> List;
+  Machines.list(
+      [&](dispatch::MachineList Read) { List.set_value(std::move(Read)); });
+  CHECK_FALSE(List.get_future().get().Ok);
+}
