Give no lease that outlasts what later owners wait for by a slow clock

What callers would see: a task that runs twice. A start on a worker that was idle for a minute got a lease by this owner's clock, 1.2 s too long where the worker's clock is 2 % slow; the next owner waits for a lease and 2 % of it. Found by review of the incident's trace.

The new test failed before (1.2 s beyond the lease).

--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -193,7 +193,11 @@
   core::Duration Length = std::min(Limits_.Lease, In.AuthorityEnd - In.Now);
   if (Length <= core::Duration::zero())
     return 0;
-  return W.ClockMs + toMs(In.Now - W.ClockAt) + toMs(Length);
+  // The worker's clock may have gone slower since its last answer: a lease
+  // must not outlast what later owners wait for.
+  double Passed =
+      static_cast<double>(toMs(In.Now - W.ClockAt)) * (1 - Limits_.ClockDrift);
+  return W.ClockMs + static_cast<std::int64_t>(Passed) + toMs(Length);
 }
 
 bool PoolState::leaseLapsed(const WorkerState &W, core::TimePoint Now) const {
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -471,6 +471,23 @@
   CHECK(B.plan().Starts.size() == 1);
 }
 
+TEST_CASE("a lease on a worker that was long idle is no longer by its slow "
+          "clock") {
+  OwnerBench B;
+  B.list({"w1"});
+  B.plan();
+  B.report("w1");
+  std::int64_t LastClockMs = B.clockMs();
+  constexpr std::int64_t IdleMs = 60000;
+  B.pass(milliseconds(IdleMs));
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  std::int64_t SlowClockMs = LastClockMs + IdleMs * 98 / 100;
+  CHECK(Out.Starts[0].DeadlineMs <=
+        SlowClockMs + OwnerLimits().Lease / milliseconds(1));
+}
+
 TEST_CASE("a worker gets no start before the stored roster has it") {
   OwnerBench B;
   std::vector<WorkerEntry> Entries = {sampleWorker("w1")};
