Wait for a lease alone only behind an owner that had heard every worker

What callers would see: a task that runs twice. Owner A is cut off from the store and orders on for up to 8 s; B takes the pool and gives it away, or is started anew, before it has heard every worker; the owner after B waited for a lease only, 3.1 s, while A still extended the lease of a worker that only A reached. An owner now stores that it has settled, on the chain of its writes, and a pool that was given away names who gave it.

The new test shows both waits; the mark's way through the store is covered by whole entries only in so far as takeovers go on.

--- a/src/dispatch/Context.h
+++ b/src/dispatch/Context.h
@@ -45,6 +45,8 @@
 inline constexpr const char *ChainKey = "!chain";
 /// Workers that orders of the pool may have reached, beside its progress.
 inline constexpr const char *RosterPrefix = "!worker/";
+/// Token of the last owner that no order of earlier owners can cross.
+inline constexpr const char *SettledKey = "!settled";
 /// The pool whose owner maintains and moves machines; it has no workers.
 inline constexpr const char *FleetDuty = "@fleet";
 
--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -276,6 +276,10 @@
   return Json({{"name", Name}, {"life", Life}}).dump();
 }
 
+std::string FleetView::givenValue(std::uint64_t Token) {
+  return Json({{"name", ""}, {"life", ""}, {"given_by", Token}}).dump();
+}
+
 std::string FleetView::entryValue(const jobs::EntryView &Entry,
                                   std::uint64_t Beat) {
   return Json({{"life", Entry.Life},
@@ -309,6 +313,7 @@
   Json Object = Json::parse(Row.Value);
   View.OwnerName = Object.at("name").get<std::string>();
   View.OwnerLife = Object.at("life").get<std::string>();
+  View.GivenBy = Object.value("given_by", std::uint64_t{0});
   return View;
 }
 
--- a/src/dispatch/FleetView.h
+++ b/src/dispatch/FleetView.h
@@ -71,6 +71,8 @@
   /// Rows of entries that tell no capacity are read too. Throws
   /// nlohmann::json::exception.
   static jobs::EntryView decodeEntry(const store::PartRow &Row);
+  /// Row of a pool that its owner gave away.
+  static std::string givenValue(std::uint64_t Token);
   static std::string entryValue(const jobs::EntryView &Entry,
                                 std::uint64_t Beat);
   static std::string allotmentValue(const TeamAllotment &Allotment);
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -199,14 +199,16 @@
   });
 }
 
-/// Nothing orders for a pool that was given away, or whose owner's process has
-/// ended: only leases that were given before still run.
-core::Duration Ownership::earlierOrders(const jobs::PoolView *Row) const {
-  jobs::OwnerLimits Limits;
-  bool Ended =
-      !Row || Row->OwnerName.empty() ||
-      (Row->OwnerName == Ctx_.Settings.Name && Row->OwnerLife != Ctx_.Life);
-  return Ended ? Limits.Lease : Limits.Authority;
+/// The owner that gave the pool away, or whose process has ended, orders no
+/// more; owners before it may, if it had not settled.
+std::uint64_t Ownership::endedOwner(const jobs::PoolView *Row) const {
+  if (!Row)
+    return 0;
+  if (Row->OwnerName.empty())
+    return Row->GivenBy;
+  bool Mine =
+      Row->OwnerName == Ctx_.Settings.Name && Row->OwnerLife != Ctx_.Life;
+  return Mine ? Row->Version : 0;
 }
 
 void Ownership::take(const std::string &Pool) {
@@ -218,7 +220,7 @@
   store::PartTransaction T;
   T.Conditions.push_back({Key, Row ? Row->Version : 0});
   T.Puts.push_back({Key, FleetView::ownerValue(Ctx_.Settings.Name, Ctx_.Life)});
-  PoolTaking Taking{Pool, 0, bootNow(), earlierOrders(Row)};
+  PoolTaking Taking{Pool, 0, bootNow(), endedOwner(Row)};
   Ctx_.Store.commit(
       std::move(T), StoreLimit, [this, Taking](PartAnswer Answer) {
         Ctx_.Loop.post([this, Taking, Answer = std::move(Answer)] {
@@ -236,7 +238,7 @@
 void Ownership::checkTake(const PoolTaking &Taking) {
   PoolTaking Tried = Taking;
   // Somebody else may have had it meanwhile.
-  Tried.EarlierOrders = jobs::OwnerLimits().Authority;
+  Tried.EndedOwner = 0;
   store::PartRange Range = {rows::Control, rows::poolPart(Tried.Pool),
                             rows::OwnerKey, ""};
   Ctx_.Store.read(Range, [this, Tried](PartAnswer Answer) {
@@ -310,7 +312,7 @@
   store::PartKey Key = {rows::Control, rows::poolPart(Pool), rows::OwnerKey};
   store::PartTransaction T;
   T.Conditions.push_back({Key, Token});
-  T.Puts.push_back({Key, FleetView::ownerValue("", "")});
+  T.Puts.push_back({Key, FleetView::givenValue(Token)});
   Ctx_.Store.commit(std::move(T), StoreLimit,
                     [this, Pool, Done](PartAnswer Answer) {
                       Ctx_.Loop.post([Pool, Done, Answer] {
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -48,7 +48,7 @@
   bool wasJustLost(const std::string &Pool) const;
   bool mayAnswer(const jobs::PoolView &Pool) const;
   void askOwner(const std::string &Pool);
-  core::Duration earlierOrders(const jobs::PoolView *Row) const;
+  std::uint64_t endedOwner(const jobs::PoolView *Row) const;
   void take(const std::string &Pool);
   void taken(PoolTaking Taking, std::uint64_t Token);
   void checkTake(const PoolTaking &Taking);
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -46,10 +46,8 @@
   return Count;
 }
 
-jobs::OwnerLimits limitsFor(const settings::DispatchSettings &Settings,
-                            const PoolTaking &Taking) {
+jobs::OwnerLimits limitsFor(const settings::DispatchSettings &Settings) {
   jobs::OwnerLimits Limits;
-  Limits.EarlierOrders = Taking.EarlierOrders;
   Limits.Lease = std::min(Limits.Lease, Settings.MaxLease);
   return Limits;
 }
@@ -60,10 +58,10 @@
                        const PoolTaking &Taking,
                        std::function<void(const std::string &)> Lost)
     : Ctx_(Ctx), View_(View), Jobs_(Jobs),
-      State_(Taking.Pool, Taking.Token, bootNow(),
-             limitsFor(Ctx.Settings, Taking)),
+      State_(Taking.Pool, Taking.Token, bootNow(), limitsFor(Ctx.Settings)),
       Watch_(Ctx.Count, Taking.Pool, Taking.Token), TakenAt_(Taking.At),
-      Lost_(std::move(Lost)), Part_(rows::poolPart(Taking.Pool)) {}
+      EndedOwner_(Taking.EndedOwner), Lost_(std::move(Lost)),
+      Part_(rows::poolPart(Taking.Pool)) {}
 
 // Loading.
 
@@ -133,6 +131,11 @@
       Chain_ = Row.Version;
       continue;
     }
+    if (Row.Where.Key == rows::SettledKey) {
+      if (EndedOwner_ != 0 && Row.Value == std::to_string(EndedOwner_))
+        State_.trustLastOwner();
+      continue;
+    }
     if (Row.Where.Key.starts_with(rows::RosterPrefix)) {
       takeRosterRow(Row, Now);
       continue;
@@ -461,6 +464,9 @@
   for (const jobs::WorkerEntry &Entry : Batch->Enrolled)
     T.Puts.push_back({{rows::Progress, Part_, rows::RosterPrefix + Entry.Id},
                       codec::encodeRosterRow(Entry)});
+  if (Batch->Settled)
+    T.Puts.push_back({{rows::Progress, Part_, rows::SettledKey},
+                      std::to_string(State_.token())});
   for (const std::string &Id : Batch->Struck)
     T.Removals.push_back({rows::Progress, Part_, rows::RosterPrefix + Id});
   auto Self = shared_from_this();
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -15,9 +15,8 @@
   std::uint64_t Token = 0;
   /// When the transaction was sent.
   core::TimePoint At;
-  /// Longest time from then on that earlier owners' orders may keep a run
-  /// alive.
-  core::Duration EarlierOrders = jobs::OwnerLimits().Authority;
+  /// Token of the owner before if it surely orders no more; zero: it may.
+  std::uint64_t EndedOwner = 0;
 };
 
 /// Workers that are to get nothing new.
@@ -94,6 +93,7 @@
   jobs::PoolState State_;
   PoolWatch Watch_;
   core::TimePoint TakenAt_;
+  std::uint64_t EndedOwner_;
   std::function<void(const std::string &)> Lost_;
   std::function<void()> Left_;
   std::string Part_;
--- a/src/jobs/OwnerChoice.h
+++ b/src/jobs/OwnerChoice.h
@@ -45,6 +45,8 @@
   std::string OwnerLife;
   /// Version of the owner's row; zero: there is no row.
   std::uint64_t Version = 0;
+  /// Token of the owner that gave the pool away; zero: not known.
+  std::uint64_t GivenBy = 0;
   /// No jobs are started for it.
   bool Light = false;
 };
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -72,6 +72,8 @@
     Fenced_ = true;
     return Out;
   }
+  if (!Settled_ && allHeard(In.Now))
+    Settled_ = ToStoreSettled_ = true;
   settleParked(In);
   expireSilent(In);
   clearClosed(In);
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -395,6 +395,7 @@
   while (!ToStrike_.empty() && HasRoom())
     Batch.Struck.push_back(ToStrike_.extract(ToStrike_.begin()).value());
   Enrolling_ = Batch.Enrolled;
+  Batch.Settled = std::exchange(ToStoreSettled_, false);
   Batch.Mark = Changed_.empty() ? Touches_ : Changed_.front()->FirstTouch - 1;
   return Batch;
 }
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -115,9 +115,11 @@
   std::vector<WorkerEntry> Enrolled;
   /// Workers that can run nothing of this pool any more.
   std::vector<std::string> Struck;
+  /// From now on no order of earlier owners can be carried out.
+  bool Settled = false;
 
   bool isEmpty() const {
-    return Writes.empty() && Enrolled.empty() && Struck.empty();
+    return Writes.empty() && Enrolled.empty() && Struck.empty() && !Settled;
   }
 };
 
@@ -293,6 +295,9 @@
   /// A worker of the stored roster: it may run what an earlier owner started,
   /// whether it is listed or not. To be called before \ref setWorkers.
   void addEnrolled(const WorkerEntry &Entry, core::TimePoint Now);
+  /// The owner before orders no more, and had settled: only leases that it had
+  /// given still run.
+  void trustLastOwner();
   /// The life of a worker that is listed no more has ended, and its runs with
   /// it.
   void confirmOver(const std::string &Id);
@@ -459,6 +464,8 @@
   /// When jobs came that end, and the processor time that each asks for, in
   /// thousandths of a core times milliseconds.
   std::deque<std::pair<core::TimePoint, double>> Arrivals_;
+  bool Settled_ = false;
+  bool ToStoreSettled_ = false;
   bool Fenced_ = false;
   PoolCounters Counters_;
 };
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -71,6 +71,8 @@
   Slot->GoneAt = Now;
 }
 
+void PoolState::trustLastOwner() { Limits_.EarlierOrders = Limits_.Lease; }
+
 void PoolState::confirmOver(const std::string &Id) {
   auto At = Workers_.find(Id);
   if (At == Workers_.end() || !At->second->Gone)
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -488,6 +488,32 @@
         SlowClockMs + OwnerLimits().Lease / milliseconds(1));
 }
 
+TEST_CASE(
+    "an owner that has not heard all workers is not taken for settled, and "
+    "its successor waits for earlier owners' authority") {
+  OwnerBench B;
+  B.list({"w1", "w2"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  bool Trusts = false;
+  SUBCASE("the owner before had settled") { Trusts = true; }
+  SUBCASE("the owner before had not") {}
+  if (Trusts)
+    B.Owner.trustLastOwner();
+  B.plan();
+  B.report("w1");
+  B.plan();
+  CHECK_FALSE(B.Owner.takeChanges(10).Settled);
+  B.pass(milliseconds(3500));
+  B.report("w1");
+  CHECK(B.plan().Starts.size() == (Trusts ? 1 : 0));
+  CHECK(B.Owner.takeChanges(10).Settled == Trusts);
+  if (Trusts)
+    return;
+  B.pass(milliseconds(5000));
+  B.report("w1");
+  CHECK(B.plan().Starts.size() == 1);
+}
+
 TEST_CASE("a worker gets no start before the stored roster has it") {
   OwnerBench B;
   std::vector<WorkerEntry> Entries = {sampleWorker("w1")};
