Log the settled takeover by the pool's own finding; a metric's help says what it holds

The keeper worked out at each planning, beside the pool's state, whether every worker was heard. It now logs what the pool has found. The help of comfreydeck_job_http_total named bytes that it does not hold. No decision changes.

--- a/src/dispatch/Counters.cpp
+++ b/src/dispatch/Counters.cpp
@@ -78,10 +78,9 @@
   GaugeFamily &LoopBusy = gauges(
       Registry, "comfreydeck_job_loop_busy_share",
       "Estimated share of the last period in which the control thread worked");
-  CounterFamily &Calls = counters(
-      Registry, "comfreydeck_job_http_total",
-      "Calls that ended, what became of them and bytes received by kind of "
-      "host");
+  CounterFamily &Calls =
+      counters(Registry, "comfreydeck_job_http_total",
+               "Calls that ended and what became of them by kind of host");
 
   HistogramFamily &Plans = histograms(Registry, "comfreydeck_job_plan_seconds",
                                       "How long a planning took by pool");
--- a/src/dispatch/PoolKeeper.cpp
+++ b/src/dispatch/PoolKeeper.cpp
@@ -359,9 +359,9 @@
   In.AuthorityEnd = authorityEnd();
   In.MayStart = !Leaving_ && In.Now < In.AuthorityEnd;
   In.JobsReadAt = Jobs_.currentAt();
-  noteSettled(In.Now);
   jobs::Orders Orders = State_.plan(In);
   Watch_.notePlan(bootNow() - In.Now);
+  noteSettled(In.Now);
   send(std::move(Orders));
   if (State_.isFenced()) {
     lose("fenced");
@@ -375,9 +375,9 @@
 
 /// Says on which workers' word inherited tasks may start from now on.
 void PoolKeeper::noteSettled(core::TimePoint Now) {
-  if (Settled_ || !State_.allHeard(Now))
+  if (SettledLogged_ || !State_.isSettled())
     return;
-  Settled_ = true;
+  SettledLogged_ = true;
   WorkerCount Count = countWorkers(State_);
   auto Waited = std::chrono::duration_cast<milliseconds>(Now - TakenAt_);
   logEvent("pool_settled", {{"pool", State_.pool()},
--- a/src/dispatch/PoolKeeper.h
+++ b/src/dispatch/PoolKeeper.h
@@ -108,8 +108,7 @@
   };
   std::map<std::string, Closing> Closed_;
   bool Loaded_ = false;
-  /// Every worker that may run inherited tasks was heard, or runs none.
-  bool Settled_ = false;
+  bool SettledLogged_ = false;
   bool Leaving_ = false;
   bool Dropped_ = false;
   bool Storing_ = false;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -365,6 +365,9 @@
   }
   /// Whether every worker that may run something was heard.
   bool allHeard(core::TimePoint Now) const;
+  /// Whether a planning has found \ref allHeard once: inherited tasks may
+  /// start.
+  bool isSettled() const { return Settled_; }
   /// How long a task of the step is expected to run: as its queue's tasks did,
   /// or as the caller guessed.
   static double runTimeMs(const JobRecord &Job, const StepSpec &Step);
