--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -374,6 +374,7 @@
   jobs::Orders Orders = State_.plan(In);
   Monitor_.recordPlanTime(bootNow() - In.Now);
   logSettled(In.Now);
+  logStopDecisions();
   send(std::move(Orders));
   if (State_.isFenced()) {
     loseOwnership("fenced");
@@ -401,6 +402,24 @@
                             {"waited_ms", Waited.count()}});
 }
 
+/// Logs each decision to stop a lasting task, which makes its step less
+/// available, with the state it was based on.
+void PoolController::logStopDecisions() {
+  for (const jobs::StopDecision &Decision : State_.takeStopDecisions())
+    logEvent("lasting_task_stopped",
+             {{"job", Decision.Task.JobId},
+              {"step", Decision.Task.Step},
+              {"index", Decision.Task.Index},
+              {"run", Decision.Run},
+              {"worker", Decision.Worker},
+              {"reason", jobs::nameOf(Decision.Reason)},
+              {"percent", Decision.Percent},
+              {"report_age_ms", core::inMs(Decision.ReportAge)},
+              {"unavailable", Decision.Unavailable},
+              {"allowed", Decision.Allowed},
+              {"token", State_.token()}});
+}
+
 const jobs::WorkerEntry *
 PoolController::entryOf(const std::string &Worker) const {
   auto It = State_.workers().find(Worker);
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -78,6 +78,7 @@
   void tick();
   void plan();
   void logSettled(core::TimePoint Now);
+  void logStopDecisions();
   void send(jobs::Orders Orders);
   void flush();
   void sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch, bool Again);
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -47,10 +47,8 @@
   case OrderOutcome::Unknown:
     // The run may exist or start later. A report that lists it or an
     // acknowledged stop resolves this.
-    if (Run && !Run->Confirmed) {
-      Run->Stopping = true;
-      Run->StopAt = Now;
-    }
+    if (Run && !Run->Confirmed)
+      stopRun(*Job, Task, *Run, StopReason::StartUnanswered, Now);
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
     W.IncarnationConfirmed = false;
     return;
@@ -244,8 +242,11 @@
     const TaskState &State = Job->Tasks[Task];
     Found.Stopping =
         isFinal(Job->Now) || State.Kept.Done || !State.Runs.empty();
+    bool Unneeded = Found.Stopping;
     addRun(*Job, Task, std::move(Found));
     Run = findRun(*Job, Task, Report.Run);
+    if (Unneeded && !isFinal(Job->Now))
+      recordStop(*Job, Task, *Run, StopReason::Duplicate, Now);
   }
   if (!Run->Confirmed) {
     Run->Confirmed = true;
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -367,6 +367,35 @@
   Counters_.Lapsed += Tasks.size();
 }
 
+void PoolState::stopRun(const JobRecord &Job, std::uint32_t Task, LiveRun &Run,
+                        StopReason Reason, core::TimePoint Now) {
+  recordStop(Job, Task, Run, Reason, Now);
+  Run.Stopping = true;
+  Run.StopAt = Now;
+}
+
+void PoolState::recordStop(const JobRecord &Job, std::uint32_t Task,
+                           const LiveRun &Run, StopReason Reason,
+                           core::TimePoint Now) {
+  const StepSpec &Step = stepOf(Job, Task);
+  if (!Step.Lasting)
+    return;
+  StopDecision Decision;
+  Decision.Task = refOf(Job, Task);
+  Decision.Run = Run.Run;
+  Decision.Worker = Run.Worker;
+  Decision.Reason = Reason;
+  Decision.Percent = Run.Percent;
+  Decision.ReportAge = Now - Workers_.at(Run.Worker)->ReportedAt;
+  Decision.Unavailable = countUnavailable(Job, Task, Now);
+  Decision.Allowed = absenceLimit(Step);
+  StopDecisions_.push_back(std::move(Decision));
+}
+
+std::vector<StopDecision> PoolState::takeStopDecisions() {
+  return std::exchange(StopDecisions_, {});
+}
+
 // Persistence.
 
 ProgressBatch PoolState::takeChanges(std::size_t MaxRows) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -5,6 +5,7 @@
 #include "jobs/PoolMetrics.h"
 #include "jobs/PoolSizes.h"
 #include "jobs/RunPace.h"
+#include "jobs/StopDecision.h"
 
 #include <deque>
 #include <map>
@@ -371,6 +372,9 @@
   const std::string &pool() const { return Pool_; }
   /// Returns and resets the counters.
   PoolCounters takeCounters();
+  /// Returns and forgets the decisions to stop lasting tasks since the last
+  /// call, oldest first.
+  std::vector<StopDecision> takeStopDecisions();
   PoolGauges gauges(core::TimePoint Now, std::int64_t WallMs) const;
   /// Whether this owner has been superseded: a worker has seen a higher fencing
   /// token, or the run ids are used up.
@@ -435,6 +439,11 @@
                    core::TimePoint SentAt);
   void startIncarnation(WorkerState &W, std::int64_t Born, core::TimePoint Now);
   void dropRuns(WorkerState &W);
+  /// Marks the run to be stopped by the next planning round.
+  void stopRun(const JobRecord &Job, std::uint32_t Task, LiveRun &Run,
+               StopReason Reason, core::TimePoint Now);
+  void recordStop(const JobRecord &Job, std::uint32_t Task, const LiveRun &Run,
+                  StopReason Reason, core::TimePoint Now);
   void endJob(JobRecord &Job, JobState State);
   void recordClock(WorkerState &W, std::int64_t ClockMs, core::TimePoint Now);
   std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
@@ -453,6 +462,7 @@
   bool isReady(const LiveRun &Run, core::TimePoint Now) const;
   std::uint32_t countUnavailable(const JobRecord &Job, std::uint32_t Task,
                                  core::TimePoint Now) const;
+  static std::uint32_t absenceLimit(const StepSpec &Step);
   void drainClosedWorkers(const PlanInput &In);
   void planStops(const PlanInput &In, Orders &Out);
   void planHolds(const PlanInput &In, Orders &Out);
@@ -492,6 +502,7 @@
   bool ToStoreSettled_ = false;
   bool Fenced_ = false;
   PoolCounters Counters_;
+  std::vector<StopDecision> StopDecisions_;
 };
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -159,6 +159,11 @@
   return Count;
 }
 
+/// Number of tasks of the step that orders may make unavailable at once.
+std::uint32_t PoolState::absenceLimit(const StepSpec &Step) {
+  return std::max<std::uint32_t>(Step.AbsenceAllowance, 1);
+}
+
 /// Stops lasting tasks on closed workers, as many at a time as their steps
 /// allow, so that they restart elsewhere. Other tasks are stopped only on
 /// workers that are being evicted.
@@ -168,16 +173,14 @@
       continue;
     for (const auto &[Job, Task] : W->Tasks) {
       const StepSpec &Step = stepOf(*Job, Task);
-      std::uint32_t Allowed = std::max<std::uint32_t>(Step.AbsenceAllowance, 1);
-      bool May = Step.Lasting ? countUnavailable(*Job, Task, In.Now) < Allowed
-                              : W->Evicting;
+      bool May = Step.Lasting
+                     ? countUnavailable(*Job, Task, In.Now) < absenceLimit(Step)
+                     : W->Evicting;
       if (!May)
         continue;
       for (LiveRun &Run : Job->Tasks[Task].Runs)
-        if (!Run.Stopping && Run.Worker == Id) {
-          Run.Stopping = true;
-          Run.StopAt = In.Now;
-        }
+        if (!Run.Stopping && Run.Worker == Id)
+          stopRun(*Job, Task, Run, StopReason::WorkerClosed, In.Now);
     }
   }
 }
--- /dev/null
+++ b/src/jobs/StopDecision.h
@@ -0,0 +1,40 @@
+#ifndef COMFREYDECK_JOBS_STOPDECISION_H
+#define COMFREYDECK_JOBS_STOPDECISION_H
+
+#include "jobs/Worker.h"
+
+namespace comfreydeck::jobs {
+
+/// Why an owner stops a run of a job that goes on.
+enum class StopReason : std::uint8_t {
+  /// Its start got no answer.
+  StartUnanswered,
+  /// Its task has another run.
+  Duplicate,
+  /// Its worker is closed for maintenance.
+  WorkerClosed,
+  Straggler,
+};
+
+const char *nameOf(StopReason Reason);
+
+/// A decision to stop a run of a lasting task whose job goes on, with the state
+/// it was based on.
+struct StopDecision {
+  TaskRef Task;
+  RunId Run = 0;
+  std::string Worker;
+  StopReason Reason = StopReason::WorkerClosed;
+  /// The run's last reported progress.
+  std::uint32_t Percent = 0;
+  /// Age of the worker's last report.
+  core::Duration ReportAge{0};
+  /// Other tasks of the step that are not known to be at work.
+  std::uint32_t Unavailable = 0;
+  /// How many tasks of the step may be unavailable at once.
+  std::uint32_t Allowed = 0;
+};
+
+} // namespace comfreydeck::jobs
+
+#endif // COMFREYDECK_JOBS_STOPDECISION_H
--- a/src/jobs/StragglerPlan.cpp
+++ b/src/jobs/StragglerPlan.cpp
@@ -43,8 +43,7 @@
   }
   if (!W.IncarnationConfirmed)
     return;
-  Run.Stopping = true;
-  Run.StopAt = In_.Now;
+  Owner_.stopRun(Job, Task, Run, StopReason::Straggler, In_.Now);
 }
 
 bool StragglerPlan::isBehind(const WorkerState &W, const JobRecord &Job,
