--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -305,6 +305,39 @@
   }
 }
 
+TEST_CASE("a new owner drains no lasting task while stops of the earlier owner "
+          "may still end others of its step") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Lasting = true;
+  Spec.Steps[0].AbsenceAllowance = 1;
+  B.Owner.inheritJob(Spec, nullptr, B.Now);
+  B.plan();
+  std::vector<RunReport> Runs(2);
+  for (std::uint32_t Index = 0; Index < Runs.size(); ++Index) {
+    Runs[Index].Task = {jobId(1), 0, 0, Index};
+    Runs[Index].Run = 5 + Index;
+    Runs[Index].Percent = 100;
+  }
+  B.report("w1", {Runs[0]});
+  B.report("w2", {Runs[1]});
+  B.Owner.setClosedWorkers({"w1"});
+  CHECK(B.plan().Stops.empty());
+  B.advance(milliseconds(400));
+  CHECK(B.plan().Stops.empty());
+  SUBCASE("the earlier owner had stopped the other one") {
+    B.report("w2", {},
+             {endReportOf(1, Runs[1].Task, Runs[1].Run, RunEnd::Stopped)});
+    CHECK(B.plan().Stops.empty());
+  }
+  SUBCASE("the other one is still listed after the time that a stop takes") {
+    B.advance(milliseconds(1));
+    B.report("w2", {Runs[1]});
+    CHECK(B.plan().Stops.size() == 1);
+  }
+}
+
 // A new owner considered workers empty before they had reported, and the
 // maintenance wave took them down with lasting tasks of the previous owner.
 TEST_CASE("a worker counts as drained only after it has reported no runs") {
