Count no task as at work that an earlier owner may have stopped

Users saw more lasting tasks of a step away at once than it allows (AVAIL).

Cause: a worker lists a run until its stop is carried out, up to StopTimeoutMs after it accepted the stop. A new owner that read the list within that time took such a run as at work, and drained others of its step as far as the allowance went, on top of those that the earlier owner had stopped.

The fix works since the first report to a new owner raises the worker's fence: no stop of an earlier owner is accepted after it, and those accepted before have ended StopTimeoutMs later on the worker's own clock.

--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -140,6 +140,9 @@
   recordClock(W, Report.ClockMs, Now);
   W.Heard = W.IncarnationConfirmed = true;
   W.ReportedAt = Now;
+  if (W.FirstReportClockMs == 0)
+    W.FirstReportClockMs = Report.ClockMs;
+  W.LastReportClockMs = Report.ClockMs;
   W.StartsSinceReport = 0;
   W.AcknowledgedUpTo = std::max(W.AcknowledgedUpTo, Order.AcknowledgeUpTo);
   W.NextHold = Report.Ended.empty() ? Now : Now + Limits_.ReportPause;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -47,6 +47,9 @@
   /// A reachable worker answers within this time unless asked to delay the
   /// report.
   core::Duration ReportAnswer = std::chrono::milliseconds(1000);
+  /// Maximum time, on the worker's clock, that a worker takes to carry out a
+  /// stop it has accepted.
+  core::Duration StopTime = std::chrono::milliseconds(400);
   /// Delay after a failed report request.
   core::Duration ReportRetry = std::chrono::milliseconds(250);
   /// How long a worker gets no start after it refused an order.
@@ -285,6 +288,10 @@
   bool Evicting = false;
   /// When its last report arrived.
   core::TimePoint ReportedAt;
+  /// The worker's clock in the first and the last report of this incarnation to
+  /// this owner; zero before the first one.
+  std::int64_t FirstReportClockMs = 0;
+  std::int64_t LastReportClockMs = 0;
   /// Starts planned since that report.
   std::uint32_t StartsSinceReport = 0;
 };
@@ -460,6 +467,7 @@
                             core::TimePoint Now);
   static bool isEmpty(const WorkerState &W);
   bool isReady(const LiveRun &Run, core::TimePoint Now) const;
+  bool mayHaveEarlierStop(const LiveRun &Run) const;
   std::uint32_t countUnavailable(const JobRecord &Job, std::uint32_t Task,
                                  core::TimePoint Now) const;
   static std::uint32_t absenceLimit(const StepSpec &Step);
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -22,6 +22,7 @@
   W.Ended = false;
   W.Born = Born;
   W.ClockMs = 0;
+  W.FirstReportClockMs = W.LastReportClockMs = 0;
   W.DeadlineMs = 0;
   W.ProcessedUpTo = W.StoredUpTo = W.AcknowledgedUpTo = 0;
   W.Unstored.clear();
@@ -139,7 +140,17 @@
 bool PoolState::isReady(const LiveRun &Run, core::TimePoint Now) const {
   const WorkerState &W = *Workers_.at(Run.Worker);
   return !Run.Stopping && Run.Percent >= ReadyPercent && !W.Gone &&
-         Now - W.ReportedAt < Limits_.ReportStale;
+         Now - W.ReportedAt < Limits_.ReportStale && !mayHaveEarlierStop(Run);
+}
+
+/// Whether an earlier owner may have stopped a run that the worker still
+/// listed. The first report to this owner fenced off the earlier ones; stops
+/// accepted before take effect within StopTime after it.
+bool PoolState::mayHaveEarlierStop(const LiveRun &Run) const {
+  if (Run.Run >> RunCounterBits == Token_)
+    return false;
+  const WorkerState &W = *Workers_.at(Run.Worker);
+  return W.LastReportClockMs - W.FirstReportClockMs <= toMs(Limits_.StopTime);
 }
 
 std::uint32_t PoolState::countUnavailable(const JobRecord &Job,
