Keep a lasting task whose start got no answer until a report tells

Cause: a start without an answer within a second was stopped at once. The run may have started; a lasting one is at work by then.

The test failed before in both cases.

The fix: the next report, requested after the limit had passed, either lists the run, which is then kept, or does not, and then the run is stopped as before, so that a late start is rejected.

--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -47,8 +47,12 @@
   case OrderOutcome::Unknown:
     // The run may exist or start later. A report that lists it or an
     // acknowledged stop resolves this.
-    if (Run && !Run->Confirmed)
-      stopRun(*Job, Task, *Run, StopReason::StartUnanswered, Now);
+    if (Run && !Run->Confirmed) {
+      Run->UnansweredAt = Now;
+      // A lasting task may be at work already: the next report tells.
+      if (!stepOf(*Job, Task).Lasting)
+        stopRun(*Job, Task, *Run, StopReason::StartUnanswered, Now);
+    }
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
     W.IncarnationConfirmed = false;
     return;
@@ -154,6 +158,7 @@
     handleRunning(W, Run, SentAt, Now);
   if (Report.Ended.size() < MaxEndsListed)
     dropMissing(W, Report, SentAt);
+  stopUnlisted(W, SentAt, Now);
 }
 
 void PoolState::handleEnd(WorkerState &W, const EndReport &End,
@@ -267,6 +272,17 @@
     State.Kept.Checkpoint = Report.Checkpoint;
 }
 
+/// Stops runs whose start got no answer and that the report, requested since,
+/// does not list: their start may still arrive.
+void PoolState::stopUnlisted(const WorkerState &W, core::TimePoint SentAt,
+                             core::TimePoint Now) {
+  for (const auto &[Job, Task] : W.Tasks)
+    for (LiveRun &Run : Job->Tasks[Task].Runs)
+      if (Run.Worker == W.Entry.Id && !Run.Confirmed && !Run.Stopping &&
+          Run.UnansweredAt && *Run.UnansweredAt <= SentAt)
+        stopRun(*Job, Task, Run, StopReason::StartUnanswered, Now);
+}
+
 /// Removes runs that were confirmed before the report was requested but that
 /// the report lists neither as running nor as ended.
 void PoolState::dropMissing(WorkerState &W, const WorkerReport &Report,
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -144,6 +144,8 @@
   bool Stopping = false;
   bool StopInFlight = false;
   core::TimePoint OrderedAt;
+  /// When the time limit of its start passed without an answer.
+  std::optional<core::TimePoint> UnansweredAt;
   core::TimePoint ConfirmedAt;
   /// Earliest time to send the next stop order.
   core::TimePoint StopAt;
@@ -446,6 +448,8 @@
                      core::TimePoint SentAt, core::TimePoint Now);
   void dropMissing(WorkerState &W, const WorkerReport &Report,
                    core::TimePoint SentAt);
+  void stopUnlisted(const WorkerState &W, core::TimePoint SentAt,
+                    core::TimePoint Now);
   void startIncarnation(WorkerState &W, std::int64_t Born, core::TimePoint Now);
   void dropRuns(WorkerState &W);
   /// Marks the run to be stopped by the next planning round.
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -339,6 +339,33 @@
   }
 }
 
+TEST_CASE("a lasting task at work is not stopped because its start got no "
+          "answer") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.plan();
+  B.report("w1");
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Lasting = true;
+  B.Owner.addJob(Spec, B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  B.advance(milliseconds(1000));
+  B.answer(Out.Starts[0], OrderOutcome::Unknown);
+  CHECK(B.plan().Stops.empty());
+  B.advance(milliseconds(50));
+  SUBCASE("a report lists it") {
+    B.report("w1", {runReportOf(Out.Starts[0])});
+    CHECK(B.plan().Stops.empty());
+  }
+  SUBCASE("a report does not list it, so that its start may still arrive") {
+    B.report("w1");
+    Orders Next = B.plan();
+    CHECK(Next.Stops.size() == 1);
+    CHECK(Next.Starts.empty());
+  }
+}
+
 TEST_CASE("a lasting task that starts up slowly is not stopped while as many "
           "others of its step as allowed are unavailable") {
   OwnerFixture B;
