Watch lasting tasks before faults are injected in the simulation

Their traces show a task that came to work, reported so, and crashed with its worker within one step of 20 ms: the watch ran after the crash and never saw it at work, so that it counted as absent since its earlier stop. The rule counts a task as at work from that moment. The watch now runs first in each step.

--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -102,6 +102,9 @@
 
 void PoolSimulation::step() {
   workerSteps();
+  // Before faults are injected: a task that reports to be at work in this step
+  // was at work.
+  watchLastingTasks();
   while (!Events_.empty() && Events_.begin()->At <= Now_) {
     Event Next = *Events_.begin();
     Events_.erase(Events_.begin());
@@ -109,7 +112,6 @@
   }
   if (!FaultsOver_)
     injectFaults();
-  watchLastingTasks();
   for (const OwnerPtr &O : std::vector<OwnerPtr>(Owners_))
     drive(O);
 }
