Look up workers that leave the list unheard after a takeover

Cause: a new owner waits for each worker that it knows, or for the longest lease. The machine list tells early that a worker's machine was moved, but was asked only for workers that were missing when the pool was loaded, and never again if none were. Most moved workers are still listed then, and leave while they are waited for.

The check runs whenever the list changes, one at a time. The test failed before.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -182,7 +182,6 @@
                            {"workers", State_.workers().size()},
                            {"workers_not_listed", Count.NotListed},
                            {"list_age_ms", View_.workersAgeMs()}});
-  checkUnlistedWorkers();
   tick();
 }
 
@@ -203,16 +202,19 @@
   State_.addEnrolled(Entry, Now);
 }
 
-/// Checks workers that were no longer listed when this owner took over; most of
-/// them were moved to another pool. Inherited tasks wait for the others until
-/// any lease has lapsed.
+/// Checks workers that are no longer listed and have not reported to this
+/// owner; most of them were moved to another pool. Inherited tasks wait for the
+/// others until any lease has lapsed.
 void PoolController::checkUnlistedWorkers() {
+  if (CheckingUnlisted_)
+    return;
   std::vector<std::string> Open;
   for (const auto &[Id, Worker] : State_.workers())
     if (Worker->Gone && !Worker->Heard)
       Open.push_back(Id);
   if (Open.empty() || Dropped_ || !Ctx_.Machines)
     return;
+  CheckingUnlisted_ = true;
   auto Self = shared_from_this();
   Ctx_.Machines->list([Self, Open](MachineList List) {
     Self->Ctx_.Loop.post([Self, Open, List = std::move(List)] {
@@ -222,8 +224,10 @@
         if (List.Ok && hasWorkerEnded(Id, List.Machines))
           Self->State_.confirmEnded(Id);
       Self->schedulePlan();
-      Self->Ctx_.Loop.after(UnlistedCheckPause,
-                            [Self] { Self->checkUnlistedWorkers(); });
+      Self->Ctx_.Loop.after(UnlistedCheckPause, [Self] {
+        Self->CheckingUnlisted_ = false;
+        Self->checkUnlistedWorkers();
+      });
     });
   });
 }
@@ -235,6 +239,7 @@
   State_.setClosedDataCentres(View_.closedDataCentres());
   std::vector<jobs::WorkerEntry> Entries = View_.workersOf(State_.pool());
   State_.setWorkers(Entries, bootNow());
+  checkUnlistedWorkers();
   schedulePlan();
 }
 
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -112,6 +112,8 @@
   std::map<std::string, CloseState> ClosedWorkers_;
   bool Loaded_ = false;
   bool SettledLogged_ = false;
+  /// A check of workers that are no longer listed is running or scheduled.
+  bool CheckingUnlisted_ = false;
   bool Leaving_ = false;
   bool Dropped_ = false;
   bool Storing_ = false;
--- a/tests/dispatch/FleetViewTest.cpp
+++ b/tests/dispatch/FleetViewTest.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/FleetView.h"
 
 #include "dispatch/InMemoryStore.h"
+#include "dispatch/SilentWorkers.h"
 #include "net/HttpClient.h"
 
 #include <doctest/doctest.h>
@@ -25,15 +26,6 @@
 
 constexpr char HeartbeatMark = '#';
 
-struct NoOrders : WorkerOrders {
-  void start(const jobs::WorkerEntry &, std::uint64_t, const jobs::StartOrder &,
-             std::function<void(jobs::OrderResult)>) override {}
-  void stop(const jobs::WorkerEntry &, std::uint64_t, const jobs::StopOrder &,
-            std::function<void(jobs::OrderResult)>) override {}
-  void report(const jobs::WorkerEntry &, std::uint64_t, const jobs::HoldOrder &,
-              std::function<void(jobs::ReportResult)>) override {}
-};
-
 /// A FleetView on a store in memory. A worker's value consists of its state, a
 /// separator and its heartbeat; without the separator it can't be decoded.
 struct ViewFixture {
@@ -41,7 +33,7 @@
   net::Loop Loop;
   net::HttpClient Client{{}};
   InMemoryStore Store;
-  NoOrders Orders;
+  SilentWorkers Orders;
   RowDecoder Rows = tables();
   CallerCodec Codec;
   JobMetrics Count;
--- /dev/null
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -0,0 +1,135 @@
+#include "dispatch/PoolController.h"
+
+#include "dispatch/Clock.h"
+#include "dispatch/InMemoryStore.h"
+#include "dispatch/SilentWorkers.h"
+#include "net/HttpClient.h"
+
+#include <doctest/doctest.h>
+
+#include <future>
+#include <thread>
+
+using namespace comfreydeck;
+using namespace comfreydeck::dispatch;
+using namespace comfreydeck::tests;
+
+namespace {
+
+constexpr std::chrono::milliseconds PollEvery(20);
+/// Far longer than any wait here takes; fails a test that hangs.
+constexpr std::chrono::seconds WaitLimit(20);
+
+/// Lists no machine, so that no worker is left.
+struct NoMachines : MachineControl {
+  std::atomic<std::uint32_t> Lists = 0;
+
+  void list(std::function<void(MachineList)> Done) override {
+    ++Lists;
+    Done({true, {}});
+  }
+  void maintain(const std::string &, const std::string &, std::uint64_t,
+                std::function<void(MachineOrderOutcome)>) override {}
+  void move(const std::string &, const std::string &, std::uint64_t,
+            std::function<void(MachineOrderOutcome)>) override {}
+};
+
+/// The owner of pool "p" on a store in memory, with one listed worker that
+/// never answers.
+struct ControllerFixture {
+  settings::DispatchSettings Settings;
+  net::Loop Loop;
+  net::HttpClient Client{{}};
+  InMemoryStore Store;
+  SilentWorkers Workers;
+  NoMachines Machines;
+  RowDecoder Rows = decoder();
+  CallerCodec Codec;
+  JobMetrics Count;
+  Context Ctx{Settings,  Loop, Client, Store, Workers,
+              &Machines, Rows, Codec,  Count, "1"};
+  /// Accessed on the loop's thread only.
+  std::shared_ptr<PoolController> Controller;
+  FleetView View{Ctx, [this](ViewChange) {
+                   if (Controller && Controller->isLoaded())
+                     Controller->refresh();
+                 }};
+  TableFollower Jobs{
+      Loop,
+      Store,
+      {rows::Jobs, {}, PollEvery, [] { return rows::jobParts(); }},
+      [](const auto &, bool) {}};
+
+  ControllerFixture() {
+    Store.put({"servers", "", "w1"}, "");
+    Loop.start();
+    on([this] {
+      View.start();
+      View.followWorkersClosely(true);
+    });
+    on([this] {
+      View.whenWorkersRead([this] {
+        PoolTakeover Takeover{"p", 5, bootNow(), 0};
+        Controller = std::make_shared<PoolController>(
+            Ctx, View, Jobs, Takeover, [](const std::string &) {});
+        Controller->load([](std::uint64_t) {});
+      });
+    });
+    waitUntil([this] { return Controller && Controller->isLoaded(); });
+  }
+  ~ControllerFixture() {
+    on([this] { Controller->drop(); });
+    Loop.stop();
+    Client.stop();
+  }
+
+  static RowDecoder decoder() {
+    RowDecoder Decoder;
+    Decoder.OperatorTable = "op";
+    Decoder.WorkerTable = "servers";
+    Decoder.Operator = [](const store::PartRow &) { return OperatorRow(); };
+    Decoder.WorkerWithoutHeartbeat = [](const std::string &Value) {
+      return Value;
+    };
+    Decoder.Worker = [](const store::PartRow &Row) {
+      jobs::WorkerEntry Entry;
+      Entry.Id = Row.Where.Key;
+      Entry.Pool = "p";
+      return Entry;
+    };
+    return Decoder;
+  }
+  void on(const std::function<void()> &Do) {
+    std::promise<void> Done;
+    Loop.post([&] {
+      Do();
+      Done.set_value();
+    });
+    Done.get_future().wait();
+  }
+  /// Waits until the condition, evaluated on the loop's thread, holds.
+  void waitUntil(const std::function<bool()> &Condition) {
+    auto Until = std::chrono::steady_clock::now() + WaitLimit;
+    bool Holds = false;
+    while (!Holds) {
+      REQUIRE(std::chrono::steady_clock::now() < Until);
+      on([&] { Holds = Condition(); });
+      std::this_thread::sleep_for(PollEvery);
+    }
+  }
+  bool isHeard(const std::string &Worker) const {
+    return Controller->state().workers().at(Worker)->Heard;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a worker that leaves the list after the takeover without having "
+          "reported is looked up in the machine list") {
+  ControllerFixture B;
+  CHECK(B.Machines.Lists == 0);
+  B.on([&] { CHECK_FALSE(B.isHeard("w1")); });
+  B.Store.remove({"servers", "", "w1"});
+  B.waitUntil([&] { return B.isHeard("w1"); });
+  CHECK(B.Machines.Lists > 0);
+}
