Drain no task while its owner may not start any

An owner that hands its pool over, or has lost touch with the store, may start nothing; yet it went on to stop tasks of closed workers, which then stay away until the next owner has settled.

--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -80,9 +80,11 @@
     Settled_ = ToStoreSettled_ = true;
   settleParked(In);
   expireSilent(In);
-  drainClosedWorkers(In);
-  if (In.MayStart)
+  // An owner that can't restart tasks elsewhere must not stop them either.
+  if (In.MayStart) {
+    drainClosedWorkers(In);
     StragglerPlan(*this, In).run();
+  }
   if (In.MayStart && Config_) {
     StartPlan Plan(*this, In);
     Out.Starts = Plan.run();
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -339,6 +339,29 @@
   }
 }
 
+TEST_CASE("an owner that may not start tasks any more drains none") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.plan();
+  for (const char *Id : {"w1", "w2"})
+    B.report(Id);
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Lasting = true;
+  B.Owner.addJob(Spec, B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  B.answer(Out.Starts[0], OrderOutcome::Accepted);
+  B.report(Out.Starts[0].Worker, {runReportOf(Out.Starts[0])});
+  B.Owner.setClosedWorkers({Out.Starts[0].Worker});
+  PlanInput In;
+  In.Now = B.Now;
+  In.AuthorityEnd = B.Now + OwnerLimits().Authority;
+  In.MayStart = false;
+  CHECK(B.Owner.plan(In).Stops.empty());
+  In.MayStart = true;
+  CHECK(B.Owner.plan(In).Stops.size() == 1);
+}
+
 TEST_CASE("a lasting task at work is not stopped because its start got no "
           "answer") {
   OwnerFixture B;
