--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -6,6 +6,27 @@
 using namespace comfreydeck;
 using namespace comfreydeck::jobs;
 
+namespace {
+
+/// Starts a step of two lasting tasks, of which one may be absent, on two of
+/// the workers w1, w2 and w3.
+Orders startTwoLastingTasks(OwnerFixture &B) {
+  B.listWorkers({"w1", "w2", "w3"});
+  B.plan();
+  for (const char *Id : {"w1", "w2", "w3"})
+    B.report(Id);
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Lasting = true;
+  Spec.Steps[0].MaxPerWorker = 1;
+  Spec.Steps[0].AbsenceAllowance = 1;
+  B.Owner.addJob(Spec, B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 2);
+  return Out;
+}
+
+} // namespace
+
 TEST_CASE("a job is shown as completed only after its tasks' ends are stored") {
   OwnerFixture B;
   B.listWorkers({"w1"});
@@ -274,17 +295,7 @@
 TEST_CASE("lasting tasks leave closed workers within their step's absence "
           "allowance") {
   OwnerFixture B;
-  B.listWorkers({"w1", "w2", "w3"});
-  B.plan();
-  for (const char *Id : {"w1", "w2", "w3"})
-    B.report(Id);
-  JobSpec Spec = sampleJob(1, 2);
-  Spec.Steps[0].Lasting = true;
-  Spec.Steps[0].MaxPerWorker = 1;
-  Spec.Steps[0].AbsenceAllowance = 1;
-  B.Owner.addJob(Spec, B.Now);
-  Orders Out = B.plan();
-  REQUIRE(Out.Starts.size() == 2);
+  Orders Out = startTwoLastingTasks(B);
   for (const StartOrder &Start : Out.Starts) {
     B.answer(Start, OrderOutcome::Accepted);
     B.report(Start.Worker, {runReportOf(Start)});
@@ -392,17 +403,7 @@
 TEST_CASE("a lasting task that starts up slowly is not stopped while as many "
           "others of its step as allowed are unavailable") {
   OwnerFixture B;
-  B.listWorkers({"w1", "w2", "w3"});
-  B.plan();
-  for (const char *Id : {"w1", "w2", "w3"})
-    B.report(Id);
-  JobSpec Spec = sampleJob(1, 2);
-  Spec.Steps[0].Lasting = true;
-  Spec.Steps[0].MaxPerWorker = 1;
-  Spec.Steps[0].AbsenceAllowance = 1;
-  B.Owner.addJob(Spec, B.Now);
-  Orders Out = B.plan();
-  REQUIRE(Out.Starts.size() == 2);
+  Orders Out = startTwoLastingTasks(B);
   for (const StartOrder &Start : Out.Starts)
     B.answer(Start, OrderOutcome::Accepted);
   std::uint32_t Percent = 0;
