Log and count how long a lasting task waits, and for what

What an owner logged could not say why: the census of waiting tasks has no ages, and no reason for an owner that may not start any.

lasting_task_waits names, once a second, the lasting task that has waited longest (over 3 s), the reason, the workers that have not reported since the takeover, and how many workers meet each requirement of the task in turn. pool_summary and comfreydeck_job_pool_longest_wait_seconds have the longest wait of lasting and of other tasks. New reason: authority. No decision changes.

--- a/src/dispatch/JobMetrics.cpp
+++ b/src/dispatch/JobMetrics.cpp
@@ -113,6 +113,10 @@
   GaugeFamily &Waiting =
       gauges(Registry, "comfreydeck_job_pool_waiting",
              "Tasks that could run and don't by pool and reason");
+  GaugeFamily &LongestWait =
+      gauges(Registry, "comfreydeck_job_pool_longest_wait_seconds",
+             "Longest wait of a task that could run and doesn't by pool, kind "
+             "of task and reason");
   GaugeFamily &Workers = gauges(Registry, "comfreydeck_job_pool_workers",
                                 "Workers by pool and standing");
   GaugeFamily &MaxStartsPerReport =
@@ -194,6 +198,14 @@
     I.show(I.Waiting, F.Pool,
            {{"reason", nameOf(static_cast<jobs::WaitReason>(V))}},
            static_cast<double>(F.Gauges.Waiting[V]));
+  const std::pair<const char *, const std::optional<jobs::TaskWait> &>
+      Longest[] = {{"lasting", F.Gauges.LongestLastingWait},
+                   {"other", F.Gauges.LongestOtherWait}};
+  for (const auto &[Kind, Wait] : Longest)
+    if (Wait)
+      I.show(I.LongestWait, F.Pool,
+             {{"kind", Kind}, {"reason", nameOf(Wait->Reason)}},
+             inSeconds(Wait->Age));
   for (std::size_t V = 0; V < jobs::WorkerStatusCount; ++V)
     I.show(I.Workers, F.Pool,
            {{"standing", nameOf(static_cast<jobs::WorkerStatus>(V))}},
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -381,6 +381,7 @@
   Monitor_.recordPlanTime(bootNow() - In.Now);
   logSettled(In.Now);
   logStopDecisions();
+  logLongWait();
   send(std::move(Orders));
   if (State_.isFenced()) {
     loseOwnership("fenced");
@@ -426,6 +427,27 @@
               {"token", State_.token()}});
 }
 
+/// Logs the longest wait of a lasting task, with what keeps it from starting.
+void PoolController::logLongWait() {
+  std::optional<jobs::LongWait> Long = State_.takeLongWait();
+  if (!Long)
+    return;
+  const jobs::TaskRef &Task = Long->Wait.Task;
+  logEvent("lasting_task_waits", {{"pool", State_.pool()},
+                                  {"token", State_.token()},
+                                  {"job", Task.JobId},
+                                  {"step", Task.Step},
+                                  {"index", Task.Index},
+                                  {"waited_ms", core::inMs(Long->Wait.Age)},
+                                  {"reason", jobs::nameOf(Long->Wait.Reason)},
+                                  {"workers", Long->Placement.Workers},
+                                  {"unheard", Long->Unheard},
+                                  {"usable", Long->Placement.Usable},
+                                  {"with_label", Long->Placement.WithLabel},
+                                  {"with_room", Long->Placement.WithRoom},
+                                  {"with_spread", Long->Placement.WithSpread}});
+}
+
 const jobs::WorkerEntry *
 PoolController::entryOf(const std::string &Worker) const {
   auto It = State_.workers().find(Worker);
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -79,6 +79,7 @@
   void plan();
   void logSettled(core::TimePoint Now);
   void logStopDecisions();
+  void logLongWait();
   void send(jobs::Orders Orders);
   void flush();
   void sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch, bool Again);
--- a/src/dispatch/PoolMonitor.cpp
+++ b/src/dispatch/PoolMonitor.cpp
@@ -1,5 +1,7 @@
 #include "dispatch/PoolMonitor.h"
 
+#include <cmath>
+
 namespace comfreydeck::dispatch {
 
 namespace {
@@ -18,6 +20,18 @@
   return Text;
 }
 
+/// Formats a wait as "JOB.OCCURRENCE.STEP.INDEX reason milliseconds"; empty if
+/// there is none.
+std::string textOf(const std::optional<jobs::TaskWait> &Wait) {
+  if (!Wait)
+    return "";
+  const jobs::TaskRef &Task = Wait->Task;
+  return Task.JobId + '.' + std::to_string(Task.Occurrence) + '.' +
+         std::to_string(Task.Step) + '.' + std::to_string(Task.Index) + ' ' +
+         nameOf(Wait->Reason) + ' ' +
+         std::to_string(std::llround(core::inMs(Wait->Age)));
+}
+
 } // namespace
 
 std::vector<LogField> summaryOf(const PoolStats &F) {
@@ -31,6 +45,8 @@
       {"runs", Gauges.Runs},
       {"runs_unsure", Gauges.UnconfirmedRuns},
       {"waiting", textOf<jobs::WaitReason>(Gauges.Waiting)},
+      {"longest_lasting_wait", textOf(Gauges.LongestLastingWait)},
+      {"longest_other_wait", textOf(Gauges.LongestOtherWait)},
       {"workers", textOf<jobs::WorkerStatus>(Gauges.Workers)},
       {"free_millicpus", Gauges.FreeMilliCpus},
       {"starts", PeriodCounts.Starts},
--- a/src/jobs/PoolMetrics.cpp
+++ b/src/jobs/PoolMetrics.cpp
@@ -31,6 +31,8 @@
   switch (Reason) {
   case WaitReason::Advised:
     return "advised";
+  case WaitReason::Authority:
+    return "authority";
   case WaitReason::Takeover:
     return "takeover";
   case WaitReason::Pause:
@@ -67,6 +69,8 @@
                                  bool AllHeard, core::TimePoint Now) const {
   if (Job.Advised)
     return WaitReason::Advised;
+  if (!MayStart_)
+    return WaitReason::Authority;
   if (Job.Inherited && !AllHeard)
     return WaitReason::Takeover;
   if (Job.Tasks[Task].NotBefore > Now)
@@ -85,6 +89,22 @@
   return Limited ? WaitReason::TeamLimit : WaitReason::Room;
 }
 
+TaskWait PoolState::waitOf(const JobRecord &Job, std::uint32_t Task,
+                           bool AllHeard, core::TimePoint Now,
+                           std::int64_t WallMs) const {
+  TaskWait Wait;
+  Wait.Task = refOf(Job, Task);
+  Wait.Reason = waitReason(Job, Task, AllHeard, Now);
+  Wait.Age = Now - Job.Tasks[Task].WaitingSince;
+  if (Job.Spec.Repetitions > 0) {
+    std::int64_t DueMs =
+        Job.Spec.FirstDueMs + Wait.Task.Occurrence * Job.Spec.IntervalMs;
+    Wait.Age = std::min<core::Duration>(
+        Wait.Age, std::chrono::milliseconds(WallMs - DueMs));
+  }
+  return Wait;
+}
+
 PoolGauges PoolState::gauges(core::TimePoint Now, std::int64_t WallMs) const {
   PoolGauges Census;
   Census.OpenJobs = Open_.size();
@@ -114,7 +134,13 @@
         if (WallMs < Job->Spec.FirstDueMs + K * Job->Spec.IntervalMs)
           continue;
       }
-      ++Census.Waiting[jobs::indexOf(waitReason(*Job, T, AllHeard, Now))];
+      TaskWait Wait = waitOf(*Job, T, AllHeard, Now, WallMs);
+      ++Census.Waiting[jobs::indexOf(Wait.Reason)];
+      std::optional<TaskWait> &Longest = stepOf(*Job, T).Lasting
+                                             ? Census.LongestLastingWait
+                                             : Census.LongestOtherWait;
+      if (!Longest || Wait.Age > Longest->Age)
+        Longest = Wait;
     }
   return Census;
 }
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -5,6 +5,7 @@
 #include "jobs/Worker.h"
 
 #include <array>
+#include <optional>
 
 namespace comfreydeck::jobs {
 
@@ -61,6 +62,9 @@
 enum class WaitReason : std::uint8_t {
   /// Its queue requires the advisor's approval.
   Advised,
+  /// The owner may not start tasks: it has lost touch with the store or hands
+  /// the pool over.
+  Authority,
   /// An earlier owner may have started it, and not every worker has reported.
   Takeover,
   /// Retry delay after a run that ended.
@@ -71,10 +75,40 @@
   Room,
 };
 
-inline constexpr std::size_t WaitReasonCount = 5;
+inline constexpr std::size_t WaitReasonCount = 6;
 
 const char *nameOf(WaitReason Reason);
 
+/// A ready task without a run.
+struct TaskWait {
+  TaskRef Task;
+  WaitReason Reason = WaitReason::Room;
+  /// Time since its last run ended or it became ready, as far as this owner
+  /// knows.
+  core::Duration Age{0};
+};
+
+/// How many workers meet each further requirement of a task, in the order in
+/// which they are checked.
+struct PlacementCounts {
+  std::uint32_t Workers = 0;
+  /// May get starts.
+  std::uint32_t Usable = 0;
+  std::uint32_t WithLabel = 0;
+  std::uint32_t WithRoom = 0;
+  /// Run fewer tasks of the step than its maximum.
+  std::uint32_t WithSpread = 0;
+};
+
+/// A lasting task that has had no run for long, and what its placement depends
+/// on.
+struct LongWait {
+  TaskWait Wait;
+  PlacementCounts Placement;
+  /// Workers that have not reported since the takeover.
+  std::uint32_t Unheard = 0;
+};
+
 /// Point-in-time statistics of one pool.
 struct PoolGauges {
   std::uint64_t OpenJobs = 0;
@@ -82,6 +116,9 @@
   /// Runs whose start is neither acknowledged nor confirmed by a report.
   std::uint64_t UnconfirmedRuns = 0;
   std::array<std::uint64_t, WaitReasonCount> Waiting{};
+  /// The longest waits of lasting and of other tasks.
+  std::optional<TaskWait> LongestLastingWait;
+  std::optional<TaskWait> LongestOtherWait;
   std::array<std::uint64_t, WorkerStatusCount> Workers{};
   /// Free CPU on usable workers, in thousandths of a core.
   std::uint64_t FreeMilliCpus = 0;
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -6,6 +6,12 @@
 
 namespace comfreydeck::jobs {
 
+namespace {
+
+constexpr std::chrono::milliseconds LongWaitCheckPeriod(1000);
+
+} // namespace
+
 /// Drops the runs of unreachable workers once their leases have expired, and
 /// forgets workers that are gone.
 void PoolState::expireSilent(const PlanInput &In) {
@@ -72,6 +78,8 @@
 
 Orders PoolState::plan(const PlanInput &In) {
   Orders Out;
+  Now_ = In.Now;
+  MayStart_ = In.MayStart;
   if (Fenced_ || NextRun_ >> RunCounterBits != 0) {
     Fenced_ = true;
     return Out;
@@ -85,10 +93,15 @@
     drainClosedWorkers(In);
     StragglerPlan(*this, In).run();
   }
-  if (In.MayStart && Config_) {
+  if (Config_) {
     StartPlan Plan(*this, In);
-    Out.Starts = Plan.run();
+    if (In.MayStart)
+      Out.Starts = Plan.run();
     recordStarts(Out.Starts, In.Now);
+    if (In.Now - WaitsCheckedAt_ >= LongWaitCheckPeriod) {
+      WaitsCheckedAt_ = In.Now;
+      LongWait_ = Plan.findLongWait();
+    }
   }
   planStops(In, Out);
   planHolds(In, Out);
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -23,6 +23,7 @@
 
 void PoolState::onStart(const StartOrder &Order, const OrderResult &Result,
                         core::TimePoint Now) {
+  Now_ = Now;
   ++Counters_.StartAnswers[jobs::indexOf(Result.Outcome)];
   auto At = Workers_.find(Order.Worker);
   if (At == Workers_.end())
@@ -79,6 +80,7 @@
 
 void PoolState::onStop(const StopOrder &Order, const OrderResult &Result,
                        core::TimePoint Now) {
+  Now_ = Now;
   ++Counters_.StopAnswers[jobs::indexOf(Result.Outcome)];
   auto At = Workers_.find(Order.Worker);
   JobRecord *Job = jobOf(Order.Task.JobId);
@@ -112,6 +114,7 @@
 
 void PoolState::onReport(const HoldOrder &Order, const ReportResult &Result,
                          core::TimePoint SentAt, core::TimePoint Now) {
+  Now_ = Now;
   ++Counters_.ReportAnswers[jobs::indexOf(Result.Outcome)];
   auto At = Workers_.find(Order.Worker);
   if (At == Workers_.end())
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -7,8 +7,8 @@
 
 PoolState::PoolState(std::string Pool, std::uint64_t Token,
                      core::TimePoint TakenAt, OwnerLimits Limits)
-    : Pool_(std::move(Pool)), Token_(Token), TakenAt_(TakenAt),
-      Limits_(Limits) {}
+    : Pool_(std::move(Pool)), Token_(Token), TakenAt_(TakenAt), Limits_(Limits),
+      Now_(TakenAt) {}
 
 JobRecord &PoolState::makeJob(const JobSpec &Spec, core::TimePoint Now) {
   auto Job = std::make_unique<JobRecord>();
@@ -20,6 +20,8 @@
     Begin += Step.Tasks;
   }
   Job->Tasks.resize(std::size_t{Begin} * occurrences(Spec));
+  for (TaskState &Task : Job->Tasks)
+    Task.WaitingSince = Now;
   for (std::uint32_t K = 0; K < occurrences(Spec); ++K)
     for (const StepSpec &Step : Spec.Steps)
       Job->UnfinishedTasks.push_back(Step.Tasks);
@@ -248,7 +250,11 @@
   State.Kept.Done = true;
   State.Kept.Checkpoint.clear();
   ++Counters_.Done;
-  --Job.UnfinishedTasks[Place.Occurrence * Job.Spec.Steps.size() + Place.Step];
+  std::uint32_t &Unfinished =
+      Job.UnfinishedTasks[Place.Occurrence * Job.Spec.Steps.size() +
+                          Place.Step];
+  if (--Unfinished == 0)
+    restartWaits(Job, Place);
   Job.WaitingKnown = false;
   markChanged(Job);
   // A gang completes as a whole when one member does.
@@ -262,6 +268,19 @@
     endJob(Job, JobState::Completed);
 }
 
+/// Tasks of steps that depend on the ended one have waited for it until now.
+void PoolState::restartWaits(JobRecord &Job, const TaskPlace &EndedStep) {
+  std::uint32_t Begin = EndedStep.Occurrence * Job.TasksPerOccurrence;
+  for (std::size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
+    const StepSpec &Step = Job.Spec.Steps[S];
+    if (std::find(Step.After.begin(), Step.After.end(), EndedStep.Step) ==
+        Step.After.end())
+      continue;
+    for (std::uint32_t Index = 0; Index < Step.Tasks; ++Index)
+      Job.Tasks[Begin + Job.StepBegin[S] + Index].WaitingSince = Now_;
+  }
+}
+
 void PoolState::taskFailed(JobRecord &Job, std::uint32_t Task, WorkerState &W,
                            core::TimePoint Now) {
   ++Counters_.Failed;
@@ -346,6 +365,8 @@
     return;
   std::string Worker = It->Worker;
   Runs.erase(It);
+  if (Runs.empty())
+    Job.Tasks[Task].WaitingSince = Now_;
   Job.WaitingKnown = false;
   WorkerState &W = *Workers_.at(Worker);
   release(W, Job, stepOf(Job, Task));
@@ -396,6 +417,10 @@
   return std::exchange(StopDecisions_, {});
 }
 
+std::optional<LongWait> PoolState::takeLongWait() {
+  return std::exchange(LongWait_, std::nullopt);
+}
+
 // Persistence.
 
 ProgressBatch PoolState::takeChanges(std::size_t MaxRows) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -170,6 +170,8 @@
   bool HadStraggler = false;
   /// A second copy is to start in parallel with the current run.
   bool WantsCopy = false;
+  /// When its last run was removed, or when it became ready to start.
+  core::TimePoint WaitingSince;
 };
 
 /// Run times of one queue's tasks.
@@ -386,6 +388,9 @@
   /// Returns and forgets the decisions to stop lasting tasks since the last
   /// call, oldest first.
   std::vector<StopDecision> takeStopDecisions();
+  /// Returns and forgets the longest wait of a lasting task, if the last check
+  /// found a long one. Such checks are made about once a second.
+  std::optional<LongWait> takeLongWait();
   PoolGauges gauges(core::TimePoint Now, std::int64_t WallMs) const;
   /// Whether this owner has been superseded: a worker has seen a higher fencing
   /// token, or the run ids are used up.
@@ -465,6 +470,9 @@
   WorkerStatus statusOf(const WorkerState &W, core::TimePoint Now) const;
   WaitReason waitReason(const JobRecord &Job, std::uint32_t Task, bool AllHeard,
                         core::TimePoint Now) const;
+  TaskWait waitOf(const JobRecord &Job, std::uint32_t Task, bool AllHeard,
+                  core::TimePoint Now, std::int64_t WallMs) const;
+  void restartWaits(JobRecord &Job, const TaskPlace &EndedStep);
   void recordStarts(const std::vector<StartOrder> &Starts, core::TimePoint Now);
 
   std::uint64_t arrivingCpu(core::TimePoint Now) const;
@@ -519,6 +527,12 @@
   bool Fenced_ = false;
   PoolCounters Counters_;
   std::vector<StopDecision> StopDecisions_;
+  std::optional<LongWait> LongWait_;
+  core::TimePoint WaitsCheckedAt_;
+  /// Whether the last planning round was allowed to start tasks.
+  bool MayStart_ = true;
+  /// Time of the latest event or planning round.
+  core::TimePoint Now_;
 };
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -34,6 +34,7 @@
 
 void PoolState::setWorkers(std::span<const WorkerEntry> Entries,
                            core::TimePoint Now) {
+  Now_ = Now;
   std::set<std::string> Listed;
   for (const WorkerEntry &Entry : Entries) {
     Listed.insert(Entry.Id);
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -14,6 +14,8 @@
 /// A worker with lasting tasks can't move to another pool anyway.
 constexpr double LastingBonus = 1.0;
 constexpr double ColdPenalty = 0.5;
+/// A lasting task normally restarts well within this.
+constexpr std::chrono::milliseconds LongWaitLimit(3000);
 
 core::Resources freeOn(const WorkerState &W) {
   const core::Resources &All = W.Entry.Capacity;
@@ -242,21 +244,28 @@
   return Count;
 }
 
+bool StartPlan::hasLabel(const WorkerState &W, const StepSpec &Step) {
+  const std::vector<std::string> &Labels = W.Entry.Labels;
+  return Step.Label.empty() ||
+         std::find(Labels.begin(), Labels.end(), Step.Label) != Labels.end();
+}
+
+bool StartPlan::hasSpread(const WorkerState &W, JobRecord &Job,
+                          std::uint32_t Task, const StepSpec &Step) {
+  return Step.MaxPerWorker == 0 ||
+         countStepRuns(W, Job, Task) < Step.MaxPerWorker;
+}
+
 bool StartPlan::meetsConstraints(const WorkerState &W, JobRecord &Job,
                                  std::uint32_t Task, const StepSpec &Step) {
   if (!core::fits(reserved(Step), freeOn(W)))
     return false;
-  const std::vector<std::string> &Labels = W.Entry.Labels;
   // A copy on the same worker as the straggling run would be slow as well.
   const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
   bool HasRun = std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
     return Run.Worker == W.Entry.Id;
   });
-  bool HasLabel = Step.Label.empty() || std::find(Labels.begin(), Labels.end(),
-                                                  Step.Label) != Labels.end();
-  return HasLabel && !HasRun &&
-         (Step.MaxPerWorker == 0 ||
-          countStepRuns(W, Job, Task) < Step.MaxPerWorker);
+  return hasLabel(W, Step) && !HasRun && hasSpread(W, Job, Task, Step);
 }
 
 double StartPlan::score(const WorkerState &W, const JobRecord &Job,
@@ -298,6 +307,51 @@
   return Best;
 }
 
+PlacementCounts StartPlan::countPlacements(JobRecord &Job,
+                                           std::uint32_t Task) const {
+  const StepSpec &Step = PoolState::stepOf(Job, Task);
+  PlacementCounts Counts;
+  Counts.Workers = static_cast<std::uint32_t>(Owner_.Workers_.size());
+  Counts.Usable = static_cast<std::uint32_t>(Usable_.size());
+  for (const WorkerState *W : Usable_) {
+    if (!hasLabel(*W, Step))
+      continue;
+    ++Counts.WithLabel;
+    if (!core::fits(reserved(Step), freeOn(*W)))
+      continue;
+    ++Counts.WithRoom;
+    Counts.WithSpread += hasSpread(*W, Job, Task, Step) ? 1 : 0;
+  }
+  return Counts;
+}
+
+std::optional<LongWait> StartPlan::findLongWait() const {
+  JobRecord *Longest = nullptr;
+  std::uint32_t LongestTask = 0;
+  core::TimePoint Since = In_.Now - LongWaitLimit;
+  for (JobRecord *Job : Owner_.Open_) {
+    if (!Job->Spec.Steps.front().Lasting)
+      continue;
+    PoolState::refreshWaiting(*Job);
+    for (std::uint32_t Task : Job->Waiting)
+      if (Job->Tasks[Task].Runs.empty() &&
+          Job->Tasks[Task].WaitingSince < Since) {
+        Since = Job->Tasks[Task].WaitingSince;
+        Longest = Job;
+        LongestTask = Task;
+      }
+  }
+  if (!Longest)
+    return std::nullopt;
+  LongWait Found;
+  Found.Wait =
+      Owner_.waitOf(*Longest, LongestTask, AllHeard_, In_.Now, In_.WallMs);
+  Found.Placement = countPlacements(*Longest, LongestTask);
+  for (const auto &[Id, W] : Owner_.Workers_)
+    Found.Unheard += W->Heard ? 0 : 1;
+  return Found;
+}
+
 RunId StartPlan::nextRun() {
   return (Owner_.Token_ << RunCounterBits) + Owner_.NextRun_++;
 }
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -12,6 +12,8 @@
 
   /// Returns the starts and reserves their resources.
   std::vector<StartOrder> run();
+  /// The longest wait of a lasting task if it is long. Call after \ref run.
+  std::optional<LongWait> findLongWait() const;
 
 private:
   struct Candidate {
@@ -41,6 +43,10 @@
   bool canTake(const WorkerState &W) const;
   static bool meetsConstraints(const WorkerState &W, JobRecord &Job,
                                std::uint32_t Task, const StepSpec &Step);
+  static bool hasLabel(const WorkerState &W, const StepSpec &Step);
+  static bool hasSpread(const WorkerState &W, JobRecord &Job,
+                        std::uint32_t Task, const StepSpec &Step);
+  PlacementCounts countPlacements(JobRecord &Job, std::uint32_t Task) const;
   double score(const WorkerState &W, const JobRecord &Job, std::uint32_t Task,
                const StepSpec &Step) const;
   static std::uint32_t countStepRuns(const WorkerState &W, JobRecord &Job,
--- a/tests/jobs/PoolMetricsTest.cpp
+++ b/tests/jobs/PoolMetricsTest.cpp
@@ -196,3 +196,80 @@
   CHECK(B.plan().Starts.empty());
   CHECK(B.Owner.takeCounters().Starts == 0);
 }
+
+TEST_CASE("the longest wait of a lasting task is reported with its reason and "
+          "what its placement depends on") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Lasting = true;
+  Spec.Steps[0].MaxPerWorker = 1;
+  B.Owner.inheritJob(Spec, nullptr, B.Now);
+  B.plan();
+  B.report("w1");
+  B.advance(milliseconds(2900));
+  B.plan();
+  CHECK_FALSE(B.Owner.takeLongWait());
+  B.advance(milliseconds(1100));
+  SUBCASE("an earlier owner may have started it") {
+    B.plan();
+    std::optional<LongWait> Long = B.Owner.takeLongWait();
+    REQUIRE(Long);
+    CHECK(Long->Wait.Task == TaskRef{jobId(1), 0, 0, 0});
+    CHECK(Long->Wait.Reason == WaitReason::Takeover);
+    CHECK(Long->Wait.Age == milliseconds(4000));
+    CHECK(Long->Unheard == 1);
+    CHECK(Long->Placement.Usable == 1);
+    CHECK_FALSE(B.Owner.takeLongWait());
+    PoolGauges Now = B.Owner.gauges(B.Now, 0);
+    REQUIRE(Now.LongestLastingWait);
+    CHECK(Now.LongestLastingWait->Age == milliseconds(4000));
+    CHECK_FALSE(Now.LongestOtherWait);
+  }
+  SUBCASE("its step already runs on the only usable worker") {
+    B.report("w2");
+    B.Owner.setClosedWorkers({"w2"});
+    CHECK(B.plan().Starts.size() == 1);
+    std::optional<LongWait> Long = B.Owner.takeLongWait();
+    REQUIRE(Long);
+    CHECK(Long->Wait.Task.Index == 1);
+    CHECK(Long->Wait.Reason == WaitReason::Room);
+    CHECK(Long->Placement.WithLabel == 1);
+    CHECK(Long->Placement.WithRoom == 1);
+    CHECK(Long->Placement.WithSpread == 0);
+  }
+}
+
+TEST_CASE("the wait of a task begins when its last run ended") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.plan();
+  B.report("w1");
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Lasting = true;
+  B.Owner.addJob(Spec, B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  B.answer(Out.Starts[0], OrderOutcome::Accepted);
+  B.advance(milliseconds(5000));
+  B.report(
+      "w1", {},
+      {endReportOf(1, Out.Starts[0].Task, Out.Starts[0].Run, RunEnd::Stopped)});
+  B.advance(milliseconds(100));
+  PoolGauges Now = B.Owner.gauges(B.Now, 0);
+  REQUIRE(Now.LongestLastingWait);
+  CHECK(Now.LongestLastingWait->Age == milliseconds(100));
+}
+
+TEST_CASE("tasks wait for their owner's authority while it may not start any") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  PlanInput In;
+  In.Now = In.AuthorityEnd = B.Now;
+  In.MayStart = false;
+  CHECK(B.Owner.plan(In).Starts.empty());
+  CHECK(countWaiting(B, WaitReason::Authority) == 1);
+}
