Tests: an unsettled owner stops tasks, and waits for fenced owners

A new owner that has not heard every worker stops lasting tasks of closed workers, though it may not start inherited ones. It also takes 8.2 s from the takeover until a run counts as lapsed on a worker that has reported to it, though that report fenced earlier owners off.

--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -350,6 +350,54 @@
   }
 }
 
+TEST_CASE("an owner that has not heard every worker stops no inherited task, "
+          "which could not start again") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2", "w3"});
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Lasting = true;
+  Spec.Steps[0].AbsenceAllowance = 1;
+  B.Owner.inheritJob(Spec, nullptr, B.Now);
+  B.plan();
+  std::vector<RunReport> Runs(2);
+  for (std::uint32_t Index = 0; Index < Runs.size(); ++Index) {
+    Runs[Index].Task = {jobId(1), 0, 0, Index};
+    Runs[Index].Run = 5 + Index;
+    Runs[Index].Percent = 100;
+  }
+  auto ReportRuns = [&] {
+    B.report("w1", {Runs[0]});
+    B.report("w2", {Runs[1]});
+  };
+  ReportRuns();
+  B.advance(milliseconds(500));
+  ReportRuns();
+  B.Owner.setClosedWorkers({"w1"});
+  CHECK(B.plan().Stops.empty());
+  B.report("w3");
+  CHECK(B.plan().Stops.size() == 1);
+}
+
+TEST_CASE("a run on a worker that reported to a new owner and then fell silent "
+          "restarts after its lease, not after the earlier owner's authority") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.plan();
+  RunReport Run;
+  Run.Task = {jobId(1), 0, 0, 0};
+  Run.Run = 5;
+  B.report("w1", {Run});
+  B.report("w2");
+  CHECK(B.plan().Starts.empty());
+  B.advance(milliseconds(2900));
+  B.report("w2");
+  CHECK(B.plan().Starts.empty());
+  B.advance(milliseconds(1000));
+  B.report("w2");
+  CHECK(B.plan().Starts.size() == 1);
+}
+
 TEST_CASE("an owner that may not start tasks any more drains none") {
   OwnerFixture B;
   B.listWorkers({"w1", "w2"});
