Stop no task that its owner can't start again yet

Cause: until a new owner has heard every worker it starts no inherited task, up to 8.2 s after the takeover.

Such stops now wait as well: draining and straggler restarts leave inherited tasks alone until the owner has settled. Evictions wait with them, no longer than the takeover does.

--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -487,6 +487,7 @@
   static std::uint32_t absenceLimit(const StepSpec &Step);
   bool mayBecomeAbsent(const JobRecord &Job, std::uint32_t Task,
                        core::TimePoint Now) const;
+  bool mayRestart(const JobRecord &Job) const;
   void drainClosedWorkers(const PlanInput &In);
   void planStops(const PlanInput &In, Orders &Out);
   void planHolds(const PlanInput &In, Orders &Out);
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -182,6 +182,12 @@
   return countUnavailable(Job, Task, Now) < absenceLimit(stepOf(Job, Task));
 }
 
+/// Whether a task of the job can be started again once its run has been
+/// stopped.
+bool PoolState::mayRestart(const JobRecord &Job) const {
+  return Settled_ || !Job.Inherited;
+}
+
 /// Stops lasting tasks on closed workers, as many at a time as their steps
 /// allow, so that they restart elsewhere. Other tasks are stopped only on
 /// workers that are being evicted.
@@ -193,7 +199,7 @@
       bool May = stepOf(*Job, Task).Lasting
                      ? mayBecomeAbsent(*Job, Task, In.Now)
                      : W->Evicting;
-      if (!May)
+      if (!May || !mayRestart(*Job))
         continue;
       for (LiveRun &Run : Job->Tasks[Task].Runs)
         if (!Run.Stopping && Run.Worker == Id)
--- a/src/jobs/StragglerPlan.cpp
+++ b/src/jobs/StragglerPlan.cpp
@@ -29,7 +29,8 @@
   // Restart each task at most once: one that is slow on a second worker too is
   // slow by itself.
   bool Settled =
-      Run.Stopping || State.HadStraggler || Step.Gang || Step.Filling;
+      Run.Stopping || State.HadStraggler || Step.Gang || Step.Filling ||
+      !Owner_.mayRestart(Job);
   if (Settled || !isBehind(W, Job, Step, Run) ||
       !mayBeUnavailable(Job, Task, Step, Run) || !hasRoomElsewhere(W, Step))
     return;
