Wait one lease, not a full authority, for a worker that has been fenced

Callers saw inherited tasks of a worker that fell silent after a takeover restart up to 8.2 s after that takeover, where one lease (3 s) is what any owner grants.

Cause: for 8.2 s after its takeover an owner took it that orders of earlier owners may keep any run alive, also on workers that had reported to it. A report raises the worker's fence, so earlier owners' orders have no effect there from then on; the leases they granted before end one lease later.

The bound is now per worker: the earlier of 8.2 s after the takeover and one lease after its first report. The test of lasting tasks that start up slowly planned only once in four seconds, so that no lease was extended; it plans after each report now and checks the stops of all rounds.

--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -147,8 +147,10 @@
   recordClock(W, Report.ClockMs, Now);
   W.Heard = W.IncarnationConfirmed = true;
   W.ReportedAt = Now;
-  if (W.FirstReportClockMs == 0)
+  if (!W.FencedAt) {
+    W.FencedAt = Now;
     W.FirstReportClockMs = Report.ClockMs;
+  }
   W.LastReportClockMs = Report.ClockMs;
   W.StartsSinceReport = 0;
   W.AcknowledgedUpTo = std::max(W.AcknowledgedUpTo, Order.AcknowledgeUpTo);
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -294,6 +294,9 @@
   bool Evicting = false;
   /// When its last report arrived.
   core::TimePoint ReportedAt;
+  /// When the first report of this incarnation to this owner arrived. It fenced
+  /// earlier owners off there.
+  std::optional<core::TimePoint> FencedAt;
   /// The worker's clock in the first and the last report of this incarnation to
   /// this owner; zero before the first one.
   std::int64_t FirstReportClockMs = 0;
@@ -465,6 +468,7 @@
   void endJob(JobRecord &Job, JobState State);
   void recordClock(WorkerState &W, std::int64_t ClockMs, core::TimePoint Now);
   std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
+  core::TimePoint earlierLeasesEnd(const WorkerState &W) const;
   bool leaseLapsed(const WorkerState &W, core::TimePoint Now) const;
 
   WorkerStatus statusOf(const WorkerState &W, core::TimePoint Now) const;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -22,6 +22,7 @@
   W.Ended = false;
   W.Born = Born;
   W.ClockMs = 0;
+  W.FencedAt.reset();
   W.FirstReportClockMs = W.LastReportClockMs = 0;
   W.DeadlineMs = 0;
   W.ProcessedUpTo = W.StoredUpTo = W.AcknowledgedUpTo = 0;
@@ -233,10 +234,22 @@
   return W.ClockMs + static_cast<std::int64_t>(Passed) + toMs(Length);
 }
 
+/// When all leases that earlier owners granted on the worker have expired. They
+/// granted none after the worker's first report to this owner.
+core::TimePoint PoolState::earlierLeasesEnd(const WorkerState &W) const {
+  auto LatestAfter = [this](core::TimePoint From, core::Duration Length) {
+    return From + milliseconds(LeaseSlackMs) +
+           std::chrono::duration_cast<core::Duration>(
+               Length * (1 + Limits_.ClockDrift));
+  };
+  core::TimePoint End = LatestAfter(TakenAt_, Limits_.EarlierOrders);
+  if (W.FencedAt)
+    End = std::min(End, LatestAfter(*W.FencedAt, Limits_.Lease));
+  return End;
+}
+
 bool PoolState::leaseLapsed(const WorkerState &W, core::TimePoint Now) const {
-  auto Inherited = std::chrono::duration_cast<core::Duration>(
-      Limits_.EarlierOrders * (1 + Limits_.ClockDrift));
-  if (Now < TakenAt_ + Inherited + milliseconds(LeaseSlackMs))
+  if (Now < earlierLeasesEnd(W))
     return false;
   if (W.DeadlineMs == 0)
     return true;
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -468,13 +468,15 @@
     OtherPercent = 100;
     Stops = true;
   }
+  std::vector<StopOrder> Ordered;
   for (int Turn = 0; Turn < 8; ++Turn) {
     B.advance(milliseconds(500));
     B.report(Out.Starts[0].Worker, {runReportOf(Out.Starts[0], Percent)});
     B.report(Out.Starts[1].Worker, {runReportOf(Out.Starts[1], OtherPercent)});
     Percent += PerTurn;
+    for (StopOrder &Order : B.plan().Stops)
+      Ordered.push_back(std::move(Order));
   }
-  std::vector<StopOrder> Ordered = B.plan().Stops;
   CHECK(Stops == std::any_of(Ordered.begin(), Ordered.end(),
                              [&](const StopOrder &Order) {
                                return Order.Run == Out.Starts[0].Run;
