--- a/src/jobs/StragglerPlan.cpp
+++ b/src/jobs/StragglerPlan.cpp
@@ -28,9 +28,8 @@
   TaskState &State = Job.Tasks[Task];
   // Restart each task at most once: one that is slow on a second worker too is
   // slow by itself.
-  bool Settled =
-      Run.Stopping || State.HadStraggler || Step.Gang || Step.Filling ||
-      !Owner_.mayRestart(Job);
+  bool Settled = Run.Stopping || State.HadStraggler || Step.Gang ||
+                 Step.Filling || !Owner_.mayRestart(Job);
   if (Settled || !isBehind(W, Job, Step, Run) ||
       !mayBeUnavailable(Job, Task, Step, Run) || !hasRoomElsewhere(W, Step))
     return;
