Ask earlier owners to stop, rather than wait for their authority to end

Callers saw no inherited task of a pool, nor a new job, start for 8.2 s after each change of its owner while one worker neither answered nor left the list, and anew for each further owner.

Cause: an owner may give orders for 8 s after its last confirmed read, so a new one waited that long, unless its predecessor had released the pool or was an earlier process of the same entry. It could not tell a predecessor that had ended or would stop at once, and knew only the last one.

The owner row now names the earlier owners. A new owner asks those since the last settled one to stop: an entry ends such an ownership and answers how long ago it gave its last order, or since when its process runs. One lease (3.06 s) after the latest of these, nothing of earlier owners is left. So the time no longer starts anew with each owner, and is bounded by a lease wherever the earlier owners' entries can be reached or have restarted; else by 8.2 s as before. A transaction of an entry that has been asked to stop can't make it an owner under an older token later. Rows without a history count as incomplete and are waited out.

Per takeover one call to each earlier owner since the settled one, usually one; nothing more is written, the owner row grows by a few names (16 at most).

--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -97,6 +97,12 @@
         [this](const std::string &Pool, std::function<void(bool)> Done) {
           PeerCalls.probeOwner(Pool, std::move(Done));
         });
+    Owners.setStopQuery(
+        [this](const std::string &Entry, const std::string &Pool,
+               std::uint64_t Token,
+               std::function<void(std::optional<core::Duration>)> Done) {
+          PeerCalls.askToStop(Entry, Pool, Token, std::move(Done));
+        });
     if (!Settings.Metrics.empty())
       MetricsServer = std::make_unique<net::HttpServer>(
           serverOptions(Settings.Metrics),
--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -26,6 +26,24 @@
 /// and not of the other entries.
 constexpr milliseconds MaxReadGap(1500);
 
+void putHistory(Json &Object, const jobs::OwnerHistory &Earlier) {
+  Json Owners = Json::array();
+  for (const jobs::EarlierOwner &Owner : Earlier.Owners)
+    Owners.push_back({Owner.Name, Owner.Token});
+  Object["earlier"] = std::move(Owners);
+  Object["earlier_complete"] = Earlier.Complete;
+}
+
+/// Rows without a history count as having an incomplete one.
+jobs::OwnerHistory takeHistory(const Json &Object) {
+  jobs::OwnerHistory Earlier;
+  Earlier.Complete = Object.value("earlier_complete", false);
+  for (const Json &Row : Object.value("earlier", Json::array()))
+    Earlier.Owners.push_back(
+        {Row.at(0).get<std::string>(), Row.at(1).get<std::uint64_t>()});
+  return Earlier;
+}
+
 } // namespace
 
 FleetView::FleetView(Context &Ctx, std::function<void(ViewChange)> Changed)
@@ -273,12 +291,18 @@
 }
 
 std::string FleetView::ownerValue(const std::string &Name,
-                                  const std::string &Life) {
-  return Json({{"name", Name}, {"life", Life}}).dump();
+                                  const std::string &Life,
+                                  const jobs::OwnerHistory &Earlier) {
+  Json Object = {{"name", Name}, {"life", Life}};
+  putHistory(Object, Earlier);
+  return Object.dump();
 }
 
-std::string FleetView::releasedValue(std::uint64_t Token) {
-  return Json({{"name", ""}, {"life", ""}, {"given_by", Token}}).dump();
+std::string FleetView::releasedValue(std::uint64_t Token,
+                                     const jobs::OwnerHistory &Earlier) {
+  Json Object = {{"name", ""}, {"life", ""}, {"given_by", Token}};
+  putHistory(Object, Earlier);
+  return Object.dump();
 }
 
 std::string FleetView::entryValue(const jobs::EntryView &Entry,
@@ -315,6 +339,7 @@
   View.OwnerName = Object.at("name").get<std::string>();
   View.OwnerLife = Object.at("life").get<std::string>();
   View.GivenBy = Object.value("given_by", std::uint64_t{0});
+  View.Earlier = takeHistory(Object);
   return View;
 }
 
--- a/src/dispatch/FleetView.h
+++ b/src/dispatch/FleetView.h
@@ -71,11 +71,13 @@
 
   /// Encode and decode the control rows of this product.
   static std::string ownerValue(const std::string &Name,
-                                const std::string &Life);
+                                const std::string &Life,
+                                const jobs::OwnerHistory &Earlier);
   /// Also accepts rows without a capacity. Throws nlohmann::json::exception.
   static jobs::EntryView decodeEntry(const store::PartRow &Row);
   /// Value of a pool's owner row after its owner released it.
-  static std::string releasedValue(std::uint64_t Token);
+  static std::string releasedValue(std::uint64_t Token,
+                                   const jobs::OwnerHistory &Earlier);
   static std::string entryValue(const jobs::EntryView &Entry,
                                 std::uint64_t HeartbeatCount);
   static std::string allotmentValue(const TeamAllotment &Allotment);
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -114,15 +114,36 @@
   }
   for (const std::string &Pool : LostPools) {
     logEvent("pool_lost", {{"pool", Pool}, {"reason", "taken by another"}});
-    LostAt_[Pool] = bootNow();
-    Controllers_[Pool]->drop();
-    Controllers_.erase(Pool);
+    endController(Pool);
   }
   const jobs::PoolView *Fleet = View_.pool(rows::FleetControl);
   if (Fleet && Fleet->Version > FleetToken_)
     FleetToken_ = 0;
 }
 
+void Ownership::endController(const std::string &Pool) {
+  Controllers_.at(Pool)->drop();
+  Controllers_.erase(Pool);
+  LostAt_[Pool] = bootNow();
+}
+
+std::optional<core::Duration> Ownership::stopOrders(const std::string &Pool,
+                                                    std::uint64_t Token) {
+  auto Owned = Controllers_.find(Pool);
+  if (Leaving_ ||
+      (Owned != Controllers_.end() && Owned->second->token() > Token))
+    return std::nullopt;
+  if (Owned != Controllers_.end() && Owned->second->token() < Token) {
+    logEvent("pool_lost",
+             {{"pool", Pool}, {"reason", "stopped by the next owner"}});
+    endController(Pool);
+  }
+  std::uint64_t &Newest = SupersededBy_[Pool];
+  Newest = std::max(Newest, Token);
+  auto Lost = LostAt_.find(Pool);
+  return bootNow() - (Lost == LostAt_.end() ? StartedAt_ : Lost->second);
+}
+
 void Ownership::takePools() {
   core::TimePoint Now = bootNow();
   if (!View_.isSynced() || !Registered_ || Leaving_)
@@ -206,19 +227,6 @@
   });
 }
 
-/// Token of the row's owner if it gives no more orders, because it released the
-/// pool or its process has ended; zero otherwise. Earlier owners may still give
-/// orders if this one had not settled.
-std::uint64_t Ownership::endedOwner(const jobs::PoolView *Row) const {
-  if (!Row)
-    return 0;
-  if (Row->OwnerName.empty())
-    return Row->GivenBy;
-  bool Mine =
-      Row->OwnerName == Ctx_.Settings.Name && Row->OwnerLife != Ctx_.Life;
-  return Mine ? Row->Version : 0;
-}
-
 void Ownership::take(const std::string &Pool) {
   if (PendingTakes_.count(Pool) != 0)
     return;
@@ -227,8 +235,10 @@
   store::PartKey Key = {rows::Control, rows::poolPart(Pool), rows::OwnerKey};
   store::PartTransaction T;
   T.Conditions.push_back({Key, Row ? Row->Version : 0});
-  T.Puts.push_back({Key, FleetView::ownerValue(Ctx_.Settings.Name, Ctx_.Life)});
-  PoolTakeover Takeover{Pool, 0, bootNow(), endedOwner(Row)};
+  PoolTakeover Takeover{Pool, 0, bootNow(),
+                        jobs::historyAfter(Row ? *Row : jobs::PoolView())};
+  T.Puts.push_back({Key, FleetView::ownerValue(Ctx_.Settings.Name, Ctx_.Life,
+                                               Takeover.Earlier)});
   Ctx_.Store.commit(
       std::move(T), StoreTimeout, [this, Takeover](PartAnswer Answer) {
         Ctx_.Loop.post([this, Takeover, Answer = std::move(Answer)] {
@@ -245,15 +255,12 @@
 /// Reads the owner row after an attempt that was not answered or lost to
 /// another write.
 void Ownership::verifyTake(const PoolTakeover &Takeover) {
-  PoolTakeover Tried = Takeover;
-  // Another entry may have owned the pool in the meantime.
-  Tried.EndedOwner = 0;
-  store::PartRange Range = {rows::Control, rows::poolPart(Tried.Pool),
+  store::PartRange Range = {rows::Control, rows::poolPart(Takeover.Pool),
                             rows::OwnerKey, ""};
-  Ctx_.Store.read(Range, [this, Tried](PartAnswer Answer) {
-    Ctx_.Loop.post([this, Tried, Answer = std::move(Answer)] {
+  Ctx_.Store.read(Range, [this, Takeover](PartAnswer Answer) {
+    Ctx_.Loop.post([this, Takeover, Answer = std::move(Answer)] {
       if (Answer.Outcome != PartOutcome::Ok) {
-        Ctx_.Loop.after(TakeRetry, [this, Tried] { verifyTake(Tried); });
+        Ctx_.Loop.after(TakeRetry, [this, Takeover] { verifyTake(Takeover); });
         return;
       }
       for (const store::PartRow &Row : Answer.Rows) {
@@ -264,11 +271,14 @@
         bool Mine = Owner.OwnerName == Ctx_.Settings.Name &&
                     Owner.OwnerLife == Ctx_.Life;
         if (Mine) {
-          onTaken(Tried, Row.Version);
+          // The row may be of another attempt, after another owner.
+          PoolTakeover Taken = Takeover;
+          Taken.Earlier = Owner.Earlier;
+          onTaken(Taken, Row.Version);
           return;
         }
       }
-      PendingTakes_.erase(Tried.Pool);
+      PendingTakes_.erase(Takeover.Pool);
     });
   });
 }
@@ -277,9 +287,13 @@
   Takeover.Token = Token;
   const std::string &Pool = Takeover.Pool;
   PendingTakes_.erase(Pool);
+  if (Token < SupersededBy_[Pool])
+    return;
   const jobs::PoolView *Before = View_.pool(Pool);
   bool Reclaimed = Before && Before->OwnerName == Ctx_.Settings.Name;
-  View_.setPool({Pool, Ctx_.Settings.Name, Ctx_.Life, Token});
+  jobs::PoolView Mine{Pool, Ctx_.Settings.Name, Ctx_.Life, Token};
+  Mine.Earlier = Takeover.Earlier;
+  View_.setPool(std::move(Mine));
   logEvent("pool_taken", {{"pool", Pool}, {"token", Token}});
   if (Pool == rows::FleetControl) {
     FleetToken_ = Token;
@@ -290,11 +304,10 @@
     LostAt_[Name] = bootNow();
     Controllers_.erase(Name);
   };
-  auto Old = Controllers_.find(Pool);
-  if (Old != Controllers_.end())
-    Old->second->drop();
-  auto Controller = std::make_shared<PoolController>(Ctx_, View_, Jobs_,
-                                                     Takeover, std::move(Lost));
+  if (Controllers_.count(Pool) != 0)
+    endController(Pool);
+  auto Controller = std::make_shared<PoolController>(
+      Ctx_, View_, Jobs_, Takeover, StopQuery_, std::move(Lost));
   Controllers_[Pool] = Controller;
   View_.followWorkersClosely(true);
   // An entry without pools reads the worker list rarely, so its copy may be
@@ -322,7 +335,10 @@
   store::PartKey Key = {rows::Control, rows::poolPart(Pool), rows::OwnerKey};
   store::PartTransaction T;
   T.Conditions.push_back({Key, Token});
-  T.Puts.push_back({Key, FleetView::releasedValue(Token)});
+  const jobs::PoolView *Row = View_.pool(Pool);
+  T.Puts.push_back(
+      {Key, FleetView::releasedValue(Token, Row ? Row->Earlier
+                                                : jobs::OwnerHistory())});
   Ctx_.Store.commit(std::move(T), StoreTimeout,
                     [this, Pool, Done](PartAnswer Answer) {
                       Ctx_.Loop.post([Pool, Done, Answer] {
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -37,6 +37,14 @@
       std::function<void(const std::string &Pool, std::function<void(bool)>)>;
   /// Call before \ref start.
   void setProbe(ProbeOwner Probe) { Probe_ = std::move(Probe); }
+  /// Call before \ref start.
+  void setStopQuery(StopQuery Query) { StopQuery_ = std::move(Query); }
+  /// Ends the ownership of the pool under any token before \p Token. Returns
+  /// the time since this entry's last order under one, and takes care that it
+  /// gives none later; nothing if it owns the pool under a newer token or is
+  /// handing its pools over.
+  std::optional<core::Duration> stopOrders(const std::string &Pool,
+                                           std::uint64_t Token);
   /// Whether this entry owns the pool, loaded or not.
   bool isOwned(const std::string &Pool) const;
 
@@ -52,11 +60,11 @@
   bool wasJustLost(const std::string &Pool) const;
   bool mayBeAlive(const jobs::PoolView &Pool) const;
   void probeOwner(const std::string &Pool);
-  std::uint64_t endedOwner(const jobs::PoolView *Row) const;
   void take(const std::string &Pool);
   void onTaken(PoolTakeover Takeover, std::uint64_t Token);
   void verifyTake(const PoolTakeover &Takeover);
   void dropLostPools();
+  void endController(const std::string &Pool);
   void applyJobRow(const store::PartRow &Row);
   void follow(std::uint64_t Version);
   void release(const std::string &Pool, std::uint64_t Token,
@@ -67,11 +75,14 @@
   TableFollower Jobs_;
   std::map<std::string, std::shared_ptr<PoolController>> Controllers_;
   ProbeOwner Probe_;
+  StopQuery StopQuery_;
   std::set<std::string> PendingTakes_;
   std::set<std::string> PendingProbes_;
   /// Last answers of owners whose heartbeats were late.
   std::map<std::string, core::TimePoint> AnsweredAt_;
   std::map<std::string, core::TimePoint> LostAt_;
+  /// Highest token of another owner that asked this entry to stop, by pool.
+  std::map<std::string, std::uint64_t> SupersededBy_;
   std::uint64_t FleetToken_ = 0;
   bool FleetReclaimed_ = false;
   std::uint64_t HeartbeatCount_ = 0;
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -72,6 +72,9 @@
   Answer.Token = Object.value("token", std::uint64_t{0});
   Answer.StoreAge =
       std::chrono::milliseconds(Object.value("store_age_ms", std::int64_t{0}));
+  if (Object.contains("stopped_ms"))
+    Answer.StoppedFor =
+        std::chrono::milliseconds(Object["stopped_ms"].get<std::int64_t>());
   if (Object.contains("load"))
     Answer.Load = decodeLoad(Object["load"]);
   return Answer;
@@ -97,10 +100,15 @@
     Done(OwnerAnswer());
     return;
   }
+  send(*Address, std::move(Body), std::move(Done));
+}
+
+void Peers::send(const std::string &Address, std::string Body,
+                 std::function<void(OwnerAnswer)> Done) {
   net::HttpCall Call;
   Call.Target = net::HttpTarget::Peer;
   Call.Method = "POST";
-  Call.Url = "http://" + *Address + Path;
+  Call.Url = "http://" + Address + Path;
   Call.Body = std::move(Body);
   Call.ConnectLimit = ConnectLimit;
   Call.TotalLimit = AskLimit;
@@ -190,6 +198,25 @@
       });
 }
 
+void Peers::askToStop(const std::string &Entry, const std::string &Pool,
+                      std::uint64_t Token,
+                      std::function<void(std::optional<core::Duration>)> Done) {
+  if (Entry == Ctx_.Settings.Name) {
+    Done(Owners_.stopOrders(Pool, Token));
+    return;
+  }
+  const jobs::EntryView *Known = View_.entry(Entry);
+  if (!Known) {
+    Done(std::nullopt);
+    return;
+  }
+  send(Known->PeerAddress,
+       Json({{"pool", Pool}, {"superseded_by", Token}}).dump(),
+       [Done = std::move(Done)](const OwnerAnswer &Answer) {
+         Done(Answer.StoppedFor);
+       });
+}
+
 void Peers::askLoad(const std::string &Pool,
                     std::function<void(const OwnerLoad &)> Done) {
   if (auto Controller = Owners_.controller(Pool)) {
@@ -203,6 +230,15 @@
       });
 }
 
+net::HttpResponse Peers::answerStop(const std::string &Pool,
+                                    std::uint64_t Token) {
+  std::optional<core::Duration> For = Owners_.stopOrders(Pool, Token);
+  if (!For)
+    return net::jsonResponse(StatusNotOwner, "{}");
+  auto Ms = std::chrono::duration_cast<std::chrono::milliseconds>(*For);
+  return net::jsonResponse(StatusOk, Json({{"stopped_ms", Ms.count()}}).dump());
+}
+
 net::HttpResponse Peers::handle(const net::HttpRequest &Request) {
   Json Object = Json::parse(Request.Body, nullptr, false);
   if (Request.Path != Path || !Object.is_object())
@@ -215,6 +251,8 @@
       return net::jsonResponse(StatusOk,
                                Json({{"store_age_ms", Age.count()}}).dump());
     }
+    if (Object.contains("superseded_by"))
+      return answerStop(Pool, Object["superseded_by"].get<std::uint64_t>());
     auto Controller = Owners_.controller(Pool);
     if (!Controller)
       return net::jsonResponse(StatusNotOwner, "{}");
--- a/src/dispatch/Peers.h
+++ b/src/dispatch/Peers.h
@@ -22,6 +22,9 @@
   std::uint64_t Token = 0;
   /// Age of the owner's last read of the store.
   core::Duration StoreAge{0};
+  /// How long ago the entry gave its last order for the pool, if it was asked
+  /// to give none.
+  std::optional<core::Duration> StoppedFor;
   jobs::PoolLoad Load;
 };
 
@@ -61,6 +64,13 @@
   /// Asks whether the pool's owner works on it and reaches the store.
   void probeOwner(const std::string &Pool, std::function<void(bool)> Done);
 
+  /// Asks an entry to give no more orders for the pool as an owner before
+  /// \p Token. \p Done gets the time since its last such order; nothing if it
+  /// did not answer or goes on.
+  void askToStop(const std::string &Entry, const std::string &Pool,
+                 std::uint64_t Token,
+                 std::function<void(std::optional<core::Duration>)> Done);
+
   /// \p Done is called only if the owner answers.
   void askLoad(const std::string &Pool,
                std::function<void(const OwnerLoad &)> Done);
@@ -72,6 +82,9 @@
   std::optional<std::string> addressOf(const std::string &Pool) const;
   void ask(const std::string &Pool, std::string Body,
            std::function<void(OwnerAnswer)> Done);
+  void send(const std::string &Address, std::string Body,
+            std::function<void(OwnerAnswer)> Done);
+  net::HttpResponse answerStop(const std::string &Pool, std::uint64_t Token);
   OwnerAnswer answerHere(const PoolController &Controller,
                          const std::string &JobId,
                          const std::string &Queue) const;
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -6,6 +6,7 @@
 #include "dispatch/MachineCache.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace comfreydeck::dispatch {
 
@@ -59,13 +60,13 @@
 
 PoolController::PoolController(Context &Ctx, FleetView &View,
                                const TableFollower &Jobs,
-                               const PoolTakeover &Takeover,
+                               const PoolTakeover &Takeover, StopQuery Query,
                                std::function<void(const std::string &)> Lost)
     : Ctx_(Ctx), View_(View), Jobs_(Jobs),
       State_(Takeover.Pool, Takeover.Token, bootNow(), limitsFor(Ctx.Settings)),
       Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token), TakenAt_(Takeover.At),
-      EndedOwner_(Takeover.EndedOwner), Lost_(std::move(Lost)),
-      Part_(rows::poolPart(Takeover.Pool)) {}
+      Earlier_(Takeover.Earlier), StopQuery_(std::move(Query)),
+      Lost_(std::move(Lost)), Part_(rows::poolPart(Takeover.Pool)) {}
 
 // Loading.
 
@@ -139,8 +140,7 @@
       continue;
     }
     if (Row.Where.Key == rows::SettledKey) {
-      if (EndedOwner_ != 0 && Row.Value == std::to_string(EndedOwner_))
-        State_.assumePreviousOwnerSettled();
+      applySettledRow(Row);
       continue;
     }
     if (Row.Where.Key.starts_with(rows::RosterPrefix)) {
@@ -174,6 +174,7 @@
       applyJobRow(Row);
   for (const store::PartRow &Row : std::exchange(EarlyJobRows_, {}))
     applyJobRow(Row);
+  stopEarlierOwners();
   refresh();
   WorkerCount Count = countWorkers(State_);
   logEvent("pool_loaded", {{"pool", State_.pool()},
@@ -181,10 +182,39 @@
                            {"jobs", State_.jobs().size()},
                            {"workers", State_.workers().size()},
                            {"workers_not_listed", Count.NotListed},
+                           {"earlier_owners", Earlier_.Owners.size()},
+                           {"earlier_known", Earlier_.Complete ? 1 : 0},
                            {"list_age_ms", View_.workersAgeMs()}});
   tick();
 }
 
+void PoolController::applySettledRow(const store::PartRow &Row) {
+  std::uint64_t Token = 0;
+  const char *End = Row.Value.data() + Row.Value.size();
+  auto [Read, Error] = std::from_chars(Row.Value.data(), End, Token);
+  if (Error == std::errc() && Read == End)
+    jobs::dropBeforeSettled(Earlier_, Token);
+  else
+    logEvent("settled_row_unreadable", {{"pool", State_.pool()}});
+}
+
+/// Asks earlier owners to stop, so that inherited tasks need not wait for a
+/// silent worker until these would have lost their authority.
+void PoolController::stopEarlierOwners() {
+  if (!Earlier_.Complete)
+    return;
+  EarlierOwners_ = std::make_shared<EarlierOwners>(Ctx_.Loop, State_.pool(),
+                                                   State_.token(), StopQuery_);
+  EarlierOwners_->stop(Earlier_.Owners, TakenAt_,
+                       [Self = weak_from_this()](core::TimePoint At) {
+                         auto Controller = Self.lock();
+                         if (!Controller || Controller->Dropped_)
+                           return;
+                         Controller->State_.setEarlierOwnersStopped(At);
+                         Controller->schedulePlan();
+                       });
+}
+
 /// Adds the worker of a roster row. A row that can't be decoded still names a
 /// worker that may run something: that worker can't be asked, so its lease is
 /// waited out.
@@ -326,6 +356,8 @@
   if (Dropped_)
     return;
   Dropped_ = true;
+  if (EarlierOwners_)
+    EarlierOwners_->cancel();
   Monitor_.end(State_, bootNow(), wallMs());
 }
 
@@ -399,6 +431,8 @@
   if (SettledLogged_ || !State_.isSettled())
     return;
   SettledLogged_ = true;
+  if (EarlierOwners_)
+    EarlierOwners_->cancel();
   WorkerCount Count = countWorkers(State_);
   auto Waited = std::chrono::duration_cast<milliseconds>(Now - TakenAt_);
   logEvent("pool_settled", {{"pool", State_.pool()},
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_DISPATCH_POOLCONTROLLER_H
 #define COMFREYDECK_DISPATCH_POOLCONTROLLER_H
 
+#include "dispatch/EarlierOwners.h"
 #include "dispatch/FleetView.h"
 #include "dispatch/PoolMonitor.h"
 
@@ -15,9 +16,8 @@
   std::uint64_t Token = 0;
   /// Send time of the transaction.
   core::TimePoint At;
-  /// Token of the previous owner if it certainly gives no more orders; zero if
-  /// it may.
-  std::uint64_t EndedOwner = 0;
+  /// Owners before this one.
+  jobs::OwnerHistory Earlier = {};
 };
 
 /// Workers that must not get new tasks.
@@ -34,10 +34,10 @@
 /// workers and stores progress. Runs on the loop's thread.
 class PoolController : public std::enable_shared_from_this<PoolController> {
 public:
-  /// \p Jobs follows the job table. \p Lost is called once when ownership of
-  /// the pool is lost.
+  /// \p Jobs follows the job table. \p Query asks earlier owners to stop.
+  /// \p Lost is called once when ownership of the pool is lost.
   PoolController(Context &Ctx, FleetView &View, const TableFollower &Jobs,
-                 const PoolTakeover &Takeover,
+                 const PoolTakeover &Takeover, StopQuery Query,
                  std::function<void(const std::string &)> Lost);
 
   /// Reads the pool's jobs and progress, then starts planning. \p Loaded gets
@@ -73,8 +73,10 @@
                     std::vector<store::PartRow> JobRows, std::uint64_t Version);
   void restoreState(const std::vector<store::PartRow> &JobRows,
                     const std::vector<store::PartRow> &ProgressRows);
+  void applySettledRow(const store::PartRow &Row);
   void applyRosterRow(const store::PartRow &Row, core::TimePoint Now);
   void checkUnlistedWorkers();
+  void stopEarlierOwners();
   void tick();
   void plan();
   void logSettled(core::TimePoint Now);
@@ -97,7 +99,9 @@
   jobs::PoolState State_;
   PoolMonitor Monitor_;
   core::TimePoint TakenAt_;
-  std::uint64_t EndedOwner_;
+  jobs::OwnerHistory Earlier_;
+  StopQuery StopQuery_;
+  std::shared_ptr<EarlierOwners> EarlierOwners_;
   std::function<void(const std::string &)> Lost_;
   std::function<void()> ShutDownDone_;
   std::string Part_;
--- a/src/jobs/OwnerChoice.cpp
+++ b/src/jobs/OwnerChoice.cpp
@@ -18,6 +18,9 @@
 /// Maximum wait for further entries.
 constexpr std::chrono::milliseconds DiscoveryLimit(5000);
 
+/// Maximum owners in a stored history.
+constexpr std::size_t MaxHistory = 16;
+
 /// Number of pools one entry owns, including those being assigned to it.
 struct OwnedCount {
   std::uint32_t Regular = 0;
@@ -56,6 +59,30 @@
   return static_cast<std::uint32_t>(std::max(Least, 1.0));
 }
 
+OwnerHistory historyAfter(const PoolView &Pool) {
+  if (Pool.Version == 0)
+    return {{}, true};
+  OwnerHistory History = Pool.Earlier;
+  bool Released = Pool.OwnerName.empty();
+  History.Owners.push_back(
+      {Pool.OwnerName, Released ? Pool.GivenBy : Pool.Version});
+  if (History.Owners.size() > MaxHistory) {
+    History.Owners.erase(History.Owners.begin());
+    History.Complete = false;
+  }
+  return History;
+}
+
+void dropBeforeSettled(OwnerHistory &History, std::uint64_t SettledToken) {
+  auto Settled = std::find_if(
+      History.Owners.begin(), History.Owners.end(),
+      [&](const EarlierOwner &Owner) { return Owner.Token == SettledToken; });
+  if (Settled == History.Owners.end())
+    return;
+  History.Owners.erase(History.Owners.begin(), Settled);
+  History.Complete = true;
+}
+
 bool isDiscoveryComplete(core::TimePoint StartedAt,
                          core::TimePoint NewestSeenAt, core::TimePoint Now) {
   return Now - std::max(StartedAt, NewestSeenAt) >= DiscoveryQuietTime ||
--- a/src/jobs/OwnerChoice.h
+++ b/src/jobs/OwnerChoice.h
@@ -37,6 +37,22 @@
   core::TimePoint ChangedAt;
 };
 
+/// An earlier owner of a pool.
+struct EarlierOwner {
+  /// The entry's name; empty if the owner released the pool, after its last
+  /// order.
+  std::string Name;
+  std::uint64_t Token = 0;
+  bool operator==(const EarlierOwner &) const = default;
+};
+
+/// The owners of a pool before the present one, oldest first.
+struct OwnerHistory {
+  std::vector<EarlierOwner> Owners;
+  /// No owner is missing whose orders may still take effect.
+  bool Complete = false;
+};
+
 /// One pool's ownership record as stored.
 struct PoolView {
   std::string Pool;
@@ -47,10 +63,20 @@
   std::uint64_t Version = 0;
   /// Fencing token of the owner that handed the pool over; zero if unknown.
   std::uint64_t GivenBy = 0;
+  /// Owners before this one.
+  OwnerHistory Earlier = {};
   /// The pool has no jobs to start, so owning it costs little.
   bool Light = false;
 };
 
+/// The history for the owner that takes the pool next. Long histories lose
+/// their oldest owners. Thread-safe.
+OwnerHistory historyAfter(const PoolView &Pool);
+
+/// Removes the owners before the settled one, whose orders can't take effect
+/// any more; the history is complete then. Thread-safe.
+void dropBeforeSettled(OwnerHistory &History, std::uint64_t SettledToken);
+
 /// Whether the initial discovery of entries is complete: no new entry appeared
 /// for a while, or the maximum wait has passed. Thread-safe.
 bool isDiscoveryComplete(core::TimePoint StartedAt,
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -330,9 +330,9 @@
   /// Adds a worker of the stored roster. It may have runs started by an earlier
   /// owner even if it is not listed. Must be called before \ref setWorkers.
   void addEnrolled(const WorkerEntry &Entry, core::TimePoint Now);
-  /// Records that the previous owner was settled and has stopped issuing
-  /// orders, so that only leases it granted are still valid.
-  void assumePreviousOwnerSettled();
+  /// Records that no earlier owner has issued an order after \p At, so that
+  /// only leases granted until then are still valid.
+  void setEarlierOwnersStopped(core::TimePoint At);
   /// Records that a worker that is no longer listed has ended together with its
   /// runs.
   void confirmEnded(const std::string &Id);
@@ -501,6 +501,8 @@
   std::uint64_t Token_;
   core::TimePoint TakenAt_;
   OwnerLimits Limits_;
+  /// When earlier owners issued their last orders, if known.
+  std::optional<core::TimePoint> EarlierStoppedAt_;
   std::shared_ptr<const FleetConfig> Config_;
   std::set<std::string> ClosedDataCentres_;
   std::map<std::string, TeamState> Teams_;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -75,8 +75,8 @@
   Slot->GoneAt = Now;
 }
 
-void PoolState::assumePreviousOwnerSettled() {
-  Limits_.EarlierOrders = Limits_.Lease;
+void PoolState::setEarlierOwnersStopped(core::TimePoint At) {
+  EarlierStoppedAt_ = At;
 }
 
 void PoolState::confirmEnded(const std::string &Id) {
@@ -239,12 +239,14 @@
 core::TimePoint PoolState::earlierLeasesEnd(const WorkerState &W) const {
   auto LatestAfter = [this](core::TimePoint From, core::Duration Length) {
     return From + milliseconds(LeaseSlackMs) +
-           std::chrono::duration_cast<core::Duration>(
-               Length * (1 + Limits_.ClockDrift));
+           std::chrono::duration_cast<core::Duration>(Length *
+                                                      (1 + Limits_.ClockDrift));
   };
   core::TimePoint End = LatestAfter(TakenAt_, Limits_.EarlierOrders);
-  if (W.FencedAt)
-    End = std::min(End, LatestAfter(*W.FencedAt, Limits_.Lease));
+  for (const std::optional<core::TimePoint> &NoOrdersFrom :
+       {EarlierStoppedAt_, W.FencedAt})
+    if (NoOrdersFrom)
+      End = std::min(End, LatestAfter(*NoOrdersFrom, Limits_.Lease));
   return End;
 }
 
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -50,6 +50,8 @@
               &Machines, Rows, Codec,  Count, "1"};
   /// Accessed on the loop's thread only.
   std::shared_ptr<PoolController> Controller;
+  /// Entries asked to give no more orders. Accessed on the loop's thread only.
+  std::set<std::string> AskedToStop;
   FleetView View{Ctx, [this](ViewChange) {
                    if (Controller && Controller->isLoaded())
                      Controller->refresh();
@@ -60,7 +62,12 @@
       {rows::Jobs, {}, PollEvery, [] { return rows::jobParts(); }},
       [](const auto &, bool) {}};
 
-  ControllerFixture() {
+  /// \p SettledToken is the value of the row that names the settled owner; an
+  /// empty one stands for no row.
+  explicit ControllerFixture(const std::string &SettledToken = "") {
+    if (!SettledToken.empty())
+      Store.put({rows::Progress, rows::poolPart("p"), rows::SettledKey},
+                SettledToken);
     Store.put({"servers", "", "w1"}, "");
     Loop.start();
     on([this] {
@@ -69,9 +76,17 @@
     });
     on([this] {
       View.whenWorkersRead([this] {
-        PoolTakeover Takeover{"p", 5, bootNow(), 0};
+        PoolTakeover Takeover{
+            "p", 5, bootNow(), {{{"e1", 3}, {"e2", 4}}, true}};
         Controller = std::make_shared<PoolController>(
-            Ctx, View, Jobs, Takeover, [](const std::string &) {});
+            Ctx, View, Jobs, Takeover,
+            [this](const std::string &Entry, const std::string &,
+                   std::uint64_t Token,
+                   const std::function<void(std::optional<core::Duration>)> &) {
+              CHECK(Token == 5);
+              AskedToStop.insert(Entry);
+            },
+            [](const std::string &) {});
         Controller->load([](std::uint64_t) {});
       });
     });
@@ -133,3 +148,17 @@
   B.waitUntil([&] { return B.isHeard("w1"); });
   CHECK(B.Machines.Lists > 0);
 }
+
+TEST_CASE("a new owner asks the owners since the settled one to stop") {
+  ControllerFixture B;
+  std::set<std::string> Asked;
+  B.on([&] { Asked = B.AskedToStop; });
+  CHECK(Asked == std::set<std::string>{"e1", "e2"});
+}
+
+TEST_CASE("a new owner asks no owner before the settled one to stop") {
+  ControllerFixture B("4");
+  std::set<std::string> Asked;
+  B.on([&] { Asked = B.AskedToStop; });
+  CHECK(Asked == std::set<std::string>{"e2"});
+}
--- a/tests/jobs/OwnerChoiceTest.cpp
+++ b/tests/jobs/OwnerChoiceTest.cpp
@@ -209,3 +209,48 @@
   CHECK(isDiscoveryComplete(Started, Started + milliseconds(4900),
                             Started + milliseconds(5100)));
 }
+
+TEST_CASE("a pool's history has every owner since the settled one") {
+  PoolView Pool{"p", "", "", 0};
+  OwnerHistory First = historyAfter(Pool);
+  CHECK(First.Complete);
+  CHECK(First.Owners.empty());
+  Pool = {"p", "e1", "life", 5};
+  Pool.Earlier = First;
+  OwnerHistory Second = historyAfter(Pool);
+  CHECK(Second.Complete);
+  CHECK(Second.Owners == std::vector<EarlierOwner>{{"e1", 5}});
+  SUBCASE("a released pool names no entry to ask") {
+    PoolView Released{"p", "", "", 7, 6};
+    Released.Earlier = Second;
+    CHECK(historyAfter(Released).Owners ==
+          std::vector<EarlierOwner>{{"e1", 5}, {"", 6}});
+  }
+  SUBCASE("owners before the settled one are not asked") {
+    Second.Owners.push_back({"e2", 6});
+    dropBeforeSettled(Second, 6);
+    CHECK(Second.Owners == std::vector<EarlierOwner>{{"e2", 6}});
+  }
+  SUBCASE("an unknown settled owner changes nothing") {
+    dropBeforeSettled(Second, 4);
+    CHECK(Second.Owners.size() == 1);
+  }
+}
+
+TEST_CASE("a history that lost its oldest owners is complete only from a "
+          "settled one on") {
+  PoolView Pool{"p", "e0", "life", 100};
+  Pool.Earlier.Complete = true;
+  for (std::uint64_t N = 1; N < 40; ++N) {
+    OwnerHistory Next = historyAfter(Pool);
+    Pool = {"p", "e" + std::to_string(N), "life", 100 + N};
+    Pool.Earlier = Next;
+  }
+  OwnerHistory History = historyAfter(Pool);
+  CHECK_FALSE(History.Complete);
+  CHECK(History.Owners.size() < 40);
+  CHECK(History.Owners.back() == EarlierOwner{"e39", 139});
+  dropBeforeSettled(History, 138);
+  CHECK(History.Complete);
+  CHECK(History.Owners.size() == 2);
+}
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -678,6 +678,36 @@
         SlowClockMs + OwnerLimits().Lease / milliseconds(1));
 }
 
+TEST_CASE("inherited tasks wait for a silent worker only one lease after the "
+          "earlier owners have stopped") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.plan();
+  B.report("w1");
+  SUBCASE("at the takeover") {
+    B.Owner.setEarlierOwnersStopped(B.Now);
+    B.advance(milliseconds(3000));
+    B.report("w1");
+    CHECK(B.plan().Starts.empty());
+    B.advance(milliseconds(200));
+  }
+  SUBCASE("before the takeover") {
+    B.Owner.setEarlierOwnersStopped(B.Now - milliseconds(5000));
+    B.advance(milliseconds(1000));
+    B.report("w1");
+  }
+  SUBCASE("after the takeover") {
+    B.advance(milliseconds(4000));
+    B.Owner.setEarlierOwnersStopped(B.Now);
+    B.report("w1");
+    CHECK(B.plan().Starts.empty());
+    B.advance(milliseconds(3200));
+    B.report("w1");
+  }
+  CHECK(B.plan().Starts.size() == 1);
+}
+
 TEST_CASE("an owner is not settled before all workers have reported, and the "
           "successor of one that was not waits for earlier owners' authority") {
   OwnerFixture B;
@@ -687,7 +717,7 @@
   SUBCASE("the previous owner had settled") { Trusts = true; }
   SUBCASE("the previous owner had not settled") {}
   if (Trusts)
-    B.Owner.assumePreviousOwnerSettled();
+    B.Owner.setEarlierOwnersStopped(B.Now);
   B.plan();
   B.report("w1");
   B.plan();
