Read the job table once for all pools that are taken together

Cause: a pool gives no order before its jobs are read, and each pool that is taken reads the job table, which has the jobs of all pools. Four pools taken by one entry read it four times at once over a link of 10 Mbit/s.

Pools taken while a read is in progress share the next one, whose reads are all sent later than any of these pools was taken. Rows of other pools are skipped without decoding them.

--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -42,7 +42,8 @@
             [this](const auto &Rows, bool) {
               for (const store::PartRow &Row : Rows)
                 applyJobRow(Row);
-            }) {}
+            }),
+      JobTable_(Ctx.Loop, Ctx.Store) {}
 
 void Ownership::start() {
   StartedAt_ = bootNow();
@@ -307,7 +308,7 @@
   if (Controllers_.count(Pool) != 0)
     endController(Pool);
   auto Controller = std::make_shared<PoolController>(
-      Ctx_, View_, Jobs_, Takeover, StopQuery_, std::move(Lost));
+      Ctx_, View_, Jobs_, JobTable_, Takeover, StopQuery_, std::move(Lost));
   Controllers_[Pool] = Controller;
   View_.followWorkersClosely(true);
   // An entry without pools reads the worker list rarely, so its copy may be
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -73,6 +73,7 @@
   Context &Ctx_;
   FleetView &View_;
   TableFollower Jobs_;
+  JobTableReader JobTable_;
   std::map<std::string, std::shared_ptr<PoolController>> Controllers_;
   ProbeOwner Probe_;
   StopQuery StopQuery_;
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -59,10 +59,10 @@
 } // namespace
 
 PoolController::PoolController(Context &Ctx, FleetView &View,
-                               const TableFollower &Jobs,
+                               const TableFollower &Jobs, JobTableReader &Table,
                                const PoolTakeover &Takeover, StopQuery Query,
                                std::function<void(const std::string &)> Lost)
-    : Ctx_(Ctx), View_(View), Jobs_(Jobs),
+    : Ctx_(Ctx), View_(View), Jobs_(Jobs), Table_(Table),
       State_(Takeover.Pool, Takeover.Token, bootNow(), limitsFor(Ctx.Settings)),
       Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token), TakenAt_(Takeover.At),
       Earlier_(Takeover.Earlier), StopQuery_(std::move(Query)),
@@ -72,21 +72,18 @@
 
 void PoolController::load(std::function<void(std::uint64_t)> Loaded) {
   auto Self = shared_from_this();
-  readParts(Ctx_.Store, rows::Jobs, rows::jobParts(),
-            [Self, Loaded = std::move(Loaded)](PartAnswer Answer) {
-              Self->Ctx_.Loop.post([Self, Loaded, Answer = std::move(Answer)] {
-                if (Self->Dropped_)
-                  return;
-                if (Answer.Outcome == PartOutcome::Ok) {
-                  Self->loadProgress(Loaded, Answer.Rows, Answer.Version);
-                  return;
-                }
-                Self->Ctx_.Count.recordRetry("load-jobs");
-                Self->logLoadFailure(rows::Jobs, Answer);
-                Self->Ctx_.Loop.after(StoreRetry,
-                                      [Self, Loaded] { Self->load(Loaded); });
-              });
-            });
+  Table_.read([Self, Loaded = std::move(Loaded)](
+                  std::shared_ptr<const PartAnswer> Answer) {
+    if (Self->Dropped_)
+      return;
+    if (Answer->Outcome == PartOutcome::Ok) {
+      Self->loadProgress(Loaded, std::move(Answer));
+      return;
+    }
+    Self->Ctx_.Count.recordRetry("load-jobs");
+    Self->logLoadFailure(rows::Jobs, *Answer);
+    Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded] { Self->load(Loaded); });
+  });
 }
 
 /// Logs each failed load, since the pool gets no work done until its rows are
@@ -104,29 +101,26 @@
 }
 
 void PoolController::loadProgress(std::function<void(std::uint64_t)> Loaded,
-                                  std::vector<store::PartRow> JobRows,
-                                  std::uint64_t Version) {
+                                  std::shared_ptr<const PartAnswer> JobTable) {
   auto Self = shared_from_this();
-  auto Jobs = std::make_shared<std::vector<store::PartRow>>(std::move(JobRows));
-  readParts(
-      Ctx_.Store, rows::Progress, {Part_},
-      [Self, Loaded = std::move(Loaded), Jobs, Version](PartAnswer Answer) {
-        Self->Ctx_.Loop.post([Self, Loaded, Jobs, Version,
-                              Answer = std::move(Answer)] {
-          if (Self->Dropped_)
-            return;
-          if (Answer.Outcome != PartOutcome::Ok) {
-            Self->Ctx_.Count.recordRetry("load-progress");
-            Self->logLoadFailure(rows::Progress, Answer);
-            Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, Jobs, Version] {
-              Self->loadProgress(Loaded, *Jobs, Version);
+  readParts(Ctx_.Store, rows::Progress, {Part_},
+            [Self, Loaded = std::move(Loaded), JobTable](PartAnswer Answer) {
+              Self->Ctx_.Loop.post([Self, Loaded, JobTable,
+                                    Answer = std::move(Answer)] {
+                if (Self->Dropped_)
+                  return;
+                if (Answer.Outcome != PartOutcome::Ok) {
+                  Self->Ctx_.Count.recordRetry("load-progress");
+                  Self->logLoadFailure(rows::Progress, Answer);
+                  Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, JobTable] {
+                    Self->loadProgress(Loaded, JobTable);
+                  });
+                  return;
+                }
+                Self->restoreState(JobTable->Rows, Answer.Rows);
+                Loaded(JobTable->Version);
+              });
             });
-            return;
-          }
-          Self->restoreState(*Jobs, Answer.Rows);
-          Loaded(Version);
-        });
-      });
 }
 
 void PoolController::restoreState(
@@ -155,7 +149,9 @@
     }
   }
   for (const store::PartRow &Row : JobRows) {
-    if (Row.Where.Key.ends_with(rows::CancelSuffix))
+    std::string_view Named = codec::poolOf(Row.Value);
+    bool OtherPool = !Named.empty() && Named != State_.pool();
+    if (OtherPool || Row.Where.Key.ends_with(rows::CancelSuffix))
       continue;
     try {
       jobs::JobSpec Spec = codec::decodeJob(Row.Value);
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/EarlierOwners.h"
 #include "dispatch/FleetView.h"
+#include "dispatch/JobTableReader.h"
 #include "dispatch/PoolMonitor.h"
 
 #include <memory>
@@ -34,10 +35,11 @@
 /// workers and stores progress. Runs on the loop's thread.
 class PoolController : public std::enable_shared_from_this<PoolController> {
 public:
-  /// \p Jobs follows the job table. \p Query asks earlier owners to stop.
-  /// \p Lost is called once when ownership of the pool is lost.
+  /// \p Jobs follows the job table, \p Table reads it. \p Query asks earlier
+  /// owners to stop. \p Lost is called once when ownership of the pool is lost.
   PoolController(Context &Ctx, FleetView &View, const TableFollower &Jobs,
-                 const PoolTakeover &Takeover, StopQuery Query,
+                 JobTableReader &Table, const PoolTakeover &Takeover,
+                 StopQuery Query,
                  std::function<void(const std::string &)> Lost);
 
   /// Reads the pool's jobs and progress, then starts planning. \p Loaded gets
@@ -70,7 +72,7 @@
 private:
   void logLoadFailure(const char *Table, const store::PartAnswer &Answer);
   void loadProgress(std::function<void(std::uint64_t)> Loaded,
-                    std::vector<store::PartRow> JobRows, std::uint64_t Version);
+                    std::shared_ptr<const store::PartAnswer> JobTable);
   void restoreState(const std::vector<store::PartRow> &JobRows,
                     const std::vector<store::PartRow> &ProgressRows);
   void applySettledRow(const store::PartRow &Row);
@@ -96,6 +98,7 @@
   Context &Ctx_;
   FleetView &View_;
   const TableFollower &Jobs_;
+  JobTableReader &Table_;
   jobs::PoolState State_;
   PoolMonitor Monitor_;
   core::TimePoint TakenAt_;
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -61,6 +61,7 @@
       Store,
       {rows::Jobs, {}, PollEvery, [] { return rows::jobParts(); }},
       [](const auto &, bool) {}};
+  JobTableReader JobTable{Loop, Store};
 
   /// \p SettledToken is the value of the row that names the settled owner; an
   /// empty one stands for no row.
@@ -79,7 +80,7 @@
         PoolTakeover Takeover{
             "p", 5, bootNow(), {{{"e1", 3}, {"e2", 4}}, true}};
         Controller = std::make_shared<PoolController>(
-            Ctx, View, Jobs, Takeover,
+            Ctx, View, Jobs, JobTable, Takeover,
             [this](const std::string &Entry, const std::string &,
                    std::uint64_t Token,
                    const std::function<void(std::optional<core::Duration>)> &) {
