Store payloads apart from jobs, and load those of open jobs only

Cause: the job table keeps finished jobs for two minutes, with payloads of some thousand bytes that only a start needs. A new owner read all of them before its first order.

The payload has a row of its own now, in the job's partition and written by the same transaction. A new owner reads the jobs without payloads, then the payloads of open jobs, 16 at a time; a job starts once it has its payload. Rows with a payload in them are read as before. Each job costs the key of one more row, no further transaction.

--- a/src/codec/JobJson.cpp
+++ b/src/codec/JobJson.cpp
@@ -81,13 +81,10 @@
   }
 }
 
-} // namespace
-
-std::string encodeJob(const jobs::JobSpec &Spec) {
+Json jobJson(const jobs::JobSpec &Spec) {
   Json Object = {{"id", Spec.Id},
                  {"queue", Spec.Queue},
                  {"pool", Spec.Pool},
-                 {"payload", Spec.Payload},
                  {"accepted", Spec.AcceptedMs},
                  {"attempts", Spec.MaxAttempts},
                  {"slack", Spec.SlackFactor},
@@ -100,10 +97,28 @@
   put(Object, "interval", Spec.IntervalMs, std::int64_t{0});
   for (const jobs::StepSpec &Step : Spec.Steps)
     Object["steps"].push_back(stepJson(Step));
-  // Strings come from callers and may contain invalid UTF-8.
+  return Object;
+}
+
+/// Strings come from callers and may contain invalid UTF-8.
+std::string textOf(const Json &Object) {
   return Object.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+} // namespace
+
+std::string encodeJob(const jobs::JobSpec &Spec) {
+  Json Object = jobJson(Spec);
+  Object["payload"] = Spec.Payload;
+  return textOf(Object);
+}
+
+std::string encodeJobWithoutPayload(const jobs::JobSpec &Spec) {
+  Json Object = jobJson(Spec);
+  Object["payload_apart"] = true;
+  return textOf(Object);
+}
+
 jobs::JobSpec decodeJob(const std::string &Text) {
   return parseAndDecode(Text, [](const Json &Object) {
     jobs::JobSpec Spec;
@@ -111,6 +126,7 @@
     Spec.Pool = Object.at("pool").get<std::string>();
     take(Object, "queue", Spec.Queue);
     take(Object, "payload", Spec.Payload);
+    take(Object, "payload_apart", Spec.PayloadMissing);
     take(Object, "accepted", Spec.AcceptedMs);
     take(Object, "attempts", Spec.MaxAttempts);
     take(Object, "slack", Spec.SlackFactor);
--- a/src/codec/JobJson.h
+++ b/src/codec/JobJson.h
@@ -12,6 +12,9 @@
 
 /// All functions are thread-safe.
 std::string encodeJob(const jobs::JobSpec &Spec);
+/// Encodes a job whose payload is stored in a row of its own.
+std::string encodeJobWithoutPayload(const jobs::JobSpec &Spec);
+/// Also decodes jobs without their payload.
 jobs::JobSpec decodeJob(const std::string &Text);
 /// Finds the pool of an encoded job without decoding it. Empty if it is not
 /// found or contains escapes; decodeJob() finds it then, if there is one.
--- a/src/dispatch/Context.h
+++ b/src/dispatch/Context.h
@@ -35,6 +35,9 @@
 /// The store limits the number of transactions per second and partition.
 inline constexpr std::uint32_t JobParts = 4;
 inline constexpr const char *CancelSuffix = "!cancel";
+/// Payloads of jobs, in the jobs' partitions and under their keys. Kept apart
+/// since a new owner needs those of open jobs only.
+inline constexpr const char *Payloads = "payloads";
 /// Entries, pool owners and the allotments of teams in each pool.
 inline constexpr const char *Control = "control";
 inline constexpr const char *EntryPrefix = "entry/";
--- a/src/dispatch/JobApi.cpp
+++ b/src/dispatch/JobApi.cpp
@@ -179,7 +179,8 @@
   store::PartTransaction T;
   store::PartKey Key = {rows::Jobs, rows::jobPart(C->Spec.Id), C->Spec.Id};
   T.Conditions.push_back({Key, 0});
-  T.Puts.push_back({Key, codec::encodeJob(C->Spec)});
+  T.Puts.push_back({Key, codec::encodeJobWithoutPayload(C->Spec)});
+  T.Puts.push_back({{rows::Payloads, Key.Part, Key.Key}, C->Spec.Payload});
   Ctx_.Store.commit(
       std::move(T), storeTimeout(C), [this, C, Again](PartAnswer Answer) {
         Ctx_.Loop.post([this, C, Again, Answer = std::move(Answer)] {
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -35,6 +35,9 @@
 /// Finished jobs are kept for a margin beyond the promised time.
 constexpr milliseconds FinishedKeepMargin(10000);
 
+/// Payloads that are read at the same time.
+constexpr std::size_t MaxPayloadReads = 16;
+
 struct WorkerCount {
   std::size_t Heard = 0;
   std::size_t NotListed = 0;
@@ -211,6 +214,45 @@
                        });
 }
 
+/// Reads the payloads of open jobs that came without them.
+void PoolController::loadPayloads() {
+  for (const std::string &Id : State_.jobsWithoutPayload()) {
+    if (PayloadReads_.size() >= MaxPayloadReads)
+      return;
+    if (PayloadReads_.insert(Id).second)
+      loadPayload(Id);
+  }
+}
+
+void PoolController::loadPayload(const std::string &JobId) {
+  store::PartRange Range = {rows::Payloads, rows::jobPart(JobId), JobId,
+                            JobId + "~"};
+  auto Self = shared_from_this();
+  Ctx_.Store.read(Range, [Self, JobId](PartAnswer Answer) {
+    Self->Ctx_.Loop.post([Self, JobId, Answer = std::move(Answer)] {
+      Self->onPayload(JobId, Answer);
+    });
+  });
+}
+
+void PoolController::onPayload(const std::string &JobId,
+                               const PartAnswer &Answer) {
+  bool Found = Answer.Outcome == PartOutcome::Ok && !Answer.Rows.empty();
+  if (Found) {
+    PayloadReads_.erase(JobId);
+    State_.setPayload(JobId, Answer.Rows.front().Value);
+    schedulePlan();
+    return;
+  }
+  Ctx_.Count.recordRetry("load-payload");
+  logEvent("payload_read_failed", {{"job", JobId},
+                                   {"outcome", store::nameOf(Answer.Outcome)},
+                                   {"error", Answer.Error}});
+  Ctx_.Loop.after(StoreRetry, [Self = shared_from_this(), JobId] {
+    Self->PayloadReads_.erase(JobId);
+  });
+}
+
 /// Adds the worker of a roster row. A row that can't be decoded still names a
 /// worker that may run something: that worker can't be asked, so its lease is
 /// waited out.
@@ -399,6 +441,7 @@
   if (Dropped_ || !Loaded_)
     return;
   applyClosed();
+  loadPayloads();
   jobs::PlanInput In;
   In.Now = bootNow();
   In.WallMs = wallMs();
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -79,6 +79,9 @@
   void applyRosterRow(const store::PartRow &Row, core::TimePoint Now);
   void checkUnlistedWorkers();
   void stopEarlierOwners();
+  void loadPayloads();
+  void loadPayload(const std::string &JobId);
+  void onPayload(const std::string &JobId, const store::PartAnswer &Answer);
   void tick();
   void plan();
   void logSettled(core::TimePoint Now);
@@ -118,6 +121,8 @@
     bool Evict = false;
   };
   std::map<std::string, CloseState> ClosedWorkers_;
+  /// Jobs whose payloads are being read.
+  std::set<std::string> PayloadReads_;
   bool Loaded_ = false;
   bool SettledLogged_ = false;
   /// A check of workers that are no longer listed is running or scheduled.
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -56,6 +56,8 @@
   /// Empty if the queue is open to all.
   std::string Team;
   std::string Payload;
+  /// The payload is stored in a row of its own and not loaded yet.
+  bool PayloadMissing = false;
   std::vector<StepSpec> Steps;
   /// How often the steps run; zero means once, without a due time.
   std::uint32_t Repetitions = 0;
--- a/src/jobs/PoolMetrics.cpp
+++ b/src/jobs/PoolMetrics.cpp
@@ -35,6 +35,8 @@
     return "authority";
   case WaitReason::Takeover:
     return "takeover";
+  case WaitReason::Payload:
+    return "payload";
   case WaitReason::Pause:
     return "pause";
   case WaitReason::TeamLimit:
@@ -73,6 +75,8 @@
     return WaitReason::Authority;
   if (Job.Inherited && !AllHeard)
     return WaitReason::Takeover;
+  if (Job.Spec.PayloadMissing)
+    return WaitReason::Payload;
   if (Job.Tasks[Task].NotBefore > Now)
     return WaitReason::Pause;
   const std::optional<core::Resources> &Room = Job.Team->Room;
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -67,6 +67,8 @@
   Authority,
   /// An earlier owner may have started it, and not every worker has reported.
   Takeover,
+  /// Its job's payload is not loaded yet.
+  Payload,
   /// Retry delay after a run that ended.
   Pause,
   /// Its team's limit is reached.
@@ -75,7 +77,7 @@
   Room,
 };
 
-inline constexpr std::size_t WaitReasonCount = 6;
+inline constexpr std::size_t WaitReasonCount = 7;
 
 const char *nameOf(WaitReason Reason);
 
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -54,8 +54,11 @@
 }
 
 void PoolState::addJob(const JobSpec &Spec, core::TimePoint Now) {
-  if (Jobs_.count(Spec.Id) != 0)
+  if (Jobs_.count(Spec.Id) != 0) {
+    if (!Spec.PayloadMissing)
+      setPayload(Spec.Id, Spec.Payload);
     return;
+  }
   JobRecord &Job = makeJob(Spec, Now);
   Job.Inherited = Now - TakenAt_ < Limits_.NewJobAge;
   openJob(Job);
@@ -114,6 +117,22 @@
     endJob(*Job, JobState::Cancelled);
 }
 
+std::vector<std::string> PoolState::jobsWithoutPayload() const {
+  std::vector<std::string> Ids;
+  for (const JobRecord *Job : Open_)
+    if (Job->Spec.PayloadMissing)
+      Ids.push_back(Job->Spec.Id);
+  return Ids;
+}
+
+void PoolState::setPayload(const std::string &Id, std::string Payload) {
+  JobRecord *Job = jobOf(Id);
+  if (!Job || !Job->Spec.PayloadMissing)
+    return;
+  Job->Spec.Payload = std::move(Payload);
+  Job->Spec.PayloadMissing = false;
+}
+
 void PoolState::dropFinished(std::int64_t AcceptedBeforeMs) {
   for (auto It = Finished_.begin();
        It != Finished_.end() && It->first < AcceptedBeforeMs;) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -314,13 +314,17 @@
   PoolState(std::string Pool, std::uint64_t Token, core::TimePoint TakenAt,
             OwnerLimits Limits);
 
-  /// Adds a newly accepted job; does nothing if it is known.
+  /// Adds a newly accepted job; does nothing if it is known, except that a
+  /// missing payload is set.
   void addJob(const JobSpec &Spec, core::TimePoint Now);
   /// Adds a job that earlier owners knew; does nothing if it is known. \p Kept
   /// is its stored progress, null if there is none.
   void inheritJob(const JobSpec &Spec, const JobProgress *Kept,
                   core::TimePoint Now);
   void cancelJob(const std::string &Id);
+  /// Open jobs that can't start before their payload is set.
+  std::vector<std::string> jobsWithoutPayload() const;
+  void setPayload(const std::string &Id, std::string Payload);
   /// Removes finished jobs that were accepted before \p AcceptedBeforeMs,
   /// unless they have runs or changes left to store.
   void dropFinished(std::int64_t AcceptedBeforeMs);
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -102,7 +102,7 @@
 }
 
 bool StartPlan::mayFit(JobRecord &Job) const {
-  if (Job.Advised || (Job.Inherited && !AllHeard_))
+  if (Job.Advised || Job.Spec.PayloadMissing || (Job.Inherited && !AllHeard_))
     return false;
   PoolState::refreshWaiting(Job);
   return std::any_of(Job.WaitingSteps.begin(), Job.WaitingSteps.end(),
--- a/tests/codec/JobJsonTest.cpp
+++ b/tests/codec/JobJsonTest.cpp
@@ -116,3 +116,15 @@
   for (const char *Text : {"", "{", "\"pool\":\"", "{\"pool\":7}"})
     CHECK(poolOf(Text).empty());
 }
+
+TEST_CASE("a job without its payload is read as one whose payload is missing") {
+  jobs::JobSpec Spec = fullJob();
+  std::string Text = encodeJobWithoutPayload(Spec);
+  CHECK(Text.find("a \\\"text") == std::string::npos);
+  CHECK(poolOf(Text) == Spec.Pool);
+  jobs::JobSpec Read = decodeJob(Text);
+  CHECK(Read.PayloadMissing);
+  CHECK(Read.Payload.empty());
+  CHECK(Read.Steps.size() == Spec.Steps.size());
+  CHECK_FALSE(decodeJob(encodeJob(Spec)).PayloadMissing);
+}
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -841,3 +841,27 @@
   B.Owner.onReport(Order, Result, B.Now, B.Now);
   CHECK(B.plan().Starts.size() == 1);
 }
+
+TEST_CASE("a job starts only once its payload is loaded") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.plan();
+  B.report("w1");
+  JobSpec Whole = sampleJob(1);
+  JobSpec Bare = Whole;
+  Bare.Payload.clear();
+  Bare.PayloadMissing = true;
+  B.Owner.addJob(Bare, B.Now);
+  CHECK(B.plan().Starts.empty());
+  CHECK(B.Owner.jobsWithoutPayload() == std::vector<std::string>{Whole.Id});
+  SUBCASE("read from its row") { B.Owner.setPayload(Whole.Id, Whole.Payload); }
+  SUBCASE("passed on by the entry that accepted it") {
+    B.Owner.addJob(Whole, B.Now);
+  }
+  CHECK(B.Owner.jobsWithoutPayload().empty());
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  CHECK(Out.Starts[0].Payload == Whole.Payload);
+  B.Owner.setPayload(Whole.Id, "other");
+  CHECK(B.Owner.findJob(Whole.Id)->Spec.Payload == Whole.Payload);
+}
