--- a/tests/dispatch/EarlierOwnersTest.cpp
+++ b/tests/dispatch/EarlierOwnersTest.cpp
@@ -1,15 +1,13 @@
 #include "dispatch/EarlierOwners.h"
 
 #include "dispatch/Clock.h"
+#include "dispatch/LoopCalls.h"
 
 #include <doctest/doctest.h>
 
-#include <future>
-#include <map>
-#include <thread>
-
 using namespace comfreydeck;
 using namespace comfreydeck::dispatch;
+using namespace comfreydeck::tests;
 using std::chrono::milliseconds;
 
 namespace {
@@ -37,14 +35,7 @@
     on([this] { Earlier->cancel(); });
     Loop.stop();
   }
-  void on(const std::function<void()> &Do) {
-    std::promise<void> Done;
-    Loop.post([&] {
-      Do();
-      Done.set_value();
-    });
-    Done.get_future().wait();
-  }
+  void on(const std::function<void()> &Do) { runOn(Loop, Do); }
   void stop(std::vector<jobs::EarlierOwner> Owners) {
     on([&] {
       Earlier->stop(Owners, TakenAt,
@@ -85,11 +76,7 @@
 TEST_CASE("an earlier owner that does not answer is asked again") {
   EarlierOwnersFixture B;
   B.stop({{"e1", 3}});
-  std::size_t Asked = 0;
-  while (Asked < 2) {
-    std::this_thread::sleep_for(milliseconds(20));
-    B.on([&] { Asked = B.Questions.size(); });
-  }
+  waitUntil(B.Loop, [&] { return B.Questions.size() >= 2; });
   CHECK_FALSE(B.isStopped());
   B.answer(1, milliseconds(0));
   CHECK(B.isStopped());
--- /dev/null
+++ b/tests/dispatch/OwnershipTest.cpp
@@ -0,0 +1,126 @@
+#include "dispatch/Ownership.h"
+
+#include "dispatch/Clock.h"
+#include "dispatch/InMemoryStore.h"
+#include "dispatch/LoopCalls.h"
+#include "dispatch/SilentWorkers.h"
+#include "net/HttpClient.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreydeck;
+using namespace comfreydeck::dispatch;
+using namespace comfreydeck::tests;
+
+namespace {
+
+constexpr const char *Life = "2";
+
+/// An entry that owns pool "p", on a store in memory.
+struct OwnershipFixture {
+  settings::DispatchSettings Settings = settingsOf("e1");
+  net::Loop Loop;
+  net::HttpClient Client{{}};
+  InMemoryStore Store;
+  SilentWorkers Workers;
+  RowDecoder Rows = decoder();
+  CallerCodec Codec;
+  JobMetrics Count;
+  Context Ctx{Settings, Loop, Client, Store, Workers,
+              nullptr,  Rows, Codec,  Count, Life};
+  FleetView View{Ctx, [this](ViewChange) { Owners.review(); }};
+  Ownership Owners{Ctx, View};
+  std::uint64_t Token = 0;
+
+  OwnershipFixture() {
+    Store.put({"op", "", "config"}, "");
+    Store.put({rows::Control, rows::poolPart("p"), rows::OwnerKey},
+              FleetView::ownerValue("e1", Life, {}));
+    Owners.setProbe([](const std::string &,
+                       const std::function<void(bool)> &Done) { Done(true); });
+    Owners.setStopQuery(
+        [](const std::string &, const std::string &, std::uint64_t,
+           const std::function<void(std::optional<core::Duration>)> &) {});
+    Loop.start();
+    runOn(Loop, [this] {
+      View.start();
+      Owners.start();
+    });
+    waitUntil(Loop, [this] {
+      Owners.review();
+      return Owners.controller("p") != nullptr;
+    });
+    runOn(Loop, [this] { Token = Owners.controller("p")->token(); });
+  }
+  ~OwnershipFixture() {
+    runOn(Loop, [this] {
+      for (const auto &[Pool, Controller] : Owners.controllers())
+        Controller->drop();
+    });
+    Loop.stop();
+    Client.stop();
+  }
+
+  static settings::DispatchSettings settingsOf(const std::string &Name) {
+    settings::DispatchSettings S;
+    S.Name = Name;
+    return S;
+  }
+  static RowDecoder decoder() {
+    RowDecoder Decoder;
+    Decoder.OperatorTable = "op";
+    Decoder.WorkerTable = "servers";
+    Decoder.Operator = [](const store::PartRow &) {
+      auto Config = std::make_shared<jobs::FleetConfig>();
+      Config->Version = 1;
+      Config->Pools.push_back({"p", false, false});
+      OperatorRow Row;
+      Row.What = OperatorRow::Kind::Config;
+      Row.Config = std::move(Config);
+      return Row;
+    };
+    return Decoder;
+  }
+  std::optional<core::Duration> stopOrders(const std::string &Pool,
+                                           std::uint64_t Under) {
+    std::optional<core::Duration> For;
+    runOn(Loop, [&] { For = Owners.stopOrders(Pool, Under); });
+    return For;
+  }
+  bool isOwned(const std::string &Pool) {
+    bool Owned = false;
+    runOn(Loop, [&] { Owned = Owners.isOwned(Pool); });
+    return Owned;
+  }
+};
+
+} // namespace
+
+TEST_CASE("an owner that is asked to stop by a later one gives its pool up") {
+  OwnershipFixture B;
+  SUBCASE("by a later one") {
+    core::TimePoint Asked = bootNow();
+    std::optional<core::Duration> For = B.stopOrders("p", B.Token + 1);
+    REQUIRE(For);
+    CHECK(*For <= bootNow() - Asked);
+    CHECK_FALSE(B.isOwned("p"));
+  }
+  SUBCASE("by an earlier one") {
+    CHECK_FALSE(B.stopOrders("p", B.Token - 1));
+    CHECK(B.isOwned("p"));
+  }
+  SUBCASE("by itself, about its earlier ownerships") {
+    CHECK(B.stopOrders("p", B.Token));
+    CHECK(B.isOwned("p"));
+  }
+}
+
+TEST_CASE("an entry has given no order for a pool that it never owned since "
+          "its start") {
+  OwnershipFixture B;
+  std::optional<core::Duration> First = B.stopOrders("other", 1);
+  std::optional<core::Duration> Second = B.stopOrders("other", 1);
+  REQUIRE(First);
+  REQUIRE(Second);
+  CHECK(*Second >= *First);
+}
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -2,14 +2,12 @@
 
 #include "dispatch/Clock.h"
 #include "dispatch/InMemoryStore.h"
+#include "dispatch/LoopCalls.h"
 #include "dispatch/SilentWorkers.h"
 #include "net/HttpClient.h"
 
 #include <doctest/doctest.h>
 
-#include <future>
-#include <thread>
-
 using namespace comfreydeck;
 using namespace comfreydeck::dispatch;
 using namespace comfreydeck::tests;
@@ -17,8 +15,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollEvery(20);
-/// Far longer than any wait here takes; fails a test that hangs.
-constexpr std::chrono::seconds WaitLimit(20);
 
 /// Lists no machine, so that no worker is left.
 struct NoMachines : MachineControl {
@@ -115,23 +111,9 @@
     };
     return Decoder;
   }
-  void on(const std::function<void()> &Do) {
-    std::promise<void> Done;
-    Loop.post([&] {
-      Do();
-      Done.set_value();
-    });
-    Done.get_future().wait();
-  }
-  /// Waits until the condition, evaluated on the loop's thread, holds.
+  void on(const std::function<void()> &Do) { runOn(Loop, Do); }
   void waitUntil(const std::function<bool()> &Condition) {
-    auto Until = std::chrono::steady_clock::now() + WaitLimit;
-    bool Holds = false;
-    while (!Holds) {
-      REQUIRE(std::chrono::steady_clock::now() < Until);
-      on([&] { Holds = Condition(); });
-      std::this_thread::sleep_for(PollEvery);
-    }
+    tests::waitUntil(Loop, Condition);
   }
   bool isHeard(const std::string &Worker) const {
     return Controller->state().workers().at(Worker)->Heard;
