--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -6,6 +6,7 @@
 #include "dispatch/MachineCache.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace comfreydeck::dispatch {
 
@@ -34,6 +35,9 @@
 /// Finished jobs are kept for a margin beyond the promised time.
 constexpr milliseconds FinishedKeepMargin(10000);
 
+/// Payloads that are read at the same time.
+constexpr std::size_t MaxPayloadReads = 16;
+
 struct WorkerCount {
   std::size_t Heard = 0;
   std::size_t NotListed = 0;
@@ -58,34 +62,31 @@
 } // namespace
 
 PoolController::PoolController(Context &Ctx, FleetView &View,
-                               const TableFollower &Jobs,
-                               const PoolTakeover &Takeover,
+                               const TableFollower &Jobs, JobTableReader &Table,
+                               const PoolTakeover &Takeover, StopQuery Query,
                                std::function<void(const std::string &)> Lost)
-    : Ctx_(Ctx), View_(View), Jobs_(Jobs),
+    : Ctx_(Ctx), View_(View), Jobs_(Jobs), Table_(Table),
       State_(Takeover.Pool, Takeover.Token, bootNow(), limitsFor(Ctx.Settings)),
       Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token), TakenAt_(Takeover.At),
-      EndedOwner_(Takeover.EndedOwner), Lost_(std::move(Lost)),
-      Part_(rows::poolPart(Takeover.Pool)) {}
+      Earlier_(Takeover.Earlier), StopQuery_(std::move(Query)),
+      Lost_(std::move(Lost)), Part_(rows::poolPart(Takeover.Pool)) {}
 
 // Loading.
 
 void PoolController::load(std::function<void(std::uint64_t)> Loaded) {
   auto Self = shared_from_this();
-  readParts(Ctx_.Store, rows::Jobs, rows::jobParts(),
-            [Self, Loaded = std::move(Loaded)](PartAnswer Answer) {
-              Self->Ctx_.Loop.post([Self, Loaded, Answer = std::move(Answer)] {
-                if (Self->Dropped_)
-                  return;
-                if (Answer.Outcome == PartOutcome::Ok) {
-                  Self->loadProgress(Loaded, Answer.Rows, Answer.Version);
-                  return;
-                }
-                Self->Ctx_.Count.recordRetry("load-jobs");
-                Self->logLoadFailure(rows::Jobs, Answer);
-                Self->Ctx_.Loop.after(StoreRetry,
-                                      [Self, Loaded] { Self->load(Loaded); });
-              });
-            });
+  Table_.read([Self, Loaded = std::move(Loaded)](
+                  std::shared_ptr<const PartAnswer> Answer) {
+    if (Self->Dropped_)
+      return;
+    if (Answer->Outcome == PartOutcome::Ok) {
+      Self->loadProgress(Loaded, std::move(Answer));
+      return;
+    }
+    Self->Ctx_.Count.recordRetry("load-jobs");
+    Self->logLoadFailure(rows::Jobs, *Answer);
+    Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded] { Self->load(Loaded); });
+  });
 }
 
 /// Logs each failed load, since the pool gets no work done until its rows are
@@ -103,29 +104,26 @@
 }
 
 void PoolController::loadProgress(std::function<void(std::uint64_t)> Loaded,
-                                  std::vector<store::PartRow> JobRows,
-                                  std::uint64_t Version) {
+                                  std::shared_ptr<const PartAnswer> JobTable) {
   auto Self = shared_from_this();
-  auto Jobs = std::make_shared<std::vector<store::PartRow>>(std::move(JobRows));
-  readParts(
-      Ctx_.Store, rows::Progress, {Part_},
-      [Self, Loaded = std::move(Loaded), Jobs, Version](PartAnswer Answer) {
-        Self->Ctx_.Loop.post([Self, Loaded, Jobs, Version,
-                              Answer = std::move(Answer)] {
-          if (Self->Dropped_)
-            return;
-          if (Answer.Outcome != PartOutcome::Ok) {
-            Self->Ctx_.Count.recordRetry("load-progress");
-            Self->logLoadFailure(rows::Progress, Answer);
-            Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, Jobs, Version] {
-              Self->loadProgress(Loaded, *Jobs, Version);
+  readParts(Ctx_.Store, rows::Progress, {Part_},
+            [Self, Loaded = std::move(Loaded), JobTable](PartAnswer Answer) {
+              Self->Ctx_.Loop.post([Self, Loaded, JobTable,
+                                    Answer = std::move(Answer)] {
+                if (Self->Dropped_)
+                  return;
+                if (Answer.Outcome != PartOutcome::Ok) {
+                  Self->Ctx_.Count.recordRetry("load-progress");
+                  Self->logLoadFailure(rows::Progress, Answer);
+                  Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, JobTable] {
+                    Self->loadProgress(Loaded, JobTable);
+                  });
+                  return;
+                }
+                Self->restoreState(JobTable->Rows, Answer.Rows);
+                Loaded(JobTable->Version);
+              });
             });
-            return;
-          }
-          Self->restoreState(*Jobs, Answer.Rows);
-          Loaded(Version);
-        });
-      });
 }
 
 void PoolController::restoreState(
@@ -139,8 +137,7 @@
       continue;
     }
     if (Row.Where.Key == rows::SettledKey) {
-      if (EndedOwner_ != 0 && Row.Value == std::to_string(EndedOwner_))
-        State_.assumePreviousOwnerSettled();
+      applySettledRow(Row);
       continue;
     }
     if (Row.Where.Key.starts_with(rows::RosterPrefix)) {
@@ -155,7 +152,9 @@
     }
   }
   for (const store::PartRow &Row : JobRows) {
-    if (Row.Where.Key.ends_with(rows::CancelSuffix))
+    std::string_view Named = codec::poolOf(Row.Value);
+    bool OtherPool = !Named.empty() && Named != State_.pool();
+    if (OtherPool || Row.Where.Key.ends_with(rows::CancelSuffix))
       continue;
     try {
       jobs::JobSpec Spec = codec::decodeJob(Row.Value);
@@ -174,6 +173,7 @@
       applyJobRow(Row);
   for (const store::PartRow &Row : std::exchange(EarlyJobRows_, {}))
     applyJobRow(Row);
+  stopEarlierOwners();
   refresh();
   WorkerCount Count = countWorkers(State_);
   logEvent("pool_loaded", {{"pool", State_.pool()},
@@ -181,10 +181,78 @@
                            {"jobs", State_.jobs().size()},
                            {"workers", State_.workers().size()},
                            {"workers_not_listed", Count.NotListed},
+                           {"earlier_owners", Earlier_.Owners.size()},
+                           {"earlier_known", Earlier_.Complete ? 1 : 0},
                            {"list_age_ms", View_.workersAgeMs()}});
   tick();
 }
 
+void PoolController::applySettledRow(const store::PartRow &Row) {
+  std::uint64_t Token = 0;
+  const char *End = Row.Value.data() + Row.Value.size();
+  auto [Read, Error] = std::from_chars(Row.Value.data(), End, Token);
+  if (Error == std::errc() && Read == End)
+    jobs::dropBeforeSettled(Earlier_, Token);
+  else
+    logEvent("settled_row_unreadable", {{"pool", State_.pool()}});
+}
+
+/// Asks earlier owners to stop, so that inherited tasks need not wait for a
+/// silent worker until these would have lost their authority.
+void PoolController::stopEarlierOwners() {
+  if (!Earlier_.Complete)
+    return;
+  EarlierOwners_ = std::make_shared<EarlierOwners>(Ctx_.Loop, State_.pool(),
+                                                   State_.token(), StopQuery_);
+  EarlierOwners_->stop(Earlier_.Owners, TakenAt_,
+                       [Self = weak_from_this()](core::TimePoint At) {
+                         auto Controller = Self.lock();
+                         if (!Controller || Controller->Dropped_)
+                           return;
+                         Controller->State_.setEarlierOwnersStopped(At);
+                         Controller->schedulePlan();
+                       });
+}
+
+/// Reads the payloads of open jobs that came without them.
+void PoolController::loadPayloads() {
+  for (const std::string &Id : State_.jobsWithoutPayload()) {
+    if (PayloadReads_.size() >= MaxPayloadReads)
+      return;
+    if (PayloadReads_.insert(Id).second)
+      loadPayload(Id);
+  }
+}
+
+void PoolController::loadPayload(const std::string &JobId) {
+  store::PartRange Range = {rows::Payloads, rows::jobPart(JobId), JobId,
+                            JobId + "~"};
+  auto Self = shared_from_this();
+  Ctx_.Store.read(Range, [Self, JobId](PartAnswer Answer) {
+    Self->Ctx_.Loop.post([Self, JobId, Answer = std::move(Answer)] {
+      Self->onPayload(JobId, Answer);
+    });
+  });
+}
+
+void PoolController::onPayload(const std::string &JobId,
+                               const PartAnswer &Answer) {
+  bool Found = Answer.Outcome == PartOutcome::Ok && !Answer.Rows.empty();
+  if (Found) {
+    PayloadReads_.erase(JobId);
+    State_.setPayload(JobId, Answer.Rows.front().Value);
+    schedulePlan();
+    return;
+  }
+  Ctx_.Count.recordRetry("load-payload");
+  logEvent("payload_read_failed", {{"job", JobId},
+                                   {"outcome", store::nameOf(Answer.Outcome)},
+                                   {"error", Answer.Error}});
+  Ctx_.Loop.after(StoreRetry, [Self = shared_from_this(), JobId] {
+    Self->PayloadReads_.erase(JobId);
+  });
+}
+
 /// Adds the worker of a roster row. A row that can't be decoded still names a
 /// worker that may run something: that worker can't be asked, so its lease is
 /// waited out.
@@ -326,6 +394,8 @@
   if (Dropped_)
     return;
   Dropped_ = true;
+  if (EarlierOwners_)
+    EarlierOwners_->cancel();
   Monitor_.end(State_, bootNow(), wallMs());
 }
 
@@ -371,6 +441,7 @@
   if (Dropped_ || !Loaded_)
     return;
   applyClosed();
+  loadPayloads();
   jobs::PlanInput In;
   In.Now = bootNow();
   In.WallMs = wallMs();
@@ -381,6 +452,7 @@
   Monitor_.recordPlanTime(bootNow() - In.Now);
   logSettled(In.Now);
   logStopDecisions();
+  logLongWait();
   send(std::move(Orders));
   if (State_.isFenced()) {
     loseOwnership("fenced");
@@ -398,6 +470,8 @@
   if (SettledLogged_ || !State_.isSettled())
     return;
   SettledLogged_ = true;
+  if (EarlierOwners_)
+    EarlierOwners_->cancel();
   WorkerCount Count = countWorkers(State_);
   auto Waited = std::chrono::duration_cast<milliseconds>(Now - TakenAt_);
   logEvent("pool_settled", {{"pool", State_.pool()},
@@ -426,6 +500,27 @@
               {"token", State_.token()}});
 }
 
+/// Logs the longest wait of a lasting task, with what keeps it from starting.
+void PoolController::logLongWait() {
+  std::optional<jobs::LongWait> Long = State_.takeLongWait();
+  if (!Long)
+    return;
+  const jobs::TaskRef &Task = Long->Wait.Task;
+  logEvent("lasting_task_waits", {{"pool", State_.pool()},
+                                  {"token", State_.token()},
+                                  {"job", Task.JobId},
+                                  {"step", Task.Step},
+                                  {"index", Task.Index},
+                                  {"waited_ms", core::inMs(Long->Wait.Age)},
+                                  {"reason", jobs::nameOf(Long->Wait.Reason)},
+                                  {"workers", Long->Placement.Workers},
+                                  {"unheard", Long->Unheard},
+                                  {"usable", Long->Placement.Usable},
+                                  {"with_label", Long->Placement.WithLabel},
+                                  {"with_room", Long->Placement.WithRoom},
+                                  {"with_spread", Long->Placement.WithSpread}});
+}
+
 const jobs::WorkerEntry *
 PoolController::entryOf(const std::string &Worker) const {
   auto It = State_.workers().find(Worker);
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -1,7 +1,9 @@
 #ifndef COMFREYDECK_DISPATCH_POOLCONTROLLER_H
 #define COMFREYDECK_DISPATCH_POOLCONTROLLER_H
 
+#include "dispatch/EarlierOwners.h"
 #include "dispatch/FleetView.h"
+#include "dispatch/JobTableReader.h"
 #include "dispatch/PoolMonitor.h"
 
 #include <memory>
@@ -15,9 +17,8 @@
   std::uint64_t Token = 0;
   /// Send time of the transaction.
   core::TimePoint At;
-  /// Token of the previous owner if it certainly gives no more orders; zero if
-  /// it may.
-  std::uint64_t EndedOwner = 0;
+  /// Owners before this one.
+  jobs::OwnerHistory Earlier = {};
 };
 
 /// Workers that must not get new tasks.
@@ -34,10 +35,11 @@
 /// workers and stores progress. Runs on the loop's thread.
 class PoolController : public std::enable_shared_from_this<PoolController> {
 public:
-  /// \p Jobs follows the job table. \p Lost is called once when ownership of
-  /// the pool is lost.
+  /// \p Jobs follows the job table, \p Table reads it. \p Query asks earlier
+  /// owners to stop. \p Lost is called once when ownership of the pool is lost.
   PoolController(Context &Ctx, FleetView &View, const TableFollower &Jobs,
-                 const PoolTakeover &Takeover,
+                 JobTableReader &Table, const PoolTakeover &Takeover,
+                 StopQuery Query,
                  std::function<void(const std::string &)> Lost);
 
   /// Reads the pool's jobs and progress, then starts planning. \p Loaded gets
@@ -70,15 +72,21 @@
 private:
   void logLoadFailure(const char *Table, const store::PartAnswer &Answer);
   void loadProgress(std::function<void(std::uint64_t)> Loaded,
-                    std::vector<store::PartRow> JobRows, std::uint64_t Version);
+                    std::shared_ptr<const store::PartAnswer> JobTable);
   void restoreState(const std::vector<store::PartRow> &JobRows,
                     const std::vector<store::PartRow> &ProgressRows);
+  void applySettledRow(const store::PartRow &Row);
   void applyRosterRow(const store::PartRow &Row, core::TimePoint Now);
   void checkUnlistedWorkers();
+  void stopEarlierOwners();
+  void loadPayloads();
+  void loadPayload(const std::string &JobId);
+  void onPayload(const std::string &JobId, const store::PartAnswer &Answer);
   void tick();
   void plan();
   void logSettled(core::TimePoint Now);
   void logStopDecisions();
+  void logLongWait();
   void send(jobs::Orders Orders);
   void flush();
   void sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch, bool Again);
@@ -93,10 +101,13 @@
   Context &Ctx_;
   FleetView &View_;
   const TableFollower &Jobs_;
+  JobTableReader &Table_;
   jobs::PoolState State_;
   PoolMonitor Monitor_;
   core::TimePoint TakenAt_;
-  std::uint64_t EndedOwner_;
+  jobs::OwnerHistory Earlier_;
+  StopQuery StopQuery_;
+  std::shared_ptr<EarlierOwners> EarlierOwners_;
   std::function<void(const std::string &)> Lost_;
   std::function<void()> ShutDownDone_;
   std::string Part_;
@@ -110,6 +121,8 @@
     bool Evict = false;
   };
   std::map<std::string, CloseState> ClosedWorkers_;
+  /// Jobs whose payloads are being read.
+  std::set<std::string> PayloadReads_;
   bool Loaded_ = false;
   bool SettledLogged_ = false;
   /// A check of workers that are no longer listed is running or scheduled.
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -23,6 +23,7 @@
 
 void PoolState::onStart(const StartOrder &Order, const OrderResult &Result,
                         core::TimePoint Now) {
+  Now_ = Now;
   ++Counters_.StartAnswers[jobs::indexOf(Result.Outcome)];
   auto At = Workers_.find(Order.Worker);
   if (At == Workers_.end())
@@ -79,6 +80,7 @@
 
 void PoolState::onStop(const StopOrder &Order, const OrderResult &Result,
                        core::TimePoint Now) {
+  Now_ = Now;
   ++Counters_.StopAnswers[jobs::indexOf(Result.Outcome)];
   auto At = Workers_.find(Order.Worker);
   JobRecord *Job = jobOf(Order.Task.JobId);
@@ -112,6 +114,7 @@
 
 void PoolState::onReport(const HoldOrder &Order, const ReportResult &Result,
                          core::TimePoint SentAt, core::TimePoint Now) {
+  Now_ = Now;
   ++Counters_.ReportAnswers[jobs::indexOf(Result.Outcome)];
   auto At = Workers_.find(Order.Worker);
   if (At == Workers_.end())
@@ -144,8 +147,10 @@
   recordClock(W, Report.ClockMs, Now);
   W.Heard = W.IncarnationConfirmed = true;
   W.ReportedAt = Now;
-  if (W.FirstReportClockMs == 0)
+  if (!W.FencedAt) {
+    W.FencedAt = Now;
     W.FirstReportClockMs = Report.ClockMs;
+  }
   W.LastReportClockMs = Report.ClockMs;
   W.StartsSinceReport = 0;
   W.AcknowledgedUpTo = std::max(W.AcknowledgedUpTo, Order.AcknowledgeUpTo);
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -170,6 +170,8 @@
   bool HadStraggler = false;
   /// A second copy is to start in parallel with the current run.
   bool WantsCopy = false;
+  /// When its last run was removed, or when it became ready to start.
+  core::TimePoint WaitingSince;
 };
 
 /// Run times of one queue's tasks.
@@ -292,6 +294,9 @@
   bool Evicting = false;
   /// When its last report arrived.
   core::TimePoint ReportedAt;
+  /// When the first report of this incarnation to this owner arrived. It fenced
+  /// earlier owners off there.
+  std::optional<core::TimePoint> FencedAt;
   /// The worker's clock in the first and the last report of this incarnation to
   /// this owner; zero before the first one.
   std::int64_t FirstReportClockMs = 0;
@@ -309,13 +314,17 @@
   PoolState(std::string Pool, std::uint64_t Token, core::TimePoint TakenAt,
             OwnerLimits Limits);
 
-  /// Adds a newly accepted job; does nothing if it is known.
+  /// Adds a newly accepted job; does nothing if it is known, except that a
+  /// missing payload is set.
   void addJob(const JobSpec &Spec, core::TimePoint Now);
   /// Adds a job that earlier owners knew; does nothing if it is known. \p Kept
   /// is its stored progress, null if there is none.
   void inheritJob(const JobSpec &Spec, const JobProgress *Kept,
                   core::TimePoint Now);
   void cancelJob(const std::string &Id);
+  /// Open jobs that can't start before their payload is set.
+  std::vector<std::string> jobsWithoutPayload() const;
+  void setPayload(const std::string &Id, std::string Payload);
   /// Removes finished jobs that were accepted before \p AcceptedBeforeMs,
   /// unless they have runs or changes left to store.
   void dropFinished(std::int64_t AcceptedBeforeMs);
@@ -325,9 +334,9 @@
   /// Adds a worker of the stored roster. It may have runs started by an earlier
   /// owner even if it is not listed. Must be called before \ref setWorkers.
   void addEnrolled(const WorkerEntry &Entry, core::TimePoint Now);
-  /// Records that the previous owner was settled and has stopped issuing
-  /// orders, so that only leases it granted are still valid.
-  void assumePreviousOwnerSettled();
+  /// Records that no earlier owner has issued an order after \p At, so that
+  /// only leases granted until then are still valid.
+  void setEarlierOwnersStopped(core::TimePoint At);
   /// Records that a worker that is no longer listed has ended together with its
   /// runs.
   void confirmEnded(const std::string &Id);
@@ -386,6 +395,9 @@
   /// Returns and forgets the decisions to stop lasting tasks since the last
   /// call, oldest first.
   std::vector<StopDecision> takeStopDecisions();
+  /// Returns and forgets the longest wait of a lasting task, if the last check
+  /// found a long one. Such checks are made about once a second.
+  std::optional<LongWait> takeLongWait();
   PoolGauges gauges(core::TimePoint Now, std::int64_t WallMs) const;
   /// Whether this owner has been superseded: a worker has seen a higher fencing
   /// token, or the run ids are used up.
@@ -460,11 +472,15 @@
   void endJob(JobRecord &Job, JobState State);
   void recordClock(WorkerState &W, std::int64_t ClockMs, core::TimePoint Now);
   std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
+  core::TimePoint earlierLeasesEnd(const WorkerState &W) const;
   bool leaseLapsed(const WorkerState &W, core::TimePoint Now) const;
 
   WorkerStatus statusOf(const WorkerState &W, core::TimePoint Now) const;
   WaitReason waitReason(const JobRecord &Job, std::uint32_t Task, bool AllHeard,
                         core::TimePoint Now) const;
+  TaskWait waitOf(const JobRecord &Job, std::uint32_t Task, bool AllHeard,
+                  core::TimePoint Now, std::int64_t WallMs) const;
+  void restartWaits(JobRecord &Job, const TaskPlace &EndedStep);
   void recordStarts(const std::vector<StartOrder> &Starts, core::TimePoint Now);
 
   std::uint64_t arrivingCpu(core::TimePoint Now) const;
@@ -479,6 +495,7 @@
   static std::uint32_t absenceLimit(const StepSpec &Step);
   bool mayBecomeAbsent(const JobRecord &Job, std::uint32_t Task,
                        core::TimePoint Now) const;
+  bool mayRestart(const JobRecord &Job) const;
   void drainClosedWorkers(const PlanInput &In);
   void planStops(const PlanInput &In, Orders &Out);
   void planHolds(const PlanInput &In, Orders &Out);
@@ -488,6 +505,8 @@
   std::uint64_t Token_;
   core::TimePoint TakenAt_;
   OwnerLimits Limits_;
+  /// When earlier owners issued their last orders, if known.
+  std::optional<core::TimePoint> EarlierStoppedAt_;
   std::shared_ptr<const FleetConfig> Config_;
   std::set<std::string> ClosedDataCentres_;
   std::map<std::string, TeamState> Teams_;
@@ -519,6 +538,12 @@
   bool Fenced_ = false;
   PoolCounters Counters_;
   std::vector<StopDecision> StopDecisions_;
+  std::optional<LongWait> LongWait_;
+  core::TimePoint WaitsCheckedAt_;
+  /// Whether the last planning round was allowed to start tasks.
+  bool MayStart_ = true;
+  /// Time of the latest event or planning round.
+  core::TimePoint Now_;
 };
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -22,6 +22,7 @@
   W.Ended = false;
   W.Born = Born;
   W.ClockMs = 0;
+  W.FencedAt.reset();
   W.FirstReportClockMs = W.LastReportClockMs = 0;
   W.DeadlineMs = 0;
   W.ProcessedUpTo = W.StoredUpTo = W.AcknowledgedUpTo = 0;
@@ -34,6 +35,7 @@
 
 void PoolState::setWorkers(std::span<const WorkerEntry> Entries,
                            core::TimePoint Now) {
+  Now_ = Now;
   std::set<std::string> Listed;
   for (const WorkerEntry &Entry : Entries) {
     Listed.insert(Entry.Id);
@@ -73,8 +75,8 @@
   Slot->GoneAt = Now;
 }
 
-void PoolState::assumePreviousOwnerSettled() {
-  Limits_.EarlierOrders = Limits_.Lease;
+void PoolState::setEarlierOwnersStopped(core::TimePoint At) {
+  EarlierStoppedAt_ = At;
 }
 
 void PoolState::confirmEnded(const std::string &Id) {
@@ -181,6 +183,12 @@
   return countUnavailable(Job, Task, Now) < absenceLimit(stepOf(Job, Task));
 }
 
+/// Whether a task of the job can be started again once its run has been
+/// stopped.
+bool PoolState::mayRestart(const JobRecord &Job) const {
+  return Settled_ || !Job.Inherited;
+}
+
 /// Stops lasting tasks on closed workers, as many at a time as their steps
 /// allow, so that they restart elsewhere. Other tasks are stopped only on
 /// workers that are being evicted.
@@ -192,7 +200,7 @@
       bool May = stepOf(*Job, Task).Lasting
                      ? mayBecomeAbsent(*Job, Task, In.Now)
                      : W->Evicting;
-      if (!May)
+      if (!May || !mayRestart(*Job))
         continue;
       for (LiveRun &Run : Job->Tasks[Task].Runs)
         if (!Run.Stopping && Run.Worker == Id)
@@ -226,10 +234,24 @@
   return W.ClockMs + static_cast<std::int64_t>(Passed) + toMs(Length);
 }
 
+/// When all leases that earlier owners granted on the worker have expired. They
+/// granted none after the worker's first report to this owner.
+core::TimePoint PoolState::earlierLeasesEnd(const WorkerState &W) const {
+  auto LatestAfter = [this](core::TimePoint From, core::Duration Length) {
+    return From + milliseconds(LeaseSlackMs) +
+           std::chrono::duration_cast<core::Duration>(Length *
+                                                      (1 + Limits_.ClockDrift));
+  };
+  core::TimePoint End = LatestAfter(TakenAt_, Limits_.EarlierOrders);
+  for (const std::optional<core::TimePoint> &NoOrdersFrom :
+       {EarlierStoppedAt_, W.FencedAt})
+    if (NoOrdersFrom)
+      End = std::min(End, LatestAfter(*NoOrdersFrom, Limits_.Lease));
+  return End;
+}
+
 bool PoolState::leaseLapsed(const WorkerState &W, core::TimePoint Now) const {
-  auto Inherited = std::chrono::duration_cast<core::Duration>(
-      Limits_.EarlierOrders * (1 + Limits_.ClockDrift));
-  if (Now < TakenAt_ + Inherited + milliseconds(LeaseSlackMs))
+  if (Now < earlierLeasesEnd(W))
     return false;
   if (W.DeadlineMs == 0)
     return true;
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -2,14 +2,12 @@
 
 #include "dispatch/Clock.h"
 #include "dispatch/InMemoryStore.h"
+#include "dispatch/LoopCalls.h"
 #include "dispatch/SilentWorkers.h"
 #include "net/HttpClient.h"
 
 #include <doctest/doctest.h>
 
-#include <future>
-#include <thread>
-
 using namespace comfreydeck;
 using namespace comfreydeck::dispatch;
 using namespace comfreydeck::tests;
@@ -17,8 +15,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollEvery(20);
-/// Far longer than any wait here takes; fails a test that hangs.
-constexpr std::chrono::seconds WaitLimit(20);
 
 /// Lists no machine, so that no worker is left.
 struct NoMachines : MachineControl {
@@ -50,6 +46,8 @@
               &Machines, Rows, Codec,  Count, "1"};
   /// Accessed on the loop's thread only.
   std::shared_ptr<PoolController> Controller;
+  /// Entries asked to give no more orders. Accessed on the loop's thread only.
+  std::set<std::string> AskedToStop;
   FleetView View{Ctx, [this](ViewChange) {
                    if (Controller && Controller->isLoaded())
                      Controller->refresh();
@@ -59,8 +57,14 @@
       Store,
       {rows::Jobs, {}, PollEvery, [] { return rows::jobParts(); }},
       [](const auto &, bool) {}};
+  JobTableReader JobTable{Loop, Store};
 
-  ControllerFixture() {
+  /// \p SettledToken is the value of the row that names the settled owner; an
+  /// empty one stands for no row.
+  explicit ControllerFixture(const std::string &SettledToken = "") {
+    if (!SettledToken.empty())
+      Store.put({rows::Progress, rows::poolPart("p"), rows::SettledKey},
+                SettledToken);
     Store.put({"servers", "", "w1"}, "");
     Loop.start();
     on([this] {
@@ -69,9 +73,17 @@
     });
     on([this] {
       View.whenWorkersRead([this] {
-        PoolTakeover Takeover{"p", 5, bootNow(), 0};
+        PoolTakeover Takeover{
+            "p", 5, bootNow(), {{{"e1", 3}, {"e2", 4}}, true}};
         Controller = std::make_shared<PoolController>(
-            Ctx, View, Jobs, Takeover, [](const std::string &) {});
+            Ctx, View, Jobs, JobTable, Takeover,
+            [this](const std::string &Entry, const std::string &,
+                   std::uint64_t Token,
+                   const std::function<void(std::optional<core::Duration>)> &) {
+              CHECK(Token == 5);
+              AskedToStop.insert(Entry);
+            },
+            [](const std::string &) {});
         Controller->load([](std::uint64_t) {});
       });
     });
@@ -99,23 +111,9 @@
     };
     return Decoder;
   }
-  void on(const std::function<void()> &Do) {
-    std::promise<void> Done;
-    Loop.post([&] {
-      Do();
-      Done.set_value();
-    });
-    Done.get_future().wait();
-  }
-  /// Waits until the condition, evaluated on the loop's thread, holds.
+  void on(const std::function<void()> &Do) { runOn(Loop, Do); }
   void waitUntil(const std::function<bool()> &Condition) {
-    auto Until = std::chrono::steady_clock::now() + WaitLimit;
-    bool Holds = false;
-    while (!Holds) {
-      REQUIRE(std::chrono::steady_clock::now() < Until);
-      on([&] { Holds = Condition(); });
-      std::this_thread::sleep_for(PollEvery);
-    }
+    tests::waitUntil(Loop, Condition);
   }
   bool isHeard(const std::string &Worker) const {
     return Controller->state().workers().at(Worker)->Heard;
@@ -133,3 +131,17 @@
   B.waitUntil([&] { return B.isHeard("w1"); });
   CHECK(B.Machines.Lists > 0);
 }
+
+TEST_CASE("a new owner asks the owners since the settled one to stop") {
+  ControllerFixture B;
+  std::set<std::string> Asked;
+  B.on([&] { Asked = B.AskedToStop; });
+  CHECK(Asked == std::set<std::string>{"e1", "e2"});
+}
+
+TEST_CASE("a new owner asks no owner before the settled one to stop") {
+  ControllerFixture B("4");
+  std::set<std::string> Asked;
+  B.on([&] { Asked = B.AskedToStop; });
+  CHECK(Asked == std::set<std::string>{"e2"});
+}
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -350,6 +350,54 @@
   }
 }
 
+TEST_CASE("an owner that has not heard every worker stops no inherited task, "
+          "which could not start again") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2", "w3"});
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Lasting = true;
+  Spec.Steps[0].AbsenceAllowance = 1;
+  B.Owner.inheritJob(Spec, nullptr, B.Now);
+  B.plan();
+  std::vector<RunReport> Runs(2);
+  for (std::uint32_t Index = 0; Index < Runs.size(); ++Index) {
+    Runs[Index].Task = {jobId(1), 0, 0, Index};
+    Runs[Index].Run = 5 + Index;
+    Runs[Index].Percent = 100;
+  }
+  auto ReportRuns = [&] {
+    B.report("w1", {Runs[0]});
+    B.report("w2", {Runs[1]});
+  };
+  ReportRuns();
+  B.advance(milliseconds(500));
+  ReportRuns();
+  B.Owner.setClosedWorkers({"w1"});
+  CHECK(B.plan().Stops.empty());
+  B.report("w3");
+  CHECK(B.plan().Stops.size() == 1);
+}
+
+TEST_CASE("a run on a worker that reported to a new owner and then fell silent "
+          "restarts after its lease, not after the earlier owner's authority") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.plan();
+  RunReport Run;
+  Run.Task = {jobId(1), 0, 0, 0};
+  Run.Run = 5;
+  B.report("w1", {Run});
+  B.report("w2");
+  CHECK(B.plan().Starts.empty());
+  B.advance(milliseconds(2900));
+  B.report("w2");
+  CHECK(B.plan().Starts.empty());
+  B.advance(milliseconds(1000));
+  B.report("w2");
+  CHECK(B.plan().Starts.size() == 1);
+}
+
 TEST_CASE("an owner that may not start tasks any more drains none") {
   OwnerFixture B;
   B.listWorkers({"w1", "w2"});
@@ -420,13 +468,15 @@
     OtherPercent = 100;
     Stops = true;
   }
+  std::vector<StopOrder> Ordered;
   for (int Turn = 0; Turn < 8; ++Turn) {
     B.advance(milliseconds(500));
     B.report(Out.Starts[0].Worker, {runReportOf(Out.Starts[0], Percent)});
     B.report(Out.Starts[1].Worker, {runReportOf(Out.Starts[1], OtherPercent)});
     Percent += PerTurn;
+    for (StopOrder &Order : B.plan().Stops)
+      Ordered.push_back(std::move(Order));
   }
-  std::vector<StopOrder> Ordered = B.plan().Stops;
   CHECK(Stops == std::any_of(Ordered.begin(), Ordered.end(),
                              [&](const StopOrder &Order) {
                                return Order.Run == Out.Starts[0].Run;
@@ -628,6 +678,36 @@
         SlowClockMs + OwnerLimits().Lease / milliseconds(1));
 }
 
+TEST_CASE("inherited tasks wait for a silent worker only one lease after the "
+          "earlier owners have stopped") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.plan();
+  B.report("w1");
+  SUBCASE("at the takeover") {
+    B.Owner.setEarlierOwnersStopped(B.Now);
+    B.advance(milliseconds(3000));
+    B.report("w1");
+    CHECK(B.plan().Starts.empty());
+    B.advance(milliseconds(200));
+  }
+  SUBCASE("before the takeover") {
+    B.Owner.setEarlierOwnersStopped(B.Now - milliseconds(5000));
+    B.advance(milliseconds(1000));
+    B.report("w1");
+  }
+  SUBCASE("after the takeover") {
+    B.advance(milliseconds(4000));
+    B.Owner.setEarlierOwnersStopped(B.Now);
+    B.report("w1");
+    CHECK(B.plan().Starts.empty());
+    B.advance(milliseconds(3200));
+    B.report("w1");
+  }
+  CHECK(B.plan().Starts.size() == 1);
+}
+
 TEST_CASE("an owner is not settled before all workers have reported, and the "
           "successor of one that was not waits for earlier owners' authority") {
   OwnerFixture B;
@@ -637,7 +717,7 @@
   SUBCASE("the previous owner had settled") { Trusts = true; }
   SUBCASE("the previous owner had not settled") {}
   if (Trusts)
-    B.Owner.assumePreviousOwnerSettled();
+    B.Owner.setEarlierOwnersStopped(B.Now);
   B.plan();
   B.report("w1");
   B.plan();
@@ -761,3 +841,27 @@
   B.Owner.onReport(Order, Result, B.Now, B.Now);
   CHECK(B.plan().Starts.size() == 1);
 }
+
+TEST_CASE("a job starts only once its payload is loaded") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.plan();
+  B.report("w1");
+  JobSpec Whole = sampleJob(1);
+  JobSpec Bare = Whole;
+  Bare.Payload.clear();
+  Bare.PayloadMissing = true;
+  B.Owner.addJob(Bare, B.Now);
+  CHECK(B.plan().Starts.empty());
+  CHECK(B.Owner.jobsWithoutPayload() == std::vector<std::string>{Whole.Id});
+  SUBCASE("read from its row") { B.Owner.setPayload(Whole.Id, Whole.Payload); }
+  SUBCASE("passed on by the entry that accepted it") {
+    B.Owner.addJob(Whole, B.Now);
+  }
+  CHECK(B.Owner.jobsWithoutPayload().empty());
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  CHECK(Out.Starts[0].Payload == Whole.Payload);
+  B.Owner.setPayload(Whole.Id, "other");
+  CHECK(B.Owner.findJob(Whole.Id)->Spec.Payload == Whole.Payload);
+}
