Count waiting lasting tasks in a pool's demand however old their job is

A pool's demand leaves out jobs accepted over 6 s ago, since machines would come too late for them. Lasting tasks are never too late, but were left out too once they had to restart: the pool then looks as if it had machines to spare, and the tasks' room may be moved to another pool.

--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -75,7 +75,7 @@
 
 PoolLoad PoolState::load(core::TimePoint Now, std::int64_t WallMs) const {
   // Jobs older than this are already late; additional machines would arrive
-  // too late for them.
+  // too late for them, except for lasting tasks.
   constexpr std::int64_t MaxUsefulAgeMs = 6000;
   PoolLoad Load;
   Load.Pool = Pool_;
@@ -103,13 +103,12 @@
         Load.MinWorkers =
             std::max(Load.MinWorkers,
                      (Step.Tasks + Step.MaxPerWorker - 1) / Step.MaxPerWorker);
-    if (WallMs - Job->Spec.AcceptedMs > MaxUsefulAgeMs)
-      continue;
+    bool TooLate = WallMs - Job->Spec.AcceptedMs > MaxUsefulAgeMs;
     refreshWaiting(*Job);
     for (std::uint32_t T : Job->Waiting) {
-      if (!Job->Tasks[T].Runs.empty())
-        continue;
       const StepSpec &Step = stepOf(*Job, T);
+      if (!Job->Tasks[T].Runs.empty() || (TooLate && !Step.Lasting))
+        continue;
       Load.WaitingCpu += Step.Filling ? 0 : Step.Need.MilliCpus;
       Load.WaitingMemory += Step.Need.MemoryMb;
     }
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -865,3 +865,18 @@
   B.Owner.setPayload(Whole.Id, "other");
   CHECK(B.Owner.findJob(Whole.Id)->Spec.Payload == Whole.Payload);
 }
+
+TEST_CASE("a lasting task that waits counts in the pool's demand however old "
+          "its job is") {
+  OwnerFixture B;
+  JobSpec Spec = sampleJob(1);
+  bool Counts = false;
+  SUBCASE("lasting") { Counts = Spec.Steps[0].Lasting = true; }
+  SUBCASE("not lasting") {}
+  Spec.AcceptedMs = 1000000;
+  B.Owner.addJob(Spec, B.Now);
+  CHECK(B.Owner.load(B.Now, Spec.AcceptedMs).WaitingCpu == 1000);
+  PoolLoad Later = B.Owner.load(B.Now, Spec.AcceptedMs + 60000);
+  CHECK(Later.WaitingCpu == (Counts ? 1000 : 0));
+  CHECK(Later.WaitingMemory == (Counts ? 100 : 0));
+}
