--- a/src/dispatch/JobMetrics.cpp
+++ b/src/dispatch/JobMetrics.cpp
@@ -106,6 +106,12 @@
   CounterFamily &Lapsed =
       counters(Registry, "comfreydeck_job_lapsed_total",
                "Runs given up with their worker's lease by pool");
+  CounterFamily &Crashes =
+      counters(Registry, "comfreydeck_job_worker_crashes_total",
+               "Workers that crashed with runs by pool");
+  CounterFamily &GivenUp =
+      counters(Registry, "comfreydeck_job_given_up_total",
+               "Jobs that failed as workers crashed under a task by pool");
   GaugeFamily &OpenJobs =
       gauges(Registry, "comfreydeck_job_pool_jobs", "Open jobs by pool");
   GaugeFamily &Runs =
@@ -185,6 +191,8 @@
   observe(I.ReportAges, Labels, F.PeriodCounts.ReportAge);
   I.Starts.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.Starts));
   I.Lapsed.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.Lapsed));
+  I.Crashes.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.Crashes));
+  I.GivenUp.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.GivenUp));
   add<jobs::OrderOutcome>(I.StartAnswers, F.Pool, "outcome",
                           F.PeriodCounts.StartAnswers);
   add<jobs::OrderOutcome>(I.Reports, F.Pool, "outcome",
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -272,13 +272,13 @@
 
 /// Checks workers that are no longer listed and have not reported to this
 /// owner; most of them were moved to another pool. Inherited tasks wait for the
-/// others until any lease has lapsed.
+/// others until any lease has lapsed. Also checks those that may have crashed.
 void PoolController::checkUnlistedWorkers() {
   if (CheckingUnlisted_)
     return;
   std::vector<std::string> Open;
   for (const auto &[Id, Worker] : State_.workers())
-    if (Worker->Gone && !Worker->Heard)
+    if (Worker->Gone && (!Worker->Heard || State_.mayHaveCrashed(Id)))
       Open.push_back(Id);
   if (Open.empty() || Dropped_ || !Ctx_.Machines)
     return;
@@ -453,6 +453,7 @@
   logSettled(In.Now);
   logStopDecisions();
   logLongWait();
+  logCrashes();
   send(std::move(Orders));
   if (State_.isFenced()) {
     loseOwnership("fenced");
@@ -521,6 +522,32 @@
                                   {"with_spread", Long->Placement.WithSpread}});
 }
 
+/// Logs each worker that has crashed with runs, and each job that failed for
+/// it.
+void PoolController::logCrashes() {
+  for (const jobs::CrashRecord &Record : State_.takeCrashRecords()) {
+    std::string Suspects;
+    for (const jobs::SuspectRun &Run : Record.Suspects) {
+      Suspects += Suspects.empty() ? "" : " ";
+      Suspects += Run.JobId + '/' + std::to_string(Run.Task) + '#' +
+                  std::to_string(Run.Run);
+    }
+    logEvent("worker_crashed", {{"worker", Record.Worker},
+                                {"pool", State_.pool()},
+                                {"runs", Record.Runs},
+                                {"suspects", Suspects},
+                                {"token", State_.token()}});
+    for (const jobs::TaskRef &Task : Record.GivenUp)
+      logEvent("job_given_up", {{"job", Task.JobId},
+                                {"occurrence", Task.Occurrence},
+                                {"step", Task.Step},
+                                {"index", Task.Index},
+                                {"worker", Record.Worker},
+                                {"pool", State_.pool()},
+                                {"token", State_.token()}});
+  }
+}
+
 const jobs::WorkerEntry *
 PoolController::entryOf(const std::string &Worker) const {
   auto It = State_.workers().find(Worker);
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -87,6 +87,7 @@
   void logSettled(core::TimePoint Now);
   void logStopDecisions();
   void logLongWait();
+  void logCrashes();
   void send(jobs::Orders Orders);
   void flush();
   void sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch, bool Again);
--- a/src/dispatch/PoolMonitor.cpp
+++ b/src/dispatch/PoolMonitor.cpp
@@ -58,6 +58,8 @@
       {"lapsed", PeriodCounts.Lapsed},
       {"unexpected", PeriodCounts.UnexpectedRuns},
       {"stragglers", PeriodCounts.Stragglers},
+      {"crashes", PeriodCounts.Crashes},
+      {"given_up", PeriodCounts.GivenUp},
       {"report_age_mean_ms", core::meanMs(PeriodCounts.ReportAge)},
       {"report_age_most_ms", core::inMs(PeriodCounts.ReportAge.Max)},
       {"most_by_one_report", PeriodCounts.MaxStartsPerReport},
--- /dev/null
+++ b/src/jobs/CrashLedger.cpp
@@ -0,0 +1,55 @@
+#include "jobs/CrashLedger.h"
+
+#include <algorithm>
+
+namespace comfreydeck::jobs {
+
+void CrashLedger::add(const std::string &Worker, std::int64_t Born,
+                      std::vector<SuspectRun> Runs, core::TimePoint Now) {
+  for (SuspectRun &Run : Runs)
+    if (!contains(Run))
+      Lost_[Worker].push_back({std::move(Run), Born, Now});
+}
+
+std::vector<SuspectRun> CrashLedger::takeEarlier(const std::string &Worker,
+                                                 std::int64_t Born) {
+  std::vector<SuspectRun> Taken;
+  auto At = Lost_.find(Worker);
+  if (At == Lost_.end())
+    return Taken;
+  std::erase_if(At->second, [&](const LostRun &Lost) {
+    if (Lost.Born >= Born)
+      return false;
+    Taken.push_back(Lost.Run);
+    return true;
+  });
+  if (At->second.empty())
+    Lost_.erase(At);
+  return Taken;
+}
+
+void CrashLedger::clear(const std::string &Worker) { Lost_.erase(Worker); }
+
+void CrashLedger::expire(core::TimePoint Now) {
+  for (auto &[Worker, Runs] : Lost_)
+    std::erase_if(
+        Runs, [&](const LostRun &Lost) { return Now - Lost.Since > KeepFor; });
+  std::erase_if(Lost_, [](const auto &Item) { return Item.second.empty(); });
+}
+
+void CrashLedger::collect(const std::string &JobId, std::uint32_t Task,
+                          std::set<RunId> &Runs) const {
+  for (const auto &[Worker, Lost] : Lost_)
+    for (const LostRun &One : Lost)
+      if (One.Run.Task == Task && One.Run.JobId == JobId)
+        Runs.insert(One.Run.Run);
+}
+
+bool CrashLedger::contains(const SuspectRun &Run) const {
+  return std::any_of(Lost_.begin(), Lost_.end(), [&](const auto &Item) {
+    return std::any_of(Item.second.begin(), Item.second.end(),
+                       [&](const LostRun &Lost) { return Lost.Run == Run; });
+  });
+}
+
+} // namespace comfreydeck::jobs
--- /dev/null
+++ b/src/jobs/CrashLedger.h
@@ -0,0 +1,62 @@
+#ifndef COMFREYDECK_JOBS_CRASHLEDGER_H
+#define COMFREYDECK_JOBS_CRASHLEDGER_H
+
+#include "core/Types.h"
+#include "jobs/Job.h"
+
+#include <map>
+#include <set>
+
+namespace comfreydeck::jobs {
+
+/// A run that was on a worker when the worker was lost, and that may have
+/// crashed it.
+struct SuspectRun {
+  std::string JobId;
+  /// Index of the task within its job.
+  std::uint32_t Task = 0;
+  RunId Run = 0;
+  bool operator==(const SuspectRun &) const = default;
+};
+
+/// Runs of workers that went silent. Whether such a worker crashed, or was only
+/// out of reach, is known once it answers again.
+class CrashLedger {
+public:
+  /// How long a worker that went silent is waited for.
+  static constexpr core::Duration KeepFor = std::chrono::seconds(20);
+
+  /// Adds runs of the incarnation \p Born of a worker.
+  void add(const std::string &Worker, std::int64_t Born,
+           std::vector<SuspectRun> Runs, core::TimePoint Now);
+  /// Removes and returns the runs of the worker's incarnations before \p Born.
+  std::vector<SuspectRun> takeEarlier(const std::string &Worker,
+                                      std::int64_t Born);
+  /// Removes all runs of the worker: its incarnation goes on, or was ended on
+  /// purpose.
+  void clear(const std::string &Worker);
+  /// Drops the runs of workers that have been silent for too long.
+  void expire(core::TimePoint Now);
+
+  /// Adds the task's runs to \p Runs.
+  void collect(const std::string &JobId, std::uint32_t Task,
+               std::set<RunId> &Runs) const;
+  bool contains(const SuspectRun &Run) const;
+  bool hasRunsOf(const std::string &Worker) const {
+    return Lost_.count(Worker) != 0;
+  }
+  bool isEmpty() const { return Lost_.empty(); }
+
+private:
+  struct LostRun {
+    SuspectRun Run;
+    std::int64_t Born = 0;
+    core::TimePoint Since;
+  };
+  /// By worker.
+  std::map<std::string, std::vector<LostRun>> Lost_;
+};
+
+} // namespace comfreydeck::jobs
+
+#endif // COMFREYDECK_JOBS_CRASHLEDGER_H
--- /dev/null
+++ b/src/jobs/IsolatedStarts.cpp
@@ -0,0 +1,241 @@
+#include "jobs/StartPlan_p.h"
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace comfreydeck::jobs {
+
+namespace {
+
+/// At most one in this many usable workers is reserved at a time.
+constexpr std::size_t WorkersPerReservation = 4;
+/// How long a worker that crashed is avoided for tasks that may crash it: its
+/// own fault may have been the cause.
+constexpr std::chrono::milliseconds CrashedLately(15000);
+
+} // namespace
+
+bool StartPlan::hasCrashedLately(const WorkerState &W) const {
+  auto At = Owner_.CrashedAt_.find(W.Entry.Address);
+  return At != Owner_.CrashedAt_.end() && In_.Now - At->second < CrashedLately;
+}
+
+bool StartPlan::isSuspect(const JobRecord &Job, std::uint32_t Task) const {
+  return Job.Suspect && Owner_.countPossibleCrashes(Job, Task) > 0;
+}
+
+bool StartPlan::isIsolated(const JobRecord &Job, std::uint32_t Task) const {
+  return Job.Suspect && Owner_.countPossibleCrashes(Job, Task) >=
+                            Owner_.Limits_.IsolationCrashes;
+}
+
+/// A task whose workers may only have been out of reach is not delayed.
+bool StartPlan::mustAnnounce(const JobRecord &Job, std::uint32_t Task) const {
+  return Job.Suspect &&
+         (PoolState::countCrashes(Job, Task) > 0 || isIsolated(Job, Task));
+}
+
+/// Whether a crash of the worker can be attributed to one new run there, and
+/// costs no other run that would have to start over.
+bool StartPlan::isClear(const WorkerState &W) const {
+  return std::all_of(W.Tasks.begin(), W.Tasks.end(), [&](const auto &Item) {
+    const auto &[Job, Task] = Item;
+    const std::vector<LiveRun> &Runs = Job->Tasks[Task].Runs;
+    return PoolState::stepOf(*Job, Task).Lasting &&
+           std::all_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
+             return In_.Now - Run.OrderedAt >= Owner_.Limits_.SuspicionAge;
+           });
+  });
+}
+
+void StartPlan::isolate(WorkerState &W) {
+  // A worker that is out of reach takes no starts anyway.
+  if (!W.Isolated && W.IncarnationConfirmed)
+    ++Reserved_;
+  W.Isolated = true;
+}
+
+/// Has the run that the task was given in this round stored.
+void StartPlan::announce(JobRecord &Job, std::uint32_t Task) {
+  for (LiveRun &Run : Job.Tasks[Task].Runs) {
+    if (Run.SendAfter != LiveRun::NotAnnounced)
+      continue;
+    Job.Tasks[Task].Kept.Announced = {Run.Run, Run.Worker,
+                                      Owner_.Workers_.at(Run.Worker)->Born};
+    Owner_.markChanged(Job);
+    Run.SendAfter = Owner_.ChangeCount_;
+  }
+}
+
+/// Sends the unit's announced runs, all or none, once a later owner would know
+/// of them.
+void StartPlan::sendAnnounced(JobRecord &Job, std::uint32_t First,
+                              std::uint32_t Last) {
+  std::vector<std::pair<std::uint32_t, LiveRun>> Held;
+  for (std::uint32_t T = First; T < Last; ++T)
+    for (const LiveRun &Run : Job.Tasks[T].Runs)
+      if (Run.SendAfter != 0 && !Run.Stopping)
+        Held.emplace_back(T, Run);
+  bool Usable = std::all_of(Held.begin(), Held.end(), [&](const auto &Item) {
+    return canTake(*Owner_.Workers_.at(Item.second.Worker));
+  });
+  bool Stored = std::all_of(Held.begin(), Held.end(), [&](const auto &Item) {
+    return Item.second.SendAfter <= Owner_.StoredMark_;
+  });
+  for (const auto &[Task, Run] : Held) {
+    if (!Usable) {
+      Owner_.removeRun(Job, Task, Run.Run);
+    } else if (Stored) {
+      LiveRun &Live = *Owner_.findRun(Job, Task, Run.Run);
+      Live.SendAfter = 0;
+      Live.OrderedAt = In_.Now;
+      Starts_.push_back(
+          orderFor(Job, Task, *Owner_.Workers_.at(Run.Worker), Run.Run));
+    }
+  }
+}
+
+/// Forgets an announced run that has ended without a crash.
+void StartPlan::forgetAnnounced(JobRecord &Job, std::uint32_t Task) {
+  std::optional<AnnouncedRun> &Announced = Job.Tasks[Task].Kept.Announced;
+  if (!Announced || Owner_.findRun(Job, Task, Announced->Run) ||
+      Owner_.Lost_.contains({Job.Spec.Id, Task, Announced->Run}))
+    return;
+  Announced.reset();
+  Owner_.markChanged(Job);
+}
+
+/// Notes the workers of the task's runs, and isolates them if the task has
+/// crashed several workers.
+void StartPlan::noteSuspectRuns(JobRecord &Job, std::uint32_t Task) {
+  bool Isolated = isIsolated(Job, Task);
+  for (const LiveRun &Run : Job.Tasks[Task].Runs) {
+    WorkerState &W = *Owner_.Workers_.at(Run.Worker);
+    ++Suspects_[&W];
+    if (Isolated)
+      isolate(W);
+  }
+}
+
+std::vector<StartPlan::IsolatedUnit> StartPlan::findIsolated() {
+  std::vector<IsolatedUnit> Waiting;
+  for (JobRecord *Job : Owner_.Open_) {
+    if (!Job->Suspect)
+      continue;
+    for (std::uint32_t T = 0; T < Job->Tasks.size(); ++T) {
+      if (Job->Tasks[T].Kept.Done || !isSuspect(*Job, T))
+        continue;
+      noteSuspectRuns(*Job, T);
+      auto [First, Last] = PoolState::unitOf(*Job, T);
+      bool Waits =
+          std::all_of(Job->Tasks.begin() + First, Job->Tasks.begin() + Last,
+                      [](const TaskState &S) { return S.Runs.empty(); });
+      bool Ready = PoolState::stepReady(*Job, PoolState::placeOf(*Job, T));
+      if (T == First && Waits && Ready && isIsolated(*Job, T) &&
+          !isHeldBack(*Job))
+        Waiting.push_back({Job, First});
+    }
+  }
+  std::sort(Waiting.begin(), Waiting.end(),
+            [](const IsolatedUnit &A, const IsolatedUnit &B) {
+              return std::tie(A.Job->Spec.AcceptedMs, A.Job->Spec.Id, A.First) <
+                     std::tie(B.Job->Spec.AcceptedMs, B.Job->Spec.Id, B.First);
+            });
+  return Waiting;
+}
+
+void StartPlan::planSuspects() {
+  std::size_t Usable = 0;
+  for (auto &[Id, W] : Owner_.Workers_) {
+    W->Isolated = false;
+    Usable += canTake(*W) ? 1 : 0;
+  }
+  MaxReserved_ = std::max<std::size_t>(Usable / WorkersPerReservation, 1);
+  for (JobRecord *Job : Owner_.Open_) {
+    if (!Job->Suspect)
+      continue;
+    for (std::uint32_t T = 0; T < Job->Tasks.size(); ++T) {
+      auto [First, Last] = PoolState::unitOf(*Job, T);
+      if (T == First)
+        sendAnnounced(*Job, First, Last);
+      forgetAnnounced(*Job, T);
+    }
+  }
+  std::vector<IsolatedUnit> Waiting = findIsolated();
+  const JobRecord *Tried = nullptr;
+  for (const IsolatedUnit &Unit : Waiting) {
+    JobRecord &Job = *Unit.Job;
+    const StepSpec &Step = PoolState::stepOf(Job, Unit.First);
+    // One task at a time tells enough of a job that can fail.
+    if (&Job == Tried && !Step.Lasting)
+      continue;
+    Tried = &Job;
+    // The outcome of a run that may have been the last one is still open.
+    if (Owner_.countPossibleCrashes(Job, Unit.First) >=
+        Owner_.Limits_.MaxCrashes)
+      continue;
+    if (Step.Gang)
+      planIsolatedGang(Job, Unit.First);
+    else
+      planIsolatedTask(Job, Unit.First);
+  }
+}
+
+void StartPlan::planIsolatedTask(JobRecord &Job, std::uint32_t Task) {
+  if (Reserved_ >= MaxReserved_ || !mayStart(Job, Task) ||
+      !hasTeamRoom(Job, PoolState::stepOf(Job, Task), 1))
+    return;
+  WorkerState *W = chooseForIsolation(Job, Task);
+  if (!W)
+    return;
+  if (isClear(*W) &&
+      meetsConstraints(*W, Job, Task, PoolState::stepOf(Job, Task))) {
+    start(Job, Task, *W, nextRun());
+    announce(Job, Task);
+  }
+  isolate(*W);
+}
+
+/// Starts the gang on workers of its own, or reserves as many as may be.
+void StartPlan::planIsolatedGang(JobRecord &Job, std::uint32_t First) {
+  const StepSpec &Step = PoolState::stepOf(Job, First);
+  Usable_.clear();
+  for (auto &[Id, W] : Owner_.Workers_)
+    if (canTake(*W) && isClear(*W))
+      Usable_.push_back(W.get());
+  planGang(Job, First, Step);
+  Usable_.clear();
+  for (std::uint32_t T = First; T < First + Step.Tasks; ++T)
+    for (const LiveRun &Run : Job.Tasks[T].Runs)
+      isolate(*Owner_.Workers_.at(Run.Worker));
+  if (!Job.Tasks[First].Runs.empty())
+    return;
+  for (std::uint32_t N = 0; N < Step.Tasks && Reserved_ < MaxReserved_; ++N) {
+    WorkerState *W = chooseForIsolation(Job, First);
+    if (!W)
+      return;
+    isolate(*W);
+  }
+}
+
+/// The worker that is clear soonest, so that few others wait for it.
+WorkerState *StartPlan::chooseForIsolation(JobRecord &Job,
+                                           std::uint32_t Task) const {
+  const StepSpec &Step = PoolState::stepOf(Job, Task);
+  auto Fits = [&](const WorkerState &W) {
+    return core::fits(Step.Need, W.Entry.Capacity) && hasLabel(W, Step);
+  };
+  auto Rank = [&](const WorkerState &W) {
+    return std::make_tuple(hasCrashedLately(W), W.Lasting, W.Tasks.size(),
+                           W.Entry.Id);
+  };
+  WorkerState *Best = nullptr;
+  for (auto &[Id, W] : Owner_.Workers_)
+    if (canTake(*W) && W->Born != 0 && Fits(*W) &&
+        (!Best || Rank(*W) < Rank(*Best)))
+      Best = W.get();
+  return Best;
+}
+
+} // namespace comfreydeck::jobs
--- /dev/null
+++ b/src/jobs/PoolCrashes.cpp
@@ -0,0 +1,177 @@
+#include "jobs/PoolState.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace comfreydeck::jobs {
+
+/// First and last task, exclusive, whose crashes count together: a gang's
+/// members, or the task alone.
+std::pair<std::uint32_t, std::uint32_t> PoolState::unitOf(const JobRecord &Job,
+                                                          std::uint32_t Task) {
+  TaskPlace Place = placeOf(Job, Task);
+  const StepSpec &Step = Job.Spec.Steps[Place.Step];
+  std::uint32_t First = Step.Gang ? Task - Place.Index : Task;
+  return {First, First + (Step.Gang ? Step.Tasks : 1)};
+}
+
+std::size_t PoolState::countCrashes(const JobRecord &Job, std::uint32_t Task) {
+  std::set<RunId> Runs;
+  auto [First, Last] = unitOf(Job, Task);
+  for (std::uint32_t T = First; T < Last; ++T)
+    Runs.insert(Job.Tasks[T].Kept.CrashedRuns.begin(),
+                Job.Tasks[T].Kept.CrashedRuns.end());
+  return Runs.size();
+}
+
+/// Also counts runs on workers that have been silent since.
+std::size_t PoolState::countPossibleCrashes(const JobRecord &Job,
+                                            std::uint32_t Task) const {
+  std::set<RunId> Runs;
+  auto [First, Last] = unitOf(Job, Task);
+  for (std::uint32_t T = First; T < Last; ++T) {
+    Runs.insert(Job.Tasks[T].Kept.CrashedRuns.begin(),
+                Job.Tasks[T].Kept.CrashedRuns.end());
+    Lost_.collect(Job.Spec.Id, T, Runs);
+  }
+  return Runs.size();
+}
+
+/// Runs on the worker that had not lasted when it last gave a sign of life.
+std::vector<SuspectRun> PoolState::suspectsOn(const WorkerState &W) const {
+  std::vector<SuspectRun> Suspects;
+  for (const auto &[Job, Task] : W.Tasks)
+    for (const LiveRun &Run : Job->Tasks[Task].Runs)
+      if (Run.Worker == W.Entry.Id && Run.SendAfter == 0 &&
+          W.ClockAt - Run.OrderedAt < Limits_.SuspicionAge)
+        Suspects.push_back({Job->Spec.Id, Task, Run.Run});
+  return Suspects;
+}
+
+/// Has the suspects of a worker that stopped answering stored, since this owner
+/// may be gone by the time that the worker is known to have crashed.
+void PoolState::announceSuspects(const WorkerState &W) {
+  if (W.Born == 0 || W.Ended || W.Entry.Draining)
+    return;
+  for (const SuspectRun &Run : suspectsOn(W)) {
+    JobRecord &Job = *jobOf(Run.JobId);
+    std::optional<AnnouncedRun> &Announced = Job.Tasks[Run.Task].Kept.Announced;
+    bool Known = Announced && Announced->Run >= Run.Run;
+    if (Known || isFinal(Job.Now))
+      continue;
+    Announced = {Run.Run, W.Entry.Id, W.Born};
+    Job.Suspect = true;
+    markChanged(Job);
+  }
+}
+
+/// Keeps the suspects of a worker that is out of reach until it answers.
+void PoolState::recordLoss(const WorkerState &W, core::TimePoint Now) {
+  // The first report tells which incarnation it is, and an ordered end is no
+  // crash.
+  if (W.Born == 0 || W.Ended || W.Entry.Draining)
+    return;
+  std::vector<SuspectRun> Suspects = suspectsOn(W);
+  for (const SuspectRun &Run : Suspects)
+    jobOf(Run.JobId)->Suspect = true;
+  Lost_.add(W.Entry.Id, W.Born, std::move(Suspects), Now);
+}
+
+/// Counts the crashes of the worker's incarnations before \p Born. \p Runs is
+/// the number of runs that were lost just now.
+void PoolState::settleLost(const WorkerState &W, std::int64_t Born,
+                           std::size_t Runs, core::TimePoint Now) {
+  CrashRecord Record;
+  Record.Worker = W.Entry.Id;
+  Record.Suspects = Lost_.takeEarlier(W.Entry.Id, Born);
+  Record.Runs = std::max(Runs, Record.Suspects.size());
+  if (Record.Runs == 0)
+    return;
+  CrashedAt_[W.Entry.Address] = Now;
+  ++Counters_.Crashes;
+  for (const SuspectRun &Run : Record.Suspects)
+    countCrash(Run, Record, Now);
+  CrashRecords_.push_back(std::move(Record));
+}
+
+/// Drops the runs of an incarnation that has ended, as the one that started at
+/// \p Born took its place, and counts its crash unless it left by order.
+void PoolState::dropCrashed(WorkerState &W, std::int64_t Born,
+                            core::TimePoint Now) {
+  bool Left = W.Ended || W.Entry.Draining || W.Born == 0;
+  std::size_t Runs = Left ? 0 : W.Tasks.size();
+  recordLoss(W, Now);
+  dropRuns(W);
+  if (Left)
+    Lost_.clear(W.Entry.Id);
+  settleLost(W, Born, Runs, Now);
+}
+
+/// Counts the crashes of lost workers whose addresses have gone to others.
+void PoolState::settleReplaced(std::span<const WorkerEntry> Entries,
+                               core::TimePoint Now) {
+  if (Lost_.isEmpty())
+    return;
+  for (const WorkerEntry &Entry : Entries)
+    for (auto &[Id, W] : Workers_)
+      if (W->Gone && Id != Entry.Id && W->Entry.Address == Entry.Address)
+        settleLost(*W, AnyIncarnation, 0, Now);
+}
+
+void PoolState::countCrash(const SuspectRun &Run, CrashRecord &Record,
+                           core::TimePoint Now) {
+  JobRecord *Job = jobOf(Run.JobId);
+  if (!Job || Run.Task >= Job->Tasks.size() || isFinal(Job->Now))
+    return;
+  TaskProgress &Kept = Job->Tasks[Run.Task].Kept;
+  std::vector<RunId> &Crashed = Kept.CrashedRuns;
+  bool Counted =
+      std::find(Crashed.begin(), Crashed.end(), Run.Run) != Crashed.end();
+  if (Kept.Done || Counted)
+    return;
+  Crashed.push_back(Run.Run);
+  if (Kept.Announced && Kept.Announced->Run == Run.Run)
+    Kept.Announced.reset();
+  Job->Suspect = true;
+  Job->Tasks[Run.Task].SpreadUntil = Now + Limits_.SuspectWait;
+  markChanged(*Job);
+  if (countCrashes(*Job, Run.Task) < Limits_.MaxCrashes)
+    return;
+  Record.GivenUp.push_back(refOf(*Job, Run.Task));
+  ++Counters_.GivenUp;
+  endJob(*Job, JobState::Failed);
+}
+
+/// Acquits the task once one of its runs has lasted.
+void PoolState::clearSuspicion(JobRecord &Job, std::uint32_t Task,
+                               const LiveRun &Run, core::TimePoint Now) {
+  if (!Job.Suspect || Run.Stopping ||
+      Now - Run.OrderedAt < Limits_.SuspicionAge)
+    return;
+  auto [First, Last] = unitOf(Job, Task);
+  for (std::uint32_t T = First; T < Last; ++T) {
+    TaskProgress &Kept = Job.Tasks[T].Kept;
+    if (Kept.CrashedRuns.empty() && !Kept.Announced)
+      continue;
+    Kept.CrashedRuns.clear();
+    Kept.Announced.reset();
+    markChanged(Job);
+  }
+}
+
+/// A run that an earlier owner announced may have crashed its worker since.
+void PoolState::inheritSuspicion(JobRecord &Job, core::TimePoint Now) {
+  for (std::uint32_t T = 0; T < Job.Tasks.size(); ++T) {
+    const TaskProgress &Kept = Job.Tasks[T].Kept;
+    Job.Suspect = Job.Suspect || !Kept.CrashedRuns.empty() || Kept.Announced;
+    if (Kept.Announced)
+      Lost_.add(Kept.Announced->Worker, Kept.Announced->Born,
+                {{Job.Spec.Id, T, Kept.Announced->Run}}, Now);
+  }
+}
+
+std::vector<CrashRecord> PoolState::takeCrashRecords() {
+  return std::exchange(CrashRecords_, {});
+}
+
+} // namespace comfreydeck::jobs
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -22,6 +22,10 @@
   /// Reported runs that were unknown to this owner.
   std::uint64_t UnexpectedRuns = 0;
   std::uint64_t Stragglers = 0;
+  /// Workers that crashed with runs.
+  std::uint64_t Crashes = 0;
+  /// Jobs that failed because of such crashes.
+  std::uint64_t GivenUp = 0;
   /// Outcomes of orders to workers.
   std::array<std::uint64_t, OrderOutcomeCount> StartAnswers{};
   std::array<std::uint64_t, OrderOutcomeCount> StopAnswers{};
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -20,14 +20,20 @@
   // the only ones.
   core::TimePoint SureAt =
       std::min(In.Now, In.AuthorityEnd - Limits_.Authority);
+  Lost_.expire(In.Now);
   for (auto It = Workers_.begin(); It != Workers_.end();) {
     WorkerState &W = *It->second;
-    if (!W.Tasks.empty() && leaseLapsed(W, SureAt))
+    if (!W.Tasks.empty() && leaseLapsed(W, SureAt)) {
+      recordLoss(W, In.Now);
       dropRuns(W);
+    }
+    if (!Lost_.isEmpty())
+      settleLost(W, W.Born, 0, In.Now);
     // The worker may be the only source of runs and ends of jobs that are not
     // loaded yet.
     bool HoldsNothing = W.Heard && W.UnknownRuns.empty() && W.Parked.empty();
     bool Forget = W.Gone && W.Tasks.empty() && !W.HoldInFlight &&
+                  !mayHaveCrashed(It->first) &&
                   (HoldsNothing || leaseLapsed(W, In.Now));
     if (Forget)
       unenrol(It->first);
@@ -67,7 +73,9 @@
     // old numbers would make it discard unprocessed ends.
     Hold.AcknowledgeUpTo = W->IncarnationConfirmed ? W->StoredUpTo : 0;
     bool MayWait = W->IncarnationConfirmed && !W->Tasks.empty();
-    Hold.Wait = MayWait ? Limits_.ReportWait : core::Duration::zero();
+    core::Duration Wait =
+        W->Isolated ? Limits_.SuspectReportWait : Limits_.ReportWait;
+    Hold.Wait = MayWait ? Wait : core::Duration::zero();
     W->DeadlineMs = std::max(W->DeadlineMs, Hold.DeadlineMs);
     W->HoldInFlight = true;
     if (W->AskedAt == core::TimePoint())
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -16,6 +16,8 @@
 constexpr std::size_t MaxEndsListed = 500;
 /// Mark of an end that must not be acknowledged yet, whatever is stored.
 constexpr std::uint64_t NeverStored = std::numeric_limits<std::uint64_t>::max();
+/// Report requests without an answer after which a worker may have crashed.
+constexpr std::uint32_t ReportsUntilSilent = 2;
 /// Retry interval for a stop without a successful answer.
 constexpr milliseconds StopRetry(300);
 
@@ -96,7 +98,8 @@
     return;
   Run->StopInFlight = false;
   if (Result.Outcome == OrderOutcome::OtherIncarnation) {
-    removeRun(*Job, Task, Order.Run);
+    // The incarnation that had the run has ended.
+    dropCrashed(W, AnyIncarnation, Now);
     return;
   }
   if (Result.Outcome != OrderOutcome::Accepted) {
@@ -129,21 +132,29 @@
   }
   if (Result.Outcome == OrderOutcome::OtherIncarnation) {
     // The incarnation that had these runs has ended.
-    dropRuns(W);
+    dropCrashed(W, AnyIncarnation, Now);
     W.Heard = true;
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
     return;
   }
   if (Result.Outcome != OrderOutcome::Accepted) {
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
+    if (++W.FailedReports >= ReportsUntilSilent ||
+        Result.Outcome == OrderOutcome::NotSent)
+      announceSuspects(W);
     return;
   }
+  W.FailedReports = 0;
   const WorkerReport &Report = Result.Report;
   if (Report.Born != 0 && Report.Born != W.Born) {
     if (Report.Born < W.Born)
       return;
     startIncarnation(W, Report.Born, Now);
   }
+  if (!Lost_.isEmpty()) {
+    settleLost(W, W.Born, 0, Now);
+    Lost_.clear(W.Entry.Id);
+  }
   recordClock(W, Report.ClockMs, Now);
   W.Heard = W.IncarnationConfirmed = true;
   W.ReportedAt = Now;
@@ -272,6 +283,7 @@
   if (Report.Percent >= ReadyPercent)
     Run->ReadyAt = Now;
   Run->Load = Report.Load;
+  clearSuspicion(*Job, Task, *Run, Now);
   TaskState &State = Job->Tasks[Task];
   if (!Report.Checkpoint.empty() && !State.Kept.Done)
     State.Kept.Checkpoint = Report.Checkpoint;
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -103,6 +103,7 @@
         --Job.UnfinishedTasks[Place.Occurrence * Spec.Steps.size() +
                               Place.Step];
     }
+    inheritSuspicion(Job, Now);
   }
   if (isFinal(Job.Now))
     Finished_.insert({Spec.AcceptedMs, &Job});
@@ -268,6 +269,8 @@
     return;
   State.Kept.Done = true;
   State.Kept.Checkpoint.clear();
+  State.Kept.CrashedRuns.clear();
+  State.Kept.Announced.reset();
   ++Counters_.Done;
   std::uint32_t &Unfinished =
       Job.UnfinishedTasks[Place.Occurrence * Job.Spec.Steps.size() +
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_JOBS_POOLSTATE_H
 #define COMFREYDECK_JOBS_POOLSTATE_H
 
+#include "jobs/CrashLedger.h"
 #include "jobs/FleetConfig.h"
 #include "jobs/PoolMetrics.h"
 #include "jobs/PoolSizes.h"
@@ -8,6 +9,7 @@
 #include "jobs/StopDecision.h"
 
 #include <deque>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -22,6 +24,10 @@
 /// within the 53 bits that JSON numbers represent exactly.
 inline constexpr std::uint32_t RunCounterBits = 22;
 
+/// Start time that is later than that of each incarnation.
+inline constexpr std::int64_t AnyIncarnation =
+    std::numeric_limits<std::int64_t>::max();
+
 /// Timing limits for one owner's orders.
 struct OwnerLimits {
   /// Lease that each order grants to all runs on a worker: long enough to
@@ -39,6 +45,9 @@
   core::Duration EarlierOrders = Authority;
   /// How long a worker may delay a report while no run ends (long polling).
   core::Duration ReportWait = std::chrono::milliseconds(800);
+  /// The same for a worker with a run that may crash it, so that it is soon
+  /// known whether the run has lasted.
+  core::Duration SuspectReportWait = std::chrono::milliseconds(100);
   /// Delay after a report with ends, so that the next one batches several.
   core::Duration ReportPause = std::chrono::milliseconds(25);
   /// Age of the last report after which a worker counts as silent; its runs may
@@ -61,6 +70,15 @@
   /// Jobs accepted at least this long after a takeover are unknown to earlier
   /// owners.
   core::Duration NewJobAge = Authority;
+  /// A run that has lasted this long does not count as the cause of a crash of
+  /// its worker.
+  core::Duration SuspicionAge = std::chrono::milliseconds(500);
+  /// Crashes under one task after which its runs get a worker to themselves.
+  std::uint32_t IsolationCrashes = 2;
+  /// Crashes under one task after which its job fails.
+  std::uint32_t MaxCrashes = 3;
+  /// How long a suspect task waits for a worker without another suspect.
+  core::Duration SuspectWait = std::chrono::milliseconds(1000);
 };
 
 /// Starts one run.
@@ -140,6 +158,12 @@
   std::string Worker;
   /// The start was acknowledged or a report listed the run.
   bool Confirmed = false;
+  /// Value of \ref SendAfter before the run is announced.
+  static constexpr std::uint64_t NotAnnounced =
+      std::numeric_limits<std::uint64_t>::max();
+  /// Number of the change that announces the run, which is sent once that is
+  /// stored; zero if it has been sent.
+  std::uint64_t SendAfter = 0;
   /// The run is to be stopped.
   bool Stopping = false;
   bool StopInFlight = false;
@@ -158,9 +182,22 @@
   double Load = 0;
 };
 
+/// A worker that has crashed, for logs.
+struct CrashRecord {
+  std::string Worker;
+  /// Number of its runs, or of those lost when it went silent.
+  std::size_t Runs = 0;
+  /// Runs that may have caused the crash.
+  std::vector<SuspectRun> Suspects;
+  /// Tasks whose jobs have failed because of their crashes.
+  std::vector<TaskRef> GivenUp;
+};
+
 struct TaskState {
   TaskProgress Kept;
   std::vector<LiveRun> Runs;
+  /// Until then, a suspect task waits for a worker without another suspect.
+  core::TimePoint SpreadUntil;
   /// Earliest time of the next start.
   core::TimePoint NotBefore;
   /// Worker on which the last run failed or straggled.
@@ -219,6 +256,8 @@
   /// Priority of its queue, or the job's own if the queue is not configured.
   std::uint32_t Priority = 0;
   bool Advised = false;
+  /// A worker has crashed, or may have crashed, under one of its tasks.
+  bool Suspect = false;
   RunTimes *Times = nullptr;
   TeamState *Team = nullptr;
   std::uint32_t TasksPerOccurrence = 1;
@@ -279,6 +318,8 @@
   /// Tasks with a run on this worker.
   std::set<std::pair<JobRecord *, std::uint32_t>> Tasks;
   bool HoldInFlight = false;
+  /// Report requests without an answer since the last report.
+  std::uint32_t FailedReports = 0;
   core::TimePoint NextHold;
   core::TimePoint AvoidUntil;
   std::uint32_t FailuresInRow = 0;
@@ -290,6 +331,8 @@
   bool Ended = false;
   /// Closed for maintenance: gets no new runs.
   bool Closed = false;
+  /// Reserved for the run of a task that may crash it, in this planning round.
+  bool Isolated = false;
   /// Being evicted: tasks that are not lasting are stopped as well.
   bool Evicting = false;
   /// When its last report arrived.
@@ -352,6 +395,11 @@
   /// Sets the workers among the closed ones whose tasks that are not lasting
   /// are stopped too.
   void setEvictingWorkers(const std::set<std::string> &Ids);
+  /// Whether runs were on the worker when it went silent that may have crashed
+  /// it.
+  bool mayHaveCrashed(const std::string &Id) const {
+    return Lost_.hasRunsOf(Id);
+  }
   /// Whether the worker has no runs and all its reported ends are stored, so
   /// that its machine can be removed.
   bool isDrained(const std::string &Id) const;
@@ -398,6 +446,11 @@
   /// Returns and forgets the longest wait of a lasting task, if the last check
   /// found a long one. Such checks are made about once a second.
   std::optional<LongWait> takeLongWait();
+  /// Returns and forgets the crashes of workers since the last call, oldest
+  /// first.
+  std::vector<CrashRecord> takeCrashRecords();
+  /// Number of runs of the task, or of its gang, under which a worker crashed.
+  static std::size_t countCrashes(const JobRecord &Job, std::uint32_t Task);
   PoolGauges gauges(core::TimePoint Now, std::int64_t WallMs) const;
   /// Whether this owner has been superseded: a worker has seen a higher fencing
   /// token, or the run ids are used up.
@@ -464,6 +517,23 @@
                     core::TimePoint Now);
   void startIncarnation(WorkerState &W, std::int64_t Born, core::TimePoint Now);
   void dropRuns(WorkerState &W);
+  std::vector<SuspectRun> suspectsOn(const WorkerState &W) const;
+  void dropCrashed(WorkerState &W, std::int64_t Born, core::TimePoint Now);
+  void announceSuspects(const WorkerState &W);
+  void recordLoss(const WorkerState &W, core::TimePoint Now);
+  void settleLost(const WorkerState &W, std::int64_t Born, std::size_t Runs,
+                  core::TimePoint Now);
+  void settleReplaced(std::span<const WorkerEntry> Entries,
+                      core::TimePoint Now);
+  void countCrash(const SuspectRun &Run, CrashRecord &Record,
+                  core::TimePoint Now);
+  void clearSuspicion(JobRecord &Job, std::uint32_t Task, const LiveRun &Run,
+                      core::TimePoint Now);
+  std::size_t countPossibleCrashes(const JobRecord &Job,
+                                   std::uint32_t Task) const;
+  static std::pair<std::uint32_t, std::uint32_t> unitOf(const JobRecord &Job,
+                                                        std::uint32_t Task);
+  void inheritSuspicion(JobRecord &Job, core::TimePoint Now);
   /// Marks the run to be stopped by the next planning round.
   void stopRun(const JobRecord &Job, std::uint32_t Task, LiveRun &Run,
                StopReason Reason, core::TimePoint Now);
@@ -544,6 +614,11 @@
   bool MayStart_ = true;
   /// Time of the latest event or planning round.
   core::TimePoint Now_;
+  CrashLedger Lost_;
+  /// When a worker was last found to have crashed, by its address. The machine
+  /// may be the cause, and a restarted worker may have another id.
+  std::map<std::string, core::TimePoint> CrashedAt_;
+  std::vector<CrashRecord> CrashRecords_;
 };
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -17,7 +17,7 @@
 
 void PoolState::startIncarnation(WorkerState &W, std::int64_t Born,
                                  core::TimePoint Now) {
-  dropRuns(W);
+  dropCrashed(W, Born, Now);
   W.IncarnationConfirmed = false;
   W.Ended = false;
   W.Born = Born;
@@ -61,6 +61,7 @@
       W->GoneAt = Now;
     }
   }
+  settleReplaced(Entries, Now);
 }
 
 void PoolState::addEnrolled(const WorkerEntry &Entry, core::TimePoint Now) {
@@ -83,6 +84,8 @@
   auto At = Workers_.find(Id);
   if (At == Workers_.end() || !At->second->Gone)
     return;
+  // Machines are taken away only from workers without runs.
+  settleLost(*At->second, AnyIncarnation, 0, At->second->GoneAt);
   dropRuns(*At->second);
   At->second->UnknownRuns.clear();
   At->second->Parked.clear();
@@ -93,6 +96,7 @@
   auto At = Workers_.find(Id);
   if (At == Workers_.end())
     return;
+  Lost_.clear(Id);
   dropRuns(*At->second);
   At->second->Ended = true;
 }
@@ -135,7 +139,7 @@
   // Before the first report the worker may have runs of an earlier owner, and a
   // silent worker may have ends that were never reported. Ends that are not
   // stored yet exist only on the worker if this owner fails.
-  return W.Heard && W.IncarnationConfirmed && W.Tasks.empty() &&
+  return W.Heard && W.IncarnationConfirmed && !W.Isolated && W.Tasks.empty() &&
          W.UnknownRuns.empty() && W.Unstored.empty();
 }
 
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -16,6 +16,10 @@
 constexpr double ColdPenalty = 0.5;
 /// A lasting task normally restarts well within this.
 constexpr std::chrono::milliseconds LongWaitLimit(3000);
+constexpr double BesideSuspectPenalty = 16.0;
+constexpr double RunBesideSuspectPenalty = 0.5;
+constexpr double SuspectsTogetherPenalty = 16.0;
+constexpr double CrashedLatelyPenalty = 8.0;
 
 core::Resources freeOn(const WorkerState &W) {
   const core::Resources &All = W.Entry.Capacity;
@@ -38,7 +42,11 @@
 } // namespace
 
 StartPlan::StartPlan(PoolState &Owner, const PlanInput &In)
-    : Owner_(Owner), In_(In), AllHeard_(Owner.allHeard(In.Now)) {
+    : Owner_(Owner), In_(In), AllHeard_(Owner.allHeard(In.Now)) {}
+
+void StartPlan::findUsable() {
+  Usable_.clear();
+  MostFree_ = {};
   for (auto &[Id, W] : Owner_.Workers_)
     if (canTake(*W))
       Usable_.push_back(W.get());
@@ -53,8 +61,8 @@
 
 bool StartPlan::canTake(const WorkerState &W) const {
   return W.Enrolled && W.Heard && W.IncarnationConfirmed && !W.Ended &&
-         !W.Gone && !W.Closed && !W.Entry.Draining && W.UnknownRuns.empty() &&
-         W.ClockMs > 0 && W.AvoidUntil <= In_.Now &&
+         !W.Gone && !W.Closed && !W.Isolated && !W.Entry.Draining &&
+         W.UnknownRuns.empty() && W.ClockMs > 0 && W.AvoidUntil <= In_.Now &&
          Owner_.ClosedDataCentres_.count(W.Entry.DataCentre) == 0 &&
          Owner_.leaseFor(W, In_) > 0;
 }
@@ -101,8 +109,13 @@
   return A.Job->Spec.Id < B.Job->Spec.Id;
 }
 
+bool StartPlan::isHeldBack(const JobRecord &Job) const {
+  return Job.Advised || Job.Spec.PayloadMissing ||
+         (Job.Inherited && !AllHeard_);
+}
+
 bool StartPlan::mayFit(JobRecord &Job) const {
-  if (Job.Advised || Job.Spec.PayloadMissing || (Job.Inherited && !AllHeard_))
+  if (isHeldBack(Job))
     return false;
   PoolState::refreshWaiting(Job);
   return std::any_of(Job.WaitingSteps.begin(), Job.WaitingSteps.end(),
@@ -114,8 +127,10 @@
 }
 
 std::vector<StartOrder> StartPlan::run() {
+  planSuspects();
+  findUsable();
   if (Usable_.empty())
-    return {};
+    return std::move(Starts_);
   std::vector<Candidate> Order;
   for (JobRecord *Job : Owner_.Open_)
     if (mayFit(*Job))
@@ -179,7 +194,7 @@
   // tasks are skipped, as they would not find one either.
   std::optional<std::uint32_t> Unplaceable;
   for (std::uint32_t Task : Job.Waiting) {
-    if (!mayStart(Job, Task))
+    if (!mayStart(Job, Task) || isIsolated(Job, Task))
       continue;
     TaskPlace Place = PoolState::placeOf(Job, Task);
     const StepSpec &Step = Job.Spec.Steps[Place.Step];
@@ -195,9 +210,11 @@
     if (!hasTeamRoom(Job, Step, 1) || (First == Unplaceable && !IsCopy))
       continue;
     WorkerState *W = chooseWorker(Job, Task, "");
-    if (W)
+    if (W) {
       start(Job, Task, *W, nextRun());
-    if (W || IsCopy)
+      announce(Job, Task);
+    }
+    if (W || IsCopy || isSuspect(Job, Task))
       continue;
     if (Step.Label.empty() && Step.MaxPerWorker == 0)
       Unplaced_.push_back(reserved(Step));
@@ -229,6 +246,8 @@
       Rack = W->Entry.Rack;
     start(Job, T, *W, Run);
   }
+  for (std::uint32_t T = First; T < First + Step.Tasks; ++T)
+    announce(Job, T);
 }
 
 std::uint32_t StartPlan::countStepRuns(const WorkerState &W, JobRecord &Job,
@@ -285,18 +304,31 @@
     Score -= FailedHerePenalty;
   if (W.Entry.ColdFor > core::Duration::zero())
     Score -= ColdPenalty;
+  auto Others = Suspects_.find(&W);
+  if (Others != Suspects_.end())
+    Score -= BesideSuspectPenalty;
+  if (!isSuspect(Job, Task))
+    return Score;
+  // Fewer neighbours lose their runs, and fewer suspects share the blame.
+  Score -= RunBesideSuspectPenalty * static_cast<double>(W.Tasks.size());
+  if (Others != Suspects_.end())
+    Score -= SuspectsTogetherPenalty;
+  if (hasCrashedLately(W))
+    Score -= CrashedLatelyPenalty;
   return Score;
 }
 
 WorkerState *StartPlan::chooseWorker(JobRecord &Job, std::uint32_t Task,
                                      const std::string &OnlyRack) const {
   const StepSpec &Step = Owner_.stepOf(Job, Task);
+  bool Apart = In_.Now < Job.Tasks[Task].SpreadUntil;
   WorkerState *Best = nullptr;
   double BestScore = 0;
   for (WorkerState *W : Usable_) {
     if (!OnlyRack.empty() && W->Entry.Rack != OnlyRack)
       continue;
-    if (!meetsConstraints(*W, Job, Task, Step))
+    if (!meetsConstraints(*W, Job, Task, Step) ||
+        (Apart && Suspects_.count(W) != 0))
       continue;
     double Score = score(*W, Job, Task, Step);
     if (!Best || Score > BestScore) {
@@ -325,7 +357,8 @@
   return Counts;
 }
 
-std::optional<LongWait> StartPlan::findLongWait() const {
+std::optional<LongWait> StartPlan::findLongWait() {
+  findUsable();
   JobRecord *Longest = nullptr;
   std::uint32_t LongestTask = 0;
   core::TimePoint Since = In_.Now - LongWaitLimit;
@@ -362,8 +395,18 @@
   Live.Run = Run;
   Live.Worker = W.Entry.Id;
   Live.OrderedAt = In_.Now;
+  bool Announced = mustAnnounce(Job, Task) && W.Born != 0;
+  Live.SendAfter = Announced ? LiveRun::NotAnnounced : 0;
   Owner_.addRun(Job, Task, std::move(Live));
+  if (isSuspect(Job, Task))
+    ++Suspects_[&W];
   Job.Tasks[Task].WantsCopy = false;
+  if (!Announced)
+    Starts_.push_back(orderFor(Job, Task, W, Run));
+}
+
+StartOrder StartPlan::orderFor(const JobRecord &Job, std::uint32_t Task,
+                               WorkerState &W, RunId Run) const {
   StartOrder Order;
   Order.Worker = W.Entry.Id;
   Order.Task = Owner_.refOf(Job, Task);
@@ -372,7 +415,7 @@
   Order.Checkpoint = Job.Tasks[Task].Kept.Checkpoint;
   Order.DeadlineMs = Owner_.leaseFor(W, In_);
   W.DeadlineMs = std::max(W.DeadlineMs, Order.DeadlineMs);
-  Starts_.push_back(std::move(Order));
+  return Order;
 }
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -13,7 +13,7 @@
   /// Returns the starts and reserves their resources.
   std::vector<StartOrder> run();
   /// The longest wait of a lasting task if it is long. Call after \ref run.
-  std::optional<LongWait> findLongWait() const;
+  std::optional<LongWait> findLongWait();
 
 private:
   struct Candidate {
@@ -27,11 +27,38 @@
     double RemainingWork = 0;
   };
 
+  void findUsable();
+  /// Whether none of the job's tasks may start yet, wherever there is room.
+  bool isHeldBack(const JobRecord &Job) const;
   Candidate assess(JobRecord &Job);
   static bool before(const Candidate &A, const Candidate &B);
   /// Whether some waiting task of the job may fit. Free resources only decrease
   /// during planning, so a job that does not fit is not considered again.
   bool mayFit(JobRecord &Job) const;
+  /// Sends announced runs, starts tasks that have crashed several workers on
+  /// workers of their own, and reserves workers for those that wait.
+  void planSuspects();
+  /// A task or gang that waits for workers of its own.
+  struct IsolatedUnit {
+    JobRecord *Job = nullptr;
+    std::uint32_t First = 0;
+  };
+  std::vector<IsolatedUnit> findIsolated();
+  void announce(JobRecord &Job, std::uint32_t Task);
+  void sendAnnounced(JobRecord &Job, std::uint32_t First, std::uint32_t Last);
+  void forgetAnnounced(JobRecord &Job, std::uint32_t Task);
+  void noteSuspectRuns(JobRecord &Job, std::uint32_t Task);
+  void planIsolatedTask(JobRecord &Job, std::uint32_t Task);
+  void planIsolatedGang(JobRecord &Job, std::uint32_t First);
+  WorkerState *chooseForIsolation(JobRecord &Job, std::uint32_t Task) const;
+  void isolate(WorkerState &W);
+  bool isClear(const WorkerState &W) const;
+  bool hasCrashedLately(const WorkerState &W) const;
+  bool isIsolated(const JobRecord &Job, std::uint32_t Task) const;
+  bool isSuspect(const JobRecord &Job, std::uint32_t Task) const;
+  bool mustAnnounce(const JobRecord &Job, std::uint32_t Task) const;
+  StartOrder orderFor(const JobRecord &Job, std::uint32_t Task, WorkerState &W,
+                      RunId Run) const;
   void planJob(JobRecord &Job);
   void planGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step);
   bool mayStart(const JobRecord &Job, std::uint32_t Task) const;
@@ -58,6 +85,12 @@
   const PlanInput &In_;
   bool AllHeard_;
   std::vector<WorkerState *> Usable_;
+  /// Number of workers reserved for tasks that may crash them, and how many may
+  /// be.
+  std::size_t Reserved_ = 0;
+  std::size_t MaxReserved_ = 0;
+  /// Number of runs of suspect tasks by worker.
+  std::map<const WorkerState *, std::uint32_t> Suspects_;
   /// Maximum of each free resource over the usable workers.
   core::Resources MostFree_;
   /// Resource needs for which no worker had room.
--- a/src/jobs/StragglerPlan.cpp
+++ b/src/jobs/StragglerPlan.cpp
@@ -28,8 +28,10 @@
   TaskState &State = Job.Tasks[Task];
   // Restart each task at most once: one that is slow on a second worker too is
   // slow by itself.
+  // A copy of a task that may crash its worker would cost another worker.
+  bool MayCrash = Job.Suspect && Owner_.countPossibleCrashes(Job, Task) > 0;
   bool Settled = Run.Stopping || State.HadStraggler || Step.Gang ||
-                 Step.Filling || !Owner_.mayRestart(Job);
+                 Step.Filling || MayCrash || !Owner_.mayRestart(Job);
   if (Settled || !isBehind(W, Job, Step, Run) ||
       !mayBeUnavailable(Job, Task, Step, Run) || !hasRoomElsewhere(W, Step))
     return;
@@ -75,7 +77,8 @@
                                      const StepSpec &Step) const {
   auto Fits = [&](const WorkerState &Other) {
     bool Usable = Other.IncarnationConfirmed && !Other.Gone && !Other.Closed &&
-                  !Other.Entry.Draining && Other.AvoidUntil <= In_.Now;
+                  !Other.Isolated && !Other.Entry.Draining &&
+                  Other.AvoidUntil <= In_.Now;
     core::Resources Used = Other.Used;
     Used.MilliCpus += Step.Need.MilliCpus;
     Used.MemoryMb += Step.Need.MemoryMb;
--- /dev/null
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -0,0 +1,635 @@
+#include "jobs/JobSamples.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace comfreydeck;
+using namespace comfreydeck::jobs;
+
+namespace {
+
+/// An owner whose workers accept every start and answer every report. The test
+/// crashes them.
+struct CrashFixture {
+  OwnerFixture B;
+  std::map<std::string, std::int64_t> Born;
+  std::map<std::string, std::vector<StartOrder>> Running;
+  /// Workers that give no answer.
+  std::set<std::string> Silent;
+  bool Stores = true;
+  std::uint32_t Writes = 0;
+  std::vector<StartOrder> LastStarts;
+
+  explicit CrashFixture(std::vector<std::string> Ids, std::uint64_t Token = 7)
+      : B(Token) {
+    B.advance(std::chrono::seconds(10));
+    B.listWorkers(Ids);
+    for (const std::string &Id : Ids)
+      Born[Id] = 1;
+  }
+
+  void report(const std::string &Worker) {
+    HoldOrder Order;
+    Order.Worker = Worker;
+    ReportResult Result;
+    if (Silent.count(Worker) == 0) {
+      Result.Outcome = OrderOutcome::Accepted;
+      Result.Report = {B.clockMs(), Born[Worker], {}, {}};
+      for (const StartOrder &Start : Running[Worker])
+        Result.Report.Running.push_back(runReportOf(Start, 50));
+    }
+    B.Owner.onReport(Order, Result, B.Now, B.Now);
+  }
+
+  /// Stores what has changed; returns what was stored of the job.
+  std::optional<JobProgress> store(const std::string &Id) {
+    std::optional<JobProgress> Stored;
+    for (;;) {
+      ProgressBatch Batch = B.Owner.takeChanges(10);
+      if (Batch.isEmpty())
+        return Stored;
+      for (const ProgressWrite &Write : Batch.Writes) {
+        ++Writes;
+        if (Write.JobId == Id)
+          Stored = Write.Progress;
+      }
+      B.Owner.onStored(Batch.Mark);
+    }
+  }
+
+  void turn(milliseconds Time = milliseconds(100)) {
+    B.advance(Time);
+    Orders Out = B.plan();
+    LastStarts = Out.Starts;
+    for (const StartOrder &Start : Out.Starts) {
+      Running[Start.Worker].push_back(Start);
+      B.answer(Start, OrderOutcome::Accepted);
+    }
+    if (Stores)
+      store("");
+    for (const HoldOrder &Hold : Out.Holds)
+      report(Hold.Worker);
+  }
+
+  /// Turns until the task has a run, for at most \p Most; returns its worker.
+  std::string workerOf(const TaskRef &Task,
+                       milliseconds Most = milliseconds(3000)) {
+    for (milliseconds Passed(0); Passed <= Most; Passed += milliseconds(100)) {
+      for (const auto &[Id, Starts] : Running)
+        for (const StartOrder &Start : Starts)
+          if (Start.Task == Task)
+            return Id;
+      turn();
+    }
+    return "";
+  }
+
+  void crash(const std::string &Worker) {
+    Running[Worker].clear();
+    ++Born[Worker];
+    for (WorkerEntry &Entry : B.Entries)
+      Entry.Born = Born[Entry.Id];
+    B.Owner.setWorkers(B.Entries, B.Now);
+  }
+
+  void list(const std::vector<std::string> &Ids) {
+    std::vector<WorkerEntry> Entries;
+    for (const WorkerEntry &Entry : B.Entries)
+      if (std::count(Ids.begin(), Ids.end(), Entry.Id) != 0)
+        Entries.push_back(Entry);
+    B.Owner.setWorkers(Entries, B.Now);
+  }
+
+  void finish(const TaskRef &Task) {
+    for (auto &[Id, Starts] : Running)
+      for (std::size_t N = 0; N < Starts.size(); ++N)
+        if (Starts[N].Task == Task) {
+          EndReport End =
+              endReportOf(++Ends, Task, Starts[N].Run, RunEnd::Done);
+          Starts.erase(Starts.begin() + static_cast<std::ptrdiff_t>(N));
+          HoldOrder Order;
+          Order.Worker = Id;
+          ReportResult Result;
+          Result.Outcome = OrderOutcome::Accepted;
+          Result.Report = {B.clockMs(), Born[Id], {}, {End}};
+          for (const StartOrder &Start : Starts)
+            Result.Report.Running.push_back(runReportOf(Start, 50));
+          B.Owner.onReport(Order, Result, B.Now, B.Now);
+          return;
+        }
+  }
+
+  const JobRecord &job(unsigned Number) {
+    return *B.Owner.findJob(jobId(Number));
+  }
+  std::size_t crashes(unsigned Number, std::uint32_t Task = 0) {
+    return PoolState::countCrashes(job(Number), Task);
+  }
+
+  std::uint64_t Ends = 0;
+};
+
+TaskRef taskOf(unsigned Job, std::uint32_t Index = 0) {
+  return {jobId(Job), 0, 0, Index};
+}
+
+const std::vector<std::string> FourWorkers = {"w1", "w2", "w3", "w4"};
+
+} // namespace
+
+// A task that crashes its workers was started without end: nothing counted the
+// crashes.
+TEST_CASE("a job fails after three workers crashed under one of its tasks") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  std::uint32_t Starts = 0;
+  for (int Turn = 0; Turn < 100; ++Turn) {
+    F.turn();
+    for (const StartOrder &Start : F.LastStarts) {
+      ++Starts;
+      F.B.advance(milliseconds(200));
+      F.crash(Start.Worker);
+    }
+  }
+  CHECK(Starts == 3);
+  CHECK(F.job(1).Now == JobState::Failed);
+  F.store("");
+  CHECK(PoolState::shownState(F.job(1)) == JobState::Failed);
+  PoolCounters Counters = F.B.Owner.takeCounters();
+  CHECK(Counters.Crashes == 3);
+  CHECK(Counters.GivenUp == 1);
+  std::vector<CrashRecord> Records = F.B.Owner.takeCrashRecords();
+  REQUIRE(Records.size() == 3);
+  CHECK(Records[0].Suspects.size() == 1);
+  CHECK(Records[0].GivenUp.empty());
+  REQUIRE(Records[2].GivenUp.size() == 1);
+  CHECK(Records[2].GivenUp[0] == taskOf(1));
+}
+
+TEST_CASE("a crash is stored with the job's progress") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  std::string Worker = F.workerOf(taskOf(1));
+  RunId Run = F.Running[Worker][0].Run;
+  CHECK(!F.store(jobId(1)));
+  F.crash(Worker);
+  std::optional<JobProgress> Stored = F.store(jobId(1));
+  REQUIRE(Stored);
+  CHECK(Stored->Tasks[0].CrashedRuns == std::vector<RunId>{Run});
+}
+
+TEST_CASE("runs count only if their worker crashed soon after their start") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Lasting = true;
+  F.B.Owner.addJob(Spec, F.B.Now);
+  std::string Worker = F.workerOf(taskOf(1));
+  SUBCASE("at once") {
+    F.crash(Worker);
+    CHECK(F.crashes(1) == 1);
+  }
+  SUBCASE("after four tenths of a second") {
+    for (int Turn = 0; Turn < 4; ++Turn)
+      F.turn();
+    F.crash(Worker);
+    CHECK(F.crashes(1) == 1);
+  }
+  SUBCASE("after a second") {
+    for (int Turn = 0; Turn < 10; ++Turn)
+      F.turn();
+    F.crash(Worker);
+    CHECK(F.crashes(1) == 0);
+  }
+  SUBCASE("the worker was removed on the owner's order") {
+    F.B.Owner.endIncarnation(Worker);
+    F.crash(Worker);
+    CHECK(F.crashes(1) == 0);
+  }
+  SUBCASE("the worker was draining") {
+    for (WorkerEntry &Entry : F.B.Entries)
+      Entry.Draining = Entry.Id == Worker;
+    F.B.Owner.setWorkers(F.B.Entries, F.B.Now);
+    F.crash(Worker);
+    CHECK(F.crashes(1) == 0);
+  }
+  SUBCASE("a report tells of the new incarnation first") {
+    F.Running[Worker].clear();
+    ++F.Born[Worker];
+    F.report(Worker);
+    CHECK(F.crashes(1) == 1);
+  }
+}
+
+// A task that crashes its worker often does so before the start is answered.
+TEST_CASE("a start without an answer may have crashed the worker") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  Orders Out = F.B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  SUBCASE("it was sent") {
+    F.B.answer(Out.Starts[0], OrderOutcome::Unknown);
+    F.crash(Out.Starts[0].Worker);
+    CHECK(F.crashes(1) == 1);
+  }
+  SUBCASE("it was not sent") {
+    F.B.answer(Out.Starts[0], OrderOutcome::NotSent);
+    F.crash(Out.Starts[0].Worker);
+    CHECK(F.crashes(1) == 0);
+  }
+}
+
+// The platform gives a restarted worker another id at the address that the
+// crashed one had.
+TEST_CASE("a worker whose address has gone to another one has crashed") {
+  CrashFixture F(FourWorkers);
+  for (WorkerEntry &Entry : F.B.Entries)
+    Entry.Address = Entry.Id + ":1";
+  F.B.Owner.setWorkers(F.B.Entries, F.B.Now);
+  F.turn();
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  std::string Worker = F.workerOf(taskOf(1));
+  REQUIRE(!Worker.empty());
+  RunId Run = F.Running[Worker][0].Run;
+  F.Silent.insert(Worker);
+  SUBCASE("another worker answers a report") {
+    HoldOrder Order;
+    Order.Worker = Worker;
+    F.B.Owner.onReport(Order, {OrderOutcome::OtherIncarnation, {}}, F.B.Now,
+                       F.B.Now);
+    CHECK(F.crashes(1) == 1);
+  }
+  SUBCASE("another worker answers a report after the lease lapsed") {
+    for (int Turn = 0; Turn < 60; ++Turn)
+      F.turn();
+    CHECK(F.crashes(1) == 0);
+    HoldOrder Order;
+    Order.Worker = Worker;
+    F.B.Owner.onReport(Order, {OrderOutcome::OtherIncarnation, {}}, F.B.Now,
+                       F.B.Now);
+    CHECK(F.crashes(1) == 1);
+  }
+  SUBCASE("another worker answers a stop") {
+    F.B.Owner.onStop({Worker, taskOf(1), Run},
+                     {OrderOutcome::OtherIncarnation, 0}, F.B.Now);
+    CHECK(F.crashes(1) == 1);
+  }
+  SUBCASE("another worker is listed there once the lease has lapsed") {
+    for (int Turn = 0; Turn < 60; ++Turn)
+      F.turn();
+    std::vector<WorkerEntry> Entries = F.B.Entries;
+    for (WorkerEntry &Entry : Entries)
+      if (Entry.Id == Worker)
+        Entry.Id = "w5";
+    F.B.Owner.setWorkers(Entries, F.B.Now);
+    CHECK(F.crashes(1) == 1);
+  }
+  SUBCASE("its machine has another worker once the lease has lapsed") {
+    std::vector<std::string> Others = FourWorkers;
+    std::erase(Others, Worker);
+    for (int Turn = 0; Turn < 60; ++Turn)
+      F.turn();
+    F.list(Others);
+    for (int Turn = 0; Turn < 60; ++Turn)
+      F.turn();
+    CHECK(F.B.Owner.mayHaveCrashed(Worker));
+    F.B.Owner.confirmEnded(Worker);
+    CHECK(F.crashes(1) == 1);
+    CHECK(!F.B.Owner.mayHaveCrashed(Worker));
+  }
+  SUBCASE("its machine was taken away on the owner's order") {
+    F.B.Owner.endIncarnation(Worker);
+    HoldOrder Order;
+    Order.Worker = Worker;
+    F.B.Owner.onReport(Order, {OrderOutcome::OtherIncarnation, {}}, F.B.Now,
+                       F.B.Now);
+    CHECK(F.crashes(1) == 0);
+  }
+}
+
+TEST_CASE("runs of a silent worker count once it is known to have crashed") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  std::string Worker = F.workerOf(taskOf(1));
+  RunId Run = F.Running[Worker][0].Run;
+  F.Silent.insert(Worker);
+  F.Stores = false;
+  for (int Turn = 0; Turn < 10; ++Turn)
+    F.turn();
+  std::optional<JobProgress> Early = F.store(jobId(1));
+  F.Stores = true;
+  // A later owner learns of the run even if this one is lost by now.
+  REQUIRE(Early);
+  CHECK(Early->Tasks[0].Announced == AnnouncedRun{Run, Worker, 1});
+  std::vector<std::string> Others = FourWorkers;
+  std::erase(Others, Worker);
+  SUBCASE("listed all the time") {}
+  SUBCASE("not listed meanwhile") { F.list(Others); }
+  for (int Turn = 0; Turn < 60; ++Turn)
+    F.turn();
+  CHECK(F.B.Owner.mayHaveCrashed(Worker));
+  CHECK(F.crashes(1) == 0);
+  std::size_t Restarted = 0;
+  for (const std::string &Id : Others)
+    Restarted += F.Running[Id].size();
+  CHECK(Restarted == 1);
+  F.Silent.clear();
+  bool Crashed = false;
+  SUBCASE("a newer incarnation answers") {
+    Crashed = true;
+    F.crash(Worker);
+  }
+  SUBCASE("the same incarnation answers") {
+    F.Running[Worker].clear();
+    F.list(FourWorkers);
+    F.turn(milliseconds(300));
+    F.report(Worker);
+    F.crash(Worker);
+  }
+  F.turn();
+  std::vector<CrashRecord> Records = F.B.Owner.takeCrashRecords();
+  REQUIRE(Records.size() == (Crashed ? 1 : 0));
+  if (Crashed)
+    CHECK(Records[0].Suspects == std::vector<SuspectRun>{{jobId(1), 0, Run}});
+  // The second run has lasted meanwhile.
+  CHECK(F.crashes(1) == 0);
+}
+
+TEST_CASE("a run that lasts clears its task's crashes") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Lasting = true;
+  F.B.Owner.addJob(Spec, F.B.Now);
+  for (int Crash = 0; Crash < 2; ++Crash)
+    F.crash(F.workerOf(taskOf(1)));
+  CHECK(F.crashes(1) == 2);
+  F.workerOf(taskOf(1));
+  for (int Turn = 0; Turn < 30; ++Turn)
+    F.turn();
+  CHECK(F.crashes(1) == 0);
+  CHECK(!F.job(1).Tasks[0].Kept.Announced);
+  F.crash(F.workerOf(taskOf(1)));
+  CHECK(F.job(1).Now == JobState::Running);
+}
+
+TEST_CASE("tasks whose workers crashed once start on different workers") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  for (unsigned Number = 1; Number <= 3; ++Number)
+    F.B.Owner.addJob(sampleJob(Number), F.B.Now);
+  std::string Worker = F.workerOf(taskOf(1));
+  REQUIRE(F.Running[Worker].size() == 3);
+  F.crash(Worker);
+  std::set<std::string> Workers;
+  for (unsigned Number = 1; Number <= 3; ++Number)
+    Workers.insert(F.workerOf(taskOf(Number)));
+  CHECK(Workers.size() == 3);
+  CHECK(Workers.count(Worker) == 0);
+}
+
+TEST_CASE("a task whose workers crashed twice runs on a worker of its own") {
+  CrashFixture F({"w1", "w2", "w3"});
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  for (int Crash = 0; Crash < 2; ++Crash)
+    F.crash(F.workerOf(taskOf(1)));
+  // Twelve tasks fill three workers.
+  F.B.Owner.addJob(sampleJob(2, 20), F.B.Now);
+  std::string Worker = F.workerOf(taskOf(1));
+  REQUIRE(!Worker.empty());
+  for (int Turn = 0; Turn < 4; ++Turn) {
+    CHECK(F.Running[Worker].size() == 1);
+    F.turn();
+  }
+  // Once the run has lasted, its worker takes others.
+  for (int Turn = 0; Turn < 10; ++Turn)
+    F.turn();
+  CHECK(F.Running[Worker].size() == 4);
+  F.finish(taskOf(1));
+  CHECK(F.job(1).Now == JobState::Completed);
+}
+
+TEST_CASE("neighbours of a task that crashes its workers are not given up") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  for (unsigned Number = 2; Number <= 9; ++Number)
+    F.B.Owner.addJob(sampleJob(Number), F.B.Now);
+  for (int Turn = 0; Turn < 300; ++Turn) {
+    F.turn();
+    for (const std::string &Id : FourWorkers) {
+      bool Deadly =
+          std::any_of(F.Running[Id].begin(), F.Running[Id].end(),
+                      [](const StartOrder &S) { return S.Task == taskOf(1); });
+      if (Deadly) {
+        F.crash(Id);
+        continue;
+      }
+      // Each other task takes a second.
+      if (Turn % 10 == 0)
+        for (const StartOrder &Start : std::vector<StartOrder>(F.Running[Id]))
+          F.finish(Start.Task);
+    }
+  }
+  CHECK(F.job(1).Now == JobState::Failed);
+  for (unsigned Number = 2; Number <= 9; ++Number) {
+    CAPTURE(Number);
+    CHECK(F.job(Number).Now == JobState::Completed);
+  }
+}
+
+TEST_CASE("a suspect's run starts only once it is stored") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  for (int Crash = 0; Crash < 2; ++Crash)
+    F.crash(F.workerOf(taskOf(1)));
+  F.Stores = false;
+  CHECK(F.workerOf(taskOf(1), milliseconds(1500)) == "");
+  std::optional<JobProgress> Stored = F.store(jobId(1));
+  REQUIRE(Stored);
+  REQUIRE(Stored->Tasks[0].Announced);
+  std::string Worker = F.workerOf(taskOf(1));
+  CHECK(Worker == Stored->Tasks[0].Announced->Worker);
+  CHECK(F.Running[Worker][0].Run == Stored->Tasks[0].Announced->Run);
+  CHECK(F.Born[Worker] == Stored->Tasks[0].Announced->Born);
+}
+
+TEST_CASE("a later owner counts the crash under an announced run") {
+  JobProgress Kept;
+  Kept.State = JobState::Running;
+  Kept.Tasks.resize(1);
+  Kept.Tasks[0].CrashedRuns = {10, 20};
+  Kept.Tasks[0].Announced = {30, "w2", 1};
+  CrashFixture F(FourWorkers, 9);
+  F.B.Owner.inheritJob(sampleJob(1), &Kept, F.B.Now);
+  SUBCASE("the worker has restarted") {
+    F.crash("w2");
+    for (int Turn = 0; Turn < 10; ++Turn)
+      F.turn();
+    CHECK(F.job(1).Now == JobState::Failed);
+    CHECK(F.workerOf(taskOf(1)) == "");
+  }
+  SUBCASE("the worker restarts after it was away") {
+    F.list({"w1", "w3", "w4"});
+    F.Silent = {"w2"};
+    CHECK(F.workerOf(taskOf(1), milliseconds(5000)) == "");
+    F.Silent.clear();
+    F.crash("w2");
+    for (int Turn = 0; Turn < 10; ++Turn)
+      F.turn();
+    CHECK(F.job(1).Now == JobState::Failed);
+  }
+  SUBCASE("the worker still has the run") {
+    StartOrder Start;
+    Start.Worker = "w2";
+    Start.Task = taskOf(1);
+    Start.Run = 30;
+    F.Running["w2"] = {Start};
+    for (int Turn = 0; Turn < 10; ++Turn)
+      F.turn();
+    CHECK(F.crashes(1) == 2);
+    CHECK(F.Running["w2"].size() == 1);
+    F.finish(taskOf(1));
+    CHECK(F.job(1).Now == JobState::Completed);
+  }
+  SUBCASE("the run never started") {
+    CHECK(F.workerOf(taskOf(1)) != "");
+    CHECK(F.crashes(1) == 2);
+  }
+}
+
+TEST_CASE("a gang's members share their crashes") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Gang = true;
+  Spec.Steps[0].MaxPerWorker = 1;
+  F.B.Owner.addJob(Spec, F.B.Now);
+  for (std::size_t Crash = 1; Crash <= 3; ++Crash) {
+    std::string Worker = F.workerOf(taskOf(1, 1));
+    REQUIRE(!Worker.empty());
+    std::string Other = F.workerOf(taskOf(1, 0));
+    F.crash(Worker);
+    CHECK(F.crashes(1, 0) == Crash);
+    CHECK(F.crashes(1, 1) == Crash);
+    // The other member ends as its gang is broken.
+    StartOrder Left = F.Running[Other][0];
+    F.Running[Other].clear();
+    F.B.report(Other);
+    HoldOrder Order;
+    Order.Worker = Other;
+    ReportResult Result;
+    Result.Outcome = OrderOutcome::Accepted;
+    Result.Report = {
+        F.B.clockMs(),
+        F.Born[Other],
+        {},
+        {endReportOf(++F.Ends, Left.Task, Left.Run, RunEnd::Broken)}};
+    F.B.Owner.onReport(Order, Result, F.B.Now, F.B.Now);
+    F.turn();
+  }
+  CHECK(F.job(1).Now == JobState::Failed);
+}
+
+// Guards against a gang that is announced and forgotten in each round.
+TEST_CASE("a suspect gang without room writes nothing") {
+  CrashFixture F({"w1", "w2"});
+  F.turn();
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Gang = true;
+  Spec.Steps[0].MaxPerWorker = 1;
+  F.B.Owner.addJob(Spec, F.B.Now);
+  F.crash(F.workerOf(taskOf(1)));
+  F.Running.clear();
+  F.list({"w1"});
+  for (int Turn = 0; Turn < 5; ++Turn)
+    F.turn();
+  REQUIRE(F.crashes(1) == 1);
+  F.Writes = 0;
+  for (int Turn = 0; Turn < 20; ++Turn)
+    F.turn();
+  CHECK(F.Writes == 0);
+}
+
+TEST_CASE("occurrences of a job count their crashes apart") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  JobSpec Spec = sampleJob(1);
+  Spec.Repetitions = 3;
+  Spec.IntervalMs = 0;
+  F.B.Owner.addJob(Spec, F.B.Now);
+  for (std::uint32_t K = 0; K < 3; ++K) {
+    std::string Worker = F.workerOf({jobId(1), K, 0, 0});
+    F.crash(Worker);
+    for (std::uint32_t Earlier = 0; Earlier <= K; ++Earlier)
+      CHECK(F.crashes(1, Earlier) >= 1);
+  }
+  CHECK(F.job(1).Now == JobState::Running);
+}
+
+TEST_CASE("both copies of a task count, and a suspect gets no copy") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Copies = true;
+  F.B.Owner.addJob(Spec, F.B.Now);
+  std::string Worker = F.workerOf(taskOf(1));
+  auto IsSilent = [&] {
+    F.Silent.insert(F.workerOf(taskOf(1)));
+    for (int Turn = 0; Turn < 12; ++Turn)
+      F.turn();
+    return F.job(1).Tasks[0].Runs.size();
+  };
+  SUBCASE("no crash yet") { CHECK(IsSilent() == 2); }
+  SUBCASE("after a crash") {
+    F.crash(Worker);
+    CHECK(F.workerOf(taskOf(1)) != "");
+    CHECK(IsSilent() == 1);
+  }
+}
+
+TEST_CASE("a day without crashes writes nothing more") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.store("");
+  F.Writes = 0;
+  F.B.Owner.addJob(sampleJob(1, 4), F.B.Now);
+  F.turn();
+  F.turn();
+  CHECK(F.Writes == 0);
+  for (std::uint32_t Index = 0; Index < 4; ++Index)
+    F.finish(taskOf(1, Index));
+  F.turn();
+  CHECK(F.Writes == 1);
+}
+
+TEST_CASE("a crash costs at most four rows for a suspect") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  std::string Worker = F.workerOf(taskOf(1));
+  F.Writes = 0;
+  F.Silent.insert(Worker);
+  for (int Turn = 0; Turn < 10; ++Turn)
+    F.turn();
+  // Its run is stored while the worker is silent.
+  CHECK(F.Writes == 1);
+  F.Silent.clear();
+  F.crash(Worker);
+  // Its crash, and the run that is to start next.
+  for (int Turn = 0; Turn < 4; ++Turn)
+    F.turn();
+  CHECK(F.Writes <= 3);
+  // Cleared once that run has lasted.
+  for (int Turn = 0; Turn < 20; ++Turn)
+    F.turn();
+  CHECK(F.Writes <= 4);
+  CHECK(F.crashes(1) == 0);
+}
