Check a worker's capacity again before a reserved run is sent

A worker's capacity may shrink while it runs. Read through each decision that uses it: starts (StartPlan), restarts of stragglers, load and gauges of a pool, runs in flight and runs being stopped use what the worker's entry says now, and an entry that differs in its capacity alone is decoded and reported as changed. One did not: a suspect's run, whose room is reserved while it is being stored, was sent whatever had become of the capacity (LIMIT).

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -77,8 +77,10 @@
     for (const LiveRun &Run : Job.Tasks[T].Runs)
       if (Run.SendAfter != 0 && !Run.Stopping)
         Held.emplace_back(T, Run);
+  // The worker's capacity may have shrunk since the run's room was reserved.
   bool Usable = std::all_of(Held.begin(), Held.end(), [&](const auto &Item) {
-    return canTake(*Owner_.Workers_.at(Item.second.Worker));
+    const WorkerState &W = *Owner_.Workers_.at(Item.second.Worker);
+    return canTake(W) && core::fits(W.Used, W.Entry.Capacity);
   });
   bool Stored = std::all_of(Held.begin(), Held.end(), [&](const auto &Item) {
     return Item.second.SendAfter <= Owner_.StoredMark_;
--- a/tests/adapter/AdapterTest.cpp
+++ b/tests/adapter/AdapterTest.cpp
@@ -39,6 +39,14 @@
   CHECK(Entry.Born == 5);
 }
 
+TEST_CASE("a worker's row carries the capacity that it has now") {
+  std::string Text = Worker;
+  std::string_view Before = R"("Cpu":1000)";
+  Text.replace(Text.find(Before), Before.size(), R"("Cpu":0)");
+  jobs::WorkerEntry Entry = platform::makeRowDecoder().Worker(row("w", Text));
+  CHECK(Entry.Capacity == core::Resources{0, 2, 0});
+}
+
 TEST_CASE("a malformed worker row is rejected") {
   dispatch::RowDecoder Decoder = platform::makeRowDecoder();
   for (const char *Text :
@@ -56,7 +64,7 @@
   auto Facts = [&](const char *From, const std::string &To) {
     std::string Text =
         R"({"ServiceName":"p","Address":"10.0.0.1:80","State":"ready",
-        "ColdRemainingMs":0,"Labels":["\"Sequence\":1"],"born":5,
+        "ColdRemainingMs":0,"Capacity":{"Cpu":1000},"Labels":["\"Sequence\":1"],"born":5,
         "ClockMs":482113,"Sequence":4})";
     std::size_t At = Text.find(From);
     REQUIRE(At != std::string::npos);
@@ -69,6 +77,7 @@
   CHECK(Facts("ready", "draining") != Original);
   CHECK(Facts("\"born\":5", "\"born\":6") != Original);
   CHECK(Facts(":80", ":81") != Original);
+  CHECK(Facts("\"Cpu\":1000", "\"Cpu\":500") != Original);
   CHECK(Facts("\"ColdRemainingMs\":0", "\"ColdRemainingMs\":9") != Original);
   CHECK(Facts("\\\"Sequence\\\":1", "\\\"Sequence\\\":2") != Original);
   CHECK(Facts("482113", "-1") != Original);
