Simulate tasks that crash their workers

An option of the pool simulation: 3 of 100 jobs have a task that crashes its worker 5 to 100 ms after each start, beside ordinary crashes, owners that are lost or go on, partitions, lost and late orders.

It found, while the change was written: an announced run counted as crashed when a new owner learned of an incarnation that was already the run's own. Broken variants that must be detected: crashes forgotten at a takeover, no workers of their own.

The checks of the other options are unchanged.

--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -29,6 +29,10 @@
   NoRoster,
   /// A new owner ignores that stops of earlier owners may still take effect.
   NoStopWait,
+  /// Crashes of workers are forgotten when the pool changes hands.
+  NoCrashMemory,
+  /// Tasks that may crash their workers get no worker of their own.
+  NoIsolation,
 };
 
 struct SimulationOptions {
@@ -39,6 +43,8 @@
   /// The pool has a job of lasting tasks, and workers are closed for some
   /// seconds, which moves these tasks.
   bool LastingTasks = false;
+  /// Some jobs have a task that crashes each worker that starts it.
+  bool CrashingTasks = false;
 };
 
 /// The outcome of one simulated history.
@@ -50,6 +56,15 @@
   std::uint32_t Takeovers = 0;
   /// Stops that ended a lasting task at work.
   std::uint32_t LastingStops = 0;
+  /// Jobs with a task that crashes its workers, and how many of them were given
+  /// up.
+  std::uint32_t CrashingJobs = 0;
+  std::uint32_t GivenUp = 0;
+  /// Jobs without such a task that were given up after a worker had crashed
+  /// under them by itself.
+  std::uint32_t Mistaken = 0;
+  /// Most starts of one task after its third crash.
+  std::uint32_t MostLateStarts = 0;
 };
 
 class PoolSimulation {
@@ -67,6 +82,8 @@
     core::TimePoint StartedAt;
     /// When a lasting task is at work.
     core::TimePoint ReadyAt;
+    /// It crashes its worker at \ref EndsAt.
+    bool Crashes = false;
     /// A stop was accepted; the run ends at \ref EndsAt.
     bool Stopping = false;
   };
@@ -132,6 +149,9 @@
   OrderOutcome start(Worker &W, std::uint64_t Token, const StartOrder &Order);
   ReportResult hold(Worker &W, std::uint64_t Token, const HoldOrder &Order);
   void crash(Worker &W);
+  bool crashesWorkers(const TaskRef &Task) const;
+  void countCrashingStart(const TaskRef &Task);
+  void checkOutcomes();
   void removeMachine();
   void fail(const std::string &What);
   std::vector<WorkerEntry> listed() const;
@@ -159,6 +179,13 @@
   std::map<std::string, WorkerEntry> Roster_;
   /// Tasks of which a worker's end was acknowledged.
   std::set<TaskRef> AcknowledgedTasks_;
+  /// Jobs with a task that crashes its workers.
+  std::set<std::string> CrashingJobs_;
+  /// Crashes under each such task, and its starts since the third.
+  std::map<TaskRef, std::uint32_t> Crashes_;
+  /// Jobs of other tasks under which a worker crashed by itself.
+  std::set<std::string> HitJobs_;
+  std::map<TaskRef, std::uint32_t> LateStarts_;
   std::uint64_t Token_ = 0;
   bool FaultsOver_ = false;
   SimulationResult Result_;
