Follow changes of jobs from the first read of the job table on

Cause: an entry began to follow changed jobs from the read of whichever pool had loaded its progress first. A pool that had read the job table earlier, and was still loading, missed the jobs and cancels in between: a missed job waited for the next owner, a missed cancel let its job start.

Rows that come before a pool is loaded are kept, as before. The test failed before: the version was passed on only once a pool's progress had been read.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -73,19 +73,21 @@
 
 // Loading.
 
-void PoolController::load(std::function<void(std::uint64_t)> Loaded) {
+void PoolController::load(std::function<void(std::uint64_t)> TableRead) {
   auto Self = shared_from_this();
-  Table_.read([Self, Loaded = std::move(Loaded)](
+  Table_.read([Self, TableRead = std::move(TableRead)](
                   std::shared_ptr<const PartAnswer> Answer) {
     if (Self->Dropped_)
       return;
     if (Answer->Outcome == PartOutcome::Ok) {
-      Self->loadProgress(Loaded, std::move(Answer));
+      TableRead(Answer->Version);
+      Self->loadProgress(std::move(Answer));
       return;
     }
     Self->Ctx_.Count.recordRetry("load-jobs");
     Self->logLoadFailure(rows::Jobs, *Answer);
-    Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded] { Self->load(Loaded); });
+    Self->Ctx_.Loop.after(StoreRetry,
+                          [Self, TableRead] { Self->load(TableRead); });
   });
 }
 
@@ -103,27 +105,30 @@
             {"since_ms", core::inMs(bootNow() - TakenAt_)}});
 }
 
-void PoolController::loadProgress(std::function<void(std::uint64_t)> Loaded,
-                                  std::shared_ptr<const PartAnswer> JobTable) {
+void PoolController::loadProgress(std::shared_ptr<const PartAnswer> JobTable) {
   auto Self = shared_from_this();
-  readParts(Ctx_.Store, rows::Progress, {Part_},
-            [Self, Loaded = std::move(Loaded), JobTable](PartAnswer Answer) {
-              Self->Ctx_.Loop.post([Self, Loaded, JobTable,
-                                    Answer = std::move(Answer)] {
-                if (Self->Dropped_)
-                  return;
-                if (Answer.Outcome != PartOutcome::Ok) {
-                  Self->Ctx_.Count.recordRetry("load-progress");
-                  Self->logLoadFailure(rows::Progress, Answer);
-                  Self->Ctx_.Loop.after(StoreRetry, [Self, Loaded, JobTable] {
-                    Self->loadProgress(Loaded, JobTable);
-                  });
-                  return;
-                }
-                Self->restoreState(JobTable->Rows, Answer.Rows);
-                Loaded(JobTable->Version);
-              });
-            });
+  readParts(
+      Ctx_.Store, rows::Progress, {Part_}, [Self, JobTable](PartAnswer Answer) {
+        Self->Ctx_.Loop.post([Self, JobTable, Answer = std::move(Answer)] {
+          Self->onProgressRead(JobTable, Answer);
+        });
+      });
+}
+
+void PoolController::onProgressRead(
+    const std::shared_ptr<const PartAnswer> &JobTable,
+    const PartAnswer &Answer) {
+  if (Dropped_)
+    return;
+  if (Answer.Outcome == PartOutcome::Ok) {
+    restoreState(JobTable->Rows, Answer.Rows);
+    return;
+  }
+  Ctx_.Count.recordRetry("load-progress");
+  logLoadFailure(rows::Progress, Answer);
+  Ctx_.Loop.after(StoreRetry, [Self = shared_from_this(), JobTable] {
+    Self->loadProgress(JobTable);
+  });
 }
 
 void PoolController::restoreState(
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -42,9 +42,10 @@
                  StopQuery Query,
                  std::function<void(const std::string &)> Lost);
 
-  /// Reads the pool's jobs and progress, then starts planning. \p Loaded gets
-  /// the store version from which changes of jobs must be followed.
-  void load(std::function<void(std::uint64_t)> Loaded);
+  /// Reads the pool's jobs and progress, then starts planning. \p TableRead is
+  /// called once the jobs are read, with the store version from which their
+  /// changes must be followed.
+  void load(std::function<void(std::uint64_t)> TableRead);
 
   /// Call when the configuration, the workers or the closed data centres
   /// changed.
@@ -71,8 +72,9 @@
 
 private:
   void logLoadFailure(const char *Table, const store::PartAnswer &Answer);
-  void loadProgress(std::function<void(std::uint64_t)> Loaded,
-                    std::shared_ptr<const store::PartAnswer> JobTable);
+  void loadProgress(std::shared_ptr<const store::PartAnswer> JobTable);
+  void onProgressRead(const std::shared_ptr<const store::PartAnswer> &JobTable,
+                      const store::PartAnswer &Answer);
   void restoreState(const std::vector<store::PartRow> &JobRows,
                     const std::vector<store::PartRow> &ProgressRows);
   void applySettledRow(const store::PartRow &Row);
--- a/tests/dispatch/InMemoryStore.h
+++ b/tests/dispatch/InMemoryStore.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <mutex>
+#include <set>
 
 namespace comfreydeck::tests {
 
@@ -25,6 +26,12 @@
     return ReadCount_;
   }
 
+  /// Reads of the table are not answered well from now on.
+  void failReads(const std::string &Table) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    FailingTables_.insert(Table);
+  }
+
   void commit(store::PartTransaction T, core::Duration,
               store::PartCallback Done) override {
     for (const store::PartWrite &Put : T.Puts)
@@ -32,10 +39,13 @@
     Done(answer([](const store::PartRow &) { return false; }));
   }
   void read(store::PartRange Range, store::PartCallback Done) override {
-    Done(answer([&](const store::PartRow &Row) {
-      return Row.Where.Table == Range.Table && Row.Where.Part == Range.Part &&
-             !Row.Removed;
-    }));
+    if (isFailing(Range.Table))
+      Done({});
+    else
+      Done(answer([&](const store::PartRow &Row) {
+        return Row.Where.Table == Range.Table && Row.Where.Part == Range.Part &&
+               !Row.Removed;
+      }));
   }
   void changes(std::string Table, std::uint64_t After, core::Duration Wait,
                store::PartCallback Done) override {
@@ -47,6 +57,10 @@
   }
 
 private:
+  bool isFailing(const std::string &Table) const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return FailingTables_.count(Table) != 0;
+  }
   template <typename Wanted> store::PartAnswer answer(Wanted IsWanted) {
     std::lock_guard<std::mutex> Lock(Mutex_);
     ++ReadCount_;
@@ -61,6 +75,7 @@
 
   mutable std::mutex Mutex_;
   std::map<store::PartKey, store::PartRow> Rows_;
+  std::set<std::string> FailingTables_;
   std::uint64_t Version_ = 0;
   std::uint32_t ReadCount_ = 0;
 };
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -48,6 +48,7 @@
   std::shared_ptr<PoolController> Controller;
   /// Entries asked to give no more orders. Accessed on the loop's thread only.
   std::set<std::string> AskedToStop;
+  bool IsTableRead = false;
   FleetView View{Ctx, [this](ViewChange) {
                    if (Controller && Controller->isLoaded())
                      Controller->refresh();
@@ -84,7 +85,7 @@
               AskedToStop.insert(Entry);
             },
             [](const std::string &) {});
-        Controller->load([](std::uint64_t) {});
+        Controller->load([this](std::uint64_t) { IsTableRead = true; });
       });
     });
     waitUntil([this] { return Controller && Controller->isLoaded(); });
@@ -145,3 +146,24 @@
   B.on([&] { Asked = B.AskedToStop; });
   CHECK(Asked == std::set<std::string>{"e2"});
 }
+
+TEST_CASE(
+    "changes of jobs are followed from the read of the job table on, also "
+    "while the pool's progress can't be read") {
+  ControllerFixture B;
+  B.waitUntil([&] { return B.IsTableRead; });
+  B.Store.failReads(rows::Progress);
+  bool IsRead = false;
+  std::shared_ptr<PoolController> Other;
+  B.on([&] {
+    Other = std::make_shared<PoolController>(
+        B.Ctx, B.View, B.Jobs, B.JobTable, PoolTakeover{"q", 6, bootNow(), {}},
+        StopQuery(), [](const std::string &) {});
+    Other->load([&](std::uint64_t) { IsRead = true; });
+  });
+  B.waitUntil([&] { return IsRead; });
+  B.on([&] {
+    CHECK_FALSE(Other->isLoaded());
+    Other->drop();
+  });
+}
