Let no worker that joins later hold up a settled owner's tasks

Earlier owners enrol a worker before they start anything there, which fails after the takeover, so a worker that joins a settled pool has no run of theirs: starts and stops both go by having settled once. Nothing is stopped while its job's payload is missing. Both tests failed before. The naive planner of the differential test asks the owner the same question as before, by its new name.

--- a/src/jobs/PoolMetrics.cpp
+++ b/src/jobs/PoolMetrics.cpp
@@ -68,12 +68,12 @@
 }
 
 WaitReason PoolState::waitReason(const JobRecord &Job, std::uint32_t Task,
-                                 bool AllHeard, core::TimePoint Now) const {
+                                 core::TimePoint Now) const {
   if (Job.Advised)
     return WaitReason::Advised;
   if (!MayStart_)
     return WaitReason::Authority;
-  if (Job.Inherited && !AllHeard)
+  if (Job.Inherited && !mayStartInherited(Now))
     return WaitReason::Takeover;
   if (Job.Spec.PayloadMissing)
     return WaitReason::Payload;
@@ -94,11 +94,10 @@
 }
 
 TaskWait PoolState::waitOf(const JobRecord &Job, std::uint32_t Task,
-                           bool AllHeard, core::TimePoint Now,
-                           std::int64_t WallMs) const {
+                           core::TimePoint Now, std::int64_t WallMs) const {
   TaskWait Wait;
   Wait.Task = refOf(Job, Task);
-  Wait.Reason = waitReason(Job, Task, AllHeard, Now);
+  Wait.Reason = waitReason(Job, Task, Now);
   Wait.Age = Now - Job.Tasks[Task].WaitingSince;
   if (Job.Spec.Repetitions > 0) {
     std::int64_t DueMs =
@@ -126,7 +125,6 @@
         Census.UnconfirmedRuns += Run.Confirmed ? 0 : 1;
       }
   }
-  bool AllHeard = allHeard(Now);
   for (const JobRecord *Job : Open_)
     for (std::uint32_t T = 0; T < Job->Tasks.size(); ++T) {
       const TaskState &Task = Job->Tasks[T];
@@ -138,7 +136,7 @@
         if (WallMs < Job->Spec.FirstDueMs + K * Job->Spec.IntervalMs)
           continue;
       }
-      TaskWait Wait = waitOf(*Job, T, AllHeard, Now, WallMs);
+      TaskWait Wait = waitOf(*Job, T, Now, WallMs);
       ++Census.Waiting[jobs::indexOf(Wait.Reason)];
       std::optional<TaskWait> &Longest = stepOf(*Job, T).Lasting
                                              ? Census.LongestLastingWait
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -466,6 +466,12 @@
   /// Whether every worker that may have runs has reported, or was asked in time
   /// and its leases have expired.
   bool allHeard(core::TimePoint Now) const;
+  /// Whether tasks that earlier owners may have started may start. A worker
+  /// that joins a settled owner's pool has no runs of earlier owners: these
+  /// enrol each worker first, which fails after the takeover.
+  bool mayStartInherited(core::TimePoint Now) const {
+    return Settled_ || allHeard(Now);
+  }
   /// Whether a planning round has found \ref allHeard to be true, so that
   /// inherited tasks may start.
   bool isSettled() const { return Settled_; }
@@ -546,10 +552,10 @@
   bool leaseLapsed(const WorkerState &W, core::TimePoint Now) const;
 
   WorkerStatus statusOf(const WorkerState &W, core::TimePoint Now) const;
-  WaitReason waitReason(const JobRecord &Job, std::uint32_t Task, bool AllHeard,
+  WaitReason waitReason(const JobRecord &Job, std::uint32_t Task,
                         core::TimePoint Now) const;
-  TaskWait waitOf(const JobRecord &Job, std::uint32_t Task, bool AllHeard,
-                  core::TimePoint Now, std::int64_t WallMs) const;
+  TaskWait waitOf(const JobRecord &Job, std::uint32_t Task, core::TimePoint Now,
+                  std::int64_t WallMs) const;
   void restartWaits(JobRecord &Job, const TaskPlace &EndedStep);
   void recordStarts(const std::vector<StartOrder> &Starts, core::TimePoint Now);
 
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -190,7 +190,7 @@
 /// Whether a task of the job can be started again once its run has been
 /// stopped.
 bool PoolState::mayRestart(const JobRecord &Job) const {
-  return Settled_ || !Job.Inherited;
+  return !Job.Spec.PayloadMissing && (Settled_ || !Job.Inherited);
 }
 
 /// Stops lasting tasks on closed workers, as many at a time as their steps
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -42,7 +42,8 @@
 } // namespace
 
 StartPlan::StartPlan(PoolState &Owner, const PlanInput &In)
-    : Owner_(Owner), In_(In), AllHeard_(Owner.allHeard(In.Now)) {}
+    : Owner_(Owner), In_(In),
+      MayStartInherited_(Owner.mayStartInherited(In.Now)) {}
 
 void StartPlan::findUsable() {
   Usable_.clear();
@@ -111,7 +112,7 @@
 
 bool StartPlan::isHeldBack(const JobRecord &Job) const {
   return Job.Advised || Job.Spec.PayloadMissing ||
-         (Job.Inherited && !AllHeard_);
+         (Job.Inherited && !MayStartInherited_);
 }
 
 bool StartPlan::mayFit(JobRecord &Job) const {
@@ -377,8 +378,7 @@
   if (!Longest)
     return std::nullopt;
   LongWait Found;
-  Found.Wait =
-      Owner_.waitOf(*Longest, LongestTask, AllHeard_, In_.Now, In_.WallMs);
+  Found.Wait = Owner_.waitOf(*Longest, LongestTask, In_.Now, In_.WallMs);
   Found.Placement = countPlacements(*Longest, LongestTask);
   for (const auto &[Id, W] : Owner_.Workers_)
     Found.Unheard += W->Heard ? 0 : 1;
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -83,7 +83,7 @@
 
   PoolState &Owner_;
   const PlanInput &In_;
-  bool AllHeard_;
+  bool MayStartInherited_;
   std::vector<WorkerState *> Usable_;
   /// Number of workers reserved for tasks that may crash them, and how many may
   /// be.
--- a/tests/jobs/NaiveStarts.cpp
+++ b/tests/jobs/NaiveStarts.cpp
@@ -40,7 +40,7 @@
     std::vector<JobView> All;
     for (const auto &[Id, Job] : Owner_.jobs())
       if (!isFinal(Job->Now) &&
-          (!Job->Inherited || Owner_.allHeard(Input_.In.Now)))
+          (!Job->Inherited || Owner_.mayStartInherited(Input_.In.Now)))
         All.push_back(viewOf(*Job));
     for (const auto &[Id, Job] : Owner_.jobs())
       TeamUse_[Job->Spec.Team] = Owner_.teamUse(Job->Spec.Team);
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -8,6 +8,15 @@
 
 namespace {
 
+/// A report of a run of the first task of the first sample job.
+RunReport inheritedRun() {
+  RunReport Report;
+  Report.Task = {jobId(1), 0, 0, 0};
+  Report.Run = 5;
+  Report.Percent = 100;
+  return Report;
+}
+
 /// Starts a step of two lasting tasks, of which one may be absent, on two of
 /// the workers w1, w2 and w3.
 Orders startTwoLastingTasks(OwnerFixture &B) {
@@ -880,3 +889,38 @@
   CHECK(Later.WaitingCpu == (Counts ? 1000 : 0));
   CHECK(Later.WaitingMemory == (Counts ? 100 : 0));
 }
+
+TEST_CASE(
+    "a worker that joins a settled owner's pool and stays silent keeps no "
+    "inherited task back") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.plan();
+  B.report("w1", {inheritedRun()});
+  B.plan();
+  REQUIRE(B.Owner.isSettled());
+  B.Entries.push_back(sampleWorker("w2"));
+  B.Owner.setWorkers(B.Entries, B.Now);
+  B.advance(milliseconds(100));
+  B.report("w1", {}, {endReportOf(1, {jobId(1), 0, 0, 0}, 5, RunEnd::Stopped)});
+  CHECK(B.plan().Starts.size() == 1);
+}
+
+TEST_CASE("no task is stopped while its job's payload is missing") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Lasting = true;
+  Spec.PayloadMissing = true;
+  B.Owner.inheritJob(Spec, nullptr, B.Now);
+  B.plan();
+  B.report("w1", {inheritedRun()});
+  B.report("w2");
+  B.advance(milliseconds(500));
+  B.report("w1", {inheritedRun()});
+  B.Owner.setClosedWorkers({"w1"});
+  CHECK(B.plan().Stops.empty());
+  B.Owner.setPayload(Spec.Id, "text");
+  CHECK(B.plan().Stops.size() == 1);
+}
