Set an entry's start time before other entries can ask for it

An entry answers how long ago it stopped giving orders for a pool by the time since its start, which was set only once it began to work, after its server for other entries. In between it answered the time since the machine's boot, so that a new owner would not have waited for the leases of the earlier process. The test failed before.

--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -43,12 +43,9 @@
               for (const store::PartRow &Row : Rows)
                 applyJobRow(Row);
             }),
-      JobTable_(Ctx.Loop, Ctx.Store) {}
+      JobTable_(Ctx.Loop, Ctx.Store), StartedAt_(bootNow()) {}
 
-void Ownership::start() {
-  StartedAt_ = bootNow();
-  heartbeat();
-}
+void Ownership::start() { heartbeat(); }
 
 std::shared_ptr<PoolController>
 Ownership::controller(const std::string &Pool) const {
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -93,6 +93,7 @@
   bool Registered_ = false;
   bool HeartbeatInFlight_ = false;
   bool Leaving_ = false;
+  /// No earlier process of this entry runs from then on.
   core::TimePoint StartedAt_;
 };
 
--- a/tests/dispatch/OwnershipTest.cpp
+++ b/tests/dispatch/OwnershipTest.cpp
@@ -124,3 +124,14 @@
   REQUIRE(Second);
   CHECK(*Second >= *First);
 }
+
+TEST_CASE("an entry that has not begun to work yet has stopped no earlier than "
+          "its process started") {
+  core::TimePoint Before = bootNow();
+  OwnershipFixture B;
+  Ownership Other(B.Ctx, B.View);
+  std::optional<core::Duration> For;
+  runOn(B.Loop, [&] { For = Other.stopOrders("p", 1); });
+  REQUIRE(For);
+  CHECK(*For <= bootNow() - Before);
+}
