Try suspects at the same time on workers that need no draining

Up to half of the workers are now used if they have no run to wait for; at most a quarter is drained.

Such a storm still costs much: each guilty task takes three workers down.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-/// At most one in this many usable workers is reserved at a time.
+/// Workers are reserved at a time until one in this many usable ones is, or
+/// twice as many if they need not be drained first.
 constexpr std::size_t WorkersPerReservation = 4;
 /// How long a worker that crashed is avoided for tasks that may crash it: its
 /// own fault may have been the cause.
@@ -185,14 +186,14 @@
 }
 
 void StartPlan::planIsolatedTask(JobRecord &Job, std::uint32_t Task) {
-  if (Reserved_ >= MaxReserved_ || !mayStart(Job, Task) ||
+  if (!mayStart(Job, Task) ||
       !hasTeamRoom(Job, PoolState::stepOf(Job, Task), 1))
     return;
   WorkerState *W = chooseForIsolation(Job, Task);
-  if (!W)
+  bool Clear = W && isClear(*W);
+  if (!W || Reserved_ >= MaxReserved_ * (Clear ? 2 : 1))
     return;
-  if (isClear(*W) &&
-      meetsConstraints(*W, Job, Task, PoolState::stepOf(Job, Task))) {
+  if (Clear && meetsConstraints(*W, Job, Task, PoolState::stepOf(Job, Task))) {
     start(Job, Task, *W, nextRun());
     announce(Job, Task);
   }
