Grant no lease to a worker that may have restarted

After a call to a worker failed, its owner went on to extend the lease by the worker's old clock. A worker that had restarted under its id begins its clock anew, so that it took this for a lease of the longest kind (6 to 10 s), while the owner, and an owner that asks it to stop, wait for 3 s: the runs that it starts there could go on beside others.

Holds extend a lease only once a report has shown which incarnation answers; the next one follows at once. Two lost reports in a row leave runs with what is left of the last lease, as before, since a silent worker gets no extension after 1.8 s either. The test failed before.

--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -65,9 +65,10 @@
     HoldOrder Hold;
     Hold.Worker = Id;
     // Don't extend the lease of a silent worker, so that its runs expire and
-    // can be restarted elsewhere.
-    bool Extend =
-        !W->Tasks.empty() && In.Now - W->ReportedAt < Limits_.ReportStale;
+    // can be restarted elsewhere. On the clock of a worker that has restarted,
+    // the lease would end much later.
+    bool Extend = W->IncarnationConfirmed && !W->Tasks.empty() &&
+                  In.Now - W->ReportedAt < Limits_.ReportStale;
     Hold.DeadlineMs = Extend ? leaseFor(*W, In) : 0;
     // A new incarnation numbers its ends from one again: acknowledging by the
     // old numbers would make it discard unprocessed ends.
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -924,3 +924,26 @@
   B.Owner.setPayload(Spec.Id, "text");
   CHECK(B.plan().Stops.size() == 1);
 }
+
+TEST_CASE("a worker that may have restarted gets no lease before it has "
+          "reported") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  B.answer(Out.Starts[0], OrderOutcome::Accepted);
+  REQUIRE(Out.Holds.size() == 1);
+  CHECK(Out.Holds[0].DeadlineMs > 0);
+  B.dropReport(Out.Holds[0]);
+  B.advance(milliseconds(300));
+  Orders Unconfirmed = B.plan();
+  REQUIRE(Unconfirmed.Holds.size() == 1);
+  CHECK(Unconfirmed.Holds[0].DeadlineMs == 0);
+  B.report("w1", {runReportOf(Out.Starts[0])});
+  Orders Confirmed = B.plan();
+  REQUIRE(Confirmed.Holds.size() == 1);
+  CHECK(Confirmed.Holds[0].DeadlineMs > 0);
+}
