Plan for suspects only where there are any

Each round asked of each worker whether it can take starts once more, to bound reservations for suspects, also when no job has any. It no longer does then.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -149,11 +149,16 @@
 }
 
 void StartPlan::planSuspects() {
-  std::size_t Usable = 0;
-  for (auto &[Id, W] : Owner_.Workers_) {
+  for (auto &[Id, W] : Owner_.Workers_)
     W->Isolated = false;
-    Usable += canTake(*W) ? 1 : 0;
-  }
+  bool AnySuspect =
+      std::any_of(Owner_.Open_.begin(), Owner_.Open_.end(),
+                  [](const JobRecord *Job) { return Job->Suspect; });
+  if (!AnySuspect)
+    return;
+  auto Usable = static_cast<std::size_t>(std::count_if(
+      Owner_.Workers_.begin(), Owner_.Workers_.end(),
+      [this](const auto &Item) { return canTake(*Item.second); }));
   MaxReserved_ = std::max<std::size_t>(Usable / WorkersPerReservation, 1);
   for (JobRecord *Job : Owner_.Open_) {
     if (!Job->Suspect)
