--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -13,6 +13,7 @@
 JobRecord &PoolState::makeJob(const JobSpec &Spec, core::TimePoint Now) {
   auto Job = std::make_unique<JobRecord>();
   Job->Spec = Spec;
+  MissingPayloads_ += Spec.PayloadMissing ? 1 : 0;
   Job->KnownSince = Now;
   std::uint32_t Begin = 0;
   for (const StepSpec &Step : Spec.Steps) {
@@ -120,6 +121,8 @@
 
 std::vector<std::string> PoolState::jobsWithoutPayload() const {
   std::vector<std::string> Ids;
+  if (MissingPayloads_ == 0)
+    return Ids;
   for (const JobRecord *Job : Open_)
     if (Job->Spec.PayloadMissing)
       Ids.push_back(Job->Spec.Id);
@@ -132,6 +135,7 @@
     return;
   Job->Spec.Payload = std::move(Payload);
   Job->Spec.PayloadMissing = false;
+  --MissingPayloads_;
 }
 
 void PoolState::dropFinished(std::int64_t AcceptedBeforeMs) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -590,6 +590,8 @@
   std::unordered_map<std::string, std::unique_ptr<WorkerState>> Workers_;
   /// Jobs that have not ended, in no particular order.
   std::vector<JobRecord *> Open_;
+  /// Upper bound on the number of open jobs whose payload is missing.
+  std::size_t MissingPayloads_ = 0;
   /// Jobs that have ended, by acceptance time.
   std::set<std::pair<std::int64_t, JobRecord *>> Finished_;
   std::deque<JobRecord *> Changed_;
