--- a/tests/dispatch/EarlierOwnersTest.cpp
+++ b/tests/dispatch/EarlierOwnersTest.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-/// Owners that were asked, with their callbacks in the order of the questions.
+/// A question to an entry, and the callback for its answer.
 struct Question {
   std::string Entry;
   std::function<void(std::optional<core::Duration>)> Done;
--- a/tests/dispatch/InMemoryStore.h
+++ b/tests/dispatch/InMemoryStore.h
@@ -26,7 +26,7 @@
     return ReadCount_;
   }
 
-  /// Reads of the table are not answered well from now on.
+  /// From now on, reads of the table fail.
   void failReads(const std::string &Table) {
     std::lock_guard<std::mutex> Lock(Mutex_);
     FailingTables_.insert(Table);
