--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -37,7 +37,8 @@
   return Runs.size();
 }
 
-/// Runs on the worker that had not lasted when it last gave a sign of life.
+/// Runs on the worker that were younger than the suspicion age at its last
+/// answer.
 std::vector<SuspectRun> PoolState::suspectsOn(const WorkerState &W) const {
   std::vector<SuspectRun> Suspects;
   for (const auto &[Job, Task] : W.Tasks)
@@ -142,7 +143,7 @@
   endJob(*Job, JobState::Failed);
 }
 
-/// Acquits the task once one of its runs has lasted.
+/// Clears the crashes of the task once one of its runs has lasted.
 void PoolState::clearSuspicion(JobRecord &Job, std::uint32_t Task,
                                const LiveRun &Run, core::TimePoint Now) {
   if (!Job.Suspect || Run.Stopping ||
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -310,7 +310,7 @@
     Score -= BesideSuspectPenalty;
   if (!isSuspect(Job, Task))
     return Score;
-  // Fewer neighbours lose their runs, and fewer suspects share the blame.
+  // A crash then ends fewer other runs and has fewer possible causes.
   Score -= RunBesideSuspectPenalty * static_cast<double>(W.Tasks.size());
   if (Others != Suspects_.end())
     Score -= SuspectsTogetherPenalty;
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-/// A report of a run of the first task of the first sample job.
-RunReport inheritedRun() {
+/// A report of a run of one task of the first sample job.
+RunReport inheritedRun(std::uint32_t Index = 0) {
   RunReport Report;
-  Report.Task = {jobId(1), 0, 0, 0};
-  Report.Run = 5;
+  Report.Task = {jobId(1), 0, 0, Index};
+  Report.Run = 5 + Index;
   Report.Percent = 100;
   return Report;
 }
@@ -335,12 +335,7 @@
   Spec.Steps[0].AbsenceAllowance = 1;
   B.Owner.inheritJob(Spec, nullptr, B.Now);
   B.plan();
-  std::vector<RunReport> Runs(2);
-  for (std::uint32_t Index = 0; Index < Runs.size(); ++Index) {
-    Runs[Index].Task = {jobId(1), 0, 0, Index};
-    Runs[Index].Run = 5 + Index;
-    Runs[Index].Percent = 100;
-  }
+  RunReport Runs[] = {inheritedRun(0), inheritedRun(1)};
   B.report("w1", {Runs[0]});
   B.report("w2", {Runs[1]});
   B.Owner.setClosedWorkers({"w1"});
@@ -368,12 +363,7 @@
   Spec.Steps[0].AbsenceAllowance = 1;
   B.Owner.inheritJob(Spec, nullptr, B.Now);
   B.plan();
-  std::vector<RunReport> Runs(2);
-  for (std::uint32_t Index = 0; Index < Runs.size(); ++Index) {
-    Runs[Index].Task = {jobId(1), 0, 0, Index};
-    Runs[Index].Run = 5 + Index;
-    Runs[Index].Percent = 100;
-  }
+  RunReport Runs[] = {inheritedRun(0), inheritedRun(1)};
   auto ReportRuns = [&] {
     B.report("w1", {Runs[0]});
     B.report("w2", {Runs[1]});
