Deliver answers after a pause, and let no message or exception end a process

The client now ends calls itself, after it has read what arrived. - An order decided before a pause was sent after it. Calls carry a limit for their sending, on the clock that counts suspension, looked at when the connection is ready; orders on machines look at the authority again after the pool's owner has answered. - A field of the wrong type in another entry's answer ended the process, as did any exception on the control or the client's thread, and a row that can't be decoded ended the reading of its table. Parts of a team's limit: a pool without tasks of the team kept up to three sixteenths; it keeps one now, and an owner that has not heard every worker gives nothing back. Heartbeats of the entries are spread over 8 partitions, and entries without pools read the workers' list every 15 s instead of 3.

--- a/src/dispatch/Context.cpp
+++ b/src/dispatch/Context.cpp
@@ -16,6 +16,21 @@
   return Parts;
 }
 
+std::string entryPart(const std::string &Entry) {
+  // All entries must agree on the partition, so no hash of this process.
+  std::uint32_t Sum = 0;
+  for (char Letter : Entry)
+    Sum = Sum * 31 + static_cast<unsigned char>(Letter);
+  return EntryPrefix + std::to_string(Sum % EntryParts);
+}
+
+std::vector<std::string> entryParts() {
+  std::vector<std::string> Parts;
+  for (std::uint32_t N = 0; N < EntryParts; ++N)
+    Parts.push_back(EntryPrefix + std::to_string(N));
+  return Parts;
+}
+
 std::string poolPart(const std::string &Pool) { return PoolPrefix + Pool; }
 
 } // namespace comfreydeck::dispatch::rows
--- a/src/dispatch/Context.h
+++ b/src/dispatch/Context.h
@@ -41,6 +41,9 @@
 /// Entries, pool owners and the allotments of teams in each pool.
 inline constexpr const char *Control = "control";
 inline constexpr const char *EntryPrefix = "entry/";
+/// Partitions of the entries' rows, which are written all the time: one alone
+/// takes 250 transactions a second, the heartbeats of some 170 entries.
+inline constexpr std::uint32_t EntryParts = 8;
 inline constexpr const char *LimitsPart = "limits";
 inline constexpr const char *PoolPrefix = "pool/";
 inline constexpr const char *OwnerKey = "owner";
@@ -61,6 +64,8 @@
 std::string jobPart(const std::string &JobId);
 std::vector<std::string> jobParts();
 std::string poolPart(const std::string &Pool);
+std::string entryPart(const std::string &Entry);
+std::vector<std::string> entryParts();
 
 } // namespace rows
 
--- a/src/dispatch/EntryMonitor.cpp
+++ b/src/dispatch/EntryMonitor.cpp
@@ -12,7 +12,8 @@
 net::HttpCounts operator-(const net::HttpCounts &A, const net::HttpCounts &B) {
   return {A.Calls - B.Calls,       A.Connects - B.Connects,
           A.NotSent - B.NotSent,   A.NotSentInTime - B.NotSentInTime,
-          A.TimedOut - B.TimedOut, A.Cut - B.Cut};
+          A.TimedOut - B.TimedOut, A.Cut - B.Cut,
+          A.BytesIn - B.BytesIn,   A.HandlerFailed - B.HandlerFailed};
 }
 
 /// Formats the non-zero counts as "name=count name=count".
@@ -24,7 +25,8 @@
       {"not-sent-in-time", Counts.NotSentInTime},
       {"timed-out", Counts.TimedOut},
       {"cut", Counts.Cut},
-      {"bytes-in", Counts.BytesIn}};
+      {"bytes-in", Counts.BytesIn},
+      {"handler-failed", Counts.HandlerFailed}};
   std::string Text;
   for (const auto &[Name, Count] : Named)
     if (Count > 0)
@@ -43,7 +45,8 @@
       {"loop_wait_most_ms", core::inMs(F.Loop.Waits.Max)},
       {"loop_run_most_ms", core::inMs(F.Loop.Runs.Max)},
       {"loop_busy",
-       core::inMs(F.Loop.Busy) / std::max(core::inMs(F.Period), 1.0)}};
+       core::inMs(F.Loop.Busy) / std::max(core::inMs(F.Period), 1.0)},
+      {"loop_failures", F.Loop.Failures}};
   for (std::size_t T = 0; T < net::HttpTargetCount; ++T)
     if (F.Calls[T].Calls > 0)
       Fields.emplace_back(net::nameOf(static_cast<net::HttpTarget>(T)),
--- a/src/dispatch/FleetControl.cpp
+++ b/src/dispatch/FleetControl.cpp
@@ -41,10 +41,10 @@
 FleetControl::FleetControl(Context &Ctx, FleetView &View, Ownership &Owners,
                            Peers &PeerCalls)
     : Ctx_(Ctx), View_(View), Owners_(Owners), Peers_(PeerCalls), Cache_(Ctx),
-      Rebalancer_(Ctx, View, PeerCalls, Cache_) {
-  Rebalancer_.setMaintenanceCheck(
-      [this](const std::string &Machine) { return isInMaintenance(Machine); });
-}
+      Rebalancer_(
+          Ctx, View, PeerCalls, Cache_,
+          {[this](const std::string &Id) { return isInMaintenance(Id); },
+           [this] { return mayOrder(); }}) {}
 
 void FleetControl::start() {
   if (Ctx_.Machines)
--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -18,10 +18,15 @@
 /// Workers renew their rows constantly, so a long poll would return at once.
 /// Bounds the delay until a leaving worker is seen.
 constexpr milliseconds WorkerPause(250);
-/// Used by entries that own no pool; taking a pool triggers an immediate read.
-constexpr milliseconds WorkerIdlePause(3000);
+/// Used by entries that own no pool, which need no workers; taking a pool
+/// triggers an immediate read. Below the time for which the store keeps
+/// changes.
+constexpr milliseconds WorkerIdlePause(15000);
 /// Bounds the delay until a lost owner is detected, and the reads per second.
 constexpr milliseconds ControlPause(400);
+/// Used while a team's tasks wait for a part of its limit that another pool may
+/// give back.
+constexpr milliseconds ControlWaitPause(100);
 /// After a longer gap between reads, old heartbeats are the fault of the reads
 /// and not of the other entries.
 constexpr milliseconds MaxReadGap(1500);
@@ -78,8 +83,9 @@
 }
 
 std::vector<std::string> FleetView::controlParts() const {
-  std::vector<std::string> Parts = {"", rows::LimitsPart,
-                                    rows::poolPart(rows::FleetControl)};
+  std::vector<std::string> Parts = rows::entryParts();
+  Parts.push_back(rows::LimitsPart);
+  Parts.push_back(rows::poolPart(rows::FleetControl));
   if (Config_)
     for (const jobs::Pool &Pool : Config_->Pools)
       Parts.push_back(rows::poolPart(Pool.Name));
@@ -101,7 +107,7 @@
   OperatorRow Decoded;
   try {
     Decoded = Ctx_.Rows.Operator(Row);
-  } catch (const std::invalid_argument &E) {
+  } catch (const std::exception &E) {
     logEvent("operator_row_unreadable",
              {{"key", Row.Where.Key}, {"error", E.what()}});
     return;
@@ -166,7 +172,7 @@
     return false;
   try {
     Listed_[Id] = {Ctx_.Rows.Worker(Row), std::move(StrippedValue)};
-  } catch (const std::invalid_argument &E) {
+  } catch (const std::exception &E) {
     logEvent("worker_row_unreadable", {{"worker", Id}, {"error", E.what()}});
     return false;
   }
@@ -205,7 +211,7 @@
   const std::string &Part = Row.Where.Part;
   const std::string &Key = Row.Where.Key;
   try {
-    if (Part.empty() && Key.starts_with(rows::EntryPrefix)) {
+    if (Part.starts_with(rows::EntryPrefix)) {
       std::string Name = Key.substr(std::string_view(rows::EntryPrefix).size());
       if (Row.Removed) {
         Entries_.erase(Name);
@@ -215,14 +221,11 @@
       Entry.ChangedAt = bootNow();
       Entries_[Name] = Entry;
     } else if (Part == rows::LimitsPart) {
-      if (Row.Removed)
-        Allotments_.erase(Key);
-      else if (Row.Version > Allotments_[Key].Version)
-        Allotments_[Key] = decodeAllotment(Row);
+      applyAllotmentRow(Key, Row);
     } else if (Key == rows::OwnerKey) {
       setPool(decodeOwner(Row));
     }
-  } catch (const Json::exception &E) {
+  } catch (const std::exception &E) {
     logEvent("control_row_unreadable", {{"key", Key}, {"error", E.what()}});
   }
 }
@@ -273,6 +276,10 @@
   Workers_.setPause(Closely ? WorkerPause : WorkerIdlePause);
 }
 
+void FleetView::followControlClosely(bool Closely) {
+  Control_.setPause(Closely ? ControlWaitPause : ControlPause);
+}
+
 void FleetView::whenWorkersRead(std::function<void()> Done) {
   Workers_.whenCurrent(std::move(Done));
 }
@@ -290,6 +297,19 @@
     Known = std::move(Allotment);
 }
 
+void FleetView::applyAllotmentRow(const std::string &Team,
+                                  const store::PartRow &Row) {
+  if (Row.Removed) {
+    Allotments_.erase(Team);
+    return;
+  }
+  try {
+    setAllotment(Team, decodeAllotment(Row));
+  } catch (const Json::exception &E) {
+    logEvent("control_row_unreadable", {{"key", Team}, {"error", E.what()}});
+  }
+}
+
 std::string FleetView::ownerValue(const std::string &Name,
                                   const std::string &Life,
                                   const jobs::OwnerHistory &Earlier) {
--- a/src/dispatch/FleetView.h
+++ b/src/dispatch/FleetView.h
@@ -61,6 +61,7 @@
   /// Sets whether to read the worker list at short intervals; only owners of
   /// pools need it up to date.
   void followWorkersClosely(bool Closely);
+  void followControlClosely(bool Closely);
   /// Calls \p Done after a new read of the worker list.
   void whenWorkersRead(std::function<void()> Done);
 
@@ -68,6 +69,9 @@
   /// back.
   void setPool(jobs::PoolView Pool);
   void setAllotment(const std::string &Team, TeamAllotment Allotment);
+  /// Applies a row of a team's allotments; one that can't be decoded is logged
+  /// and ignored.
+  void applyAllotmentRow(const std::string &Team, const store::PartRow &Row);
 
   /// Encode and decode the control rows of this product.
   static std::string ownerValue(const std::string &Name,
--- a/src/dispatch/JobApi.cpp
+++ b/src/dispatch/JobApi.cpp
@@ -77,18 +77,26 @@
   C->Respond = std::move(Respond);
   try {
     C->Asked = Ctx_.Codec.Decode(Request);
-  } catch (const std::invalid_argument &) {
+  } catch (const std::exception &) {
     Ctx_.Loop.post([this, C] { refuse(C, StatusBad, "malformed-request"); });
     return;
   }
   if (C->Asked.Kind == CallKind::Submit) {
     try {
       Ctx_.Codec.Job(C->Asked.Body, C->Spec);
-    } catch (const std::invalid_argument &E) {
+    } catch (const std::exception &E) {
       C->JobFault = E.what();
     }
   }
-  Ctx_.Loop.post([this, C] { handle(C); });
+  Ctx_.Loop.post([this, C] {
+    try {
+      handle(C);
+    } catch (const std::exception &E) {
+      // Whether the call has had an effect is not known here.
+      logEvent("call_failed", {{"job", C->JobId}, {"error", E.what()}});
+      refuse(C, StatusUnknown, "internal-error");
+    }
+  });
 }
 
 bool JobApi::isCurrent() const {
@@ -266,7 +274,7 @@
           continue;
         try {
           Found(codec::decodeJob(Row.Value));
-        } catch (const std::invalid_argument &E) {
+        } catch (const std::exception &E) {
           logEvent("job_row_unreadable",
                    {{"job", C->JobId}, {"error", E.what()}});
           refuse(C, StatusUnavailable, "job-row-unreadable");
@@ -291,7 +299,7 @@
       try {
         if (!Answer.Rows.empty())
           State = codec::decodeProgress(Answer.Rows.front().Value).State;
-      } catch (const std::invalid_argument &E) {
+      } catch (const std::exception &E) {
         logEvent("progress_row_unreadable",
                  {{"job", C->JobId}, {"error", E.what()}});
         refuse(C, StatusUnavailable, "progress-row-unreadable");
--- a/src/dispatch/JobMetrics.cpp
+++ b/src/dispatch/JobMetrics.cpp
@@ -79,6 +79,9 @@
   GaugeFamily &LoopBusy = gauges(
       Registry, "comfreydeck_job_loop_busy_share",
       "Estimated share of the last period in which the control thread worked");
+  CounterFamily &LoopFailures =
+      counters(Registry, "comfreydeck_job_loop_failures_total",
+               "Functions of the control thread that ended with an exception");
   CounterFamily &Calls =
       counters(Registry, "comfreydeck_job_http_total",
                "Calls that ended and what became of them by kind of host");
@@ -233,12 +236,17 @@
   I.LoopWaitMost.Add({}).Set(inSeconds(F.Loop.Waits.Max));
   double Period = std::max(inSeconds(F.Period), 1 / MsInSecond);
   I.LoopBusy.Add({}).Set(inSeconds(F.Loop.Busy) / Period);
+  I.LoopFailures.Add({}).Increment(static_cast<double>(F.Loop.Failures));
   for (std::size_t T = 0; T < net::HttpTargetCount; ++T) {
     const net::HttpCounts &C = F.Calls[T];
     const std::pair<const char *, std::uint64_t> Named[] = {
-        {"call", C.Calls},         {"connect", C.Connects},
-        {"not-sent", C.NotSent},   {"not-sent-in-time", C.NotSentInTime},
-        {"timed-out", C.TimedOut}, {"cut", C.Cut}};
+        {"call", C.Calls},
+        {"connect", C.Connects},
+        {"not-sent", C.NotSent},
+        {"not-sent-in-time", C.NotSentInTime},
+        {"timed-out", C.TimedOut},
+        {"cut", C.Cut},
+        {"handler-failed", C.HandlerFailed}};
     const char *Target = net::nameOf(static_cast<net::HttpTarget>(T));
     for (const auto &[What, Count] : Named)
       if (Count > 0)
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -15,7 +15,7 @@
 /// An entry whose heartbeat is older than two periods is asked whether it still
 /// works on its pools; it loses them if it doesn't answer.
 constexpr milliseconds HeartbeatPeriod(700);
-constexpr milliseconds HeartbeatTimeout(1600);
+static_assert(Ownership::HeartbeatTimeout > 2 * HeartbeatPeriod);
 /// Pause before an owner that has answered is asked again.
 constexpr milliseconds ProbePause(600);
 constexpr milliseconds StoreTimeout(1500);
@@ -79,8 +79,9 @@
   HeartbeatInFlight_ = true;
   jobs::EntryView Me = self();
   store::PartTransaction T;
-  T.Puts.push_back({{rows::Control, "", rows::EntryPrefix + Me.Name},
-                    FleetView::entryValue(Me, ++HeartbeatCount_)});
+  T.Puts.push_back(
+      {{rows::Control, rows::entryPart(Me.Name), rows::EntryPrefix + Me.Name},
+       FleetView::entryValue(Me, ++HeartbeatCount_)});
   Ctx_.Store.commit(std::move(T), HeartbeatWriteTimeout,
                     [this](PartAnswer Answer) {
                       Ctx_.Loop.post([this, Outcome = Answer.Outcome] {
@@ -264,7 +265,14 @@
       for (const store::PartRow &Row : Answer.Rows) {
         if (Row.Where.Key != rows::OwnerKey)
           continue;
-        jobs::PoolView Owner = FleetView::decodeOwner(Row);
+        jobs::PoolView Owner;
+        try {
+          Owner = FleetView::decodeOwner(Row);
+        } catch (const std::exception &E) {
+          logEvent("control_row_unreadable",
+                   {{"key", Row.Where.Key}, {"error", E.what()}});
+          break;
+        }
         View_.setPool(Owner);
         bool Mine = Owner.OwnerName == Ctx_.Settings.Name &&
                     Owner.OwnerLife == Ctx_.Life;
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -31,6 +31,11 @@
   /// fleet.
   bool isFleetReclaimed() const { return FleetReclaimed_; }
 
+  /// This entry, as the others see it.
+  jobs::EntryView self() const;
+  /// An entry whose heartbeat is older counts as possibly lost.
+  static constexpr std::chrono::milliseconds HeartbeatTimeout{1600};
+
   /// Asks the pool's owner, as named in the store, whether it still works on
   /// the pool and reaches the store.
   using ProbeOwner =
@@ -54,7 +59,6 @@
 private:
   void heartbeat();
   void writeHeartbeat();
-  jobs::EntryView self() const;
   void takePools();
   void reclaimPools();
   bool wasJustLost(const std::string &Pool) const;
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -3,6 +3,7 @@
 #include "codec/JobJson.h"
 #include "dispatch/Clock.h"
 #include "dispatch/EventLog.h"
+#include "dispatch/PeerPaths_p.h"
 
 #include <nlohmann/json.hpp>
 
@@ -19,7 +20,6 @@
 /// An owner whose last read is older can't reach the store: reads come every
 /// 0.4 s, and take 0.4 s when the store is slow.
 constexpr std::chrono::milliseconds ReachesStore(1800);
-constexpr const char *Path = "/v1/pool";
 constexpr int StatusOk = 200;
 constexpr int StatusBad = 400;
 constexpr int StatusNotOwner = 409;
@@ -54,15 +54,9 @@
   return Load;
 }
 
-OwnerAnswer decode(const net::HttpResult &Result) {
+/// Throws Json::exception if a field has the wrong type.
+OwnerAnswer decodeFields(const Json &Object) {
   OwnerAnswer Answer;
-  bool Ok = Result.End == core::ExchangeEnd::Answered &&
-            Result.Response.Status == StatusOk;
-  if (!Ok)
-    return Answer;
-  Json Object = Json::parse(Result.Response.Body, nullptr, false);
-  if (!Object.is_object())
-    return Answer;
   Answer.Answered = true;
   Answer.Known = Object.value("known", false);
   Answer.State = static_cast<jobs::JobState>(
@@ -80,6 +74,23 @@
   return Answer;
 }
 
+/// A response that can't be decoded counts as none.
+OwnerAnswer decode(const net::HttpResult &Result) {
+  bool Ok = Result.End == core::ExchangeEnd::Answered &&
+            Result.Response.Status == StatusOk;
+  if (!Ok)
+    return {};
+  Json Object = Json::parse(Result.Response.Body, nullptr, false);
+  if (!Object.is_object())
+    return {};
+  try {
+    return decodeFields(Object);
+  } catch (const Json::exception &E) {
+    logEvent("peer_answer_unreadable", {{"error", E.what()}});
+    return {};
+  }
+}
+
 } // namespace
 
 Peers::Peers(Context &Ctx, FleetView &View, Ownership &Owners)
@@ -108,7 +119,7 @@
   net::HttpCall Call;
   Call.Target = net::HttpTarget::Peer;
   Call.Method = "POST";
-  Call.Url = "http://" + Address + Path;
+  Call.Url = "http://" + Address + paths::Pool;
   Call.Body = std::move(Body);
   Call.ConnectLimit = ConnectLimit;
   Call.TotalLimit = AskLimit;
@@ -241,7 +252,7 @@
 
 net::HttpResponse Peers::handle(const net::HttpRequest &Request) {
   Json Object = Json::parse(Request.Body, nullptr, false);
-  if (Request.Path != Path || !Object.is_object())
+  if (Request.Path != paths::Pool || !Object.is_object())
     return net::jsonResponse(StatusBad, "{}");
   try {
     std::string Pool = Object.at("pool").get<std::string>();
--- a/src/dispatch/PoolRebalancer.cpp
+++ b/src/dispatch/PoolRebalancer.cpp
@@ -22,8 +22,9 @@
 } // namespace
 
 PoolRebalancer::PoolRebalancer(Context &Ctx, FleetView &View, Peers &PeerCalls,
-                               MachineCache &Cache)
-    : Ctx_(Ctx), View_(View), Peers_(PeerCalls), Cache_(Cache) {}
+                               MachineCache &Cache, FleetChecks Checks)
+    : Ctx_(Ctx), View_(View), Peers_(PeerCalls), Cache_(Cache),
+      Checks_(std::move(Checks)) {}
 
 void PoolRebalancer::reset() {
   Token_ = 0;
@@ -92,7 +93,7 @@
       continue;
     ++At->second.Machines;
     if (Moving != PendingMoves_.end() || M.State != MachineState::Up ||
-        InMaintenance_(Id))
+        Checks_.InMaintenance(Id))
       continue;
     const std::vector<std::string> &Idle = Loads_[In].Load.Idle;
     bool IsIdle = At->second.Standby ||
@@ -142,8 +143,11 @@
 }
 
 void PoolRebalancer::sendOrder(const jobs::MachineMove &Move) {
-  if (Token_ == 0)
+  // The pool's owner may have answered after this entry lost the fleet.
+  if (Token_ == 0 || !Checks_.MayOrder()) {
+    PendingMoves_.erase(Move.Machine);
     return;
+  }
   logEvent("move", {{"machine", Move.Machine},
                     {"from", Move.From},
                     {"to", Move.To},
--- a/src/dispatch/PoolRebalancer.h
+++ b/src/dispatch/PoolRebalancer.h
@@ -7,22 +7,25 @@
 
 namespace comfreydeck::dispatch {
 
+/// What the owner of the fleet knows beside pools and machines.
+struct FleetChecks {
+  /// Whether a maintenance wave is using the machine.
+  std::function<bool(const std::string &Machine)> InMaintenance;
+  /// Whether no other entry can be giving orders now.
+  std::function<bool()> MayOrder;
+};
+
 /// Moves machines to the pools that need them, at the entry that owns the
 /// fleet. Runs on the loop's thread.
 class PoolRebalancer {
 public:
   PoolRebalancer(Context &Ctx, FleetView &View, Peers &PeerCalls,
-                 MachineCache &Cache);
+                 MachineCache &Cache, FleetChecks Checks);
 
   /// Requests the pools' loads and orders the resulting moves.
   void tick(std::uint64_t Token);
   /// Forgets all moves in progress; call when the token changed.
   void reset();
-  /// Whether a maintenance wave is using the machine.
-  using MaintenanceCheck = std::function<bool(const std::string &)>;
-  void setMaintenanceCheck(MaintenanceCheck InMaintenance) {
-    InMaintenance_ = std::move(InMaintenance);
-  }
 
 private:
   /// A machine that is moving to a pool.
@@ -44,7 +47,7 @@
   FleetView &View_;
   Peers &Peers_;
   MachineCache &Cache_;
-  MaintenanceCheck InMaintenance_;
+  FleetChecks Checks_;
   std::uint64_t Token_ = 0;
   std::map<std::string, OwnerLoad> Loads_;
   std::map<std::string, core::TimePoint> SurplusSince_;
--- a/src/dispatch/TableFollower.cpp
+++ b/src/dispatch/TableFollower.cpp
@@ -184,11 +184,22 @@
     Version_ = std::max(All ? 0 : Version_, Answer.Version);
   CurrentAt_ = SentAt;
   if (All || !Answer.Rows.empty())
-    Rows_(Answer.Rows, All);
+    passRows(Answer.Rows, All);
   notifyWaiters();
   scheduleRead(Waiters_.empty() ? Options_.Pause : core::Duration::zero());
 }
 
+/// A row that can't be handled must not end the reading of the table.
+void TableFollower::passRows(const std::vector<store::PartRow> &Rows,
+                             bool All) {
+  try {
+    Rows_(Rows, All);
+  } catch (const std::exception &E) {
+    logEvent("rows_not_applied",
+             {{"table", Options_.Table}, {"error", E.what()}});
+  }
+}
+
 void TableFollower::scheduleRead(core::Duration Pause) {
   if (Pause == core::Duration::zero()) {
     Loop_.post([this] { sendRead(); });
--- a/src/dispatch/TableFollower.h
+++ b/src/dispatch/TableFollower.h
@@ -64,6 +64,7 @@
   void readChanges(core::TimePoint SentAt);
   void handleAnswer(const store::PartAnswer &Answer, bool All,
                     core::TimePoint SentAt);
+  void passRows(const std::vector<store::PartRow> &Rows, bool All);
   void scheduleRead(core::Duration Pause);
   void endPause();
   void notifyWaiters();
--- a/src/dispatch/TeamAllotments.cpp
+++ b/src/dispatch/TeamAllotments.cpp
@@ -32,10 +32,12 @@
   if (!Config || !View_.isSynced())
     return;
   apply();
+  bool Lacking = false;
   for (const auto &[Name, Team] : Config->Teams)
     for (const auto &[Pool, Controller] : Owners_.controllers())
       if (isBounded(Team.UpperLimit) && Controller->isLoaded())
-        adjust(Team, *Controller);
+        Lacking = !adjust(Team, *Controller) || Lacking;
+  View_.followControlClosely(Lacking);
 }
 
 void TeamAllotments::apply() {
@@ -57,41 +59,47 @@
   }
 }
 
-void TeamAllotments::adjust(const jobs::Team &Team,
+/// Returns false if the team's tasks need more than the pool can get now.
+bool TeamAllotments::adjust(const jobs::Team &Team,
                             const PoolController &Controller) {
   if (PendingWrites_.count(Team.Name) != 0)
-    return;
+    return true;
   TeamAllotment Next;
   auto Stored = View_.allotments().find(Team.Name);
   if (Stored != View_.allotments().end())
     Next = Stored->second;
   const std::string &Pool = Controller.state().pool();
-  core::Resources Wanted = jobs::wantedPart(
-      Pool, Next.ByPool, Team.UpperLimit, Controller.state().teamUse(Team.Name),
-      Controller.state().teamDemand(Team.Name));
+  core::Resources Use = Controller.state().teamUse(Team.Name);
+  core::Resources Demand = Controller.state().teamDemand(Team.Name);
+  core::Resources Wanted =
+      jobs::wantedPart(Pool, Next.ByPool, Team.UpperLimit, Use, Demand);
+  // Runs of earlier owners that are not known yet count as well.
+  if (!Controller.state().isSettled())
+    Wanted = jobs::largerOf(Wanted, Next.ByPool[Pool]);
   if (Wanted == Next.ByPool[Pool])
-    return;
+    return jobs::covers(Wanted, Team.UpperLimit, Use, Demand);
   Next.ByPool[Pool] = Wanted;
   PendingWrites_.insert(Team.Name);
   store::PartKey Key = {rows::Control, rows::LimitsPart, Team.Name};
   store::PartTransaction T;
   T.Conditions.push_back({Key, Next.Version});
   T.Puts.push_back({Key, FleetView::allotmentValue(Next)});
-  Ctx_.Store.commit(
-      std::move(T), StoreTimeout,
-      [this, Name = Team.Name, Next](PartAnswer Answer) {
-        Ctx_.Loop.post([this, Name, Next, Answer = std::move(Answer)] {
-          PendingWrites_.erase(Name);
-          if (Answer.Outcome == PartOutcome::Ok) {
-            TeamAllotment Mine = Next;
-            Mine.Version = Answer.Version;
-            View_.setAllotment(Name, Mine);
-            apply();
-          }
-          for (const store::PartRow &Row : Answer.Rows)
-            View_.setAllotment(Name, FleetView::decodeAllotment(Row));
-        });
-      });
+  Ctx_.Store.commit(std::move(T), StoreTimeout,
+                    [this, Name = Team.Name, Next](PartAnswer Answer) {
+                      Ctx_.Loop.post(
+                          [this, Name, Next, Answer = std::move(Answer)] {
+                            PendingWrites_.erase(Name);
+                            if (Answer.Outcome == PartOutcome::Ok) {
+                              TeamAllotment Mine = Next;
+                              Mine.Version = Answer.Version;
+                              View_.setAllotment(Name, Mine);
+                              apply();
+                            }
+                            for (const store::PartRow &Row : Answer.Rows)
+                              View_.applyAllotmentRow(Name, Row);
+                          });
+                    });
+  return true;
 }
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/TeamAllotments.h
+++ b/src/dispatch/TeamAllotments.h
@@ -17,7 +17,7 @@
 
 private:
   void tick();
-  void adjust(const jobs::Team &Team, const PoolController &Controller);
+  bool adjust(const jobs::Team &Team, const PoolController &Controller);
 
   Context &Ctx_;
   FleetView &View_;
--- a/src/jobs/TeamAllotment.cpp
+++ b/src/jobs/TeamAllotment.cpp
@@ -1,6 +1,7 @@
 #include "jobs/TeamAllotment.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 
 namespace comfreydeck::jobs {
@@ -64,13 +65,31 @@
     std::uint64_t Asked = std::uint64_t{Use.*Kind} + Demand.*Kind;
     std::uint64_t Goal = std::min(Asked + Bound / SpareDivisor, Bound);
     std::uint64_t Part = Mine64;
+    // A pool without tasks of the team keeps no more than its spare.
+    std::uint64_t Slack = Asked == 0 ? 0 : Bound / ReturnDivisor;
     if (Asked > Mine64)
       Part = std::min(Goal, Mine64 + Free);
-    else if (Mine64 > Goal + Bound / ReturnDivisor)
+    else if (Mine64 > Goal + Slack)
       Part = Goal;
     Wanted.*Kind = static_cast<std::uint32_t>(Part);
   }
   return Wanted;
 }
 
+core::Resources largerOf(const core::Resources &A, const core::Resources &B) {
+  core::Resources Larger;
+  for (Part Kind : Kinds)
+    Larger.*Kind = std::max(A.*Kind, B.*Kind);
+  return Larger;
+}
+
+bool covers(const core::Resources &Part, const core::Resources &Limit,
+            const core::Resources &Use, const core::Resources &Demand) {
+  return std::all_of(std::begin(Kinds), std::end(Kinds), [&](auto Kind) {
+    std::uint64_t Asked = std::uint64_t{Use.*Kind} + Demand.*Kind;
+    std::uint64_t Bound = Limit.*Kind;
+    return Bound == 0 || std::min(Asked, Bound) <= Part.*Kind;
+  });
+}
+
 } // namespace comfreydeck::jobs
--- a/src/jobs/TeamAllotment.h
+++ b/src/jobs/TeamAllotment.h
@@ -26,6 +26,14 @@
                            const core::Resources &Use,
                            const core::Resources &Demand);
 
+/// The larger amount of each resource. Thread-safe.
+core::Resources largerOf(const core::Resources &A, const core::Resources &B);
+
+/// Whether \p Part covers \p Use and \p Demand as far as the limit allows.
+/// Thread-safe.
+bool covers(const core::Resources &Part, const core::Resources &Limit,
+            const core::Resources &Use, const core::Resources &Demand);
+
 } // namespace comfreydeck::jobs
 
 #endif // COMFREYDECK_JOBS_TEAMALLOTMENT_H
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "net/HttpClient.h"
 
+#include "net/Loop.h"
 #include "net/Transfer_p.h"
 
 #include <glog/logging.h>
@@ -29,9 +30,9 @@
 constexpr std::size_t MinCachedConnections = 256;
 /// Bounds the memory of kept connections: each takes a few KB.
 constexpr std::size_t CachedConnectionLimit = 2048;
-/// Extra time after a call's limit before the client ends the transfer itself,
-/// so that libcurl's own timeout comes first.
-constexpr std::chrono::milliseconds TimeoutMargin(10);
+/// Time to read the rest of a response that was still arriving when the call's
+/// limit had passed.
+constexpr std::chrono::milliseconds LateReadGrace(200);
 
 /// Atomic version of \ref HttpCounts. Written on the client's thread only.
 struct AtomicCounts {
@@ -42,6 +43,7 @@
   std::atomic<std::uint64_t> TimedOut = 0;
   std::atomic<std::uint64_t> Cut = 0;
   std::atomic<std::uint64_t> BytesIn = 0;
+  std::atomic<std::uint64_t> HandlerFailed = 0;
 };
 
 } // namespace
@@ -137,6 +139,7 @@
   Asleep = true;
   // A caller that posts after this check sees Asleep set and wakes the thread.
   bool IsBusy = hasPending() || Stopping;
+  Registry.PolledAt = std::chrono::steady_clock::now();
   const std::vector<detail::SocketEvent> &Events =
       Registry.Poller.wait(IsBusy ? 0 : pollMs());
   Asleep = false;
@@ -160,8 +163,9 @@
       curl_multi_socket_action(Multi, CURL_SOCKET_TIMEOUT, 0, &Active);
     }
     finishCompleted();
-    finishExpired();
     wait();
+    finishCompleted();
+    finishExpired();
   }
   startIncoming();
   while (!InFlight.empty()) {
@@ -204,12 +208,26 @@
   }
 }
 
-/// Ends calls past their deadline. libcurl's own timeout does not cover a call
-/// that still waits for a connection.
+/// Ends calls past their deadline. Must follow \ref wait: responses that
+/// arrived while this thread was busy or the process was paused have been read
+/// by then.
 void HttpClient::Impl::finishExpired() {
-  auto Now = std::chrono::steady_clock::now();
-  while (!Deadlines.empty() && Deadlines.begin()->first <= Now)
-    finish(*InFlight.at(Deadlines.begin()->second), CURLE_OPERATION_TIMEDOUT);
+  if (Registry.Poller.mayHaveMore())
+    return;
+  std::vector<std::uint64_t> Expired;
+  for (const auto &[Deadline, Id] : Deadlines) {
+    if (Deadline > Registry.PolledAt)
+      break;
+    Transfer &T = *InFlight.at(Id);
+    if (!T.GraceUntil)
+      T.GraceUntil = Registry.PolledAt + LateReadGrace;
+    bool Arriving =
+        T.ReceivedAt == Registry.PolledAt && Registry.PolledAt < *T.GraceUntil;
+    if (!Arriving)
+      Expired.push_back(Id);
+  }
+  for (std::uint64_t Id : Expired)
+    finish(*InFlight.at(Id), CURLE_OPERATION_TIMEDOUT);
 }
 
 int HttpClient::Impl::pollMs() const {
@@ -246,9 +264,7 @@
 
 void HttpClient::Impl::begin(Transfer &T) {
   T.Easy = acquireHandle();
-  detail::setOptions(
-      T, std::chrono::ceil<core::Duration>(T.Deadline - TimeoutMargin -
-                                           std::chrono::steady_clock::now()));
+  detail::setOptions(T);
   curl_multi_add_handle(Multi, T.Easy);
   ++Registry.Hosts[T.HostName].InFlight;
 }
@@ -315,7 +331,14 @@
       shutDownIdle(T.HostName);
     startWaiting(T.HostName);
   }
-  T.Done(std::move(T.Result));
+  try {
+    T.Done(std::move(T.Result));
+  } catch (const std::exception &E) {
+    AtomicCounts &To = Counts[static_cast<std::size_t>(T.Call.Target)];
+    To.HandlerFailed.fetch_add(1, std::memory_order_relaxed);
+    LOG(ERROR) << "net: the callback of a call to " << T.HostName
+               << " failed: " << E.what();
+  }
 }
 
 void HttpClient::Impl::count(const Transfer &T, CURLcode Code) {
@@ -403,8 +426,9 @@
 
 HttpCallId HttpClient::send(HttpCall Call, HttpCallback Done) {
   auto T = std::make_unique<Transfer>();
-  T->Deadline =
-      std::chrono::steady_clock::now() + Call.TotalLimit + TimeoutMargin;
+  T->Deadline = std::chrono::steady_clock::now() + Call.TotalLimit;
+  if (Call.SendLimit > core::Duration::zero())
+    T->SendBy = bootNow() + Call.SendLimit;
   T->Call = std::move(Call);
   T->Done = std::move(Done);
   std::uint64_t Id = 0;
@@ -431,7 +455,7 @@
   for (std::size_t T = 0; T < HttpTargetCount; ++T) {
     const AtomicCounts &From = Impl_->Counts[T];
     Read[T] = {From.Calls,    From.Connects, From.NotSent, From.NotSentInTime,
-               From.TimedOut, From.Cut,      From.BytesIn};
+               From.TimedOut, From.Cut,      From.BytesIn, From.HandlerFailed};
   }
   return Read;
 }
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -34,6 +34,8 @@
   std::uint64_t Cut = 0;
   /// Bytes of response bodies received, including incomplete responses.
   std::uint64_t BytesIn = 0;
+  /// Calls whose callback ended with an exception.
+  std::uint64_t HandlerFailed = 0;
 };
 
 /// One request to send.
@@ -43,8 +45,14 @@
   std::vector<HttpHeader> Headers;
   std::string Body;
   core::Duration ConnectLimit = std::chrono::seconds(1);
-  /// Maximum time from the call to the complete response.
+  /// Maximum time from the call to the complete response. A response that has
+  /// arrived by then is delivered, even if this process was too busy or was
+  /// paused and reads it later.
   core::Duration TotalLimit = std::chrono::seconds(5);
+  /// Maximum time from the call to the sending of the request, including time
+  /// in which the machine is suspended. After that, a request ends as NeverSent
+  /// once a connection is ready. Zero: no limit besides TotalLimit.
+  core::Duration SendLimit{0};
   /// A longer response body ends the call as cut.
   std::size_t MaxAnswerBytes = std::size_t{64} << 20;
   /// Whether libcurl may send the request again if a reused connection turns
@@ -104,7 +112,8 @@
   HttpClient &operator=(const HttpClient &) = delete;
 
   /// Starts a call. \p Done is called exactly once, on the client's thread, and
-  /// must not block. Thread-safe.
+  /// must not block. An exception that it throws is logged and counted.
+  /// Thread-safe.
   HttpCallId send(HttpCall Call, HttpCallback Done);
 
   /// Cancels a call; its callback is still called. Thread-safe.
--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -28,6 +28,7 @@
 constexpr std::size_t MaxHeaderValueBytes = 8 * 1024;
 constexpr std::chrono::milliseconds DrainPoll(5);
 constexpr std::size_t MaxTargetBytes = 4 * 1024;
+constexpr int StatusInternalError = 500;
 
 HttpRequest toHttpRequest(const restinio::request_handle_t &Request) {
   HttpRequest Plain;
@@ -156,10 +157,17 @@
     auto Count = std::make_shared<OpenRequestCounter>(State);
     auto Open = std::make_shared<OpenRequest>(
         OpenRequest{Io, State, std::move(Count), Request});
-    Handler(toHttpRequest(Request),
-            [Open = std::move(Open)](HttpResponse Plain) {
-              respond(*Open, std::move(Plain));
-            });
+    auto Responded = std::make_shared<std::atomic<bool>>(false);
+    HttpResponder Responder = [Open, Responded](HttpResponse Plain) {
+      if (!Responded->exchange(true))
+        respond(*Open, std::move(Plain));
+    };
+    try {
+      Handler(toHttpRequest(Request), Responder);
+    } catch (const std::exception &E) {
+      LOG(ERROR) << "net: the handler of a request failed: " << E.what();
+      Responder(jsonResponse(StatusInternalError, "{}"));
+    }
     return restinio::request_accepted();
   });
   return Settings;
--- a/src/net/HttpServer.h
+++ b/src/net/HttpServer.h
@@ -9,11 +9,14 @@
 
 namespace comfreydeck::net {
 
-/// Sends the response to one request. May be called once, from any thread. It
-/// may outlive the server, and does nothing after that.
+/// Sends the response to one request. Only the first call has an effect; may be
+/// called from any thread. It may outlive the server, and does nothing after
+/// that.
 using HttpResponder = std::function<void(HttpResponse)>;
 
-/// Handles one request. Called on one of the server's threads.
+/// Handles one request. Called on one of the server's threads. If it throws,
+/// the exception is logged and the request is answered with status 500, unless
+/// it was answered before.
 using HttpHandler = std::function<void(HttpRequest, HttpResponder)>;
 
 struct HttpServerOptions {
--- a/src/net/Loop.cpp
+++ b/src/net/Loop.cpp
@@ -1,8 +1,10 @@
 #include "net/Loop.h"
 
 #include <asio.hpp>
+#include <glog/logging.h>
 
 #include <atomic>
+#include <ctime>
 #include <thread>
 #include <utility>
 
@@ -13,6 +15,14 @@
       std::chrono::steady_clock::now());
 }
 
+core::TimePoint bootNow() {
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return core::TimePoint(std::chrono::seconds(Time.tv_sec) +
+                         std::chrono::duration_cast<core::Duration>(
+                             std::chrono::nanoseconds(Time.tv_nsec)));
+}
+
 struct Loop::Impl {
   asio::io_context Io;
   asio::executor_work_guard<asio::io_context::executor_type> Work =
@@ -22,8 +32,19 @@
   /// This member and Use are accessed on the loop's thread only.
   std::uint64_t PostsTaken = 0;
   LoopUsage Usage;
+
+  void run(const std::function<void()> &Function);
 };
 
+void Loop::Impl::run(const std::function<void()> &Function) {
+  try {
+    Function();
+  } catch (const std::exception &E) {
+    ++Usage.Failures;
+    LOG(ERROR) << "loop: a function failed: " << E.what();
+  }
+}
+
 Loop::Loop() : Impl_(std::make_unique<Impl>()) {}
 
 Loop::~Loop() { stop(); }
@@ -40,7 +61,8 @@
 
 void Loop::post(std::function<void()> Work) {
   if (Impl_->Posts.fetch_add(1, std::memory_order_relaxed) % SampleEvery != 0) {
-    asio::post(Impl_->Io, std::move(Work));
+    asio::post(Impl_->Io,
+               [I = Impl_.get(), Work = std::move(Work)] { I->run(Work); });
     return;
   }
   asio::post(Impl_->Io, [this, At = now(), Work = std::move(Work)] {
@@ -53,7 +75,7 @@
   LoopUsage &Usage = Impl_->Usage;
   core::TimePoint Begin = now();
   core::addSample(Usage.Waits, Begin - PostedAt);
-  Work();
+  Impl_->run(Work);
   core::Duration Ran = now() - Begin;
   core::addSample(Usage.Runs, Ran);
   Usage.Busy += Ran * SampleEvery;
@@ -66,7 +88,7 @@
         if (Failed)
           return;
         core::TimePoint Begin = now();
-        Work();
+        Impl_->run(Work);
         core::Duration Ran = now() - Begin;
         core::addSample(Impl_->Usage.Runs, Ran);
         Impl_->Usage.Busy += Ran;
@@ -75,7 +97,7 @@
 
 void Loop::every(core::Duration Period, std::function<void()> Work) {
   after(Period, [this, Period, Work = std::move(Work)] {
-    Work();
+    Impl_->run(Work);
     every(Period, Work);
   });
 }
--- a/src/net/Loop.h
+++ b/src/net/Loop.h
@@ -11,6 +11,10 @@
 /// Current time of the monotonic clock. Thread-safe.
 core::TimePoint now();
 
+/// Time since boot, including time spent suspended, unlike \ref now.
+/// Thread-safe.
+core::TimePoint bootNow();
+
 /// Usage of a loop's thread over an interval.
 struct LoopUsage {
   /// Number of functions posted.
@@ -22,9 +26,12 @@
   /// Estimated time that the thread ran functions, including time in which the
   /// operating system had descheduled it.
   core::Duration Busy{0};
+  /// Functions that ended with an exception.
+  std::uint64_t Failures = 0;
 };
 
-/// One thread that runs posted functions and timers one after another.
+/// One thread that runs posted functions and timers one after another. An
+/// exception ends the function that threw it and is logged; the loop goes on.
 class Loop {
 public:
   Loop();
--- a/src/net/SocketPoller.cpp
+++ b/src/net/SocketPoller.cpp
@@ -110,6 +110,7 @@
   int Count = epoll_wait(Poll_, Taken.data(), MaxEvents, Ms);
   if (Count < 0 && errno != EINTR)
     throw std::runtime_error("net: epoll_wait failed");
+  MayHaveMore_ = Count == static_cast<int>(MaxEvents);
   for (int N = 0; N < Count; ++N)
     handleEvent(Taken[N].data.fd, Taken[N].events);
   return Events_;
--- a/src/net/SocketPoller_p.h
+++ b/src/net/SocketPoller_p.h
@@ -45,6 +45,9 @@
   /// next call. Throws std::runtime_error if the wait fails.
   const std::vector<SocketEvent> &wait(int Ms);
 
+  /// Whether the last \ref wait may have left further events unreported.
+  bool mayHaveMore() const { return MayHaveMore_; }
+
 private:
   struct Watch {
     bool IsIdle = false;
@@ -60,6 +63,7 @@
   int Wake_ = -1;
   std::unordered_map<int, Watch> Watches_;
   std::vector<SocketEvent> Events_;
+  bool MayHaveMore_ = false;
 };
 
 } // namespace comfreydeck::net::detail
--- a/src/net/Transfer.cpp
+++ b/src/net/Transfer.cpp
@@ -1,5 +1,7 @@
 #include "net/Transfer_p.h"
 
+#include "net/Loop.h"
+
 #include <algorithm>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -17,6 +19,7 @@
 std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
                    void *Target) {
   auto *T = static_cast<Transfer *>(Target);
+  T->ReceivedAt = T->Registry->PolledAt;
   if (T->Result.Response.Body.size() + Size * Count > T->Call.MaxAnswerBytes)
     return 0;
   T->Result.Response.Body.append(Data, Size * Count);
@@ -26,6 +29,7 @@
 std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                      void *Target) {
   auto *T = static_cast<Transfer *>(Target);
+  T->ReceivedAt = T->Registry->PolledAt;
   std::string_view Line(Data, Size * Count);
   // An interim (1xx) response may precede the final one.
   if (Line.starts_with("HTTP/"))
@@ -82,6 +86,14 @@
   return close(Socket);
 }
 
+/// Called when the connection is ready, before the first byte is sent: the
+/// process may have been paused since the call was begun.
+int onReady(void *UserData, char *, char *, int, int) {
+  auto *T = static_cast<Transfer *>(UserData);
+  T->Withheld = bootNow() > *T->SendBy;
+  return T->Withheld ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+}
+
 /// Sets the options that are the same for all calls.
 void setCommonOptions(CURL *E) {
   curl_easy_setopt(E, CURLOPT_NOSIGNAL, 1L);
@@ -150,13 +162,16 @@
   return 0;
 }
 
-void setOptions(Transfer &T, core::Duration Left) {
+void setOptions(Transfer &T) {
   CURL *E = T.Easy;
   setCommonOptions(E);
   curl_easy_setopt(E, CURLOPT_URL, T.Call.Url.c_str());
   curl_easy_setopt(E, CURLOPT_CUSTOMREQUEST, T.Call.Method.c_str());
   curl_easy_setopt(E, CURLOPT_CONNECTTIMEOUT_MS, toMs(T.Call.ConnectLimit));
-  curl_easy_setopt(E, CURLOPT_TIMEOUT_MS, toMs(Left));
+  if (T.SendBy) {
+    curl_easy_setopt(E, CURLOPT_PREREQFUNCTION, onReady);
+    curl_easy_setopt(E, CURLOPT_PREREQDATA, &T);
+  }
   curl_easy_setopt(E, CURLOPT_WRITEDATA, &T);
   curl_easy_setopt(E, CURLOPT_HEADERDATA, &T);
   curl_easy_setopt(E, CURLOPT_OPENSOCKETDATA, &T);
@@ -190,7 +205,8 @@
   if (Code == CURLE_OK && isDelimited(T))
     return core::ExchangeEnd::Answered;
   if (!anySent(Easy))
-    return core::ExchangeEnd::ConnectFailed;
+    return T.Withheld ? core::ExchangeEnd::NeverSent
+                      : core::ExchangeEnd::ConnectFailed;
   if (Code == CURLE_OPERATION_TIMEDOUT)
     return core::ExchangeEnd::TimedOut;
   if (Code == CURLE_SEND_ERROR)
--- a/src/net/Transfer_p.h
+++ b/src/net/Transfer_p.h
@@ -33,6 +33,8 @@
   std::unordered_map<int, std::string> HostOfSocket;
   /// When libcurl's timer is due.
   std::optional<SteadyTime> TimerAt;
+  /// When the poller was last asked for events.
+  SteadyTime PolledAt;
 };
 
 /// One call. Its handle is null while it waits for a free connection.
@@ -44,6 +46,15 @@
   curl_slist *Headers = nullptr;
   HttpResult Result;
   SteadyTime Deadline;
+  /// On the clock of \ref bootNow; empty if there is no limit.
+  std::optional<core::TimePoint> SendBy;
+  /// Not sent, since \ref SendBy had passed.
+  bool Withheld = false;
+  /// Value of SocketRegistry::PolledAt when the last part of the response was
+  /// read.
+  SteadyTime ReceivedAt;
+  /// Until then, a response that is still arriving after the deadline is read.
+  std::optional<SteadyTime> GraceUntil;
   std::string HostName;
   SocketRegistry *Registry = nullptr;
 
@@ -62,8 +73,9 @@
 /// Removes a host that has neither calls nor sockets.
 void removeIfIdle(SocketRegistry &Registry, const std::string &Name);
 
-/// Sets all options of the call's handle. The transfer times out after \p Left.
-void setOptions(Transfer &T, core::Duration Left);
+/// Sets all options of the call's handle. libcurl bounds the time to connect
+/// only; the client ends a transfer that exceeds its total limit.
+void setOptions(Transfer &T);
 
 /// Returns how a call ended for which libcurl reported \p Code.
 core::ExchangeEnd endOf(const Transfer &T, CURLcode Code);
--- a/tests/jobs/TeamAllotmentTest.cpp
+++ b/tests/jobs/TeamAllotmentTest.cpp
@@ -38,3 +38,29 @@
 TEST_CASE("a limit of zero means unlimited") {
   CHECK(roomOf("a", {}, {0, 0, 0}).MilliCpus == 0xffffffffU);
 }
+
+TEST_CASE(
+    "a pool without tasks of a team leaves nearly all of its limit to the "
+    "pool that has them") {
+  constexpr std::uint32_t Limit = 1600;
+  PoolParts Parts = {{"a", {}}, {"b", {}}, {"c", {}}, {"d", {}}};
+  const core::Resources None;
+  const core::Resources All{Limit, 0, 0};
+  for (int Turn = 0; Turn < 8; ++Turn) {
+    std::string Busy(1, static_cast<char>('a' + Turn % 4));
+    // Each pool's tasks have ended when the next one's turn begins.
+    for (auto &[Pool, Part] : Parts)
+      if (Pool != Busy)
+        Part = wantedPart(Pool, Parts, {Limit, 0, 0}, None, None);
+    Parts[Busy] = wantedPart(Busy, Parts, {Limit, 0, 0}, None, All);
+    CHECK(Parts[Busy].MilliCpus >= Limit * 3 / 4);
+  }
+}
+
+TEST_CASE("a part covers what is asked for as far as the limit allows") {
+  const core::Resources Limit{1000, 0, 0};
+  CHECK(covers({600, 0, 0}, Limit, {400, 50, 0}, {200, 50, 0}));
+  CHECK_FALSE(covers({600, 0, 0}, Limit, {400, 0, 0}, {201, 0, 0}));
+  CHECK(covers({1000, 0, 0}, Limit, {900, 0, 0}, {500, 0, 0}));
+  CHECK(largerOf({1, 5, 0}, {2, 3, 0}) == core::Resources{2, 5, 0});
+}
--- a/tests/net/LoopTest.cpp
+++ b/tests/net/LoopTest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <future>
+#include <stdexcept>
 #include <thread>
 
 using namespace comfreydeck;
@@ -70,3 +71,19 @@
   CHECK(Usage.Busy >= Work);
   L.stop();
 }
+
+TEST_CASE("an exception ends only the function that threw it, and is counted") {
+  Loop L;
+  L.start();
+  std::promise<void> Again;
+  int Runs = 0;
+  L.every(std::chrono::milliseconds(1), [&] {
+    if (++Runs == 2)
+      Again.set_value();
+    throw std::runtime_error("unexpected");
+  });
+  L.post([] { throw std::runtime_error("unexpected"); });
+  Again.get_future().wait();
+  CHECK(usageOf(L).Failures >= 2);
+  L.stop();
+}
--- a/tests/net/ServerTest.cpp
+++ b/tests/net/ServerTest.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <future>
+#include <stdexcept>
 
 using namespace comfreydeck;
 
@@ -101,3 +102,22 @@
   }
   CHECK(Calls == 2);
 }
+
+TEST_CASE("a handler that throws ends its own request only") {
+  std::atomic<int> Requests = 0;
+  net::HttpServer Server({}, [&](net::HttpRequest, net::HttpResponder Respond) {
+    if (++Requests == 1)
+      throw std::runtime_error("unexpected");
+    Respond({200, {}, ""});
+  });
+  Server.start();
+  net::HttpClient Client(net::HttpClientOptions{});
+  std::vector<int> Statuses;
+  for (int N = 0; N < 2; ++N) {
+    std::promise<net::HttpResult> Done;
+    Client.send(callTo(Server),
+                [&](net::HttpResult R) { Done.set_value(std::move(R)); });
+    Statuses.push_back(Done.get_future().get().Response.Status);
+  }
+  CHECK(Statuses == std::vector<int>{500, 200});
+}
