Wait for a report after a start that is refused as old

A start whose answer was lost with its connection is repeated by the HTTP client. If its run has ended by then the worker refuses the second one as old, and the task was started again elsewhere, though its end might be done. Test: "a start that is refused as old may have run", failing before.

--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -64,6 +64,13 @@
     removeRun(*Job, Task, Order.Run);
     return;
   case OrderOutcome::OldRun:
+    // The start may have been carried out before, its answer lost, and the run
+    // may have ended since: the next report tells.
+    if (Run && !Run->Confirmed) {
+      Run->Confirmed = true;
+      Run->ConfirmedAt = Now;
+    }
+    return;
   case OrderOutcome::Late:
   case OrderOutcome::NoRoom:
   case OrderOutcome::NoTicket:
@@ -71,8 +78,7 @@
   case OrderOutcome::NotSent:
     if (Result.Outcome == OrderOutcome::NotSent)
       W.IncarnationConfirmed = false;
-    if (Result.Outcome != OrderOutcome::OldRun)
-      W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
+    W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
     // A report may already have confirmed the run; keep it then.
     if (Run && !Run->Confirmed)
       removeRun(*Job, Task, Order.Run);
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -964,3 +964,35 @@
   for (const HoldOrder &Order : B.plan().Holds)
     CHECK(Order.Worker != "w2");
 }
+
+// The HTTP client may repeat a start whose answer was lost with its connection.
+TEST_CASE("a start that is refused as old may have run: the task waits for the "
+          "next report") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.plan();
+  B.report("w1");
+  B.report("w2");
+  B.advance(std::chrono::duration_cast<milliseconds>(OwnerLimits().NewJobAge));
+  B.plan();
+  B.report("w1");
+  B.report("w2");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders First = B.plan();
+  REQUIRE(First.Starts.size() == 1);
+  const StartOrder &Start = First.Starts[0];
+  B.advance(milliseconds(5));
+  B.answer(Start, OrderOutcome::OldRun);
+  CHECK(B.plan().Starts.empty());
+  B.advance(milliseconds(5));
+  SUBCASE("it has run") {
+    B.report(Start.Worker, {},
+             {endReportOf(1, Start.Task, Start.Run, RunEnd::Done)});
+    CHECK(B.plan().Starts.empty());
+    CHECK(B.Owner.findJob(Start.Task.JobId)->Now == JobState::Completed);
+  }
+  SUBCASE("it has not run") {
+    B.report(Start.Worker);
+    CHECK(B.plan().Starts.size() == 1);
+  }
+}
