Keep a pool whose stored write was answered as a conflict, drop unsent orders

- A write of an owner that the HTTP client repeats after a lost answer fails its condition; the owner then gave its pool up.
Only it writes the chain row, so the conflict shows that the write has applied.
Test failing before: "an owner keeps its pool when the store has applied a write whose answer was lost".
- Orders of a pool that is given up are no longer relayed after the entry has told the next owner that it gives none.

--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -152,7 +152,8 @@
   Order.Worker = To.Id;
   Order.Address = To.Address;
   bool IsHold = std::holds_alternative<jobs::HoldOrder>(Order.Order);
-  Pending_[Order.Id] = {Sender, Now, Now + Limit, IsHold, std::move(Done)};
+  Pending_[Order.Id] = {To.Pool,     Sender, Now,
+                        Now + Limit, IsHold, std::move(Done)};
   Outbox &Box = Outboxes_[Sender];
   Box.Orders.push_back(std::move(Order));
   ++Counters_.Orders;
@@ -163,6 +164,18 @@
   Loop_.post([this, Sender] { flush(Sender); });
 }
 
+void OrderRelay::dropUnsent(const std::string &Pool) {
+  std::vector<std::uint64_t> Dropped;
+  for (const auto &[Sender, Box] : Outboxes_)
+    for (const codec::RelayedOrder &Order : Box.Orders) {
+      auto At = Pending_.find(Order.Id);
+      if (At != Pending_.end() && At->second.Pool == Pool)
+        Dropped.push_back(Order.Id);
+    }
+  completeAll(Dropped, OrderOutcome::Withheld);
+  Senders_.erase(Pool);
+}
+
 void OrderRelay::flush(const std::string &Sender) {
   Outbox &Box = Outboxes_[Sender];
   Box.Queued = false;
--- a/src/dispatch/OrderRelay.h
+++ b/src/dispatch/OrderRelay.h
@@ -63,6 +63,7 @@
   void report(const jobs::WorkerEntry &To, std::uint64_t Token,
               const jobs::HoldOrder &Order,
               std::function<void(jobs::ReportResult)> Done) override;
+  void dropUnsent(const std::string &Pool) override;
 
   /// Applies results from an entry that sent orders. \p Known tells whether the
   /// entry has that name and incarnation. Returns the answer's status.
@@ -76,6 +77,7 @@
 
   /// An order given to another entry.
   struct Pending {
+    std::string Pool;
     std::string Sender;
     core::TimePoint GivenAt;
     core::TimePoint ExpiresAt;
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -400,6 +400,7 @@
   if (Dropped_)
     return;
   Dropped_ = true;
+  Ctx_.Workers.dropUnsent(State_.pool());
   if (EarlierOwners_)
     EarlierOwners_->cancel();
   Monitor_.end(State_, bootNow(), wallMs());
@@ -710,9 +711,10 @@
     std::uint64_t Chain = 0;
     for (const store::PartRow &Row : Answer.Rows)
       (Row.Where.Key == rows::OwnerKey ? Owner : Chain) = Row.Version;
-    // Only this owner writes the chain row, so the unanswered attempt has
-    // applied.
-    Applied = Owner == State_.token() && Again && Chain > ChainVersion_;
+    // Only this owner writes the chain row, so an attempt has applied that was
+    // not answered: an earlier one, or one that the HTTP client repeated on
+    // another connection.
+    Applied = Owner == State_.token() && Chain > ChainVersion_;
     if (!Applied) {
       loseOwnership("owner row changed");
       return;
--- a/src/dispatch/Ports.h
+++ b/src/dispatch/Ports.h
@@ -44,6 +44,9 @@
   virtual void report(const jobs::WorkerEntry &To, std::uint64_t Token,
                       const jobs::HoldOrder &Order,
                       std::function<void(jobs::ReportResult)> Done) = 0;
+  /// Drops orders to the pool's workers that still wait to be sent, where there
+  /// are any; their callbacks are called.
+  virtual void dropUnsent(const std::string &Pool) { (void)Pool; }
 };
 
 enum class MachineState : std::uint8_t { Up, Moving, Maintenance, Down };
--- a/tests/dispatch/InMemoryStore.h
+++ b/tests/dispatch/InMemoryStore.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <mutex>
 #include <set>
+#include <vector>
 
 namespace comfreydeck::tests {
 
@@ -32,10 +33,26 @@
     FailingTables_.insert(Table);
   }
 
+  /// From now on, commits are applied and answered as conflicts, as those that
+  /// were sent twice. The answers name \p Owner with version \p OwnerVersion
+  /// and the new version of \p Chain.
+  void repeatCommits(const store::PartKey &Owner, std::uint64_t OwnerVersion,
+                     const store::PartKey &Chain) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Repeated_ = {{Owner, "", OwnerVersion, false}, {Chain, "", 0, false}};
+  }
+
   void commit(store::PartTransaction T, core::Duration,
               store::PartCallback Done) override {
     for (const store::PartWrite &Put : T.Puts)
       put(Put.Where, Put.Value);
+    if (std::vector<store::PartRow> Rows = conflictRows(); !Rows.empty()) {
+      store::PartAnswer Conflict;
+      Conflict.Outcome = store::PartOutcome::Conflict;
+      Conflict.Rows = std::move(Rows);
+      Done(std::move(Conflict));
+      return;
+    }
     Done(answer([](const store::PartRow &) { return false; }));
   }
   void read(store::PartRange Range, store::PartCallback Done) override {
@@ -57,6 +74,13 @@
   }
 
 private:
+  std::vector<store::PartRow> conflictRows() const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    std::vector<store::PartRow> Rows = Repeated_;
+    if (!Rows.empty())
+      Rows.back().Version = Version_;
+    return Rows;
+  }
   bool isFailing(const std::string &Table) const {
     std::lock_guard<std::mutex> Lock(Mutex_);
     return FailingTables_.count(Table) != 0;
@@ -76,6 +100,7 @@
   mutable std::mutex Mutex_;
   std::map<store::PartKey, store::PartRow> Rows_;
   std::set<std::string> FailingTables_;
+  std::vector<store::PartRow> Repeated_;
   std::uint64_t Version_ = 0;
   std::uint32_t ReadCount_ = 0;
 };
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -322,3 +322,19 @@
   });
   CHECK(B.start() == OrderOutcome::Accepted);
 }
+
+// The next owner counts on it that no order is given after this one has said
+// so.
+TEST_CASE("orders of a pool that was given up are not sent any more") {
+  RelayFixture B;
+  std::optional<OrderOutcome> Outcome;
+  runOn(B.Loop, [&] {
+    B.Relay.start(worker(), 5, sampleStart(),
+                  [&](jobs::OrderResult R) { Outcome = R.Outcome; });
+    B.Relay.dropUnsent("p");
+  });
+  waitUntil(B.Loop, [&] { return Outcome.has_value(); });
+  CHECK(*Outcome == OrderOutcome::Withheld);
+  CHECK(B.Remote.count() == 0);
+  CHECK(B.Direct.count() == 0);
+}
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -49,6 +49,7 @@
   /// Entries asked to give no more orders. Accessed on the loop's thread only.
   std::set<std::string> AskedToStop;
   bool IsTableRead = false;
+  bool LostPool = false;
   FleetView View{Ctx, [this](ViewChange) {
                    if (Controller && Controller->isLoaded())
                      Controller->refresh();
@@ -84,7 +85,7 @@
               CHECK(Token == 5);
               AskedToStop.insert(Entry);
             },
-            [](const std::string &) {});
+            [this](const std::string &) { LostPool = true; });
         Controller->load([this](std::uint64_t) { IsTableRead = true; });
       });
     });
@@ -167,3 +168,27 @@
     Other->drop();
   });
 }
+
+// The HTTP client may repeat a transaction whose answer was lost with its
+// connection; the store then refuses the second one.
+TEST_CASE("an owner keeps its pool when the store has applied a write whose "
+          "answer was lost") {
+  ControllerFixture B;
+  jobs::JobSpec Spec;
+  Spec.Id = "0000000000000001";
+  Spec.Pool = "p";
+  Spec.Steps.resize(1);
+  Spec.AcceptedMs = wallMs();
+  B.Store.repeatCommits({rows::Control, rows::poolPart("p"), rows::OwnerKey}, 5,
+                        {rows::Progress, rows::poolPart("p"), rows::ChainKey});
+  B.on([&] {
+    B.Controller->addJob(Spec);
+    B.Controller->cancelJob(Spec.Id);
+    B.Controller->schedulePlan();
+  });
+  B.waitUntil([&] {
+    const jobs::JobRecord *Job = B.Controller->state().findJob(Spec.Id);
+    return Job && Job->Stored == jobs::JobState::Cancelled;
+  });
+  B.on([&] { CHECK_FALSE(B.LostPool); });
+}
