--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -16,6 +16,8 @@
 /// An owner answers from memory. The limit is a quarter of the shortest
 /// objective.
 constexpr std::chrono::milliseconds AskLimit(400);
+/// A pool whose load is not known gets no machines; a busy owner answers later.
+constexpr std::chrono::milliseconds LoadLimit(1000);
 constexpr std::chrono::milliseconds ConnectLimit(250);
 /// An owner whose last read is older can't reach the store: reads come every
 /// 0.4 s, and take 0.4 s when the store is slow.
@@ -104,25 +106,25 @@
   return Owner->PeerAddress;
 }
 
-void Peers::ask(const std::string &Pool, std::string Body,
+void Peers::ask(const std::string &Pool, std::string Body, core::Duration Limit,
                 std::function<void(OwnerAnswer)> Done) {
   std::optional<std::string> Address = addressOf(Pool);
   if (!Address) {
     Done(OwnerAnswer());
     return;
   }
-  send(*Address, std::move(Body), std::move(Done));
+  send(*Address, std::move(Body), Limit, std::move(Done));
 }
 
 void Peers::send(const std::string &Address, std::string Body,
-                 std::function<void(OwnerAnswer)> Done) {
+                 core::Duration Limit, std::function<void(OwnerAnswer)> Done) {
   net::HttpCall Call;
   Call.Target = net::HttpTarget::Peer;
   Call.Method = "POST";
   Call.Url = "http://" + Address + paths::Pool;
   Call.Body = std::move(Body);
   Call.ConnectLimit = ConnectLimit;
-  Call.TotalLimit = AskLimit;
+  Call.TotalLimit = Limit;
   Ctx_.Client.send(std::move(Call),
                    [this, Done = std::move(Done)](net::HttpResult Result) {
                      OwnerAnswer Answer = decode(Result);
@@ -136,10 +138,11 @@
     return;
   }
   Json Body = {{"pool", Spec.Pool}, {"add", codec::encodeJob(Spec)}};
-  ask(Spec.Pool, Body.dump(), [this, Id = Spec.Id](OwnerAnswer Answer) {
-    if (!Answer.Answered)
-      Ctx_.Count.recordRetry("push-job");
-  });
+  ask(Spec.Pool, Body.dump(), AskLimit,
+      [this, Id = Spec.Id](OwnerAnswer Answer) {
+        if (!Answer.Answered)
+          Ctx_.Count.recordRetry("push-job");
+      });
 }
 
 void Peers::pushCancel(const std::string &Pool, const std::string &JobId) {
@@ -148,7 +151,7 @@
     return;
   }
   Json Body = {{"pool", Pool}, {"cancel", JobId}};
-  ask(Pool, Body.dump(), [this](OwnerAnswer Answer) {
+  ask(Pool, Body.dump(), AskLimit, [this](OwnerAnswer Answer) {
     if (!Answer.Answered)
       Ctx_.Count.recordRetry("push-cancel");
   });
@@ -174,7 +177,8 @@
     Done(answerHere(*Controller, JobId, ""));
     return;
   }
-  ask(Pool, Json({{"pool", Pool}, {"job", JobId}}).dump(), std::move(Done));
+  ask(Pool, Json({{"pool", Pool}, {"job", JobId}}).dump(), AskLimit,
+      std::move(Done));
 }
 
 void Peers::askPending(const std::string &Pool, const std::string &Queue,
@@ -183,7 +187,8 @@
     Done(answerHere(*Controller, "", Queue));
     return;
   }
-  ask(Pool, Json({{"pool", Pool}, {"queue", Queue}}).dump(), std::move(Done));
+  ask(Pool, Json({{"pool", Pool}, {"queue", Queue}}).dump(), AskLimit,
+      std::move(Done));
 }
 
 void Peers::askClose(const std::string &Pool, const CloseRequest &Request,
@@ -196,14 +201,15 @@
                {"close", Request.Drain},
                {"press", Request.Evict},
                {"ended", Request.Ended}};
-  ask(Pool, Body.dump(), [Done = std::move(Done)](const OwnerAnswer &Answer) {
-    Done({Answer.Clear, Answer.Token});
-  });
+  ask(Pool, Body.dump(), AskLimit,
+      [Done = std::move(Done)](const OwnerAnswer &Answer) {
+        Done({Answer.Clear, Answer.Token});
+      });
 }
 
 void Peers::probeOwner(const std::string &Pool,
                        std::function<void(bool)> Done) {
-  ask(Pool, Json({{"pool", Pool}, {"alive", true}}).dump(),
+  ask(Pool, Json({{"pool", Pool}, {"alive", true}}).dump(), AskLimit,
       [Done = std::move(Done)](const OwnerAnswer &Answer) {
         Done(Answer.Answered && Answer.StoreAge < ReachesStore);
       });
@@ -222,7 +228,7 @@
     return;
   }
   send(Known->PeerAddress,
-       Json({{"pool", Pool}, {"superseded_by", Token}}).dump(),
+       Json({{"pool", Pool}, {"superseded_by", Token}}).dump(), AskLimit,
        [Done = std::move(Done)](const OwnerAnswer &Answer) {
          Done(Answer.StoppedFor);
        });
@@ -234,7 +240,7 @@
     Done({Controller->state().load(bootNow(), wallMs()), {}});
     return;
   }
-  ask(Pool, Json({{"pool", Pool}, {"load", true}}).dump(),
+  ask(Pool, Json({{"pool", Pool}, {"load", true}}).dump(), LoadLimit,
       [Done = std::move(Done)](const OwnerAnswer &Answer) {
         if (Answer.Answered)
           Done({Answer.Load, {}});
--- a/src/dispatch/Peers.h
+++ b/src/dispatch/Peers.h
@@ -80,9 +80,9 @@
 
 private:
   std::optional<std::string> addressOf(const std::string &Pool) const;
-  void ask(const std::string &Pool, std::string Body,
+  void ask(const std::string &Pool, std::string Body, core::Duration Limit,
            std::function<void(OwnerAnswer)> Done);
-  void send(const std::string &Address, std::string Body,
+  void send(const std::string &Address, std::string Body, core::Duration Limit,
             std::function<void(OwnerAnswer)> Done);
   net::HttpResponse answerStop(const std::string &Pool, std::uint64_t Token);
   OwnerAnswer answerHere(const PoolController &Controller,
