--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -16,6 +16,9 @@
 constexpr double ColdPenalty = 0.5;
 /// A lasting task normally restarts well within this.
 constexpr std::chrono::milliseconds LongWaitLimit(3000);
+/// A job that has to start within this time to be in time goes first: otherwise
+/// large jobs would always wait for smaller ones that can still wait.
+constexpr double UrgentSlackMs = 500;
 constexpr double BesideSuspectPenalty = 16.0;
 constexpr double RunBesideSuspectPenalty = 0.5;
 constexpr double SuspectsTogetherPenalty = 16.0;
@@ -94,7 +97,9 @@
   }
   C.DeadlineMs = static_cast<double>(Job.Spec.AcceptedMs) +
                  Job.Spec.SlackFactor * Chain + Job.Spec.TargetMs;
-  C.Late = static_cast<double>(In_.WallMs) + Remaining > C.DeadlineMs;
+  double Slack = C.DeadlineMs - static_cast<double>(In_.WallMs) - Remaining;
+  C.Late = Slack < 0;
+  C.Urgent = !C.Late && Slack < UrgentSlackMs;
   return C;
 }
 
@@ -105,6 +110,8 @@
     return A.Priority < B.Priority;
   if (A.Late != B.Late)
     return !A.Late;
+  if (A.Urgent != B.Urgent)
+    return A.Urgent;
   if (A.RemainingWork != B.RemainingWork)
     return A.RemainingWork < B.RemainingWork;
   return A.Job->Spec.Id < B.Job->Spec.Id;
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -22,6 +22,8 @@
     JobRecord *Job = nullptr;
     bool Lasting = false;
     bool Late = false;
+    /// Must start soon to be in time.
+    bool Urgent = false;
     std::uint32_t Priority = 0;
     double DeadlineMs = 0;
     /// CPU time of the unfinished tasks, in thousandths of a core times
--- a/tests/jobs/NaiveStarts.cpp
+++ b/tests/jobs/NaiveStarts.cpp
@@ -23,7 +23,8 @@
   std::vector<std::vector<std::string>> RunsOn;
   std::uint32_t Priority = 0;
   bool Advised = false;
-  bool Late = false;
+  /// Jobs that must start soon to be in time go first, late ones last.
+  int Lateness = 1;
   double Remaining = 0;
 };
 
@@ -47,7 +48,7 @@
     std::sort(All.begin(), All.end(), [](const JobView &A, const JobView &B) {
       auto Key = [](const JobView &W) {
         return std::make_tuple(!W.Source->Spec.Steps.front().Lasting,
-                               W.Priority, W.Late, W.Remaining,
+                               W.Priority, W.Lateness, W.Remaining,
                                W.Source->Spec.Id);
       };
       return Key(A) < Key(B);
@@ -97,9 +98,10 @@
     double Chain = *std::max_element(Whole.begin(), Whole.end());
     double Deadline = static_cast<double>(Job.Spec.AcceptedMs) +
                       Job.Spec.SlackFactor * Chain + Job.Spec.TargetMs;
-    W.Late = static_cast<double>(Input_.In.WallMs) +
-                 *std::max_element(Left.begin(), Left.end()) >
-             Deadline;
+    constexpr double SoonMs = 500;
+    double Slack = Deadline - static_cast<double>(Input_.In.WallMs) -
+                   *std::max_element(Left.begin(), Left.end());
+    W.Lateness = Slack < 0 ? 2 : Slack < SoonMs ? 0 : 1;
     return W;
   }
 
