--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -81,7 +81,7 @@
         View(Ctx, [this](ViewChange What) { refresh(What); }),
         Owners(Ctx, View), PeerCalls(Ctx, View, Owners),
         Allotments(Ctx, View, Owners), Fleet(Ctx, View, Owners, PeerCalls),
-        Api(Ctx, View, PeerCalls), Monitor(Ctx),
+        Api(Ctx, View, PeerCalls), Monitor(Ctx, Relay, Forwarder),
         CallerServer(
             serverOptions(Settings.Callers),
             [this](net::HttpRequest Request, net::HttpResponder Respond) {
--- a/src/dispatch/EntryMonitor.cpp
+++ b/src/dispatch/EntryMonitor.cpp
@@ -51,6 +51,14 @@
     if (F.Calls[T].Calls > 0)
       Fields.emplace_back(net::nameOf(static_cast<net::HttpTarget>(T)),
                           textOf(F.Calls[T]));
+  const RelayCounters &Relay = F.Relay;
+  const std::pair<const char *, std::uint64_t> Relayed[] = {
+      {"relayed", Relay.Orders},        {"relay_batches", Relay.Batches},
+      {"relay_expired", Relay.Expired}, {"relay_failed", Relay.FailedBatches},
+      {"forwarded", Relay.Forwarded},   {"relay_refused", Relay.Refused}};
+  for (const auto &[Name, Count] : Relayed)
+    if (Count > 0)
+      Fields.emplace_back(Name, Count);
   return Fields;
 }
 
@@ -65,6 +73,10 @@
   EntryStats Stats;
   Stats.Period = Now - PublishedAt_;
   Stats.Loop = Ctx_.Loop.takeUsage();
+  Stats.Relay = Relay_.takeCounters();
+  RelayCounters ForOthers = Forwarder_.takeCounters();
+  Stats.Relay.Forwarded = ForOthers.Forwarded;
+  Stats.Relay.Refused += ForOthers.Refused;
   for (std::size_t T = 0; T < net::HttpTargetCount; ++T)
     Stats.Calls[T] = Calls[T] - LastCalls_[T];
   logEvent("entry_summary", summaryOf(Stats));
--- a/src/dispatch/EntryMonitor.h
+++ b/src/dispatch/EntryMonitor.h
@@ -3,6 +3,7 @@
 
 #include "dispatch/Context.h"
 #include "dispatch/EventLog.h"
+#include "dispatch/OrderForwarder.h"
 
 #include <vector>
 
@@ -11,11 +12,13 @@
 /// The log fields of an entry's summary.
 std::vector<LogField> summaryOf(const EntryStats &Stats);
 
-/// Periodically reports statistics of the control thread and the HTTP calls of
-/// this entry, as a log line and as metrics. Runs on the loop's thread.
+/// Periodically reports statistics of the control thread, the HTTP calls and
+/// the relayed orders of this entry, as a log line and as metrics. Runs on the
+/// loop's thread.
 class EntryMonitor {
 public:
-  explicit EntryMonitor(Context &Ctx) : Ctx_(Ctx) {}
+  EntryMonitor(Context &Ctx, OrderRelay &Relay, OrderForwarder &Forwarder)
+      : Ctx_(Ctx), Relay_(Relay), Forwarder_(Forwarder) {}
 
   /// Call once.
   void start();
@@ -24,6 +27,8 @@
   void publish();
 
   Context &Ctx_;
+  OrderRelay &Relay_;
+  OrderForwarder &Forwarder_;
   core::TimePoint PublishedAt_;
   std::array<net::HttpCounts, net::HttpTargetCount> LastCalls_{};
 };
--- a/src/dispatch/JobMetrics.cpp
+++ b/src/dispatch/JobMetrics.cpp
@@ -79,6 +79,10 @@
   GaugeFamily &LoopBusy = gauges(
       Registry, "comfreydeck_job_loop_busy_share",
       "Estimated share of the last period in which the control thread worked");
+  CounterFamily &Relayed =
+      counters(Registry, "comfreydeck_job_relayed_total",
+               "Orders and batches of orders that entries send for one another "
+               "by what became of them");
   CounterFamily &LoopFailures =
       counters(Registry, "comfreydeck_job_loop_failures_total",
                "Functions of the control thread that ended with an exception");
@@ -237,6 +241,16 @@
   double Period = std::max(inSeconds(F.Period), 1 / MsInSecond);
   I.LoopBusy.Add({}).Set(inSeconds(F.Loop.Busy) / Period);
   I.LoopFailures.Add({}).Increment(static_cast<double>(F.Loop.Failures));
+  const std::pair<const char *, std::uint64_t> Relayed[] = {
+      {"given", F.Relay.Orders},
+      {"expired", F.Relay.Expired},
+      {"forwarded", F.Relay.Forwarded},
+      {"batch", F.Relay.Batches},
+      {"batch-failed", F.Relay.FailedBatches},
+      {"refused", F.Relay.Refused}};
+  for (const auto &[What, Count] : Relayed)
+    if (Count > 0)
+      I.Relayed.Add({{"what", What}}).Increment(static_cast<double>(Count));
   for (std::size_t T = 0; T < net::HttpTargetCount; ++T) {
     const net::HttpCounts &C = F.Calls[T];
     const std::pair<const char *, std::uint64_t> Named[] = {
--- a/src/dispatch/JobMetrics.h
+++ b/src/dispatch/JobMetrics.h
@@ -22,6 +22,27 @@
   /// thread.
   core::DurationHistogram Plans;
   core::DurationHistogram Waits;
+  /// Starts that may be unanswered at a time, and those that were at the last
+  /// planning pass.
+  std::size_t StartWindow = 0;
+  std::size_t UnansweredStarts = 0;
+};
+
+/// Counters of orders that entries send for one another, since the last
+/// reading.
+struct RelayCounters {
+  /// Orders that this entry gave to others, and the batches they went in.
+  std::uint64_t Orders = 0;
+  std::uint64_t Batches = 0;
+  /// Orders whose results did not arrive in time.
+  std::uint64_t Expired = 0;
+  /// Batches that another entry refused or did not answer.
+  std::uint64_t FailedBatches = 0;
+  /// Orders that this entry sent for others.
+  std::uint64_t Forwarded = 0;
+  /// Messages refused here: not decodable, from an unknown entry, or too many
+  /// at once.
+  std::uint64_t Refused = 0;
 };
 
 /// Statistics of an entry's control thread and HTTP calls.
@@ -29,6 +50,7 @@
   core::Duration Period{0};
   net::LoopUsage Loop;
   std::array<net::HttpCounts, net::HttpTargetCount> Calls{};
+  RelayCounters Relay;
 };
 
 /// Prometheus metrics of one entry of the job path. Every method is
--- a/src/dispatch/OrderForwarder.cpp
+++ b/src/dispatch/OrderForwarder.cpp
@@ -43,18 +43,18 @@
   try {
     Batch = codec::decodeOrders(Body);
   } catch (const std::invalid_argument &E) {
-    ++Refused_;
+    ++Counters_.Refused;
     logEvent("relayed_orders_unreadable", {{"error", E.what()}});
     return StatusBad;
   }
   EntryIdentity Owner = {Batch.From, Batch.Life};
   if (!Known(Owner)) {
-    ++Refused_;
+    ++Counters_.Refused;
     logEvent("relayed_orders_refused", {{"entry", Owner.Name}});
     return StatusForbidden;
   }
   if (InFlight_ + Batch.Orders.size() > MaxInFlight) {
-    ++Refused_;
+    ++Counters_.Refused;
     return StatusUnavailable;
   }
   core::Duration Waited = bootNow() - ReceivedAt;
@@ -73,6 +73,7 @@
   To.Id = Order.Worker;
   To.Address = Order.Address;
   ++InFlight_;
+  ++Counters_.Forwarded;
   auto Finish = [this, Owner](codec::RelayedResult Result) {
     Loop_.post([this, Owner, Result = std::move(Result)] {
       --InFlight_;
--- a/src/dispatch/OrderForwarder.h
+++ b/src/dispatch/OrderForwarder.h
@@ -23,9 +23,8 @@
   int handleOrders(const std::string &Body, core::TimePoint ReceivedAt,
                    const std::function<bool(const EntryIdentity &)> &Known);
 
-  /// Number of messages refused since the last call: not decodable, from an
-  /// unknown entry, or too many at once.
-  std::uint64_t takeRefused() { return std::exchange(Refused_, 0); }
+  /// Returns and resets the counters of this entry's work for others.
+  RelayCounters takeCounters() { return std::exchange(Counters_, {}); }
 
 private:
   /// Results for one owner's entry that are not returned yet.
@@ -52,7 +51,7 @@
   std::size_t InFlight_ = 0;
   /// By the owner's incarnation.
   std::map<std::string, Inbox> Inboxes_;
-  std::uint64_t Refused_ = 0;
+  RelayCounters Counters_;
 };
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/OrderRelay.h
+++ b/src/dispatch/OrderRelay.h
@@ -2,6 +2,7 @@
 #define COMFREYDECK_DISPATCH_ORDERRELAY_H
 
 #include "codec/OrderJson.h"
+#include "dispatch/JobMetrics.h"
 #include "dispatch/Ports.h"
 #include "jobs/SenderChoice.h"
 #include "net/HttpClient.h"
@@ -19,18 +20,6 @@
   std::string Life;
 };
 
-/// Counters of relayed orders since the last call.
-struct RelayCounters {
-  std::uint64_t Orders = 0;
-  std::uint64_t Batches = 0;
-  /// Orders whose results did not arrive in time.
-  std::uint64_t Expired = 0;
-  /// Batches that another entry refused or did not answer.
-  std::uint64_t FailedBatches = 0;
-  /// Messages that could not be decoded or came from an unknown entry.
-  std::uint64_t Refused = 0;
-};
-
 /// Sends an owner's orders to workers, some of them through other entries. The
 /// owner alone decides: another entry only makes the calls. Each order carries
 /// the owner's token, the end of the lease it grants and a time limit for its
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -470,6 +470,7 @@
   logCrashes();
   StartsBounded_ = Orders.StartsBounded;
   send(std::move(Orders));
+  Monitor_.recordStarts(jobs::roomIn(StartWindow_, 0), UnansweredStarts_);
   if (State_.isFenced()) {
     loseOwnership("fenced");
     return;
--- a/src/dispatch/PoolMonitor.cpp
+++ b/src/dispatch/PoolMonitor.cpp
@@ -63,6 +63,8 @@
       {"report_age_mean_ms", core::meanMs(PeriodCounts.ReportAge)},
       {"report_age_most_ms", core::inMs(PeriodCounts.ReportAge.Max)},
       {"most_by_one_report", PeriodCounts.MaxStartsPerReport},
+      {"start_window", F.StartWindow},
+      {"starts_unanswered", F.UnansweredStarts},
       {"plans", F.Plans.Total},
       {"plan_mean_ms", core::meanMs(F.Plans)},
       {"plan_most_ms", core::inMs(F.Plans.Max)},
--- a/src/dispatch/PoolMonitor.h
+++ b/src/dispatch/PoolMonitor.h
@@ -29,6 +29,12 @@
     core::addSample(Stats_.Plans, Took);
   }
 
+  /// Records the bound of unanswered starts, and their number.
+  void recordStarts(std::size_t Window, std::size_t Unanswered) {
+    Stats_.StartWindow = Window;
+    Stats_.UnansweredStarts = Unanswered;
+  }
+
   /// Reports the statistics if a period has passed since the last report.
   void publishIfDue(jobs::PoolState &State, core::TimePoint Now,
                     std::int64_t WallMs);
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -241,7 +241,7 @@
   CHECK(B.start() == OrderOutcome::Withheld);
   CHECK(B.Remote.count() == 0);
   std::uint64_t Refused = 0;
-  runOn(B.Loop, [&] { Refused = B.Forwarder.takeRefused(); });
+  runOn(B.Loop, [&] { Refused = B.Forwarder.takeCounters().Refused; });
   CHECK(Refused == 1);
 }
 
