--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -7,7 +7,7 @@
 #include "dispatch/JobApi.h"
 #include "dispatch/OrderForwarder.h"
 #include "dispatch/OrderRelay.h"
-#include "dispatch/PeerPaths_p.h"
+#include "dispatch/PeerMessages_p.h"
 #include "dispatch/TeamAllotments.h"
 #include "net/HttpServer.h"
 
--- a/src/dispatch/OrderForwarder.cpp
+++ b/src/dispatch/OrderForwarder.cpp
@@ -2,7 +2,7 @@
 
 #include "dispatch/Clock.h"
 #include "dispatch/EventLog.h"
-#include "dispatch/PeerPaths_p.h"
+#include "dispatch/PeerMessages_p.h"
 
 namespace comfreydeck::dispatch {
 
@@ -124,11 +124,8 @@
     Inboxes_.erase(Owner.Life);
     return;
   }
-  std::size_t Count = std::min(Box.Results.size(), BatchResults);
-  std::vector<codec::RelayedResult> Batch(
-      std::make_move_iterator(Box.Results.begin()),
-      std::make_move_iterator(Box.Results.begin() + Count));
-  Box.Results.erase(Box.Results.begin(), Box.Results.begin() + Count);
+  std::vector<codec::RelayedResult> Batch =
+      takeFront(Box.Results, BatchResults);
   Box.Sending = true;
   net::HttpCall Call;
   Call.Target = net::HttpTarget::Peer;
--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -2,7 +2,7 @@
 
 #include "dispatch/Clock.h"
 #include "dispatch/EventLog.h"
-#include "dispatch/PeerPaths_p.h"
+#include "dispatch/PeerMessages_p.h"
 
 #include <utility>
 
@@ -181,11 +181,7 @@
   Box.Queued = false;
   if (Box.Sending || Box.Orders.empty())
     return;
-  std::size_t Count = std::min(Box.Orders.size(), BatchOrders);
-  std::vector<codec::RelayedOrder> Batch(
-      std::make_move_iterator(Box.Orders.begin()),
-      std::make_move_iterator(Box.Orders.begin() + Count));
-  Box.Orders.erase(Box.Orders.begin(), Box.Orders.begin() + Count);
+  std::vector<codec::RelayedOrder> Batch = takeFront(Box.Orders, BatchOrders);
   core::TimePoint Now = bootNow();
   std::vector<std::uint64_t> Ids;
   std::vector<std::uint64_t> TooLate;
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -3,7 +3,7 @@
 #include "codec/JobJson.h"
 #include "dispatch/Clock.h"
 #include "dispatch/EventLog.h"
-#include "dispatch/PeerPaths_p.h"
+#include "dispatch/PeerMessages_p.h"
 
 #include <nlohmann/json.hpp>
 
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -3,7 +3,7 @@
 #include "dispatch/Clock.h"
 #include "dispatch/LoopCalls.h"
 #include "dispatch/OrderForwarder.h"
-#include "dispatch/PeerPaths_p.h"
+#include "dispatch/PeerMessages_p.h"
 #include "net/HttpServer.h"
 
 #include <doctest/doctest.h>
