Withhold all orders that waited too long, not only the first batch

The rest stayed in the outbox until the next order came, or until their time limit suspended the entry that was to send them. Test failing before: 200 of 450 orders were withheld.

--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -199,12 +199,13 @@
   std::optional<std::string> Address = Address_(Sender);
   if (!Address || isSuspended(Sender)) {
     completeAll(Ids, OrderOutcome::Withheld);
+    Batch.clear();
+  }
+  if (Batch.empty()) {
     if (!Box.Orders.empty())
       Loop_.post([this, Sender] { flush(Sender); });
     return;
   }
-  if (Batch.empty())
-    return;
   Box.Sending = true;
   ++Counters_.Batches;
   net::HttpCall Call;
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -338,3 +338,23 @@
   CHECK(B.Remote.count() == 0);
   CHECK(B.Direct.count() == 0);
 }
+
+TEST_CASE("orders that waited too long are withheld at once, also more of them "
+          "than one batch holds") {
+  constexpr std::size_t Count = 450;
+  RelayFixture B;
+  std::size_t Withheld = 0;
+  std::size_t Ended = 0;
+  runOn(B.Loop, [&] {
+    for (std::size_t N = 0; N < Count; ++N)
+      B.Relay.start(worker(), 5, sampleStart(), [&](jobs::OrderResult Result) {
+        ++Ended;
+        Withheld += Result.Outcome == OrderOutcome::Withheld ? 1 : 0;
+      });
+    // The thread doesn't run for longer than the orders may wait.
+    std::this_thread::sleep_for(std::chrono::milliseconds(600));
+  });
+  waitUntil(B.Loop, [&] { return Ended == Count; });
+  CHECK(Withheld == Count);
+  CHECK(B.Remote.count() == 0);
+}
