--- a/tests/jobs/SurgeTest.cpp
+++ b/tests/jobs/SurgeTest.cpp
@@ -24,9 +24,9 @@
 constexpr milliseconds ReportEvery(500);
 constexpr std::uint32_t TargetMs = 600;
 constexpr double SlackFactor = 2;
+constexpr std::uint32_t TasksPerWorker = WorkerCpu / TaskCpu;
 /// Tasks that all workers finish in a second.
-constexpr double Rate =
-    1000.0 / 800 * Workers * static_cast<double>(WorkerCpu / TaskCpu);
+constexpr double Rate = 1000.0 / 800 * Workers * TasksPerWorker;
 /// Work that arrives in the surge, as a share of what the workers finish.
 constexpr double Overload = 1.6;
 
