--- a/src/dispatch/MachineCache.cpp
+++ b/src/dispatch/MachineCache.cpp
@@ -22,6 +22,14 @@
   });
 }
 
+const char *machineStateOf(const std::string &Worker,
+                           std::span<const Machine> Machines) {
+  for (const Machine &M : Machines)
+    if (M.Worker == Worker)
+      return nameOf(M.State);
+  return "none";
+}
+
 void MachineCache::refresh() {
   core::TimePoint Now = bootNow();
   if (Listing_ || Now - ListedAt_ < ListPeriod)
--- a/src/dispatch/MachineCache.h
+++ b/src/dispatch/MachineCache.h
@@ -14,6 +14,11 @@
 bool hasWorkerEnded(const std::string &Worker,
                     std::span<const Machine> Machines);
 
+/// The state of the machine that shows the worker, "none" if no machine does;
+/// for logs. Thread-safe.
+const char *machineStateOf(const std::string &Worker,
+                           std::span<const Machine> Machines);
+
 /// Caches the platform's list of machines. Runs on the loop's thread.
 class MachineCache {
 public:
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -296,7 +296,7 @@
         Self->Ctx_.Count.recordRetry("list-machines");
       for (const std::string &Id : Open)
         if (List.Ok && hasWorkerEnded(Id, List.Machines))
-          Self->State_.confirmEnded(Id);
+          Self->endWorker(Id, List);
       Self->schedulePlan();
       Self->Ctx_.Loop.after(UnlistedCheckPause, [Self] {
         Self->CheckingUnlisted_ = false;
@@ -306,6 +306,23 @@
   });
 }
 
+/// Logs what is assumed of the worker's runs, which may start again now.
+void PoolController::endWorker(const std::string &Id, const MachineList &List) {
+  auto At = State_.workers().find(Id);
+  if (At == State_.workers().end())
+    return;
+  const jobs::WorkerState &Worker = *At->second;
+  logEvent("worker_ended", {{"worker", Id},
+                            {"pool", State_.pool()},
+                            {"token", State_.token()},
+                            {"machine", machineStateOf(Id, List.Machines)},
+                            {"machines", List.Machines.size()},
+                            {"listed", Worker.Gone ? 0 : 1},
+                            {"heard", Worker.Heard ? 1 : 0},
+                            {"runs", Worker.Tasks.size()}});
+  State_.confirmEnded(Id);
+}
+
 // Events.
 
 void PoolController::refresh() {
@@ -605,13 +622,26 @@
       Ctx_.Workers.report(*To, State_.token(), Order,
                           [Self, Order, SentAt](jobs::ReportResult Result) {
                             Self->Ctx_.Loop.post([Self, Order, SentAt, Result] {
-                              Self->State_.onReport(Order, Result, SentAt,
-                                                    bootNow());
-                              Self->schedulePlan();
+                              Self->onReported(Order, Result, SentAt);
                             });
                           });
 }
 
+void PoolController::onReported(const jobs::HoldOrder &Order,
+                                const jobs::ReportResult &Result,
+                                core::TimePoint SentAt) {
+  auto At = State_.workers().find(Order.Worker);
+  bool FirstAnswer = At != State_.workers().end() && !At->second->Heard;
+  if (FirstAnswer && Result.Outcome == jobs::OrderOutcome::OtherIncarnation)
+    logEvent("worker_replaced", {{"worker", Order.Worker},
+                                 {"address", At->second->Entry.Address},
+                                 {"pool", State_.pool()},
+                                 {"token", State_.token()},
+                                 {"listed", At->second->Gone ? 0 : 1}});
+  State_.onReport(Order, Result, SentAt, bootNow());
+  schedulePlan();
+}
+
 void PoolController::onStartAnswered(const jobs::StartOrder &Order,
                                      const jobs::OrderResult &Result,
                                      core::TimePoint SentAt) {
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -81,6 +81,7 @@
   void applySettledRow(const store::PartRow &Row);
   void applyRosterRow(const store::PartRow &Row, core::TimePoint Now);
   void checkUnlistedWorkers();
+  void endWorker(const std::string &Id, const MachineList &List);
   void stopEarlierOwners();
   void loadPayloads();
   void loadPayload(const std::string &JobId);
@@ -92,6 +93,8 @@
   void logLongWait();
   void logCrashes();
   void send(jobs::Orders Orders);
+  void onReported(const jobs::HoldOrder &Order,
+                  const jobs::ReportResult &Result, core::TimePoint SentAt);
   void onStartAnswered(const jobs::StartOrder &Order,
                        const jobs::OrderResult &Result, core::TimePoint SentAt);
   void flush();
--- a/src/dispatch/Ports.cpp
+++ b/src/dispatch/Ports.cpp
@@ -2,6 +2,20 @@
 
 namespace comfreydeck::dispatch {
 
+const char *nameOf(MachineState State) {
+  switch (State) {
+  case MachineState::Up:
+    return "up";
+  case MachineState::Moving:
+    return "moving";
+  case MachineState::Maintenance:
+    return "maintenance";
+  case MachineState::Down:
+    return "down";
+  }
+  return "";
+}
+
 const char *nameOf(MachineOrderOutcome Outcome) {
   switch (Outcome) {
   case MachineOrderOutcome::Done:
--- a/src/dispatch/Ports.h
+++ b/src/dispatch/Ports.h
@@ -51,6 +51,8 @@
 
 enum class MachineState : std::uint8_t { Up, Moving, Maintenance, Down };
 
+const char *nameOf(MachineState State);
+
 /// One machine of the fleet. Each worker is one incarnation of a machine.
 struct Machine {
   std::string Id;
