Leave payloads out of relayed starts; the sending entry reads them from the store

Callers on narrow links (small twin of the large site, 2 Mbit/s) waited 4 s and more for the first start of small jobs while thousands of cores were idle: the owner's link carried a copy of the job's payload (2,400 bytes on average) with nearly each start, since the tasks of a job go to as many sending entries as workers. A relayed start now leaves the payload out. Test "relayed starts of one job load the owner's link with no copies of its payload" fails with the payload sent along (3,718 bytes of 3,000, no read).

--- a/src/codec/OrderJson.cpp
+++ b/src/codec/OrderJson.cpp
@@ -31,7 +31,8 @@
 public:
   explicit RowReader(const Json &Row) : Row_(Row) {}
 
-  template <typename T> T next() { return Row_.at(Next_++).get<T>(); }
+  template <typename T> T next() { return nextField().get<T>(); }
+  const Json &nextField() { return Row_.at(Next_++); }
 
   jobs::TaskRef nextTask() {
     jobs::TaskRef Task;
@@ -63,24 +64,25 @@
   Json Payloads_ = Json::array();
 };
 
+/// \p Payloads is null if the payload is omitted.
 void appendOrder(Json &Row, const jobs::StartOrder &Order,
-                 PayloadTable &Payloads) {
+                 PayloadTable *Payloads) {
   Row.push_back(static_cast<unsigned>(Kind::Start));
   appendTask(Row, Order.Task);
   Row.push_back(Order.Run);
-  Row.push_back(Payloads.indexOf(Order.Payload));
+  Row.push_back(Payloads ? Json(Payloads->indexOf(Order.Payload)) : Json());
   Row.push_back(Order.Checkpoint);
   Row.push_back(Order.Ticket);
   Row.push_back(Order.DeadlineMs);
 }
 
-void appendOrder(Json &Row, const jobs::StopOrder &Order, PayloadTable &) {
+void appendOrder(Json &Row, const jobs::StopOrder &Order, PayloadTable *) {
   Row.push_back(static_cast<unsigned>(Kind::Stop));
   appendTask(Row, Order.Task);
   Row.push_back(Order.Run);
 }
 
-void appendOrder(Json &Row, const jobs::HoldOrder &Order, PayloadTable &) {
+void appendOrder(Json &Row, const jobs::HoldOrder &Order, PayloadTable *) {
   Row.push_back(static_cast<unsigned>(Kind::Hold));
   Row.push_back(Order.DeadlineMs);
   Row.push_back(Order.AcknowledgeUpTo);
@@ -101,8 +103,11 @@
     Order.Worker = Result.Worker;
     Order.Task = Row.nextTask();
     Order.Run = Row.next<jobs::RunId>();
-    Order.Payload =
-        Payloads.at(Row.next<std::size_t>()).get_ref<const std::string &>();
+    const Json &Payload = Row.nextField();
+    Result.PayloadOmitted = Payload.is_null();
+    if (!Result.PayloadOmitted)
+      Order.Payload = Payloads.at(Payload.get<std::size_t>())
+                          .get_ref<const std::string &>();
     Order.Checkpoint = Row.next<std::string>();
     Order.Ticket = Row.next<std::string>();
     Order.DeadlineMs = Row.next<std::int64_t>();
@@ -169,8 +174,13 @@
   constexpr std::size_t OrderResultSize = 3;
   if (Object.size() <= OrderResultSize)
     return Result;
-  Result.Report.Born = Object.at(OrderResultSize).at(0).get<std::int64_t>();
-  for (const Json &Running : Object.at(OrderResultSize).at(1)) {
+  const Json &Report = Row.nextField();
+  if (Report.is_null()) {
+    Result.PayloadMissing = true;
+    return Result;
+  }
+  Result.Report.Born = Report.at(0).get<std::int64_t>();
+  for (const Json &Running : Report.at(1)) {
     RowReader Fields(Running);
     jobs::RunReport Run;
     Run.Task = Fields.nextTask();
@@ -180,7 +190,7 @@
     Run.Load = Fields.next<double>();
     Result.Report.Running.push_back(std::move(Run));
   }
-  for (const Json &Ended : Object.at(OrderResultSize).at(2)) {
+  for (const Json &Ended : Report.at(2)) {
     RowReader Fields(Ended);
     jobs::EndReport End;
     End.Number = Fields.next<std::uint64_t>();
@@ -202,7 +212,8 @@
   for (const RelayedOrder &Order : Orders) {
     Json Row = Json::array({Order.Id, Order.Worker, Order.Address, Order.Token,
                             msOf(Order.Within)});
-    std::visit([&](const auto &Kind) { appendOrder(Row, Kind, Payloads); },
+    PayloadTable *Table = Order.PayloadOmitted ? nullptr : &Payloads;
+    std::visit([&](const auto &Kind) { appendOrder(Row, Kind, Table); },
                Order.Order);
     Rows.push_back(std::move(Row));
   }
@@ -236,7 +247,10 @@
     const jobs::WorkerReport &Report = Result.Report;
     Json Row = Json::array(
         {Result.Id, static_cast<unsigned>(Result.Outcome), Report.ClockMs});
-    if (Report.Born != 0 || !Report.Running.empty() || !Report.Ended.empty())
+    if (Result.PayloadMissing)
+      Row.push_back(nullptr);
+    else if (Report.Born != 0 || !Report.Running.empty() ||
+             !Report.Ended.empty())
       Row.push_back(encodeReport(Report));
     Rows.push_back(std::move(Row));
   }
--- a/src/codec/OrderJson.h
+++ b/src/codec/OrderJson.h
@@ -24,6 +24,9 @@
   /// Maximum time from the receipt of the batch to the sending of the order.
   core::Duration Within{0};
   std::variant<jobs::StartOrder, jobs::StopOrder, jobs::HoldOrder> Order;
+  /// A start's payload is left out; the entry that sends it reads it from the
+  /// store.
+  bool PayloadOmitted = false;
 };
 
 struct OrderBatch {
@@ -40,6 +43,8 @@
   /// Only \ref jobs::WorkerReport::ClockMs is set, unless a report was asked
   /// for.
   jobs::WorkerReport Report;
+  /// Not sent, since the omitted payload could not be read.
+  bool PayloadMissing = false;
 };
 
 struct ResultBatch {
--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -74,8 +74,8 @@
   Impl(settings::DispatchSettings S, net::HttpClient &Client, PlatformPorts P)
       : Settings(std::move(S)), Ports(std::move(P)),
         Relay(Loop, Client, Ports.Workers, {Settings.Name, Life}, addresses()),
-        Forwarder(Loop, Client, Ports.Workers, {Settings.Name, Life},
-                  addresses()),
+        Forwarder(Loop, Client, Ports.Store, Ports.Workers,
+                  {Settings.Name, Life}, addresses()),
         Ctx{Settings,       Loop,       Client,      Ports.Store, Relay,
             Ports.Machines, Ports.Rows, Ports.Codec, Count,       Life},
         View(Ctx, [this](ViewChange What) { refresh(What); }),
--- a/src/dispatch/OrderForwarder.cpp
+++ b/src/dispatch/OrderForwarder.cpp
@@ -31,10 +31,11 @@
 } // namespace
 
 OrderForwarder::OrderForwarder(net::Loop &Loop, net::HttpClient &Client,
+                               store::PartitionedStore &Store,
                                WorkerOrders &Workers, EntryIdentity Me,
                                OrderRelay::AddressOf Address)
     : Loop_(Loop), Client_(Client), Workers_(Workers), Me_(std::move(Me)),
-      Address_(std::move(Address)) {}
+      Address_(std::move(Address)), Payloads_(Loop, Store) {}
 
 int OrderForwarder::handleOrders(
     const std::string &Body, core::TimePoint ReceivedAt,
@@ -57,16 +58,36 @@
     ++Counters_.Refused;
     return StatusUnavailable;
   }
-  core::Duration Waited = bootNow() - ReceivedAt;
-  for (const codec::RelayedOrder &Order : Batch.Orders) {
-    if (Waited > Order.Within)
+  core::TimePoint Now = bootNow();
+  for (codec::RelayedOrder &Order : Batch.Orders) {
+    core::TimePoint SendBy = ReceivedAt + Order.Within;
+    if (Now > SendBy)
       addResult(Owner, {Order.Id, OrderOutcome::Withheld, {}});
+    else if (Order.PayloadOmitted)
+      readPayload(Owner, std::move(Order), SendBy);
     else
       forward(Owner, Order);
   }
   return StatusOk;
 }
 
+void OrderForwarder::readPayload(const EntryIdentity &Owner,
+                                 codec::RelayedOrder Order,
+                                 core::TimePoint SendBy) {
+  const std::string JobId = std::get<jobs::StartOrder>(Order.Order).Task.JobId;
+  ++InFlight_;
+  Payloads_.get(JobId, [this, Owner, Order = std::move(Order),
+                        SendBy](const std::string *Payload) mutable {
+    --InFlight_;
+    if (!Payload || bootNow() > SendBy) {
+      addResult(Owner, {Order.Id, OrderOutcome::Withheld, {}, !Payload});
+      return;
+    }
+    std::get<jobs::StartOrder>(Order.Order).Payload = *Payload;
+    forward(Owner, Order);
+  });
+}
+
 void OrderForwarder::forward(const EntryIdentity &Owner,
                              const codec::RelayedOrder &Order) {
   jobs::WorkerEntry To;
--- a/src/dispatch/OrderForwarder.h
+++ b/src/dispatch/OrderForwarder.h
@@ -3,6 +3,7 @@
 
 #include "codec/OrderJson.h"
 #include "dispatch/OrderRelay.h"
+#include "dispatch/PayloadCache.h"
 
 #include <utility>
 
@@ -14,8 +15,8 @@
 class OrderForwarder {
 public:
   OrderForwarder(net::Loop &Loop, net::HttpClient &Client,
-                 WorkerOrders &Workers, EntryIdentity Me,
-                 OrderRelay::AddressOf Address);
+                 store::PartitionedStore &Store, WorkerOrders &Workers,
+                 EntryIdentity Me, OrderRelay::AddressOf Address);
 
   /// Sends a batch that arrived at \p ReceivedAt. \p Known tells whether an
   /// entry has that name and incarnation. Returns the answer's status; with any
@@ -37,6 +38,8 @@
     core::TimePoint Since;
   };
 
+  void readPayload(const EntryIdentity &Owner, codec::RelayedOrder Order,
+                   core::TimePoint SendBy);
   void forward(const EntryIdentity &Owner, const codec::RelayedOrder &Order);
   void addResult(const EntryIdentity &Owner, codec::RelayedResult Result);
   void returnResults(const EntryIdentity &Owner);
@@ -48,6 +51,8 @@
   WorkerOrders &Workers_;
   EntryIdentity Me_;
   OrderRelay::AddressOf Address_;
+  PayloadCache Payloads_;
+  /// Orders that wait for their payload or for their worker's answer.
   std::size_t InFlight_ = 0;
   /// By the owner's incarnation.
   std::map<std::string, Inbox> Inboxes_;
--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -29,6 +29,9 @@
 constexpr milliseconds ExpiryPeriod(50);
 /// How long an entry gets no orders after it failed.
 constexpr milliseconds SuspendTime(3000);
+/// How long an entry gets orders with their payloads after it could not read
+/// one.
+constexpr milliseconds WholeOrdersTime(3000);
 constexpr int StatusOk = 200;
 constexpr int StatusBad = 400;
 constexpr int StatusForbidden = 403;
@@ -152,11 +155,28 @@
   Order.Worker = To.Id;
   Order.Address = To.Address;
   bool IsHold = std::holds_alternative<jobs::HoldOrder>(Order.Order);
-  Pending_[Order.Id] = {To.Pool,     Sender, Now,
-                        Now + Limit, IsHold, std::move(Done)};
+  Pending &Given = Pending_[Order.Id];
+  Given = {To.Pool, Sender, Now, Now + Limit, IsHold, std::move(Done), {}};
+  auto *Start = std::get_if<jobs::StartOrder>(&Order.Order);
+  if (Start && mayOmitPayload(Sender)) {
+    Given.Whole = Order;
+    Start->Payload.clear();
+    Order.PayloadOmitted = true;
+  }
+  ++Counters_.Orders;
+  enqueue(Sender, std::move(Order));
+}
+
+/// Whether the entry has lately read all payloads that it was asked to read.
+bool OrderRelay::mayOmitPayload(const std::string &Sender) const {
+  auto Missing = PayloadMissingAt_.find(Sender);
+  return Missing == PayloadMissingAt_.end() ||
+         bootNow() - Missing->second >= WholeOrdersTime;
+}
+
+void OrderRelay::enqueue(const std::string &Sender, codec::RelayedOrder Order) {
   Outbox &Box = Outboxes_[Sender];
   Box.Orders.push_back(std::move(Order));
-  ++Counters_.Orders;
   if (Box.Sending || Box.Queued)
     return;
   Box.Queued = true;
@@ -264,6 +284,18 @@
     complete(Id, resultWith(Outcome));
 }
 
+/// Gives a start again, with its payload, that the entry did not send for want
+/// of it.
+void OrderRelay::sendWhole(std::uint64_t Id) {
+  Pending &Given = Pending_.at(Id);
+  if (mayOmitPayload(Given.Sender))
+    logEvent("relay_payload_missing", {{"entry", Given.Sender}});
+  PayloadMissingAt_[Given.Sender] = bootNow();
+  // The result may arrive twice.
+  if (Given.Whole)
+    enqueue(Given.Sender, *std::exchange(Given.Whole, std::nullopt));
+}
+
 int OrderRelay::handleResults(
     const std::string &Body,
     const std::function<bool(const EntryIdentity &)> &Known) {
@@ -285,7 +317,11 @@
     return StatusOk;
   for (const codec::RelayedResult &Result : Batch.Results) {
     auto At = Pending_.find(Result.Id);
-    if (At != Pending_.end() && At->second.Sender == Batch.From)
+    if (At == Pending_.end() || At->second.Sender != Batch.From)
+      continue;
+    if (Result.PayloadMissing)
+      sendWhole(Result.Id);
+    else
       complete(Result.Id, Result);
   }
   return StatusOk;
--- a/src/dispatch/OrderRelay.h
+++ b/src/dispatch/OrderRelay.h
@@ -73,6 +73,8 @@
     /// Requests a report, and so keeps the worker's lease.
     bool IsHold = false;
     ResultCallback Done;
+    /// A start that was given without its payload.
+    std::optional<codec::RelayedOrder> Whole;
   };
   /// Orders for one sending entry that are not in a batch yet.
   struct Outbox {
@@ -85,6 +87,9 @@
   void give(const std::string &Sender, const jobs::WorkerEntry &To,
             codec::RelayedOrder Order, core::Duration Limit,
             ResultCallback Done);
+  void enqueue(const std::string &Sender, codec::RelayedOrder Order);
+  bool mayOmitPayload(const std::string &Sender) const;
+  void sendWhole(std::uint64_t Id);
   void flush(const std::string &Sender);
   void onBatchAnswered(const std::string &Sender,
                        const std::vector<std::uint64_t> &Ids,
@@ -106,6 +111,8 @@
   std::uint64_t NextId_ = 1;
   /// When an entry last failed to send.
   std::map<std::string, core::TimePoint> FailedAt_;
+  /// When an entry last could not read a payload.
+  std::map<std::string, core::TimePoint> PayloadMissingAt_;
   RelayCounters Counters_;
 };
 
--- a/tests/dispatch/InMemoryStore.h
+++ b/tests/dispatch/InMemoryStore.h
@@ -33,6 +33,12 @@
     FailingTables_.insert(Table);
   }
 
+  /// From now on, reads of the table get no answer.
+  void silenceReads(const std::string &Table) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    SilentTables_.insert(Table);
+  }
+
   /// From now on, commits are applied and answered as conflicts, as those that
   /// were sent twice. The answers name \p Owner with version \p OwnerVersion
   /// and the new version of \p Chain.
@@ -56,6 +62,8 @@
     Done(answer([](const store::PartRow &) { return false; }));
   }
   void read(store::PartRange Range, store::PartCallback Done) override {
+    if (isSilent(Range.Table))
+      return;
     if (isFailing(Range.Table))
       Done({});
     else
@@ -85,6 +93,10 @@
     std::lock_guard<std::mutex> Lock(Mutex_);
     return FailingTables_.count(Table) != 0;
   }
+  bool isSilent(const std::string &Table) const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return SilentTables_.count(Table) != 0;
+  }
   template <typename Wanted> store::PartAnswer answer(Wanted IsWanted) {
     std::lock_guard<std::mutex> Lock(Mutex_);
     ++ReadCount_;
@@ -100,6 +112,7 @@
   mutable std::mutex Mutex_;
   std::map<store::PartKey, store::PartRow> Rows_;
   std::set<std::string> FailingTables_;
+  std::set<std::string> SilentTables_;
   std::vector<store::PartRow> Repeated_;
   std::uint64_t Version_ = 0;
   std::uint32_t ReadCount_ = 0;
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -1,6 +1,8 @@
 #include "dispatch/OrderRelay.h"
 
 #include "dispatch/Clock.h"
+#include "dispatch/Context.h"
+#include "dispatch/InMemoryStore.h"
 #include "dispatch/LoopCalls.h"
 #include "dispatch/OrderForwarder.h"
 #include "dispatch/PeerMessages_p.h"
@@ -90,7 +92,7 @@
   Order.Worker = "w1";
   Order.Task = {"0123456789abcdef", 1, 2, 3};
   Order.Run = (std::uint64_t{5} << 22) + 1;
-  Order.Payload = "text";
+  Order.Payload = std::string(3000, 'x');
   Order.Checkpoint = "cp";
   Order.Ticket = "t";
   Order.DeadlineMs = 486000;
@@ -101,8 +103,12 @@
 struct RelayFixture {
   net::Loop Loop;
   net::HttpClient Client{{}};
+  InMemoryStore Store;
   RecordingWorkers Direct;
   RecordingWorkers Remote;
+  /// Bytes and number of the messages with orders that the other entry got.
+  std::size_t OrderBytes = 0;
+  std::size_t OrderMessages = 0;
   /// Whether the other entry takes part at all.
   std::atomic<bool> HelperWorks = true;
   /// Whether messages come from entries that the receiver knows.
@@ -112,9 +118,12 @@
         serve(std::move(Request), std::move(Respond));
       }};
   OrderRelay Relay{Loop, Client, Direct, Owner, address()};
-  OrderForwarder Forwarder{Loop, Client, Remote, Helper, address()};
+  OrderForwarder Forwarder{Loop, Client, Store, Remote, Helper, address()};
 
   RelayFixture() {
+    const std::string JobId = sampleStart().Task.JobId;
+    Store.put({rows::Payloads, rows::jobPart(JobId), JobId},
+              sampleStart().Payload);
     Server.start();
     Loop.start();
     runOn(Loop, [this] {
@@ -136,15 +145,17 @@
   void serve(net::HttpRequest Request, net::HttpResponder Respond) {
     if (!HelperWorks)
       return;
-    Loop.post(
-        [this, Request = std::move(Request), Respond = std::move(Respond)] {
-          auto IsKnown = [this](const EntryIdentity &) { return Known.load(); };
-          int Status =
-              Request.Path == paths::Orders
-                  ? Forwarder.handleOrders(Request.Body, bootNow(), IsKnown)
-                  : Relay.handleResults(Request.Body, IsKnown);
-          Respond(net::jsonResponse(Status, "{}"));
-        });
+    Loop.post([this, Request = std::move(Request),
+               Respond = std::move(Respond)] {
+      auto IsKnown = [this](const EntryIdentity &) { return Known.load(); };
+      bool IsOrders = Request.Path == paths::Orders;
+      OrderBytes += IsOrders ? Request.Body.size() : 0;
+      OrderMessages += IsOrders ? 1 : 0;
+      int Status =
+          IsOrders ? Forwarder.handleOrders(Request.Body, bootNow(), IsKnown)
+                   : Relay.handleResults(Request.Body, IsKnown);
+      Respond(net::jsonResponse(Status, "{}"));
+    });
   }
   OrderOutcome start() {
     std::optional<OrderOutcome> Outcome;
@@ -358,3 +369,60 @@
   CHECK(Withheld == Count);
   CHECK(B.Remote.count() == 0);
 }
+
+TEST_CASE(
+    "relayed starts of one job load the owner's link with no copies of its "
+    "payload") {
+  constexpr std::size_t Count = 8;
+  RelayFixture B;
+  std::size_t Accepted = 0;
+  runOn(B.Loop, [&] {
+    for (std::size_t N = 0; N < Count; ++N)
+      B.Relay.start(worker(), 5, sampleStart(), [&](jobs::OrderResult Result) {
+        Accepted += Result.Outcome == OrderOutcome::Accepted ? 1 : 0;
+      });
+  });
+  waitUntil(B.Loop, [&] { return Accepted == Count; });
+  std::size_t Bytes = 0;
+  runOn(B.Loop, [&] { Bytes = B.OrderBytes; });
+  CHECK(Bytes < sampleStart().Payload.size());
+  CHECK(B.Store.readCount() == 1);
+  for (const auto &[To, Sent] : B.Remote.Starts)
+    CHECK(Sent.Payload == sampleStart().Payload);
+}
+
+TEST_CASE("a relayed start reaches its worker although the sending entry can't "
+          "read the payload") {
+  RelayFixture B;
+  SUBCASE("the store refuses the read") { B.Store.failReads(rows::Payloads); }
+  SUBCASE("the store does not answer") { B.Store.silenceReads(rows::Payloads); }
+  SUBCASE("the store does not have it") {
+    const std::string JobId = sampleStart().Task.JobId;
+    B.Store.remove({rows::Payloads, rows::jobPart(JobId), JobId});
+  }
+  CHECK(B.start() == OrderOutcome::Accepted);
+  // The entry gets the next orders with their payloads at once.
+  CHECK(B.start() == OrderOutcome::Accepted);
+  std::size_t Messages = 0;
+  runOn(B.Loop, [&] { Messages = B.OrderMessages; });
+  CHECK(Messages == 3);
+  REQUIRE(B.Remote.Starts.size() == 2);
+  for (const auto &[To, Sent] : B.Remote.Starts)
+    CHECK(Sent.Payload == sampleStart().Payload);
+}
+
+TEST_CASE("a start whose payload came too late is not sent") {
+  RelayFixture B;
+  codec::RelayedOrder Order;
+  Order.Id = 1;
+  Order.Within = std::chrono::milliseconds(50);
+  Order.PayloadOmitted = true;
+  Order.Order = sampleStart();
+  B.Store.silenceReads(rows::Payloads);
+  std::string Text =
+      codec::encodeOrders(Owner.Name, Owner.Life, std::span(&Order, 1));
+  auto All = [](const EntryIdentity &) { return true; };
+  runOn(B.Loop, [&] { B.Forwarder.handleOrders(Text, bootNow(), All); });
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  CHECK(B.Remote.count() == 0);
+}
