--- a/tests/adapter/FakePlatform.cpp
+++ b/tests/adapter/FakePlatform.cpp
@@ -79,6 +79,22 @@
   HistoryFrom_ = ++Version_;
 }
 
+void FakeStore::applyLate(int Count, core::Duration Delay) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  TransactionsToDelay_ = Count;
+  TransactionDelay_ = Delay;
+}
+
+/// Whether the transaction is to be committed later and without an answer.
+bool FakeStore::postpone(const std::string &Body) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  if (TransactionsToDelay_ == 0)
+    return false;
+  --TransactionsToDelay_;
+  Timers_.after(TransactionDelay_, [this, Body] { commit(Json::parse(Body)); });
+  return true;
+}
+
 void FakeStore::handle(const net::HttpRequest &Request,
                        net::HttpResponder Respond) {
   if (int Status = FailureStatus_) {
@@ -87,6 +103,8 @@
   }
   std::map<std::string, std::string> Query = parseQuery(Request.Query);
   if (Request.Path == "/v1/rows-tx") {
+    if (postpone(Request.Body))
+      return;
     net::HttpResponse Answer = commit(Json::parse(Request.Body));
     // A call whose responder is destroyed gets no answer.
     if (ResponsesToDrop_ > 0)
@@ -136,6 +154,9 @@
         StatusPreconditionFailed,
         Json({{"rows", Current}, {"RowVersion", Version_}}).dump());
   ++Version_;
+  for (const char *Changes : {"Puts", "Remove"})
+    for (const Json &Entry : Body.at(Changes))
+      ChangedAt_[Entry.at("TableName")] = Version_;
   for (const Json &Entry : Body.at("Puts"))
     Rows_[RowKeyOf(Entry)] = {Entry.at("Value"), Version_, false};
   for (const Json &Entry : Body.at("Remove"))
@@ -177,8 +198,11 @@
     return;
   }
   std::map<std::uint64_t, Json> Changed;
-  for (const auto &[Where, Stored] : Rows_)
-    if (Where[0] == fieldOf(Query, "TableName") && Stored.Version > After)
+  std::string Table = fieldOf(Query, "TableName");
+  bool HasChanged = ChangedAt_[Table] > After;
+  for (auto It = Rows_.lower_bound({Table, "", ""});
+       HasChanged && It != Rows_.end() && It->first[0] == Table; ++It)
+    if (const auto &[Where, Stored] = *It; Stored.Version > After)
       Changed[Stored.Version].push_back(rowJson(Where, Stored));
   Json Rows = Json::array();
   for (const auto &[Version, RowsAtVersion] : Changed)
--- a/tests/adapter/FakePlatform.h
+++ b/tests/adapter/FakePlatform.h
@@ -27,6 +27,9 @@
   void failAll(int Status) { FailureStatus_ = Status; }
   /// Commits the next \p Count transactions without answering them.
   void dropResponses(int Count) { ResponsesToDrop_ = Count; }
+  /// Commits the next \p Count transactions \p Delay later, if their conditions
+  /// hold then, without answering them.
+  void applyLate(int Count, core::Duration Delay);
   /// Drops the changes so far from the feed, which then answers 410 to a reader
   /// that is behind.
   void dropHistory();
@@ -42,6 +45,7 @@
 
   void handle(const net::HttpRequest &Request, net::HttpResponder Respond);
   net::HttpResponse commit(const nlohmann::json &Body);
+  bool postpone(const std::string &Body);
   net::HttpResponse read(const std::map<std::string, std::string> &Query);
   void serveFeed(const std::map<std::string, std::string> &Query,
                  int RemainingMs, const net::HttpResponder &Respond);
@@ -54,6 +58,10 @@
   std::uint64_t HistoryFrom_ = 0;
   std::atomic<int> FailureStatus_ = 0;
   std::atomic<int> ResponsesToDrop_ = 0;
+  int TransactionsToDelay_ = 0;
+  core::Duration TransactionDelay_{0};
+  /// Version of the last change of each table.
+  std::map<std::string, std::uint64_t> ChangedAt_;
   net::HttpServer Server_;
 };
 
--- /dev/null
+++ b/tests/soak/Workers.h
@@ -0,0 +1,103 @@
+#ifndef COMFREYDECK_TESTS_SOAK_WORKERS_H
+#define COMFREYDECK_TESTS_SOAK_WORKERS_H
+
+#include "net/HttpServer.h"
+#include "net/Loop.h"
+#include "soak/Ledger.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+
+namespace comfreydeck::soak {
+
+/// Resources of each worker; each task of the soak needs TaskCpu.
+inline constexpr std::uint32_t WorkerCpu = 4000;
+inline constexpr std::uint32_t WorkerMemoryMb = 8000;
+inline constexpr std::uint32_t TaskCpu = 1000;
+inline constexpr std::uint32_t TaskMemoryMb = 100;
+
+/// Workers of the platform that start whatever they are told to and report it
+/// to a \ref Ledger. The payload of a task is its run time in milliseconds.
+class WorkerFleet {
+public:
+  WorkerFleet(net::Loop &Timers, Ledger &Seen, std::size_t Count);
+
+  void start();
+  void stop();
+
+  std::size_t size() const { return Workers_.size(); }
+  /// Where the worker listens. Only after \ref start.
+  std::uint16_t port(std::size_t Worker) const;
+  /// The worker's id, which changes with some crashes. Thread-safe.
+  std::string id(std::size_t Worker);
+  /// The worker's row as JSON text; \p Address is where the entries reach it.
+  /// Thread-safe.
+  std::string row(std::size_t Worker, const std::string &Pool,
+                  const std::string &Address);
+
+  /// Ends all runs of the worker, which then knows nothing of before. It comes
+  /// back under a new id if \p NewId. Thread-safe.
+  void crash(std::size_t Worker, bool NewId);
+  /// Carries out the next \p Count orders to the worker \p Delay later, without
+  /// an answer. Thread-safe.
+  void applyLate(std::size_t Worker, int Count, core::Duration Delay);
+
+private:
+  struct Run {
+    std::uint64_t Id = 0;
+    core::TimePoint EndsAt;
+  };
+  struct End {
+    std::uint64_t Number = 0;
+    std::string Task;
+    std::uint64_t Run = 0;
+    std::string How;
+    /// The lease lapsed after this end.
+    bool LapsedSince = false;
+  };
+  struct Worker {
+    std::string Name;
+    std::uint64_t Incarnation = 1;
+    std::uint64_t NamedIncarnation = 1;
+    core::TimePoint BornAt;
+    std::int64_t BornMs = 0;
+    std::uint64_t Token = 0;
+    core::TimePoint LeaseEnd;
+    bool HasLapsed = false;
+    std::map<std::string, Run> Running;
+    /// Highest run of each task that has ended here.
+    std::map<std::string, std::uint64_t> EndedRunOf;
+    std::vector<End> Ended;
+    std::uint64_t LastEnd = 0;
+    std::uint64_t Sequence = 0;
+    int OrdersToDelay = 0;
+    core::Duration OrderDelay{0};
+    std::unique_ptr<net::HttpServer> Server;
+  };
+
+  void handle(std::size_t N, const net::HttpRequest &Request,
+              const net::HttpResponder &Respond);
+  net::HttpResponse carryOut(std::size_t N, const std::string &Path,
+                             const nlohmann::json &Body);
+  void hold(std::size_t N, std::uint64_t Incarnation,
+            const nlohmann::json &Body, int RemainingMs,
+            const net::HttpResponder &Respond);
+  void advance(core::TimePoint Now);
+  void endRun(Worker &W, const std::string &Task, const char *How);
+  const char *raiseToken(Worker &W, const nlohmann::json &Body,
+                         core::TimePoint Now);
+  nlohmann::json start(Worker &W, const nlohmann::json &Body,
+                       core::TimePoint Now);
+  nlohmann::json stopRun(Worker &W, const nlohmann::json &Body);
+  static void reset(Worker &W, core::TimePoint Now);
+  static std::string idOf(const Worker &W);
+
+  net::Loop &Timers_;
+  Ledger &Seen_;
+  std::mutex Mutex_;
+  std::vector<Worker> Workers_;
+};
+
+} // namespace comfreydeck::soak
+
+#endif // COMFREYDECK_TESTS_SOAK_WORKERS_H
