--- a/tests/soak/Callers.h
+++ b/tests/soak/Callers.h
@@ -68,6 +68,8 @@
     JobShape Shape;
     /// An attempt had no certain answer.
     bool Unsure = false;
+    /// Accepted before; a duplicate of the call arrives late.
+    bool Accepted = false;
   };
 
   void run(EntryProcess &Entry, std::uint64_t Seed);
