--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -67,7 +67,7 @@
   operators::CommandContext Context;
   operators::addCommands(App, Context);
   try {
-    App.parse(Argc, Argv);
+    operators::parseCommandLine(App, Argc, Argv);
   } catch (const CLI::ParseError &E) {
     return App.exit(E) == 0 ? ExitOk : ExitUsage;
   }
--- a/src/operators/Commands.cpp
+++ b/src/operators/Commands.cpp
@@ -33,4 +33,15 @@
   addUnresolvedCommands(App, Context);
 }
 
+void parseCommandLine(CLI::App &App, int Argc, const char *const *Argv) {
+  try {
+    App.parse(Argc, Argv);
+  } catch (const CLI::CallForHelp &) {
+    std::vector<std::string> Unknown = App.remaining(true);
+    if (Unknown.empty())
+      throw;
+    throw CLI::ExtrasError(Unknown);
+  }
+}
+
 } // namespace comfreydeck::operators
--- a/src/operators/Commands.h
+++ b/src/operators/Commands.h
@@ -28,6 +28,11 @@
 /// must outlive the parsing. Not thread-safe.
 void addCommands(CLI::App &App, CommandContext &Context);
 
+/// Parses a command line with CLI::App::parse. An unknown word is an error also
+/// beside --help, which CLI11 would answer with the general usage. Throws
+/// CLI::ParseError, and what the commands throw. Not thread-safe.
+void parseCommandLine(CLI::App &App, int Argc, const char *const *Argv);
+
 } // namespace comfreydeck::operators
 
 #endif // COMFREYDECK_OPERATORS_COMMANDS_H
--- a/tests/operators/CommandsTest.cpp
+++ b/tests/operators/CommandsTest.cpp
@@ -250,3 +250,21 @@
   CHECK(operators::format({{"a", "b"}, {{"é", "1"}, {"ab", "2"}}}) ==
         "A   B\né   1\nab  2\n");
 }
+
+TEST_CASE("an unknown command is an error also beside --help") {
+  auto Parse = [](std::vector<const char *> Arguments) {
+    operators::CommandContext Context;
+    CLI::App App;
+    App.require_subcommand(1);
+    operators::addCommands(App, Context);
+    Arguments.insert(Arguments.begin(), "comfreydeck");
+    operators::parseCommandLine(App, static_cast<int>(Arguments.size()),
+                                Arguments.data());
+  };
+  CHECK_THROWS_AS(Parse({"frobnicate", "--help"}), CLI::ExtrasError);
+  CHECK_THROWS_AS(Parse({"--help", "frobnicate"}), CLI::ExtrasError);
+  CHECK_THROWS_AS(Parse({"team", "frobnicate", "--help"}), CLI::ExtrasError);
+  CHECK_THROWS_AS(Parse({"--help"}), CLI::CallForHelp);
+  CHECK_THROWS_AS(Parse({"team", "--help"}), CLI::CallForHelp);
+  CHECK_THROWS_AS(Parse({"team", "list", "--help"}), CLI::CallForHelp);
+}
