Take released pools at once beside living entries

Cause: a starting entry waited one second for others to register before it took any pool. The wait keeps the first entries of a starting fleet from taking everything; a pool that was released in order while others are alive is no such case, and living entries take it without any wait.

A pool whose row says released is therefore taken without the wait if another entry is alive, by the same ranking as before. Pools never owned, owners that died and a fleet that was stopped as a whole wait as before.

--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -24,7 +24,8 @@
 constexpr milliseconds HeartbeatWriteTimeout(500);
 constexpr milliseconds TakeRetry(200);
 /// How long a starting entry waits for the others to register before it takes
-/// pools.
+/// pools. Pools released while others are alive don't wait: in a rolling
+/// restart they would stay without an owner.
 constexpr milliseconds RegistrationWait(1000);
 /// Pause before a lost pool may be taken again: its new owner may not have
 /// registered yet.
@@ -148,12 +149,11 @@
   if (!View_.isSynced() || !Registered_ || Leaving_)
     return;
   reclaimPools();
-  if (Now - StartedAt_ < RegistrationWait)
-    return;
   std::vector<jobs::EntryView> Entries = View_.entries();
+  bool Starting = Now - StartedAt_ < RegistrationWait;
   std::vector<jobs::PoolView> Pools = View_.pools();
   // When the whole fleet starts, the first entries must not take all pools.
-  if (Entries.size() > MaxEntriesSeen_) {
+  if (!Starting && Entries.size() > MaxEntriesSeen_) {
     MaxEntriesSeen_ = Entries.size();
     MaxEntriesSeenAt_ = Now;
   }
@@ -167,11 +167,16 @@
     bool NeverOwned = !Row || Row->Version == 0;
     if (NeverOwned && !Gathered)
       continue;
+    if (Starting && !(Row && jobs::isReleasedBesideOthers(
+                                 self(), *Row, Entries, Now, HeartbeatTimeout)))
+      continue;
     if (Row && mayBeAlive(*Row))
       probeOwner(Pool);
     else
       take(Pool);
   }
+  if (Starting)
+    return;
   std::set<std::string> WorkedOn;
   for (const jobs::PoolView &Pool : Pools)
     if (isOwned(Pool.Pool))
--- a/src/jobs/OwnerChoice.cpp
+++ b/src/jobs/OwnerChoice.cpp
@@ -140,6 +140,17 @@
   return Mine;
 }
 
+bool isReleasedBesideOthers(const EntryView &Me, const PoolView &Pool,
+                            std::span<const EntryView> Entries,
+                            core::TimePoint Now, core::Duration DeadAfter) {
+  bool Released = Pool.Version != 0 && Pool.OwnerName.empty();
+  return Released && std::any_of(Entries.begin(), Entries.end(),
+                                 [&](const EntryView &Entry) {
+                                   return Entry.Name != Me.Name &&
+                                          isAlive(Entry, Now, DeadAfter);
+                                 });
+}
+
 std::vector<std::string> unservedPools(const EntryView &Me,
                                        std::span<const PoolView> Pools,
                                        const std::set<std::string> &Served) {
--- a/src/jobs/OwnerChoice.h
+++ b/src/jobs/OwnerChoice.h
@@ -101,6 +101,12 @@
             std::span<const PoolView> Pools, core::TimePoint SeenAt,
             core::TimePoint Now, core::Duration DeadAfter);
 
+/// Whether the pool was released in order while entries other than \p Me are
+/// alive. Thread-safe.
+bool isReleasedBesideOthers(const EntryView &Me, const PoolView &Pool,
+                            std::span<const EntryView> Entries,
+                            core::TimePoint Now, core::Duration DeadAfter);
+
 /// Returns the pools whose rows name this process as the owner although it does
 /// not serve them: a transaction that had timed out was applied late, or this
 /// process has released the pool. No other entry takes them over. Thread-safe.
--- a/tests/dispatch/OwnershipTest.cpp
+++ b/tests/dispatch/OwnershipTest.cpp
@@ -32,10 +32,15 @@
   Ownership Owners{Ctx, View};
   std::uint64_t Token = 0;
 
-  OwnershipFixture() {
+  explicit OwnershipFixture(
+      const std::string &OwnerRow = FleetView::ownerValue("e1", Life, {}),
+      const std::vector<jobs::EntryView> &Others = {}) {
     Store.put({"op", "", "config"}, "");
-    Store.put({rows::Control, rows::poolPart("p"), rows::OwnerKey},
-              FleetView::ownerValue("e1", Life, {}));
+    Store.put({rows::Control, rows::poolPart("p"), rows::OwnerKey}, OwnerRow);
+    for (const jobs::EntryView &Other : Others)
+      Store.put({rows::Control, rows::entryPart(Other.Name),
+                 rows::EntryPrefix + Other.Name},
+                FleetView::entryValue(Other, 1));
     Owners.setProbe([](const std::string &,
                        const std::function<void(bool)> &Done) { Done(true); });
     Owners.setStopQuery(
@@ -135,3 +140,28 @@
   REQUIRE(For);
   CHECK(*For <= bootNow() - Before);
 }
+
+TEST_CASE("a pool released in a rolling restart isn't left without an owner "
+          "while the next entry waits for others to register") {
+  // The pause in which entries that start together register.
+  constexpr std::chrono::seconds RegistrationWait(1);
+  jobs::EntryView Other;
+  Other.Name = "e2";
+  Other.Life = "9";
+  Other.Capacity = 1;
+  std::string Released = FleetView::releasedValue(1, {});
+  core::TimePoint Start = bootNow();
+  SUBCASE("beside a living entry") {
+    OwnershipFixture B(Released, {Other});
+    CHECK(bootNow() - Start < RegistrationWait);
+  }
+  SUBCASE("beside an entry that leaves") {
+    Other.Leaving = true;
+    OwnershipFixture B(Released, {Other});
+    CHECK(bootNow() - Start >= RegistrationWait);
+  }
+  SUBCASE("alone") {
+    OwnershipFixture B(Released);
+    CHECK(bootNow() - Start >= RegistrationWait);
+  }
+}
--- a/tests/jobs/OwnerChoiceTest.cpp
+++ b/tests/jobs/OwnerChoiceTest.cpp
@@ -254,3 +254,20 @@
   CHECK(History.Complete);
   CHECK(History.Owners.size() == 2);
 }
+
+TEST_CASE("a pool counts as released beside others only if it has no owner and "
+          "another entry is alive") {
+  EntryView Me = entry("a", "1");
+  std::vector<EntryView> Entries = {Me, entry("b", "1")};
+  PoolView Pool = {"p", "", "", 5};
+  auto IsReleased = [&] {
+    return isReleasedBesideOthers(Me, Pool, Entries, Now, DeadAfter);
+  };
+  CHECK(IsReleased());
+  SUBCASE("never owned") { Pool.Version = 0; }
+  SUBCASE("owned") { Pool.OwnerName = "b"; }
+  SUBCASE("the other entry is leaving") { Entries[1].Leaving = true; }
+  SUBCASE("the other entry is dead") { Entries[1].ChangedAt = Now - DeadAfter; }
+  SUBCASE("there is no other entry") { Entries.pop_back(); }
+  CHECK_FALSE(IsReleased());
+}
