Pause before fleet orders after a take whose answer was lost

What callers saw: nothing yet; found in reading. An entry that took the fleet's duty from another one, and whose write was not answered or answered as a conflict, counted as the previous owner and left out the pause of 3 s before its first order.

Cause: whether the duty came back was judged by the entry's name in the view, which held the new row by then.

Change: it is judged when the take is sent, by the row that the transaction replaces, and only an earlier process of the entry counts.

Evidence: "an entry that took the fleet from another one in a write whose answer was lost..." failed before (isFleetReclaimed() true).

--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -236,6 +236,8 @@
   T.Conditions.push_back({Key, Row ? Row->Version : 0});
   PoolTakeover Takeover{Pool, 0, bootNow(),
                         jobs::historyAfter(Row ? *Row : jobs::PoolView())};
+  Takeover.Reclaimed = Row && Row->OwnerName == Ctx_.Settings.Name &&
+                       Row->OwnerLife != Ctx_.Life;
   T.Puts.push_back({Key, FleetView::ownerValue(Ctx_.Settings.Name, Ctx_.Life,
                                                Takeover.Earlier)});
   Ctx_.Store.commit(
@@ -295,15 +297,13 @@
   PendingTakes_.erase(Pool);
   if (Token < SupersededBy_[Pool])
     return;
-  const jobs::PoolView *Before = View_.pool(Pool);
-  bool Reclaimed = Before && Before->OwnerName == Ctx_.Settings.Name;
   jobs::PoolView Mine{Pool, Ctx_.Settings.Name, Ctx_.Life, Token};
   Mine.Earlier = Takeover.Earlier;
   View_.setPool(std::move(Mine));
   logEvent("pool_taken", {{"pool", Pool}, {"token", Token}});
   if (Pool == rows::FleetControl) {
     FleetToken_ = Token;
-    FleetReclaimed_ = Reclaimed;
+    FleetReclaimed_ = Takeover.Reclaimed;
     return;
   }
   auto Lost = [this](const std::string &Name) {
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -20,6 +20,8 @@
   core::TimePoint At;
   /// Owners before this one.
   jobs::OwnerHistory Earlier = {};
+  /// The row named an earlier process of this entry as the owner.
+  bool Reclaimed = false;
 };
 
 /// Workers that must not get new tasks.
--- a/tests/dispatch/OwnershipTest.cpp
+++ b/tests/dispatch/OwnershipTest.cpp
@@ -135,3 +135,17 @@
   REQUIRE(For);
   CHECK(*For <= bootNow() - Before);
 }
+
+TEST_CASE("an entry that took the fleet from another one in a write whose "
+          "answer was lost does not count as its previous owner") {
+  OwnershipFixture B;
+  store::PartKey Fleet = {rows::Control, rows::poolPart(rows::FleetControl),
+                          rows::OwnerKey};
+  B.Store.repeatCommits(Fleet, 0, Fleet);
+  B.Store.put(Fleet, FleetView::ownerValue("e2", "9", {}));
+  waitUntil(B.Loop, [&] {
+    B.Owners.review();
+    return B.Owners.isOwned(rows::FleetControl);
+  });
+  runOn(B.Loop, [&] { CHECK_FALSE(B.Owners.isFleetReclaimed()); });
+}
