Count a worker as ended for want of a machine only if two lists agree

What callers saw: nothing yet; found in reading. A new owner takes a worker for ended, and starts its tasks again, once no machine of one list shows it.

Cause: absence from a list taken as proof of an end. The list is read by pages while machines come and go, so that it can miss one; and a worker that reported while the list was read was not asked about again.

Change: a worker that no machine shows is looked up in a second list, requested at once; a machine that shows it as moved or maintained is still proof by itself. A worker that has reported meanwhile is left out.

Evidence: "a worker that one list of machines leaves out and the next one shows does not count as ended" failed before (one list, worker_ended). The half about reports has no test. The delay of inherited tasks by the second list was not measured.

--- a/src/dispatch/MachineCache.cpp
+++ b/src/dispatch/MachineCache.cpp
@@ -22,6 +22,12 @@
   });
 }
 
+bool isWorkerShown(const std::string &Worker,
+                   std::span<const Machine> Machines) {
+  return std::any_of(Machines.begin(), Machines.end(),
+                     [&](const Machine &M) { return M.Worker == Worker; });
+}
+
 const char *machineStateOf(const std::string &Worker,
                            std::span<const Machine> Machines) {
   for (const Machine &M : Machines)
--- a/src/dispatch/MachineCache.h
+++ b/src/dispatch/MachineCache.h
@@ -14,6 +14,10 @@
 bool hasWorkerEnded(const std::string &Worker,
                     std::span<const Machine> Machines);
 
+/// Whether a machine shows the worker, in whatever state. Thread-safe.
+bool isWorkerShown(const std::string &Worker,
+                   std::span<const Machine> Machines);
+
 /// The state of the machine that shows the worker, "none" if no machine does;
 /// for logs. Thread-safe.
 const char *machineStateOf(const std::string &Worker,
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -283,29 +283,60 @@
     return;
   std::vector<std::string> Open;
   for (const auto &[Id, Worker] : State_.workers())
-    if (jobs::PoolState::mayHaveEnded(*Worker) ||
-        (Worker->Gone && State_.mayHaveCrashed(Id)))
+    if (mayHaveEnded(Id))
       Open.push_back(Id);
   if (Open.empty() || Dropped_ || !Ctx_.Machines)
     return;
   CheckingUnlisted_ = true;
+  readMachines(Open, false);
+}
+
+bool PoolController::mayHaveEnded(const std::string &Id) const {
+  auto At = State_.workers().find(Id);
+  return At != State_.workers().end() &&
+         (jobs::PoolState::mayHaveEnded(*At->second) ||
+          (At->second->Gone && State_.mayHaveCrashed(Id)));
+}
+
+/// Reads the list of machines. \p Again says that the last list showed none of
+/// the workers.
+void PoolController::readMachines(const std::vector<std::string> &Ids,
+                                  bool Again) {
   auto Self = shared_from_this();
-  Ctx_.Machines->list([Self, Open](MachineList List) {
-    Self->Ctx_.Loop.post([Self, Open, List = std::move(List)] {
-      if (!List.Ok)
-        Self->Ctx_.Count.recordRetry("list-machines");
-      for (const std::string &Id : Open)
-        if (List.Ok && hasWorkerEnded(Id, List.Machines))
-          Self->endWorker(Id, List);
-      Self->schedulePlan();
-      Self->Ctx_.Loop.after(UnlistedCheckPause, [Self] {
-        Self->CheckingUnlisted_ = false;
-        Self->checkUnlistedWorkers();
-      });
+  Ctx_.Machines->list([Self, Ids, Again](MachineList List) {
+    Self->Ctx_.Loop.post([Self, Ids, Again, List = std::move(List)] {
+      Self->onMachinesRead(Ids, List, Again);
     });
   });
 }
 
+/// Pages of one list may be read while machines come and go, so that it misses
+/// some: a worker has ended without a machine only if two lists agree.
+void PoolController::onMachinesRead(const std::vector<std::string> &Ids,
+                                    const MachineList &List, bool Again) {
+  if (!List.Ok)
+    Ctx_.Count.recordRetry("list-machines");
+  std::vector<std::string> Missing;
+  for (const std::string &Id : Ids) {
+    // It may have reported since the list was requested.
+    if (!List.Ok || !mayHaveEnded(Id) || !hasWorkerEnded(Id, List.Machines))
+      continue;
+    if (Again || isWorkerShown(Id, List.Machines))
+      endWorker(Id, List);
+    else
+      Missing.push_back(Id);
+  }
+  schedulePlan();
+  if (!Missing.empty() && !Dropped_) {
+    readMachines(Missing, true);
+    return;
+  }
+  Ctx_.Loop.after(UnlistedCheckPause, [Self = shared_from_this()] {
+    Self->CheckingUnlisted_ = false;
+    Self->checkUnlistedWorkers();
+  });
+}
+
 /// Logs what is assumed of the worker's runs, which may start again now.
 void PoolController::endWorker(const std::string &Id, const MachineList &List) {
   auto At = State_.workers().find(Id);
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -83,6 +83,10 @@
   void applySettledRow(const store::PartRow &Row);
   void applyRosterRow(const store::PartRow &Row, core::TimePoint Now);
   void checkUnlistedWorkers();
+  bool mayHaveEnded(const std::string &Id) const;
+  void readMachines(const std::vector<std::string> &Ids, bool Again);
+  void onMachinesRead(const std::vector<std::string> &Ids,
+                      const MachineList &List, bool Again);
   void endWorker(const std::string &Id, const MachineList &List);
   void stopEarlierOwners();
   void loadPayloads();
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -16,13 +16,23 @@
 
 constexpr std::chrono::milliseconds PollEvery(20);
 
-/// Lists no machine, so that no worker is left.
-struct NoMachines : MachineControl {
+/// Lists no machine, so that no worker is left, or after the first list that of
+/// worker w1.
+struct ListedMachines : MachineControl {
   std::atomic<std::uint32_t> Lists = 0;
+  std::atomic<bool> OnlyFirstOmits = false;
 
   void list(std::function<void(MachineList)> Done) override {
-    ++Lists;
-    Done({true, {}});
+    MachineList List;
+    List.Ok = true;
+    if (++Lists > 1 && OnlyFirstOmits) {
+      Machine M;
+      M.Id = "m1";
+      M.State = MachineState::Up;
+      M.Worker = "w1";
+      List.Machines.push_back(M);
+    }
+    Done(List);
   }
   void maintain(const std::string &, const std::string &, std::uint64_t,
                 std::function<void(MachineOrderOutcome)>) override {}
@@ -38,7 +48,7 @@
   net::HttpClient Client{{}};
   InMemoryStore Store;
   SilentWorkers Workers;
-  NoMachines Machines;
+  ListedMachines Machines;
   RowDecoder Rows = decoder();
   CallerCodec Codec;
   JobMetrics Count;
@@ -134,6 +144,15 @@
   CHECK(B.Machines.Lists > 0);
 }
 
+TEST_CASE("a worker that one list of machines leaves out and the next one "
+          "shows does not count as ended") {
+  ControllerFixture B;
+  B.Machines.OnlyFirstOmits = true;
+  B.Store.remove({"servers", "", "w1"});
+  B.waitUntil([&] { return B.Machines.Lists >= 3; });
+  B.on([&] { CHECK_FALSE(B.isHeard("w1")); });
+}
+
 TEST_CASE("a new owner asks the owners since the settled one to stop") {
   ControllerFixture B;
   std::set<std::string> Asked;
