Count a worker as heard only with the last of its ends

A task that had ended as done could start again under a new owner, if its worker listed 500 ends or more.

Cause: a worker lists 500 ends at a time, and counted as heard by its first list. Tasks whose ends come later looked as if they had never run.

Change: only a list that is not full makes a worker heard.

--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -171,7 +171,10 @@
     Lost_.clear(W.Entry.Id);
   }
   recordClock(W, Report.ClockMs, Now);
-  W.Heard = W.IncarnationConfirmed = true;
+  // A full list may leave out later ends.
+  bool ListsAllEnds = Report.Ended.size() < MaxEndsListed;
+  W.Heard = W.Heard || ListsAllEnds;
+  W.IncarnationConfirmed = true;
   W.ReportedAt = Now;
   if (!W.FencedAt) {
     W.FencedAt = Now;
@@ -187,7 +190,7 @@
   W.UnknownRuns.clear();
   for (const RunReport &Run : Report.Running)
     handleRunning(W, Run, SentAt, Now);
-  if (Report.Ended.size() < MaxEndsListed)
+  if (ListsAllEnds)
     dropMissing(W, Report, SentAt);
   stopUnlisted(W, SentAt, Now);
 }
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -291,8 +291,8 @@
   /// In the stored roster, so that the next owner polls it even if it is no
   /// longer listed. A worker gets no start before it is enrolled.
   bool Enrolled = false;
-  /// Has reported since this owner took over the pool, or is known to have
-  /// ended.
+  /// Has reported, with all its ends, since this owner took over the pool, or
+  /// is known to have ended.
   bool Heard = false;
   /// When this owner first requested its report.
   core::TimePoint AskedAt;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -275,10 +275,11 @@
     const WorkerState &W = *Item.second;
     // After slow loading of the jobs, all leases may have expired before the
     // first request. Workers still list ends that must be counted, so wait for
-    // their answers.
-    bool Asked = W.Ended || (W.AskedAt != core::TimePoint() &&
-                             Now - W.AskedAt >= Limits_.ReportAnswer);
-    return W.Heard || (Asked && leaseLapsed(W, Now));
+    // their answers, and for the rest of their lists as long as they answer.
+    bool Asked = W.AskedAt != core::TimePoint() &&
+                 Now - W.AskedAt >= Limits_.ReportAnswer;
+    bool Silent = Asked && Now - W.ReportedAt >= Limits_.ReportStale;
+    return W.Heard || ((W.Ended || Silent) && leaseLapsed(W, Now));
   });
 }
 
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -996,3 +996,55 @@
     CHECK(B.plan().Starts.size() == 1);
   }
 }
+
+TEST_CASE("an inherited task does not start again while the worker has ends "
+          "left that its first list had no room for") {
+  constexpr std::uint64_t EndsPerList = 500;
+  OwnerFixture B(9);
+  B.listWorkers({"w1"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.Owner.inheritJob(sampleJob(2, EndsPerList), nullptr, B.Now);
+  B.plan();
+  std::vector<EndReport> First;
+  for (std::uint32_t N = 0; N < EndsPerList; ++N)
+    First.push_back(
+        endReportOf(N + 1, {jobId(2), 0, 0, N}, N + 1, RunEnd::Done));
+  B.report("w1", {}, First);
+  CHECK(B.plan().Starts.empty());
+  B.advance(milliseconds(400));
+  CHECK(B.plan().Starts.empty());
+  while (true) {
+    ProgressBatch Batch = B.Owner.takeChanges(10);
+    if (Batch.isEmpty())
+      break;
+    B.Owner.onStored(Batch.Mark);
+  }
+  Orders Out = B.plan();
+  REQUIRE(Out.Holds.size() == 1);
+  CHECK(Out.Holds[0].AcknowledgeUpTo == EndsPerList);
+  B.report("w1", {},
+           {endReportOf(EndsPerList + 1, {jobId(1), 0, 0, 0}, EndsPerList + 1,
+                        RunEnd::Done)});
+  CHECK(B.plan().Starts.empty());
+  CHECK(B.Owner.findJob(jobId(1))->Now == JobState::Completed);
+}
+
+TEST_CASE("a worker that answers counts as heard only with its last ends, "
+          "however long its lists take") {
+  constexpr std::uint64_t EndsPerList = 500;
+  OwnerFixture B(9);
+  B.listWorkers({"w1"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.Owner.inheritJob(sampleJob(2, EndsPerList), nullptr, B.Now);
+  std::vector<EndReport> First;
+  for (std::uint32_t N = 0; N < EndsPerList; ++N)
+    First.push_back(
+        endReportOf(N + 1, {jobId(2), 0, 0, N}, N + 1, RunEnd::Done));
+  // The store acknowledges nothing meanwhile.
+  for (int Round = 0; Round < 30; ++Round) {
+    B.plan();
+    B.report("w1", {}, First);
+    CHECK(B.plan().Starts.empty());
+    B.advance(milliseconds(400));
+  }
+}
