Stop a start that may still reach a worker's next incarnation

What callers saw: nothing yet; found in reading. Two runs of one task could be at work at the same time after a worker had restarted under its id while a start was under way to it.

Cause: the new incarnation was taken as proof that all runs ordered before had ended. A start that had no answer yet may be carried out seconds later, by the new incarnation, which knows nothing of before.

Change: runs whose start had no answer are kept when a worker restarts, and stopped on the new incarnation, which rejects the start from then on; the task starts again once a report after that doesn't list it. A stop that was sent to the earlier incarnation doesn't count.

--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace comfreydeck::jobs {
 
@@ -115,6 +116,7 @@
   }
   if (Result.Outcome != OrderOutcome::Accepted) {
     Run->StopAt = Now + StopRetry;
+  bool Outdated = std::exchange(Run->StopOutdated, false);
     return;
   }
   // From now on, a report that does not list the run proves that it is gone.
@@ -125,6 +127,10 @@
   Run->StopAt = Now + std::chrono::seconds(1);
   W.NextHold = std::min(W.NextHold, Now);
 }
+  if (Outdated) {
+    Run->StopAt = Now;
+    return;
+  }
 
 void PoolState::onReport(const HoldOrder &Order, const ReportResult &Result,
                          core::TimePoint SentAt, core::TimePoint Now) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -173,6 +173,8 @@
   /// The run is to be stopped.
   bool Stopping = false;
   bool StopInFlight = false;
+  /// The stop in flight was sent to an earlier incarnation of the worker.
+  bool StopOutdated = false;
   core::TimePoint OrderedAt;
   /// When the time limit of its start passed without an answer.
   std::optional<core::TimePoint> UnansweredAt;
@@ -352,6 +354,9 @@
   std::int64_t LastReportClockMs = 0;
   /// Starts planned since that report.
   std::uint32_t StartsSinceReport = 0;
+  /// Until then, a start for an earlier incarnation may have given this one a
+  /// lease.
+  core::TimePoint LateStartsUntil;
 };
 
 /// State and decisions of one pool's owner. Performs no I/O: callers pass in
@@ -536,6 +541,9 @@
   void startIncarnation(WorkerState &W, std::int64_t Born, core::TimePoint Now);
   void dropRuns(WorkerState &W);
   std::vector<SuspectRun> suspectsOn(const WorkerState &W) const;
+  std::vector<SuspectRun> unansweredStarts(const WorkerState &W) const;
+  void stopLateStart(JobRecord &Job, std::uint32_t Task, LiveRun Run,
+                     core::TimePoint Now);
   void dropCrashed(WorkerState &W, std::int64_t Born, core::TimePoint Now);
   void announceSuspects(const WorkerState &W);
   void recordLoss(const WorkerState &W, core::TimePoint Now);
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -17,7 +17,17 @@
 
 void PoolState::startIncarnation(WorkerState &W, std::int64_t Born,
                                  core::TimePoint Now) {
+  std::vector<SuspectRun> Unanswered = unansweredStarts(W);
+  std::vector<LiveRun> Runs;
+  for (const SuspectRun &Start : Unanswered)
+    Runs.push_back(*findRun(*jobOf(Start.JobId), Start.Task, Start.Run));
   dropCrashed(W, Born, Now);
+  for (std::size_t N = 0; N < Runs.size(); ++N)
+    stopLateStart(*jobOf(Unanswered[N].JobId), Unanswered[N].Task, Runs[N],
+                  Now);
+  W.LateStartsUntil = core::TimePoint();
+  if (!Runs.empty())
+    W.LateStartsUntil = Now + Limits_.EarlierOrders;
   W.IncarnationConfirmed = false;
   W.Ended = false;
   W.Born = Born;
@@ -33,6 +43,28 @@
   W.ClockAt = Now;
 }
 
+/// Runs on the worker whose start was sent and may still be carried out.
+std::vector<SuspectRun>
+PoolState::unansweredStarts(const WorkerState &W) const {
+  std::vector<SuspectRun> Starts;
+  for (const auto &[Job, Task] : W.Tasks)
+    for (const LiveRun &Run : Job->Tasks[Task].Runs)
+      if (Run.Worker == W.Entry.Id && Run.SendAfter == 0 && !Run.Confirmed)
+        Starts.push_back({Job->Spec.Id, Task, Run.Run});
+  return Starts;
+}
+
+/// Keeps a run of an earlier incarnation until the present one has accepted a
+/// stop, which rejects the start if it arrives there.
+void PoolState::stopLateStart(JobRecord &Job, std::uint32_t Task, LiveRun Run,
+                              core::TimePoint Now) {
+  Run.Stopping = true;
+  Run.StopAt = Now;
+  Run.StopOutdated = Run.StopInFlight;
+  StopsChanged_ = true;
+  addRun(Job, Task, std::move(Run));
+}
+
 void PoolState::setWorkers(std::span<const WorkerEntry> Entries,
                            core::TimePoint Now) {
   Now_ = Now;
@@ -260,7 +292,7 @@
 }
 
 bool PoolState::leaseLapsed(const WorkerState &W, core::TimePoint Now) const {
-  if (Now < earlierLeasesEnd(W))
+  if (Now < earlierLeasesEnd(W) || Now < W.LateStartsUntil)
     return false;
   if (W.DeadlineMs == 0)
     return true;
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -1048,3 +1048,48 @@
     B.advance(milliseconds(400));
   }
 }
+
+TEST_CASE("a start that may still reach a worker's next incarnation is stopped "
+          "there before its task starts elsewhere") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.plan();
+  B.report("w1");
+  B.report("w2");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  const std::string Worker = Out.Starts[0].Worker;
+  auto ReportAgain = [&] {
+    HoldOrder Order;
+    Order.Worker = Worker;
+    ReportResult Result;
+    Result.Outcome = OrderOutcome::Accepted;
+    Result.Report.ClockMs = B.clockMs();
+    Result.Report.Born = 2;
+    B.Owner.onReport(Order, Result, B.Now, B.Now);
+  };
+  // A task that may have crashed a worker starts once that is stored.
+  auto PlanStored = [&] {
+    Orders Before = B.plan();
+    B.Owner.onStored(B.Owner.takeChanges(10).Mark);
+    Orders Stored = B.plan();
+    Stored.Stops.insert(Stored.Stops.end(), Before.Stops.begin(),
+                        Before.Stops.end());
+    Stored.Starts.insert(Stored.Starts.end(), Before.Starts.begin(),
+                         Before.Starts.end());
+    return Stored;
+  };
+  B.advance(milliseconds(100));
+  ReportAgain();
+  Orders After = PlanStored();
+  CHECK(After.Starts.empty());
+  REQUIRE(After.Stops.size() == 1);
+  CHECK(After.Stops[0].Worker == Worker);
+  CHECK(After.Stops[0].Run == Out.Starts[0].Run);
+  B.Owner.onStop(After.Stops[0], {OrderOutcome::Accepted, B.clockMs()}, B.Now);
+  B.advance(milliseconds(10));
+  CHECK(PlanStored().Starts.empty());
+  ReportAgain();
+  CHECK(PlanStored().Starts.size() == 1);
+}
