Compute no lease from the clock of a worker's earlier incarnation

What callers saw: nothing yet; found in reading. After a worker had restarted under its id, its owner could grant leases up to the longest one instead of 3 s, and count them as lapsed while the worker's runs went on.

Cause: an answer to a start or stop has no incarnation. One of the earlier incarnation that came after the first report of the new one replaced its clock, which had begun anew.

Change: the clock of such an answer counts only if the run was ordered after the first report of the present incarnation.

Evidence: "a lease is not computed from the clock of a worker's earlier incarnation, whose answer came late" failed before (lease end 3603000 instead of at most 4000, both cases) and passes; comfreydeck_jobs_tests pass, 128 of 128 cases.

--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -22,6 +22,12 @@
 /// Retry interval for a stop without a successful answer.
 constexpr milliseconds StopRetry(300);
 
+/// Whether the run was certainly started on the worker's present incarnation:
+/// answers about others may have another clock.
+bool isOfIncarnation(const LiveRun &Run, const WorkerState &W) {
+  return W.FencedAt && Run.OrderedAt > *W.FencedAt;
+}
+
 } // namespace
 
 void PoolState::onStart(const StartOrder &Order, const OrderResult &Result,
@@ -32,12 +38,13 @@
   if (At == Workers_.end())
     return;
   WorkerState &W = *At->second;
-  recordClock(W, Result.ClockMs, Now);
   JobRecord *Job = jobOf(Order.Task.JobId);
   if (!Job)
     return;
   std::uint32_t Task = indexOf(*Job, Order.Task);
   LiveRun *Run = findRun(*Job, Task, Order.Run);
+  if (Run && isOfIncarnation(*Run, W))
+    recordClock(W, Result.ClockMs, Now);
   switch (Result.Outcome) {
   case OrderOutcome::Accepted:
     if (Run && !Run->Confirmed) {
@@ -100,14 +107,16 @@
   if (At == Workers_.end() || !Job)
     return;
   WorkerState &W = *At->second;
-  recordClock(W, Result.ClockMs, Now);
   if (Result.Outcome == OrderOutcome::Fenced)
     Fenced_ = true;
   std::uint32_t Task = indexOf(*Job, Order.Task);
   LiveRun *Run = findRun(*Job, Task, Order.Run);
   if (!Run)
     return;
+  if (isOfIncarnation(*Run, W))
+    recordClock(W, Result.ClockMs, Now);
   Run->StopInFlight = false;
+  bool Outdated = std::exchange(Run->StopOutdated, false);
   StopsChanged_ = true;
   if (Result.Outcome == OrderOutcome::OtherIncarnation) {
     // The incarnation that had the run has ended.
@@ -116,7 +125,10 @@
   }
   if (Result.Outcome != OrderOutcome::Accepted) {
     Run->StopAt = Now + StopRetry;
-  bool Outdated = std::exchange(Run->StopOutdated, false);
+    return;
+  }
+  if (Outdated) {
+    Run->StopAt = Now;
     return;
   }
   // From now on, a report that does not list the run proves that it is gone.
@@ -127,10 +139,6 @@
   Run->StopAt = Now + std::chrono::seconds(1);
   W.NextHold = std::min(W.NextHold, Now);
 }
-  if (Outdated) {
-    Run->StopAt = Now;
-    return;
-  }
 
 void PoolState::onReport(const HoldOrder &Order, const ReportResult &Result,
                          core::TimePoint SentAt, core::TimePoint Now) {
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -1093,3 +1093,30 @@
   ReportAgain();
   CHECK(PlanStored().Starts.size() == 1);
 }
+
+TEST_CASE("a lease is not computed from the clock of a worker's earlier "
+          "incarnation, whose answer came late") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  HoldOrder Hold;
+  Hold.Worker = "w1";
+  ReportResult Restarted;
+  Restarted.Outcome = OrderOutcome::Accepted;
+  Restarted.Report.ClockMs = 1000;
+  Restarted.Report.Born = 2;
+  B.Owner.onReport(Hold, Restarted, B.Now, B.Now);
+  SUBCASE("of a start") { B.answer(Out.Starts[0], OrderOutcome::Accepted); }
+  SUBCASE("of a stop") {
+    StopOrder Stop{"w1", Out.Starts[0].Task, Out.Starts[0].Run};
+    B.Owner.onStop(Stop, {OrderOutcome::Unknown, B.clockMs()}, B.Now);
+  }
+  B.Owner.addJob(sampleJob(2), B.Now);
+  Orders After = B.plan();
+  REQUIRE(After.Starts.size() == 1);
+  CHECK(After.Starts[0].DeadlineMs <= 1000 + 3000);
+}
