--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -19,6 +19,7 @@
                                  core::TimePoint Now) {
   std::vector<SuspectRun> Unanswered = unansweredStarts(W);
   std::vector<LiveRun> Runs;
+  Runs.reserve(Unanswered.size());
   for (const SuspectRun &Start : Unanswered)
     Runs.push_back(*findRun(*jobOf(Start.JobId), Start.Task, Start.Run));
   dropCrashed(W, Born, Now);
