--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <tuple>
+#include <utility>
 
 namespace comfreydeck::jobs {
 
@@ -21,6 +22,12 @@
 /// Retry interval for a stop without a successful answer.
 constexpr milliseconds StopRetry(300);
 
+/// Whether the run was certainly started on the worker's present incarnation:
+/// answers about others may have another clock.
+bool isOfIncarnation(const LiveRun &Run, const WorkerState &W) {
+  return W.FencedAt && Run.OrderedAt > *W.FencedAt;
+}
+
 } // namespace
 
 void PoolState::onStart(const StartOrder &Order, const OrderResult &Result,
@@ -31,12 +38,13 @@
   if (At == Workers_.end())
     return;
   WorkerState &W = *At->second;
-  recordClock(W, Result.ClockMs, Now);
   JobRecord *Job = jobOf(Order.Task.JobId);
   if (!Job)
     return;
   std::uint32_t Task = indexOf(*Job, Order.Task);
   LiveRun *Run = findRun(*Job, Task, Order.Run);
+  if (Run && isOfIncarnation(*Run, W))
+    recordClock(W, Result.ClockMs, Now);
   switch (Result.Outcome) {
   case OrderOutcome::Accepted:
     if (Run && !Run->Confirmed) {
@@ -99,14 +107,16 @@
   if (At == Workers_.end() || !Job)
     return;
   WorkerState &W = *At->second;
-  recordClock(W, Result.ClockMs, Now);
   if (Result.Outcome == OrderOutcome::Fenced)
     Fenced_ = true;
   std::uint32_t Task = indexOf(*Job, Order.Task);
   LiveRun *Run = findRun(*Job, Task, Order.Run);
   if (!Run)
     return;
+  if (isOfIncarnation(*Run, W))
+    recordClock(W, Result.ClockMs, Now);
   Run->StopInFlight = false;
+  bool Outdated = std::exchange(Run->StopOutdated, false);
   StopsChanged_ = true;
   if (Result.Outcome == OrderOutcome::OtherIncarnation) {
     // The incarnation that had the run has ended.
@@ -117,6 +127,10 @@
     Run->StopAt = Now + StopRetry;
     return;
   }
+  if (Outdated) {
+    Run->StopAt = Now;
+    return;
+  }
   // From now on, a report that does not list the run proves that it is gone.
   if (!Run->Confirmed) {
     Run->Confirmed = true;
@@ -171,7 +185,10 @@
     Lost_.clear(W.Entry.Id);
   }
   recordClock(W, Report.ClockMs, Now);
-  W.Heard = W.IncarnationConfirmed = true;
+  // A full list may leave out later ends.
+  bool ListsAllEnds = Report.Ended.size() < MaxEndsListed;
+  W.Heard = W.Heard || ListsAllEnds;
+  W.IncarnationConfirmed = true;
   W.ReportedAt = Now;
   if (!W.FencedAt) {
     W.FencedAt = Now;
@@ -187,7 +204,7 @@
   W.UnknownRuns.clear();
   for (const RunReport &Run : Report.Running)
     handleRunning(W, Run, SentAt, Now);
-  if (Report.Ended.size() < MaxEndsListed)
+  if (ListsAllEnds)
     dropMissing(W, Report, SentAt);
   stopUnlisted(W, SentAt, Now);
 }
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -996,3 +996,127 @@
     CHECK(B.plan().Starts.size() == 1);
   }
 }
+
+TEST_CASE("an inherited task does not start again while the worker has ends "
+          "left that its first list had no room for") {
+  constexpr std::uint64_t EndsPerList = 500;
+  OwnerFixture B(9);
+  B.listWorkers({"w1"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.Owner.inheritJob(sampleJob(2, EndsPerList), nullptr, B.Now);
+  B.plan();
+  std::vector<EndReport> First;
+  for (std::uint32_t N = 0; N < EndsPerList; ++N)
+    First.push_back(
+        endReportOf(N + 1, {jobId(2), 0, 0, N}, N + 1, RunEnd::Done));
+  B.report("w1", {}, First);
+  CHECK(B.plan().Starts.empty());
+  B.advance(milliseconds(400));
+  CHECK(B.plan().Starts.empty());
+  while (true) {
+    ProgressBatch Batch = B.Owner.takeChanges(10);
+    if (Batch.isEmpty())
+      break;
+    B.Owner.onStored(Batch.Mark);
+  }
+  Orders Out = B.plan();
+  REQUIRE(Out.Holds.size() == 1);
+  CHECK(Out.Holds[0].AcknowledgeUpTo == EndsPerList);
+  B.report("w1", {},
+           {endReportOf(EndsPerList + 1, {jobId(1), 0, 0, 0}, EndsPerList + 1,
+                        RunEnd::Done)});
+  CHECK(B.plan().Starts.empty());
+  CHECK(B.Owner.findJob(jobId(1))->Now == JobState::Completed);
+}
+
+TEST_CASE("a worker that answers counts as heard only with its last ends, "
+          "however long its lists take") {
+  constexpr std::uint64_t EndsPerList = 500;
+  OwnerFixture B(9);
+  B.listWorkers({"w1"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.Owner.inheritJob(sampleJob(2, EndsPerList), nullptr, B.Now);
+  std::vector<EndReport> First;
+  for (std::uint32_t N = 0; N < EndsPerList; ++N)
+    First.push_back(
+        endReportOf(N + 1, {jobId(2), 0, 0, N}, N + 1, RunEnd::Done));
+  // The store acknowledges nothing meanwhile.
+  for (int Round = 0; Round < 30; ++Round) {
+    B.plan();
+    B.report("w1", {}, First);
+    CHECK(B.plan().Starts.empty());
+    B.advance(milliseconds(400));
+  }
+}
+
+TEST_CASE("a start that may still reach a worker's next incarnation is stopped "
+          "there before its task starts elsewhere") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.plan();
+  B.report("w1");
+  B.report("w2");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  const std::string Worker = Out.Starts[0].Worker;
+  auto ReportAgain = [&] {
+    HoldOrder Order;
+    Order.Worker = Worker;
+    ReportResult Result;
+    Result.Outcome = OrderOutcome::Accepted;
+    Result.Report.ClockMs = B.clockMs();
+    Result.Report.Born = 2;
+    B.Owner.onReport(Order, Result, B.Now, B.Now);
+  };
+  // A task that may have crashed a worker starts once that is stored.
+  auto PlanStored = [&] {
+    Orders Before = B.plan();
+    B.Owner.onStored(B.Owner.takeChanges(10).Mark);
+    Orders Stored = B.plan();
+    Stored.Stops.insert(Stored.Stops.end(), Before.Stops.begin(),
+                        Before.Stops.end());
+    Stored.Starts.insert(Stored.Starts.end(), Before.Starts.begin(),
+                         Before.Starts.end());
+    return Stored;
+  };
+  B.advance(milliseconds(100));
+  ReportAgain();
+  Orders After = PlanStored();
+  CHECK(After.Starts.empty());
+  REQUIRE(After.Stops.size() == 1);
+  CHECK(After.Stops[0].Worker == Worker);
+  CHECK(After.Stops[0].Run == Out.Starts[0].Run);
+  B.Owner.onStop(After.Stops[0], {OrderOutcome::Accepted, B.clockMs()}, B.Now);
+  B.advance(milliseconds(10));
+  CHECK(PlanStored().Starts.empty());
+  ReportAgain();
+  CHECK(PlanStored().Starts.size() == 1);
+}
+
+TEST_CASE("a lease is not computed from the clock of a worker's earlier "
+          "incarnation, whose answer came late") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  HoldOrder Hold;
+  Hold.Worker = "w1";
+  ReportResult Restarted;
+  Restarted.Outcome = OrderOutcome::Accepted;
+  Restarted.Report.ClockMs = 1000;
+  Restarted.Report.Born = 2;
+  B.Owner.onReport(Hold, Restarted, B.Now, B.Now);
+  SUBCASE("of a start") { B.answer(Out.Starts[0], OrderOutcome::Accepted); }
+  SUBCASE("of a stop") {
+    StopOrder Stop{"w1", Out.Starts[0].Task, Out.Starts[0].Run};
+    B.Owner.onStop(Stop, {OrderOutcome::Unknown, B.clockMs()}, B.Now);
+  }
+  B.Owner.addJob(sampleJob(2), B.Now);
+  Orders After = B.plan();
+  REQUIRE(After.Starts.size() == 1);
+  CHECK(After.Starts[0].DeadlineMs <= 1000 + 3000);
+}
