--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -160,6 +160,7 @@
   }
 
   void refresh(ViewChange What) {
+    Api.noteStoreVersion();
     if (What != ViewChange::Workers) {
       Owners.review();
       Allotments.apply();
