--- a/src/codec/JobJson.cpp
+++ b/src/codec/JobJson.cpp
@@ -158,12 +158,6 @@
   return Plain ? Name.substr(0, End) : std::string_view();
 }
 
-std::string encodeRefusal() { return R"({"refused":true})"; }
-
-bool isRefusal(std::string_view Text) {
-  return Text.starts_with(R"({"refused":)");
-}
-
 std::string encodeProgress(const jobs::JobProgress &Progress) {
   Json Object = {{"state", static_cast<unsigned>(Progress.State)}};
   std::string Done;
--- a/src/codec/JobJson.h
+++ b/src/codec/JobJson.h
@@ -20,11 +20,6 @@
 /// found or contains escapes; decodeJob() finds it then, if there is one.
 std::string_view poolOf(std::string_view Text);
 
-/// Encodes the mark that stands in a refused job's place, so that a late write
-/// of an earlier attempt finds its row taken.
-std::string encodeRefusal();
-bool isRefusal(std::string_view Text);
-
 std::string encodeProgress(const jobs::JobProgress &Progress);
 jobs::JobProgress decodeProgress(const std::string &Text);
 
--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -160,7 +160,6 @@
   }
 
   void refresh(ViewChange What) {
-    Api.noteStoreVersion();
     if (What != ViewChange::Workers) {
       Owners.review();
       Allotments.apply();
--- a/src/dispatch/FleetView.h
+++ b/src/dispatch/FleetView.h
@@ -42,8 +42,6 @@
   core::TimePoint configCurrentAt() const { return Operators_.currentAt(); }
   core::TimePoint controlCurrentAt() const { return Control_.currentAt(); }
   bool isSynced() const;
-  /// A version that the store has reached.
-  std::uint64_t storeVersion() const { return Control_.version(); }
   /// Age of the last read of the worker list, in milliseconds.
   std::int64_t workersAgeMs() const;
 
--- a/src/dispatch/JobApi.cpp
+++ b/src/dispatch/JobApi.cpp
@@ -21,10 +21,8 @@
 constexpr milliseconds AnswerMargin(150);
 constexpr milliseconds StoreTimeout(900);
 constexpr milliseconds StoreRetry(60);
-/// Retry-After of a refusal that is not for load.
-constexpr std::chrono::seconds ShortRetry(1);
-/// Times that the mark of a refusal is written over others of the same job.
-constexpr std::uint32_t MaxMarks = 3;
+/// Retry-After of a refusal, in seconds.
+constexpr const char *RetryAfterS = "1";
 
 constexpr int StatusOk = 200;
 constexpr int StatusBad = 400;
@@ -67,28 +65,8 @@
   /// An attempt to store the cancellation was not answered and may have
   /// applied.
   bool CancelUnsure = false;
-  /// A version that the store had reached when the call arrived.
-  std::uint64_t VersionAtArrival = 0;
-  /// Version of the mark that the job's row replaces; zero if there is none.
-  std::uint64_t OverMark = 0;
-  std::uint32_t Marks = 0;
 };
 
-namespace {
-
-/// The mark of a refusal in the row's place, among the rows of a conflict; null
-/// if there is none.
-const store::PartRow *findMark(const PartAnswer &Answer,
-                               const std::string &JobId) {
-  for (const store::PartRow &Row : Answer.Rows)
-    if (Row.Where.Table == rows::Jobs && Row.Where.Key == JobId &&
-        codec::isRefusal(Row.Value))
-      return &Row;
-  return nullptr;
-}
-
-} // namespace
-
 JobApi::JobApi(Context &Ctx, FleetView &View, Peers &PeerCalls)
     : Ctx_(Ctx), View_(View), Peers_(PeerCalls) {}
 
@@ -97,7 +75,6 @@
   auto C = std::make_shared<Call>();
   C->ReceivedAt = bootNow();
   C->Respond = std::move(Respond);
-  C->VersionAtArrival = StoreVersion_;
   try {
     C->Asked = Ctx_.Codec.Decode(Request);
   } catch (const std::exception &) {
@@ -122,10 +99,6 @@
   });
 }
 
-void JobApi::noteStoreVersion() {
-  StoreVersion_ = std::max(StoreVersion_.load(), View_.storeVersion());
-}
-
 bool JobApi::isCurrent() const {
   return View_.config() && bootNow() - View_.configCurrentAt() <
                                Ctx_.Settings.Revocation - RevocationMargin;
@@ -207,86 +180,13 @@
     refuse(C, StatusBad, "malformed-job");
     return;
   }
-  if (Peers_.isPressed(Spec.Pool))
-    askOwner(C);
-  else
-    store(C, false);
-}
-
-void JobApi::askOwner(const CallPtr &C) {
-  Peers_.askAdmission(C->Spec, [this, C](const jobs::AdmissionAnswer &Answer) {
-    if (Answer.Decided && Answer.Decision.Refused)
-      markRefused(C, Answer);
-    else
-      store(C, false);
-  });
-}
-
-/// Puts a mark in the place of the job's row before the refusal is answered, so
-/// that an earlier attempt that is still under way can't store the job.
-void JobApi::markRefused(const CallPtr &C,
-                         const jobs::AdmissionAnswer &Answer) {
-  ++C->Marks;
-  store::PartTransaction T;
-  store::PartKey Key = {rows::Jobs, rows::jobPart(C->Spec.Id), C->Spec.Id};
-  T.Conditions.push_back({Key, C->OverMark});
-  T.Puts.push_back({Key, codec::encodeRefusal()});
-  Ctx_.Store.commit(std::move(T), storeTimeout(C),
-                    [this, C, Answer](PartAnswer Mark) {
-                      Ctx_.Loop.post([this, C, Answer, Mark = std::move(Mark)] {
-                        onMarked(C, Answer, Mark);
-                      });
-                    });
-}
-
-void JobApi::onMarked(const CallPtr &C, const jobs::AdmissionAnswer &Answer,
-                      const PartAnswer &Mark) {
-  const store::PartRow *Other = findMark(Mark, C->Spec.Id);
-  if (Mark.Outcome == PartOutcome::Conflict && Other && C->Marks < MaxMarks) {
-    // An accepted attempt may be about to replace that mark.
-    C->OverMark = Other->Version;
-    markRefused(C, Answer);
-    return;
-  }
-  if (Mark.Outcome != PartOutcome::Ok) {
-    // The row shows whether the job was accepted before; a mark that is still
-    // under way can't replace the row of a job.
-    C->OverMark = 0;
-    store(C, false);
-    return;
-  }
-  logEvent("job_refused",
-           {{"job", C->Spec.Id},
-            {"pool", C->Spec.Pool},
-            {"queue", C->Spec.Queue},
-            {"start_ms", static_cast<std::int64_t>(Answer.Decision.StartMs)},
-            {"millicpus", static_cast<std::int64_t>(Answer.Decision.MilliCpus)},
-            {"backlog_cpu_ms",
-             static_cast<std::int64_t>(Answer.Decision.BacklogWork)},
-            {"backlog_age_ms", core::inMs(Answer.BacklogAge)},
-            {"coming_age_ms", core::inMs(Answer.ComingAge)},
-            {"retry_after_s", Answer.Decision.RetryAfter.count()},
-            {"row_version", Mark.Version}});
-  refuseFor(C, "too-late", Answer.Decision.RetryAfter);
-}
-
-/// The row of a job holds the mark of a refusal. Only an attempt that arrived
-/// after the refusal may replace it: the caller has been told that earlier ones
-/// have not run.
-void JobApi::onRowTaken(const CallPtr &C, const store::PartRow &Mark,
-                        bool Again) {
-  if (Mark.Version > C->VersionAtArrival || Mark.Version == C->OverMark) {
-    refuseFor(C, "refused-before", ShortRetry);
-    return;
-  }
-  C->OverMark = Mark.Version;
-  store(C, Again);
+  store(C, false);
 }
 
 void JobApi::store(const CallPtr &C, bool Again) {
   store::PartTransaction T;
   store::PartKey Key = {rows::Jobs, rows::jobPart(C->Spec.Id), C->Spec.Id};
-  T.Conditions.push_back({Key, C->OverMark});
+  T.Conditions.push_back({Key, 0});
   T.Puts.push_back({Key, codec::encodeJobWithoutPayload(C->Spec)});
   T.Puts.push_back({{rows::Payloads, Key.Part, Key.Key}, C->Spec.Payload});
   Ctx_.Store.commit(
@@ -312,11 +212,6 @@
 
 void JobApi::onJobStored(const CallPtr &C, const PartAnswer &Answer,
                          bool Again) {
-  if (Answer.Outcome == PartOutcome::Conflict)
-    if (const store::PartRow *Mark = findMark(Answer, C->Spec.Id)) {
-      onRowTaken(C, *Mark, Again);
-      return;
-    }
   bool Accepted = Answer.Outcome == PartOutcome::Ok ||
                   Answer.Outcome == PartOutcome::Conflict;
   if (Accepted) {
@@ -377,8 +272,6 @@
       for (const store::PartRow &Row : Answer.Rows) {
         if (Row.Where.Key != C->JobId)
           continue;
-        if (codec::isRefusal(Row.Value))
-          break;
         try {
           Found(codec::decodeJob(Row.Value));
         } catch (const std::exception &E) {
@@ -479,17 +372,6 @@
   C->Respond(net::jsonResponse(Status, std::move(Body)));
 }
 
-void JobApi::refuseFor(const CallPtr &C, const char *Reason,
-                       std::chrono::seconds RetryAfter) {
-  const char *Name = nameOf(C->Asked.Kind);
-  Ctx_.Count.recordAnswer(Name, StatusUnavailable, Reason);
-  net::HttpResponse Response = net::jsonResponse(
-      StatusUnavailable, R"({"error":")" + std::string(Reason) + "\"}");
-  Response.Headers.push_back(
-      {"Retry-After", std::to_string(RetryAfter.count())});
-  C->Respond(std::move(Response));
-}
-
 void JobApi::refuse(const CallPtr &C, int Status, const char *Reason) {
   const char *Name = nameOf(C->Asked.Kind);
   Ctx_.Count.recordAnswer(Name, Status, Reason);
@@ -504,8 +386,7 @@
   net::HttpResponse Response =
       net::jsonResponse(Status, R"({"error":")" + std::string(Reason) + "\"}");
   if (Status == StatusUnavailable)
-    Response.Headers.push_back(
-        {"Retry-After", std::to_string(ShortRetry.count())});
+    Response.Headers.push_back({"Retry-After", RetryAfterS});
   C->Respond(std::move(Response));
 }
 
--- a/src/dispatch/JobApi.h
+++ b/src/dispatch/JobApi.h
@@ -3,8 +3,6 @@
 
 #include "dispatch/Peers.h"
 
-#include <atomic>
-
 namespace comfreydeck::dispatch {
 
 /// Answers callers: accepts jobs, reports their states and cancels them. Runs
@@ -16,9 +14,6 @@
   /// Decodes a call and hands it to the loop's thread. Thread-safe.
   void receive(const net::HttpRequest &Request, net::HttpResponder Respond);
 
-  /// Notes which version the store has reached; call when the view changed.
-  void noteStoreVersion();
-
   /// Whether this entry's configuration is recent enough to check callers'
   /// keys.
   bool isCurrent() const;
@@ -30,11 +25,6 @@
   void handle(const CallPtr &C);
   bool admit(const CallPtr &C);
   void submit(const CallPtr &C);
-  void askOwner(const CallPtr &C);
-  void markRefused(const CallPtr &C, const jobs::AdmissionAnswer &Answer);
-  void onMarked(const CallPtr &C, const jobs::AdmissionAnswer &Answer,
-                const store::PartAnswer &Mark);
-  void onRowTaken(const CallPtr &C, const store::PartRow &Mark, bool Again);
   void store(const CallPtr &C, bool Again);
   void onJobStored(const CallPtr &C, const store::PartAnswer &Answer,
                    bool Again);
@@ -52,14 +42,10 @@
 
   void answer(const CallPtr &C, int Status, std::string Body);
   void refuse(const CallPtr &C, int Status, const char *Reason);
-  void refuseFor(const CallPtr &C, const char *Reason,
-                 std::chrono::seconds RetryAfter);
 
   Context &Ctx_;
   FleetView &View_;
   Peers &Peers_;
-  /// A version that the store has reached.
-  std::atomic<std::uint64_t> StoreVersion_ = 0;
 };
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -22,10 +22,6 @@
 /// An owner whose last read is older can't reach the store: reads come every
 /// 0.4 s, and take 0.4 s when the store is slow.
 constexpr std::chrono::milliseconds ReachesStore(1800);
-/// A question that delays the acceptance of a job.
-constexpr std::chrono::milliseconds AdmissionLimit(60);
-/// How long an owner's word on pressure is acted on.
-constexpr std::chrono::milliseconds PressureAge(5000);
 constexpr int StatusOk = 200;
 constexpr int StatusBad = 400;
 constexpr int StatusNotOwner = 409;
@@ -60,35 +56,6 @@
   return Load;
 }
 
-Json encodeAdmission(const jobs::AdmissionAnswer &Answer) {
-  return {{"decided", Answer.Decided},
-          {"refused", Answer.Decision.Refused},
-          {"start_ms", Answer.Decision.StartMs},
-          {"cpu", Answer.Decision.MilliCpus},
-          {"work", Answer.Decision.BacklogWork},
-          {"retry_s", Answer.Decision.RetryAfter.count()},
-          {"backlog_age_ms", core::inMs(Answer.BacklogAge)},
-          {"coming_age_ms", core::inMs(Answer.ComingAge)}};
-}
-
-/// Throws Json::exception if a field is missing or has the wrong type.
-jobs::AdmissionAnswer decodeAdmission(const Json &Object) {
-  auto Ms = [&](const char *Field) {
-    return std::chrono::milliseconds(Object.at(Field).get<std::int64_t>());
-  };
-  jobs::AdmissionAnswer Answer;
-  Answer.Decided = Object.at("decided").get<bool>();
-  Answer.Decision.Refused = Object.at("refused").get<bool>();
-  Answer.Decision.StartMs = Object.at("start_ms").get<double>();
-  Answer.Decision.MilliCpus = Object.at("cpu").get<double>();
-  Answer.Decision.BacklogWork = Object.at("work").get<double>();
-  Answer.Decision.RetryAfter =
-      std::chrono::seconds(Object.at("retry_s").get<std::int64_t>());
-  Answer.BacklogAge = Ms("backlog_age_ms");
-  Answer.ComingAge = Ms("coming_age_ms");
-  return Answer;
-}
-
 /// Throws Json::exception if a field has the wrong type.
 OwnerAnswer decodeFields(const Json &Object) {
   OwnerAnswer Answer;
@@ -106,9 +73,6 @@
         std::chrono::milliseconds(Object["stopped_ms"].get<std::int64_t>());
   if (Object.contains("load"))
     Answer.Load = decodeLoad(Object["load"]);
-  if (Object.contains("admission"))
-    Answer.Admission = decodeAdmission(Object["admission"]);
-  Answer.Pressed = Object.value("pressed", false);
   return Answer;
 }
 
@@ -175,45 +139,12 @@
   }
   Json Body = {{"pool", Spec.Pool}, {"add", codec::encodeJob(Spec)}};
   ask(Spec.Pool, Body.dump(), AskLimit,
-      [this, Pool = Spec.Pool](const OwnerAnswer &Answer) {
-        notePressure(Pool, Answer);
+      [this, Id = Spec.Id](OwnerAnswer Answer) {
         if (!Answer.Answered)
           Ctx_.Count.recordRetry("push-job");
       });
 }
 
-void Peers::notePressure(const std::string &Pool, const OwnerAnswer &Answer) {
-  if (Answer.Pressed)
-    PressedAt_[Pool] = bootNow();
-  else if (Answer.Answered)
-    PressedAt_.erase(Pool);
-}
-
-bool Peers::isPressed(const std::string &Pool) const {
-  if (auto Controller = Owners_.controller(Pool))
-    return Controller->state().isPressed(bootNow());
-  auto At = PressedAt_.find(Pool);
-  return At != PressedAt_.end() && bootNow() - At->second <= PressureAge;
-}
-
-void Peers::askAdmission(const jobs::JobSpec &Spec,
-                         std::function<void(jobs::AdmissionAnswer)> Done) {
-  if (auto Controller = Owners_.controller(Spec.Pool)) {
-    Done(Controller->state().admit(Spec, bootNow()));
-    return;
-  }
-  Json Body = {{"pool", Spec.Pool},
-               {"admit", codec::encodeJobWithoutPayload(Spec)}};
-  ask(Spec.Pool, Body.dump(), AdmissionLimit,
-      [this, Pool = Spec.Pool, Done = std::move(Done)](OwnerAnswer Answer) {
-        if (Answer.Answered)
-          notePressure(Pool, Answer);
-        else
-          Ctx_.Count.recordRetry("ask-admission");
-        Done(Answer.Admission);
-      });
-}
-
 void Peers::pushCancel(const std::string &Pool, const std::string &JobId) {
   if (auto Controller = Owners_.controller(Pool)) {
     Controller->cancelJob(JobId);
@@ -303,15 +234,13 @@
        });
 }
 
-void Peers::askLoad(const std::string &Pool, std::uint64_t ComingCpu,
+void Peers::askLoad(const std::string &Pool,
                     std::function<void(const OwnerLoad &)> Done) {
   if (auto Controller = Owners_.controller(Pool)) {
-    Controller->setComingCpu(ComingCpu);
     Done({Controller->state().load(bootNow(), wallMs()), {}});
     return;
   }
-  Json Body = {{"pool", Pool}, {"load", true}, {"coming_cpu", ComingCpu}};
-  ask(Pool, Body.dump(), LoadLimit,
+  ask(Pool, Json({{"pool", Pool}, {"load", true}}).dump(), LoadLimit,
       [Done = std::move(Done)](const OwnerAnswer &Answer) {
         if (Answer.Answered)
           Done({Answer.Load, {}});
@@ -348,8 +277,6 @@
       Controller->addJob(codec::decodeJob(Object["add"].get<std::string>()));
     if (Object.contains("cancel"))
       Controller->cancelJob(Object["cancel"].get<std::string>());
-    if (Object.contains("coming_cpu"))
-      Controller->setComingCpu(Object["coming_cpu"].get<std::uint64_t>());
     std::vector<std::string> Clear;
     if (Object.contains("close"))
       Clear = Controller->closeWorkers(
@@ -363,11 +290,6 @@
                  {"pending", Answer.Pending},
                  {"token", Controller->token()},
                  {"clear", Clear}};
-    if (Controller->state().isPressed(bootNow()))
-      Body["pressed"] = true;
-    if (Object.contains("admit"))
-      Body["admission"] = encodeAdmission(Controller->state().admit(
-          codec::decodeJob(Object["admit"].get<std::string>()), bootNow()));
     if (Object.contains("load"))
       Body["load"] = encodeLoad(Controller->state().load(bootNow(), wallMs()));
     return net::jsonResponse(StatusOk, Body.dump());
--- a/src/dispatch/Peers.h
+++ b/src/dispatch/Peers.h
@@ -26,9 +26,6 @@
   /// to give none.
   std::optional<core::Duration> StoppedFor;
   jobs::PoolLoad Load;
-  jobs::AdmissionAnswer Admission;
-  /// The pool may have to refuse jobs.
-  bool Pressed = false;
 };
 
 /// Load that a pool's owner reported, and when.
@@ -54,12 +51,6 @@
   /// Notifies the owner of an accepted job. If the notification is lost, the
   /// owner finds the job in its own read of the store.
   void pushJob(const jobs::JobSpec &Spec);
-  /// Whether the pool's owner said lately that it may have to refuse jobs.
-  bool isPressed(const std::string &Pool) const;
-  /// Asks the owner whether to accept the job. It decides nothing if it can't
-  /// be reached within a short time.
-  void askAdmission(const jobs::JobSpec &Spec,
-                    std::function<void(jobs::AdmissionAnswer)> Done);
   void pushCancel(const std::string &Pool, const std::string &JobId);
   void askState(const std::string &Pool, const std::string &JobId,
                 std::function<void(OwnerAnswer)> Done);
@@ -80,9 +71,8 @@
                  std::uint64_t Token,
                  std::function<void(std::optional<core::Duration>)> Done);
 
-  /// Tells the owner what CPU on machines may come to the pool, in thousandths
-  /// of a core, and asks for its load. \p Done is called only if it answers.
-  void askLoad(const std::string &Pool, std::uint64_t ComingCpu,
+  /// \p Done is called only if the owner answers.
+  void askLoad(const std::string &Pool,
                std::function<void(const OwnerLoad &)> Done);
 
   /// Handles a call from another entry. Runs on the loop's thread.
@@ -95,7 +85,6 @@
   void send(const std::string &Address, std::string Body, core::Duration Limit,
             std::function<void(OwnerAnswer)> Done);
   net::HttpResponse answerStop(const std::string &Pool, std::uint64_t Token);
-  void notePressure(const std::string &Pool, const OwnerAnswer &Answer);
   OwnerAnswer answerHere(const PoolController &Controller,
                          const std::string &JobId,
                          const std::string &Queue) const;
@@ -103,8 +92,6 @@
   Context &Ctx_;
   FleetView &View_;
   Ownership &Owners_;
-  /// When the pool's owner last said that it may have to refuse jobs.
-  std::map<std::string, core::TimePoint> PressedAt_;
 };
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -159,8 +159,7 @@
   for (const store::PartRow &Row : JobRows) {
     std::string_view Named = codec::poolOf(Row.Value);
     bool OtherPool = !Named.empty() && Named != State_.pool();
-    if (OtherPool || Row.Where.Key.ends_with(rows::CancelSuffix) ||
-        codec::isRefusal(Row.Value))
+    if (OtherPool || Row.Where.Key.ends_with(rows::CancelSuffix))
       continue;
     try {
       jobs::JobSpec Spec = codec::decodeJob(Row.Value);
@@ -348,7 +347,7 @@
     cancelJob(Key.substr(0, Key.size() - Suffix.size()));
     return;
   }
-  if (State_.findJob(Key) || codec::isRefusal(Row.Value))
+  if (State_.findJob(Key))
     return;
   try {
     jobs::JobSpec Spec = codec::decodeJob(Row.Value);
@@ -369,10 +368,6 @@
   schedulePlan();
 }
 
-void PoolController::setComingCpu(std::uint64_t MilliCpus) {
-  State_.setComingCpu(MilliCpus, bootNow());
-}
-
 void PoolController::setTeamRoom(std::map<std::string, core::Resources> Room) {
   State_.setTeamRoom(std::move(Room));
 }
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -55,7 +55,6 @@
   void applyJobRow(const store::PartRow &Row);
   void addJob(const jobs::JobSpec &Spec);
   void cancelJob(const std::string &Id);
-  void setComingCpu(std::uint64_t MilliCpus);
   void setTeamRoom(std::map<std::string, core::Resources> Room);
   /// Closes the workers for a limited time; returns those that are empty and
   /// can be taken out of service.
--- a/src/dispatch/PoolRebalancer.cpp
+++ b/src/dispatch/PoolRebalancer.cpp
@@ -47,14 +47,12 @@
 }
 
 void PoolRebalancer::askLoads() {
-  std::vector<jobs::PoolLoad> Loads = describe();
   for (const jobs::Pool &Pool : View_.config()->Pools)
     if (!Pool.Standby)
-      Peers_.askLoad(Pool.Name, jobs::comingCpu(Loads, Pool.Name),
-                     [this, Name = Pool.Name](const OwnerLoad &L) {
-                       Loads_[Name] = L;
-                       Loads_[Name].At = bootNow();
-                     });
+      Peers_.askLoad(Pool.Name, [this, Name = Pool.Name](const OwnerLoad &L) {
+        Loads_[Name] = L;
+        Loads_[Name].At = bootNow();
+      });
 }
 
 /// Forgets moves whose machines are listed in their new pools or have not
--- a/src/dispatch/TableFollower.h
+++ b/src/dispatch/TableFollower.h
@@ -55,8 +55,6 @@
   /// Send time of the last answered read; only valid after the first one.
   core::TimePoint currentAt() const { return CurrentAt_; }
   bool isSynced() const { return Synced_; }
-  /// The store has had this version; zero before the first read.
-  std::uint64_t version() const { return Version_; }
   /// Failed reads since the last successful one.
   std::uint32_t failures() const { return Failures_; }
 
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -119,7 +119,6 @@
       LongWait_ = Plan.findLongWait();
     }
   }
-  refreshBacklog(In);
   planStops(In, Out);
   planHolds(In, Out);
   return Out;
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -225,7 +225,6 @@
   LiveRun *Run = findRun(Job, Task, End.Run);
   if (Run && End.How == RunEnd::Done) {
     recordRunTime(Job, *Run, Now);
-    recordFinished(Job, stepOf(Job, Task), Now);
     if (!State.HadStraggler)
       W.SlowJobs = 0;
   }
--- a/src/jobs/PoolSizes.cpp
+++ b/src/jobs/PoolSizes.cpp
@@ -112,17 +112,4 @@
   return Moves;
 }
 
-std::uint64_t comingCpu(std::span<const PoolLoad> Loads,
-                        const std::string &Pool) {
-  // Standby machines have no worker that tells their size.
-  std::uint64_t Largest = 0;
-  std::uint64_t Machines = 0;
-  for (const PoolLoad &Load : Loads) {
-    Largest = std::max<std::uint64_t>(Largest, Load.PerMachine.MilliCpus);
-    if (Load.Pool != Pool)
-      Machines += Load.Standby ? Load.Machines : Load.Idle.size();
-  }
-  return Machines * Largest;
-}
-
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolSizes.h
+++ b/src/jobs/PoolSizes.h
@@ -51,11 +51,6 @@
 /// unless it is a standby pool. Thread-safe.
 std::uint32_t machinesNeeded(const PoolLoad &Load);
 
-/// CPU on machines that may come to the pool, in thousandths of a core: those
-/// of standby pools and those without runs in other pools. Thread-safe.
-std::uint64_t comingCpu(std::span<const PoolLoad> Loads,
-                        const std::string &Pool);
-
 /// Fills pools that lack machines from the standby pool and from pools with a
 /// surplus; moves machines of a lasting surplus to the standby pool.
 /// Thread-safe.
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -1,7 +1,6 @@
 #ifndef COMFREYDECK_JOBS_POOLSTATE_H
 #define COMFREYDECK_JOBS_POOLSTATE_H
 
-#include "jobs/Admission.h"
 #include "jobs/CrashLedger.h"
 #include "jobs/FleetConfig.h"
 #include "jobs/PoolMetrics.h"
@@ -277,32 +276,6 @@
   std::vector<const StepSpec *> WaitingSteps;
 };
 
-/// What a job needs until its end, by the run times known.
-struct JobOutlook {
-  /// Run time of the longest chain of steps.
-  double ChainMs = 0;
-  /// The same of the steps that have unfinished tasks.
-  double RemainingMs = 0;
-  /// Time within which the job is to be finished.
-  double ObjectiveMs = 0;
-  /// CPU time of the unfinished tasks, in thousandths of a core times
-  /// milliseconds.
-  double RemainingWork = 0;
-  /// Run time of the longest chain up to each step: in total, and of the
-  /// unfinished steps.
-  std::vector<double> UpToMs;
-  std::vector<double> LeftUpToMs;
-};
-
-/// A decision on a job that is handed in, with the age of its inputs.
-struct AdmissionAnswer {
-  /// False if the owner does not know enough to refuse the job.
-  bool Decided = false;
-  AdmissionDecision Decision;
-  core::Duration BacklogAge{0};
-  core::Duration ComingAge{0};
-};
-
 /// A reported end whose job is unknown, possibly because it is not loaded yet.
 struct ParkedEnd {
   EndReport End;
@@ -470,16 +443,6 @@
   /// The pool's demand; PoolLoad::Machines is left for the caller to set.
   PoolLoad load(core::TimePoint Now, std::int64_t WallMs) const;
 
-  /// Sets the CPU on machines that may still come to the pool, in thousandths
-  /// of a core.
-  void setComingCpu(std::uint64_t MilliCpus, core::TimePoint Now);
-  /// Whether jobs may have to be refused: the backlog takes long to work off.
-  bool isPressed(core::TimePoint Now) const;
-  /// Decides on a job that is handed in, by the backlog of the last planning
-  /// rounds. Refuses nothing without recent knowledge of the pool, and never a
-  /// job that lasts, has a time or is known.
-  AdmissionAnswer admit(const JobSpec &Spec, core::TimePoint Now) const;
-
   std::uint64_t token() const { return Token_; }
   const std::string &pool() const { return Pool_; }
   /// Returns and resets the counters.
@@ -608,14 +571,6 @@
   void restartWaits(JobRecord &Job, const TaskPlace &EndedStep);
   void recordStarts(const std::vector<StartOrder> &Starts, core::TimePoint Now);
 
-  static void lookAhead(const JobRecord &Job, JobOutlook &Outlook);
-  void refreshBacklog(const PlanInput &In);
-  bool addToBacklog(JobRecord &Job, const PlanInput &In, JobOutlook &Outlook);
-  double roomBesideLasting() const;
-  void recordFinished(const JobRecord &Job, const StepSpec &Step,
-                      core::TimePoint Now);
-  double finishedCpu(core::TimePoint Now) const;
-  bool mayRefuse(core::TimePoint Now) const;
   std::uint64_t arrivingCpu(core::TimePoint Now) const;
   void recordArrival(const JobRecord &Job, core::TimePoint Now);
   static void recordRunTime(const JobRecord &Job, const LiveRun &Run,
@@ -668,17 +623,6 @@
   /// Arrival times of recent jobs and the CPU time of their tasks that are
   /// neither lasting nor filling, in thousandths of a core times milliseconds.
   std::deque<std::pair<core::TimePoint, double>> Arrivals_;
-  /// Jobs with work left, by priority and size, at \ref BacklogAt_.
-  std::vector<BacklogJob> Backlog_;
-  double BacklogWork_ = 0;
-  core::TimePoint BacklogAt_;
-  AdmissionRoom Room_;
-  std::optional<core::TimePoint> ComingAt_;
-  /// Since when some task has waited for room at each refresh.
-  std::optional<core::TimePoint> FullSince_;
-  /// Recently finished tasks and their CPU time, in thousandths of a core times
-  /// milliseconds.
-  std::deque<std::pair<core::TimePoint, double>> FinishedWork_;
   bool Settled_ = false;
   bool ToStoreSettled_ = false;
   /// Some run may have to be stopped that was not to be stopped before.
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -1,4 +1,3 @@
-#include "jobs/Admission.h"
 #include "jobs/StartPlan_p.h"
 
 #include <algorithm>
@@ -17,6 +16,9 @@
 constexpr double ColdPenalty = 0.5;
 /// A lasting task normally restarts well within this.
 constexpr std::chrono::milliseconds LongWaitLimit(3000);
+/// A job that has to start within this time to be in time goes first: otherwise
+/// large jobs would always wait for smaller ones that can still wait.
+constexpr double UrgentSlackMs = 500;
 constexpr double BesideSuspectPenalty = 16.0;
 constexpr double RunBesideSuspectPenalty = 0.5;
 constexpr double SuspectsTogetherPenalty = 16.0;
@@ -74,12 +76,28 @@
   C.Job = &Job;
   C.Lasting = Job.Spec.Steps.front().Lasting;
   C.Priority = Job.Priority;
-  Owner_.lookAhead(Job, Outlook_);
-  C.RemainingWork = Outlook_.RemainingWork;
-  C.DeadlineMs =
-      static_cast<double>(Job.Spec.AcceptedMs) + Outlook_.ObjectiveMs;
-  double Slack =
-      C.DeadlineMs - static_cast<double>(In_.WallMs) - Outlook_.RemainingMs;
+  ChainMs_.clear();
+  ChainLeftMs_.clear();
+  double Chain = 0;
+  double Remaining = 0;
+  for (std::size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
+    const StepSpec &Step = Job.Spec.Steps[S];
+    double Ms = Owner_.runTimeMs(Job, Step);
+    double Before = 0;
+    double LeftBefore = 0;
+    for (std::uint32_t Earlier : Step.After) {
+      Before = std::max(Before, ChainMs_[Earlier]);
+      LeftBefore = std::max(LeftBefore, ChainLeftMs_[Earlier]);
+    }
+    ChainMs_.push_back(Before + Ms);
+    ChainLeftMs_.push_back(LeftBefore + (Job.UnfinishedTasks[S] > 0 ? Ms : 0));
+    C.RemainingWork += Job.UnfinishedTasks[S] * Ms * Step.Need.MilliCpus;
+    Chain = std::max(Chain, ChainMs_.back());
+    Remaining = std::max(Remaining, ChainLeftMs_.back());
+  }
+  C.DeadlineMs = static_cast<double>(Job.Spec.AcceptedMs) +
+                 Job.Spec.SlackFactor * Chain + Job.Spec.TargetMs;
+  double Slack = C.DeadlineMs - static_cast<double>(In_.WallMs) - Remaining;
   C.Late = Slack < 0;
   C.Urgent = !C.Late && Slack < UrgentSlackMs;
   return C;
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -100,7 +100,10 @@
   /// Resource needs for which no worker had room.
   std::vector<core::Resources> Unplaced_;
   std::vector<StartOrder> Starts_;
-  JobOutlook Outlook_;
+  /// Run time of the longest chain up to each step of one job, in milliseconds:
+  /// in total, and for the unfinished steps.
+  std::vector<double> ChainMs_;
+  std::vector<double> ChainLeftMs_;
 };
 
 } // namespace comfreydeck::jobs
