Count workers that are not in the stored roster yet as unenrolled

pool_summary and the metrics showed them as usable, so that half of a pool looked free in a surge while thousands of tasks waited for room. They get no starts before the store has taken them into the roster, and now have a standing of their own; their processors don't count as free.

--- a/src/jobs/PoolMetrics.cpp
+++ b/src/jobs/PoolMetrics.cpp
@@ -21,6 +21,8 @@
     return "closed";
   case WorkerStatus::Occupied:
     return "occupied";
+  case WorkerStatus::Unenrolled:
+    return "unenrolled";
   case WorkerStatus::Usable:
     return "usable";
   }
@@ -64,7 +66,9 @@
   if (W.Closed || W.Entry.Draining ||
       ClosedDataCentres_.count(W.Entry.DataCentre) != 0)
     return WorkerStatus::Closed;
-  return W.UnknownRuns.empty() ? WorkerStatus::Usable : WorkerStatus::Occupied;
+  if (!W.UnknownRuns.empty())
+    return WorkerStatus::Occupied;
+  return W.Enrolled ? WorkerStatus::Usable : WorkerStatus::Unenrolled;
 }
 
 WaitReason PoolState::waitReason(const JobRecord &Job, std::uint32_t Task,
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -55,10 +55,12 @@
   Closed,
   /// Has runs of jobs that this owner does not know.
   Occupied,
+  /// Not in the stored roster yet, so that it gets no tasks.
+  Unenrolled,
   Usable,
 };
 
-inline constexpr std::size_t WorkerStatusCount = 8;
+inline constexpr std::size_t WorkerStatusCount = 9;
 
 const char *nameOf(WorkerStatus Status);
 
--- a/tests/jobs/PoolMetricsTest.cpp
+++ b/tests/jobs/PoolMetricsTest.cpp
@@ -69,6 +69,19 @@
   CHECK(All.FreeMilliCpus == 4000);
 }
 
+TEST_CASE("a worker that is not in the stored roster yet is not counted as "
+          "usable") {
+  OwnerFixture B;
+  std::vector<WorkerEntry> Entries = {sampleWorker("w1")};
+  B.Owner.setWorkers(Entries, B.Now);
+  B.plan();
+  B.report("w1");
+  CHECK(countWithStatus(B, WorkerStatus::Unenrolled) == 1);
+  CHECK(B.Owner.gauges(B.Now, 0).FreeMilliCpus == 0);
+  B.Owner.onStored(B.Owner.takeChanges(10).Mark);
+  CHECK(countWithStatus(B, WorkerStatus::Usable) == 1);
+}
+
 TEST_CASE("a worker that refused a start is not counted as silent") {
   OwnerFixture B;
   B.listWorkers({"w1"});
