Enrol new workers while more jobs change than one write takes

In a surge, half of a pool's workers got no starts for over 5 s while thousands of tasks waited. A write of 90 rows took changed jobs first and workers for the stored roster only with rows left; 850 open jobs leave none. Up to half of a write now takes workers first. Test "new workers and changed jobs share each write of a surge" failed before: 0 of 20 workers were enrolled.

--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -455,7 +455,21 @@
 ProgressBatch PoolState::takeChanges(std::size_t MaxRows) {
   ProgressBatch Batch;
   Storing_.clear();
-  while (!Changed_.empty() && Batch.Writes.size() < MaxRows) {
+  auto HasRoom = [&](std::size_t Rows) {
+    return Batch.Writes.size() + Batch.Enrolled.size() +
+               Batch.Unenrolled.size() <
+           Rows;
+  };
+  auto Enrol = [&](std::size_t Rows) {
+    while (!ToEnrol_.empty() && HasRoom(Rows)) {
+      auto Id = ToEnrol_.extract(ToEnrol_.begin());
+      Batch.Enrolled.push_back(Workers_.at(Id.value())->Entry);
+    }
+  };
+  // In a surge, more jobs change than a batch takes, and a worker that is not
+  // enrolled gets no tasks.
+  Enrol(MaxRows / 2);
+  while (!Changed_.empty() && HasRoom(MaxRows)) {
     JobRecord &Job = *Changed_.front();
     Changed_.pop_front();
     Job.FirstChange = 0;
@@ -469,16 +483,8 @@
     Storing_.emplace_back(Job.Spec.Id, Job.Now);
     Batch.Writes.push_back(std::move(Write));
   }
-  auto HasRoom = [&] {
-    return Batch.Writes.size() + Batch.Enrolled.size() +
-               Batch.Unenrolled.size() <
-           MaxRows;
-  };
-  while (!ToEnrol_.empty() && HasRoom()) {
-    auto Id = ToEnrol_.extract(ToEnrol_.begin());
-    Batch.Enrolled.push_back(Workers_.at(Id.value())->Entry);
-  }
-  while (!ToUnenrol_.empty() && HasRoom())
+  Enrol(MaxRows);
+  while (!ToUnenrol_.empty() && HasRoom(MaxRows))
     Batch.Unenrolled.push_back(ToUnenrol_.extract(ToUnenrol_.begin()).value());
   Enrolling_ = Batch.Enrolled;
   Batch.Settled = std::exchange(ToStoreSettled_, false);
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -748,6 +748,31 @@
   CHECK(B.plan().Starts.size() == 1);
 }
 
+TEST_CASE("new workers and changed jobs share each write of a surge") {
+  constexpr std::size_t Rows = 10;
+  constexpr unsigned NewWorkers = 20;
+  OwnerFixture B;
+  std::vector<WorkerEntry> Entries;
+  for (unsigned N = 0; N < NewWorkers; ++N)
+    Entries.push_back(sampleWorker("w" + std::to_string(N)));
+  B.Owner.setWorkers(Entries, B.Now);
+  unsigned Jobs = 0;
+  std::size_t Enrolled = 0;
+  for (unsigned Write = 0; Write < 4; ++Write) {
+    // More jobs change than one write takes.
+    for (std::size_t N = 0; N < Rows; ++N) {
+      B.Owner.addJob(sampleJob(++Jobs), B.Now);
+      B.Owner.cancelJob(jobId(Jobs));
+    }
+    ProgressBatch Batch = B.Owner.takeChanges(Rows);
+    CHECK(Batch.Writes.size() + Batch.Enrolled.size() == Rows);
+    CHECK(Batch.Writes.size() >= Rows / 2);
+    Enrolled += Batch.Enrolled.size();
+    B.Owner.onStored(Batch.Mark);
+  }
+  CHECK(Enrolled == NewWorkers);
+}
+
 TEST_CASE(
     "the roster gets a worker's new address and drops it once it can have "
     "no runs") {
