--- a/tests/soak/FaultPlan.cpp
+++ b/tests/soak/FaultPlan.cpp
@@ -88,6 +88,7 @@
     return Low + milliseconds(static_cast<std::int64_t>(Random() % Span));
   };
   std::vector<FaultKind> Drawn;
+  Drawn.reserve(KindCount);
   for (const std::string &Name : Kinds)
     Drawn.push_back(kindOf(Name));
   for (std::size_t N = 0; Kinds.empty() && N < KindCount; ++N)
--- a/tests/soak/Ledger.cpp
+++ b/tests/soak/Ledger.cpp
@@ -179,9 +179,9 @@
       tasksDone(Known->first, Step - 1) < J.Shape.TasksOfSteps[Step - 1])
     report("a step waits for the one before it", TaskName);
   Task &T = Tasks_[TaskName];
-  for (const std::string &Other : T.RunningOn)
+  if (!T.RunningOn.empty())
     report("no two runs of a task at once",
-           TaskName + " on " + Other + " and " + Worker);
+           TaskName + " on " + *T.RunningOn.begin() + " and " + Worker);
   if (T.Noted)
     report("no start after an acknowledged done", TaskName + " on " + Worker);
   for (auto &[Run, StartedAfter] : T.Done)
