--- a/tests/dispatch/OwnershipTest.cpp
+++ b/tests/dispatch/OwnershipTest.cpp
@@ -171,6 +171,7 @@
     OwnershipFixture B(Released);
     CHECK(bootNow() - Start >= RegistrationWait);
   }
+}
 
 TEST_CASE("an entry that took the fleet from another one in a write whose "
           "answer was lost does not count as its previous owner") {
