Leave payloads out of relayed starts only beyond a quarter of the owner's link

A payload goes along while payloads take up to a quarter of the link that the entry is set to have. Test "relayed starts carry their payloads as far as the owner's link has room for them": fails before (a read also on the wide link).

--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -73,7 +73,8 @@
 
   Impl(settings::DispatchSettings S, net::HttpClient &Client, PlatformPorts P)
       : Settings(std::move(S)), Ports(std::move(P)),
-        Relay(Loop, Client, Ports.Workers, {Settings.Name, Life}, addresses()),
+        Relay(Loop, Client, Ports.Workers, {Settings.Name, Life}, addresses(),
+              Settings.LinkMbps),
         Forwarder(Loop, Client, Ports.Store, Ports.Workers,
                   {Settings.Name, Life}, addresses()),
         Ctx{Settings,       Loop,       Client,      Ports.Store, Relay,
--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/EventLog.h"
 #include "dispatch/PeerMessages_p.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace comfreydeck::dispatch {
@@ -36,6 +37,10 @@
 constexpr int StatusBad = 400;
 constexpr int StatusForbidden = 403;
 
+/// Share of the link that payloads may take; the others are left out.
+constexpr double PayloadShare = 0.25;
+constexpr double BytesPerMbit = 125000;
+
 codec::RelayedResult resultWith(OrderOutcome Outcome) {
   codec::RelayedResult Result;
   Result.Outcome = Outcome;
@@ -46,9 +51,11 @@
 
 OrderRelay::OrderRelay(net::Loop &Loop, net::HttpClient &Client,
                        WorkerOrders &Direct, EntryIdentity Me,
-                       AddressOf Address)
+                       AddressOf Address, double LinkMbps)
     : Loop_(Loop), Client_(Client), Direct_(Direct), Me_(std::move(Me)),
-      Address_(std::move(Address)) {}
+      Address_(std::move(Address)),
+      PayloadRate_(LinkMbps * BytesPerMbit * PayloadShare),
+      PayloadRoom_(PayloadRate_), PayloadRoomAt_(bootNow()) {}
 
 void OrderRelay::begin() {
   Loop_.every(ExpiryPeriod, [this] { expire(); });
@@ -158,7 +165,8 @@
   Pending &Given = Pending_[Order.Id];
   Given = {To.Pool, Sender, Now, Now + Limit, IsHold, std::move(Done), {}};
   auto *Start = std::get_if<jobs::StartOrder>(&Order.Order);
-  if (Start && mayOmitPayload(Sender)) {
+  if (Start && mayOmitPayload(Sender) &&
+      !takePayloadRoom(Start->Payload.size())) {
     Given.Whole = Order;
     Start->Payload.clear();
     Order.PayloadOmitted = true;
@@ -174,6 +182,19 @@
          bootNow() - Missing->second >= WholeOrdersTime;
 }
 
+/// Whether the link has room for the payload; if so, takes it.
+bool OrderRelay::takePayloadRoom(std::size_t Bytes) {
+  core::TimePoint Now = bootNow();
+  double Seconds = std::chrono::duration<double>(Now - PayloadRoomAt_).count();
+  PayloadRoom_ = std::min(PayloadRoom_ + PayloadRate_ * Seconds, PayloadRate_);
+  PayloadRoomAt_ = Now;
+  auto Needed = static_cast<double>(Bytes);
+  if (PayloadRoom_ < Needed)
+    return false;
+  PayloadRoom_ -= Needed;
+  return true;
+}
+
 void OrderRelay::enqueue(const std::string &Sender, codec::RelayedOrder Order) {
   Outbox &Box = Outboxes_[Sender];
   Box.Orders.push_back(std::move(Order));
--- a/src/dispatch/OrderRelay.h
+++ b/src/dispatch/OrderRelay.h
@@ -31,8 +31,9 @@
   using AddressOf =
       std::function<std::optional<std::string>(const std::string &Entry)>;
 
+  /// \p LinkMbps is the entry's link in Mbit a second; zero if it is unknown.
   OrderRelay(net::Loop &Loop, net::HttpClient &Client, WorkerOrders &Direct,
-             EntryIdentity Me, AddressOf Address);
+             EntryIdentity Me, AddressOf Address, double LinkMbps);
 
   /// Begins to look for orders whose results are overdue.
   void begin();
@@ -89,6 +90,7 @@
             ResultCallback Done);
   void enqueue(const std::string &Sender, codec::RelayedOrder Order);
   bool mayOmitPayload(const std::string &Sender) const;
+  bool takePayloadRoom(std::size_t Bytes);
   void sendWhole(std::uint64_t Id);
   void flush(const std::string &Sender);
   void onBatchAnswered(const std::string &Sender,
@@ -105,6 +107,11 @@
   WorkerOrders &Direct_;
   EntryIdentity Me_;
   AddressOf Address_;
+  /// Bytes of payloads that the link carries beside all else, in a second.
+  double PayloadRate_;
+  /// What is left of them, and since when.
+  double PayloadRoom_;
+  core::TimePoint PayloadRoomAt_;
   std::map<std::string, jobs::Senders> Senders_;
   std::map<std::string, Outbox> Outboxes_;
   std::unordered_map<std::uint64_t, Pending> Pending_;
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -117,10 +117,12 @@
       {}, [this](net::HttpRequest Request, net::HttpResponder Respond) {
         serve(std::move(Request), std::move(Respond));
       }};
-  OrderRelay Relay{Loop, Client, Direct, Owner, address()};
+  OrderRelay Relay;
   OrderForwarder Forwarder{Loop, Client, Store, Remote, Helper, address()};
 
-  RelayFixture() {
+  /// Without a known link, all payloads are left out.
+  explicit RelayFixture(double LinkMbps = 0)
+      : Relay(Loop, Client, Direct, Owner, address(), LinkMbps) {
     const std::string JobId = sampleStart().Task.JobId;
     Store.put({rows::Payloads, rows::jobPart(JobId), JobId},
               sampleStart().Payload);
@@ -426,3 +428,28 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
   CHECK(B.Remote.count() == 0);
 }
+
+TEST_CASE("relayed starts carry their payloads as far as the owner's link has "
+          "room for them") {
+  // Two payloads of 3,000 bytes in a quarter of the link.
+  constexpr double LinkMbps = 0.2;
+  constexpr std::size_t Count = 8;
+  auto CountReads = [&](double Link) {
+    RelayFixture B(Link);
+    std::size_t Accepted = 0;
+    runOn(B.Loop, [&] {
+      for (std::size_t N = 0; N < Count; ++N)
+        B.Relay.start(worker(), 5, sampleStart(),
+                      [&](jobs::OrderResult Result) {
+                        bool Ok = Result.Outcome == OrderOutcome::Accepted;
+                        Accepted += Ok ? 1 : 0;
+                      });
+    });
+    waitUntil(B.Loop, [&] { return Accepted == Count; });
+    for (const auto &[To, Sent] : B.Remote.Starts)
+      CHECK(Sent.Payload == sampleStart().Payload);
+    return B.Store.readCount();
+  };
+  CHECK(CountReads(LinkMbps) == 1);
+  CHECK(CountReads(LinkMbps * 100) == 0);
+}
