Review case 3: a worker restarts under its id and outlasts its owner's wait

Order of events: an idle worker starts again under its id; before its owner knows, a task is started there, with a lease of MaxHoldMs (10 s) since its end is on the earlier life's clock; 4 s later the worker is cut off for 5.5 s and runs on; the owner waits 8 s from the first report and starts the task elsewhere, 0.9 s before the first run lapses.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE=${TROUBLE:-1}
 [ -x target/comfreydeck ] && [ -x target/review/standin ] || exit 2
-timeout 115 target/review/standin large-versions review/4/record.txt
+timeout 115 target/review/standin submit-on-reset-connection review/4/record.txt
 RESULT=$?
 [ "$RESULT" -le 1 ] || RESULT=2
 exit "$RESULT"
--- a/review/standin/Http.h
+++ b/review/standin/Http.h
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <mutex>
+#include <set>
 #include <string>
 
 /// Blocking HTTP/1.1 over loopback, with control over how a connection ends.
@@ -37,12 +39,17 @@
 public:
   explicit Server(Handler Handle);
   std::uint16_t port() const { return Port_; }
+  /// Closes all connections, as a crash does.
+  void dropConnections();
 
 private:
-  void accept() const;
-  void serve(int Socket) const;
+  void accept();
+  void serve(int Socket);
+  void answerRequests(int Socket);
 
   Handler Handle_;
+  std::mutex Mutex_;
+  std::set<int> Open_;
   int Listener_ = -1;
   std::uint16_t Port_ = 0;
 };
--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -219,6 +219,41 @@
   judge(Log, S);
 }
 
+/// An idle worker starts again under its id, gets a start before the owner
+/// knows of it, and is cut off some seconds later.
+[[noreturn]] void restartThenCut(Record &Log, bool Trouble) {
+  constexpr int LargeCpu = 60000;
+  constexpr int Cpu = 8000;
+  SiteOptions Options;
+  Site S(Log, Options);
+  if (!S.start())
+    finish(S, NotRun);
+  // Workers that have been up for a while.
+  pause(8000);
+  for (std::size_t N = 1; N < Site::WorkerCount; ++N)
+    if (S.submit(0, S.newJob(), 1, LargeCpu, "7000") != 200)
+      finish(S, NotRun);
+  pause(1500);
+  std::size_t Idle = S.workers().idle();
+  if (Idle == S.workers().size())
+    finish(S, NotRun);
+  if (Trouble) {
+    S.holdBeat(Idle);
+    S.workers().restart(Idle);
+  }
+  pause(200);
+  std::string Job = S.newJob();
+  if (S.submit(1, Job, 1, Cpu, "25000") != 200)
+    finish(S, NotRun);
+  pause(4000);
+  if (Trouble)
+    S.workers().setCut(Idle, true);
+  pause(5500);
+  S.workers().setCut(Idle, false);
+  pause(3000);
+  judge(Log, S);
+}
+
 int play(const std::string &Case, const std::string &File) {
   const char *Value = std::getenv("TROUBLE");
   bool Trouble = !Value || std::string(Value) != "0";
@@ -227,7 +262,8 @@
       {"submit-on-reset-connection", submitOnResetConnection},
       {"history-forgotten", historyForgotten},
       {"large-versions", largeVersions},
-      {"large-job", largeJob}};
+      {"large-job", largeJob},
+      {"restart-then-cut", restartThenCut}};
   auto It = Cases.find(Case);
   if (It == Cases.end())
     return NotRun;
--- a/review/standin/Site.h
+++ b/review/standin/Site.h
@@ -5,6 +5,7 @@
 #include "Store.h"
 #include "Workers.h"
 
+#include <array>
 #include <atomic>
 #include <thread>
 
@@ -38,6 +39,10 @@
   Store &store() { return Store_; }
   Workers &workers() { return Workers_; }
 
+  /// The worker writes its row again a heartbeat from now, as one that has just
+  /// started.
+  void holdBeat(std::size_t Worker);
+
   /// Calls of a client, recorded. Returns the status, zero without an answer.
   int submit(std::size_t At, const std::string &Job, int Tasks, int Cpu,
              const std::string &Spec, bool Saves = false);
@@ -70,6 +75,8 @@
   Workers Workers_;
   Entry Entries_[Entries];
   std::atomic<bool> Ending_ = false;
+  /// By worker, when it writes its row next.
+  std::array<std::atomic<std::int64_t>, WorkerCount> NextBeatMs_{};
   std::thread Beats_;
   std::atomic<std::uint64_t> NextJob_ = 1;
 };
--- a/review/standin/Workers.cpp
+++ b/review/standin/Workers.cpp
@@ -102,7 +102,56 @@
   return {Body.contains("Reason") ? StatusConflict : 200, Body.dump()};
 }
 
+std::size_t Workers::idle() {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  advance();
+  auto At = std::find_if(All_.begin(), All_.end(),
+                         [](const auto &W) { return W->Running.empty(); });
+  return static_cast<std::size_t>(At - All_.begin());
+}
+
+void Workers::restart(std::size_t N) {
+  Worker &W = *All_[N];
+  {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Log_.line(W.Id + " starts again under its id");
+    W.Born = Clock::now();
+    W.BornMs = unixMs();
+    W.Token = W.LastEnd = W.Sequence = 0;
+    W.LeaseEndMs = 0;
+    W.Running.clear();
+    W.Over.clear();
+    W.Ended.clear();
+  }
+  W.Listening->dropConnections();
+}
+
+void Workers::setCut(std::size_t N, bool Cut) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  All_[N]->Cut = Cut;
+  Log_.line(All_[N]->Id + (Cut ? " is cut off" : " is reachable again"));
+  Changed_.notify_all();
+}
+
+/// Waits while the worker is cut off; false if it was.
+bool Workers::waitForLink(Worker &W) {
+  std::unique_lock<std::mutex> Lock(Mutex_);
+  bool WasCut = W.Cut;
+  Changed_.wait(Lock, [&W] { return !W.Cut; });
+  return !WasCut;
+}
+
+/// What is under way when the worker is cut off is lost.
 Response Workers::handle(Worker &W, const Request &R) {
+  Response Lost;
+  Lost.Reset = true;
+  if (!waitForLink(W))
+    return Lost;
+  Response Answer = carryOut(W, R);
+  return waitForLink(W) ? Answer : Lost;
+}
+
+Response Workers::carryOut(Worker &W, const Request &R) {
   Json Body = Json::parse(R.Body, nullptr, false);
   if (!Body.is_object())
     return {StatusBad, "{}"};
--- a/review/standin/Workers.h
+++ b/review/standin/Workers.h
@@ -39,6 +39,12 @@
   /// Tasks of the job that run, by name of worker.
   std::vector<std::string> runningOf(const std::string &Job);
   int startsOf(const std::string &Job);
+  /// The worker on which nothing runs; the number of workers if there is none.
+  std::size_t idle();
+  /// Starts the worker again under its id; it knows nothing of before.
+  void restart(std::size_t N);
+  /// Cuts the worker off from the entries, or ends that. It works on.
+  void setCut(std::size_t N, bool Cut);
   /// Ends that were listed, and those of them that LastSeen has reached.
   std::pair<int, int> endsAndNoted();
 
@@ -69,10 +75,13 @@
     std::map<std::string, std::uint64_t> Over;
     std::vector<End> Ended;
     std::uint64_t LastEnd = 0;
+    bool Cut = false;
     std::unique_ptr<Server> Listening;
   };
 
   Response handle(Worker &W, const Request &R);
+  Response carryOut(Worker &W, const Request &R);
+  bool waitForLink(Worker &W);
   Response start(Worker &W, const nlohmann::json &Body);
   Response stop(Worker &W, const nlohmann::json &Body);
   Response hold(Worker &W, const nlohmann::json &Body, const Request &R,
