Review case 1: count only starts by machines in touch

A start after a noted end breaks TWICE only by a machine in touch. The workers now have work for 7 s when the store forgets its history, and starts within StableWindowMs (3 s) of that don't count.

Order of events: as before; finished jobs start again some 6 s after the store has forgotten its history, when there is room.

--- a/review/standin/Main.cpp
+++ b/review/standin/Main.cpp
@@ -127,10 +127,13 @@
   judge(Log, S);
 }
 
-/// The store forgets its history after a job has been over for longer than its
-/// state is kept.
+/// The store forgets its history after jobs have been over for longer than
+/// their state is kept, while all workers are busy for some seconds.
 [[noreturn]] void historyForgotten(Record &Log, bool Trouble) {
   constexpr int DefaultStatusS = 20;
+  constexpr int StableWindowMs = 3000;
+  constexpr int Cpu = 8000;
+  constexpr int LargeCpu = 60000;
   const char *Given = std::getenv("STATUS_S");
   int StatusS = Given ? std::atoi(Given) : DefaultStatusS;
   SiteOptions Options;
@@ -138,7 +141,6 @@
   Site S(Log, Options);
   if (!S.start())
     finish(S, NotRun);
-  constexpr int Cpu = 1000;
   std::vector<std::string> Jobs;
   for (int N = 0; N < 5; ++N) {
     Jobs.push_back(S.newJob());
@@ -150,11 +152,16 @@
       finish(S, NotRun);
   // The state is kept for status_s and ten seconds.
   pause((StatusS + 13) * 1000);
+  for (std::size_t N = 0; N < Site::WorkerCount; ++N)
+    if (S.submit(N % Site::Entries, S.newJob(), 1, LargeCpu, "7000") != 200)
+      finish(S, NotRun);
+  pause(1000);
   if (Trouble) {
     Log.line("the store forgets its history");
+    S.workers().setInTouchFrom(Log.nowMs() + StableWindowMs);
     S.store().dropHistory();
   }
-  pause(6000);
+  pause(12000);
   judge(Log, S);
 }
 
--- a/review/standin/Workers.cpp
+++ b/review/standin/Workers.cpp
@@ -236,6 +236,8 @@
         Log_.breach("TWICE", Name + " while run " +
                                  std::to_string(Running.second) + " is on " +
                                  Other->Id);
+  if (Log_.nowMs() < InTouchFromMs_)
+    return;
   auto Noted = DoneNotedMs_.find(Key.first);
   if (Noted != DoneNotedMs_.end() &&
       Log_.nowMs() - Noted->second > NotedSlackMs)
--- a/review/standin/Workers.h
+++ b/review/standin/Workers.h
@@ -4,6 +4,7 @@
 #include "Http.h"
 #include "Record.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
@@ -41,6 +42,9 @@
   int startsOf(const std::string &Job);
   /// The worker on which nothing runs; the number of workers if there is none.
   std::size_t idle();
+  /// Starts before this time, by the record's clock, don't count as ones after
+  /// a noted end: the machines that give them are not in touch.
+  void setInTouchFrom(std::int64_t Ms) { InTouchFromMs_ = Ms; }
   /// Starts the worker again under its id; it knows nothing of before.
   void restart(std::size_t N);
   /// Cuts the worker off from the entries, or ends that. It works on.
@@ -101,6 +105,7 @@
   std::map<std::string, std::int64_t> DoneNotedMs_;
   std::map<std::string, std::int64_t> CompletedMs_;
   std::map<std::string, int> Starts_;
+  std::atomic<std::int64_t> InTouchFromMs_ = 0;
   int Noted_ = 0;
   int Listed_ = 0;
 };
