Look up jobs that an owner may have forgotten before it adds them

Cause: an owner forgets finished jobs, and a full reading of the job table, as after 410, lists them; a row whose job isn't known was taken for a new job. The same by another way: a client hands an old job in again, the store's answer is lost, and the retry, which finds the old row, passed the owner the call's own copy as accepted just now.

The new test of PoolController failed before the fix, that of the job path with the change of JobApi taken back.

Change: PoolState keeps the latest acceptance time of the jobs it has dropped; an unknown job that is no newer is looked up in the stored progress. A retry passes on only a job that its own call has stored.

--- a/src/dispatch/JobApi.cpp
+++ b/src/dispatch/JobApi.cpp
@@ -49,6 +49,26 @@
 
 } // namespace
 
+namespace {
+
+/// Whether the rows include the job as it was accepted by the call that made
+/// \p Spec.
+bool isStored(const jobs::JobSpec &Spec,
+              const std::vector<store::PartRow> &Rows) {
+  for (const store::PartRow &Row : Rows) {
+    if (Row.Where.Key != Spec.Id)
+      continue;
+    try {
+      return codec::decodeJob(Row.Value).AcceptedMs == Spec.AcceptedMs;
+    } catch (const std::exception &E) {
+      logEvent("job_row_unreadable", {{"job", Spec.Id}, {"error", E.what()}});
+    }
+  }
+  return false;
+}
+
+} // namespace
+
 /// A caller's call in progress.
 struct JobApi::Call {
   CallerCall Asked;
@@ -215,8 +235,12 @@
   bool Accepted = Answer.Outcome == PartOutcome::Ok ||
                   Answer.Outcome == PartOutcome::Conflict;
   if (Accepted) {
-    // An existing row means that the same job was submitted before.
-    if (Answer.Outcome == PartOutcome::Ok || Again)
+    // An existing row means that the same job was submitted before, possibly
+    // long ago: it is new to the owner only if an unanswered attempt of this
+    // call has stored it.
+    bool IsNew = Answer.Outcome == PartOutcome::Ok ||
+                 (Again && isStored(C->Spec, Answer.Rows));
+    if (IsNew)
       Peers_.pushJob(C->Spec);
     logEvent("job_accepted", {{"job", C->Spec.Id},
                               {"pool", C->Spec.Pool},
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -390,11 +390,88 @@
 }
 
 void PoolController::addJob(const jobs::JobSpec &Spec) {
+  if (State_.mayHaveDropped(Spec)) {
+    lookUpJob(Spec);
+    return;
+  }
   State_.addJob(Spec, bootNow());
   schedulePlan();
 }
 
+/// Adds the job once its stored progress has been read. Further jobs that are
+/// to be looked up join the same read.
+void PoolController::lookUpJob(const jobs::JobSpec &Spec) {
+  bool IsFirst = LookUps_.empty();
+  LookUps_.try_emplace(Spec.Id, JobLookUp{Spec});
+  if (IsFirst)
+    Ctx_.Loop.post([Self = shared_from_this()] { Self->readLookedUp(); });
+}
+
+void PoolController::readLookedUp() {
+  if (Dropped_)
+    return;
+  std::vector<std::string> Ids;
+  Ids.reserve(LookUps_.size());
+  for (const auto &[Id, Waiting] : LookUps_)
+    Ids.push_back(Id);
+  store::PartRange Range = {rows::Progress, Part_, Ids.front(),
+                            Ids.back() + "~"};
+  auto Self = shared_from_this();
+  readRange(Ctx_.Store, Range, [Self, Ids = std::move(Ids)](PartAnswer Answer) {
+    Self->Ctx_.Loop.post([Self, Ids, Answer = std::move(Answer)] {
+      Self->onLookedUpRead(Ids, Answer);
+    });
+  });
+}
+
+void PoolController::onLookedUpRead(const std::vector<std::string> &Ids,
+                                    const PartAnswer &Answer) {
+  if (Dropped_)
+    return;
+  if (Answer.Outcome != PartOutcome::Ok) {
+    Ctx_.Count.recordRetry("look-up-jobs");
+    logLoadFailure(rows::Progress, Answer);
+    Ctx_.Loop.after(StoreRetry,
+                    [Self = shared_from_this()] { Self->readLookedUp(); });
+    return;
+  }
+  std::map<std::string, const store::PartRow *> Stored;
+  for (const store::PartRow &Row : Answer.Rows)
+    Stored[Row.Where.Key] = &Row;
+  core::TimePoint Now = bootNow();
+  std::size_t Finished = 0;
+  for (const std::string &Id : Ids) {
+    JobLookUp Job = std::move(LookUps_.extract(Id).mapped());
+    auto Row = Stored.find(Id);
+    try {
+      if (Row == Stored.end()) {
+        State_.addJob(Job.Spec, Now);
+      } else {
+        jobs::JobProgress Kept = codec::decodeProgress(Row->second->Value);
+        Finished += jobs::isFinal(Kept.State) ? 1 : 0;
+        State_.inheritJob(Job.Spec, &Kept, Now);
+      }
+    } catch (const std::exception &E) {
+      // Without its progress it isn't known which of its tasks have run.
+      logEvent("progress_row_unreadable", {{"job", Id}, {"error", E.what()}});
+    }
+    if (Job.Cancelled)
+      State_.cancelJob(Id);
+  }
+  logEvent("jobs_looked_up", {{"pool", State_.pool()},
+                              {"token", State_.token()},
+                              {"jobs", Ids.size()},
+                              {"finished", Finished},
+                              {"row_version", Answer.Version}});
+  if (!LookUps_.empty())
+    readLookedUp();
+  schedulePlan();
+}
+
 void PoolController::cancelJob(const std::string &Id) {
+  auto LookUp = LookUps_.find(Id);
+  if (LookUp != LookUps_.end())
+    LookUp->second.Cancelled = true;
   State_.cancelJob(Id);
   schedulePlan();
 }
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -89,6 +89,10 @@
                       const MachineList &List, bool Again);
   void endWorker(const std::string &Id, const MachineList &List);
   void stopEarlierOwners();
+  void lookUpJob(const jobs::JobSpec &Spec);
+  void readLookedUp();
+  void onLookedUpRead(const std::vector<std::string> &Ids,
+                      const store::PartAnswer &Answer);
   void loadPayloads();
   void loadPayload(const std::string &JobId);
   void onPayload(const std::string &JobId, const store::PartAnswer &Answer);
@@ -136,6 +140,13 @@
     bool Evict = false;
   };
   std::map<std::string, CloseState> ClosedWorkers_;
+  /// A job that may be one that this owner has forgotten.
+  struct JobLookUp {
+    jobs::JobSpec Spec;
+    bool Cancelled = false;
+  };
+  /// Jobs whose stored progress is being read, by id.
+  std::map<std::string, JobLookUp> LookUps_;
   /// Jobs whose payloads are being read.
   std::set<std::string> PayloadReads_;
   bool Loaded_ = false;
--- a/src/dispatch/TableFollower.cpp
+++ b/src/dispatch/TableFollower.cpp
@@ -25,6 +25,9 @@
   store::PartitionedStore &Store;
   std::string Table;
   store::PartCallback Done;
+  /// Bounds of the keys in each partition; empty for none.
+  std::string FromKey;
+  std::string ToKey;
   std::mutex Mutex;
   PartAnswer Result;
   /// Partitions not requested yet, in reverse order.
@@ -53,12 +56,12 @@
       Part = std::move(Remaining.back());
       Remaining.pop_back();
     }
-    read(Part, "");
+    read(Part, FromKey);
   }
 
   void read(const std::string &Part, std::string From) {
     auto Self = shared_from_this();
-    Store.read({Table, Part, std::move(From), "", PageRows},
+    Store.read({Table, Part, std::move(From), ToKey, PageRows},
                [Self, Part](PartAnswer Page) {
                  Self->handleAnswer(Part, std::move(Page));
                });
@@ -105,6 +108,15 @@
 
 } // namespace
 
+void readRange(store::PartitionedStore &Store, const store::PartRange &Range,
+               store::PartCallback Done) {
+  auto Reader =
+      std::make_shared<PartsReader>(Store, Range.Table, std::move(Done));
+  Reader->FromKey = Range.From;
+  Reader->ToKey = Range.To;
+  Reader->start({Range.Part});
+}
+
 void readParts(store::PartitionedStore &Store, std::string Table,
                std::vector<std::string> Parts, store::PartCallback Done) {
   std::make_shared<PartsReader>(Store, std::move(Table), std::move(Done))
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -149,11 +149,16 @@
       ++It;
       continue;
     }
+    DroppedUpToMs_ = std::max(DroppedUpToMs_, It->first);
     It = Finished_.erase(It);
     Jobs_.erase(Jobs_.find(Job.Spec.Id));
   }
 }
 
+bool PoolState::mayHaveDropped(const JobSpec &Spec) const {
+  return Spec.AcceptedMs <= DroppedUpToMs_ && Jobs_.count(Spec.Id) == 0;
+}
+
 JobRecord *PoolState::jobOf(const std::string &Id) {
   auto It = Jobs_.find(Id);
   return It == Jobs_.end() ? nullptr : It->second.get();
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -384,6 +384,9 @@
   /// Removes finished jobs that were accepted before \p AcceptedBeforeMs,
   /// unless they have runs or changes left to store.
   void dropFinished(std::int64_t AcceptedBeforeMs);
+  /// Whether the job may be one that \ref dropFinished has removed. Only its
+  /// stored progress tells such a job from a new one.
+  bool mayHaveDropped(const JobSpec &Spec) const;
 
   /// Sets the workers that are listed for this pool.
   void setWorkers(std::span<const WorkerEntry> Entries, core::TimePoint Now);
@@ -616,6 +619,8 @@
   std::size_t MissingPayloads_ = 0;
   /// Jobs that have ended, by acceptance time.
   std::set<std::pair<std::int64_t, JobRecord *>> Finished_;
+  /// Latest acceptance time of the jobs that were dropped.
+  std::int64_t DroppedUpToMs_ = std::numeric_limits<std::int64_t>::min();
   std::deque<JobRecord *> Changed_;
   std::uint64_t ChangeCount_ = 0;
   /// All changes up to this one are stored.
--- a/tests/adapter/JobPathTest.cpp
+++ b/tests/adapter/JobPathTest.cpp
@@ -2,6 +2,9 @@
 #include "HttpWorkers.h"
 #include "Rows.h"
 #include "adapter/FakePlatform.h"
+#include "codec/JobJson.h"
+#include "dispatch/Clock.h"
+#include "dispatch/Context.h"
 #include "dispatch/DispatchEntry.h"
 
 #include <asio.hpp>
@@ -104,8 +107,7 @@
              "Services":[{"Name":"p"}],
              "Tenants":[{"Name":"t","ApiKeys":["k"]}]})");
     for (int N = 0; N < EntryCount; ++N)
-      Entries.push_back(std::make_unique<TestEntry>("e" + std::to_string(N),
-                                                    PlatformStore.address()));
+      addEntry();
     for (int N = 0; N < EntryCount; ++N)
       waitUntil([&] { return call(N, "GET", "/q/", "").Status == 200; });
   }
@@ -119,6 +121,11 @@
     PlatformStore.stop();
   }
 
+  void addEntry() {
+    Entries.push_back(std::make_unique<TestEntry>(
+        "e" + std::to_string(Entries.size()), PlatformStore.address()));
+  }
+
   /// Writes a row as operators or a worker would.
   void put(const std::string &Table, const std::string &Key,
            const std::string &Value) {
@@ -280,6 +287,48 @@
   Cluster.PlatformStore.dropResponses(0);
 }
 
+// The retry after a lost answer finds the row of the earlier submission, which
+// is no new job for the pool's owner.
+TEST_CASE("a completed job that is submitted again doesn't run again when the "
+          "answer of the store is lost") {
+  constexpr std::int64_t HourMs = 3600000;
+  TestCluster Cluster(0);
+  jobs::JobSpec Spec;
+  Spec.Id = TestCluster::idOf(1);
+  Spec.Pool = "p";
+  Spec.Queue = "r";
+  Spec.Team = "t";
+  Spec.Steps.resize(1);
+  Spec.AcceptedMs = dispatch::wallMs() - HourMs;
+  jobs::JobProgress Progress;
+  Progress.State = jobs::JobState::Completed;
+  store::PartTransaction T;
+  T.Puts.push_back(
+      {{dispatch::rows::Jobs, dispatch::rows::jobPart(Spec.Id), Spec.Id},
+       codec::encodeJob(Spec)});
+  Cluster.commit(std::move(T));
+  T = {};
+  T.Puts.push_back(
+      {{dispatch::rows::Progress, dispatch::rows::poolPart("p"), Spec.Id},
+       codec::encodeProgress(Progress)});
+  Cluster.commit(std::move(T));
+  Cluster.addEntry();
+  // A run shows that the owner has planned, and so forgotten old jobs.
+  Cluster.submit(0, 2);
+  waitUntil([&] { return Cluster.isCompleted(0, 2); });
+  Cluster.PlatformStore.dropResponses(AllTransactions);
+  Cluster.Timers.after(std::chrono::milliseconds(300), [&Cluster] {
+    Cluster.PlatformStore.dropResponses(0);
+  });
+  Cluster.submit(0, 1);
+  Cluster.submit(0, 3);
+  waitUntil([&] { return Cluster.isCompleted(0, 3); });
+  for (const auto &Started : Cluster.starts()) {
+    CAPTURE(Started.first);
+    CHECK(Started.first.find(Spec.Id) == std::string::npos);
+  }
+}
+
 TEST_CASE("an entry that starts anew runs nothing twice beside a worker whose "
           "row has lapsed") {
   constexpr int LongMs = 60000;
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/PoolController.h"
 
+#include "codec/JobJson.h"
 #include "dispatch/Clock.h"
 #include "dispatch/InMemoryStore.h"
 #include "dispatch/LoopCalls.h"
@@ -188,8 +189,8 @@
   });
 }
 
-// The HTTP client may repeat a transaction whose answer was lost with its
-// connection; the store then refuses the second one.
+// A transaction whose answer was lost is sent again; the store then refuses the
+// second one.
 TEST_CASE("an owner keeps its pool when the store has applied a write whose "
           "answer was lost") {
   ControllerFixture B;
@@ -211,3 +212,78 @@
   });
   B.on([&] { CHECK_FALSE(B.LostPool); });
 }
+
+namespace {
+
+/// Rows of one-task jobs of pool "p" that were accepted an hour ago.
+struct OldJobs {
+  static constexpr std::int64_t HourMs = 3600000;
+  std::int64_t AcceptedMs = wallMs() - HourMs;
+
+  store::PartRow row(const std::string &Id) const {
+    jobs::JobSpec Spec;
+    Spec.Id = Id;
+    Spec.Pool = "p";
+    Spec.Steps.resize(1);
+    Spec.AcceptedMs = AcceptedMs;
+    return {{rows::Jobs, rows::jobPart(Id), Id}, codec::encodeJob(Spec), 1};
+  }
+};
+
+/// Has the job end and waits until the owner has forgotten it.
+void finishAndForget(ControllerFixture &B, const store::PartRow &Job) {
+  const std::string &Id = Job.Where.Key;
+  B.on([&] {
+    B.Controller->applyJobRow(Job);
+    REQUIRE(B.Controller->state().findJob(Id));
+    B.Controller->cancelJob(Id);
+  });
+  B.waitUntil([&] { return !B.Controller->state().findJob(Id); });
+}
+
+/// Waits until the job \p Until is known; returns whether the job \p Id was
+/// open in the meantime.
+bool isOpened(ControllerFixture &B, const std::string &Id,
+              const std::string &Until) {
+  bool IsOpen = false;
+  B.waitUntil([&] {
+    const jobs::JobRecord *Job = B.Controller->state().findJob(Id);
+    IsOpen = IsOpen || (Job && !jobs::isFinal(Job->Now));
+    return B.Controller->state().findJob(Until) != nullptr;
+  });
+  return IsOpen;
+}
+
+} // namespace
+
+// A full read of the job table, as after a loss of the change history, lists
+// jobs that the owner has forgotten.
+TEST_CASE("a finished job that the owner has forgotten doesn't start again when "
+          "its row is read again") {
+  ControllerFixture B;
+  OldJobs Jobs;
+  store::PartRow Finished = Jobs.row("0000000000000001");
+  store::PartRow Unknown = Jobs.row("0000000000000002");
+  finishAndForget(B, Finished);
+  B.on([&] {
+    B.Controller->applyJobRow(Finished);
+    B.Controller->applyJobRow(Unknown);
+  });
+  // An old job without stored progress has never been run.
+  CHECK_FALSE(isOpened(B, Finished.Where.Key, Unknown.Where.Key));
+}
+
+TEST_CASE("a job that is cancelled while its stored progress is looked up "
+          "doesn't start") {
+  ControllerFixture B;
+  OldJobs Jobs;
+  store::PartRow Cancelled = Jobs.row("0000000000000002");
+  store::PartRow Other = Jobs.row("0000000000000003");
+  finishAndForget(B, Jobs.row("0000000000000001"));
+  B.on([&] {
+    B.Controller->applyJobRow(Cancelled);
+    B.Controller->applyJobRow(Other);
+    B.Controller->cancelJob(Cancelled.Where.Key);
+  });
+  CHECK_FALSE(isOpened(B, Cancelled.Where.Key, Other.Where.Key));
+}
