Don't take the answer to a repeated request for the outcome of the first one

Cause, the same for both: libcurl sends a request again by itself when a reused connection ends before any byte of the answer. HttpCall allowed that by default, and no call in platform/ changed it; the result showed the last attempt only, so that a refusal of the repetition hid that the first one had been carried out. The same held for stops, extensions, upkeep, moves, relayed orders, the calls between entries, and reboots and objects of the request path.

Change: a request other than a GET is sent once unless its call allows more. What was MayResend = false is OwnConnection = true now: the tests that set it keep what they ask for.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -850,9 +850,8 @@
     std::uint64_t Chain = 0;
     for (const store::PartRow &Row : Answer.Rows)
       (Row.Where.Key == rows::OwnerKey ? Owner : Chain) = Row.Version;
-    // Only this owner writes the chain row, so an attempt has applied that was
-    // not answered: an earlier one, or one that the HTTP client repeated on
-    // another connection.
+    // Only this owner writes the chain row, so an earlier attempt has applied
+    // that was not answered.
     Applied = Owner == State_.token() && Chain > ChainVersion_;
     if (!Applied) {
       loseOwnership("owner row changed");
--- a/src/entry/FleetRoutes.cpp
+++ b/src/entry/FleetRoutes.cpp
@@ -210,7 +210,7 @@
   Call.Headers = {{"Authorization", Key}, {ForwardedHeader, "1"}};
   Call.Body = Request.Body;
   Call.TotalLimit = ForwardTimeout;
-  Call.MayResend = false;
+  Call.OwnConnection = true;
   Context_.Workers.send(std::move(Call), [Respond](net::HttpResult Result) {
     if (Result.End == core::ExchangeEnd::Answered)
       return Respond(net::jsonResponse(Result.Response.Status,
--- a/src/entry/TaskForwarder.cpp
+++ b/src/entry/TaskForwarder.cpp
@@ -83,7 +83,7 @@
     return Done({true, std::nullopt});
   Call.Url = "http://" + Found->HttpAddress + Call.Url;
   Call.Headers.push_back({"Comfreydeck-Forwarded", "1"});
-  Call.MayResend = false;
+  Call.OwnConnection = true;
   Context_.Workers.send(
       std::move(Call), [this, Done = std::move(Done)](net::HttpResult Result) {
         ForwardResult Forwarded;
--- a/src/entry/TaskRunner.cpp
+++ b/src/entry/TaskRunner.cpp
@@ -132,7 +132,7 @@
         {"Task-Run-Ms", std::to_string(inMs(T.Request.Run))});
   Call.Body = T.Request.Body;
   Call.TotalLimit = *T.Demand.Deadline - net::now();
-  Call.MayResend = false;
+  Call.OwnConnection = true;
   return Call;
 }
 
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -55,10 +55,13 @@
   core::Duration SendLimit{0};
   /// A longer response body ends the call as cut.
   std::size_t MaxAnswerBytes = std::size_t{64} << 20;
-  /// Whether libcurl may send the request again if a reused connection turns
-  /// out to be dead. Must be false for a non-idempotent request, which is then
-  /// sent on a connection of its own.
-  bool MayResend = true;
+  /// Whether a request that is not a GET may be sent again, on another
+  /// connection, if a kept connection ends without any byte of the response.
+  /// The receiver may then carry it out twice, or carry out the first one and
+  /// refuse the second: see HttpResult::Resent. A GET may always be sent again.
+  bool MayResend = false;
+  /// Whether to use a new connection, since a kept one may be dead.
+  bool OwnConnection = false;
   /// Maximum number of calls in flight to the host, including this one. The
   /// call waits for its turn within TotalLimit. Zero: only
   /// HttpClientOptions::MaxCallsPerHost applies, which is never exceeded.
@@ -73,6 +76,9 @@
   core::ExchangeEnd End = core::ExchangeEnd::NeverSent;
   /// Valid only if \ref End is Answered.
   HttpResponse Response;
+  /// The request was sent more than once. The response is that to the last
+  /// attempt; an earlier one may have been carried out, whatever it says.
+  bool Resent = false;
   /// libcurl's error message if there is no response.
   std::string Error;
 };
--- a/src/net/Transfer.cpp
+++ b/src/net/Transfer.cpp
@@ -61,8 +61,22 @@
   curl_easy_setopt(E, CURLOPT_CAINFO_BLOB, &Authority);
 }
 
+/// Whether any byte of the request was sent.
+bool anySent(CURL *Easy) {
+  long RequestBytes = 0;
+  curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &RequestBytes);
+  return RequestBytes > 0;
+}
+
+bool mayResend(const HttpCall &Call) {
+  return Call.MayResend || Call.Method == "GET";
+}
+
 curl_socket_t onOpen(void *UserData, curlsocktype, curl_sockaddr *Address) {
   auto *T = static_cast<Transfer *>(UserData);
+  // libcurl is about to repeat the request.
+  if (!mayResend(T->Call) && anySent(T->Easy))
+    return CURL_SOCKET_BAD;
   int Socket = socket(Address->family, Address->socktype | SOCK_CLOEXEC,
                       Address->protocol);
   if (Socket < 0)
@@ -86,12 +100,16 @@
   return close(Socket);
 }
 
-/// Called when the connection is ready, before the first byte is sent: the
-/// process may have been paused since the call was begun.
+/// Called when a connection is ready, before the first byte is sent on it: the
+/// process may have been paused since the call was begun, or libcurl repeats
+/// the request.
 int onReady(void *UserData, char *, char *, int, int) {
   auto *T = static_cast<Transfer *>(UserData);
-  T->Withheld = bootNow() > *T->SendBy;
-  return T->Withheld ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
+  T->Result.Resent = anySent(T->Easy);
+  T->Withheld = T->SendBy && bootNow() > *T->SendBy;
+  bool IsUnwanted = T->Result.Resent && !mayResend(T->Call);
+  return T->Withheld || IsUnwanted ? CURL_PREREQFUNC_ABORT
+                                   : CURL_PREREQFUNC_OK;
 }
 
 /// Sets the options that are the same for all calls.
@@ -106,13 +124,6 @@
   curl_easy_setopt(E, CURLOPT_CLOSESOCKETFUNCTION, onClose);
 }
 
-/// Whether any byte of the request was sent.
-bool anySent(CURL *Easy) {
-  long RequestBytes = 0;
-  curl_easy_getinfo(Easy, CURLINFO_REQUEST_SIZE, &RequestBytes);
-  return RequestBytes > 0;
-}
-
 /// Whether the response declares its end. A response that ends when the
 /// connection closes can't be distinguished from a truncated one.
 bool isDelimited(const Transfer &T) {
@@ -168,10 +179,8 @@
   curl_easy_setopt(E, CURLOPT_URL, T.Call.Url.c_str());
   curl_easy_setopt(E, CURLOPT_CUSTOMREQUEST, T.Call.Method.c_str());
   curl_easy_setopt(E, CURLOPT_CONNECTTIMEOUT_MS, toMs(T.Call.ConnectLimit));
-  if (T.SendBy) {
-    curl_easy_setopt(E, CURLOPT_PREREQFUNCTION, onReady);
-    curl_easy_setopt(E, CURLOPT_PREREQDATA, &T);
-  }
+  curl_easy_setopt(E, CURLOPT_PREREQFUNCTION, onReady);
+  curl_easy_setopt(E, CURLOPT_PREREQDATA, &T);
   curl_easy_setopt(E, CURLOPT_WRITEDATA, &T);
   curl_easy_setopt(E, CURLOPT_HEADERDATA, &T);
   curl_easy_setopt(E, CURLOPT_OPENSOCKETDATA, &T);
@@ -180,7 +189,7 @@
   curl_easy_setopt(E, CURLOPT_PRIVATE, &T);
   if (T.Call.Tls)
     setIdentity(E, *T.Call.Tls);
-  if (!T.Call.MayResend) {
+  if (T.Call.OwnConnection) {
     curl_easy_setopt(E, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(E, CURLOPT_FORBID_REUSE, 1L);
   }
--- a/src/operators/OperatorClient.cpp
+++ b/src/operators/OperatorClient.cpp
@@ -48,7 +48,7 @@
   Call.Headers.push_back({"Authorization", "Bearer " + Access_.KeySecret});
   Call.Body = Body;
   Call.TotalLimit = CallLimit;
-  Call.MayResend = Method == "GET";
+  Call.OwnConnection = Method != "GET";
   std::promise<net::HttpResult> Promise;
   Client_.send(std::move(Call), [&Promise](net::HttpResult Result) {
     Promise.set_value(std::move(Result));
--- a/src/store/HttpTableService.cpp
+++ b/src/store/HttpTableService.cpp
@@ -129,7 +129,7 @@
     Call.Method = "POST";
     Call.Body = bodyOf(T).dump();
     Call.Headers.push_back({"Content-Type", "application/json"});
-    Call.MayResend = false;
+    Call.OwnConnection = true;
     Client_.send(std::move(Call), [Done = std::move(Done)](auto Result) {
       Done(commitResultFrom(Result));
     });
--- a/tests/adapter/HttpWorkersTest.cpp
+++ b/tests/adapter/HttpWorkersTest.cpp
@@ -1,5 +1,7 @@
 #include "HttpWorkers.h"
 #include "HttpMachines.h"
+#include "HttpStore.h"
+#include "standins/FaultServer.h"
 #include "standins/LoopbackServers.h"
 
 #include <doctest/doctest.h>
@@ -23,8 +25,110 @@
   return Order;
 }
 
+/// What a caller learns of its call.
+enum class Learned : std::uint8_t { Done, NotDone, Unknown };
+
+Learned learnedOf(jobs::OrderOutcome Outcome) {
+  if (Outcome == jobs::OrderOutcome::Accepted)
+    return Learned::Done;
+  return Outcome == jobs::OrderOutcome::Unknown ? Learned::Unknown
+                                                : Learned::NotDone;
+}
+
+Learned learnedOf(dispatch::MachineOrderOutcome Outcome) {
+  if (Outcome == dispatch::MachineOrderOutcome::Done)
+    return Learned::Done;
+  return Outcome == dispatch::MachineOrderOutcome::Unknown ? Learned::Unknown
+                                                           : Learned::NotDone;
+}
+
+Learned learnedOf(store::PartOutcome Outcome) {
+  if (Outcome == store::PartOutcome::Ok)
+    return Learned::Done;
+  return Outcome == store::PartOutcome::Unknown ? Learned::Unknown
+                                                : Learned::NotDone;
+}
+
+/// Sends one call of each kind that changes something to the address.
+struct ChangingCalls {
+  net::HttpClient Client{net::HttpClientOptions{}};
+  platform::HttpWorkers Workers{Client};
+  platform::HttpMachines Machines;
+  platform::HttpStore Store;
+  jobs::WorkerEntry To;
+
+  explicit ChangingCalls(const std::string &Address)
+      : Machines(Client, Address, "e1"), Store(Client, Address) {
+    To.Id = "w";
+    To.Address = Address;
+  }
+
+  Learned send(const std::string &Kind) {
+    std::promise<Learned> Result;
+    auto Done = [&Result](const auto &Ended) {
+      Result.set_value(learnedOf(Ended.Outcome));
+    };
+    auto MachineDone = [&Result](dispatch::MachineOrderOutcome Outcome) {
+      Result.set_value(learnedOf(Outcome));
+    };
+    if (Kind == "start")
+      Workers.start(To, 1, orderOf(1), Done);
+    else if (Kind == "stop")
+      Workers.stop(To, 1, {"w", orderOf(1).Task, 1}, Done);
+    else if (Kind == "extension")
+      Workers.report(To, 1, {"w", 1000, 0, core::Duration(0)}, Done);
+    else if (Kind == "transaction")
+      Store.commit({{}, {{{"jobs", "1", "k"}, "v"}}, {}},
+                   std::chrono::seconds(20), Done);
+    else if (Kind == "upkeep")
+      Machines.maintain("m", "1", 1, MachineDone);
+    else
+      Machines.move("m", "p", 1, MachineDone);
+    return Result.get_future().get();
+  }
+};
+
 } // namespace
 
+// The HTTP client sent a call again by itself after a kept connection had
+// broken, and the refusal of the second one was taken for the call's outcome.
+TEST_CASE("a call whose answer was lost with its connection may have been "
+          "carried out, whatever a repetition is answered") {
+  const std::string Report = R"({"ClockMs":5,"born":1})";
+  standins::FaultScript Answer;
+  Answer.Answer = standins::rawAnswer(200, "", Report);
+  standins::FaultScript Lost;
+  Lost.End = standins::ConnectionEnd::Reset;
+  for (const char *Kind :
+       {"start", "stop", "extension", "transaction", "upkeep", "move"}) {
+    for (int Status : {429, 503, 421, 409, 0}) {
+      CAPTURE(Kind);
+      CAPTURE(Status);
+      standins::FaultScript Refusal;
+      Refusal.Answer = standins::rawAnswer(Status, "", R"({"Reason":"room"})");
+      standins::FaultScript Last = Lost;
+      // Without a status, the second connection is refused.
+      Last.CloseListener = Status == 0;
+      standins::FaultServer Server({Answer, Last, Refusal});
+      ChangingCalls Calls("127.0.0.1:" + std::to_string(Server.port()));
+      CHECK(Calls.send(Kind) == Learned::Done);
+      CHECK(Calls.send(Kind) == Learned::Unknown);
+    }
+  }
+}
+
+TEST_CASE("a start that a worker accepts when it is sent again is accepted") {
+  standins::FaultScript Answer;
+  Answer.Answer = standins::rawAnswer(200, "", R"({"ClockMs":5})");
+  standins::FaultScript Lost;
+  Lost.End = standins::ConnectionEnd::Reset;
+  standins::FaultServer Server({Answer, Lost, Answer});
+  ChangingCalls Calls("127.0.0.1:" + std::to_string(Server.port()));
+  CHECK(Calls.send("start") == Learned::Done);
+  CHECK(Calls.send("start") == Learned::Done);
+  CHECK(Server.wholeRequests() == 3);
+}
+
 TEST_CASE("a burst of orders to one worker opens few connections") {
   standins::LoopbackServers Row(1);
   net::HttpClient Client(net::HttpClientOptions{});
--- a/tests/entry/EntryHarness.cpp
+++ b/tests/entry/EntryHarness.cpp
@@ -197,7 +197,7 @@
   Call.Headers = std::move(Request.Headers);
   Call.Body = std::move(Request.Body);
   Call.TotalLimit = Request.Limit;
-  Call.MayResend = false;
+  Call.OwnConnection = true;
   auto Done = std::make_shared<std::promise<CallerAnswer>>();
   Client_.send(std::move(Call), [Done](net::HttpResult Result) {
     Done->set_value(parseAnswer(std::move(Result)));
--- a/tests/net/ExchangeTest.cpp
+++ b/tests/net/ExchangeTest.cpp
@@ -33,6 +33,7 @@
   Call.Body = std::string(300000, 'b');
   Call.TotalLimit = Limit;
   Call.MayResend = MayResend;
+  Call.OwnConnection = !MayResend;
   Call.MaxAnswerBytes = AnswerLimit;
   return Call;
 }
@@ -228,6 +229,33 @@
   CHECK(Server.connections() == 2);
 }
 
+// A request was carried out, sent again by libcurl and then refused.
+TEST_CASE("a request on a kept connection that breaks is not sent again") {
+  FaultScript Lost = cutting(FaultScript::WholeRequest, ConnectionEnd::Reset);
+  standins::FaultServer Server(
+      {answering(whole("first")), Lost,
+       answering(standins::rawAnswer(503, Echo, ""))});
+  net::HttpClient Client(net::HttpClientOptions{});
+  net::HttpCall Call = startCall(Server.port(), LongLimit, false);
+  Call.OwnConnection = false;
+  // Small enough to arrive whole before the connection is reset.
+  Call.Body = "{}";
+  CHECK(send(Client, Call).End == ExchangeEnd::Answered);
+  net::HttpResult Second = send(Client, Call);
+  CHECK(core::verdictOf(Second.End) == Verdict::MayHaveRun);
+  CHECK(Server.wholeRequests() == 2);
+  CHECK(Server.connections() == 1);
+}
+
+TEST_CASE("the result of a request that was sent again says so") {
+  FaultScript Lost = cutting(FaultScript::WholeRequest, ConnectionEnd::Close);
+  standins::FaultServer Server(
+      {answering(whole("first")), Lost, answering(whole("resent"))});
+  net::HttpClient Client(net::HttpClientOptions{});
+  CHECK_FALSE(send(Client, startCall(Server.port(), LongLimit, true)).Resent);
+  CHECK(send(Client, startCall(Server.port(), LongLimit, true)).Resent);
+}
+
 TEST_CASE("an idempotent call may be sent again on a dead connection") {
   FaultScript Lost = cutting(FaultScript::WholeRequest, ConnectionEnd::Close);
   standins::FaultServer Server(
--- a/tests/net/HttpCountsTest.cpp
+++ b/tests/net/HttpCountsTest.cpp
@@ -84,7 +84,6 @@
     Lost.End = ConnectionEnd::Close;
     standins::FaultServer Server({Lost});
     net::HttpCall Call = callTo(Server.port(), HttpTarget::Store, LongLimit);
-    Call.MayResend = false;
     send(Client, std::move(Call));
     CHECK(countsOf(Client, HttpTarget::Store).Cut == 1);
   }
--- a/tools/load.cpp
+++ b/tools/load.cpp
@@ -169,6 +169,7 @@
     Call.TotalLimit =
         std::chrono::milliseconds(Arguments_.DeadlineMs + AnswerMarginMs);
     Call.MayResend = !Request.NonIdempotent;
+    Call.OwnConnection = Request.NonIdempotent;
     return Call;
   }
 
