Wait for the longest lease on a worker that has restarted under its id

Cause: a start or an extension that a worker takes after it has restarted under its id names a lease end on the clock of its earlier incarnation. On the new clock that lies far ahead, so that the worker grants its longest lease, 10 s. The owner let such runs lapse after 8 s, the time for which an earlier owner may give orders, counted from the report, and only if a start was under way; extensions and orders that are carried out late were left out.

The new test failed before the fix: started elsewhere after 8.1 s, where the lease lasts up to 10.204 s.

Change: after a restart no run of the worker counts as lapsed until each order for the earlier incarnation has been carried out and the longest lease has passed, or the new clock has passed the last lease end given on the old one. Nothing is waited for where no order gave a lease shortly before; a second test holds that.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -55,6 +55,7 @@
 jobs::OwnerLimits limitsFor(const settings::DispatchSettings &Settings) {
   jobs::OwnerLimits Limits;
   Limits.Lease = std::min(Limits.Lease, Settings.MaxLease);
+  Limits.MaxLease = Settings.MaxLease;
   Limits.StopTime = Settings.StopTime;
   return Limits;
 }
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -83,7 +83,7 @@
     core::Duration Wait =
         W->Isolated ? Limits_.SuspectReportWait : Limits_.ReportWait;
     Hold.Wait = MayWait ? Wait : core::Duration::zero();
-    W->DeadlineMs = std::max(W->DeadlineMs, Hold.DeadlineMs);
+    recordLease(*W, Hold.DeadlineMs, In.Now);
     W->HoldInFlight = true;
     if (W->AskedAt == core::TimePoint())
       W->AskedAt = In.Now;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -34,6 +34,11 @@
   /// survive a change of owner (two seconds), short enough to restart the runs
   /// of a partitioned worker within their jobs' objectives.
   core::Duration Lease = std::chrono::milliseconds(3000);
+  /// Longest lease that a worker grants, whatever end an order names.
+  core::Duration MaxLease = std::chrono::milliseconds(10000);
+  /// Longest time after which a worker may still carry out an order that it has
+  /// not answered.
+  core::Duration LateOrder = std::chrono::milliseconds(13000);
   /// Maximum relative drift by which a worker's clock runs slow, as guaranteed
   /// by the platform.
   double ClockDrift = 0.02;
@@ -305,6 +310,8 @@
   core::TimePoint ClockAt;
   /// Latest lease end granted, on the worker's clock.
   std::int64_t DeadlineMs = 0;
+  /// When the last order that grants a lease was planned.
+  core::TimePoint LeaseOrderedAt;
   /// Number of the last end processed in this incarnation.
   std::uint64_t ProcessedUpTo = 0;
   /// Processed ends that are not stored yet: each end's number and the mark at
@@ -356,9 +363,12 @@
   std::int64_t LastReportClockMs = 0;
   /// Starts planned since that report.
   std::uint32_t StartsSinceReport = 0;
-  /// Until then, a start for an earlier incarnation may have given this one a
-  /// lease.
-  core::TimePoint LateStartsUntil;
+  /// Until then, an order for an earlier incarnation may have given this one a
+  /// lease: up to \ref EarlierDeadlineMs on this one's clock, unless the worker
+  /// has shortened it.
+  core::TimePoint EarlierOrdersUntil;
+  /// Latest lease end granted to earlier incarnations, on their clocks.
+  std::int64_t EarlierDeadlineMs = 0;
 };
 
 /// State and decisions of one pool's owner. Performs no I/O: callers pass in
@@ -573,7 +583,13 @@
   void endJob(JobRecord &Job, JobState State);
   void recordClock(WorkerState &W, std::int64_t ClockMs, core::TimePoint Now);
   std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
+  static void recordLease(WorkerState &W, std::int64_t DeadlineMs,
+                          core::TimePoint Now);
+  core::TimePoint latestLeaseEnd(core::TimePoint From,
+                                 core::Duration Length) const;
   core::TimePoint earlierLeasesEnd(const WorkerState &W) const;
+  std::int64_t leastClockMs(const WorkerState &W, core::TimePoint Now) const;
+  bool mayHaveEarlierOrder(const WorkerState &W, core::TimePoint Now) const;
   bool leaseLapsed(const WorkerState &W, core::TimePoint Now) const;
 
   WorkerStatus statusOf(const WorkerState &W, core::TimePoint Now) const;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -26,9 +26,13 @@
   for (std::size_t N = 0; N < Runs.size(); ++N)
     keepUnlistedStart(*jobOf(Unlisted[N].JobId), Unlisted[N].Task, Runs[N],
                       Now);
-  W.LateStartsUntil = core::TimePoint();
-  if (!Runs.empty())
-    W.LateStartsUntil = Now + Limits_.EarlierOrders;
+  // On a clock that starts anew, the end of a lease lies far ahead: only the
+  // worker's own limit holds.
+  if (W.DeadlineMs > 0) {
+    W.EarlierDeadlineMs = std::max(W.EarlierDeadlineMs, W.DeadlineMs);
+    W.EarlierOrdersUntil = latestLeaseEnd(W.LeaseOrderedAt + Limits_.LateOrder,
+                                          Limits_.MaxLease);
+  }
   W.IncarnationConfirmed = false;
   W.Ended = false;
   W.Born = Born;
@@ -275,36 +279,61 @@
     return 0;
   // Assume that the worker's clock has run slow since its last answer, so that
   // the lease does not outlast the time for which later owners wait.
-  double Passed =
-      static_cast<double>(toMs(In.Now - W.ClockAt)) * (1 - Limits_.ClockDrift);
-  return W.ClockMs + static_cast<std::int64_t>(Passed) + toMs(Length);
+  return leastClockMs(W, In.Now) + toMs(Length);
+}
+
+/// Records the lease end of an order; zero stands for an order that grants no
+/// lease.
+void PoolState::recordLease(WorkerState &W, std::int64_t DeadlineMs,
+                            core::TimePoint Now) {
+  if (DeadlineMs == 0)
+    return;
+  W.DeadlineMs = std::max(W.DeadlineMs, DeadlineMs);
+  W.LeaseOrderedAt = Now;
+}
+
+/// When a lease of the length that began at \p From has expired on any clock.
+core::TimePoint PoolState::latestLeaseEnd(core::TimePoint From,
+                                          core::Duration Length) const {
+  return From + milliseconds(LeaseSlackMs) +
+         std::chrono::duration_cast<core::Duration>(Length *
+                                                    (1 + Limits_.ClockDrift));
 }
 
 /// When all leases that earlier owners granted on the worker have expired. They
 /// granted none after the worker's first report to this owner.
 core::TimePoint PoolState::earlierLeasesEnd(const WorkerState &W) const {
-  auto LatestAfter = [this](core::TimePoint From, core::Duration Length) {
-    return From + milliseconds(LeaseSlackMs) +
-           std::chrono::duration_cast<core::Duration>(Length *
-                                                      (1 + Limits_.ClockDrift));
-  };
-  core::TimePoint End = LatestAfter(TakenAt_, Limits_.EarlierOrders);
+  core::TimePoint End = latestLeaseEnd(TakenAt_, Limits_.EarlierOrders);
   for (const std::optional<core::TimePoint> &NoOrdersFrom :
        {EarlierStoppedAt_, W.FencedAt})
     if (NoOrdersFrom)
-      End = std::min(End, LatestAfter(*NoOrdersFrom, Limits_.Lease));
+      End = std::min(End, latestLeaseEnd(*NoOrdersFrom, Limits_.Lease));
   return End;
 }
 
-bool PoolState::leaseLapsed(const WorkerState &W, core::TimePoint Now) const {
-  if (Now < earlierLeasesEnd(W) || Now < W.LateStartsUntil)
-    return false;
-  if (W.DeadlineMs == 0)
-    return true;
+/// The least that the worker's clock may show.
+std::int64_t PoolState::leastClockMs(const WorkerState &W,
+                                     core::TimePoint Now) const {
   double Passed =
       static_cast<double>(toMs(Now - W.ClockAt)) * (1 - Limits_.ClockDrift);
-  return W.ClockMs + static_cast<std::int64_t>(Passed) >=
-         W.DeadlineMs + LeaseSlackMs;
+  return W.ClockMs + static_cast<std::int64_t>(Passed);
+}
+
+/// Whether an order for an earlier incarnation may have given the present one a
+/// lease that has not expired.
+bool PoolState::mayHaveEarlierOrder(const WorkerState &W,
+                                    core::TimePoint Now) const {
+  if (Now >= W.EarlierOrdersUntil)
+    return false;
+  return W.ClockMs == 0 ||
+         leastClockMs(W, Now) < W.EarlierDeadlineMs + LeaseSlackMs;
+}
+
+bool PoolState::leaseLapsed(const WorkerState &W, core::TimePoint Now) const {
+  if (Now < earlierLeasesEnd(W) || mayHaveEarlierOrder(W, Now))
+    return false;
+  return W.DeadlineMs == 0 ||
+         leastClockMs(W, Now) >= W.DeadlineMs + LeaseSlackMs;
 }
 
 bool PoolState::allHeard(core::TimePoint Now) const {
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -423,7 +423,7 @@
   Order.Payload = Job.Spec.Payload;
   Order.Checkpoint = Job.Tasks[Task].Kept.Checkpoint;
   Order.DeadlineMs = Owner_.leaseFor(W, In_);
-  W.DeadlineMs = std::max(W.DeadlineMs, Order.DeadlineMs);
+  PoolState::recordLease(W, Order.DeadlineMs, In_.Now);
   return Order;
 }
 
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -1147,3 +1147,127 @@
   REQUIRE(After.Starts.size() == 1);
   CHECK(After.Starts[0].DeadlineMs <= 1000 + 3000);
 }
+
+namespace {
+
+/// The worker of a sample job's only task restarts under its id, and its clock
+/// from zero.
+struct RestartedWorker {
+  OwnerFixture B;
+  core::TimePoint BornAt;
+  std::string Id;
+
+  /// Starts a task and returns its order.
+  StartOrder start(unsigned Job) {
+    B.Owner.addJob(sampleJob(Job), B.Now);
+    Orders Out = B.plan();
+    REQUIRE(Out.Starts.size() == 1);
+    Id = Out.Starts[0].Worker;
+    return Out.Starts[0];
+  }
+
+  void report(const StartOrder &Running) {
+    HoldOrder Order;
+    Order.Worker = Id;
+    ReportResult Result;
+    Result.Outcome = OrderOutcome::Accepted;
+    Result.Report.ClockMs =
+        std::chrono::duration_cast<milliseconds>(B.Now - BornAt).count();
+    Result.Report.Born = 2;
+    if (Running.Run != 0)
+      Result.Report.Running = {runReportOf(Running, 10)};
+    B.Owner.onReport(Order, Result, B.Now, B.Now);
+  }
+
+  /// Advances until the owner starts a task elsewhere while the worker stays
+  /// silent; returns the time that this took.
+  core::Duration silentUntilStart() {
+    core::TimePoint From = B.Now;
+    for (;;) {
+      B.advance(milliseconds(50));
+      REQUIRE(B.Now - From < std::chrono::seconds(60));
+      Orders Out = B.plan();
+      for (const StartOrder &Start : Out.Starts)
+        if (Start.Worker != Id)
+          return B.Now - From;
+      for (const HoldOrder &Hold : Out.Holds) {
+        if (Hold.Worker == Id)
+          B.dropReport(Hold);
+        else
+          B.report(Hold.Worker);
+      }
+      if (ProgressBatch Batch = B.Owner.takeChanges(10); !Batch.isEmpty())
+        B.Owner.onStored(Batch.Mark);
+    }
+  }
+};
+
+/// The platform's longest lease, on a worker's clock that is 2% slow.
+constexpr milliseconds LongestLease(10204);
+
+} // namespace
+
+// A worker that restarted under its id took a start with a lease end on its
+// earlier clock, which it shortened to ten seconds; the task was started
+// elsewhere after eight.
+TEST_CASE("a run on a restarted worker starts elsewhere only after the longest "
+          "lease that an order for the earlier incarnation can have given") {
+  RestartedWorker W;
+  W.B.listWorkers({"w1", "w2"});
+  W.B.plan();
+  W.B.report("w1");
+  W.B.report("w2");
+  StartOrder Start = W.start(1);
+  W.BornAt = W.B.Now;
+  W.B.advance(milliseconds(50));
+  SUBCASE("a start") {
+    W.B.answer(Start, OrderOutcome::Accepted);
+    W.report(Start);
+    CHECK(W.silentUntilStart() > LongestLease);
+  }
+  SUBCASE("an extension that is carried out late") {
+    W.B.answer(Start, OrderOutcome::Accepted);
+    W.B.report(W.Id, {runReportOf(Start, 10)});
+    Orders Extending = W.B.plan();
+    REQUIRE(std::any_of(Extending.Holds.begin(), Extending.Holds.end(),
+                        [&](const HoldOrder &H) {
+                          return H.Worker == W.Id && H.DeadlineMs > 0;
+                        }));
+    W.BornAt = W.B.Now;
+    W.B.advance(milliseconds(2000));
+    W.B.Owner.cancelJob(jobId(1));
+    W.report({});
+    W.B.report(W.Id == "w1" ? "w2" : "w1");
+    W.B.Owner.setClosedWorkers({W.Id == "w1" ? "w2" : "w1"});
+    StartOrder Next = W.start(2);
+    W.B.Owner.setClosedWorkers({});
+    W.B.answer(Next, OrderOutcome::Accepted);
+    W.report(Next);
+    // Twelve seconds after it was sent.
+    CHECK(W.silentUntilStart() > milliseconds(10000) + LongestLease);
+  }
+}
+
+TEST_CASE("a run on a restarted worker starts elsewhere as soon as on others if "
+          "no order was under way to the earlier incarnation") {
+  RestartedWorker W;
+  W.B.listWorkers({"w1", "w2"});
+  W.B.plan();
+  W.B.report("w1");
+  W.B.report("w2");
+  StartOrder First = W.start(1);
+  W.B.answer(First, OrderOutcome::Accepted);
+  W.B.report(W.Id, {}, {endReportOf(1, First.Task, First.Run, RunEnd::Done)});
+  W.B.advance(std::chrono::seconds(30));
+  W.BornAt = W.B.Now;
+  W.B.advance(milliseconds(500));
+  W.report({});
+  std::string Other = W.Id == "w1" ? "w2" : "w1";
+  W.B.report(Other);
+  W.B.Owner.setClosedWorkers({Other});
+  StartOrder Next = W.start(2);
+  W.B.Owner.setClosedWorkers({});
+  W.B.answer(Next, OrderOutcome::Accepted);
+  W.report(Next);
+  CHECK(W.silentUntilStart() < milliseconds(4000));
+}
