--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -30,8 +30,8 @@
   // worker's own limit holds.
   if (W.DeadlineMs > 0) {
     W.EarlierDeadlineMs = std::max(W.EarlierDeadlineMs, W.DeadlineMs);
-    W.EarlierOrdersUntil = latestLeaseEnd(W.LeaseOrderedAt + Limits_.LateOrder,
-                                          Limits_.MaxLease);
+    W.EarlierOrdersUntil =
+        latestLeaseEnd(W.LeaseOrderedAt + Limits_.LateOrder, Limits_.MaxLease);
   }
   W.IncarnationConfirmed = false;
   W.Ended = false;
--- a/src/net/Transfer.cpp
+++ b/src/net/Transfer.cpp
@@ -108,8 +108,7 @@
   T->Result.Resent = anySent(T->Easy);
   T->Withheld = T->SendBy && bootNow() > *T->SendBy;
   bool IsUnwanted = T->Result.Resent && !mayResend(T->Call);
-  return T->Withheld || IsUnwanted ? CURL_PREREQFUNC_ABORT
-                                   : CURL_PREREQFUNC_OK;
+  return T->Withheld || IsUnwanted ? CURL_PREREQFUNC_ABORT : CURL_PREREQFUNC_OK;
 }
 
 /// Sets the options that are the same for all calls.
--- a/tests/adapter/JobPathTest.cpp
+++ b/tests/adapter/JobPathTest.cpp
@@ -317,9 +317,8 @@
   Cluster.submit(0, 2);
   waitUntil([&] { return Cluster.isCompleted(0, 2); });
   Cluster.PlatformStore.dropResponses(AllTransactions);
-  Cluster.Timers.after(std::chrono::milliseconds(300), [&Cluster] {
-    Cluster.PlatformStore.dropResponses(0);
-  });
+  Cluster.Timers.after(std::chrono::milliseconds(300),
+                       [&Cluster] { Cluster.PlatformStore.dropResponses(0); });
   Cluster.submit(0, 1);
   Cluster.submit(0, 3);
   waitUntil([&] { return Cluster.isCompleted(0, 3); });
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -258,8 +258,9 @@
 
 // A full read of the job table, as after a loss of the change history, lists
 // jobs that the owner has forgotten.
-TEST_CASE("a finished job that the owner has forgotten doesn't start again when "
-          "its row is read again") {
+TEST_CASE(
+    "a finished job that the owner has forgotten doesn't start again when "
+    "its row is read again") {
   ControllerFixture B;
   OldJobs Jobs;
   store::PartRow Finished = Jobs.row("0000000000000001");
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -1248,8 +1248,9 @@
   }
 }
 
-TEST_CASE("a run on a restarted worker starts elsewhere as soon as on others if "
-          "no order was under way to the earlier incarnation") {
+TEST_CASE(
+    "a run on a restarted worker starts elsewhere as soon as on others if "
+    "no order was under way to the earlier incarnation") {
   RestartedWorker W;
   W.B.listWorkers({"w1", "w2"});
   W.B.plan();
--- a/tests/net/ExchangeTest.cpp
+++ b/tests/net/ExchangeTest.cpp
@@ -232,9 +232,8 @@
 // A request was carried out, sent again by libcurl and then refused.
 TEST_CASE("a request on a kept connection that breaks is not sent again") {
   FaultScript Lost = cutting(FaultScript::WholeRequest, ConnectionEnd::Reset);
-  standins::FaultServer Server(
-      {answering(whole("first")), Lost,
-       answering(standins::rawAnswer(503, Echo, ""))});
+  standins::FaultServer Server({answering(whole("first")), Lost,
+                                answering(standins::rawAnswer(503, Echo, ""))});
   net::HttpClient Client(net::HttpClientOptions{});
   net::HttpCall Call = startCall(Server.port(), LongLimit, false);
   Call.OwnConnection = false;
