--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -20,8 +20,8 @@
 namespace comfreydeck::jobs {
 
 /// Low bits of a run id, which count the starts of one owner. The fencing token
-/// in the bits above makes ids increase from owner to owner; together they stay
-/// within the 53 bits that JSON numbers represent exactly.
+/// in the bits above makes ids increase from owner to owner. Ids may exceed the
+/// 53 bits that a double represents exactly.
 inline constexpr std::uint32_t RunCounterBits = 22;
 
 /// Start time that is later than that of each incarnation.
--- a/tests/adapter/HttpWorkersTest.cpp
+++ b/tests/adapter/HttpWorkersTest.cpp
@@ -170,3 +170,30 @@
       [&](dispatch::MachineList Read) { List.set_value(std::move(Read)); });
   CHECK_FALSE(List.get_future().get().Ok);
 }
+
+// Cancelled tasks ran on: their runs were not recognized in reports, since the
+// numbers had been rounded.
+TEST_CASE("numbers of runs above 2^53 are read exactly from a report") {
+  constexpr jobs::RunId LargeRun = 12582912155189257;
+  standins::FaultScript Answer;
+  Answer.Answer = standins::rawAnswer(
+      200, "",
+      R"({"ClockMs":5,"Running":[["0123456789abcdef.0.0.1",12582912155189257]],
+          "EndedRuns":[[9007199254740995,"0123456789abcdef.0.0.2",
+                        12582912155189257,"done",""]]})");
+  standins::FaultServer Server({Answer});
+  net::HttpClient Client(net::HttpClientOptions{});
+  platform::HttpWorkers Workers(Client);
+  jobs::WorkerEntry To;
+  To.Address = "127.0.0.1:" + std::to_string(Server.port());
+  std::promise<jobs::WorkerReport> Report;
+  Workers.report(To, 1, {}, [&](const jobs::ReportResult &Result) {
+    Report.set_value(Result.Report);
+  });
+  jobs::WorkerReport Read = Report.get_future().get();
+  REQUIRE(Read.Running.size() == 1);
+  CHECK(Read.Running[0].Run == LargeRun);
+  REQUIRE(Read.Ended.size() == 1);
+  CHECK(Read.Ended[0].Run == LargeRun);
+  CHECK(Read.Ended[0].Number == 9007199254740995);
+}
