Split the stored progress of a large job into rows that the store takes

Cause: a job's progress was one row. Above the store's 65,536 bytes the transaction is refused, and the owner repeated the batch for ever, with the changes of all other jobs in it.

Evidence: the new test of PoolController failed before the fix, on a store in memory that refuses what the platform's refuses.

Change: longer progress goes into further rows of the same transaction, a batch takes jobs of 4,000 tasks in all or one job, and checkpoints beyond half a megabyte are left out. Rows of jobs that fit are written as before. New setting store_row_bytes.

--- a/src/codec/JobJson.cpp
+++ b/src/codec/JobJson.cpp
@@ -158,7 +158,13 @@
   return Plain ? Name.substr(0, End) : std::string_view();
 }
 
-std::string encodeProgress(const jobs::JobProgress &Progress) {
+namespace {
+
+constexpr std::size_t CheckpointColumn = 2;
+/// Bytes of a row besides its tasks' marks.
+constexpr std::size_t RowOverhead = 64;
+
+Json progressJson(const jobs::JobProgress &Progress) {
   Json Object = {{"state", static_cast<unsigned>(Progress.State)}};
   std::string Done;
   Json Marks = Json::array();
@@ -180,12 +186,76 @@
     Object["done"] = Done;
   if (!Marks.empty())
     Object["marks"] = Marks;
-  return Object.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return Object;
 }
 
-jobs::JobProgress decodeProgress(const std::string &Text) {
+/// Empties checkpoints from the last mark on until \p Excess bytes are saved.
+void dropCheckpoints(Json &Marks, std::size_t Excess) {
+  for (auto Mark = Marks.rbegin(); Mark != Marks.rend() && Excess > 0; ++Mark) {
+    Json &Checkpoint = (*Mark)[CheckpointColumn];
+    std::size_t Bytes = Checkpoint.get_ref<const std::string &>().size();
+    Excess -= std::min(Excess, Bytes);
+    Checkpoint = "";
+  }
+}
+
+void takeMarks(const Json &Object, jobs::JobProgress &Progress) {
+  for (const Json &Mark : Object.value("marks", Json::array())) {
+    std::size_t Number = Mark.at(0).get<std::size_t>();
+    if (Number >= Progress.Tasks.size())
+      throw std::invalid_argument("a mark refers to an unknown task");
+    jobs::TaskProgress &Task = Progress.Tasks[Number];
+    Task.FailedRuns = Mark.at(1).get<std::vector<jobs::RunId>>();
+    Task.Checkpoint = Mark.at(CheckpointColumn).get<std::string>();
+    // Rows of earlier versions end here.
+    if (Mark.size() > 3)
+      Task.CrashedRuns = Mark.at(3).get<std::vector<jobs::RunId>>();
+    if (Mark.size() > 4)
+      Task.Announced = {Mark.at(4).at(0).get<jobs::RunId>(),
+                        Mark.at(4).at(1).get<std::string>(),
+                        Mark.at(4).at(2).get<std::int64_t>()};
+  }
+}
+
+} // namespace
+
+std::string encodeProgress(const jobs::JobProgress &Progress) {
+  return textOf(progressJson(Progress));
+}
+
+std::vector<std::string> encodeProgressRows(const jobs::JobProgress &Progress,
+                                            std::size_t RowBytes,
+                                            std::size_t TotalBytes) {
+  Json Object = progressJson(Progress);
+  std::string Whole = textOf(Object);
+  if (Whole.size() <= RowBytes)
+    return {std::move(Whole)};
+  Json Marks = std::exchange(Object["marks"], Json::array());
+  if (Whole.size() > TotalBytes)
+    dropCheckpoints(Marks, Whole.size() - TotalBytes);
+  std::vector<Json> Rows = {std::move(Object)};
+  std::size_t Bytes = textOf(Rows[0]).size() + RowOverhead;
+  for (Json &Mark : Marks) {
+    std::size_t MarkBytes = textOf(Mark).size() + 1;
+    if (Bytes + MarkBytes > RowBytes) {
+      Rows.push_back({{"marks", Json::array()}});
+      Bytes = RowOverhead;
+    }
+    Bytes += MarkBytes;
+    Rows.back()["marks"].push_back(std::move(Mark));
+  }
+  Rows[0]["rows"] = Rows.size() - 1;
+  std::vector<std::string> Texts;
+  Texts.reserve(Rows.size());
+  for (const Json &Row : Rows)
+    Texts.push_back(textOf(Row));
+  return Texts;
+}
+
+ProgressRow decodeProgressRow(const std::string &Text) {
   return parseAndDecode(Text, [](const Json &Object) {
-    jobs::JobProgress Progress;
+    ProgressRow Row;
+    jobs::JobProgress &Progress = Row.Progress;
     unsigned State = Object.at("state").get<unsigned>();
     if (State > static_cast<unsigned>(jobs::JobState::Cancelled))
       throw std::invalid_argument("the job's state is unknown");
@@ -196,25 +266,23 @@
       Progress.Tasks.emplace_back();
       Progress.Tasks.back().Done = C == '1';
     }
-    for (const Json &Mark : Object.value("marks", Json::array())) {
-      std::size_t Number = Mark.at(0).get<std::size_t>();
-      if (Number >= Progress.Tasks.size())
-        throw std::invalid_argument("a mark refers to an unknown task");
-      jobs::TaskProgress &Task = Progress.Tasks[Number];
-      Task.FailedRuns = Mark.at(1).get<std::vector<jobs::RunId>>();
-      Task.Checkpoint = Mark.at(2).get<std::string>();
-      // Rows of earlier versions end here.
-      if (Mark.size() > 3)
-        Task.CrashedRuns = Mark.at(3).get<std::vector<jobs::RunId>>();
-      if (Mark.size() > 4)
-        Task.Announced = {Mark.at(4).at(0).get<jobs::RunId>(),
-                          Mark.at(4).at(1).get<std::string>(),
-                          Mark.at(4).at(2).get<std::int64_t>()};
-    }
-    return Progress;
+    takeMarks(Object, Progress);
+    take(Object, "rows", Row.FurtherRows);
+    return Row;
+  });
+}
+
+void addFurtherRow(jobs::JobProgress &Progress, const std::string &Text) {
+  parseAndDecode(Text, [&](const Json &Object) {
+    takeMarks(Object, Progress);
+    return true;
   });
 }
 
+jobs::JobProgress decodeProgress(const std::string &Text) {
+  return decodeProgressRow(Text).Progress;
+}
+
 std::string encodeRosterRow(const jobs::WorkerEntry &Entry) {
   return Json({{"address", Entry.Address},
                {"dc", Entry.DataCentre},
--- a/src/codec/JobJson.h
+++ b/src/codec/JobJson.h
@@ -5,6 +5,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// Jobs, their progress and the workers of a pool's roster as JSON rows.
 /// Decoders throw std::invalid_argument on malformed rows.
@@ -21,6 +22,25 @@
 std::string_view poolOf(std::string_view Text);
 
 std::string encodeProgress(const jobs::JobProgress &Progress);
+/// Encodes progress as one row, or as several of at most \p RowBytes bytes if
+/// it is longer. Leaves out checkpoints, those of the last tasks first, as far
+/// as all rows would exceed \p TotalBytes: these tasks start from the beginning
+/// under the next owner.
+std::vector<std::string> encodeProgressRows(const jobs::JobProgress &Progress,
+                                            std::size_t RowBytes,
+                                            std::size_t TotalBytes);
+
+/// The first row of a job's progress.
+struct ProgressRow {
+  jobs::JobProgress Progress;
+  /// Number of rows that belong to it.
+  std::size_t FurtherRows = 0;
+};
+
+ProgressRow decodeProgressRow(const std::string &Text);
+/// Adds what a further row says to the progress of the first one.
+void addFurtherRow(jobs::JobProgress &Progress, const std::string &Text);
+/// Decodes progress of which only the first row matters, or that has no other.
 jobs::JobProgress decodeProgress(const std::string &Text);
 
 /// Encodes what a later owner of the pool needs to query the worker: address,
--- a/src/dispatch/Context.cpp
+++ b/src/dispatch/Context.cpp
@@ -31,6 +31,10 @@
   return Parts;
 }
 
+std::string progressKey(const std::string &JobId, std::size_t Row) {
+  return Row == 0 ? JobId : JobId + FurtherRowMark + std::to_string(Row);
+}
+
 std::string poolPart(const std::string &Pool) { return PoolPrefix + Pool; }
 
 } // namespace comfreydeck::dispatch::rows
--- a/src/dispatch/Context.h
+++ b/src/dispatch/Context.h
@@ -49,6 +49,9 @@
 inline constexpr const char *OwnerKey = "owner";
 /// Progress of each pool's jobs, in the pool's partition.
 inline constexpr const char *Progress = "progress";
+/// Key of a job's progress row; further rows of a large job follow it.
+inline constexpr char FurtherRowMark = '!';
+std::string progressKey(const std::string &JobId, std::size_t Row);
 /// Rewritten with every write of an owner, so that a delayed earlier write
 /// fails its condition.
 inline constexpr const char *ChainKey = "!chain";
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -25,9 +25,14 @@
 constexpr milliseconds FlushDelay(20);
 /// Time limit of a write; bounds how long a lost answer goes unnoticed.
 constexpr milliseconds StoreTimeout(1500);
-/// A transaction takes 100 entries; two are conditions and one is the chain
-/// row.
-constexpr std::size_t BatchRows = 90;
+/// A transaction takes 100 entries; two are conditions, one is the chain row
+/// and some are further rows of large jobs.
+constexpr std::size_t BatchRows = 80;
+/// Most further rows in a batch. With the other rows they stay below the
+/// megabyte that a transaction takes, in which bytes count four thirds.
+constexpr std::size_t MaxFurtherRows = 8;
+/// Tasks of the jobs in a batch, unless it has one job only.
+constexpr std::size_t BatchTasks = 4000;
 /// A worker reopens if its closing was not requested again for this long.
 constexpr milliseconds CloseExpiry(2500);
 /// Pause between two checks of workers that are no longer listed.
@@ -43,6 +48,21 @@
   std::size_t NotListed = 0;
 };
 
+using RowsByKey = std::map<std::string, const store::PartRow *>;
+
+/// Decodes a job's progress from its row and those that belong to it. Throws
+/// std::invalid_argument if one is malformed or missing.
+jobs::JobProgress progressOf(const RowsByKey &Rows, const std::string &JobId) {
+  codec::ProgressRow First = codec::decodeProgressRow(Rows.at(JobId)->Value);
+  for (std::size_t N = 1; N <= First.FurtherRows; ++N) {
+    auto Further = Rows.find(rows::progressKey(JobId, N));
+    if (Further == Rows.end())
+      throw std::invalid_argument("a row of the job's progress is missing");
+    codec::addFurtherRow(First.Progress, Further->second->Value);
+  }
+  return std::move(First.Progress);
+}
+
 WorkerCount countWorkers(const jobs::PoolState &State) {
   WorkerCount Count;
   for (const auto &[Id, Worker] : State.workers()) {
@@ -135,7 +155,7 @@
 void PoolController::restoreState(
     const std::vector<store::PartRow> &JobRows,
     const std::vector<store::PartRow> &ProgressRows) {
-  std::map<std::string, jobs::JobProgress> Kept;
+  RowsByKey ByKey;
   core::TimePoint Now = bootNow();
   for (const store::PartRow &Row : ProgressRows) {
     if (Row.Where.Key == rows::ChainKey) {
@@ -150,11 +170,16 @@
       applyRosterRow(Row, Now);
       continue;
     }
+    ByKey[Row.Where.Key] = &Row;
+  }
+  std::map<std::string, jobs::JobProgress> Kept;
+  for (const auto &[Key, Row] : ByKey) {
+    if (Key.find(rows::FurtherRowMark) != std::string::npos)
+      continue;
     try {
-      Kept[Row.Where.Key] = codec::decodeProgress(Row.Value);
+      Kept[Key] = progressOf(ByKey, Key);
     } catch (const std::exception &E) {
-      logEvent("progress_row_unreadable",
-               {{"job", Row.Where.Key}, {"error", E.what()}});
+      logEvent("progress_row_unreadable", {{"job", Key}, {"error", E.what()}});
     }
   }
   for (const store::PartRow &Row : JobRows) {
@@ -436,19 +461,18 @@
                     [Self = shared_from_this()] { Self->readLookedUp(); });
     return;
   }
-  std::map<std::string, const store::PartRow *> Stored;
+  RowsByKey Stored;
   for (const store::PartRow &Row : Answer.Rows)
     Stored[Row.Where.Key] = &Row;
   core::TimePoint Now = bootNow();
   std::size_t Finished = 0;
   for (const std::string &Id : Ids) {
     JobLookUp Job = std::move(LookUps_.extract(Id).mapped());
-    auto Row = Stored.find(Id);
     try {
-      if (Row == Stored.end()) {
+      if (Stored.count(Id) == 0) {
         State_.addJob(Job.Spec, Now);
       } else {
-        jobs::JobProgress Kept = codec::decodeProgress(Row->second->Value);
+        jobs::JobProgress Kept = progressOf(Stored, Id);
         Finished += jobs::isFinal(Kept.State) ? 1 : 0;
         State_.inheritJob(Job.Spec, &Kept, Now);
       }
@@ -772,8 +796,8 @@
 void PoolController::flush() {
   if (Storing_ || Dropped_ || !Loaded_)
     return;
-  auto Batch =
-      std::make_shared<jobs::ProgressBatch>(State_.takeChanges(BatchRows));
+  auto Batch = std::make_shared<jobs::ProgressBatch>(
+      State_.takeChanges(BatchRows, BatchTasks));
   if (Batch->isEmpty()) {
     if (Leaving_ && ShutDownDone_) {
       auto Left = std::exchange(ShutDownDone_, nullptr);
@@ -792,9 +816,18 @@
   T.Conditions = {{{rows::Control, Part_, rows::OwnerKey}, State_.token()},
                   {Chain, ChainVersion_}};
   T.Puts.push_back({Chain, ""});
-  for (const jobs::ProgressWrite &Write : Batch->Writes)
-    T.Puts.push_back({{rows::Progress, Part_, Write.JobId},
-                      codec::encodeProgress(Write.Progress)});
+  std::size_t RowBytes = Ctx_.Settings.StoreRowBytes;
+  std::size_t BytesLeft = RowBytes * MaxFurtherRows;
+  for (const jobs::ProgressWrite &Write : Batch->Writes) {
+    std::vector<std::string> Rows =
+        codec::encodeProgressRows(Write.Progress, RowBytes, BytesLeft);
+    for (std::size_t N = 0; N < Rows.size(); ++N) {
+      BytesLeft -= std::min(BytesLeft, Rows[N].size());
+      T.Puts.push_back(
+          {{rows::Progress, Part_, rows::progressKey(Write.JobId, N)},
+           std::move(Rows[N])});
+    }
+  }
   for (const jobs::WorkerEntry &Entry : Batch->Enrolled)
     T.Puts.push_back({{rows::Progress, Part_, rows::RosterPrefix + Entry.Id},
                       codec::encodeRosterRow(Entry)});
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -457,7 +457,8 @@
 
 // Persistence.
 
-ProgressBatch PoolState::takeChanges(std::size_t MaxRows) {
+ProgressBatch PoolState::takeChanges(std::size_t MaxRows,
+                                     std::size_t MaxTasks) {
   ProgressBatch Batch;
   Storing_.clear();
   auto HasRoom = [&](std::size_t Rows) {
@@ -474,8 +475,13 @@
   // In a surge, more jobs change than a batch takes, and a worker that is not
   // enrolled gets no tasks.
   Enrol(MaxRows / 2);
+  std::size_t Tasks = 0;
   while (!Changed_.empty() && HasRoom(MaxRows)) {
     JobRecord &Job = *Changed_.front();
+    // A job with more tasks than that has a batch to itself.
+    if (Tasks > 0 && Tasks + Job.Tasks.size() > MaxTasks)
+      break;
+    Tasks += Job.Tasks.size();
     Changed_.pop_front();
     Job.FirstChange = 0;
     ProgressWrite Write;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -443,7 +443,9 @@
                 core::TimePoint SentAt, core::TimePoint Now);
 
   /// Returns up to \p MaxRows changed rows to store next.
-  ProgressBatch takeChanges(std::size_t MaxRows);
+  ProgressBatch
+  takeChanges(std::size_t MaxRows,
+              std::size_t MaxTasks = std::numeric_limits<std::size_t>::max());
   /// Confirms that all batches up to \p Mark are stored.
   void onStored(std::uint64_t Mark);
 
--- a/src/settings/DispatchSettings.cpp
+++ b/src/settings/DispatchSettings.cpp
@@ -38,6 +38,7 @@
   R.real("cpu_share", Share, {0, MaxCores});
   R.real("cores", Speed, {0, MaxCores});
   R.real("link_mbps", Out.LinkMbps, {0, MaxMbps});
+  R.number("store_row_bytes", Out.StoreRowBytes, {32768, 1048576});
   R.rejectUnknown();
   Out.Cores = Share * Speed;
 }
--- a/src/settings/DispatchSettings.h
+++ b/src/settings/DispatchSettings.h
@@ -23,6 +23,9 @@
   /// Bandwidth of the entry's link in Mbit/s; zero: unknown.
   double LinkMbps = 0;
 
+  /// Most bytes in a row of the store.
+  std::uint32_t StoreRowBytes = 65536;
+
   std::string Store;
   /// IP address and port of the machine control; empty: the platform neither
   /// moves nor maintains machines.
--- a/tests/codec/JobJsonTest.cpp
+++ b/tests/codec/JobJsonTest.cpp
@@ -86,6 +86,72 @@
         R"({"done":"0","marks":[[0,[],"c"]],"state":1})");
 }
 
+namespace {
+
+constexpr std::size_t RowBytes = 65536;
+constexpr std::size_t TotalBytes = 8 * RowBytes;
+
+/// Progress of a job whose tasks have failed once and saved their state.
+jobs::JobProgress largeProgress(std::size_t Tasks) {
+  jobs::JobProgress Progress;
+  Progress.State = jobs::JobState::Running;
+  Progress.Tasks.resize(Tasks);
+  for (std::size_t T = 0; T < Tasks; ++T) {
+    Progress.Tasks[T].FailedRuns = {12582912155189257 + T};
+    Progress.Tasks[T].Checkpoint = "0123456789abcdef";
+  }
+  return Progress;
+}
+
+jobs::JobProgress decodeRows(const std::vector<std::string> &Rows) {
+  ProgressRow Read = decodeProgressRow(Rows.at(0));
+  CHECK(Read.FurtherRows == Rows.size() - 1);
+  for (std::size_t N = 1; N < Rows.size(); ++N)
+    addFurtherRow(Read.Progress, Rows[N]);
+  return Read.Progress;
+}
+
+} // namespace
+
+// The store refused the progress of a job of 3,000 tasks as too long.
+TEST_CASE("the progress of a large job is split into rows that the store "
+          "takes") {
+  constexpr std::size_t Tasks = 3000;
+  std::vector<std::string> Rows =
+      encodeProgressRows(largeProgress(Tasks), RowBytes, TotalBytes);
+  CHECK(Rows.size() > 1);
+  for (const std::string &Row : Rows)
+    CHECK(Row.size() <= RowBytes);
+  jobs::JobProgress Read = decodeRows(Rows);
+  REQUIRE(Read.Tasks.size() == Tasks);
+  for (std::size_t T = 0; T < Tasks; ++T) {
+    CHECK(Read.Tasks[T].FailedRuns ==
+          std::vector<jobs::RunId>{12582912155189257 + T});
+    CHECK(Read.Tasks[T].Checkpoint == "0123456789abcdef");
+  }
+}
+
+TEST_CASE("progress that is too long in all loses checkpoints, not failed "
+          "runs") {
+  constexpr std::size_t Tasks = 12000;
+  std::vector<std::string> Rows =
+      encodeProgressRows(largeProgress(Tasks), RowBytes, TotalBytes);
+  std::size_t Bytes = 0;
+  for (const std::string &Row : Rows)
+    Bytes += Row.size();
+  CHECK(Bytes <= TotalBytes + Rows.size() * 64);
+  jobs::JobProgress Read = decodeRows(Rows);
+  CHECK(Read.Tasks.front().Checkpoint == "0123456789abcdef");
+  CHECK(Read.Tasks.back().Checkpoint.empty());
+  CHECK(Read.Tasks.back().FailedRuns.size() == 1);
+}
+
+TEST_CASE("short progress is written as one row") {
+  jobs::JobProgress Stored = largeProgress(3);
+  CHECK(encodeProgressRows(Stored, RowBytes, TotalBytes) ==
+        std::vector<std::string>{encodeProgress(Stored)});
+}
+
 TEST_CASE(
     "a roster row survives a round trip and a malformed one is rejected") {
   jobs::WorkerEntry Stored;
--- a/tests/dispatch/InMemoryStore.h
+++ b/tests/dispatch/InMemoryStore.h
@@ -10,7 +10,8 @@
 
 namespace comfreydeck::tests {
 
-/// A store in memory that answers immediately. Never answers a long poll for
+/// A store in memory that answers immediately and refuses what the platform's
+/// store refuses as too long. Never answers a long poll for
 /// changes if there are none. Thread-safe.
 class InMemoryStore : public store::PartitionedStore {
 public:
@@ -50,6 +51,10 @@
 
   void commit(store::PartTransaction T, core::Duration,
               store::PartCallback Done) override {
+    if (isTooLong(T)) {
+      Done({});
+      return;
+    }
     for (const store::PartWrite &Put : T.Puts)
       put(Put.Where, Put.Value);
     if (std::vector<store::PartRow> Rows = conflictRows(); !Rows.empty()) {
@@ -82,6 +87,20 @@
   }
 
 private:
+  static bool isTooLong(const store::PartTransaction &T) {
+    constexpr std::size_t MaxRowBytes = 65536;
+    constexpr std::size_t MaxTransactionBytes = 1000000;
+    constexpr std::size_t MaxEntries = 100;
+    std::size_t Bytes = 0;
+    bool LongRow = false;
+    for (const store::PartWrite &Put : T.Puts) {
+      LongRow = LongRow || Put.Value.size() > MaxRowBytes;
+      // In base64.
+      Bytes += Put.Value.size() / 3 * 4;
+    }
+    return LongRow || Bytes > MaxTransactionBytes ||
+           T.Conditions.size() + T.Puts.size() + T.Removals.size() > MaxEntries;
+  }
   std::vector<store::PartRow> conflictRows() const {
     std::lock_guard<std::mutex> Lock(Mutex_);
     std::vector<store::PartRow> Rows = Repeated_;
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -9,6 +9,8 @@
 
 #include <doctest/doctest.h>
 
+#include <mutex>
+
 using namespace comfreydeck;
 using namespace comfreydeck::dispatch;
 using namespace comfreydeck::tests;
@@ -41,14 +43,37 @@
             std::function<void(MachineOrderOutcome)>) override {}
 };
 
+/// Workers that answer a report only when the test says so.
+struct AnswerableWorkers : SilentWorkers {
+  std::mutex Mutex;
+  std::function<void(jobs::ReportResult)> Report;
+
+  void report(const jobs::WorkerEntry &, std::uint64_t, const jobs::HoldOrder &,
+              std::function<void(jobs::ReportResult)> Done) override {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Report = std::move(Done);
+  }
+  /// Answers the last request, if there is one.
+  bool answer(const jobs::ReportResult &Result) {
+    std::function<void(jobs::ReportResult)> Done;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Done = std::exchange(Report, nullptr);
+    }
+    if (Done)
+      Done(Result);
+    return Done != nullptr;
+  }
+};
+
 /// The owner of pool "p" on a store in memory, with one listed worker that
-/// never answers.
+/// doesn't answer by itself.
 struct ControllerFixture {
   settings::DispatchSettings Settings;
   net::Loop Loop;
   net::HttpClient Client{{}};
   InMemoryStore Store;
-  SilentWorkers Workers;
+  AnswerableWorkers Workers;
   ListedMachines Machines;
   RowDecoder Rows = decoder();
   CallerCodec Codec;
@@ -288,3 +313,53 @@
   });
   CHECK_FALSE(isOpened(B, Cancelled.Where.Key, Other.Where.Key));
 }
+
+// The store refused the job's progress as too long, and the owner repeated the
+// same batch for ever.
+TEST_CASE("a job of 3,000 tasks that save their state doesn't stop a pool's "
+          "record of ends") {
+  constexpr std::uint32_t Tasks = 3000;
+  ControllerFixture B;
+  jobs::JobSpec Spec;
+  Spec.Id = "0000000000000001";
+  Spec.Pool = "p";
+  Spec.Steps.resize(1);
+  Spec.Steps[0].Tasks = Tasks;
+  Spec.Steps[0].Checkpoints = true;
+  Spec.AcceptedMs = wallMs();
+  jobs::ReportResult Result;
+  Result.Outcome = jobs::OrderOutcome::Accepted;
+  Result.Report.ClockMs = 1000;
+  for (std::uint32_t T = 1; T < Tasks; ++T)
+    Result.Report.Running.push_back(
+        {{Spec.Id, 0, 0, T}, T, "0123456789abcdef", 50, 0});
+  Result.Report.Ended.push_back(
+      {1, {Spec.Id, 0, 0, 0}, Tasks, jobs::RunEnd::Done, ""});
+  B.on([&] { B.Controller->addJob(Spec); });
+  B.waitUntil([&] { return B.Workers.answer(Result); });
+  // A batch after the one with the end has all checkpoints.
+  Result.Report.Ended = {{2, {Spec.Id, 0, 0, 1}, 1, jobs::RunEnd::Done, ""}};
+  Result.Report.Running.erase(Result.Report.Running.begin());
+  B.waitUntil([&] { return B.Workers.answer(Result); });
+  B.waitUntil([&] {
+    return B.Controller->state().workers().at("w1")->StoredUpTo == 2;
+  });
+  std::shared_ptr<PoolController> Next;
+  B.on([&] {
+    Next = std::make_shared<PoolController>(
+        B.Ctx, B.View, B.Jobs, B.JobTable, PoolTakeover{"p", 6, bootNow(), {}},
+        StopQuery(), [](const std::string &) {});
+    B.Store.put({rows::Jobs, rows::jobPart(Spec.Id), Spec.Id},
+                codec::encodeJob(Spec));
+    Next->load([](std::uint64_t) {});
+  });
+  B.waitUntil([&] { return Next->isLoaded(); });
+  B.on([&] {
+    const jobs::JobRecord *Job = Next->state().findJob(Spec.Id);
+    REQUIRE(Job);
+    CHECK(Job->Tasks[0].Kept.Done);
+    CHECK(Job->Tasks[1].Kept.Done);
+    CHECK(Job->Tasks[Tasks - 1].Kept.Checkpoint == "0123456789abcdef");
+    Next->drop();
+  });
+}
--- a/tests/settings/DispatchSettingsTest.cpp
+++ b/tests/settings/DispatchSettingsTest.cpp
@@ -33,12 +33,13 @@
 
 TEST_CASE("an entry's processor share and bandwidth are read") {
   std::string Text = Good;
-  Text.insert(
-      Text.find("\"bounds\""),
-      R"("limits": {"cpu_share": 0.5, "cores": 2, "link_mbps": 10.5},)");
+  Text.insert(Text.find("\"bounds\""),
+              R"("limits": {"cpu_share": 0.5, "cores": 2, "link_mbps": 10.5,
+                    "store_row_bytes": 40000},)");
   DispatchSettings Read = parseDispatchSettings(Text);
   CHECK(Read.Cores == doctest::Approx(1.0));
   CHECK(Read.LinkMbps == doctest::Approx(10.5));
+  CHECK(Read.StoreRowBytes == 40000);
   CHECK(parseDispatchSettings(Good).Cores == 0);
 }
 
