Stop a start that may still arrive before its worker gets a new lease

By its cause callers' tasks can run twice.

Cause: a worker refuses a late start only while it has no lease. An owner gave up starts without an answer when the worker's lease lapsed, and gave the worker a new lease once it answered again; a start that was held up, or that the worker carried out late, then ran beside the new ones and beside the task's run elsewhere.

Evidence: the new test failed before the fix: the next plan after the lapse started a task on the worker and stopped nothing.

Change: such starts are remembered with the worker. It gets no lease until it has accepted their stops, or until 13 s after they were planned.

--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -23,7 +23,10 @@
   Lost_.expire(In.Now);
   for (auto It = Workers_.begin(); It != Workers_.end();) {
     WorkerState &W = *It->second;
+    std::erase_if(W.LostStarts,
+                  [&](const LostStart &S) { return S.Until <= In.Now; });
     if (!W.Tasks.empty() && leaseLapsed(W, SureAt)) {
+      recordLostStarts(W);
       recordLoss(W, In.Now);
       dropRuns(W);
     }
@@ -32,8 +35,8 @@
     // The worker may be the only source of runs and ends of jobs that are not
     // loaded yet.
     bool HoldsNothing = W.Heard && W.UnknownRuns.empty() && W.Parked.empty();
-    bool Forget = W.Gone && W.Tasks.empty() && !W.HoldInFlight &&
-                  !mayHaveCrashed(It->first) &&
+    bool Forget = W.Gone && W.Tasks.empty() && W.LostStarts.empty() &&
+                  !W.HoldInFlight && !mayHaveCrashed(It->first) &&
                   (HoldsNothing || leaseLapsed(W, In.Now));
     if (Forget)
       unenrol(It->first);
@@ -41,23 +44,44 @@
   }
 }
 
+/// A worker refuses a start only while it has no lease. The next lease would
+/// let in a start that is still under way, beside the task's run elsewhere.
+void PoolState::recordLostStarts(WorkerState &W) {
+  for (const auto &[Job, Task] : W.Tasks)
+    for (const LiveRun &Run : Job->Tasks[Task].Runs)
+      if (Run.Worker == W.Entry.Id && Run.SendAfter == 0 && !Run.Confirmed)
+        W.LostStarts.push_back({refOf(*Job, Task), Run.Run,
+                                Run.OrderedAt + Limits_.LateOrder, Now_,
+                                Run.StopInFlight, Run.StopOutdated});
+}
+
 void PoolState::planStops(const PlanInput &In, Orders &Out) {
   if (!StopsChanged_ && In.Now < NextStopAt_)
     return;
   StopsChanged_ = false;
   NextStopAt_ = core::TimePoint::max();
-  for (auto &[Id, W] : Workers_)
+  auto IsDue = [&](core::TimePoint At) {
+    if (At > In.Now)
+      NextStopAt_ = std::min(NextStopAt_, At);
+    return At <= In.Now;
+  };
+  for (auto &[Id, W] : Workers_) {
+    for (LostStart &Lost : W->LostStarts) {
+      if (!W->IncarnationConfirmed || Lost.StopInFlight || !IsDue(Lost.StopAt))
+        continue;
+      Lost.StopInFlight = true;
+      Out.Stops.push_back({Id, Lost.Task, Lost.Run});
+    }
     for (const auto &[Job, Task] : W->Tasks)
       for (LiveRun &Run : Job->Tasks[Task].Runs) {
         if (!Run.Stopping || Run.StopInFlight || Run.Worker != Id)
           continue;
-        if (Run.StopAt > In.Now) {
-          NextStopAt_ = std::min(NextStopAt_, Run.StopAt);
+        if (!IsDue(Run.StopAt))
           continue;
-        }
         Run.StopInFlight = true;
         Out.Stops.push_back({Id, refOf(*Job, Task), Run.Run});
       }
+  }
 }
 
 void PoolState::planHolds(const PlanInput &In, Orders &Out) {
@@ -74,6 +98,7 @@
     // can be restarted elsewhere. On the clock of a worker that has restarted,
     // the lease would end much later.
     bool Extend = W->IncarnationConfirmed && !W->Tasks.empty() &&
+                  W->LostStarts.empty() &&
                   In.Now - W->ReportedAt < Limits_.ReportStale;
     Hold.DeadlineMs = Extend ? leaseFor(*W, In) : 0;
     // A new incarnation numbers its ends from one again: acknowledging by the
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -103,12 +103,16 @@
   Now_ = Now;
   ++Counters_.StopAnswers[jobs::indexOf(Result.Outcome)];
   auto At = Workers_.find(Order.Worker);
-  JobRecord *Job = jobOf(Order.Task.JobId);
-  if (At == Workers_.end() || !Job)
+  if (At == Workers_.end())
     return;
   WorkerState &W = *At->second;
   if (Result.Outcome == OrderOutcome::Fenced)
     Fenced_ = true;
+  if (onLostStartStopped(W, Order, Result.Outcome, Now))
+    return;
+  JobRecord *Job = jobOf(Order.Task.JobId);
+  if (!Job)
+    return;
   std::uint32_t Task = indexOf(*Job, Order.Task);
   LiveRun *Run = findRun(*Job, Task, Order.Run);
   if (!Run)
@@ -140,6 +144,28 @@
   W.NextHold = std::min(W.NextHold, Now);
 }
 
+/// Returns whether the stop was that of a lost start.
+bool PoolState::onLostStartStopped(WorkerState &W, const StopOrder &Order,
+                                   OrderOutcome Outcome, core::TimePoint Now) {
+  auto Lost = std::find_if(W.LostStarts.begin(), W.LostStarts.end(),
+                           [&](const LostStart &S) {
+                             return S.Run == Order.Run && S.Task == Order.Task;
+                           });
+  if (Lost == W.LostStarts.end())
+    return false;
+  Lost->StopInFlight = false;
+  StopsChanged_ = true;
+  bool Outdated = std::exchange(Lost->StopOutdated, false);
+  // Another worker at the address refuses the start as well.
+  bool Settled = Outcome == OrderOutcome::Accepted ||
+                 Outcome == OrderOutcome::OtherIncarnation;
+  if (Settled && !Outdated)
+    W.LostStarts.erase(Lost);
+  else
+    Lost->StopAt = Now + StopRetry;
+  return true;
+}
+
 void PoolState::onReport(const HoldOrder &Order, const ReportResult &Result,
                          core::TimePoint SentAt, core::TimePoint Now) {
   Now_ = Now;
@@ -190,6 +216,7 @@
   W.Heard = W.Heard || ListsAllEnds;
   W.IncarnationConfirmed = true;
   W.ReportedAt = Now;
+  StopsChanged_ = StopsChanged_ || !W.LostStarts.empty();
   if (!W.FencedAt) {
     W.FencedAt = Now;
     W.FirstReportClockMs = Report.ClockMs;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -291,6 +291,20 @@
   core::TimePoint SeenAt;
 };
 
+/// A start without an answer whose run counts as lapsed. It may still be
+/// carried out once the worker has a lease again.
+struct LostStart {
+  TaskRef Task;
+  RunId Run = 0;
+  /// It can't arrive after this.
+  core::TimePoint Until;
+  /// Earliest time to send the next stop order.
+  core::TimePoint StopAt;
+  bool StopInFlight = false;
+  /// The stop in flight was sent to an earlier incarnation of the worker.
+  bool StopOutdated = false;
+};
+
 /// An owner's knowledge of one worker.
 struct WorkerState {
   WorkerEntry Entry;
@@ -332,6 +346,9 @@
   std::uint32_t Serving = 0;
   std::uint32_t Lasting = 0;
   std::uint32_t Filling = 0;
+  /// The worker gets no lease until it has accepted their stops or they can't
+  /// arrive any more.
+  std::vector<LostStart> LostStarts;
   /// Tasks with a run on this worker.
   std::set<std::pair<JobRecord *, std::uint32_t>> Tasks;
   bool HoldInFlight = false;
@@ -619,6 +636,9 @@
   void planStops(const PlanInput &In, Orders &Out);
   void planHolds(const PlanInput &In, Orders &Out);
   void expireSilent(const PlanInput &In);
+  void recordLostStarts(WorkerState &W);
+  bool onLostStartStopped(WorkerState &W, const StopOrder &Order,
+                          OrderOutcome Outcome, core::TimePoint Now);
 
   std::string Pool_;
   std::uint64_t Token_;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -33,6 +33,8 @@
     W.EarlierOrdersUntil =
         latestLeaseEnd(W.LeaseOrderedAt + Limits_.LateOrder, Limits_.MaxLease);
   }
+  for (LostStart &Lost : W.LostStarts)
+    Lost.StopOutdated = Lost.StopInFlight;
   W.IncarnationConfirmed = false;
   W.Ended = false;
   W.Born = Born;
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -1272,3 +1272,60 @@
   W.report(Next);
   CHECK(W.silentUntilStart() < milliseconds(4000));
 }
+
+// A start whose bytes were held up arrived after the worker's lease had lapsed
+// and been renewed: its task ran twice, and the worker had too little room.
+TEST_CASE(
+    "a start without an answer is stopped on its worker before the worker "
+    "gets a new lease") {
+  OwnerFixture B;
+  B.advance(milliseconds(10000));
+  B.listWorkers({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  B.answer(Out.Starts[0], OrderOutcome::Unknown);
+  auto Lapse = [&] {
+    for (int Turn = 0; Turn < 50; ++Turn) {
+      B.advance(milliseconds(100));
+      Orders Next = B.plan();
+      for (const StopOrder &Stop : Next.Stops)
+        B.Owner.onStop(Stop, {OrderOutcome::Unknown, 0}, B.Now);
+      for (const HoldOrder &Hold : Next.Holds)
+        B.dropReport(Hold);
+    }
+  };
+  auto HasLease = [](const Orders &O) {
+    return !O.Starts.empty() ||
+           std::any_of(O.Holds.begin(), O.Holds.end(),
+                       [](const HoldOrder &H) { return H.DeadlineMs > 0; });
+  };
+  Lapse();
+  CHECK(B.Owner.findJob(jobId(1))->Tasks[0].Runs.empty());
+  B.report("w1");
+  Orders After = B.plan();
+  CHECK_FALSE(HasLease(After));
+  SUBCASE("the stop is accepted") {
+    REQUIRE(After.Stops.size() == 1);
+    CHECK(After.Stops[0].Run == Out.Starts[0].Run);
+    B.Owner.onStop(After.Stops[0], {OrderOutcome::Accepted, B.clockMs()},
+                   B.Now);
+    B.report("w1");
+    CHECK(B.plan().Starts.size() == 1);
+  }
+  SUBCASE("the stop gets no answer") {
+    REQUIRE(After.Stops.size() == 1);
+    B.Owner.onStop(After.Stops[0], {OrderOutcome::Unknown, 0}, B.Now);
+    CHECK_FALSE(HasLease(B.plan()));
+    B.advance(milliseconds(500));
+    B.report("w1");
+    CHECK(B.plan().Stops.size() == 1);
+  }
+  SUBCASE("the start can't arrive any more") {
+    B.advance(std::chrono::seconds(13));
+    B.report("w1");
+    CHECK(B.plan().Starts.size() == 1);
+  }
+}
