--- a/src/dispatch/Context.h
+++ b/src/dispatch/Context.h
@@ -49,9 +49,8 @@
 inline constexpr const char *OwnerKey = "owner";
 /// Progress of each pool's jobs, in the pool's partition.
 inline constexpr const char *Progress = "progress";
-/// Key of a job's progress row; further rows of a large job follow it.
+/// Separates a job's id from the number of a further row of its progress.
 inline constexpr char FurtherRowMark = '!';
-std::string progressKey(const std::string &JobId, std::size_t Row);
 /// Rewritten with every write of an owner, so that a delayed earlier write
 /// fails its condition.
 inline constexpr const char *ChainKey = "!chain";
@@ -67,6 +66,9 @@
 std::string jobPart(const std::string &JobId);
 std::vector<std::string> jobParts();
 std::string poolPart(const std::string &Pool);
+/// Key of a row of a job's progress. The first one, number zero, has the job's
+/// id as its key; large jobs have further ones.
+std::string progressKey(const std::string &JobId, std::size_t Row);
 std::string entryPart(const std::string &Entry);
 std::vector<std::string> entryParts();
 
--- a/src/dispatch/JobApi.cpp
+++ b/src/dispatch/JobApi.cpp
@@ -47,10 +47,6 @@
   return "";
 }
 
-} // namespace
-
-namespace {
-
 /// Whether the rows include the job as it was accepted by the call that made
 /// \p Spec.
 bool isStored(const jobs::JobSpec &Spec,
--- a/src/jobs/PoolMetrics.cpp
+++ b/src/jobs/PoolMetrics.cpp
@@ -66,7 +66,7 @@
   if (W.Closed || W.Entry.Draining ||
       ClosedDataCentres_.count(W.Entry.DataCentre) != 0)
     return WorkerStatus::Closed;
-  if (!W.UnknownRuns.empty())
+  if (!W.UnknownRuns.empty() || !W.LostStarts.empty())
     return WorkerStatus::Occupied;
   return W.Enrolled ? WorkerStatus::Usable : WorkerStatus::Unenrolled;
 }
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -53,7 +53,8 @@
   Avoided,
   /// Closed for maintenance, draining or in a closed data centre.
   Closed,
-  /// Has runs of jobs that this owner does not know.
+  /// Has runs of jobs that this owner does not know, or may still carry out
+  /// starts that this owner has given up.
   Occupied,
   /// Not in the stored roster yet, so that it gets no tasks.
   Unenrolled,
