Don't hang in the destructor of a server that failed to start

An entry whose port is taken would hang in the same way instead of ending with an error.

Cause: HttpServer::start kept the listener before it was open. If that threw, no thread ran, and stop waited for one to close the listener.

Evidence: a backtrace of the hanging test: ~HttpServer in closeListener, from the constructor of an entry that unwinds. The new test hung before the fix (ended after 5 s) and passes with it.

--- a/src/net/HttpServer.cpp
+++ b/src/net/HttpServer.cpp
@@ -191,16 +191,18 @@
 
 void HttpServer::start() {
   Impl &I = *Impl_;
+  std::unique_ptr<Listener> Listening;
   if (I.Options.Tls) {
     auto Settings = I.settings<TlsTraits>();
     Settings.tls_context(makeTlsContext(*I.Options.Tls));
-    I.Listening =
+    Listening =
         std::make_unique<TypedListener<TlsTraits>>(*I.Io, std::move(Settings));
   } else {
-    I.Listening = std::make_unique<TypedListener<PlainTraits>>(
+    Listening = std::make_unique<TypedListener<PlainTraits>>(
         *I.Io, I.settings<PlainTraits>());
   }
-  I.Listening->open();
+  Listening->open();
+  I.Listening = std::move(Listening);
   for (std::size_t N = 0; N < I.Options.Threads; ++N)
     I.Threads.emplace_back([&I] { I.Io->run(); });
 }
--- a/tests/net/ServerTest.cpp
+++ b/tests/net/ServerTest.cpp
@@ -121,3 +121,17 @@
   }
   CHECK(Statuses == std::vector<int>{500, 200});
 }
+
+// An entry whose port was taken hung in the server's destructor and never
+// ended.
+TEST_CASE("a server whose address is in use fails to start and can be "
+          "destroyed") {
+  net::HttpServer First(
+      {}, [](const net::HttpRequest &, const net::HttpResponder &) {});
+  First.start();
+  net::HttpServerOptions Options;
+  Options.Port = First.port();
+  net::HttpServer Second(
+      Options, [](const net::HttpRequest &, const net::HttpResponder &) {});
+  CHECK_THROWS(Second.start());
+}
