Give a pool up when forgotten workers have used up the fence's steps

A worker that is listed anew gets a fence above that of orders to workers that were forgotten. Raising a fence checks its 16 bits; this step did not: at 65,536 the fence of an order was step 0 of the next token, which may be a later owner's. Workers then take orders of both owners for those of one, and a start of the earlier one that comes late is not refused: two runs of one task.

--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -43,6 +43,7 @@
       unenrol(It->first);
       ForgottenFenceStep_ =
           std::max(ForgottenFenceStep_, W.FenceStep + (W.Ended ? 0 : 1));
+      Fenced_ = Fenced_ || ForgottenFenceStep_ >> FenceStepBits != 0;
     }
     It = Forget ? Workers_.erase(It) : std::next(It);
   }
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -615,6 +615,21 @@
   CHECK(B.plan().Holds.empty());
 }
 
+TEST_CASE("an owner gives no order whose fence is one of a later owner's") {
+  OwnerFixture B;
+  B.advance(std::chrono::seconds(10));
+  std::vector<WorkerEntry> Listed = {sampleWorker("w1")};
+  for (std::uint32_t N = 0; N < 1U << FenceStepBits; ++N) {
+    B.Owner.setWorkers(Listed, B.Now);
+    B.Owner.setWorkers({}, B.Now);
+    B.plan();
+  }
+  B.Owner.setWorkers(Listed, B.Now);
+  for (const HoldOrder &Hold : B.plan().Holds)
+    CHECK((Hold.Fence >> FenceStepBits) == B.Owner.token());
+  CHECK(B.Owner.isFenced());
+}
+
 // A machine was moved away while it listed the end of a task that was not
 // stored yet; the next owner ran the task again.
 TEST_CASE("a worker does not count as drained before its ends are stored") {
