Log each restart of a worker that its owner finds

A worker that starts again under its id was seen by its effects only: dropped runs, a raised fence. worker_restarted names both start times, whether a report or the list told of it, and how many starts are in doubt. One line for each restart found.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -646,6 +646,7 @@
   logSettled(In.Now);
   logStopDecisions();
   logLongWait();
+  logRestarts();
   logCrashes();
   StartsBounded_ = Orders.StartsBounded;
   send(std::move(Orders));
@@ -717,6 +718,18 @@
                                   {"with_spread", Long->Placement.WithSpread}});
 }
 
+/// Logs each restart of a worker under its id that this owner has found.
+void PoolController::logRestarts() {
+  for (const jobs::IncarnationChange &Change : State_.takeIncarnationChanges())
+    logEvent("worker_restarted", {{"worker", Change.Worker},
+                                  {"pool", State_.pool()},
+                                  {"token", State_.token()},
+                                  {"born", Change.Later},
+                                  {"born_before", Change.Earlier},
+                                  {"by", Change.ByReport ? "report" : "list"},
+                                  {"starts_in_doubt", Change.StartsInDoubt}});
+}
+
 /// Logs each worker that has crashed with runs, and each job that failed for
 /// it.
 void PoolController::logCrashes() {
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -102,6 +102,7 @@
   void logSettled(core::TimePoint Now);
   void logStopDecisions();
   void logLongWait();
+  void logRestarts();
   void logCrashes();
   void send(jobs::Orders Orders);
   void onReported(const jobs::HoldOrder &Order,
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -171,6 +171,10 @@
   }
 }
 
+std::vector<IncarnationChange> PoolState::takeIncarnationChanges() {
+  return std::exchange(IncarnationChanges_, {});
+}
+
 std::vector<CrashRecord> PoolState::takeCrashRecords() {
   return std::exchange(CrashRecords_, {});
 }
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -198,7 +198,7 @@
   if (Report.Born != 0 && Report.Born != W.Born) {
     if (Report.Born < W.Born)
       return;
-    startIncarnation(W, Report.Born, Now);
+    startIncarnation(W, Report.Born, true, Now);
   }
   if (!Lost_.isEmpty()) {
     settleLost(W, W.Born, 0, Now);
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -232,6 +232,18 @@
   double Load = 0;
 };
 
+/// An incarnation that took the place of another one, for logs.
+struct IncarnationChange {
+  std::string Worker;
+  /// Start times, in Unix milliseconds.
+  std::int64_t Earlier = 0;
+  std::int64_t Later = 0;
+  /// A report told of it, not the worker's row.
+  bool ByReport = false;
+  /// Starts that were sent before and may be carried out by the later one.
+  std::size_t StartsInDoubt = 0;
+};
+
 /// A worker that has crashed, for logs.
 struct CrashRecord {
   std::string Worker;
@@ -579,6 +591,9 @@
   /// Returns and forgets the crashes of workers since the last call, oldest
   /// first.
   std::vector<CrashRecord> takeCrashRecords();
+  /// Returns and forgets the restarts of workers since the last call, oldest
+  /// first.
+  std::vector<IncarnationChange> takeIncarnationChanges();
   /// Number of runs of the task, or of its gang, under which a worker crashed.
   static std::size_t countCrashes(const JobRecord &Job, std::uint32_t Task);
   PoolGauges gauges(core::TimePoint Now, std::int64_t WallMs) const;
@@ -659,7 +674,8 @@
                      core::TimePoint SentAt, core::TimePoint Now);
   void dropMissing(WorkerState &W, const WorkerReport &Report,
                    std::uint64_t Fence, core::TimePoint SentAt);
-  void startIncarnation(WorkerState &W, std::int64_t Born, core::TimePoint Now);
+  void startIncarnation(WorkerState &W, std::int64_t Born, bool ByReport,
+                        core::TimePoint Now);
   void dropRuns(WorkerState &W);
   std::vector<SuspectRun> suspectsOn(const WorkerState &W) const;
   std::vector<SuspectRun> unlistedStarts(const WorkerState &W) const;
@@ -802,6 +818,7 @@
   /// may be the cause, and a restarted worker may have another id.
   std::map<std::string, core::TimePoint> CrashedAt_;
   std::vector<CrashRecord> CrashRecords_;
+  std::vector<IncarnationChange> IncarnationChanges_;
 };
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -16,8 +16,10 @@
 } // namespace
 
 void PoolState::startIncarnation(WorkerState &W, std::int64_t Born,
-                                 core::TimePoint Now) {
+                                 bool ByReport, core::TimePoint Now) {
   std::vector<SuspectRun> Unlisted = unlistedStarts(W);
+  IncarnationChanges_.push_back(
+      {W.Entry.Id, W.Born, Born, ByReport, Unlisted.size()});
   std::vector<LiveRun> Runs;
   Runs.reserve(Unlisted.size());
   for (const SuspectRun &Start : Unlisted)
@@ -92,7 +94,7 @@
       Slot->FenceStep = ForgottenFenceStep_;
     }
     if (Entry.Born > Slot->Born && Slot->Born != 0)
-      startIncarnation(*Slot, Entry.Born, Now);
+      startIncarnation(*Slot, Entry.Born, false, Now);
     // The next owner finds the worker through the roster, which must have its
     // current address.
     if (Slot->Entry.Address != Entry.Address) {
