Tell a worker's incarnations apart by the order of requests, not by their start times

Callers saw a task run twice. A start time is the time of day of the worker's start. Where that clock had been set back, the later incarnation has the smaller one: its reports were taken for late ones of the earlier incarnation and left unused, its restart was not seen, no fence was raised and no order to the earlier incarnation was waited for. A start with a lease end on the earlier clock gave its run up to ten seconds there, and after three the owner counted it as lapsed and started it elsewhere. Ends that were not heard could be acknowledged by a later owner, after the task had run again.

A report of another incarnation now counts as later if its request was sent once the known incarnation was known, since requests are answered after they are sent; one that was sent before leaves it open and another is requested. An incarnation that another one has followed is never believed again. A row whose start time has changed to a smaller one, or that had lagged behind reports, proves nothing: the worker gets no starts until it reports, and its orders count as ones that a later incarnation may carry out. Crashes are attributed by the same order.

Not covered: two incarnations with the same start time.

--- a/src/jobs/CrashLedger.cpp
+++ b/src/jobs/CrashLedger.cpp
@@ -13,12 +13,23 @@
 
 std::vector<SuspectRun> CrashLedger::takeEarlier(const std::string &Worker,
                                                  std::int64_t Born) {
+  return take(Worker, [Born](std::int64_t Lost) { return Lost < Born; });
+}
+
+std::vector<SuspectRun> CrashLedger::takeOthers(const std::string &Worker,
+                                                std::int64_t Born) {
+  return take(Worker, [Born](std::int64_t Lost) { return Lost != Born; });
+}
+
+std::vector<SuspectRun>
+CrashLedger::take(const std::string &Worker,
+                  const std::function<bool(std::int64_t)> &HasEnded) {
   std::vector<SuspectRun> Taken;
   auto At = Lost_.find(Worker);
   if (At == Lost_.end())
     return Taken;
   std::erase_if(At->second, [&](const LostRun &Lost) {
-    if (Lost.Born >= Born)
+    if (!HasEnded(Lost.Born))
       return false;
     Taken.push_back(Lost.Run);
     return true;
--- a/src/jobs/CrashLedger.h
+++ b/src/jobs/CrashLedger.h
@@ -4,6 +4,7 @@
 #include "core/Types.h"
 #include "jobs/Job.h"
 
+#include <functional>
 #include <map>
 #include <set>
 
@@ -32,6 +33,10 @@
   /// Removes and returns the runs of the worker's incarnations before \p Born.
   std::vector<SuspectRun> takeEarlier(const std::string &Worker,
                                       std::int64_t Born);
+  /// Removes and returns the runs of the worker's incarnations other than \p
+  /// Born, all of which have ended.
+  std::vector<SuspectRun> takeOthers(const std::string &Worker,
+                                     std::int64_t Born);
   /// Removes all runs of the worker: its incarnation goes on, or was ended on
   /// purpose.
   void clear(const std::string &Worker);
@@ -53,6 +58,10 @@
     std::int64_t Born = 0;
     core::TimePoint Since;
   };
+  std::vector<SuspectRun>
+  take(const std::string &Worker,
+       const std::function<bool(std::int64_t)> &HasEnded);
+
   /// By worker.
   std::map<std::string, std::vector<LostRun>> Lost_;
 };
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -78,13 +78,14 @@
   Lost_.add(W.Entry.Id, W.Born, std::move(Suspects), Now);
 }
 
-/// Counts the crashes of the worker's incarnations before \p Born. \p Runs is
-/// the number of runs that were lost just now.
-void PoolState::settleLost(const WorkerState &W, std::int64_t Born,
-                           std::size_t Runs, core::TimePoint Now) {
+/// Counts the crashes of incarnations of the worker that have ended under these
+/// runs. \p Runs is the number of runs that were lost just now.
+void PoolState::settleLost(const WorkerState &W,
+                           std::vector<SuspectRun> Suspects, std::size_t Runs,
+                           core::TimePoint Now) {
   CrashRecord Record;
   Record.Worker = W.Entry.Id;
-  Record.Suspects = Lost_.takeEarlier(W.Entry.Id, Born);
+  Record.Suspects = std::move(Suspects);
   Record.Runs = std::max(Runs, Record.Suspects.size());
   if (Record.Runs == 0)
     return;
@@ -105,7 +106,7 @@
   dropRuns(W);
   if (Left)
     Lost_.clear(W.Entry.Id);
-  settleLost(W, Born, Runs, Now);
+  settleLost(W, Lost_.takeOthers(W.Entry.Id, Born), Runs, Now);
 }
 
 /// Counts the crashes of lost workers whose addresses have gone to others.
@@ -116,7 +117,7 @@
   for (const WorkerEntry &Entry : Entries)
     for (auto &[Id, W] : Workers_)
       if (W->Gone && Id != Entry.Id && W->Entry.Address == Entry.Address)
-        settleLost(*W, AnyIncarnation, 0, Now);
+        settleLost(*W, Lost_.takeOthers(Id, AnyIncarnation), 0, Now);
 }
 
 void PoolState::countCrash(const SuspectRun &Run, CrashRecord &Record,
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -31,7 +31,7 @@
       dropRuns(W);
     }
     if (!Lost_.isEmpty())
-      settleLost(W, W.Born, 0, In.Now);
+      settleLost(W, Lost_.takeEarlier(It->first, W.Born), 0, In.Now);
     // The worker may be the only source of runs and ends of jobs that are not
     // loaded yet.
     bool HoldsNothing = W.Heard && W.UnknownRuns.empty() && W.Parked.empty();
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -171,6 +171,12 @@
   if (Result.Outcome == OrderOutcome::Accepted &&
       isOvertaken(W, Result.Report, SentAt))
     return;
+  if (Result.Outcome == OrderOutcome::Accepted &&
+      isUnordered(W, Result.Report, SentAt)) {
+    W.IncarnationConfirmed = false;
+    W.NextHold = Now;
+    return;
+  }
   W.NextHold = Now + Limits_.ReportRetry;
   W.IncarnationConfirmed = false;
   if (Result.Outcome == OrderOutcome::Fenced) {
@@ -195,13 +201,11 @@
   }
   W.FailedReports = 0;
   const WorkerReport &Report = Result.Report;
-  if (Report.Born != 0 && Report.Born != W.Born) {
-    if (Report.Born < W.Born)
-      return;
+  W.MayHaveRestarted = false;
+  if (Report.Born != 0 && Report.Born != W.Born)
     startIncarnation(W, Report.Born, true, Now);
-  }
   if (!Lost_.isEmpty()) {
-    settleLost(W, W.Born, 0, Now);
+    settleLost(W, Lost_.takeOthers(W.Entry.Id, W.Born), 0, Now);
     Lost_.clear(W.Entry.Id);
   }
   recordClock(W, Report.ClockMs, Now);
@@ -234,12 +238,22 @@
 /// Whether the report was made before one that has been applied.
 bool PoolState::isOvertaken(const WorkerState &W, const WorkerReport &Report,
                             core::TimePoint SentAt) {
-  if (Report.Born == 0 || Report.Born > W.Born)
+  if (Report.Born == 0)
     return false;
-  bool Earlier =
-      Report.ClockMs < W.LastReportClockMs ||
-      (Report.ClockMs == W.LastReportClockMs && SentAt < W.ReportRequestedAt);
-  return Report.Born < W.Born || Earlier;
+  if (Report.Born != W.Born)
+    return isEarlierIncarnation(W, Report.Born);
+  return Report.ClockMs < W.LastReportClockMs ||
+         (Report.ClockMs == W.LastReportClockMs &&
+          SentAt < W.ReportRequestedAt);
+}
+
+/// Whether the report is of another incarnation than the known one, which may
+/// be an earlier or a later one. The time of day at their starts does not tell:
+/// it may have been set back. What answers a request that was sent once an
+/// incarnation was known is that one or a later one.
+bool PoolState::isUnordered(const WorkerState &W, const WorkerReport &Report,
+                            core::TimePoint SentAt) {
+  return Report.Born != 0 && Report.Born != W.Born && SentAt < W.BornKnownAt;
 }
 
 void PoolState::handleEnd(WorkerState &W, const EndReport &End,
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -403,6 +403,12 @@
   std::uint64_t AcknowledgedUpTo = 0;
   /// The last request was answered by the incarnation known here.
   bool IncarnationConfirmed = false;
+  /// When this owner learned of the present incarnation.
+  core::TimePoint BornKnownAt;
+  /// Start times of the latest incarnations before it, as far as known.
+  std::deque<std::int64_t> EarlierBorns;
+  /// Its row shows another incarnation, which may be a later one.
+  bool MayHaveRestarted = false;
   /// Reported runs whose jobs are unknown, possibly because they are not loaded
   /// yet.
   std::vector<RunReport> UnknownRuns;
@@ -676,6 +682,11 @@
                    std::uint64_t Fence, core::TimePoint SentAt);
   void startIncarnation(WorkerState &W, std::int64_t Born, bool ByReport,
                         core::TimePoint Now);
+  void suspectRestart(WorkerState &W, core::TimePoint Now) const;
+  void applyListedBirth(WorkerState &W, std::int64_t Born, core::TimePoint Now);
+  static bool isEarlierIncarnation(const WorkerState &W, std::int64_t Born);
+  static bool isUnordered(const WorkerState &W, const WorkerReport &Report,
+                          core::TimePoint SentAt);
   void dropRuns(WorkerState &W);
   std::vector<SuspectRun> suspectsOn(const WorkerState &W) const;
   std::vector<SuspectRun> unlistedStarts(const WorkerState &W) const;
@@ -684,8 +695,8 @@
   void dropCrashed(WorkerState &W, std::int64_t Born, core::TimePoint Now);
   void announceSuspects(const WorkerState &W);
   void recordLoss(const WorkerState &W, core::TimePoint Now);
-  void settleLost(const WorkerState &W, std::int64_t Born, std::size_t Runs,
-                  core::TimePoint Now);
+  void settleLost(const WorkerState &W, std::vector<SuspectRun> Suspects,
+                  std::size_t Runs, core::TimePoint Now);
   void settleReplaced(std::span<const WorkerEntry> Entries,
                       core::TimePoint Now);
   void countCrash(const SuspectRun &Run, CrashRecord &Record,
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -12,6 +12,9 @@
 
 /// Margin for rounding errors in computed lease ends.
 constexpr std::int64_t LeaseSlackMs = 60;
+/// Earlier incarnations that are remembered for each worker. What still tells
+/// of one is seconds old at most.
+constexpr std::size_t MaxEarlierBorns = 16;
 
 } // namespace
 
@@ -28,19 +31,16 @@
   for (std::size_t N = 0; N < Runs.size(); ++N)
     keepUnlistedStart(*jobOf(Unlisted[N].JobId), Unlisted[N].Task, Runs[N],
                       Now);
-  bool HadLease = W.LeaseOrderedAt != core::TimePoint();
   if (W.AskedAt != core::TimePoint()) {
     W.EarlierFence = fenceOf(W);
     raiseFence(W);
   }
-  // On a clock that starts anew, the end of a lease lies far ahead: only the
-  // worker's own limit holds.
-  if (HadLease) {
-    W.EarlierDeadlineMs = std::max(W.EarlierDeadlineMs, W.DeadlineMs);
-    W.EarlierOrdersUntil =
-        latestLeaseEnd(W.LeaseOrderedAt + Limits_.LateOrder, Limits_.MaxLease);
-  }
-  W.IncarnationConfirmed = false;
+  suspectRestart(W, Now);
+  W.MayHaveRestarted = false;
+  W.EarlierBorns.push_back(W.Born);
+  if (W.EarlierBorns.size() > MaxEarlierBorns)
+    W.EarlierBorns.pop_front();
+  W.BornKnownAt = Now;
   W.Restarted = true;
   W.Ended = false;
   W.Born = Born;
@@ -56,6 +56,39 @@
   W.ClockAt = Now;
 }
 
+/// Takes orders for the present incarnation for ones that a later one may carry
+/// out.
+void PoolState::suspectRestart(WorkerState &W, core::TimePoint Now) const {
+  // On a clock that starts anew, the end of a lease lies far ahead: only the
+  // worker's own limit holds.
+  if (W.LeaseOrderedAt != core::TimePoint()) {
+    W.EarlierDeadlineMs = std::max(W.EarlierDeadlineMs, W.DeadlineMs);
+    W.EarlierOrdersUntil =
+        latestLeaseEnd(W.LeaseOrderedAt + Limits_.LateOrder, Limits_.MaxLease);
+  }
+  W.MayHaveRestarted = true;
+  W.IncarnationConfirmed = false;
+  W.NextHold = std::min(W.NextHold, Now);
+}
+
+bool PoolState::isEarlierIncarnation(const WorkerState &W, std::int64_t Born) {
+  return std::find(W.EarlierBorns.begin(), W.EarlierBorns.end(), Born) !=
+         W.EarlierBorns.end();
+}
+
+/// Applies the start time in a row that has changed. Rows lag behind reports,
+/// and a late write may bring an earlier one back.
+void PoolState::applyListedBirth(WorkerState &W, std::int64_t Born,
+                                 core::TimePoint Now) {
+  if (W.Born == 0 || Born == W.Born || isEarlierIncarnation(W, Born))
+    return;
+  bool RowWasCurrent = W.Entry.Born == W.Born;
+  if (Born > W.Born && RowWasCurrent)
+    startIncarnation(W, Born, false, Now);
+  else
+    suspectRestart(W, Now);
+}
+
 /// Runs on the worker whose start was sent and that no report has listed: the
 /// start may have been or may still be carried out by the next incarnation.
 std::vector<SuspectRun> PoolState::unlistedStarts(const WorkerState &W) const {
@@ -91,10 +124,11 @@
     if (!Slot) {
       Slot = std::make_unique<WorkerState>();
       Slot->Born = Entry.Born;
+      Slot->BornKnownAt = Now;
       Slot->FenceStep = ForgottenFenceStep_;
     }
-    if (Entry.Born > Slot->Born && Slot->Born != 0)
-      startIncarnation(*Slot, Entry.Born, false, Now);
+    if (Entry.Born != Slot->Entry.Born)
+      applyListedBirth(*Slot, Entry.Born, Now);
     // The next owner finds the worker through the roster, which must have its
     // current address.
     if (Slot->Entry.Address != Entry.Address) {
@@ -120,6 +154,7 @@
   Slot = std::make_unique<WorkerState>();
   Slot->Entry = Entry;
   Slot->Born = Entry.Born;
+  Slot->BornKnownAt = Now;
   Slot->Enrolled = true;
   Slot->Gone = true;
   Slot->GoneAt = Now;
@@ -137,7 +172,8 @@
   if (W.Heard && !W.Gone)
     return;
   // Machines are taken away only from workers without runs.
-  settleLost(W, AnyIncarnation, 0, W.Gone ? W.GoneAt : Now_);
+  settleLost(W, Lost_.takeOthers(Id, AnyIncarnation), 0,
+             W.Gone ? W.GoneAt : Now_);
   dropRuns(W);
   W.UnknownRuns.clear();
   W.Parked.clear();
@@ -368,7 +404,7 @@
                                     core::TimePoint Now) const {
   if (Now >= W.EarlierOrdersUntil)
     return false;
-  return W.ClockMs == 0 ||
+  return W.MayHaveRestarted || W.ClockMs == 0 ||
          leastClockMs(W, Now) < W.EarlierDeadlineMs + LeaseSlackMs;
 }
 
--- a/tests/jobs/CrashAttributionTest.cpp
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -17,6 +17,8 @@
   /// Workers that give no answer.
   std::set<std::string> Silent;
   bool Stores = true;
+  /// From one start of a worker to the next; negative as its clock goes back.
+  std::int64_t BirthStep = 1;
   std::uint32_t Writes = 0;
   std::vector<StartOrder> LastStarts;
 
@@ -86,7 +88,11 @@
 
   void crash(const std::string &Worker) {
     Running[Worker].clear();
-    ++Born[Worker];
+    Born[Worker] += BirthStep;
+    listBirths();
+  }
+
+  void listBirths() {
     for (WorkerEntry &Entry : B.Entries)
       Entry.Born = Born[Entry.Id];
     B.Owner.setWorkers(B.Entries, B.Now);
@@ -141,6 +147,13 @@
 // crashes.
 TEST_CASE("a job fails after three workers crashed under one of its tasks") {
   CrashFixture F(FourWorkers);
+  SUBCASE("whose clocks go on") {}
+  SUBCASE("whose clocks are set back") {
+    F.BirthStep = -1;
+    for (auto &[Id, Born] : F.Born)
+      Born = 100;
+    F.listBirths();
+  }
   F.turn();
   F.B.Owner.addJob(sampleJob(1), F.B.Now);
   std::uint32_t Starts = 0;
--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -31,6 +31,10 @@
 /// crash.
 constexpr std::uint32_t MaxLateStarts = 2;
 constexpr std::uint32_t CrashesBeforeLate = 3;
+/// Start times where clocks jump.
+constexpr int MaxBorn = 1000000;
+/// Most that a worker's row lags behind its restart.
+constexpr int RowLagMs = 1800;
 
 } // namespace
 
@@ -96,7 +100,7 @@
       continue;
     WorkerEntry Entry = sampleWorker(W.Id);
     Entry.Address = W.Id + ":1";
-    Entry.Born = W.Born;
+    Entry.Born = W.ListedBorn;
     Entries.push_back(Entry);
   }
   return Entries;
@@ -570,8 +574,8 @@
   for (Worker &W : Workers_) {
     if (!W.Up && Now_ >= W.BackAt) {
       W.Up = W.Listed = true;
-      ++W.Born;
       W.BornAt = Now_;
+      restartClock(W);
     }
     bool Lapsed = Now_ >= W.LeaseEnd;
     auto Crashing =
@@ -595,6 +599,15 @@
   }
 }
 
+/// Sets the start time of the worker's next incarnation.
+void PoolSimulation::restartClock(Worker &W) {
+  W.Born = Options_.ClocksJump ? draw(1, MaxBorn) : W.Born + 1;
+  if (Options_.RowsLag)
+    schedule(0, RowLagMs, [&W, Born = W.Born] { W.ListedBorn = Born; });
+  else
+    W.ListedBorn = W.Born;
+}
+
 /// All its state is lost; it restarts under the same id and numbers its ends
 /// from one again.
 void PoolSimulation::crash(Worker &W) {
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -50,6 +50,10 @@
   /// Report requests are carried out late, also by a worker whose restart the
   /// owner had not noticed, and their answers overtake one another.
   bool LateReports = false;
+  /// Workers' times of day are set back and forth between their starts.
+  bool ClocksJump = false;
+  /// Workers' rows lag behind their restarts.
+  bool RowsLag = false;
   /// Some jobs have a task that crashes each worker that starts it.
   bool CrashingTasks = false;
 };
@@ -97,6 +101,8 @@
   struct Worker {
     std::string Id;
     std::int64_t Born = 1;
+    /// What its row shows.
+    std::int64_t ListedBorn = 1;
     /// When its clock began.
     core::TimePoint BornAt;
     bool Up = true;
@@ -159,6 +165,7 @@
   OrderOutcome start(Worker &W, const StartOrder &Order);
   ReportResult hold(Worker &W, const HoldOrder &Order);
   void crash(Worker &W);
+  void restartClock(Worker &W);
   bool crashesWorkers(const TaskRef &Task) const;
   void countCrashingStart(const TaskRef &Task);
   void checkOutcomes();
--- a/tests/jobs/PoolSimulationTest.cpp
+++ b/tests/jobs/PoolSimulationTest.cpp
@@ -10,6 +10,7 @@
 constexpr std::uint64_t Histories = 400;
 /// Listed in KNOWN-RED.txt.
 constexpr std::uint64_t CrashesLostWithOwners = 20261305;
+constexpr std::uint64_t RestartUnknownToOwners = 20261500;
 
 /// Returns the first history with a fault, or the last one.
 SimulationResult search(RuleViolation ViolatedRule, std::uint64_t Count) {
@@ -83,6 +84,26 @@
     }
 }
 
+TEST_CASE("no task runs twice at the same time while workers restart with "
+          "their times of day set back in random histories") {
+  for (bool Late : {false, true})
+    for (std::uint64_t N = 0; N < Histories; ++N) {
+      SimulationOptions Options;
+      Options.Seed = FirstSeed + N;
+      Options.ClocksJump = true;
+      Options.RowsLag = true;
+      Options.LateReports = Late;
+      Options.EntriesDisappear = Late;
+      CAPTURE(Options.Seed);
+      CAPTURE(Late);
+      std::string Fault = PoolSimulation(Options).simulate().Fault;
+      if (Late && Options.Seed == RestartUnknownToOwners)
+        WARN(Fault == "");
+      else
+        CHECK(Fault == "");
+    }
+}
+
 TEST_CASE("stops leave as many lasting tasks at work as their step requires in "
           "random histories") {
   std::uint64_t Stops = 0;
--- a/tests/jobs/RestartedWorkerTest.cpp
+++ b/tests/jobs/RestartedWorkerTest.cpp
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <utility>
 
 using namespace comfreydeck;
 using namespace comfreydeck::jobs;
@@ -32,8 +33,10 @@
     return std::chrono::duration_cast<milliseconds>(B.Now - BornAt).count();
   }
 
-  void restart() {
-    ++Born;
+  void restart() { restart(Born + 1); }
+
+  void restart(std::int64_t NewBorn) {
+    Born = NewBorn;
     BornAt = B.Now;
   }
 
@@ -188,6 +191,73 @@
   CHECK(W.B.Now - CarriedOut >= MaxLease);
 }
 
+TEST_CASE("a run on a worker that restarted with its time of day set back "
+          "starts elsewhere only once it has ended") {
+  RestartingWorker W;
+  W.restart(1000);
+  W.list(true);
+  W.idle(milliseconds(5000));
+  StartOrder Start = W.start(sampleJob(1));
+  W.restart(500);
+  W.B.advance(milliseconds(20));
+  W.B.Owner.onStart(Start, {OrderOutcome::Accepted, W.clockMs()}, W.B.Now);
+  W.B.Owner.setClosedWorkers({});
+  SUBCASE("its report tells of it first") {}
+  SUBCASE("its row tells of it first") { W.list(true); }
+  for (int Turn = 0; Turn < 200; ++Turn) {
+    W.B.advance(milliseconds(50));
+    Orders Out = W.B.plan();
+    CHECK(Out.Starts.empty());
+    for (const HoldOrder &Hold : Out.Holds) {
+      if (Hold.Worker == "w1")
+        W.report(Hold, {runReportOf(Start, 10)});
+      else
+        W.B.report(Hold.Worker);
+    }
+    if (ProgressBatch Batch = W.B.Owner.takeChanges(10); !Batch.isEmpty())
+      W.B.Owner.onStored(Batch.Mark);
+  }
+}
+
+TEST_CASE("a late report or row of an earlier incarnation does not end the "
+          "runs of a worker that restarted with its time of day set back") {
+  RestartingWorker W;
+  W.restart(1000);
+  W.list(true);
+  W.idle(milliseconds(300));
+  HoldOrder Early;
+  Early.Worker = "w1";
+  core::TimePoint EarlySentAt = W.B.Now;
+  W.B.advance(milliseconds(100));
+  W.restart(500);
+  W.idle(milliseconds(300));
+  W.runThere(sampleJob(1));
+  ReportResult Late;
+  Late.Outcome = OrderOutcome::Accepted;
+  Late.Report.ClockMs = 5000;
+  SUBCASE("a report of the one before") {
+    Late.Report.Born = 1000;
+    W.B.Owner.onReport(Early, Late, EarlySentAt, W.B.Now);
+  }
+  SUBCASE("a report of one that was never heard") {
+    Late.Report.Born = 2000;
+    W.B.Owner.onReport(Early, Late, EarlySentAt, W.B.Now);
+  }
+  SUBCASE("a row of one that was never heard") {
+    std::int64_t Born = std::exchange(W.Born, 2000);
+    W.list(true);
+    W.Born = Born;
+  }
+  SUBCASE("a row that goes back to the one before") {
+    W.list(true);
+    std::int64_t Born = std::exchange(W.Born, 1000);
+    W.list(true);
+    W.Born = Born;
+  }
+  CHECK(W.B.Owner.workers().at("w1")->Born == 500);
+  CHECK_FALSE(W.B.Owner.workers().at("w1")->Tasks.empty());
+}
+
 TEST_CASE("a lasting task that no restarted worker may take yet does not keep "
           "other tasks from starting there") {
   RestartingWorker W;
