Ignore another worker's refusal that is older than the latest report

A 421 for a request to an address that the worker had left ended the runs of the worker, which had been heard at its new address since: the tasks would run twice. Answers to reports and stops that were asked for before the latest report was requested say nothing now.

--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -99,6 +99,7 @@
         if (Run.Worker != Id || Run.Confirmed || Run.SendAfter != 0)
           continue;
         core::TimePoint OverdueAt = Run.OrderedAt + Limits_.StartOverdue;
+        Run.StopSentAt = In.Now;
         if (OverdueAt > In.Now)
           W->NextOverdueAt = std::min(W->NextOverdueAt, OverdueAt);
         else
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -124,10 +124,12 @@
     return;
   if (isOfIncarnation(*Run, W))
     recordClock(W, Result.ClockMs, Now);
+  bool IsOlderThanReport =
+      Run->StopInFlight && Run->StopSentAt < W.ReportRequestedAt;
   Run->StopInFlight = false;
   bool Outdated = std::exchange(Run->StopOutdated, false);
   StopsChanged_ = true;
-  if (Result.Outcome == OrderOutcome::OtherIncarnation) {
+  if (Result.Outcome == OrderOutcome::OtherIncarnation && !IsOlderThanReport) {
     // The incarnation that had the run has ended.
     dropCrashed(W, AnyIncarnation, Now);
     return;
@@ -163,10 +165,9 @@
   }
   if (Result.Outcome == OrderOutcome::Fenced)
     Fenced_ = Fenced_ || Order.Fence >= fenceOf(W);
-  // A report that was requested later has shown more.
-  bool IsAnswer = Result.Outcome == OrderOutcome::Accepted ||
-                  Result.Outcome == OrderOutcome::OtherIncarnation;
-  if (!IsAnswer && SentAt < W.ReportRequestedAt)
+  // A report that was requested later has shown more: the worker may have had
+  // another address before.
+  if (Result.Outcome != OrderOutcome::Accepted && SentAt < W.ReportRequestedAt)
     return;
   if (Result.Outcome == OrderOutcome::Accepted &&
       isOvertaken(W, Result.Report, SentAt))
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -221,6 +221,8 @@
   std::uint64_t Fence = 0;
   core::TimePoint OrderedAt;
   core::TimePoint ConfirmedAt;
+  /// When the last stop order was planned.
+  core::TimePoint StopSentAt;
   /// Earliest time to send the next stop order.
   core::TimePoint StopAt;
   /// When a report last showed a lasting task as started up.
