Count announced runs as crashes only for incarnations known to be over

A run that an earlier owner announced on a worker counted as a crash if its start time was smaller than that of the worker's row, and since the last change also if a row told of a restart and it was of a later incarnation: with two earlier crashes a job with a possibly living run was shown as failed. A row now counts the runs of the incarnation that it ended and of those before it; a report that was requested in order tells of all others.

Test, both cases: three crashes and a failed job; two and a running one now.

--- a/src/jobs/CrashLedger.cpp
+++ b/src/jobs/CrashLedger.cpp
@@ -11,9 +11,12 @@
       Lost_[Worker].push_back({std::move(Run), Born, Now});
 }
 
-std::vector<SuspectRun> CrashLedger::takeEarlier(const std::string &Worker,
-                                                 std::int64_t Born) {
-  return take(Worker, [Born](std::int64_t Lost) { return Lost < Born; });
+std::vector<SuspectRun>
+CrashLedger::takeEnded(const std::string &Worker,
+                       const std::deque<std::int64_t> &Borns) {
+  return take(Worker, [&Borns](std::int64_t Lost) {
+    return std::find(Borns.begin(), Borns.end(), Lost) != Borns.end();
+  });
 }
 
 std::vector<SuspectRun> CrashLedger::takeOthers(const std::string &Worker,
--- a/src/jobs/CrashLedger.h
+++ b/src/jobs/CrashLedger.h
@@ -4,6 +4,7 @@
 #include "core/Types.h"
 #include "jobs/Job.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -30,9 +31,10 @@
   /// Adds runs of the incarnation \p Born of a worker.
   void add(const std::string &Worker, std::int64_t Born,
            std::vector<SuspectRun> Runs, core::TimePoint Now);
-  /// Removes and returns the runs of the worker's incarnations before \p Born.
-  std::vector<SuspectRun> takeEarlier(const std::string &Worker,
-                                      std::int64_t Born);
+  /// Removes and returns the runs of these incarnations of the worker, which
+  /// have ended.
+  std::vector<SuspectRun> takeEnded(const std::string &Worker,
+                                    const std::deque<std::int64_t> &Borns);
   /// Removes and returns the runs of the worker's incarnations other than \p
   /// Born, all of which have ended.
   std::vector<SuspectRun> takeOthers(const std::string &Worker,
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -96,17 +96,34 @@
   CrashRecords_.push_back(std::move(Record));
 }
 
-/// Drops the runs of an incarnation that has ended, as the one that started at
-/// \p Born took its place, and counts its crash unless it left by order.
-void PoolState::dropCrashed(WorkerState &W, std::int64_t Born,
-                            core::TimePoint Now) {
+/// Drops the runs of an incarnation that a later one has followed, and counts
+/// its crash and those of the ones before it.
+void PoolState::dropCrashed(WorkerState &W, core::TimePoint Now) {
+  std::deque<std::int64_t> Ended = W.EarlierBorns;
+  Ended.push_back(W.Born);
+  dropEnded(
+      W, [&] { return Lost_.takeEnded(W.Entry.Id, Ended); }, Now);
+}
+
+/// Drops the runs of a worker at whose address another one answered, and counts
+/// its crash.
+void PoolState::dropReplaced(WorkerState &W, core::TimePoint Now) {
+  dropEnded(
+      W, [&] { return Lost_.takeOthers(W.Entry.Id, AnyIncarnation); }, Now);
+}
+
+/// An incarnation that left by order has not crashed.
+void PoolState::dropEnded(
+    WorkerState &W,
+    const std::function<std::vector<SuspectRun>()> &TakeSuspects,
+    core::TimePoint Now) {
   bool Left = W.Ended || W.Entry.Draining || W.Born == 0;
   std::size_t Runs = Left ? 0 : W.Tasks.size();
   recordLoss(W, Now);
   dropRuns(W);
   if (Left)
     Lost_.clear(W.Entry.Id);
-  settleLost(W, Lost_.takeOthers(W.Entry.Id, Born), Runs, Now);
+  settleLost(W, TakeSuspects(), Runs, Now);
 }
 
 /// Counts the crashes of lost workers whose addresses have gone to others.
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -30,8 +30,6 @@
       recordLoss(W, In.Now);
       dropRuns(W);
     }
-    if (!Lost_.isEmpty())
-      settleLost(W, Lost_.takeEarlier(It->first, W.Born), 0, In.Now);
     // The worker may be the only source of runs and ends of jobs that are not
     // loaded yet.
     bool HoldsNothing = W.Heard && W.UnknownRuns.empty() && W.Parked.empty();
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -131,7 +131,7 @@
   StopsChanged_ = true;
   if (Result.Outcome == OrderOutcome::OtherIncarnation && !IsOlderThanReport) {
     // The incarnation that had the run has ended.
-    dropCrashed(W, AnyIncarnation, Now);
+    dropReplaced(W, Now);
     return;
   }
   if (Result.Outcome != OrderOutcome::Accepted) {
@@ -186,7 +186,7 @@
   }
   if (Result.Outcome == OrderOutcome::OtherIncarnation) {
     // The incarnation that had these runs has ended.
-    dropCrashed(W, AnyIncarnation, Now);
+    dropReplaced(W, Now);
     W.Heard = true;
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
     return;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -696,7 +696,11 @@
   std::vector<SuspectRun> unlistedStarts(const WorkerState &W) const;
   void keepUnlistedStart(JobRecord &Job, std::uint32_t Task, LiveRun Run,
                          core::TimePoint Now);
-  void dropCrashed(WorkerState &W, std::int64_t Born, core::TimePoint Now);
+  void dropCrashed(WorkerState &W, core::TimePoint Now);
+  void dropReplaced(WorkerState &W, core::TimePoint Now);
+  void dropEnded(WorkerState &W,
+                 const std::function<std::vector<SuspectRun>()> &TakeSuspects,
+                 core::TimePoint Now);
   void announceSuspects(const WorkerState &W);
   void recordLoss(const WorkerState &W, core::TimePoint Now);
   void settleLost(const WorkerState &W, std::vector<SuspectRun> Suspects,
--- a/tests/jobs/CrashAttributionTest.cpp
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -723,3 +723,37 @@
   F.crash(Out.Starts.front().Worker);
   CHECK_FALSE(F.workerOf(taskOf(1)).empty());
 }
+
+TEST_CASE("a run that an earlier owner announced counts as a crash "
+          "only once a later incarnation is known") {
+  OwnerFixture B(8);
+  constexpr RunId Run = (7U << RunCounterBits) + 3;
+  auto Enrol = [&](std::int64_t Born) {
+    WorkerEntry Entry = sampleWorker("w1");
+    Entry.Born = Born;
+    B.Owner.addEnrolled(Entry, B.Now);
+  };
+  JobProgress Kept;
+  Kept.State = JobState::Running;
+  Kept.Tasks.resize(1);
+  Kept.Tasks[0].CrashedRuns = {1, 2};
+  // The roster has the start time that the worker had when it was enrolled.
+  SUBCASE("its time of day was set back after it was enrolled") {
+    Kept.Tasks[0].Announced = {Run, "w1", 500};
+    Enrol(1000);
+    B.Owner.inheritJob(sampleJob(1), &Kept, B.Now);
+  }
+  SUBCASE("its row lags behind two restarts after it was enrolled") {
+    Kept.Tasks[0].Announced = {Run, "w1", 3000};
+    Enrol(1000);
+    B.Owner.inheritJob(sampleJob(1), &Kept, B.Now);
+    WorkerEntry Entry = sampleWorker("w1");
+    Entry.Born = 2000;
+    std::vector<WorkerEntry> Entries = {Entry};
+    B.Owner.setWorkers(Entries, B.Now);
+  }
+  B.advance(milliseconds(50));
+  B.plan();
+  CHECK(PoolState::countCrashes(*B.Owner.findJob(jobId(1)), 0) == 2);
+  CHECK(B.Owner.findJob(jobId(1))->Now == JobState::Running);
+}
