--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -26,9 +26,13 @@
     std::erase_if(W.LostStarts,
                   [&](const LostStart &S) { return S.Until <= In.Now; });
     if (!W.Tasks.empty() && leaseLapsed(W, SureAt)) {
-      recordLostStarts(W);
-      recordLoss(W, In.Now);
-      dropRuns(W);
+      if (W.DoubtedSince && In.Now < W.EarlierOrdersUntil) {
+        dropListedRuns(W, In.Now);
+      } else {
+        recordLostStarts(W);
+        recordLoss(W, In.Now);
+        dropRuns(W);
+      }
     }
     // The worker may be the only source of runs and ends of jobs that are not
     // loaded yet.
@@ -47,6 +51,22 @@
   }
 }
 
+/// Drops the runs that the known incarnation had. Starts that no report has
+/// listed may have reached a later one.
+void PoolState::dropListedRuns(WorkerState &W, core::TimePoint Now) {
+  std::vector<SuspectRun> Listed;
+  for (const auto &[Job, Task] : W.Tasks)
+    for (const LiveRun &Run : Job->Tasks[Task].Runs)
+      if (Run.Worker == W.Entry.Id && Run.Listed)
+        Listed.push_back({Job->Spec.Id, Task, Run.Run});
+  if (Listed.empty())
+    return;
+  recordLoss(W, Now);
+  for (const SuspectRun &Run : Listed)
+    removeRun(*jobOf(Run.JobId), Run.Task, Run.Run);
+  Counters_.Lapsed += Listed.size();
+}
+
 /// A worker refuses a start only while it has no lease. The next lease would
 /// let in a start that is still under way, beside the task's run elsewhere.
 void PoolState::recordLostStarts(WorkerState &W) {
@@ -79,6 +99,7 @@
         if (!IsDue(Run.StopAt))
           continue;
         Run.StopInFlight = true;
+        Run.StopSentAt = In.Now;
         Out.Stops.push_back({Id, refOf(*Job, Task), Run.Run, fenceOf(*W)});
       }
   }
@@ -97,7 +118,6 @@
         if (Run.Worker != Id || Run.Confirmed || Run.SendAfter != 0)
           continue;
         core::TimePoint OverdueAt = Run.OrderedAt + Limits_.StartOverdue;
-        Run.StopSentAt = In.Now;
         if (OverdueAt > In.Now)
           W->NextOverdueAt = std::min(W->NextOverdueAt, OverdueAt);
         else
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -174,8 +174,7 @@
     return;
   if (Result.Outcome == OrderOutcome::Accepted &&
       isUnordered(W, Result.Report, SentAt)) {
-    W.IncarnationConfirmed = false;
-    W.NextHold = Now;
+    suspectRestart(W, Now);
     return;
   }
   W.NextHold = Now + Limits_.ReportRetry;
@@ -202,7 +201,6 @@
   }
   W.FailedReports = 0;
   const WorkerReport &Report = Result.Report;
-  W.MayHaveRestarted = false;
   if (Report.Born != 0 && Report.Born != W.Born)
     startIncarnation(W, Report.Born, true, Now);
   if (!Lost_.isEmpty()) {
@@ -213,7 +211,9 @@
   // A full list may leave out later ends.
   bool ListsAllEnds = Report.Ended.size() < MaxEndsListed;
   W.Heard = W.Heard || ListsAllEnds;
-  W.IncarnationConfirmed = true;
+  W.IncarnationConfirmed = !W.DoubtedSince || SentAt >= *W.DoubtedSince;
+  if (W.IncarnationConfirmed)
+    W.DoubtedSince.reset();
   W.ReportedAt = Now;
   W.ReportRequestedAt = std::max(W.ReportRequestedAt, SentAt);
   W.AnsweredRequest = std::max(W.AnsweredRequest, Order.Number);
@@ -242,7 +242,7 @@
   if (Report.Born == 0)
     return false;
   if (Report.Born != W.Born)
-    return isEarlierIncarnation(W, Report.Born);
+    return isEarlierIncarnation(W, Report.Born) && SentAt < W.BornKnownAt;
   return Report.ClockMs < W.LastReportClockMs ||
          (Report.ClockMs == W.LastReportClockMs &&
           SentAt < W.ReportRequestedAt);
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -310,10 +310,10 @@
   JobState Stored = JobState::Queued;
   bool Started = false;
   core::TimePoint KnownSince;
-  /// An earlier owner may have started it.
-  bool Inherited = false;
   /// When it ended under this owner.
   core::TimePoint EndedAt;
+  /// An earlier owner may have started it.
+  bool Inherited = false;
   /// Number of its first change that is not in a batch yet; zero if there is
   /// none.
   std::uint64_t FirstChange = 0;
@@ -411,8 +411,9 @@
   core::TimePoint BornKnownAt;
   /// Start times of the latest incarnations before it, as far as known.
   std::deque<std::int64_t> EarlierBorns;
-  /// Its row shows another incarnation, which may be a later one.
-  bool MayHaveRestarted = false;
+  /// Since then, a row or a late report has shown another incarnation that may
+  /// be a later one. A report that was requested afterwards tells.
+  std::optional<core::TimePoint> DoubtedSince;
   /// Reported runs whose jobs are unknown, possibly because they are not loaded
   /// yet.
   std::vector<RunReport> UnknownRuns;
@@ -774,6 +775,7 @@
   static bool isOvertaken(const WorkerState &W, const WorkerReport &Report,
                           core::TimePoint SentAt);
   void expireSilent(const PlanInput &In);
+  void dropListedRuns(WorkerState &W, core::TimePoint Now);
   void recordLostStarts(WorkerState &W);
 
   std::string Pool_;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -36,7 +36,9 @@
     raiseFence(W);
   }
   suspectRestart(W, Now);
-  W.MayHaveRestarted = false;
+  W.DoubtedSince.reset();
+  // A row may have told of an earlier one in between.
+  std::erase(W.EarlierBorns, Born);
   W.EarlierBorns.push_back(W.Born);
   if (W.EarlierBorns.size() > MaxEarlierBorns)
     W.EarlierBorns.pop_front();
@@ -66,7 +68,7 @@
     W.EarlierOrdersUntil =
         latestLeaseEnd(W.LeaseOrderedAt + Limits_.LateOrder, Limits_.MaxLease);
   }
-  W.MayHaveRestarted = true;
+  W.DoubtedSince = Now;
   W.IncarnationConfirmed = false;
   W.NextHold = std::min(W.NextHold, Now);
 }
@@ -83,7 +85,7 @@
   if (W.Born == 0 || Born == W.Born || isEarlierIncarnation(W, Born))
     return;
   bool RowWasCurrent = W.Entry.Born == W.Born;
-  if (Born > W.Born && RowWasCurrent)
+  if (W.Ended || (Born > W.Born && RowWasCurrent))
     startIncarnation(W, Born, false, Now);
   else
     suspectRestart(W, Now);
@@ -404,7 +406,7 @@
                                     core::TimePoint Now) const {
   if (Now >= W.EarlierOrdersUntil)
     return false;
-  return W.MayHaveRestarted || W.ClockMs == 0 ||
+  return W.ClockMs == 0 ||
          leastClockMs(W, Now) < W.EarlierDeadlineMs + LeaseSlackMs;
 }
 
--- a/tests/jobs/RestartedWorkerTest.cpp
+++ b/tests/jobs/RestartedWorkerTest.cpp
@@ -311,3 +311,197 @@
   }
   CHECK(W.silentUntilStart() < std::chrono::seconds(9));
 }
+
+TEST_CASE("a late row of an earlier incarnation that this owner never "
+          "knew does not end the runs of the one that answers" *
+          doctest::should_fail()) {
+  RestartingWorker W;
+  W.restart(500);
+  W.list(true);
+  W.idle(milliseconds(300));
+  W.runThere(sampleJob(1));
+  const WorkerState &State = *W.B.Owner.workers().at("w1");
+  REQUIRE(State.Tasks.size() == 1);
+  RunReport Run;
+  Run.Task = {jobId(1), 0, 0, 0};
+  Run.Run = W.B.Owner.findJob(jobId(1))->Tasks[0].Runs[0].Run;
+  Run.Percent = 20;
+  // It had started by a clock that was ahead; its last write is late.
+  W.Born = 2000;
+  W.list(true);
+  W.Born = 500;
+  CHECK(State.Tasks.size() == 1);
+  W.B.advance(milliseconds(100));
+  W.list(true);
+  W.B.Owner.setClosedWorkers({});
+  for (int Turn = 0; Turn < 200; ++Turn) {
+    W.B.advance(milliseconds(50));
+    Orders Out = W.B.plan();
+    CHECK(Out.Starts.empty());
+    for (const HoldOrder &Hold : Out.Holds) {
+      if (Hold.Worker == "w1")
+        W.report(Hold, {Run});
+      else
+        W.B.report(Hold.Worker);
+    }
+    if (ProgressBatch Batch = W.B.Owner.takeChanges(10); !Batch.isEmpty())
+      W.B.Owner.onStored(Batch.Mark);
+  }
+  CHECK(State.Born == 500);
+  CHECK(W.B.Now - State.ReportedAt < milliseconds(1000));
+}
+
+TEST_CASE("a report that the earlier incarnation gave before its row "
+          "changed does not end the doubt about a restart") {
+  RestartingWorker W;
+  W.restart(1000);
+  W.list(true);
+  W.idle(milliseconds(5000));
+  W.B.advance(milliseconds(10));
+  HoldOrder Early;
+  Early.Worker = "w1";
+  core::TimePoint EarlySentAt = W.B.Now;
+  StartOrder Start = W.start(sampleJob(1));
+  W.B.advance(milliseconds(10));
+  std::int64_t EarlyClockMs = W.clockMs();
+  W.B.advance(milliseconds(10));
+  W.restart(500);
+  W.B.advance(milliseconds(10));
+  W.B.Owner.onStart(Start, {OrderOutcome::Accepted, W.clockMs()}, W.B.Now);
+  core::TimePoint CarriedOut = W.B.Now;
+  W.list(true);
+  SUBCASE("no such report") {}
+  SUBCASE("such a report") {
+    ReportResult Late;
+    Late.Outcome = OrderOutcome::Accepted;
+    Late.Report.ClockMs = EarlyClockMs;
+    Late.Report.Born = 1000;
+    W.B.advance(milliseconds(10));
+    W.B.Owner.onReport(Early, Late, EarlySentAt, W.B.Now);
+  }
+  W.silentUntilStart();
+  CHECK(W.B.Now - CarriedOut >= MaxLease);
+}
+
+TEST_CASE("a worker that was taken away and is back under its id is "
+          "asked for a report") {
+  RestartingWorker W;
+  SUBCASE("with a clock that was set back") {
+    W.restart(1000);
+    W.list(true);
+    W.idle(milliseconds(300));
+    W.B.Owner.endIncarnation("w1");
+    W.restart(500);
+  }
+  SUBCASE("with a later start time than one that its row never showed") {
+    W.restart(2);
+    W.B.advance(milliseconds(300));
+    HoldOrder Asked;
+    Asked.Worker = "w1";
+    W.report(Asked);
+    REQUIRE(W.B.Owner.workers().at("w1")->Born == 2);
+    W.B.Owner.endIncarnation("w1");
+    W.restart(3);
+  }
+  W.B.advance(milliseconds(500));
+  W.list(true);
+  std::uint32_t Requests = 0;
+  for (int Turn = 0; Turn < 600; ++Turn) {
+    W.B.advance(milliseconds(50));
+    if (HoldOrder Hold = holdFor(W.B.plan(), "w1"); !Hold.Worker.empty()) {
+      ++Requests;
+      W.report(Hold);
+    }
+  }
+  CHECK(Requests > 0);
+  CHECK(W.B.Owner.workers().at("w1")->Born == W.Born);
+}
+
+TEST_CASE("the runs of a worker that crashed twice before its row "
+          "changed start elsewhere as soon as before") {
+  RestartingWorker W;
+  W.restart(2);
+  W.B.advance(milliseconds(300));
+  HoldOrder Asked;
+  Asked.Worker = "w1";
+  W.report(Asked);
+  REQUIRE(W.B.Owner.workers().at("w1")->Born == 2);
+  W.runThere(sampleJob(1));
+  W.B.advance(milliseconds(600));
+  W.restart(3);
+  W.list(true);
+  core::Duration Waited = W.silentUntilStart();
+  CHECK(std::chrono::duration_cast<milliseconds>(Waited).count() < 4000);
+}
+
+TEST_CASE("a refusal at the address that a worker had before it "
+          "restarted elsewhere does not end its present runs") {
+  RestartingWorker W;
+  HoldOrder Early;
+  Early.Worker = "w1";
+  core::TimePoint EarlySentAt = W.B.Now;
+  W.B.advance(milliseconds(100));
+  W.restart();
+  auto List = [&] {
+    std::vector<WorkerEntry> Entries = {sampleWorker("w1"), sampleWorker("w2")};
+    Entries[0].Born = W.Born;
+    Entries[0].Address = "127.0.0.1:9";
+    W.B.Owner.setWorkers(Entries, W.B.Now);
+    if (ProgressBatch Batch = W.B.Owner.takeChanges(10); !Batch.isEmpty())
+      W.B.Owner.onStored(Batch.Mark);
+  };
+  List();
+  W.idle(milliseconds(300));
+  W.runThere(sampleJob(1));
+  REQUIRE(W.B.Owner.workers().at("w1")->Tasks.size() == 1);
+  ReportResult Refused;
+  Refused.Outcome = OrderOutcome::OtherIncarnation;
+  W.B.Owner.onReport(Early, Refused, EarlySentAt, W.B.Now);
+  CHECK(W.B.Owner.workers().at("w1")->Tasks.size() == 1);
+}
+
+TEST_CASE("a cancelled job's run that a restarted worker carries out "
+          "late is stopped though the job was accepted long ago") {
+  RestartingWorker W;
+  W.idle(milliseconds(300));
+  StartOrder Start = W.start(sampleJob(1));
+  W.B.advance(milliseconds(50));
+  W.B.answer(Start, OrderOutcome::Unknown);
+  W.B.Owner.cancelJob(jobId(1));
+  std::uint32_t Stops = 0;
+  bool Answers = false;
+  auto Turn = [&](const std::vector<RunReport> &Runs) {
+    W.B.advance(milliseconds(50));
+    Orders Out = W.B.plan();
+    for (const StopOrder &Stop : Out.Stops) {
+      ++Stops;
+      OrderResult Result;
+      if (Answers)
+        Result = {OrderOutcome::Accepted, W.clockMs()};
+      W.B.Owner.onStop(Stop, Result, W.B.Now);
+    }
+    for (const HoldOrder &Hold : Out.Holds) {
+      if (Hold.Worker != "w1")
+        W.B.report(Hold.Worker);
+      else if (Answers)
+        W.report(Hold, Runs);
+      else
+        W.B.dropReport(Hold);
+    }
+    for (ProgressBatch Batch = W.B.Owner.takeChanges(10); !Batch.isEmpty();
+         Batch = W.B.Owner.takeChanges(10))
+      W.B.Owner.onStored(Batch.Mark);
+    // Accepted before the time for which finished jobs are kept, or by an
+    // entry whose time of day is behind this owner's.
+    W.B.Owner.dropFinished(1);
+  };
+  for (int N = 0; N < 70; ++N)
+    Turn({});
+  W.restart();
+  W.B.advance(milliseconds(500));
+  Answers = true;
+  Stops = 0;
+  for (int N = 0; N < 40; ++N)
+    Turn({runReportOf(Start, 10)});
+  CHECK(Stops > 0);
+}
