Count starts and report requests as overdue from their sending

An owner with more orders than it can send raised fences and requested reports for its own delay, which adds load where there is too much.

Cause: a start counted as overdue 300 ms, a report request 250 ms beyond its wait after planning. The time in which the owner's entry had not sent it yet, for a free call or another batch for the sending entry, was included. "Was cut" and "a report came that was requested after the start" counted from planning as well.

Change: an order carries a mark that the HTTP client sets when the call's turn has come, and OrderRelay when the sending entry has acknowledged the batch (for a batch without an answer: when the batch was sent). Each planning round tells PoolState which orders wait and which were sent; those that wait are not overdue. Without word of it an order counts as sent when it was planned, as before. The call's time limit ends a wait as before, and a start without an answer then raises the fence. Leases and the 13 s of late orders count from planning as before.

Open: a relayed order counts as sent once its sending entry has it; what it waits there still counts as the worker's delay.

--- a/src/dispatch/OrderForwarder.cpp
+++ b/src/dispatch/OrderForwarder.cpp
@@ -112,11 +112,11 @@
     Finish({Id, Result.Outcome, Result.Report});
   };
   if (const auto *Start = std::get_if<jobs::StartOrder>(&Order.Order))
-    Workers_.start(To, Order.Fence, *Start, OnOrder);
+    Workers_.start(To, Order.Fence, *Start, nullptr, OnOrder);
   else if (const auto *Stop = std::get_if<jobs::StopOrder>(&Order.Order))
     Workers_.stop(To, Order.Fence, *Stop, OnOrder);
   else if (const auto *Hold = std::get_if<jobs::HoldOrder>(&Order.Order))
-    Workers_.report(To, Order.Fence, *Hold, OnReport);
+    Workers_.report(To, Order.Fence, *Hold, nullptr, OnReport);
 }
 
 void OrderForwarder::addResult(const EntryIdentity &Owner,
--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -113,14 +113,15 @@
 // Orders.
 
 void OrderRelay::start(const jobs::WorkerEntry &To, std::uint64_t Fence,
-                       const jobs::StartOrder &Order,
+                       const jobs::StartOrder &Order, SendMark SentAt,
                        std::function<void(jobs::OrderResult)> Done) {
   const std::string *Sender = senderOf(To);
   if (!Sender) {
-    Direct_.start(To, Fence, Order, std::move(Done));
+    Direct_.start(To, Fence, Order, std::move(SentAt), std::move(Done));
     return;
   }
   give(*Sender, To, {0, "", "", Fence, {}, Order}, ResultLimit,
+       std::move(SentAt),
        [Done = std::move(Done)](const codec::RelayedResult &Result) {
          Done({Result.Outcome, Result.Report.ClockMs});
        });
@@ -134,21 +135,22 @@
     Direct_.stop(To, Fence, Order, std::move(Done));
     return;
   }
-  give(*Sender, To, {0, "", "", Fence, {}, Order}, ResultLimit,
+  give(*Sender, To, {0, "", "", Fence, {}, Order}, ResultLimit, nullptr,
        [Done = std::move(Done)](const codec::RelayedResult &Result) {
          Done({Result.Outcome, Result.Report.ClockMs});
        });
 }
 
 void OrderRelay::report(const jobs::WorkerEntry &To, std::uint64_t Fence,
-                        const jobs::HoldOrder &Order,
+                        const jobs::HoldOrder &Order, SendMark SentAt,
                         std::function<void(jobs::ReportResult)> Done) {
   const std::string *Sender = senderOf(To);
   if (!Sender) {
-    Direct_.report(To, Fence, Order, std::move(Done));
+    Direct_.report(To, Fence, Order, std::move(SentAt), std::move(Done));
     return;
   }
   give(*Sender, To, {0, "", "", Fence, {}, Order}, Order.Wait + ResultLimit,
+       std::move(SentAt),
        [Done = std::move(Done)](const codec::RelayedResult &Result) {
          Done({Result.Outcome, Result.Report});
        });
@@ -156,14 +158,15 @@
 
 void OrderRelay::give(const std::string &Sender, const jobs::WorkerEntry &To,
                       codec::RelayedOrder Order, core::Duration Limit,
-                      ResultCallback Done) {
+                      SendMark SentAt, ResultCallback Done) {
   core::TimePoint Now = bootNow();
   Order.Id = NextId_++;
   Order.Worker = To.Id;
   Order.Address = To.Address;
   bool IsHold = std::holds_alternative<jobs::HoldOrder>(Order.Order);
   Pending &Given = Pending_[Order.Id];
-  Given = {To.Pool, Sender, Now, Now + Limit, IsHold, std::move(Done), {}};
+  Given = {To.Pool,           Sender, Now, Now + Limit, IsHold, std::move(Done),
+           std::move(SentAt), {}};
   auto *Start = std::get_if<jobs::StartOrder>(&Order.Order);
   if (Start && mayOmitPayload(Sender) &&
       !takePayloadRoom(Start->Payload.size())) {
@@ -257,17 +260,20 @@
   Call.ConnectLimit = ConnectLimit;
   Call.TotalLimit = BatchLimit;
   Call.SendLimit = SendWithin;
-  Client_.send(std::move(Call),
-               [this, Sender, Ids = std::move(Ids)](net::HttpResult Result) {
-                 Loop_.post([this, Sender, Ids, Result = std::move(Result)] {
-                   onBatchAnswered(Sender, Ids, Result);
-                 });
-               });
+  auto BegunAt = std::make_shared<net::BeginTime>();
+  Call.BegunAt = BegunAt;
+  Client_.send(std::move(Call), [this, Sender, Ids = std::move(Ids),
+                                 BegunAt](net::HttpResult Result) {
+    Loop_.post([this, Sender, Ids, BegunAt, Result = std::move(Result)] {
+      onBatchAnswered(Sender, Ids, Result, *BegunAt);
+    });
+  });
 }
 
 void OrderRelay::onBatchAnswered(const std::string &Sender,
                                  const std::vector<std::uint64_t> &Ids,
-                                 const net::HttpResult &Result) {
+                                 const net::HttpResult &Result,
+                                 core::TimePoint BegunAt) {
   bool Answered = Result.End == core::ExchangeEnd::Answered;
   bool Taken = Answered && Result.Response.Status == StatusOk;
   bool Refused = Answered && !Taken;
@@ -281,12 +287,23 @@
   // their time limits tell.
   if (Refused || NotSent)
     completeAll(Ids, OrderOutcome::Withheld);
+  else
+    setSent(Ids, Taken ? bootNow() : BegunAt);
   Loop_.after(BatchGap, [this, Sender] {
     Outboxes_[Sender].Sending = false;
     flush(Sender);
   });
 }
 
+void OrderRelay::setSent(std::span<const std::uint64_t> Ids,
+                         core::TimePoint At) {
+  for (std::uint64_t Id : Ids) {
+    auto Given = Pending_.find(Id);
+    if (Given != Pending_.end() && Given->second.SentAt)
+      *Given->second.SentAt = At;
+  }
+}
+
 // Results.
 
 void OrderRelay::complete(std::uint64_t Id,
--- a/src/dispatch/OrderRelay.h
+++ b/src/dispatch/OrderRelay.h
@@ -45,13 +45,13 @@
   bool isSuspended(const std::string &Entry) const;
 
   void start(const jobs::WorkerEntry &To, std::uint64_t Fence,
-             const jobs::StartOrder &Order,
+             const jobs::StartOrder &Order, SendMark SentAt,
              std::function<void(jobs::OrderResult)> Done) override;
   void stop(const jobs::WorkerEntry &To, std::uint64_t Fence,
             const jobs::StopOrder &Order,
             std::function<void(jobs::OrderResult)> Done) override;
   void report(const jobs::WorkerEntry &To, std::uint64_t Fence,
-              const jobs::HoldOrder &Order,
+              const jobs::HoldOrder &Order, SendMark SentAt,
               std::function<void(jobs::ReportResult)> Done) override;
   void dropUnsent(const std::string &Pool) override;
 
@@ -74,6 +74,7 @@
     /// Requests a report, and so keeps the worker's lease.
     bool IsHold = false;
     ResultCallback Done;
+    SendMark SentAt;
     /// A start that was given without its payload.
     std::optional<codec::RelayedOrder> Whole;
   };
@@ -86,7 +87,7 @@
 
   const std::string *senderOf(const jobs::WorkerEntry &To) const;
   void give(const std::string &Sender, const jobs::WorkerEntry &To,
-            codec::RelayedOrder Order, core::Duration Limit,
+            codec::RelayedOrder Order, core::Duration Limit, SendMark SentAt,
             ResultCallback Done);
   void enqueue(const std::string &Sender, codec::RelayedOrder Order);
   bool mayOmitPayload(const std::string &Sender) const;
@@ -95,7 +96,8 @@
   void flush(const std::string &Sender);
   void onBatchAnswered(const std::string &Sender,
                        const std::vector<std::uint64_t> &Ids,
-                       const net::HttpResult &Result);
+                       const net::HttpResult &Result, core::TimePoint BegunAt);
+  void setSent(std::span<const std::uint64_t> Ids, core::TimePoint At);
   void complete(std::uint64_t Id, const codec::RelayedResult &Result);
   void completeAll(std::span<const std::uint64_t> Ids,
                    jobs::OrderOutcome Outcome);
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -639,6 +639,7 @@
   In.MayStart = !Leaving_ && In.Now < In.AuthorityEnd;
   In.JobsReadAt = Jobs_.currentAt();
   In.MaxStarts = jobs::roomIn(StartWindow_, UnansweredStarts_);
+  recordSending();
   jobs::Orders Orders = State_.plan(In);
   core::TimePoint Planned = bootNow();
   Monitor_.recordPlanTime(Planned - In.Now);
@@ -764,7 +765,7 @@
 
 void PoolController::send(jobs::Orders Orders) {
   auto Self = shared_from_this();
-  core::TimePoint SentAt = bootNow();
+  core::TimePoint GivenAt = bootNow();
   for (jobs::StopOrder &Order : Orders.Stops)
     if (const jobs::WorkerEntry *To = entryOf(Order.Worker))
       Ctx_.Workers.stop(*To, Order.Fence, Order,
@@ -785,22 +786,51 @@
     Sent.Task = Order.Task;
     Sent.Run = Order.Run;
     Sent.Fence = Order.Fence;
+    auto SentAt = std::make_shared<net::BeginTime>();
+    Given_.push_back({SentAt, Sent});
     Ctx_.Workers.start(
-        *To, Order.Fence, Order,
-        [Self, Sent = std::move(Sent), SentAt](jobs::OrderResult Result) {
-          Self->Ctx_.Loop.post([Self, Sent, SentAt, Result] {
-            Self->onStartAnswered(Sent, Result, SentAt);
+        *To, Order.Fence, Order, SentAt,
+        [Self, Sent = std::move(Sent), GivenAt,
+         SentAt](jobs::OrderResult Result) {
+          Self->Ctx_.Loop.post([Self, Sent, GivenAt, SentAt, Result] {
+            Self->onStartAnswered(Sent, Result, GivenAt, SentAt);
           });
         });
   }
-  for (jobs::HoldOrder &Order : Orders.Holds)
-    if (const jobs::WorkerEntry *To = entryOf(Order.Worker))
-      Ctx_.Workers.report(*To, Order.Fence, Order,
-                          [Self, Order, SentAt](jobs::ReportResult Result) {
-                            Self->Ctx_.Loop.post([Self, Order, SentAt, Result] {
-                              Self->onReported(Order, Result, SentAt);
-                            });
+  for (jobs::HoldOrder &Order : Orders.Holds) {
+    const jobs::WorkerEntry *To = entryOf(Order.Worker);
+    if (!To)
+      continue;
+    auto SentAt = std::make_shared<net::BeginTime>();
+    Given_.push_back({SentAt, Order});
+    Ctx_.Workers.report(*To, Order.Fence, Order, SentAt,
+                        [Self, Order, GivenAt](jobs::ReportResult Result) {
+                          Self->Ctx_.Loop.post([Self, Order, GivenAt, Result] {
+                            Self->onReported(Order, Result, GivenAt);
                           });
+                        });
+  }
+}
+
+/// Tells the state which orders still wait to be sent and which have been sent
+/// since the last round. Those that were answered meanwhile don't matter.
+void PoolController::recordSending() {
+  std::erase_if(Given_, [this](GivenOrder &Given) {
+    std::shared_ptr<net::BeginTime> Mark = Given.SentAt.lock();
+    if (!Mark)
+      return true;
+    core::TimePoint SentAt = *Mark;
+    bool IsSent = SentAt != core::TimePoint();
+    if (IsSent || !Given.Waits)
+      std::visit(
+          [&](const auto &Order) {
+            State_.onSending(Order,
+                             IsSent ? std::optional(SentAt) : std::nullopt);
+          },
+          Given.Order);
+    Given.Waits = !IsSent;
+    return IsSent;
+  });
 }
 
 void PoolController::onReported(const jobs::HoldOrder &Order,
@@ -820,10 +850,14 @@
 
 void PoolController::onStartAnswered(const jobs::StartOrder &Order,
                                      const jobs::OrderResult &Result,
-                                     core::TimePoint SentAt) {
+                                     core::TimePoint GivenAt,
+                                     const SendMark &SentAt) {
   core::TimePoint Now = bootNow();
   --UnansweredStarts_;
-  jobs::recordAnswer(StartWindow_, Now - SentAt, Now);
+  jobs::recordAnswer(StartWindow_, Now - GivenAt, Now);
+  core::TimePoint At = *SentAt;
+  if (Result.Outcome == jobs::OrderOutcome::Unknown && At != core::TimePoint())
+    State_.onSending(Order, At);
   State_.onStart(Order, Result, Now);
   if (Result.Outcome != jobs::OrderOutcome::Accepted)
     logEvent("start_refused", {{"job", Order.Task.JobId},
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -105,10 +105,12 @@
   void logRestarts();
   void logCrashes();
   void send(jobs::Orders Orders);
+  void recordSending();
   void onReported(const jobs::HoldOrder &Order,
                   const jobs::ReportResult &Result, core::TimePoint SentAt);
   void onStartAnswered(const jobs::StartOrder &Order,
-                       const jobs::OrderResult &Result, core::TimePoint SentAt);
+                       const jobs::OrderResult &Result, core::TimePoint GivenAt,
+                       const SendMark &SentAt);
   void flush();
   jobs::ProgressBatch takeBatch();
   void sendNextPart();
@@ -179,6 +181,16 @@
   jobs::StartWindow StartWindow_;
   /// Starts that were sent and not answered.
   std::size_t UnansweredStarts_ = 0;
+  /// An order that was given and not known to be sent in the last planning
+  /// round.
+  struct GivenOrder {
+    /// Expires with the order's callback.
+    std::weak_ptr<net::BeginTime> SentAt;
+    std::variant<jobs::StartOrder, jobs::HoldOrder> Order;
+    /// The state knows that the order waits.
+    bool Waits = false;
+  };
+  std::vector<GivenOrder> Given_;
   /// The last planning pass left tasks waiting for \ref StartWindow_.
   bool StartsBounded_ = false;
 };
--- a/src/dispatch/Ports.h
+++ b/src/dispatch/Ports.h
@@ -2,7 +2,7 @@
 #define COMFREYDECK_DISPATCH_PORTS_H
 
 #include "jobs/PoolState.h"
-#include "net/Http.h"
+#include "net/HttpClient.h"
 #include "store/PartitionedStore.h"
 
 #include <functional>
@@ -30,19 +30,23 @@
 /// std::invalid_argument that names the fault.
 using DecodeJob = std::function<void(const std::string &, jobs::JobSpec &)>;
 
+/// Set by whoever sends an order when the sending begins; null if nobody wants
+/// to know. Before, the order waits in this process or in another entry.
+using SendMark = std::shared_ptr<net::BeginTime>;
+
 /// Sends orders to workers, which refuse one with a lower fence than they have
 /// seen. Thread-safe; each callback is called once, on any thread.
 class WorkerOrders {
 public:
   virtual ~WorkerOrders() = default;
   virtual void start(const jobs::WorkerEntry &To, std::uint64_t Fence,
-                     const jobs::StartOrder &Order,
+                     const jobs::StartOrder &Order, SendMark SentAt,
                      std::function<void(jobs::OrderResult)> Done) = 0;
   virtual void stop(const jobs::WorkerEntry &To, std::uint64_t Fence,
                     const jobs::StopOrder &Order,
                     std::function<void(jobs::OrderResult)> Done) = 0;
   virtual void report(const jobs::WorkerEntry &To, std::uint64_t Fence,
-                      const jobs::HoldOrder &Order,
+                      const jobs::HoldOrder &Order, SendMark SentAt,
                       std::function<void(jobs::ReportResult)> Done) = 0;
   /// Drops orders to the pool's workers that still wait to be sent, where there
   /// are any; their callbacks are called.
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -96,9 +96,10 @@
     bool Raise = false;
     for (const auto &[Job, Task] : W->Tasks)
       for (const LiveRun &Run : Job->Tasks[Task].Runs) {
-        if (Run.Worker != Id || Run.Confirmed || Run.SendAfter != 0)
+        if (Run.Worker != Id || Run.Confirmed || Run.SendAfter != 0 ||
+            Run.isWaiting())
           continue;
-        core::TimePoint OverdueAt = Run.OrderedAt + Limits_.StartOverdue;
+        core::TimePoint OverdueAt = Run.sentAt() + Limits_.StartOverdue;
         if (OverdueAt > In.Now)
           W->NextOverdueAt = std::min(W->NextOverdueAt, OverdueAt);
         else
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -28,6 +28,34 @@
 
 } // namespace
 
+void PoolState::onSending(const StartOrder &Order,
+                          std::optional<core::TimePoint> At) {
+  auto Known = Workers_.find(Order.Worker);
+  JobRecord *Job = jobOf(Order.Task.JobId);
+  if (Known == Workers_.end() || !Job)
+    return;
+  LiveRun *Run = findRun(*Job, indexOf(*Job, Order.Task), Order.Run);
+  if (!Run || Run->Confirmed)
+    return;
+  Run->SentAt = At.value_or(core::TimePoint::max());
+  if (!At)
+    return;
+  WorkerState &W = *Known->second;
+  W.NextOverdueAt =
+      std::min(W.NextOverdueAt, Run->sentAt() + Limits_.StartOverdue);
+}
+
+void PoolState::onSending(const HoldOrder &Order,
+                          std::optional<core::TimePoint> At) {
+  auto Known = Workers_.find(Order.Worker);
+  if (Known == Workers_.end())
+    return;
+  for (ReportRequest &R : Known->second->Requests)
+    if (R.Number == Order.Number)
+      R.OverdueAt = At ? *At + Order.Wait + Limits_.ReportOverdue
+                       : core::TimePoint::max();
+}
+
 void PoolState::onStart(const StartOrder &Order, const OrderResult &Result,
                         core::TimePoint Now) {
   Now_ = Now;
@@ -98,8 +126,8 @@
   if (Run.Fence == fenceOf(W))
     raiseFence(W);
   // A call that ended early was cut, perhaps by the worker's crash.
-  bool WasCut = Now - Run.OrderedAt < Limits_.StartOverdue;
-  if (!WasCut && W.ReportRequestedAt > Run.OrderedAt)
+  bool WasCut = Now - Run.sentAt() < Limits_.StartOverdue;
+  if (!WasCut && W.ReportRequestedAt > Run.sentAt())
     return;
   W.IncarnationConfirmed = false;
   W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -220,6 +220,9 @@
   /// Fence of its start.
   std::uint64_t Fence = 0;
   core::TimePoint OrderedAt;
+  /// When its start was sent, if that is known; the maximum while the start is
+  /// known to wait.
+  core::TimePoint SentAt;
   core::TimePoint ConfirmedAt;
   /// Earliest time to send the next stop order.
   core::TimePoint StopAt;
@@ -230,6 +233,13 @@
   RunPace Pace;
   std::uint32_t Percent = 0;
   double Load = 0;
+
+  /// Whether its start is known to wait to be sent.
+  bool isWaiting() const { return SentAt == core::TimePoint::max(); }
+  /// When its start was sent; when it was ordered if that is not known.
+  core::TimePoint sentAt() const {
+    return isWaiting() ? OrderedAt : std::max(OrderedAt, SentAt);
+  }
 };
 
 /// An incarnation that took the place of another one, for logs.
@@ -542,6 +552,11 @@
   /// an entry are unlimited.
   void setTeamRoom(std::map<std::string, core::Resources> Room);
 
+  /// Records when the order was sent; nothing if it waits to be sent and can't
+  /// be overdue. As long as nothing is recorded, it counts as sent when it was
+  /// planned.
+  void onSending(const StartOrder &Order, std::optional<core::TimePoint> At);
+  void onSending(const HoldOrder &Order, std::optional<core::TimePoint> At);
   void onStart(const StartOrder &Order, const OrderResult &Result,
                core::TimePoint Now);
   void onStop(const StopOrder &Order, const OrderResult &Result,
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -6,6 +6,7 @@
 #include "net/Http.h"
 
 #include <array>
+#include <atomic>
 #include <functional>
 #include <memory>
 
@@ -38,6 +39,10 @@
   std::uint64_t HandlerFailed = 0;
 };
 
+/// When something began, on the clock of \ref bootNow; the default value until
+/// then. Thread-safe.
+using BeginTime = std::atomic<core::TimePoint>;
+
 /// One request to send.
 struct HttpCall {
   std::string Method = "GET";
@@ -66,6 +71,9 @@
   /// call waits for its turn within TotalLimit. Zero: only
   /// HttpClientOptions::MaxCallsPerHost applies, which is never exceeded.
   std::size_t MaxCallsToHost = 0;
+  /// Set once the call has waited for its turn and its exchange begins; null if
+  /// nobody wants to know.
+  std::shared_ptr<BeginTime> BegunAt;
   /// For https: the client's certificate and the CA that it trusts.
   std::shared_ptr<const TlsIdentity> Tls;
   HttpTarget Target = HttpTarget::Other;
--- a/tests/jobs/LateOrders.h
+++ b/tests/jobs/LateOrders.h
@@ -21,6 +21,8 @@
   double FailingRuns = 0;
   /// Share of orders that the workers refuse without effect.
   double RefusedOrders = 0;
+  /// How long orders wait in the owner's entry before they are sent.
+  milliseconds SendDelay{0};
 };
 
 struct LateOrderResult {
@@ -37,6 +39,10 @@
   std::vector<double> TimesMs;
   /// Mean share of the workers by status, over the trouble.
   std::array<double, WorkerStatusCount> Workers{};
+  /// How often the owner raised a worker's fence in the whole play, and how
+  /// many reports it requested during the trouble.
+  std::uint32_t FencesRaised = 0;
+  std::uint32_t ReportsRequested = 0;
   /// Runs whose leases expired. No worker is out of reach, so that each could
   /// have been extended.
   std::uint32_t Lapsed = 0;
@@ -100,6 +106,9 @@
   void sendStart(const StartOrder &Order);
   void sendStop(const StopOrder &Order);
   void sendHold(const HoldOrder &Order);
+  template <typename Order>
+  void give(const Order &Given, std::function<void()> Send,
+            std::function<void()> Withhold);
   void call(const std::string &Id, std::function<void()> Send,
             std::function<void()> Withhold);
   void endCall(Worker &W);
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -264,6 +264,77 @@
   }
 }
 
+// It counted as overdue from its planning, so that an owner with more orders
+// than it could send raised fences for its own delay.
+TEST_CASE(
+    "a start that waits to be sent is not overdue before it has been sent "
+    "and its answer is missing") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.report(holdFor(B.plan(), "w1"));
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  const StartOrder &Start = Out.Starts[0];
+  B.report(holdFor(Out, "w1"));
+  HoldOrder InFlight = holdFor(B.plan(), "w1");
+  REQUIRE(InFlight.Fence == Start.Fence);
+  B.Owner.onSending(Start, std::nullopt);
+  B.advance(milliseconds(400));
+  CHECK(B.plan().Holds.empty());
+  SUBCASE("it is sent and has no answer") {
+    B.Owner.onSending(Start, B.Now);
+    B.advance(milliseconds(200));
+    CHECK(B.plan().Holds.empty());
+    B.advance(milliseconds(100));
+    CHECK(holdFor(B.plan(), "w1").Fence > Start.Fence);
+  }
+  SUBCASE("it was sent a while ago") {
+    B.Owner.onSending(Start, B.Now - milliseconds(300));
+    CHECK(holdFor(B.plan(), "w1").Fence > Start.Fence);
+  }
+  SUBCASE("it was sent, and its call is cut at once") {
+    B.Owner.onSending(Start, B.Now);
+    B.report(InFlight);
+    B.advance(milliseconds(100));
+    B.answer(Start, OrderOutcome::Unknown);
+    // The worker may have crashed, however long the start had waited.
+    CHECK_FALSE(B.Owner.workers().at("w1")->IncarnationConfirmed);
+    CHECK(holdFor(B.plan(), "w1").Fence > Start.Fence);
+  }
+  SUBCASE("its call ends, and it is not known whether it was sent") {
+    B.answer(Start, OrderOutcome::Unknown);
+    HoldOrder Raised = holdFor(B.plan(), "w1");
+    CHECK(Raised.Fence > Start.Fence);
+    B.advance(milliseconds(1000));
+    B.report(Raised);
+    CHECK(B.plan().Starts.size() == 1);
+  }
+}
+
+TEST_CASE("a report request that waits to be sent is not overdue before it has "
+          "been sent and its report is missing") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  HoldOrder First = holdFor(B.plan(), "w1");
+  REQUIRE(First.Number == 1);
+  B.Owner.onSending(First, std::nullopt);
+  B.advance(milliseconds(400));
+  CHECK(B.plan().Holds.empty());
+  SUBCASE("it is sent and has no answer") {
+    B.Owner.onSending(First, B.Now);
+    B.advance(milliseconds(200));
+    CHECK(B.plan().Holds.empty());
+    B.advance(milliseconds(60));
+    CHECK(holdFor(B.plan(), "w1").Number == 2);
+  }
+  SUBCASE("its call ends, and it is not known whether it was sent") {
+    B.dropReport(First);
+    B.advance(milliseconds(300));
+    CHECK(holdFor(B.plan(), "w1").Number == 2);
+  }
+}
+
 TEST_CASE("an order that the worker refuses since its owner has raised the "
           "fence does not end the ownership") {
   OwnerFixture B;
--- a/tests/net/BurstTest.cpp
+++ b/tests/net/BurstTest.cpp
@@ -1,4 +1,6 @@
 #include "net/HttpClient.h"
+
+#include "net/Loop.h"
 #include "standins/LoopbackServers.h"
 
 #include <doctest/doctest.h>
@@ -129,6 +131,29 @@
   Report.waitFor(1);
 }
 
+TEST_CASE("a call that waits for its turn is told from one that has begun") {
+  standins::LoopbackServers Servers(1);
+  net::HttpClientOptions Options;
+  Options.MaxCallsPerHost = 1;
+  net::HttpClient Client(Options);
+  constexpr std::size_t DelayMs = 200;
+  auto FirstAt = std::make_shared<net::BeginTime>();
+  auto SecondAt = std::make_shared<net::BeginTime>();
+  Ends First;
+  Ends Second;
+  core::TimePoint Begin = net::bootNow();
+  net::HttpCall Call = callTo(Servers.address(0), LongLimit, DelayMs);
+  Call.BegunAt = FirstAt;
+  Client.send(std::move(Call), First.counter());
+  Call = callTo(Servers.address(0), LongLimit);
+  Call.BegunAt = SecondAt;
+  Client.send(std::move(Call), Second.counter());
+  Second.waitFor(1);
+  CHECK(FirstAt->load() >= Begin);
+  CHECK(SecondAt->load() >=
+        FirstAt->load() + std::chrono::milliseconds(DelayMs));
+}
+
 TEST_CASE("a call that waits for a connection ends unsent at its time limit") {
   standins::LoopbackServers Servers(1);
   net::HttpClientOptions Options;
--- a/tools/orders.cpp
+++ b/tools/orders.cpp
@@ -104,7 +104,7 @@
       Order.Run = Number + 1;
       Order.Payload = std::string(200, 'x');
       Order.DeadlineMs = 486000;
-      Workers_.start(To, Token, Order, Done);
+      Workers_.start(To, Token, Order, nullptr, Done);
       return;
     }
     jobs::HoldOrder Order;
@@ -112,7 +112,7 @@
     Order.DeadlineMs = 486000;
     Order.AcknowledgeUpTo = 57;
     Order.Wait = std::chrono::milliseconds(800);
-    Workers_.report(To, Token, Order, Done);
+    Workers_.report(To, Token, Order, nullptr, Done);
   }
 
   jobs::WorkerEntry Entry_;
