--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -75,6 +75,10 @@
     for (const LiveRun &Run : Job->Tasks[Task].Runs)
       if (Run.Worker == W.Entry.Id && Run.SendAfter == 0 && !Run.Confirmed) {
         W.LostStarts.push_back({Run.Fence, Run.OrderedAt + Limits_.LateOrder});
+        Job->LateStartsUntil =
+            std::max(Job->LateStartsUntil,
+                     latestLeaseEnd(Run.OrderedAt + Limits_.LateOrder,
+                                    Limits_.MaxLease));
         Raise = Raise || Run.Fence == fenceOf(W);
       }
   if (Raise)
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -51,7 +51,6 @@
   Open_.back()->OpenIndex = Job.OpenIndex;
   Open_[Job.OpenIndex] = Open_.back();
   Open_.pop_back();
-  Job.EndedAt = Now_;
   Finished_.insert({Job.Spec.AcceptedMs, &Job});
 }
 
@@ -146,12 +145,8 @@
     bool HasRuns =
         std::any_of(Job.Tasks.begin(), Job.Tasks.end(),
                     [](const TaskState &T) { return !T.Runs.empty(); });
-    // A start without an answer may still be carried out, and then has to be
-    // stopped.
-    bool MayStillStart =
-        Now_ - Job.EndedAt < Limits_.LateOrder + Limits_.MaxLease;
     if (!isFinal(Job.Stored) || Job.FirstChange != 0 || Job.SetAside ||
-        HasRuns || MayStillStart) {
+        HasRuns || Now_ < Job.LateStartsUntil) {
       ++It;
       continue;
     }
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -320,8 +320,9 @@
   JobState Stored = JobState::Queued;
   bool Started = false;
   core::TimePoint KnownSince;
-  /// When it ended under this owner.
-  core::TimePoint EndedAt;
+  /// Until then, a start that was given up without an answer may still be
+  /// carried out, or its run may last.
+  core::TimePoint LateStartsUntil;
   /// An earlier owner may have started it.
   bool Inherited = false;
   /// Number of its first change that is not in a batch yet; zero if there is
