Acknowledge each end to a worker only until a report has answered

Callers would see a task run again after it had ended done (TWICE).

Cause, traced: each request for a report repeated the number of the last stored end. The worker, told before to forget 7 ends, restarted within 0.3 s, unseen by its owner, ran a task to its end 1, and got the next request with the number 7: it forgot that end, which the owner had not seen.

Change: an end is acknowledged until a request with its number has been answered with a report, and not again. An answer to a request that was sent before the present incarnation was known tells nothing of that incarnation's ends: before, it would now have kept its first ends from being acknowledged.

The first new test failed before the change (1 was repeated).

--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -154,8 +154,11 @@
   bool Extend = MayExtend && In.Now - W.ReportedAt < Limits_.ReportStale;
   Hold.DeadlineMs = Extend ? leaseFor(W, In) : 0;
   // A new incarnation numbers its ends from one again: acknowledging by the
-  // old numbers would make it discard unprocessed ends.
-  Hold.AcknowledgeUpTo = W.IncarnationConfirmed ? W.StoredUpTo : 0;
+  // old numbers, or repeating one after a restart that is not known of yet,
+  // would make it discard unprocessed ends.
+  bool Acknowledge =
+      W.IncarnationConfirmed && W.StoredUpTo > W.AcknowledgedUpTo;
+  Hold.AcknowledgeUpTo = Acknowledge ? W.StoredUpTo : 0;
   bool MayWait = W.IncarnationConfirmed && !W.Tasks.empty() && !W.FenceRaised &&
                  !W.ReportWanted;
   core::Duration Wait =
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -223,7 +223,10 @@
   }
   W.LastReportClockMs = Report.ClockMs;
   W.StartsSinceReport = 0;
-  W.AcknowledgedUpTo = std::max(W.AcknowledgedUpTo, Order.AcknowledgeUpTo);
+  // An order sent before this incarnation was known has an earlier one's
+  // number.
+  if (SentAt > W.BornKnownAt)
+    W.AcknowledgedUpTo = std::max(W.AcknowledgedUpTo, Order.AcknowledgeUpTo);
   W.NextHold = Report.Ended.empty() ? Now : Now + Limits_.ReportPause;
   for (const EndReport &End : Report.Ended)
     if (End.Number > W.ProcessedUpTo)
--- a/tests/jobs/PoolSimulationTest.cpp
+++ b/tests/jobs/PoolSimulationTest.cpp
@@ -198,6 +198,16 @@
   }
 }
 
+TEST_CASE("no task starts after its end was acknowledged in a history in which "
+          "a worker restarted unseen") {
+  SimulationOptions Options;
+  Options.Seed = 20271536;
+  Options.RowsLag = true;
+  Options.LateReports = true;
+  Options.EntriesDisappear = true;
+  CHECK(PoolSimulation(Options).simulate().Fault == "");
+}
+
 // Listed in KNOWN-RED.txt.
 TEST_CASE("no task runs twice at the same time in histories in which a row of "
           "an earlier incarnation appears after that of a later one") {
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -1486,6 +1486,83 @@
   CHECK(B.planConfirmed(ConfirmedAt).Starts.size() == 1);
 }
 
+// The repeated number made a worker that had restarted unseen forget an end.
+TEST_CASE("an end that a worker has been told to forget is not acknowledged "
+          "again") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.report(holdFor(B.plan(), "w1"));
+  B.Owner.addJob(sampleJob(1), B.Now);
+  B.Owner.addJob(sampleJob(2), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 2);
+  for (const StartOrder &Start : Out.Starts)
+    B.answer(Start, OrderOutcome::Accepted);
+  B.advance(milliseconds(100));
+  const StartOrder &Ended = Out.Starts[0];
+  RunReport Running = runReportOf(Out.Starts[1], 10);
+  B.report("w1", {Running},
+           {endReportOf(1, Ended.Task, Ended.Run, RunEnd::Done)});
+  ProgressBatch Batch = B.Owner.takeChanges(10);
+  B.Owner.onStored(Batch.Mark);
+  B.advance(milliseconds(100));
+  HoldOrder Lost = holdFor(B.plan(), "w1");
+  CHECK(Lost.AcknowledgeUpTo == 1);
+  B.dropReport(Lost);
+  B.advance(milliseconds(300));
+  B.report(holdFor(B.plan(), "w1"), {Running});
+  B.advance(milliseconds(100));
+  HoldOrder Answered = holdFor(B.plan(), "w1");
+  CHECK(Answered.AcknowledgeUpTo == 1);
+  B.report(Answered, {Running});
+  B.advance(milliseconds(100));
+  HoldOrder Next = holdFor(B.plan(), "w1");
+  REQUIRE(Next.Worker == "w1");
+  CHECK(Next.AcknowledgeUpTo == 0);
+}
+
+TEST_CASE("ends of a worker's next incarnation are acknowledged though it has "
+          "answered the acknowledgement of an earlier one's") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.report(holdFor(B.plan(), "w1"));
+  B.Owner.addJob(sampleJob(1), B.Now);
+  B.Owner.addJob(sampleJob(2), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 2);
+  B.advance(milliseconds(100));
+  std::vector<EndReport> Ends;
+  for (const StartOrder &Start : Out.Starts) {
+    B.answer(Start, OrderOutcome::Accepted);
+    Ends.push_back(
+        endReportOf(Ends.size() + 1, Start.Task, Start.Run, RunEnd::Done));
+  }
+  B.report("w1", {}, Ends);
+  B.Owner.onStored(B.Owner.takeChanges(10).Mark);
+  B.advance(milliseconds(100));
+  HoldOrder Earlier = holdFor(B.plan(), "w1");
+  REQUIRE(Earlier.AcknowledgeUpTo == 2);
+  core::TimePoint SentAt = B.Now;
+  B.advance(milliseconds(100));
+  ReportResult Answer;
+  Answer.Outcome = OrderOutcome::Accepted;
+  Answer.Report = {1, 2, {}, {}};
+  B.Owner.onReport(Earlier, Answer, SentAt, B.Now);
+  B.Owner.addJob(sampleJob(3), B.Now);
+  B.advance(milliseconds(100));
+  StartOrder Start = B.plan().Starts.at(0);
+  B.advance(milliseconds(100));
+  B.answer(Start, OrderOutcome::Accepted);
+  Answer.Report = {
+      301, 2, {}, {endReportOf(1, Start.Task, Start.Run, RunEnd::Done)}};
+  HoldOrder Any;
+  Any.Worker = "w1";
+  B.Owner.onReport(Any, Answer, B.Now, B.Now);
+  B.Owner.onStored(B.Owner.takeChanges(10).Mark);
+  B.advance(milliseconds(100));
+  CHECK(holdFor(B.plan(), "w1").AcknowledgeUpTo == 1);
+}
+
 TEST_CASE("an owner cut off from the store doesn't wait for a report that a "
           "worker may delay before it starts a task there") {
   OwnerFixture B;
