Repeat a batch of progress without an answer while it is open

Cause: a pool has one batch under way, and one without an answer held it for the time limit of 1,500 ms and a pause, whatever the usual answer time. Change: the same write, with the same conditions, is sent again beside the open one after five usual answer times, at least 60 ms and at most 600 ms, then after twice that and twice again. The chain row lets one of them apply at most. Further attempts come one at a time with a longer limit, so that an outage of ten seconds or more without any answer costs no more calls than before.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -28,8 +28,6 @@
 constexpr milliseconds AsideRetry(3000);
 /// Batches the ends of several tasks into one write.
 constexpr milliseconds FlushDelay(20);
-/// Time limit of a write; bounds how long a lost answer goes unnoticed.
-constexpr milliseconds StoreTimeout(1500);
 /// A transaction takes 100 entries; two are conditions, one is the chain row
 /// and some are further rows of large jobs.
 constexpr std::size_t BatchRows = 80;
@@ -866,10 +864,11 @@
 /// Sends the next part of the batch; once there is none left, confirms it.
 void PoolController::sendNextPart() {
   if (!Parts_.empty()) {
-    auto Part =
-        std::make_shared<jobs::ProgressBatch>(std::move(Parts_.front()));
+    auto Write = std::make_shared<BatchWrite>();
+    Write->Batch = std::move(Parts_.front());
+    Write->Since = bootNow();
     Parts_.pop_front();
-    sendBatch(std::move(Part), false);
+    sendBatch(Write);
     return;
   }
   State_.onStored(BatchMark_);
@@ -881,8 +880,10 @@
   });
 }
 
-void PoolController::sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch,
-                               bool Again) {
+/// Sends the next attempt of the write. All attempts have the same conditions
+/// and rows, so that one of them applies at most, and none after a newer batch.
+void PoolController::sendBatch(const std::shared_ptr<BatchWrite> &Write) {
+  const jobs::ProgressBatch &Batch = Write->Batch;
   store::PartTransaction T;
   store::PartKey Chain = {rows::Progress, Part_, rows::ChainKey};
   T.Conditions = {{{rows::Control, Part_, rows::OwnerKey}, State_.token()},
@@ -890,31 +891,52 @@
   T.Puts.push_back({Chain, ""});
   std::size_t RowBytes = Ctx_.Settings.StoreRowBytes;
   std::size_t BytesLeft = RowBytes * MaxFurtherRows;
-  for (const jobs::ProgressWrite &Write : Batch->Writes) {
+  for (const jobs::ProgressWrite &Job : Batch.Writes) {
     std::vector<std::string> Rows =
-        codec::encodeProgressRows(Write.Progress, RowBytes, BytesLeft);
+        codec::encodeProgressRows(Job.Progress, RowBytes, BytesLeft);
     for (std::size_t N = 0; N < Rows.size(); ++N) {
       BytesLeft -= std::min(BytesLeft, Rows[N].size());
       T.Puts.push_back(
-          {{rows::Progress, Part_, rows::progressKey(Write.JobId, N)},
+          {{rows::Progress, Part_, rows::progressKey(Job.JobId, N)},
            std::move(Rows[N])});
     }
   }
-  for (const jobs::WorkerEntry &Entry : Batch->Enrolled)
+  for (const jobs::WorkerEntry &Entry : Batch.Enrolled)
     T.Puts.push_back({{rows::Progress, Part_, rows::RosterPrefix + Entry.Id},
                       codec::encodeRosterRow(Entry)});
-  if (Batch->Settled)
+  if (Batch.Settled)
     T.Puts.push_back({{rows::Progress, Part_, rows::SettledKey},
                       std::to_string(State_.token())});
-  for (const std::string &Id : Batch->Unenrolled)
+  for (const std::string &Id : Batch.Unenrolled)
     T.Removals.push_back({rows::Progress, Part_, rows::RosterPrefix + Id});
+  recordAttempt(Write->Attempts);
+  core::TimePoint SentAt = bootNow();
   auto Self = shared_from_this();
   Ctx_.Store.commit(
-      std::move(T), StoreTimeout, [Self, Batch, Again](PartAnswer Answer) {
-        Self->Ctx_.Loop.post([Self, Batch, Again, Answer = std::move(Answer)] {
-          Self->onBatchStored(Batch, Answer, Again);
+      std::move(T), attemptLimit(Write->Attempts.Sent),
+      [Self, Write, SentAt](PartAnswer Answer) {
+        Self->Ctx_.Loop.post([Self, Write, SentAt, Answer = std::move(Answer)] {
+          Self->onBatchAnswered(Write, Answer, bootNow() - SentAt);
         });
       });
+  if (auto Pause = pauseBeforeRepeat(StorePace_, Write->Attempts.Sent))
+    repeatBatch(Write, *Pause, true);
+}
+
+/// Sends the next attempt after the pause, unless the write is settled or
+/// another attempt was sent by then. \p BesideOpen says whether it is for the
+/// case that an attempt is still open then or for the case that none is.
+void PoolController::repeatBatch(const std::shared_ptr<BatchWrite> &Write,
+                                 core::Duration Pause, bool BesideOpen) {
+  Ctx_.Loop.after(Pause, [Self = shared_from_this(), Write, BesideOpen,
+                          Sent = Write->Attempts.Sent] {
+    const RepeatedWrite &Attempts = Write->Attempts;
+    if (Self->Dropped_ || Attempts.Settled || Attempts.Sent != Sent ||
+        (Attempts.Open > 0) != BesideOpen)
+      return;
+    Self->Ctx_.Count.recordRetry("store-progress");
+    Self->sendBatch(Write);
+  });
 }
 
 /// Logs one line for each job that ended, with the number of failed runs and
@@ -943,13 +965,29 @@
   }
 }
 
-void PoolController::onBatchStored(
-    const std::shared_ptr<jobs::ProgressBatch> &Batch, const PartAnswer &Answer,
-    bool Again) {
+void PoolController::onBatchAnswered(const std::shared_ptr<BatchWrite> &Write,
+                                     const PartAnswer &Answer,
+                                     core::Duration Took) {
+  if (Answer.Outcome == PartOutcome::Ok ||
+      Answer.Outcome == PartOutcome::Conflict)
+    recordAnswer(StorePace_, Took);
+  WriteStep Step = takeAnswer(Write->Attempts, Answer);
   if (Dropped_)
     return;
-  bool Applied = Answer.Outcome == PartOutcome::Ok;
-  if (Applied)
+  if (Step == WriteStep::Settle)
+    onBatchSettled(*Write, Answer);
+  else if (Step == WriteStep::Retry)
+    repeatBatch(Write, StoreRetry, false);
+}
+
+void PoolController::onBatchSettled(const BatchWrite &Write,
+                                    const PartAnswer &Answer) {
+  const jobs::ProgressBatch &Batch = Write.Batch;
+  if (Answer.Permanent) {
+    onBatchRefused(Batch, Answer, Write.Attempts.Unsure);
+    return;
+  }
+  if (Answer.Outcome == PartOutcome::Ok)
     ChainVersion_ = Answer.Version;
   if (Answer.Outcome == PartOutcome::Conflict) {
     std::uint64_t Owner = 0;
@@ -958,29 +996,14 @@
       (Row.Where.Key == rows::OwnerKey ? Owner : Chain) = Row.Version;
     // Only this owner writes the chain row, so an earlier attempt has applied
     // that was not answered.
-    Applied = Owner == State_.token() && Chain > ChainVersion_;
-    if (!Applied) {
+    if (Owner != State_.token() || Chain <= ChainVersion_) {
       loseOwnership("owner row changed");
       return;
     }
     ChainVersion_ = Chain;
   }
-  if (!Applied && Answer.Permanent) {
-    onBatchRefused(*Batch, Answer, Again);
-    return;
-  }
-  if (!Applied) {
-    Ctx_.Count.recordRetry("store-progress");
-    bool Unsure = Again || Answer.Outcome == PartOutcome::Unknown;
-    auto Self = shared_from_this();
-    Ctx_.Loop.after(StoreRetry, [Self, Batch, Unsure] {
-      if (!Self->Dropped_)
-        Self->sendBatch(Batch, Unsure);
-    });
-    return;
-  }
-  ChainAccepted_ = ChainAccepted_ || Batch->isEmpty();
-  logEnded(*Batch, Answer.Version);
+  ChainAccepted_ = ChainAccepted_ || Batch.isEmpty();
+  logEnded(Batch, Answer.Version);
   sendNextPart();
 }
 
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -5,6 +5,7 @@
 #include "dispatch/FleetView.h"
 #include "dispatch/JobTableReader.h"
 #include "dispatch/PoolMonitor.h"
+#include "dispatch/WriteRepeats.h"
 #include "jobs/OwnerPace.h"
 
 #include <deque>
@@ -112,9 +113,18 @@
   void flush();
   jobs::ProgressBatch takeBatch();
   void sendNextPart();
-  void sendBatch(std::shared_ptr<jobs::ProgressBatch> Batch, bool Again);
-  void onBatchStored(const std::shared_ptr<jobs::ProgressBatch> &Batch,
-                     const store::PartAnswer &Answer, bool Again);
+  /// A batch, or a part of one, that is being stored.
+  struct BatchWrite {
+    jobs::ProgressBatch Batch;
+    RepeatedWrite Attempts;
+    core::TimePoint Since;
+  };
+  void sendBatch(const std::shared_ptr<BatchWrite> &Write);
+  void repeatBatch(const std::shared_ptr<BatchWrite> &Write,
+                   core::Duration Pause, bool BesideOpen);
+  void onBatchAnswered(const std::shared_ptr<BatchWrite> &Write,
+                       const store::PartAnswer &Answer, core::Duration Took);
+  void onBatchSettled(const BatchWrite &Write, const store::PartAnswer &Answer);
   void onBatchRefused(const jobs::ProgressBatch &Batch,
                       const store::PartAnswer &Answer, bool Again);
   void setAside(const jobs::ProgressBatch &Row,
@@ -169,6 +179,7 @@
   /// Parts of that batch that are still to be stored; an empty one writes only
   /// the chain row.
   std::deque<jobs::ProgressBatch> Parts_;
+  AnswerPace StorePace_;
   /// The store has accepted a write of the chain row alone since it refused
   /// that batch.
   bool ChainAccepted_ = false;
--- /dev/null
+++ b/src/dispatch/WriteRepeats.cpp
@@ -0,0 +1,74 @@
+#include "dispatch/WriteRepeats.h"
+
+#include <algorithm>
+
+namespace comfreydeck::dispatch {
+
+using std::chrono::milliseconds;
+using store::PartOutcome;
+
+namespace {
+
+/// Bounds of the pause before the first repetition.
+constexpr core::Duration LeastPause = milliseconds(60);
+constexpr core::Duration MostPause = milliseconds(600);
+/// The first pause as a multiple of the usual time of an answer.
+constexpr int PausePerAnswer = 5;
+/// Growth of each further pause.
+constexpr int PauseGrowth = 2;
+/// Attempts of which each is sent while those before it may be open.
+constexpr std::size_t EarlyAttempts = 4;
+/// Time limit of an attempt; bounds how long a lost answer goes unnoticed.
+constexpr core::Duration StoreTimeout = milliseconds(1500);
+/// Time limit once the early attempts are used up. Makes up for their calls if
+/// nothing is answered.
+constexpr core::Duration LongStoreTimeout = milliseconds(2280);
+/// The share by which a quicker answer changes the usual time.
+constexpr int PaceFall = 16;
+
+} // namespace
+
+void recordAnswer(AnswerPace &Pace, core::Duration Took) {
+  if (Took >= Pace.Usual)
+    Pace.Usual = Took;
+  else
+    Pace.Usual -= (Pace.Usual - Took) / PaceFall;
+}
+
+std::optional<core::Duration> pauseBeforeRepeat(const AnswerPace &Pace,
+                                                std::size_t Sent) {
+  if (Sent >= EarlyAttempts)
+    return std::nullopt;
+  core::Duration Pause = MostPause;
+  if (Pace.Usual > core::Duration::zero())
+    Pause = std::clamp(Pace.Usual * PausePerAnswer, LeastPause, MostPause);
+  for (std::size_t N = 1; N < Sent; ++N)
+    Pause *= PauseGrowth;
+  return Pause;
+}
+
+core::Duration attemptLimit(std::size_t Sent) {
+  return Sent < EarlyAttempts ? StoreTimeout : LongStoreTimeout;
+}
+
+void recordAttempt(RepeatedWrite &Write) {
+  ++Write.Sent;
+  ++Write.Open;
+}
+
+WriteStep takeAnswer(RepeatedWrite &Write, const store::PartAnswer &Answer) {
+  --Write.Open;
+  if (Write.Settled)
+    return WriteStep::Ignore;
+  bool Known = Answer.Outcome == PartOutcome::Ok ||
+               Answer.Outcome == PartOutcome::Conflict;
+  Write.Unsure = Write.Unsure || Answer.Outcome == PartOutcome::Unknown;
+  if (Known || Answer.Permanent) {
+    Write.Settled = true;
+    Write.Unsure = Write.Unsure || Write.Open > 0;
+    return WriteStep::Settle;
+  }
+  return Write.Open > 0 ? WriteStep::Wait : WriteStep::Retry;
+}
+
+} // namespace comfreydeck::dispatch
--- /dev/null
+++ b/src/dispatch/WriteRepeats.h
@@ -0,0 +1,64 @@
+#ifndef COMFREYDECK_DISPATCH_WRITEREPEATS_H
+#define COMFREYDECK_DISPATCH_WRITEREPEATS_H
+
+#include "store/PartitionedStore.h"
+
+#include <cstddef>
+#include <optional>
+
+/// Decides when a write without an answer is sent again while earlier attempts
+/// are open. Only for writes whose conditions let one attempt apply at most.
+namespace comfreydeck::dispatch {
+
+/// How long the store takes to answer writes. Rises with a slower answer at
+/// once and falls slowly, so that a store that slows down gets few repetitions.
+struct AnswerPace {
+  /// Zero as long as there was no answer.
+  core::Duration Usual{0};
+};
+
+/// Adds an answer that came \p Took after its attempt was sent, also if another
+/// attempt has settled the write.
+void recordAnswer(AnswerPace &Pace, core::Duration Took);
+
+/// Pause after the attempt number \p Sent (from 1) of a write, after which the
+/// next one is sent beside it. Empty: the next one is sent only once none is
+/// open, so that a store that answers nothing gets no more calls.
+std::optional<core::Duration> pauseBeforeRepeat(const AnswerPace &Pace,
+                                                std::size_t Sent);
+
+/// Time limit of the attempt number \p Sent (from 1).
+core::Duration attemptLimit(std::size_t Sent);
+
+/// A write of which several attempts may be open.
+struct RepeatedWrite {
+  std::size_t Sent = 0;
+  std::size_t Open = 0;
+  /// An attempt that has ended may have been applied, or may be later.
+  bool Unsure = false;
+  /// What became of the write is known; later answers mean nothing.
+  bool Settled = false;
+};
+
+enum class WriteStep : std::uint8_t {
+  /// The answer says what became of the write.
+  Settle,
+  /// Another attempt may still be answered.
+  Wait,
+  /// No attempt is open.
+  Retry,
+  /// The write was settled before.
+  Ignore,
+};
+
+/// Records that the next attempt is sent.
+void recordAttempt(RepeatedWrite &Write);
+
+/// Records the answer to one attempt, and returns what follows. A refusal for
+/// good settles the write too: with \ref RepeatedWrite::Unsure set, an attempt
+/// without an answer may still apply.
+WriteStep takeAnswer(RepeatedWrite &Write, const store::PartAnswer &Answer);
+
+} // namespace comfreydeck::dispatch
+
+#endif // COMFREYDECK_DISPATCH_WRITEREPEATS_H
--- a/tests/dispatch/InMemoryStore.h
+++ b/tests/dispatch/InMemoryStore.h
@@ -1,9 +1,11 @@
 #ifndef COMFREYDECK_TESTS_DISPATCH_INMEMORYSTORE_H
 #define COMFREYDECK_TESTS_DISPATCH_INMEMORYSTORE_H
 
+#include "net/Loop.h"
 #include "store/PartitionedStore.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -12,6 +14,27 @@
 
 namespace comfreydeck::tests {
 
+enum class CommitFate : std::uint8_t {
+  Answered,
+  /// Done at once and not answered.
+  Done,
+  /// Done later, if its conditions hold then, and not answered.
+  Late,
+  /// Neither done nor answered.
+  NotDone,
+};
+
+struct LostCommits {
+  std::uint32_t Commits = 0;
+  std::uint32_t Unanswered = 0;
+  /// Commits with the conditions of one that had no answer and whose time limit
+  /// had not passed.
+  std::uint32_t RepeatedWhileOpen = 0;
+  /// Late commits whose conditions held, and those whose did not.
+  std::uint32_t LateApplied = 0;
+  std::uint32_t LateRefused = 0;
+};
+
 /// A store in memory that answers immediately and refuses for good what the
 /// platform's store refuses as too long. Never answers a long poll for
 /// changes if there are none. Thread-safe.
@@ -73,8 +96,28 @@
     Repeated_ = {{Owner, "", OwnerVersion, false}, {Chain, "", 0, false}};
   }
 
-  void commit(store::PartTransaction T, core::Duration,
+  /// From now on, commits are subject to their conditions, except for those on
+  /// rows of owners, and \p FateOf decides what becomes of each by its number
+  /// (from 0). \p Loop must outlive all calls.
+  void loseCommits(net::Loop &Loop,
+                   std::function<CommitFate(std::uint32_t)> FateOf) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Loop_ = &Loop;
+    FateOf_ = std::move(FateOf);
+    Lost_ = {};
+  }
+  /// Counts since the last call of \ref loseCommits.
+  LostCommits lostCommits() const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return Lost_;
+  }
+
+  void commit(store::PartTransaction T, core::Duration Limit,
               store::PartCallback Done) override {
+    if (isLosing()) {
+      commitOrLose(std::move(T), Limit, std::move(Done));
+      return;
+    }
     if (isTooLong(T) || isRefused(T)) {
       store::PartAnswer Refusal;
       Refusal.Permanent = true;
@@ -118,6 +161,75 @@
   }
 
 private:
+  bool isLosing() const {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return FateOf_ != nullptr;
+  }
+  void commitOrLose(store::PartTransaction T, core::Duration Limit,
+                    store::PartCallback Done) {
+    constexpr std::chrono::milliseconds LateBy(700);
+    CommitFate Fate = CommitFate::Answered;
+    std::uint64_t Key = 0;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      Fate = FateOf_(Lost_.Commits++);
+      for (const store::PartCondition &Condition : T.Conditions)
+        if (Condition.Where.Table != "control")
+          Key = Condition.Version;
+      Lost_.RepeatedWhileOpen += Open_.count(Key) != 0 ? 1 : 0;
+      if (Fate != CommitFate::Answered) {
+        ++Lost_.Unanswered;
+        Open_.insert(Key);
+      }
+    }
+    if (Fate == CommitFate::Answered) {
+      Done(apply(T));
+      return;
+    }
+    if (Fate == CommitFate::Done)
+      apply(T);
+    if (Fate == CommitFate::Late)
+      Loop_->after(LateBy, [this, T = std::move(T)] {
+        bool Applied = apply(T).Outcome == store::PartOutcome::Ok;
+        std::lock_guard<std::mutex> Lock(Mutex_);
+        ++(Applied ? Lost_.LateApplied : Lost_.LateRefused);
+      });
+    Loop_->after(Limit, [this, Key, Done = std::move(Done)] {
+      {
+        std::lock_guard<std::mutex> Lock(Mutex_);
+        Open_.erase(Open_.find(Key));
+      }
+      store::PartAnswer Answer;
+      Answer.Outcome = store::PartOutcome::Unknown;
+      Done(Answer);
+    });
+  }
+  /// Applies the transaction as the platform's store does, with one version for
+  /// all rows.
+  store::PartAnswer apply(const store::PartTransaction &T) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    store::PartAnswer Answer;
+    Answer.Outcome = store::PartOutcome::Ok;
+    for (const store::PartCondition &Condition : T.Conditions) {
+      auto It = Rows_.find(Condition.Where);
+      bool IsThere = It != Rows_.end() && !It->second.Removed;
+      std::uint64_t Version = IsThere ? It->second.Version : 0;
+      if (Condition.Where.Table == "control")
+        Version = Condition.Version;
+      if (Version != Condition.Version)
+        Answer.Outcome = store::PartOutcome::Conflict;
+      Answer.Rows.push_back({Condition.Where, "", Version, false});
+    }
+    if (Answer.Outcome == store::PartOutcome::Ok) {
+      ++Version_;
+      for (const store::PartWrite &Put : T.Puts)
+        Rows_[Put.Where] = {Put.Where, Put.Value, Version_, false};
+      for (const store::PartKey &Key : T.Removals)
+        Rows_[Key] = {Key, "", Version_, true};
+    }
+    Answer.Version = Version_;
+    return Answer;
+  }
   static bool isTooLong(const store::PartTransaction &T) {
     constexpr std::size_t MaxRowBytes = 65536;
     constexpr std::size_t MaxTransactionBytes = 1000000;
@@ -177,6 +289,11 @@
   std::set<store::PartKey> Refused_;
   std::uint32_t RefusedCommits_ = 0;
   std::vector<store::PartRow> Repeated_;
+  net::Loop *Loop_ = nullptr;
+  std::function<CommitFate(std::uint32_t)> FateOf_;
+  LostCommits Lost_;
+  /// Versions in the conditions of commits that are not answered yet.
+  std::multiset<std::uint64_t> Open_;
   std::uint64_t Version_ = 0;
   std::uint32_t ReadCount_ = 0;
 };
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -479,3 +479,114 @@
   CHECK(Jobs.metrics().find("comfreydeck_job_refused_rows_total{") ==
         std::string::npos);
 }
+
+namespace {
+
+/// The owner of a pool on a store that loses commits.
+struct LossMeasure {
+  static constexpr std::uint32_t Rounds = 12;
+  ControllerFixture B;
+  std::vector<core::Duration> Ends;
+  std::vector<core::Duration> Enrolments;
+
+  explicit LossMeasure(const std::function<CommitFate(std::uint32_t)> &FateOf) {
+    B.Store.loseCommits(B.Loop, FateOf);
+  }
+  /// Waits until the condition holds on the loop; returns how long that took.
+  core::Duration timeUntil(const std::function<bool()> &Condition) {
+    constexpr std::chrono::milliseconds Step(2);
+    constexpr std::chrono::seconds WaitLimit(20);
+    core::TimePoint Since = bootNow();
+    bool Holds = false;
+    while (!Holds) {
+      REQUIRE(bootNow() - Since < WaitLimit);
+      B.on([&] { Holds = Condition(); });
+      if (!Holds)
+        std::this_thread::sleep_for(Step);
+    }
+    return bootNow() - Since;
+  }
+  bool hasRow(const std::string &Key) const {
+    return B.Store.find({rows::Progress, rows::poolPart("p"), Key}).has_value();
+  }
+  /// Ends a job and enrols a worker in each round, and checks that neither is
+  /// acknowledged before its row is in the store.
+  void play() {
+    constexpr std::uint32_t FirstId = 100;
+    for (std::uint32_t N = 0; N < Rounds; ++N) {
+      jobs::JobSpec Spec;
+      Spec.Id = "0000000000000" + std::to_string(FirstId + N);
+      Spec.Pool = "p";
+      Spec.Steps.resize(1);
+      Spec.AcceptedMs = wallMs();
+      B.on([&] {
+        B.Controller->addJob(Spec);
+        B.Controller->cancelJob(Spec.Id);
+      });
+      Ends.push_back(timeUntil([&] {
+        const jobs::JobRecord *Job = B.Controller->state().findJob(Spec.Id);
+        bool IsStored = Job && Job->Stored == jobs::JobState::Cancelled;
+        if (IsStored)
+          CHECK(hasRow(Spec.Id));
+        return IsStored;
+      }));
+      std::string Worker = "x" + std::to_string(N);
+      B.Store.put({"servers", "", Worker}, "127.0.0.1:2");
+      Enrolments.push_back(timeUntil([&] {
+        auto At = B.Controller->state().workers().find(Worker);
+        bool IsEnrolled =
+            At != B.Controller->state().workers().end() && At->second->Enrolled;
+        if (IsEnrolled)
+          CHECK(hasRow(rows::RosterPrefix + Worker));
+        return IsEnrolled;
+      }));
+    }
+    B.on([&] { CHECK_FALSE(B.LostPool); });
+    print("ends", Ends);
+    print("enrolments", Enrolments);
+  }
+  static void print(const std::string &What,
+                    std::vector<core::Duration> Times) {
+    std::sort(Times.begin(), Times.end());
+    MESSAGE(What << " stored after, in ms: median "
+                 << core::inMs(Times[Times.size() / 2]) << ", most "
+                 << core::inMs(Times.back()));
+  }
+};
+
+} // namespace
+
+// The pool's ends and roster rows waited for the time limit of each write
+// without an answer.
+TEST_CASE("a write without an answer holds up the pool's record for its time "
+          "limit") {
+  // Three in ten, and all attempts of some batches.
+  LossMeasure Lossy([](std::uint32_t N) {
+    constexpr CommitFate Fates[] = {
+        CommitFate::Answered, CommitFate::Done,     CommitFate::Answered,
+        CommitFate::Answered, CommitFate::Late,     CommitFate::Answered,
+        CommitFate::Answered, CommitFate::NotDone,  CommitFate::Late,
+        CommitFate::Answered, CommitFate::Answered, CommitFate::Answered,
+        CommitFate::Answered};
+    return Fates[N % std::size(Fates)];
+  });
+  Lossy.play();
+  LostCommits Lost = Lossy.B.Store.lostCommits();
+  MESSAGE("commits " << Lost.Commits << ", unanswered " << Lost.Unanswered
+                     << ", repeated while open " << Lost.RepeatedWhileOpen);
+  CHECK(Lost.Unanswered > 0);
+  CHECK(Lost.RepeatedWhileOpen == Lost.Unanswered);
+}
+
+TEST_CASE("a write that is done late, after the one that repeats it, changes "
+          "nothing") {
+  LossMeasure Late([](std::uint32_t N) {
+    return N % 2 == 1 ? CommitFate::Late : CommitFate::Answered;
+  });
+  Late.play();
+  Late.B.waitUntil([&] {
+    LostCommits Lost = Late.B.Store.lostCommits();
+    return Lost.LateApplied + Lost.LateRefused == Lost.Unanswered;
+  });
+  CHECK(Late.B.Store.lostCommits().LateApplied == 0);
+}
