Repeat the write of a job that is handed in while it is open

Cause: each write of a job was waited for until its time limit of 900 ms. Evidence: the new test of JobApi on a store that loses commits. Six calls whose first write had no answer took 985 to 989 ms; none was repeated while open. Change: the write is sent again once beside the open one, after five usual answer times (60 to 600 ms). The row must be absent, so that one of them applies at most. Refused as not stored only if every attempt ended as not done. Repetitions have a longer time limit, so that a store that answers nothing gets three calls in three seconds as before; for deadlines under 1.9 s it is one more. After: 80 ms, all repeated while open; unchanged where nothing is answered (504 after 2.9 s, 3 calls or fewer).

--- a/src/dispatch/JobApi.cpp
+++ b/src/dispatch/JobApi.cpp
@@ -20,6 +20,9 @@
 /// An answer is sent this long before its caller's deadline.
 constexpr milliseconds AnswerMargin(150);
 constexpr milliseconds StoreTimeout(900);
+/// Time limit of a repeated write of a job. Makes up for the early repetition
+/// if nothing is answered.
+constexpr milliseconds RepeatTimeout(1440);
 constexpr milliseconds StoreRetry(60);
 /// Retry-After of a refusal, in seconds.
 constexpr const char *RetryAfterS = "1";
@@ -78,6 +81,8 @@
   jobs::JobSpec Spec;
   /// Why the job is invalid; empty if it is valid.
   std::string JobFault;
+  /// Attempts to store the job.
+  RepeatedWrite Attempts;
   /// An attempt to store the cancellation was not answered and may have
   /// applied.
   bool CancelUnsure = false;
@@ -196,28 +201,54 @@
     refuse(C, StatusBad, "malformed-job");
     return;
   }
-  store(C, false);
+  store(C);
 }
 
-void JobApi::store(const CallPtr &C, bool Again) {
+/// Sends the next attempt to store the job. Only one of them can apply, since
+/// the row must be absent.
+void JobApi::store(const CallPtr &C) {
   store::PartTransaction T;
   store::PartKey Key = {rows::Jobs, rows::jobPart(C->Spec.Id), C->Spec.Id};
   T.Conditions.push_back({Key, 0});
   T.Puts.push_back({Key, codec::encodeJobWithoutPayload(C->Spec)});
   T.Puts.push_back({{rows::Payloads, Key.Part, Key.Key}, C->Spec.Payload});
+  recordAttempt(C->Attempts);
+  bool IsFirst = C->Attempts.Sent == 1;
+  core::TimePoint SentAt = bootNow();
   Ctx_.Store.commit(
-      std::move(T), storeTimeout(C), [this, C, Again](PartAnswer Answer) {
-        Ctx_.Loop.post([this, C, Again, Answer = std::move(Answer)] {
-          onJobStored(C, Answer, Again);
+      std::move(T), storeTimeout(C, IsFirst ? StoreTimeout : RepeatTimeout),
+      [this, C, SentAt](PartAnswer Answer) {
+        Ctx_.Loop.post([this, C, SentAt, Answer = std::move(Answer)] {
+          onJobStored(C, Answer, bootNow() - SentAt);
         });
       });
+  std::optional<core::Duration> Pause =
+      pauseBeforeRepeat(StorePace_, C->Attempts.Sent);
+  if (IsFirst && Pause)
+    repeatStore(C, *Pause, true);
+}
+
+/// Sends the next attempt after the pause, unless the call is answered or
+/// another attempt was sent by then. \p BesideOpen says whether it is for the
+/// case that an attempt is still open then or for the case that none is.
+void JobApi::repeatStore(const CallPtr &C, core::Duration Pause,
+                         bool BesideOpen) {
+  Ctx_.Loop.after(Pause, [this, C, BesideOpen, Sent = C->Attempts.Sent] {
+    const RepeatedWrite &Attempts = C->Attempts;
+    if (Attempts.Settled || Attempts.Sent != Sent ||
+        (Attempts.Open > 0) != BesideOpen || (BesideOpen && !isTimeLeft(C)))
+      return;
+    Ctx_.Count.recordRetry("store-job");
+    store(C);
+  });
 }
 
 /// Time limit of a store write on behalf of the call.
-core::Duration JobApi::storeTimeout(const CallPtr &C) const {
+core::Duration JobApi::storeTimeout(const CallPtr &C,
+                                    core::Duration Limit) const {
   core::Duration Left =
       C->ReceivedAt + C->Asked.Deadline - AnswerMargin - bootNow();
-  return std::clamp<core::Duration>(Left, StoreRetry, StoreTimeout);
+  return std::clamp<core::Duration>(Left, StoreRetry, Limit);
 }
 
 /// Whether a retry can be answered before the caller's deadline.
@@ -227,9 +258,15 @@
 }
 
 void JobApi::onJobStored(const CallPtr &C, const PartAnswer &Answer,
-                         bool Again) {
+                         core::Duration Took) {
   bool Accepted = Answer.Outcome == PartOutcome::Ok ||
                   Answer.Outcome == PartOutcome::Conflict;
+  if (Accepted)
+    recordAnswer(StorePace_, Took);
+  bool Again = C->Attempts.Sent > 1;
+  WriteStep Step = takeAnswer(C->Attempts, Answer.Outcome, false);
+  if (Step == WriteStep::Ignore || Step == WriteStep::Wait)
+    return;
   if (Accepted) {
     // An existing row means that the same job was submitted before, possibly
     // long ago: it is new to the owner only if an unanswered attempt of this
@@ -246,8 +283,7 @@
     answer(C, StatusOk, "{}");
     return;
   }
-  bool Unsure = Again || Answer.Outcome == PartOutcome::Unknown;
-  if (!Unsure) {
+  if (!C->Attempts.Unsure) {
     refuse(C, StatusUnavailable, "store-unavailable");
     return;
   }
@@ -257,8 +293,7 @@
     refuse(C, StatusUnknown, "outcome-unknown");
     return;
   }
-  Ctx_.Count.recordRetry("store-job");
-  Ctx_.Loop.after(StoreRetry, [this, C] { store(C, true); });
+  repeatStore(C, StoreRetry, false);
 }
 
 // Job states.
@@ -354,10 +389,12 @@
   const jobs::JobSpec &Spec = C->Spec;
   T.Puts.push_back(
       {{rows::Jobs, rows::jobPart(Spec.Id), Spec.Id + rows::CancelSuffix}, ""});
-  Ctx_.Store.commit(std::move(T), storeTimeout(C), [this, C](PartAnswer A) {
-    Ctx_.Loop.post(
-        [this, C, Outcome = A.Outcome] { onCancelStored(C, Outcome); });
-  });
+  Ctx_.Store.commit(std::move(T), storeTimeout(C, StoreTimeout),
+                    [this, C](PartAnswer A) {
+                      Ctx_.Loop.post([this, C, Outcome = A.Outcome] {
+                        onCancelStored(C, Outcome);
+                      });
+                    });
 }
 
 void JobApi::onCancelStored(const CallPtr &C, PartOutcome Outcome) {
--- a/src/dispatch/JobApi.h
+++ b/src/dispatch/JobApi.h
@@ -2,6 +2,7 @@
 #define COMFREYDECK_DISPATCH_JOBAPI_H
 
 #include "dispatch/Peers.h"
+#include "dispatch/WriteRepeats.h"
 
 namespace comfreydeck::dispatch {
 
@@ -25,9 +26,10 @@
   void handle(const CallPtr &C);
   bool admit(const CallPtr &C);
   void submit(const CallPtr &C);
-  void store(const CallPtr &C, bool Again);
+  void store(const CallPtr &C);
+  void repeatStore(const CallPtr &C, core::Duration Pause, bool BesideOpen);
   void onJobStored(const CallPtr &C, const store::PartAnswer &Answer,
-                   bool Again);
+                   core::Duration Took);
   void readState(const CallPtr &C);
   void readStored(const CallPtr &C);
   void readProgress(const CallPtr &C, const jobs::JobSpec &Spec);
@@ -36,7 +38,7 @@
   void cancel(const CallPtr &C);
   void storeCancel(const CallPtr &C);
   void onCancelStored(const CallPtr &C, store::PartOutcome Outcome);
-  core::Duration storeTimeout(const CallPtr &C) const;
+  core::Duration storeTimeout(const CallPtr &C, core::Duration Limit) const;
   bool isTimeLeft(const CallPtr &C) const;
   void countPending(const CallPtr &C);
 
@@ -46,6 +48,7 @@
   Context &Ctx_;
   FleetView &View_;
   Peers &Peers_;
+  AnswerPace StorePace_;
 };
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -971,7 +971,8 @@
   if (Answer.Outcome == PartOutcome::Ok ||
       Answer.Outcome == PartOutcome::Conflict)
     recordAnswer(StorePace_, Took);
-  WriteStep Step = takeAnswer(Write->Attempts, Answer);
+  WriteStep Step =
+      takeAnswer(Write->Attempts, Answer.Outcome, Answer.Permanent);
   if (Dropped_)
     return;
   if (Step == WriteStep::Settle)
--- a/src/dispatch/WriteRepeats.cpp
+++ b/src/dispatch/WriteRepeats.cpp
@@ -56,14 +56,13 @@
   ++Write.Open;
 }
 
-WriteStep takeAnswer(RepeatedWrite &Write, const store::PartAnswer &Answer) {
+WriteStep takeAnswer(RepeatedWrite &Write, PartOutcome Outcome, bool Refused) {
   --Write.Open;
   if (Write.Settled)
     return WriteStep::Ignore;
-  bool Known = Answer.Outcome == PartOutcome::Ok ||
-               Answer.Outcome == PartOutcome::Conflict;
-  Write.Unsure = Write.Unsure || Answer.Outcome == PartOutcome::Unknown;
-  if (Known || Answer.Permanent) {
+  bool Known = Outcome == PartOutcome::Ok || Outcome == PartOutcome::Conflict;
+  Write.Unsure = Write.Unsure || Outcome == PartOutcome::Unknown;
+  if (Known || Refused) {
     Write.Settled = true;
     Write.Unsure = Write.Unsure || Write.Open > 0;
     return WriteStep::Settle;
--- a/src/dispatch/WriteRepeats.h
+++ b/src/dispatch/WriteRepeats.h
@@ -54,10 +54,11 @@
 /// Records that the next attempt is sent.
 void recordAttempt(RepeatedWrite &Write);
 
-/// Records the answer to one attempt, and returns what follows. A refusal for
-/// good settles the write too: with \ref RepeatedWrite::Unsure set, an attempt
-/// without an answer may still apply.
-WriteStep takeAnswer(RepeatedWrite &Write, const store::PartAnswer &Answer);
+/// Records the answer to one attempt, and returns what follows. \p Refused says
+/// that the store refused the write for good, which settles it too: with \ref
+/// RepeatedWrite::Unsure set, an attempt without an answer may still apply.
+WriteStep takeAnswer(RepeatedWrite &Write, store::PartOutcome Outcome,
+                     bool Refused);
 
 } // namespace comfreydeck::dispatch
 
--- a/tests/dispatch/InMemoryStore.h
+++ b/tests/dispatch/InMemoryStore.h
@@ -22,6 +22,8 @@
   Late,
   /// Neither done nor answered.
   NotDone,
+  /// Answered as not done.
+  Refused,
 };
 
 struct LostCommits {
@@ -169,15 +171,15 @@
                     store::PartCallback Done) {
     constexpr std::chrono::milliseconds LateBy(700);
     CommitFate Fate = CommitFate::Answered;
-    std::uint64_t Key = 0;
+    std::string Key;
     {
       std::lock_guard<std::mutex> Lock(Mutex_);
       Fate = FateOf_(Lost_.Commits++);
       for (const store::PartCondition &Condition : T.Conditions)
-        if (Condition.Where.Table != "control")
-          Key = Condition.Version;
+        Key +=
+            Condition.Where.Key + ' ' + std::to_string(Condition.Version) + ' ';
       Lost_.RepeatedWhileOpen += Open_.count(Key) != 0 ? 1 : 0;
-      if (Fate != CommitFate::Answered) {
+      if (Fate != CommitFate::Answered && Fate != CommitFate::Refused) {
         ++Lost_.Unanswered;
         Open_.insert(Key);
       }
@@ -186,6 +188,10 @@
       Done(apply(T));
       return;
     }
+    if (Fate == CommitFate::Refused) {
+      Done({});
+      return;
+    }
     if (Fate == CommitFate::Done)
       apply(T);
     if (Fate == CommitFate::Late)
@@ -292,8 +298,8 @@
   net::Loop *Loop_ = nullptr;
   std::function<CommitFate(std::uint32_t)> FateOf_;
   LostCommits Lost_;
-  /// Versions in the conditions of commits that are not answered yet.
-  std::multiset<std::uint64_t> Open_;
+  /// Conditions of commits that are not answered yet.
+  std::multiset<std::string> Open_;
   std::uint64_t Version_ = 0;
   std::uint32_t ReadCount_ = 0;
 };
--- /dev/null
+++ b/tests/dispatch/JobApiTest.cpp
@@ -0,0 +1,146 @@
+#include "dispatch/JobApi.h"
+
+#include "dispatch/InMemoryStore.h"
+#include "dispatch/LoopCalls.h"
+#include "dispatch/SilentWorkers.h"
+#include "net/HttpClient.h"
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+
+using namespace comfreydeck;
+using namespace comfreydeck::dispatch;
+using namespace comfreydeck::tests;
+
+namespace {
+
+/// An entry that accepts jobs for a pool without an owner, on a store that
+/// loses commits.
+struct ApiFixture {
+  settings::DispatchSettings Settings;
+  net::Loop Loop;
+  net::HttpClient Client{{}};
+  InMemoryStore Store;
+  SilentWorkers Workers;
+  RowDecoder Rows = decoder();
+  CallerCodec Codec = codec();
+  JobMetrics Count;
+  Context Ctx{Settings, Loop, Client, Store, Workers,
+              nullptr,  Rows, Codec,  Count, "1"};
+  FleetView View{Ctx, [](ViewChange) {}};
+  Ownership Owners{Ctx, View};
+  Peers Others{Ctx, View, Owners};
+  JobApi Api{Ctx, View, Others};
+
+  explicit ApiFixture(std::function<CommitFate(std::uint32_t)> FateOf) {
+    Store.put({"op", "", "config"}, "");
+    Loop.start();
+    runOn(Loop, [this] { View.start(); });
+    waitUntil(Loop, [this] { return View.config() != nullptr; });
+    Store.loseCommits(Loop, std::move(FateOf));
+  }
+  ~ApiFixture() {
+    Client.stop();
+    Loop.stop();
+  }
+
+  static RowDecoder decoder() {
+    RowDecoder Decoder;
+    Decoder.OperatorTable = "op";
+    Decoder.WorkerTable = "servers";
+    Decoder.Operator = [](const store::PartRow &) {
+      auto Config = std::make_shared<jobs::FleetConfig>();
+      Config->Version = 1;
+      Config->Pools.push_back({"p", false, false});
+      jobs::Queue Queue;
+      Queue.Name = "q";
+      Queue.Host = "h";
+      Queue.PathPrefix = "/q/";
+      Queue.Pool = "p";
+      Queue.OpenToAll = true;
+      Config->Queues.push_back(Queue);
+      OperatorRow Row;
+      Row.What = OperatorRow::Kind::Config;
+      Row.Config = std::move(Config);
+      return Row;
+    };
+    return Decoder;
+  }
+  static CallerCodec codec() {
+    CallerCodec Codec;
+    Codec.Decode = [](const net::HttpRequest &Request) {
+      CallerCall Call;
+      Call.Kind = CallKind::Submit;
+      Call.Host = "h";
+      Call.Path = Request.Path;
+      return Call;
+    };
+    Codec.Job = [](const std::string &, jobs::JobSpec &Spec) {
+      Spec.Steps.resize(1);
+    };
+    return Codec;
+  }
+  /// Hands in a job and returns the status of the answer.
+  int submit(const std::string &Id) {
+    std::atomic<int> Status = 0;
+    std::atomic<int> Answers = 0;
+    net::HttpRequest Request;
+    Request.Path = "/q/" + Id;
+    core::TimePoint Since = net::now();
+    Api.receive(Request, [&](const net::HttpResponse &Response) {
+      Status = Response.Status;
+      ++Answers;
+    });
+    waitUntil(Loop, [&] { return Answers > 0; });
+    MESSAGE("answered with "
+            << Status << " after, in ms: " << core::inMs(net::now() - Since));
+    CHECK(Answers == 1);
+    return Status;
+  }
+  bool isStored(const std::string &Id) const {
+    return Store.find({rows::Jobs, rows::jobPart(Id), Id}).has_value();
+  }
+};
+
+std::string idOf(int Job) { return "000000000000000" + std::to_string(Job); }
+
+} // namespace
+
+TEST_CASE("handing in a job waits for the time limit of a write without an "
+          "answer") {
+  constexpr int Jobs = 7;
+  ApiFixture B([](std::uint32_t N) {
+    constexpr CommitFate Fates[] = {CommitFate::Done, CommitFate::Late,
+                                    CommitFate::NotDone};
+    return N % 2 == 0 ? CommitFate::Answered : Fates[N / 2 % 3];
+  });
+  for (int Job = 0; Job < Jobs; ++Job) {
+    CHECK(B.submit(idOf(Job)) == 200);
+    CHECK(B.isStored(idOf(Job)));
+  }
+  LostCommits Lost = B.Store.lostCommits();
+  CHECK(Lost.Unanswered == Jobs - 1);
+  CHECK(Lost.RepeatedWhileOpen == Lost.Unanswered);
+}
+
+TEST_CASE("a store that answers nothing gets no more calls for a job than "
+          "one per time limit") {
+  constexpr std::uint32_t MostCalls = 3;
+  ApiFixture B([](std::uint32_t) { return CommitFate::NotDone; });
+  CHECK(B.submit(idOf(1)) == 504);
+  CHECK(B.Store.lostCommits().Commits <= MostCalls);
+}
+
+TEST_CASE("a job is refused as not stored only if no attempt can be stored") {
+  ApiFixture Refusing([](std::uint32_t) { return CommitFate::Refused; });
+  CHECK(Refusing.submit(idOf(1)) == 503);
+  CHECK(Refusing.Store.lostCommits().Commits == 1);
+  for (CommitFate First : {CommitFate::Late, CommitFate::NotDone}) {
+    ApiFixture B([First](std::uint32_t N) {
+      return N == 0 ? First : CommitFate::Refused;
+    });
+    CHECK(B.submit(idOf(1)) == 504);
+    CHECK(B.isStored(idOf(1)) == (First == CommitFate::Late));
+  }
+}
--- a/tests/dispatch/WriteRepeatsTest.cpp
+++ b/tests/dispatch/WriteRepeatsTest.cpp
@@ -8,7 +8,6 @@
 using namespace comfreydeck;
 using namespace comfreydeck::dispatch;
 using std::chrono::milliseconds;
-using store::PartAnswer;
 using store::PartOutcome;
 
 namespace {
@@ -16,13 +15,6 @@
 /// Pause of owners before a failed write is sent again.
 constexpr core::Duration RetryPause = milliseconds(120);
 
-PartAnswer answerWith(PartOutcome Outcome, bool Permanent = false) {
-  PartAnswer Answer;
-  Answer.Outcome = Outcome;
-  Answer.Permanent = Permanent;
-  return Answer;
-}
-
 AnswerPace paceOf(core::Duration Usual) {
   AnswerPace Pace;
   recordAnswer(Pace, Usual);
@@ -105,8 +97,8 @@
       RepeatedWrite Write;
       recordAttempt(Write);
       recordAttempt(Write);
-      CHECK(takeAnswer(Write, answerWith(First)) == WriteStep::Settle);
-      CHECK(takeAnswer(Write, answerWith(Later)) == WriteStep::Ignore);
+      CHECK(takeAnswer(Write, First, false) == WriteStep::Settle);
+      CHECK(takeAnswer(Write, Later, false) == WriteStep::Ignore);
     }
 }
 
@@ -115,9 +107,8 @@
     RepeatedWrite Write;
     recordAttempt(Write);
     recordAttempt(Write);
-    CHECK(takeAnswer(Write, answerWith(Failed)) == WriteStep::Wait);
-    CHECK(takeAnswer(Write, answerWith(PartOutcome::NotDone)) ==
-          WriteStep::Retry);
+    CHECK(takeAnswer(Write, Failed, false) == WriteStep::Wait);
+    CHECK(takeAnswer(Write, PartOutcome::NotDone, false) == WriteStep::Retry);
     CHECK(Write.Unsure == (Failed == PartOutcome::Unknown));
   }
 }
@@ -127,12 +118,10 @@
   RepeatedWrite Write;
   recordAttempt(Write);
   recordAttempt(Write);
-  CHECK(takeAnswer(Write, answerWith(PartOutcome::NotDone, true)) ==
-        WriteStep::Settle);
+  CHECK(takeAnswer(Write, PartOutcome::NotDone, true) == WriteStep::Settle);
   CHECK(Write.Unsure);
   RepeatedWrite Alone;
   recordAttempt(Alone);
-  CHECK(takeAnswer(Alone, answerWith(PartOutcome::NotDone, true)) ==
-        WriteStep::Settle);
+  CHECK(takeAnswer(Alone, PartOutcome::NotDone, true) == WriteStep::Settle);
   CHECK_FALSE(Alone.Unsure);
 }
