Show how long a pool's batches take to store and how many are repeated

An operator could not tell lost writes from a slow store. The summary and the metrics of a pool now have the time from a batch's first attempt until it is stored, batches sent more than once, those that a repetition found stored, and how long the batch under way has been open; later changes wait for it.

--- a/src/dispatch/JobMetrics.cpp
+++ b/src/dispatch/JobMetrics.cpp
@@ -108,6 +108,17 @@
   HistogramFamily &ReportAges =
       histograms(Registry, "comfreydeck_job_report_age_seconds",
                  "Age of the worker's report behind a start by pool");
+  HistogramFamily &Stores =
+      histograms(Registry, "comfreydeck_job_store_seconds",
+                 "Time until a batch of progress was stored by pool");
+  CounterFamily &RepeatedBatches =
+      counters(Registry, "comfreydeck_job_repeated_batches_total",
+               "Batches of progress that were sent more than once by pool and "
+               "by how they were settled");
+  GaugeFamily &UnstoredFor =
+      gauges(Registry, "comfreydeck_job_pool_unstored_seconds",
+             "How long the batch that is not stored yet has been under way by "
+             "pool");
   CounterFamily &Starts = counters(Registry, "comfreydeck_job_starts_total",
                                    "Starts ordered by pool");
   CounterFamily &StartAnswers =
@@ -209,6 +220,11 @@
   prometheus::Labels Labels = {{"pool", F.Pool}};
   observe(I.Plans, Labels, F.Plans);
   observe(I.PlanWaits, Labels, F.Waits);
+  observe(I.Stores, Labels, F.Stores);
+  I.RepeatedBatches.Add({{"pool", F.Pool}, {"settled", "found"}})
+      .Increment(static_cast<double>(F.FoundBatches));
+  I.RepeatedBatches.Add({{"pool", F.Pool}, {"settled", "written"}})
+      .Increment(static_cast<double>(F.RepeatedBatches - F.FoundBatches));
   observe(I.ReportAges, Labels, F.PeriodCounts.ReportAge);
   observe(I.Unconfirmed, Labels, F.PeriodCounts.Unconfirmed);
   for (std::size_t V = 0; V < jobs::WorkerStatusCount; ++V)
@@ -229,6 +245,7 @@
   I.Shown.erase(F.Pool);
   I.show(I.OpenJobs, F.Pool, {}, static_cast<double>(F.Gauges.OpenJobs));
   I.show(I.Runs, F.Pool, {}, static_cast<double>(F.Gauges.Runs));
+  I.show(I.UnstoredFor, F.Pool, {}, inSeconds(F.UnstoredFor));
   I.show(I.MaxStartsPerReport, F.Pool, {}, F.PeriodCounts.MaxStartsPerReport);
   for (std::size_t V = 0; V < jobs::WaitReasonCount; ++V)
     I.show(I.Waiting, F.Pool,
--- a/src/dispatch/JobMetrics.h
+++ b/src/dispatch/JobMetrics.h
@@ -26,6 +26,16 @@
   /// planning pass.
   std::size_t StartWindow = 0;
   std::size_t UnansweredStarts = 0;
+  /// Time from the first attempt to store a batch of progress, or a part of
+  /// one, until it was stored.
+  core::DurationHistogram Stores;
+  /// Batches of these that were sent more than once, and those among them that
+  /// turned out to be stored by an attempt without an answer.
+  std::uint64_t RepeatedBatches = 0;
+  std::uint64_t FoundBatches = 0;
+  /// How long the batch that is not stored yet has been under way; later
+  /// changes wait for it.
+  core::Duration UnstoredFor{0};
 };
 
 /// Counters of orders that entries send for one another, since the last
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -866,7 +866,7 @@
   if (!Parts_.empty()) {
     auto Write = std::make_shared<BatchWrite>();
     Write->Batch = std::move(Parts_.front());
-    Write->Since = bootNow();
+    Monitor_.recordStoring(bootNow());
     Parts_.pop_front();
     sendBatch(Write);
     return;
@@ -1003,6 +1003,8 @@
     }
     ChainVersion_ = Chain;
   }
+  Monitor_.recordStored(bootNow(), Write.Attempts.Sent > 1,
+                        Answer.Outcome == PartOutcome::Conflict);
   ChainAccepted_ = ChainAccepted_ || Batch.isEmpty();
   logEnded(Batch, Answer.Version);
   sendNextPart();
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -117,7 +117,6 @@
   struct BatchWrite {
     jobs::ProgressBatch Batch;
     RepeatedWrite Attempts;
-    core::TimePoint Since;
   };
   void sendBatch(const std::shared_ptr<BatchWrite> &Write);
   void repeatBatch(const std::shared_ptr<BatchWrite> &Write,
--- a/src/dispatch/PoolMonitor.cpp
+++ b/src/dispatch/PoolMonitor.cpp
@@ -77,6 +77,12 @@
       {"most_by_one_report", PeriodCounts.MaxStartsPerReport},
       {"start_window", F.StartWindow},
       {"starts_unanswered", F.UnansweredStarts},
+      {"stores", F.Stores.Total},
+      {"store_mean_ms", core::meanMs(F.Stores)},
+      {"store_most_ms", core::inMs(F.Stores.Max)},
+      {"stores_repeated", F.RepeatedBatches},
+      {"stores_found", F.FoundBatches},
+      {"unstored_ms", core::inMs(F.UnstoredFor)},
       {"plans", F.Plans.Total},
       {"plan_mean_ms", core::meanMs(F.Plans)},
       {"plan_most_ms", core::inMs(F.Plans.Max)},
@@ -91,6 +97,14 @@
   Stats_.Token = Token;
 }
 
+void PoolMonitor::recordStored(core::TimePoint Now, bool Repeated, bool Found) {
+  if (StoringSince_)
+    core::addSample(Stats_.Stores, Now - *StoringSince_);
+  StoringSince_.reset();
+  Stats_.RepeatedBatches += Repeated ? 1 : 0;
+  Stats_.FoundBatches += Repeated && Found ? 1 : 0;
+}
+
 void PoolMonitor::publishIfDue(jobs::PoolState &State, core::TimePoint Now,
                                std::int64_t WallMs) {
   if (PublishedAt_ == core::TimePoint())
@@ -111,9 +125,12 @@
   Stats_.Period = Now - PublishedAt_;
   Stats_.Gauges = State.gauges(Now, WallMs);
   Stats_.PeriodCounts = State.takeCounters();
+  Stats_.UnstoredFor =
+      StoringSince_ ? Now - *StoringSince_ : core::Duration::zero();
   logEvent("pool_summary", summaryOf(Stats_));
   Metrics_.pool(Stats_);
-  Stats_.Plans = Stats_.Waits = {};
+  Stats_.Plans = Stats_.Waits = Stats_.Stores = {};
+  Stats_.RepeatedBatches = Stats_.FoundBatches = 0;
   PublishedAt_ = Now;
 }
 
--- a/src/dispatch/PoolMonitor.h
+++ b/src/dispatch/PoolMonitor.h
@@ -4,6 +4,7 @@
 #include "dispatch/EventLog.h"
 #include "dispatch/JobMetrics.h"
 
+#include <optional>
 #include <vector>
 
 namespace comfreydeck::dispatch {
@@ -35,6 +36,12 @@
     Stats_.UnansweredStarts = Unanswered;
   }
 
+  /// Records that a batch is being stored since then.
+  void recordStoring(core::TimePoint Since) { StoringSince_ = Since; }
+  /// Records that the batch is stored. \p Found says that this was learnt by
+  /// repeating it.
+  void recordStored(core::TimePoint Now, bool Repeated, bool Found);
+
   /// Reports the statistics if a period has passed since the last report.
   void publishIfDue(jobs::PoolState &State, core::TimePoint Now,
                     std::int64_t WallMs);
@@ -49,6 +56,7 @@
   JobMetrics &Metrics_;
   PoolStats Stats_;
   core::TimePoint PublishedAt_;
+  std::optional<core::TimePoint> StoringSince_;
 };
 
 } // namespace comfreydeck::dispatch
--- a/tests/dispatch/PoolMonitorTest.cpp
+++ b/tests/dispatch/PoolMonitorTest.cpp
@@ -48,6 +48,11 @@
       milliseconds(1500));
   core::addSample(F.Plans, milliseconds(20));
   core::addSample(F.Waits, milliseconds(300));
+  core::addSample(F.Stores, milliseconds(700));
+  core::addSample(F.Stores, milliseconds(100));
+  F.RepeatedBatches = 5;
+  F.FoundBatches = 2;
+  F.UnstoredFor = milliseconds(1250);
   return F;
 }
 
@@ -79,6 +84,9 @@
   CHECK(std::get<double>(field(Fields, "unsure_mean_ms")) == 900);
   CHECK(std::get<double>(field(Fields, "plan_most_ms")) == 20);
   CHECK(std::get<double>(field(Fields, "plan_wait_most_ms")) == 300);
+  CHECK(std::get<double>(field(Fields, "store_mean_ms")) == 400);
+  CHECK(std::get<double>(field(Fields, "store_most_ms")) == 700);
+  CHECK(std::get<double>(field(Fields, "unstored_ms")) == 1250);
 }
 
 TEST_CASE("a pool's counts are exported by outcome, kind and standing") {
@@ -103,6 +111,12 @@
   CHECK(has(Text, "comfreydeck_job_plan_seconds_bucket{pool=\"p1\",le="
                   "\"0.025\"} 2"));
   CHECK(has(Text, "comfreydeck_job_report_age_seconds_count{pool=\"p1\"} 2"));
+  CHECK(has(Text, "comfreydeck_job_store_seconds_count{pool=\"p1\"} 4"));
+  CHECK(has(Text, "comfreydeck_job_repeated_batches_total{pool=\"p1\",settled="
+                  "\"found\"} 4"));
+  CHECK(has(Text, "comfreydeck_job_repeated_batches_total{pool=\"p1\",settled="
+                  "\"written\"} 6"));
+  CHECK(has(Text, "comfreydeck_job_pool_unstored_seconds{pool=\"p1\"} 1.25"));
 }
 
 TEST_CASE("a pool that is no longer owned here exports no gauges") {
@@ -142,6 +156,30 @@
   CHECK(Plans() == 2);
 }
 
+TEST_CASE("a pool's report counts batches that were repeated and found stored, "
+          "and tells how long one has been under way") {
+  JobMetrics Count;
+  core::TimePoint Now{std::chrono::hours(1)};
+  jobs::PoolState State("p1", 5, Now, jobs::OwnerLimits());
+  PoolMonitor Monitor(Count, "p1", 5);
+  Monitor.publishIfDue(State, Now, 0);
+  Monitor.recordStoring(Now);
+  Monitor.recordStored(Now + milliseconds(5), false, false);
+  Monitor.recordStoring(Now + milliseconds(10));
+  Monitor.recordStored(Now + milliseconds(70), true, true);
+  Monitor.recordStoring(Now + milliseconds(80));
+  Monitor.recordStored(Now + milliseconds(140), true, false);
+  Monitor.recordStoring(Now + SummaryPeriod - milliseconds(250));
+  Monitor.publishIfDue(State, Now + SummaryPeriod, 0);
+  std::string Text = Count.text();
+  CHECK(has(Text, "comfreydeck_job_store_seconds_count{pool=\"p1\"} 3"));
+  CHECK(has(Text, "comfreydeck_job_repeated_batches_total{pool=\"p1\",settled="
+                  "\"found\"} 1"));
+  CHECK(has(Text, "comfreydeck_job_repeated_batches_total{pool=\"p1\",settled="
+                  "\"written\"} 1"));
+  CHECK(has(Text, "comfreydeck_job_pool_unstored_seconds{pool=\"p1\"} 0.25"));
+}
+
 TEST_CASE("an entry's summary breaks calls down by target and result") {
   EntryStats F;
   F.Period = std::chrono::seconds(5);
