Repeat no open write while the store is slow

Likely cause, read and not traced: with the longest pause at 600 ms, writes of a store whose answers queue up were sent twice. Change: where five usual answer times exceed 600 ms, writes go one at a time.

--- a/src/dispatch/WriteRepeats.cpp
+++ b/src/dispatch/WriteRepeats.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-/// Bounds of the pause before the first repetition.
+/// Bounds of the pause before the first repetition. A store that would need a
+/// longer one has enough to do.
 constexpr core::Duration LeastPause = milliseconds(60);
 constexpr core::Duration MostPause = milliseconds(600);
 /// The first pause as a multiple of the usual time of an answer.
@@ -41,7 +42,9 @@
     return std::nullopt;
   core::Duration Pause = MostPause;
   if (Pace.Usual > core::Duration::zero())
-    Pause = std::clamp(Pace.Usual * PausePerAnswer, LeastPause, MostPause);
+    Pause = std::max(Pace.Usual * PausePerAnswer, LeastPause);
+  if (Pause > MostPause)
+    return std::nullopt;
   for (std::size_t N = 1; N < Sent; ++N)
     Pause *= PauseGrowth;
   return Pause;
--- a/src/dispatch/WriteRepeats.h
+++ b/src/dispatch/WriteRepeats.h
@@ -23,7 +23,7 @@
 
 /// Pause after the attempt number \p Sent (from 1) of a write, after which the
 /// next one is sent beside it. Empty: the next one is sent only once none is
-/// open, so that a store that answers nothing gets no more calls.
+/// open, so that a store that answers slowly or not gets no more calls.
 std::optional<core::Duration> pauseBeforeRepeat(const AnswerPace &Pace,
                                                 std::size_t Sent);
 
