--- a/tests/jobs/LateOrders.h
+++ b/tests/jobs/LateOrders.h
@@ -48,7 +48,6 @@
   /// Runs whose leases expired. No worker is out of reach, so that each could
   /// have been extended.
   std::uint32_t Lapsed = 0;
-  /// Requests for reports during the trouble.
   /// Work of runs, other than those of lasting tasks, that lapsed or were
   /// stopped though their jobs go on.
   double WastedCoreSeconds = 0;
