--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -101,6 +101,7 @@
   void plan();
   void logSettled(core::TimePoint Now);
   void logStopDecisions();
+  void logPlaces();
   void logLongWait();
   void logRestarts();
   void logCrashes();
