--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -644,7 +644,6 @@
   Monitor_.recordPlanTime(Planned - In.Now);
   NextPlanAt_ = Planned + jobs::pauseAfterPlan(Planned - In.Now);
   logSettled(In.Now);
-  logPlaces();
   logStopDecisions();
   logLongWait();
   logRestarts();
@@ -695,26 +694,9 @@
               {"report_age_ms", core::inMs(Decision.ReportAge)},
               {"unavailable", Decision.Unavailable},
               {"allowed", Decision.Allowed},
-              {"next_place", jobs::nameOf(Decision.Next)},
-              {"next_worker", Decision.NextWorker},
-              {"place_wait_ms", core::inMs(Decision.PlaceWait)},
               {"token", State_.token()}});
 }
 
-/// Logs the life of each place that is kept for a lasting task.
-void PoolController::logPlaces() {
-  for (const jobs::PlaceEvent &Event : State_.takePlaceEvents())
-    logEvent("lasting_task_place", {{"job", Event.Task.JobId},
-                                    {"step", Event.Task.Step},
-                                    {"index", Event.Task.Index},
-                                    {"worker", Event.Worker},
-                                    {"change", jobs::nameOf(Event.Change)},
-                                    {"kept_ms", core::inMs(Event.Kept)},
-                                    {"wanted_ms", core::inMs(Event.Wanted)},
-                                    {"pool", State_.pool()},
-                                    {"token", State_.token()}});
-}
-
 /// Logs the longest wait of a lasting task, with what keeps it from starting.
 void PoolController::logLongWait() {
   std::optional<jobs::LongWait> Long = State_.takeLongWait();
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -101,7 +101,6 @@
   void plan();
   void logSettled(core::TimePoint Now);
   void logStopDecisions();
-  void logPlaces();
   void logLongWait();
   void logRestarts();
   void logCrashes();
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -191,7 +191,6 @@
     return Out;
   // An owner that can't restart tasks elsewhere must not stop them either.
   if (In.MayStart) {
-    StartPlan(*this, In).keepPlaces();
     drainClosedWorkers(In);
     StragglerPlan(*this, In).run();
   }
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -3,7 +3,6 @@
 
 #include "jobs/CrashLedger.h"
 #include "jobs/FleetConfig.h"
-#include "jobs/KeptPlace.h"
 #include "jobs/PoolMetrics.h"
 #include "jobs/PoolSizes.h"
 #include "jobs/RunPace.h"
@@ -414,8 +413,6 @@
   /// yet.
   std::vector<RunReport> UnknownRuns;
   core::Resources Used;
-  /// Room that is kept for lasting tasks.
-  core::Resources Kept;
   std::uint32_t Serving = 0;
   std::uint32_t Lasting = 0;
   std::uint32_t Filling = 0;
@@ -594,14 +591,6 @@
   /// Returns and forgets the decisions to stop lasting tasks since the last
   /// call, oldest first.
   std::vector<StopDecision> takeStopDecisions();
-  /// Returns and forgets what became of kept places since the last call, oldest
-  /// first.
-  std::vector<PlaceEvent> takePlaceEvents();
-  /// Next places of lasting tasks, by job and task.
-  const std::map<std::pair<std::string, std::uint32_t>, KeptPlace> &
-  places() const {
-    return Places_;
-  }
   /// Returns and forgets the longest wait of a lasting task, if the last check
   /// found a long one. Such checks are made about once a second.
   std::optional<LongWait> takeLongWait();
@@ -766,17 +755,6 @@
                        core::TimePoint Now) const;
   bool mayRestart(const JobRecord &Job) const;
   void drainClosedWorkers(const PlanInput &In);
-  KeptPlace *findPlace(const JobRecord &Job, std::uint32_t Task);
-  void recordPlace(const JobRecord &Job, std::uint32_t Task,
-                   const KeptPlace &Place, PlaceChange Change,
-                   core::TimePoint Now);
-  void clearPlace(const JobRecord &Job, std::uint32_t Task, KeptPlace &Place,
-                  PlaceChange Change, core::TimePoint Now);
-  void countKept();
-  bool mayWaitForPlaces(const WorkerState &W) const;
-  std::optional<NextPlace> whyLeaveNow(const JobRecord &Job, std::uint32_t Task,
-                                       const WorkerState &W,
-                                       core::TimePoint Now);
   void planStops(const PlanInput &In, Orders &Out);
   void planHolds(const PlanInput &In, Orders &Out);
   bool mayRequestReport(const WorkerState &W, core::TimePoint Now) const;
@@ -840,8 +818,6 @@
   bool Fenced_ = false;
   PoolCounters Counters_;
   std::vector<StopDecision> StopDecisions_;
-  std::map<std::pair<std::string, std::uint32_t>, KeptPlace> Places_;
-  std::vector<PlaceEvent> PlaceEvents_;
   std::optional<LongWait> LongWait_;
   core::TimePoint WaitsCheckedAt_;
   /// Whether the last planning round was allowed to start tasks.
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -284,37 +284,21 @@
 }
 
 /// Stops lasting tasks on closed workers, as many at a time as their steps
-/// allow and once room is kept for them or the time to wait for it is over, so
-/// that they restart elsewhere. Other tasks are stopped only on
+/// allow, so that they restart elsewhere. Other tasks are stopped only on
 /// workers that are being evicted.
 void PoolState::drainClosedWorkers(const PlanInput &In) {
   for (auto &[Id, W] : Workers_) {
     if (!W->Closed)
       continue;
     for (const auto &[Job, Task] : W->Tasks) {
-      bool Lasting = stepOf(*Job, Task).Lasting;
-      bool May = Lasting ? mayBecomeAbsent(*Job, Task, In.Now) : W->Evicting;
+      bool May = stepOf(*Job, Task).Lasting
+                     ? mayBecomeAbsent(*Job, Task, In.Now)
+                     : W->Evicting;
       if (!May || !mayRestart(*Job))
         continue;
-      std::optional<NextPlace> Next = NextPlace::NotSought;
-      if (Lasting)
-        Next = whyLeaveNow(*Job, Task, *W, In.Now);
-      if (!Next)
-        continue;
-      const KeptPlace *Place = findPlace(*Job, Task);
-      for (LiveRun &Run : Job->Tasks[Task].Runs) {
-        if (Run.Stopping || Run.Worker != Id)
-          continue;
-        stopRun(*Job, Task, Run, StopReason::WorkerClosed, In.Now);
-        if (!Lasting)
-          continue;
-        StopDecision &Decision = StopDecisions_.back();
-        Decision.Next = *Next;
-        if (Place) {
-          Decision.NextWorker = Place->Worker;
-          Decision.PlaceWait = In.Now - Place->WantedSince;
-        }
-      }
+      for (LiveRun &Run : Job->Tasks[Task].Runs)
+        if (!Run.Stopping && Run.Worker == Id)
+          stopRun(*Job, Task, Run, StopReason::WorkerClosed, In.Now);
     }
   }
 }
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -44,10 +44,6 @@
 
 } // namespace
 
-core::Resources StartPlan::needOf(const JobRecord &Job, std::uint32_t Task) {
-  return reserved(PoolState::stepOf(Job, Task));
-}
-
 StartPlan::StartPlan(PoolState &Owner, const PlanInput &In)
     : Owner_(Owner), In_(In),
       MayStartInherited_(Owner.mayStartInherited(In.Now)) {}
@@ -224,8 +220,7 @@
       continue;
     }
     bool IsCopy = !Job.Tasks[Task].Runs.empty();
-    bool Skip = First == Unplaceable && !IsCopy && !hasKeptPlace(Job, Task);
-    if (!hasTeamRoom(Job, Step, 1) || Skip)
+    if (!hasTeamRoom(Job, Step, 1) || (First == Unplaceable && !IsCopy))
       continue;
     WorkerState *W = chooseWorker(Job, Task, "");
     if (W) {
@@ -296,7 +291,7 @@
 bool StartPlan::meetsConstraints(const WorkerState &W, JobRecord &Job,
                                  std::uint32_t Task,
                                  const StepSpec &Step) const {
-  if (!core::fits(reserved(Step), roomFor(W, Job, Task)) || !mayHost(W, Step))
+  if (!core::fits(reserved(Step), freeOn(W)) || !mayHost(W, Step))
     return false;
   // A copy on the same worker as the straggling run would be slow as well.
   const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
@@ -373,7 +368,7 @@
     if (!hasLabel(*W, Step) || !mayHost(*W, Step))
       continue;
     ++Counts.WithLabel;
-    if (!core::fits(reserved(Step), roomFor(*W, Job, Task)))
+    if (!core::fits(reserved(Step), freeOn(*W)))
       continue;
     ++Counts.WithRoom;
     Counts.WithSpread += hasSpread(*W, Job, Task, Step) ? 1 : 0;
@@ -423,8 +418,6 @@
   bool Announced = mustAnnounce(Job, Task) && W.Born != 0;
   Live.SendAfter = Announced ? LiveRun::NotAnnounced : 0;
   Owner_.addRun(Job, Task, std::move(Live));
-  if (KeptPlace *Place = Owner_.findPlace(Job, Task))
-    Owner_.clearPlace(Job, Task, *Place, PlaceChange::Taken, In_.Now);
   if (isSuspect(Job, Task))
     ++Suspects_[&W];
   Job.Tasks[Task].WantsCopy = false;
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -10,9 +10,6 @@
 public:
   StartPlan(PoolState &Owner, const PlanInput &In);
 
-  /// Seeks and keeps the next places of lasting tasks that leave closed workers
-  /// or have no run.
-  void keepPlaces();
   /// Returns the starts and reserves their resources.
   std::vector<StartOrder> run();
   /// Whether PlanInput::MaxStarts is reached.
@@ -66,28 +63,6 @@
   bool mustAnnounce(const JobRecord &Job, std::uint32_t Task) const;
   StartOrder orderFor(const JobRecord &Job, std::uint32_t Task, WorkerState &W,
                       RunId Run) const;
-  /// A lasting task that needs a place.
-  struct PlaceSeeker {
-    JobRecord *Job = nullptr;
-    std::uint32_t Task = 0;
-    /// It has a run that is not being stopped.
-    bool AtWork = false;
-    core::TimePoint Since;
-  };
-  core::Resources roomFor(const WorkerState &W, const JobRecord &Job,
-                          std::uint32_t Task) const;
-  /// Resources that the task reserves on its worker.
-  static core::Resources needOf(const JobRecord &Job, std::uint32_t Task);
-  bool hasKeptPlace(const JobRecord &Job, std::uint32_t Task) const;
-  bool needsPlace(const JobRecord &Job, std::uint32_t Task) const;
-  std::vector<PlaceSeeker> findPlaceSeekers();
-  void updateSeekers(const std::vector<PlaceSeeker> &Seekers);
-  bool mayKeepOn(const WorkerState &W, JobRecord &Job,
-                 std::uint32_t Task) const;
-  double roomInMs(const WorkerState &W, const JobRecord &Job,
-                  std::uint32_t Task) const;
-  void seekPlace(JobRecord &Job, std::uint32_t Task, KeptPlace &Place,
-                 core::Resources &KeptInAll, const core::Resources &MostKept);
   void planJob(JobRecord &Job);
   void planGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step);
   bool mayStart(const JobRecord &Job, std::uint32_t Task) const;
--- a/src/jobs/StopDecision.cpp
+++ b/src/jobs/StopDecision.cpp
@@ -14,18 +14,4 @@
   return "";
 }
 
-const char *nameOf(NextPlace Place) {
-  switch (Place) {
-  case NextPlace::Kept:
-    return "kept";
-  case NextPlace::NoneSuits:
-    return "none-suits";
-  case NextPlace::TimedOut:
-    return "timed-out";
-  case NextPlace::NotSought:
-    return "not-sought";
-  }
-  return "";
-}
-
 } // namespace comfreydeck::jobs
--- a/src/jobs/StopDecision.h
+++ b/src/jobs/StopDecision.h
@@ -16,20 +16,6 @@
 
 const char *nameOf(StopReason Reason);
 
-/// What is known of the next place of a task that leaves a closed worker.
-enum class NextPlace : std::uint8_t {
-  /// Room is kept on another worker.
-  Kept,
-  /// No usable worker could hold it.
-  NoneSuits,
-  /// No worker had room in time.
-  TimedOut,
-  /// Its worker has to be left at once, or the task can't start again now.
-  NotSought,
-};
-
-const char *nameOf(NextPlace Place);
-
 /// A decision to stop a run of a lasting task whose job goes on, with the state
 /// it was based on.
 struct StopDecision {
@@ -45,12 +31,6 @@
   std::uint32_t Unavailable = 0;
   /// How many tasks of the step may be unavailable at once.
   std::uint32_t Allowed = 0;
-  /// Set for \ref StopReason::WorkerClosed.
-  NextPlace Next = NextPlace::NotSought;
-  /// Where room is kept for the task; empty if it is kept nowhere.
-  std::string NextWorker;
-  /// Time for which the next place was sought.
-  core::Duration PlaceWait{0};
 };
 
 } // namespace comfreydeck::jobs
--- a/tests/jobs/NaiveStarts.cpp
+++ b/tests/jobs/NaiveStarts.cpp
@@ -194,24 +194,6 @@
     Starts_.push_back({P.Source->Entry.Id, Ref});
   }
 
-  /// Room that is kept on the worker for tasks that have not started yet, other
-  /// than this one.
-  core::Resources keptForOthers(const JobView &W, std::uint32_t Task,
-                                const WorkerView &P) const {
-    core::Resources Kept;
-    for (const auto &[Key, Place] : Owner_.places()) {
-      const JobRecord *Job = Owner_.findJob(Key.first);
-      bool Own = Job == W.Source && Key.second == Task;
-      if (Own || Place.Worker != P.Source->Entry.Id ||
-          Started_.count({Job, Key.second}) != 0)
-        continue;
-      Kept.MilliCpus += Place.Need.MilliCpus;
-      Kept.MemoryMb += Place.Need.MemoryMb;
-      Kept.Accelerators += Place.Need.Accelerators;
-    }
-    return Kept;
-  }
-
   bool hasTeamRoom(const JobView &W, const StepSpec &Step,
                    std::uint32_t Count) {
     auto Room = Input_.TeamRoom.find(W.Source->Spec.Team);
@@ -225,25 +207,21 @@
                Room->second.Accelerators;
   }
 
-  bool hasRoom(const JobView &W, std::uint32_t Task, const WorkerView &P,
-               const StepSpec &Step) const {
+  static bool hasRoom(const WorkerView &P, const StepSpec &Step) {
     const core::Resources &All = P.Source->Entry.Capacity;
-    core::Resources Kept = keptForOthers(W, Task, P);
     std::uint32_t Cpu = Step.Filling ? 0 : Step.Need.MilliCpus;
     // Filling tasks fit whatever CPU is in use.
-    return (Cpu == 0 ||
-            P.Used.MilliCpus + Kept.MilliCpus + Cpu <= All.MilliCpus) &&
+    return (Cpu == 0 || P.Used.MilliCpus + Cpu <= All.MilliCpus) &&
            (Step.Need.MemoryMb == 0 ||
-            P.Used.MemoryMb + Kept.MemoryMb + Step.Need.MemoryMb <=
-                All.MemoryMb) &&
+            P.Used.MemoryMb + Step.Need.MemoryMb <= All.MemoryMb) &&
            (Step.Need.Accelerators == 0 ||
-            P.Used.Accelerators + Kept.Accelerators + Step.Need.Accelerators <=
-                All.Accelerators);
+            P.Used.Accelerators + Step.Need.Accelerators <= All.Accelerators);
   }
 
-  bool meetsConstraints(const JobView &W, const std::vector<TaskRef> &Refs,
-                        std::uint32_t Task, const StepSpec &Step,
-                        const WorkerView &P) const {
+  static bool meetsConstraints(const JobView &W,
+                               const std::vector<TaskRef> &Refs,
+                               std::uint32_t Task, const StepSpec &Step,
+                               const WorkerView &P) {
     const WorkerEntry &Entry = P.Source->Entry;
     auto Here = [&](std::uint32_t T) {
       return std::count(W.RunsOn[T].begin(), W.RunsOn[T].end(), Entry.Id);
@@ -256,7 +234,7 @@
     bool HasLabel =
         Step.Label.empty() ||
         std::count(Entry.Labels.begin(), Entry.Labels.end(), Step.Label) > 0;
-    return hasRoom(W, Task, P, Step) && HasLabel && Here(Task) == 0 &&
+    return hasRoom(P, Step) && HasLabel && Here(Task) == 0 &&
            (Step.MaxPerWorker == 0 || StepRuns < Step.MaxPerWorker);
   }
 
--- a/tests/jobs/StartPlanTest.cpp
+++ b/tests/jobs/StartPlanTest.cpp
@@ -227,16 +227,15 @@
     Input.In.Now = Now_;
     Input.In.WallMs = ms();
     // First run the parts of planning that precede the starts until the state
-    // no longer changes; in each round another worker may be found slow. The
-    // rounds that start nothing keep the places of lasting tasks.
+    // no longer changes; in each round another worker may be found slow.
     Input.In.MayStart = false;
     Input.In.AuthorityEnd = Now_ + OwnerLimits().Authority;
     Owner_.plan(Input.In);
     Input.In.MayStart = true;
-    Input.In.MaxStarts = 0;
+    Input.In.AuthorityEnd = Now_;
     for (int Round = 0; Round < SettlingRounds; ++Round)
       Owner_.plan(Input.In);
-    Input.In.MaxStarts = std::numeric_limits<std::size_t>::max();
+    Input.In.AuthorityEnd = Now_ + OwnerLimits().Authority;
     std::vector<NaiveStart> Wanted = naiveStarts(Owner_, Input);
     Copies_ += std::count_if(
         Wanted.begin(), Wanted.end(), [this](const NaiveStart &Start) {
