--- a/tests/jobs/PoolSimulationTest.cpp
+++ b/tests/jobs/PoolSimulationTest.cpp
@@ -211,17 +211,22 @@
 // Listed in KNOWN-RED.txt.
 TEST_CASE("no task runs twice at the same time in histories in which a row of "
           "an earlier incarnation appears after that of a later one") {
-  for (auto [Seed, EntriesDisappear, LateReports] :
-       {std::tuple(20263305, false, false), std::tuple(20262516, true, false),
-        std::tuple(20262948, true, false), std::tuple(20262991, true, true),
-        std::tuple(20263070, true, true)}) {
-    CAPTURE(Seed);
+  struct History {
+    std::uint64_t Seed;
+    bool EntriesDisappear;
+    bool LateReports;
+  };
+  for (const History &H :
+       {History{20263305, false, false}, History{20262516, true, false},
+        History{20262948, true, false}, History{20262991, true, true},
+        History{20263070, true, true}}) {
+    CAPTURE(H.Seed);
     SimulationOptions Options;
-    Options.Seed = static_cast<std::uint64_t>(Seed);
+    Options.Seed = H.Seed;
     Options.RowsLag = true;
     Options.ClocksJump = true;
-    Options.EntriesDisappear = EntriesDisappear;
-    Options.LateReports = LateReports;
+    Options.EntriesDisappear = H.EntriesDisappear;
+    Options.LateReports = H.LateReports;
     WARN(PoolSimulation(Options).simulate().Fault == "");
   }
 }
