Take a report without the worker's start time for no answer

PROTOCOL.md names the start time in all that a worker says of itself. A report without it was taken for one of the known incarnation: it ended a doubt about a restart and counted announced runs as crashes.

Test: such a report was accepted before; it counts as no answer now, as one without the worker's clock does. The stand-in's answer in the test of large numbers had no start time and has one now; its checks are unchanged.

--- a/tests/adapter/HttpWorkersTest.cpp
+++ b/tests/adapter/HttpWorkersTest.cpp
@@ -129,6 +129,17 @@
   CHECK(Server.wholeRequests() == 3);
 }
 
+TEST_CASE("a report without the worker's start time counts as no answer") {
+  standins::FaultScript Incomplete;
+  Incomplete.Answer = standins::rawAnswer(200, "", R"({"ClockMs":5})");
+  standins::FaultScript Whole;
+  Whole.Answer = standins::rawAnswer(200, "", R"({"ClockMs":5,"born":1})");
+  standins::FaultServer Server({Incomplete, Whole});
+  ChangingCalls Calls("127.0.0.1:" + std::to_string(Server.port()));
+  CHECK(Calls.send("extension") == Learned::Unknown);
+  CHECK(Calls.send("extension") == Learned::Done);
+}
+
 TEST_CASE("the sending of orders is known") {
   standins::LoopbackServers Row(1);
   net::HttpClient Client(net::HttpClientOptions{});
@@ -200,7 +211,7 @@
   standins::FaultScript Answer;
   Answer.Answer = standins::rawAnswer(
       200, "",
-      R"({"ClockMs":5,"Running":[["0123456789abcdef.0.0.1",12582912155189257]],
+      R"({"ClockMs":5,"born":1,"Running":[["0123456789abcdef.0.0.1",12582912155189257]],
           "EndedRuns":[[9007199254740995,"0123456789abcdef.0.0.2",
                         12582912155189257,"done",""]]})");
   standins::FaultServer Server({Answer});
