--- a/src/dispatch/JobApi.cpp
+++ b/src/dispatch/JobApi.cpp
@@ -20,8 +20,8 @@
 /// An answer is sent this long before its caller's deadline.
 constexpr milliseconds AnswerMargin(150);
 constexpr milliseconds StoreTimeout(900);
-/// Time limit of a repeated write of a job. Makes up for the early repetition
-/// if nothing is answered.
+/// Time limit of a repeated write of a job: longer, so that an outage costs no
+/// more calls for the early repetition.
 constexpr milliseconds RepeatTimeout(1440);
 constexpr milliseconds StoreRetry(60);
 /// Retry-After of a refusal, in seconds.
@@ -228,15 +228,12 @@
     repeatStore(C, *Pause, true);
 }
 
-/// Sends the next attempt after the pause, unless the call is answered or
-/// another attempt was sent by then. \p BesideOpen says whether it is for the
-/// case that an attempt is still open then or for the case that none is.
+/// Sends the next attempt after the pause if \ref mayRepeat allows it then.
 void JobApi::repeatStore(const CallPtr &C, core::Duration Pause,
                          bool BesideOpen) {
   Ctx_.Loop.after(Pause, [this, C, BesideOpen, Sent = C->Attempts.Sent] {
-    const RepeatedWrite &Attempts = C->Attempts;
-    if (Attempts.Settled || Attempts.Sent != Sent ||
-        (Attempts.Open > 0) != BesideOpen || (BesideOpen && !isTimeLeft(C)))
+    if (!mayRepeat(C->Attempts, Sent, BesideOpen) ||
+        (BesideOpen && !isTimeLeft(C)))
       return;
     Ctx_.Count.recordRetry("store-job");
     store(C);
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -646,12 +646,13 @@
   logStopDecisions();
   logLongWait();
   logRestarts();
+  logLapsedRuns();
   logCrashes();
   StartsBounded_ = Orders.StartsBounded;
   send(std::move(Orders));
   Monitor_.recordStarts(jobs::roomIn(StartWindow_, 0), UnansweredStarts_);
   if (State_.isFenced()) {
-    loseOwnership("fenced");
+    loseOwnership(State_.isFenceUsedUp() ? "fence used up" : "fenced");
     return;
   }
   auto Keep = std::chrono::duration_cast<milliseconds>(
@@ -717,16 +718,29 @@
                                   {"with_spread", Long->Placement.WithSpread}});
 }
 
-/// Logs each restart of a worker under its id that this owner has found.
+/// Logs each restart of a worker under its id that this owner has found, and
+/// each doubt about one.
 void PoolController::logRestarts() {
   for (const jobs::IncarnationChange &Change : State_.takeIncarnationChanges())
-    logEvent("worker_restarted", {{"worker", Change.Worker},
-                                  {"pool", State_.pool()},
-                                  {"token", State_.token()},
-                                  {"born", Change.Later},
-                                  {"born_before", Change.Earlier},
-                                  {"by", Change.ByReport ? "report" : "list"},
-                                  {"starts_in_doubt", Change.StartsInDoubt}});
+    logEvent(Change.IsLater ? "worker_restarted" : "worker_restart_doubted",
+             {{"worker", Change.Worker},
+              {"pool", State_.pool()},
+              {"token", State_.token()},
+              {"born", Change.Shown},
+              {"born_before", Change.Known},
+              {"by", Change.ByReport ? "report" : "list"},
+              {"starts_in_doubt", Change.StartsInDoubt}});
+}
+
+/// Logs the runs that count as ended since their worker's lease has lapsed.
+void PoolController::logLapsedRuns() {
+  for (const jobs::LapsedRuns &Lapsed : State_.takeLapsedRuns())
+    logEvent("runs_lapsed", {{"worker", Lapsed.Worker},
+                             {"pool", State_.pool()},
+                             {"token", State_.token()},
+                             {"runs", Lapsed.Runs},
+                             {"report_age_ms", core::inMs(Lapsed.ReportAge)},
+                             {"doubted", Lapsed.Doubted ? 1 : 0}});
 }
 
 /// Logs each worker that has crashed with runs, and each job that failed for
@@ -957,16 +971,12 @@
     repeatBatch(Write, *Pause, true);
 }
 
-/// Sends the next attempt after the pause, unless the write is settled or
-/// another attempt was sent by then. \p BesideOpen says whether it is for the
-/// case that an attempt is still open then or for the case that none is.
+/// Sends the next attempt after the pause if \ref mayRepeat allows it then.
 void PoolController::repeatBatch(const std::shared_ptr<BatchWrite> &Write,
                                  core::Duration Pause, bool BesideOpen) {
   Ctx_.Loop.after(Pause, [Self = shared_from_this(), Write, BesideOpen,
                           Sent = Write->Attempts.Sent] {
-    const RepeatedWrite &Attempts = Write->Attempts;
-    if (Self->Dropped_ || Attempts.Settled || Attempts.Sent != Sent ||
-        (Attempts.Open > 0) != BesideOpen)
+    if (Self->Dropped_ || !mayRepeat(Write->Attempts, Sent, BesideOpen))
       return;
     Self->Ctx_.Count.recordRetry("store-progress");
     Self->sendBatch(Write);
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -104,6 +104,7 @@
   void logStopDecisions();
   void logLongWait();
   void logRestarts();
+  void logLapsedRuns();
   void logCrashes();
   void send(jobs::Orders Orders);
   void recordSending();
--- a/src/dispatch/WriteRepeats.cpp
+++ b/src/dispatch/WriteRepeats.cpp
@@ -9,8 +9,8 @@
 
 namespace {
 
-/// Bounds of the pause before the first repetition. A store that would need a
-/// longer one has enough to do.
+/// Bounds of the pause before the first repetition. With a longer one the store
+/// is slow, and nothing is repeated beside an open attempt.
 constexpr core::Duration LeastPause = milliseconds(60);
 constexpr core::Duration MostPause = milliseconds(600);
 /// The first pause as a multiple of the usual time of an answer.
@@ -21,11 +21,11 @@
 constexpr std::size_t EarlyAttempts = 4;
 /// Time limit of an attempt; bounds how long a lost answer goes unnoticed.
 constexpr core::Duration StoreTimeout = milliseconds(1500);
-/// Time limit once the early attempts are used up. Makes up for their calls if
-/// nothing is answered.
+/// Time limit once the early attempts are used up: longer, so that an outage
+/// costs no more calls for them.
 constexpr core::Duration LongStoreTimeout = milliseconds(2280);
-/// The share by which a quicker answer changes the usual time.
-constexpr int PaceFall = 16;
+/// A quicker answer lowers the usual time by this fraction of the difference.
+constexpr int PaceFallDivisor = 16;
 
 } // namespace
 
@@ -33,7 +33,7 @@
   if (Took >= Pace.Usual)
     Pace.Usual = Took;
   else
-    Pace.Usual -= (Pace.Usual - Took) / PaceFall;
+    Pace.Usual -= (Pace.Usual - Took) / PaceFallDivisor;
 }
 
 std::optional<core::Duration> pauseBeforeRepeat(const AnswerPace &Pace,
@@ -59,6 +59,10 @@
   ++Write.Open;
 }
 
+bool mayRepeat(const RepeatedWrite &Write, std::size_t Sent, bool BesideOpen) {
+  return !Write.Settled && Write.Sent == Sent && (Write.Open > 0) == BesideOpen;
+}
+
 WriteStep takeAnswer(RepeatedWrite &Write, PartOutcome Outcome, bool Refused) {
   --Write.Open;
   if (Write.Settled)
--- a/src/dispatch/WriteRepeats.h
+++ b/src/dispatch/WriteRepeats.h
@@ -54,6 +54,12 @@
 /// Records that the next attempt is sent.
 void recordAttempt(RepeatedWrite &Write);
 
+/// Whether the attempt after number \p Sent is to be sent now, at the end of
+/// its pause: the write is not settled and none was sent meanwhile. \p
+/// BesideOpen tells the attempt that is for the case that another is still open
+/// from the one for the case that none is.
+bool mayRepeat(const RepeatedWrite &Write, std::size_t Sent, bool BesideOpen);
+
 /// Records the answer to one attempt, and returns what follows. \p Refused says
 /// that the store refused the write for good, which settles it too: with \ref
 /// RepeatedWrite::Unsure set, an attempt without an answer may still apply.
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -193,6 +193,10 @@
   return std::exchange(IncarnationChanges_, {});
 }
 
+std::vector<LapsedRuns> PoolState::takeLapsedRuns() {
+  return std::exchange(LapsedRuns_, {});
+}
+
 std::vector<CrashRecord> PoolState::takeCrashRecords() {
   return std::exchange(CrashRecords_, {});
 }
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -25,32 +25,45 @@
     WorkerState &W = *It->second;
     std::erase_if(W.LostStarts,
                   [&](const LostStart &S) { return S.Until <= In.Now; });
-    if (!W.Tasks.empty() && leaseLapsed(W, SureAt)) {
-      if (W.DoubtedSince && In.Now < W.EarlierOrdersUntil) {
-        dropListedRuns(W, In.Now);
-      } else {
-        recordLostStarts(W);
-        recordLoss(W, In.Now);
-        dropRuns(W);
-      }
-    }
-    // The worker may be the only source of runs and ends of jobs that are not
-    // loaded yet.
-    bool HoldsNothing = W.Heard && W.UnknownRuns.empty() && W.Parked.empty();
-    bool Forget = W.Gone && W.Tasks.empty() && W.LostStarts.empty() &&
-                  W.Requests.empty() && !mayHaveCrashed(It->first) &&
-                  !mayReachNextIncarnation(W, In.Now) && !hasEndsSetAside(W) &&
-                  (HoldsNothing || leaseLapsed(W, In.Now));
+    if (!W.Tasks.empty() && leaseLapsed(W, SureAt))
+      dropLapsedRuns(W, In.Now);
+    bool Forget = mayForget(W, In.Now);
     if (Forget) {
       unenrol(It->first);
       ForgottenFenceStep_ =
           std::max(ForgottenFenceStep_, W.FenceStep + (W.Ended ? 0 : 1));
-      Fenced_ = Fenced_ || ForgottenFenceStep_ >> FenceStepBits != 0;
+      checkFenceStep(ForgottenFenceStep_);
     }
     It = Forget ? Workers_.erase(It) : std::next(It);
   }
 }
 
+/// Whether nothing of the worker, which is no longer listed, can matter any
+/// more.
+bool PoolState::mayForget(const WorkerState &W, core::TimePoint Now) const {
+  // The worker may be the only source of runs and ends of jobs that are not
+  // loaded yet.
+  bool HoldsNothing = W.Heard && W.UnknownRuns.empty() && W.Parked.empty();
+  return W.Gone && W.Tasks.empty() && W.LostStarts.empty() &&
+         W.Requests.empty() && !mayHaveCrashed(W.Entry.Id) &&
+         !mayReachNextIncarnation(W, Now) && !hasEndsSetAside(W) &&
+         (HoldsNothing || leaseLapsed(W, Now));
+}
+
+void PoolState::dropLapsedRuns(WorkerState &W, core::TimePoint Now) {
+  bool Doubted = W.DoubtedSince && Now < W.EarlierOrdersUntil;
+  std::size_t Before = W.Tasks.size();
+  if (Doubted) {
+    dropListedRuns(W, Now);
+  } else {
+    recordLostStarts(W);
+    recordLoss(W, Now);
+    dropRuns(W);
+  }
+  if (std::size_t Runs = Before - W.Tasks.size())
+    LapsedRuns_.push_back({W.Entry.Id, Runs, Now - W.ReportedAt, Doubted});
+}
+
 /// Drops the runs that the known incarnation had. Starts that no report has
 /// listed may have reached a later one.
 void PoolState::dropListedRuns(WorkerState &W, core::TimePoint Now) {
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -202,7 +202,7 @@
     return;
   if (Result.Outcome == OrderOutcome::Accepted &&
       isUnordered(W, Result.Report, SentAt)) {
-    suspectRestart(W, Now);
+    doubtIncarnation(W, Result.Report.Born, true, Now);
     return;
   }
   W.NextHold = Now + Limits_.ReportRetry;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -248,18 +248,30 @@
   }
 };
 
-/// An incarnation that took the place of another one, for logs.
+/// An incarnation that took the place of the known one, or may have, for logs.
 struct IncarnationChange {
   std::string Worker;
   /// Start times, in Unix milliseconds.
-  std::int64_t Earlier = 0;
-  std::int64_t Later = 0;
+  std::int64_t Known = 0;
+  std::int64_t Shown = 0;
   /// A report told of it, not the worker's row.
   bool ByReport = false;
-  /// Starts that were sent before and may be carried out by the later one.
+  /// It is a later one; otherwise it may be an earlier one too.
+  bool IsLater = false;
+  /// Starts that were sent before and may be carried out by it.
   std::size_t StartsInDoubt = 0;
 };
 
+/// Runs that count as ended since their worker's lease has lapsed, for logs.
+struct LapsedRuns {
+  std::string Worker;
+  std::size_t Runs = 0;
+  /// Age of the worker's last report.
+  core::Duration ReportAge{0};
+  /// The worker may have restarted; starts that no report has listed are kept.
+  bool Doubted = false;
+};
+
 /// A worker that has crashed, for logs.
 struct CrashRecord {
   std::string Worker;
@@ -626,15 +638,20 @@
   /// Returns and forgets the crashes of workers since the last call, oldest
   /// first.
   std::vector<CrashRecord> takeCrashRecords();
-  /// Returns and forgets the restarts of workers since the last call, oldest
-  /// first.
+  /// Returns and forgets the restarts of workers, certain ones and doubts,
+  /// since the last call, oldest first.
   std::vector<IncarnationChange> takeIncarnationChanges();
+  /// Returns and forgets the runs that lapsed since the last call, oldest
+  /// first.
+  std::vector<LapsedRuns> takeLapsedRuns();
   /// Number of runs of the task, or of its gang, under which a worker crashed.
   static std::size_t countCrashes(const JobRecord &Job, std::uint32_t Task);
   PoolGauges gauges(core::TimePoint Now, std::int64_t WallMs) const;
   /// Whether this owner has been superseded: a worker has seen a higher fencing
   /// token, or the run ids or a worker's fences are used up.
   bool isFenced() const { return Fenced_; }
+  /// Whether it is fenced since a worker's fences are used up.
+  bool isFenceUsedUp() const { return FenceUsedUp_; }
   const std::unordered_map<std::string, std::unique_ptr<WorkerState>> &
   workers() const {
     return Workers_;
@@ -711,7 +728,9 @@
                    std::uint64_t Fence, core::TimePoint SentAt);
   void startIncarnation(WorkerState &W, std::int64_t Born, bool ByReport,
                         core::TimePoint Now);
-  void suspectRestart(WorkerState &W, core::TimePoint Now) const;
+  void expectLateOrders(WorkerState &W) const;
+  void doubtIncarnation(WorkerState &W, std::int64_t Shown, bool ByReport,
+                        core::TimePoint Now);
   void applyListedBirth(WorkerState &W, std::int64_t Born, core::TimePoint Now);
   static bool isEarlierIncarnation(const WorkerState &W, std::int64_t Born);
   static bool isUnordered(const WorkerState &W, const WorkerReport &Report,
@@ -762,6 +781,7 @@
   bool mayReachNextIncarnation(const WorkerState &W, core::TimePoint Now) const;
   bool mayHostLasting(const WorkerState &W, core::TimePoint Now) const;
   std::uint64_t fenceOf(const WorkerState &W) const;
+  void checkFenceStep(std::uint32_t Step);
   void raiseFence(WorkerState &W);
   void settleByFence(WorkerState &W, std::uint64_t Fence, core::TimePoint Now);
 
@@ -800,6 +820,8 @@
   static bool isOvertaken(const WorkerState &W, const WorkerReport &Report,
                           core::TimePoint SentAt);
   void expireSilent(const PlanInput &In);
+  bool mayForget(const WorkerState &W, core::TimePoint Now) const;
+  void dropLapsedRuns(WorkerState &W, core::TimePoint Now);
   void dropListedRuns(WorkerState &W, core::TimePoint Now);
   void recordLostStarts(WorkerState &W);
 
@@ -851,6 +873,7 @@
   /// When the next stop is due that is known already.
   core::TimePoint NextStopAt_;
   bool Fenced_ = false;
+  bool FenceUsedUp_ = false;
   PoolCounters Counters_;
   std::vector<StopDecision> StopDecisions_;
   std::optional<LongWait> LongWait_;
@@ -865,6 +888,7 @@
   std::map<std::string, core::TimePoint> CrashedAt_;
   std::vector<CrashRecord> CrashRecords_;
   std::vector<IncarnationChange> IncarnationChanges_;
+  std::vector<LapsedRuns> LapsedRuns_;
 };
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -12,8 +12,7 @@
 
 /// Margin for rounding errors in computed lease ends.
 constexpr std::int64_t LeaseSlackMs = 60;
-/// Earlier incarnations that are remembered for each worker. What still tells
-/// of one is seconds old at most.
+/// Earlier incarnations that are remembered for each worker.
 constexpr std::size_t MaxEarlierBorns = 16;
 
 } // namespace
@@ -22,7 +21,7 @@
                                  bool ByReport, core::TimePoint Now) {
   std::vector<SuspectRun> Unlisted = unlistedStarts(W);
   IncarnationChanges_.push_back(
-      {W.Entry.Id, W.Born, Born, ByReport, Unlisted.size()});
+      {W.Entry.Id, W.Born, Born, ByReport, true, Unlisted.size()});
   std::vector<LiveRun> Runs;
   Runs.reserve(Unlisted.size());
   for (const SuspectRun &Start : Unlisted)
@@ -35,7 +34,8 @@
     W.EarlierFence = fenceOf(W);
     raiseFence(W);
   }
-  suspectRestart(W, Now);
+  expectLateOrders(W);
+  W.IncarnationConfirmed = false;
   W.DoubtedSince.reset();
   // A row may have told of an earlier one in between.
   std::erase(W.EarlierBorns, Born);
@@ -58,9 +58,9 @@
   W.ClockAt = Now;
 }
 
-/// Takes orders for the present incarnation for ones that a later one may carry
-/// out.
-void PoolState::suspectRestart(WorkerState &W, core::TimePoint Now) const {
+/// Records until when orders that were sent to the worker may give a lease to
+/// an incarnation after the present one.
+void PoolState::expectLateOrders(WorkerState &W) const {
   // On a clock that starts anew, the end of a lease lies far ahead: only the
   // worker's own limit holds.
   if (W.LeaseOrderedAt != core::TimePoint()) {
@@ -68,6 +68,16 @@
     W.EarlierOrdersUntil =
         latestLeaseEnd(W.LeaseOrderedAt + Limits_.LateOrder, Limits_.MaxLease);
   }
+}
+
+/// Lets the worker get no start until a report that is requested from now on
+/// has told whether its incarnation is the known one. \p Shown is the start
+/// time of the other one, of which a late report or the worker's row has told.
+void PoolState::doubtIncarnation(WorkerState &W, std::int64_t Shown,
+                                 bool ByReport, core::TimePoint Now) {
+  IncarnationChanges_.push_back(
+      {W.Entry.Id, W.Born, Shown, ByReport, false, unlistedStarts(W).size()});
+  expectLateOrders(W);
   W.DoubtedSince = Now;
   W.IncarnationConfirmed = false;
   W.NextHold = std::min(W.NextHold, Now);
@@ -88,7 +98,7 @@
   if (W.Ended || (Born > W.Born && RowWasCurrent))
     startIncarnation(W, Born, false, Now);
   else
-    suspectRestart(W, Now);
+    doubtIncarnation(W, Born, false, Now);
 }
 
 /// Runs on the worker whose start was sent and that no report has listed: the
@@ -379,11 +389,17 @@
   return (Token_ << FenceStepBits) + W.FenceStep;
 }
 
+/// Fences the owner if the step does not fit beside its token: the fence would
+/// be one of a later owner.
+void PoolState::checkFenceStep(std::uint32_t Step) {
+  FenceUsedUp_ = FenceUsedUp_ || Step >> FenceStepBits != 0;
+  Fenced_ = Fenced_ || FenceUsedUp_;
+}
+
 /// Raises the fence, so that the worker's next report settles which of the
 /// starts sent before have run: it refuses those that arrive later.
 void PoolState::raiseFence(WorkerState &W) {
-  if (++W.FenceStep >> FenceStepBits != 0)
-    Fenced_ = true;
+  checkFenceStep(++W.FenceStep);
   W.FenceRaised = true;
   W.NextHold = std::min(W.NextHold, Now_);
 }
--- a/tests/jobs/LateOrders.cpp
+++ b/tests/jobs/LateOrders.cpp
@@ -303,29 +303,35 @@
       inTrouble() ? static_cast<std::uint32_t>(Out.Holds.size()) : 0;
 }
 
+/// Plays an order on its way to the worker: \p CarryOut is called once it is
+/// carried out, \p Answer with what the owner learns.
+void LateOrders::deliver(Worker &W, double LateShare,
+                         const std::function<OrderOutcome()> &CarryOut,
+                         const std::function<void(OrderResult)> &Answer) {
+  if (inTrouble() && chance(LateShare)) {
+    after(draw(MinLateMs, MaxLateMs), [CarryOut] { CarryOut(); });
+    after(OrderLimit, [Answer] { Answer({}); });
+    return;
+  }
+  if (inTrouble() && chance(Options_.RefusedOrders)) {
+    after(draw(1, MaxWayMs), [Answer] { Answer({OrderOutcome::Refused, 0}); });
+    return;
+  }
+  after(draw(1, MaxWayMs), [this, &W, CarryOut, Answer] {
+    OrderResult Result = {CarryOut(), clockMs(W)};
+    after(draw(1, MaxWayMs), [Answer, Result] { Answer(Result); });
+  });
+}
+
 void LateOrders::sendStart(const StartOrder &Order) {
   auto Send = [this, Order] {
     Worker &W = Workers_[Order.Worker];
-    auto Answer = [this, &W, Order](OrderResult Result) {
-      endCall(W);
-      B_.Owner.onStart(Order, Result, B_.Now);
-    };
-    if (inTrouble() && chance(Options_.LateStarts)) {
-      after(draw(MinLateMs, MaxLateMs), [this, &W, Order] { start(W, Order); });
-      after(OrderLimit, [Answer] { Answer({}); });
-      return;
-    }
-    if (inTrouble() && chance(Options_.RefusedOrders)) {
-      after(draw(1, MaxWayMs), [Answer] {
-        Answer({OrderOutcome::Refused, 0});
-      });
-      return;
-    }
-    after(draw(1, MaxWayMs), [this, &W, Order, Answer] {
-      OrderOutcome Outcome = start(W, Order);
-      OrderResult Result = {Outcome, clockMs(W)};
-      after(draw(1, MaxWayMs), [Answer, Result] { Answer(Result); });
-    });
+    deliver(
+        W, Options_.LateStarts, [this, &W, Order] { return start(W, Order); },
+        [this, &W, Order](OrderResult Result) {
+          endCall(W);
+          B_.Owner.onStart(Order, Result, B_.Now);
+        });
   };
   give(Order, Send, [this, Order] {
     B_.Owner.onStart(Order, {OrderOutcome::Withheld, 0}, B_.Now);
@@ -335,26 +341,12 @@
 void LateOrders::sendStop(const StopOrder &Order) {
   auto Send = [this, Order] {
     Worker &W = Workers_[Order.Worker];
-    auto Answer = [this, &W, Order](OrderResult Result) {
-      endCall(W);
-      B_.Owner.onStop(Order, Result, B_.Now);
-    };
-    if (inTrouble() && chance(Options_.LateStops)) {
-      after(draw(MinLateMs, MaxLateMs), [this, &W, Order] { stop(W, Order); });
-      after(OrderLimit, [Answer] { Answer({}); });
-      return;
-    }
-    if (inTrouble() && chance(Options_.RefusedOrders)) {
-      after(draw(1, MaxWayMs), [Answer] {
-        Answer({OrderOutcome::Refused, 0});
-      });
-      return;
-    }
-    after(draw(1, MaxWayMs), [this, &W, Order, Answer] {
-      OrderOutcome Outcome = stop(W, Order);
-      OrderResult Result = {Outcome, clockMs(W)};
-      after(draw(1, MaxWayMs), [Answer, Result] { Answer(Result); });
-    });
+    deliver(
+        W, Options_.LateStops, [this, &W, Order] { return stop(W, Order); },
+        [this, &W, Order](OrderResult Result) {
+          endCall(W);
+          B_.Owner.onStop(Order, Result, B_.Now);
+        });
   };
   call(Order.Worker, Send, [this, Order] {
     B_.Owner.onStop(Order, {OrderOutcome::Withheld, 0}, B_.Now);
--- a/tests/jobs/LateOrders.h
+++ b/tests/jobs/LateOrders.h
@@ -105,6 +105,9 @@
   void arrive();
   void addLastingJob();
   void send(const Orders &Out);
+  void deliver(Worker &W, double LateShare,
+               const std::function<OrderOutcome()> &CarryOut,
+               const std::function<void(OrderResult)> &Answer);
   void sendStart(const StartOrder &Order);
   void sendStop(const StopOrder &Order);
   void sendHold(const HoldOrder &Order);
--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -238,6 +238,8 @@
     Limits.EarlierOrders = core::Duration::zero();
   if (Options_.ViolatedRule == RuleViolation::NoStopWait)
     Limits.StopTime = milliseconds(-1);
+  if (Options_.ViolatedRule == RuleViolation::NoReportBeforeStart)
+    Limits.UnseenRestart = TotalTimeWithCrashes;
   if (Options_.ViolatedRule == RuleViolation::NoIsolation)
     Limits.IsolationCrashes = Limits.MaxCrashes + 1;
   O->State = std::make_unique<PoolState>("pool", O->Token, Now_, Limits);
@@ -425,7 +427,9 @@
     if (Options_.LateReports && chance(0.2))
       MaxMs = ReportSlackMs;
     schedule(1, MaxMs, [this, O, Order, Result, SentAt, Lost] {
-      O->State->onReport(Order, Lost ? ReportResult() : Result, SentAt, Now_);
+      bool Ordered = Options_.ViolatedRule != RuleViolation::NoRequestOrder;
+      O->State->onReport(Order, Lost ? ReportResult() : Result,
+                         Ordered ? SentAt : Now_, Now_);
     });
   });
 }
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -37,6 +37,12 @@
   NoCrashMemory,
   /// Tasks that may crash their workers get no worker of their own.
   NoIsolation,
+  /// Reports count as requested when they arrive, so that a late one of an
+  /// earlier incarnation reads as that of a later one.
+  NoRequestOrder,
+  /// An owner whose ownership is unconfirmed starts tasks on workers that have
+  /// not reported lately.
+  NoReportBeforeStart,
 };
 
 struct SimulationOptions {
--- a/tests/jobs/PoolSimulationTest.cpp
+++ b/tests/jobs/PoolSimulationTest.cpp
@@ -20,7 +20,11 @@
     Options.ViolatedRule = ViolatedRule;
     Options.EntriesDisappear = ViolatedRule == RuleViolation::NoRoster;
     Options.LastingTasks = ViolatedRule == RuleViolation::NoStopWait;
-    Options.LateReports = ViolatedRule == RuleViolation::NoFenceSteps;
+    Options.ClocksJump = ViolatedRule == RuleViolation::NoRequestOrder;
+    Options.RowsLag = ViolatedRule == RuleViolation::NoReportBeforeStart;
+    Options.LateReports = ViolatedRule == RuleViolation::NoFenceSteps ||
+                          ViolatedRule == RuleViolation::NoRequestOrder ||
+                          ViolatedRule == RuleViolation::NoReportBeforeStart;
     Options.CrashingTasks = ViolatedRule == RuleViolation::NoCrashMemory ||
                             ViolatedRule == RuleViolation::NoIsolation;
     Result = PoolSimulation(Options).simulate();
@@ -237,7 +241,8 @@
         RuleViolation::NoWait, RuleViolation::EarlyAcknowledge,
         RuleViolation::EarlyRead, RuleViolation::FalseEnd,
         RuleViolation::NoRoster, RuleViolation::NoStopWait,
-        RuleViolation::NoCrashMemory, RuleViolation::NoIsolation}) {
+        RuleViolation::NoCrashMemory, RuleViolation::NoIsolation,
+        RuleViolation::NoRequestOrder, RuleViolation::NoReportBeforeStart}) {
     CAPTURE(static_cast<int>(ViolatedRule));
     CHECK(search(ViolatedRule, Histories).Fault != "");
   }
