A lasting task leaves its closed worker only for a place elsewhere

Cause: all closed workers were drained at once, without regard to room. In a pool that lasting tasks nearly fill, those stopped first used up their steps' allowances and found no room; the others had to stay on the closed workers, so that none became empty and none came back: a deadlock, without a bound. The room on the half-empty closed workers was used by nobody.

Evidence: WaveMoveTest, 126 lasting tasks of 8.5 cores on 21 workers of 64, a wave of nine, six at once.

Change: a task is stopped once a worker has room for it, which is held until it starts there. The closed worker with the fewest lasting tasks goes first, and its other tasks hold places too. Without room elsewhere, an evicted worker's tasks may move to closed workers that are emptied later; if there is none, they are stopped together, one worker at a time, and wait for its upkeep, reason worker-emptied. A waiting lasting task starts on a closed worker that still has lasting tasks if no other will have room. Steps' allowances bound all stops as before.

The naive planner of the tests plans the same.

--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -10,6 +10,11 @@
 
 /// How long a lasting task waits before short tasks leave room for it.
 constexpr std::chrono::milliseconds KeepAfter(1000);
+/// How long it waits for a kept worker before it starts on a closed one.
+constexpr std::chrono::milliseconds ClosedAfter(3000);
+/// Within this time a worker that was emptied is back from its upkeep, and the
+/// tasks that had no place elsewhere run again.
+constexpr std::chrono::milliseconds UpkeepTime(5000);
 /// Workers are kept for lasting tasks until one in this many usable ones is.
 constexpr std::size_t WorkersPerKept = 8;
 
@@ -39,10 +44,159 @@
                      [](const LiveRun &Run) { return Run.Stopping; });
 }
 
-/// Keeps room for lasting tasks that have waited for long: it comes free in
-/// pieces that each suit a short task, so that a larger one would wait for as
-/// long as short ones come.
-void StartPlan::keepRoomForLasting() {
+void StartPlan::planLastingMoves() {
+  std::vector<WorkerState *> Closed;
+  for (auto &[Id, W] : Owner_.Workers_)
+    if (W->Closed && W->Lasting > 0)
+      Closed.push_back(W.get());
+  // One that is nearly empty first: its room comes back with its upkeep.
+  std::sort(Closed.begin(), Closed.end(),
+            [](const WorkerState *A, const WorkerState *B) {
+              return std::tie(B->Evicting, A->Lasting, A->Entry.Id) <
+                     std::tie(A->Evicting, B->Lasting, B->Entry.Id);
+            });
+  planStillWaiting(Closed);
+  if (Closed.empty())
+    return;
+  for (WorkerState *W : Closed)
+    for (const auto &[Job, Task] : W->Tasks)
+      if (PoolState::stepOf(*Job, Task).Lasting && !isFinal(Job->Now) &&
+          isBeingStopped(*Job, Task))
+        holdPlace(*Job, Task);
+  for (WorkerState *W : Closed)
+    moveLasting(*W, W == Closed.front());
+  if (!Closed.front()->Evicting || !mayEmptyWithoutPlaces())
+    return;
+  // A task that is stopped for a worker that is emptied later never goes back,
+  // since the order is by the number of lasting tasks.
+  for (auto It = Closed.begin(); It != Closed.end() && (*It)->Evicting; ++It)
+    if (moveAmongClosed(**It, {std::next(It), Closed.end()}) ||
+        emptyWithoutPlaces(**It))
+      return;
+}
+
+/// Keeps room for a task that is to start elsewhere, for this round. False if
+/// there is none.
+bool StartPlan::holdPlace(JobRecord &Job, std::uint32_t Task) {
+  WorkerState *Place = chooseWorker(Job, Task, "");
+  if (!Place)
+    return false;
+  Owner_.reserve(*Place, Job, PoolState::stepOf(Job, Task));
+  HeldPlaces_.push_back({&Job, Task, Place});
+  return true;
+}
+
+/// Stops the lasting tasks on a closed worker that have a place elsewhere, as
+/// many at a time as their steps allow. On the worker that is emptied first,
+/// the others hold places too, so that it is emptied soon.
+void StartPlan::moveLasting(WorkerState &W, bool IsFirst) {
+  for (const auto &[Job, Task] : W.Tasks) {
+    const StepSpec &Step = PoolState::stepOf(*Job, Task);
+    if (!Step.Lasting || isBeingStopped(*Job, Task))
+      continue;
+    if (!Owner_.mayBecomeAbsent(*Job, Task, In_.Now) ||
+        !Owner_.mayRestart(*Job)) {
+      if (IsFirst)
+        holdPlace(*Job, Task);
+      continue;
+    }
+    // A gang starts as a whole, and a worker that leaves takes its tasks along.
+    bool Needed = !Step.Gang && !W.Entry.Draining;
+    if (!Needed || holdPlace(*Job, Task))
+      stopOn(W, *Job, Task, StopReason::WorkerClosed);
+    else
+      keepWorker(*Job, Task);
+  }
+}
+
+/// Moves the worker's lasting tasks to workers that are closed as well but
+/// emptied later. False if there is no room for any.
+bool StartPlan::moveAmongClosed(WorkerState &W,
+                                std::span<WorkerState *const> Later) {
+  bool Moved = false;
+  for (const auto &[Job, Task] : W.Tasks) {
+    if (!PoolState::stepOf(*Job, Task).Lasting || isBeingStopped(*Job, Task) ||
+        !Owner_.mayBecomeAbsent(*Job, Task, In_.Now) ||
+        !Owner_.mayRestart(*Job))
+      continue;
+    WorkerState *Place = chooseClosed(*Job, Task, Later);
+    if (!Place)
+      continue;
+    Owner_.reserve(*Place, *Job, PoolState::stepOf(*Job, Task));
+    HeldPlaces_.push_back({Job, Task, Place});
+    stopOn(W, *Job, Task, StopReason::WorkerClosed);
+    Moved = true;
+  }
+  return Moved;
+}
+
+/// The worker with room among closed ones that has the most lasting tasks. An
+/// empty one may be taken down at any moment.
+WorkerState *
+StartPlan::chooseClosed(JobRecord &Job, std::uint32_t Task,
+                        std::span<WorkerState *const> Closed) const {
+  WorkerState *Best = nullptr;
+  for (WorkerState *W : Closed)
+    if (W->Lasting > 0 && isSound(*W) &&
+        meetsConstraints(*W, Job, Task, PoolState::stepOf(Job, Task)) &&
+        (!Best || W->Lasting > Best->Lasting))
+      Best = W;
+  return Best;
+}
+
+void StartPlan::stopOn(const WorkerState &W, JobRecord &Job, std::uint32_t Task,
+                       StopReason Reason) {
+  for (LiveRun &Run : Job.Tasks[Task].Runs)
+    if (!Run.Stopping && Run.Worker == W.Entry.Id)
+      Owner_.stopRun(Job, Task, Run, Reason, In_.Now);
+}
+
+/// Whether no lasting task waits that was stopped lately, so that a worker's
+/// tasks may wait for its own upkeep.
+bool StartPlan::mayEmptyWithoutPlaces() const {
+  return std::none_of(
+      Owner_.Open_.begin(), Owner_.Open_.end(), [&](JobRecord *Job) {
+        if (!Job->Spec.Steps.front().Lasting)
+          return false;
+        for (std::uint32_t Task = 0; Task < Job->Tasks.size(); ++Task) {
+          const TaskState &State = Job->Tasks[Task];
+          bool Waits =
+              State.Runs.empty() && In_.Now - State.WaitingSince < UpkeepTime;
+          if (!State.Kept.Done && (Waits || isBeingStopped(*Job, Task)))
+            return true;
+        }
+        return false;
+      });
+}
+
+/// Stops all lasting tasks on the worker if their steps allow that, though they
+/// have no place elsewhere; else stops none.
+bool StartPlan::emptyWithoutPlaces(WorkerState &W) {
+  std::map<std::pair<JobRecord *, std::uint32_t>, std::uint32_t> Leaving;
+  for (const auto &[Job, Task] : W.Tasks) {
+    if (!PoolState::stepOf(*Job, Task).Lasting || isBeingStopped(*Job, Task))
+      continue;
+    TaskPlace Place = PoolState::placeOf(*Job, Task);
+    std::uint32_t Others = Leaving[{Job, Task - Place.Index}]++;
+    std::uint32_t Unavailable =
+        Owner_.countUnavailable(*Job, Task, In_.Now) + Others;
+    if (!Owner_.mayRestart(*Job) ||
+        Unavailable >= PoolState::absenceLimit(PoolState::stepOf(*Job, Task)))
+      return false;
+  }
+  if (Leaving.empty())
+    return false;
+  for (const auto &[Job, Task] : W.Tasks)
+    if (PoolState::stepOf(*Job, Task).Lasting)
+      stopOn(W, *Job, Task, StopReason::WorkerEmptied);
+  return true;
+}
+
+/// Starts lasting tasks that wait on closed workers if no other will have room,
+/// and keeps room for those that have waited for long: it comes free in pieces
+/// that each suit a short task, so that a larger one would wait for as long as
+/// short ones come.
+void StartPlan::planStillWaiting(std::span<WorkerState *const> Closed) {
   struct Waiting {
     core::TimePoint Since;
     JobRecord *Job = nullptr;
@@ -56,8 +210,7 @@
     for (std::uint32_t Task : Job->Waiting) {
       const StepSpec &Step = PoolState::stepOf(*Job, Task);
       const TaskState &State = Job->Tasks[Task];
-      bool Waits = State.Runs.empty() && !isWithheld(*Job, Task) &&
-                   In_.Now - State.WaitingSince >= KeepAfter;
+      bool Waits = State.Runs.empty() && !isWithheld(*Job, Task);
       if (Waits && !Step.Gang && mayStart(*Job, Task) &&
           !isIsolated(*Job, Task) && hasTeamRoom(*Job, Step, 1))
         Longest.push_back({State.WaitingSince, Job, Task});
@@ -68,8 +221,19 @@
               return std::tie(A.Since, A.Job->Spec.Id, A.Task) <
                      std::tie(B.Since, B.Job->Spec.Id, B.Task);
             });
-  for (const Waiting &W : Longest)
-    keepWorker(*W.Job, W.Task);
+  for (const Waiting &W : Longest) {
+    if (isBounded())
+      return;
+    core::Duration Age = In_.Now - W.Since;
+    bool Comes = chooseToKeep(*W.Job, W.Task) != Usable_.end();
+    if (Comes && (Age < KeepAfter || keepWorker(*W.Job, W.Task)) &&
+        Age < ClosedAfter)
+      continue;
+    if (WorkerState *Place = chooseClosed(*W.Job, W.Task, Closed)) {
+      start(*W.Job, W.Task, *Place, nextRun());
+      announce(*W.Job, W.Task);
+    }
+  }
 }
 
 /// The worker that will have room for the task soonest, if any will without a
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -237,7 +237,7 @@
     return Out;
   // An owner that can't restart tasks elsewhere must not stop them either.
   if (In.MayStart) {
-    drainClosedWorkers(In);
+    stopEvicted(In);
     StragglerPlan(*this, In).run();
   }
   if (Config_) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -808,7 +808,7 @@
   bool mayBecomeAbsent(const JobRecord &Job, std::uint32_t Task,
                        core::TimePoint Now) const;
   bool mayRestart(const JobRecord &Job) const;
-  void drainClosedWorkers(const PlanInput &In);
+  void stopEvicted(const PlanInput &In);
   void planStops(const PlanInput &In, Orders &Out);
   void planHolds(const PlanInput &In, Orders &Out);
   bool mayRequestReport(const WorkerState &W, core::TimePoint Now) const;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -295,18 +295,13 @@
   return !Job.Spec.PayloadMissing && (Settled_ || !Job.Inherited);
 }
 
-/// Stops lasting tasks on closed workers, as many at a time as their steps
-/// allow, so that they restart elsewhere. Other tasks are stopped only on
-/// workers that are being evicted.
-void PoolState::drainClosedWorkers(const PlanInput &In) {
+/// Stops the tasks that end by themselves on workers that are being evicted.
+void PoolState::stopEvicted(const PlanInput &In) {
   for (auto &[Id, W] : Workers_) {
-    if (!W->Closed)
+    if (!W->Closed || !W->Evicting)
       continue;
     for (const auto &[Job, Task] : W->Tasks) {
-      bool May = stepOf(*Job, Task).Lasting
-                     ? mayBecomeAbsent(*Job, Task, In.Now)
-                     : W->Evicting;
-      if (!May || !mayRestart(*Job))
+      if (stepOf(*Job, Task).Lasting || !mayRestart(*Job))
         continue;
       for (LiveRun &Run : Job->Tasks[Task].Runs)
         if (!Run.Stopping && Run.Worker == Id)
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -63,10 +63,14 @@
 }
 
 bool StartPlan::canTake(const WorkerState &W) const {
+  return !W.Closed && isSound(W);
+}
+
+bool StartPlan::isSound(const WorkerState &W) const {
   return W.Enrolled && W.Heard && W.IncarnationConfirmed && !W.Ended &&
-         !W.Gone && !W.Closed && !W.Isolated && !W.Entry.Draining &&
-         W.UnknownRuns.empty() && W.LostStarts.empty() && W.ClockMs > 0 &&
-         W.AvoidUntil <= In_.Now && !Owner_.mayHaveLaterOwner(W, In_) &&
+         !W.Gone && !W.Isolated && !W.Entry.Draining && W.UnknownRuns.empty() &&
+         W.LostStarts.empty() && W.ClockMs > 0 && W.AvoidUntil <= In_.Now &&
+         !Owner_.mayHaveLaterOwner(W, In_) &&
          Owner_.ClosedDataCentres_.count(W.Entry.DataCentre) == 0 &&
          Owner_.leaseFor(W, In_) > 0;
 }
@@ -149,6 +153,7 @@
   for (const WithheldStart &Start : Withheld_)
     Start.Worker->ReportWanted = true;
   releaseWithheld(0);
+  releasePlaces();
   return std::move(Starts_);
 }
 
@@ -162,7 +167,7 @@
   // A few jobs usually use up all room, so a heap avoids sorting the rest.
   std::make_heap(Heap.begin(), Heap.end(), isLater);
   planCandidates(Heap, true);
-  keepRoomForLasting();
+  planLastingMoves();
   planCandidates(Heap, false);
 }
 
@@ -464,6 +469,13 @@
   Withheld_.resize(Kept);
 }
 
+void StartPlan::releasePlaces() {
+  for (const WithheldStart &Place : HeldPlaces_)
+    Owner_.release(*Place.Worker, *Place.Job,
+                   PoolState::stepOf(*Place.Job, Place.Task));
+  HeldPlaces_.clear();
+}
+
 void StartPlan::start(JobRecord &Job, std::uint32_t Task, WorkerState &W,
                       RunId Run) {
   bool Announced = mustAnnounce(Job, Task) && W.Born != 0;
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -83,6 +83,8 @@
   WorkerState *chooseWorker(JobRecord &Job, std::uint32_t Task,
                             const std::string &OnlyRack) const;
   bool canTake(const WorkerState &W) const;
+  /// Whether the worker can take starts, though it may be closed.
+  bool isSound(const WorkerState &W) const;
   bool meetsConstraints(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step) const;
   bool mayHost(const WorkerState &W, const StepSpec &Step) const;
@@ -99,10 +101,22 @@
   /// Plans the jobs at the front of the heap that are lasting or not.
   void planCandidates(std::vector<Candidate> &Heap, bool Lasting);
   static bool isBeingStopped(const JobRecord &Job, std::uint32_t Task);
-  void keepRoomForLasting();
+  /// Makes room for lasting tasks that wait, and moves those on closed workers.
+  void planLastingMoves();
+  void planStillWaiting(std::span<WorkerState *const> Closed);
   std::vector<WorkerState *>::iterator chooseToKeep(JobRecord &Job,
                                                     std::uint32_t Task);
   bool keepWorker(JobRecord &Job, std::uint32_t Task);
+  bool holdPlace(JobRecord &Job, std::uint32_t Task);
+  void moveLasting(WorkerState &W, bool IsFirst);
+  bool moveAmongClosed(WorkerState &W, std::span<WorkerState *const> Later);
+  WorkerState *chooseClosed(JobRecord &Job, std::uint32_t Task,
+                            std::span<WorkerState *const> Closed) const;
+  void stopOn(const WorkerState &W, JobRecord &Job, std::uint32_t Task,
+              StopReason Reason);
+  bool mayEmptyWithoutPlaces() const;
+  bool emptyWithoutPlaces(WorkerState &W);
+  void releasePlaces();
   void withhold(const JobRecord &Job, std::uint32_t Task, WorkerState &W);
   bool isWithheld(const JobRecord &Job, std::uint32_t Task) const;
   void withholdGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step,
@@ -136,6 +150,8 @@
     WorkerState *Worker = nullptr;
   };
   std::vector<WithheldStart> Withheld_;
+  /// Places of lasting tasks that are to start elsewhere.
+  std::vector<WithheldStart> HeldPlaces_;
   /// Run time of the longest chain up to each step of one job, in milliseconds:
   /// in total, and for the unfinished steps.
   std::vector<double> ChainMs_;
--- a/src/jobs/StopDecision.cpp
+++ b/src/jobs/StopDecision.cpp
@@ -8,6 +8,8 @@
     return "duplicate";
   case StopReason::WorkerClosed:
     return "worker-closed";
+  case StopReason::WorkerEmptied:
+    return "worker-emptied";
   case StopReason::Straggler:
     return "straggler";
   }
--- a/src/jobs/StopDecision.h
+++ b/src/jobs/StopDecision.h
@@ -9,8 +9,10 @@
 enum class StopReason : std::uint8_t {
   /// Its task has another run.
   Duplicate,
-  /// Its worker is closed for maintenance.
+  /// Its worker is closed for maintenance, and another one has room.
   WorkerClosed,
+  /// The same, without room elsewhere: it waits for the worker's maintenance.
+  WorkerEmptied,
   Straggler,
 };
 
--- a/tests/jobs/NaiveStarts.cpp
+++ b/tests/jobs/NaiveStarts.cpp
@@ -38,8 +38,13 @@
   std::vector<NaiveStart> run() {
     for (const auto &[Id, W] : Owner_.workers())
       if (isUsable(*W))
-        WorkerViews_.push_back(
-            {W.get(), W->Used, W->Serving, W->Lasting, W->Filling});
+        (W->Closed ? ClosedViews_ : WorkerViews_)
+            .push_back({W.get(), W->Used, W->Serving, W->Lasting, W->Filling});
+    std::sort(ClosedViews_.begin(), ClosedViews_.end(),
+              [](const WorkerView &A, const WorkerView &B) {
+                return std::tie(A.Lasting, A.Source->Entry.Id) <
+                       std::tie(B.Lasting, B.Source->Entry.Id);
+              });
     std::vector<JobView> All;
     for (const auto &[Id, Job] : Owner_.jobs())
       if (!isFinal(Job->Now) &&
@@ -58,7 +63,8 @@
     for (JobView &W : All)
       if (isLasting(W))
         startTasks(W);
-    keepRoom(All);
+    planStillWaiting(All);
+    holdPlaces();
     for (JobView &W : All)
       if (!isLasting(W))
         startTasks(W);
@@ -70,7 +76,7 @@
     core::Duration Lease =
         std::min(Input_.Limits.Lease, Input_.In.AuthorityEnd - Input_.In.Now);
     return W.Enrolled && W.Heard && W.IncarnationConfirmed && !W.Ended &&
-           !W.Gone && !W.Closed && !W.Entry.Draining && W.UnknownRuns.empty() &&
+           !W.Gone && !W.Entry.Draining && W.UnknownRuns.empty() &&
            W.ClockMs > 0 && W.AvoidUntil <= Input_.In.Now &&
            Input_.ClosedDataCentres.count(W.Entry.DataCentre) == 0 &&
            Lease > core::Duration::zero();
@@ -124,50 +130,169 @@
     return Since;
   }
 
-  static bool isLasting(const JobView &W) {
-    return W.Source->Spec.Steps.front().Lasting;
+  static bool isLasting(const JobRecord &Job) {
+    return Job.Spec.Steps.front().Lasting;
   }
+  static bool isLasting(const JobView &W) { return isLasting(*W.Source); }
 
-  /// Removes the workers that have to get room for lasting tasks which have
-  /// waited for a second, the longest wait first.
-  void keepRoom(const std::vector<JobView> &All) {
-    std::vector<std::tuple<core::TimePoint, std::string, std::uint32_t,
-                           const JobView *>>
+  /// Starts lasting tasks that wait on closed workers if no other will have
+  /// room, or removes the workers that have to get room for those which have
+  /// waited for a second; the longest wait first.
+  void planStillWaiting(std::vector<JobView> &All) {
+    std::vector<
+        std::tuple<core::TimePoint, std::string, std::uint32_t, JobView *>>
         Waiting;
-    for (const JobView &W : All) {
+    for (JobView &W : All) {
       if (!isLasting(W) || W.Advised)
         continue;
       std::vector<TaskRef> Refs = refsOf(*W.Source);
       for (std::uint32_t T = 0; T < Refs.size(); ++T) {
         const StepSpec &Step = W.Source->Spec.Steps[Refs[T].Step];
-        core::TimePoint Since = W.Source->Tasks[T].WaitingSince;
         if (W.RunsOn[T].empty() && !Step.Gang && mayStart(W, T, Refs[T]) &&
-            Input_.In.Now - Since >= std::chrono::seconds(1) &&
             hasTeamRoom(W, Step, 1))
-          Waiting.emplace_back(Since, W.Source->Spec.Id, T, &W);
+          Waiting.emplace_back(W.Source->Tasks[T].WaitingSince,
+                               W.Source->Spec.Id, T, &W);
       }
     }
     std::sort(Waiting.begin(), Waiting.end());
-    std::size_t Most = std::max<std::size_t>(WorkerViews_.size() / 8, 1);
-    std::size_t Kept = 0;
     for (const auto &[Since, Id, Task, W] : Waiting) {
-      if (Kept == Most)
-        return;
+      core::Duration Age = Input_.In.Now - Since;
+      bool Comes = chooseToKeep(*W, Task) != nullptr;
+      if (Comes && (Age < std::chrono::seconds(1) || keepWorker(*W, Task)) &&
+          Age < std::chrono::seconds(3))
+        continue;
+      std::vector<TaskRef> Refs = refsOf(*W->Source);
+      const StepSpec &Step = W->Source->Spec.Steps[Refs[Task].Step];
       WorkerView *Best = nullptr;
-      for (WorkerView &P : WorkerViews_)
-        if (mayGetRoom(*W, Task, P) &&
-            (!Best ||
-             std::make_pair(freeOn(P), P.Source->Entry.Id) >
-                 std::make_pair(freeOn(*Best), Best->Source->Entry.Id)))
+      for (WorkerView &P : ClosedViews_)
+        if (P.Lasting > 0 && meetsConstraints(*W, Refs, Task, Step, P) &&
+            (!Best || P.Lasting > Best->Lasting))
           Best = &P;
-      if (!Best)
+      if (Best)
+        place(*W, Task, Refs[Task], Step, *Best);
+    }
+  }
+
+  WorkerView *chooseToKeep(const JobView &W, std::uint32_t Task) {
+    WorkerView *Best = nullptr;
+    for (WorkerView &P : WorkerViews_)
+      if (mayGetRoom(W, Task, P) &&
+          (!Best || std::make_pair(freeOn(P), P.Source->Entry.Id) >
+                        std::make_pair(freeOn(*Best), Best->Source->Entry.Id)))
+        Best = &P;
+    return Best;
+  }
+
+  bool keepWorker(const JobView &W, std::uint32_t Task) {
+    std::size_t Most =
+        std::max<std::size_t>((WorkerViews_.size() + Kept_) / 8, 1);
+    WorkerView *Best = chooseToKeep(W, Task);
+    if (Kept_ >= Most || !Best)
+      return false;
+    ++Kept_;
+    const WorkerState *Source = Best->Source;
+    std::erase_if(WorkerViews_,
+                  [Source](const WorkerView &P) { return P.Source == Source; });
+    return true;
+  }
+
+  /// Closed workers with lasting tasks, in the order in which they are emptied.
+  /// None is evicted here.
+  std::vector<const WorkerState *> closedInOrder() const {
+    std::vector<const WorkerState *> Closed;
+    for (const auto &[Id, W] : Owner_.workers())
+      if (W->Closed && W->Lasting > 0)
+        Closed.push_back(W.get());
+    std::sort(Closed.begin(), Closed.end(),
+              [](const WorkerState *A, const WorkerState *B) {
+                return std::tie(A->Lasting, A->Entry.Id) <
+                       std::tie(B->Lasting, B->Entry.Id);
+              });
+    return Closed;
+  }
+
+  /// Keeps room for lasting tasks that leave closed workers.
+  void holdPlaces() {
+    std::vector<const WorkerState *> Closed = closedInOrder();
+    for (const WorkerState *W : Closed)
+      for (const auto &[Job, Task] : W->Tasks)
+        if (isLasting(*Job) && !isFinal(Job->Now) && isLeaving(*Job, Task))
+          hold(*Job, Task);
+    for (const WorkerState *W : Closed)
+      for (const auto &[Job, Task] : W->Tasks) {
+        if (!isLasting(*Job) || isLeaving(*Job, Task))
+          continue;
+        bool MayLeave = mayBecomeAbsent(*Job, Task) &&
+                        !Job->Spec.PayloadMissing &&
+                        (Owner_.isSettled() || !Job->Inherited);
+        bool Needed = !Job->Spec.Steps.front().Gang && !W->Entry.Draining;
+        if (!MayLeave) {
+          if (W == Closed.front())
+            hold(*Job, Task);
+        } else if (!Needed || hold(*Job, Task)) {
+          Stopped_.insert({Job, Task});
+        } else {
+          keepWorker(viewNow(*Job), Task);
+        }
+      }
+  }
+
+  /// The job with the starts of this plan.
+  JobView viewNow(const JobRecord &Job) const {
+    JobView W = viewOf(Job);
+    std::vector<TaskRef> Refs = refsOf(Job);
+    for (const NaiveStart &Start : Starts_)
+      for (std::size_t T = 0; T < Refs.size(); ++T)
+        if (Refs[T] == Start.Task)
+          W.RunsOn[T].push_back(Start.Worker);
+    return W;
+  }
+
+  bool hold(const JobRecord &Job, std::uint32_t Task) {
+    JobView W = viewNow(Job);
+    std::vector<TaskRef> Refs = refsOf(Job);
+    const StepSpec &Step = Job.Spec.Steps[Refs[Task].Step];
+    WorkerView *P = choose(W, Refs, Task, Step, "");
+    if (P)
+      reserve(W, Step, *P);
+    return P != nullptr;
+  }
+
+  /// Whether all runs of the task are being stopped.
+  bool isLeaving(const JobRecord &Job, std::uint32_t Task) const {
+    const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
+    return Stopped_.count({&Job, Task}) > 0 ||
+           (!Runs.empty() &&
+            std::all_of(Runs.begin(), Runs.end(),
+                        [](const LiveRun &Run) { return Run.Stopping; }));
+  }
+
+  /// Whether fewer of the step's other tasks are away than may be.
+  bool mayBecomeAbsent(const JobRecord &Job, std::uint32_t Task) const {
+    std::vector<TaskRef> Refs = refsOf(Job);
+    std::uint32_t Away = 0;
+    for (std::uint32_t T = 0; T < Refs.size(); ++T) {
+      if (T == Task || Refs[T].Step != Refs[Task].Step ||
+          Refs[T].Occurrence != Refs[Task].Occurrence)
         continue;
-      ++Kept;
-      const WorkerState *Source = Best->Source;
-      std::erase_if(WorkerViews_, [Source](const WorkerView &P) {
-        return P.Source == Source;
-      });
+      const std::vector<LiveRun> &Runs = Job.Tasks[T].Runs;
+      bool Works = !isLeaving(Job, T) &&
+                   std::any_of(Runs.begin(), Runs.end(),
+                               [&](const LiveRun &R) { return isAtWork(R); });
+      Away += Works ? 0 : 1;
     }
+    const StepSpec &Step = Job.Spec.Steps[Refs[Task].Step];
+    return Away < std::max<std::uint32_t>(Step.AbsenceAllowance, 1);
+  }
+
+  bool isAtWork(const LiveRun &Run) const {
+    const WorkerState &W = *Owner_.workers().at(Run.Worker);
+    bool OfEarlierOwner = Run.Run >> RunCounterBits != Owner_.token();
+    std::int64_t KnownMs = W.LastReportClockMs - W.FirstReportClockMs;
+    bool MayStopYet = OfEarlierOwner && std::chrono::milliseconds(KnownMs) <=
+                                            Input_.Limits.StopTime;
+    return !Run.Stopping && Run.Percent >= 100 && !W.Gone && !MayStopYet &&
+           Input_.In.Now - W.ReportedAt < Input_.Limits.ReportStale;
   }
 
   static std::uint32_t freeOn(const WorkerView &P) {
@@ -286,6 +411,13 @@
 
   void place(JobView &W, std::uint32_t Task, const TaskRef &Ref,
              const StepSpec &Step, WorkerView &P) {
+    reserve(W, Step, P);
+    W.RunsOn[Task].push_back(P.Source->Entry.Id);
+    Started_.insert({W.Source, Task});
+    Starts_.push_back({P.Source->Entry.Id, Ref});
+  }
+
+  void reserve(const JobView &W, const StepSpec &Step, WorkerView &P) {
     P.Used.MilliCpus += Step.Filling ? 0 : Step.Need.MilliCpus;
     P.Used.MemoryMb += Step.Need.MemoryMb;
     P.Used.Accelerators += Step.Need.Accelerators;
@@ -296,9 +428,6 @@
     Use.MilliCpus += Step.Need.MilliCpus;
     Use.MemoryMb += Step.Need.MemoryMb;
     Use.Accelerators += Step.Need.Accelerators;
-    W.RunsOn[Task].push_back(P.Source->Entry.Id);
-    Started_.insert({W.Source, Task});
-    Starts_.push_back({P.Source->Entry.Id, Ref});
   }
 
   bool hasTeamRoom(const JobView &W, const StepSpec &Step,
@@ -379,6 +508,10 @@
   const PoolState &Owner_;
   const NaiveInput &Input_;
   std::vector<WorkerView> WorkerViews_;
+  std::vector<WorkerView> ClosedViews_;
+  std::size_t Kept_ = 0;
+  /// Lasting tasks that this plan stops on closed workers.
+  std::set<std::pair<const JobRecord *, std::uint32_t>> Stopped_;
   std::map<std::string, core::Resources> TeamUse_;
   std::set<std::pair<const JobRecord *, std::uint32_t>> Started_;
   std::vector<NaiveStart> Starts_;
--- a/tests/jobs/WaveMoveTest.cpp
+++ b/tests/jobs/WaveMoveTest.cpp
@@ -28,6 +28,8 @@
 /// A lasting task counts as lost ten seconds after its last run if there is
 /// room for it.
 constexpr milliseconds MostWithoutRun(9000);
+/// More than the workers that are not closed hold.
+constexpr unsigned LastingTasks = 126;
 
 struct Layout {
   unsigned Workers = 21;
@@ -286,6 +288,16 @@
 
 } // namespace
 
+TEST_CASE("a wave leaves no lasting task without a run for nine seconds in a "
+          "pool that lasting tasks nearly fill") {
+  Layout L;
+  for (unsigned Jobs : {7, 21}) {
+    L.LastingJobs = Jobs;
+    L.TasksPerJob = LastingTasks / Jobs;
+    check(L);
+  }
+}
+
 TEST_CASE("a wave leaves no lasting task without a run for nine seconds in a "
           "pool that is full of short work") {
   Layout L;
