Ask for a team's limit only for scheduled tasks that are due soon

What callers saw: a job of a team with an upper limit can wait without a bound in one pool while nothing of the team runs, once the team has a scheduled job in another pool.

Cause: PoolState::teamDemand counted the tasks of all repetitions as waiting, due or not. The pool's owner took a part of the team's limit for them, up to the whole limit, and kept it until the last one had run.

In the new test, five repetitions of 2,000 milli-CPUs that are due in 20 s and later took all of a limit of 8,000 (with the due time left out of the condition, as before; the test fails there with 8,000 instead of at most 500).

Change: a task counts from a second before it is due, so that its part is there when it may start.

--- a/src/dispatch/TeamAllotments.cpp
+++ b/src/dispatch/TeamAllotments.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/TeamAllotments.h"
 
+#include "dispatch/Clock.h"
 #include "dispatch/EventLog.h"
 #include "jobs/TeamAllotment.h"
 
@@ -70,7 +71,7 @@
     Next = Stored->second;
   const std::string &Pool = Controller.state().pool();
   core::Resources Use = Controller.state().teamUse(Team.Name);
-  core::Resources Demand = Controller.state().teamDemand(Team.Name);
+  core::Resources Demand = Controller.state().teamDemand(Team.Name, wallMs());
   core::Resources Wanted =
       jobs::wantedPart(Pool, Next.ByPool, Team.UpperLimit, Use, Demand);
   // Runs of earlier owners that are not known yet count as well.
--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -13,9 +13,20 @@
 /// Window over which the arrival rate of jobs is estimated.
 constexpr core::Duration ArrivalWindow = milliseconds(1000);
 constexpr core::Duration BurstWindow = milliseconds(350);
+/// A task's share of its team's limit is asked for this long before the task is
+/// due.
+constexpr milliseconds AllotmentLead(1000);
 /// Minimum jobs in the burst window for an estimate.
 constexpr std::size_t BurstJobs = 3;
 
+/// When the task is due, in Unix milliseconds; zero for jobs that don't repeat.
+std::int64_t dueMs(const JobRecord &Job, std::uint32_t Task) {
+  if (Job.Spec.Repetitions == 0)
+    return 0;
+  std::int64_t Occurrence = Task / Job.TasksPerOccurrence;
+  return Job.Spec.FirstDueMs + Occurrence * Job.Spec.IntervalMs;
+}
+
 } // namespace
 
 core::Resources PoolState::teamUse(const std::string &Team) const {
@@ -23,7 +34,8 @@
   return It == Teams_.end() ? core::Resources{} : It->second.Use;
 }
 
-core::Resources PoolState::teamDemand(const std::string &Team) const {
+core::Resources PoolState::teamDemand(const std::string &Team,
+                                      std::int64_t WallMs) const {
   core::Resources Demand;
   auto Wanted = Teams_.find(Team);
   if (Wanted == Teams_.end())
@@ -33,7 +45,8 @@
       continue;
     refreshWaiting(*Job);
     for (std::uint32_t T : Job->Waiting) {
-      if (!Job->Tasks[T].Runs.empty())
+      if (!Job->Tasks[T].Runs.empty() ||
+          WallMs < dueMs(*Job, T) - AllotmentLead.count())
         continue;
       const core::Resources &Need = stepOf(*Job, T).Need;
       Demand.MilliCpus += Need.MilliCpus;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -619,8 +619,10 @@
   std::uint32_t pending(const std::string &Queue) const;
   /// Resources reserved by the team's runs in this pool.
   core::Resources teamUse(const std::string &Team) const;
-  /// Additional resources that the team's waiting tasks need.
-  core::Resources teamDemand(const std::string &Team) const;
+  /// Additional resources that the team's waiting tasks need. \p WallMs is the
+  /// time of day, in Unix milliseconds.
+  core::Resources teamDemand(const std::string &Team,
+                             std::int64_t WallMs) const;
 
   /// The pool's demand; PoolLoad::Machines is left for the caller to set.
   PoolLoad load(core::TimePoint Now, std::int64_t WallMs) const;
--- a/tests/jobs/TeamAllotmentTest.cpp
+++ b/tests/jobs/TeamAllotmentTest.cpp
@@ -1,5 +1,7 @@
 #include "jobs/TeamAllotment.h"
 
+#include "jobs/JobSamples.h"
+
 #include <doctest/doctest.h>
 
 #include <random>
@@ -64,3 +66,31 @@
   CHECK(covers({1000, 0, 0}, Limit, {900, 0, 0}, {500, 0, 0}));
   CHECK(largerOf({1, 5, 0}, {2, 3, 0}) == core::Resources{2, 5, 0});
 }
+
+TEST_CASE("a scheduled job keeps nothing of its team's limit from other pools "
+          "before it is due") {
+  constexpr std::uint32_t Limit = 8000;
+  constexpr std::int64_t NowMs = 1000000;
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2", "w3", "w4"});
+  B.plan();
+  for (const char *Id : {"w1", "w2", "w3", "w4"})
+    B.report(Id);
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Team = "team";
+  Spec.Repetitions = 5;
+  Spec.FirstDueMs = NowMs + 20000;
+  Spec.IntervalMs = 10000;
+  B.Owner.addJob(Spec, B.Now);
+  PoolParts Parts;
+  auto PartAt = [&](std::int64_t WallMs) {
+    Parts["pool"] =
+        wantedPart("pool", Parts, {Limit, 0, 0}, B.Owner.teamUse("team"),
+                   B.Owner.teamDemand("team", WallMs));
+    return Parts["pool"].MilliCpus;
+  };
+  CHECK(PartAt(NowMs) <= Limit / 16);
+  CHECK(PartAt(Spec.FirstDueMs) >= 2000);
+  CHECK(PartAt(Spec.FirstDueMs) < 4000);
+  CHECK(PartAt(Spec.FirstDueMs + 4 * Spec.IntervalMs) == Limit);
+}
