Return what a pool holds of a team's limit while little is unassigned

What callers saw: with tasks of a team in four pools or more, a job of the team may wait without a bound in one of them while less than half of the limit is in use.

Cause: each pool keeps three sixteenths of the limit beyond what it asks for (a spare and what is not worth a write). Three other pools keep nine sixteenths, and nothing asks them for it.

Change: while less than one spare is unassigned, a pool keeps no spare and returns what exceeds a sixty-fourth of the limit.

--- a/src/jobs/TeamAllotment.cpp
+++ b/src/jobs/TeamAllotment.cpp
@@ -13,6 +13,9 @@
 constexpr std::uint64_t SpareDivisor = 16;
 /// Excess is returned only if it exceeds the limit divided by this.
 constexpr std::uint64_t ReturnDivisor = 8;
+/// The same while less than one spare of the limit is unassigned: what a pool
+/// holds for later may keep another one from starting anything.
+constexpr std::uint64_t ScarceReturnDivisor = 64;
 constexpr std::uint32_t Unbounded = std::numeric_limits<std::uint32_t>::max();
 
 using Part = std::uint32_t core::Resources::*;
@@ -63,10 +66,13 @@
     std::uint64_t Free = Bound > Sum ? Bound - Sum : 0;
     std::uint64_t Mine64 = Mine.*Kind;
     std::uint64_t Asked = std::uint64_t{Use.*Kind} + Demand.*Kind;
-    std::uint64_t Goal = std::min(Asked + Bound / SpareDivisor, Bound);
+    std::uint64_t Spare = Bound / SpareDivisor;
+    bool Scarce = Free < Spare;
+    std::uint64_t Goal = std::min(Asked + (Scarce ? 0 : Spare), Bound);
     std::uint64_t Part = Mine64;
     // A pool without tasks of the team keeps no more than its spare.
-    std::uint64_t Slack = Asked == 0 ? 0 : Bound / ReturnDivisor;
+    std::uint64_t Slack =
+        Asked == 0 ? 0 : Bound / (Scarce ? ScarceReturnDivisor : ReturnDivisor);
     if (Asked > Mine64)
       Part = std::min(Goal, Mine64 + Free);
     else if (Mine64 > Goal + Slack)
--- a/tests/jobs/TeamAllotmentTest.cpp
+++ b/tests/jobs/TeamAllotmentTest.cpp
@@ -4,7 +4,9 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
 #include <random>
+#include <string>
 
 using namespace comfreydeck;
 using namespace comfreydeck::jobs;
@@ -59,6 +61,34 @@
   }
 }
 
+TEST_CASE("a pool that lacks room of a team's limit gets what others hold and "
+          "don't use") {
+  constexpr std::uint32_t Limit = 1000;
+  for (unsigned Seed = 0; Seed < 500; ++Seed) {
+    CAPTURE(Seed);
+    std::mt19937 Rng(Seed);
+    PoolParts Parts;
+    std::map<std::string, core::Resources> Asked;
+    auto TakeTurns = [&] {
+      for (int Round = 0; Round < 8; ++Round)
+        for (const auto &[Pool, Wanted] : Asked)
+          Parts[Pool] = wantedPart(Pool, Parts, {Limit, 0, 0}, {}, Asked[Pool]);
+    };
+    for (int Phase = 0; Phase < 10; ++Phase) {
+      std::uint32_t Left = Limit * 3 / 4;
+      for (char Name : std::string("abcde")) {
+        std::uint32_t Share =
+            std::uniform_int_distribution<std::uint32_t>(0, Left)(Rng);
+        Asked[std::string(1, Name)] = {Share, 0, 0};
+        Left -= Share;
+      }
+      TakeTurns();
+      for (const auto &[Pool, Wanted] : Asked)
+        REQUIRE(Parts[Pool].MilliCpus >= Wanted.MilliCpus);
+    }
+  }
+}
+
 TEST_CASE("a part covers what is asked for as far as the limit allows") {
   const core::Resources Limit{1000, 0, 0};
   CHECK(covers({600, 0, 0}, Limit, {400, 50, 0}, {200, 50, 0}));
