Go on from a failed page when a table is read again in full

What callers saw: an accepted job that its owner is not told of by the entry that accepted it becomes known by the follower of the job table. After the store has discarded its history, the follower reads the whole table.

Cause: one failed page failed that read, and the next one began with the first page. A table of twenty pages of which every third read gets no answer was never read, for as long as the store lost answers. Until then neither new jobs nor cancellations arrive by the table, and workers that list runs of jobs unknown to the owner get no starts.

The new test (2,000 rows, every third read fails) ended without rows after 100 reads before, and gets them all now.

Holds for all followed tables.

--- a/src/dispatch/TableFollower.cpp
+++ b/src/dispatch/TableFollower.cpp
@@ -198,12 +198,12 @@
   std::vector<std::string> Parts = {""};
   if (Options_.Parts)
     Parts = Options_.Parts();
-  readParts(Store_, Options_.Table, std::move(Parts),
-            [this, SentAt](PartAnswer Answer) {
-              Loop_.post([this, SentAt, Answer = std::move(Answer)] {
-                handleAnswer(Answer, true, SentAt);
-              });
-            });
+  readPartsPatiently(Loop_, Store_, Options_.Table, std::move(Parts),
+                     [this, SentAt](PartAnswer Answer) {
+                       Loop_.post([this, SentAt, Answer = std::move(Answer)] {
+                         handleAnswer(Answer, true, SentAt);
+                       });
+                     });
 }
 
 void TableFollower::readChanges(core::TimePoint SentAt) {
--- a/tests/dispatch/TableFollowerTest.cpp
+++ b/tests/dispatch/TableFollowerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <future>
 #include <map>
 #include <set>
 #include <utility>
@@ -146,3 +147,78 @@
   Store.fill({"p"}, 150);
   CHECK(readAll(Store, {"p"}).size() == 150);
 }
+
+namespace {
+
+/// A store that answers at once, but for every third read, which gets no
+/// answer. It has discarded the changes before version 1000.
+struct LossyStore : store::PartitionedStore {
+  static constexpr std::size_t RowCount = 2000;
+  static constexpr std::uint64_t Version = 1000;
+  static constexpr std::size_t MostReads = 100;
+  std::size_t Reads = 0;
+  /// Fulfilled with false once more reads have been sent than a read of all
+  /// rows needs.
+  std::promise<bool> Ended;
+  bool HasEnded = false;
+
+  void end(bool Synced) {
+    if (!std::exchange(HasEnded, true))
+      Ended.set_value(Synced);
+  }
+  void commit(store::PartTransaction, core::Duration,
+              store::PartCallback Done) override {
+    Done({});
+  }
+  void changes(std::string, std::uint64_t After, core::Duration,
+               store::PartCallback Done) override {
+    store::PartAnswer Answer;
+    Answer.Version = Version;
+    Answer.Outcome = After < Version ? store::PartOutcome::HistoryGone
+                                     : store::PartOutcome::Ok;
+    Done(Answer);
+  }
+  void read(store::PartRange Range, store::PartCallback Done) override {
+    store::PartAnswer Answer;
+    if (++Reads > MostReads)
+      end(false);
+    if (Reads % 3 == 0) {
+      Answer.Outcome = store::PartOutcome::Unknown;
+      Done(Answer);
+      return;
+    }
+    Answer.Outcome = store::PartOutcome::Ok;
+    Answer.Version = Version;
+    for (std::size_t Row = 0; Row < RowCount; ++Row) {
+      std::string Key = std::to_string(100000 + Row);
+      if (Key < Range.From || (!Range.To.empty() && Key >= Range.To))
+        continue;
+      Answer.More = Answer.Rows.size() == Range.MaxRows;
+      if (Answer.More)
+        break;
+      Answer.Rows.push_back({{Range.Table, Range.Part, Key}, "", 1, false});
+    }
+    Done(Answer);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a follower that has lost its history reads a table of many pages "
+          "though every third read fails") {
+  LossyStore Store;
+  net::Loop Loop;
+  std::size_t RowsPassed = 0;
+  dispatch::TableFollower Follower(
+      Loop, Store, {"t", {}, std::chrono::seconds(1), {}},
+      [&](const std::vector<store::PartRow> &Rows, bool All) {
+        RowsPassed = Rows.size();
+        Store.end(All);
+      });
+  Loop.start();
+  Loop.post([&] { Follower.startFrom(1); });
+  bool Synced = Store.Ended.get_future().get();
+  Loop.stop();
+  CHECK(Synced);
+  CHECK(RowsPassed == LossyStore::RowCount);
+}
