--- a/tests/jobs/TeamAllotmentTest.cpp
+++ b/tests/jobs/TeamAllotmentTest.cpp
@@ -1,8 +1,12 @@
 #include "jobs/TeamAllotment.h"
 
+#include "jobs/JobSamples.h"
+
 #include <doctest/doctest.h>
 
+#include <map>
 #include <random>
+#include <string>
 
 using namespace comfreydeck;
 using namespace comfreydeck::jobs;
@@ -57,6 +61,34 @@
   }
 }
 
+TEST_CASE("a pool that lacks room of a team's limit gets what others hold and "
+          "don't use") {
+  constexpr std::uint32_t Limit = 1000;
+  for (unsigned Seed = 0; Seed < 500; ++Seed) {
+    CAPTURE(Seed);
+    std::mt19937 Rng(Seed);
+    PoolParts Parts;
+    std::map<std::string, core::Resources> Asked;
+    auto TakeTurns = [&] {
+      for (int Round = 0; Round < 8; ++Round)
+        for (const auto &[Pool, Wanted] : Asked)
+          Parts[Pool] = wantedPart(Pool, Parts, {Limit, 0, 0}, {}, Asked[Pool]);
+    };
+    for (int Phase = 0; Phase < 10; ++Phase) {
+      std::uint32_t Left = Limit * 3 / 4;
+      for (char Name : std::string("abcde")) {
+        std::uint32_t Share =
+            std::uniform_int_distribution<std::uint32_t>(0, Left)(Rng);
+        Asked[std::string(1, Name)] = {Share, 0, 0};
+        Left -= Share;
+      }
+      TakeTurns();
+      for (const auto &[Pool, Wanted] : Asked)
+        REQUIRE(Parts[Pool].MilliCpus >= Wanted.MilliCpus);
+    }
+  }
+}
+
 TEST_CASE("a part covers what is asked for as far as the limit allows") {
   const core::Resources Limit{1000, 0, 0};
   CHECK(covers({600, 0, 0}, Limit, {400, 50, 0}, {200, 50, 0}));
@@ -64,3 +96,31 @@
   CHECK(covers({1000, 0, 0}, Limit, {900, 0, 0}, {500, 0, 0}));
   CHECK(largerOf({1, 5, 0}, {2, 3, 0}) == core::Resources{2, 5, 0});
 }
+
+TEST_CASE("a scheduled job keeps nothing of its team's limit from other pools "
+          "before it is due") {
+  constexpr std::uint32_t Limit = 8000;
+  constexpr std::int64_t NowMs = 1000000;
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2", "w3", "w4"});
+  B.plan();
+  for (const char *Id : {"w1", "w2", "w3", "w4"})
+    B.report(Id);
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Team = "team";
+  Spec.Repetitions = 5;
+  Spec.FirstDueMs = NowMs + 20000;
+  Spec.IntervalMs = 10000;
+  B.Owner.addJob(Spec, B.Now);
+  PoolParts Parts;
+  auto PartAt = [&](std::int64_t WallMs) {
+    Parts["pool"] =
+        wantedPart("pool", Parts, {Limit, 0, 0}, B.Owner.teamUse("team"),
+                   B.Owner.teamDemand("team", WallMs));
+    return Parts["pool"].MilliCpus;
+  };
+  CHECK(PartAt(NowMs) <= Limit / 16);
+  CHECK(PartAt(Spec.FirstDueMs) >= 2000);
+  CHECK(PartAt(Spec.FirstDueMs) < 4000);
+  CHECK(PartAt(Spec.FirstDueMs + 4 * Spec.IntervalMs) == Limit);
+}
