Name the reason of every wait, by the planner's own checks

Cause: PoolState::waitReason decided a second time, apart from the planner and in another order.

Change: StartPlan::reasonOf decides it, with the checks that the planner uses: isHeldBack and mayStart ask heldBackBy and delayOf, which name the reason, and start asks mustWithhold. New reasons: not-due, row-refused, crash-open, label, unplaceable, isolated, gang, spread, report. A gang counts as limited by its team as a whole, as it starts. Repetitions that are not due are counted, and no longest wait is taken of them. `gauges` takes the waits by the input of the last planning round.

--- a/src/jobs/PoolMetrics.cpp
+++ b/src/jobs/PoolMetrics.cpp
@@ -1,4 +1,5 @@
 #include "jobs/PoolState.h"
+#include "jobs/StartPlan_p.h"
 
 #include <algorithm>
 #include <utility>
@@ -33,6 +34,8 @@
   switch (Reason) {
   case WaitReason::SilentWorker:
     return "silent-worker";
+  case WaitReason::NotDue:
+    return "not-due";
   case WaitReason::Advised:
     return "advised";
   case WaitReason::Authority:
@@ -41,10 +44,26 @@
     return "takeover";
   case WaitReason::Payload:
     return "payload";
+  case WaitReason::RowRefused:
+    return "row-refused";
   case WaitReason::Pause:
     return "pause";
+  case WaitReason::CrashOpen:
+    return "crash-open";
   case WaitReason::TeamLimit:
     return "team-limit";
+  case WaitReason::Label:
+    return "label";
+  case WaitReason::Unplaceable:
+    return "unplaceable";
+  case WaitReason::Isolated:
+    return "isolated";
+  case WaitReason::Gang:
+    return "gang";
+  case WaitReason::Spread:
+    return "spread";
+  case WaitReason::Report:
+    return "report";
   case WaitReason::Room:
     return "room";
   }
@@ -73,34 +92,6 @@
   return W.Enrolled ? WorkerStatus::Usable : WorkerStatus::Unenrolled;
 }
 
-WaitReason PoolState::waitReason(const JobRecord &Job, std::uint32_t Task,
-                                 core::TimePoint Now) const {
-  if (!Job.Tasks[Task].Runs.empty())
-    return WaitReason::SilentWorker;
-  if (Job.Advised)
-    return WaitReason::Advised;
-  if (!MayStart_)
-    return WaitReason::Authority;
-  if (Job.Inherited && !mayStartInherited(Now))
-    return WaitReason::Takeover;
-  if (Job.Spec.PayloadMissing)
-    return WaitReason::Payload;
-  if (Job.Tasks[Task].NotBefore > Now)
-    return WaitReason::Pause;
-  const std::optional<core::Resources> &Room = Job.Team->Room;
-  if (!Room)
-    return WaitReason::Room;
-  const core::Resources &Use = Job.Team->Use;
-  const core::Resources &Need = stepOf(Job, Task).Need;
-  auto Over = [](std::uint64_t Used, std::uint64_t More, std::uint64_t Bound) {
-    return Used + More > Bound;
-  };
-  bool Limited = Over(Use.MilliCpus, Need.MilliCpus, Room->MilliCpus) ||
-                 Over(Use.MemoryMb, Need.MemoryMb, Room->MemoryMb) ||
-                 Over(Use.Accelerators, Need.Accelerators, Room->Accelerators);
-  return Limited ? WaitReason::TeamLimit : WaitReason::Room;
-}
-
 /// When the task was last known to run or, without a run, when it began to
 /// wait.
 core::TimePoint PoolState::missedSince(const JobRecord &Job,
@@ -114,22 +105,7 @@
   return Last;
 }
 
-TaskWait PoolState::waitOf(const JobRecord &Job, std::uint32_t Task,
-                           core::TimePoint Now, std::int64_t WallMs) const {
-  TaskWait Wait;
-  Wait.Task = refOf(Job, Task);
-  Wait.Reason = waitReason(Job, Task, Now);
-  Wait.Age = Now - missedSince(Job, Task);
-  if (Job.Spec.Repetitions > 0) {
-    std::int64_t DueMs =
-        Job.Spec.FirstDueMs + Wait.Task.Occurrence * Job.Spec.IntervalMs;
-    Wait.Age = std::min<core::Duration>(
-        Wait.Age, std::chrono::milliseconds(WallMs - DueMs));
-  }
-  return Wait;
-}
-
-PoolGauges PoolState::gauges(core::TimePoint Now, std::int64_t WallMs) const {
+PoolGauges PoolState::gauges(core::TimePoint Now, std::int64_t WallMs) {
   PoolGauges Census;
   Census.OpenJobs = Open_.size();
   for (const auto &[Id, W] : Workers_) {
@@ -146,25 +122,10 @@
         Census.UnconfirmedRuns += Run.Confirmed ? 0 : 1;
       }
   }
-  for (const JobRecord *Job : Open_)
-    for (std::uint32_t T = 0; T < Job->Tasks.size(); ++T) {
-      const TaskState &Task = Job->Tasks[T];
-      if (Task.Kept.Done || !Task.Runs.empty() ||
-          !stepReady(*Job, placeOf(*Job, T)))
-        continue;
-      if (Job->Spec.Repetitions > 0) {
-        std::int64_t K = refOf(*Job, T).Occurrence;
-        if (WallMs < Job->Spec.FirstDueMs + K * Job->Spec.IntervalMs)
-          continue;
-      }
-      TaskWait Wait = waitOf(*Job, T, Now, WallMs);
-      ++Census.Waiting[jobs::indexOf(Wait.Reason)];
-      std::optional<TaskWait> &Longest = stepOf(*Job, T).Lasting
-                                             ? Census.LongestLastingWait
-                                             : Census.LongestOtherWait;
-      if (!Longest || Wait.Age > Longest->Age)
-        Longest = Wait;
-    }
+  PlanInput In = LastInput_;
+  In.Now = Now;
+  In.WallMs = WallMs;
+  StartPlan(*this, In).countWaits(Census);
   return Census;
 }
 
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -75,6 +75,8 @@
 enum class WaitReason : std::uint8_t {
   /// Its worker does not answer, and the run may still be live.
   SilentWorker,
+  /// The time of its repetition has not come.
+  NotDue,
   /// Its queue requires the advisor's approval.
   Advised,
   /// The owner may not start tasks: it has lost touch with the store or hands
@@ -84,15 +86,33 @@
   Takeover,
   /// Its job's payload is not loaded yet.
   Payload,
+  /// It may crash workers, so that its runs start only once they are stored,
+  /// and the store refuses its job's row.
+  RowRefused,
   /// Retry delay after a run that ended.
   Pause,
+  /// It has crashed the maximum number of workers, if those out of reach have
+  /// crashed.
+  CrashOpen,
   /// Its team's limit is reached.
   TeamLimit,
-  /// No worker has room, or planning has not run yet.
+  /// No usable worker has its label.
+  Label,
+  /// No worker that has its label has the capacity.
+  Unplaceable,
+  /// It has crashed several workers and waits for one to itself.
+  Isolated,
+  /// Its gang finds no workers for all members at once.
+  Gang,
+  /// Each worker with room runs as many tasks of the step as it may.
+  Spread,
+  /// The worker chosen for it has to report first.
+  Report,
+  /// No usable worker has room, or planning has not run yet.
   Room,
 };
 
-inline constexpr std::size_t WaitReasonCount = 8;
+inline constexpr std::size_t WaitReasonCount = 17;
 
 const char *nameOf(WaitReason Reason);
 
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -224,7 +224,7 @@
 Orders PoolState::plan(const PlanInput &In) {
   Orders Out;
   Now_ = In.Now;
-  MayStart_ = In.MayStart;
+  LastInput_ = In;
   if (Fenced_ || NextRun_ >> RunCounterBits != 0) {
     Fenced_ = true;
     return Out;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -646,7 +646,9 @@
   std::vector<LapsedRuns> takeLapsedRuns();
   /// Number of runs of the task, or of its gang, under which a worker crashed.
   static std::size_t countCrashes(const JobRecord &Job, std::uint32_t Task);
-  PoolGauges gauges(core::TimePoint Now, std::int64_t WallMs) const;
+  /// The waits are those that a planning round would leave now, with the
+  /// authority of the latest one.
+  PoolGauges gauges(core::TimePoint Now, std::int64_t WallMs);
   /// Whether this owner has been superseded: a worker has seen a higher fencing
   /// token, or the run ids or a worker's fences are used up.
   bool isFenced() const { return Fenced_; }
@@ -757,6 +759,10 @@
                       core::TimePoint Now);
   std::size_t countPossibleCrashes(const JobRecord &Job,
                                    std::uint32_t Task) const;
+  /// Whether a crash that is not known yet may have been the task's last one.
+  bool isCrashOpen(const JobRecord &Job, std::uint32_t Task) const {
+    return Job.Suspect && countPossibleCrashes(Job, Task) >= Limits_.MaxCrashes;
+  }
   static std::pair<std::uint32_t, std::uint32_t> unitOf(const JobRecord &Job,
                                                         std::uint32_t Task);
   void inheritSuspicion(JobRecord &Job, core::TimePoint Now);
@@ -786,11 +792,7 @@
   void settleByFence(WorkerState &W, std::uint64_t Fence, core::TimePoint Now);
 
   WorkerStatus statusOf(const WorkerState &W, core::TimePoint Now) const;
-  WaitReason waitReason(const JobRecord &Job, std::uint32_t Task,
-                        core::TimePoint Now) const;
   core::TimePoint missedSince(const JobRecord &Job, std::uint32_t Task) const;
-  TaskWait waitOf(const JobRecord &Job, std::uint32_t Task, core::TimePoint Now,
-                  std::int64_t WallMs) const;
   void restartWaits(JobRecord &Job, const TaskPlace &EndedStep);
   void recordStatuses(core::TimePoint Now);
   void recordStarts(const std::vector<StartOrder> &Starts, core::TimePoint Now);
@@ -878,8 +880,8 @@
   std::vector<StopDecision> StopDecisions_;
   std::optional<LongWait> LongWait_;
   core::TimePoint WaitsCheckedAt_;
-  /// Whether the last planning round was allowed to start tasks.
-  bool MayStart_ = true;
+  /// Input of the last planning round.
+  PlanInput LastInput_;
   /// Time of the latest event or planning round.
   core::TimePoint Now_;
   CrashLedger Lost_;
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -14,8 +14,6 @@
 /// A worker with lasting tasks can't move to another pool anyway.
 constexpr double LastingBonus = 1.0;
 constexpr double ColdPenalty = 0.5;
-/// A lasting task normally restarts well within this.
-constexpr std::chrono::milliseconds LongWaitLimit(3000);
 /// A job that has to start within this time to be in time goes first: otherwise
 /// large jobs would always wait for smaller ones that can still wait.
 constexpr double UrgentSlackMs = 500;
@@ -124,11 +122,19 @@
   return A.Job->Spec.Id < B.Job->Spec.Id;
 }
 
-bool StartPlan::isHeldBack(const JobRecord &Job) const {
+std::optional<WaitReason> StartPlan::heldBackBy(const JobRecord &Job) const {
+  if (Job.Advised)
+    return WaitReason::Advised;
+  if (!In_.MayStart)
+    return WaitReason::Authority;
+  if (Job.Inherited && !MayStartInherited_)
+    return WaitReason::Takeover;
+  if (Job.Spec.PayloadMissing)
+    return WaitReason::Payload;
   // The runs of a suspect job start only once they are stored.
-  bool Unstorable = Job.Suspect && Job.SetAside;
-  return Job.Advised || Job.Spec.PayloadMissing || Unstorable ||
-         (Job.Inherited && !MayStartInherited_);
+  if (Job.Suspect && Job.SetAside)
+    return WaitReason::RowRefused;
+  return std::nullopt;
 }
 
 bool StartPlan::mayFit(JobRecord &Job) const {
@@ -184,12 +190,19 @@
   const TaskState &State = Job.Tasks[Task];
   bool Wanted =
       State.Runs.empty() || (State.WantsCopy && State.Runs.size() == 1);
-  if (State.Kept.Done || !Wanted || State.NotBefore > In_.Now)
-    return false;
-  if (Job.Spec.Repetitions == 0)
-    return true;
-  std::int64_t K = PoolState::placeOf(Job, Task).Occurrence;
-  return In_.WallMs >= Job.Spec.FirstDueMs + K * Job.Spec.IntervalMs;
+  return !State.Kept.Done && Wanted && !delayOf(Job, Task);
+}
+
+std::optional<WaitReason> StartPlan::delayOf(const JobRecord &Job,
+                                             std::uint32_t Task) const {
+  if (Job.Spec.Repetitions > 0) {
+    std::int64_t K = PoolState::placeOf(Job, Task).Occurrence;
+    if (In_.WallMs < Job.Spec.FirstDueMs + K * Job.Spec.IntervalMs)
+      return WaitReason::NotDue;
+  }
+  if (Job.Tasks[Task].NotBefore > In_.Now)
+    return WaitReason::Pause;
+  return std::nullopt;
 }
 
 bool StartPlan::hasTeamRoom(const JobRecord &Job, const StepSpec &Step,
@@ -379,54 +392,20 @@
   return Best;
 }
 
-PlacementCounts StartPlan::countPlacements(JobRecord &Job,
-                                           std::uint32_t Task) const {
-  const StepSpec &Step = PoolState::stepOf(Job, Task);
-  PlacementCounts Counts;
-  Counts.Workers = static_cast<std::uint32_t>(Owner_.Workers_.size());
-  Counts.Usable = static_cast<std::uint32_t>(Usable_.size());
-  for (const WorkerState *W : Usable_) {
-    if (!hasLabel(*W, Step) || !mayHost(*W, Step))
-      continue;
-    ++Counts.WithLabel;
-    if (!core::fits(reserved(Step), freeOn(*W)))
-      continue;
-    ++Counts.WithRoom;
-    Counts.WithSpread += hasSpread(*W, Job, Task, Step) ? 1 : 0;
-  }
-  return Counts;
+RunId StartPlan::nextRun() {
+  return (Owner_.Token_ << RunCounterBits) + Owner_.NextRun_++;
 }
 
-std::optional<LongWait> StartPlan::findLongWait() {
-  findUsable();
-  JobRecord *Longest = nullptr;
-  std::uint32_t LongestTask = 0;
-  core::TimePoint Since = In_.Now - LongWaitLimit;
-  for (JobRecord *Job : Owner_.Open_) {
-    if (!Job->Spec.Steps.front().Lasting)
-      continue;
-    for (std::uint32_t Task = 0; Task < Job->Tasks.size(); ++Task) {
-      core::TimePoint Missed = Owner_.missedSince(*Job, Task);
-      bool Ready = PoolState::stepReady(*Job, PoolState::placeOf(*Job, Task));
-      if (!Ready || Job->Tasks[Task].Kept.Done || Missed >= Since)
-        continue;
-      Since = Missed;
-      Longest = Job;
-      LongestTask = Task;
-    }
-  }
-  if (!Longest)
-    return std::nullopt;
-  LongWait Found;
-  Found.Wait = Owner_.waitOf(*Longest, LongestTask, In_.Now, In_.WallMs);
-  Found.Placement = countPlacements(*Longest, LongestTask);
-  for (const auto &[Id, W] : Owner_.Workers_)
-    Found.Unheard += W->Heard ? 0 : 1;
-  return Found;
+/// Whether a run there is stored before its start is sent.
+bool StartPlan::isAnnouncedOn(const JobRecord &Job, std::uint32_t Task,
+                              const WorkerState &W) const {
+  return mustAnnounce(Job, Task) && W.Born != 0;
 }
 
-RunId StartPlan::nextRun() {
-  return (Owner_.Token_ << RunCounterBits) + Owner_.NextRun_++;
+/// Whether the worker has to report before the task may start there.
+bool StartPlan::mustWithhold(const JobRecord &Job, std::uint32_t Task,
+                             const WorkerState &W) const {
+  return !isAnnouncedOn(Job, Task, W) && Owner_.mayHaveRestartedUnseen(W, In_);
 }
 
 /// Lets the task wait for a report of the worker.
@@ -466,8 +445,8 @@
 
 void StartPlan::start(JobRecord &Job, std::uint32_t Task, WorkerState &W,
                       RunId Run) {
-  bool Announced = mustAnnounce(Job, Task) && W.Born != 0;
-  if (!Announced && Owner_.mayHaveRestartedUnseen(W, In_)) {
+  bool Announced = isAnnouncedOn(Job, Task, W);
+  if (mustWithhold(Job, Task, W)) {
     withhold(Job, Task, W);
     return;
   }
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -16,6 +16,9 @@
   bool isBounded() const { return Starts_.size() >= In_.MaxStarts; }
   /// The longest wait of a lasting task if it is long. Call after \ref run.
   std::optional<LongWait> findLongWait();
+  /// Counts the waits of all tasks. Call it on a plan of its own, after the
+  /// round whose outcome is of interest.
+  void countWaits(PoolGauges &Census);
 
 private:
   struct Candidate {
@@ -34,8 +37,11 @@
   };
 
   void findUsable();
-  /// Whether none of the job's tasks may start yet, wherever there is room.
-  bool isHeldBack(const JobRecord &Job) const;
+  /// Why none of the job's tasks may start yet, wherever there is room.
+  std::optional<WaitReason> heldBackBy(const JobRecord &Job) const;
+  bool isHeldBack(const JobRecord &Job) const {
+    return heldBackBy(Job).has_value();
+  }
   Candidate assess(JobRecord &Job);
   static bool before(const Candidate &A, const Candidate &B);
   static bool isLater(const Candidate &A, const Candidate &B) {
@@ -71,6 +77,9 @@
   void planJob(JobRecord &Job);
   void planGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step);
   bool mayStart(const JobRecord &Job, std::uint32_t Task) const;
+  /// Why the task may not start before a later time.
+  std::optional<WaitReason> delayOf(const JobRecord &Job,
+                                    std::uint32_t Task) const;
   static bool hasTeamRoom(const JobRecord &Job, const StepSpec &Step,
                           std::uint32_t Count);
   bool isKnownUnplaceable(const StepSpec &Step) const;
@@ -90,6 +99,15 @@
   static bool hasSpread(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step);
   PlacementCounts countPlacements(JobRecord &Job, std::uint32_t Task) const;
+  /// Why the task, which is ready and not done, has no run, or may have none.
+  /// Call after \ref findUsable.
+  WaitReason reasonOf(JobRecord &Job, std::uint32_t Task) const;
+  WaitReason placementReason(JobRecord &Job, std::uint32_t Task) const;
+  WaitReason gangReason(JobRecord &Job, std::uint32_t First,
+                        const StepSpec &Step) const;
+  std::uint32_t countPlaces(const WorkerState &W, JobRecord &Job,
+                            std::uint32_t Task, const StepSpec &Step) const;
+  TaskWait waitOf(JobRecord &Job, std::uint32_t Task) const;
   double score(const WorkerState &W, const JobRecord &Job, std::uint32_t Task,
                const StepSpec &Step) const;
   static std::uint32_t countStepRuns(const WorkerState &W, JobRecord &Job,
@@ -103,6 +121,10 @@
   std::vector<WorkerState *>::iterator chooseToKeep(JobRecord &Job,
                                                     std::uint32_t Task);
   bool keepWorker(JobRecord &Job, std::uint32_t Task);
+  bool isAnnouncedOn(const JobRecord &Job, std::uint32_t Task,
+                     const WorkerState &W) const;
+  bool mustWithhold(const JobRecord &Job, std::uint32_t Task,
+                    const WorkerState &W) const;
   void withhold(const JobRecord &Job, std::uint32_t Task, WorkerState &W);
   bool isWithheld(const JobRecord &Job, std::uint32_t Task) const;
   void withholdGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step,
--- /dev/null
+++ b/tests/jobs/TaskWaitTest.cpp
@@ -0,0 +1,174 @@
+#include "jobs/JobSamples.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreydeck;
+using namespace comfreydeck::jobs;
+
+namespace {
+
+/// The waiting tasks by reason, as "reason=count reason=count".
+std::string waitsOf(OwnerFixture &B) {
+  PoolGauges Now = B.Owner.gauges(B.Now, 1000000);
+  std::string Text;
+  for (std::size_t V = 0; V < Now.Waiting.size(); ++V)
+    if (Now.Waiting[V] > 0)
+      Text += (Text.empty() ? "" : " ") +
+              std::string(nameOf(static_cast<WaitReason>(V))) + '=' +
+              std::to_string(Now.Waiting[V]);
+  return Text;
+}
+
+/// An owner whose workers have reported.
+struct HeardWorkers : OwnerFixture {
+  explicit HeardWorkers(std::vector<std::string> Ids) {
+    listWorkers(Ids);
+    Owner.setEarlierOwnersStopped(Now - std::chrono::seconds(20));
+    plan();
+    for (const std::string &Id : Ids)
+      report(Id);
+  }
+
+  /// A job whose only task crashed so many workers.
+  void inheritCrashed(unsigned Number, std::size_t Crashes,
+                      std::optional<AnnouncedRun> Announced = std::nullopt) {
+    JobProgress Kept;
+    Kept.Tasks.resize(1);
+    for (RunId Run = 1; Run <= Crashes; ++Run)
+      Kept.Tasks[0].CrashedRuns.push_back(Run);
+    Kept.Tasks[0].Announced = std::move(Announced);
+    Owner.inheritJob(sampleJob(Number), &Kept, Now);
+  }
+};
+
+} // namespace
+
+TEST_CASE("a task that waits for a worker to itself is not said to wait for "
+          "room") {
+  HeardWorkers B({"w1"});
+  B.Owner.addJob(sampleJob(1), B.Now);
+  REQUIRE(B.plan().Starts.size() == 1);
+  B.inheritCrashed(2, 2);
+  CHECK(B.plan().Starts.empty());
+  CHECK(waitsOf(B) == "isolated=1");
+}
+
+TEST_CASE("a task whose last crash may have happened waits for its outcome") {
+  HeardWorkers B({"w1"});
+  B.inheritCrashed(1, 2, AnnouncedRun{3, "w2", 1});
+  CHECK(B.plan().Starts.empty());
+  CHECK(waitsOf(B) == "crash-open=1");
+}
+
+TEST_CASE("a gang that finds too few workers at once is not said to wait for "
+          "room") {
+  HeardWorkers B({"w1", "w2"});
+  JobSpec Spec = sampleJob(1, 3);
+  Spec.Steps[0].Gang = true;
+  SUBCASE("too few places") { Spec.Steps[0].Need.MilliCpus = 3000; }
+  SUBCASE("too few workers") { Spec.Steps[0].MaxPerWorker = 1; }
+  SUBCASE("too few in one rack") {
+    B.Entries[0].Rack = "r1";
+    B.Entries[1].Rack = "r2";
+    B.Owner.setWorkers(B.Entries, B.Now);
+    Spec.Steps[0].SameRack = true;
+    Spec.Steps[0].Need.MilliCpus = 2000;
+  }
+  B.Owner.addJob(Spec, B.Now);
+  CHECK(B.plan().Starts.empty());
+  CHECK(waitsOf(B) == "gang=3");
+}
+
+TEST_CASE("a suspect task whose row the store refuses waits for the row") {
+  HeardWorkers B({"w1"});
+  B.inheritCrashed(1, 1);
+  CHECK(B.plan().Starts.empty());
+  ProgressBatch Refused = B.Owner.takeChanges(10);
+  REQUIRE(Refused.Writes.size() == 1);
+  B.Owner.setAside(Refused);
+  B.Owner.onStored(Refused.Mark);
+  CHECK(B.plan().Starts.empty());
+  CHECK(B.plan().Starts.empty());
+  CHECK(waitsOf(B) == "row-refused=1");
+}
+
+TEST_CASE("a start that is withheld until its worker reports waits for the "
+          "report") {
+  HeardWorkers B({"w1"});
+  core::TimePoint ConfirmedAt = B.Now;
+  B.advance(milliseconds(1500));
+  JobSpec Spec = sampleJob(1, 2);
+  SUBCASE("each task by itself") {}
+  SUBCASE("a gang") { Spec.Steps[0].Gang = true; }
+  B.Owner.addJob(Spec, B.Now);
+  CHECK(B.planConfirmed(ConfirmedAt).Starts.empty());
+  CHECK(waitsOf(B) == "report=2");
+}
+
+TEST_CASE("a repetition before its time is not due, and no wait of a task") {
+  HeardWorkers B({"w1"});
+  JobSpec Spec = sampleJob(1);
+  Spec.Repetitions = 2;
+  Spec.FirstDueMs = 1000000;
+  Spec.IntervalMs = 5000;
+  B.Owner.addJob(Spec, B.Now);
+  CHECK(B.plan().Starts.size() == 1);
+  CHECK(waitsOf(B) == "not-due=1");
+  CHECK_FALSE(B.Owner.gauges(B.Now, 1000000).LongestOtherWait);
+}
+
+TEST_CASE("a gang that exceeds its team's limit as a whole waits for the "
+          "limit") {
+  HeardWorkers B({"w1"});
+  JobSpec Spec = sampleJob(1, 3);
+  Spec.Steps[0].Gang = true;
+  B.Owner.addJob(Spec, B.Now);
+  B.Owner.setTeamRoom({{"", core::Resources{2000, 10000, 0}}});
+  CHECK(B.plan().Starts.empty());
+  CHECK(waitsOf(B) == "team-limit=3");
+}
+
+TEST_CASE("a task whose step fills its share of each worker with room waits "
+          "for the spread") {
+  HeardWorkers B({"w1"});
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].MaxPerWorker = 1;
+  B.Owner.addJob(Spec, B.Now);
+  CHECK(B.plan().Starts.size() == 1);
+  CHECK(waitsOf(B) == "spread=1");
+}
+
+TEST_CASE("a task whose label no usable worker has waits for the label") {
+  HeardWorkers B({"w1", "w2"});
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Label = "fast";
+  B.Entries[1].Labels = {"fast"};
+  B.Owner.setWorkers(B.Entries, B.Now);
+  B.Owner.setClosedWorkers({"w2"});
+  B.Owner.addJob(Spec, B.Now);
+  CHECK(B.plan().Starts.empty());
+  CHECK(waitsOf(B) == "label=1");
+}
+
+TEST_CASE("a task that exceeds each worker's capacity is unplaceable") {
+  HeardWorkers B({"w1", "w2"});
+  JobSpec Spec = sampleJob(1);
+  SUBCASE("each worker is too small") { Spec.Steps[0].Need.MilliCpus = 4001; }
+  SUBCASE("the ones with its label are") {
+    B.Entries[0].Capacity.MilliCpus = 9000;
+    B.Entries[1].Labels = {"fast"};
+    B.Owner.setWorkers(B.Entries, B.Now);
+    Spec.Steps[0].Label = "fast";
+    Spec.Steps[0].Need.MilliCpus = 5000;
+  }
+  B.Owner.addJob(Spec, B.Now);
+  CHECK(B.plan().Starts.empty());
+  CHECK(waitsOf(B) == "unplaceable=1");
+}
+
+TEST_CASE("a task for which only room lacks waits for room") {
+  HeardWorkers B({"w1"});
+  B.Owner.addJob(sampleJob(1, 5), B.Now);
+  CHECK(B.plan().Starts.size() == 4);
+  CHECK(waitsOf(B) == "room=1");
+}
