Go on from a failed page when forgotten jobs are looked up

What callers saw: a job that may be one that its owner has forgotten becomes known only once the pool's progress between the ids concerned has been read.

Cause: one failed page failed that read, and the next one began anew: while the store loses a share of its answers, a read of many pages never ends.

The new test (15 pages, every third read fails) failed before after 200 rows and gets all 1,500 now.

Change: the read requests a failed page again, as that of a new owner.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -470,11 +470,12 @@
   store::PartRange Range = {rows::Progress, Part_, Ids.front(),
                             Ids.back() + "~"};
   auto Self = shared_from_this();
-  readRange(Ctx_.Store, Range, [Self, Ids = std::move(Ids)](PartAnswer Answer) {
-    Self->Ctx_.Loop.post([Self, Ids, Answer = std::move(Answer)] {
-      Self->onLookedUpRead(Ids, Answer);
-    });
-  });
+  readRange(Ctx_.Loop, Ctx_.Store, Range,
+            [Self, Ids = std::move(Ids)](PartAnswer Answer) {
+              Self->Ctx_.Loop.post([Self, Ids, Answer = std::move(Answer)] {
+                Self->onLookedUpRead(Ids, Answer);
+              });
+            });
 }
 
 void PoolController::onLookedUpRead(const std::vector<std::string> &Ids,
--- a/src/dispatch/TableFollower.cpp
+++ b/src/dispatch/TableFollower.cpp
@@ -145,10 +145,11 @@
 
 } // namespace
 
-void readRange(store::PartitionedStore &Store, const store::PartRange &Range,
-               store::PartCallback Done) {
+void readRange(net::Loop &Loop, store::PartitionedStore &Store,
+               const store::PartRange &Range, store::PartCallback Done) {
   auto Reader =
       std::make_shared<PartsReader>(Store, Range.Table, std::move(Done));
+  Reader->RetryLoop = &Loop;
   Reader->FromKey = Range.From;
   Reader->ToKey = Range.To;
   Reader->start({Range.Part});
--- a/src/dispatch/TableFollower.h
+++ b/src/dispatch/TableFollower.h
@@ -9,9 +9,9 @@
 namespace comfreydeck::dispatch {
 
 /// Reads all rows of the range, page by page; its own limit of rows is ignored.
-/// Otherwise as \ref readParts.
-void readRange(store::PartitionedStore &Store, const store::PartRange &Range,
-               store::PartCallback Done);
+/// Otherwise as \ref readPartsPatiently.
+void readRange(net::Loop &Loop, store::PartitionedStore &Store,
+               const store::PartRange &Range, store::PartCallback Done);
 
 /// Reads all rows of the given partitions of a table, page by page. \p Done
 /// gets all rows and the oldest store version of the pages, or the first
--- a/tests/dispatch/TableFollowerTest.cpp
+++ b/tests/dispatch/TableFollowerTest.cpp
@@ -222,3 +222,19 @@
   CHECK(Synced);
   CHECK(RowsPassed == LossyStore::RowCount);
 }
+
+TEST_CASE("a range of many pages is read though every third read fails") {
+  LossyStore Store;
+  net::Loop Loop;
+  Loop.start();
+  std::promise<store::PartAnswer> Done;
+  Loop.post([&] {
+    dispatch::readRange(
+        Loop, Store, {"t", "p", "100500", "102000", 0},
+        [&](store::PartAnswer Answer) { Done.set_value(std::move(Answer)); });
+  });
+  store::PartAnswer Answer = Done.get_future().get();
+  Loop.stop();
+  CHECK(Answer.Outcome == store::PartOutcome::Ok);
+  CHECK(Answer.Rows.size() == 1500);
+}
