Report the long waits of all tasks, and what keeps them from starting

Change: the check that is made once a second looks at all tasks and takes the wait that is longest by its bound: nine seconds for lasting tasks, 14 s for others (both of LOST). Lasting tasks are reported after 3 s as before, others after half of their bound, and those only where they don't merely wait for their turn: for `room` if a usable worker has room, for `gang` if half of the usable CPU is free, and not for `advised`, `team-limit`, `spread` and `not-due`. `task_waits` has the fields of `lasting_task_waits`; both have the occurrence and the number of workers reserved for isolated tasks besides. Of a task that is not lasting, a run on a silent worker counts until it lapses.

Gauges take one reason a step, but of suspects, and a task larger than the most room on any worker is not tried on each of them.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -697,25 +697,28 @@
               {"token", State_.token()}});
 }
 
-/// Logs the longest wait of a lasting task, with what keeps it from starting.
+/// Logs the longest wait of a task, with what keeps it from starting.
 void PoolController::logLongWait() {
   std::optional<jobs::LongWait> Long = State_.takeLongWait();
   if (!Long)
     return;
   const jobs::TaskRef &Task = Long->Wait.Task;
-  logEvent("lasting_task_waits", {{"pool", State_.pool()},
-                                  {"token", State_.token()},
-                                  {"job", Task.JobId},
-                                  {"step", Task.Step},
-                                  {"index", Task.Index},
-                                  {"waited_ms", core::inMs(Long->Wait.Age)},
-                                  {"reason", jobs::nameOf(Long->Wait.Reason)},
-                                  {"workers", Long->Placement.Workers},
-                                  {"unheard", Long->Unheard},
-                                  {"usable", Long->Placement.Usable},
-                                  {"with_label", Long->Placement.WithLabel},
-                                  {"with_room", Long->Placement.WithRoom},
-                                  {"with_spread", Long->Placement.WithSpread}});
+  logEvent(Long->Lasting ? "lasting_task_waits" : "task_waits",
+           {{"pool", State_.pool()},
+            {"token", State_.token()},
+            {"job", Task.JobId},
+            {"occurrence", Task.Occurrence},
+            {"step", Task.Step},
+            {"index", Task.Index},
+            {"waited_ms", core::inMs(Long->Wait.Age)},
+            {"reason", jobs::nameOf(Long->Wait.Reason)},
+            {"workers", Long->Placement.Workers},
+            {"unheard", Long->Unheard},
+            {"isolated", Long->Isolated},
+            {"usable", Long->Placement.Usable},
+            {"with_label", Long->Placement.WithLabel},
+            {"with_room", Long->Placement.WithRoom},
+            {"with_spread", Long->Placement.WithSpread}});
 }
 
 /// Logs each restart of a worker under its id that this owner has found, and
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -137,11 +137,14 @@
   std::uint32_t WithSpread = 0;
 };
 
-/// A lasting task that has had no run for long, or whose worker has been silent
-/// for long, and what its placement depends on.
+/// A task that has had no run for long, or whose worker has been silent for
+/// long, and what its placement depends on.
 struct LongWait {
   TaskWait Wait;
+  bool Lasting = false;
   PlacementCounts Placement;
+  /// Workers reserved for tasks that may crash them.
+  std::uint32_t Isolated = 0;
   /// Workers that have not reported since the takeover.
   std::uint32_t Unheard = 0;
 };
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -632,8 +632,9 @@
   /// Returns and forgets the decisions to stop lasting tasks since the last
   /// call, oldest first.
   std::vector<StopDecision> takeStopDecisions();
-  /// Returns and forgets the longest wait of a lasting task, if the last check
-  /// found a long one. Such checks are made about once a second.
+  /// Returns and forgets the wait that is longest by its bound, if the last
+  /// check found a long one: a lasting task's, or one of another task for which
+  /// room is there. Such checks are made about once a second.
   std::optional<LongWait> takeLongWait();
   /// Returns and forgets the crashes of workers since the last call, oldest
   /// first.
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -14,7 +14,9 @@
   std::vector<StartOrder> run();
   /// Whether PlanInput::MaxStarts is reached.
   bool isBounded() const { return Starts_.size() >= In_.MaxStarts; }
-  /// The longest wait of a lasting task if it is long. Call after \ref run.
+  /// The wait of a task that is longest by its bound if it is long, apart from
+  /// tasks that are not lasting and only wait for their turn. Call after
+  /// \ref run.
   std::optional<LongWait> findLongWait();
   /// Counts the waits of all tasks. Call it on a plan of its own, after the
   /// round whose outcome is of interest.
@@ -100,14 +102,27 @@
                         std::uint32_t Task, const StepSpec &Step);
   PlacementCounts countPlacements(JobRecord &Job, std::uint32_t Task) const;
   /// Why the task, which is ready and not done, has no run, or may have none.
-  /// Call after \ref findUsable.
+  /// Call after \ref findForReasons.
   WaitReason reasonOf(JobRecord &Job, std::uint32_t Task) const;
   WaitReason placementReason(JobRecord &Job, std::uint32_t Task) const;
+  void findForReasons();
+  bool exceedsCapacity(const StepSpec &Step) const;
   WaitReason gangReason(JobRecord &Job, std::uint32_t First,
                         const StepSpec &Step) const;
   std::uint32_t countPlaces(const WorkerState &W, JobRecord &Job,
                             std::uint32_t Task, const StepSpec &Step) const;
   TaskWait waitOf(JobRecord &Job, std::uint32_t Task) const;
+  core::Duration ageOf(const JobRecord &Job, std::uint32_t Task) const;
+  bool isQueued(JobRecord &Job, std::uint32_t Task) const;
+  bool isHalfFree() const;
+  /// A task that has waited for long.
+  struct LongWaiting {
+    /// Of the time within which it must run.
+    double Share = 0;
+    JobRecord *Job = nullptr;
+    std::uint32_t Task = 0;
+  };
+  void noteLongWait(JobRecord &Job, LongWaiting &Longest) const;
   double score(const WorkerState &W, const JobRecord &Job, std::uint32_t Task,
                const StepSpec &Step) const;
   static std::uint32_t countStepRuns(const WorkerState &W, JobRecord &Job,
@@ -136,6 +151,9 @@
   const PlanInput &In_;
   bool MayStartInherited_;
   std::vector<WorkerState *> Usable_;
+  /// Listed workers, without those that are no larger than another one with the
+  /// same labels.
+  std::vector<const WorkerState *> Largest_;
   /// Number of workers reserved for tasks that may crash them, and how many may
   /// be.
   std::size_t Reserved_ = 0;
--- a/tests/jobs/TaskWaitTest.cpp
+++ b/tests/jobs/TaskWaitTest.cpp
@@ -172,3 +172,111 @@
   CHECK(B.plan().Starts.size() == 4);
   CHECK(waitsOf(B) == "room=1");
 }
+
+TEST_CASE("a short task that can't start though the pool is idle is reported "
+          "before its bound has passed") {
+  HeardWorkers B({"w1", "w2"});
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Label = "fast";
+  B.Owner.addJob(Spec, B.Now);
+  B.advance(milliseconds(7000));
+  B.plan();
+  CHECK_FALSE(B.Owner.takeLongWait());
+  B.advance(milliseconds(1000));
+  B.plan();
+  std::optional<LongWait> Long = B.Owner.takeLongWait();
+  REQUIRE(Long);
+  CHECK_FALSE(Long->Lasting);
+  CHECK(Long->Wait.Task == TaskRef{jobId(1), 0, 0, 0});
+  CHECK(Long->Wait.Reason == WaitReason::Label);
+  CHECK(Long->Wait.Age == milliseconds(8000));
+  CHECK(Long->Placement.Usable == 2);
+  CHECK(Long->Placement.WithLabel == 0);
+  B.advance(milliseconds(999));
+  B.plan();
+  CHECK_FALSE(B.Owner.takeLongWait());
+}
+
+TEST_CASE("a report of a long wait tells how many workers are kept for tasks "
+          "that may crash them") {
+  HeardWorkers B({"w1", "w2"});
+  B.inheritCrashed(1, 2, AnnouncedRun{3, "w9", 1});
+  JobSpec Lasting = sampleJob(2, 2);
+  Lasting.Steps[0].Lasting = true;
+  Lasting.Steps[0].MaxPerWorker = 1;
+  B.Owner.addJob(Lasting, B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 2);
+  B.inheritCrashed(3, 2);
+  B.advance(milliseconds(100));
+  B.plan();
+  for (int Second = 0; Second < 8; ++Second) {
+    B.advance(milliseconds(1000));
+    for (const StartOrder &Start : Out.Starts)
+      B.report(Start.Worker, {runReportOf(Start)});
+    B.plan();
+  }
+  std::optional<LongWait> Long = B.Owner.takeLongWait();
+  REQUIRE(Long);
+  CHECK(Long->Wait.Reason == WaitReason::CrashOpen);
+  CHECK(Long->Isolated == 1);
+}
+
+TEST_CASE("a task that waits for its turn in a full pool is not reported") {
+  HeardWorkers B({"w1"});
+  JobSpec Full = sampleJob(1, 4);
+  B.Owner.addJob(Full, B.Now);
+  std::vector<StartOrder> Running = B.plan().Starts;
+  REQUIRE(Running.size() == 4);
+  JobSpec Gang = sampleJob(3, 2);
+  Gang.Steps[0].Gang = true;
+  B.Owner.addJob(sampleJob(2, 3), B.Now);
+  B.Owner.addJob(Gang, B.Now);
+  for (int Second = 0; Second < 15; ++Second) {
+    B.advance(milliseconds(1000));
+    std::vector<RunReport> Reported;
+    for (const StartOrder &Start : Running)
+      Reported.push_back(runReportOf(Start, 50));
+    B.report("w1", Reported);
+    B.plan();
+    CHECK_FALSE(B.Owner.takeLongWait());
+  }
+}
+
+TEST_CASE("a gang that fits no set of workers of an idle pool is reported") {
+  HeardWorkers B({"w1", "w2"});
+  JobSpec Gang = sampleJob(1, 3);
+  Gang.Steps[0].Gang = true;
+  Gang.Steps[0].MaxPerWorker = 1;
+  B.Owner.addJob(Gang, B.Now);
+  B.advance(milliseconds(7001));
+  B.plan();
+  std::optional<LongWait> Long = B.Owner.takeLongWait();
+  REQUIRE(Long);
+  CHECK(Long->Wait.Reason == WaitReason::Gang);
+  CHECK(Long->Placement.WithSpread == 2);
+}
+
+TEST_CASE("of several long waits the one that has used most of its bound is "
+          "reported") {
+  HeardWorkers B({"w1"});
+  JobSpec Other = sampleJob(1);
+  Other.Steps[0].Label = "fast";
+  JobSpec Lasting = sampleJob(2);
+  Lasting.Steps[0].Label = "fast";
+  Lasting.Steps[0].Lasting = true;
+  B.Owner.addJob(Other, B.Now);
+  B.advance(milliseconds(4000));
+  B.Owner.addJob(Lasting, B.Now);
+  B.advance(milliseconds(4000));
+  B.plan();
+  std::optional<LongWait> Long = B.Owner.takeLongWait();
+  REQUIRE(Long);
+  CHECK(Long->Wait.Task.JobId == jobId(1));
+  B.advance(milliseconds(4000));
+  B.plan();
+  Long = B.Owner.takeLongWait();
+  REQUIRE(Long);
+  CHECK(Long->Wait.Task.JobId == jobId(2));
+  CHECK(Long->Lasting);
+}
--- a/tools/planning.cpp
+++ b/tools/planning.cpp
@@ -128,10 +128,40 @@
     Owner_.dropFinished(std::int64_t{NextJob_} - RetainedJobs);
   }
 
+  /// Lets a second pass, in which each worker reports.
+  void passSecond() {
+    Now_ += std::chrono::seconds(1);
+    for (const auto &[Id, W] : Owner_.workers()) {
+      std::vector<RunReport> Running;
+      for (const auto &[Job, Task] : W->Tasks)
+        for (const LiveRun &Run : Job->Tasks[Task].Runs)
+          Running.push_back({{Job->Spec.Id, 0, Task / Job->Spec.Steps[0].Tasks,
+                              Task % Job->Spec.Steps[0].Tasks},
+                             Run.Run,
+                             "",
+                             50,
+                             0});
+      sendReport(Id, {}, std::move(Running));
+    }
+  }
+
+  void countWaits() {
+    benchmark::DoNotOptimize(Owner_.gauges(Now_, WallMs).Waiting);
+  }
+
   bool hasStarted() const { return !Started_.empty(); }
 
 private:
   void report(const std::string &Worker, std::vector<EndReport> Ended) {
+    std::vector<RunReport> Running;
+    for (const StartOrder &Start : Started_)
+      if (Start.Worker == Worker)
+        Running.push_back({Start.Task, Start.Run, "", 50, 0});
+    sendReport(Worker, std::move(Ended), std::move(Running));
+  }
+
+  void sendReport(const std::string &Worker, std::vector<EndReport> Ended,
+                  std::vector<RunReport> Running) {
     HoldOrder Order;
     Order.Worker = Worker;
     ReportResult Result;
@@ -139,9 +169,7 @@
     Result.Report.ClockMs = clockMs();
     Result.Report.Born = 1;
     Result.Report.Ended = std::move(Ended);
-    for (const StartOrder &Start : Started_)
-      if (Start.Worker == Worker)
-        Result.Report.Running.push_back({Start.Task, Start.Run, "", 50, 0});
+    Result.Report.Running = std::move(Running);
     Owner_.onReport(Order, Result, Now_, Now_);
   }
 
@@ -173,10 +201,37 @@
       D.endOldestRun();
 }
 
+/// With the check for long waits, which is made once a second.
+void planAfterASecond(benchmark::State &State) {
+  Driver D(static_cast<std::uint32_t>(State.range(0)),
+           static_cast<std::uint32_t>(State.range(1)));
+  constexpr int LongWaitSeconds = 8;
+  for (int N = 0; N < LongWaitSeconds; ++N) {
+    D.passSecond();
+    D.plan();
+  }
+  for (auto Round : State) {
+    State.PauseTiming();
+    D.passSecond();
+    State.ResumeTiming();
+    D.plan();
+  }
+}
+
+/// The statistics of a summary.
+void countWaits(benchmark::State &State) {
+  Driver D(static_cast<std::uint32_t>(State.range(0)),
+           static_cast<std::uint32_t>(State.range(1)));
+  for (auto Round : State)
+    D.countWaits();
+}
+
 const std::vector<std::vector<std::int64_t>> Sizes = {{10, 87, 266},
-                                                      {10, 200, 1300}};
+                                                      {10, 200, 800, 1300}};
 
 BENCHMARK(planUnchanged)->ArgNames({"workers", "jobs"})->ArgsProduct(Sizes);
+BENCHMARK(planAfterASecond)->ArgNames({"workers", "jobs"})->ArgsProduct(Sizes);
+BENCHMARK(countWaits)->ArgNames({"workers", "jobs"})->ArgsProduct(Sizes);
 BENCHMARK(planAfterAnEnd)->ArgNames({"workers", "jobs"})->ArgsProduct(Sizes);
 
 } // namespace
