A task that crashed two workers waits two seconds at most for a clear one

Cause: the worker to be drained was the one with the fewest lasting tasks whose capacity holds the task. What lasts there never leaves; such a worker counted as clear, was kept from all others round after round, and no other was tried. So did one that has as many of a lasting step as allowed, and one with a short task that goes on for minutes. What was kept counted against the quarter that may be, so that further tasks waited behind it.

Change: only workers are chosen where the task fits beside what lasts and its lasting step has not as many as allowed. After OwnerLimits::IsolationWait the task starts on the first worker with room whose other runs are older than the suspicion age, whatever they are: a crash has one possible cause there too, but costs these runs. A worker with room but young runs is reserved until they are that old, within the limit for those that need no draining, so that a reservation that waits holds no other task up. Where none has room, one worker is kept, the same from round to round. A worker with a suspect's run that is stored but not sent yet is not clear (found by reading).

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -37,19 +37,37 @@
          (PoolState::countCrashes(Job, Task) > 0 || isIsolated(Job, Task));
 }
 
-/// Whether a crash of the worker can be attributed to one new run there, and
-/// costs no other run that would have to start over.
-bool StartPlan::isClear(const WorkerState &W) const {
+/// Whether a crash of the worker can be attributed to one new run there.
+bool StartPlan::isQuiet(const WorkerState &W) const {
   return std::all_of(W.Tasks.begin(), W.Tasks.end(), [&](const auto &Item) {
     const auto &[Job, Task] = Item;
     const std::vector<LiveRun> &Runs = Job->Tasks[Task].Runs;
-    return PoolState::stepOf(*Job, Task).Lasting &&
-           std::all_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
-             return In_.Now - Run.OrderedAt >= Owner_.Limits_.SuspicionAge;
-           });
+    return std::all_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
+      return Run.SendAfter == 0 &&
+             In_.Now - Run.OrderedAt >= Owner_.Limits_.SuspicionAge;
+    });
   });
 }
 
+/// Whether, in addition, a crash costs no other run that would have to start
+/// over.
+bool StartPlan::isClear(const WorkerState &W) const {
+  return isQuiet(W) &&
+         std::all_of(W.Tasks.begin(), W.Tasks.end(), [](const auto &Item) {
+           return PoolState::stepOf(*Item.first, Item.second).Lasting;
+         });
+}
+
+/// Whether the task may start beside runs that would have to start over.
+bool StartPlan::hasWaitedIsolated(const JobRecord &Job,
+                                  std::uint32_t Task) const {
+  return In_.Now - Job.Tasks[Task].WaitingSince >= Owner_.Limits_.IsolationWait;
+}
+
+bool StartPlan::mayIsolateOn(const WorkerState &W, bool Waited) const {
+  return Waited ? isQuiet(W) : isClear(W);
+}
+
 void StartPlan::isolate(WorkerState &W) {
   // A worker that is out of reach takes no starts anyway.
   if (!W.Isolated && W.IncarnationConfirmed)
@@ -160,7 +178,8 @@
 
 void StartPlan::planSuspects() {
   for (auto &[Id, W] : Owner_.Workers_)
-    W->Isolated = false;
+    if (std::exchange(W->Isolated, false))
+      ReservedBefore_.insert(W.get());
   bool AnySuspect =
       std::any_of(Owner_.Open_.begin(), Owner_.Open_.end(),
                   [](const JobRecord *Job) { return Job->Suspect; });
@@ -204,11 +223,16 @@
   if (!mayStart(Job, Task) ||
       !hasTeamRoom(Job, PoolState::stepOf(Job, Task), 1))
     return;
+  bool Waited = hasWaitedIsolated(Job, Task);
   WorkerState *W = chooseForIsolation(Job, Task);
-  bool Clear = W && isClear(*W);
-  if (!W || Reserved_ >= MaxReserved_ * (Clear ? 2 : 1))
+  if (!W)
+    return;
+  bool HasRoom = meetsConstraints(*W, Job, Task, PoolState::stepOf(Job, Task));
+  bool Ready = HasRoom && mayIsolateOn(*W, Waited);
+  bool Soon = Ready || (HasRoom && Waited);
+  if (Reserved_ >= MaxReserved_ * (Soon ? 2 : 1))
     return;
-  if (Clear && meetsConstraints(*W, Job, Task, PoolState::stepOf(Job, Task))) {
+  if (Ready) {
     start(Job, Task, *W, nextRun());
     announce(Job, Task);
   }
@@ -237,17 +261,25 @@
   }
 }
 
-/// The worker that is clear soonest, so that few others wait for it.
+/// The worker that is clear soonest, so that few others wait for it. What lasts
+/// there leaves room for the task: waiting for that would be in vain. Once the
+/// task has waited for long, the worker where it starts soonest.
 WorkerState *StartPlan::chooseForIsolation(JobRecord &Job,
                                            std::uint32_t Task) const {
   const StepSpec &Step = PoolState::stepOf(Job, Task);
+  bool Waited = hasWaitedIsolated(Job, Task);
   auto Fits = [&](const WorkerState &W) {
-    return core::fits(Step.Need, W.Entry.Capacity) && hasLabel(W, Step) &&
-           mayHost(W, Step);
+    return core::fits(reserved(Step), roomBesideLasting(W)) &&
+           hasLabel(W, Step) && mayHost(W, Step) &&
+           (!Step.Lasting || hasSpread(W, Job, Task, Step));
   };
   auto Rank = [&](const WorkerState &W) {
-    return std::make_tuple(hasCrashedLately(W), W.Lasting, W.Tasks.size(),
-                           W.Entry.Id);
+    bool HasRoom = Waited && meetsConstraints(W, Job, Task, Step);
+    bool Quiet = HasRoom && isQuiet(W);
+    bool Kept = Waited && ReservedBefore_.contains(&W);
+    return std::make_tuple(Waited && !HasRoom, Waited && !Quiet,
+                           hasCrashedLately(W), !Kept, W.Lasting,
+                           W.Tasks.size(), W.Entry.Id);
   };
   WorkerState *Best = nullptr;
   for (auto &[Id, W] : Owner_.Workers_)
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -104,6 +104,11 @@
   core::Duration SuspicionAge = std::chrono::milliseconds(500);
   /// Crashes under one task after which its runs get a worker to themselves.
   std::uint32_t IsolationCrashes = 2;
+  /// How long such a run waits for a worker where no other run would have to
+  /// start over if it crashed. It waits on only for one whose other runs are
+  /// too old to be the cause: a lasting task has to run again within nine
+  /// seconds, of which the lease of its lost run takes three.
+  core::Duration IsolationWait = std::chrono::milliseconds(2000);
   /// Crashes under one task after which its job fails.
   std::uint32_t MaxCrashes = 3;
   /// How long a suspect task waits for a worker without another suspect.
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -61,7 +61,10 @@
   void planIsolatedGang(JobRecord &Job, std::uint32_t First);
   WorkerState *chooseForIsolation(JobRecord &Job, std::uint32_t Task) const;
   void isolate(WorkerState &W);
+  bool isQuiet(const WorkerState &W) const;
   bool isClear(const WorkerState &W) const;
+  bool hasWaitedIsolated(const JobRecord &Job, std::uint32_t Task) const;
+  bool mayIsolateOn(const WorkerState &W, bool Waited) const;
   bool hasCrashedLately(const WorkerState &W) const;
   bool isIsolated(const JobRecord &Job, std::uint32_t Task) const;
   bool isSuspect(const JobRecord &Job, std::uint32_t Task) const;
@@ -118,6 +121,8 @@
   /// be.
   std::size_t Reserved_ = 0;
   std::size_t MaxReserved_ = 0;
+  /// Workers that were reserved in the last round.
+  std::set<const WorkerState *> ReservedBefore_;
   /// Number of runs of suspect tasks by worker.
   std::map<const WorkerState *, std::uint32_t> Suspects_;
   /// Maximum of each free resource over the usable workers.
--- /dev/null
+++ b/tests/jobs/IsolationWaitTest.cpp
@@ -0,0 +1,144 @@
+#include "jobs/CrashFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreydeck;
+using namespace comfreydeck::jobs;
+
+namespace {
+
+/// A lasting task has to run again within nine seconds, of which the lease of
+/// its lost run takes three.
+constexpr milliseconds LongestWait(6000);
+
+struct IsolationFixture {
+  CrashFixture F;
+  unsigned Jobs = 100;
+
+  explicit IsolationFixture(std::vector<std::string> Ids) : F(std::move(Ids)) {
+    settle();
+  }
+
+  /// Only these workers have the label "here".
+  void label(const std::set<std::string> &Ids) {
+    for (WorkerEntry &Entry : F.B.Entries) {
+      Entry.Labels.clear();
+      if (Ids.contains(Entry.Id))
+        Entry.Labels.push_back("here");
+    }
+    F.B.Owner.setWorkers(F.B.Entries, F.B.Now);
+  }
+
+  /// Starts a run that goes on to the end of the test.
+  void run(const std::string &Worker, std::uint32_t MilliCpus, bool Lasting) {
+    JobSpec Spec = sampleJob(++Jobs);
+    Spec.Steps[0].Need = {MilliCpus, 50, 0};
+    Spec.Steps[0].Lasting = Lasting;
+    Spec.Steps[0].Label = "here";
+    label({Worker});
+    F.B.Owner.addJob(Spec, F.B.Now);
+    REQUIRE(F.workerOf(taskOf(Jobs)) == Worker);
+  }
+
+  /// Adds a job that has crashed two workers under an earlier owner.
+  void addCrashed(const JobSpec &Spec) {
+    JobProgress Kept;
+    Kept.State = JobState::Running;
+    Kept.Tasks.resize(Spec.Steps[0].Tasks);
+    Kept.Tasks[0].CrashedRuns = {10, 20};
+    F.B.Owner.inheritJob(Spec, &Kept, F.B.Now);
+  }
+
+  void settle() {
+    for (int Turn = 0; Turn < 10; ++Turn)
+      F.turn();
+  }
+
+  /// Turns until the task has a run, while \p Short, a job of many tasks, is
+  /// worked on: each run of it takes three turns.
+  bool startsBeside(const TaskRef &Task, const std::string &Short) {
+    std::map<TaskRef, int> Turns;
+    for (milliseconds Passed(0); Passed <= LongestWait;
+         Passed += milliseconds(100)) {
+      std::vector<TaskRef> Over;
+      for (const auto &[Id, Starts] : F.Running)
+        for (const StartOrder &Start : Starts) {
+          if (Start.Task == Task)
+            return true;
+          if (Start.Task.JobId == Short && ++Turns[Start.Task] == 3)
+            Over.push_back(Start.Task);
+        }
+      for (const TaskRef &Ended : Over)
+        F.finish(Ended);
+      F.turn();
+    }
+    return false;
+  }
+};
+
+} // namespace
+
+TEST_CASE("a task whose workers crashed twice starts where the lasting tasks "
+          "leave room") {
+  IsolationFixture P({"w1", "w2"});
+  P.run("w1", 1500, true);
+  P.run("w1", 1200, true);
+  P.run("w2", 3000, true);
+  P.settle();
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Need.MilliCpus = 1250;
+  SUBCASE("that lasts") { Spec.Steps[0].Lasting = true; }
+  SUBCASE("that ends by itself") {}
+  P.addCrashed(Spec);
+  CHECK(P.F.workerOf(taskOf(1), LongestWait) == "w1");
+}
+
+TEST_CASE("a lasting task whose workers crashed twice starts where its step "
+          "has not as many as allowed") {
+  IsolationFixture P({"w1", "w2", "w3", "w4"});
+  P.run("w2", 1000, true);
+  P.run("w2", 1000, true);
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Lasting = true;
+  Spec.Steps[0].MaxPerWorker = 1;
+  Spec.Steps[0].Label = "here";
+  P.label({"w1"});
+  P.F.B.Owner.addJob(Spec, P.F.B.Now);
+  REQUIRE(P.F.workerOf(taskOf(1, 0)) == "w1");
+  for (const std::string Worker : {"w3", "w4"}) {
+    P.label({Worker});
+    REQUIRE(P.F.workerOf(taskOf(1, 1)) == Worker);
+    P.F.crash(Worker);
+  }
+  P.label({"w1", "w2"});
+  CHECK(P.F.workerOf(taskOf(1, 1), LongestWait) == "w2");
+}
+
+TEST_CASE("a task whose workers crashed twice does not wait without end for "
+          "long runs") {
+  IsolationFixture P(FourWorkers);
+  for (const std::string &Id : FourWorkers)
+    P.run(Id, 1000, false);
+  P.settle();
+  std::uint32_t Tasks = 0;
+  SUBCASE("on workers with room") {}
+  SUBCASE("in a pool that is full of short work") { Tasks = 1000; }
+  P.F.B.Owner.addJob(sampleJob(2, std::max(Tasks, 1U)), P.F.B.Now);
+  P.settle();
+  P.addCrashed(sampleJob(1));
+  CHECK(P.startsBeside(taskOf(1), jobId(2)));
+}
+
+TEST_CASE("a task that waits for a worker of its own holds up no other "
+          "without end") {
+  IsolationFixture P({"w1", "w2"});
+  P.run("w1", 2000, false);
+  P.run("w2", 2000, false);
+  P.settle();
+  JobSpec Large = sampleJob(1);
+  Large.Steps[0].Need.MilliCpus = 4000;
+  P.addCrashed(Large);
+  P.addCrashed(sampleJob(2));
+  CHECK(P.F.workerOf(taskOf(2), LongestWait) != "");
+  CHECK(P.F.workerOf(taskOf(1), LongestWait) == "");
+}
