A gang that crashed two workers is not kept from starting by long or young runs

Cause: it needs as many clear workers at once as it has members, and at most a quarter of the workers was reserved at a time. A gang whose first members had found a place began to wait anew in each round.

Change: after IsolationWait the gang starts on workers without young runs, and workers that have room for all its members are reserved together, however many, for the half second until their runs are old enough; those of the last round come first, so that the choice does not move on before. A run that was never ordered no longer restarts its task's wait, nor counts as a suspect's for the rest of the round.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -115,7 +115,7 @@
   }
   for (const auto &[Task, Run] : Held) {
     if (!Usable) {
-      Owner_.removeRun(Job, Task, Run.Run);
+      takeBack(Job, Task, Run.Run);
     } else if (Stored && !Unsure) {
       LiveRun &Live = *Owner_.findRun(Job, Task, Run.Run);
       Live.SendAfter = 0;
@@ -242,16 +242,19 @@
 /// Starts the gang on workers of its own, or reserves as many as may be.
 void StartPlan::planIsolatedGang(JobRecord &Job, std::uint32_t First) {
   const StepSpec &Step = PoolState::stepOf(Job, First);
+  std::uint32_t Last = First + Step.Tasks;
+  bool Waited = hasWaitedIsolated(Job, First);
   Usable_.clear();
   for (auto &[Id, W] : Owner_.Workers_)
-    if (canTake(*W) && isClear(*W))
+    if (canTake(*W) && mayIsolateOn(*W, Waited))
       Usable_.push_back(W.get());
   planGang(Job, First, Step);
   Usable_.clear();
-  for (std::uint32_t T = First; T < First + Step.Tasks; ++T)
+  for (std::uint32_t T = First; T < Last; ++T)
     for (const LiveRun &Run : Job.Tasks[T].Runs)
       isolate(*Owner_.Workers_.at(Run.Worker));
-  if (!Job.Tasks[First].Runs.empty())
+  if (!Job.Tasks[First].Runs.empty() ||
+      (Waited && reserveRoomForGang(Job, First)))
     return;
   for (std::uint32_t N = 0; N < Step.Tasks && Reserved_ < MaxReserved_; ++N) {
     WorkerState *W = chooseForIsolation(Job, First);
@@ -261,6 +264,42 @@
   }
 }
 
+/// Reserves workers that have room for the whole gang, however many, so that
+/// they are quiet within the suspicion age. Those of the last round come first:
+/// others would not be quiet sooner.
+bool StartPlan::reserveRoomForGang(JobRecord &Job, std::uint32_t First) {
+  const StepSpec &Step = PoolState::stepOf(Job, First);
+  if (!hasTeamRoom(Job, Step, Step.Tasks))
+    return false;
+  std::size_t StartsBefore = Starts_.size();
+  std::size_t WithheldBefore = Withheld_.size();
+  RunId Run = nextRun();
+  bool Placed = false;
+  for (bool Others : {false, true}) {
+    Usable_.clear();
+    for (auto &[Id, W] : Owner_.Workers_)
+      if (canTake(*W) &&
+          (Others || isQuiet(*W) || ReservedBefore_.contains(W.get())))
+        Usable_.push_back(W.get());
+    Placed = placeGang(Job, First, Step, Run);
+    if (Placed)
+      break;
+  }
+  Usable_.clear();
+  if (!Placed)
+    return false;
+  for (std::size_t N = WithheldBefore; N < Withheld_.size(); ++N)
+    isolate(*Withheld_[N].Worker);
+  for (std::uint32_t T = First; T < First + Step.Tasks; ++T)
+    if (const LiveRun *Live = Owner_.findRun(Job, T, Run)) {
+      isolate(*Owner_.Workers_.at(Live->Worker));
+      takeBack(Job, T, Run);
+    }
+  Starts_.resize(StartsBefore);
+  releaseWithheld(WithheldBefore);
+  return true;
+}
+
 /// The worker that is clear soonest, so that few others wait for it. What lasts
 /// there leaves room for the task: waiting for that would be in vain. Once the
 /// task has waited for long, the worker where it starts soonest.
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -261,27 +261,51 @@
   std::size_t StartsBefore = Starts_.size();
   std::size_t WithheldBefore = Withheld_.size();
   RunId Run = nextRun();
+  if (!placeGang(Job, First, Step, Run))
+    return;
+  if (Withheld_.size() > WithheldBefore) {
+    Starts_.resize(StartsBefore);
+    withholdGang(Job, First, Step, Run);
+    return;
+  }
+  for (std::uint32_t T = First; T < First + Step.Tasks; ++T)
+    announce(Job, T);
+}
+
+/// Gives all members of the gang a run, or none if there is no room.
+bool StartPlan::placeGang(JobRecord &Job, std::uint32_t First,
+                          const StepSpec &Step, RunId Run) {
+  std::size_t StartsBefore = Starts_.size();
+  std::size_t WithheldBefore = Withheld_.size();
   std::string Rack;
   for (std::uint32_t T = First; T < First + Step.Tasks; ++T) {
     WorkerState *W = chooseWorker(Job, T, Rack);
     if (!W) {
       for (std::uint32_t Back = First; Back < T; ++Back)
-        Owner_.removeRun(Job, Back, Run);
+        takeBack(Job, Back, Run);
       Starts_.resize(StartsBefore);
       releaseWithheld(WithheldBefore);
-      return;
+      return false;
     }
     if (Step.SameRack)
       Rack = W->Entry.Rack;
     start(Job, T, *W, Run);
   }
-  if (Withheld_.size() > WithheldBefore) {
-    Starts_.resize(StartsBefore);
-    withholdGang(Job, First, Step, Run);
+  return true;
+}
+
+/// Removes a run that was never ordered; its task goes on waiting.
+void StartPlan::takeBack(JobRecord &Job, std::uint32_t Task, RunId Run) {
+  const LiveRun *Live = Owner_.findRun(Job, Task, Run);
+  if (!Live)
     return;
-  }
-  for (std::uint32_t T = First; T < First + Step.Tasks; ++T)
-    announce(Job, T);
+  auto Suspects = Suspects_.find(Owner_.Workers_.at(Live->Worker).get());
+  if (isSuspect(Job, Task) && Suspects != Suspects_.end() &&
+      --Suspects->second == 0)
+    Suspects_.erase(Suspects);
+  core::TimePoint Since = Job.Tasks[Task].WaitingSince;
+  Owner_.removeRun(Job, Task, Run);
+  Job.Tasks[Task].WaitingSince = Since;
 }
 
 std::uint32_t StartPlan::countStepRuns(const WorkerState &W, JobRecord &Job,
@@ -449,7 +473,7 @@
   for (std::uint32_t T = First; T < First + Step.Tasks; ++T)
     if (const LiveRun *Live = Owner_.findRun(Job, T, Run)) {
       WorkerState &W = *Owner_.Workers_.at(Live->Worker);
-      Owner_.removeRun(Job, T, Run);
+      takeBack(Job, T, Run);
       withhold(Job, T, W);
     }
 }
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -61,6 +61,7 @@
   void planIsolatedGang(JobRecord &Job, std::uint32_t First);
   WorkerState *chooseForIsolation(JobRecord &Job, std::uint32_t Task) const;
   void isolate(WorkerState &W);
+  bool reserveRoomForGang(JobRecord &Job, std::uint32_t First);
   bool isQuiet(const WorkerState &W) const;
   bool isClear(const WorkerState &W) const;
   bool hasWaitedIsolated(const JobRecord &Job, std::uint32_t Task) const;
@@ -73,6 +74,9 @@
                       RunId Run) const;
   void planJob(JobRecord &Job);
   void planGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step);
+  bool placeGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step,
+                 RunId Run);
+  void takeBack(JobRecord &Job, std::uint32_t Task, RunId Run);
   bool mayStart(const JobRecord &Job, std::uint32_t Task) const;
   static bool hasTeamRoom(const JobRecord &Job, const StepSpec &Step,
                           std::uint32_t Count);
--- a/tests/jobs/IsolationWaitTest.cpp
+++ b/tests/jobs/IsolationWaitTest.cpp
@@ -55,9 +55,9 @@
   }
 
   /// Turns until the task has a run, while \p Short, a job of many tasks, is
-  /// worked on: each run of it takes three turns.
+  /// worked on: each run of it takes three to six turns.
   bool startsBeside(const TaskRef &Task, const std::string &Short) {
-    std::map<TaskRef, int> Turns;
+    std::map<TaskRef, std::uint32_t> Turns;
     for (milliseconds Passed(0); Passed <= LongestWait;
          Passed += milliseconds(100)) {
       std::vector<TaskRef> Over;
@@ -65,7 +65,8 @@
         for (const StartOrder &Start : Starts) {
           if (Start.Task == Task)
             return true;
-          if (Start.Task.JobId == Short && ++Turns[Start.Task] == 3)
+          if (Start.Task.JobId == Short &&
+              ++Turns[Start.Task] >= 3 + Start.Task.Index % 4)
             Over.push_back(Start.Task);
         }
       for (const TaskRef &Ended : Over)
@@ -142,3 +143,37 @@
   CHECK(P.F.workerOf(taskOf(2), LongestWait) != "");
   CHECK(P.F.workerOf(taskOf(1), LongestWait) == "");
 }
+
+TEST_CASE("a gang that crashed two workers does not wait without end for "
+          "workers without long runs") {
+  IsolationFixture P(FourWorkers);
+  for (const std::string &Id : FourWorkers)
+    P.run(Id, 1000, false);
+  JobSpec Spec = sampleJob(1, 3);
+  Spec.Steps[0].Gang = true;
+  Spec.Steps[0].MaxPerWorker = 1;
+  std::uint32_t Tasks = 1;
+  SUBCASE("on workers with room") {}
+  SUBCASE("in a pool with much short work") { Tasks = 6; }
+  P.F.B.Owner.addJob(sampleJob(2, Tasks), P.F.B.Now);
+  P.settle();
+  P.addCrashed(Spec);
+  CHECK(P.startsBeside(taskOf(1), jobId(2)));
+}
+
+TEST_CASE("a gang that crashed two workers and needs most of the workers does "
+          "not wait without end beside short work") {
+  std::vector<std::string> Ids;
+  for (int N = 0; N < 8; ++N)
+    Ids.push_back("w" + std::to_string(N));
+  IsolationFixture P(Ids);
+  JobSpec Short = sampleJob(2, 1000);
+  Short.Steps[0].MaxPerWorker = 2;
+  P.F.B.Owner.addJob(Short, P.F.B.Now);
+  P.settle();
+  JobSpec Spec = sampleJob(1, 6);
+  Spec.Steps[0].Gang = true;
+  Spec.Steps[0].MaxPerWorker = 1;
+  P.addCrashed(Spec);
+  CHECK(P.startsBeside(taskOf(1), jobId(2)));
+}
