--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -69,7 +69,11 @@
   void planIsolatedGang(JobRecord &Job, std::uint32_t First);
   WorkerState *chooseForIsolation(JobRecord &Job, std::uint32_t Task) const;
   void isolate(WorkerState &W);
+  bool reserveRoomForGang(JobRecord &Job, std::uint32_t First);
+  bool isQuiet(const WorkerState &W) const;
   bool isClear(const WorkerState &W) const;
+  bool hasWaitedIsolated(const JobRecord &Job, std::uint32_t Task) const;
+  bool mayIsolateOn(const WorkerState &W, bool Waited) const;
   bool hasCrashedLately(const WorkerState &W) const;
   bool isIsolated(const JobRecord &Job, std::uint32_t Task) const;
   bool isSuspect(const JobRecord &Job, std::uint32_t Task) const;
@@ -78,6 +82,9 @@
                       RunId Run) const;
   void planJob(JobRecord &Job);
   void planGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step);
+  bool placeGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step,
+                 RunId Run);
+  void takeBack(JobRecord &Job, std::uint32_t Task, RunId Run);
   bool mayStart(const JobRecord &Job, std::uint32_t Task) const;
   /// Why the task may not start before a later time.
   std::optional<WaitReason> delayOf(const JobRecord &Job,
@@ -172,6 +179,8 @@
   /// be.
   std::size_t Reserved_ = 0;
   std::size_t MaxReserved_ = 0;
+  /// Workers that were reserved in the last round.
+  std::set<const WorkerState *> ReservedBefore_;
   /// Number of runs of suspect tasks by worker.
   std::map<const WorkerState *, std::uint32_t> Suspects_;
   /// Maximum of each free resource over the usable workers.
