Ask for a team's limit only as far as the pool's workers can use it

What callers saw: a job of a team with an upper limit can wait without a bound in one pool though less than half of the limit is in use.

Cause: a pool asked for the whole demand of its waiting tasks: also of those that no worker has the label, the memory or the accelerators for, and of more tasks than all of its workers hold. It kept that part of the limit while nothing of it could be used.

In the new test a pool of 8,000 milli-CPUs took all of a limit of 64,000 for a hundred waiting tasks (12,000 now: its capacity and the usual spare); tasks of 4,001 milli-CPUs, with an accelerator or with a label that no worker has were asked for as others.

Change: the demand leaves out tasks that no listed worker could run even if it were empty, and ends at the capacity of the listed workers beside what the team uses. Filling tasks take no CPU capacity and have no such end.

--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -3,6 +3,8 @@
 #include "jobs/PoolTimes_p.h"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 namespace comfreydeck::jobs {
 
@@ -27,6 +29,41 @@
   return Job.Spec.FirstDueMs + Occurrence * Job.Spec.IntervalMs;
 }
 
+/// Whether the worker could run a task of the step if it had no other one.
+bool isLargeEnough(const WorkerEntry &Entry, const StepSpec &Step) {
+  core::Resources Need = Step.Need;
+  if (Step.Filling)
+    Need.MilliCpus = 0;
+  bool HasLabel =
+      Step.Label.empty() || std::find(Entry.Labels.begin(), Entry.Labels.end(),
+                                      Step.Label) != Entry.Labels.end();
+  return HasLabel && core::fits(Need, Entry.Capacity);
+}
+
+/// Sums of resources, which may exceed those of any worker by far.
+struct Totals {
+  std::uint64_t MilliCpus = 0;
+  std::uint64_t MemoryMb = 0;
+  std::uint64_t Accelerators = 0;
+};
+
+void add(Totals &Sum, const core::Resources &More) {
+  Sum.MilliCpus += More.MilliCpus;
+  Sum.MemoryMb += More.MemoryMb;
+  Sum.Accelerators += More.Accelerators;
+}
+
+/// The demand as far as the capacity holds it beside what is in use.
+std::uint64_t leftFor(std::uint64_t Demand, std::uint64_t Capacity,
+                      std::uint64_t Use) {
+  return std::min(Demand, Capacity > Use ? Capacity - Use : 0);
+}
+
+std::uint32_t clamped(std::uint64_t Amount) {
+  return static_cast<std::uint32_t>(std::min<std::uint64_t>(
+      Amount, std::numeric_limits<std::uint32_t>::max()));
+}
+
 } // namespace
 
 core::Resources PoolState::teamUse(const std::string &Team) const {
@@ -36,25 +73,51 @@
 
 core::Resources PoolState::teamDemand(const std::string &Team,
                                       std::int64_t WallMs) const {
-  core::Resources Demand;
   auto Wanted = Teams_.find(Team);
   if (Wanted == Teams_.end())
-    return Demand;
+    return {};
+  Totals Demand;
+  // Takes none of the workers' capacity.
+  std::uint64_t FillingCpu = 0;
   for (JobRecord *Job : Open_) {
     if (Job->Team != &Wanted->second)
       continue;
     refreshWaiting(*Job);
+    std::vector<const StepSpec *> Placeable;
+    for (const StepSpec *Step : Job->WaitingSteps)
+      if (std::any_of(Workers_.begin(), Workers_.end(), [&](const auto &Item) {
+            return !Item.second->Gone &&
+                   isLargeEnough(Item.second->Entry, *Step);
+          }))
+        Placeable.push_back(Step);
     for (std::uint32_t T : Job->Waiting) {
+      const StepSpec &Step = stepOf(*Job, T);
       if (!Job->Tasks[T].Runs.empty() ||
-          WallMs < dueMs(*Job, T) - AllotmentLead.count())
+          WallMs < dueMs(*Job, T) - AllotmentLead.count() ||
+          std::find(Placeable.begin(), Placeable.end(), &Step) ==
+              Placeable.end())
         continue;
-      const core::Resources &Need = stepOf(*Job, T).Need;
-      Demand.MilliCpus += Need.MilliCpus;
-      Demand.MemoryMb += Need.MemoryMb;
-      Demand.Accelerators += Need.Accelerators;
+      core::Resources Need = Step.Need;
+      if (Step.Filling)
+        FillingCpu += std::exchange(Need.MilliCpus, 0);
+      add(Demand, Need);
     }
   }
-  return Demand;
+  Totals Capacity;
+  Totals Used;
+  for (const auto &[Id, W] : Workers_)
+    if (!W->Gone) {
+      add(Capacity, W->Entry.Capacity);
+      add(Used, W->Used);
+    }
+  const core::Resources &Use = Wanted->second.Use;
+  std::uint64_t Cpu =
+      leftFor(Demand.MilliCpus, Capacity.MilliCpus,
+              std::min<std::uint64_t>(Use.MilliCpus, Used.MilliCpus));
+  return {clamped(Cpu + FillingCpu),
+          clamped(leftFor(Demand.MemoryMb, Capacity.MemoryMb, Use.MemoryMb)),
+          clamped(leftFor(Demand.Accelerators, Capacity.Accelerators,
+                          Use.Accelerators))};
 }
 
 void PoolState::recordArrival(const JobRecord &Job, core::TimePoint Now) {
--- a/tests/jobs/TeamAllotmentTest.cpp
+++ b/tests/jobs/TeamAllotmentTest.cpp
@@ -124,3 +124,34 @@
   CHECK(PartAt(Spec.FirstDueMs) < 4000);
   CHECK(PartAt(Spec.FirstDueMs + 4 * Spec.IntervalMs) == Limit);
 }
+
+TEST_CASE("a pool takes no more of a team's limit than its workers can use") {
+  constexpr std::uint32_t Limit = 64000;
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.plan();
+  B.report("w1");
+  B.report("w2");
+  unsigned Number = 0;
+  auto DemandOf = [&](std::uint32_t Tasks, core::Resources Need,
+                      const std::string &Label, bool Filling = false) {
+    JobSpec Spec = sampleJob(++Number, Tasks);
+    Spec.Team = "team" + std::to_string(Number);
+    Spec.Steps[0].Need = Need;
+    Spec.Steps[0].Label = Label;
+    Spec.Steps[0].Filling = Filling;
+    B.Owner.addJob(Spec, B.Now);
+    return B.Owner.teamDemand(Spec.Team, 0);
+  };
+  CHECK(DemandOf(2, {1000, 100, 0}, "") == core::Resources{2000, 200, 0});
+  CHECK(DemandOf(100, {1000, 10, 0}, "") == core::Resources{8000, 1000, 0});
+  CHECK(DemandOf(10, {4001, 100, 0}, "") == core::Resources{});
+  CHECK(DemandOf(10, {1000, 100, 1}, "") == core::Resources{});
+  CHECK(DemandOf(10, {1000, 100, 0}, "kind-x") == core::Resources{});
+  CHECK(DemandOf(100, {1000, 10, 0}, "", true) ==
+        core::Resources{100000, 1000, 0});
+  PoolParts Parts;
+  Parts["pool"] = wantedPart("pool", Parts, {Limit, 0, 0}, {},
+                             B.Owner.teamDemand("team2", 0));
+  CHECK(Parts["pool"].MilliCpus == 8000 + Limit / 16);
+}
