--- a/tests/dispatch/JobApiTest.cpp
+++ b/tests/dispatch/JobApiTest.cpp
@@ -77,6 +77,7 @@
       return Call;
     };
     Codec.Job = [](const std::string &, jobs::JobSpec &Spec) {
+      Spec.Payload = "text";
       Spec.Steps.resize(1);
     };
     return Codec;
@@ -98,6 +99,10 @@
     CHECK(Answers == 1);
     return Status;
   }
+  bool isPayloadStored(const std::string &Id) const {
+    auto Row = Store.find({rows::Payloads, rows::jobPart(Id), Id});
+    return Row && Row->Value == "text";
+  }
   bool isStored(const std::string &Id) const {
     return Store.find({rows::Jobs, rows::jobPart(Id), Id}).has_value();
   }
@@ -144,3 +149,21 @@
     CHECK(B.isStored(idOf(1)) == (First == CommitFate::Late));
   }
 }
+
+TEST_CASE("a job is acknowledged only once its row and its payload's are "
+          "stored, whichever attempts are lost or late") {
+  using enum CommitFate;
+  const std::vector<std::vector<CommitFate>> Attempts = {
+      {}, {Done}, {Late}, {NotDone}, {NotDone, Done}, {Late, Late}};
+  for (const std::vector<CommitFate> &Lost : Attempts) {
+    CAPTURE(Lost.size());
+    ApiFixture B(
+        [&](std::uint32_t N) { return N < Lost.size() ? Lost[N] : Answered; });
+    std::string Id = idOf(1);
+    if (B.submit(Id) == 200) {
+      CHECK(B.isStored(Id));
+      CHECK(B.isPayloadStored(Id));
+    }
+    CHECK(B.isStored(Id) == B.isPayloadStored(Id));
+  }
+}
