--- a/tests/jobs/TeamAllotmentTest.cpp
+++ b/tests/jobs/TeamAllotmentTest.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <random>
 #include <string>
@@ -89,6 +90,18 @@
   }
 }
 
+TEST_CASE("of two gangs in two pools that each need more than half of their "
+          "team's limit, one gets it" *
+          doctest::should_fail()) {
+  const core::Resources Limit{1000, 0, 0};
+  PoolParts Parts;
+  for (std::uint32_t Asked : {450U, 600U})
+    for (int Round = 0; Round < 8; ++Round)
+      for (const char *Pool : {"a", "b"})
+        Parts[Pool] = wantedPart(Pool, Parts, Limit, {}, {Asked, 0, 0});
+  CHECK(std::max(Parts["a"].MilliCpus, Parts["b"].MilliCpus) >= 600);
+}
+
 TEST_CASE("a part covers what is asked for as far as the limit allows") {
   const core::Resources Limit{1000, 0, 0};
   CHECK(covers({600, 0, 0}, Limit, {400, 50, 0}, {200, 50, 0}));
