Tell the longest wait and the lengths of waits by reason

Change: `pool_summary` has `longest_waits_ms` and `waiting_over_5s` by reason, the metrics `comfreydeck_job_pool_longest_wait_by_reason_seconds` and `comfreydeck_job_pool_wait_seconds`, a histogram of the waiting tasks of each period. Histograms of durations have the bounds 5, 10 and 15 s besides.

--- a/src/core/DurationHistogram.cpp
+++ b/src/core/DurationHistogram.cpp
@@ -13,6 +13,14 @@
   Histogram.Max = std::max(Histogram.Max, Time);
 }
 
+std::uint64_t countAbove(const DurationHistogram &Histogram, Duration Bound) {
+  std::uint64_t Count = Histogram.Counts.back();
+  for (std::size_t N = 0; N < DurationHistogram::Bounds.size(); ++N)
+    if (DurationHistogram::Bounds[N] > Bound)
+      Count += Histogram.Counts[N];
+  return Count;
+}
+
 double meanMs(const DurationHistogram &Histogram) {
   return Histogram.Total == 0
              ? 0
--- a/src/core/DurationHistogram.h
+++ b/src/core/DurationHistogram.h
@@ -10,10 +10,12 @@
 /// Histogram of durations, with their number, sum and maximum.
 struct DurationHistogram {
   /// Inclusive upper bounds in microseconds; the last bin has none.
-  static constexpr std::array<Duration, 11> Bounds = {
-      Duration(1000),   Duration(2500),    Duration(5000),   Duration(10000),
-      Duration(25000),  Duration(50000),   Duration(100000), Duration(250000),
-      Duration(500000), Duration(1000000), Duration(2500000)};
+  static constexpr std::array<Duration, 14> Bounds = {
+      Duration(1000),     Duration(2500),    Duration(5000),
+      Duration(10000),    Duration(25000),   Duration(50000),
+      Duration(100000),   Duration(250000),  Duration(500000),
+      Duration(1000000),  Duration(2500000), Duration(5000000),
+      Duration(10000000), Duration(15000000)};
 
   std::array<std::uint64_t, Bounds.size() + 1> Counts{};
   std::uint64_t Total = 0;
@@ -24,6 +26,10 @@
 /// Adds one duration.
 void addSample(DurationHistogram &Histogram, Duration Time);
 
+/// Number of durations above the bound, which is one of
+/// DurationHistogram::Bounds. Thread-safe.
+std::uint64_t countAbove(const DurationHistogram &Histogram, Duration Bound);
+
 /// Mean in milliseconds; zero if there are no samples.
 double meanMs(const DurationHistogram &Histogram);
 
--- a/src/dispatch/JobMetrics.cpp
+++ b/src/dispatch/JobMetrics.cpp
@@ -151,6 +151,14 @@
       gauges(Registry, "comfreydeck_job_pool_longest_wait_seconds",
              "Longest wait of a task that could run and doesn't by pool, kind "
              "of task and reason");
+  GaugeFamily &LongestByReason =
+      gauges(Registry, "comfreydeck_job_pool_longest_wait_by_reason_seconds",
+             "Longest wait of a task that could run and doesn't by pool and "
+             "reason");
+  HistogramFamily &TaskWaits =
+      histograms(Registry, "comfreydeck_job_pool_wait_seconds",
+                 "How long waiting tasks have waited, sampled each period, by "
+                 "pool and reason");
   GaugeFamily &Workers = gauges(Registry, "comfreydeck_job_pool_workers",
                                 "Workers by pool and standing");
   GaugeFamily &MaxStartsPerReport =
@@ -233,6 +241,12 @@
               {{"pool", F.Pool},
                {"standing", nameOf(static_cast<jobs::WorkerStatus>(V))}},
               F.PeriodCounts.OutOfUse[V]);
+  for (std::size_t V = 0; V < jobs::WaitReasonCount; ++V)
+    if (F.Gauges.Waits[V].Total > 0)
+      observe(I.TaskWaits,
+              {{"pool", F.Pool},
+               {"reason", nameOf(static_cast<jobs::WaitReason>(V))}},
+              F.Gauges.Waits[V]);
   I.Starts.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.Starts));
   I.Lapsed.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.Lapsed));
   I.Crashes.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.Crashes));
@@ -251,6 +265,11 @@
     I.show(I.Waiting, F.Pool,
            {{"reason", nameOf(static_cast<jobs::WaitReason>(V))}},
            static_cast<double>(F.Gauges.Waiting[V]));
+  for (std::size_t V = 0; V < jobs::WaitReasonCount; ++V)
+    if (F.Gauges.Waits[V].Total > 0)
+      I.show(I.LongestByReason, F.Pool,
+             {{"reason", nameOf(static_cast<jobs::WaitReason>(V))}},
+             inSeconds(F.Gauges.Waits[V].Max));
   const std::pair<const char *, const std::optional<jobs::TaskWait> &>
       Longest[] = {{"lasting", F.Gauges.LongestLastingWait},
                    {"other", F.Gauges.LongestOtherWait}};
--- a/src/dispatch/PoolMonitor.cpp
+++ b/src/dispatch/PoolMonitor.cpp
@@ -6,6 +6,13 @@
 
 namespace {
 
+using WaitCounts = std::array<std::uint64_t, jobs::WaitReasonCount>;
+using WaitHistograms =
+    std::array<core::DurationHistogram, jobs::WaitReasonCount>;
+
+/// Waits above this count as long in the summary.
+constexpr std::chrono::seconds LongWait(5);
+
 /// Formats the non-zero counts as "name=count name=count".
 template <typename Enum, std::size_t Values>
 std::string textOf(const std::array<std::uint64_t, Values> &Counts) {
@@ -20,6 +27,23 @@
   return Text;
 }
 
+/// The longest waits in milliseconds by reason.
+WaitCounts longestOf(const WaitHistograms &Waits) {
+  WaitCounts Longest{};
+  for (std::size_t V = 0; V < Waits.size(); ++V)
+    Longest[V] =
+        static_cast<std::uint64_t>(std::llround(core::inMs(Waits[V].Max)));
+  return Longest;
+}
+
+/// The numbers of long waits by reason.
+WaitCounts countLong(const WaitHistograms &Waits) {
+  WaitCounts Long{};
+  for (std::size_t V = 0; V < Waits.size(); ++V)
+    Long[V] = core::countAbove(Waits[V], LongWait);
+  return Long;
+}
+
 /// Formats the means in milliseconds as "name=mean name=mean".
 std::string meansOf(
     const std::array<core::DurationHistogram, jobs::WorkerStatusCount> &Times) {
@@ -54,6 +78,8 @@
       {"runs", Gauges.Runs},
       {"runs_unsure", Gauges.UnconfirmedRuns},
       {"waiting", textOf<jobs::WaitReason>(Gauges.Waiting)},
+      {"longest_waits_ms", textOf<jobs::WaitReason>(longestOf(Gauges.Waits))},
+      {"waiting_over_5s", textOf<jobs::WaitReason>(countLong(Gauges.Waits))},
       {"longest_lasting_wait", textOf(Gauges.LongestLastingWait)},
       {"longest_other_wait", textOf(Gauges.LongestOtherWait)},
       {"workers", textOf<jobs::WorkerStatus>(Gauges.Workers)},
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -156,6 +156,8 @@
   /// Runs whose start is neither acknowledged nor confirmed by a report.
   std::uint64_t UnconfirmedRuns = 0;
   std::array<std::uint64_t, WaitReasonCount> Waiting{};
+  /// How long these tasks have waited, but for those that are not due.
+  std::array<core::DurationHistogram, WaitReasonCount> Waits;
   /// The longest waits of lasting and of other tasks.
   std::optional<TaskWait> LongestLastingWait;
   std::optional<TaskWait> LongestOtherWait;
--- a/src/jobs/TaskWait.cpp
+++ b/src/jobs/TaskWait.cpp
@@ -172,6 +172,7 @@
       if (Wait.Reason == WaitReason::NotDue)
         continue;
       Wait.Age = ageOf(*Job, Task);
+      core::addSample(Census.Waits[jobs::indexOf(Wait.Reason)], Wait.Age);
       std::optional<TaskWait> &Longest = PoolState::stepOf(*Job, Task).Lasting
                                              ? Census.LongestLastingWait
                                              : Census.LongestOtherWait;
--- a/tests/dispatch/PoolMonitorTest.cpp
+++ b/tests/dispatch/PoolMonitorTest.cpp
@@ -36,6 +36,12 @@
   F.Gauges.Workers[jobs::indexOf(jobs::WorkerStatus::Silent)] = 3;
   F.Gauges.Workers[jobs::indexOf(jobs::WorkerStatus::Usable)] = 60;
   F.Gauges.Waiting[jobs::indexOf(jobs::WaitReason::Room)] = 7;
+  auto &Room = F.Gauges.Waits[jobs::indexOf(jobs::WaitReason::Room)];
+  core::addSample(Room, milliseconds(300));
+  core::addSample(Room, milliseconds(5000));
+  auto &Gang = F.Gauges.Waits[jobs::indexOf(jobs::WaitReason::Gang)];
+  core::addSample(Gang, milliseconds(5001));
+  core::addSample(Gang, milliseconds(16000));
   F.PeriodCounts.Starts = 20;
   F.PeriodCounts
       .StartAnswers[jobs::indexOf(jobs::OrderOutcome::OtherIncarnation)] = 2;
@@ -119,6 +125,26 @@
   CHECK(has(Text, "comfreydeck_job_pool_unstored_seconds{pool=\"p1\"} 1.25"));
 }
 
+TEST_CASE("a pool's longest waits and how many are long are told by reason") {
+  std::vector<LogField> Fields = summaryOf(sampleStats());
+  CHECK(std::get<std::string>(field(Fields, "longest_waits_ms")) ==
+        "gang=16000 room=5000");
+  CHECK(std::get<std::string>(field(Fields, "waiting_over_5s")) == "gang=2");
+  JobMetrics Count;
+  Count.pool(sampleStats());
+  Count.pool(sampleStats());
+  std::string Text = Count.text();
+  CHECK(has(Text, "comfreydeck_job_pool_longest_wait_by_reason_seconds{pool="
+                  "\"p1\",reason=\"gang\"} 16"));
+  CHECK(has(Text, "comfreydeck_job_pool_wait_seconds_count{pool=\"p1\",reason="
+                  "\"gang\"} 4"));
+  CHECK(has(Text, "comfreydeck_job_pool_wait_seconds_bucket{pool=\"p1\",reason="
+                  "\"gang\",le=\"10\"} 2"));
+  Count.removePool("p1");
+  CHECK(Count.text().find("longest_wait_by_reason_seconds{") ==
+        std::string::npos);
+}
+
 TEST_CASE("a pool that is no longer owned here exports no gauges") {
   JobMetrics Count;
   Count.pool(sampleStats());
--- a/tests/jobs/TaskWaitTest.cpp
+++ b/tests/jobs/TaskWaitTest.cpp
@@ -173,6 +173,27 @@
   CHECK(waitsOf(B) == "room=1");
 }
 
+TEST_CASE("the waits of all tasks are counted by reason and length") {
+  HeardWorkers B({"w1"});
+  JobSpec Lasting = sampleJob(1);
+  Lasting.Steps[0].Lasting = true;
+  Lasting.Steps[0].Label = "fast";
+  JobSpec Short = sampleJob(2, 2);
+  Short.Steps[0].Label = "fast";
+  B.Owner.addJob(Lasting, B.Now);
+  B.advance(milliseconds(4000));
+  B.Owner.addJob(Short, B.Now);
+  B.advance(milliseconds(2000));
+  B.plan();
+  PoolGauges Now = B.Owner.gauges(B.Now, 1000000);
+  const core::DurationHistogram &Waits =
+      Now.Waits[jobs::indexOf(WaitReason::Label)];
+  CHECK(Waits.Total == 3);
+  CHECK(Waits.Max == milliseconds(6000));
+  CHECK(core::countAbove(Waits, std::chrono::seconds(5)) == 1);
+  CHECK(core::countAbove(Waits, std::chrono::seconds(1)) == 3);
+}
+
 TEST_CASE("a short task that can't start though the pool is idle is reported "
           "before its bound has passed") {
   HeardWorkers B({"w1", "w2"});
@@ -235,6 +256,7 @@
   for (int Second = 0; Second < 15; ++Second) {
     B.advance(milliseconds(1000));
     std::vector<RunReport> Reported;
+    Reported.reserve(Running.size());
     for (const StartOrder &Start : Running)
       Reported.push_back(runReportOf(Start, 50));
     B.report("w1", Reported);
