A task whose workers fell silent starts up to five times before it waits for them

Cause: with three possible crashes no further start was planned until a worker answered or 20 s had passed, though none of the crashes was known.

Runs whose outcome is open stay in the job's row until they are settled or a run has lasted, so that the count goes on over all owners: an owner knew of the last one only, and started the task anew for the others. A run whose worker has not answered for 20 s still counts towards the five. Left as it was: with two known crashes and one possible, and with five possible, the task waits, a new owner from its takeover on.

--- a/src/codec/JobJson.cpp
+++ b/src/codec/JobJson.cpp
@@ -164,6 +164,15 @@
 /// Bytes of a row besides its tasks' marks.
 constexpr std::size_t RowOverhead = 64;
 
+Json announcedJson(const jobs::AnnouncedRun &Run) {
+  return {Run.Run, Run.Worker, Run.Born};
+}
+
+jobs::AnnouncedRun announcedFrom(const Json &Column) {
+  return {Column.at(0).get<jobs::RunId>(), Column.at(1).get<std::string>(),
+          Column.at(2).get<std::int64_t>()};
+}
+
 Json progressJson(const jobs::JobProgress &Progress) {
   Json Object = {{"state", static_cast<unsigned>(Progress.State)}};
   std::string Done;
@@ -171,15 +180,24 @@
   for (std::size_t T = 0; T < Progress.Tasks.size(); ++T) {
     const jobs::TaskProgress &Task = Progress.Tasks[T];
     Done += Task.Done ? '1' : '0';
-    bool Crashed = !Task.CrashedRuns.empty() || Task.Announced;
+    Json Announced = Json::array();
+    for (const jobs::AnnouncedRun &Run : Task.Unsettled)
+      Announced.push_back(announcedJson(Run));
+    if (Task.Announced)
+      Announced.push_back(announcedJson(*Task.Announced));
+    bool Crashed = !Task.CrashedRuns.empty() || !Announced.empty();
     if (Task.FailedRuns.empty() && Task.Checkpoint.empty() && !Crashed)
       continue;
     Json Mark = {T, Task.FailedRuns, Task.Checkpoint};
     if (Crashed)
       Mark.push_back(Task.CrashedRuns);
-    if (Task.Announced)
-      Mark.push_back(
-          {Task.Announced->Run, Task.Announced->Worker, Task.Announced->Born});
+    // Earlier versions read the last one only.
+    if (!Announced.empty()) {
+      Mark.push_back(Announced.back());
+      Announced.erase(Announced.size() - 1);
+    }
+    if (!Announced.empty())
+      Mark.push_back(std::move(Announced));
     Marks.push_back(std::move(Mark));
   }
   if (!Done.empty())
@@ -211,9 +229,10 @@
     if (Mark.size() > 3)
       Task.CrashedRuns = Mark.at(3).get<std::vector<jobs::RunId>>();
     if (Mark.size() > 4)
-      Task.Announced = {Mark.at(4).at(0).get<jobs::RunId>(),
-                        Mark.at(4).at(1).get<std::string>(),
-                        Mark.at(4).at(2).get<std::int64_t>()};
+      Task.Announced = announcedFrom(Mark.at(4));
+    if (Mark.size() > 5)
+      for (const Json &Run : Mark.at(5))
+        Task.Unsettled.push_back(announcedFrom(Run));
   }
 }
 
--- a/src/jobs/CrashLedger.cpp
+++ b/src/jobs/CrashLedger.cpp
@@ -42,8 +42,6 @@
   return Taken;
 }
 
-void CrashLedger::clear(const std::string &Worker) { Lost_.erase(Worker); }
-
 void CrashLedger::expire(core::TimePoint Now) {
   for (auto &[Worker, Runs] : Lost_)
     std::erase_if(
--- a/src/jobs/CrashLedger.h
+++ b/src/jobs/CrashLedger.h
@@ -39,9 +39,6 @@
   /// Born, all of which have ended.
   std::vector<SuspectRun> takeOthers(const std::string &Worker,
                                      std::int64_t Born);
-  /// Removes all runs of the worker: its incarnation goes on, or was ended on
-  /// purpose.
-  void clear(const std::string &Worker);
   /// Drops the runs of workers that have been silent for too long.
   void expire(core::TimePoint Now);
 
--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -80,9 +80,8 @@
   for (LiveRun &Run : Job.Tasks[Task].Runs) {
     if (Run.SendAfter != LiveRun::NotAnnounced)
       continue;
-    Job.Tasks[Task].Kept.Announced = {Run.Run, Run.Worker,
-                                      Owner_.Workers_.at(Run.Worker)->Born};
-    Owner_.markChanged(Job);
+    Owner_.setAnnounced(
+        Job, Task, {Run.Run, Run.Worker, Owner_.Workers_.at(Run.Worker)->Born});
     Run.SendAfter = Owner_.ChangeCount_;
   }
 }
@@ -208,9 +207,7 @@
     if (&Job == Tried && !Step.Lasting)
       continue;
     Tried = &Job;
-    // The outcome of a run that may have been the last one is still open.
-    if (Owner_.countPossibleCrashes(Job, Unit.First) >=
-        Owner_.Limits_.MaxCrashes)
+    if (!Owner_.mayTryAgain(Job, Unit.First))
       continue;
     if (Step.Gang)
       planIsolatedGang(Job, Unit.First);
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -124,6 +124,9 @@
   /// run of the task has lasted.
   std::vector<RunId> CrashedRuns;
   std::optional<AnnouncedRun> Announced;
+  /// Runs announced before that one whose workers have not answered since.
+  /// Emptied once a run of the task has lasted.
+  std::vector<AnnouncedRun> Unsettled;
   std::string Checkpoint;
 };
 
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -37,6 +37,55 @@
   return Runs.size();
 }
 
+/// Whether another run, if it crashes its worker too, leaves the starts after
+/// the last allowed crash within their limit. While no outcome but the last one
+/// is open, that is waited for.
+bool PoolState::mayTryAgain(const JobRecord &Job, std::uint32_t Task) const {
+  if (countPossibleCrashes(Job, Task) < Limits_.MaxCrashes)
+    return true;
+  std::set<RunId> Runs;
+  auto [First, Last] = unitOf(Job, Task);
+  for (std::uint32_t T = First; T < Last; ++T) {
+    const TaskProgress &Kept = Job.Tasks[T].Kept;
+    Runs.insert(Kept.CrashedRuns.begin(), Kept.CrashedRuns.end());
+    for (const AnnouncedRun &Run : Kept.Unsettled)
+      Runs.insert(Run.Run);
+    Lost_.collect(Job.Spec.Id, T, Runs);
+  }
+  return countCrashes(Job, Task) + 1 < Limits_.MaxCrashes &&
+         Runs.size() < Limits_.MaxCrashes + Limits_.MaxLateStarts;
+}
+
+/// Has the run stored, beside those whose outcome is open.
+void PoolState::setAnnounced(JobRecord &Job, std::uint32_t Task,
+                             AnnouncedRun Run) {
+  TaskProgress &Kept = Job.Tasks[Task].Kept;
+  if (Kept.Announced &&
+      Lost_.contains({Job.Spec.Id, Task, Kept.Announced->Run}))
+    Kept.Unsettled.push_back(*Kept.Announced);
+  Kept.Announced = std::move(Run);
+  markChanged(Job);
+}
+
+/// Drops the suspicion against runs of a worker whose incarnation goes on, or
+/// was ended on purpose.
+void PoolState::clearLost(const std::string &Worker) {
+  for (const SuspectRun &Run : Lost_.takeOthers(Worker, AnyIncarnation))
+    settleUnknown(Run);
+}
+
+/// Forgets that the outcome of the run was open.
+void PoolState::settleUnknown(const SuspectRun &Run) {
+  JobRecord *Job = jobOf(Run.JobId);
+  if (!Job || Run.Task >= Job->Tasks.size())
+    return;
+  std::size_t Erased = std::erase_if(
+      Job->Tasks[Run.Task].Kept.Unsettled,
+      [&](const AnnouncedRun &Open) { return Open.Run == Run.Run; });
+  if (Erased > 0)
+    markChanged(*Job);
+}
+
 /// Runs on the worker that were younger than the suspicion age at its last
 /// answer.
 std::vector<SuspectRun> PoolState::suspectsOn(const WorkerState &W) const {
@@ -60,9 +109,8 @@
     bool Known = Announced && Announced->Run >= Run.Run;
     if (Known || isFinal(Job.Now))
       continue;
-    Announced = {Run.Run, W.Entry.Id, W.Born};
+    setAnnounced(Job, Run.Task, {Run.Run, W.Entry.Id, W.Born});
     Job.Suspect = true;
-    markChanged(Job);
   }
 }
 
@@ -122,7 +170,7 @@
   recordLoss(W, Now);
   dropRuns(W);
   if (Left)
-    Lost_.clear(W.Entry.Id);
+    clearLost(W.Entry.Id);
   settleLost(W, TakeSuspects(), Runs, Now);
 }
 
@@ -149,6 +197,7 @@
   if (Kept.Done || Counted)
     return;
   Crashed.push_back(Run.Run);
+  settleUnknown(Run);
   if (Kept.Announced && Kept.Announced->Run == Run.Run)
     Kept.Announced.reset();
   Job->Suspect = true;
@@ -170,9 +219,10 @@
   auto [First, Last] = unitOf(Job, Task);
   for (std::uint32_t T = First; T < Last; ++T) {
     TaskProgress &Kept = Job.Tasks[T].Kept;
-    if (Kept.CrashedRuns.empty() && !Kept.Announced)
+    if (Kept.CrashedRuns.empty() && !Kept.Announced && Kept.Unsettled.empty())
       continue;
     Kept.CrashedRuns.clear();
+    Kept.Unsettled.clear();
     Kept.Announced.reset();
     markChanged(Job);
   }
@@ -183,6 +233,8 @@
   for (std::uint32_t T = 0; T < Job.Tasks.size(); ++T) {
     const TaskProgress &Kept = Job.Tasks[T].Kept;
     Job.Suspect = Job.Suspect || !Kept.CrashedRuns.empty() || Kept.Announced;
+    for (const AnnouncedRun &Run : Kept.Unsettled)
+      Lost_.add(Run.Worker, Run.Born, {{Job.Spec.Id, T, Run.Run}}, Now);
     if (Kept.Announced)
       Lost_.add(Kept.Announced->Worker, Kept.Announced->Born,
                 {{Job.Spec.Id, T, Kept.Announced->Run}}, Now);
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -233,7 +233,7 @@
     startIncarnation(W, Report.Born, true, Now);
   if (!Lost_.isEmpty()) {
     settleLost(W, Lost_.takeOthers(W.Entry.Id, W.Born), 0, Now);
-    Lost_.clear(W.Entry.Id);
+    clearLost(W.Entry.Id);
   }
   recordClock(W, Report.ClockMs, Now);
   // A full list may leave out later ends.
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -287,6 +287,7 @@
   State.Kept.Checkpoint.clear();
   State.Kept.CrashedRuns.clear();
   State.Kept.Announced.reset();
+  State.Kept.Unsettled.clear();
   ++Counters_.Done;
   std::uint32_t &Unfinished =
       Job.UnfinishedTasks[Place.Occurrence * Job.Spec.Steps.size() +
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -111,6 +111,9 @@
   core::Duration IsolationWait = std::chrono::milliseconds(2000);
   /// Crashes under one task after which its job fails.
   std::uint32_t MaxCrashes = 3;
+  /// Most starts of a task after so many crashes. They are used while crashes
+  /// are only possible.
+  std::uint32_t MaxLateStarts = 2;
   /// How long a suspect task waits for a worker without another suspect.
   core::Duration SuspectWait = std::chrono::milliseconds(1000);
 };
@@ -762,6 +765,10 @@
                       core::TimePoint Now);
   std::size_t countPossibleCrashes(const JobRecord &Job,
                                    std::uint32_t Task) const;
+  bool mayTryAgain(const JobRecord &Job, std::uint32_t Task) const;
+  void setAnnounced(JobRecord &Job, std::uint32_t Task, AnnouncedRun Run);
+  void clearLost(const std::string &Worker);
+  void settleUnknown(const SuspectRun &Run);
   static std::pair<std::uint32_t, std::uint32_t> unitOf(const JobRecord &Job,
                                                         std::uint32_t Task);
   void inheritSuspicion(JobRecord &Job, core::TimePoint Now);
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -198,7 +198,7 @@
   auto At = Workers_.find(Id);
   if (At == Workers_.end())
     return;
-  Lost_.clear(Id);
+  clearLost(Id);
   dropRuns(*At->second);
   At->second->Ended = true;
 }
--- a/tests/codec/JobJsonTest.cpp
+++ b/tests/codec/JobJsonTest.cpp
@@ -66,6 +66,23 @@
   CHECK(Read.Tasks[1].Announced == jobs::AnnouncedRun{6, "w1", 1700000000000});
 }
 
+TEST_CASE("runs whose outcome is open survive a round trip") {
+  jobs::JobProgress Stored;
+  Stored.State = jobs::JobState::Running;
+  Stored.Tasks.resize(2);
+  Stored.Tasks[0].Unsettled = {{6, "w1", 5}, {7, "w2", 8}};
+  Stored.Tasks[0].Announced = {9, "w3", 4};
+  // The last one takes the place of the announced run that is missing.
+  Stored.Tasks[1].Unsettled = {{10, "w4", 3}, {11, "w5", 2}};
+  jobs::JobProgress Read = decodeProgress(encodeProgress(Stored));
+  REQUIRE(Read.Tasks.size() == 2);
+  CHECK(Read.Tasks[0].Unsettled == Stored.Tasks[0].Unsettled);
+  CHECK(Read.Tasks[0].Announced == Stored.Tasks[0].Announced);
+  CHECK(Read.Tasks[1].Unsettled ==
+        std::vector<jobs::AnnouncedRun>{{10, "w4", 3}});
+  CHECK(Read.Tasks[1].Announced == jobs::AnnouncedRun{11, "w5", 2});
+}
+
 // Guards against a pool that can't be taken over during an upgrade.
 TEST_CASE("progress rows of versions without crashed runs are read") {
   jobs::JobProgress Read =
--- a/tests/jobs/IsolationWaitTest.cpp
+++ b/tests/jobs/IsolationWaitTest.cpp
@@ -1,6 +1,7 @@
 #include "jobs/CrashFixture.h"
 
 #include <doctest/doctest.h>
+#include <utility>
 
 using namespace comfreydeck;
 using namespace comfreydeck::jobs;
@@ -77,6 +78,13 @@
   }
 };
 
+std::vector<std::string> workers(std::size_t Count) {
+  std::vector<std::string> Ids(Count);
+  for (std::size_t N = 0; N < Count; ++N)
+    Ids[N] = "w" + std::to_string(N);
+  return Ids;
+}
+
 } // namespace
 
 TEST_CASE("a task whose workers crashed twice starts where the lasting tasks "
@@ -163,10 +171,7 @@
 
 TEST_CASE("a gang that crashed two workers and needs most of the workers does "
           "not wait without end beside short work") {
-  std::vector<std::string> Ids;
-  for (int N = 0; N < 8; ++N)
-    Ids.push_back("w" + std::to_string(N));
-  IsolationFixture P(Ids);
+  IsolationFixture P(workers(8));
   JobSpec Short = sampleJob(2, 1000);
   Short.Steps[0].MaxPerWorker = 2;
   P.F.B.Owner.addJob(Short, P.F.B.Now);
@@ -177,3 +182,70 @@
   P.addCrashed(Spec);
   CHECK(P.startsBeside(taskOf(1), jobId(2)));
 }
+
+TEST_CASE("a task whose workers fell silent waits for none of them before its "
+          "fifth start") {
+  std::vector<std::string> Ids = workers(20);
+  CrashFixture F(Ids);
+  F.turn();
+  JobSpec Spec = sampleJob(1);
+  SUBCASE("that lasts") { Spec.Steps[0].Lasting = true; }
+  SUBCASE("that ends by itself") {}
+  F.B.Owner.addJob(Spec, F.B.Now);
+  std::vector<core::TimePoint> Starts = {F.B.Now};
+  core::TimePoint End = F.B.Now + std::chrono::seconds(22);
+  while (F.B.Now < End) {
+    F.turn();
+    for (const StartOrder &Start : F.LastStarts) {
+      Starts.push_back(F.B.Now);
+      F.Silent.insert(Start.Worker);
+      F.Running[Start.Worker].clear();
+    }
+  }
+  // Each may have crashed its worker: a sixth start could be the third one
+  // after the third crash.
+  REQUIRE(Starts.size() == 6);
+  for (std::size_t N = 1; N < Starts.size(); ++N)
+    CHECK(Starts[N] - Starts[N - 1] < std::chrono::seconds(9));
+  CHECK(F.job(1).Now == JobState::Running);
+  CHECK(F.crashes(1) == 0);
+  // A later owner that learns of the crashes gives the job up as well.
+  const TaskProgress &Kept = F.job(1).Tasks[0].Kept;
+  REQUIRE(Kept.Unsettled.size() == 4);
+  CHECK(Kept.Announced);
+  CrashFixture Later(Ids, 9);
+  for (const AnnouncedRun &Run : Kept.Unsettled)
+    Later.Silent.insert(Run.Worker);
+  Later.Silent.insert(Kept.Announced->Worker);
+  JobProgress Progress;
+  Progress.State = JobState::Running;
+  Progress.Tasks = {Kept};
+  Later.B.Owner.inheritJob(Spec, &Progress, Later.B.Now);
+  CHECK(Later.workerOf(taskOf(1)) == "");
+  Later.Silent.clear();
+  for (const AnnouncedRun &Run : Kept.Unsettled)
+    Later.crash(Run.Worker);
+  CHECK(Later.job(1).Now == JobState::Failed);
+}
+
+TEST_CASE("runs of silent workers that answer again don't count against their "
+          "task") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  for (int Start = 0; Start < 2; ++Start) {
+    std::string Worker = F.workerOf(taskOf(1), LongestWait);
+    REQUIRE(!Worker.empty());
+    F.Silent.insert(Worker);
+    F.Running[Worker].clear();
+  }
+  REQUIRE(!F.workerOf(taskOf(1), LongestWait).empty());
+  CHECK(F.job(1).Tasks[0].Kept.Unsettled.size() == 2);
+  std::set<std::string> Heard = std::exchange(F.Silent, {});
+  for (const std::string &Worker : Heard)
+    F.report(Worker);
+  CHECK(F.job(1).Tasks[0].Kept.Unsettled.empty());
+  for (const std::string &Worker : Heard)
+    F.crash(Worker);
+  CHECK(F.crashes(1) == 0);
+}
