--- a/src/jobs/TaskWait.cpp
+++ b/src/jobs/TaskWait.cpp
@@ -31,7 +31,7 @@
     Delay = delayOf(Job, T);
   if (Delay)
     return *Delay;
-  if (Owner_.isCrashOpen(Job, Task))
+  if (Job.Suspect && !Owner_.mayTryAgain(Job, Task))
     return WaitReason::CrashOpen;
   if (!hasTeamRoom(Job, PoolState::stepOf(Job, Task), Last - First))
     return WaitReason::TeamLimit;
