Closed and draining machines don't count as their pool's

Cause: PoolRebalancer counted a machine before it asked whether it was in maintenance, and knew nothing of workers that the pool's owner had closed or that drain. A pool of 21 machines with six of them closed counted as 21.

Change: owners report which workers get no new runs; these and machines in maintenance are left out, as countMachine in jobs/PoolSizes.

--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -37,7 +37,8 @@
           {"waiting_memory", Load.WaitingMemory},
           {"arriving_cpu", Load.ArrivingCpu},
           {"spread", Load.MinWorkers},
-          {"idle", Load.Idle}};
+          {"idle", Load.Idle},
+          {"closed", Load.Closed}};
 }
 
 jobs::PoolLoad decodeLoad(const Json &Object) {
@@ -53,6 +54,7 @@
   Load.ArrivingCpu = Object.value("arriving_cpu", std::uint64_t{0});
   Load.MinWorkers = Object.value("spread", 0U);
   Load.Idle = Object.value("idle", std::vector<std::string>());
+  Load.Closed = Object.value("closed", std::vector<std::string>());
   return Load;
 }
 
--- a/src/dispatch/PoolRebalancer.cpp
+++ b/src/dispatch/PoolRebalancer.cpp
@@ -91,15 +91,13 @@
     if (At == Pools.end() || !Works ||
         View_.closedDataCentres().count(M.DataCentre) != 0)
       continue;
-    ++At->second.Machines;
-    if (Moving != PendingMoves_.end() || M.State != MachineState::Up ||
-        Checks_.InMaintenance(Id))
-      continue;
-    const std::vector<std::string> &Idle = Loads_[In].Load.Idle;
-    bool IsIdle = At->second.Standby ||
-                  std::find(Idle.begin(), Idle.end(), M.Worker) != Idle.end();
-    if (IsIdle)
-      At->second.Idle.push_back(Id);
+    jobs::PoolMachine Counted;
+    Counted.Id = Id;
+    Counted.Worker = M.Worker;
+    Counted.Movable =
+        Moving == PendingMoves_.end() && M.State == MachineState::Up;
+    Counted.InMaintenance = Checks_.InMaintenance(Id);
+    jobs::countMachine(Counted, Loads_[In].Load, At->second);
   }
   std::vector<jobs::PoolLoad> Described;
   for (auto &[Name, Load] : Pools) {
--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -92,6 +92,8 @@
       (Step.Lasting ? Load.LastingMemory : Load.UsedMemory) +=
           Step.Need.MemoryMb;
     }
+    if (W->Closed || W->Entry.Draining)
+      Load.Closed.push_back(Id);
     bool Idle = isEmpty(*W) && !W->Ended && !W->Gone && !W->Closed &&
                 !W->Entry.Draining;
     if (Idle)
--- a/src/jobs/PoolSizes.cpp
+++ b/src/jobs/PoolSizes.cpp
@@ -59,6 +59,10 @@
   return static_cast<std::uint32_t>(std::ceil(Mean * ReserveShare));
 }
 
+bool contains(const std::vector<std::string> &Ids, const std::string &Id) {
+  return std::find(Ids.begin(), Ids.end(), Id) != Ids.end();
+}
+
 MachineMove moveOne(Balance &From, Balance &To) {
   MachineMove Move{From.Load->Idle[From.NextIdle++], From.Load->Pool,
                    To.Load->Pool};
@@ -69,6 +73,16 @@
 
 } // namespace
 
+void countMachine(const PoolMachine &Machine, const PoolLoad &Reported,
+                  PoolLoad &Pool) {
+  if (Machine.InMaintenance || contains(Reported.Closed, Machine.Worker))
+    return;
+  ++Pool.Machines;
+  if (Machine.Movable &&
+      (Pool.Standby || contains(Reported.Idle, Machine.Worker)))
+    Pool.Idle.push_back(Machine.Id);
+}
+
 std::uint32_t machinesNeeded(const PoolLoad &Load) {
   if (Load.Standby)
     return 0;
--- a/src/jobs/PoolSizes.h
+++ b/src/jobs/PoolSizes.h
@@ -17,7 +17,7 @@
   std::string Pool;
   /// Its machines are powered off and incur no cost.
   bool Standby = false;
-  /// Machines in it or on their way to it.
+  /// Machines in it or on their way to it that may get work.
   std::uint32_t Machines = 0;
   /// CPU and memory of a typical machine.
   core::Resources PerMachine;
@@ -34,12 +34,29 @@
   std::uint64_t ArrivingCpu = 0;
   /// Minimum number of workers, from the steps that limit tasks per worker.
   std::uint32_t MinWorkers = 0;
-  /// Machines without runs that can move.
+  /// Machines without runs that can move; their workers in an owner's report.
   std::vector<std::string> Idle;
+  /// Workers that get no new runs, as they are closed or draining.
+  std::vector<std::string> Closed;
   /// How long the pool has had more machines than it needs.
   core::Duration SurplusFor{0};
 };
 
+/// One machine that is in a pool or on its way to it.
+struct PoolMachine {
+  std::string Id;
+  std::string Worker;
+  /// It has arrived and can be ordered to move.
+  bool Movable = false;
+  /// A maintenance wave is draining it or has taken it down.
+  bool InMaintenance = false;
+};
+
+/// Adds the machine to the pool's, if it may get work there. \p Reported is
+/// what the pool's owner reported. Thread-safe.
+void countMachine(const PoolMachine &Machine, const PoolLoad &Reported,
+                  PoolLoad &Pool);
+
 /// Moves one machine to another pool.
 struct MachineMove {
   std::string Machine;
