A pool asks for the machines that its lasting tasks need whole

Cause: machinesNeeded adds up what tasks need, though no task is split over two workers, and counts a waiting lasting task by 0.7 like a short one. Lasting tasks on closed workers, which need a place soon, count only in the sum.

--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -37,6 +37,8 @@
           {"waiting_memory", Load.WaitingMemory},
           {"arriving_cpu", Load.ArrivingCpu},
           {"spread", Load.MinWorkers},
+          {"open", Load.OpenWorkers},
+          {"missing", Load.MissingMachines},
           {"idle", Load.Idle},
           {"closed", Load.Closed}};
 }
@@ -53,6 +55,8 @@
   Load.WaitingMemory = Object.value("waiting_memory", std::uint64_t{0});
   Load.ArrivingCpu = Object.value("arriving_cpu", std::uint64_t{0});
   Load.MinWorkers = Object.value("spread", 0U);
+  Load.OpenWorkers = Object.value("open", 0U);
+  Load.MissingMachines = Object.value("missing", 0U);
   Load.Idle = Object.value("idle", std::vector<std::string>());
   Load.Closed = Object.value("closed", std::vector<std::string>());
   return Load;
--- a/src/jobs/PoolSizes.cpp
+++ b/src/jobs/PoolSizes.cpp
@@ -95,6 +95,8 @@
                       transientDemand(Load.UsedMemory, Load.WaitingMemory, 0),
                   Load.PerMachine.MemoryMb);
   auto Needed = static_cast<std::uint32_t>(std::max(Cpu, Memory));
+  if (Load.MissingMachines > 0)
+    Needed = std::max(Needed, Load.OpenWorkers + Load.MissingMachines);
   return std::max({Needed, Load.MinWorkers, std::uint32_t{1}});
 }
 
