--- a/src/jobs/PoolSizes.h
+++ b/src/jobs/PoolSizes.h
@@ -17,29 +17,52 @@
   std::string Pool;
   /// Its machines are powered off and incur no cost.
   bool Standby = false;
-  /// Machines in it or on their way to it.
+  /// Machines in it or on their way to it that may get work.
   std::uint32_t Machines = 0;
-  /// CPU and memory of a typical machine.
+  /// Workers in it that are neither closed nor draining.
+  std::uint32_t OpenWorkers = 0;
+  /// Machines that it needs beside these workers for lasting tasks that fit on
+  /// none of them.
+  std::uint32_t MissingMachines = 0;
+  /// CPU, memory and accelerators of a typical machine.
   core::Resources PerMachine;
-  /// Reserved by lasting tasks.
+  /// Reserved by lasting tasks, and needed by those that are ready but have no
+  /// run.
   std::uint64_t LastingCpu = 0;
   std::uint64_t LastingMemory = 0;
   /// Reserved by other tasks.
   std::uint64_t UsedCpu = 0;
   std::uint64_t UsedMemory = 0;
-  /// Needed by tasks that are ready but have no run.
+  /// Needed by other tasks that are ready but have no run.
   std::uint64_t WaitingCpu = 0;
   std::uint64_t WaitingMemory = 0;
   /// CPU kept busy if jobs continue to arrive at the current rate.
   std::uint64_t ArrivingCpu = 0;
   /// Minimum number of workers, from the steps that limit tasks per worker.
   std::uint32_t MinWorkers = 0;
-  /// Machines without runs that can move.
+  /// Machines without runs that can move; their workers in an owner's report.
   std::vector<std::string> Idle;
+  /// Workers that get no new runs, as they are closed or draining.
+  std::vector<std::string> Closed;
   /// How long the pool has had more machines than it needs.
   core::Duration SurplusFor{0};
 };
 
+/// One machine that is in a pool or on its way to it.
+struct PoolMachine {
+  std::string Id;
+  std::string Worker;
+  /// It has arrived and can be ordered to move.
+  bool Movable = false;
+  /// A maintenance wave is draining it or has taken it down.
+  bool InMaintenance = false;
+};
+
+/// Adds the machine to the pool's, if it may get work there. \p Reported is
+/// what the pool's owner reported. Thread-safe.
+void countMachine(const PoolMachine &Machine, const PoolLoad &Reported,
+                  PoolLoad &Pool);
+
 /// Moves one machine to another pool.
 struct MachineMove {
   std::string Machine;
