A pool asks for the machines that its lasting tasks need whole

Cause: machinesNeeded adds up what tasks need, though no task is split over two workers, and counts a waiting lasting task by 0.7 like a short one. Lasting tasks on closed workers, which need a place soon, count only in the sum.

Change: the owner places lasting tasks that wait or are on closed or draining workers, whole and the largest first, on its open workers; short tasks count as ended there. What is left asks for machines beside these workers. Tasks that a team's room, a missing payload or a label keeps from starting ask for none. Waiting lasting tasks count in full.

--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -35,8 +35,12 @@
           {"used_memory", Load.UsedMemory},
           {"waiting_cpu", Load.WaitingCpu},
           {"waiting_memory", Load.WaitingMemory},
+          {"waiting_lasting_cpu", Load.WaitingLastingCpu},
+          {"waiting_lasting_memory", Load.WaitingLastingMemory},
           {"arriving_cpu", Load.ArrivingCpu},
           {"spread", Load.MinWorkers},
+          {"open", Load.OpenWorkers},
+          {"missing", Load.MissingMachines},
           {"idle", Load.Idle},
           {"closed", Load.Closed}};
 }
@@ -51,8 +55,14 @@
   Load.UsedMemory = Object.value("used_memory", std::uint64_t{0});
   Load.WaitingCpu = Object.value("waiting_cpu", std::uint64_t{0});
   Load.WaitingMemory = Object.value("waiting_memory", std::uint64_t{0});
+  Load.WaitingLastingCpu =
+      Object.value("waiting_lasting_cpu", std::uint64_t{0});
+  Load.WaitingLastingMemory =
+      Object.value("waiting_lasting_memory", std::uint64_t{0});
   Load.ArrivingCpu = Object.value("arriving_cpu", std::uint64_t{0});
   Load.MinWorkers = Object.value("spread", 0U);
+  Load.OpenWorkers = Object.value("open", 0U);
+  Load.MissingMachines = Object.value("missing", 0U);
   Load.Idle = Object.value("idle", std::vector<std::string>());
   Load.Closed = Object.value("closed", std::vector<std::string>());
   return Load;
--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -1,5 +1,6 @@
 #include "jobs/PoolState.h"
 
+#include "jobs/LastingDemand_p.h"
 #include "jobs/PoolTimes_p.h"
 
 #include <algorithm>
@@ -85,6 +86,8 @@
         std::max(Load.PerMachine.MilliCpus, W->Entry.Capacity.MilliCpus);
     Load.PerMachine.MemoryMb =
         std::max(Load.PerMachine.MemoryMb, W->Entry.Capacity.MemoryMb);
+    Load.PerMachine.Accelerators =
+        std::max(Load.PerMachine.Accelerators, W->Entry.Capacity.Accelerators);
     for (const auto &[Job, Task] : W->Tasks) {
       const StepSpec &Step = stepOf(*Job, Task);
       std::uint64_t Cpu = Step.Filling ? 0 : Step.Need.MilliCpus;
@@ -111,10 +114,14 @@
       const StepSpec &Step = stepOf(*Job, T);
       if (!Job->Tasks[T].Runs.empty() || (TooLate && !Step.Lasting))
         continue;
-      Load.WaitingCpu += Step.Filling ? 0 : Step.Need.MilliCpus;
+      std::uint64_t Cpu = Step.Filling ? 0 : Step.Need.MilliCpus;
+      Load.WaitingCpu += Cpu;
       Load.WaitingMemory += Step.Need.MemoryMb;
+      Load.WaitingLastingCpu += Step.Lasting ? Cpu : 0;
+      Load.WaitingLastingMemory += Step.Lasting ? Step.Need.MemoryMb : 0;
     }
   }
+  LastingDemand(*this, Now).describe(Load);
   return Load;
 }
 
--- a/src/jobs/PoolSizes.cpp
+++ b/src/jobs/PoolSizes.cpp
@@ -86,15 +86,25 @@
 std::uint32_t machinesNeeded(const PoolLoad &Load) {
   if (Load.Standby)
     return 0;
+  // A lasting task can't run later instead, so it counts in full.
+  auto Short = [](std::uint64_t All, std::uint64_t Lasting) {
+    return All - std::min(All, Lasting);
+  };
   double Cpu = machinesFor(
-      static_cast<double>(Load.LastingCpu) +
-          transientDemand(Load.UsedCpu, Load.WaitingCpu, Load.ArrivingCpu),
+      static_cast<double>(Load.LastingCpu + Load.WaitingLastingCpu) +
+          transientDemand(Load.UsedCpu,
+                          Short(Load.WaitingCpu, Load.WaitingLastingCpu),
+                          Load.ArrivingCpu),
       Load.PerMachine.MilliCpus);
-  double Memory =
-      machinesFor(static_cast<double>(Load.LastingMemory) +
-                      transientDemand(Load.UsedMemory, Load.WaitingMemory, 0),
-                  Load.PerMachine.MemoryMb);
+  double Memory = machinesFor(
+      static_cast<double>(Load.LastingMemory + Load.WaitingLastingMemory) +
+          transientDemand(Load.UsedMemory,
+                          Short(Load.WaitingMemory, Load.WaitingLastingMemory),
+                          0),
+      Load.PerMachine.MemoryMb);
   auto Needed = static_cast<std::uint32_t>(std::max(Cpu, Memory));
+  if (Load.MissingMachines > 0)
+    Needed = std::max(Needed, Load.OpenWorkers + Load.MissingMachines);
   return std::max({Needed, Load.MinWorkers, std::uint32_t{1}});
 }
 
--- a/src/jobs/PoolSizes.h
+++ b/src/jobs/PoolSizes.h
@@ -19,7 +19,12 @@
   bool Standby = false;
   /// Machines in it or on their way to it that may get work.
   std::uint32_t Machines = 0;
-  /// CPU and memory of a typical machine.
+  /// Workers in it that are neither closed nor draining.
+  std::uint32_t OpenWorkers = 0;
+  /// Machines that it needs beside these workers for lasting tasks that fit on
+  /// none of them.
+  std::uint32_t MissingMachines = 0;
+  /// CPU, memory and accelerators of a typical machine.
   core::Resources PerMachine;
   /// Reserved by lasting tasks.
   std::uint64_t LastingCpu = 0;
@@ -30,6 +35,9 @@
   /// Needed by tasks that are ready but have no run.
   std::uint64_t WaitingCpu = 0;
   std::uint64_t WaitingMemory = 0;
+  /// The part of these that lasting tasks need.
+  std::uint64_t WaitingLastingCpu = 0;
+  std::uint64_t WaitingLastingMemory = 0;
   /// CPU kept busy if jobs continue to arrive at the current rate.
   std::uint64_t ArrivingCpu = 0;
   /// Minimum number of workers, from the steps that limit tasks per worker.
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -682,6 +682,7 @@
   static double runTimeMs(const JobRecord &Job, const StepSpec &Step);
 
 private:
+  friend class LastingDemand;
   friend class StartPlan;
   friend class StragglerPlan;
 
--- a/tests/jobs/PoolSizesTest.cpp
+++ b/tests/jobs/PoolSizesTest.cpp
@@ -17,14 +17,13 @@
 constexpr unsigned Workers = 21;
 constexpr unsigned Closed = 6;
 
-/// A pool of 21 workers, six of them closed for maintenance.
+/// A pool of 21 workers, some of them closed for maintenance.
 class ClosingPool {
 public:
-  ClosingPool() {
-    std::vector<std::string> Ids;
+  explicit ClosingPool(unsigned ToClose = Closed) {
     for (unsigned N = 0; N < Workers; ++N)
-      Ids.push_back("w" + std::to_string(100 + N));
-    B_.listWorkers(Ids);
+      Ids_.push_back("w" + std::to_string(100 + N));
+    B_.listWorkers(Ids_);
     for (WorkerEntry &Entry : B_.Entries)
       Entry.Capacity = {WorkerCpu, 100000, 0};
     B_.Owner.setWorkers(B_.Entries, B_.Now);
@@ -32,8 +31,11 @@
     B_.advance(
         std::chrono::duration_cast<milliseconds>(OwnerLimits().NewJobAge));
     reportAll();
-    ClosedIds_.insert(Ids.end() - Closed, Ids.end());
-    B_.Owner.setClosedWorkers(ClosedIds_);
+    close(ToClose);
+  }
+
+  void close(unsigned Count) {
+    B_.Owner.setClosedWorkers({Ids_.end() - Count, Ids_.end()});
   }
 
   void addLasting(unsigned Tasks) {
@@ -82,7 +84,7 @@
 
   OwnerFixture B_;
   unsigned Jobs_ = 0;
-  std::set<std::string> ClosedIds_;
+  std::vector<std::string> Ids_;
   std::map<std::string, std::vector<RunReport>> Running_;
 };
 
@@ -105,3 +107,32 @@
   countMachine(Machine, Reported, Pool);
   CHECK(Pool.Machines == 1);
 }
+
+TEST_CASE("a pool whose waiting lasting tasks fit on no worker asks for the "
+          "machines that hold them whole") {
+  ClosingPool Pool;
+  Pool.addLasting(114);
+  // Seven tasks fit on a worker, with room for half a task left over.
+  REQUIRE(Pool.runs() == 105);
+  PoolLoad Load = Pool.load();
+  CHECK(Load.Machines == 15);
+  CHECK(machinesNeeded(Load) == 17);
+}
+
+TEST_CASE("lasting tasks on closed workers count as without a place") {
+  ClosingPool Pool(0);
+  Pool.addLasting(114);
+  REQUIRE(Pool.runs() == 114);
+  CHECK(Pool.load().MissingMachines == 0);
+  Pool.close(Closed);
+  // 105 tasks fit on the other workers.
+  CHECK(machinesNeeded(Pool.load()) == 17);
+}
+
+TEST_CASE("lasting tasks with a place ask for no machine beyond their sum") {
+  ClosingPool Pool;
+  Pool.addLasting(105);
+  REQUIRE(Pool.runs() == 105);
+  CHECK(Pool.load().MissingMachines == 0);
+  CHECK(machinesNeeded(Pool.load()) <= 15);
+}
