--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -191,9 +191,10 @@
       if (!Job->Tasks[T].Runs.empty() || (TooLate && !Step.Lasting))
         continue;
       std::uint64_t Cpu = Step.Filling ? 0 : Step.Need.MilliCpus;
-      (Step.Lasting ? Load.LastingCpu : Load.WaitingCpu) += Cpu;
-      (Step.Lasting ? Load.LastingMemory : Load.WaitingMemory) +=
-          Step.Need.MemoryMb;
+      Load.WaitingCpu += Cpu;
+      Load.WaitingMemory += Step.Need.MemoryMb;
+      Load.WaitingLastingCpu += Step.Lasting ? Cpu : 0;
+      Load.WaitingLastingMemory += Step.Lasting ? Step.Need.MemoryMb : 0;
     }
   }
   LastingDemand(*this, Now).describe(Load);
--- a/src/jobs/PoolSizes.h
+++ b/src/jobs/PoolSizes.h
@@ -36,6 +36,9 @@
   /// Needed by other tasks that are ready but have no run.
   std::uint64_t WaitingCpu = 0;
   std::uint64_t WaitingMemory = 0;
+  /// The part of these that lasting tasks need.
+  std::uint64_t WaitingLastingCpu = 0;
+  std::uint64_t WaitingLastingMemory = 0;
   /// CPU kept busy if jobs continue to arrive at the current rate.
   std::uint64_t ArrivingCpu = 0;
   /// Minimum number of workers, from the steps that limit tasks per worker.
