Machines go to lasting tasks without a place before a surge

Cause: planMoves serves pools in the order of their names, and a pool that lacks machines itself gives none back, however many it has taken.

Change: pools whose lasting tasks have no place are served first, the largest lack first. They also get idle machines of pools that have more than an even share and than their own lasting tasks need. Machines with runs are not drained.

Evidence: PoolSizesTest: of three standby machines a surge got all and the two lasting tasks none; no machine of a surge's 15 was given.

--- a/src/jobs/PoolSizes.cpp
+++ b/src/jobs/PoolSizes.cpp
@@ -35,6 +35,17 @@
   return PerMachine == 0 ? 0 : std::ceil(Need / PerMachine);
 }
 
+std::uint32_t machinesForLasting(const PoolLoad &Load) {
+  double Cpu =
+      machinesFor(static_cast<double>(Load.LastingCpu + Load.WaitingLastingCpu),
+                  Load.PerMachine.MilliCpus);
+  double Memory = machinesFor(
+      static_cast<double>(Load.LastingMemory + Load.WaitingLastingMemory),
+      Load.PerMachine.MemoryMb);
+  return std::max({static_cast<std::uint32_t>(std::max(Cpu, Memory)),
+                   Load.MinWorkers, std::uint32_t{1}});
+}
+
 /// One pool's machine count while moves are planned.
 struct Balance {
   const PoolLoad *Load = nullptr;
@@ -43,13 +54,36 @@
   std::uint32_t Reserve = 0;
   std::size_t NextIdle = 0;
 
+  bool hasIdle() const { return NextIdle < Load->Idle.size(); }
+
   bool canGive() const {
-    bool HasIdle = NextIdle < Load->Idle.size();
-    return HasIdle &&
+    return hasIdle() &&
            (Load->Standby || Has > std::max(Needed + SpareMachines, Reserve));
   }
+
+  /// Whether it has more than an even share of the machines and than its own
+  /// lasting tasks need.
+  bool canGiveForLasting(std::uint32_t Share) const {
+    return canGive() || (hasIdle() && Load->MissingMachines == 0 &&
+                         Has > std::max(Share, machinesForLasting(*Load)));
+  }
+
+  std::uint32_t lackForLasting() const {
+    std::uint32_t Wanted = Load->OpenWorkers + Load->MissingMachines;
+    return Load->MissingMachines > 0 && Wanted > Has ? Wanted - Has : 0;
+  }
 };
 
+std::uint32_t evenShareOf(std::span<const PoolLoad> Loads) {
+  std::uint32_t Machines = 0;
+  std::uint32_t Pools = 0;
+  for (const PoolLoad &Load : Loads) {
+    Machines += Load.Machines;
+    Pools += Load.Standby ? 0 : 1;
+  }
+  return Machines / std::max<std::uint32_t>(Pools, 1);
+}
+
 std::uint32_t reserveOf(std::span<const PoolLoad> Loads) {
   double Machines = 0;
   for (const PoolLoad &Load : Loads)
@@ -71,6 +105,25 @@
   return Move;
 }
 
+/// Gives machines to pools whose lasting tasks have no place, those that lack
+/// most first.
+void moveForLasting(std::vector<Balance> &Pools, std::uint32_t Share,
+                    std::vector<MachineMove> &Moves) {
+  std::vector<Balance *> Takers;
+  for (Balance &To : Pools)
+    if (!To.Load->Standby && To.lackForLasting() > 0)
+      Takers.push_back(&To);
+  std::stable_sort(Takers.begin(), Takers.end(),
+                   [](const Balance *A, const Balance *B) {
+                     return A->lackForLasting() > B->lackForLasting();
+                   });
+  for (Balance *To : Takers)
+    for (Balance &From : Pools)
+      while (&From != To && To->lackForLasting() > 0 &&
+             From.canGiveForLasting(Share) && Moves.size() < MaxMoves)
+        Moves.push_back(moveOne(From, *To));
+}
+
 } // namespace
 
 void countMachine(const PoolMachine &Machine, const PoolLoad &Reported,
@@ -119,6 +172,7 @@
                    [](const Balance &A, const Balance &B) {
                      return A.Load->Standby && !B.Load->Standby;
                    });
+  moveForLasting(Pools, evenShareOf(Loads), Moves);
   for (Balance &To : Pools) {
     for (Balance &From : Pools) {
       while (!To.Load->Standby && To.Has < To.Needed && &From != &To &&
--- a/src/jobs/PoolSizes.h
+++ b/src/jobs/PoolSizes.h
@@ -77,8 +77,9 @@
 std::uint32_t machinesNeeded(const PoolLoad &Load);
 
 /// Fills pools that lack machines from the standby pool and from pools with a
-/// surplus; moves machines of a lasting surplus to the standby pool.
-/// Thread-safe.
+/// surplus, first those whose lasting tasks have no place: these also get idle
+/// machines of pools that have more than an even share. Moves machines of a
+/// lasting surplus to the standby pool. Thread-safe.
 std::vector<MachineMove> planMoves(std::span<const PoolLoad> Loads);
 
 } // namespace comfreydeck::jobs
--- a/tests/jobs/PoolSizesTest.cpp
+++ b/tests/jobs/PoolSizesTest.cpp
@@ -136,3 +136,55 @@
   CHECK(Pool.load().MissingMachines == 0);
   CHECK(machinesNeeded(Pool.load()) <= 15);
 }
+
+TEST_CASE("lasting tasks without a place get the last machines before a surge "
+          "of short work") {
+  PoolLoad Surge;
+  Surge.Pool = "a";
+  Surge.Machines = 5;
+  Surge.PerMachine = {1000, 1000, 0};
+  Surge.WaitingCpu = 50000;
+  PoolLoad Lasting;
+  Lasting.Pool = "b";
+  Lasting.Machines = Lasting.OpenWorkers = 5;
+  Lasting.PerMachine = {1000, 1000, 0};
+  Lasting.MissingMachines = 2;
+  PoolLoad Standby;
+  Standby.Pool = "s";
+  Standby.Standby = true;
+  Standby.Machines = 3;
+  Standby.Idle = {"s1", "s2", "s3"};
+  std::vector<PoolLoad> Loads = {Surge, Lasting, Standby};
+  std::vector<MachineMove> Moves = planMoves(Loads);
+  CHECK(Moves.size() == 3);
+  CHECK(std::count_if(Moves.begin(), Moves.end(), [](const MachineMove &Move) {
+          return Move.To == "b";
+        }) == 2);
+}
+
+TEST_CASE("a pool with more than its share for a surge gives an idle machine "
+          "to lasting tasks without a place") {
+  PoolLoad Surge;
+  Surge.Pool = "a";
+  Surge.Machines = 15;
+  Surge.PerMachine = {1000, 1000, 0};
+  Surge.WaitingCpu = 50000;
+  Surge.Idle = {"a1", "a2"};
+  PoolLoad Lasting;
+  Lasting.Pool = "b";
+  Lasting.Machines = Lasting.OpenWorkers = 5;
+  Lasting.PerMachine = {1000, 1000, 0};
+  Lasting.MissingMachines = 1;
+  std::vector<PoolLoad> Loads = {Surge, Lasting};
+  std::vector<MachineMove> Moves = planMoves(Loads);
+  REQUIRE(Moves.size() == 1);
+  CHECK(Moves[0].Machine == "a1");
+  CHECK(Moves[0].To == "b");
+
+  Loads[0].LastingCpu = 15000;
+  CHECK(planMoves(Loads).empty());
+  Loads[0].LastingCpu = 0;
+  Loads[0].Machines = 10;
+  Loads[1].Machines = Loads[1].OpenWorkers = 10;
+  CHECK(planMoves(Loads).empty());
+}
