Check how soon a task starts that could in random histories

No check said how soon a task starts that could: a history failed only if a job never ended. Room and runs are the workers' own, not what the owner believes.

--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -43,6 +43,7 @@
   for (int N = 0; N < WorkerCount; ++N) {
     Worker W;
     W.Id = "w" + std::to_string(N);
+    W.Capacity = sampleWorker(W.Id).Capacity;
     Workers_.push_back(std::move(W));
   }
   if (!Options.LastingTasks)
@@ -88,6 +89,11 @@
       std::max(W.LeaseEnd, Now_ + std::min(Length, OwnerLimits().MaxLease));
 }
 
+const StepSpec &PoolSimulation::stepOf(const TaskRef &Task) const {
+  auto Job = Jobs_.find(Task.JobId);
+  return (Job == Jobs_.end() ? *LastingJob_ : Job->second).Steps[Task.Step];
+}
+
 PoolSimulation::Worker &PoolSimulation::worker(const std::string &Id) {
   return *std::find_if(Workers_.begin(), Workers_.end(),
                        [&](const Worker &W) { return W.Id == Id; });
@@ -101,6 +107,7 @@
     WorkerEntry Entry = sampleWorker(W.Id);
     Entry.Address = W.Id + ":1";
     Entry.Born = W.ListedBorn;
+    Entry.Capacity = W.Capacity;
     Entries.push_back(Entry);
   }
   return Entries;
@@ -119,7 +126,7 @@
       auto It = Stored_.find(J.first);
       return It != Stored_.end() && isFinal(It->second.State);
     });
-    if (FaultsOver_ && AllDone && !Jobs_.empty())
+    if (FaultsOver_ && AllDone && !Jobs_.empty() && Waits_.empty())
       break;
   }
   checkOutcomes();
@@ -177,6 +184,7 @@
     injectFaults();
   for (const OwnerPtr &O : std::vector<OwnerPtr>(Owners_))
     drive(O);
+  watchWaits();
 }
 
 void PoolSimulation::injectFaults() {
@@ -477,7 +485,7 @@
     Started.EndsAt = Now_ + milliseconds(draw(5, 100));
   }
   W.Running.push_back(Started);
-  if (W.Running.size() > sampleWorker(W.Id).Capacity.MilliCpus / 1000)
+  if (!core::fits(usedOn(W), W.Capacity))
     fail("a worker has more runs than its capacity allows");
   return OrderOutcome::Accepted;
 }
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -82,6 +82,10 @@
   std::uint32_t Mistaken = 0;
   /// Most starts of one task after its third crash.
   std::uint32_t MostLateStarts = 0;
+  /// The longest time, after the last fault, for which a task that could start
+  /// had no run.
+  core::Duration LongestWait{0};
+  core::Duration LongestLastingWait{0};
 };
 
 class PoolSimulation {
@@ -106,6 +110,7 @@
   };
   struct Worker {
     std::string Id;
+    core::Resources Capacity;
     std::int64_t Born = 1;
     /// What its row shows.
     std::int64_t ListedBorn = 1;
@@ -176,6 +181,13 @@
   void countCrashingStart(const TaskRef &Task);
   void checkOutcomes();
   void removeMachine();
+  const StepSpec &stepOf(const TaskRef &Task) const;
+  core::Resources usedOn(const Worker &W) const;
+  bool mustRun(const TaskRef &Task) const;
+  bool hasAmpleRoom(const TaskRef &Task) const;
+  void watchWaits();
+  void watchWaits(const JobSpec &Spec);
+  void failWait(const TaskRef &Task);
   void fail(const std::string &What);
   std::vector<WorkerEntry> listed() const;
   std::int64_t clockMs() const;
@@ -212,6 +224,8 @@
   /// Jobs of other tasks under which a worker crashed by itself.
   std::set<std::string> HitJobs_;
   std::map<TaskRef, std::uint32_t> LateStarts_;
+  /// Tasks without a run that could start, and since when.
+  std::map<TaskRef, core::TimePoint> Waits_;
   std::uint64_t Token_ = 0;
   bool FaultsOver_ = false;
   SimulationResult Result_;
