--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -181,7 +181,9 @@
   void countCrashingStart(const TaskRef &Task);
   void checkOutcomes();
   void removeMachine();
+  const JobSpec &specOf(const std::string &JobId) const;
   const StepSpec &stepOf(const TaskRef &Task) const;
+  std::size_t positionOf(const TaskRef &Task) const;
   core::Resources usedOn(const Worker &W) const;
   bool mustRun(const TaskRef &Task) const;
   bool hasAmpleRoom(const TaskRef &Task) const;
