--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -7,18 +7,19 @@
 
 namespace {
 
-constexpr int WorkerCount = 4;
 constexpr int StepMs = 20;
 /// Faults are injected until then; afterwards every job has to complete.
 constexpr std::chrono::seconds FaultTime(20);
 constexpr std::chrono::seconds TotalTime(60);
 /// The same with tasks that crash their workers, which are tried on one worker
-/// at a time.
+/// at a time, and where jobs go on.
 constexpr std::chrono::seconds TotalTimeWithCrashes(90);
+/// Jobs go on for so long after the last fault.
+constexpr std::chrono::seconds MoreJobsTime(20);
+/// Longest time for which a gang's run waits for the other members.
+constexpr std::chrono::seconds GangPatience(2);
 /// Longest time that a worker takes to carry out a stop.
 constexpr int MaxStopMs = 400;
-constexpr std::uint32_t LastingTaskCount = 6;
-constexpr std::uint32_t AbsenceAllowance = 2;
 /// Time until the owner knows that a report has no answer, beyond its wait.
 constexpr int ReportSlackMs = 900;
 /// A lasting task that is not at work for longer counts as absent, whatever the
@@ -40,19 +41,13 @@
 
 PoolSimulation::PoolSimulation(const SimulationOptions &Options)
     : Options_(Options), Random_(Options.Seed) {
-  for (int N = 0; N < WorkerCount; ++N) {
-    Worker W;
-    W.Id = "w" + std::to_string(N);
-    W.Capacity = sampleWorker(W.Id).Capacity;
-    Workers_.push_back(std::move(W));
-  }
+  addWorkers();
   if (!Options.LastingTasks)
     return;
-  LastingJob_ = sampleJob(0, LastingTaskCount);
-  LastingJob_->Steps[0].Lasting = true;
-  LastingJob_->Steps[0].AbsenceAllowance = AbsenceAllowance;
-  for (std::uint32_t Index = 0; Index < LastingTaskCount; ++Index)
-    LastAtWork_[{LastingJob_->Id, 0, 0, Index}] = Now_;
+  LastingJob_ = lastingJob();
+  for (std::uint32_t S = 0; S < LastingJob_->Steps.size(); ++S)
+    for (std::uint32_t Index = 0; Index < LastingJob_->Steps[S].Tasks; ++Index)
+      LastAtWork_[{LastingJob_->Id, 0, S, Index}] = Now_;
 }
 
 void PoolSimulation::schedule(int MinMs, int MaxMs, std::function<void()> Do) {
@@ -112,6 +107,7 @@
     Entry.Address = W.Id + ":1";
     Entry.Born = W.ListedBorn;
     Entry.Capacity = W.Capacity;
+    Entry.Labels = W.Labels;
     Entries.push_back(Entry);
   }
   return Entries;
@@ -120,8 +116,9 @@
 SimulationResult PoolSimulation::simulate() {
   takeOver();
   core::TimePoint Begin = Now_;
-  core::Duration Most =
-      Options_.CrashingTasks ? TotalTimeWithCrashes : TotalTime;
+  bool Longer = Options_.CrashingTasks || Options_.JobsGoOn;
+  core::Duration Most = Longer ? TotalTimeWithCrashes : TotalTime;
+  JobsEnd_ = Begin + FaultTime + MoreJobsTime;
   while (Now_ - Begin < Most && Result_.Fault.empty()) {
     FaultsOver_ = Now_ - Begin > FaultTime;
     step();
@@ -130,7 +127,8 @@
       auto It = Stored_.find(J.first);
       return It != Stored_.end() && isFinal(It->second.State);
     });
-    if (FaultsOver_ && AllDone && !Jobs_.empty() && Waits_.empty())
+    bool MayEnd = FaultsOver_ && (!Options_.JobsGoOn || Now_ >= JobsEnd_);
+    if (MayEnd && AllDone && !Jobs_.empty() && Waits_.empty())
       break;
   }
   checkOutcomes();
@@ -174,8 +172,12 @@
     fail("a task was started three times after its third crash");
 }
 
+bool PoolSimulation::mayFault() const { return !FaultsOver_ && !Options_.Calm; }
+
 void PoolSimulation::step() {
   workerSteps();
+  if (Options_.Gangs)
+    gangSteps();
   // Before faults are injected: a task that reports to be at work in this step
   // was at work.
   watchLastingTasks();
@@ -186,6 +188,8 @@
   }
   if (!FaultsOver_)
     injectFaults();
+  else if (Options_.JobsGoOn && Now_ < JobsEnd_ && chance(0.05))
+    acceptJob();
   for (const OwnerPtr &O : std::vector<OwnerPtr>(Owners_))
     drive(O);
   watchWaits();
@@ -194,30 +198,41 @@
 void PoolSimulation::injectFaults() {
   if (chance(0.05))
     acceptJob();
-  // An owner that is lost before a crash is known of takes that knowledge with
-  // it; three times on end break the rule.
-  if (chance(Options_.CrashingTasks ? 0.002 : 0.004))
-    takeOver();
-  if (chance(0.004))
-    removeMachine();
-  Worker &W = Workers_[static_cast<std::size_t>(draw(0, WorkerCount - 1))];
+  if (!Options_.Calm) {
+    // An owner that is lost before a crash is known of takes that knowledge
+    // with it; three times on end break the rule.
+    if (chance(Options_.CrashingTasks ? 0.002 : 0.004))
+      takeOver();
+    if (chance(0.004))
+      removeMachine();
+  }
+  Worker *W = &Workers_[static_cast<std::size_t>(
+      draw(0, static_cast<int>(Workers_.size()) - 1))];
+  if (!Options_.Calm)
+    injectFaultsAt(*W);
+  if (Options_.LastingTasks && !W->Closed && chance(0.02)) {
+    W->Closed = true;
+    schedule(500, 4000, [W] { W->Closed = false; });
+  }
+  if (Options_.EntriesDisappear && W->Up && W->Listed && chance(0.008)) {
+    W->Listed = false;
+    schedule(500, 6000, [W] { W->Listed = W->Listed || W->Up; });
+  }
+}
+
+void PoolSimulation::injectFaultsAt(Worker &W) {
   if (W.Up && !W.Partitioned && chance(0.004)) {
     for (const Run &R : W.Running)
       HitJobs_.insert(R.Task.JobId);
     crash(W);
   }
-  if (W.Up && !W.Partitioned && chance(0.003)) {
-    W.Partitioned = true;
-    schedule(500, 9000, [&W] { W.Partitioned = false; });
-  }
-  if (Options_.LastingTasks && !W.Closed && chance(0.02)) {
-    W.Closed = true;
-    schedule(500, 4000, [&W] { W.Closed = false; });
-  }
-  if (Options_.EntriesDisappear && W.Up && W.Listed && chance(0.008)) {
-    W.Listed = false;
-    schedule(500, 6000, [&W] { W.Listed = W.Listed || W.Up; });
-  }
+  if (W.Up && !W.Partitioned && chance(0.003))
+    silence(W);
+}
+
+void PoolSimulation::silence(Worker &W) {
+  W.Partitioned = true;
+  schedule(500, 9000, [&W] { W.Partitioned = false; });
 }
 
 /// Owners learn of the job after a random delay; replaced ones possibly not at
@@ -226,12 +241,15 @@
   JobSpec Spec = sampleJob(static_cast<unsigned>(Jobs_.size()) + 1,
                            static_cast<std::uint32_t>(draw(1, 3)));
   Spec.MaxAttempts = 1000;
+  shapeJob(Spec);
   Jobs_[Spec.Id] = Spec;
   if (Options_.CrashingTasks && chance(CrashingShare))
     CrashingJobs_.insert(Spec.Id);
   for (const OwnerPtr &O : Owners_)
     if (chance(0.7) || !O->Replaced)
-      schedule(0, 1200, [this, O, Spec] { O->State->addJob(Spec, Now_); });
+      schedule(0, 1200, [this, O, Spec = specFor(Spec)] {
+        O->State->addJob(Spec, Now_);
+      });
 }
 
 void PoolSimulation::takeOver() {
@@ -254,10 +272,13 @@
     Limits.UnseenRestart = TotalTimeWithCrashes;
   if (Options_.ViolatedRule == RuleViolation::NoIsolation)
     Limits.IsolationCrashes = Limits.MaxCrashes + 1;
+  if (Options_.ViolatedRule == RuleViolation::NoClearance)
+    Limits.SuspicionAge = TotalTimeWithCrashes;
   O->State = std::make_unique<PoolState>("pool", O->Token, Now_, Limits);
   auto Config = std::make_shared<FleetConfig>();
   Config->Pools.push_back({"pool", false, false});
   O->State->setConfig(Config);
+  setTeamRoom(O);
   // The latest jobs are not in the read yet; they arrive through the feed.
   std::size_t Unread = std::min<std::size_t>(Jobs_.size(), 2);
   std::size_t Read = Jobs_.size() - Unread;
@@ -272,11 +293,12 @@
     const JobProgress *Progress =
         Kept == Stored_.end() ? nullptr : &Kept->second;
     if (Read > 0 || Progress) {
-      O->State->inheritJob(Spec, Progress, Now_);
+      O->State->inheritJob(specFor(Spec), Progress, Now_);
       Read -= Read > 0 ? 1 : 0;
     } else {
-      schedule(0, 900,
-               [this, O, Spec = Spec] { O->State->addJob(Spec, Now_); });
+      schedule(0, 900, [this, O, Spec = specFor(Spec)] {
+        O->State->addJob(Spec, Now_);
+      });
     }
   }
   if (LastingJob_)
@@ -291,11 +313,8 @@
   if (O->State->isFenced())
     return;
   O->State->setWorkers(listed(), Now_);
-  std::set<std::string> Closed;
-  for (const Worker &W : Workers_)
-    if (W.Closed)
-      Closed.insert(W.Id);
-  O->State->setClosedWorkers(Closed);
+  closeWorkers(O);
+  loadPayloads(O);
   if (Options_.ViolatedRule == RuleViolation::FalseEnd)
     for (const Worker &W : Workers_)
       if (W.Partitioned)
@@ -338,7 +357,8 @@
     Roster_[Entry.Id] = Entry;
   for (const std::string &Id : O->Storing->Unenrolled)
     Roster_.erase(Id);
-  if (Options_.ViolatedRule != RuleViolation::EarlyAcknowledge)
+  if (Options_.ViolatedRule != RuleViolation::EarlyAcknowledge &&
+      Options_.ViolatedRule != RuleViolation::NoConfirmation)
     O->State->onStored(O->Storing->Mark);
   O->Storing.reset();
 }
@@ -355,7 +375,7 @@
 }
 
 void PoolSimulation::sendStart(const OwnerPtr &O, const StartOrder &Order) {
-  bool Late = !FaultsOver_ && chance(0.06);
+  bool Late = mayFault() && chance(0.06);
   std::string Id = Order.Worker;
   std::int64_t Born = worker(Id).Born;
   auto Arrive = [this, O, Order, Id, Born](bool Answered) {
@@ -377,7 +397,7 @@
       HitJobs_.insert(Order.Task.JobId);
     if (!Answered)
       return;
-    bool Lost = !Reached || (!FaultsOver_ && chance(0.03));
+    bool Lost = !Reached || (mayFault() && chance(0.03));
     schedule(1, Lost ? 900 : 30, [this, O, Order, Result, Lost] {
       O->State->onStart(Order, Lost ? OrderResult() : Result, Now_);
     });
@@ -403,7 +423,9 @@
       RunId &Highest = W.Highest[Order.Task];
       if (Taken)
         Highest = std::max(Highest, Order.Run);
-      auto Same = [&](const Run &R) { return R.Id == Order.Run; };
+      auto Same = [&](const Run &R) {
+        return R.Id == Order.Run && R.Task == Order.Task;
+      };
       auto It = std::find_if(W.Running.begin(), W.Running.end(), Same);
       if (Taken && It != W.Running.end())
         stop(W, It);
@@ -416,7 +438,7 @@
 
 void PoolSimulation::sendHold(const OwnerPtr &O, const HoldOrder &Order) {
   core::TimePoint SentAt = Now_;
-  if (Options_.LateReports && !FaultsOver_ && chance(0.1)) {
+  if (Options_.LateReports && mayFault() && chance(0.1)) {
     std::int64_t Born = worker(Order.Worker).Born;
     schedule(2000, 12000, [this, Order, Born] {
       Worker &W = worker(Order.Worker);
@@ -434,7 +456,7 @@
     ReportResult Result;
     if (W.Up && !W.Partitioned)
       Result = hold(W, Order);
-    bool Lost = !FaultsOver_ && chance(0.03);
+    bool Lost = mayFault() && chance(0.03);
     int MaxMs = LastingJob_ ? 300 : 60;
     if (Options_.LateReports && chance(0.2))
       MaxMs = ReportSlackMs;
@@ -462,7 +484,7 @@
     return OrderOutcome::Late;
   extendLease(W, Order.DeadlineMs);
   for (const Run &R : W.Running)
-    if (R.Id == Order.Run)
+    if (R.Id == Order.Run && R.Task == Order.Task)
       return OrderOutcome::Accepted;
   RunId &Highest = W.Highest[Order.Task];
   if (Order.Run <= Highest)
@@ -488,7 +510,14 @@
     Started.Crashes = true;
     Started.EndsAt = Now_ + milliseconds(draw(5, 100));
   }
+  if (stepOf(Order.Task).Gang) {
+    Started.InGang = true;
+    Started.EndsAt = Now_ + GangPatience;
+  }
   W.Running.push_back(Started);
+  if (SilencingJobs_.count(Order.Task.JobId) != 0 && !W.Partitioned &&
+      mayFault() && chance(0.7))
+    silence(W);
   Waits_.erase(Started.Task);
   if (!core::fits(usedOn(W), W.Capacity))
     fail("a worker has more runs than its capacity allows");
@@ -521,6 +550,8 @@
 RunEnd PoolSimulation::endOf(const Run &R) {
   if (R.Stopping)
     return RunEnd::Stopped;
+  if (R.InGang)
+    return R.AtWork ? RunEnd::Done : RunEnd::Alone;
   return chance(0.05) ? RunEnd::Failed : RunEnd::Done;
 }
 
@@ -578,10 +609,10 @@
 void PoolSimulation::checkAbsences(const Run &Stopped) {
   std::uint32_t Absent = 0;
   for (const auto &[Task, At] : LastAtWork_)
-    if (Task != Stopped.Task &&
+    if (Task != Stopped.Task && Task.Step == Stopped.Task.Step &&
         (Stopped_.count(Task) != 0 || Now_ - At >= AbsenceNotice))
       ++Absent;
-  if (Absent >= AbsenceAllowance)
+  if (Absent >= stepOf(Stopped.Task).AbsenceAllowance)
     fail(std::string("a stop ends a lasting task while as many others of its "
                      "step as allowed are absent: ") +
          nameOf(StopReasons_[Stopped.Id]));
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -43,6 +43,17 @@
   /// An owner whose ownership is unconfirmed starts tasks on workers that have
   /// not reported lately.
   NoReportBeforeStart,
+  /// One payload in fifty is never loaded.
+  ForgottenPayload,
+  /// An owner is never told that its changes are stored.
+  NoConfirmation,
+  /// Runs never last long enough to clear their tasks, so that workers stay
+  /// reserved for them.
+  NoClearance,
+  /// Closed workers stay closed to the owner.
+  NoReopening,
+  /// A team's room stays what it was when the pool was taken.
+  NoTeamRoom,
 };
 
 struct SimulationOptions {
@@ -62,6 +73,26 @@
   bool RowsLag = false;
   /// Some jobs have a task that crashes each worker that starts it.
   bool CrashingTasks = false;
+  /// Tasks need, and workers have, different amounts of CPU, so that room comes
+  /// in pieces.
+  bool UnequalSizes = false;
+  /// Some jobs need a label that half of the workers have, or allow one task of
+  /// a step on a worker.
+  bool PlacementLimits = false;
+  /// Some jobs belong to a team with a limit, which an owner learns late.
+  bool TeamLimits = false;
+  /// Payloads are loaded after the jobs, also more than once.
+  bool LatePayloads = false;
+  /// Some jobs' tasks run at the same time.
+  bool Gangs = false;
+  /// Workers are often out of reach right after they have started a task of
+  /// some jobs.
+  bool SilentAfterStart = false;
+  /// Jobs are accepted for some time after the last fault.
+  bool JobsGoOn = false;
+  /// Nothing goes wrong: no crash, partition, loss of an owner, late or lost
+  /// order.
+  bool Calm = false;
 };
 
 /// The outcome of one simulated history.
@@ -96,6 +127,9 @@
   SimulationResult simulate();
 
 private:
+  /// Limit of the team that some jobs belong to.
+  static constexpr core::Resources TeamRoom{6000, 100000, 0};
+
   struct Run {
     TaskRef Task;
     RunId Id = 0;
@@ -107,10 +141,15 @@
     bool Crashes = false;
     /// A stop was accepted; the run ends at \ref EndsAt.
     bool Stopping = false;
+    /// Member of a gang, which works from when all members run until
+    /// \ref EndsAt.
+    bool InGang = false;
+    bool AtWork = false;
   };
   struct Worker {
     std::string Id;
     core::Resources Capacity;
+    std::vector<std::string> Labels;
     std::int64_t Born = 1;
     /// What its row shows.
     std::int64_t ListedBorn = 1;
@@ -138,6 +177,10 @@
     bool Replaced = false;
     std::optional<ProgressBatch> Storing;
     core::TimePoint StoredAt;
+    /// Jobs whose payloads it is loading.
+    std::set<std::string> Loading;
+    /// Workers that were closed, if they stay so to it.
+    std::set<std::string> EverClosed;
   };
   struct Event {
     core::TimePoint At;
@@ -154,8 +197,20 @@
   bool chance(double Share);
   int draw(int From, int To);
   void step();
+  /// Whether orders and answers may be late or lost.
+  bool mayFault() const;
   void injectFaults();
+  void injectFaultsAt(Worker &W);
+  void addWorkers();
+  JobSpec lastingJob() const;
   void acceptJob();
+  void shapeJob(JobSpec &Spec);
+  void setTeamRoom(const OwnerPtr &O);
+  JobSpec specFor(const JobSpec &Spec) const;
+  void loadPayloads(const OwnerPtr &O);
+  void gangSteps();
+  void silence(Worker &W);
+  void closeWorkers(const OwnerPtr &O);
   void takeOver();
   void drive(const OwnerPtr &O);
   void store(const OwnerPtr &O);
@@ -187,8 +242,12 @@
   core::Resources usedOn(const Worker &W) const;
   bool mustRun(const TaskRef &Task) const;
   bool hasAmpleRoom(const TaskRef &Task) const;
+  bool hasAmpleTeamRoom(const JobSpec &Spec, const StepSpec &Step) const;
+  std::uint32_t countPlaces(const Worker &W, const TaskRef &Task) const;
   void watchWaits();
   void watchWaits(const JobSpec &Spec);
+  void forgetWaits(const JobSpec &Spec);
+  bool isDoneBy(const TaskRef &Task, const EndReport &End) const;
   void failWait(const TaskRef &Task);
   void fail(const std::string &What);
   std::vector<WorkerEntry> listed() const;
@@ -226,10 +285,13 @@
   /// Jobs of other tasks under which a worker crashed by itself.
   std::set<std::string> HitJobs_;
   std::map<TaskRef, std::uint32_t> LateStarts_;
+  /// Jobs after whose starts workers are often out of reach.
+  std::set<std::string> SilencingJobs_;
   /// Tasks without a run that could start, and since when.
   std::map<TaskRef, core::TimePoint> Waits_;
   std::uint64_t Token_ = 0;
   bool FaultsOver_ = false;
+  core::TimePoint JobsEnd_;
   SimulationResult Result_;
 };
 
--- a/tests/jobs/PoolSimulationWaits.cpp
+++ b/tests/jobs/PoolSimulationWaits.cpp
@@ -19,9 +19,16 @@
 /// A task has to start where there is room for it this many times.
 constexpr std::uint32_t RoomTimes = 2;
 
+/// No gang needs more places on one worker.
+constexpr std::uint32_t MostPlaces = 10;
+
+std::uint32_t gangSize(const StepSpec &Step) {
+  return Step.Gang ? Step.Tasks : 1;
+}
+
 std::uint32_t timesIn(const core::Resources &Need,
                       const core::Resources &Free) {
-  std::uint32_t Times = RoomTimes;
+  std::uint32_t Times = MostPlaces;
   auto Bound = [&Times](std::uint32_t Needed, std::uint32_t Left) {
     if (Needed > 0)
       Times = std::min(Times, Left / Needed);
@@ -54,12 +61,18 @@
   return Position;
 }
 
+/// A gang is done as a whole once one member is.
+bool PoolSimulation::isDoneBy(const TaskRef &Task, const EndReport &End) const {
+  bool SameStep = End.Task.JobId == Task.JobId && End.Task.Step == Task.Step;
+  return End.How == RunEnd::Done &&
+         (End.Task == Task || (SameStep && stepOf(Task).Gang));
+}
+
 /// Whether the task is to run: its turn has come, and it is not done for good.
 bool PoolSimulation::mustRun(const TaskRef &Task) const {
   auto Stored = Stored_.find(Task.JobId);
   if (AcknowledgedTasks_.count(Task) != 0 ||
-      (Stored != Stored_.end() &&
-       Stored->second.Tasks[positionOf(Task)].Done))
+      (Stored != Stored_.end() && Stored->second.Tasks[positionOf(Task)].Done))
     return false;
   return std::none_of(Workers_.begin(), Workers_.end(), [&](const Worker &W) {
     auto IsRun = [&](const Run &R) { return R.Task == Task; };
@@ -71,44 +84,88 @@
   });
 }
 
+/// How many more such tasks the worker could take, ten at most.
+std::uint32_t PoolSimulation::countPlaces(const Worker &W,
+                                          const TaskRef &Task) const {
+  const StepSpec &Step = stepOf(Task);
+  bool Labelled =
+      Step.Label.empty() ||
+      std::find(W.Labels.begin(), W.Labels.end(), Step.Label) != W.Labels.end();
+  if (!W.Listed || W.Closed || Now_ - W.BornAt < CalmTime || !Labelled)
+    return 0;
+  core::Resources Used = usedOn(W);
+  std::uint32_t Places =
+      timesIn(Step.Need, {W.Capacity.MilliCpus - Used.MilliCpus,
+                          W.Capacity.MemoryMb - Used.MemoryMb,
+                          W.Capacity.Accelerators - Used.Accelerators});
+  if (Step.MaxPerWorker == 0)
+    return Places;
+  auto OfStep =
+      std::count_if(W.Running.begin(), W.Running.end(), [&](const Run &R) {
+        return R.Task.JobId == Task.JobId && R.Task.Step == Task.Step;
+      });
+  std::uint32_t Limit = Step.MaxPerWorker;
+  return std::min(Places,
+                  Limit - std::min<std::uint32_t>(
+                              Limit, static_cast<std::uint32_t>(OfStep)));
+}
+
+/// Whether the task's team, if its use is limited, uses under half of its room.
+bool PoolSimulation::hasAmpleTeamRoom(const JobSpec &Spec,
+                                      const StepSpec &Step) const {
+  if (Spec.Team.empty())
+    return true;
+  std::uint64_t Used = Step.Need.MilliCpus * gangSize(Step);
+  for (const Worker &W : Workers_)
+    for (const Run &R : W.Running)
+      if (specOf(R.Task.JobId).Team == Spec.Team)
+        Used += stepOf(R.Task).Need.MilliCpus;
+  return Used * 2 <= TeamRoom.MilliCpus;
+}
+
 /// Whether there is room for the task twice over on workers that can take it
-/// and, unless it lasts, under half of the pool's capacity is in use.
+/// and, unless it lasts, under half of the pool's capacity is in use. A gang
+/// needs it for all its members.
 bool PoolSimulation::hasAmpleRoom(const TaskRef &Task) const {
   const StepSpec &Step = stepOf(Task);
-  std::uint32_t Times = 0;
+  std::uint32_t Places = 0;
   std::uint64_t Used = 0;
   std::uint64_t Capacity = 0;
   for (const Worker &W : Workers_) {
     if (!W.Up || W.Partitioned)
       continue;
-    core::Resources Taken = usedOn(W);
-    Used += Taken.MilliCpus;
+    Used += usedOn(W).MilliCpus;
     Capacity += W.Capacity.MilliCpus;
-    if (!W.Listed || W.Closed || Now_ - W.BornAt < CalmTime)
-      continue;
-    Times += timesIn(Step.Need, {W.Capacity.MilliCpus - Taken.MilliCpus,
-                                 W.Capacity.MemoryMb - Taken.MemoryMb,
-                                 W.Capacity.Accelerators - Taken.Accelerators});
+    Places += countPlaces(W, Task);
   }
-  return Times >= RoomTimes && (Step.Lasting || Used * 2 < Capacity);
+  return Places >= RoomTimes * gangSize(Step) &&
+         (Step.Lasting || Used * 2 < Capacity) &&
+         hasAmpleTeamRoom(specOf(Task.JobId), Step);
 }
 
-/// Checks how long tasks have waited that could start, once no fault has been
-/// injected and all workers have been in touch for as long.
+/// Checks how long tasks have waited that could start, once no fault is
+/// injected any more; lasting ones only while all workers are in touch.
 void PoolSimulation::watchWaits() {
   if (Now_.time_since_epoch() % WaitStep != core::Duration::zero())
     return;
-  bool Calm = FaultsOver_ &&
-              std::none_of(Workers_.begin(), Workers_.end(),
-                           [](const Worker &W) { return W.Partitioned; });
-  if (!Calm) {
-    Waits_.clear();
+  bool Faultless = FaultsOver_ || Options_.Calm;
+  bool InTouch = std::none_of(Workers_.begin(), Workers_.end(),
+                              [](const Worker &W) { return W.Partitioned; });
+  if (!Faultless)
     return;
-  }
   for (const auto &[Id, Spec] : Jobs_)
     watchWaits(Spec);
-  if (LastingJob_)
+  if (!LastingJob_)
+    return;
+  if (InTouch)
     watchWaits(*LastingJob_);
+  else
+    forgetWaits(*LastingJob_);
+}
+
+void PoolSimulation::forgetWaits(const JobSpec &Spec) {
+  std::erase_if(Waits_,
+                [&](const auto &Wait) { return Wait.first.JobId == Spec.Id; });
 }
 
 void PoolSimulation::watchWaits(const JobSpec &Spec) {
