--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -366,6 +366,7 @@
 // Delivery of orders.
 
 void PoolSimulation::send(const OwnerPtr &O, const Orders &Out) {
+  checkGangs(Out);
   for (const StopOrder &Order : Out.Stops)
     sendStop(O, Order);
   for (const StartOrder &Order : Out.Starts)
@@ -512,7 +513,8 @@
   }
   if (stepOf(Order.Task).Gang) {
     Started.InGang = true;
-    Started.EndsAt = Now_ + GangPatience;
+    if (!Started.Crashes)
+      Started.EndsAt = Now_ + GangPatience;
   }
   W.Running.push_back(Started);
   if (SilencingJobs_.count(Order.Task.JobId) != 0 && !W.Partitioned &&
@@ -587,12 +589,13 @@
 }
 
 std::uint32_t PoolSimulation::percentOf(const Run &R) const {
-  if (!isLasting(R))
+  if (!isLasting(R) && !Options_.TrueProgress)
     return 50;
-  if (R.ReadyAt <= Now_)
+  core::TimePoint End = isLasting(R) ? R.ReadyAt : R.EndsAt;
+  if (End <= Now_)
     return 100;
   return static_cast<std::uint32_t>(100 * (Now_ - R.StartedAt) /
-                                    (R.ReadyAt - R.StartedAt));
+                                    (End - R.StartedAt));
 }
 
 void PoolSimulation::watchLastingTasks() {
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -88,6 +88,9 @@
   /// Workers are often out of reach right after they have started a task of
   /// some jobs.
   bool SilentAfterStart = false;
+  /// Runs report how far they are, and half of their work all the time
+  /// otherwise, so that many look slow.
+  bool TrueProgress = false;
   /// Jobs are accepted for some time after the last fault.
   bool JobsGoOn = false;
   /// Nothing goes wrong: no crash, partition, loss of an owner, late or lost
@@ -209,6 +212,7 @@
   JobSpec specFor(const JobSpec &Spec) const;
   void loadPayloads(const OwnerPtr &O);
   void gangSteps();
+  void checkGangs(const Orders &Out);
   void silence(Worker &W);
   void closeWorkers(const OwnerPtr &O);
   void takeOver();
--- a/tests/jobs/PoolSimulationKinds.cpp
+++ b/tests/jobs/PoolSimulationKinds.cpp
@@ -117,6 +117,17 @@
   O->State->setClosedWorkers(Closed);
 }
 
+/// The members of a gang are started together.
+void PoolSimulation::checkGangs(const Orders &Out) {
+  std::map<std::pair<std::string, RunId>, std::vector<TaskRef>> Gangs;
+  for (const StartOrder &Order : Out.Starts)
+    if (stepOf(Order.Task).Gang)
+      Gangs[{Order.Task.JobId, Order.Run}].push_back(Order.Task);
+  for (const auto &[Id, Members] : Gangs)
+    if (Members.size() != stepOf(Members[0]).Tasks)
+      fail("a gang was started in part");
+}
+
 /// Gangs begin to work once all their members run, and end with the first one
 /// that does.
 void PoolSimulation::gangSteps() {
@@ -135,7 +146,8 @@
     for (Run *R : Members) {
       if (Whole && !Began) {
         R->AtWork = true;
-        R->EndsAt = EndsAt;
+        if (!R->Crashes)
+          R->EndsAt = EndsAt;
       } else if (!Whole && Began) {
         Broken.push_back(*R);
       }
