Moves of lasting tasks end, and room is kept only where it will come

- An evicted worker that was being emptied took its own tasks back while another one there was still being stopped: 120 stops and 119 starts in 30 s.
Closed workers take tasks only if one of their own stays.
- The worker that was kept for a waiting task could be one with a run of minutes, or with its memory taken: no start in 9 s.
Workers are ranked by the time until they have room, by the mean run time of each run; a run that takes longer is taken to last as long again.
- Places held for tasks that may not leave yet kept short work waiting without a bound (no start in 20 s), and counted twice against the team's limit.
They are held only until the other closed workers' tasks have chosen theirs, and don't count against the team.
- A task whose job's row the store refuses was stopped though it may not start again.
One question, mayLeave, covers what holds a job back.

--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -63,8 +63,13 @@
       if (PoolState::stepOf(*Job, Task).Lasting && !isFinal(Job->Now) &&
           isBeingStopped(*Job, Task))
         holdPlace(*Job, Task);
-  for (WorkerState *W : Closed)
-    moveLasting(*W, W == Closed.front());
+  for (WorkerState *W : Closed) {
+    moveLasting(*W);
+    // Others must not take the places that the first one needs next.
+    if (W == Closed.front())
+      holdPlacesAhead(*W);
+  }
+  releasePlaces(PlacesAhead_);
   if (!Closed.front()->Evicting || !mayEmptyWithoutPlaces())
     return;
   // A task that is stopped for a worker that is emptied later never goes back,
@@ -76,30 +81,27 @@
 }
 
 /// Keeps room for a task that is to start elsewhere, for this round. False if
-/// there is none.
+/// there is none. The run that it still has stands for its team's use.
 bool StartPlan::holdPlace(JobRecord &Job, std::uint32_t Task) {
   WorkerState *Place = chooseWorker(Job, Task, "");
-  if (!Place)
-    return false;
-  Owner_.reserve(*Place, Job, PoolState::stepOf(Job, Task));
-  HeldPlaces_.push_back({&Job, Task, Place});
-  return true;
+  if (Place)
+    holdPlaceOn(*Place, Job, Task);
+  return Place != nullptr;
+}
+
+void StartPlan::holdPlaceOn(WorkerState &W, JobRecord &Job,
+                            std::uint32_t Task) {
+  PoolState::occupy(W, PoolState::stepOf(Job, Task));
+  HeldPlaces_.push_back({&Job, Task, &W});
 }
 
 /// Stops the lasting tasks on a closed worker that have a place elsewhere, as
-/// many at a time as their steps allow. On the worker that is emptied first,
-/// the others hold places too, so that it is emptied soon.
-void StartPlan::moveLasting(WorkerState &W, bool IsFirst) {
+/// many at a time as their steps allow.
+void StartPlan::moveLasting(WorkerState &W) {
   for (const auto &[Job, Task] : W.Tasks) {
     const StepSpec &Step = PoolState::stepOf(*Job, Task);
-    if (!Step.Lasting || isBeingStopped(*Job, Task))
-      continue;
-    if (!Owner_.mayBecomeAbsent(*Job, Task, In_.Now) ||
-        !Owner_.mayRestart(*Job)) {
-      if (IsFirst)
-        holdPlace(*Job, Task);
+    if (!Step.Lasting || !mayLeave(*Job, Task))
       continue;
-    }
     // A gang starts as a whole, and a worker that leaves takes its tasks along.
     bool Needed = !Step.Gang && !W.Entry.Draining;
     if (!Needed || holdPlace(*Job, Task))
@@ -109,41 +111,66 @@
   }
 }
 
+/// Whether the lasting task may be stopped now, and may start again.
+bool StartPlan::mayLeave(const JobRecord &Job, std::uint32_t Task) const {
+  return !isBeingStopped(Job, Task) && Owner_.mayRestart(Job) &&
+         !isHeldBack(Job) && Owner_.mayBecomeAbsent(Job, Task, In_.Now);
+}
+
+/// Holds places for the lasting tasks that may not leave the worker yet, until
+/// the other closed workers' tasks have theirs.
+void StartPlan::holdPlacesAhead(WorkerState &W) {
+  for (const auto &[Job, Task] : W.Tasks) {
+    if (!PoolState::stepOf(*Job, Task).Lasting || isBeingStopped(*Job, Task))
+      continue;
+    if (WorkerState *Place = chooseWorker(*Job, Task, "")) {
+      PoolState::occupy(*Place, PoolState::stepOf(*Job, Task));
+      PlacesAhead_.push_back({Job, Task, Place});
+    }
+  }
+}
+
 /// Moves the worker's lasting tasks to workers that are closed as well but
 /// emptied later. False if there is no room for any.
 bool StartPlan::moveAmongClosed(WorkerState &W,
                                 std::span<WorkerState *const> Later) {
   bool Moved = false;
   for (const auto &[Job, Task] : W.Tasks) {
-    if (!PoolState::stepOf(*Job, Task).Lasting || isBeingStopped(*Job, Task) ||
-        !Owner_.mayBecomeAbsent(*Job, Task, In_.Now) ||
-        !Owner_.mayRestart(*Job))
+    if (!PoolState::stepOf(*Job, Task).Lasting || !mayLeave(*Job, Task))
       continue;
     WorkerState *Place = chooseClosed(*Job, Task, Later);
     if (!Place)
       continue;
-    Owner_.reserve(*Place, *Job, PoolState::stepOf(*Job, Task));
-    HeldPlaces_.push_back({Job, Task, Place});
+    holdPlaceOn(*Place, *Job, Task);
     stopOn(W, *Job, Task, StopReason::WorkerClosed);
     Moved = true;
   }
   return Moved;
 }
 
-/// The worker with room among closed ones that has the most lasting tasks. An
-/// empty one may be taken down at any moment.
+/// The worker with room among closed ones that has the most lasting tasks. One
+/// that is being emptied may be taken down at any moment.
 WorkerState *
 StartPlan::chooseClosed(JobRecord &Job, std::uint32_t Task,
                         std::span<WorkerState *const> Closed) const {
   WorkerState *Best = nullptr;
   for (WorkerState *W : Closed)
-    if (W->Lasting > 0 && isSound(*W) &&
+    if (keepsLasting(*W) && isSound(*W) &&
         meetsConstraints(*W, Job, Task, PoolState::stepOf(Job, Task)) &&
         (!Best || W->Lasting > Best->Lasting))
       Best = W;
   return Best;
 }
 
+/// Whether the worker has a lasting task that is not being stopped.
+bool StartPlan::keepsLasting(const WorkerState &W) {
+  return std::any_of(W.Tasks.begin(), W.Tasks.end(), [](const auto &Item) {
+    const auto &[Job, Task] = Item;
+    return PoolState::stepOf(*Job, Task).Lasting && !isFinal(Job->Now) &&
+           !isBeingStopped(*Job, Task);
+  });
+}
+
 void StartPlan::stopOn(const WorkerState &W, JobRecord &Job, std::uint32_t Task,
                        StopReason Reason) {
   for (LiveRun &Run : Job.Tasks[Task].Runs)
@@ -180,7 +207,7 @@
     std::uint32_t Others = Leaving[{Job, Task - Place.Index}]++;
     std::uint32_t Unavailable =
         Owner_.countUnavailable(*Job, Task, In_.Now) + Others;
-    if (!Owner_.mayRestart(*Job) ||
+    if (!Owner_.mayRestart(*Job) || isHeldBack(*Job) ||
         Unavailable >= PoolState::absenceLimit(PoolState::stepOf(*Job, Task)))
       return false;
   }
@@ -236,22 +263,63 @@
   }
 }
 
+/// Expected time until the worker has room for a task of the step; none if only
+/// the end of a lasting task would make it. A run that takes longer than
+/// expected is taken to last as long again.
+std::optional<double> StartPlan::msUntilRoom(const WorkerState &W,
+                                             const StepSpec &Step) const {
+  core::Resources Free = freeOn(W);
+  if (core::fits(reserved(Step), Free))
+    return 0;
+  std::vector<std::pair<double, core::Resources>> Ends;
+  for (const auto &[Job, Task] : W.Tasks) {
+    const StepSpec &Ending = PoolState::stepOf(*Job, Task);
+    bool Stops = isBeingStopped(*Job, Task);
+    if (Ending.Lasting && !Stops)
+      continue;
+    double LeftMs = 0;
+    for (const LiveRun &Run : Job->Tasks[Task].Runs) {
+      double AgeMs = core::inMs(In_.Now - Run.OrderedAt);
+      double WholeMs = PoolState::runTimeMs(*Job, Ending);
+      if (Run.Worker == W.Entry.Id && !Stops)
+        LeftMs = AgeMs < WholeMs ? WholeMs - AgeMs : AgeMs;
+    }
+    Ends.emplace_back(LeftMs, reserved(Ending));
+  }
+  std::sort(Ends.begin(), Ends.end(),
+            [](const auto &A, const auto &B) { return A.first < B.first; });
+  for (const auto &[LeftMs, Freed] : Ends) {
+    Free.MilliCpus += Freed.MilliCpus;
+    Free.MemoryMb += Freed.MemoryMb;
+    Free.Accelerators += Freed.Accelerators;
+    if (core::fits(reserved(Step), Free))
+      return LeftMs;
+  }
+  return std::nullopt;
+}
+
 /// The worker that will have room for the task soonest, if any will without a
 /// lasting task that ends.
 std::vector<WorkerState *>::iterator
 StartPlan::chooseToKeep(JobRecord &Job, std::uint32_t Task) {
   const StepSpec &Step = PoolState::stepOf(Job, Task);
-  auto Rank = [](const WorkerState &W) {
-    return std::make_pair(freeOn(W).MilliCpus, std::string_view(W.Entry.Id));
-  };
   auto Best = Usable_.end();
+  auto BestRank = std::make_tuple(0.0, std::uint32_t{0}, std::string_view());
   for (auto It = Usable_.begin(); It != Usable_.end(); ++It) {
-    WorkerState &W = **It;
-    if (hasLabel(W, Step) && mayHost(W, Step) &&
-        hasSpread(W, Job, Task, Step) &&
-        core::fits(reserved(Step), roomBesideLasting(W)) &&
-        (Best == Usable_.end() || Rank(W) > Rank(**Best)))
+    const WorkerState &W = **It;
+    if (!hasLabel(W, Step) || !mayHost(W, Step) ||
+        !hasSpread(W, Job, Task, Step))
+      continue;
+    std::optional<double> Ms = msUntilRoom(W, Step);
+    if (!Ms)
+      continue;
+    auto Rank =
+        std::make_tuple(*Ms, W.Entry.Capacity.MilliCpus - freeOn(W).MilliCpus,
+                        std::string_view(W.Entry.Id));
+    if (Best == Usable_.end() || Rank < BestRank) {
       Best = It;
+      BestRank = Rank;
+    }
   }
   return Best;
 }
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -355,8 +355,7 @@
   return nullptr;
 }
 
-void PoolState::reserve(WorkerState &W, const JobRecord &Job,
-                        const StepSpec &Step) {
+void PoolState::occupy(WorkerState &W, const StepSpec &Step) {
   if (!Step.Filling)
     W.Used.MilliCpus += Step.Need.MilliCpus;
   W.Used.MemoryMb += Step.Need.MemoryMb;
@@ -364,14 +363,9 @@
   W.Serving += Step.TailTargetMs > 0 ? 1 : 0;
   W.Lasting += Step.Lasting ? 1 : 0;
   W.Filling += Step.Filling ? 1 : 0;
-  core::Resources &Use = Job.Team->Use;
-  Use.MilliCpus += Step.Need.MilliCpus;
-  Use.MemoryMb += Step.Need.MemoryMb;
-  Use.Accelerators += Step.Need.Accelerators;
 }
 
-void PoolState::release(WorkerState &W, const JobRecord &Job,
-                        const StepSpec &Step) {
+void PoolState::vacate(WorkerState &W, const StepSpec &Step) {
   if (!Step.Filling)
     W.Used.MilliCpus -= Step.Need.MilliCpus;
   W.Used.MemoryMb -= Step.Need.MemoryMb;
@@ -379,6 +373,20 @@
   W.Serving -= Step.TailTargetMs > 0 ? 1 : 0;
   W.Lasting -= Step.Lasting ? 1 : 0;
   W.Filling -= Step.Filling ? 1 : 0;
+}
+
+void PoolState::reserve(WorkerState &W, const JobRecord &Job,
+                        const StepSpec &Step) {
+  occupy(W, Step);
+  core::Resources &Use = Job.Team->Use;
+  Use.MilliCpus += Step.Need.MilliCpus;
+  Use.MemoryMb += Step.Need.MemoryMb;
+  Use.Accelerators += Step.Need.Accelerators;
+}
+
+void PoolState::release(WorkerState &W, const JobRecord &Job,
+                        const StepSpec &Step) {
+  vacate(W, Step);
   core::Resources &Use = Job.Team->Use;
   Use.MilliCpus -= Step.Need.MilliCpus;
   Use.MemoryMb -= Step.Need.MemoryMb;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -717,6 +717,9 @@
   void addRun(JobRecord &Job, std::uint32_t Task, LiveRun Run);
   void confirmRun(LiveRun &Run, core::TimePoint Now);
   void removeRun(JobRecord &Job, std::uint32_t Task, RunId Run);
+  /// Takes the worker's room for a task of the step, without its team's use.
+  static void occupy(WorkerState &W, const StepSpec &Step);
+  static void vacate(WorkerState &W, const StepSpec &Step);
   void reserve(WorkerState &W, const JobRecord &Job, const StepSpec &Step);
   void release(WorkerState &W, const JobRecord &Job, const StepSpec &Step);
   void markChanged(JobRecord &Job);
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -159,7 +159,7 @@
   for (const WithheldStart &Start : Withheld_)
     Start.Worker->ReportWanted = true;
   releaseWithheld(0);
-  releasePlaces();
+  releasePlaces(HeldPlaces_);
   return std::move(Starts_);
 }
 
@@ -472,11 +472,10 @@
   Withheld_.resize(Kept);
 }
 
-void StartPlan::releasePlaces() {
-  for (const WithheldStart &Place : HeldPlaces_)
-    Owner_.release(*Place.Worker, *Place.Job,
-                   PoolState::stepOf(*Place.Job, Place.Task));
-  HeldPlaces_.clear();
+void StartPlan::releasePlaces(std::vector<WithheldStart> &Places) {
+  for (const WithheldStart &Place : Places)
+    PoolState::vacate(*Place.Worker, PoolState::stepOf(*Place.Job, Place.Task));
+  Places.clear();
 }
 
 void StartPlan::start(JobRecord &Job, std::uint32_t Task, WorkerState &W,
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -147,8 +147,14 @@
   std::vector<WorkerState *>::iterator chooseToKeep(JobRecord &Job,
                                                     std::uint32_t Task);
   bool keepWorker(JobRecord &Job, std::uint32_t Task);
+  std::optional<double> msUntilRoom(const WorkerState &W,
+                                    const StepSpec &Step) const;
   bool holdPlace(JobRecord &Job, std::uint32_t Task);
-  void moveLasting(WorkerState &W, bool IsFirst);
+  void holdPlaceOn(WorkerState &W, JobRecord &Job, std::uint32_t Task);
+  void holdPlacesAhead(WorkerState &W);
+  bool mayLeave(const JobRecord &Job, std::uint32_t Task) const;
+  void moveLasting(WorkerState &W);
+  static bool keepsLasting(const WorkerState &W);
   bool moveAmongClosed(WorkerState &W, std::span<WorkerState *const> Later);
   WorkerState *chooseClosed(JobRecord &Job, std::uint32_t Task,
                             std::span<WorkerState *const> Closed) const;
@@ -156,7 +162,6 @@
               StopReason Reason);
   bool mayEmptyWithoutPlaces() const;
   bool emptyWithoutPlaces(WorkerState &W);
-  void releasePlaces();
   bool isAnnouncedOn(const JobRecord &Job, std::uint32_t Task,
                      const WorkerState &W) const;
   bool mustWithhold(const JobRecord &Job, std::uint32_t Task,
@@ -201,6 +206,8 @@
   std::vector<WithheldStart> Withheld_;
   /// Places of lasting tasks that are to start elsewhere.
   std::vector<WithheldStart> HeldPlaces_;
+  std::vector<WithheldStart> PlacesAhead_;
+  static void releasePlaces(std::vector<WithheldStart> &Places);
   /// Run time of the longest chain up to each step of one job, in milliseconds:
   /// in total, and for the unfinished steps.
   std::vector<double> ChainMs_;
