A gang whose member was dropped before it was sent starts anew as a whole

Found by the check of waits in random histories: a member's worker was idle, its lease had lapsed, and the member's announced run was dropped with it; the others were sent alone and ended so after the gang's time limit (GANG), and such a run cleared the gang's crashes. 31 of 400 histories with gangs that crash workers.

Announced runs of a gang are sent only if all are there; else they are taken back. Announced runs of lasting tasks on closed workers are sent too: they were taken back and stored anew each round (91 row writes in 9 s, LastingMovesTest). After an isolated task has waited, the worker that has room soonest comes before the one that was kept.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -98,11 +98,16 @@
   // The worker's capacity may have shrunk since the run's room was reserved.
   auto FitsStill = [&](const auto &Item) {
     const WorkerState &W = *Owner_.Workers_.at(Item.second.Worker);
-    return canTake(W) && core::fits(W.Used, W.Entry.Capacity);
+    // Lasting tasks start on closed workers too.
+    bool Takes = canTake(W) ||
+                 (PoolState::stepOf(Job, Item.first).Lasting && isSound(W));
+    return Takes && core::fits(W.Used, W.Entry.Capacity);
   };
+  // A gang whose member was dropped with its worker starts anew as a whole.
+  bool Whole = Held.empty() || Held.size() == Last - First;
   // While the job's row is refused, its runs would keep workers from others.
-  bool Usable =
-      !Job.SetAside && std::all_of(Held.begin(), Held.end(), FitsStill);
+  bool Usable = Whole && !Job.SetAside &&
+                std::all_of(Held.begin(), Held.end(), FitsStill);
   bool Stored = std::all_of(Held.begin(), Held.end(), [&](const auto &Item) {
     return Item.second.SendAfter <= Owner_.StoredMark_;
   });
@@ -313,7 +318,8 @@
     bool HasRoom = Waited && meetsConstraints(W, Job, Task, Step);
     bool Quiet = HasRoom && isQuiet(W);
     bool Kept = Waited && ReservedBefore_.contains(&W);
-    return std::make_tuple(Waited && !HasRoom, Waited && !Quiet,
+    double RoomMs = Waited ? msUntilRoom(W, Step).value_or(0) : 0;
+    return std::make_tuple(Waited && !HasRoom, Waited && !Quiet, RoomMs,
                            hasCrashedLately(W), !Kept, W.Lasting,
                            W.Tasks.size(), W.Entry.Id);
   };
