--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -72,8 +72,8 @@
   releasePlaces(PlacesAhead_);
   if (!Closed.front()->Evicting || !mayEmptyWithoutPlaces())
     return;
-  // A task that is stopped for a worker that is emptied later never goes back,
-  // since the order is by the number of lasting tasks.
+  // Tasks move only to workers that are emptied later, so that they don't move
+  // back and forth.
   for (auto It = Closed.begin(); It != Closed.end() && (*It)->Evicting; ++It)
     if (moveAmongClosed(**It, {std::next(It), Closed.end()}) ||
         emptyWithoutPlaces(**It))
--- a/tests/jobs/LastingMovesTest.cpp
+++ b/tests/jobs/LastingMovesTest.cpp
@@ -396,6 +396,7 @@
 TEST_CASE("a new owner starts a task whose workers fell silent within nine "
           "seconds") {
   std::vector<std::string> Ids;
+  Ids.reserve(20);
   for (int N = 0; N < 20; ++N)
     Ids.push_back("w" + std::to_string(N));
   CrashFixture F(Ids, 9);
