Share the label and the reservation of a step between planning and demand

The same two checks stood in StartPlan, LastingDemand and PoolLoad; they are free functions of jobs/Placement_p.h now.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -310,8 +310,8 @@
   const StepSpec &Step = PoolState::stepOf(Job, Task);
   bool Waited = hasWaitedIsolated(Job, Task);
   auto Fits = [&](const WorkerState &W) {
-    return core::fits(reserved(Step), roomBesideLasting(W)) &&
-           hasLabel(W, Step) && mayHost(W, Step) &&
+    return core::fits(reservedBy(Step), roomBesideLasting(W)) &&
+           hasLabel(W.Entry, Step) && mayHost(W, Step) &&
            (!Step.Lasting || hasSpread(W, Job, Task, Step));
   };
   auto Rank = [&](const WorkerState &W) {
--- a/src/jobs/LastingDemand.cpp
+++ b/src/jobs/LastingDemand.cpp
@@ -1,5 +1,7 @@
 #include "jobs/LastingDemand_p.h"
 
+#include "jobs/Placement_p.h"
+
 #include <algorithm>
 #include <iterator>
 #include <limits>
@@ -12,13 +14,6 @@
   return Has > Need ? Has - Need : 0;
 }
 
-core::Resources reserved(const StepSpec &Step) {
-  core::Resources Need = Step.Need;
-  if (Step.Filling)
-    Need.MilliCpus = 0;
-  return Need;
-}
-
 void take(core::Resources &Free, const core::Resources &Need) {
   Free.MilliCpus = left(Free.MilliCpus, Need.MilliCpus);
   Free.MemoryMb = left(Free.MemoryMb, Need.MemoryMb);
@@ -36,12 +31,6 @@
 
 bool isBeingStopped(const LiveRun &Run) { return Run.Stopping; }
 
-bool hasLabel(const WorkerState &W, const StepSpec &Step) {
-  const std::vector<std::string> &Labels = W.Entry.Labels;
-  return Step.Label.empty() ||
-         std::find(Labels.begin(), Labels.end(), Step.Label) != Labels.end();
-}
-
 /// Tasks of the step on the worker.
 std::uint32_t countOn(const WorkerState &W, JobRecord *Job, std::uint32_t First,
                       std::uint32_t Tasks) {
@@ -137,14 +126,14 @@
       const std::vector<LiveRun> &Runs = Job->Tasks[Task].Runs;
       if (Step.Lasting &&
           !std::all_of(Runs.begin(), Runs.end(), isBeingStopped))
-        take(Free, reserved(Step));
+        take(Free, reservedBy(Step));
     }
     for (Group *G : ByNeed_) {
-      if (!hasLabel(*W, *G->Step))
+      if (!hasLabel(W->Entry, *G->Step))
         continue;
       std::uint32_t Has = countOn(*W, G->Job, G->First, G->Step->Tasks);
       std::uint32_t Most = std::min(G->Tasks, spreadLeft(*G->Step, Has));
-      G->Tasks -= takeMost(Free, reserved(*G->Step), Most);
+      G->Tasks -= takeMost(Free, reservedBy(*G->Step), Most);
     }
   }
 }
@@ -153,13 +142,13 @@
 /// that finds no place on an empty worker finds none on the next one either.
 bool LastingDemand::mayWaitForMachine(const Group &G,
                                       const core::Resources &Machine) const {
-  if (G.Tasks == 0 || !core::fits(reserved(*G.Step), Machine))
+  if (G.Tasks == 0 || !core::fits(reservedBy(*G.Step), Machine))
     return false;
   bool Labelled = false;
   for (const auto &[Id, W] : Owner_.Workers_) {
-    Labelled = Labelled || hasLabel(*W, *G.Step);
+    Labelled = Labelled || hasLabel(W->Entry, *G.Step);
     if (isOpen(*W) && mayHostNow(*W) && W->Tasks.empty() &&
-        !hasLabel(*W, *G.Step))
+        !hasLabel(W->Entry, *G.Step))
       return false;
   }
   return Labelled;
@@ -172,7 +161,7 @@
     if (!mayWaitForMachine(*G, Machine))
       continue;
     std::uint32_t Most = spreadLeft(*G->Step, 0);
-    core::Resources Need = reserved(*G->Step);
+    core::Resources Need = reservedBy(*G->Step);
     for (std::size_t N = 0; G->Tasks > 0; ++N) {
       if (N == Free.size())
         Free.push_back(Machine);
--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -29,7 +29,7 @@
     const StepSpec &Step = PoolState::stepOf(*Job, Task);
     if (!Step.Lasting || isBeingStopped(*Job, Task))
       continue;
-    core::Resources Need = reserved(Step);
+    core::Resources Need = reservedBy(Step);
     Take(Left.MilliCpus, Need.MilliCpus);
     Take(Left.MemoryMb, Need.MemoryMb);
     Take(Left.Accelerators, Need.Accelerators);
@@ -269,7 +269,7 @@
 std::optional<double> StartPlan::msUntilRoom(const WorkerState &W,
                                              const StepSpec &Step) const {
   core::Resources Free = freeOn(W);
-  if (core::fits(reserved(Step), Free))
+  if (core::fits(reservedBy(Step), Free))
     return 0;
   std::vector<std::pair<double, core::Resources>> Ends;
   for (const auto &[Job, Task] : W.Tasks) {
@@ -284,7 +284,7 @@
       if (Run.Worker == W.Entry.Id && !Stops)
         LeftMs = AgeMs < WholeMs ? WholeMs - AgeMs : AgeMs;
     }
-    Ends.emplace_back(LeftMs, reserved(Ending));
+    Ends.emplace_back(LeftMs, reservedBy(Ending));
   }
   std::sort(Ends.begin(), Ends.end(),
             [](const auto &A, const auto &B) { return A.first < B.first; });
@@ -292,7 +292,7 @@
     Free.MilliCpus += Freed.MilliCpus;
     Free.MemoryMb += Freed.MemoryMb;
     Free.Accelerators += Freed.Accelerators;
-    if (core::fits(reserved(Step), Free))
+    if (core::fits(reservedBy(Step), Free))
       return LeftMs;
   }
   return std::nullopt;
@@ -307,7 +307,7 @@
   auto BestRank = std::make_tuple(0.0, std::uint32_t{0}, std::string_view());
   for (auto It = Usable_.begin(); It != Usable_.end(); ++It) {
     const WorkerState &W = **It;
-    if (!hasLabel(W, Step) || !mayHost(W, Step) ||
+    if (!hasLabel(W.Entry, Step) || !mayHost(W, Step) ||
         !hasSpread(W, Job, Task, Step))
       continue;
     std::optional<double> Ms = msUntilRoom(W, Step);
--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -1,6 +1,7 @@
 #include "jobs/PoolState.h"
 
 #include "jobs/LastingDemand_p.h"
+#include "jobs/Placement_p.h"
 #include "jobs/PoolTimes_p.h"
 
 #include <algorithm>
@@ -32,13 +33,7 @@
 
 /// Whether the worker could run a task of the step if it had no other one.
 bool isLargeEnough(const WorkerEntry &Entry, const StepSpec &Step) {
-  core::Resources Need = Step.Need;
-  if (Step.Filling)
-    Need.MilliCpus = 0;
-  bool HasLabel =
-      Step.Label.empty() || std::find(Entry.Labels.begin(), Entry.Labels.end(),
-                                      Step.Label) != Entry.Labels.end();
-  return HasLabel && core::fits(Need, Entry.Capacity);
+  return hasLabel(Entry, Step) && core::fits(reservedBy(Step), Entry.Capacity);
 }
 
 /// Sums of resources, which may exceed those of any worker by far.
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -34,13 +34,6 @@
           Left(All.Accelerators, W.Used.Accelerators)};
 }
 
-core::Resources StartPlan::reserved(const StepSpec &Step) {
-  core::Resources Need = Step.Need;
-  if (Step.Filling)
-    Need.MilliCpus = 0;
-  return Need;
-}
-
 StartPlan::StartPlan(PoolState &Owner, const PlanInput &In)
     : Owner_(Owner), In_(In),
       MayStartInherited_(Owner.mayStartInherited(In.Now)) {}
@@ -147,7 +140,7 @@
   PoolState::refreshWaiting(Job);
   return std::any_of(Job.WaitingSteps.begin(), Job.WaitingSteps.end(),
                      [&](const StepSpec *Step) {
-                       return core::fits(reserved(*Step), MostFree_) &&
+                       return core::fits(reservedBy(*Step), MostFree_) &&
                               !isKnownUnplaceable(*Step) &&
                               hasTeamRoom(Job, *Step, 1);
                      });
@@ -226,7 +219,7 @@
 }
 
 bool StartPlan::isKnownUnplaceable(const StepSpec &Step) const {
-  core::Resources Need = reserved(Step);
+  core::Resources Need = reservedBy(Step);
   return std::any_of(
       Unplaced_.begin(), Unplaced_.end(),
       [&](const core::Resources &Least) { return core::fits(Least, Need); });
@@ -262,7 +255,7 @@
     if (W || IsCopy || isSuspect(Job, Task))
       continue;
     if (Step.Label.empty() && Step.MaxPerWorker == 0 && !Step.Lasting)
-      Unplaced_.push_back(reserved(Step));
+      Unplaced_.push_back(reservedBy(Step));
     else
       Unplaceable = First;
   }
@@ -339,12 +332,6 @@
   return Count;
 }
 
-bool StartPlan::hasLabel(const WorkerState &W, const StepSpec &Step) {
-  const std::vector<std::string> &Labels = W.Entry.Labels;
-  return Step.Label.empty() ||
-         std::find(Labels.begin(), Labels.end(), Step.Label) != Labels.end();
-}
-
 bool StartPlan::hasSpread(const WorkerState &W, JobRecord &Job,
                           std::uint32_t Task, const StepSpec &Step) {
   return Step.MaxPerWorker == 0 ||
@@ -354,14 +341,14 @@
 bool StartPlan::meetsConstraints(const WorkerState &W, JobRecord &Job,
                                  std::uint32_t Task,
                                  const StepSpec &Step) const {
-  if (!core::fits(reserved(Step), freeOn(W)) || !mayHost(W, Step))
+  if (!core::fits(reservedBy(Step), freeOn(W)) || !mayHost(W, Step))
     return false;
   // A copy on the same worker as the straggling run would be slow as well.
   const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
   bool HasRun = std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
     return Run.Worker == W.Entry.Id;
   });
-  return hasLabel(W, Step) && !HasRun && hasSpread(W, Job, Task, Step);
+  return hasLabel(W.Entry, Step) && !HasRun && hasSpread(W, Job, Task, Step);
 }
 
 /// Whether the loss of the worker would be known soon enough for the step.
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_JOBS_STARTPLAN_P_H
 #define COMFREYDECK_JOBS_STARTPLAN_P_H
 
+#include "jobs/Placement_p.h"
 #include "jobs/PoolState.h"
 
 namespace comfreydeck::jobs {
@@ -93,8 +94,6 @@
                           std::uint32_t Count);
   bool isKnownUnplaceable(const StepSpec &Step) const;
   static core::Resources freeOn(const WorkerState &W);
-  /// Resources that a task of the step reserves on its worker.
-  static core::Resources reserved(const StepSpec &Step);
   /// What the worker has left once everything on it that ends by itself has
   /// ended.
   static core::Resources roomBesideLasting(const WorkerState &W);
@@ -106,7 +105,6 @@
   bool meetsConstraints(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step) const;
   bool mayHost(const WorkerState &W, const StepSpec &Step) const;
-  static bool hasLabel(const WorkerState &W, const StepSpec &Step);
   static bool hasSpread(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step);
   PlacementCounts countPlacements(JobRecord &Job, std::uint32_t Task) const;
--- a/src/jobs/TaskWait.cpp
+++ b/src/jobs/TaskWait.cpp
@@ -41,7 +41,9 @@
 WaitReason StartPlan::placementReason(JobRecord &Job,
                                       std::uint32_t Task) const {
   const StepSpec &Step = PoolState::stepOf(Job, Task);
-  auto HasLabel = [&](const WorkerState *W) { return hasLabel(*W, Step); };
+  auto HasLabel = [&](const WorkerState *W) {
+    return hasLabel(W->Entry, Step);
+  };
   if (!Usable_.empty() &&
       std::none_of(Usable_.begin(), Usable_.end(), HasLabel))
     return WaitReason::Label;
@@ -49,7 +51,7 @@
     return WaitReason::Unplaceable;
   if (isIsolated(Job, Task))
     return WaitReason::Isolated;
-  bool MayFit = core::fits(reserved(Step), MostFree_);
+  bool MayFit = core::fits(reservedBy(Step), MostFree_);
   if (Step.Gang)
     return MayFit ? gangReason(Job, PoolState::unitOf(Job, Task).first, Step)
                   : WaitReason::Gang;
@@ -66,9 +68,9 @@
 bool StartPlan::exceedsCapacity(const StepSpec &Step) const {
   bool AnyListed = false;
   for (const WorkerState *W : Largest_) {
-    if (!hasLabel(*W, Step))
+    if (!hasLabel(W->Entry, Step))
       continue;
-    if (core::fits(reserved(Step), W->Entry.Capacity))
+    if (core::fits(reservedBy(Step), W->Entry.Capacity))
       return false;
     AnyListed = true;
   }
@@ -114,7 +116,7 @@
 std::uint32_t StartPlan::countPlaces(const WorkerState &W, JobRecord &Job,
                                      std::uint32_t Task,
                                      const StepSpec &Step) const {
-  core::Resources Need = reserved(Step);
+  core::Resources Need = reservedBy(Step);
   core::Resources Free = freeOn(W);
   std::uint32_t Places = Step.Tasks;
   auto Bound = [&](std::uint32_t Has, std::uint32_t One) {
@@ -191,10 +193,10 @@
   Counts.Workers = static_cast<std::uint32_t>(Owner_.Workers_.size());
   Counts.Usable = static_cast<std::uint32_t>(Usable_.size());
   for (const WorkerState *W : Usable_) {
-    if (!hasLabel(*W, Step) || !mayHost(*W, Step))
+    if (!hasLabel(W->Entry, Step) || !mayHost(*W, Step))
       continue;
     ++Counts.WithLabel;
-    if (!core::fits(reserved(Step), freeOn(*W)))
+    if (!core::fits(reservedBy(Step), freeOn(*W)))
       continue;
     ++Counts.WithRoom;
     Counts.WithSpread += hasSpread(*W, Job, Task, Step) ? 1 : 0;
@@ -214,7 +216,7 @@
   case WaitReason::Gang:
     return !isHalfFree();
   case WaitReason::Room:
-    return !core::fits(reserved(Step), MostFree_) ||
+    return !core::fits(reservedBy(Step), MostFree_) ||
            countPlacements(Job, Task).WithSpread == 0;
   default:
     return false;
