--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -149,7 +149,7 @@
 std::vector<StartOrder> StartPlan::run() {
   planSuspects();
   planWaiting();
-  for (const WithheldStart &Start : Withheld_)
+  for (const HeldRoom &Start : Withheld_)
     Start.Worker->ReportWanted = true;
   releaseWithheld(0);
   releasePlaces(HeldPlaces_);
@@ -433,7 +433,7 @@
 
 bool StartPlan::isWithheld(const JobRecord &Job, std::uint32_t Task) const {
   return std::any_of(Withheld_.begin(), Withheld_.end(),
-                     [&](const WithheldStart &Start) {
+                     [&](const HeldRoom &Start) {
                        return Start.Job == &Job && Start.Task == Task;
                      });
 }
@@ -452,15 +452,15 @@
 /// Gives back the room of the withheld starts but the first ones.
 void StartPlan::releaseWithheld(std::size_t Kept) {
   for (std::size_t N = Kept; N < Withheld_.size(); ++N) {
-    const WithheldStart &Start = Withheld_[N];
+    const HeldRoom &Start = Withheld_[N];
     Owner_.release(*Start.Worker, *Start.Job,
                    PoolState::stepOf(*Start.Job, Start.Task));
   }
   Withheld_.resize(Kept);
 }
 
-void StartPlan::releasePlaces(std::vector<WithheldStart> &Places) {
-  for (const WithheldStart &Place : Places)
+void StartPlan::releasePlaces(std::vector<HeldRoom> &Places) {
+  for (const HeldRoom &Place : Places)
     PoolState::vacate(*Place.Worker, PoolState::stepOf(*Place.Job, Place.Task));
   Places.clear();
 }
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -164,6 +164,14 @@
                      const WorkerState &W) const;
   bool mustWithhold(const JobRecord &Job, std::uint32_t Task,
                     const WorkerState &W) const;
+  /// A task that doesn't start in this round, and the worker that was chosen
+  /// for it, which keeps its room until the round's end.
+  struct HeldRoom {
+    const JobRecord *Job = nullptr;
+    std::uint32_t Task = 0;
+    WorkerState *Worker = nullptr;
+  };
+  static void releasePlaces(std::vector<HeldRoom> &Places);
   void withhold(const JobRecord &Job, std::uint32_t Task, WorkerState &W);
   bool isWithheld(const JobRecord &Job, std::uint32_t Task) const;
   void withholdGang(JobRecord &Job, std::uint32_t First, const StepSpec &Step,
@@ -194,18 +202,12 @@
   /// Resource needs for which no worker had room.
   std::vector<core::Resources> Unplaced_;
   std::vector<StartOrder> Starts_;
-  /// A task that waits for a report of the worker that was chosen for it, which
-  /// keeps its room there for this round.
-  struct WithheldStart {
-    const JobRecord *Job = nullptr;
-    std::uint32_t Task = 0;
-    WorkerState *Worker = nullptr;
-  };
-  std::vector<WithheldStart> Withheld_;
+  /// Starts that wait for a report.
+  std::vector<HeldRoom> Withheld_;
   /// Places of lasting tasks that are to start elsewhere.
-  std::vector<WithheldStart> HeldPlaces_;
-  std::vector<WithheldStart> PlacesAhead_;
-  static void releasePlaces(std::vector<WithheldStart> &Places);
+  std::vector<HeldRoom> HeldPlaces_;
+  /// Places that the closed worker which is emptied first needs next.
+  std::vector<HeldRoom> PlacesAhead_;
   /// Run time of the longest chain up to each step of one job, in milliseconds:
   /// in total, and for the unfinished steps.
   std::vector<double> ChainMs_;
