Keep no worker for a lasting task that has a run there, and see the room of runs that are being stopped

Callers saw: short tasks waited in rounds in which a worker with room for them was kept for a lasting task that could not start there, or in which another worker was kept than the one whose room came first.

Cause: a task with two runs, one of them being stopped. chooseToKeep left out the check that the task has no run on the worker, which each start has; and room that a stopped run will leave was only counted if all runs of its task were being stopped.

Change: the same check; runs are looked at by worker (endsOn, roomBesideLasting, rackBusyMs). The naive planner looked at whole tasks in the same way in part (`isLeaving`), so it looks at the run on the worker now.

--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -25,7 +25,7 @@
   };
   for (const auto &[Job, Task] : W.Tasks) {
     const StepSpec &Step = PoolState::stepOf(*Job, Task);
-    if (!Step.Lasting || isBeingStopped(*Job, Task))
+    if (!Step.Lasting || isBeingStoppedOn(W, *Job, Task))
       continue;
     core::Resources Need = reservedBy(Step);
     Take(Left.MilliCpus, Need.MilliCpus);
@@ -42,6 +42,16 @@
                      [](const LiveRun &Run) { return Run.Stopping; });
 }
 
+/// Whether the task's run on the worker is being stopped; it may have another
+/// one elsewhere.
+bool StartPlan::isBeingStoppedOn(const WorkerState &W, const JobRecord &Job,
+                                 std::uint32_t Task) {
+  const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
+  return std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
+    return Run.Worker == W.Entry.Id && Run.Stopping;
+  });
+}
+
 void StartPlan::planLastingMoves() {
   std::vector<WorkerState *> Closed;
   for (auto &[Id, W] : Owner_.Workers_)
@@ -289,7 +299,7 @@
   std::vector<ExpectedEnd> Ends;
   for (const auto &[Job, Task] : W.Tasks) {
     const StepSpec &Ending = PoolState::stepOf(*Job, Task);
-    bool Stops = isBeingStopped(*Job, Task);
+    bool Stops = isBeingStoppedOn(W, *Job, Task);
     if (Ending.Lasting && !Stops)
       continue;
     double LeftMs = Stops ? 0 : leftMs(W, *Job, Task);
@@ -334,7 +344,7 @@
   for (auto It = Usable_.begin(); It != Usable_.end(); ++It) {
     const WorkerState &W = **It;
     if (!hasLabel(W.Entry, Step) || !mayHost(W, Step) ||
-        !hasSpread(W, Job, Task, Step))
+        hasRunOn(W, Job, Task) || !hasSpread(W, Job, Task, Step))
       continue;
     std::optional<double> Ms = msUntilRoom(W, Step);
     if (!Ms)
--- a/src/jobs/NearRack.cpp
+++ b/src/jobs/NearRack.cpp
@@ -48,7 +48,7 @@
     MilliCpus += roomBesideLasting(*W).MilliCpus;
     for (const auto &[Job, Task] : W->Tasks) {
       const StepSpec &Step = PoolState::stepOf(*Job, Task);
-      if (!Step.Lasting && !isBeingStopped(*Job, Task))
+      if (!Step.Lasting && !isBeingStoppedOn(*W, *Job, Task))
         Work += reservedBy(Step).MilliCpus * leftMs(*W, *Job, Task);
     }
   }
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -307,11 +307,16 @@
   if (!core::fits(reservedBy(Step), freeOn(W)) || !mayHost(W, Step))
     return false;
   // A copy on the same worker as the straggling run would be slow as well.
+  return hasLabel(W.Entry, Step) && !hasRunOn(W, Job, Task) &&
+         hasSpread(W, Job, Task, Step);
+}
+
+bool StartPlan::hasRunOn(const WorkerState &W, const JobRecord &Job,
+                         std::uint32_t Task) {
   const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
-  bool HasRun = std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
+  return std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
     return Run.Worker == W.Entry.Id;
   });
-  return hasLabel(W.Entry, Step) && !HasRun && hasSpread(W, Job, Task, Step);
 }
 
 /// Whether the loss of the worker would be known soon enough for the step.
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -177,6 +177,8 @@
   bool meetsConstraints(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step) const;
   bool mayHost(const WorkerState &W, const StepSpec &Step) const;
+  static bool hasRunOn(const WorkerState &W, const JobRecord &Job,
+                       std::uint32_t Task);
   static bool hasSpread(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step);
   PlacementCounts countPlacements(JobRecord &Job, std::uint32_t Task) const;
@@ -216,6 +218,8 @@
   /// Plans the jobs at the front of the heap that are lasting or not.
   void planCandidates(std::vector<Candidate> &Heap, bool Lasting);
   static bool isBeingStopped(const JobRecord &Job, std::uint32_t Task);
+  static bool isBeingStoppedOn(const WorkerState &W, const JobRecord &Job,
+                               std::uint32_t Task);
   /// Makes room for lasting tasks that wait, and moves those on closed workers.
   void planLastingMoves();
   void planStillWaiting(std::span<WorkerState *const> Closed);
--- a/tests/jobs/NaiveStarts.cpp
+++ b/tests/jobs/NaiveStarts.cpp
@@ -274,7 +274,7 @@
   std::uint32_t placesBesideLasting(WorkerView P, const StepSpec &Step) const {
     P.Used = {};
     for (const auto &[Other, Task] : P.Source->Tasks)
-      if (isLasting(*Other) && !isLeaving(*Other, Task))
+      if (isLasting(*Other) && !isStoppedOn(P, *Other, Task))
         occupy(Other->Spec.Steps[refsOf(*Other)[Task].Step], P);
     for (const NaiveStart &Start : Starts_) {
       const JobRecord &Other = *Owner_.findJob(Start.Task.JobId);
@@ -548,6 +548,14 @@
     return P != nullptr;
   }
 
+  static bool isStoppedOn(const WorkerView &P, const JobRecord &Job,
+                          std::uint32_t Task) {
+    const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
+    return std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
+      return Run.Worker == P.Source->Entry.Id && Run.Stopping;
+    });
+  }
+
   /// Whether all runs of the task are being stopped.
   bool isLeaving(const JobRecord &Job, std::uint32_t Task) const {
     const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
@@ -705,7 +713,8 @@
       std::vector<TaskRef> Refs = refsOf(*Job);
       for (std::uint32_t T = 0; T < Refs.size(); ++T) {
         const StepSpec &Step = Job->Spec.Steps[Refs[T].Step];
-        if (!Step.Lasting || !isOn(*Job, T, Refs[T], P) || isLeaving(*Job, T))
+        if (!Step.Lasting || !isOn(*Job, T, Refs[T], P) ||
+            isStoppedOn(P, *Job, T))
           continue;
         core::Resources Need = reservedBy(Step);
         Use.MilliCpus += Need.MilliCpus;
@@ -750,13 +759,12 @@
     if (std::count(Starts_.begin(), Starts_.end(),
                    NaiveStart{P.Source->Entry.Id, Ref}) > 0)
       return Step.Lasting ? std::nullopt : std::optional(runMs(Job, Step, P));
-    bool Stops = isLeaving(Job, Task);
     for (const LiveRun &Run : Job.Tasks[Task].Runs) {
-      if (Run.Worker != P.Source->Entry.Id || (Step.Lasting && !Stops))
+      if (Run.Worker != P.Source->Entry.Id || (Step.Lasting && !Run.Stopping))
         continue;
       double AgeMs = core::inMs(Input_.In.Now - Run.OrderedAt);
       double WholeMs = runMs(Job, Step, P);
-      return Stops ? 0 : AgeMs < WholeMs ? WholeMs - AgeMs : AgeMs;
+      return Run.Stopping ? 0 : AgeMs < WholeMs ? WholeMs - AgeMs : AgeMs;
     }
     return std::nullopt;
   }
--- a/tests/jobs/StartPlanTest.cpp
+++ b/tests/jobs/StartPlanTest.cpp
@@ -276,8 +276,25 @@
   std::uint64_t Gangs_ = 0;
 };
 
+/// Whether both plans are equal in all steps of the pool.
+bool plansAreEqual(std::uint64_t Seed) {
+  RandomPool Pool(Seed);
+  bool Same = true;
+  for (int Step = 0; Step < Steps && Same; ++Step)
+    Same = Pool.step();
+  return Same;
+}
+
 } // namespace
 
+TEST_CASE("workers are kept for a task that has a run there, or whose room is "
+          "not seen to come free, while others could start there") {
+  for (std::uint64_t Seed : {20262057, 20262128}) {
+    CAPTURE(Seed);
+    CHECK(plansAreEqual(Seed));
+  }
+}
+
 TEST_CASE("the owner plans the same starts on the same workers as the naive "
           "implementation") {
   std::size_t Starts = 0;
