--- a/src/settings/DispatchSettings.cpp
+++ b/src/settings/DispatchSettings.cpp
@@ -1,9 +1,7 @@
 #include "settings/DispatchSettings.h"
 
 #include "settings/ObjectReader_p.h"
-
-#include <fstream>
-#include <sstream>
+#include "settings/SettingsFile_p.h"
 
 namespace comfreydeck::settings {
 
@@ -60,11 +58,7 @@
 DispatchSettings parseDispatchSettings(std::string_view Json) {
   std::vector<SettingsFault> Faults;
   DispatchSettings Out;
-  nlohmann::json Document = nlohmann::json::parse(Json, nullptr, false);
-  if (!Document.is_object()) {
-    Faults.push_back({"", "must be a JSON object"});
-    throw SettingsError(std::move(Faults));
-  }
+  nlohmann::json Document = detail::parseObject(Json);
   ObjectReader R(Document, "", Faults);
   readEntry(R.child("entry", Need::Required), Out);
   readPlatform(R.child("platform", Need::Required), Out);
@@ -77,15 +71,7 @@
 }
 
 DispatchSettings loadDispatchSettings(const std::string &File) {
-  std::ifstream In(File);
-  if (!In) {
-    std::vector<SettingsFault> Faults;
-    Faults.push_back({"", "can't be read from " + File});
-    throw SettingsError(std::move(Faults));
-  }
-  std::stringstream Text;
-  Text << In.rdbuf();
-  return parseDispatchSettings(Text.str());
+  return detail::parseFile(File, parseDispatchSettings);
 }
 
 } // namespace comfreydeck::settings
--- a/src/settings/Settings.cpp
+++ b/src/settings/Settings.cpp
@@ -1,7 +1,5 @@
 #include "settings/ObjectReader_p.h"
-
-#include <fstream>
-#include <sstream>
+#include "settings/SettingsFile_p.h"
 
 namespace comfreydeck::settings {
 
@@ -14,24 +12,20 @@
 constexpr std::size_t MinTokenBytes = 16;
 constexpr std::size_t KeyHashHexDigits = 64;
 
-std::string describe(std::span<const SettingsFault> Faults) {
+std::string describe(std::span<const SettingsFault> Faults,
+                     std::string_view File) {
   std::string Text;
   for (const SettingsFault &Fault : Faults) {
     if (!Text.empty())
       Text += '\n';
+    if (!File.empty())
+      Text.append(File).append(": ");
     Text += Fault.Path.empty() ? "settings" : Fault.Path;
     Text += ' ' + Fault.Message;
   }
   return Text;
 }
 
-/// Creates an error that concerns the document as a whole.
-SettingsError documentFault(std::string Message) {
-  std::vector<SettingsFault> Faults;
-  Faults.push_back({"", std::move(Message)});
-  return SettingsError(std::move(Faults));
-}
-
 void readEntry(ObjectReader R, EntrySettings &Out) {
   R.text("name", Out.Name, Need::Required);
   R.text("datacentre", Out.DataCentre, Need::Required);
@@ -104,15 +98,12 @@
 
 } // namespace
 
-SettingsError::SettingsError(std::vector<SettingsFault> Faults)
-    : std::runtime_error(describe(Faults)), Faults_(std::move(Faults)) {}
+SettingsError::SettingsError(std::vector<SettingsFault> Faults,
+                             std::string_view File)
+    : std::runtime_error(describe(Faults, File)), Faults_(std::move(Faults)) {}
 
 Settings parseSettings(std::string_view Json) {
-  json Document = json::parse(Json, nullptr, false);
-  if (Document.is_discarded())
-    throw documentFault("is not valid JSON");
-  if (!Document.is_object())
-    throw documentFault("must be a JSON object");
+  json Document = detail::parseObject(Json);
   Settings Out;
   std::vector<SettingsFault> Faults;
   ObjectReader R(Document, "", Faults);
@@ -130,12 +121,7 @@
 }
 
 Settings loadSettings(const std::string &File) {
-  std::ifstream Stream(File);
-  if (!Stream)
-    throw documentFault("can't be read from " + File);
-  std::stringstream Content;
-  Content << Stream.rdbuf();
-  return parseSettings(Content.str());
+  return detail::parseFile(File, parseSettings);
 }
 
 } // namespace comfreydeck::settings
--- a/src/settings/Settings.h
+++ b/src/settings/Settings.h
@@ -93,7 +93,9 @@
 /// Carries all validation errors of a document.
 class SettingsError : public std::runtime_error {
 public:
-  explicit SettingsError(std::vector<SettingsFault> Faults);
+  /// \p File is named before each fault; empty if the document is no file.
+  explicit SettingsError(std::vector<SettingsFault> Faults,
+                         std::string_view File = {});
 
   /// Never empty. Thread-safe.
   std::span<const SettingsFault> faults() const { return Faults_; }
--- a/tests/settings/DispatchSettingsTest.cpp
+++ b/tests/settings/DispatchSettingsTest.cpp
@@ -3,6 +3,11 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <unistd.h>
 
 using namespace comfreydeck;
 using namespace comfreydeck::settings;
@@ -75,3 +80,34 @@
   for (const char *Text : {"", "[]", "{", "7"})
     CHECK_THROWS_AS(parseDispatchSettings(Text), SettingsError);
 }
+
+TEST_CASE("each fault of a settings file is reported with the file's name") {
+  auto Error = [](const std::string &File) -> std::string {
+    try {
+      loadDispatchSettings(File);
+    } catch (const SettingsError &E) {
+      return E.what();
+    }
+    return "";
+  };
+  std::filesystem::path Folder =
+      std::filesystem::temp_directory_path() /
+      ("comfreydeck-settings-" + std::to_string(::getpid()));
+  std::filesystem::create_directory(Folder);
+  std::string File = Folder / "entry.json";
+  CHECK(Error(File) ==
+        File + ": settings can't be read: No such file or directory");
+  CHECK(Error(Folder) ==
+        Folder.string() + ": settings can't be read: Is a directory");
+  std::ofstream(File) << R"({"entry": {}, "platform": {})";
+  std::string Syntax = Error(File);
+  CHECK(Syntax.rfind(File + ": settings is not valid JSON: ", 0) == 0);
+  CHECK(Syntax.find("line 1, column 29") != std::string::npos);
+  std::ofstream(File) << R"({"entry": {"name": "a"}, "platform": {}})";
+  std::stringstream Lines(Error(File));
+  std::size_t Count = 0;
+  for (std::string Line; std::getline(Lines, Line); ++Count)
+    CHECK(Line.rfind(File + ": ", 0) == 0);
+  CHECK(Count == 5);
+  std::filesystem::remove_all(Folder);
+}
