--- a/src/operators/Commands.cpp
+++ b/src/operators/Commands.cpp
@@ -41,6 +41,12 @@
     if (Unknown.empty())
       throw;
     throw CLI::ExtrasError(Unknown);
+  } catch (const CLI::RequiredError &) {
+    std::vector<std::string> Unknown = App.remaining(true);
+    if (Unknown.empty())
+      throw;
+    throw CLI::ExtrasError("There is no command " + Unknown.front(),
+                           CLI::ExitCodes::ExtrasError);
   }
 }
 
--- a/src/operators/Commands.h
+++ b/src/operators/Commands.h
@@ -29,7 +29,8 @@
 void addCommands(CLI::App &App, CommandContext &Context);
 
 /// Parses a command line with CLI::App::parse. An unknown word is an error also
-/// beside --help, which CLI11 would answer with the general usage. Throws
+/// beside --help, which CLI11 would answer with the general usage, and where a
+/// command is missing, which CLI11 would name instead. Throws
 /// CLI::ParseError, and what the commands throw. Not thread-safe.
 void parseCommandLine(CLI::App &App, int Argc, const char *const *Argv);
 
--- a/tests/operators/CommandsTest.cpp
+++ b/tests/operators/CommandsTest.cpp
@@ -251,16 +251,30 @@
         "A   B\né   1\nab  2\n");
 }
 
+namespace {
+
+void parse(std::vector<const char *> Arguments) {
+  operators::CommandContext Context;
+  CLI::App App;
+  App.require_subcommand(1);
+  operators::addCommands(App, Context);
+  Arguments.insert(Arguments.begin(), "comfreydeck");
+  operators::parseCommandLine(App, static_cast<int>(Arguments.size()),
+                              Arguments.data());
+}
+
+} // namespace
+
+TEST_CASE("an unknown command is named, not reported as a missing command") {
+  CHECK_THROWS_WITH_AS(parse({"frobnicate"}), "There is no command frobnicate",
+                       CLI::ExtrasError);
+  CHECK_THROWS_WITH_AS(parse({"team", "frobnicate"}),
+                       "There is no command frobnicate", CLI::ExtrasError);
+  CHECK_THROWS_AS(parse({}), CLI::RequiredError);
+}
+
 TEST_CASE("an unknown command is an error also beside --help") {
-  auto Parse = [](std::vector<const char *> Arguments) {
-    operators::CommandContext Context;
-    CLI::App App;
-    App.require_subcommand(1);
-    operators::addCommands(App, Context);
-    Arguments.insert(Arguments.begin(), "comfreydeck");
-    operators::parseCommandLine(App, static_cast<int>(Arguments.size()),
-                                Arguments.data());
-  };
+  auto Parse = parse;
   CHECK_THROWS_AS(Parse({"frobnicate", "--help"}), CLI::ExtrasError);
   CHECK_THROWS_AS(Parse({"--help", "frobnicate"}), CLI::ExtrasError);
   CHECK_THROWS_AS(Parse({"team", "frobnicate", "--help"}), CLI::ExtrasError);
