--- a/src/operators/Commands.cpp
+++ b/src/operators/Commands.cpp
@@ -16,8 +16,9 @@
       ->allow_extra_args(false);
   App.add_option("--key", Context.Access.KeySecret, "The operator's key")
       ->envname("COMFREYDECK_OPERATOR_KEY");
-  App.add_option("--output", Context.Format, "table or json")
-      ->transform(CLI::CheckedTransformer(Formats));
+  App.add_option("--output", Context.Format, "How results are printed")
+      ->transform(CLI::CheckedTransformer(Formats).description(""))
+      ->type_name("table|json");
   App.fallthrough();
   detail::addStatusCommand(App, Context);
   detail::addCustomerCommands(App, Context);
--- a/src/operators/KeyCommands.cpp
+++ b/src/operators/KeyCommands.cpp
@@ -107,9 +107,10 @@
   CLI::App *Grant = Group->add_subcommand("grant", "Create an operator's key");
   auto Edit = std::make_shared<core::GrantOperatorKey>();
   Grant->add_option("name", Edit->Name, "The operator")->required();
-  Grant->add_option("--role", Edit->Allowed, "read, operate or administer")
+  Grant->add_option("--role", Edit->Allowed, "What the operator may do")
       ->required()
-      ->transform(CLI::CheckedTransformer(Roles));
+      ->transform(CLI::CheckedTransformer(Roles).description(""))
+      ->type_name("read|operate|administer");
   auto Mode = addDryRun(Grant);
   Grant->callback([&Context, Edit, Mode] { grant(Context, *Edit, *Mode); });
   addWithdraw<core::WithdrawOperatorKey>(Group, Context);
--- a/tests/operators/CommandsTest.cpp
+++ b/tests/operators/CommandsTest.cpp
@@ -273,6 +273,15 @@
   CHECK_THROWS_AS(parse({}), CLI::RequiredError);
 }
 
+TEST_CASE("the help names the values of an option as they are written") {
+  operators::CommandContext Context;
+  CLI::App App;
+  operators::addCommands(App, Context);
+  std::string Help = App.help();
+  CHECK(Help.find("--output table|json ") != std::string::npos);
+  CHECK(Help.find("ENUM") == std::string::npos);
+}
+
 TEST_CASE("an unknown command is an error also beside --help") {
   auto Parse = parse;
   CHECK_THROWS_AS(Parse({"frobnicate", "--help"}), CLI::ExtrasError);
