--- a/src/Main.cpp
+++ b/src/Main.cpp
@@ -2,7 +2,7 @@
 #include "codec/KeyHash.h"
 #include "comfreydeck/comfreydeck.h"
 #include "operators/Commands.h"
-#include "settings/Settings.h"
+#include "settings/DispatchSettings.h"
 
 #include <CLI/CLI.hpp>
 #include <glog/logging.h>
@@ -38,8 +38,14 @@
   return ExitOk;
 }
 
-int checkSettings(const std::string &File) {
-  settings::loadSettings(File);
+/// The commands that read a settings file, each in a form of its own.
+enum class SettingsForm : std::uint8_t { Serve, Dispatch };
+
+int checkSettings(const std::string &File, SettingsForm Form) {
+  if (Form == SettingsForm::Dispatch)
+    settings::loadDispatchSettings(File);
+  else
+    settings::loadSettings(File);
   std::cout << File << " is valid\n";
   return ExitOk;
 }
@@ -63,6 +69,12 @@
   CLI::App *Check =
       App.add_subcommand("check-settings", "Check a settings file");
   Check->add_option("file", File, "The settings file")->required();
+  SettingsForm Form = SettingsForm::Serve;
+  const std::map<std::string, SettingsForm> Forms = {
+      {"serve", SettingsForm::Serve}, {"dispatch", SettingsForm::Dispatch}};
+  Check->add_option("--for", Form, "The command that is to read the file")
+      ->transform(CLI::CheckedTransformer(Forms).description(""))
+      ->type_name("serve|dispatch");
   CLI::App *NewKey = App.add_subcommand("new-key", "Make a secret, offline");
   operators::CommandContext Context;
   operators::addCommands(App, Context);
@@ -78,7 +90,7 @@
     return ExitOk;
   }
   if (Check->parsed())
-    return checkSettings(File);
+    return checkSettings(File, Form);
   if (NewKey->parsed())
     return printNewKey();
   return static_cast<int>(Context.Exit);
