Move the log lines of one pool from PoolController to PoolEventLog

PoolEventLog writes all lines of one owned pool, with the same fields in the same order; PoolController says when. The lines of a planning pass are one call, logDecisions, in the order in which they were written before. No behaviour changes and no test does.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -2,7 +2,6 @@
 
 #include "codec/JobJson.h"
 #include "dispatch/Clock.h"
-#include "dispatch/EventLog.h"
 #include "dispatch/MachineCache.h"
 
 #include <algorithm>
@@ -46,11 +45,6 @@
 /// Payloads that are read at the same time.
 constexpr std::size_t MaxPayloadReads = 16;
 
-struct WorkerCount {
-  std::size_t Heard = 0;
-  std::size_t NotListed = 0;
-};
-
 /// Splits the batch into two, each with about half of its rows. Roster rows
 /// come first, removals last: what a removed worker has ended is stored before.
 std::pair<jobs::ProgressBatch, jobs::ProgressBatch>
@@ -89,15 +83,6 @@
   return std::move(First.Progress);
 }
 
-WorkerCount countWorkers(const jobs::PoolState &State) {
-  WorkerCount Count;
-  for (const auto &[Id, Worker] : State.workers()) {
-    Count.Heard += Worker->Heard ? 1 : 0;
-    Count.NotListed += Worker->Gone ? 1 : 0;
-  }
-  return Count;
-}
-
 jobs::OwnerLimits limitsFor(const settings::DispatchSettings &Settings) {
   jobs::OwnerLimits Limits;
   Limits.Lease = std::min(Limits.Lease, Settings.MaxLease);
@@ -115,6 +100,7 @@
                                std::function<void(const std::string &)> Lost)
     : Ctx_(Ctx), View_(View), Jobs_(Jobs), Table_(Table),
       State_(Takeover.Pool, Takeover.Token, bootNow(), limitsFor(Ctx.Settings)),
+      Log_(Takeover.Pool, Takeover.Token),
       Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token), TakenAt_(Takeover.At),
       Earlier_(Takeover.Earlier), StopQuery_(std::move(Query)),
       Lost_(std::move(Lost)), Part_(rows::poolPart(Takeover.Pool)) {}
@@ -133,26 +119,12 @@
       return;
     }
     Self->Ctx_.Count.recordRetry("load-jobs");
-    Self->logLoadFailure(rows::Jobs, *Answer);
+    Self->Log_.logLoadFailure(rows::Jobs, *Answer, bootNow() - Self->TakenAt_);
     Self->Ctx_.Loop.after(StoreRetry,
                           [Self, TableRead] { Self->load(TableRead); });
   });
 }
 
-/// Logs each failed load, since the pool gets no work done until its rows are
-/// read.
-void PoolController::logLoadFailure(const char *Table,
-                                    const PartAnswer &Answer) {
-  logEvent("pool_load_failed",
-           {{"pool", State_.pool()},
-            {"token", State_.token()},
-            {"table", Table},
-            {"outcome", store::nameOf(Answer.Outcome)},
-            {"error", Answer.Error},
-            {"rows_read", Answer.Rows.size()},
-            {"since_ms", core::inMs(bootNow() - TakenAt_)}});
-}
-
 void PoolController::loadProgress(std::shared_ptr<const PartAnswer> JobTable) {
   auto Self = shared_from_this();
   readPartsPatiently(Ctx_.Loop, Ctx_.Store, rows::Progress, {Part_},
@@ -174,7 +146,7 @@
     return;
   }
   Ctx_.Count.recordRetry("load-progress");
-  logLoadFailure(rows::Progress, Answer);
+  Log_.logLoadFailure(rows::Progress, Answer, bootNow() - TakenAt_);
   Ctx_.Loop.after(StoreRetry, [Self = shared_from_this(), JobTable] {
     Self->loadProgress(JobTable);
   });
@@ -207,7 +179,7 @@
     try {
       Kept[Key] = progressOf(ByKey, Key);
     } catch (const std::exception &E) {
-      logEvent("progress_row_unreadable", {{"job", Key}, {"error", E.what()}});
+      Log_.logUnreadableProgress(Key, E.what());
     }
   }
   for (const store::PartRow &Row : JobRows) {
@@ -222,8 +194,7 @@
       auto It = Kept.find(Spec.Id);
       State_.inheritJob(Spec, It == Kept.end() ? nullptr : &It->second, Now);
     } catch (const std::exception &E) {
-      logEvent("job_row_unreadable",
-               {{"job", Row.Where.Key}, {"error", E.what()}});
+      Log_.logUnreadableJob(Row.Where.Key, E.what());
     }
   }
   Loaded_ = true;
@@ -234,15 +205,7 @@
     applyJobRow(Row);
   stopEarlierOwners();
   refresh();
-  WorkerCount Count = countWorkers(State_);
-  logEvent("pool_loaded", {{"pool", State_.pool()},
-                           {"token", State_.token()},
-                           {"jobs", State_.jobs().size()},
-                           {"workers", State_.workers().size()},
-                           {"workers_not_listed", Count.NotListed},
-                           {"earlier_owners", Earlier_.Owners.size()},
-                           {"earlier_known", Earlier_.Complete ? 1 : 0},
-                           {"list_age_ms", View_.workersAgeMs()}});
+  Log_.logLoaded(State_, Earlier_, View_.workersAgeMs());
   tick();
 }
 
@@ -253,7 +216,7 @@
   if (Error == std::errc() && Read == End)
     jobs::dropBeforeSettled(Earlier_, Token);
   else
-    logEvent("settled_row_unreadable", {{"pool", State_.pool()}});
+    Log_.logUnreadableSettled();
 }
 
 /// Asks earlier owners to stop, so that inherited tasks need not wait for a
@@ -304,9 +267,7 @@
     return;
   }
   Ctx_.Count.recordRetry("load-payload");
-  logEvent("payload_read_failed", {{"job", JobId},
-                                   {"outcome", store::nameOf(Answer.Outcome)},
-                                   {"error", Answer.Error}});
+  Log_.logPayloadFailure(JobId, Answer);
   Ctx_.Loop.after(StoreRetry, [Self = shared_from_this(), JobId] {
     Self->PayloadReads_.erase(JobId);
   });
@@ -323,8 +284,7 @@
   try {
     Entry = codec::decodeRosterRow(Entry.Id, Row.Value);
   } catch (const std::exception &E) {
-    logEvent("roster_row_unreadable",
-             {{"worker", Entry.Id}, {"error", E.what()}});
+    Log_.logUnreadableRoster(Entry.Id, E.what());
   }
   State_.addEnrolled(Entry, Now);
 }
@@ -375,9 +335,10 @@
     // It may have reported since the list was requested.
     if (!List.Ok || !mayHaveEnded(Id) || !hasWorkerEnded(Id, List.Machines))
       continue;
-    if (Again || isWorkerShown(Id, List.Machines))
-      endWorker(Id, List);
-    else
+    if (Again || isWorkerShown(Id, List.Machines)) {
+      Log_.logWorkerEnded(*State_.workers().at(Id), List);
+      State_.confirmEnded(Id);
+    } else
       Missing.push_back(Id);
   }
   schedulePlan();
@@ -391,23 +352,6 @@
   });
 }
 
-/// Logs what is assumed of the worker's runs, which may start again now.
-void PoolController::endWorker(const std::string &Id, const MachineList &List) {
-  auto At = State_.workers().find(Id);
-  if (At == State_.workers().end())
-    return;
-  const jobs::WorkerState &Worker = *At->second;
-  logEvent("worker_ended", {{"worker", Id},
-                            {"pool", State_.pool()},
-                            {"token", State_.token()},
-                            {"machine", machineStateOf(Id, List.Machines)},
-                            {"machines", List.Machines.size()},
-                            {"listed", Worker.Gone ? 0 : 1},
-                            {"heard", Worker.Heard ? 1 : 0},
-                            {"runs", Worker.Tasks.size()}});
-  State_.confirmEnded(Id);
-}
-
 // Events.
 
 void PoolController::refresh() {
@@ -438,7 +382,7 @@
   try {
     Spec = codec::decodeJob(Row.Value);
   } catch (const std::exception &E) {
-    logEvent("job_row_unreadable", {{"job", Key}, {"error", E.what()}});
+    Log_.logUnreadableJob(Key, E.what());
     return;
   }
   if (Spec.Pool == State_.pool())
@@ -487,7 +431,7 @@
     return;
   if (Answer.Outcome != PartOutcome::Ok) {
     Ctx_.Count.recordRetry("look-up-jobs");
-    logLoadFailure(rows::Progress, Answer);
+    Log_.logLoadFailure(rows::Progress, Answer, bootNow() - TakenAt_);
     Ctx_.Loop.after(StoreRetry,
                     [Self = shared_from_this()] { Self->readLookedUp(); });
     return;
@@ -509,16 +453,12 @@
       }
     } catch (const std::exception &E) {
       // Without its progress it isn't known which of its tasks have run.
-      logEvent("progress_row_unreadable", {{"job", Id}, {"error", E.what()}});
+      Log_.logUnreadableProgress(Id, E.what());
     }
     if (Job.Cancelled)
       State_.cancelJob(Id);
   }
-  logEvent("jobs_looked_up", {{"pool", State_.pool()},
-                              {"token", State_.token()},
-                              {"jobs", Ids.size()},
-                              {"finished", Finished},
-                              {"row_version", Answer.Version}});
+  Log_.logLookedUp(Ids.size(), Finished, Answer.Version);
   if (!LookUps_.empty())
     readLookedUp();
   schedulePlan();
@@ -591,9 +531,7 @@
   if (Dropped_)
     return;
   drop();
-  logEvent(
-      "pool_lost",
-      {{"pool", State_.pool()}, {"token", State_.token()}, {"reason", Why}});
+  Log_.logLost(Why);
   Lost_(State_.pool());
 }
 
@@ -646,12 +584,8 @@
   core::TimePoint Planned = bootNow();
   Monitor_.recordPlanTime(Planned - In.Now);
   NextPlanAt_ = Planned + jobs::pauseAfterPlan(Planned - In.Now);
-  logSettled(In.Now);
-  logStopDecisions();
-  logLongWait();
-  logRestarts();
-  logLapsedRuns();
-  logCrashes();
+  noteSettled(In.Now);
+  Log_.logDecisions(State_);
   StartsBounded_ = Orders.StartsBounded;
   send(std::move(Orders));
   Monitor_.recordStarts(jobs::roomIn(StartWindow_, 0), UnansweredStarts_);
@@ -665,115 +599,13 @@
   flush();
 }
 
-/// Logs once that inherited tasks may start, and how many workers have reported
-/// by then.
-void PoolController::logSettled(core::TimePoint Now) {
+void PoolController::noteSettled(core::TimePoint Now) {
   if (SettledLogged_ || !State_.isSettled())
     return;
   SettledLogged_ = true;
   if (EarlierOwners_)
     EarlierOwners_->cancel();
-  WorkerCount Count = countWorkers(State_);
-  auto Waited = std::chrono::duration_cast<milliseconds>(Now - TakenAt_);
-  logEvent("pool_settled", {{"pool", State_.pool()},
-                            {"token", State_.token()},
-                            {"workers", State_.workers().size()},
-                            {"workers_heard", Count.Heard},
-                            {"workers_not_listed", Count.NotListed},
-                            {"waited_ms", Waited.count()}});
-}
-
-/// Logs each decision to stop a lasting task, which makes its step less
-/// available, with the state it was based on.
-void PoolController::logStopDecisions() {
-  for (const jobs::StopDecision &Decision : State_.takeStopDecisions())
-    logEvent("lasting_task_stopped",
-             {{"job", Decision.Task.JobId},
-              {"step", Decision.Task.Step},
-              {"index", Decision.Task.Index},
-              {"run", Decision.Run},
-              {"worker", Decision.Worker},
-              {"reason", jobs::nameOf(Decision.Reason)},
-              {"percent", Decision.Percent},
-              {"report_age_ms", core::inMs(Decision.ReportAge)},
-              {"unavailable", Decision.Unavailable},
-              {"allowed", Decision.Allowed},
-              {"token", State_.token()}});
-}
-
-/// Logs the longest wait of a task, with what keeps it from starting.
-void PoolController::logLongWait() {
-  std::optional<jobs::LongWait> Long = State_.takeLongWait();
-  if (!Long)
-    return;
-  const jobs::TaskRef &Task = Long->Wait.Task;
-  logEvent(Long->Lasting ? "lasting_task_waits" : "task_waits",
-           {{"pool", State_.pool()},
-            {"token", State_.token()},
-            {"job", Task.JobId},
-            {"occurrence", Task.Occurrence},
-            {"step", Task.Step},
-            {"index", Task.Index},
-            {"waited_ms", core::inMs(Long->Wait.Age)},
-            {"reason", jobs::nameOf(Long->Wait.Reason)},
-            {"workers", Long->Placement.Workers},
-            {"unheard", Long->Unheard},
-            {"isolated", Long->Isolated},
-            {"usable", Long->Placement.Usable},
-            {"with_label", Long->Placement.WithLabel},
-            {"with_room", Long->Placement.WithRoom},
-            {"with_spread", Long->Placement.WithSpread}});
-}
-
-/// Logs each restart of a worker under its id that this owner has found, and
-/// each doubt about one.
-void PoolController::logRestarts() {
-  for (const jobs::IncarnationChange &Change : State_.takeIncarnationChanges())
-    logEvent(Change.IsLater ? "worker_restarted" : "worker_restart_doubted",
-             {{"worker", Change.Worker},
-              {"pool", State_.pool()},
-              {"token", State_.token()},
-              {"born", Change.Shown},
-              {"born_before", Change.Known},
-              {"by", Change.ByReport ? "report" : "list"},
-              {"starts_in_doubt", Change.StartsInDoubt}});
-}
-
-/// Logs the runs that count as ended since their worker's lease has lapsed.
-void PoolController::logLapsedRuns() {
-  for (const jobs::LapsedRuns &Lapsed : State_.takeLapsedRuns())
-    logEvent("runs_lapsed", {{"worker", Lapsed.Worker},
-                             {"pool", State_.pool()},
-                             {"token", State_.token()},
-                             {"runs", Lapsed.Runs},
-                             {"report_age_ms", core::inMs(Lapsed.ReportAge)},
-                             {"doubted", Lapsed.Doubted ? 1 : 0}});
-}
-
-/// Logs each worker that has crashed with runs, and each job that failed for
-/// it.
-void PoolController::logCrashes() {
-  for (const jobs::CrashRecord &Record : State_.takeCrashRecords()) {
-    std::string Suspects;
-    for (const jobs::SuspectRun &Run : Record.Suspects) {
-      Suspects += Suspects.empty() ? "" : " ";
-      Suspects += Run.JobId + '/' + std::to_string(Run.Task) + '#' +
-                  std::to_string(Run.Run);
-    }
-    logEvent("worker_crashed", {{"worker", Record.Worker},
-                                {"pool", State_.pool()},
-                                {"runs", Record.Runs},
-                                {"suspects", Suspects},
-                                {"token", State_.token()}});
-    for (const jobs::TaskRef &Task : Record.GivenUp)
-      logEvent("job_given_up", {{"job", Task.JobId},
-                                {"occurrence", Task.Occurrence},
-                                {"step", Task.Step},
-                                {"index", Task.Index},
-                                {"worker", Record.Worker},
-                                {"pool", State_.pool()},
-                                {"token", State_.token()}});
-  }
+  Log_.logSettled(State_, Now - TakenAt_);
 }
 
 const jobs::WorkerEntry *
@@ -858,11 +690,7 @@
   auto At = State_.workers().find(Order.Worker);
   bool FirstAnswer = At != State_.workers().end() && !At->second->Heard;
   if (FirstAnswer && Result.Outcome == jobs::OrderOutcome::OtherIncarnation)
-    logEvent("worker_replaced", {{"worker", Order.Worker},
-                                 {"address", At->second->Entry.Address},
-                                 {"pool", State_.pool()},
-                                 {"token", State_.token()},
-                                 {"listed", At->second->Gone ? 0 : 1}});
+    Log_.logReplaced(*At->second);
   State_.onReport(Order, Result, SentAt, bootNow());
   schedulePlan();
 }
@@ -879,10 +707,7 @@
     State_.onSending(Order, At);
   State_.onStart(Order, Result, Now);
   if (Result.Outcome != jobs::OrderOutcome::Accepted)
-    logEvent("start_refused", {{"job", Order.Task.JobId},
-                               {"worker", Order.Worker},
-                               {"run", Order.Run},
-                               {"outcome", jobs::nameOf(Result.Outcome)}});
+    Log_.logStartRefused(Order, Result.Outcome);
   if (StartsBounded_ || Result.Outcome != jobs::OrderOutcome::Accepted)
     schedulePlan();
 }
@@ -990,32 +815,6 @@
   });
 }
 
-/// Logs one line for each job that ended, with the number of failed runs and
-/// the worker of the last one.
-void PoolController::logEnded(const jobs::ProgressBatch &Batch,
-                              std::uint64_t RowVersion) {
-  for (const jobs::ProgressWrite &Write : Batch.Writes) {
-    const jobs::JobRecord *Job = State_.findJob(Write.JobId);
-    if (!Job || !jobs::isFinal(Write.Progress.State))
-      continue;
-    std::size_t FailedRuns = 0;
-    std::string FailedOn;
-    for (const jobs::TaskState &Task : Job->Tasks) {
-      FailedRuns += Task.Kept.FailedRuns.size();
-      if (!Task.FailedOn.empty())
-        FailedOn = Task.FailedOn;
-    }
-    logEvent("job_ended", {{"job", Write.JobId},
-                           {"pool", State_.pool()},
-                           {"state", jobs::nameOf(Write.Progress.State)},
-                           {"failed_runs", FailedRuns},
-                           {"max_attempts", Job->Spec.MaxAttempts},
-                           {"last_failed_on", FailedOn},
-                           {"token", State_.token()},
-                           {"row_version", RowVersion}});
-  }
-}
-
 void PoolController::onBatchAnswered(const std::shared_ptr<BatchWrite> &Write,
                                      const PartAnswer &Answer,
                                      core::Duration Took) {
@@ -1057,7 +856,7 @@
   Monitor_.recordStored(bootNow(), Write.Attempts.Sent > 1,
                         Answer.Outcome == PartOutcome::Conflict);
   ChainAccepted_ = ChainAccepted_ || Batch.isEmpty();
-  logEnded(Batch, Answer.Version);
+  Log_.logEnded(State_, Batch, Answer.Version);
   sendNextPart();
 }
 
@@ -1068,9 +867,7 @@
                                     const PartAnswer &Answer, bool Again) {
   if (Batch.isEmpty()) {
     Ctx_.Count.recordRetry("store-refuses-pool");
-    logEvent("progress_refused", {{"pool", State_.pool()},
-                                  {"token", State_.token()},
-                                  {"error", Answer.Error}});
+    Log_.logProgressRefused(Answer.Error);
     Parts_.push_front({});
     Ctx_.Loop.after(RefusedRetry, [Self = shared_from_this()] {
       if (!Self->Dropped_)
@@ -1109,11 +906,7 @@
     Id = Row.Unenrolled.front();
   }
   Ctx_.Count.recordRefusedRow(Kind);
-  logEvent("row_set_aside", {{"pool", State_.pool()},
-                             {"token", State_.token()},
-                             {"kind", Kind},
-                             {"id", Id},
-                             {"error", Answer.Error}});
+  Log_.logSetAside(Kind, Id, Answer.Error);
 }
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -4,6 +4,7 @@
 #include "dispatch/EarlierOwners.h"
 #include "dispatch/FleetView.h"
 #include "dispatch/JobTableReader.h"
+#include "dispatch/PoolEventLog.h"
 #include "dispatch/PoolMonitor.h"
 #include "dispatch/WriteRepeats.h"
 #include "jobs/OwnerPace.h"
@@ -76,7 +77,6 @@
   void schedulePlan();
 
 private:
-  void logLoadFailure(const char *Table, const store::PartAnswer &Answer);
   void loadProgress(std::shared_ptr<const store::PartAnswer> JobTable);
   void onProgressRead(const std::shared_ptr<const store::PartAnswer> &JobTable,
                       const store::PartAnswer &Answer);
@@ -89,7 +89,6 @@
   void readMachines(const std::vector<std::string> &Ids, bool Again);
   void onMachinesRead(const std::vector<std::string> &Ids,
                       const MachineList &List, bool Again);
-  void endWorker(const std::string &Id, const MachineList &List);
   void stopEarlierOwners();
   void lookUpJob(const jobs::JobSpec &Spec);
   void readLookedUp();
@@ -100,12 +99,7 @@
   void onPayload(const std::string &JobId, const store::PartAnswer &Answer);
   void tick();
   void plan();
-  void logSettled(core::TimePoint Now);
-  void logStopDecisions();
-  void logLongWait();
-  void logRestarts();
-  void logLapsedRuns();
-  void logCrashes();
+  void noteSettled(core::TimePoint Now);
   void send(jobs::Orders Orders);
   void recordSending();
   void onReported(const jobs::HoldOrder &Order,
@@ -131,7 +125,6 @@
                       const store::PartAnswer &Answer, bool Again);
   void setAside(const jobs::ProgressBatch &Row,
                 const store::PartAnswer &Answer);
-  void logEnded(const jobs::ProgressBatch &Batch, std::uint64_t RowVersion);
   void applyClosed();
   void loseOwnership(const char *Why);
   core::TimePoint authorityEnd() const;
@@ -142,6 +135,7 @@
   const TableFollower &Jobs_;
   JobTableReader &Table_;
   jobs::PoolState State_;
+  PoolEventLog Log_;
   PoolMonitor Monitor_;
   core::TimePoint TakenAt_;
   jobs::OwnerHistory Earlier_;
--- /dev/null
+++ b/src/dispatch/PoolEventLog.h
@@ -0,0 +1,78 @@
+#ifndef COMFREYDECK_DISPATCH_POOLEVENTLOG_H
+#define COMFREYDECK_DISPATCH_POOLEVENTLOG_H
+
+#include "dispatch/Ports.h"
+#include "jobs/OwnerChoice.h"
+
+namespace comfreydeck::dispatch {
+
+/// Writes the log lines of one owned pool. Each call writes at most one line of
+/// an event, unless it says otherwise; lines are dropped as by \ref logEvent.
+/// Thread-safe as far as the arguments are not changed meanwhile; no call
+/// throws or blocks.
+class PoolEventLog {
+public:
+  /// \p Token is the owner's.
+  PoolEventLog(std::string Pool, std::uint64_t Token);
+
+  /// Logs a failed read of the table, \p Since after the pool was taken over.
+  void logLoadFailure(const char *Table, const store::PartAnswer &Answer,
+                      core::Duration Since) const;
+  /// Logs that the pool's rows are read. \p ListAgeMs is the age of the worker
+  /// list.
+  void logLoaded(const jobs::PoolState &State,
+                 const jobs::OwnerHistory &Earlier,
+                 std::int64_t ListAgeMs) const;
+  /// Logs that inherited tasks may start, \p Waited after the takeover, and how
+  /// many workers have reported by then.
+  void logSettled(const jobs::PoolState &State, core::Duration Waited) const;
+  void logLost(const char *Why) const;
+
+  /// Each logs a row that can't be decoded.
+  void logUnreadableJob(const std::string &Key, const char *Error) const;
+  void logUnreadableProgress(const std::string &JobId, const char *Error) const;
+  void logUnreadableRoster(const std::string &Worker, const char *Error) const;
+  void logUnreadableSettled() const;
+  void logPayloadFailure(const std::string &JobId,
+                         const store::PartAnswer &Answer) const;
+  /// Logs that the stored progress of \p Jobs jobs was looked up, and how many
+  /// of them have finished.
+  void logLookedUp(std::size_t Jobs, std::size_t Finished,
+                   std::uint64_t RowVersion) const;
+
+  /// Takes the decisions since the last call from \p State and logs each: stops
+  /// of lasting tasks, the longest wait, restarts of workers, lapsed runs and
+  /// crashes.
+  void logDecisions(jobs::PoolState &State) const;
+
+  void logStartRefused(const jobs::StartOrder &Order,
+                       jobs::OrderOutcome Outcome) const;
+  /// Logs that another incarnation answers at the worker's address.
+  void logReplaced(const jobs::WorkerState &Worker) const;
+  /// Logs what is assumed of the worker's runs, which may start again now.
+  void logWorkerEnded(const jobs::WorkerState &Worker,
+                      const MachineList &List) const;
+
+  /// Logs one line for each job that ended with the stored batch, with the
+  /// number of failed runs and the worker of the last one.
+  void logEnded(const jobs::PoolState &State, const jobs::ProgressBatch &Batch,
+                std::uint64_t RowVersion) const;
+  /// Logs that the store refuses even a write without rows.
+  void logProgressRefused(const std::string &Error) const;
+  void logSetAside(const char *Kind, const std::string &Id,
+                   const std::string &Error) const;
+
+private:
+  void logStop(const jobs::StopDecision &Decision) const;
+  void logWait(const jobs::LongWait &Long) const;
+  void logRestart(const jobs::IncarnationChange &Change) const;
+  void logLapsed(const jobs::LapsedRuns &Lapsed) const;
+  void logCrash(const jobs::CrashRecord &Record) const;
+
+  std::string Pool_;
+  std::uint64_t Token_;
+};
+
+} // namespace comfreydeck::dispatch
+
+#endif // COMFREYDECK_DISPATCH_POOLEVENTLOG_H
