Move the check of workers that are no longer listed to UnlistedWorkers

UnlistedWorkers reads the list of machines and tells the pool's state which workers have ended. Its callbacks hold the pool's owner, as before, through the small interface PoolHost: what is answered after drop() finds all parts there and does nothing that it did not do before. No behaviour changes and no test does.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -2,7 +2,6 @@
 
 #include "codec/JobJson.h"
 #include "dispatch/Clock.h"
-#include "dispatch/MachineCache.h"
 
 #include <algorithm>
 #include <charconv>
@@ -37,8 +36,6 @@
 constexpr std::size_t BatchTasks = 4000;
 /// A worker reopens if its closing was not requested again for this long.
 constexpr milliseconds CloseExpiry(2500);
-/// Pause between two checks of workers that are no longer listed.
-constexpr milliseconds UnlistedCheckPause(400);
 /// Finished jobs are kept for a margin beyond the promised time.
 constexpr milliseconds FinishedKeepMargin(10000);
 
@@ -100,7 +97,7 @@
                                std::function<void(const std::string &)> Lost)
     : Ctx_(Ctx), View_(View), Jobs_(Jobs), Table_(Table),
       State_(Takeover.Pool, Takeover.Token, bootNow(), limitsFor(Ctx.Settings)),
-      Log_(Takeover.Pool, Takeover.Token),
+      Log_(Takeover.Pool, Takeover.Token), Unlisted_(Ctx, State_, Log_, *this),
       Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token), TakenAt_(Takeover.At),
       Earlier_(Takeover.Earlier), StopQuery_(std::move(Query)),
       Lost_(std::move(Lost)), Part_(rows::poolPart(Takeover.Pool)) {}
@@ -289,69 +286,6 @@
   State_.addEnrolled(Entry, Now);
 }
 
-/// Checks workers that are no longer listed and have not reported to this
-/// owner; most of them were moved to another pool. Inherited tasks wait for the
-/// others until any lease has lapsed. Also checks those that may have crashed.
-void PoolController::checkUnlistedWorkers() {
-  if (CheckingUnlisted_)
-    return;
-  std::vector<std::string> Open;
-  for (const auto &[Id, Worker] : State_.workers())
-    if (mayHaveEnded(Id))
-      Open.push_back(Id);
-  if (Open.empty() || Dropped_ || !Ctx_.Machines)
-    return;
-  CheckingUnlisted_ = true;
-  readMachines(Open, false);
-}
-
-bool PoolController::mayHaveEnded(const std::string &Id) const {
-  auto At = State_.workers().find(Id);
-  return At != State_.workers().end() &&
-         (jobs::PoolState::mayHaveEnded(*At->second) ||
-          (At->second->Gone && State_.mayHaveCrashed(Id)));
-}
-
-/// Reads the list of machines. \p Again says that the last list showed none of
-/// the workers.
-void PoolController::readMachines(const std::vector<std::string> &Ids,
-                                  bool Again) {
-  auto Self = shared_from_this();
-  Ctx_.Machines->list([Self, Ids, Again](MachineList List) {
-    Self->Ctx_.Loop.post([Self, Ids, Again, List = std::move(List)] {
-      Self->onMachinesRead(Ids, List, Again);
-    });
-  });
-}
-
-/// Pages of one list may be read while machines come and go, so that it misses
-/// some: a worker has ended without a machine only if two lists agree.
-void PoolController::onMachinesRead(const std::vector<std::string> &Ids,
-                                    const MachineList &List, bool Again) {
-  if (!List.Ok)
-    Ctx_.Count.recordRetry("list-machines");
-  std::vector<std::string> Missing;
-  for (const std::string &Id : Ids) {
-    // It may have reported since the list was requested.
-    if (!List.Ok || !mayHaveEnded(Id) || !hasWorkerEnded(Id, List.Machines))
-      continue;
-    if (Again || isWorkerShown(Id, List.Machines)) {
-      Log_.logWorkerEnded(*State_.workers().at(Id), List);
-      State_.confirmEnded(Id);
-    } else
-      Missing.push_back(Id);
-  }
-  schedulePlan();
-  if (!Missing.empty() && !Dropped_) {
-    readMachines(Missing, true);
-    return;
-  }
-  Ctx_.Loop.after(UnlistedCheckPause, [Self = shared_from_this()] {
-    Self->CheckingUnlisted_ = false;
-    Self->checkUnlistedWorkers();
-  });
-}
-
 // Events.
 
 void PoolController::refresh() {
@@ -359,7 +293,7 @@
   State_.setClosedDataCentres(View_.closedDataCentres());
   std::vector<jobs::WorkerEntry> Entries = View_.workersOf(State_.pool());
   State_.setWorkers(Entries, bootNow());
-  checkUnlistedWorkers();
+  Unlisted_.check();
   schedulePlan();
 }
 
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -6,6 +6,7 @@
 #include "dispatch/JobTableReader.h"
 #include "dispatch/PoolEventLog.h"
 #include "dispatch/PoolMonitor.h"
+#include "dispatch/UnlistedWorkers.h"
 #include "dispatch/WriteRepeats.h"
 #include "jobs/OwnerPace.h"
 
@@ -39,7 +40,8 @@
 
 /// One pool that this entry owns: loads its jobs, sends the planned orders to
 /// workers and stores progress. Runs on the loop's thread.
-class PoolController : public std::enable_shared_from_this<PoolController> {
+class PoolController : public std::enable_shared_from_this<PoolController>,
+                       private PoolHost {
 public:
   /// \p Jobs follows the job table, \p Table reads it. \p Query asks earlier
   /// owners to stop. \p Lost is called once when ownership of the pool is lost.
@@ -74,9 +76,11 @@
   std::uint64_t token() const { return State_.token(); }
   bool isLoaded() const { return Loaded_; }
   /// Schedules a planning pass, soon if the last passes were short.
-  void schedulePlan();
+  void schedulePlan() override;
 
 private:
+  std::shared_ptr<const void> keep() override { return shared_from_this(); }
+  bool isDropped() const override { return Dropped_; }
   void loadProgress(std::shared_ptr<const store::PartAnswer> JobTable);
   void onProgressRead(const std::shared_ptr<const store::PartAnswer> &JobTable,
                       const store::PartAnswer &Answer);
@@ -84,11 +88,6 @@
                     const std::vector<store::PartRow> &ProgressRows);
   void applySettledRow(const store::PartRow &Row);
   void applyRosterRow(const store::PartRow &Row, core::TimePoint Now);
-  void checkUnlistedWorkers();
-  bool mayHaveEnded(const std::string &Id) const;
-  void readMachines(const std::vector<std::string> &Ids, bool Again);
-  void onMachinesRead(const std::vector<std::string> &Ids,
-                      const MachineList &List, bool Again);
   void stopEarlierOwners();
   void lookUpJob(const jobs::JobSpec &Spec);
   void readLookedUp();
@@ -136,6 +135,7 @@
   JobTableReader &Table_;
   jobs::PoolState State_;
   PoolEventLog Log_;
+  UnlistedWorkers Unlisted_;
   PoolMonitor Monitor_;
   core::TimePoint TakenAt_;
   jobs::OwnerHistory Earlier_;
@@ -165,8 +165,6 @@
   std::set<std::string> PayloadReads_;
   bool Loaded_ = false;
   bool SettledLogged_ = false;
-  /// A check of workers that are no longer listed is running or scheduled.
-  bool CheckingUnlisted_ = false;
   bool Leaving_ = false;
   bool Dropped_ = false;
   bool Storing_ = false;
