Move the sending of orders and their answers to OrderSender

OrderSender has the orders that were given, sent and answered, and the window of unanswered starts. The orders of a round are passed as a view and live until the round's end, no longer moved into the sending. No behaviour changes and no test does.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -98,6 +98,7 @@
     : Ctx_(Ctx), View_(View), Jobs_(Jobs), Table_(Table),
       State_(Takeover.Pool, Takeover.Token, bootNow(), limitsFor(Ctx.Settings)),
       Log_(Takeover.Pool, Takeover.Token), Unlisted_(Ctx, State_, Log_, *this),
+      Sender_(Ctx, State_, Log_, *this),
       Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token), TakenAt_(Takeover.At),
       Earlier_(Takeover.Earlier), StopQuery_(std::move(Query)),
       Lost_(std::move(Lost)), Part_(rows::poolPart(Takeover.Pool)) {}
@@ -512,17 +513,16 @@
   In.AuthorityEnd = authorityEnd();
   In.MayStart = !Leaving_ && In.Now < In.AuthorityEnd;
   In.JobsReadAt = Jobs_.currentAt();
-  In.MaxStarts = jobs::roomIn(StartWindow_, UnansweredStarts_);
-  recordSending();
+  In.MaxStarts = Sender_.startRoom();
+  Sender_.recordSending();
   jobs::Orders Orders = State_.plan(In);
   core::TimePoint Planned = bootNow();
   Monitor_.recordPlanTime(Planned - In.Now);
   NextPlanAt_ = Planned + jobs::pauseAfterPlan(Planned - In.Now);
   noteSettled(In.Now);
   Log_.logDecisions(State_);
-  StartsBounded_ = Orders.StartsBounded;
-  send(std::move(Orders));
-  Monitor_.recordStarts(jobs::roomIn(StartWindow_, 0), UnansweredStarts_);
+  Sender_.send(Orders);
+  Monitor_.recordStarts(Sender_.startWindow(), Sender_.unansweredStarts());
   if (State_.isFenced()) {
     loseOwnership(State_.isFenceUsedUp() ? "fence used up" : "fenced");
     return;
@@ -542,110 +542,6 @@
   Log_.logSettled(State_, Now - TakenAt_);
 }
 
-const jobs::WorkerEntry *
-PoolController::entryOf(const std::string &Worker) const {
-  auto It = State_.workers().find(Worker);
-  return It == State_.workers().end() ? nullptr : &It->second->Entry;
-}
-
-void PoolController::send(jobs::Orders Orders) {
-  auto Self = shared_from_this();
-  core::TimePoint GivenAt = bootNow();
-  for (jobs::StopOrder &Order : Orders.Stops)
-    if (const jobs::WorkerEntry *To = entryOf(Order.Worker))
-      Ctx_.Workers.stop(*To, Order.Fence, Order,
-                        [Self, Order](jobs::OrderResult Result) {
-                          Self->Ctx_.Loop.post([Self, Order, Result] {
-                            Self->State_.onStop(Order, Result, bootNow());
-                            Self->schedulePlan();
-                          });
-                        });
-  for (jobs::StartOrder &Order : Orders.Starts) {
-    const jobs::WorkerEntry *To = entryOf(Order.Worker);
-    if (!To)
-      continue;
-    ++UnansweredStarts_;
-    // Only the order's identity is needed once it has been sent.
-    jobs::StartOrder Sent;
-    Sent.Worker = Order.Worker;
-    Sent.Task = Order.Task;
-    Sent.Run = Order.Run;
-    Sent.Fence = Order.Fence;
-    auto SentAt = std::make_shared<net::BeginTime>();
-    Given_.push_back({SentAt, Sent});
-    Ctx_.Workers.start(
-        *To, Order.Fence, Order, SentAt,
-        [Self, Sent = std::move(Sent), GivenAt,
-         SentAt](jobs::OrderResult Result) {
-          Self->Ctx_.Loop.post([Self, Sent, GivenAt, SentAt, Result] {
-            Self->onStartAnswered(Sent, Result, GivenAt, SentAt);
-          });
-        });
-  }
-  for (jobs::HoldOrder &Order : Orders.Holds) {
-    const jobs::WorkerEntry *To = entryOf(Order.Worker);
-    if (!To)
-      continue;
-    auto SentAt = std::make_shared<net::BeginTime>();
-    Given_.push_back({SentAt, Order});
-    Ctx_.Workers.report(*To, Order.Fence, Order, SentAt,
-                        [Self, Order, GivenAt](jobs::ReportResult Result) {
-                          Self->Ctx_.Loop.post([Self, Order, GivenAt, Result] {
-                            Self->onReported(Order, Result, GivenAt);
-                          });
-                        });
-  }
-}
-
-/// Tells the state which orders still wait to be sent and which have been sent
-/// since the last round. Those that were answered meanwhile don't matter.
-void PoolController::recordSending() {
-  std::erase_if(Given_, [this](GivenOrder &Given) {
-    std::shared_ptr<net::BeginTime> Mark = Given.SentAt.lock();
-    if (!Mark)
-      return true;
-    core::TimePoint SentAt = *Mark;
-    bool IsSent = SentAt != core::TimePoint();
-    if (IsSent || !Given.Waits)
-      std::visit(
-          [&](const auto &Order) {
-            State_.onSending(Order,
-                             IsSent ? std::optional(SentAt) : std::nullopt);
-          },
-          Given.Order);
-    Given.Waits = !IsSent;
-    return IsSent;
-  });
-}
-
-void PoolController::onReported(const jobs::HoldOrder &Order,
-                                const jobs::ReportResult &Result,
-                                core::TimePoint SentAt) {
-  auto At = State_.workers().find(Order.Worker);
-  bool FirstAnswer = At != State_.workers().end() && !At->second->Heard;
-  if (FirstAnswer && Result.Outcome == jobs::OrderOutcome::OtherIncarnation)
-    Log_.logReplaced(*At->second);
-  State_.onReport(Order, Result, SentAt, bootNow());
-  schedulePlan();
-}
-
-void PoolController::onStartAnswered(const jobs::StartOrder &Order,
-                                     const jobs::OrderResult &Result,
-                                     core::TimePoint GivenAt,
-                                     const SendMark &SentAt) {
-  core::TimePoint Now = bootNow();
-  --UnansweredStarts_;
-  jobs::recordAnswer(StartWindow_, Now - GivenAt, Now);
-  core::TimePoint At = *SentAt;
-  if (Result.Outcome == jobs::OrderOutcome::Unknown && At != core::TimePoint())
-    State_.onSending(Order, At);
-  State_.onStart(Order, Result, Now);
-  if (Result.Outcome != jobs::OrderOutcome::Accepted)
-    Log_.logStartRefused(Order, Result.Outcome);
-  if (StartsBounded_ || Result.Outcome != jobs::OrderOutcome::Accepted)
-    schedulePlan();
-}
-
 // Storing.
 
 void PoolController::flush() {
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -4,6 +4,7 @@
 #include "dispatch/EarlierOwners.h"
 #include "dispatch/FleetView.h"
 #include "dispatch/JobTableReader.h"
+#include "dispatch/OrderSender.h"
 #include "dispatch/PoolEventLog.h"
 #include "dispatch/PoolMonitor.h"
 #include "dispatch/UnlistedWorkers.h"
@@ -99,13 +100,6 @@
   void tick();
   void plan();
   void noteSettled(core::TimePoint Now);
-  void send(jobs::Orders Orders);
-  void recordSending();
-  void onReported(const jobs::HoldOrder &Order,
-                  const jobs::ReportResult &Result, core::TimePoint SentAt);
-  void onStartAnswered(const jobs::StartOrder &Order,
-                       const jobs::OrderResult &Result, core::TimePoint GivenAt,
-                       const SendMark &SentAt);
   void flush();
   jobs::ProgressBatch takeBatch();
   void sendNextPart();
@@ -127,7 +121,6 @@
   void applyClosed();
   void loseOwnership(const char *Why);
   core::TimePoint authorityEnd() const;
-  const jobs::WorkerEntry *entryOf(const std::string &Worker) const;
 
   Context &Ctx_;
   FleetView &View_;
@@ -136,6 +129,7 @@
   jobs::PoolState State_;
   PoolEventLog Log_;
   UnlistedWorkers Unlisted_;
+  OrderSender Sender_;
   PoolMonitor Monitor_;
   core::TimePoint TakenAt_;
   jobs::OwnerHistory Earlier_;
@@ -181,21 +175,6 @@
   core::TimePoint NextAsideTry_;
   bool PlanQueued_ = false;
   core::TimePoint NextPlanAt_;
-  jobs::StartWindow StartWindow_;
-  /// Starts that were sent and not answered.
-  std::size_t UnansweredStarts_ = 0;
-  /// An order that was given and not known to be sent in the last planning
-  /// round.
-  struct GivenOrder {
-    /// Expires with the order's callback.
-    std::weak_ptr<net::BeginTime> SentAt;
-    std::variant<jobs::StartOrder, jobs::HoldOrder> Order;
-    /// The state knows that the order waits.
-    bool Waits = false;
-  };
-  std::vector<GivenOrder> Given_;
-  /// The last planning pass left tasks waiting for \ref StartWindow_.
-  bool StartsBounded_ = false;
 };
 
 } // namespace comfreydeck::dispatch
