Order a worker's tasks by their jobs' numbers instead of addresses

What developers saw: a seed of the simulation that has a fault in one build may have none in another, and an owner's orders depended on where the allocator had put its jobs.

Cause: WorkerState::Tasks and Finished_ were ordered by pointers, and planning goes through a worker's tasks in that order.

Change: a job gets a number as the owner learns of it; tasks are ordered by it and their index. The simulation keeps a digest of all orders and rows, which also shows that a change of form leaves behaviour as it was.

--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -197,7 +197,7 @@
 /// Stops all lasting tasks on the worker if their steps allow that, though they
 /// have no place elsewhere; else stops none.
 bool StartPlan::emptyWithoutPlaces(WorkerState &W) {
-  std::map<std::pair<JobRecord *, std::uint32_t>, std::uint32_t> Leaving;
+  std::map<TaskOfJob, std::uint32_t, TaskOrder> Leaving;
   for (const auto &[Job, Task] : W.Tasks) {
     if (!PoolState::stepOf(*Job, Task).Lasting || isBeingStopped(*Job, Task))
       continue;
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -13,6 +13,7 @@
 JobRecord &PoolState::makeJob(const JobSpec &Spec, core::TimePoint Now) {
   auto Job = std::make_unique<JobRecord>();
   Job->Spec = Spec;
+  Job->Number = ++JobCount_;
   MissingPayloads_ += Spec.PayloadMissing ? 1 : 0;
   Job->KnownSince = Now;
   std::uint32_t Begin = 0;
@@ -51,7 +52,7 @@
   Open_.back()->OpenIndex = Job.OpenIndex;
   Open_[Job.OpenIndex] = Open_.back();
   Open_.pop_back();
-  Finished_.insert({Job.Spec.AcceptedMs, &Job});
+  Finished_[{Job.Spec.AcceptedMs, Job.Number}] = &Job;
 }
 
 void PoolState::addJob(const JobSpec &Spec, core::TimePoint Now) {
@@ -107,7 +108,7 @@
     inheritSuspicion(Job, Now);
   }
   if (isFinal(Job.Now))
-    Finished_.insert({Spec.AcceptedMs, &Job});
+    Finished_[{Spec.AcceptedMs, Job.Number}] = &Job;
   else
     openJob(Job);
   applyEarlyReports(Job, Now);
@@ -140,7 +141,7 @@
 
 void PoolState::dropFinished(std::int64_t AcceptedBeforeMs) {
   for (auto It = Finished_.begin();
-       It != Finished_.end() && It->first < AcceptedBeforeMs;) {
+       It != Finished_.end() && It->first.first < AcceptedBeforeMs;) {
     const JobRecord &Job = *It->second;
     bool HasRuns =
         std::any_of(Job.Tasks.begin(), Job.Tasks.end(),
@@ -150,7 +151,7 @@
       ++It;
       continue;
     }
-    DroppedUpToMs_ = std::max(DroppedUpToMs_, It->first);
+    DroppedUpToMs_ = std::max(DroppedUpToMs_, It->first.first);
     It = Finished_.erase(It);
     Jobs_.erase(Jobs_.find(Job.Spec.Id));
   }
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -345,6 +345,8 @@
 
 struct JobRecord {
   JobSpec Spec;
+  /// Counts the jobs that the owner has learned of.
+  std::uint64_t Number = 0;
   std::vector<TaskState> Tasks;
   /// Index of each step's first task within an occurrence.
   std::vector<std::uint32_t> StepBegin;
@@ -389,6 +391,19 @@
   std::vector<const StepSpec *> WaitingSteps;
 };
 
+/// A task of a job, by its index within the job.
+using TaskOfJob = std::pair<JobRecord *, std::uint32_t>;
+
+/// Orders tasks in the way in which their jobs became known, which doesn't
+/// depend on addresses.
+struct TaskOrder {
+  bool operator()(const TaskOfJob &A, const TaskOfJob &B) const {
+    return A.first->Number != B.first->Number
+               ? A.first->Number < B.first->Number
+               : A.second < B.second;
+  }
+};
+
 /// A reported end whose job is unknown, possibly because it is not loaded yet.
 struct ParkedEnd {
   EndReport End;
@@ -475,7 +490,7 @@
   /// can't arrive any more.
   std::vector<LostStart> LostStarts;
   /// Tasks with a run on this worker.
-  std::set<std::pair<JobRecord *, std::uint32_t>> Tasks;
+  std::set<TaskOfJob, TaskOrder> Tasks;
   /// Report requests in flight, oldest first.
   std::vector<ReportRequest> Requests;
   std::uint64_t LastRequest = 0;
@@ -890,8 +905,9 @@
   std::vector<JobRecord *> Open_;
   /// Upper bound on the number of open jobs whose payload is missing.
   std::size_t MissingPayloads_ = 0;
-  /// Jobs that have ended, by acceptance time.
-  std::set<std::pair<std::int64_t, JobRecord *>> Finished_;
+  /// Jobs that have ended, by acceptance time and number.
+  std::map<std::pair<std::int64_t, std::uint64_t>, JobRecord *> Finished_;
+  std::uint64_t JobCount_ = 0;
   /// Latest acceptance time of the jobs that were dropped.
   std::int64_t DroppedUpToMs_ = std::numeric_limits<std::int64_t>::min();
   std::deque<JobRecord *> Changed_;
--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -139,6 +139,7 @@
       break;
   }
   checkOutcomes();
+  Result_.Digest = Digest_.value();
   return Result_;
 }
 
@@ -372,6 +373,7 @@
                       ? Now_ + milliseconds(1)
                       : Now_ - milliseconds(1300);
   Orders Out = O->State->plan(In);
+  Digest_.add(Out);
   for (const StopDecision &Decision : O->State->takeStopDecisions())
     StopReasons_[Decision.Run] = Decision.Reason;
   send(O, Out);
@@ -385,6 +387,7 @@
     ProgressBatch Batch = O->State->takeChanges(90);
     if (Batch.isEmpty())
       return;
+    Digest_.add(Batch);
     O->Storing = std::move(Batch);
     // A slow store at the end of the bound of a wait would be a fault.
     bool Slow = chance(0.1) && !(Options_.Racks && FaultsOver_);
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_TESTS_JOBS_POOLSIMULATION_H
 #define COMFREYDECK_TESTS_JOBS_POOLSIMULATION_H
 
+#include "jobs/HistoryDigest.h"
 #include "jobs/JobSamples.h"
 
 #include <deque>
@@ -163,6 +164,8 @@
   /// take longer there.
   std::uint32_t PlacesChecked = 0;
   std::uint32_t RemotePlaces = 0;
+  /// Of all orders and rows of all owners.
+  std::uint64_t Digest = 0;
 };
 
 class PoolSimulation {
@@ -391,6 +394,7 @@
   bool FaultsOver_ = false;
   core::TimePoint JobsEnd_;
   SimulationResult Result_;
+  HistoryDigest Digest_;
 };
 
 } // namespace comfreydeck::jobs
