--- a/src/settings/SettingsFile.cpp
+++ b/src/settings/SettingsFile.cpp
@@ -19,7 +19,7 @@
   nlohmann::json Document;
   try {
     Document = nlohmann::json::parse(Json);
-  } catch (const nlohmann::json::parse_error &E) {
+  } catch (const nlohmann::json::exception &E) {
     throw SettingsError(
         documentFault(std::string("is not valid JSON: ") + E.what()));
   }
