Move the storing of progress to ProgressWriter

ProgressWriter stores batches and their parts, repeats writes without an answer and sets aside rows that the store refuses. It gets the chain row's version once the pool's rows are read, and calls back when a write shows another owner. The building of a transaction is a method of its own. No behaviour changes and no test does.

--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -7,11 +7,10 @@
 #include "dispatch/OrderSender.h"
 #include "dispatch/PoolEventLog.h"
 #include "dispatch/PoolMonitor.h"
+#include "dispatch/ProgressWriter.h"
 #include "dispatch/UnlistedWorkers.h"
-#include "dispatch/WriteRepeats.h"
 #include "jobs/OwnerPace.h"
 
-#include <deque>
 #include <memory>
 
 namespace comfreydeck::dispatch {
@@ -100,24 +99,6 @@
   void tick();
   void plan();
   void noteSettled(core::TimePoint Now);
-  void flush();
-  jobs::ProgressBatch takeBatch();
-  void sendNextPart();
-  /// A batch, or a part of one, that is being stored.
-  struct BatchWrite {
-    jobs::ProgressBatch Batch;
-    RepeatedWrite Attempts;
-  };
-  void sendBatch(const std::shared_ptr<BatchWrite> &Write);
-  void repeatBatch(const std::shared_ptr<BatchWrite> &Write,
-                   core::Duration Pause, bool BesideOpen);
-  void onBatchAnswered(const std::shared_ptr<BatchWrite> &Write,
-                       const store::PartAnswer &Answer, core::Duration Took);
-  void onBatchSettled(const BatchWrite &Write, const store::PartAnswer &Answer);
-  void onBatchRefused(const jobs::ProgressBatch &Batch,
-                      const store::PartAnswer &Answer, bool Again);
-  void setAside(const jobs::ProgressBatch &Row,
-                const store::PartAnswer &Answer);
   void applyClosed();
   void loseOwnership(const char *Why);
   core::TimePoint authorityEnd() const;
@@ -131,14 +112,13 @@
   UnlistedWorkers Unlisted_;
   OrderSender Sender_;
   PoolMonitor Monitor_;
+  ProgressWriter Writer_;
   core::TimePoint TakenAt_;
   jobs::OwnerHistory Earlier_;
   StopQuery StopQuery_;
   std::shared_ptr<EarlierOwners> EarlierOwners_;
   std::function<void(const std::string &)> Lost_;
-  std::function<void()> ShutDownDone_;
   std::string Part_;
-  std::uint64_t ChainVersion_ = 0;
   /// Changed job rows that arrived before the pool was loaded.
   std::vector<store::PartRow> EarlyJobRows_;
   /// A worker that must not get new tasks.
@@ -161,18 +141,6 @@
   bool SettledLogged_ = false;
   bool Leaving_ = false;
   bool Dropped_ = false;
-  bool Storing_ = false;
-  /// Mark of the batch that is being stored.
-  std::uint64_t BatchMark_ = 0;
-  /// Parts of that batch that are still to be stored; an empty one writes only
-  /// the chain row.
-  std::deque<jobs::ProgressBatch> Parts_;
-  AnswerPace StorePace_;
-  /// The store has accepted a write of the chain row alone since it refused
-  /// that batch.
-  bool ChainAccepted_ = false;
-  /// When a row that was set aside is to be tried again.
-  core::TimePoint NextAsideTry_;
   bool PlanQueued_ = false;
   core::TimePoint NextPlanAt_;
 };
