Decode the configuration of dispatch tests in one place

The decoder of a fixture was written five times, in MachineKindsTest, TeamAllotmentsTest, JobApiTest, PeersTest and OwnershipTest. ConfigDecoder.h has it once; a fixture names its configuration and how it decodes workers. No assertion changes.

--- a/tests/dispatch/JobApiTest.cpp
+++ b/tests/dispatch/JobApiTest.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/JobApi.h"
 
+#include "dispatch/ConfigDecoder.h"
 #include "dispatch/InMemoryStore.h"
 #include "dispatch/LoopCalls.h"
 #include "dispatch/SilentWorkers.h"
@@ -23,7 +24,7 @@
   net::HttpClient Client{{}};
   InMemoryStore Store;
   SilentWorkers Workers;
-  RowDecoder Rows = decoder();
+  RowDecoder Rows = decoderOf(configWithQueue());
   CallerCodec Codec = codec();
   JobMetrics Count;
   Context Ctx{Settings, Loop, Client, Store, Workers,
@@ -45,28 +46,6 @@
     Loop.stop();
   }
 
-  static RowDecoder decoder() {
-    RowDecoder Decoder;
-    Decoder.OperatorTable = "op";
-    Decoder.WorkerTable = "servers";
-    Decoder.Operator = [](const store::PartRow &) {
-      auto Config = std::make_shared<jobs::FleetConfig>();
-      Config->Version = 1;
-      Config->Pools.push_back({"p", false, false});
-      jobs::Queue Queue;
-      Queue.Name = "q";
-      Queue.Host = "h";
-      Queue.PathPrefix = "/q/";
-      Queue.Pool = "p";
-      Queue.OpenToAll = true;
-      Config->Queues.push_back(Queue);
-      OperatorRow Row;
-      Row.What = OperatorRow::Kind::Config;
-      Row.Config = std::move(Config);
-      return Row;
-    };
-    return Decoder;
-  }
   static CallerCodec codec() {
     CallerCodec Codec;
     Codec.Decode = [](const net::HttpRequest &Request) {
--- a/tests/dispatch/MachineKindsTest.cpp
+++ b/tests/dispatch/MachineKindsTest.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/JobApi.h"
 
+#include "dispatch/ConfigDecoder.h"
 #include "dispatch/InMemoryStore.h"
 #include "dispatch/LoopCalls.h"
 #include "dispatch/SilentWorkers.h"
@@ -62,7 +63,7 @@
   InMemoryStore Store;
   SilentWorkers Workers;
   ScriptedMachines Machines;
-  RowDecoder Rows = decoder();
+  RowDecoder Rows = decoderOf(configWithQueue(), worker);
   CallerCodec Codec = codec();
   JobMetrics Count;
   Context Ctx;
@@ -98,38 +99,13 @@
     Loop.stop();
   }
 
-  static RowDecoder decoder() {
-    RowDecoder Decoder;
-    Decoder.OperatorTable = "op";
-    Decoder.WorkerTable = "servers";
-    Decoder.Operator = [](const store::PartRow &) {
-      auto Config = std::make_shared<jobs::FleetConfig>();
-      Config->Version = 1;
-      Config->Pools.push_back({"p", false, false});
-      jobs::Queue Queue;
-      Queue.Name = "q";
-      Queue.Host = "h";
-      Queue.PathPrefix = "/q/";
-      Queue.Pool = "p";
-      Queue.OpenToAll = true;
-      Config->Queues.push_back(Queue);
-      OperatorRow Row;
-      Row.What = OperatorRow::Kind::Config;
-      Row.Config = std::move(Config);
-      return Row;
-    };
-    Decoder.WorkerWithoutHeartbeat = [](const std::string &Value) {
-      return Value;
-    };
-    Decoder.Worker = [](const store::PartRow &Row) {
-      jobs::WorkerEntry Entry;
-      Entry.Id = Row.Where.Key;
-      Entry.Pool = "other";
-      Entry.Capacity = {4000, 1000, 0};
-      Entry.Labels = {Row.Value};
-      return Entry;
-    };
-    return Decoder;
+  static jobs::WorkerEntry worker(const store::PartRow &Row) {
+    jobs::WorkerEntry Entry;
+    Entry.Id = Row.Where.Key;
+    Entry.Pool = "other";
+    Entry.Capacity = {4000, 1000, 0};
+    Entry.Labels = {Row.Value};
+    return Entry;
   }
   static CallerCodec codec() {
     CallerCodec Codec;
--- a/tests/dispatch/OwnershipTest.cpp
+++ b/tests/dispatch/OwnershipTest.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/JobJson.h"
 #include "dispatch/Clock.h"
+#include "dispatch/ConfigDecoder.h"
 #include "dispatch/InMemoryStore.h"
 #include "dispatch/LoopCalls.h"
 #include "dispatch/SilentWorkers.h"
@@ -24,7 +25,7 @@
   net::HttpClient Client{{}};
   InMemoryStore Store;
   SilentWorkers Workers;
-  RowDecoder Rows = decoder();
+  RowDecoder Rows = decoderOf(configOf({"p"}));
   CallerCodec Codec;
   JobMetrics Count;
   Context Ctx{Settings, Loop, Client, Store, Workers,
@@ -72,21 +73,6 @@
     S.Name = Name;
     return S;
   }
-  static RowDecoder decoder() {
-    RowDecoder Decoder;
-    Decoder.OperatorTable = "op";
-    Decoder.WorkerTable = "servers";
-    Decoder.Operator = [](const store::PartRow &) {
-      auto Config = std::make_shared<jobs::FleetConfig>();
-      Config->Version = 1;
-      Config->Pools.push_back({"p", false, false});
-      OperatorRow Row;
-      Row.What = OperatorRow::Kind::Config;
-      Row.Config = std::move(Config);
-      return Row;
-    };
-    return Decoder;
-  }
   std::optional<core::Duration> stopOrders(const std::string &Pool,
                                            std::uint64_t Under) {
     std::optional<core::Duration> For;
--- a/tests/dispatch/PeersTest.cpp
+++ b/tests/dispatch/PeersTest.cpp
@@ -1,5 +1,6 @@
 #include "dispatch/Peers.h"
 
+#include "dispatch/ConfigDecoder.h"
 #include "dispatch/InMemoryStore.h"
 #include "dispatch/LoopCalls.h"
 #include "dispatch/SilentWorkers.h"
@@ -25,7 +26,7 @@
   net::HttpClient Client{{}};
   InMemoryStore Store;
   SilentWorkers Workers;
-  RowDecoder Rows = decoder();
+  RowDecoder Rows = decoderOf(configOf({"p"}));
   CallerCodec Codec;
   JobMetrics Count;
   Context Ctx{Settings, Loop, Client, Store, Workers,
@@ -57,21 +58,6 @@
     Other.stop();
   }
 
-  static RowDecoder decoder() {
-    RowDecoder Decoder;
-    Decoder.OperatorTable = "op";
-    Decoder.WorkerTable = "servers";
-    Decoder.Operator = [](const store::PartRow &) {
-      auto Config = std::make_shared<jobs::FleetConfig>();
-      Config->Version = 1;
-      Config->Pools.push_back({"p", false, false});
-      OperatorRow Row;
-      Row.What = OperatorRow::Kind::Config;
-      Row.Config = std::move(Config);
-      return Row;
-    };
-    return Decoder;
-  }
   OwnerAnswer ask() {
     std::optional<OwnerAnswer> Got;
     runOn(Loop, [&] {
--- a/tests/dispatch/TeamAllotmentsTest.cpp
+++ b/tests/dispatch/TeamAllotmentsTest.cpp
@@ -2,6 +2,7 @@
 
 #include "codec/JobJson.h"
 #include "dispatch/Clock.h"
+#include "dispatch/ConfigDecoder.h"
 #include "dispatch/InMemoryStore.h"
 #include "dispatch/LoopCalls.h"
 #include "dispatch/SilentWorkers.h"
@@ -80,7 +81,7 @@
   net::HttpClient Client{{}};
   InMemoryStore Store;
   StartingWorkers Workers;
-  RowDecoder Rows = decoder();
+  RowDecoder Rows = decoderOf(config(), worker);
   CallerCodec Codec;
   JobMetrics Count;
   Context Ctx{Settings, Loop, Client, Store, Workers,
@@ -131,38 +132,23 @@
     Client.stop();
   }
 
-  static RowDecoder decoder() {
-    RowDecoder Decoder;
-    Decoder.OperatorTable = "op";
-    Decoder.WorkerTable = "servers";
-    Decoder.Operator = [](const store::PartRow &) {
-      auto Config = std::make_shared<jobs::FleetConfig>();
-      Config->Version = 1;
-      Config->Pools.push_back({"p", false, false});
-      Config->Pools.push_back({"q", false, false});
-      jobs::Team Team;
-      Team.Name = "t";
-      Team.UpperLimit = {Limit, 0, 0};
-      Config->Teams["t"] = Team;
-      OperatorRow Row;
-      Row.What = OperatorRow::Kind::Config;
-      Row.Config = std::move(Config);
-      return Row;
-    };
-    Decoder.WorkerWithoutHeartbeat = [](const std::string &Value) {
-      return Value;
-    };
-    Decoder.Worker = [](const store::PartRow &Row) {
-      jobs::WorkerEntry Entry;
-      Entry.Id = Row.Where.Key;
-      Entry.Pool = Row.Value;
-      Entry.Address = "127.0.0.1:1";
-      Entry.DataCentre = "dc1";
-      Entry.Capacity = {4000, 1000, 0};
-      Entry.Born = 1;
-      return Entry;
-    };
-    return Decoder;
+  static jobs::FleetConfig config() {
+    jobs::FleetConfig Config = configOf({"p", "q"});
+    jobs::Team Team;
+    Team.Name = "t";
+    Team.UpperLimit = {Limit, 0, 0};
+    Config.Teams["t"] = Team;
+    return Config;
+  }
+  static jobs::WorkerEntry worker(const store::PartRow &Row) {
+    jobs::WorkerEntry Entry;
+    Entry.Id = Row.Where.Key;
+    Entry.Pool = Row.Value;
+    Entry.Address = "127.0.0.1:1";
+    Entry.DataCentre = "dc1";
+    Entry.Capacity = {4000, 1000, 0};
+    Entry.Born = 1;
+    return Entry;
   }
   bool isSettled(const std::string &Pool) const {
     auto Controller = Owners.controller(Pool);
