--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -2,8 +2,6 @@
 
 #include "codec/JobJson.h"
 #include "dispatch/Clock.h"
-#include "dispatch/EventLog.h"
-#include "dispatch/MachineCache.h"
 
 #include <algorithm>
 #include <charconv>
@@ -19,61 +17,16 @@
 /// Interval of planning passes for changes that no event triggers: due times
 /// and lapsed leases.
 constexpr milliseconds TickPeriod(60);
-/// Pause before a failed read or write of the store is retried.
+/// Pause before a failed read of the store is retried.
 constexpr milliseconds StoreRetry(120);
-/// Pause before a write of the chain row alone that the store refuses itself is
-/// repeated, and before a row that was set aside is tried again. These bound
-/// the calls that can't succeed to one per pause and pool.
-constexpr milliseconds RefusedRetry(1000);
-constexpr milliseconds AsideRetry(3000);
-/// Batches the ends of several tasks into one write.
-constexpr milliseconds FlushDelay(20);
-/// A transaction takes 100 entries; two are conditions, one is the chain row
-/// and some are further rows of large jobs.
-constexpr std::size_t BatchRows = 80;
-/// Most further rows in a batch. With the other rows they stay below the
-/// megabyte that a transaction takes, in which bytes count four thirds.
-constexpr std::size_t MaxFurtherRows = 8;
-/// Tasks of the jobs in a batch, unless it has one job only.
-constexpr std::size_t BatchTasks = 4000;
 /// A worker reopens if its closing was not requested again for this long.
 constexpr milliseconds CloseExpiry(2500);
-/// Pause between two checks of workers that are no longer listed.
-constexpr milliseconds UnlistedCheckPause(400);
 /// Finished jobs are kept for a margin beyond the promised time.
 constexpr milliseconds FinishedKeepMargin(10000);
 
 /// Payloads that are read at the same time.
 constexpr std::size_t MaxPayloadReads = 16;
 
-struct WorkerCount {
-  std::size_t Heard = 0;
-  std::size_t NotListed = 0;
-};
-
-/// Splits the batch into two, each with about half of its rows. Roster rows
-/// come first, removals last: what a removed worker has ended is stored before.
-std::pair<jobs::ProgressBatch, jobs::ProgressBatch>
-split(const jobs::ProgressBatch &Batch) {
-  std::pair<jobs::ProgressBatch, jobs::ProgressBatch> Halves;
-  std::size_t Left = Batch.rowCount() / 2;
-  auto Next = [&]() -> jobs::ProgressBatch & {
-    if (Left == 0)
-      return Halves.second;
-    --Left;
-    return Halves.first;
-  };
-  for (const jobs::WorkerEntry &Entry : Batch.Enrolled)
-    Next().Enrolled.push_back(Entry);
-  if (Batch.Settled)
-    Next().Settled = true;
-  for (const jobs::ProgressWrite &Write : Batch.Writes)
-    Next().Writes.push_back(Write);
-  for (const std::string &Id : Batch.Unenrolled)
-    Next().Unenrolled.push_back(Id);
-  return Halves;
-}
-
 using RowsByKey = std::map<std::string, const store::PartRow *>;
 
 /// Decodes a job's progress from its row and those that belong to it. Throws
@@ -89,15 +42,6 @@
   return std::move(First.Progress);
 }
 
-WorkerCount countWorkers(const jobs::PoolState &State) {
-  WorkerCount Count;
-  for (const auto &[Id, Worker] : State.workers()) {
-    Count.Heard += Worker->Heard ? 1 : 0;
-    Count.NotListed += Worker->Gone ? 1 : 0;
-  }
-  return Count;
-}
-
 jobs::OwnerLimits limitsFor(const settings::DispatchSettings &Settings) {
   jobs::OwnerLimits Limits;
   Limits.Lease = std::min(Limits.Lease, Settings.MaxLease);
@@ -115,9 +59,14 @@
                                std::function<void(const std::string &)> Lost)
     : Ctx_(Ctx), View_(View), Jobs_(Jobs), Table_(Table),
       State_(Takeover.Pool, Takeover.Token, bootNow(), limitsFor(Ctx.Settings)),
-      Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token), TakenAt_(Takeover.At),
-      Earlier_(Takeover.Earlier), StopQuery_(std::move(Query)),
-      Lost_(std::move(Lost)), Part_(rows::poolPart(Takeover.Pool)) {}
+      Log_(Takeover.Pool, Takeover.Token), Unlisted_(Ctx, State_, Log_, *this),
+      Sender_(Ctx, State_, Log_, *this),
+      Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token),
+      Writer_(Ctx, State_, Log_, Monitor_, *this,
+              [this](const char *Why) { loseOwnership(Why); }),
+      TakenAt_(Takeover.At), Earlier_(Takeover.Earlier),
+      StopQuery_(std::move(Query)), Lost_(std::move(Lost)),
+      Part_(rows::poolPart(Takeover.Pool)) {}
 
 // Loading.
 
@@ -133,26 +82,12 @@
       return;
     }
     Self->Ctx_.Count.recordRetry("load-jobs");
-    Self->logLoadFailure(rows::Jobs, *Answer);
+    Self->Log_.logLoadFailure(rows::Jobs, *Answer, bootNow() - Self->TakenAt_);
     Self->Ctx_.Loop.after(StoreRetry,
                           [Self, TableRead] { Self->load(TableRead); });
   });
 }
 
-/// Logs each failed load, since the pool gets no work done until its rows are
-/// read.
-void PoolController::logLoadFailure(const char *Table,
-                                    const PartAnswer &Answer) {
-  logEvent("pool_load_failed",
-           {{"pool", State_.pool()},
-            {"token", State_.token()},
-            {"table", Table},
-            {"outcome", store::nameOf(Answer.Outcome)},
-            {"error", Answer.Error},
-            {"rows_read", Answer.Rows.size()},
-            {"since_ms", core::inMs(bootNow() - TakenAt_)}});
-}
-
 void PoolController::loadProgress(std::shared_ptr<const PartAnswer> JobTable) {
   auto Self = shared_from_this();
   readPartsPatiently(Ctx_.Loop, Ctx_.Store, rows::Progress, {Part_},
@@ -174,7 +109,7 @@
     return;
   }
   Ctx_.Count.recordRetry("load-progress");
-  logLoadFailure(rows::Progress, Answer);
+  Log_.logLoadFailure(rows::Progress, Answer, bootNow() - TakenAt_);
   Ctx_.Loop.after(StoreRetry, [Self = shared_from_this(), JobTable] {
     Self->loadProgress(JobTable);
   });
@@ -184,10 +119,11 @@
     const std::vector<store::PartRow> &JobRows,
     const std::vector<store::PartRow> &ProgressRows) {
   RowsByKey ByKey;
+  std::uint64_t ChainVersion = 0;
   core::TimePoint Now = bootNow();
   for (const store::PartRow &Row : ProgressRows) {
     if (Row.Where.Key == rows::ChainKey) {
-      ChainVersion_ = Row.Version;
+      ChainVersion = Row.Version;
       continue;
     }
     if (Row.Where.Key == rows::SettledKey) {
@@ -207,7 +143,7 @@
     try {
       Kept[Key] = progressOf(ByKey, Key);
     } catch (const std::exception &E) {
-      logEvent("progress_row_unreadable", {{"job", Key}, {"error", E.what()}});
+      Log_.logUnreadableProgress(Key, E.what());
     }
   }
   for (const store::PartRow &Row : JobRows) {
@@ -222,11 +158,11 @@
       auto It = Kept.find(Spec.Id);
       State_.inheritJob(Spec, It == Kept.end() ? nullptr : &It->second, Now);
     } catch (const std::exception &E) {
-      logEvent("job_row_unreadable",
-               {{"job", Row.Where.Key}, {"error", E.what()}});
+      Log_.logUnreadableJob(Row.Where.Key, E.what());
     }
   }
   Loaded_ = true;
+  Writer_.begin(ChainVersion);
   for (const store::PartRow &Row : JobRows)
     if (Row.Where.Key.ends_with(rows::CancelSuffix))
       applyJobRow(Row);
@@ -234,15 +170,7 @@
     applyJobRow(Row);
   stopEarlierOwners();
   refresh();
-  WorkerCount Count = countWorkers(State_);
-  logEvent("pool_loaded", {{"pool", State_.pool()},
-                           {"token", State_.token()},
-                           {"jobs", State_.jobs().size()},
-                           {"workers", State_.workers().size()},
-                           {"workers_not_listed", Count.NotListed},
-                           {"earlier_owners", Earlier_.Owners.size()},
-                           {"earlier_known", Earlier_.Complete ? 1 : 0},
-                           {"list_age_ms", View_.workersAgeMs()}});
+  Log_.logLoaded(State_, Earlier_, View_.workersAgeMs());
   tick();
 }
 
@@ -253,7 +181,7 @@
   if (Error == std::errc() && Read == End)
     jobs::dropBeforeSettled(Earlier_, Token);
   else
-    logEvent("settled_row_unreadable", {{"pool", State_.pool()}});
+    Log_.logUnreadableSettled();
 }
 
 /// Asks earlier owners to stop, so that inherited tasks need not wait for a
@@ -304,9 +232,7 @@
     return;
   }
   Ctx_.Count.recordRetry("load-payload");
-  logEvent("payload_read_failed", {{"job", JobId},
-                                   {"outcome", store::nameOf(Answer.Outcome)},
-                                   {"error", Answer.Error}});
+  Log_.logPayloadFailure(JobId, Answer);
   Ctx_.Loop.after(StoreRetry, [Self = shared_from_this(), JobId] {
     Self->PayloadReads_.erase(JobId);
   });
@@ -323,91 +249,11 @@
   try {
     Entry = codec::decodeRosterRow(Entry.Id, Row.Value);
   } catch (const std::exception &E) {
-    logEvent("roster_row_unreadable",
-             {{"worker", Entry.Id}, {"error", E.what()}});
+    Log_.logUnreadableRoster(Entry.Id, E.what());
   }
   State_.addEnrolled(Entry, Now);
 }
 
-/// Checks workers that are no longer listed and have not reported to this
-/// owner; most of them were moved to another pool. Inherited tasks wait for the
-/// others until any lease has lapsed. Also checks those that may have crashed.
-void PoolController::checkUnlistedWorkers() {
-  if (CheckingUnlisted_)
-    return;
-  std::vector<std::string> Open;
-  for (const auto &[Id, Worker] : State_.workers())
-    if (mayHaveEnded(Id))
-      Open.push_back(Id);
-  if (Open.empty() || Dropped_ || !Ctx_.Machines)
-    return;
-  CheckingUnlisted_ = true;
-  readMachines(Open, false);
-}
-
-bool PoolController::mayHaveEnded(const std::string &Id) const {
-  auto At = State_.workers().find(Id);
-  return At != State_.workers().end() &&
-         (jobs::PoolState::mayHaveEnded(*At->second) ||
-          (At->second->Gone && State_.mayHaveCrashed(Id)));
-}
-
-/// Reads the list of machines. \p Again says that the last list showed none of
-/// the workers.
-void PoolController::readMachines(const std::vector<std::string> &Ids,
-                                  bool Again) {
-  auto Self = shared_from_this();
-  Ctx_.Machines->list([Self, Ids, Again](MachineList List) {
-    Self->Ctx_.Loop.post([Self, Ids, Again, List = std::move(List)] {
-      Self->onMachinesRead(Ids, List, Again);
-    });
-  });
-}
-
-/// Pages of one list may be read while machines come and go, so that it misses
-/// some: a worker has ended without a machine only if two lists agree.
-void PoolController::onMachinesRead(const std::vector<std::string> &Ids,
-                                    const MachineList &List, bool Again) {
-  if (!List.Ok)
-    Ctx_.Count.recordRetry("list-machines");
-  std::vector<std::string> Missing;
-  for (const std::string &Id : Ids) {
-    // It may have reported since the list was requested.
-    if (!List.Ok || !mayHaveEnded(Id) || !hasWorkerEnded(Id, List.Machines))
-      continue;
-    if (Again || isWorkerShown(Id, List.Machines))
-      endWorker(Id, List);
-    else
-      Missing.push_back(Id);
-  }
-  schedulePlan();
-  if (!Missing.empty() && !Dropped_) {
-    readMachines(Missing, true);
-    return;
-  }
-  Ctx_.Loop.after(UnlistedCheckPause, [Self = shared_from_this()] {
-    Self->CheckingUnlisted_ = false;
-    Self->checkUnlistedWorkers();
-  });
-}
-
-/// Logs what is assumed of the worker's runs, which may start again now.
-void PoolController::endWorker(const std::string &Id, const MachineList &List) {
-  auto At = State_.workers().find(Id);
-  if (At == State_.workers().end())
-    return;
-  const jobs::WorkerState &Worker = *At->second;
-  logEvent("worker_ended", {{"worker", Id},
-                            {"pool", State_.pool()},
-                            {"token", State_.token()},
-                            {"machine", machineStateOf(Id, List.Machines)},
-                            {"machines", List.Machines.size()},
-                            {"listed", Worker.Gone ? 0 : 1},
-                            {"heard", Worker.Heard ? 1 : 0},
-                            {"runs", Worker.Tasks.size()}});
-  State_.confirmEnded(Id);
-}
-
 // Events.
 
 void PoolController::refresh() {
@@ -415,7 +261,7 @@
   State_.setClosedDataCentres(View_.closedDataCentres());
   std::vector<jobs::WorkerEntry> Entries = View_.workersOf(State_.pool());
   State_.setWorkers(Entries, bootNow());
-  checkUnlistedWorkers();
+  Unlisted_.check();
   schedulePlan();
 }
 
@@ -438,7 +284,7 @@
   try {
     Spec = codec::decodeJob(Row.Value);
   } catch (const std::exception &E) {
-    logEvent("job_row_unreadable", {{"job", Key}, {"error", E.what()}});
+    Log_.logUnreadableJob(Key, E.what());
     return;
   }
   if (Spec.Pool == State_.pool())
@@ -487,7 +333,7 @@
     return;
   if (Answer.Outcome != PartOutcome::Ok) {
     Ctx_.Count.recordRetry("look-up-jobs");
-    logLoadFailure(rows::Progress, Answer);
+    Log_.logLoadFailure(rows::Progress, Answer, bootNow() - TakenAt_);
     Ctx_.Loop.after(StoreRetry,
                     [Self = shared_from_this()] { Self->readLookedUp(); });
     return;
@@ -509,16 +355,12 @@
       }
     } catch (const std::exception &E) {
       // Without its progress it isn't known which of its tasks have run.
-      logEvent("progress_row_unreadable", {{"job", Id}, {"error", E.what()}});
+      Log_.logUnreadableProgress(Id, E.what());
     }
     if (Job.Cancelled)
       State_.cancelJob(Id);
   }
-  logEvent("jobs_looked_up", {{"pool", State_.pool()},
-                              {"token", State_.token()},
-                              {"jobs", Ids.size()},
-                              {"finished", Finished},
-                              {"row_version", Answer.Version}});
+  Log_.logLookedUp(Ids.size(), Finished, Answer.Version);
   if (!LookUps_.empty())
     readLookedUp();
   schedulePlan();
@@ -573,8 +415,7 @@
 
 void PoolController::shutDown(std::function<void()> Done) {
   Leaving_ = true;
-  ShutDownDone_ = std::move(Done);
-  flush();
+  Writer_.finish(std::move(Done));
 }
 
 void PoolController::drop() {
@@ -591,9 +432,7 @@
   if (Dropped_)
     return;
   drop();
-  logEvent(
-      "pool_lost",
-      {{"pool", State_.pool()}, {"token", State_.token()}, {"reason", Why}});
+  Log_.logLost(Why);
   Lost_(State_.pool());
 }
 
@@ -640,21 +479,16 @@
   In.AuthorityEnd = authorityEnd();
   In.MayStart = !Leaving_ && In.Now < In.AuthorityEnd;
   In.JobsReadAt = Jobs_.currentAt();
-  In.MaxStarts = jobs::roomIn(StartWindow_, UnansweredStarts_);
-  recordSending();
+  In.MaxStarts = Sender_.startRoom();
+  Sender_.recordSending();
   jobs::Orders Orders = State_.plan(In);
   core::TimePoint Planned = bootNow();
   Monitor_.recordPlanTime(Planned - In.Now);
   NextPlanAt_ = Planned + jobs::pauseAfterPlan(Planned - In.Now);
-  logSettled(In.Now);
-  logStopDecisions();
-  logLongWait();
-  logRestarts();
-  logLapsedRuns();
-  logCrashes();
-  StartsBounded_ = Orders.StartsBounded;
-  send(std::move(Orders));
-  Monitor_.recordStarts(jobs::roomIn(StartWindow_, 0), UnansweredStarts_);
+  noteSettled(In.Now);
+  Log_.logDecisions(State_);
+  Sender_.send(Orders);
+  Monitor_.recordStarts(Sender_.startWindow(), Sender_.unansweredStarts());
   if (State_.isFenced()) {
     loseOwnership(State_.isFenceUsedUp() ? "fence used up" : "fenced");
     return;
@@ -662,458 +496,16 @@
   auto Keep = std::chrono::duration_cast<milliseconds>(
       Ctx_.Settings.KeepFinished + FinishedKeepMargin);
   State_.dropFinished(In.WallMs - Keep.count());
-  flush();
+  Writer_.flush();
 }
 
-/// Logs once that inherited tasks may start, and how many workers have reported
-/// by then.
-void PoolController::logSettled(core::TimePoint Now) {
+void PoolController::noteSettled(core::TimePoint Now) {
   if (SettledLogged_ || !State_.isSettled())
     return;
   SettledLogged_ = true;
   if (EarlierOwners_)
     EarlierOwners_->cancel();
-  WorkerCount Count = countWorkers(State_);
-  auto Waited = std::chrono::duration_cast<milliseconds>(Now - TakenAt_);
-  logEvent("pool_settled", {{"pool", State_.pool()},
-                            {"token", State_.token()},
-                            {"workers", State_.workers().size()},
-                            {"workers_heard", Count.Heard},
-                            {"workers_not_listed", Count.NotListed},
-                            {"waited_ms", Waited.count()}});
-}
-
-/// Logs each decision to stop a lasting task, which makes its step less
-/// available, with the state it was based on.
-void PoolController::logStopDecisions() {
-  for (const jobs::StopDecision &Decision : State_.takeStopDecisions())
-    logEvent("lasting_task_stopped",
-             {{"job", Decision.Task.JobId},
-              {"step", Decision.Task.Step},
-              {"index", Decision.Task.Index},
-              {"run", Decision.Run},
-              {"worker", Decision.Worker},
-              {"reason", jobs::nameOf(Decision.Reason)},
-              {"percent", Decision.Percent},
-              {"report_age_ms", core::inMs(Decision.ReportAge)},
-              {"unavailable", Decision.Unavailable},
-              {"allowed", Decision.Allowed},
-              {"token", State_.token()}});
-}
-
-/// Logs the longest wait of a task, with what keeps it from starting.
-void PoolController::logLongWait() {
-  std::optional<jobs::LongWait> Long = State_.takeLongWait();
-  if (!Long)
-    return;
-  const jobs::TaskRef &Task = Long->Wait.Task;
-  logEvent(Long->Lasting ? "lasting_task_waits" : "task_waits",
-           {{"pool", State_.pool()},
-            {"token", State_.token()},
-            {"job", Task.JobId},
-            {"occurrence", Task.Occurrence},
-            {"step", Task.Step},
-            {"index", Task.Index},
-            {"waited_ms", core::inMs(Long->Wait.Age)},
-            {"reason", jobs::nameOf(Long->Wait.Reason)},
-            {"workers", Long->Placement.Workers},
-            {"unheard", Long->Unheard},
-            {"isolated", Long->Isolated},
-            {"usable", Long->Placement.Usable},
-            {"with_label", Long->Placement.WithLabel},
-            {"with_room", Long->Placement.WithRoom},
-            {"with_spread", Long->Placement.WithSpread}});
-}
-
-/// Logs each restart of a worker under its id that this owner has found, and
-/// each doubt about one.
-void PoolController::logRestarts() {
-  for (const jobs::IncarnationChange &Change : State_.takeIncarnationChanges())
-    logEvent(Change.IsLater ? "worker_restarted" : "worker_restart_doubted",
-             {{"worker", Change.Worker},
-              {"pool", State_.pool()},
-              {"token", State_.token()},
-              {"born", Change.Shown},
-              {"born_before", Change.Known},
-              {"by", Change.ByReport ? "report" : "list"},
-              {"starts_in_doubt", Change.StartsInDoubt}});
-}
-
-/// Logs the runs that count as ended since their worker's lease has lapsed.
-void PoolController::logLapsedRuns() {
-  for (const jobs::LapsedRuns &Lapsed : State_.takeLapsedRuns())
-    logEvent("runs_lapsed", {{"worker", Lapsed.Worker},
-                             {"pool", State_.pool()},
-                             {"token", State_.token()},
-                             {"runs", Lapsed.Runs},
-                             {"report_age_ms", core::inMs(Lapsed.ReportAge)},
-                             {"doubted", Lapsed.Doubted ? 1 : 0}});
-}
-
-/// Logs each worker that has crashed with runs, and each job that failed for
-/// it.
-void PoolController::logCrashes() {
-  for (const jobs::CrashRecord &Record : State_.takeCrashRecords()) {
-    std::string Suspects;
-    for (const jobs::SuspectRun &Run : Record.Suspects) {
-      Suspects += Suspects.empty() ? "" : " ";
-      Suspects += Run.JobId + '/' + std::to_string(Run.Task) + '#' +
-                  std::to_string(Run.Run);
-    }
-    logEvent("worker_crashed", {{"worker", Record.Worker},
-                                {"pool", State_.pool()},
-                                {"runs", Record.Runs},
-                                {"suspects", Suspects},
-                                {"token", State_.token()}});
-    for (const jobs::TaskRef &Task : Record.GivenUp)
-      logEvent("job_given_up", {{"job", Task.JobId},
-                                {"occurrence", Task.Occurrence},
-                                {"step", Task.Step},
-                                {"index", Task.Index},
-                                {"worker", Record.Worker},
-                                {"pool", State_.pool()},
-                                {"token", State_.token()}});
-  }
-}
-
-const jobs::WorkerEntry *
-PoolController::entryOf(const std::string &Worker) const {
-  auto It = State_.workers().find(Worker);
-  return It == State_.workers().end() ? nullptr : &It->second->Entry;
-}
-
-void PoolController::send(jobs::Orders Orders) {
-  auto Self = shared_from_this();
-  core::TimePoint GivenAt = bootNow();
-  for (jobs::StopOrder &Order : Orders.Stops)
-    if (const jobs::WorkerEntry *To = entryOf(Order.Worker))
-      Ctx_.Workers.stop(*To, Order.Fence, Order,
-                        [Self, Order](jobs::OrderResult Result) {
-                          Self->Ctx_.Loop.post([Self, Order, Result] {
-                            Self->State_.onStop(Order, Result, bootNow());
-                            Self->schedulePlan();
-                          });
-                        });
-  for (jobs::StartOrder &Order : Orders.Starts) {
-    const jobs::WorkerEntry *To = entryOf(Order.Worker);
-    if (!To)
-      continue;
-    ++UnansweredStarts_;
-    // Only the order's identity is needed once it has been sent.
-    jobs::StartOrder Sent;
-    Sent.Worker = Order.Worker;
-    Sent.Task = Order.Task;
-    Sent.Run = Order.Run;
-    Sent.Fence = Order.Fence;
-    auto SentAt = std::make_shared<net::BeginTime>();
-    Given_.push_back({SentAt, Sent});
-    Ctx_.Workers.start(
-        *To, Order.Fence, Order, SentAt,
-        [Self, Sent = std::move(Sent), GivenAt,
-         SentAt](jobs::OrderResult Result) {
-          Self->Ctx_.Loop.post([Self, Sent, GivenAt, SentAt, Result] {
-            Self->onStartAnswered(Sent, Result, GivenAt, SentAt);
-          });
-        });
-  }
-  for (jobs::HoldOrder &Order : Orders.Holds) {
-    const jobs::WorkerEntry *To = entryOf(Order.Worker);
-    if (!To)
-      continue;
-    auto SentAt = std::make_shared<net::BeginTime>();
-    Given_.push_back({SentAt, Order});
-    Ctx_.Workers.report(*To, Order.Fence, Order, SentAt,
-                        [Self, Order, GivenAt](jobs::ReportResult Result) {
-                          Self->Ctx_.Loop.post([Self, Order, GivenAt, Result] {
-                            Self->onReported(Order, Result, GivenAt);
-                          });
-                        });
-  }
-}
-
-/// Tells the state which orders still wait to be sent and which have been sent
-/// since the last round. Those that were answered meanwhile don't matter.
-void PoolController::recordSending() {
-  std::erase_if(Given_, [this](GivenOrder &Given) {
-    std::shared_ptr<net::BeginTime> Mark = Given.SentAt.lock();
-    if (!Mark)
-      return true;
-    core::TimePoint SentAt = *Mark;
-    bool IsSent = SentAt != core::TimePoint();
-    if (IsSent || !Given.Waits)
-      std::visit(
-          [&](const auto &Order) {
-            State_.onSending(Order,
-                             IsSent ? std::optional(SentAt) : std::nullopt);
-          },
-          Given.Order);
-    Given.Waits = !IsSent;
-    return IsSent;
-  });
-}
-
-void PoolController::onReported(const jobs::HoldOrder &Order,
-                                const jobs::ReportResult &Result,
-                                core::TimePoint SentAt) {
-  auto At = State_.workers().find(Order.Worker);
-  bool FirstAnswer = At != State_.workers().end() && !At->second->Heard;
-  if (FirstAnswer && Result.Outcome == jobs::OrderOutcome::OtherIncarnation)
-    logEvent("worker_replaced", {{"worker", Order.Worker},
-                                 {"address", At->second->Entry.Address},
-                                 {"pool", State_.pool()},
-                                 {"token", State_.token()},
-                                 {"listed", At->second->Gone ? 0 : 1}});
-  State_.onReport(Order, Result, SentAt, bootNow());
-  schedulePlan();
-}
-
-void PoolController::onStartAnswered(const jobs::StartOrder &Order,
-                                     const jobs::OrderResult &Result,
-                                     core::TimePoint GivenAt,
-                                     const SendMark &SentAt) {
-  core::TimePoint Now = bootNow();
-  --UnansweredStarts_;
-  jobs::recordAnswer(StartWindow_, Now - GivenAt, Now);
-  core::TimePoint At = *SentAt;
-  if (Result.Outcome == jobs::OrderOutcome::Unknown && At != core::TimePoint())
-    State_.onSending(Order, At);
-  State_.onStart(Order, Result, Now);
-  if (Result.Outcome != jobs::OrderOutcome::Accepted)
-    logEvent("start_refused", {{"job", Order.Task.JobId},
-                               {"worker", Order.Worker},
-                               {"run", Order.Run},
-                               {"outcome", jobs::nameOf(Result.Outcome)}});
-  if (StartsBounded_ || Result.Outcome != jobs::OrderOutcome::Accepted)
-    schedulePlan();
-}
-
-// Storing.
-
-void PoolController::flush() {
-  if (Storing_ || Dropped_ || !Loaded_)
-    return;
-  jobs::ProgressBatch Batch = takeBatch();
-  if (Batch.isEmpty()) {
-    if (Leaving_ && ShutDownDone_) {
-      auto Left = std::exchange(ShutDownDone_, nullptr);
-      Left();
-    }
-    return;
-  }
-  Storing_ = true;
-  ChainAccepted_ = false;
-  BatchMark_ = Batch.Mark;
-  Parts_.push_back(std::move(Batch));
-  sendNextPart();
-}
-
-jobs::ProgressBatch PoolController::takeBatch() {
-  if (State_.hasSetAside() && bootNow() >= NextAsideTry_) {
-    jobs::ProgressBatch Batch = State_.takeSetAside();
-    if (!Batch.isEmpty())
-      return Batch;
-  }
-  return State_.takeChanges(BatchRows, BatchTasks);
-}
-
-/// Sends the next part of the batch; once there is none left, confirms it.
-void PoolController::sendNextPart() {
-  if (!Parts_.empty()) {
-    auto Write = std::make_shared<BatchWrite>();
-    Write->Batch = std::move(Parts_.front());
-    Monitor_.recordStoring(bootNow());
-    Parts_.pop_front();
-    sendBatch(Write);
-    return;
-  }
-  State_.onStored(BatchMark_);
-  schedulePlan();
-  auto Self = shared_from_this();
-  Ctx_.Loop.after(Leaving_ ? core::Duration::zero() : FlushDelay, [Self] {
-    Self->Storing_ = false;
-    Self->flush();
-  });
-}
-
-/// Sends the next attempt of the write. All attempts have the same conditions
-/// and rows, so that one of them applies at most, and none after a newer batch.
-void PoolController::sendBatch(const std::shared_ptr<BatchWrite> &Write) {
-  const jobs::ProgressBatch &Batch = Write->Batch;
-  store::PartTransaction T;
-  store::PartKey Chain = {rows::Progress, Part_, rows::ChainKey};
-  T.Conditions = {{{rows::Control, Part_, rows::OwnerKey}, State_.token()},
-                  {Chain, ChainVersion_}};
-  T.Puts.push_back({Chain, ""});
-  std::size_t RowBytes = Ctx_.Settings.StoreRowBytes;
-  std::size_t BytesLeft = RowBytes * MaxFurtherRows;
-  for (const jobs::ProgressWrite &Job : Batch.Writes) {
-    std::vector<std::string> Rows =
-        codec::encodeProgressRows(Job.Progress, RowBytes, BytesLeft);
-    for (std::size_t N = 0; N < Rows.size(); ++N) {
-      BytesLeft -= std::min(BytesLeft, Rows[N].size());
-      T.Puts.push_back(
-          {{rows::Progress, Part_, rows::progressKey(Job.JobId, N)},
-           std::move(Rows[N])});
-    }
-  }
-  for (const jobs::WorkerEntry &Entry : Batch.Enrolled)
-    T.Puts.push_back({{rows::Progress, Part_, rows::RosterPrefix + Entry.Id},
-                      codec::encodeRosterRow(Entry)});
-  if (Batch.Settled)
-    T.Puts.push_back({{rows::Progress, Part_, rows::SettledKey},
-                      std::to_string(State_.token())});
-  for (const std::string &Id : Batch.Unenrolled)
-    T.Removals.push_back({rows::Progress, Part_, rows::RosterPrefix + Id});
-  recordAttempt(Write->Attempts);
-  core::TimePoint SentAt = bootNow();
-  auto Self = shared_from_this();
-  Ctx_.Store.commit(
-      std::move(T), attemptLimit(Write->Attempts.Sent),
-      [Self, Write, SentAt](PartAnswer Answer) {
-        Self->Ctx_.Loop.post([Self, Write, SentAt, Answer = std::move(Answer)] {
-          Self->onBatchAnswered(Write, Answer, bootNow() - SentAt);
-        });
-      });
-  if (auto Pause = pauseBeforeRepeat(StorePace_, Write->Attempts.Sent))
-    repeatBatch(Write, *Pause, true);
-}
-
-/// Sends the next attempt after the pause if \ref mayRepeat allows it then.
-void PoolController::repeatBatch(const std::shared_ptr<BatchWrite> &Write,
-                                 core::Duration Pause, bool BesideOpen) {
-  Ctx_.Loop.after(Pause, [Self = shared_from_this(), Write, BesideOpen,
-                          Sent = Write->Attempts.Sent] {
-    if (Self->Dropped_ || !mayRepeat(Write->Attempts, Sent, BesideOpen))
-      return;
-    Self->Ctx_.Count.recordRetry("store-progress");
-    Self->sendBatch(Write);
-  });
-}
-
-/// Logs one line for each job that ended, with the number of failed runs and
-/// the worker of the last one.
-void PoolController::logEnded(const jobs::ProgressBatch &Batch,
-                              std::uint64_t RowVersion) {
-  for (const jobs::ProgressWrite &Write : Batch.Writes) {
-    const jobs::JobRecord *Job = State_.findJob(Write.JobId);
-    if (!Job || !jobs::isFinal(Write.Progress.State))
-      continue;
-    std::size_t FailedRuns = 0;
-    std::string FailedOn;
-    for (const jobs::TaskState &Task : Job->Tasks) {
-      FailedRuns += Task.Kept.FailedRuns.size();
-      if (!Task.FailedOn.empty())
-        FailedOn = Task.FailedOn;
-    }
-    logEvent("job_ended", {{"job", Write.JobId},
-                           {"pool", State_.pool()},
-                           {"state", jobs::nameOf(Write.Progress.State)},
-                           {"failed_runs", FailedRuns},
-                           {"max_attempts", Job->Spec.MaxAttempts},
-                           {"last_failed_on", FailedOn},
-                           {"token", State_.token()},
-                           {"row_version", RowVersion}});
-  }
-}
-
-void PoolController::onBatchAnswered(const std::shared_ptr<BatchWrite> &Write,
-                                     const PartAnswer &Answer,
-                                     core::Duration Took) {
-  if (Answer.Outcome == PartOutcome::Ok ||
-      Answer.Outcome == PartOutcome::Conflict)
-    recordAnswer(StorePace_, Took);
-  WriteStep Step =
-      takeAnswer(Write->Attempts, Answer.Outcome, Answer.Permanent);
-  if (Dropped_)
-    return;
-  if (Step == WriteStep::Settle)
-    onBatchSettled(*Write, Answer);
-  else if (Step == WriteStep::Retry)
-    repeatBatch(Write, StoreRetry, false);
-}
-
-void PoolController::onBatchSettled(const BatchWrite &Write,
-                                    const PartAnswer &Answer) {
-  const jobs::ProgressBatch &Batch = Write.Batch;
-  if (Answer.Permanent) {
-    onBatchRefused(Batch, Answer, Write.Attempts.Unsure);
-    return;
-  }
-  if (Answer.Outcome == PartOutcome::Ok)
-    ChainVersion_ = Answer.Version;
-  if (Answer.Outcome == PartOutcome::Conflict) {
-    std::uint64_t Owner = 0;
-    std::uint64_t Chain = 0;
-    for (const store::PartRow &Row : Answer.Rows)
-      (Row.Where.Key == rows::OwnerKey ? Owner : Chain) = Row.Version;
-    // Only this owner writes the chain row, so an earlier attempt has applied
-    // that was not answered.
-    if (Owner != State_.token() || Chain <= ChainVersion_) {
-      loseOwnership("owner row changed");
-      return;
-    }
-    ChainVersion_ = Chain;
-  }
-  Monitor_.recordStored(bootNow(), Write.Attempts.Sent > 1,
-                        Answer.Outcome == PartOutcome::Conflict);
-  ChainAccepted_ = ChainAccepted_ || Batch.isEmpty();
-  logEnded(Batch, Answer.Version);
-  sendNextPart();
-}
-
-/// Finds the rows that the store refuses. A write of the chain row alone shows
-/// whether it refuses the rows, and ends earlier attempts without an answer:
-/// one that was applied later would be taken for a write of newer rows.
-void PoolController::onBatchRefused(const jobs::ProgressBatch &Batch,
-                                    const PartAnswer &Answer, bool Again) {
-  if (Batch.isEmpty()) {
-    Ctx_.Count.recordRetry("store-refuses-pool");
-    logEvent("progress_refused", {{"pool", State_.pool()},
-                                  {"token", State_.token()},
-                                  {"error", Answer.Error}});
-    Parts_.push_front({});
-    Ctx_.Loop.after(RefusedRetry, [Self = shared_from_this()] {
-      if (!Self->Dropped_)
-        Self->sendNextPart();
-    });
-    return;
-  }
-  if (Again || !ChainAccepted_) {
-    Parts_.push_front(Batch);
-    Parts_.push_front({});
-  } else if (Batch.rowCount() > 1) {
-    auto [First, Second] = split(Batch);
-    Parts_.push_front(std::move(Second));
-    Parts_.push_front(std::move(First));
-  } else {
-    setAside(Batch, Answer);
-  }
-  sendNextPart();
-}
-
-/// Leaves the only row of \p Row for later, so that it holds up no other.
-void PoolController::setAside(const jobs::ProgressBatch &Row,
-                              const PartAnswer &Answer) {
-  State_.setAside(Row);
-  NextAsideTry_ = bootNow() + AsideRetry;
-  const char *Kind = "settled";
-  std::string Id;
-  if (!Row.Writes.empty()) {
-    Kind = "job";
-    Id = Row.Writes.front().JobId;
-  } else if (!Row.Enrolled.empty()) {
-    Kind = "enrolled-worker";
-    Id = Row.Enrolled.front().Id;
-  } else if (!Row.Unenrolled.empty()) {
-    Kind = "left-worker";
-    Id = Row.Unenrolled.front();
-  }
-  Ctx_.Count.recordRefusedRow(Kind);
-  logEvent("row_set_aside", {{"pool", State_.pool()},
-                             {"token", State_.token()},
-                             {"kind", Kind},
-                             {"id", Id},
-                             {"error", Answer.Error}});
+  Log_.logSettled(State_, Now - TakenAt_);
 }
 
 } // namespace comfreydeck::dispatch
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -317,6 +317,8 @@
   bool HadStraggler = false;
   /// A second copy is to start in parallel with the current run.
   bool WantsCopy = false;
+  /// This owner has started it or found a run of it.
+  bool HadRun = false;
   /// When its last run was removed, or when it became ready to start.
   core::TimePoint WaitingSince;
 };
@@ -345,6 +347,8 @@
 
 struct JobRecord {
   JobSpec Spec;
+  /// Counts the jobs that the owner has learned of.
+  std::uint64_t Number = 0;
   std::vector<TaskState> Tasks;
   /// Index of each step's first task within an occurrence.
   std::vector<std::uint32_t> StepBegin;
@@ -389,6 +393,19 @@
   std::vector<const StepSpec *> WaitingSteps;
 };
 
+/// A task of a job, by its index within the job.
+using TaskOfJob = std::pair<JobRecord *, std::uint32_t>;
+
+/// Orders tasks in the way in which their jobs became known, which doesn't
+/// depend on addresses.
+struct TaskOrder {
+  bool operator()(const TaskOfJob &A, const TaskOfJob &B) const {
+    return A.first->Number != B.first->Number
+               ? A.first->Number < B.first->Number
+               : A.second < B.second;
+  }
+};
+
 /// A reported end whose job is unknown, possibly because it is not loaded yet.
 struct ParkedEnd {
   EndReport End;
@@ -475,7 +492,7 @@
   /// can't arrive any more.
   std::vector<LostStart> LostStarts;
   /// Tasks with a run on this worker.
-  std::set<std::pair<JobRecord *, std::uint32_t>> Tasks;
+  std::set<TaskOfJob, TaskOrder> Tasks;
   /// Report requests in flight, oldest first.
   std::vector<ReportRequest> Requests;
   std::uint64_t LastRequest = 0;
@@ -786,6 +803,8 @@
                  const std::function<std::vector<SuspectRun>()> &TakeSuspects,
                  core::TimePoint Now);
   void announceSuspects(const WorkerState &W);
+  bool hasPossibleCrash(const JobRecord &Job) const;
+  bool mayHaveMissedCrash(core::TimePoint Now) const;
   void recordLoss(const WorkerState &W, core::TimePoint Now);
   void settleLost(const WorkerState &W, std::vector<SuspectRun> Suspects,
                   std::size_t Runs, core::TimePoint Now);
@@ -890,8 +909,9 @@
   std::vector<JobRecord *> Open_;
   /// Upper bound on the number of open jobs whose payload is missing.
   std::size_t MissingPayloads_ = 0;
-  /// Jobs that have ended, by acceptance time.
-  std::set<std::pair<std::int64_t, JobRecord *>> Finished_;
+  /// Jobs that have ended, by acceptance time and number.
+  std::map<std::pair<std::int64_t, std::uint64_t>, JobRecord *> Finished_;
+  std::uint64_t JobCount_ = 0;
   /// Latest acceptance time of the jobs that were dropped.
   std::int64_t DroppedUpToMs_ = std::numeric_limits<std::int64_t>::min();
   std::deque<JobRecord *> Changed_;
@@ -933,6 +953,9 @@
   /// Time of the latest event or planning round.
   core::TimePoint Now_;
   CrashLedger Lost_;
+  /// A worker has restarted that this owner had not heard before. What had run
+  /// there is unknown.
+  bool MissedCrash_ = false;
   /// When a worker was last found to have crashed, by its address. The machine
   /// may be the cause, and a restarted worker may have another id.
   std::map<std::string, core::TimePoint> CrashedAt_;
