--- /dev/null
+++ b/src/jobs/PoolEvents.h
@@ -0,0 +1,45 @@
+#ifndef COMFREYDECK_JOBS_POOLEVENTS_H
+#define COMFREYDECK_JOBS_POOLEVENTS_H
+
+#include "jobs/CrashLedger.h"
+
+namespace comfreydeck::jobs {
+
+/// An incarnation that took the place of the known one, or may have, for logs.
+struct IncarnationChange {
+  std::string Worker;
+  /// Start times, in Unix milliseconds.
+  std::int64_t Known = 0;
+  std::int64_t Shown = 0;
+  /// A report told of it, not the worker's row.
+  bool ByReport = false;
+  /// It is a later one; otherwise it may be an earlier one too.
+  bool IsLater = false;
+  /// Starts that were sent before and may be carried out by it.
+  std::size_t StartsInDoubt = 0;
+};
+
+/// Runs that count as ended since their worker's lease has lapsed, for logs.
+struct LapsedRuns {
+  std::string Worker;
+  std::size_t Runs = 0;
+  /// Age of the worker's last report.
+  core::Duration ReportAge{0};
+  /// The worker may have restarted; starts that no report has listed are kept.
+  bool Doubted = false;
+};
+
+/// A worker that has crashed, for logs.
+struct CrashRecord {
+  std::string Worker;
+  /// Number of its runs, or of those lost when it went silent.
+  std::size_t Runs = 0;
+  /// Runs that may have caused the crash.
+  std::vector<SuspectRun> Suspects;
+  /// Tasks whose jobs have failed because of their crashes.
+  std::vector<TaskRef> GivenUp;
+};
+
+} // namespace comfreydeck::jobs
+
+#endif // COMFREYDECK_JOBS_POOLEVENTS_H
