--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -4,7 +4,10 @@
 #include "dispatch/EarlierOwners.h"
 #include "dispatch/FleetView.h"
 #include "dispatch/JobTableReader.h"
+#include "dispatch/OrderSender.h"
+#include "dispatch/PoolEventLog.h"
 #include "dispatch/PoolMonitor.h"
+#include "dispatch/UnlistedWorkers.h"
 #include "dispatch/WriteRepeats.h"
 #include "jobs/OwnerPace.h"
 
@@ -38,7 +41,8 @@
 
 /// One pool that this entry owns: loads its jobs, sends the planned orders to
 /// workers and stores progress. Runs on the loop's thread.
-class PoolController : public std::enable_shared_from_this<PoolController> {
+class PoolController : public std::enable_shared_from_this<PoolController>,
+                       private PoolHost {
 public:
   /// \p Jobs follows the job table, \p Table reads it. \p Query asks earlier
   /// owners to stop. \p Lost is called once when ownership of the pool is lost.
@@ -73,10 +77,11 @@
   std::uint64_t token() const { return State_.token(); }
   bool isLoaded() const { return Loaded_; }
   /// Schedules a planning pass, soon if the last passes were short.
-  void schedulePlan();
+  void schedulePlan() override;
 
 private:
-  void logLoadFailure(const char *Table, const store::PartAnswer &Answer);
+  std::shared_ptr<const void> keep() override { return shared_from_this(); }
+  bool isDropped() const override { return Dropped_; }
   void loadProgress(std::shared_ptr<const store::PartAnswer> JobTable);
   void onProgressRead(const std::shared_ptr<const store::PartAnswer> &JobTable,
                       const store::PartAnswer &Answer);
@@ -84,12 +89,6 @@
                     const std::vector<store::PartRow> &ProgressRows);
   void applySettledRow(const store::PartRow &Row);
   void applyRosterRow(const store::PartRow &Row, core::TimePoint Now);
-  void checkUnlistedWorkers();
-  bool mayHaveEnded(const std::string &Id) const;
-  void readMachines(const std::vector<std::string> &Ids, bool Again);
-  void onMachinesRead(const std::vector<std::string> &Ids,
-                      const MachineList &List, bool Again);
-  void endWorker(const std::string &Id, const MachineList &List);
   void stopEarlierOwners();
   void lookUpJob(const jobs::JobSpec &Spec);
   void readLookedUp();
@@ -100,19 +99,7 @@
   void onPayload(const std::string &JobId, const store::PartAnswer &Answer);
   void tick();
   void plan();
-  void logSettled(core::TimePoint Now);
-  void logStopDecisions();
-  void logLongWait();
-  void logRestarts();
-  void logLapsedRuns();
-  void logCrashes();
-  void send(jobs::Orders Orders);
-  void recordSending();
-  void onReported(const jobs::HoldOrder &Order,
-                  const jobs::ReportResult &Result, core::TimePoint SentAt);
-  void onStartAnswered(const jobs::StartOrder &Order,
-                       const jobs::OrderResult &Result, core::TimePoint GivenAt,
-                       const SendMark &SentAt);
+  void noteSettled(core::TimePoint Now);
   void flush();
   jobs::ProgressBatch takeBatch();
   void sendNextPart();
@@ -131,17 +118,18 @@
                       const store::PartAnswer &Answer, bool Again);
   void setAside(const jobs::ProgressBatch &Row,
                 const store::PartAnswer &Answer);
-  void logEnded(const jobs::ProgressBatch &Batch, std::uint64_t RowVersion);
   void applyClosed();
   void loseOwnership(const char *Why);
   core::TimePoint authorityEnd() const;
-  const jobs::WorkerEntry *entryOf(const std::string &Worker) const;
 
   Context &Ctx_;
   FleetView &View_;
   const TableFollower &Jobs_;
   JobTableReader &Table_;
   jobs::PoolState State_;
+  PoolEventLog Log_;
+  UnlistedWorkers Unlisted_;
+  OrderSender Sender_;
   PoolMonitor Monitor_;
   core::TimePoint TakenAt_;
   jobs::OwnerHistory Earlier_;
@@ -171,8 +159,6 @@
   std::set<std::string> PayloadReads_;
   bool Loaded_ = false;
   bool SettledLogged_ = false;
-  /// A check of workers that are no longer listed is running or scheduled.
-  bool CheckingUnlisted_ = false;
   bool Leaving_ = false;
   bool Dropped_ = false;
   bool Storing_ = false;
@@ -189,21 +175,6 @@
   core::TimePoint NextAsideTry_;
   bool PlanQueued_ = false;
   core::TimePoint NextPlanAt_;
-  jobs::StartWindow StartWindow_;
-  /// Starts that were sent and not answered.
-  std::size_t UnansweredStarts_ = 0;
-  /// An order that was given and not known to be sent in the last planning
-  /// round.
-  struct GivenOrder {
-    /// Expires with the order's callback.
-    std::weak_ptr<net::BeginTime> SentAt;
-    std::variant<jobs::StartOrder, jobs::HoldOrder> Order;
-    /// The state knows that the order waits.
-    bool Waits = false;
-  };
-  std::vector<GivenOrder> Given_;
-  /// The last planning pass left tasks waiting for \ref StartWindow_.
-  bool StartsBounded_ = false;
 };
 
 } // namespace comfreydeck::dispatch
