Gather what has happened in a pool in PoolEvents, taken by one call

PoolState had five lists of what happened since the last look and a method for each; the log took all of them in one place. PoolEvents holds them, and PoolState::takeEvents takes them. The counters stay apart: they are taken for each period of the metrics, the events in each round.

The tests call takeEvents().Crashes and takeEvents().LongestWait in place of the methods of these names; their checks are the same.

--- a/src/dispatch/PoolEventLog.cpp
+++ b/src/dispatch/PoolEventLog.cpp
@@ -108,15 +108,16 @@
 // Decisions.
 
 void PoolEventLog::logDecisions(jobs::PoolState &State) const {
-  for (const jobs::StopDecision &Decision : State.takeStopDecisions())
+  jobs::PoolEvents Events = State.takeEvents();
+  for (const jobs::StopDecision &Decision : Events.Stops)
     logStop(Decision);
-  if (std::optional<jobs::LongWait> Long = State.takeLongWait())
-    logWait(*Long);
-  for (const jobs::IncarnationChange &Change : State.takeIncarnationChanges())
+  if (Events.LongestWait)
+    logWait(*Events.LongestWait);
+  for (const jobs::IncarnationChange &Change : Events.Restarts)
     logRestart(Change);
-  for (const jobs::LapsedRuns &Lapsed : State.takeLapsedRuns())
+  for (const jobs::LapsedRuns &Lapsed : Events.Lapsed)
     logLapsed(Lapsed);
-  for (const jobs::CrashRecord &Record : State.takeCrashRecords())
+  for (const jobs::CrashRecord &Record : Events.Crashes)
     logCrash(Record);
 }
 
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -177,7 +177,7 @@
   ++Counters_.Crashes;
   for (const SuspectRun &Run : Record.Suspects)
     countCrash(Run, Record, Now);
-  CrashRecords_.push_back(std::move(Record));
+  Events_.Crashes.push_back(std::move(Record));
 }
 
 /// Drops the runs of an incarnation that a later one has followed, and counts
@@ -286,16 +286,4 @@
   }
 }
 
-std::vector<IncarnationChange> PoolState::takeIncarnationChanges() {
-  return std::exchange(IncarnationChanges_, {});
-}
-
-std::vector<LapsedRuns> PoolState::takeLapsedRuns() {
-  return std::exchange(LapsedRuns_, {});
-}
-
-std::vector<CrashRecord> PoolState::takeCrashRecords() {
-  return std::exchange(CrashRecords_, {});
-}
-
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolEvents.h
+++ b/src/jobs/PoolEvents.h
@@ -2,6 +2,10 @@
 #define COMFREYDECK_JOBS_POOLEVENTS_H
 
 #include "jobs/CrashLedger.h"
+#include "jobs/PoolMetrics.h"
+#include "jobs/StopDecision.h"
+
+#include <optional>
 
 namespace comfreydeck::jobs {
 
@@ -40,6 +44,21 @@
   std::vector<TaskRef> GivenUp;
 };
 
+/// What has happened in a pool since its owner was last asked, each list oldest
+/// first.
+struct PoolEvents {
+  /// Decisions to stop lasting tasks.
+  std::vector<StopDecision> Stops;
+  /// The wait that is longest by its bound, if the last check found a long one:
+  /// a lasting task's, or one of another task for which room is there. Such
+  /// checks are made about once a second.
+  std::optional<LongWait> LongestWait;
+  /// Restarts of workers, certain ones and doubts.
+  std::vector<IncarnationChange> Restarts;
+  std::vector<LapsedRuns> Lapsed;
+  std::vector<CrashRecord> Crashes;
+};
+
 } // namespace comfreydeck::jobs
 
 #endif // COMFREYDECK_JOBS_POOLEVENTS_H
--- a/src/jobs/PoolMetrics.cpp
+++ b/src/jobs/PoolMetrics.cpp
@@ -131,8 +131,6 @@
   return Census;
 }
 
-PoolCounters PoolState::takeCounters() { return std::exchange(Counters_, {}); }
-
 /// Records how long workers were out of use.
 void PoolState::recordStatuses(core::TimePoint Now) {
   for (auto &[Id, W] : Workers_) {
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -66,7 +66,7 @@
     dropRuns(W);
   }
   if (std::size_t Runs = Before - W.Tasks.size())
-    LapsedRuns_.push_back({W.Entry.Id, Runs, Now - W.ReportedAt, Doubted});
+    Events_.Lapsed.push_back({W.Entry.Id, Runs, Now - W.ReportedAt, Doubted});
 }
 
 /// Drops the runs that the known incarnation had. Starts that no report has
@@ -253,7 +253,7 @@
     recordStarts(Out.Starts, In.Now);
     if (In.Now - WaitsCheckedAt_ >= LongWaitCheckPeriod) {
       WaitsCheckedAt_ = In.Now;
-      LongWait_ = Plan.findLongWait();
+      Events_.LongestWait = Plan.findLongWait();
     }
   }
   settleOverdueStarts(In);
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -475,15 +475,7 @@
   Decision.ReportAge = Now - Workers_.at(Run.Worker)->ReportedAt;
   Decision.Unavailable = countUnavailable(Job, Task, Now);
   Decision.Allowed = absenceLimit(Step);
-  StopDecisions_.push_back(std::move(Decision));
-}
-
-std::vector<StopDecision> PoolState::takeStopDecisions() {
-  return std::exchange(StopDecisions_, {});
-}
-
-std::optional<LongWait> PoolState::takeLongWait() {
-  return std::exchange(LongWait_, std::nullopt);
+  Events_.Stops.push_back(std::move(Decision));
 }
 
 // Persistence.
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -7,12 +7,12 @@
 #include "jobs/PoolEvents.h"
 #include "jobs/PoolSizes.h"
 #include "jobs/ProgressBatch.h"
-#include "jobs/StopDecision.h"
 #include "jobs/WorkerState.h"
 
 #include <memory>
 #include <span>
 #include <unordered_map>
+#include <utility>
 
 namespace comfreydeck::jobs {
 
@@ -136,23 +136,9 @@
   std::uint64_t token() const { return Token_; }
   const std::string &pool() const { return Pool_; }
   /// Returns and resets the counters.
-  PoolCounters takeCounters();
-  /// Returns and forgets the decisions to stop lasting tasks since the last
-  /// call, oldest first.
-  std::vector<StopDecision> takeStopDecisions();
-  /// Returns and forgets the wait that is longest by its bound, if the last
-  /// check found a long one: a lasting task's, or one of another task for which
-  /// room is there. Such checks are made about once a second.
-  std::optional<LongWait> takeLongWait();
-  /// Returns and forgets the crashes of workers since the last call, oldest
-  /// first.
-  std::vector<CrashRecord> takeCrashRecords();
-  /// Returns and forgets the restarts of workers, certain ones and doubts,
-  /// since the last call, oldest first.
-  std::vector<IncarnationChange> takeIncarnationChanges();
-  /// Returns and forgets the runs that lapsed since the last call, oldest
-  /// first.
-  std::vector<LapsedRuns> takeLapsedRuns();
+  PoolCounters takeCounters() { return std::exchange(Counters_, {}); }
+  /// Returns and forgets what has happened since the last call.
+  PoolEvents takeEvents() { return std::exchange(Events_, {}); }
   /// Number of runs of the task, or of its gang, under which a worker crashed.
   static std::size_t countCrashes(const JobRecord &Job, std::uint32_t Task);
   /// The waits are those that a planning round would leave now, with the
@@ -402,8 +388,7 @@
   bool Fenced_ = false;
   bool FenceUsedUp_ = false;
   PoolCounters Counters_;
-  std::vector<StopDecision> StopDecisions_;
-  std::optional<LongWait> LongWait_;
+  PoolEvents Events_;
   core::TimePoint WaitsCheckedAt_;
   /// Input of the last planning round.
   PlanInput LastInput_;
@@ -413,9 +398,6 @@
   /// When a worker was last found to have crashed, by its address. The machine
   /// may be the cause, and a restarted worker may have another id.
   std::map<std::string, core::TimePoint> CrashedAt_;
-  std::vector<CrashRecord> CrashRecords_;
-  std::vector<IncarnationChange> IncarnationChanges_;
-  std::vector<LapsedRuns> LapsedRuns_;
 };
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -20,7 +20,7 @@
 void PoolState::startIncarnation(WorkerState &W, std::int64_t Born,
                                  bool ByReport, core::TimePoint Now) {
   std::vector<SuspectRun> Unlisted = unlistedStarts(W);
-  IncarnationChanges_.push_back(
+  Events_.Restarts.push_back(
       {W.Entry.Id, W.Born, Born, ByReport, true, Unlisted.size()});
   std::vector<LiveRun> Runs;
   Runs.reserve(Unlisted.size());
@@ -76,7 +76,7 @@
 /// time of the other one, of which a late report or the worker's row has told.
 void PoolState::doubtIncarnation(WorkerState &W, std::int64_t Shown,
                                  bool ByReport, core::TimePoint Now) {
-  IncarnationChanges_.push_back(
+  Events_.Restarts.push_back(
       {W.Entry.Id, W.Born, Shown, ByReport, false, unlistedStarts(W).size()});
   expectLateOrders(W);
   W.DoubtedSince = Now;
--- a/tests/jobs/CrashAttributionTest.cpp
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -35,7 +35,7 @@
   PoolCounters Counters = F.B.Owner.takeCounters();
   CHECK(Counters.Crashes == 3);
   CHECK(Counters.GivenUp == 1);
-  std::vector<CrashRecord> Records = F.B.Owner.takeCrashRecords();
+  std::vector<CrashRecord> Records = F.B.Owner.takeEvents().Crashes;
   REQUIRE(Records.size() == 3);
   CHECK(Records[0].Suspects.size() == 1);
   CHECK(Records[0].GivenUp.empty());
@@ -228,7 +228,7 @@
     F.crash(Worker);
   }
   F.turn();
-  std::vector<CrashRecord> Records = F.B.Owner.takeCrashRecords();
+  std::vector<CrashRecord> Records = F.B.Owner.takeEvents().Crashes;
   REQUIRE(Records.size() == (Crashed ? 1 : 0));
   if (Crashed)
     CHECK(Records[0].Suspects == std::vector<SuspectRun>{{jobId(1), 0, Run}});
--- a/tests/jobs/PoolMetricsTest.cpp
+++ b/tests/jobs/PoolMetricsTest.cpp
@@ -250,18 +250,18 @@
   B.report("w1");
   B.advance(milliseconds(2900));
   B.plan();
-  CHECK_FALSE(B.Owner.takeLongWait());
+  CHECK_FALSE(B.Owner.takeEvents().LongestWait);
   B.advance(milliseconds(1100));
   SUBCASE("an earlier owner may have started it") {
     B.plan();
-    std::optional<LongWait> Long = B.Owner.takeLongWait();
+    std::optional<LongWait> Long = B.Owner.takeEvents().LongestWait;
     REQUIRE(Long);
     CHECK(Long->Wait.Task == TaskRef{jobId(1), 0, 0, 0});
     CHECK(Long->Wait.Reason == WaitReason::Takeover);
     CHECK(Long->Wait.Age == milliseconds(4000));
     CHECK(Long->Unheard == 1);
     CHECK(Long->Placement.Usable == 1);
-    CHECK_FALSE(B.Owner.takeLongWait());
+    CHECK_FALSE(B.Owner.takeEvents().LongestWait);
     PoolGauges Now = B.Owner.gauges(B.Now, 0);
     REQUIRE(Now.LongestLastingWait);
     CHECK(Now.LongestLastingWait->Age == milliseconds(4000));
@@ -271,7 +271,7 @@
     B.report("w2");
     B.Owner.setClosedWorkers({"w2"});
     CHECK(B.plan().Starts.size() == 1);
-    std::optional<LongWait> Long = B.Owner.takeLongWait();
+    std::optional<LongWait> Long = B.Owner.takeEvents().LongestWait;
     REQUIRE(Long);
     CHECK(Long->Wait.Task.Index == 1);
     CHECK(Long->Wait.Reason == WaitReason::Spread);
@@ -298,11 +298,11 @@
   B.plan();
   B.advance(milliseconds(1200));
   B.plan();
-  CHECK_FALSE(B.Owner.takeLongWait());
+  CHECK_FALSE(B.Owner.takeEvents().LongestWait);
   SUBCASE("the worker has not answered") {
     B.advance(milliseconds(1300));
     B.plan();
-    std::optional<LongWait> Long = B.Owner.takeLongWait();
+    std::optional<LongWait> Long = B.Owner.takeEvents().LongestWait;
     REQUIRE(Long);
     CHECK(Long->Wait.Task == TaskRef{jobId(1), 0, 0, 0});
     CHECK(Long->Wait.Reason == WaitReason::SilentWorker);
@@ -312,7 +312,7 @@
     B.report("w1", {runReportOf(Out.Starts[0])});
     B.advance(milliseconds(1300));
     B.plan();
-    CHECK_FALSE(B.Owner.takeLongWait());
+    CHECK_FALSE(B.Owner.takeEvents().LongestWait);
   }
 }
 
--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -374,7 +374,8 @@
                       : Now_ - milliseconds(1300);
   Orders Out = O->State->plan(In);
   Digest_.add(Out);
-  for (const StopDecision &Decision : O->State->takeStopDecisions())
+  PoolEvents Events = O->State->takeEvents();
+  for (const StopDecision &Decision : Events.Stops)
     StopReasons_[Decision.Run] = Decision.Reason;
   send(O, Out);
   store(O);
--- a/tests/jobs/TaskWaitTest.cpp
+++ b/tests/jobs/TaskWaitTest.cpp
@@ -203,10 +203,10 @@
   B.Owner.addJob(Spec, B.Now);
   B.advance(milliseconds(7000));
   B.plan();
-  CHECK_FALSE(B.Owner.takeLongWait());
+  CHECK_FALSE(B.Owner.takeEvents().LongestWait);
   B.advance(milliseconds(1000));
   B.plan();
-  std::optional<LongWait> Long = B.Owner.takeLongWait();
+  std::optional<LongWait> Long = B.Owner.takeEvents().LongestWait;
   REQUIRE(Long);
   CHECK_FALSE(Long->Lasting);
   CHECK(Long->Wait.Task == TaskRef{jobId(1), 0, 0, 0});
@@ -216,7 +216,7 @@
   CHECK(Long->Placement.WithLabel == 0);
   B.advance(milliseconds(999));
   B.plan();
-  CHECK_FALSE(B.Owner.takeLongWait());
+  CHECK_FALSE(B.Owner.takeEvents().LongestWait);
 }
 
 TEST_CASE("a report of a long wait tells how many workers are kept for tasks "
@@ -241,7 +241,7 @@
       B.report(Start.Worker, {runReportOf(Start)});
     B.plan();
   }
-  std::optional<LongWait> Long = B.Owner.takeLongWait();
+  std::optional<LongWait> Long = B.Owner.takeEvents().LongestWait;
   REQUIRE(Long);
   CHECK(Long->Wait.Reason == WaitReason::CrashOpen);
   CHECK(Long->Isolated == 1);
@@ -265,7 +265,7 @@
       Reported.push_back(runReportOf(Start, 50));
     B.report("w1", Reported);
     B.plan();
-    CHECK_FALSE(B.Owner.takeLongWait());
+    CHECK_FALSE(B.Owner.takeEvents().LongestWait);
   }
 }
 
@@ -277,7 +277,7 @@
   B.Owner.addJob(Gang, B.Now);
   B.advance(milliseconds(7001));
   B.plan();
-  std::optional<LongWait> Long = B.Owner.takeLongWait();
+  std::optional<LongWait> Long = B.Owner.takeEvents().LongestWait;
   REQUIRE(Long);
   CHECK(Long->Wait.Reason == WaitReason::Gang);
   CHECK(Long->Placement.WithSpread == 2);
@@ -296,12 +296,12 @@
   B.Owner.addJob(Lasting, B.Now);
   B.advance(milliseconds(4000));
   B.plan();
-  std::optional<LongWait> Long = B.Owner.takeLongWait();
+  std::optional<LongWait> Long = B.Owner.takeEvents().LongestWait;
   REQUIRE(Long);
   CHECK(Long->Wait.Task.JobId == jobId(1));
   B.advance(milliseconds(4000));
   B.plan();
-  Long = B.Owner.takeLongWait();
+  Long = B.Owner.takeEvents().LongestWait;
   REQUIRE(Long);
   CHECK(Long->Wait.Task.JobId == jobId(2));
   CHECK(Long->Lasting);
