Move what is to be stored of a pool from PoolState to ProgressOutbox

It reads the tables of jobs and workers, so that PoolState can't be copied or moved any more, which nothing did.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -82,7 +82,7 @@
       continue;
     Owner_.setAnnounced(
         Job, Task, {Run.Run, Run.Worker, Owner_.Workers_.at(Run.Worker)->Born});
-    Run.SendAfter = Owner_.ChangeCount_;
+    Run.SendAfter = Owner_.Outbox_.lastChange();
   }
 }
 
@@ -109,7 +109,7 @@
   bool Usable = Whole && !Job.SetAside &&
                 std::all_of(Held.begin(), Held.end(), FitsStill);
   bool Stored = std::all_of(Held.begin(), Held.end(), [&](const auto &Item) {
-    return Item.second.SendAfter <= Owner_.StoredMark_;
+    return Owner_.Outbox_.isStored(Item.second.SendAfter);
   });
   bool Unsure = false;
   for (const auto &[Task, Run] : Held) {
@@ -138,7 +138,7 @@
       Owner_.Lost_.contains({Job.Spec.Id, Task, Announced->Run}))
     return;
   Announced.reset();
-  Owner_.markChanged(Job);
+  Owner_.Outbox_.markChanged(Job);
 }
 
 /// Notes the workers of the task's runs, and isolates them if the task has
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -5,6 +5,8 @@
 #include "jobs/Worker.h"
 
 #include <limits>
+#include <memory>
+#include <unordered_map>
 #include <utility>
 
 namespace comfreydeck::jobs {
@@ -146,6 +148,9 @@
   std::vector<const StepSpec *> WaitingSteps;
 };
 
+/// Jobs by id.
+using JobTable = std::unordered_map<std::string, std::unique_ptr<JobRecord>>;
+
 /// A task of a job, by its index within the job.
 using TaskOfJob = std::pair<JobRecord *, std::uint32_t>;
 
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -75,7 +75,7 @@
       Lost_.contains({Job.Spec.Id, Task, Kept.Announced->Run}))
     Kept.Unsettled.push_back(*Kept.Announced);
   Kept.Announced = std::move(Run);
-  markChanged(Job);
+  Outbox_.markChanged(Job);
 }
 
 /// Has stored how long the outcomes of runs have been waited for, so that a
@@ -92,7 +92,7 @@
       if (Open.Run != Run.Run || Waited - Open.Waited < OutcomeNoteStep)
         return;
       Open.Waited = Waited;
-      markChanged(*Job);
+      Outbox_.markChanged(*Job);
     };
     if (Kept.Announced)
       Note(*Kept.Announced);
@@ -117,7 +117,7 @@
       Job->Tasks[Run.Task].Kept.Unsettled,
       [&](const AnnouncedRun &Open) { return Open.Run == Run.Run; });
   if (Erased > 0)
-    markChanged(*Job);
+    Outbox_.markChanged(*Job);
 }
 
 /// Runs on the worker that were younger than the suspicion age at its last
@@ -238,7 +238,7 @@
     Kept.Announced.reset();
   Job->Suspect = true;
   Job->Tasks[Run.Task].SpreadUntil = Now + Limits_.SuspectWait;
-  markChanged(*Job);
+  Outbox_.markChanged(*Job);
   if (countCrashes(*Job, Run.Task) < Limits_.MaxCrashes)
     return;
   Record.GivenUp.push_back(refOf(*Job, Run.Task));
@@ -268,7 +268,7 @@
     Kept.CrashedRuns.clear();
     Kept.Unsettled.clear();
     Kept.Announced.reset();
-    markChanged(Job);
+    Outbox_.markChanged(Job);
   }
 }
 
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -34,7 +34,7 @@
       dropLapsedRuns(W, In.Now);
     bool Forget = mayForget(W, In.Now);
     if (Forget) {
-      unenrol(It->first);
+      Outbox_.unenrol(It->first);
       ForgottenFenceStep_ =
           std::max(ForgottenFenceStep_, W.FenceStep + (W.Ended ? 0 : 1));
       checkFenceStep(ForgottenFenceStep_);
@@ -51,7 +51,7 @@
   bool HoldsNothing = W.Heard && W.UnknownRuns.empty() && W.Parked.empty();
   return W.Gone && W.Tasks.empty() && W.LostStarts.empty() &&
          W.Requests.empty() && !mayHaveCrashed(W.Entry.Id) &&
-         !mayReachNextIncarnation(W, Now) && !hasEndsSetAside(W) &&
+         !mayReachNextIncarnation(W, Now) && !Outbox_.hasEndsSetAside(W) &&
          (HoldsNothing || leaseLapsed(W, Now));
 }
 
@@ -234,8 +234,10 @@
     Fenced_ = true;
     return Out;
   }
-  if (!Settled_ && allHeard(In.Now))
-    Settled_ = ToStoreSettled_ = true;
+  if (!Settled_ && allHeard(In.Now)) {
+    Settled_ = true;
+    Outbox_.storeSettled();
+  }
   settleParked(In);
   expireSilent(In);
   if (Fenced_)
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -300,15 +300,11 @@
     // A previous owner may have started a job that this owner learns of later;
     // the worker must not discard its end until then.
     W.Parked.push_back({End, Now});
-    W.Unstored.push_back({End.Number, UnstoredEnd::Never, End.Task.JobId});
+    Outbox_.addEnd(W, End);
     return;
   }
   applyEnd(*Job, W, End, Now);
-  std::uint64_t Mark = Job->SetAside ? UnstoredEnd::Never : ChangeCount_;
-  W.Unstored.push_back({End.Number, Mark, End.Task.JobId});
-  // With no pending changes there is nothing to wait for.
-  if (Changed_.empty() && Storing_.empty())
-    advanceStored(ChangeCount_);
+  Outbox_.addEnd(W, End);
 }
 
 void PoolState::applyEnd(JobRecord &Job, WorkerState &W, const EndReport &End,
@@ -321,7 +317,7 @@
   if (!End.Checkpoint.empty() && !State.Kept.Done &&
       State.Kept.Checkpoint != End.Checkpoint) {
     State.Kept.Checkpoint = End.Checkpoint;
-    markChanged(Job);
+    Outbox_.markChanged(Job);
   }
   LiveRun *Run = findRun(Job, Task, End.Run);
   if (Run && End.How == RunEnd::Done) {
@@ -352,13 +348,11 @@
       continue;
     for (const ParkedEnd &Waiting : W->Parked)
       if (Waiting.SeenAt < In.JobsReadAt)
-        for (UnstoredEnd &End : W->Unstored)
-          if (End.Number == Waiting.End.Number)
-            End.Mark = 0;
+        Outbox_.dropEnd(*W, Waiting.End.Number);
     std::erase_if(W->Parked, [&](const ParkedEnd &Waiting) {
       return Waiting.SeenAt < In.JobsReadAt;
     });
-    advanceStoredEnds(*W);
+    Outbox_.advanceStoredEnds(*W);
   }
 }
 
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -78,9 +78,7 @@
         continue;
       }
       applyEnd(*jobOf(Job.Spec.Id), *W, Waiting.End, Now);
-      for (UnstoredEnd &End : W->Unstored)
-        if (End.Number == Waiting.End.Number)
-          End.Mark = ChangeCount_;
+      Outbox_.settleEnd(*W, Waiting.End.Number);
     }
     std::vector<RunReport> Runs = std::exchange(W->UnknownRuns, {});
     for (const RunReport &Run : Runs)
@@ -253,18 +251,6 @@
   }
 }
 
-void PoolState::markChanged(JobRecord &Job) {
-  ++ChangeCount_;
-  if (Job.SetAside) {
-    Job.ChangedAside = true;
-    return;
-  }
-  if (Job.FirstChange != 0)
-    return;
-  Job.FirstChange = ChangeCount_;
-  Changed_.push_back(&Job);
-}
-
 void PoolState::endJob(JobRecord &Job, JobState State) {
   Job.Now = State;
   closeJob(Job);
@@ -272,7 +258,7 @@
   for (TaskState &Task : Job.Tasks)
     for (LiveRun &Run : Task.Runs)
       Run.Stopping = true;
-  markChanged(Job);
+  Outbox_.markChanged(Job);
 }
 
 void PoolState::taskDone(JobRecord &Job, std::uint32_t Task) {
@@ -296,7 +282,7 @@
   if (--Unfinished == 0)
     restartWaits(Job, Place);
   Job.WaitingKnown = false;
-  markChanged(Job);
+  Outbox_.markChanged(Job);
   // A gang completes as a whole when one member does.
   if (Step.Gang)
     for (std::uint32_t MemberIndex = 0; MemberIndex < Step.Tasks; ++MemberIndex)
@@ -335,7 +321,7 @@
   const StepSpec &Step = stepOf(Job, Task);
   if (Step.Lasting || isFinal(Job.Now) || State.Kept.Done)
     return;
-  markChanged(Job);
+  Outbox_.markChanged(Job);
   std::size_t Failures = State.Kept.FailedRuns.size();
   if (Step.Gang) {
     Failures = 0;
@@ -478,196 +464,4 @@
   Events_.Stops.push_back(std::move(Decision));
 }
 
-// Persistence.
-
-ProgressBatch PoolState::takeChanges(std::size_t MaxRows,
-                                     std::size_t MaxTasks) {
-  ProgressBatch Batch;
-  Storing_.clear();
-  auto HasRoom = [&](std::size_t Rows) {
-    return Batch.Writes.size() + Batch.Enrolled.size() +
-               Batch.Unenrolled.size() <
-           Rows;
-  };
-  auto Enrol = [&](std::size_t Rows) {
-    while (!ToEnrol_.empty() && HasRoom(Rows)) {
-      auto Id = ToEnrol_.extract(ToEnrol_.begin());
-      Batch.Enrolled.push_back(Workers_.at(Id.value())->Entry);
-    }
-  };
-  // In a surge, more jobs change than a batch takes, and a worker that is not
-  // enrolled gets no tasks.
-  Enrol(MaxRows / 2);
-  std::size_t Tasks = 0;
-  while (!Changed_.empty() && HasRoom(MaxRows)) {
-    JobRecord &Job = *Changed_.front();
-    // A job with more tasks than that has a batch to itself.
-    if (Tasks > 0 && Tasks + Job.Tasks.size() > MaxTasks)
-      break;
-    Tasks += Job.Tasks.size();
-    Changed_.pop_front();
-    Job.FirstChange = 0;
-    Storing_.emplace_back(Job.Spec.Id, Job.Now);
-    Batch.Writes.push_back(writeOf(Job));
-  }
-  Enrol(MaxRows);
-  while (!ToUnenrol_.empty() && HasRoom(MaxRows))
-    Batch.Unenrolled.push_back(ToUnenrol_.extract(ToUnenrol_.begin()).value());
-  Enrolling_ = Batch.Enrolled;
-  Batch.Settled = std::exchange(ToStoreSettled_, false);
-  Batch.Mark = markOfBatch();
-  return Batch;
-}
-
-ProgressWrite PoolState::writeOf(const JobRecord &Job) {
-  ProgressWrite Write;
-  Write.JobId = Job.Spec.Id;
-  Write.Progress.State = Job.Now;
-  // The task progress of a finished job is no longer needed.
-  if (!isFinal(Job.Now))
-    for (const TaskState &Task : Job.Tasks)
-      Write.Progress.Tasks.push_back(Task.Kept);
-  return Write;
-}
-
-/// All changes up to this one are stored with the batch that is being taken, or
-/// set aside.
-std::uint64_t PoolState::markOfBatch() const {
-  return Changed_.empty() ? ChangeCount_ : Changed_.front()->FirstChange - 1;
-}
-
-void PoolState::setAside(const ProgressBatch &Refused) {
-  using Kind = SetAsideRow::Kind;
-  for (const ProgressWrite &Write : Refused.Writes) {
-    std::erase_if(Storing_,
-                  [&](const auto &Item) { return Item.first == Write.JobId; });
-    JobRecord *Job = jobOf(Write.JobId);
-    if (!Job)
-      continue;
-    SetAside_.push_back({Kind::Progress, Write.JobId});
-    if (Job->FirstChange != 0) {
-      std::erase(Changed_, Job);
-      Job->FirstChange = 0;
-      Job->ChangedAside = true;
-    }
-    Job->SetAside = true;
-    for (auto &[Id, W] : Workers_)
-      for (UnstoredEnd &End : W->Unstored)
-        if (End.JobId == Write.JobId)
-          End.Mark = UnstoredEnd::Never;
-  }
-  for (const WorkerEntry &Entry : Refused.Enrolled) {
-    std::erase_if(Enrolling_,
-                  [&](const WorkerEntry &E) { return E.Id == Entry.Id; });
-    SetAside_.push_back({Kind::Enrolled, Entry.Id});
-  }
-  for (const std::string &Id : Refused.Unenrolled)
-    SetAside_.push_back({Kind::Unenrolled, Id});
-  if (Refused.Settled)
-    SetAside_.push_back({Kind::Settled, ""});
-}
-
-ProgressBatch PoolState::takeSetAside() {
-  ProgressBatch Batch;
-  Storing_.clear();
-  while (!SetAside_.empty() && Batch.isEmpty()) {
-    SetAsideRow Row = std::move(SetAside_.front());
-    SetAside_.pop_front();
-    auto Worker = Workers_.find(Row.Id);
-    JobRecord *Job = nullptr;
-    switch (Row.What) {
-    case SetAsideRow::Kind::Progress:
-      Job = jobOf(Row.Id);
-      if (!Job)
-        break;
-      Job->ChangedAside = false;
-      Storing_.emplace_back(Row.Id, Job->Now);
-      Batch.Writes.push_back(writeOf(*Job));
-      break;
-    case SetAsideRow::Kind::Enrolled:
-      // It may have left, or its new address may have been stored.
-      if (Worker != Workers_.end() && !Worker->second->Enrolled) {
-        ToEnrol_.erase(Row.Id);
-        Batch.Enrolled.push_back(Worker->second->Entry);
-      }
-      break;
-    case SetAsideRow::Kind::Unenrolled:
-      if (Worker == Workers_.end())
-        Batch.Unenrolled.push_back(Row.Id);
-      break;
-    case SetAsideRow::Kind::Settled:
-      Batch.Settled = true;
-      break;
-    }
-  }
-  Enrolling_ = Batch.Enrolled;
-  Batch.Mark = markOfBatch();
-  return Batch;
-}
-
-/// Lets the job's changes into batches again once its row is stored.
-void PoolState::returnFromAside(JobRecord &Job) {
-  Job.SetAside = false;
-  std::uint64_t Mark = 0;
-  if (std::exchange(Job.ChangedAside, false)) {
-    markChanged(Job);
-    Mark = ChangeCount_;
-  }
-  for (auto &[Id, W] : Workers_)
-    for (UnstoredEnd &End : W->Unstored)
-      if (End.JobId == Job.Spec.Id)
-        End.Mark = Mark;
-}
-
-/// Whether the worker alone can tell a later owner of an end of a job whose row
-/// is refused.
-bool PoolState::hasEndsSetAside(const WorkerState &W) const {
-  return std::any_of(W.Unstored.begin(), W.Unstored.end(),
-                     [this](const UnstoredEnd &End) {
-                       const JobRecord *Job = findJob(End.JobId);
-                       return Job && Job->SetAside;
-                     });
-}
-
-void PoolState::onStored(std::uint64_t Mark) {
-  for (const WorkerEntry &Stored : std::exchange(Enrolling_, {})) {
-    auto At = Workers_.find(Stored.Id);
-    if (At != Workers_.end() && At->second->Entry.Address == Stored.Address)
-      At->second->Enrolled = true;
-  }
-  advanceStored(Mark);
-}
-
-void PoolState::advanceStored(std::uint64_t Mark) {
-  for (const auto &[Id, State] : Storing_)
-    if (JobRecord *Job = jobOf(Id)) {
-      Job->Stored = State;
-      if (Job->SetAside)
-        returnFromAside(*Job);
-    }
-  Storing_.clear();
-  StoredMark_ = std::max(StoredMark_, Mark);
-  for (auto &[Id, W] : Workers_)
-    advanceStoredEnds(*W);
-}
-
-// The roster: workers that orders may have reached, as stored for later owners.
-
-void PoolState::enrol(const std::string &Id) {
-  ToUnenrol_.erase(Id);
-  ToEnrol_.insert(Id);
-}
-
-void PoolState::unenrol(const std::string &Id) {
-  ToEnrol_.erase(Id);
-  ToUnenrol_.insert(Id);
-}
-
-void PoolState::advanceStoredEnds(WorkerState &W) {
-  while (!W.Unstored.empty() && W.Unstored.front().Mark <= StoredMark_) {
-    W.StoredUpTo = W.Unstored.front().Number;
-    W.Unstored.pop_front();
-  }
-}
-
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -6,12 +6,9 @@
 #include "jobs/OwnerLimits.h"
 #include "jobs/PoolEvents.h"
 #include "jobs/PoolSizes.h"
-#include "jobs/ProgressBatch.h"
-#include "jobs/WorkerState.h"
+#include "jobs/ProgressOutbox.h"
 
-#include <memory>
 #include <span>
-#include <unordered_map>
 #include <utility>
 
 namespace comfreydeck::jobs {
@@ -24,6 +21,8 @@
   /// \p TakenAt is the time of the takeover.
   PoolState(std::string Pool, std::uint64_t Token, core::TimePoint TakenAt,
             OwnerLimits Limits);
+  PoolState(const PoolState &) = delete;
+  PoolState &operator=(const PoolState &) = delete;
 
   /// Adds a newly accepted job; does nothing if it is known, except that a
   /// missing payload is set.
@@ -95,20 +94,22 @@
   /// Returns up to \p MaxRows changed rows to store next.
   ProgressBatch
   takeChanges(std::size_t MaxRows,
-              std::size_t MaxTasks = std::numeric_limits<std::size_t>::max());
+              std::size_t MaxTasks = std::numeric_limits<std::size_t>::max()) {
+    return Outbox_.take(MaxRows, MaxTasks);
+  }
   /// Confirms that all batches up to \p Mark are stored, apart from rows that
   /// were set aside.
-  void onStored(std::uint64_t Mark);
+  void onStored(std::uint64_t Mark) { Outbox_.onStored(Mark); }
   /// Records that the store refuses these rows of the batch that was last
   /// taken. Call it before \ref onStored confirms the others. Until its row is
   /// stored, a job's ends are not acknowledged, its suspect tasks don't start
   /// and a worker counts as not enrolled.
-  void setAside(const ProgressBatch &Refused);
-  bool hasSetAside() const { return !SetAside_.empty(); }
+  void setAside(const ProgressBatch &Refused) { Outbox_.setAside(Refused); }
+  bool hasSetAside() const { return Outbox_.hasSetAside(); }
   /// Returns the row that was set aside longest ago, as it is now, to be stored
   /// next; an empty batch if there is none. As for \ref takeChanges, the batch
   /// before must be confirmed.
-  ProgressBatch takeSetAside();
+  ProgressBatch takeSetAside() { return Outbox_.takeSetAside(); }
 
   /// Runs one planning round and returns the orders to send.
   Orders plan(const PlanInput &In);
@@ -149,14 +150,8 @@
   bool isFenced() const { return Fenced_; }
   /// Whether it is fenced since a worker's fences are used up.
   bool isFenceUsedUp() const { return FenceUsedUp_; }
-  const std::unordered_map<std::string, std::unique_ptr<WorkerState>> &
-  workers() const {
-    return Workers_;
-  }
-  const std::unordered_map<std::string, std::unique_ptr<JobRecord>> &
-  jobs() const {
-    return Jobs_;
-  }
+  const WorkerTable &workers() const { return Workers_; }
+  const JobTable &jobs() const { return Jobs_; }
   /// Whether every worker that may have runs has reported, or was asked in time
   /// and its leases have expired.
   bool allHeard(core::TimePoint Now) const;
@@ -207,20 +202,11 @@
   static void vacate(WorkerState &W, const StepSpec &Step);
   void reserve(WorkerState &W, const JobRecord &Job, const StepSpec &Step);
   void release(WorkerState &W, const JobRecord &Job, const StepSpec &Step);
-  void markChanged(JobRecord &Job);
-  void enrol(const std::string &Id);
-  void unenrol(const std::string &Id);
-  void advanceStored(std::uint64_t Mark);
-  void returnFromAside(JobRecord &Job);
-  std::uint64_t markOfBatch() const;
-  static ProgressWrite writeOf(const JobRecord &Job);
-  bool hasEndsSetAside(const WorkerState &W) const;
 
   void handleEnd(WorkerState &W, const EndReport &End, core::TimePoint Now);
   void applyEnd(JobRecord &Job, WorkerState &W, const EndReport &End,
                 core::TimePoint Now);
   void settleParked(const PlanInput &In);
-  void advanceStoredEnds(WorkerState &W);
   void taskDone(JobRecord &Job, std::uint32_t Task);
   void taskFailed(JobRecord &Job, std::uint32_t Task, WorkerState &W,
                   core::TimePoint Now);
@@ -346,8 +332,9 @@
   std::shared_ptr<const FleetConfig> Config_;
   std::set<std::string> ClosedDataCentres_;
   std::map<std::string, TeamState> Teams_;
-  std::unordered_map<std::string, std::unique_ptr<JobRecord>> Jobs_;
-  std::unordered_map<std::string, std::unique_ptr<WorkerState>> Workers_;
+  JobTable Jobs_;
+  WorkerTable Workers_;
+  ProgressOutbox Outbox_{Jobs_, Workers_};
   /// Jobs that have not ended, in no particular order.
   std::vector<JobRecord *> Open_;
   /// Upper bound on the number of open jobs whose payload is missing.
@@ -357,19 +344,6 @@
   std::uint64_t JobCount_ = 0;
   /// Latest acceptance time of the jobs that were dropped.
   std::int64_t DroppedUpToMs_ = std::numeric_limits<std::int64_t>::min();
-  std::deque<JobRecord *> Changed_;
-  std::uint64_t ChangeCount_ = 0;
-  /// All changes up to this one are stored.
-  std::uint64_t StoredMark_ = 0;
-  /// Job states in the batch that is being stored.
-  std::vector<std::pair<std::string, JobState>> Storing_;
-  /// Roster changes that are not in a batch yet.
-  std::set<std::string> ToEnrol_;
-  std::set<std::string> ToUnenrol_;
-  /// Roster additions in the batch that is being stored.
-  std::vector<WorkerEntry> Enrolling_;
-  /// Rows that the store refuses and that are not in a batch, oldest first.
-  std::deque<SetAsideRow> SetAside_;
   std::uint64_t NextRun_ = 1;
   /// Least fence step of workers that are listed anew: above that of orders to
   /// those that were forgotten, which may come back under their ids.
@@ -380,7 +354,6 @@
   /// neither lasting nor filling, in thousandths of a core times milliseconds.
   std::deque<std::pair<core::TimePoint, double>> Arrivals_;
   bool Settled_ = false;
-  bool ToStoreSettled_ = false;
   /// Some run may have to be stopped that was not to be stopped before.
   bool StopsChanged_ = true;
   /// When the next stop is due that is known already.
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -146,7 +146,7 @@
     // current address.
     if (Slot->Entry.Address != Entry.Address) {
       Slot->Enrolled = false;
-      enrol(Entry.Id);
+      Outbox_.enrol(Entry.Id);
     }
     Slot->Entry = Entry;
     Slot->Gone = false;
--- a/src/jobs/WorkerState.h
+++ b/src/jobs/WorkerState.h
@@ -161,6 +161,10 @@
   core::TimePoint StatusSince;
 };
 
+/// Workers by id.
+using WorkerTable =
+    std::unordered_map<std::string, std::unique_ptr<WorkerState>>;
+
 } // namespace comfreydeck::jobs
 
 #endif // COMFREYDECK_JOBS_WORKERSTATE_H
