--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -265,7 +265,8 @@
 /// takes longer than expected is taken to last as long again.
 double StartPlan::leftMs(const WorkerState &W, const JobRecord &Job,
                          std::uint32_t Task) const {
-  double WholeMs = Owner_.runTimeOnMs(Job, PoolState::stepOf(Job, Task), W);
+  double WholeMs =
+      Owner_.Estimates_.runTimeOnMs(Job, PoolState::stepOf(Job, Task), W.Entry);
   double LeftMs = 0;
   for (const LiveRun &Run : Job.Tasks[Task].Runs) {
     double AgeMs = core::inMs(In_.Now - Run.OrderedAt);
--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -14,14 +14,9 @@
 
 using std::chrono::milliseconds;
 
-/// Window over which the arrival rate of jobs is estimated.
-constexpr core::Duration ArrivalWindow = milliseconds(1000);
-constexpr core::Duration BurstWindow = milliseconds(350);
 /// A task's share of its team's limit is asked for this long before the task is
 /// due.
 constexpr milliseconds AllotmentLead(1000);
-/// Minimum jobs in the burst window for an estimate.
-constexpr std::size_t BurstJobs = 3;
 
 /// When the task is due, in Unix milliseconds; zero for jobs that don't repeat.
 std::int64_t dueMs(const JobRecord &Job, std::uint32_t Task) {
@@ -178,42 +173,13 @@
   return Units;
 }
 
-void PoolState::recordArrival(const JobRecord &Job, core::TimePoint Now) {
-  double Work = 0;
-  for (const StepSpec &Step : Job.Spec.Steps)
-    if (!Step.Lasting && !Step.Filling)
-      Work += runTimeMs(Job, Step) * Step.Tasks * Step.Need.MilliCpus;
-  Arrivals_.emplace_back(Now, Work);
-  while (Now - Arrivals_.front().first > ArrivalWindow)
-    Arrivals_.pop_front();
-}
-
-/// Uses the higher rate of both windows: the shorter one detects a burst
-/// earlier, but only with BurstJobs jobs, so that one large job is no burst.
-std::uint64_t PoolState::arrivingCpu(core::TimePoint Now) const {
-  double Rate = 0;
-  for (core::Duration Window : {BurstWindow, ArrivalWindow}) {
-    double Work = 0;
-    std::size_t Jobs = 0;
-    for (const auto &[At, Asked] : Arrivals_) {
-      bool Inside = Now - At <= Window;
-      Work += Inside ? Asked : 0;
-      Jobs += Inside ? 1 : 0;
-    }
-    auto Ms = std::chrono::duration_cast<milliseconds>(Window).count();
-    if (Window == ArrivalWindow || Jobs >= BurstJobs)
-      Rate = std::max(Rate, Work / static_cast<double>(Ms));
-  }
-  return static_cast<std::uint64_t>(Rate);
-}
-
 PoolLoad PoolState::load(core::TimePoint Now, std::int64_t WallMs) const {
   // Jobs older than this are already late; additional machines would arrive
   // too late for them, except for lasting tasks.
   constexpr std::int64_t MaxUsefulAgeMs = 6000;
   PoolLoad Load;
   Load.Pool = Pool_;
-  Load.ArrivingCpu = arrivingCpu(Now);
+  Load.ArrivingCpu = Estimates_.arrivingCpu(Now);
   for (const auto &[Id, W] : Workers_) {
     Load.PerMachine.MilliCpus =
         std::max(Load.PerMachine.MilliCpus, W->Entry.Capacity.MilliCpus);
@@ -258,27 +224,4 @@
   return Load;
 }
 
-void PoolState::recordRunTime(const JobRecord &Job, const StepSpec &Step,
-                              const LiveRun &Run, core::TimePoint Now) {
-  // A plain mean for the first samples, then an exponential moving average with
-  // weight 1/Window.
-  constexpr std::uint32_t Window = 50;
-  RunTimes &Times = *Job.Times;
-  Times.Samples = std::min(Times.Samples + 1, Window);
-  const WorkerEntry &Entry = Workers_.at(Run.Worker)->Entry;
-  double Ms = static_cast<double>(toMs(Now - Run.OrderedAt)) /
-              slowdownOn(Entry, Step, Limits_.RemoteFactor);
-  Times.MeanMs += (Ms - Times.MeanMs) / Times.Samples;
-}
-
-double PoolState::runTimeMs(const JobRecord &Job, const StepSpec &Step) {
-  constexpr std::uint32_t MinSamples = 10;
-  return Job.Times->Samples < MinSamples ? Step.EstimateMs : Job.Times->MeanMs;
-}
-
-double PoolState::runTimeOnMs(const JobRecord &Job, const StepSpec &Step,
-                              const WorkerState &W) const {
-  return runTimeMs(Job, Step) * slowdownOn(W.Entry, Step, Limits_.RemoteFactor);
-}
-
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -321,7 +321,9 @@
   }
   LiveRun *Run = findRun(Job, Task, End.Run);
   if (Run && End.How == RunEnd::Done) {
-    recordRunTime(Job, stepOf(Job, Task), *Run, Now);
+    Estimates_.recordRunTime(Job, stepOf(Job, Task),
+                             Workers_.at(Run->Worker)->Entry,
+                             Now - Run->OrderedAt);
     if (!State.HadStraggler)
       W.SlowJobs = 0;
   }
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -8,7 +8,7 @@
 PoolState::PoolState(std::string Pool, std::uint64_t Token,
                      core::TimePoint TakenAt, OwnerLimits Limits)
     : Pool_(std::move(Pool)), Token_(Token), TakenAt_(TakenAt), Limits_(Limits),
-      Now_(TakenAt) {}
+      Estimates_(Limits.RemoteFactor), Now_(TakenAt) {}
 
 JobRecord &PoolState::makeJob(const JobSpec &Spec, core::TimePoint Now) {
   auto Job = std::make_unique<JobRecord>();
@@ -28,7 +28,7 @@
     for (const StepSpec &Step : Spec.Steps)
       Job->UnfinishedTasks.push_back(Step.Tasks);
   Job->TasksPerOccurrence = Begin;
-  Job->Times = &RunTimes_[Spec.Queue];
+  Job->Times = &Estimates_.timesOf(Spec.Queue);
   Job->Team = &Teams_[Spec.Team];
   applyQueueSettings(*Job);
   JobRecord &Made = *Job;
@@ -64,7 +64,7 @@
   JobRecord &Job = makeJob(Spec, Now);
   Job.Inherited = Now - TakenAt_ < Limits_.NewJobAge;
   openJob(Job);
-  recordArrival(Job, Now);
+  Estimates_.recordArrival(Job, Now);
   applyEarlyReports(Job, Now);
 }
 
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_JOBS_POOLSTATE_H
 #define COMFREYDECK_JOBS_POOLSTATE_H
 
+#include "jobs/Estimates.h"
 #include "jobs/FleetConfig.h"
 #include "jobs/Orders.h"
 #include "jobs/OwnerLimits.h"
@@ -169,9 +170,10 @@
   /// Whether a planning round has found \ref allHeard to be true, so that
   /// inherited tasks may start.
   bool isSettled() const { return Settled_; }
-  /// Expected run time of a task of the step: the measured mean of its queue,
-  /// or the caller's estimate while there are too few samples.
-  static double runTimeMs(const JobRecord &Job, const StepSpec &Step);
+  /// As jobs::runTimeMs.
+  static double runTimeMs(const JobRecord &Job, const StepSpec &Step) {
+    return jobs::runTimeMs(Job, Step);
+  }
 
 private:
   friend class LastingDemand;
@@ -290,13 +292,6 @@
   void recordStatuses(core::TimePoint Now);
   void recordStarts(const std::vector<StartOrder> &Starts, core::TimePoint Now);
 
-  std::uint64_t arrivingCpu(core::TimePoint Now) const;
-  void recordArrival(const JobRecord &Job, core::TimePoint Now);
-  void recordRunTime(const JobRecord &Job, const StepSpec &Step,
-                     const LiveRun &Run, core::TimePoint Now);
-  /// Expected time of a run of the step on the worker, in milliseconds.
-  double runTimeOnMs(const JobRecord &Job, const StepSpec &Step,
-                     const WorkerState &W) const;
   static bool isEmpty(const WorkerState &W);
   bool isReady(const LiveRun &Run, core::TimePoint Now) const;
   bool mayHaveEarlierStop(const LiveRun &Run) const;
@@ -348,11 +343,7 @@
   /// Least fence step of workers that are listed anew: above that of orders to
   /// those that were forgotten, which may come back under their ids.
   std::uint32_t ForgottenFenceStep_ = 0;
-  /// Measured run times by queue.
-  std::map<std::string, RunTimes> RunTimes_;
-  /// Arrival times of recent jobs and the CPU time of their tasks that are
-  /// neither lasting nor filling, in thousandths of a core times milliseconds.
-  std::deque<std::pair<core::TimePoint, double>> Arrivals_;
+  Estimates Estimates_;
   bool Settled_ = false;
   /// Some run may have to be stopped that was not to be stopped before.
   bool StopsChanged_ = true;
--- a/src/jobs/StragglerPlan.cpp
+++ b/src/jobs/StragglerPlan.cpp
@@ -58,8 +58,8 @@
     return false;
   if (Step.Lasting)
     return In_.Now - std::max(Run.ConfirmedAt, Run.ReadyAt) > StartUpLimit;
-  auto Expected = std::chrono::milliseconds(
-      static_cast<std::int64_t>(Owner_.runTimeOnMs(Job, Step, W)));
+  auto Expected = std::chrono::milliseconds(static_cast<std::int64_t>(
+      Owner_.Estimates_.runTimeOnMs(Job, Step, W.Entry)));
   return isStraggling(Run.Pace, Expected);
 }
 
