--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -74,6 +74,8 @@
   bool HadStraggler = false;
   /// A second copy is to start in parallel with the current run.
   bool WantsCopy = false;
+  /// This owner has started it or found a run of it.
+  bool HadRun = false;
   /// When its last run was removed, or when it became ready to start.
   core::TimePoint WaitingSince;
 };
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -236,6 +236,8 @@
                  const std::function<std::vector<SuspectRun>()> &TakeSuspects,
                  core::TimePoint Now);
   void announceSuspects(const WorkerState &W);
+  bool hasPossibleCrash(const JobRecord &Job) const;
+  bool mayHaveMissedCrash(core::TimePoint Now) const;
   void recordLoss(const WorkerState &W, core::TimePoint Now);
   void settleLost(const WorkerState &W, std::vector<SuspectRun> Suspects,
                   std::size_t Runs, core::TimePoint Now);
@@ -359,6 +361,9 @@
   /// Time of the latest event or planning round.
   core::TimePoint Now_;
   CrashLedger Lost_;
+  /// A worker has restarted that this owner had not heard before. What had run
+  /// there is unknown.
+  bool MissedCrash_ = false;
   /// When a worker was last found to have crashed, by its address. The machine
   /// may be the cause, and a restarted worker may have another id.
   std::map<std::string, core::TimePoint> CrashedAt_;
