--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -34,7 +34,7 @@
       dropLapsedRuns(W, In.Now);
     bool Forget = mayForget(W, In.Now);
     if (Forget) {
-      unenrol(It->first);
+      Outbox_.unenrol(It->first);
       ForgottenFenceStep_ =
           std::max(ForgottenFenceStep_, W.FenceStep + (W.Ended ? 0 : 1));
       checkFenceStep(ForgottenFenceStep_);
@@ -51,7 +51,7 @@
   bool HoldsNothing = W.Heard && W.UnknownRuns.empty() && W.Parked.empty();
   return W.Gone && W.Tasks.empty() && W.LostStarts.empty() &&
          W.Requests.empty() && !mayHaveCrashed(W.Entry.Id) &&
-         !mayReachNextIncarnation(W, Now) && !hasEndsSetAside(W) &&
+         !mayReachNextIncarnation(W, Now) && !Outbox_.hasEndsSetAside(W) &&
          (HoldsNothing || leaseLapsed(W, Now));
 }
 
@@ -66,7 +66,7 @@
     dropRuns(W);
   }
   if (std::size_t Runs = Before - W.Tasks.size())
-    LapsedRuns_.push_back({W.Entry.Id, Runs, Now - W.ReportedAt, Doubted});
+    Events_.Lapsed.push_back({W.Entry.Id, Runs, Now - W.ReportedAt, Doubted});
 }
 
 /// Drops the runs that the known incarnation had. Starts that no report has
@@ -234,8 +234,10 @@
     Fenced_ = true;
     return Out;
   }
-  if (!Settled_ && allHeard(In.Now))
-    Settled_ = ToStoreSettled_ = true;
+  if (!Settled_ && allHeard(In.Now)) {
+    Settled_ = true;
+    Outbox_.storeSettled();
+  }
   settleParked(In);
   expireSilent(In);
   if (Fenced_)
@@ -253,7 +255,7 @@
     recordStarts(Out.Starts, In.Now);
     if (In.Now - WaitsCheckedAt_ >= LongWaitCheckPeriod) {
       WaitsCheckedAt_ = In.Now;
-      LongWait_ = Plan.findLongWait();
+      Events_.LongestWait = Plan.findLongWait();
     }
   }
   settleOverdueStarts(In);
