Avoid at most half of the workers that could run an open job's tasks

Cause: a worker is avoided for 6 s once runs of two jobs have failed or seemed slow there, and nothing bounded how many were: three of four, or all with a label, again and again. A worker is now avoided for that only if it leaves at least as many others that could run each step of each open job. Pauses after refusals (0.7 s) and isolation are as before.

--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -331,7 +331,7 @@
     ++W.FailuresInRow;
   }
   if (W.FailuresInRow >= Limits_.QuarantineFailures)
-    W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.Quarantine);
+    quarantine(W, Now);
   const StepSpec &Step = stepOf(Job, Task);
   if (Step.Lasting || isFinal(Job.Now) || State.Kept.Done)
     return;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -779,6 +779,8 @@
   void taskDone(JobRecord &Job, std::uint32_t Task);
   void taskFailed(JobRecord &Job, std::uint32_t Task, WorkerState &W,
                   core::TimePoint Now);
+  bool mayQuarantine(const WorkerState &W, core::TimePoint Now) const;
+  void quarantine(WorkerState &W, core::TimePoint Now) const;
   void handleRunning(WorkerState &W, const RunReport &Run,
                      core::TimePoint SentAt, core::TimePoint Now);
   void dropMissing(WorkerState &W, const WorkerReport &Report,
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -1,5 +1,6 @@
 #include "jobs/PoolState.h"
 
+#include "jobs/Placement_p.h"
 #include "jobs/PoolTimes_p.h"
 
 #include <algorithm>
@@ -462,6 +463,55 @@
          leastClockMs(W, Now) >= W.DeadlineMs + LeaseSlackMs;
 }
 
+/// Whether at most half of the workers that could run each open job's tasks are
+/// avoided once this one is: what fails or is slow on more of them is hardly
+/// the workers' fault.
+bool PoolState::mayQuarantine(const WorkerState &W, core::TimePoint Now) const {
+  std::vector<const WorkerState *> Avoided = {&W};
+  std::vector<const WorkerState *> Others;
+  for (const auto &[Id, Host] : Workers_) {
+    bool Open = !Host->Closed && !Host->Entry.Draining && !Host->Ended &&
+                !Host->Gone && Host->IncarnationConfirmed;
+    if (Open && Host.get() != &W)
+      (Host->AvoidUntil > Now ? Avoided : Others).push_back(Host.get());
+  }
+  auto LeavesHalf = [&](const StepSpec &Step) {
+    auto CouldRun = [&Step](const WorkerState *Host) {
+      return hasLabel(Host->Entry, Step) &&
+             core::fits(reservedBy(Step), Host->Entry.Capacity);
+    };
+    if (!CouldRun(&W))
+      return true;
+    auto Left = std::count_if(Avoided.begin(), Avoided.end(), CouldRun);
+    for (auto It = Others.begin(); It != Others.end() && Left > 0; ++It)
+      Left -= CouldRun(*It) ? 1 : 0;
+    return Left == 0;
+  };
+  std::vector<const StepSpec *> Seen;
+  auto IsSeen = [&Seen](const StepSpec &Step) {
+    return std::any_of(Seen.begin(), Seen.end(), [&](const StepSpec *Other) {
+      return Other->Label == Step.Label &&
+             core::fits(reservedBy(*Other), reservedBy(Step)) &&
+             core::fits(reservedBy(Step), reservedBy(*Other));
+    });
+  };
+  for (const JobRecord *Job : Open_)
+    for (const StepSpec &Step : Job->Spec.Steps) {
+      if (IsSeen(Step))
+        continue;
+      if (!LeavesHalf(Step))
+        return false;
+      Seen.push_back(&Step);
+    }
+  return true;
+}
+
+/// Keeps tasks away from a worker that seems at fault.
+void PoolState::quarantine(WorkerState &W, core::TimePoint Now) const {
+  if (mayQuarantine(W, Now))
+    W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.Quarantine);
+}
+
 bool PoolState::allHeard(core::TimePoint Now) const {
   return std::all_of(Workers_.begin(), Workers_.end(), [&](const auto &Item) {
     const WorkerState &W = *Item.second;
--- a/src/jobs/StragglerPlan.cpp
+++ b/src/jobs/StragglerPlan.cpp
@@ -94,7 +94,7 @@
     return;
   W.LastSlowJob = Job.Spec.Id;
   if (++W.SlowJobs >= SlowJobsLimit)
-    W.AvoidUntil = std::max(W.AvoidUntil, In_.Now + Owner_.Limits_.Quarantine);
+    Owner_.quarantine(W, In_.Now);
 }
 
 } // namespace comfreydeck::jobs
