Count a job as hit in the simulation if the end of its run was lost with its worker

So a crash of a worker by itself now also hits the jobs whose ends it has not been able to give away for good, and those whose run there is stored as open. Crashes under tasks that crash their workers hit nothing, as before, and the share of jobs given up by mistake stays checked.

--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -232,10 +232,27 @@
   }
 }
 
+/// Notes the jobs to which a crash by itself of the worker may be put down.
+void PoolSimulation::noteHits(const Worker &W) {
+  for (const Run &R : W.Running)
+    HitJobs_.insert(R.Task.JobId);
+  // Nobody has been told of these ends, or will be.
+  for (const EndReport &End : W.Ended)
+    HitJobs_.insert(End.Task.JobId);
+  // A later owner can't tell whether a stored run was started.
+  auto IsHere = [&W](const AnnouncedRun &Stored) {
+    return Stored.Worker == W.Id && Stored.Born == W.Born;
+  };
+  for (const auto &[Id, Progress] : Stored_)
+    for (const TaskProgress &Task : Progress.Tasks)
+      if ((Task.Announced && IsHere(*Task.Announced)) ||
+          std::any_of(Task.Unsettled.begin(), Task.Unsettled.end(), IsHere))
+        HitJobs_.insert(Id);
+}
+
 void PoolSimulation::injectFaultsAt(Worker &W) {
   if (W.Up && !W.Partitioned && chance(0.004)) {
-    for (const Run &R : W.Running)
-      HitJobs_.insert(R.Task.JobId);
+    noteHits(W);
     crash(W);
   }
   if (W.Up && !W.Partitioned && chance(0.003))
@@ -341,8 +358,7 @@
       schedule(100, 1500, [this, &W] {
         if (!W.Up || W.Partitioned || !mayFault())
           return;
-        for (const Run &R : W.Running)
-          HitJobs_.insert(R.Task.JobId);
+        noteHits(W);
         crash(W);
         W.Listed = true;
         W.BackAt = Now_ + milliseconds(draw(1100, 2000));
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -300,6 +300,7 @@
   void checkStored();
   void watchWait(const TaskRef &Task);
   void watchRackWait(const TaskRef &Task, core::Duration Wait);
+  void noteHits(const Worker &W);
   void silence(Worker &W);
   void closeWorkers(const OwnerPtr &O);
   void takeOver();
@@ -383,7 +384,8 @@
   std::set<std::string> CrashingJobs_;
   /// Crashes under each such task, and its starts since the third.
   std::map<TaskRef, std::uint32_t> Crashes_;
-  /// Jobs of other tasks under which a worker crashed by itself.
+  /// Jobs of other tasks under which a worker crashed by itself, or may have
+  /// for all that an owner can know.
   std::set<std::string> HitJobs_;
   std::map<TaskRef, std::uint32_t> LateStarts_;
   /// Jobs after whose starts workers are often out of reach.
