--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -25,7 +25,7 @@
   };
   for (const auto &[Job, Task] : W.Tasks) {
     const StepSpec &Step = PoolState::stepOf(*Job, Task);
-    if (!Step.Lasting || isBeingStopped(*Job, Task))
+    if (!Step.Lasting || isBeingStoppedOn(W, *Job, Task))
       continue;
     core::Resources Need = reservedBy(Step);
     Take(Left.MilliCpus, Need.MilliCpus);
@@ -42,6 +42,16 @@
                      [](const LiveRun &Run) { return Run.Stopping; });
 }
 
+/// Whether the task's run on the worker is being stopped; it may have another
+/// one elsewhere.
+bool StartPlan::isBeingStoppedOn(const WorkerState &W, const JobRecord &Job,
+                                 std::uint32_t Task) {
+  const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
+  return std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
+    return Run.Worker == W.Entry.Id && Run.Stopping;
+  });
+}
+
 void StartPlan::planLastingMoves() {
   std::vector<WorkerState *> Closed;
   for (auto &[Id, W] : Owner_.Workers_)
@@ -54,11 +64,13 @@
                      std::tie(A->Evicting, B->Lasting, B->Entry.Id);
             });
   planStillWaiting(Closed);
+  planBreakingGangs();
   if (Closed.empty())
     return;
   for (WorkerState *W : Closed)
     for (const auto &[Job, Task] : W->Tasks)
-      if (PoolState::stepOf(*Job, Task).Lasting && !isFinal(Job->Now) &&
+      if (PoolState::stepOf(*Job, Task).Lasting &&
+          !PoolState::stepOf(*Job, Task).Gang && !isFinal(Job->Now) &&
           isBeingStopped(*Job, Task))
         holdPlace(*Job, Task);
   for (WorkerState *W : Closed) {
@@ -98,11 +110,14 @@
 void StartPlan::moveLasting(WorkerState &W) {
   for (const auto &[Job, Task] : W.Tasks) {
     const StepSpec &Step = PoolState::stepOf(*Job, Task);
+    if (Step.Lasting && Step.Gang) {
+      moveGang(W, *Job, Task);
+      continue;
+    }
     if (!Step.Lasting || !mayLeave(*Job, Task))
       continue;
-    // A gang starts as a whole, and a worker that leaves takes its tasks along.
-    bool Needed = !Step.Gang && !W.Entry.Draining;
-    if (!Needed || holdPlace(*Job, Task))
+    // A worker that leaves takes its tasks along.
+    if (W.Entry.Draining || holdPlace(*Job, Task))
       stopOn(W, *Job, Task, StopReason::WorkerClosed);
     else
       keepWorker(*Job, Task);
@@ -119,7 +134,8 @@
 /// the other closed workers' tasks have theirs.
 void StartPlan::holdPlacesAhead(WorkerState &W) {
   for (const auto &[Job, Task] : W.Tasks) {
-    if (!PoolState::stepOf(*Job, Task).Lasting || isBeingStopped(*Job, Task))
+    const StepSpec &Step = PoolState::stepOf(*Job, Task);
+    if (!Step.Lasting || Step.Gang || isBeingStopped(*Job, Task))
       continue;
     if (WorkerState *Place = chooseWorker(*Job, Task)) {
       PoolState::occupy(*Place, PoolState::stepOf(*Job, Task));
@@ -134,7 +150,8 @@
                                 std::span<WorkerState *const> Later) {
   bool Moved = false;
   for (const auto &[Job, Task] : W.Tasks) {
-    if (!PoolState::stepOf(*Job, Task).Lasting || !mayLeave(*Job, Task))
+    const StepSpec &Step = PoolState::stepOf(*Job, Task);
+    if (!Step.Lasting || Step.Gang || !mayLeave(*Job, Task))
       continue;
     WorkerState *Place = chooseClosed(*Job, Task, Later);
     if (!Place)
@@ -282,7 +299,7 @@
   std::vector<ExpectedEnd> Ends;
   for (const auto &[Job, Task] : W.Tasks) {
     const StepSpec &Ending = PoolState::stepOf(*Job, Task);
-    bool Stops = isBeingStopped(*Job, Task);
+    bool Stops = isBeingStoppedOn(W, *Job, Task);
     if (Ending.Lasting && !Stops)
       continue;
     double LeftMs = Stops ? 0 : leftMs(W, *Job, Task);
@@ -327,7 +344,7 @@
   for (auto It = Usable_.begin(); It != Usable_.end(); ++It) {
     const WorkerState &W = **It;
     if (!hasLabel(W.Entry, Step) || !mayHost(W, Step) ||
-        !hasSpread(W, Job, Task, Step))
+        hasRunOn(W, Job, Task) || !hasSpread(W, Job, Task, Step))
       continue;
     std::optional<double> Ms = msUntilRoom(W, Step);
     if (!Ms)
