--- a/src/dispatch/JobMetrics.cpp
+++ b/src/dispatch/JobMetrics.cpp
@@ -161,6 +161,13 @@
                  "pool and reason");
   GaugeFamily &Workers = gauges(Registry, "comfreydeck_job_pool_workers",
                                 "Workers by pool and standing");
+  GaugeFamily &Unapplied =
+      gauges(Registry, "comfreydeck_job_pool_unapplied_jobs",
+             "Jobs that are known and could not be applied by pool and reason");
+  GaugeFamily &LongestUnapplied =
+      gauges(Registry, "comfreydeck_job_pool_longest_unapplied_seconds",
+             "Time since a job that is known could not be applied, of the one "
+             "for which it is longest, by pool and reason");
   GaugeFamily &MaxStartsPerReport =
       gauges(Registry, "comfreydeck_job_pool_most_starts_by_one_report",
              "Most starts decided by one report in the last period by pool");
@@ -278,6 +285,13 @@
       I.show(I.LongestWait, F.Pool,
              {{"kind", Kind}, {"reason", nameOf(Wait->Reason)}},
              inSeconds(Wait->Age));
+  for (std::size_t V = 0; V < UnappliedReasonCount; ++V)
+    I.show(I.Unapplied, F.Pool,
+           {{"reason", nameOf(static_cast<UnappliedReason>(V))}},
+           static_cast<double>(F.Unapplied.Jobs[V]));
+  if (const auto &Oldest = F.Unapplied.Oldest)
+    I.show(I.LongestUnapplied, F.Pool, {{"reason", nameOf(Oldest->Reason)}},
+           inSeconds(Oldest->Age));
   for (std::size_t V = 0; V < jobs::WorkerStatusCount; ++V)
     I.show(I.Workers, F.Pool,
            {{"standing", nameOf(static_cast<jobs::WorkerStatus>(V))}},
--- a/src/dispatch/JobMetrics.h
+++ b/src/dispatch/JobMetrics.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_DISPATCH_JOBMETRICS_H
 #define COMFREYDECK_DISPATCH_JOBMETRICS_H
 
+#include "dispatch/UnappliedJobs.h"
 #include "jobs/PoolState.h"
 #include "net/HttpClient.h"
 #include "net/Loop.h"
@@ -36,6 +37,8 @@
   /// How long the batch that is not stored yet has been under way; later
   /// changes wait for it.
   core::Duration UnstoredFor{0};
+  /// Jobs that are known and could not be applied.
+  UnappliedStats Unapplied;
 };
 
 /// Counters of orders that entries send for one another, since the last
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -208,6 +208,7 @@
       Kept[Key] = progressOf(ByKey, Key);
     } catch (const std::exception &E) {
       logEvent("progress_row_unreadable", {{"job", Key}, {"error", E.what()}});
+      Unapplied_.add(Key, UnappliedReason::ProgressRow, E.what(), Now);
     }
   }
   for (const store::PartRow &Row : JobRows) {
@@ -224,6 +225,7 @@
     } catch (const std::exception &E) {
       logEvent("job_row_unreadable",
                {{"job", Row.Where.Key}, {"error", E.what()}});
+      Unapplied_.add(Row.Where.Key, UnappliedReason::JobRow, E.what(), Now);
     }
   }
   Loaded_ = true;
@@ -439,10 +441,13 @@
     Spec = codec::decodeJob(Row.Value);
   } catch (const std::exception &E) {
     logEvent("job_row_unreadable", {{"job", Key}, {"error", E.what()}});
+    Unapplied_.add(Key, UnappliedReason::JobRow, E.what(), bootNow());
     return;
   }
   if (Spec.Pool == State_.pool())
     addJob(Spec);
+  else
+    Unapplied_.remove(Key);
 }
 
 void PoolController::addJob(const jobs::JobSpec &Spec) {
@@ -451,6 +456,7 @@
     return;
   }
   State_.addJob(Spec, bootNow());
+  Unapplied_.remove(Spec.Id);
   schedulePlan();
 }
 
@@ -510,6 +516,7 @@
     } catch (const std::exception &E) {
       // Without its progress it isn't known which of its tasks have run.
       logEvent("progress_row_unreadable", {{"job", Id}, {"error", E.what()}});
+      Unapplied_.add(Id, UnappliedReason::ProgressRow, E.what(), Now);
     }
     if (Job.Cancelled)
       State_.cancelJob(Id);
@@ -605,7 +612,9 @@
   auto Self = shared_from_this();
   Ctx_.Loop.after(TickPeriod, [Self] { Self->tick(); });
   schedulePlan();
-  Monitor_.publishIfDue(State_, bootNow(), wallMs());
+  core::TimePoint Now = bootNow();
+  Monitor_.recordUnapplied(Unapplied_.stats(Now));
+  Monitor_.publishIfDue(State_, Now, wallMs());
 }
 
 void PoolController::schedulePlan() {
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -5,6 +5,7 @@
 #include "dispatch/FleetView.h"
 #include "dispatch/JobTableReader.h"
 #include "dispatch/PoolMonitor.h"
+#include "dispatch/UnappliedJobs.h"
 #include "dispatch/WriteRepeats.h"
 #include "jobs/OwnerPace.h"
 
@@ -70,6 +71,8 @@
   void drop();
 
   const jobs::PoolState &state() const { return State_; }
+  /// Jobs that are known and not in the state, or without their progress.
+  const UnappliedJobs &unapplied() const { return Unapplied_; }
   std::uint64_t token() const { return State_.token(); }
   bool isLoaded() const { return Loaded_; }
   /// Schedules a planning pass, soon if the last passes were short.
@@ -167,6 +170,7 @@
   };
   /// Jobs whose stored progress is being read, by id.
   std::map<std::string, JobLookUp> LookUps_;
+  UnappliedJobs Unapplied_;
   /// Jobs whose payloads are being read.
   std::set<std::string> PayloadReads_;
   bool Loaded_ = false;
--- a/src/dispatch/PoolMonitor.cpp
+++ b/src/dispatch/PoolMonitor.cpp
@@ -109,6 +109,7 @@
       {"stores_repeated", F.RepeatedBatches},
       {"stores_found", F.FoundBatches},
       {"unstored_ms", core::inMs(F.UnstoredFor)},
+      {"jobs_unapplied", textOf<UnappliedReason>(F.Unapplied.Jobs)},
       {"plans", F.Plans.Total},
       {"plan_mean_ms", core::meanMs(F.Plans)},
       {"plan_most_ms", core::inMs(F.Plans.Max)},
@@ -139,6 +140,22 @@
     publish(State, Now, WallMs);
 }
 
+/// Logs the job that could not be applied for the longest time. No planning
+/// shows such jobs.
+void PoolMonitor::logUnapplied() const {
+  if (Stats_.Unapplied.isEmpty())
+    return;
+  const UnappliedStats::Longest &Oldest = *Stats_.Unapplied.Oldest;
+  logEvent("jobs_unapplied", {{"pool", Stats_.Pool},
+                              {"token", Stats_.Token},
+                              {"jobs", Stats_.Unapplied.count()},
+                              {"job", Oldest.JobId},
+                              {"reason", nameOf(Oldest.Reason)},
+                              {"age_ms", core::inMs(Oldest.Age)},
+                              {"tries", Oldest.Tries},
+                              {"error", Oldest.Error}});
+}
+
 void PoolMonitor::end(jobs::PoolState &State, core::TimePoint Now,
                       std::int64_t WallMs) {
   if (PublishedAt_ != core::TimePoint())
@@ -154,6 +171,7 @@
   Stats_.UnstoredFor =
       StoringSince_ ? Now - *StoringSince_ : core::Duration::zero();
   logEvent("pool_summary", summaryOf(Stats_));
+  logUnapplied();
   Metrics_.pool(Stats_);
   Stats_.Plans = Stats_.Waits = Stats_.Stores = {};
   Stats_.RepeatedBatches = Stats_.FoundBatches = 0;
--- a/src/dispatch/PoolMonitor.h
+++ b/src/dispatch/PoolMonitor.h
@@ -42,6 +42,11 @@
   /// repeating it.
   void recordStored(core::TimePoint Now, bool Repeated, bool Found);
 
+  /// Records the jobs that are known and not applied now.
+  void recordUnapplied(UnappliedStats Jobs) {
+    Stats_.Unapplied = std::move(Jobs);
+  }
+
   /// Reports the statistics if a period has passed since the last report.
   void publishIfDue(jobs::PoolState &State, core::TimePoint Now,
                     std::int64_t WallMs);
@@ -50,6 +55,7 @@
   void end(jobs::PoolState &State, core::TimePoint Now, std::int64_t WallMs);
 
 private:
+  void logUnapplied() const;
   void publish(jobs::PoolState &State, core::TimePoint Now,
                std::int64_t WallMs);
 
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -620,3 +620,67 @@
   });
   CHECK(Late.B.Store.lostCommits().LateApplied == 0);
 }
+
+namespace {
+
+/// Loads another owner of pool "p" with the job of the row in the job table.
+struct NextOwner {
+  ControllerFixture &B;
+  std::shared_ptr<PoolController> Owner;
+
+  NextOwner(ControllerFixture &Fixture, const store::PartRow &Job,
+            const std::string &Progress)
+      : B(Fixture) {
+    B.Store.put(Job.Where, Job.Value);
+    if (!Progress.empty())
+      B.Store.put(progressKey(Job.Where.Key), Progress);
+    B.on([&] {
+      Owner = std::make_shared<PoolController>(
+          B.Ctx, B.View, B.Jobs, B.JobTable,
+          PoolTakeover{"p", 6, bootNow(), {}}, StopQuery(),
+          [](const std::string &) {});
+      Owner->load([](std::uint64_t) {});
+    });
+    B.waitUntil([this] { return Owner->isLoaded(); });
+  }
+  ~NextOwner() {
+    B.on([this] { Owner->drop(); });
+  }
+  static store::PartKey progressKey(const std::string &Id) {
+    return {rows::Progress, rows::poolPart("p"), Id};
+  }
+  /// The number of its jobs that are not applied for the reason.
+  std::uint64_t unapplied(UnappliedReason Reason) {
+    std::uint64_t Count = 0;
+    B.on([&] {
+      Count = Owner->unapplied()
+                  .stats(bootNow())
+                  .Jobs[static_cast<std::size_t>(Reason)];
+    });
+    return Count;
+  }
+};
+
+/// Of a job whose row or progress a later version of the program has written.
+constexpr const char *UnreadableId = "0000000000000001";
+constexpr const char *UnreadableJob = R"({"id":7,"pool":"p"})";
+constexpr const char *UnreadableProgress = R"({"state":"running"})";
+
+} // namespace
+
+TEST_CASE("a job whose row or progress a new owner can't read is in none of "
+          "its pool's figures") {
+  OldJobs Jobs;
+  store::PartRow Row = Jobs.row(UnreadableId);
+  SUBCASE("its row") {
+    ControllerFixture B;
+    Row.Value = UnreadableJob;
+    NextOwner Next(B, Row, "");
+    CHECK(Next.unapplied(UnappliedReason::JobRow) == 1);
+  }
+  SUBCASE("its progress") {
+    ControllerFixture B;
+    NextOwner Next(B, Row, UnreadableProgress);
+    CHECK(Next.unapplied(UnappliedReason::ProgressRow) == 1);
+  }
+}
--- a/tests/dispatch/PoolMonitorTest.cpp
+++ b/tests/dispatch/PoolMonitorTest.cpp
@@ -59,6 +59,14 @@
   F.RepeatedBatches = 5;
   F.FoundBatches = 2;
   F.UnstoredFor = milliseconds(1250);
+  UnappliedJobs Unapplied;
+  core::TimePoint Since{std::chrono::hours(1)};
+  Unapplied.add("1", UnappliedReason::ProgressRow, "later version", Since);
+  Unapplied.add("2", UnappliedReason::JobRow, "no steps",
+                Since + milliseconds(500));
+  Unapplied.add("1", UnappliedReason::ProgressRow, "later version",
+                Since + milliseconds(1000));
+  F.Unapplied = Unapplied.stats(Since + milliseconds(1500));
   return F;
 }
 
@@ -93,6 +101,25 @@
   CHECK(std::get<double>(field(Fields, "store_mean_ms")) == 400);
   CHECK(std::get<double>(field(Fields, "store_most_ms")) == 700);
   CHECK(std::get<double>(field(Fields, "unstored_ms")) == 1250);
+  CHECK(std::get<std::string>(field(Fields, "jobs_unapplied")) ==
+        "job-row=1 progress-row=1");
+}
+
+TEST_CASE("jobs that are known and not applied are in no figure of their "
+          "pool") {
+  PoolStats F = sampleStats();
+  REQUIRE_FALSE(F.Unapplied.isEmpty());
+  CHECK(F.Unapplied.count() == 2);
+  CHECK(F.Unapplied.Oldest->JobId == "1");
+  CHECK(F.Unapplied.Oldest->Tries == 2);
+  CHECK(F.Unapplied.Oldest->Age == milliseconds(1500));
+  JobMetrics Count;
+  Count.pool(F);
+  CHECK(has(Count.text(), "comfreydeck_job_pool_unapplied_jobs{pool=\"p1\","
+                          "reason=\"progress-row\"} 1"));
+  CHECK(has(Count.text(),
+            "comfreydeck_job_pool_longest_unapplied_seconds{pool=\"p1\","
+            "reason=\"progress-row\"} 1.5"));
 }
 
 TEST_CASE("a pool's counts are exported by outcome, kind and standing") {
