Give each row that can't be applied a pause of its own

What callers could see: accepted work that doesn't start while its row waits up to 30 s to be passed again, longer than the 14 s in which accepted work with room must run, since another row of its table always fails.

Now each row, the call after rows and the full read for rows that are not kept have their own; a row is tried at least every 5 s, a newer version of it after 1 s, and rows due within 0.2 s together. At most 1,000 rows are kept as before, and what is more is read in full at least every 30 s.

--- a/src/dispatch/TableFollower.cpp
+++ b/src/dispatch/TableFollower.cpp
@@ -14,10 +14,15 @@
 
 /// Pause after a failed read.
 constexpr std::chrono::milliseconds RetryPause(150);
-/// Pause before rows whose handling failed are passed again; doubles up to the
-/// longer one.
+/// Pause before a row whose handling failed is passed again; doubles with each
+/// failure of that row up to the longer one, which is well below the time in
+/// which accepted work must start.
 constexpr std::chrono::milliseconds RowRetryPause(1000);
-constexpr std::chrono::milliseconds MaxRowRetryPause(30000);
+constexpr std::chrono::milliseconds MaxRowRetryPause(5000);
+/// The longest pause between full reads for rows that are not kept.
+constexpr std::chrono::milliseconds MaxFullReadPause(30000);
+/// Rows that are due within this time are passed together.
+constexpr std::chrono::milliseconds RowRetryStep(200);
 /// Most rows that are kept to be passed again; bounds the memory.
 constexpr std::size_t MaxUnappliedRows = 1000;
 /// Rows per page, and pages requested concurrently. All pages in flight share
@@ -179,7 +184,7 @@
 TableFollower::TableFollower(net::Loop &Loop, store::PartitionedStore &Store,
                              TableFollowerOptions Options, RowHandlers Handlers)
     : Loop_(Loop), Store_(Store), Options_(std::move(Options)),
-      Handlers_(std::move(Handlers)), RowRetryPause_(RowRetryPause) {}
+      Handlers_(std::move(Handlers)) {}
 
 void TableFollower::start() {
   Started_ = true;
@@ -259,8 +264,9 @@
 void TableFollower::passRows(const std::vector<store::PartRow> &Rows,
                              bool All) {
   if (All) {
-    Unapplied_.clear();
     UnappliedDropped_ = false;
+    for (auto &[Where, Failed] : Unapplied_)
+      Failed.Found = false;
   }
   try {
     if (Handlers_.Begin)
@@ -271,19 +277,43 @@
   }
   for (const store::PartRow &Row : Rows)
     passRow(Row);
+  if (All) {
+    std::erase_if(Unapplied_,
+                  [](const auto &Item) { return !Item.second.Found; });
+    if (!UnappliedDropped_)
+      NextFullRead_ = {};
+  }
   endRows(All);
+  scheduleRowRetry();
 }
 
 void TableFollower::passRow(const store::PartRow &Row) {
-  if (applyRow(Row)) {
+  if (applyRow(Row))
     Unapplied_.erase(Row.Where);
-    return;
-  }
-  if (Unapplied_.size() < MaxUnappliedRows || Unapplied_.count(Row.Where) != 0)
-    Unapplied_[Row.Where] = Row;
   else
-    UnappliedDropped_ = true;
-  scheduleRowRetry();
+    keepUnapplied(Row);
+}
+
+void TableFollower::keepUnapplied(const store::PartRow &Row) {
+  auto At = Unapplied_.find(Row.Where);
+  if (At == Unapplied_.end() && Unapplied_.size() >= MaxUnappliedRows) {
+    if (!std::exchange(UnappliedDropped_, true))
+      recordFailure(NextFullRead_, MaxFullReadPause);
+  } else {
+    UnappliedRow &Failed = Unapplied_[Row.Where];
+    // A newer version may be handled where the one before could not be.
+    if (Failed.Row.Version != Row.Version)
+      Failed.Next = {};
+    Failed.Row = Row;
+    Failed.Found = true;
+    recordFailure(Failed.Next, MaxRowRetryPause);
+  }
+}
+
+void TableFollower::recordFailure(Retry &Next, core::Duration MaxPause) {
+  Next.Pause =
+      std::clamp<core::Duration>(Next.Pause * 2, RowRetryPause, MaxPause);
+  Next.At = bootNow() + Next.Pause;
 }
 
 /// Returns false if the row's handling failed.
@@ -307,41 +337,79 @@
   try {
     if (Handlers_.End)
       Handlers_.End(ForAll);
+    NextEnd_ = {};
   } catch (const std::exception &E) {
     logEvent("rows_not_ended",
              {{"table", Options_.Table}, {"error", E.what()}});
     EndFailed_ = true;
     EndFailedForAll_ = ForAll;
-    scheduleRowRetry();
+    recordFailure(NextEnd_, MaxRowRetryPause);
   }
 }
 
+/// When something that failed is to be tried next, if anything has failed.
+std::optional<core::TimePoint> TableFollower::nextRowRetry() const {
+  std::optional<core::TimePoint> First;
+  auto Consider = [&First](const Retry &Next) {
+    First = First ? std::min(*First, Next.At) : Next.At;
+  };
+  for (const auto &[Where, Failed] : Unapplied_)
+    Consider(Failed.Next);
+  if (UnappliedDropped_)
+    Consider(NextFullRead_);
+  if (EndFailed_)
+    Consider(NextEnd_);
+  return First;
+}
+
 void TableFollower::scheduleRowRetry() {
-  if (RowRetryScheduled_)
+  std::optional<core::TimePoint> First = nextRowRetry();
+  if (!First)
+    return;
+  core::TimePoint Now = bootNow();
+  core::TimePoint At = std::max<core::TimePoint>(*First, Now + RowRetryStep);
+  if (RowRetryAt_ && *RowRetryAt_ <= At)
     return;
-  RowRetryScheduled_ = true;
-  Loop_.after(RowRetryPause_, [this] { retryRows(); });
+  RowRetryAt_ = At;
+  Loop_.after(At - Now, [this, At] {
+    // An earlier call was scheduled since if they differ.
+    if (RowRetryAt_ == At)
+      retryRows();
+  });
+}
+
+/// Passes the rows that are due again; returns how many were applied.
+std::size_t TableFollower::retryUnapplied(core::TimePoint Now) {
+  std::size_t Applied = 0;
+  for (auto It = Unapplied_.begin(); It != Unapplied_.end();) {
+    UnappliedRow &Failed = It->second;
+    bool IsApplied = Failed.Next.At <= Now && applyRow(Failed.Row);
+    if (!IsApplied && Failed.Next.At <= Now)
+      recordFailure(Failed.Next, MaxRowRetryPause);
+    Applied += IsApplied ? 1 : 0;
+    It = IsApplied ? Unapplied_.erase(It) : std::next(It);
+  }
+  return Applied;
 }
 
 void TableFollower::retryRows() {
-  RowRetryScheduled_ = false;
-  std::size_t Applied = std::erase_if(
-      Unapplied_, [this](const auto &Item) { return applyRow(Item.second); });
-  bool HadFailed = Applied > 0 || !Unapplied_.empty() || EndFailed_;
-  if (Applied > 0 || EndFailed_)
+  RowRetryAt_.reset();
+  core::TimePoint Now = bootNow();
+  bool HadFailed = nextRowRetry().has_value();
+  std::size_t Applied = retryUnapplied(Now);
+  bool EndDue = EndFailed_ && NextEnd_.At <= Now;
+  if (Applied > 0 || EndDue)
     endRows(false);
-  if (UnappliedDropped_)
+  if (UnappliedDropped_ && NextFullRead_.At <= Now) {
+    // The rows that still fail then are to be read after a longer pause.
+    UnappliedDropped_ = false;
     resync();
-  bool Done = Unapplied_.empty() && !UnappliedDropped_ && !EndFailed_;
+  }
   if (HadFailed)
     logEvent("rows_passed_again", {{"table", Options_.Table},
                                    {"applied", Applied},
                                    {"left", Unapplied_.size()}});
-  RowRetryPause_ =
-      Done ? core::Duration(RowRetryPause)
-           : std::min<core::Duration>(RowRetryPause_ * 2, MaxRowRetryPause);
-  if (!Done)
-    scheduleRowRetry();
+  scheduleRowRetry();
 }
 
 void TableFollower::scheduleRead(core::Duration Pause) {
--- a/src/dispatch/TableFollower.h
+++ b/src/dispatch/TableFollower.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace comfreydeck::dispatch {
 
@@ -91,9 +92,12 @@
   void passRows(const std::vector<store::PartRow> &Rows, bool All);
   void passRow(const store::PartRow &Row);
   bool applyRow(const store::PartRow &Row);
+  void keepUnapplied(const store::PartRow &Row);
   void endRows(bool All);
   void scheduleRowRetry();
+  std::optional<core::TimePoint> nextRowRetry() const;
   void retryRows();
+  std::size_t retryUnapplied(core::TimePoint Now);
   void scheduleRead(core::Duration Pause);
   void endPause();
   void notifyWaiters();
@@ -117,15 +121,30 @@
   /// is ignored.
   std::uint64_t PauseNumber_ = 0;
   bool Pausing_ = false;
+  /// When something that failed is tried again.
+  struct Retry {
+    core::TimePoint At;
+    /// Time from the last try to \ref At; zero before the first failure.
+    core::Duration Pause{0};
+  };
+  static void recordFailure(Retry &Next, core::Duration MaxPause);
+  struct UnappliedRow {
+    store::PartRow Row;
+    Retry Next;
+    /// Found in the full read whose rows are being passed.
+    bool Found = false;
+  };
   /// Rows whose handling failed, in their latest version.
-  std::map<store::PartKey, store::PartRow> Unapplied_;
+  std::map<store::PartKey, UnappliedRow> Unapplied_;
   /// More rows failed than are kept, so that only a full read has them all.
   bool UnappliedDropped_ = false;
+  Retry NextFullRead_;
   /// Whether RowHandlers::End is to be called again, and for a full read.
   bool EndFailed_ = false;
   bool EndFailedForAll_ = false;
-  bool RowRetryScheduled_ = false;
-  core::Duration RowRetryPause_;
+  Retry NextEnd_;
+  /// When \ref retryRows is called next, if it is.
+  std::optional<core::TimePoint> RowRetryAt_;
 };
 
 } // namespace comfreydeck::dispatch
--- a/tests/dispatch/TableFollowerTest.cpp
+++ b/tests/dispatch/TableFollowerTest.cpp
@@ -254,6 +254,7 @@
   std::map<std::string, std::vector<std::string>> Applied;
   std::uint32_t Ends = 0;
   std::uint32_t Attempts = 0;
+  std::map<std::string, std::uint32_t> AttemptsByKey;
   dispatch::TableFollower Follower{
       Loop,
       Store,
@@ -272,6 +273,7 @@
   }
   void apply(const store::PartRow &Row) {
     ++Attempts;
+    ++AttemptsByKey[Row.Where.Key];
     if (Failing.count(Row.Where.Key) != 0)
       throw std::runtime_error("can't be handled now");
     Applied[Row.Where.Key].push_back(Row.Value);
@@ -335,6 +337,25 @@
   tests::runOn(B.Loop, [&] { CHECK(B.Applied["a"] == Values{"new"}); });
 }
 
+TEST_CASE("a row that can never be handled holds up no other one of its table "
+          "that could not be handled once") {
+  FollowerFixture B;
+  B.Failing = {"a", "b"};
+  B.put("a", "1");
+  B.start();
+  // Four seconds pass until its next try.
+  B.waitFor([&] { return B.AttemptsByKey["a"] == 3; });
+  B.put("b", "1");
+  B.waitFor([&] { return B.AttemptsByKey["b"] == 1; });
+  tests::runOn(B.Loop, [&] { B.Failing = {"a"}; });
+  std::uint32_t TriesOfOther = 0;
+  B.waitFor([&] {
+    TriesOfOther = B.AttemptsByKey["a"];
+    return !B.Applied["b"].empty();
+  });
+  CHECK(TriesOfOther == 3);
+}
+
 TEST_CASE("rows that can never be handled are passed again ever more rarely") {
   constexpr std::uint32_t Rows = 1500;
   FollowerFixture B;
