Read the rows of jobs again that could not be applied

Callers: an accepted job in no pool until the next owner takes it (users' LOST), or with its ended tasks started again (TWICE).

An exception of addJob from rows that came while the pool was loading ended restoreState before the pool's first planning.

Now each such job is kept by its id, and its row, its cancel row and its progress are read again after 0.5 s, doubling to 3 s, four jobs each 0.25 s at most. The last error stands in jobs_unapplied; job_applied_late tells the end.

Tests: "a job whose row a new owner can't read is in its pool, with its progress, soon after it can be read" and "a job whose progress can't be read does not count as never run".

--- a/src/codec/JobJson.cpp
+++ b/src/codec/JobJson.cpp
@@ -279,14 +279,26 @@
   return Texts;
 }
 
+namespace {
+
+jobs::JobState stateFrom(const Json &Object) {
+  unsigned State = Object.at("state").get<unsigned>();
+  if (State > static_cast<unsigned>(jobs::JobState::Cancelled))
+    throw std::invalid_argument("the job's state is unknown");
+  return static_cast<jobs::JobState>(State);
+}
+
+} // namespace
+
+jobs::JobState decodeProgressState(const std::string &Text) {
+  return parseAndDecode(Text, stateFrom);
+}
+
 ProgressRow decodeProgressRow(const std::string &Text) {
   return parseAndDecode(Text, [](const Json &Object) {
     ProgressRow Row;
     jobs::JobProgress &Progress = Row.Progress;
-    unsigned State = Object.at("state").get<unsigned>();
-    if (State > static_cast<unsigned>(jobs::JobState::Cancelled))
-      throw std::invalid_argument("the job's state is unknown");
-    Progress.State = static_cast<jobs::JobState>(State);
+    Progress.State = stateFrom(Object);
     std::string Done;
     take(Object, "done", Done);
     for (char C : Done) {
--- a/src/codec/JobJson.h
+++ b/src/codec/JobJson.h
@@ -40,6 +40,9 @@
 ProgressRow decodeProgressRow(const std::string &Text);
 /// Adds what a further row says to the progress of the first one.
 void addFurtherRow(jobs::JobProgress &Progress, const std::string &Text);
+/// Decodes the job's state alone, which other versions of the program write in
+/// the same way.
+jobs::JobState decodeProgressState(const std::string &Text);
 /// Decodes progress of which only the first row matters, or that has no other.
 jobs::JobProgress decodeProgress(const std::string &Text);
 
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -43,6 +43,11 @@
 /// Finished jobs are kept for a margin beyond the promised time.
 constexpr milliseconds FinishedKeepMargin(10000);
 
+/// Jobs that could not be applied whose rows are read again at a time, and the
+/// pause between two times.
+constexpr std::size_t MaxUnappliedReads = 4;
+constexpr milliseconds UnappliedReadPause(250);
+
 /// Payloads that are read at the same time.
 constexpr std::size_t MaxPayloadReads = 16;
 
@@ -74,7 +79,14 @@
   return Halves;
 }
 
-using RowsByKey = std::map<std::string, const store::PartRow *>;
+using RowsByKey = PoolController::RowsByKey;
+
+RowsByKey rowsByKey(const std::vector<store::PartRow> &Rows) {
+  RowsByKey ByKey;
+  for (const store::PartRow &Row : Rows)
+    ByKey[Row.Where.Key] = &Row;
+  return ByKey;
+}
 
 /// Decodes a job's progress from its row and those that belong to it. Throws
 /// std::invalid_argument if one is malformed or missing.
@@ -89,6 +101,19 @@
   return std::move(First.Progress);
 }
 
+/// The job's state in its row, if at least that can be decoded.
+std::optional<jobs::JobState> stateAmong(const RowsByKey &Rows,
+                                         const std::string &JobId) {
+  auto Row = Rows.find(JobId);
+  if (Row == Rows.end())
+    return std::nullopt;
+  try {
+    return codec::decodeProgressState(Row->second->Value);
+  } catch (const std::invalid_argument &) {
+    return std::nullopt;
+  }
+}
+
 WorkerCount countWorkers(const jobs::PoolState &State) {
   WorkerCount Count;
   for (const auto &[Id, Worker] : State.workers()) {
@@ -200,33 +225,14 @@
     }
     ByKey[Row.Where.Key] = &Row;
   }
-  std::map<std::string, jobs::JobProgress> Kept;
-  for (const auto &[Key, Row] : ByKey) {
-    if (Key.find(rows::FurtherRowMark) != std::string::npos)
-      continue;
-    try {
-      Kept[Key] = progressOf(ByKey, Key);
-    } catch (const std::exception &E) {
-      logEvent("progress_row_unreadable", {{"job", Key}, {"error", E.what()}});
-      Unapplied_.add(Key, UnappliedReason::ProgressRow, E.what(), Now);
-    }
-  }
   for (const store::PartRow &Row : JobRows) {
     std::string_view Named = codec::poolOf(Row.Value);
     bool OtherPool = !Named.empty() && Named != State_.pool();
     if (OtherPool || Row.Where.Key.ends_with(rows::CancelSuffix))
       continue;
-    try {
-      jobs::JobSpec Spec = codec::decodeJob(Row.Value);
-      if (Spec.Pool != State_.pool())
-        continue;
-      auto It = Kept.find(Spec.Id);
-      State_.inheritJob(Spec, It == Kept.end() ? nullptr : &It->second, Now);
-    } catch (const std::exception &E) {
-      logEvent("job_row_unreadable",
-               {{"job", Row.Where.Key}, {"error", E.what()}});
-      Unapplied_.add(Row.Where.Key, UnappliedReason::JobRow, E.what(), Now);
-    }
+    std::optional<jobs::JobSpec> Spec = decodeJobRow(Row);
+    if (Spec && Spec->Pool == State_.pool())
+      restoreJob(*Spec, ByKey);
   }
   Loaded_ = true;
   for (const store::PartRow &Row : JobRows)
@@ -248,6 +254,136 @@
   tick();
 }
 
+/// Decodes a row of the job table. If it can't be, the row is read again later.
+std::optional<jobs::JobSpec>
+PoolController::decodeJobRow(const store::PartRow &Row) {
+  try {
+    return codec::decodeJob(Row.Value);
+  } catch (const std::exception &E) {
+    logEvent("job_row_unreadable",
+             {{"job", Row.Where.Key}, {"error", E.what()}});
+    setUnapplied(Row.Where.Key, UnappliedReason::JobRow, E);
+    return std::nullopt;
+  }
+}
+
+void PoolController::setUnapplied(const std::string &JobId,
+                                  UnappliedReason Reason,
+                                  const std::exception &Error) {
+  Unapplied_.add(JobId, Reason, Error.what(), bootNow());
+  State_.awaitJob(JobId);
+}
+
+/// Adds a job that an earlier owner may have known, with its progress among
+/// \p Stored. If that can't be read, which of its tasks have run is not known:
+/// none of them starts until it can. Returns whether the job has its progress.
+bool PoolController::restoreJob(const jobs::JobSpec &Spec,
+                                const RowsByKey &Stored) {
+  core::TimePoint Now = bootNow();
+  const jobs::JobRecord *Known = State_.findJob(Spec.Id);
+  bool IsHeld = Known && Known->ProgressUnread;
+  std::optional<jobs::JobProgress> Kept;
+  try {
+    if (Stored.count(Spec.Id) != 0)
+      Kept = progressOf(Stored, Spec.Id);
+    else if (IsHeld)
+      throw std::invalid_argument("the job's progress is missing");
+  } catch (const std::exception &E) {
+    logEvent("progress_row_unreadable",
+             {{"job", Spec.Id}, {"error", E.what()}});
+    State_.holdJob(Spec, stateAmong(Stored, Spec.Id), Now);
+    setUnapplied(Spec.Id, UnappliedReason::ProgressRow, E);
+    return false;
+  }
+  try {
+    if (IsHeld)
+      State_.restoreJob(Spec.Id, *Kept, Now);
+    else
+      State_.inheritJob(Spec, Kept ? &*Kept : nullptr, Now);
+  } catch (const std::exception &E) {
+    logEvent("job_not_applied", {{"job", Spec.Id}, {"error", E.what()}});
+    setUnapplied(Spec.Id, UnappliedReason::Failure, E);
+    return false;
+  }
+  if (Unapplied_.isCancelled(Spec.Id))
+    State_.cancelJob(Spec.Id);
+  Unapplied_.remove(Spec.Id);
+  return true;
+}
+
+/// Reads the rows again of jobs that could not be applied, a few at a time.
+void PoolController::readUnapplied(core::TimePoint Now) {
+  if (Now < NextUnappliedRead_)
+    return;
+  for (const std::string &Id : Unapplied_.takeDue(Now, MaxUnappliedReads)) {
+    NextUnappliedRead_ = Now + UnappliedReadPause;
+    const jobs::JobRecord *Known = State_.findJob(Id);
+    Ctx_.Count.recordRetry("read-unapplied-job");
+    if (Known && Known->ProgressUnread)
+      readProgressAgain(Known->Spec);
+    else
+      readJobRowAgain(Id);
+  }
+}
+
+void PoolController::readJobRowAgain(const std::string &JobId) {
+  store::PartRange Range = {rows::Jobs, rows::jobPart(JobId), JobId,
+                            JobId + "~"};
+  auto Self = shared_from_this();
+  readRange(Ctx_.Loop, Ctx_.Store, Range, [Self, JobId](PartAnswer Answer) {
+    Self->Ctx_.Loop.post([Self, JobId, Answer = std::move(Answer)] {
+      Self->onJobRowReadAgain(JobId, Answer);
+    });
+  });
+}
+
+void PoolController::onJobRowReadAgain(const std::string &JobId,
+                                       const PartAnswer &Answer) {
+  if (Dropped_ || !Unapplied_.contains(JobId))
+    return;
+  std::optional<jobs::JobSpec> Spec;
+  bool IsFound = false;
+  for (const store::PartRow &Row : Answer.Rows) {
+    if (Row.Where.Key == JobId + rows::CancelSuffix)
+      Unapplied_.cancel(JobId);
+    if (Row.Where.Key != JobId)
+      continue;
+    IsFound = true;
+    Spec = decodeJobRow(Row);
+  }
+  if (Spec && Spec->Pool == State_.pool()) {
+    readProgressAgain(*Spec);
+  } else if (Spec) {
+    Unapplied_.remove(JobId);
+    State_.forgetAwaited(JobId);
+  } else if (!IsFound) {
+    Unapplied_.postpone(JobId, bootNow());
+  }
+}
+
+void PoolController::readProgressAgain(const jobs::JobSpec &Spec) {
+  store::PartRange Range = {rows::Progress, Part_, Spec.Id, Spec.Id + "~"};
+  auto Self = shared_from_this();
+  readRange(Ctx_.Loop, Ctx_.Store, Range, [Self, Spec](PartAnswer Answer) {
+    Self->Ctx_.Loop.post([Self, Spec, Answer = std::move(Answer)] {
+      Self->onProgressReadAgain(Spec, Answer);
+    });
+  });
+}
+
+void PoolController::onProgressReadAgain(const jobs::JobSpec &Spec,
+                                         const PartAnswer &Answer) {
+  if (Dropped_ || !Unapplied_.contains(Spec.Id))
+    return;
+  if (Answer.Outcome != PartOutcome::Ok) {
+    Unapplied_.postpone(Spec.Id, bootNow());
+    return;
+  }
+  if (restoreJob(Spec, rowsByKey(Answer.Rows)))
+    logEvent("job_applied_late", {{"job", Spec.Id}, {"pool", State_.pool()}});
+  schedulePlan();
+}
+
 void PoolController::applySettledRow(const store::PartRow &Row) {
   std::uint64_t Token = 0;
   const char *End = Row.Value.data() + Row.Value.size();
@@ -436,27 +572,30 @@
   }
   if (State_.findJob(Key))
     return;
-  jobs::JobSpec Spec;
+  std::optional<jobs::JobSpec> Spec = decodeJobRow(Row);
+  if (!Spec)
+    return;
+  if (Spec->Pool != State_.pool()) {
+    Unapplied_.remove(Key);
+    State_.forgetAwaited(Key);
+    return;
+  }
   try {
-    Spec = codec::decodeJob(Row.Value);
+    addJob(*Spec);
   } catch (const std::exception &E) {
-    logEvent("job_row_unreadable", {{"job", Key}, {"error", E.what()}});
-    Unapplied_.add(Key, UnappliedReason::JobRow, E.what(), bootNow());
-    return;
+    logEvent("job_not_applied", {{"job", Key}, {"error", E.what()}});
+    setUnapplied(Key, UnappliedReason::Failure, E);
   }
-  if (Spec.Pool == State_.pool())
-    addJob(Spec);
-  else
-    Unapplied_.remove(Key);
 }
 
 void PoolController::addJob(const jobs::JobSpec &Spec) {
-  if (State_.mayHaveDropped(Spec)) {
+  // One that could not be applied may have run under an earlier owner.
+  bool MayHaveRun = State_.mayHaveDropped(Spec) || Unapplied_.contains(Spec.Id);
+  if (MayHaveRun && !State_.findJob(Spec.Id)) {
     lookUpJob(Spec);
     return;
   }
   State_.addJob(Spec, bootNow());
-  Unapplied_.remove(Spec.Id);
   schedulePlan();
 }
 
@@ -498,28 +637,14 @@
                     [Self = shared_from_this()] { Self->readLookedUp(); });
     return;
   }
-  RowsByKey Stored;
-  for (const store::PartRow &Row : Answer.Rows)
-    Stored[Row.Where.Key] = &Row;
-  core::TimePoint Now = bootNow();
+  RowsByKey Stored = rowsByKey(Answer.Rows);
   std::size_t Finished = 0;
   for (const std::string &Id : Ids) {
     JobLookUp Job = std::move(LookUps_.extract(Id).mapped());
-    try {
-      if (Stored.count(Id) == 0) {
-        State_.addJob(Job.Spec, Now);
-      } else {
-        jobs::JobProgress Kept = progressOf(Stored, Id);
-        Finished += jobs::isFinal(Kept.State) ? 1 : 0;
-        State_.inheritJob(Job.Spec, &Kept, Now);
-      }
-    } catch (const std::exception &E) {
-      // Without its progress it isn't known which of its tasks have run.
-      logEvent("progress_row_unreadable", {{"job", Id}, {"error", E.what()}});
-      Unapplied_.add(Id, UnappliedReason::ProgressRow, E.what(), Now);
-    }
+    if (restoreJob(Job.Spec, Stored))
+      Finished += jobs::isFinal(State_.findJob(Id)->Now) ? 1 : 0;
     if (Job.Cancelled)
-      State_.cancelJob(Id);
+      cancelJob(Id);
   }
   logEvent("jobs_looked_up", {{"pool", State_.pool()},
                               {"token", State_.token()},
@@ -535,6 +660,7 @@
   auto LookUp = LookUps_.find(Id);
   if (LookUp != LookUps_.end())
     LookUp->second.Cancelled = true;
+  Unapplied_.cancel(Id);
   State_.cancelJob(Id);
   schedulePlan();
 }
@@ -613,6 +739,7 @@
   Ctx_.Loop.after(TickPeriod, [Self] { Self->tick(); });
   schedulePlan();
   core::TimePoint Now = bootNow();
+  readUnapplied(Now);
   Monitor_.recordUnapplied(Unapplied_.stats(Now));
   Monitor_.publishIfDue(State_, Now, wallMs());
 }
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -41,6 +41,9 @@
 /// workers and stores progress. Runs on the loop's thread.
 class PoolController : public std::enable_shared_from_this<PoolController> {
 public:
+  /// Rows of the pool's progress by their keys.
+  using RowsByKey = std::map<std::string, const store::PartRow *>;
+
   /// \p Jobs follows the job table, \p Table reads it. \p Query asks earlier
   /// owners to stop. \p Lost is called once when ownership of the pool is lost.
   PoolController(Context &Ctx, FleetView &View, const TableFollower &Jobs,
@@ -85,6 +88,17 @@
                       const store::PartAnswer &Answer);
   void restoreState(const std::vector<store::PartRow> &JobRows,
                     const std::vector<store::PartRow> &ProgressRows);
+  std::optional<jobs::JobSpec> decodeJobRow(const store::PartRow &Row);
+  void setUnapplied(const std::string &JobId, UnappliedReason Reason,
+                    const std::exception &Error);
+  bool restoreJob(const jobs::JobSpec &Spec, const RowsByKey &Stored);
+  void readUnapplied(core::TimePoint Now);
+  void readJobRowAgain(const std::string &JobId);
+  void onJobRowReadAgain(const std::string &JobId,
+                         const store::PartAnswer &Answer);
+  void readProgressAgain(const jobs::JobSpec &Spec);
+  void onProgressReadAgain(const jobs::JobSpec &Spec,
+                           const store::PartAnswer &Answer);
   void applySettledRow(const store::PartRow &Row);
   void applyRosterRow(const store::PartRow &Row, core::TimePoint Now);
   void checkUnlistedWorkers();
@@ -171,6 +185,7 @@
   /// Jobs whose stored progress is being read, by id.
   std::map<std::string, JobLookUp> LookUps_;
   UnappliedJobs Unapplied_;
+  core::TimePoint NextUnappliedRead_;
   /// Jobs whose payloads are being read.
   std::set<std::string> PayloadReads_;
   bool Loaded_ = false;
--- a/src/dispatch/UnappliedJobs.h
+++ b/src/dispatch/UnappliedJobs.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace comfreydeck::dispatch {
 
@@ -49,7 +50,8 @@
 /// Not thread-safe.
 class UnappliedJobs {
 public:
-  /// Records that a try failed.
+  /// Records that a try failed. The next one follows after a pause, which
+  /// doubles up to three seconds.
   void add(const std::string &JobId, UnappliedReason Reason,
            const std::string &Error, core::TimePoint Now);
   /// Records that the job is applied, or not of this pool.
@@ -57,6 +59,15 @@
   bool contains(const std::string &JobId) const {
     return Jobs_.count(JobId) != 0;
   }
+  /// Returns up to \p Most jobs that are to be tried again now, those that wait
+  /// longest first. They are not returned again before \ref add or \ref
+  /// postpone.
+  std::vector<std::string> takeDue(core::TimePoint Now, std::size_t Most);
+  /// Has a try repeated that told nothing.
+  void postpone(const std::string &JobId, core::TimePoint Now);
+  /// Records that the job was cancelled, if it is not applied.
+  void cancel(const std::string &JobId);
+  bool isCancelled(const std::string &JobId) const;
   UnappliedStats stats(core::TimePoint Now) const;
 
 private:
@@ -65,6 +76,10 @@
     core::TimePoint Since;
     std::uint32_t Tries = 0;
     std::string Error;
+    core::Duration Pause{0};
+    /// Time of the next try; the maximum while one is under way.
+    core::TimePoint NextAt;
+    bool Cancelled = false;
   };
   /// By id.
   std::map<std::string, Job> Jobs_;
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -684,3 +684,87 @@
     CHECK(Next.unapplied(UnappliedReason::ProgressRow) == 1);
   }
 }
+
+TEST_CASE("a job whose row a new owner can't read is in its pool, with its "
+          "progress, soon after it can be read") {
+  ControllerFixture B;
+  store::PartRow Row = OldJobs{wallMs()}.row(UnreadableId);
+  store::PartRow Unreadable = Row;
+  Unreadable.Value = UnreadableJob;
+  NextOwner Next(B, Unreadable, R"({"state":1,"done":"1"})");
+  B.on([&] { CHECK_FALSE(Next.Owner->state().findJob(UnreadableId)); });
+  bool IsCancelled = false;
+  SUBCASE("as it was") {}
+  SUBCASE("and cancelled meanwhile") {
+    IsCancelled = true;
+    B.on([&] { Next.Owner->cancelJob(UnreadableId); });
+  }
+  B.Store.put(Row.Where, Row.Value);
+  B.waitUntil([&] { return Next.Owner->state().findJob(UnreadableId); });
+  B.on([&] {
+    const jobs::JobRecord *Job = Next.Owner->state().findJob(UnreadableId);
+    CHECK(Job->Tasks[0].Kept.Done);
+    CHECK((Job->Now == jobs::JobState::Cancelled) == IsCancelled);
+  });
+  CHECK(Next.unapplied(UnappliedReason::JobRow) == 0);
+}
+
+TEST_CASE("a job whose progress can't be read does not count as never run") {
+  ControllerFixture B;
+  SUBCASE("at a takeover") {
+    NextOwner Next(B, OldJobs().row(UnreadableId), UnreadableProgress);
+    B.on([&] {
+      const jobs::JobRecord *Job = Next.Owner->state().findJob(UnreadableId);
+      REQUIRE(Job);
+      CHECK(Job->ProgressUnread);
+    });
+    B.Store.put(NextOwner::progressKey(UnreadableId),
+                R"({"state":1,"done":"1"})");
+    B.waitUntil([&] {
+      return !Next.Owner->state().findJob(UnreadableId)->ProgressUnread;
+    });
+    B.on([&] {
+      CHECK(Next.Owner->state().findJob(UnreadableId)->Tasks[0].Kept.Done);
+    });
+    CHECK(Next.unapplied(UnappliedReason::ProgressRow) == 0);
+  }
+  SUBCASE("when it is looked up") {
+    OldJobs Jobs;
+    finishAndForget(B, Jobs.row("0000000000000002"));
+    B.Store.put(NextOwner::progressKey(UnreadableId), UnreadableProgress);
+    B.on([&] { B.Controller->applyJobRow(Jobs.row(UnreadableId)); });
+    B.waitUntil([&] { return B.Controller->state().findJob(UnreadableId); });
+    B.on([&] {
+      CHECK(B.Controller->state().findJob(UnreadableId)->ProgressUnread);
+    });
+  }
+}
+
+TEST_CASE("jobs that can't be read are read again ever more rarely, a few at a "
+          "time") {
+  constexpr std::size_t Most = 4;
+  constexpr std::uint32_t Jobs = 10;
+  UnappliedJobs Unapplied;
+  core::TimePoint Now{std::chrono::hours(1)};
+  for (std::uint32_t Job = 0; Job < Jobs; ++Job)
+    Unapplied.add(std::to_string(Job), UnappliedReason::JobRow, "", Now);
+  CHECK(Unapplied.takeDue(Now, Most).empty());
+  core::Duration Longest{0};
+  std::map<std::string, core::TimePoint> TriedAt;
+  for (int Round = 0; Round < 400; ++Round) {
+    Now += std::chrono::milliseconds(100);
+    std::vector<std::string> Due = Unapplied.takeDue(Now, Most);
+    CHECK(Due.size() <= Most);
+    for (const std::string &Id : Due) {
+      if (TriedAt.count(Id) != 0)
+        Longest = std::max<core::Duration>(Longest, Now - TriedAt[Id]);
+      TriedAt[Id] = Now;
+      Unapplied.add(Id, UnappliedReason::JobRow, "", Now);
+    }
+  }
+  CHECK(TriedAt.size() == Jobs);
+  CHECK(Longest >= std::chrono::milliseconds(3000));
+  CHECK(Longest <= std::chrono::milliseconds(3300));
+  CHECK(Unapplied.takeDue(Now + std::chrono::seconds(9), Jobs).size() == Jobs);
+  CHECK(Unapplied.takeDue(Now + std::chrono::seconds(9), Jobs).empty());
+}
