Answer the state of a job as stored where its rows can't be decoded

Callers got 503 for the state and the cancel of a job whose row or progress another version of the program wrote, although both say what is asked: the pool's name, and the state.

The state and the cancel need the row's pool only, and the progress row's state is decoded without the rest. An owner that holds such a job back leaves the answer to the store.

--- a/src/dispatch/JobApi.cpp
+++ b/src/dispatch/JobApi.cpp
@@ -343,13 +343,14 @@
 
 /// Falls back to the store: the owner doesn't know the job or can't be reached.
 void JobApi::readStored(const CallPtr &C) {
-  readJob(C, [this, C](const jobs::JobSpec &Spec) { readProgress(C, Spec); });
+  findPool(C, [this, C](const std::string &Pool) { readProgress(C, Pool); });
 }
 
-/// Reads the job's row and passes it to \p Found; refuses the call if there is
-/// none.
-void JobApi::readJob(const CallPtr &C,
-                     std::function<void(const jobs::JobSpec &)> Found) {
+/// Reads the job's row and passes its pool to \p Found; refuses the call if
+/// there is no row. What else the row says need not be known to this version of
+/// the program.
+void JobApi::findPool(const CallPtr &C,
+                      std::function<void(const std::string &)> Found) {
   store::PartRange Range = {rows::Jobs, rows::jobPart(C->JobId), C->JobId,
                             C->JobId + "~"};
   Ctx_.Store.read(Range, [this, C, Found = std::move(Found)](PartAnswer A) {
@@ -362,7 +363,8 @@
         if (Row.Where.Key != C->JobId)
           continue;
         try {
-          Found(codec::decodeJob(Row.Value));
+          std::string Named(codec::poolOf(Row.Value));
+          Found(Named.empty() ? codec::decodeJob(Row.Value).Pool : Named);
         } catch (const std::exception &E) {
           logEvent("job_row_unreadable",
                    {{"job", C->JobId}, {"error", E.what()}});
@@ -375,9 +377,9 @@
   });
 }
 
-void JobApi::readProgress(const CallPtr &C, const jobs::JobSpec &Spec) {
-  store::PartRange Range = {rows::Progress, rows::poolPart(Spec.Pool), Spec.Id,
-                            Spec.Id + "~"};
+void JobApi::readProgress(const CallPtr &C, const std::string &Pool) {
+  store::PartRange Range = {rows::Progress, rows::poolPart(Pool), C->JobId,
+                            C->JobId + "~"};
   Ctx_.Store.read(Range, [this, C](PartAnswer Answer) {
     Ctx_.Loop.post([this, C, Answer = std::move(Answer)] {
       if (Answer.Outcome != PartOutcome::Ok) {
@@ -386,8 +388,9 @@
       }
       jobs::JobState State = jobs::JobState::Queued;
       try {
-        if (!Answer.Rows.empty())
-          State = codec::decodeProgress(Answer.Rows.front().Value).State;
+        for (const store::PartRow &Row : Answer.Rows)
+          if (Row.Where.Key == C->JobId)
+            State = codec::decodeProgressState(Row.Value);
       } catch (const std::exception &E) {
         logEvent("progress_row_unreadable",
                  {{"job", C->JobId}, {"error", E.what()}});
@@ -412,8 +415,9 @@
 // Cancelling.
 
 void JobApi::cancel(const CallPtr &C) {
-  readJob(C, [this, C](const jobs::JobSpec &Spec) {
-    C->Spec = Spec;
+  findPool(C, [this, C](const std::string &Pool) {
+    C->Spec.Id = C->JobId;
+    C->Spec.Pool = Pool;
     storeCancel(C);
   });
 }
--- a/src/dispatch/JobApi.h
+++ b/src/dispatch/JobApi.h
@@ -34,9 +34,9 @@
                    core::Duration Took);
   void readState(const CallPtr &C);
   void readStored(const CallPtr &C);
-  void readProgress(const CallPtr &C, const jobs::JobSpec &Spec);
-  void readJob(const CallPtr &C,
-               std::function<void(const jobs::JobSpec &)> Found);
+  void readProgress(const CallPtr &C, const std::string &Pool);
+  void findPool(const CallPtr &C,
+                std::function<void(const std::string &)> Found);
   void cancel(const CallPtr &C);
   void storeCancel(const CallPtr &C);
   void onCancelStored(const CallPtr &C, store::PartOutcome Outcome);
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -174,7 +174,9 @@
                               const std::string &Queue) const {
   OwnerAnswer Answer;
   Answer.Answered = true;
-  if (const jobs::JobRecord *Job = Controller.state().findJob(JobId)) {
+  const jobs::JobRecord *Job = Controller.state().findJob(JobId);
+  // The store tells the state of one whose progress is not known here.
+  if (Job && !Job->ProgressUnread) {
     Answer.Known = true;
     Answer.State = jobs::PoolState::shownState(*Job);
   }
--- a/tests/dispatch/JobApiTest.cpp
+++ b/tests/dispatch/JobApiTest.cpp
@@ -71,7 +71,8 @@
     CallerCodec Codec;
     Codec.Decode = [](const net::HttpRequest &Request) {
       CallerCall Call;
-      Call.Kind = CallKind::Submit;
+      Call.Kind =
+          Request.Method == "GET" ? CallKind::ReadState : CallKind::Submit;
       Call.Host = "h";
       Call.Path = Request.Path;
       return Call;
@@ -80,8 +81,21 @@
       Spec.Payload = "text";
       Spec.Steps.resize(1);
     };
+    Codec.State = [](jobs::JobState State) { return jobs::nameOf(State); };
     return Codec;
   }
+  /// Asks for the state of a job; returns the answer's status and body.
+  std::pair<int, std::string> ask(const std::string &Id) {
+    std::promise<net::HttpResponse> Answer;
+    net::HttpRequest Request;
+    Request.Method = "GET";
+    Request.Path = "/q/" + Id;
+    Api.receive(Request, [&](const net::HttpResponse &Response) {
+      Answer.set_value(Response);
+    });
+    net::HttpResponse Given = Answer.get_future().get();
+    return {Given.Status, Given.Body};
+  }
   /// Hands in a job and returns the status of the answer.
   int submit(const std::string &Id) {
     std::atomic<int> Status = 0;
@@ -167,3 +181,13 @@
     CHECK(B.isStored(Id) == B.isPayloadStored(Id));
   }
 }
+
+TEST_CASE("a job whose row or progress a later version of the program has "
+          "written is said not to be known") {
+  ApiFixture B([](std::uint32_t) { return CommitFate::Answered; });
+  std::string Id = idOf(1);
+  B.Store.put({rows::Jobs, rows::jobPart(Id), Id}, R"({"id":7,"pool":"p"})");
+  B.Store.put({rows::Progress, rows::poolPart("p"), Id},
+              R"({"state":1,"done":7})");
+  CHECK(B.ask(Id) == std::pair<int, std::string>(200, "running"));
+}
