--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -84,6 +84,7 @@
   bool hasCrashedLately(const WorkerState &W) const;
   bool isIsolated(const JobRecord &Job, std::uint32_t Task) const;
   bool isSuspect(const JobRecord &Job, std::uint32_t Task) const;
+  bool mustNote(const JobRecord &Job, std::uint32_t Task) const;
   bool mustAnnounce(const JobRecord &Job, std::uint32_t Task) const;
   StartOrder orderFor(const JobRecord &Job, std::uint32_t Task, WorkerState &W,
                       RunId Run) const;
@@ -177,6 +178,8 @@
   bool meetsConstraints(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step) const;
   bool mayHost(const WorkerState &W, const StepSpec &Step) const;
+  static bool hasRunOn(const WorkerState &W, const JobRecord &Job,
+                       std::uint32_t Task);
   static bool hasSpread(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step);
   PlacementCounts countPlacements(JobRecord &Job, std::uint32_t Task) const;
@@ -216,6 +219,8 @@
   /// Plans the jobs at the front of the heap that are lasting or not.
   void planCandidates(std::vector<Candidate> &Heap, bool Lasting);
   static bool isBeingStopped(const JobRecord &Job, std::uint32_t Task);
+  static bool isBeingStoppedOn(const WorkerState &W, const JobRecord &Job,
+                               std::uint32_t Task);
   /// Makes room for lasting tasks that wait, and moves those on closed workers.
   void planLastingMoves();
   void planStillWaiting(std::span<WorkerState *const> Closed);
@@ -237,6 +242,12 @@
   void holdPlacesAhead(WorkerState &W);
   bool mayLeave(const JobRecord &Job, std::uint32_t Task) const;
   void moveLasting(WorkerState &W);
+  static bool isBreaking(const JobRecord &Job, std::uint32_t First);
+  void planBreakingGangs();
+  void stopRest(JobRecord &Job, std::uint32_t First);
+  class GangTakenOff;
+  bool holdGang(JobRecord &Job, std::uint32_t First);
+  void moveGang(WorkerState &W, JobRecord &Job, std::uint32_t Task);
   static bool keepsLasting(const WorkerState &W);
   bool moveAmongClosed(WorkerState &W, std::span<WorkerState *const> Later);
   WorkerState *chooseClosed(JobRecord &Job, std::uint32_t Task,
@@ -265,6 +276,7 @@
   PoolState &Owner_;
   const PlanInput &In_;
   bool MayStartInherited_;
+  bool MayHaveMissedCrash_;
   std::vector<WorkerState *> Usable_;
   /// Listed workers, without those that are no larger than another one with the
   /// same labels.
