--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -8,6 +8,7 @@
 #include "dispatch/PoolEventLog.h"
 #include "dispatch/PoolMonitor.h"
 #include "dispatch/ProgressWriter.h"
+#include "dispatch/UnappliedJobs.h"
 #include "dispatch/UnlistedWorkers.h"
 #include "jobs/OwnerPace.h"
 
@@ -43,6 +44,9 @@
 class PoolController : public std::enable_shared_from_this<PoolController>,
                        private PoolHost {
 public:
+  /// Rows of the pool's progress by their keys.
+  using RowsByKey = std::map<std::string, const store::PartRow *>;
+
   /// \p Jobs follows the job table, \p Table reads it. \p Query asks earlier
   /// owners to stop. \p Lost is called once when ownership of the pool is lost.
   PoolController(Context &Ctx, FleetView &View, const TableFollower &Jobs,
@@ -73,6 +77,8 @@
   void drop();
 
   const jobs::PoolState &state() const { return State_; }
+  /// Jobs that are known and not in the state, or without their progress.
+  const UnappliedJobs &unapplied() const { return Unapplied_; }
   std::uint64_t token() const { return State_.token(); }
   bool isLoaded() const { return Loaded_; }
   /// Schedules a planning pass, soon if the last passes were short.
@@ -86,6 +92,17 @@
                       const store::PartAnswer &Answer);
   void restoreState(const std::vector<store::PartRow> &JobRows,
                     const std::vector<store::PartRow> &ProgressRows);
+  std::optional<jobs::JobSpec> decodeJobRow(const store::PartRow &Row);
+  void setUnapplied(const std::string &JobId, UnappliedReason Reason,
+                    const std::exception &Error);
+  bool restoreJob(const jobs::JobSpec &Spec, const RowsByKey &Stored);
+  void readUnapplied(core::TimePoint Now);
+  void readJobRowAgain(const std::string &JobId);
+  void onJobRowReadAgain(const std::string &JobId,
+                         const store::PartAnswer &Answer);
+  void readProgressAgain(const jobs::JobSpec &Spec);
+  void onProgressReadAgain(const jobs::JobSpec &Spec,
+                           const store::PartAnswer &Answer);
   void applySettledRow(const store::PartRow &Row);
   void applyRosterRow(const store::PartRow &Row, core::TimePoint Now);
   void stopEarlierOwners();
@@ -135,6 +152,8 @@
   };
   /// Jobs whose stored progress is being read, by id.
   std::map<std::string, JobLookUp> LookUps_;
+  UnappliedJobs Unapplied_;
+  core::TimePoint NextUnappliedRead_;
   /// Jobs whose payloads are being read.
   std::set<std::string> PayloadReads_;
   bool Loaded_ = false;
--- a/src/dispatch/PoolEventLog.cpp
+++ b/src/dispatch/PoolEventLog.cpp
@@ -80,6 +80,15 @@
   logEvent("progress_row_unreadable", {{"job", JobId}, {"error", Error}});
 }
 
+void PoolEventLog::logNotApplied(const std::string &JobId,
+                                 const char *Error) const {
+  logEvent("job_not_applied", {{"job", JobId}, {"error", Error}});
+}
+
+void PoolEventLog::logAppliedLate(const std::string &JobId) const {
+  logEvent("job_applied_late", {{"job", JobId}, {"pool", Pool_}});
+}
+
 void PoolEventLog::logUnreadableRoster(const std::string &Worker,
                                        const char *Error) const {
   logEvent("roster_row_unreadable", {{"worker", Worker}, {"error", Error}});
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -136,6 +136,11 @@
   /// Priority of its queue, or the job's own if the queue is not configured.
   std::uint32_t Priority = 0;
   bool Advised = false;
+  /// Its stored progress can't be read: which of its tasks have run is not
+  /// known.
+  bool ProgressUnread = false;
+  /// It was cancelled meanwhile.
+  bool CancelWanted = false;
   /// A worker has crashed, or may have crashed, under one of its tasks.
   bool Suspect = false;
   RunTimes *Times = nullptr;
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -52,7 +52,7 @@
   return W.Gone && W.Tasks.empty() && W.LostStarts.empty() &&
          W.Requests.empty() && !mayHaveCrashed(W.Entry.Id) &&
          !mayReachNextIncarnation(W, Now) && !Outbox_.hasEndsSetAside(W) &&
-         (HoldsNothing || leaseLapsed(W, Now));
+         !hasAwaitedEnds(W) && (HoldsNothing || leaseLapsed(W, Now));
 }
 
 void PoolState::dropLapsedRuns(WorkerState &W, core::TimePoint Now) {
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -33,6 +33,7 @@
   applyQueueSettings(*Job);
   JobRecord &Made = *Job;
   Jobs_[Spec.Id] = std::move(Job);
+  Awaited_.erase(Spec.Id);
   return Made;
 }
 
@@ -73,7 +74,7 @@
   for (auto &[Id, W] : Workers_) {
     std::vector<ParkedEnd> Parked = std::exchange(W->Parked, {});
     for (ParkedEnd &Waiting : Parked) {
-      if (Waiting.End.Task.JobId != Job.Spec.Id) {
+      if (Waiting.End.Task.JobId != Job.Spec.Id || Job.ProgressUnread) {
         W->Parked.push_back(std::move(Waiting));
         continue;
       }
@@ -92,19 +93,8 @@
     return;
   JobRecord &Job = makeJob(Spec, Now);
   Job.Inherited = true;
-  if (Kept) {
-    Job.Now = Job.Stored = Kept->State;
-    Job.Started = Kept->State != JobState::Queued;
-    std::size_t Known = std::min(Job.Tasks.size(), Kept->Tasks.size());
-    for (std::uint32_t T = 0; T < Known; ++T) {
-      Job.Tasks[T].Kept = Kept->Tasks[T];
-      TaskPlace Place = placeOf(Job, T);
-      if (Kept->Tasks[T].Done)
-        --Job.UnfinishedTasks[Place.Occurrence * Spec.Steps.size() +
-                              Place.Step];
-    }
-    inheritSuspicion(Job, Now);
-  }
+  if (Kept)
+    applyKept(Job, *Kept, Now);
   if (isFinal(Job.Now))
     Finished_[{Spec.AcceptedMs, Job.Number}] = &Job;
   else
@@ -112,8 +102,31 @@
   applyEarlyReports(Job, Now);
 }
 
+void PoolState::applyKept(JobRecord &Job, const JobProgress &Kept,
+                          core::TimePoint Now) {
+  Job.Now = Job.Stored = Kept.State;
+  Job.Started = Kept.State != JobState::Queued;
+  std::size_t Known = std::min(Job.Tasks.size(), Kept.Tasks.size());
+  for (std::uint32_t T = 0; T < Known; ++T) {
+    Job.Tasks[T].Kept = Kept.Tasks[T];
+    TaskPlace Place = placeOf(Job, T);
+    if (Kept.Tasks[T].Done)
+      --Job.UnfinishedTasks[Place.Occurrence * Job.Spec.Steps.size() +
+                            Place.Step];
+  }
+  inheritSuspicion(Job, Now);
+}
+
 void PoolState::cancelJob(const std::string &Id) {
   JobRecord *Job = jobOf(Id);
+  if (Job && Job->ProgressUnread) {
+    Job->CancelWanted = true;
+    StopsChanged_ = true;
+    for (TaskState &Task : Job->Tasks)
+      for (LiveRun &Run : Task.Runs)
+        Run.Stopping = true;
+    return;
+  }
   if (Job && !isFinal(Job->Now))
     endJob(*Job, JobState::Cancelled);
 }
--- a/src/jobs/ProgressOutbox.cpp
+++ b/src/jobs/ProgressOutbox.cpp
@@ -23,7 +23,7 @@
 
 void ProgressOutbox::addEnd(WorkerState &W, const EndReport &End) {
   const JobRecord *Job = findJob(End.Task.JobId);
-  bool Unsure = !Job || Job->SetAside;
+  bool Unsure = !Job || Job->SetAside || Job->ProgressUnread;
   W.Unstored.push_back(
       {End.Number, Unsure ? UnstoredEnd::Never : ChangeCount_, End.Task.JobId});
   // With no pending changes there is nothing to wait for.
@@ -40,6 +40,9 @@
 }
 
 void ProgressOutbox::markChanged(JobRecord &Job) {
+  // What is stored must not be replaced before it is read.
+  if (Job.ProgressUnread)
+    return;
   ++ChangeCount_;
   if (Job.SetAside) {
     Job.ChangedAside = true;
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -620,3 +620,151 @@
   });
   CHECK(Late.B.Store.lostCommits().LateApplied == 0);
 }
+
+namespace {
+
+/// Loads another owner of pool "p" with the job of the row in the job table.
+struct NextOwner {
+  ControllerFixture &B;
+  std::shared_ptr<PoolController> Owner;
+
+  NextOwner(ControllerFixture &Fixture, const store::PartRow &Job,
+            const std::string &Progress)
+      : B(Fixture) {
+    B.Store.put(Job.Where, Job.Value);
+    if (!Progress.empty())
+      B.Store.put(progressKey(Job.Where.Key), Progress);
+    B.on([&] {
+      Owner = std::make_shared<PoolController>(
+          B.Ctx, B.View, B.Jobs, B.JobTable,
+          PoolTakeover{"p", 6, bootNow(), {}}, StopQuery(),
+          [](const std::string &) {});
+      Owner->load([](std::uint64_t) {});
+    });
+    B.waitUntil([this] { return Owner->isLoaded(); });
+  }
+  ~NextOwner() {
+    B.on([this] { Owner->drop(); });
+  }
+  static store::PartKey progressKey(const std::string &Id) {
+    return {rows::Progress, rows::poolPart("p"), Id};
+  }
+  /// The number of its jobs that are not applied for the reason.
+  std::uint64_t unapplied(UnappliedReason Reason) {
+    std::uint64_t Count = 0;
+    B.on([&] {
+      Count = Owner->unapplied()
+                  .stats(bootNow())
+                  .Jobs[static_cast<std::size_t>(Reason)];
+    });
+    return Count;
+  }
+};
+
+/// Of a job whose row or progress a later version of the program has written.
+constexpr const char *UnreadableId = "0000000000000001";
+constexpr const char *UnreadableJob = R"({"id":7,"pool":"p"})";
+constexpr const char *UnreadableProgress = R"({"state":"running"})";
+
+} // namespace
+
+TEST_CASE("a job whose row or progress a new owner can't read is in none of "
+          "its pool's figures") {
+  OldJobs Jobs;
+  store::PartRow Row = Jobs.row(UnreadableId);
+  SUBCASE("its row") {
+    ControllerFixture B;
+    Row.Value = UnreadableJob;
+    NextOwner Next(B, Row, "");
+    CHECK(Next.unapplied(UnappliedReason::JobRow) == 1);
+  }
+  SUBCASE("its progress") {
+    ControllerFixture B;
+    NextOwner Next(B, Row, UnreadableProgress);
+    CHECK(Next.unapplied(UnappliedReason::ProgressRow) == 1);
+  }
+}
+
+TEST_CASE("a job whose row a new owner can't read is in its pool, with its "
+          "progress, soon after it can be read") {
+  ControllerFixture B;
+  store::PartRow Row = OldJobs{wallMs()}.row(UnreadableId);
+  store::PartRow Unreadable = Row;
+  Unreadable.Value = UnreadableJob;
+  NextOwner Next(B, Unreadable, R"({"state":1,"done":"1"})");
+  B.on([&] { CHECK_FALSE(Next.Owner->state().findJob(UnreadableId)); });
+  bool IsCancelled = false;
+  SUBCASE("as it was") {}
+  SUBCASE("and cancelled meanwhile") {
+    IsCancelled = true;
+    B.on([&] { Next.Owner->cancelJob(UnreadableId); });
+  }
+  B.Store.put(Row.Where, Row.Value);
+  B.waitUntil([&] { return Next.Owner->state().findJob(UnreadableId); });
+  B.on([&] {
+    const jobs::JobRecord *Job = Next.Owner->state().findJob(UnreadableId);
+    CHECK(Job->Tasks[0].Kept.Done);
+    CHECK((Job->Now == jobs::JobState::Cancelled) == IsCancelled);
+  });
+  CHECK(Next.unapplied(UnappliedReason::JobRow) == 0);
+}
+
+TEST_CASE("a job whose progress can't be read does not count as never run") {
+  ControllerFixture B;
+  SUBCASE("at a takeover") {
+    NextOwner Next(B, OldJobs().row(UnreadableId), UnreadableProgress);
+    B.on([&] {
+      const jobs::JobRecord *Job = Next.Owner->state().findJob(UnreadableId);
+      REQUIRE(Job);
+      CHECK(Job->ProgressUnread);
+    });
+    B.Store.put(NextOwner::progressKey(UnreadableId),
+                R"({"state":1,"done":"1"})");
+    B.waitUntil([&] {
+      return !Next.Owner->state().findJob(UnreadableId)->ProgressUnread;
+    });
+    B.on([&] {
+      CHECK(Next.Owner->state().findJob(UnreadableId)->Tasks[0].Kept.Done);
+    });
+    CHECK(Next.unapplied(UnappliedReason::ProgressRow) == 0);
+  }
+  SUBCASE("when it is looked up") {
+    OldJobs Jobs;
+    finishAndForget(B, Jobs.row("0000000000000002"));
+    B.Store.put(NextOwner::progressKey(UnreadableId), UnreadableProgress);
+    B.on([&] { B.Controller->applyJobRow(Jobs.row(UnreadableId)); });
+    B.waitUntil([&] { return B.Controller->state().findJob(UnreadableId); });
+    B.on([&] {
+      CHECK(B.Controller->state().findJob(UnreadableId)->ProgressUnread);
+    });
+  }
+}
+
+TEST_CASE("jobs that can't be read are read again ever more rarely, a few at a "
+          "time") {
+  constexpr std::size_t Most = 4;
+  constexpr std::uint32_t Jobs = 10;
+  UnappliedJobs Unapplied;
+  core::TimePoint Now{std::chrono::hours(1)};
+  for (std::uint32_t Job = 0; Job < Jobs; ++Job)
+    Unapplied.add(std::to_string(Job), UnappliedReason::JobRow, "", Now);
+  CHECK(Unapplied.takeDue(Now, Most).empty());
+  core::Duration Longest{0};
+  std::map<std::string, core::TimePoint> TriedAt;
+  for (int Round = 0; Round < 400; ++Round) {
+    Now += std::chrono::milliseconds(100);
+    std::vector<std::string> Due = Unapplied.takeDue(Now, Most);
+    CHECK(Due.size() <= Most);
+    for (const std::string &Id : Due) {
+      if (TriedAt.count(Id) != 0)
+        Longest = std::max<core::Duration>(Longest, Now - TriedAt[Id]);
+      TriedAt[Id] = Now;
+      Unapplied.add(Id, UnappliedReason::JobRow, "", Now);
+    }
+  }
+  CHECK(TriedAt.size() == Jobs);
+  CHECK(Longest >= std::chrono::milliseconds(3000));
+  CHECK(Longest <= std::chrono::milliseconds(3300));
+  CHECK(Unapplied.takeDue(Now + std::chrono::seconds(9), Jobs).size() == Jobs);
+  CHECK(Unapplied.takeDue(Now + std::chrono::seconds(9), Jobs).empty());
+}
