Count the wait for a run's outcome anew once its worker has answered

The stored time was kept when the worker answered in the same incarnation: if it went silent again later, the next owner had no wait left and started the task (BUDGET). It is set to zero now with the answer, and stored.

--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -126,7 +126,13 @@
   std::size_t Erased = std::erase_if(
       Job->Tasks[Run.Task].Kept.Unsettled,
       [&](const AnnouncedRun &Open) { return Open.Run == Run.Run; });
-  if (Erased > 0)
+  // A later owner that waits for it again has the whole time.
+  std::optional<AnnouncedRun> &Last = Job->Tasks[Run.Task].Kept.Announced;
+  bool WasWaitedFor =
+      Last && Last->Run == Run.Run && Last->Waited > core::Duration::zero();
+  if (WasWaitedFor)
+    Last->Waited = core::Duration::zero();
+  if (Erased > 0 || WasWaitedFor)
     markChanged(*Job);
 }
 
--- a/tests/jobs/HeldJobsTest.cpp
+++ b/tests/jobs/HeldJobsTest.cpp
@@ -121,3 +121,26 @@
   CHECK(B.Owner.findJob(Other.Id)->Now == JobState::Completed);
   CHECK(B.storedUpTo() == 1);
 }
+
+TEST_CASE("the time for which owners waited for a run's outcome counts again "
+          "though its worker has answered since") {
+  OwnerFixture B;
+  JobProgress Kept;
+  Kept.State = JobState::Running;
+  Kept.Tasks.resize(1);
+  Kept.Tasks[0].CrashedRuns = {1, 2};
+  Kept.Tasks[0].Announced = AnnouncedRun{3, "w1", 1, milliseconds(3000)};
+  B.listWorkers({"w1"});
+  B.Owner.inheritJob(sampleJob(1), &Kept, B.Now);
+  B.plan();
+  RunReport Alive;
+  Alive.Task = {jobId(1), 0, 0, 0};
+  Alive.Run = 3;
+  B.report("w1", {Alive});
+  ProgressBatch Batch = B.Owner.takeChanges(100);
+  REQUIRE(Batch.Writes.size() == 1);
+  const std::optional<AnnouncedRun> &Stored =
+      Batch.Writes[0].Progress.Tasks[0].Announced;
+  REQUIRE(Stored);
+  CHECK(Stored->Waited == core::Duration::zero());
+}
