Split JobApi: JobSubmission accepts jobs, JobCall has the call and its answers

JobSubmission checks and stores jobs and tells the pool's owner; JobCall.h has the call in progress, its time limits and CallAnswers, which answers, counts and logs. JobApi keeps the admission, reading of states and cancelling. No behaviour changes and no test does.

--- a/src/dispatch/JobApi.h
+++ b/src/dispatch/JobApi.h
@@ -1,14 +1,13 @@
 #ifndef COMFREYDECK_DISPATCH_JOBAPI_H
 #define COMFREYDECK_DISPATCH_JOBAPI_H
 
-#include "dispatch/MachineKinds.h"
-#include "dispatch/Peers.h"
-#include "dispatch/WriteRepeats.h"
+#include "dispatch/JobSubmission.h"
 
 namespace comfreydeck::dispatch {
 
-/// Answers callers: accepts jobs, reports their states and cancels them. Runs
-/// on the loop's thread, except for \ref receive.
+/// Answers callers: admits their calls, accepts jobs through \ref
+/// JobSubmission, reports their states and cancels them. Runs on the loop's
+/// thread, except for \ref receive.
 class JobApi {
 public:
   JobApi(Context &Ctx, FleetView &View, Peers &PeerCalls);
@@ -21,38 +20,23 @@
   bool isCurrent() const;
 
 private:
-  struct Call;
-  using CallPtr = std::shared_ptr<Call>;
-
-  void handle(const CallPtr &C);
-  bool admit(const CallPtr &C);
-  void submit(const CallPtr &C);
-  void refuseUnserved(const CallPtr &C, const UnservedStep &Step);
-  void store(const CallPtr &C);
-  void repeatStore(const CallPtr &C, core::Duration Pause, bool BesideOpen);
-  void onJobStored(const CallPtr &C, const store::PartAnswer &Answer,
-                   core::Duration Took);
-  void readState(const CallPtr &C);
-  void readStored(const CallPtr &C);
-  void readProgress(const CallPtr &C, const jobs::JobSpec &Spec);
-  void readJob(const CallPtr &C,
+  void handle(const JobCallPtr &C);
+  bool admit(const JobCallPtr &C);
+  void readState(const JobCallPtr &C);
+  void readStored(const JobCallPtr &C);
+  void readProgress(const JobCallPtr &C, const jobs::JobSpec &Spec);
+  void readJob(const JobCallPtr &C,
                std::function<void(const jobs::JobSpec &)> Found);
-  void cancel(const CallPtr &C);
-  void storeCancel(const CallPtr &C);
-  void onCancelStored(const CallPtr &C, store::PartOutcome Outcome);
-  core::Duration storeTimeout(const CallPtr &C, core::Duration Limit) const;
-  bool isTimeLeft(const CallPtr &C) const;
-  void countPending(const CallPtr &C);
-
-  void answer(const CallPtr &C, int Status, std::string Body);
-  void refuse(const CallPtr &C, int Status, const char *Reason,
-              const std::string &Detail = "");
+  void cancel(const JobCallPtr &C);
+  void storeCancel(const JobCallPtr &C);
+  void onCancelStored(const JobCallPtr &C, store::PartOutcome Outcome);
+  void countPending(const JobCallPtr &C);
 
   Context &Ctx_;
   FleetView &View_;
   Peers &Peers_;
-  MachineKinds Kinds_;
-  AnswerPace StorePace_;
+  CallAnswers Answers_;
+  JobSubmission Submission_;
 };
 
 } // namespace comfreydeck::dispatch
