Move the loading of a pool to PoolLoader, JobIntake and PayloadLoader

PoolLoader restores a pool that was taken over from its rows; JobIntake adds the jobs that become known later, cancels them and looks up those that this owner may have forgotten; PayloadLoader reads missing payloads. ProgressRows.h decodes a job's progress for both. PoolEventLog knows the time of the takeover. No behaviour changes and no test does.

--- /dev/null
+++ b/src/dispatch/JobIntake.cpp
@@ -0,0 +1,144 @@
+#include "dispatch/JobIntake.h"
+
+#include "codec/JobJson.h"
+#include "dispatch/Clock.h"
+#include "dispatch/ProgressRows.h"
+#include "dispatch/TableFollower.h"
+
+#include <utility>
+
+namespace comfreydeck::dispatch {
+
+using store::PartAnswer;
+using store::PartOutcome;
+
+namespace {
+
+/// Pause before a failed read is repeated.
+constexpr std::chrono::milliseconds StoreRetry(120);
+
+} // namespace
+
+JobIntake::JobIntake(Context &Ctx, jobs::PoolState &State,
+                     const PoolEventLog &Log, PoolHost &Host)
+    : Ctx_(Ctx), State_(State), Log_(Log), Host_(Host) {}
+
+void JobIntake::begin(std::span<const store::PartRow> JobRows) {
+  Begun_ = true;
+  for (const store::PartRow &Row : JobRows)
+    if (Row.Where.Key.ends_with(rows::CancelSuffix))
+      applyJobRow(Row);
+  for (const store::PartRow &Row : std::exchange(EarlyRows_, {}))
+    applyJobRow(Row);
+}
+
+void JobIntake::applyJobRow(const store::PartRow &Row) {
+  const std::string &Key = Row.Where.Key;
+  if (Row.Removed)
+    return;
+  if (!Begun_) {
+    EarlyRows_.push_back(Row);
+    return;
+  }
+  if (Key.ends_with(rows::CancelSuffix)) {
+    std::string_view Suffix(rows::CancelSuffix);
+    cancelJob(Key.substr(0, Key.size() - Suffix.size()));
+    return;
+  }
+  if (State_.findJob(Key))
+    return;
+  jobs::JobSpec Spec;
+  try {
+    Spec = codec::decodeJob(Row.Value);
+  } catch (const std::exception &E) {
+    Log_.logUnreadableJob(Key, E.what());
+    return;
+  }
+  if (Spec.Pool == State_.pool())
+    addJob(Spec);
+}
+
+void JobIntake::addJob(const jobs::JobSpec &Spec) {
+  if (State_.mayHaveDropped(Spec)) {
+    lookUp(Spec);
+    return;
+  }
+  State_.addJob(Spec, bootNow());
+  Host_.schedulePlan();
+}
+
+/// Adds the job once its stored progress has been read. Further jobs that are
+/// to be looked up join the same read.
+void JobIntake::lookUp(const jobs::JobSpec &Spec) {
+  bool IsFirst = LookUps_.empty();
+  LookUps_.try_emplace(Spec.Id, LookUp{Spec});
+  if (IsFirst)
+    Ctx_.Loop.post([this, Keep = Host_.keep()] { readLookedUp(); });
+}
+
+void JobIntake::readLookedUp() {
+  if (Host_.isDropped())
+    return;
+  std::vector<std::string> Ids;
+  Ids.reserve(LookUps_.size());
+  for (const auto &[Id, Waiting] : LookUps_)
+    Ids.push_back(Id);
+  store::PartRange Range = {rows::Progress, rows::poolPart(State_.pool()),
+                            Ids.front(), Ids.back() + "~"};
+  readRange(
+      Ctx_.Loop, Ctx_.Store, Range,
+      [this, Keep = Host_.keep(), Ids = std::move(Ids)](PartAnswer Answer) {
+        Ctx_.Loop.post([this, Keep, Ids, Answer = std::move(Answer)] {
+          onLookedUpRead(Ids, Answer);
+        });
+      });
+}
+
+void JobIntake::onLookedUpRead(const std::vector<std::string> &Ids,
+                               const PartAnswer &Answer) {
+  if (Host_.isDropped())
+    return;
+  if (Answer.Outcome != PartOutcome::Ok) {
+    Ctx_.Count.recordRetry("look-up-jobs");
+    Log_.logLoadFailure(rows::Progress, Answer, bootNow());
+    Ctx_.Loop.after(StoreRetry,
+                    [this, Keep = Host_.keep()] { readLookedUp(); });
+    return;
+  }
+  RowsByKey Stored;
+  for (const store::PartRow &Row : Answer.Rows)
+    Stored[Row.Where.Key] = &Row;
+  core::TimePoint Now = bootNow();
+  std::size_t Finished = 0;
+  for (const std::string &Id : Ids) {
+    LookUp Job = std::move(LookUps_.extract(Id).mapped());
+    try {
+      if (Stored.count(Id) == 0) {
+        State_.addJob(Job.Spec, Now);
+      } else {
+        jobs::JobProgress Kept = progressOf(Stored, Id);
+        Finished += jobs::isFinal(Kept.State) ? 1 : 0;
+        State_.inheritJob(Job.Spec, &Kept, Now);
+      }
+    } catch (const std::exception &E) {
+      // Without its progress it isn't known which of its tasks have run.
+      Log_.logUnreadableProgress(Id, E.what());
+    }
+    if (Job.Cancelled)
+      State_.cancelJob(Id);
+  }
+  Log_.logLookedUp(Ids.size(), Finished, Answer.Version);
+  if (!LookUps_.empty())
+    readLookedUp();
+  Host_.schedulePlan();
+}
+
+void JobIntake::cancelJob(const std::string &Id) {
+  auto Waiting = LookUps_.find(Id);
+  if (Waiting != LookUps_.end())
+    Waiting->second.Cancelled = true;
+  State_.cancelJob(Id);
+  Host_.schedulePlan();
+}
+
+} // namespace comfreydeck::dispatch
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -1,47 +1,23 @@
 #include "dispatch/PoolController.h"
 
-#include "codec/JobJson.h"
 #include "dispatch/Clock.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace comfreydeck::dispatch {
 
 using std::chrono::milliseconds;
-using store::PartAnswer;
-using store::PartOutcome;
 
 namespace {
 
 /// Interval of planning passes for changes that no event triggers: due times
 /// and lapsed leases.
 constexpr milliseconds TickPeriod(60);
-/// Pause before a failed read of the store is retried.
-constexpr milliseconds StoreRetry(120);
 /// A worker reopens if its closing was not requested again for this long.
 constexpr milliseconds CloseExpiry(2500);
 /// Finished jobs are kept for a margin beyond the promised time.
 constexpr milliseconds FinishedKeepMargin(10000);
 
-/// Payloads that are read at the same time.
-constexpr std::size_t MaxPayloadReads = 16;
-
-using RowsByKey = std::map<std::string, const store::PartRow *>;
-
-/// Decodes a job's progress from its row and those that belong to it. Throws
-/// std::invalid_argument if one is malformed or missing.
-jobs::JobProgress progressOf(const RowsByKey &Rows, const std::string &JobId) {
-  codec::ProgressRow First = codec::decodeProgressRow(Rows.at(JobId)->Value);
-  for (std::size_t N = 1; N <= First.FurtherRows; ++N) {
-    auto Further = Rows.find(rows::progressKey(JobId, N));
-    if (Further == Rows.end())
-      throw std::invalid_argument("a row of the job's progress is missing");
-    codec::addFurtherRow(First.Progress, Further->second->Value);
-  }
-  return std::move(First.Progress);
-}
-
 jobs::OwnerLimits limitsFor(const settings::DispatchSettings &Settings) {
   jobs::OwnerLimits Limits;
   Limits.Lease = std::min(Limits.Lease, Settings.MaxLease);
@@ -57,133 +33,37 @@
                                const TableFollower &Jobs, JobTableReader &Table,
                                const PoolTakeover &Takeover, StopQuery Query,
                                std::function<void(const std::string &)> Lost)
-    : Ctx_(Ctx), View_(View), Jobs_(Jobs), Table_(Table),
+    : Ctx_(Ctx), View_(View), Jobs_(Jobs),
       State_(Takeover.Pool, Takeover.Token, bootNow(), limitsFor(Ctx.Settings)),
-      Log_(Takeover.Pool, Takeover.Token), Unlisted_(Ctx, State_, Log_, *this),
-      Sender_(Ctx, State_, Log_, *this),
+      Log_(Takeover.Pool, Takeover.Token, Takeover.At),
+      Loader_(Ctx, State_, Log_, *this, Table),
+      Intake_(Ctx, State_, Log_, *this), Payloads_(Ctx, State_, Log_, *this),
+      Unlisted_(Ctx, State_, Log_, *this), Sender_(Ctx, State_, Log_, *this),
       Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token),
       Writer_(Ctx, State_, Log_, Monitor_, *this,
               [this](const char *Why) { loseOwnership(Why); }),
       TakenAt_(Takeover.At), Earlier_(Takeover.Earlier),
-      StopQuery_(std::move(Query)), Lost_(std::move(Lost)),
-      Part_(rows::poolPart(Takeover.Pool)) {}
+      StopQuery_(std::move(Query)), Lost_(std::move(Lost)) {}
 
 // Loading.
 
 void PoolController::load(std::function<void(std::uint64_t)> TableRead) {
-  auto Self = shared_from_this();
-  Table_.read([Self, TableRead = std::move(TableRead)](
-                  std::shared_ptr<const PartAnswer> Answer) {
-    if (Self->Dropped_)
-      return;
-    if (Answer->Outcome == PartOutcome::Ok) {
-      TableRead(Answer->Version);
-      Self->loadProgress(std::move(Answer));
-      return;
-    }
-    Self->Ctx_.Count.recordRetry("load-jobs");
-    Self->Log_.logLoadFailure(rows::Jobs, *Answer, bootNow() - Self->TakenAt_);
-    Self->Ctx_.Loop.after(StoreRetry,
-                          [Self, TableRead] { Self->load(TableRead); });
-  });
-}
-
-void PoolController::loadProgress(std::shared_ptr<const PartAnswer> JobTable) {
-  auto Self = shared_from_this();
-  readPartsPatiently(Ctx_.Loop, Ctx_.Store, rows::Progress, {Part_},
-                     [Self, JobTable](PartAnswer Answer) {
-                       Self->Ctx_.Loop.post(
-                           [Self, JobTable, Answer = std::move(Answer)] {
-                             Self->onProgressRead(JobTable, Answer);
-                           });
-                     });
+  Loader_.load(std::move(TableRead),
+               [this](const LoadedRows &Rows) { onLoaded(Rows); });
 }
 
-void PoolController::onProgressRead(
-    const std::shared_ptr<const PartAnswer> &JobTable,
-    const PartAnswer &Answer) {
-  if (Dropped_)
-    return;
-  if (Answer.Outcome == PartOutcome::Ok) {
-    restoreState(JobTable->Rows, Answer.Rows);
-    return;
-  }
-  Ctx_.Count.recordRetry("load-progress");
-  Log_.logLoadFailure(rows::Progress, Answer, bootNow() - TakenAt_);
-  Ctx_.Loop.after(StoreRetry, [Self = shared_from_this(), JobTable] {
-    Self->loadProgress(JobTable);
-  });
-}
-
-void PoolController::restoreState(
-    const std::vector<store::PartRow> &JobRows,
-    const std::vector<store::PartRow> &ProgressRows) {
-  RowsByKey ByKey;
-  std::uint64_t ChainVersion = 0;
-  core::TimePoint Now = bootNow();
-  for (const store::PartRow &Row : ProgressRows) {
-    if (Row.Where.Key == rows::ChainKey) {
-      ChainVersion = Row.Version;
-      continue;
-    }
-    if (Row.Where.Key == rows::SettledKey) {
-      applySettledRow(Row);
-      continue;
-    }
-    if (Row.Where.Key.starts_with(rows::RosterPrefix)) {
-      applyRosterRow(Row, Now);
-      continue;
-    }
-    ByKey[Row.Where.Key] = &Row;
-  }
-  std::map<std::string, jobs::JobProgress> Kept;
-  for (const auto &[Key, Row] : ByKey) {
-    if (Key.find(rows::FurtherRowMark) != std::string::npos)
-      continue;
-    try {
-      Kept[Key] = progressOf(ByKey, Key);
-    } catch (const std::exception &E) {
-      Log_.logUnreadableProgress(Key, E.what());
-    }
-  }
-  for (const store::PartRow &Row : JobRows) {
-    std::string_view Named = codec::poolOf(Row.Value);
-    bool OtherPool = !Named.empty() && Named != State_.pool();
-    if (OtherPool || Row.Where.Key.ends_with(rows::CancelSuffix))
-      continue;
-    try {
-      jobs::JobSpec Spec = codec::decodeJob(Row.Value);
-      if (Spec.Pool != State_.pool())
-        continue;
-      auto It = Kept.find(Spec.Id);
-      State_.inheritJob(Spec, It == Kept.end() ? nullptr : &It->second, Now);
-    } catch (const std::exception &E) {
-      Log_.logUnreadableJob(Row.Where.Key, E.what());
-    }
-  }
+void PoolController::onLoaded(const LoadedRows &Rows) {
+  if (Rows.SettledToken)
+    jobs::dropBeforeSettled(Earlier_, *Rows.SettledToken);
   Loaded_ = true;
-  Writer_.begin(ChainVersion);
-  for (const store::PartRow &Row : JobRows)
-    if (Row.Where.Key.ends_with(rows::CancelSuffix))
-      applyJobRow(Row);
-  for (const store::PartRow &Row : std::exchange(EarlyJobRows_, {}))
-    applyJobRow(Row);
+  Writer_.begin(Rows.ChainVersion);
+  Intake_.begin(Rows.Jobs);
   stopEarlierOwners();
   refresh();
   Log_.logLoaded(State_, Earlier_, View_.workersAgeMs());
   tick();
 }
 
-void PoolController::applySettledRow(const store::PartRow &Row) {
-  std::uint64_t Token = 0;
-  const char *End = Row.Value.data() + Row.Value.size();
-  auto [Read, Error] = std::from_chars(Row.Value.data(), End, Token);
-  if (Error == std::errc() && Read == End)
-    jobs::dropBeforeSettled(Earlier_, Token);
-  else
-    Log_.logUnreadableSettled();
-}
-
 /// Asks earlier owners to stop, so that inherited tasks need not wait for a
 /// silent worker until these would have lost their authority.
 void PoolController::stopEarlierOwners() {
@@ -201,60 +81,15 @@
                        });
 }
 
-/// Reads the payloads of open jobs that came without them.
-void PoolController::loadPayloads() {
-  for (const std::string &Id : State_.jobsWithoutPayload()) {
-    if (PayloadReads_.size() >= MaxPayloadReads)
-      return;
-    if (PayloadReads_.insert(Id).second)
-      loadPayload(Id);
-  }
-}
+// Events.
 
-void PoolController::loadPayload(const std::string &JobId) {
-  store::PartRange Range = {rows::Payloads, rows::jobPart(JobId), JobId,
-                            JobId + "~"};
-  auto Self = shared_from_this();
-  Ctx_.Store.read(Range, [Self, JobId](PartAnswer Answer) {
-    Self->Ctx_.Loop.post([Self, JobId, Answer = std::move(Answer)] {
-      Self->onPayload(JobId, Answer);
-    });
-  });
+void PoolController::applyJobRow(const store::PartRow &Row) {
+  Intake_.applyJobRow(Row);
 }
 
-void PoolController::onPayload(const std::string &JobId,
-                               const PartAnswer &Answer) {
-  bool Found = Answer.Outcome == PartOutcome::Ok && !Answer.Rows.empty();
-  if (Found) {
-    PayloadReads_.erase(JobId);
-    State_.setPayload(JobId, Answer.Rows.front().Value);
-    schedulePlan();
-    return;
-  }
-  Ctx_.Count.recordRetry("load-payload");
-  Log_.logPayloadFailure(JobId, Answer);
-  Ctx_.Loop.after(StoreRetry, [Self = shared_from_this(), JobId] {
-    Self->PayloadReads_.erase(JobId);
-  });
-}
+void PoolController::addJob(const jobs::JobSpec &Spec) { Intake_.addJob(Spec); }
 
-/// Adds the worker of a roster row. A row that can't be decoded still names a
-/// worker that may run something: that worker can't be asked, so its lease is
-/// waited out.
-void PoolController::applyRosterRow(const store::PartRow &Row,
-                                    core::TimePoint Now) {
-  std::string_view Prefix(rows::RosterPrefix);
-  jobs::WorkerEntry Entry;
-  Entry.Id = Row.Where.Key.substr(Prefix.size());
-  try {
-    Entry = codec::decodeRosterRow(Entry.Id, Row.Value);
-  } catch (const std::exception &E) {
-    Log_.logUnreadableRoster(Entry.Id, E.what());
-  }
-  State_.addEnrolled(Entry, Now);
-}
-
-// Events.
+void PoolController::cancelJob(const std::string &Id) { Intake_.cancelJob(Id); }
 
 void PoolController::refresh() {
   State_.setConfig(View_.config());
@@ -265,115 +100,6 @@
   schedulePlan();
 }
 
-void PoolController::applyJobRow(const store::PartRow &Row) {
-  const std::string &Key = Row.Where.Key;
-  if (Row.Removed)
-    return;
-  if (!Loaded_) {
-    EarlyJobRows_.push_back(Row);
-    return;
-  }
-  if (Key.ends_with(rows::CancelSuffix)) {
-    std::string_view Suffix(rows::CancelSuffix);
-    cancelJob(Key.substr(0, Key.size() - Suffix.size()));
-    return;
-  }
-  if (State_.findJob(Key))
-    return;
-  jobs::JobSpec Spec;
-  try {
-    Spec = codec::decodeJob(Row.Value);
-  } catch (const std::exception &E) {
-    Log_.logUnreadableJob(Key, E.what());
-    return;
-  }
-  if (Spec.Pool == State_.pool())
-    addJob(Spec);
-}
-
-void PoolController::addJob(const jobs::JobSpec &Spec) {
-  if (State_.mayHaveDropped(Spec)) {
-    lookUpJob(Spec);
-    return;
-  }
-  State_.addJob(Spec, bootNow());
-  schedulePlan();
-}
-
-/// Adds the job once its stored progress has been read. Further jobs that are
-/// to be looked up join the same read.
-void PoolController::lookUpJob(const jobs::JobSpec &Spec) {
-  bool IsFirst = LookUps_.empty();
-  LookUps_.try_emplace(Spec.Id, JobLookUp{Spec});
-  if (IsFirst)
-    Ctx_.Loop.post([Self = shared_from_this()] { Self->readLookedUp(); });
-}
-
-void PoolController::readLookedUp() {
-  if (Dropped_)
-    return;
-  std::vector<std::string> Ids;
-  Ids.reserve(LookUps_.size());
-  for (const auto &[Id, Waiting] : LookUps_)
-    Ids.push_back(Id);
-  store::PartRange Range = {rows::Progress, Part_, Ids.front(),
-                            Ids.back() + "~"};
-  auto Self = shared_from_this();
-  readRange(Ctx_.Loop, Ctx_.Store, Range,
-            [Self, Ids = std::move(Ids)](PartAnswer Answer) {
-              Self->Ctx_.Loop.post([Self, Ids, Answer = std::move(Answer)] {
-                Self->onLookedUpRead(Ids, Answer);
-              });
-            });
-}
-
-void PoolController::onLookedUpRead(const std::vector<std::string> &Ids,
-                                    const PartAnswer &Answer) {
-  if (Dropped_)
-    return;
-  if (Answer.Outcome != PartOutcome::Ok) {
-    Ctx_.Count.recordRetry("look-up-jobs");
-    Log_.logLoadFailure(rows::Progress, Answer, bootNow() - TakenAt_);
-    Ctx_.Loop.after(StoreRetry,
-                    [Self = shared_from_this()] { Self->readLookedUp(); });
-    return;
-  }
-  RowsByKey Stored;
-  for (const store::PartRow &Row : Answer.Rows)
-    Stored[Row.Where.Key] = &Row;
-  core::TimePoint Now = bootNow();
-  std::size_t Finished = 0;
-  for (const std::string &Id : Ids) {
-    JobLookUp Job = std::move(LookUps_.extract(Id).mapped());
-    try {
-      if (Stored.count(Id) == 0) {
-        State_.addJob(Job.Spec, Now);
-      } else {
-        jobs::JobProgress Kept = progressOf(Stored, Id);
-        Finished += jobs::isFinal(Kept.State) ? 1 : 0;
-        State_.inheritJob(Job.Spec, &Kept, Now);
-      }
-    } catch (const std::exception &E) {
-      // Without its progress it isn't known which of its tasks have run.
-      Log_.logUnreadableProgress(Id, E.what());
-    }
-    if (Job.Cancelled)
-      State_.cancelJob(Id);
-  }
-  Log_.logLookedUp(Ids.size(), Finished, Answer.Version);
-  if (!LookUps_.empty())
-    readLookedUp();
-  schedulePlan();
-}
-
-void PoolController::cancelJob(const std::string &Id) {
-  auto LookUp = LookUps_.find(Id);
-  if (LookUp != LookUps_.end())
-    LookUp->second.Cancelled = true;
-  State_.cancelJob(Id);
-  schedulePlan();
-}
-
 void PoolController::setTeamRoom(std::map<std::string, core::Resources> Room) {
   State_.setTeamRoom(std::move(Room));
 }
@@ -472,7 +198,7 @@
   if (Dropped_ || !Loaded_)
     return;
   applyClosed();
-  loadPayloads();
+  Payloads_.loadMissing();
   jobs::PlanInput In;
   In.Now = bootNow();
   In.WallMs = wallMs();
@@ -505,7 +231,7 @@
   SettledLogged_ = true;
   if (EarlierOwners_)
     EarlierOwners_->cancel();
-  Log_.logSettled(State_, Now - TakenAt_);
+  Log_.logSettled(State_, Now);
 }
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -3,9 +3,10 @@
 
 #include "dispatch/EarlierOwners.h"
 #include "dispatch/FleetView.h"
-#include "dispatch/JobTableReader.h"
+#include "dispatch/JobIntake.h"
 #include "dispatch/OrderSender.h"
-#include "dispatch/PoolEventLog.h"
+#include "dispatch/PayloadLoader.h"
+#include "dispatch/PoolLoader.h"
 #include "dispatch/PoolMonitor.h"
 #include "dispatch/ProgressWriter.h"
 #include "dispatch/UnlistedWorkers.h"
@@ -81,21 +82,8 @@
 private:
   std::shared_ptr<const void> keep() override { return shared_from_this(); }
   bool isDropped() const override { return Dropped_; }
-  void loadProgress(std::shared_ptr<const store::PartAnswer> JobTable);
-  void onProgressRead(const std::shared_ptr<const store::PartAnswer> &JobTable,
-                      const store::PartAnswer &Answer);
-  void restoreState(const std::vector<store::PartRow> &JobRows,
-                    const std::vector<store::PartRow> &ProgressRows);
-  void applySettledRow(const store::PartRow &Row);
-  void applyRosterRow(const store::PartRow &Row, core::TimePoint Now);
+  void onLoaded(const LoadedRows &Rows);
   void stopEarlierOwners();
-  void lookUpJob(const jobs::JobSpec &Spec);
-  void readLookedUp();
-  void onLookedUpRead(const std::vector<std::string> &Ids,
-                      const store::PartAnswer &Answer);
-  void loadPayloads();
-  void loadPayload(const std::string &JobId);
-  void onPayload(const std::string &JobId, const store::PartAnswer &Answer);
   void tick();
   void plan();
   void noteSettled(core::TimePoint Now);
@@ -106,9 +94,11 @@
   Context &Ctx_;
   FleetView &View_;
   const TableFollower &Jobs_;
-  JobTableReader &Table_;
   jobs::PoolState State_;
   PoolEventLog Log_;
+  PoolLoader Loader_;
+  JobIntake Intake_;
+  PayloadLoader Payloads_;
   UnlistedWorkers Unlisted_;
   OrderSender Sender_;
   PoolMonitor Monitor_;
@@ -118,9 +108,6 @@
   StopQuery StopQuery_;
   std::shared_ptr<EarlierOwners> EarlierOwners_;
   std::function<void(const std::string &)> Lost_;
-  std::string Part_;
-  /// Changed job rows that arrived before the pool was loaded.
-  std::vector<store::PartRow> EarlyJobRows_;
   /// A worker that must not get new tasks.
   struct CloseState {
     /// When the closing was last requested.
@@ -128,15 +115,6 @@
     bool Evict = false;
   };
   std::map<std::string, CloseState> ClosedWorkers_;
-  /// A job that may be one that this owner has forgotten.
-  struct JobLookUp {
-    jobs::JobSpec Spec;
-    bool Cancelled = false;
-  };
-  /// Jobs whose stored progress is being read, by id.
-  std::map<std::string, JobLookUp> LookUps_;
-  /// Jobs whose payloads are being read.
-  std::set<std::string> PayloadReads_;
   bool Loaded_ = false;
   bool SettledLogged_ = false;
   bool Leaving_ = false;
--- a/src/dispatch/PoolEventLog.cpp
+++ b/src/dispatch/PoolEventLog.cpp
@@ -23,21 +23,22 @@
 
 } // namespace
 
-PoolEventLog::PoolEventLog(std::string Pool, std::uint64_t Token)
-    : Pool_(std::move(Pool)), Token_(Token) {}
+PoolEventLog::PoolEventLog(std::string Pool, std::uint64_t Token,
+                           core::TimePoint TakenAt)
+    : Pool_(std::move(Pool)), Token_(Token), TakenAt_(TakenAt) {}
 
 // Loading.
 
 void PoolEventLog::logLoadFailure(const char *Table,
                                   const store::PartAnswer &Answer,
-                                  core::Duration Since) const {
+                                  core::TimePoint Now) const {
   logEvent("pool_load_failed", {{"pool", Pool_},
                                 {"token", Token_},
                                 {"table", Table},
                                 {"outcome", store::nameOf(Answer.Outcome)},
                                 {"error", Answer.Error},
                                 {"rows_read", Answer.Rows.size()},
-                                {"since_ms", core::inMs(Since)}});
+                                {"since_ms", core::inMs(Now - TakenAt_)}});
 }
 
 void PoolEventLog::logLoaded(const jobs::PoolState &State,
@@ -55,15 +56,16 @@
 }
 
 void PoolEventLog::logSettled(const jobs::PoolState &State,
-                              core::Duration Waited) const {
+                              core::TimePoint Now) const {
   WorkerCount Count = countWorkers(State);
-  auto WaitedMs = std::chrono::duration_cast<std::chrono::milliseconds>(Waited);
+  auto Waited =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now - TakenAt_);
   logEvent("pool_settled", {{"pool", Pool_},
                             {"token", Token_},
                             {"workers", State.workers().size()},
                             {"workers_heard", Count.Heard},
                             {"workers_not_listed", Count.NotListed},
-                            {"waited_ms", WaitedMs.count()}});
+                            {"waited_ms", Waited.count()}});
 }
 
 void PoolEventLog::logLost(const char *Why) const {
--- a/src/dispatch/PoolEventLog.h
+++ b/src/dispatch/PoolEventLog.h
@@ -12,20 +12,20 @@
 /// throws or blocks.
 class PoolEventLog {
 public:
-  /// \p Token is the owner's.
-  PoolEventLog(std::string Pool, std::uint64_t Token);
+  /// \p Token is the owner's, which took the pool over at \p TakenAt.
+  PoolEventLog(std::string Pool, std::uint64_t Token, core::TimePoint TakenAt);
 
-  /// Logs a failed read of the table, \p Since after the pool was taken over.
+  /// Logs a failed read of the table, with the time since the takeover.
   void logLoadFailure(const char *Table, const store::PartAnswer &Answer,
-                      core::Duration Since) const;
+                      core::TimePoint Now) const;
   /// Logs that the pool's rows are read. \p ListAgeMs is the age of the worker
   /// list.
   void logLoaded(const jobs::PoolState &State,
                  const jobs::OwnerHistory &Earlier,
                  std::int64_t ListAgeMs) const;
-  /// Logs that inherited tasks may start, \p Waited after the takeover, and how
-  /// many workers have reported by then.
-  void logSettled(const jobs::PoolState &State, core::Duration Waited) const;
+  /// Logs that inherited tasks may start, with the time since the takeover, and
+  /// how many workers have reported by then.
+  void logSettled(const jobs::PoolState &State, core::TimePoint Now) const;
   void logLost(const char *Why) const;
 
   /// Each logs a row that can't be decoded.
@@ -71,6 +71,7 @@
 
   std::string Pool_;
   std::uint64_t Token_;
+  core::TimePoint TakenAt_;
 };
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/ProgressWriter.cpp
+++ b/src/dispatch/ProgressWriter.cpp
@@ -3,6 +3,8 @@
 #include "codec/JobJson.h"
 #include "dispatch/Clock.h"
 
+#include <utility>
+
 namespace comfreydeck::dispatch {
 
 using std::chrono::milliseconds;
