--- a/src/dispatch/JobIntake.cpp
+++ b/src/dispatch/JobIntake.cpp
@@ -20,8 +20,9 @@
 } // namespace
 
 JobIntake::JobIntake(Context &Ctx, jobs::PoolState &State,
-                     const PoolEventLog &Log, PoolHost &Host)
-    : Ctx_(Ctx), State_(State), Log_(Log), Host_(Host) {}
+                     const PoolEventLog &Log, UnappliedJobs &Unapplied,
+                     PoolHost &Host)
+    : Ctx_(Ctx), State_(State), Log_(Log), Unapplied_(Unapplied), Host_(Host) {}
 
 void JobIntake::begin(std::span<const store::PartRow> JobRows) {
   Begun_ = true;
@@ -52,10 +53,13 @@
     Spec = codec::decodeJob(Row.Value);
   } catch (const std::exception &E) {
     Log_.logUnreadableJob(Key, E.what());
+    Unapplied_.add(Key, UnappliedReason::JobRow, E.what(), bootNow());
     return;
   }
   if (Spec.Pool == State_.pool())
     addJob(Spec);
+  else
+    Unapplied_.remove(Key);
 }
 
 void JobIntake::addJob(const jobs::JobSpec &Spec) {
@@ -64,6 +68,7 @@
     return;
   }
   State_.addJob(Spec, bootNow());
+  Unapplied_.remove(Spec.Id);
   Host_.schedulePlan();
 }
 
@@ -123,6 +128,7 @@
     } catch (const std::exception &E) {
       // Without its progress it isn't known which of its tasks have run.
       Log_.logUnreadableProgress(Id, E.what());
+      Unapplied_.add(Id, UnappliedReason::ProgressRow, E.what(), Now);
     }
     if (Job.Cancelled)
       State_.cancelJob(Id);
--- a/src/dispatch/JobIntake.h
+++ b/src/dispatch/JobIntake.h
@@ -4,6 +4,7 @@
 #include "dispatch/Context.h"
 #include "dispatch/PoolEventLog.h"
 #include "dispatch/PoolHost.h"
+#include "dispatch/UnappliedJobs.h"
 
 #include <map>
 
@@ -16,7 +17,7 @@
 public:
   /// \p Host is the pool's owner, of which this is a part.
   JobIntake(Context &Ctx, jobs::PoolState &State, const PoolEventLog &Log,
-            PoolHost &Host);
+            UnappliedJobs &Unapplied, PoolHost &Host);
 
   /// Call once, when the pool's jobs are restored from \p JobRows. Applies the
   /// cancellations among them, then the rows that were passed before.
@@ -43,6 +44,7 @@
   Context &Ctx_;
   jobs::PoolState &State_;
   const PoolEventLog &Log_;
+  UnappliedJobs &Unapplied_;
   PoolHost &Host_;
   bool Begun_ = false;
   /// Changed job rows that arrived before the pool was loaded.
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -36,9 +36,10 @@
     : Ctx_(Ctx), View_(View), Jobs_(Jobs),
       State_(Takeover.Pool, Takeover.Token, bootNow(), limitsFor(Ctx.Settings)),
       Log_(Takeover.Pool, Takeover.Token, Takeover.At),
-      Loader_(Ctx, State_, Log_, *this, Table),
-      Intake_(Ctx, State_, Log_, *this), Payloads_(Ctx, State_, Log_, *this),
-      Unlisted_(Ctx, State_, Log_, *this), Sender_(Ctx, State_, Log_, *this),
+      Loader_(Ctx, State_, Log_, Unapplied_, *this, Table),
+      Intake_(Ctx, State_, Log_, Unapplied_, *this),
+      Payloads_(Ctx, State_, Log_, *this), Unlisted_(Ctx, State_, Log_, *this),
+      Sender_(Ctx, State_, Log_, *this),
       Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token),
       Writer_(Ctx, State_, Log_, Monitor_, *this,
               [this](const char *Why) { loseOwnership(Why); }),
@@ -170,7 +171,9 @@
   auto Self = shared_from_this();
   Ctx_.Loop.after(TickPeriod, [Self] { Self->tick(); });
   schedulePlan();
-  Monitor_.publishIfDue(State_, bootNow(), wallMs());
+  core::TimePoint Now = bootNow();
+  Monitor_.recordUnapplied(Unapplied_.stats(Now));
+  Monitor_.publishIfDue(State_, Now, wallMs());
 }
 
 void PoolController::schedulePlan() {
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -9,6 +9,7 @@
 #include "dispatch/PoolLoader.h"
 #include "dispatch/PoolMonitor.h"
 #include "dispatch/ProgressWriter.h"
+#include "dispatch/UnappliedJobs.h"
 #include "dispatch/UnlistedWorkers.h"
 #include "jobs/OwnerPace.h"
 
@@ -74,6 +75,8 @@
   void drop();
 
   const jobs::PoolState &state() const { return State_; }
+  /// Jobs that are known and not in the state, or without their progress.
+  const UnappliedJobs &unapplied() const { return Unapplied_; }
   std::uint64_t token() const { return State_.token(); }
   bool isLoaded() const { return Loaded_; }
   /// Schedules a planning pass, soon if the last passes were short.
@@ -96,6 +99,7 @@
   const TableFollower &Jobs_;
   jobs::PoolState State_;
   PoolEventLog Log_;
+  UnappliedJobs Unapplied_;
   PoolLoader Loader_;
   JobIntake Intake_;
   PayloadLoader Payloads_;
--- a/src/dispatch/PoolLoader.cpp
+++ b/src/dispatch/PoolLoader.cpp
@@ -20,9 +20,10 @@
 } // namespace
 
 PoolLoader::PoolLoader(Context &Ctx, jobs::PoolState &State,
-                       const PoolEventLog &Log, PoolHost &Host,
-                       JobTableReader &Table)
-    : Ctx_(Ctx), State_(State), Log_(Log), Host_(Host), Table_(Table) {}
+                       const PoolEventLog &Log, UnappliedJobs &Unapplied,
+                       PoolHost &Host, JobTableReader &Table)
+    : Ctx_(Ctx), State_(State), Log_(Log), Unapplied_(Unapplied), Host_(Host),
+      Table_(Table) {}
 
 void PoolLoader::load(std::function<void(std::uint64_t)> TableRead,
                       std::function<void(const LoadedRows &)> Loaded) {
@@ -102,6 +103,7 @@
       Kept[Key] = progressOf(ByKey, Key);
     } catch (const std::exception &E) {
       Log_.logUnreadableProgress(Key, E.what());
+      Unapplied_.add(Key, UnappliedReason::ProgressRow, E.what(), Now);
     }
   }
   for (const store::PartRow &Row : JobRows) {
@@ -117,6 +119,7 @@
       State_.inheritJob(Spec, It == Kept.end() ? nullptr : &It->second, Now);
     } catch (const std::exception &E) {
       Log_.logUnreadableJob(Row.Where.Key, E.what());
+      Unapplied_.add(Row.Where.Key, UnappliedReason::JobRow, E.what(), Now);
     }
   }
   Loaded_(Loaded);
--- a/src/dispatch/PoolLoader.h
+++ b/src/dispatch/PoolLoader.h
@@ -5,6 +5,7 @@
 #include "dispatch/JobTableReader.h"
 #include "dispatch/PoolEventLog.h"
 #include "dispatch/PoolHost.h"
+#include "dispatch/UnappliedJobs.h"
 
 #include <optional>
 
@@ -29,7 +30,7 @@
   /// \p Host is the pool's owner, of which this is a part. \p Table reads the
   /// job table.
   PoolLoader(Context &Ctx, jobs::PoolState &State, const PoolEventLog &Log,
-             PoolHost &Host, JobTableReader &Table);
+             UnappliedJobs &Unapplied, PoolHost &Host, JobTableReader &Table);
 
   /// Reads the rows and restores the state. Call once. A failed read is logged
   /// and repeated until the pool is given up; a row that can't be decoded is
@@ -52,6 +53,7 @@
   Context &Ctx_;
   jobs::PoolState &State_;
   const PoolEventLog &Log_;
+  UnappliedJobs &Unapplied_;
   PoolHost &Host_;
   JobTableReader &Table_;
   std::function<void(std::uint64_t)> TableRead_;
