--- a/src/dispatch/JobApi.h
+++ b/src/dispatch/JobApi.h
@@ -24,9 +24,9 @@
   bool admit(const JobCallPtr &C);
   void readState(const JobCallPtr &C);
   void readStored(const JobCallPtr &C);
-  void readProgress(const JobCallPtr &C, const jobs::JobSpec &Spec);
-  void readJob(const JobCallPtr &C,
-               std::function<void(const jobs::JobSpec &)> Found);
+  void readProgress(const JobCallPtr &C, const std::string &Pool);
+  void findPool(const JobCallPtr &C,
+                std::function<void(const std::string &)> Found);
   void cancel(const JobCallPtr &C);
   void storeCancel(const JobCallPtr &C);
   void onCancelStored(const JobCallPtr &C, store::PartOutcome Outcome);
--- a/src/dispatch/JobIntake.cpp
+++ b/src/dispatch/JobIntake.cpp
@@ -1,8 +1,6 @@
 #include "dispatch/JobIntake.h"
 
-#include "codec/JobJson.h"
 #include "dispatch/Clock.h"
-#include "dispatch/ProgressRows.h"
 #include "dispatch/TableFollower.h"
 
 #include <utility>
@@ -21,8 +19,9 @@
 
 JobIntake::JobIntake(Context &Ctx, jobs::PoolState &State,
                      const PoolEventLog &Log, UnappliedJobs &Unapplied,
-                     PoolHost &Host)
-    : Ctx_(Ctx), State_(State), Log_(Log), Unapplied_(Unapplied), Host_(Host) {}
+                     JobRestorer &Restorer, PoolHost &Host)
+    : Ctx_(Ctx), State_(State), Log_(Log), Unapplied_(Unapplied),
+      Restorer_(Restorer), Host_(Host) {}
 
 void JobIntake::begin(std::span<const store::PartRow> JobRows) {
   Begun_ = true;
@@ -48,27 +47,28 @@
   }
   if (State_.findJob(Key))
     return;
-  jobs::JobSpec Spec;
+  std::optional<jobs::JobSpec> Spec = Restorer_.decodeJobRow(Row);
+  if (!Spec)
+    return;
+  if (Spec->Pool != State_.pool()) {
+    Restorer_.forget(Key);
+    return;
+  }
   try {
-    Spec = codec::decodeJob(Row.Value);
+    addJob(*Spec);
   } catch (const std::exception &E) {
-    Log_.logUnreadableJob(Key, E.what());
-    Unapplied_.add(Key, UnappliedReason::JobRow, E.what(), bootNow());
-    return;
+    Restorer_.recordFailure(Key, E);
   }
-  if (Spec.Pool == State_.pool())
-    addJob(Spec);
-  else
-    Unapplied_.remove(Key);
 }
 
 void JobIntake::addJob(const jobs::JobSpec &Spec) {
-  if (State_.mayHaveDropped(Spec)) {
+  // One that could not be applied may have run under an earlier owner.
+  bool MayHaveRun = State_.mayHaveDropped(Spec) || Unapplied_.contains(Spec.Id);
+  if (MayHaveRun && !State_.findJob(Spec.Id)) {
     lookUp(Spec);
     return;
   }
   State_.addJob(Spec, bootNow());
-  Unapplied_.remove(Spec.Id);
   Host_.schedulePlan();
 }
 
@@ -110,28 +110,14 @@
                     [this, Keep = Host_.keep()] { readLookedUp(); });
     return;
   }
-  RowsByKey Stored;
-  for (const store::PartRow &Row : Answer.Rows)
-    Stored[Row.Where.Key] = &Row;
-  core::TimePoint Now = bootNow();
+  RowsByKey Stored = rowsByKey(Answer.Rows);
   std::size_t Finished = 0;
   for (const std::string &Id : Ids) {
     LookUp Job = std::move(LookUps_.extract(Id).mapped());
-    try {
-      if (Stored.count(Id) == 0) {
-        State_.addJob(Job.Spec, Now);
-      } else {
-        jobs::JobProgress Kept = progressOf(Stored, Id);
-        Finished += jobs::isFinal(Kept.State) ? 1 : 0;
-        State_.inheritJob(Job.Spec, &Kept, Now);
-      }
-    } catch (const std::exception &E) {
-      // Without its progress it isn't known which of its tasks have run.
-      Log_.logUnreadableProgress(Id, E.what());
-      Unapplied_.add(Id, UnappliedReason::ProgressRow, E.what(), Now);
-    }
+    if (Restorer_.restore(Job.Spec, Stored))
+      Finished += jobs::isFinal(State_.findJob(Id)->Now) ? 1 : 0;
     if (Job.Cancelled)
-      State_.cancelJob(Id);
+      cancelJob(Id);
   }
   Log_.logLookedUp(Ids.size(), Finished, Answer.Version);
   if (!LookUps_.empty())
@@ -143,6 +129,7 @@
   auto Waiting = LookUps_.find(Id);
   if (Waiting != LookUps_.end())
     Waiting->second.Cancelled = true;
+  Unapplied_.cancel(Id);
   State_.cancelJob(Id);
   Host_.schedulePlan();
 }
--- a/src/dispatch/JobIntake.h
+++ b/src/dispatch/JobIntake.h
@@ -2,9 +2,8 @@
 #define COMFREYDECK_DISPATCH_JOBINTAKE_H
 
 #include "dispatch/Context.h"
-#include "dispatch/PoolEventLog.h"
+#include "dispatch/JobRestorer.h"
 #include "dispatch/PoolHost.h"
-#include "dispatch/UnappliedJobs.h"
 
 #include <map>
 
@@ -17,7 +16,7 @@
 public:
   /// \p Host is the pool's owner, of which this is a part.
   JobIntake(Context &Ctx, jobs::PoolState &State, const PoolEventLog &Log,
-            UnappliedJobs &Unapplied, PoolHost &Host);
+            UnappliedJobs &Unapplied, JobRestorer &Restorer, PoolHost &Host);
 
   /// Call once, when the pool's jobs are restored from \p JobRows. Applies the
   /// cancellations among them, then the rows that were passed before.
@@ -45,6 +44,7 @@
   jobs::PoolState &State_;
   const PoolEventLog &Log_;
   UnappliedJobs &Unapplied_;
+  JobRestorer &Restorer_;
   PoolHost &Host_;
   bool Begun_ = false;
   /// Changed job rows that arrived before the pool was loaded.
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -36,8 +36,10 @@
     : Ctx_(Ctx), View_(View), Jobs_(Jobs),
       State_(Takeover.Pool, Takeover.Token, bootNow(), limitsFor(Ctx.Settings)),
       Log_(Takeover.Pool, Takeover.Token, Takeover.At),
-      Loader_(Ctx, State_, Log_, Unapplied_, *this, Table),
-      Intake_(Ctx, State_, Log_, Unapplied_, *this),
+      Restorer_(State_, Log_, Unapplied_),
+      Loader_(Ctx, State_, Log_, Restorer_, *this, Table),
+      Intake_(Ctx, State_, Log_, Unapplied_, Restorer_, *this),
+      Rereader_(Ctx, State_, Log_, Unapplied_, Restorer_, *this),
       Payloads_(Ctx, State_, Log_, *this), Unlisted_(Ctx, State_, Log_, *this),
       Sender_(Ctx, State_, Log_, *this),
       Monitor_(Ctx.Count, Takeover.Pool, Takeover.Token),
@@ -172,6 +174,7 @@
   Ctx_.Loop.after(TickPeriod, [Self] { Self->tick(); });
   schedulePlan();
   core::TimePoint Now = bootNow();
+  Rereader_.readDue(Now);
   Monitor_.recordUnapplied(Unapplied_.stats(Now));
   Monitor_.publishIfDue(State_, Now, wallMs());
 }
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -9,7 +9,7 @@
 #include "dispatch/PoolLoader.h"
 #include "dispatch/PoolMonitor.h"
 #include "dispatch/ProgressWriter.h"
-#include "dispatch/UnappliedJobs.h"
+#include "dispatch/UnappliedReader.h"
 #include "dispatch/UnlistedWorkers.h"
 #include "jobs/OwnerPace.h"
 
@@ -100,8 +100,10 @@
   jobs::PoolState State_;
   PoolEventLog Log_;
   UnappliedJobs Unapplied_;
+  JobRestorer Restorer_;
   PoolLoader Loader_;
   JobIntake Intake_;
+  UnappliedReader Rereader_;
   PayloadLoader Payloads_;
   UnlistedWorkers Unlisted_;
   OrderSender Sender_;
--- a/src/dispatch/PoolEventLog.cpp
+++ b/src/dispatch/PoolEventLog.cpp
@@ -91,6 +91,15 @@
   logEvent("settled_row_unreadable", {{"pool", Pool_}});
 }
 
+void PoolEventLog::logNotApplied(const std::string &JobId,
+                                 const char *Error) const {
+  logEvent("job_not_applied", {{"job", JobId}, {"error", Error}});
+}
+
+void PoolEventLog::logAppliedLate(const std::string &JobId) const {
+  logEvent("job_applied_late", {{"job", JobId}, {"pool", Pool_}});
+}
+
 void PoolEventLog::logPayloadFailure(const std::string &JobId,
                                      const store::PartAnswer &Answer) const {
   logEvent("payload_read_failed", {{"job", JobId},
--- a/src/dispatch/PoolEventLog.h
+++ b/src/dispatch/PoolEventLog.h
@@ -33,6 +33,10 @@
   void logUnreadableProgress(const std::string &JobId, const char *Error) const;
   void logUnreadableRoster(const std::string &Worker, const char *Error) const;
   void logUnreadableSettled() const;
+  /// Logs a job whose rows could be read and that could not be added.
+  void logNotApplied(const std::string &JobId, const char *Error) const;
+  /// Logs that a job is applied that could not be before.
+  void logAppliedLate(const std::string &JobId) const;
   void logPayloadFailure(const std::string &JobId,
                          const store::PartAnswer &Answer) const;
   /// Logs that the stored progress of \p Jobs jobs was looked up, and how many
--- a/src/dispatch/PoolLoader.cpp
+++ b/src/dispatch/PoolLoader.cpp
@@ -2,7 +2,6 @@
 
 #include "codec/JobJson.h"
 #include "dispatch/Clock.h"
-#include "dispatch/ProgressRows.h"
 #include "dispatch/TableFollower.h"
 
 #include <charconv>
@@ -20,9 +19,9 @@
 } // namespace
 
 PoolLoader::PoolLoader(Context &Ctx, jobs::PoolState &State,
-                       const PoolEventLog &Log, UnappliedJobs &Unapplied,
+                       const PoolEventLog &Log, JobRestorer &Restorer,
                        PoolHost &Host, JobTableReader &Table)
-    : Ctx_(Ctx), State_(State), Log_(Log), Unapplied_(Unapplied), Host_(Host),
+    : Ctx_(Ctx), State_(State), Log_(Log), Restorer_(Restorer), Host_(Host),
       Table_(Table) {}
 
 void PoolLoader::load(std::function<void(std::uint64_t)> TableRead,
@@ -95,32 +94,14 @@
     }
     ByKey[Row.Where.Key] = &Row;
   }
-  std::map<std::string, jobs::JobProgress> Kept;
-  for (const auto &[Key, Row] : ByKey) {
-    if (Key.find(rows::FurtherRowMark) != std::string::npos)
-      continue;
-    try {
-      Kept[Key] = progressOf(ByKey, Key);
-    } catch (const std::exception &E) {
-      Log_.logUnreadableProgress(Key, E.what());
-      Unapplied_.add(Key, UnappliedReason::ProgressRow, E.what(), Now);
-    }
-  }
   for (const store::PartRow &Row : JobRows) {
     std::string_view Named = codec::poolOf(Row.Value);
     bool OtherPool = !Named.empty() && Named != State_.pool();
     if (OtherPool || Row.Where.Key.ends_with(rows::CancelSuffix))
       continue;
-    try {
-      jobs::JobSpec Spec = codec::decodeJob(Row.Value);
-      if (Spec.Pool != State_.pool())
-        continue;
-      auto It = Kept.find(Spec.Id);
-      State_.inheritJob(Spec, It == Kept.end() ? nullptr : &It->second, Now);
-    } catch (const std::exception &E) {
-      Log_.logUnreadableJob(Row.Where.Key, E.what());
-      Unapplied_.add(Row.Where.Key, UnappliedReason::JobRow, E.what(), Now);
-    }
+    std::optional<jobs::JobSpec> Spec = Restorer_.decodeJobRow(Row);
+    if (Spec && Spec->Pool == State_.pool())
+      Restorer_.restore(*Spec, ByKey);
   }
   Loaded_(Loaded);
 }
--- a/src/dispatch/PoolLoader.h
+++ b/src/dispatch/PoolLoader.h
@@ -2,10 +2,10 @@
 #define COMFREYDECK_DISPATCH_POOLLOADER_H
 
 #include "dispatch/Context.h"
+#include "dispatch/JobRestorer.h"
 #include "dispatch/JobTableReader.h"
 #include "dispatch/PoolEventLog.h"
 #include "dispatch/PoolHost.h"
-#include "dispatch/UnappliedJobs.h"
 
 #include <optional>
 
@@ -30,13 +30,13 @@
   /// \p Host is the pool's owner, of which this is a part. \p Table reads the
   /// job table.
   PoolLoader(Context &Ctx, jobs::PoolState &State, const PoolEventLog &Log,
-             UnappliedJobs &Unapplied, PoolHost &Host, JobTableReader &Table);
+             JobRestorer &Restorer, PoolHost &Host, JobTableReader &Table);
 
   /// Reads the rows and restores the state. Call once. A failed read is logged
   /// and repeated until the pool is given up; a row that can't be decoded is
-  /// logged and left out. \p TableRead is called once the job table is read,
-  /// with the store version from which its changes must be followed; \p Loaded
-  /// once the state is restored.
+  /// logged, and its job recorded as not applied. \p TableRead is called once
+  /// the job table is read, with the store version from which its changes must
+  /// be followed; \p Loaded once the state is restored.
   void load(std::function<void(std::uint64_t)> TableRead,
             std::function<void(const LoadedRows &)> Loaded);
 
@@ -53,7 +53,7 @@
   Context &Ctx_;
   jobs::PoolState &State_;
   const PoolEventLog &Log_;
-  UnappliedJobs &Unapplied_;
+  JobRestorer &Restorer_;
   PoolHost &Host_;
   JobTableReader &Table_;
   std::function<void(std::uint64_t)> TableRead_;
--- a/src/dispatch/ProgressRows.cpp
+++ b/src/dispatch/ProgressRows.cpp
@@ -5,6 +5,13 @@
 
 namespace comfreydeck::dispatch {
 
+RowsByKey rowsByKey(std::span<const store::PartRow> Rows) {
+  RowsByKey ByKey;
+  for (const store::PartRow &Row : Rows)
+    ByKey[Row.Where.Key] = &Row;
+  return ByKey;
+}
+
 jobs::JobProgress progressOf(const RowsByKey &Rows, const std::string &JobId) {
   codec::ProgressRow First = codec::decodeProgressRow(Rows.at(JobId)->Value);
   for (std::size_t N = 1; N <= First.FurtherRows; ++N) {
