--- a/src/dispatch/PoolEventLog.h
+++ b/src/dispatch/PoolEventLog.h
@@ -33,9 +33,9 @@
   void logUnreadableProgress(const std::string &JobId, const char *Error) const;
   void logUnreadableRoster(const std::string &Worker, const char *Error) const;
   void logUnreadableSettled() const;
-  /// Logs a job whose rows could be read and that could not be added.
+  /// Logs that adding a job failed whose rows can be decoded.
   void logNotApplied(const std::string &JobId, const char *Error) const;
-  /// Logs that a job is applied that could not be before.
+  /// Logs that a job which could not be applied is in the pool now.
   void logAppliedLate(const std::string &JobId) const;
   void logPayloadFailure(const std::string &JobId,
                          const store::PartAnswer &Answer) const;
