--- a/src/dispatch/JobIntake.cpp
+++ b/src/dispatch/JobIntake.cpp
@@ -10,13 +10,6 @@
 using store::PartAnswer;
 using store::PartOutcome;
 
-namespace {
-
-/// Pause before a failed read is repeated.
-constexpr std::chrono::milliseconds StoreRetry(120);
-
-} // namespace
-
 JobIntake::JobIntake(Context &Ctx, jobs::PoolState &State,
                      const PoolEventLog &Log, UnappliedJobs &Unapplied,
                      JobRestorer &Restorer, PoolHost &Host)
--- a/src/dispatch/PayloadLoader.cpp
+++ b/src/dispatch/PayloadLoader.cpp
@@ -9,8 +9,6 @@
 
 /// Payloads that are read at the same time.
 constexpr std::size_t MaxReads = 16;
-/// Pause before a failed read is repeated.
-constexpr std::chrono::milliseconds StoreRetry(120);
 
 } // namespace
 
--- a/src/dispatch/PoolHost.h
+++ b/src/dispatch/PoolHost.h
@@ -1,10 +1,14 @@
 #ifndef COMFREYDECK_DISPATCH_POOLHOST_H
 #define COMFREYDECK_DISPATCH_POOLHOST_H
 
+#include <chrono>
 #include <memory>
 
 namespace comfreydeck::dispatch {
 
+/// Pause before a part repeats a call to the store that failed.
+inline constexpr std::chrono::milliseconds StoreRetry(120);
+
 /// What the parts of a pool's owner need of the whole. Used on the loop's
 /// thread only.
 class PoolHost {
--- a/src/dispatch/PoolLoader.cpp
+++ b/src/dispatch/PoolLoader.cpp
@@ -11,13 +11,6 @@
 using store::PartAnswer;
 using store::PartOutcome;
 
-namespace {
-
-/// Pause before a failed read is repeated.
-constexpr std::chrono::milliseconds StoreRetry(120);
-
-} // namespace
-
 PoolLoader::PoolLoader(Context &Ctx, jobs::PoolState &State,
                        const PoolEventLog &Log, JobRestorer &Restorer,
                        PoolHost &Host, JobTableReader &Table)
--- a/src/dispatch/ProgressWriter.cpp
+++ b/src/dispatch/ProgressWriter.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-/// Pause before a write that failed is repeated if no attempt is open.
-constexpr milliseconds StoreRetry(120);
 /// Pause before a write of the chain row alone that the store refuses itself is
 /// repeated, and before a row that was set aside is tried again. These bound
 /// the calls that can't succeed to one per pause and pool.
