Acknowledge ends of a job known late though nothing else is stored

Seen: an end that came before its job was known, or while its progress could not be read, and that changes nothing (its task is done by the stored progress) stays unacknowledged until some other change of the pool is stored. In a quiet pool its worker is not drained, and the end is listed again and again.

Cause: ProgressOutbox::settleEnd sets the end's mark and leaves the rest to the next stored batch, which an end without effect doesn't cause. addEnd has the rule for that ("nothing pends"); settleEnd has it too now.

Test: "an end whose effects were stored before is acknowledged once its job is known, though nothing else is stored": StoredUpTo 0 instead of 1 in both cases before.

--- a/src/jobs/ProgressOutbox.cpp
+++ b/src/jobs/ProgressOutbox.cpp
@@ -26,13 +26,19 @@
   bool Unsure = !Job || Job->SetAside || Job->ProgressUnread;
   W.Unstored.push_back(
       {End.Number, Unsure ? UnstoredEnd::Never : ChangeCount_, End.Task.JobId});
-  // With no pending changes there is nothing to wait for.
-  if (Job && Changed_.empty() && Storing_.empty())
-    advanceStored(ChangeCount_);
+  if (Job)
+    advanceIfNothingPends();
 }
 
-void ProgressOutbox::settleEnd(WorkerState &W, std::uint64_t Number) const {
+void ProgressOutbox::settleEnd(WorkerState &W, std::uint64_t Number) {
   setMark(W, Number, ChangeCount_);
+  advanceIfNothingPends();
+}
+
+/// With no pending changes, ends have nothing to wait for.
+void ProgressOutbox::advanceIfNothingPends() {
+  if (Changed_.empty() && Storing_.empty())
+    advanceStored(ChangeCount_);
 }
 
 void ProgressOutbox::dropEnd(WorkerState &W, std::uint64_t Number) {
--- a/src/jobs/ProgressOutbox.h
+++ b/src/jobs/ProgressOutbox.h
@@ -32,7 +32,7 @@
   /// stored once all changes until now are, or never before \ref settleEnd.
   void addEnd(WorkerState &W, const EndReport &End);
   /// Records that the effects of an end are among the changes until now.
-  void settleEnd(WorkerState &W, std::uint64_t Number) const;
+  void settleEnd(WorkerState &W, std::uint64_t Number);
   /// Records that an end has no effects.
   static void dropEnd(WorkerState &W, std::uint64_t Number);
   /// Recomputes which of the worker's ends are stored.
@@ -57,6 +57,7 @@
 private:
   JobRecord *findJob(const std::string &Id) const;
   void advanceStored(std::uint64_t Mark);
+  void advanceIfNothingPends();
   void returnFromAside(JobRecord &Job);
   std::uint64_t markOfBatch() const;
   static ProgressWrite writeOf(const JobRecord &Job);
--- a/tests/jobs/HeldJobsTest.cpp
+++ b/tests/jobs/HeldJobsTest.cpp
@@ -121,3 +121,21 @@
   CHECK(B.Owner.findJob(Other.Id)->Now == JobState::Completed);
   CHECK(B.storedUpTo() == 1);
 }
+
+TEST_CASE("an end whose effects were stored before is acknowledged once its "
+          "job is known, though nothing else is stored") {
+  HeldJob B;
+  SUBCASE("its progress could not be read") {
+    B.report("w1", {}, {B.endOf(0, 1)});
+    B.Owner.restoreJob(B.Spec.Id, B.kept(), B.Now);
+  }
+  SUBCASE("its row could not be read") {
+    JobSpec Other = sampleJob(2, 2);
+    B.Owner.awaitJob(Other.Id);
+    B.report("w1", {}, {endReportOf(1, {Other.Id, 0, 0, 0}, 1, RunEnd::Done)});
+    JobProgress Kept = B.kept();
+    B.Owner.inheritJob(Other, &Kept, B.Now);
+  }
+  B.plan();
+  CHECK(B.Owner.workers().at("w1")->StoredUpTo == 1);
+}
