Store starts while they are sent also after a worker was lost unheard

Found by reading: its sign of a missed crash (`MissedCrash_`, or a worker that is silent now) is gone again once another worker answers at the address of one that was never heard, once such a worker is forgotten or found to have ended, and is never given by the restart of a worker with runs of jobs that aren't known yet.

Change: each of these sets `MissedCrash_`, apart from workers that drain or were ended by order, as for counted crashes.

Test: "a start is not stored while it is sent though a worker was lost whose runs this owner did not all know" failed in its three cases before (nothing stored).

--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -171,6 +171,14 @@
          });
 }
 
+/// Records that the worker, which is lost, may have crashed under runs that
+/// this owner does not know of.
+void PoolState::noteUnheard(const WorkerState &W) {
+  bool Left = W.Ended || W.Entry.Draining;
+  bool KnowsRuns = W.Heard && W.UnknownRuns.empty();
+  MissedCrash_ = MissedCrash_ || (!Left && !KnowsRuns);
+}
+
 /// Keeps the suspects of a worker that is out of reach until it answers.
 void PoolState::recordLoss(const WorkerState &W, core::TimePoint Now) {
   // The first report tells which incarnation it is, and an ordered end is no
@@ -213,6 +221,7 @@
 /// Drops the runs of a worker at whose address another one answered, and counts
 /// its crash.
 void PoolState::dropReplaced(WorkerState &W, core::TimePoint Now) {
+  noteUnheard(W);
   dropEnded(
       W, [&] { return Lost_.takeOthers(W.Entry.Id, AnyIncarnation); }, Now);
 }
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -34,6 +34,7 @@
       dropLapsedRuns(W, In.Now);
     bool Forget = mayForget(W, In.Now);
     if (Forget) {
+      noteUnheard(W);
       Outbox_.unenrol(It->first);
       ForgottenFenceStep_ =
           std::max(ForgottenFenceStep_, W.FenceStep + (W.Ended ? 0 : 1));
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -260,6 +260,7 @@
                  core::TimePoint Now);
   void announceSuspects(const WorkerState &W);
   bool hasPossibleCrash(const JobRecord &Job) const;
+  void noteUnheard(const WorkerState &W);
   bool mayHaveMissedCrash(core::TimePoint Now) const;
   void recordLoss(const WorkerState &W, core::TimePoint Now);
   void settleLost(const WorkerState &W, std::vector<SuspectRun> Suspects,
@@ -386,8 +387,8 @@
   /// Time of the latest event or planning round.
   core::TimePoint Now_;
   CrashLedger Lost_;
-  /// A worker has restarted that this owner had not heard before. What had run
-  /// there is unknown.
+  /// A worker was lost, or has restarted, of whose runs this owner did not know
+  /// all: it had not heard it, or not their jobs.
   bool MissedCrash_ = false;
   /// When a worker was last found to have crashed, by its address. The machine
   /// may be the cause, and a restarted worker may have another id.
--- a/tests/jobs/CrashAttributionTest.cpp
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -760,3 +760,33 @@
   F.finish(taskOf(1));
   CHECK(!F.workerOf({jobId(1), 0, 1, 0}).empty());
 }
+
+TEST_CASE("a start is not stored while it is sent though a worker was lost "
+          "whose runs this owner did not all know") {
+  CrashFixture F(FourWorkers);
+  F.Stores = false;
+  SUBCASE("at whose address another one answers") {
+    HoldOrder Order;
+    Order.Worker = "w1";
+    ReportResult Result;
+    Result.Outcome = OrderOutcome::OtherIncarnation;
+    F.B.Owner.onReport(Order, Result, F.B.Now, F.B.Now);
+  }
+  SUBCASE("which is gone and forgotten") {
+    F.Silent.insert("w1");
+    F.list({"w2", "w3", "w4"});
+    for (int Turn = 0; Turn < 250; ++Turn)
+      F.turn();
+    REQUIRE(F.B.Owner.workers().count("w1") == 0);
+  }
+  SUBCASE("but for a run of a job that was not known") {
+    F.turn();
+    F.B.report("w1", {{taskOf(1), 1, "", 10}});
+    F.crash("w1");
+  }
+  F.B.Owner.inheritJob(sampleJob(1), nullptr, F.B.Now);
+  std::string Worker = F.workerOf(taskOf(1), std::chrono::seconds(15));
+  REQUIRE(!Worker.empty());
+  std::optional<JobProgress> Stored = F.store(jobId(1));
+  CHECK((Stored && Stored->Tasks[0].Announced));
+}
