--- a/tests/jobs/AvoidedWorkersTest.cpp
+++ b/tests/jobs/AvoidedWorkersTest.cpp
@@ -94,3 +94,13 @@
     CHECK(F.mostAvoided(AllFaulty, false) == 1);
   }
 }
+
+TEST_CASE("a faulty worker is avoided for tasks that others could run, though "
+          "an open job's task fits it alone" *
+          doctest::should_fail()) {
+  FailingFixture F;
+  F.turn();
+  F.label(1);
+  F.addJob(true);
+  CHECK(F.mostAvoided({"w1"}, false) == 1);
+}
--- a/tests/jobs/HeldJobsTest.cpp
+++ b/tests/jobs/HeldJobsTest.cpp
@@ -152,3 +152,63 @@
   REQUIRE(Batch.Writes.size() == 1);
   CHECK(Batch.Writes[0].Progress.Tasks[1].CrashedRuns == std::vector<RunId>{2});
 }
+
+TEST_CASE("a run that has ended counts as running for ever behind 500 ends of "
+          "a job that can't be read" *
+          doctest::should_fail()) {
+  constexpr std::uint32_t MaxEndsListed = 500;
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.Owner.setEarlierOwnersStopped(B.Now);
+  JobSpec Other = sampleJob(2, MaxEndsListed);
+  B.Owner.awaitJob(Other.Id);
+  B.Owner.addJob(sampleJob(1), B.Now);
+  B.plan();
+  B.report("w1");
+  B.Owner.onStored(B.Owner.takeChanges(100).Mark);
+  Orders Planned = B.plan();
+  REQUIRE(Planned.Starts.size() == 1);
+  B.answer(Planned.Starts[0], OrderOutcome::Accepted);
+  std::vector<EndReport> Ends;
+  for (std::uint32_t N = 0; N < MaxEndsListed; ++N)
+    Ends.push_back(endReportOf(N + 1, {Other.Id, 0, 0, N}, 1, RunEnd::Done));
+  for (int Second = 0; Second < 30; ++Second) {
+    B.advance(std::chrono::seconds(1));
+    B.report("w1", {}, Ends);
+    B.Owner.onStored(B.Owner.takeChanges(100).Mark);
+    B.plan();
+  }
+  CHECK(B.Owner.findJob(jobId(1))->Tasks[0].Runs.empty());
+}
+
+TEST_CASE("a worker takes nothing for as long as it has a run of a job that "
+          "can't be read" *
+          doctest::should_fail()) {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.Owner.setEarlierOwnersStopped(B.Now);
+  JobSpec Lasting = sampleJob(1);
+  Lasting.Steps[0].Lasting = true;
+  B.Owner.addJob(Lasting, B.Now);
+  B.plan();
+  B.report("w1");
+  B.Owner.onStored(B.Owner.takeChanges(100).Mark);
+  Orders Planned = B.plan();
+  REQUIRE(Planned.Starts.size() == 1);
+  B.answer(Planned.Starts[0], OrderOutcome::Accepted);
+  // The lasting run's lease is extended, and so is that of the other run.
+  RunReport Unknown;
+  Unknown.Task = {jobId(2), 0, 0, 0};
+  Unknown.Run = 1;
+  B.Owner.awaitJob(Unknown.Task.JobId);
+  B.report("w1", {runReportOf(Planned.Starts[0]), Unknown});
+  B.Owner.addJob(sampleJob(3), B.Now);
+  bool Started = false;
+  for (int Turn = 0; Turn < 300; ++Turn) {
+    B.advance(milliseconds(100));
+    Orders Next = B.plan();
+    Started = Started || !Next.Starts.empty();
+    B.report("w1", {runReportOf(Planned.Starts[0]), Unknown});
+  }
+  CHECK(Started);
+}
