--- a/tests/jobs/HeldJobsTest.cpp
+++ b/tests/jobs/HeldJobsTest.cpp
@@ -144,3 +144,94 @@
   REQUIRE(Stored);
   CHECK(Stored->Waited == core::Duration::zero());
 }
+
+TEST_CASE("an end whose effects were stored before is acknowledged once its "
+          "job is known, though nothing else is stored") {
+  HeldJob B;
+  SUBCASE("its progress could not be read") {
+    B.report("w1", {}, {B.endOf(0, 1)});
+    B.Owner.restoreJob(B.Spec.Id, B.kept(), B.Now);
+  }
+  SUBCASE("its row could not be read") {
+    JobSpec Other = sampleJob(2, 2);
+    B.Owner.awaitJob(Other.Id);
+    B.report("w1", {}, {endReportOf(1, {Other.Id, 0, 0, 0}, 1, RunEnd::Done)});
+    JobProgress Kept = B.kept();
+    B.Owner.inheritJob(Other, &Kept, B.Now);
+  }
+  B.plan();
+  CHECK(B.Owner.workers().at("w1")->StoredUpTo == 1);
+}
+
+TEST_CASE("a crash under a job whose progress can't be read is stored once it "
+          "can") {
+  HeldJob B;
+  B.report("w1", {B.runOf(1, 2)});
+  B.Entries[0].Born = 2;
+  B.Owner.setWorkers(B.Entries, B.Now);
+  REQUIRE(PoolState::countCrashes(B.job(), 1) == 1);
+  B.Owner.restoreJob(B.Spec.Id, B.kept(), B.Now);
+  ProgressBatch Batch = B.Owner.takeChanges(10);
+  REQUIRE(Batch.Writes.size() == 1);
+  CHECK(Batch.Writes[0].Progress.Tasks[1].CrashedRuns == std::vector<RunId>{2});
+}
+
+TEST_CASE("a run that has ended counts as running for ever behind 500 ends of "
+          "a job that can't be read" *
+          doctest::should_fail()) {
+  constexpr std::uint32_t MaxEndsListed = 500;
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.Owner.setEarlierOwnersStopped(B.Now);
+  JobSpec Other = sampleJob(2, MaxEndsListed);
+  B.Owner.awaitJob(Other.Id);
+  B.Owner.addJob(sampleJob(1), B.Now);
+  B.plan();
+  B.report("w1");
+  B.Owner.onStored(B.Owner.takeChanges(100).Mark);
+  Orders Planned = B.plan();
+  REQUIRE(Planned.Starts.size() == 1);
+  B.answer(Planned.Starts[0], OrderOutcome::Accepted);
+  std::vector<EndReport> Ends;
+  for (std::uint32_t N = 0; N < MaxEndsListed; ++N)
+    Ends.push_back(endReportOf(N + 1, {Other.Id, 0, 0, N}, 1, RunEnd::Done));
+  for (int Second = 0; Second < 30; ++Second) {
+    B.advance(std::chrono::seconds(1));
+    B.report("w1", {}, Ends);
+    B.Owner.onStored(B.Owner.takeChanges(100).Mark);
+    B.plan();
+  }
+  CHECK(B.Owner.findJob(jobId(1))->Tasks[0].Runs.empty());
+}
+
+TEST_CASE("a worker takes nothing for as long as it has a run of a job that "
+          "can't be read" *
+          doctest::should_fail()) {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.Owner.setEarlierOwnersStopped(B.Now);
+  JobSpec Lasting = sampleJob(1);
+  Lasting.Steps[0].Lasting = true;
+  B.Owner.addJob(Lasting, B.Now);
+  B.plan();
+  B.report("w1");
+  B.Owner.onStored(B.Owner.takeChanges(100).Mark);
+  Orders Planned = B.plan();
+  REQUIRE(Planned.Starts.size() == 1);
+  B.answer(Planned.Starts[0], OrderOutcome::Accepted);
+  // The lasting run's lease is extended, and so is that of the other run.
+  RunReport Unknown;
+  Unknown.Task = {jobId(2), 0, 0, 0};
+  Unknown.Run = 1;
+  B.Owner.awaitJob(Unknown.Task.JobId);
+  B.report("w1", {runReportOf(Planned.Starts[0]), Unknown});
+  B.Owner.addJob(sampleJob(3), B.Now);
+  bool Started = false;
+  for (int Turn = 0; Turn < 300; ++Turn) {
+    B.advance(milliseconds(100));
+    Orders Next = B.plan();
+    Started = Started || !Next.Starts.empty();
+    B.report("w1", {runReportOf(Planned.Starts[0]), Unknown});
+  }
+  CHECK(Started);
+}
