--- a/tests/jobs/GangPlacementTest.cpp
+++ b/tests/jobs/GangPlacementTest.cpp
@@ -125,3 +125,34 @@
   B.advance(milliseconds(100));
   CHECK(B.plan().Starts.size() == 2);
 }
+
+TEST_CASE("the members of a gang that have started wait alone for one whose "
+          "start was not sent" *
+          doctest::should_fail()) {
+  constexpr milliseconds GangTimeout(3000);
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.plan();
+  for (const char *Id : {"w1", "w2"})
+    B.report(Id);
+  B.Owner.onStored(B.Owner.takeChanges(10).Mark);
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Gang = true;
+  Spec.Steps[0].MaxPerWorker = 1;
+  B.Owner.addJob(Spec, B.Now);
+  std::vector<StartOrder> Starts = B.plan().Starts;
+  REQUIRE(Starts.size() == 2);
+  B.answer(Starts[0], OrderOutcome::Accepted);
+  B.answer(Starts[1], OrderOutcome::NotSent);
+  B.Owner.setClosedWorkers({Starts[1].Worker});
+  bool Stopped = false;
+  for (milliseconds Passed(0); Passed < GangTimeout && !Stopped;
+       Passed += milliseconds(100)) {
+    B.advance(milliseconds(100));
+    B.report(Starts[0].Worker, {runReportOf(Starts[0], 0)});
+    Orders Planned = B.plan();
+    REQUIRE(Planned.Starts.empty());
+    Stopped = !Planned.Stops.empty();
+  }
+  CHECK(Stopped);
+}
