Count crashes on an owner whose machine is younger than its workers

Cause: "the time at which the worker's clock showed zero, or later" began as the zero of the owner's own clock, which counts from the start of its machine, and was only raised. Where the worker had been up for longer, each of its answers seemed to be made in the future: no run counted as the cause of a crash, and each report cleared the suspicion of each run there. Class: a time that is not known is taken for a time.

Change: what is known of a worker's clock is a struct of its own, WorkerClock; the time of its zero is unknown before the first report, and what can't be dated by it is dated by when the incarnation became known, or when the report was requested.

--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -141,7 +141,7 @@
 std::vector<SuspectRun> PoolState::suspectsOn(const WorkerState &W) const {
   std::vector<SuspectRun> Suspects;
   core::TimePoint AnsweredAt =
-      W.ClockMs == 0 ? W.ClockAt : madeAt(W, W.ClockMs);
+      earliestTimeOf(W.Clock, W.Clock.ShownMs).value_or(W.BornKnownAt);
   for (const auto &[Job, Task] : W.Tasks)
     for (const LiveRun &Run : Job->Tasks[Task].Runs)
       if (Run.Worker == W.Entry.Id && Run.SendAfter == 0 &&
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -70,7 +70,7 @@
   std::uint32_t Task = indexOf(*Job, Order.Task);
   LiveRun *Run = findRun(*Job, Task, Order.Run);
   if (Run && isOfIncarnation(*Run, W))
-    recordClock(W, Result.ClockMs, Now);
+    recordAnswer(W.Clock, Result.ClockMs, Now);
   switch (Result.Outcome) {
   case OrderOutcome::Accepted:
     W.UnansweredStarts = 0;
@@ -152,7 +152,7 @@
   if (!Run)
     return;
   if (isOfIncarnation(*Run, W))
-    recordClock(W, Result.ClockMs, Now);
+    recordAnswer(W.Clock, Result.ClockMs, Now);
   bool IsOlderThanReport =
       Run->StopInFlight && Run->StopSentAt < W.ReportRequestedAt;
   Run->StopInFlight = false;
@@ -236,9 +236,7 @@
     settleLost(W, Lost_.takeOthers(W.Entry.Id, W.Born), 0, Now);
     clearLost(W.Entry.Id);
   }
-  recordClock(W, Report.ClockMs, Now);
-  W.ClockZeroAt =
-      std::max(W.ClockZeroAt, SentAt - milliseconds(Report.ClockMs));
+  recordReport(W.Clock, Report.ClockMs, SentAt, Now);
   // A full list may leave out later ends.
   bool ListsAllEnds = Report.Ended.size() < MaxEndsListed;
   W.Heard = W.Heard || ListsAllEnds;
@@ -249,11 +247,8 @@
   W.ReportRequestedAt = std::max(W.ReportRequestedAt, SentAt);
   W.AnsweredRequest = std::max(W.AnsweredRequest, Order.Number);
   settleByFence(W, Order.Fence, Now);
-  if (!W.FencedAt) {
+  if (!W.FencedAt)
     W.FencedAt = Now;
-    W.FirstReportClockMs = Report.ClockMs;
-  }
-  W.LastReportClockMs = Report.ClockMs;
   W.StartsSinceReport = 0;
   // An order sent before this incarnation was known has an earlier one's
   // number.
@@ -277,8 +272,8 @@
     return false;
   if (Report.Born != W.Born)
     return isEarlierIncarnation(W, Report.Born) && SentAt < W.BornKnownAt;
-  return Report.ClockMs < W.LastReportClockMs ||
-         (Report.ClockMs == W.LastReportClockMs &&
+  return Report.ClockMs < W.Clock.LastReportMs ||
+         (Report.ClockMs == W.Clock.LastReportMs &&
           SentAt < W.ReportRequestedAt);
 }
 
@@ -399,7 +394,9 @@
   if (Report.Percent >= ReadyPercent)
     Run->ReadyAt = Now;
   Run->Load = Report.Load;
-  clearSuspicion(*Job, Task, *Run, madeAt(W, W.LastReportClockMs));
+  clearSuspicion(
+      *Job, Task, *Run,
+      earliestTimeOf(W.Clock, W.Clock.LastReportMs).value_or(SentAt));
   TaskState &State = Job->Tasks[Task];
   if (!Report.Checkpoint.empty() && !State.Kept.Done)
     State.Kept.Checkpoint = Report.Checkpoint;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -292,8 +292,6 @@
   void recordStop(const JobRecord &Job, std::uint32_t Task, const LiveRun &Run,
                   StopReason Reason, core::TimePoint Now);
   void endJob(JobRecord &Job, JobState State);
-  void recordClock(WorkerState &W, std::int64_t ClockMs, core::TimePoint Now);
-  static core::TimePoint madeAt(const WorkerState &W, std::int64_t ClockMs);
   std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
   static void recordLease(WorkerState &W, std::int64_t DeadlineMs,
                           core::TimePoint Now);
@@ -302,7 +300,6 @@
   core::TimePoint earlierLeasesEnd(const WorkerState &W) const;
   bool mayHaveLaterOwner(const WorkerState &W, const PlanInput &In) const;
   bool mayHaveRestartedUnseen(const WorkerState &W, const PlanInput &In) const;
-  std::int64_t leastClockMs(const WorkerState &W, core::TimePoint Now) const;
   bool mayHaveEarlierOrder(const WorkerState &W, core::TimePoint Now) const;
   bool leaseLapsed(const WorkerState &W, core::TimePoint Now) const;
   bool mayReachNextIncarnation(const WorkerState &W, core::TimePoint Now) const;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -48,17 +48,14 @@
   W.Restarted = true;
   W.Ended = false;
   W.Born = Born;
-  W.ClockMs = 0;
+  W.Clock = WorkerClock();
   W.FencedAt.reset();
-  W.FirstReportClockMs = W.LastReportClockMs = 0;
-  W.ClockZeroAt = core::TimePoint();
   W.DeadlineMs = 0;
   W.ProcessedUpTo = W.StoredUpTo = W.AcknowledgedUpTo = 0;
   W.Unstored.clear();
   W.Parked.clear();
   W.UnknownRuns.clear();
   W.FailuresInRow = 0;
-  W.ClockAt = Now;
 }
 
 /// Records until when orders that were sent to the worker may give a lease to
@@ -262,7 +259,7 @@
   if (Run.Run >> RunCounterBits == Token_)
     return false;
   const WorkerState &W = *Workers_.at(Run.Worker);
-  return W.LastReportClockMs - W.FirstReportClockMs <= toMs(Limits_.StopTime);
+  return W.Clock.LastReportMs - W.Clock.FirstReportMs <= toMs(Limits_.StopTime);
 }
 
 std::uint32_t PoolState::countUnavailable(const JobRecord &Job,
@@ -315,34 +312,16 @@
   }
 }
 
-void PoolState::recordClock(WorkerState &W, std::int64_t ClockMs,
-                            core::TimePoint Now) {
-  if (ClockMs <= 0)
-    return;
-  // Answers may arrive out of order; keep the highest clock value.
-  if (ClockMs < W.ClockMs)
-    return;
-  W.ClockMs = ClockMs;
-  W.ClockAt = Now;
-}
-
-/// Earliest time at which the worker can have made an answer that gives this
-/// time of its clock, which is never fast. Its arrival tells less: it may have
-/// been long under way.
-core::TimePoint PoolState::madeAt(const WorkerState &W, std::int64_t ClockMs) {
-  return W.ClockZeroAt + milliseconds(ClockMs);
-}
-
 std::int64_t PoolState::leaseFor(const WorkerState &W,
                                  const PlanInput &In) const {
-  if (W.ClockMs == 0)
+  if (W.Clock.ShownMs == 0)
     return 0;
   core::Duration Length = std::min(Limits_.Lease, In.AuthorityEnd - In.Now);
   if (Length <= core::Duration::zero())
     return 0;
   // Assume that the worker's clock has run slow since its last answer, so that
   // the lease does not outlast the time for which later owners wait.
-  return leastClockMs(W, In.Now) + toMs(Length);
+  return leastClockMs(W.Clock, In.Now, Limits_.ClockDrift) + toMs(Length);
 }
 
 /// Records the lease end of an order; zero stands for an order that grants no
@@ -423,22 +402,15 @@
         std::min(W.EarlierOrdersUntil, latestLeaseEnd(Now, Limits_.MaxLease));
 }
 
-/// The least that the worker's clock may show.
-std::int64_t PoolState::leastClockMs(const WorkerState &W,
-                                     core::TimePoint Now) const {
-  double Passed =
-      static_cast<double>(toMs(Now - W.ClockAt)) * (1 - Limits_.ClockDrift);
-  return W.ClockMs + static_cast<std::int64_t>(Passed);
-}
-
 /// Whether an order for an earlier incarnation may have given the present one a
 /// lease that has not expired.
 bool PoolState::mayHaveEarlierOrder(const WorkerState &W,
                                     core::TimePoint Now) const {
   if (Now >= W.EarlierOrdersUntil)
     return false;
-  return W.ClockMs == 0 ||
-         leastClockMs(W, Now) < W.EarlierDeadlineMs + LeaseSlackMs;
+  return W.Clock.ShownMs == 0 ||
+         leastClockMs(W.Clock, Now, Limits_.ClockDrift) <
+             W.EarlierDeadlineMs + LeaseSlackMs;
 }
 
 /// Whether an order that gave a lease may still reach the next incarnation of a
@@ -461,8 +433,8 @@
 bool PoolState::leaseLapsed(const WorkerState &W, core::TimePoint Now) const {
   if (Now < earlierLeasesEnd(W) || mayHaveEarlierOrder(W, Now))
     return false;
-  return W.DeadlineMs == 0 ||
-         leastClockMs(W, Now) >= W.DeadlineMs + LeaseSlackMs;
+  return W.DeadlineMs == 0 || leastClockMs(W.Clock, Now, Limits_.ClockDrift) >=
+                                  W.DeadlineMs + LeaseSlackMs;
 }
 
 /// Whether at most half of the workers that could run each open job's tasks are
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -64,8 +64,8 @@
 bool StartPlan::isSound(const WorkerState &W) const {
   return W.Enrolled && W.Heard && W.IncarnationConfirmed && !W.Ended &&
          !W.Gone && !W.Isolated && !W.Entry.Draining && W.UnknownRuns.empty() &&
-         W.LostStarts.empty() && W.ClockMs > 0 && W.AvoidUntil <= In_.Now &&
-         !Owner_.mayHaveLaterOwner(W, In_) &&
+         W.LostStarts.empty() && W.Clock.ShownMs > 0 &&
+         W.AvoidUntil <= In_.Now && !Owner_.mayHaveLaterOwner(W, In_) &&
          Owner_.ClosedDataCentres_.count(W.Entry.DataCentre) == 0 &&
          Owner_.leaseFor(W, In_) > 0;
 }
--- a/src/jobs/WorkerState.h
+++ b/src/jobs/WorkerState.h
@@ -3,6 +3,7 @@
 
 #include "jobs/JobRecord.h"
 #include "jobs/PoolMetrics.h"
+#include "jobs/WorkerClock.h"
 
 #include <deque>
 #include <limits>
@@ -60,8 +61,7 @@
   /// When this owner first requested its report.
   core::TimePoint AskedAt;
   std::int64_t Born = 0;
-  std::int64_t ClockMs = 0;
-  core::TimePoint ClockAt;
+  WorkerClock Clock;
   /// Latest lease end granted, on the worker's clock.
   std::int64_t DeadlineMs = 0;
   /// When the last order that grants a lease was planned.
@@ -128,12 +128,6 @@
   /// When the first report of this incarnation to this owner arrived. It fenced
   /// earlier owners off there.
   std::optional<core::TimePoint> FencedAt;
-  /// The worker's clock in the first and the last report of this incarnation to
-  /// this owner; zero before the first one.
-  std::int64_t FirstReportClockMs = 0;
-  std::int64_t LastReportClockMs = 0;
-  /// Its clock showed zero at this time or later.
-  core::TimePoint ClockZeroAt;
   /// Starts planned since that report.
   std::uint32_t StartsSinceReport = 0;
   /// Until then, an order for an earlier incarnation may have given this one a
--- a/tests/jobs/CrashAttributionTest.cpp
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -43,6 +43,30 @@
   CHECK(Records[2].GivenUp[0] == taskOf(1));
 }
 
+TEST_CASE("a crash counts against no task on an owner whose machine is younger "
+          "than its workers") {
+  CrashFixture F(FourWorkers);
+  F.B.WorkersOlderBy = std::chrono::hours(24);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  std::string Worker = F.workerOf(taskOf(1));
+  SUBCASE("after a report") { F.report(Worker); }
+  SUBCASE("after the answer to the start") {}
+  F.crash(Worker);
+  CHECK(F.crashes(1) == 1);
+}
+
+TEST_CASE("a report clears a task's crashes at once on an owner whose machine "
+          "is younger than its workers") {
+  CrashFixture F(FourWorkers);
+  F.B.WorkersOlderBy = std::chrono::hours(24);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  F.crash(F.workerOf(taskOf(1)));
+  F.report(F.workerOf(taskOf(1)));
+  CHECK(F.crashes(1) == 1);
+}
+
 TEST_CASE("a crash is stored with the job's progress") {
   CrashFixture F(FourWorkers);
   F.turn();
