Log which runs were counted against a job that is given up

job_given_up has each counted run with its worker, the start times of that incarnation and of the next, the time from its order to its count and what is known of its start; worker_crashed says how many runs were too old or not sent. 1,000 counted runs are remembered, and 20 are named in a line.

--- a/src/dispatch/PoolEventLog.cpp
+++ b/src/dispatch/PoolEventLog.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Counted runs that a line names at most.
+constexpr std::size_t MaxCountedShown = 20;
+
 struct WorkerCount {
   std::size_t Heard = 0;
   std::size_t NotListed = 0;
@@ -21,6 +24,31 @@
   return Count;
 }
 
+std::string describe(const jobs::SuspectRun &Run) {
+  return Run.JobId + '/' + std::to_string(Run.Task) + '#' +
+         std::to_string(Run.Run);
+}
+
+/// The runs that counted against the task, as
+/// task#run:worker:born>next born:ms from its order to its count:start.
+std::string describeCounted(const jobs::CrashRecord &Record,
+                            const jobs::TaskRef &Task) {
+  std::string Text;
+  std::size_t Shown = 0;
+  for (const jobs::CountedRun &C : Record.Counted) {
+    if (C.Run.JobId != Task.JobId || ++Shown > MaxCountedShown)
+      continue;
+    Text += Text.empty() ? "" : " ";
+    Text += std::to_string(C.Run.Task) + '#' + std::to_string(C.Run.Run) + ':' +
+            C.Worker + ':' + std::to_string(C.Born) + '>' +
+            std::to_string(C.NextBorn) + ':';
+    if (C.Run.OrderedAt)
+      Text += std::to_string(core::inMs(C.CountedAt - *C.Run.OrderedAt));
+    Text += std::string(":") + jobs::nameOf(C.Run.Sign);
+  }
+  return Text;
+}
+
 } // namespace
 
 PoolEventLog::PoolEventLog(std::string Pool, std::uint64_t Token,
@@ -198,13 +226,14 @@
   std::string Suspects;
   for (const jobs::SuspectRun &Run : Record.Suspects) {
     Suspects += Suspects.empty() ? "" : " ";
-    Suspects += Run.JobId + '/' + std::to_string(Run.Task) + '#' +
-                std::to_string(Run.Run);
+    Suspects += describe(Run);
   }
   logEvent("worker_crashed", {{"worker", Record.Worker},
                               {"pool", Pool_},
                               {"runs", Record.Runs},
                               {"suspects", Suspects},
+                              {"too_old", Record.TooOld},
+                              {"not_sent", Record.NotSent},
                               {"token", Token_}});
   for (const jobs::TaskRef &Task : Record.GivenUp)
     logEvent("job_given_up", {{"job", Task.JobId},
@@ -212,6 +241,7 @@
                               {"step", Task.Step},
                               {"index", Task.Index},
                               {"worker", Record.Worker},
+                              {"counted", describeCounted(Record, Task)},
                               {"pool", Pool_},
                               {"token", Token_}});
 }
--- a/src/jobs/CrashLedger.cpp
+++ b/src/jobs/CrashLedger.cpp
@@ -4,6 +4,22 @@
 
 namespace comfreydeck::jobs {
 
+const char *nameOf(StartSign Sign) {
+  switch (Sign) {
+  case StartSign::Inherited:
+    return "inherited";
+  case StartSign::Sent:
+    return "sent";
+  case StartSign::Unclear:
+    return "unclear";
+  case StartSign::Accepted:
+    return "accepted";
+  case StartSign::Listed:
+    return "listed";
+  }
+  return "";
+}
+
 void CrashLedger::add(const std::string &Worker, std::int64_t Born,
                       std::vector<SuspectRun> Runs, core::TimePoint Since) {
   for (SuspectRun &Run : Runs)
@@ -11,7 +27,7 @@
       Lost_[Worker].push_back({std::move(Run), Born, Since});
 }
 
-std::vector<SuspectRun>
+std::vector<LostRun>
 CrashLedger::takeEnded(const std::string &Worker,
                        const std::deque<std::int64_t> &Borns) {
   return take(Worker, [&Borns](std::int64_t Lost) {
@@ -19,22 +35,22 @@
   });
 }
 
-std::vector<SuspectRun> CrashLedger::takeOthers(const std::string &Worker,
-                                                std::int64_t Born) {
+std::vector<LostRun> CrashLedger::takeOthers(const std::string &Worker,
+                                             std::int64_t Born) {
   return take(Worker, [Born](std::int64_t Lost) { return Lost != Born; });
 }
 
-std::vector<SuspectRun>
+std::vector<LostRun>
 CrashLedger::take(const std::string &Worker,
                   const std::function<bool(std::int64_t)> &HasEnded) {
-  std::vector<SuspectRun> Taken;
+  std::vector<LostRun> Taken;
   auto At = Lost_.find(Worker);
   if (At == Lost_.end())
     return Taken;
   std::erase_if(At->second, [&](const LostRun &Lost) {
     if (!HasEnded(Lost.Born))
       return false;
-    Taken.push_back(Lost.Run);
+    Taken.push_back(Lost);
     return true;
   });
   if (At->second.empty())
--- a/src/jobs/CrashLedger.h
+++ b/src/jobs/CrashLedger.h
@@ -12,6 +12,21 @@
 
 namespace comfreydeck::jobs {
 
+/// What is known of a run's start.
+enum class StartSign : std::uint8_t {
+  /// It is of an earlier owner, which stored it before it was sent.
+  Inherited,
+  /// It was sent and has no answer yet.
+  Sent,
+  /// It has no clear answer, so that it may have been carried out.
+  Unclear,
+  Accepted,
+  /// A report has listed the run.
+  Listed,
+};
+
+const char *nameOf(StartSign Sign);
+
 /// A run that was on a worker when the worker was lost, and that may have
 /// crashed it.
 struct SuspectRun {
@@ -19,7 +34,31 @@
   /// Index of the task within its job.
   std::uint32_t Task = 0;
   RunId Run = 0;
-  bool operator==(const SuspectRun &) const = default;
+  StartSign Sign = StartSign::Inherited;
+  /// When its start was ordered, if this owner did it.
+  std::optional<core::TimePoint> OrderedAt = std::nullopt;
+  /// Whether both are the same run.
+  bool operator==(const SuspectRun &Other) const {
+    return Run == Other.Run && Task == Other.Task && JobId == Other.JobId;
+  }
+};
+
+/// A run that counts as having crashed its worker, for logs.
+struct CountedRun {
+  SuspectRun Run;
+  std::string Worker;
+  /// Start times of the incarnation that it was sent to and of the one that
+  /// followed, in Unix milliseconds; zero if that is another worker.
+  std::int64_t Born = 0;
+  std::int64_t NextBorn = 0;
+  core::TimePoint CountedAt;
+};
+
+/// A run of a worker's incarnation that went silent.
+struct LostRun {
+  SuspectRun Run;
+  std::int64_t Born = 0;
+  core::TimePoint Since;
 };
 
 /// Runs of workers that went silent. Whether such a worker crashed, or was only
@@ -35,12 +74,11 @@
            std::vector<SuspectRun> Runs, core::TimePoint Since);
   /// Removes and returns the runs of these incarnations of the worker, which
   /// have ended.
-  std::vector<SuspectRun> takeEnded(const std::string &Worker,
-                                    const std::deque<std::int64_t> &Borns);
+  std::vector<LostRun> takeEnded(const std::string &Worker,
+                                 const std::deque<std::int64_t> &Borns);
   /// Removes and returns the runs of the worker's incarnations other than \p
   /// Born, all of which have ended.
-  std::vector<SuspectRun> takeOthers(const std::string &Worker,
-                                     std::int64_t Born);
+  std::vector<LostRun> takeOthers(const std::string &Worker, std::int64_t Born);
   /// Drops the runs of workers that have been silent for too long.
   void expire(core::TimePoint Now);
   /// Drops the runs of workers for which \p IsKnown returns false.
@@ -64,14 +102,8 @@
   bool isEmpty() const { return Lost_.empty(); }
 
 private:
-  struct LostRun {
-    SuspectRun Run;
-    std::int64_t Born = 0;
-    core::TimePoint Since;
-  };
-  std::vector<SuspectRun>
-  take(const std::string &Worker,
-       const std::function<bool(std::int64_t)> &HasEnded);
+  std::vector<LostRun> take(const std::string &Worker,
+                            const std::function<bool(std::int64_t)> &HasEnded);
 
   /// By worker.
   std::map<std::string, std::vector<LostRun>> Lost_;
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -28,6 +28,8 @@
   bool StopInFlight = false;
   /// The stop in flight was sent to an earlier incarnation of the worker.
   bool StopOutdated = false;
+  /// Its start had no clear answer.
+  bool Unclear = false;
   /// A report of the worker's present incarnation has listed it.
   bool Listed = false;
   /// A report that listed it was made when it was too old to be the cause of a
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -9,6 +9,16 @@
 
 /// How often it is stored for how long an outcome has been waited for.
 constexpr std::chrono::milliseconds OutcomeNoteStep(2000);
+/// Counted runs that are remembered for logs.
+constexpr std::size_t MaxCountedRuns = 1000;
+
+StartSign signOf(const LiveRun &Run) {
+  if (Run.Listed)
+    return StartSign::Listed;
+  if (Run.Confirmed)
+    return StartSign::Accepted;
+  return Run.Unclear ? StartSign::Unclear : StartSign::Sent;
+}
 
 } // namespace
 
@@ -114,8 +124,8 @@
 /// Drops the suspicion against runs of a worker whose incarnation goes on, or
 /// was ended on purpose.
 void PoolState::clearLost(const std::string &Worker) {
-  for (const SuspectRun &Run : Lost_.takeOthers(Worker, AnyIncarnation))
-    settleUnknown(Run);
+  for (const LostRun &Lost : Lost_.takeOthers(Worker, AnyIncarnation))
+    settleUnknown(Lost.Run);
 }
 
 /// Forgets that the outcome of the run was open.
@@ -136,20 +146,41 @@
     Outbox_.markChanged(*Job);
 }
 
-/// Runs on the worker that were younger than the suspicion age at its last
+/// Whether the run was younger than the suspicion age at the worker's last
 /// answer.
-std::vector<SuspectRun> PoolState::suspectsOn(const WorkerState &W) const {
-  std::vector<SuspectRun> Suspects;
+bool PoolState::isSuspectOn(const WorkerState &W, const LiveRun &Run) const {
   core::TimePoint AnsweredAt =
       earliestTimeOf(W.Clock, W.Clock.ShownMs).value_or(W.BornKnownAt);
+  return AnsweredAt - Run.OrderedAt < Limits_.SuspicionAge;
+}
+
+std::vector<SuspectRun> PoolState::suspectsOn(const WorkerState &W) const {
+  std::vector<SuspectRun> Suspects;
   for (const auto &[Job, Task] : W.Tasks)
     for (const LiveRun &Run : Job->Tasks[Task].Runs)
-      if (Run.Worker == W.Entry.Id && Run.SendAfter == 0 &&
-          AnsweredAt - Run.OrderedAt < Limits_.SuspicionAge)
-        Suspects.push_back({Job->Spec.Id, Task, Run.Run});
+      if (Run.Worker == W.Entry.Id && Run.SendAfter == 0 && isSuspectOn(W, Run))
+        Suspects.push_back(
+            {Job->Spec.Id, Task, Run.Run, signOf(Run), Run.OrderedAt});
   return Suspects;
 }
 
+/// The runs that the worker has now, and why those that are no suspects are
+/// none.
+CrashRecord PoolState::recordOf(const WorkerState &W) const {
+  CrashRecord Record;
+  Record.Runs = W.Tasks.size();
+  for (const auto &[Job, Task] : W.Tasks)
+    for (const LiveRun &Run : Job->Tasks[Task].Runs) {
+      if (Run.Worker != W.Entry.Id)
+        continue;
+      if (Run.SendAfter != 0)
+        ++Record.NotSent;
+      else if (!isSuspectOn(W, Run))
+        ++Record.TooOld;
+    }
+  return Record;
+}
+
 /// Has the suspects of a worker that stopped answering stored, since this owner
 /// may be gone by the time that the worker is known to have crashed.
 void PoolState::announceSuspects(const WorkerState &W) {
@@ -198,30 +229,34 @@
 }
 
 /// Counts the crashes of incarnations of the worker that have ended under these
-/// runs. \p Runs is the number of runs that were lost just now.
+/// runs. \p Record tells of the runs that were lost just now. \p NextBorn is
+/// the start time of the incarnation that followed; zero if that is another
+/// worker.
 void PoolState::settleLost(const WorkerState &W,
-                           std::vector<SuspectRun> Suspects, std::size_t Runs,
+                           const std::vector<LostRun> &Suspects,
+                           CrashRecord Record, std::int64_t NextBorn,
                            core::TimePoint Now) {
-  CrashRecord Record;
   Record.Worker = W.Entry.Id;
-  Record.Suspects = std::move(Suspects);
-  Record.Runs = std::max(Runs, Record.Suspects.size());
+  Record.Runs = std::max(Record.Runs, Suspects.size());
   if (Record.Runs == 0)
     return;
   CrashedAt_[W.Entry.Address] = Now;
   ++Counters_.Crashes;
-  for (const SuspectRun &Run : Record.Suspects)
-    countCrash(Run, Record, Now);
+  for (const LostRun &Lost : Suspects) {
+    Record.Suspects.push_back(Lost.Run);
+    countCrash({Lost.Run, W.Entry.Id, Lost.Born, NextBorn, Now}, Record);
+  }
   Events_.Crashes.push_back(std::move(Record));
 }
 
 /// Drops the runs of an incarnation that a later one has followed, and counts
 /// its crash and those of the ones before it.
-void PoolState::dropCrashed(WorkerState &W, core::TimePoint Now) {
+void PoolState::dropCrashed(WorkerState &W, std::int64_t NextBorn,
+                            core::TimePoint Now) {
   std::deque<std::int64_t> Ended = W.EarlierBorns;
   Ended.push_back(W.Born);
   dropEnded(
-      W, [&] { return Lost_.takeEnded(W.Entry.Id, Ended); }, Now);
+      W, [&] { return Lost_.takeEnded(W.Entry.Id, Ended); }, NextBorn, Now);
 }
 
 /// Drops the runs of a worker at whose address another one answered, and counts
@@ -229,21 +264,20 @@
 void PoolState::dropReplaced(WorkerState &W, core::TimePoint Now) {
   noteUnheard(W);
   dropEnded(
-      W, [&] { return Lost_.takeOthers(W.Entry.Id, AnyIncarnation); }, Now);
+      W, [&] { return Lost_.takeOthers(W.Entry.Id, AnyIncarnation); }, 0, Now);
 }
 
 /// An incarnation that left by order has not crashed.
 void PoolState::dropEnded(
-    WorkerState &W,
-    const std::function<std::vector<SuspectRun>()> &TakeSuspects,
-    core::TimePoint Now) {
+    WorkerState &W, const std::function<std::vector<LostRun>()> &TakeSuspects,
+    std::int64_t NextBorn, core::TimePoint Now) {
   bool Left = W.Ended || W.Entry.Draining || W.Born == 0;
-  std::size_t Runs = Left ? 0 : W.Tasks.size();
+  CrashRecord Record = Left ? CrashRecord() : recordOf(W);
   recordLoss(W, Now);
   dropRuns(W);
   if (Left)
     clearLost(W.Entry.Id);
-  settleLost(W, TakeSuspects(), Runs, Now);
+  settleLost(W, TakeSuspects(), std::move(Record), NextBorn, Now);
 }
 
 /// Counts the crashes of lost workers whose addresses have gone to others.
@@ -254,30 +288,37 @@
   for (const WorkerEntry &Entry : Entries)
     for (auto &[Id, W] : Workers_)
       if (W->Gone && Id != Entry.Id && W->Entry.Address == Entry.Address)
-        settleLost(*W, Lost_.takeOthers(Id, AnyIncarnation), 0, Now);
+        settleLost(*W, Lost_.takeOthers(Id, AnyIncarnation), {}, 0, Now);
 }
 
-void PoolState::countCrash(const SuspectRun &Run, CrashRecord &Record,
-                           core::TimePoint Now) {
+void PoolState::countCrash(const CountedRun &Counted, CrashRecord &Record) {
+  const SuspectRun &Run = Counted.Run;
   JobRecord *Job = jobOf(Run.JobId);
   if (!Job || Run.Task >= Job->Tasks.size() || isFinal(Job->Now))
     return;
   TaskProgress &Kept = Job->Tasks[Run.Task].Kept;
   std::vector<RunId> &Crashed = Kept.CrashedRuns;
-  bool Counted =
+  bool IsCounted =
       std::find(Crashed.begin(), Crashed.end(), Run.Run) != Crashed.end();
-  if (Kept.Done || Counted)
+  if (Kept.Done || IsCounted)
     return;
+  Counted_.push_back(Counted);
+  if (Counted_.size() > MaxCountedRuns)
+    Counted_.pop_front();
   Crashed.push_back(Run.Run);
   settleUnknown(Run);
   if (Kept.Announced && Kept.Announced->Run == Run.Run)
     Kept.Announced.reset();
   Job->Suspect = true;
-  Job->Tasks[Run.Task].SpreadUntil = Now + Limits_.SuspectWait;
+  Job->Tasks[Run.Task].SpreadUntil = Counted.CountedAt + Limits_.SuspectWait;
   Outbox_.markChanged(*Job);
   if (Job->ProgressUnread || countCrashes(*Job, Run.Task) < Limits_.MaxCrashes)
     return;
   Record.GivenUp.push_back(refOf(*Job, Run.Task));
+  auto [First, Last] = unitOf(*Job, Run.Task);
+  for (const CountedRun &C : Counted_)
+    if (C.Run.JobId == Run.JobId && C.Run.Task >= First && C.Run.Task < Last)
+      Record.Counted.push_back(C);
   ++Counters_.GivenUp;
   endJob(*Job, JobState::Failed);
 }
--- a/src/jobs/PoolEvents.h
+++ b/src/jobs/PoolEvents.h
@@ -40,8 +40,13 @@
   std::size_t Runs = 0;
   /// Runs that may have caused the crash.
   std::vector<SuspectRun> Suspects;
+  /// Runs that are no suspects, since they were too old or had not been sent.
+  std::size_t TooOld = 0;
+  std::size_t NotSent = 0;
   /// Tasks whose jobs have failed because of their crashes.
   std::vector<TaskRef> GivenUp;
+  /// The runs that were counted for these tasks, as far as they are remembered.
+  std::vector<CountedRun> Counted;
 };
 
 /// What has happened in a pool since its owner was last asked, each list oldest
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -88,6 +88,8 @@
     if (++W.UnansweredStarts >= Limits_.MaxUnanswered)
       W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
     // Otherwise a report has told what became of it.
+    if (Run)
+      Run->Unclear = true;
     if (Run && !Run->Confirmed)
       onUnansweredStart(W, *Run, Now);
     return;
@@ -233,7 +235,7 @@
   if (Report.Born != 0 && Report.Born != W.Born)
     startIncarnation(W, Report.Born, true, Now);
   if (!Lost_.isEmpty()) {
-    settleLost(W, Lost_.takeOthers(W.Entry.Id, W.Born), 0, Now);
+    settleLost(W, Lost_.takeOthers(W.Entry.Id, W.Born), {}, W.Born, Now);
     clearLost(W.Entry.Id);
   }
   recordReport(W.Clock, Report.ClockMs, SentAt, Now);
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -253,22 +253,24 @@
   std::vector<SuspectRun> unlistedStarts(const WorkerState &W) const;
   void keepUnlistedStart(JobRecord &Job, std::uint32_t Task, LiveRun Run,
                          core::TimePoint Now);
-  void dropCrashed(WorkerState &W, core::TimePoint Now);
+  void dropCrashed(WorkerState &W, std::int64_t NextBorn, core::TimePoint Now);
   void dropReplaced(WorkerState &W, core::TimePoint Now);
   void dropEnded(WorkerState &W,
-                 const std::function<std::vector<SuspectRun>()> &TakeSuspects,
-                 core::TimePoint Now);
+                 const std::function<std::vector<LostRun>()> &TakeSuspects,
+                 std::int64_t NextBorn, core::TimePoint Now);
+  CrashRecord recordOf(const WorkerState &W) const;
+  bool isSuspectOn(const WorkerState &W, const LiveRun &Run) const;
   void announceSuspects(const WorkerState &W);
   bool hasPossibleCrash(const JobRecord &Job) const;
   void noteUnheard(const WorkerState &W);
   bool mayHaveMissedCrash(core::TimePoint Now) const;
   void recordLoss(const WorkerState &W, core::TimePoint Now);
-  void settleLost(const WorkerState &W, std::vector<SuspectRun> Suspects,
-                  std::size_t Runs, core::TimePoint Now);
+  void settleLost(const WorkerState &W, const std::vector<LostRun> &Suspects,
+                  CrashRecord Record, std::int64_t NextBorn,
+                  core::TimePoint Now);
   void settleReplaced(std::span<const WorkerEntry> Entries,
                       core::TimePoint Now);
-  void countCrash(const SuspectRun &Run, CrashRecord &Record,
-                  core::TimePoint Now);
+  void countCrash(const CountedRun &Counted, CrashRecord &Record);
   void clearSuspicion(JobRecord &Job, std::uint32_t Task, LiveRun &Run,
                       core::TimePoint MadeAt);
   std::size_t countPossibleCrashes(const JobRecord &Job,
@@ -384,6 +386,8 @@
   /// Time of the latest event or planning round.
   core::TimePoint Now_;
   CrashLedger Lost_;
+  /// The runs that were counted last, oldest first.
+  std::deque<CountedRun> Counted_;
   /// A worker was lost, or has restarted, of whose runs this owner did not know
   /// all: it had not heard it, or not their jobs.
   bool MissedCrash_ = false;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -28,7 +28,7 @@
   for (const SuspectRun &Start : Unlisted)
     Runs.push_back(*findRun(*jobOf(Start.JobId), Start.Task, Start.Run));
   MissedCrash_ = MissedCrash_ || !W.Heard || !W.UnknownRuns.empty();
-  dropCrashed(W, Now);
+  dropCrashed(W, Born, Now);
   for (std::size_t N = 0; N < Runs.size(); ++N)
     keepUnlistedStart(*jobOf(Unlisted[N].JobId), Unlisted[N].Task, Runs[N],
                       Now);
@@ -185,7 +185,7 @@
     return;
   // Machines are taken away only from workers without runs.
   noteUnheard(W);
-  settleLost(W, Lost_.takeOthers(Id, AnyIncarnation), 0,
+  settleLost(W, Lost_.takeOthers(Id, AnyIncarnation), {}, 0,
              W.Gone ? W.GoneAt : Now_);
   dropRuns(W);
   W.UnknownRuns.clear();
--- a/tests/jobs/CrashAttributionTest.cpp
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -67,6 +67,47 @@
   CHECK(F.crashes(1) == 1);
 }
 
+TEST_CASE("a job that is given up names the runs that were counted") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  std::vector<std::string> Workers;
+  for (int Crash = 0; Crash < 3; ++Crash) {
+    Workers.push_back(F.workerOf(taskOf(1)));
+    REQUIRE(!Workers.back().empty());
+    F.B.advance(milliseconds(200));
+    F.crash(Workers.back());
+  }
+  std::vector<CrashRecord> Records = F.B.Owner.takeEvents().Crashes;
+  REQUIRE(Records.size() == 3);
+  CHECK(Records[1].Counted.empty());
+  REQUIRE(Records[2].Counted.size() == 3);
+  for (std::size_t N = 0; N < Workers.size(); ++N) {
+    const CountedRun &Run = Records[2].Counted[N];
+    CHECK(Run.Worker == Workers[N]);
+    CHECK(Run.Born + 1 == Run.NextBorn);
+    CHECK(Run.Run.Sign == StartSign::Listed);
+    REQUIRE(Run.Run.OrderedAt);
+    CHECK(Run.CountedAt - *Run.Run.OrderedAt >= milliseconds(200));
+  }
+}
+
+TEST_CASE("a crash tells why runs of the worker are no suspects") {
+  CrashFixture F({"w1"});
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  for (int Turn = 0; Turn < 10; ++Turn)
+    F.turn();
+  F.B.Owner.addJob(sampleJob(2), F.B.Now);
+  REQUIRE(!F.workerOf(taskOf(2)).empty());
+  F.crash("w1");
+  std::vector<CrashRecord> Records = F.B.Owner.takeEvents().Crashes;
+  REQUIRE(Records.size() == 1);
+  CHECK(Records[0].Runs == 2);
+  CHECK(Records[0].Suspects.size() == 1);
+  CHECK(Records[0].TooOld == 1);
+}
+
 TEST_CASE("a crash is stored with the job's progress") {
   CrashFixture F(FourWorkers);
   F.turn();
