Give each owner of a simulated history a clock of its own

What was missing: every owner of a history had the same clock, which had begun with the workers' clocks an hour before. So no history met an owner whose machine is younger than its workers, or one whose machine has just been started.

Change: each owner's machine was started 0 s, up to 20 s, up to an hour or up to 30 days before it takes the pool, and all times that are passed to it count from then. Workers have been up for an hour to 30 days at the begin of a history; after a restart their clocks begin anew, as on the platform. These times are drawn from random numbers of their own, so that histories differ from earlier ones in their clocks only. Always on, in all kinds. What passes between owners (AnnouncedRun::Waited) is a duration already.

The rule violation ZeroAtBoot is the code before as seen from outside: the first report of a worker that is older than the owner's machine shows the time since that was started, so that its clock seems to have shown zero then.

--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -1,5 +1,7 @@
 #include "jobs/PoolSimulation_p.h"
 
+#include "jobs/PoolTimes_p.h"
+
 #include <utility>
 
 namespace comfreydeck::jobs {
@@ -41,12 +43,18 @@
 constexpr std::int64_t FastClockMs = 200;
 /// How long before its end a run is listed as done, if it is too early.
 constexpr std::chrono::milliseconds EarlyDoneTime(100);
+/// How long workers have been up at the begin of a history.
+constexpr std::chrono::hours MinWorkerAge(1);
+constexpr std::chrono::hours MaxWorkerAge(30 * 24);
 
 } // namespace
 
 PoolSimulation::PoolSimulation(const SimulationOptions &Options)
-    : Options_(Options), Random_(Options.Seed) {
+    : Options_(Options), Random_(Options.Seed), ClockRandom_(Options.Seed) {
   addWorkers();
+  // Some are older than the machines of all owners.
+  for (Worker &W : Workers_)
+    W.BornAt = Now_ - milliseconds(drawMs(MinWorkerAge, MaxWorkerAge));
   if (!Options.LastingTasks)
     return;
   LastingJob_ = lastingJob();
@@ -73,6 +81,26 @@
     Result_.Fault = What;
 }
 
+core::TimePoint PoolSimulation::nowOf(const Owner &O) const {
+  return core::TimePoint(Now_ - O.BootedAt);
+}
+
+/// Separate random numbers, so that histories differ in their clocks only.
+std::int64_t PoolSimulation::drawMs(milliseconds From, milliseconds To) {
+  return std::uniform_int_distribution<std::int64_t>(From.count(),
+                                                     To.count())(ClockRandom_);
+}
+
+/// How long a new owner's machine has been up.
+core::Duration PoolSimulation::drawUptime() {
+  constexpr milliseconds Bounds[] = {milliseconds(0), std::chrono::seconds(20),
+                                     std::chrono::hours(1), MaxWorkerAge};
+  std::int64_t Kind = drawMs(milliseconds(0), milliseconds(3));
+  if (Kind == 0)
+    return core::Duration::zero();
+  return milliseconds(drawMs(Bounds[Kind - 1], Bounds[Kind]));
+}
+
 std::int64_t PoolSimulation::clockMs() const {
   return std::chrono::duration_cast<milliseconds>(Now_.time_since_epoch())
       .count();
@@ -278,7 +306,7 @@
   for (const OwnerPtr &O : Owners_)
     if (chance(0.7) || !O->Replaced)
       schedule(0, 1200, [this, O, Spec = specFor(Spec)] {
-        O->State->addJob(Spec, Now_);
+        O->State->addJob(Spec, nowOf(*O));
       });
 }
 
@@ -308,7 +336,8 @@
     Limits.IsolationCrashes = Limits.MaxCrashes + 1;
   if (Options_.ViolatedRule == RuleViolation::NoClearance)
     Limits.SuspicionAge = TotalTimeWithCrashes;
-  O->State = std::make_unique<PoolState>("pool", O->Token, Now_, Limits);
+  O->BootedAt = Now_ - drawUptime();
+  O->State = std::make_unique<PoolState>("pool", O->Token, nowOf(*O), Limits);
   auto Config = std::make_shared<FleetConfig>();
   Config->Pools.push_back({"pool", false, false});
   O->State->setConfig(Config);
@@ -336,19 +365,19 @@
     if (Options_.UnreadRows && inheritUnread(O, Spec)) {
       Read -= Read > 0 ? 1 : 0;
     } else if (Read > 0 || Progress) {
-      O->State->inheritJob(specFor(Spec), Progress, Now_);
+      O->State->inheritJob(specFor(Spec), Progress, nowOf(*O));
       Read -= Read > 0 ? 1 : 0;
     } else {
       schedule(0, 900, [this, O, Spec = specFor(Spec)] {
-        O->State->addJob(Spec, Now_);
+        O->State->addJob(Spec, nowOf(*O));
       });
     }
   }
   if (LastingJob_)
-    O->State->inheritJob(*LastingJob_, nullptr, Now_);
+    O->State->inheritJob(*LastingJob_, nullptr, nowOf(*O));
   if (Options_.ViolatedRule != RuleViolation::NoRoster)
     for (const auto &[Id, Entry] : Roster_)
-      O->State->addEnrolled(Entry, Now_);
+      O->State->addEnrolled(Entry, nowOf(*O));
   Owners_.push_back(O);
 }
 
@@ -360,19 +389,19 @@
   if (Stored_.count(Spec.Id) == 0 || !chance(0.3))
     return false;
   if (Options_.ViolatedRule == RuleViolation::NoHold) {
-    O->State->inheritJob(Told, nullptr, Now_);
+    O->State->inheritJob(Told, nullptr, nowOf(*O));
   } else if (chance(0.5)) {
     std::optional<JobState> State;
     if (chance(0.5))
       State = Stored_.at(Spec.Id).State;
-    O->State->holdJob(Told, State, Now_);
+    O->State->holdJob(Told, State, nowOf(*O));
     schedule(LeastMs, MostMs, [this, O, Id = Spec.Id] {
-      O->State->restoreJob(Id, Stored_.at(Id), Now_);
+      O->State->restoreJob(Id, Stored_.at(Id), nowOf(*O));
     });
   } else {
     O->State->awaitJob(Spec.Id);
     schedule(LeastMs, MostMs, [this, O, Told = std::move(Told)] {
-      O->State->inheritJob(Told, &Stored_.at(Told.Id), Now_);
+      O->State->inheritJob(Told, &Stored_.at(Told.Id), nowOf(*O));
     });
   }
   return true;
@@ -396,7 +425,7 @@
 void PoolSimulation::drive(const OwnerPtr &O) {
   if (O->State->isFenced())
     return;
-  O->State->setWorkers(listed(), Now_);
+  O->State->setWorkers(listed(), nowOf(*O));
   closeWorkers(O);
   loadPayloads(O);
   if (Options_.ViolatedRule == RuleViolation::FalseEnd)
@@ -404,18 +433,18 @@
       if (W.Partitioned)
         O->State->endIncarnation(W.Id);
   PlanInput In;
-  In.Now = Now_;
+  In.Now = nowOf(*O);
   In.WallMs = clockMs();
   if (Options_.ViolatedRule == RuleViolation::FastClock)
     In.WallMs += FastClockMs;
   if (!O->Replaced)
-    O->AuthorityEnd = Now_ + OwnerLimits().Authority;
+    O->AuthorityEnd = In.Now + OwnerLimits().Authority;
   In.AuthorityEnd = O->AuthorityEnd;
-  In.MayStart = Now_ < O->AuthorityEnd;
+  In.MayStart = In.Now < O->AuthorityEnd;
   // Reads are over a second old; all jobs accepted by then are known.
   In.JobsReadAt = Options_.ViolatedRule == RuleViolation::EarlyRead
-                      ? Now_ + milliseconds(1)
-                      : Now_ - milliseconds(1300);
+                      ? In.Now + milliseconds(1)
+                      : In.Now - milliseconds(1300);
   Orders Out = O->State->plan(In);
   Digest_.add(Out);
   PoolEvents Events = O->State->takeEvents();
@@ -473,7 +502,7 @@
   std::int64_t Born = worker(Id).Born;
   if (Options_.ViolatedRule == RuleViolation::EarlyAnswer)
     O->State->onStart(Order, {OrderOutcome::Accepted, clockMs(worker(Id))},
-                      Now_);
+                      nowOf(*O));
   auto Arrive = [this, O, Order, Id, Born](bool Answered) {
     Worker &W = worker(Id);
     bool Reached = W.Up && !W.Partitioned && W.Born == Born;
@@ -495,13 +524,13 @@
       return;
     bool Lost = !Reached || (mayFault() && chance(0.03));
     schedule(1, Lost ? 900 : 30, [this, O, Order, Result, Lost] {
-      O->State->onStart(Order, Lost ? OrderResult() : Result, Now_);
+      O->State->onStart(Order, Lost ? OrderResult() : Result, nowOf(*O));
     });
   };
   if (Late) {
     schedule(2000, 12000, [Arrive] { Arrive(false); });
     schedule(1000, 1000, [this, O, Order] {
-      O->State->onStart(Order, OrderResult(), Now_);
+      O->State->onStart(Order, OrderResult(), nowOf(*O));
     });
     return;
   }
@@ -527,13 +556,13 @@
         stop(W, It);
     }
     schedule(1, 30, [this, O, Order, Result] {
-      O->State->onStop(Order, Result, Now_);
+      O->State->onStop(Order, Result, nowOf(*O));
     });
   });
 }
 
 void PoolSimulation::sendHold(const OwnerPtr &O, const HoldOrder &Order) {
-  core::TimePoint SentAt = Now_;
+  core::TimePoint SentAt = nowOf(*O);
   if (Options_.LateReports && mayFault() && chance(0.1)) {
     std::int64_t Born = worker(Order.Worker).Born;
     schedule(2000, 12000, [this, Order, Born] {
@@ -543,7 +572,7 @@
     });
     auto Limit = static_cast<int>(core::inMs(Order.Wait)) + ReportSlackMs;
     schedule(Limit, Limit, [this, O, Order, SentAt] {
-      O->State->onReport(Order, ReportResult(), SentAt, Now_);
+      O->State->onReport(Order, ReportResult(), SentAt, nowOf(*O));
     });
     return;
   }
@@ -552,6 +581,10 @@
     ReportResult Result;
     if (W.Up && !W.Partitioned)
       Result = hold(W, Order);
+    if (Options_.ViolatedRule == RuleViolation::ZeroAtBoot &&
+        O->Heard.insert({Order.Worker, Result.Report.Born}).second)
+      Result.Report.ClockMs =
+          std::min(Result.Report.ClockMs, toMs(SentAt.time_since_epoch()));
     bool Lost = mayFault() && chance(0.03);
     int MaxMs = LastingJob_ ? 300 : 60;
     if (Options_.LateReports && chance(0.2))
@@ -559,7 +592,7 @@
     schedule(1, MaxMs, [this, O, Order, Result, SentAt, Lost] {
       bool Ordered = Options_.ViolatedRule != RuleViolation::NoRequestOrder;
       O->State->onReport(Order, Lost ? ReportResult() : Result,
-                         Ordered ? SentAt : Now_, Now_);
+                         Ordered ? SentAt : nowOf(*O), nowOf(*O));
     });
   });
 }
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -11,9 +11,9 @@
 #include <unordered_set>
 
 /// Simulates a pool with its workers, its stored progress and successive owners
-/// on a virtual clock. Orders get lost, delayed and reordered; workers crash,
-/// restart under the same id, with new clocks, and are removed; owners vanish
-/// or are partitioned.
+/// on a virtual clock. Each owner's clock begins when its machine was started.
+/// Orders get lost, delayed and reordered; workers crash, restart under the
+/// same id, with new clocks, and are removed; owners vanish or are partitioned.
 namespace comfreydeck::jobs {
 
 /// A protocol rule that an owner or the platform violates on purpose; the test
@@ -82,6 +82,9 @@
   OtherQueue,
   /// Jobs whose progress can't be read count as never run.
   NoHold,
+  /// The clocks of workers that have been up for longer than the owner's
+  /// machine count as having begun when that was started.
+  ZeroAtBoot,
 };
 
 struct SimulationOptions {
@@ -243,6 +246,9 @@
   struct Owner {
     std::unique_ptr<PoolState> State;
     std::uint64_t Token = 0;
+    /// When its machine was started; times passed to it count from then.
+    core::TimePoint BootedAt;
+    /// On its machine's clock.
     core::TimePoint AuthorityEnd;
     /// It still sends orders but can't store anything any more.
     bool Replaced = false;
@@ -252,6 +258,9 @@
     std::set<std::string> Loading;
     /// Workers that were closed, if they stay so to it.
     std::set<std::string> EverClosed;
+    /// Incarnations that have reported to it, if it takes the zeros of their
+    /// clocks for its own.
+    std::set<std::pair<std::string, std::int64_t>> Heard;
   };
   struct Event {
     core::TimePoint At;
@@ -268,6 +277,10 @@
   bool inheritUnread(const OwnerPtr &O, const JobSpec &Spec);
   bool chance(double Share);
   int draw(int From, int To);
+  std::int64_t drawMs(milliseconds From, milliseconds To);
+  core::Duration drawUptime();
+  /// The time on the clock of the owner's machine.
+  core::TimePoint nowOf(const Owner &O) const;
   void step();
   /// Whether orders and answers may be late or lost.
   bool mayFault() const;
@@ -358,6 +371,7 @@
 
   SimulationOptions Options_;
   std::mt19937_64 Random_;
+  std::mt19937_64 ClockRandom_;
   core::TimePoint Now_{std::chrono::hours(1)};
   std::set<Event> Events_;
   std::uint64_t EventCount_ = 0;
--- a/tests/jobs/PoolSimulationTest.cpp
+++ b/tests/jobs/PoolSimulationTest.cpp
@@ -28,7 +28,8 @@
                           ViolatedRule == RuleViolation::NoReportBeforeStart;
     Options.UnreadRows = ViolatedRule == RuleViolation::NoHold;
     Options.CrashingTasks = ViolatedRule == RuleViolation::NoCrashMemory ||
-                            ViolatedRule == RuleViolation::NoIsolation;
+                            ViolatedRule == RuleViolation::NoIsolation ||
+                            ViolatedRule == RuleViolation::ZeroAtBoot;
     Result = PoolSimulation(Options).simulate();
     if (!Result.Fault.empty())
       MESSAGE("seed ", Options.Seed, ": ", Result.Fault);
@@ -328,7 +329,7 @@
         RuleViolation::NoRoster, RuleViolation::NoStopWait,
         RuleViolation::NoCrashMemory, RuleViolation::NoIsolation,
         RuleViolation::NoRequestOrder, RuleViolation::NoReportBeforeStart,
-        RuleViolation::NoHold}) {
+        RuleViolation::NoHold, RuleViolation::ZeroAtBoot}) {
     CAPTURE(static_cast<int>(ViolatedRule));
     CHECK(search(ViolatedRule, Histories).Fault != "");
   }
--- a/tests/jobs/PoolSimulationWaits.cpp
+++ b/tests/jobs/PoolSimulationWaits.cpp
@@ -178,7 +178,8 @@
 }
 
 void PoolSimulation::failWait(const TaskRef &Task) {
-  PoolGauges Gauges = Owners_.back()->State->gauges(Now_, clockMs());
+  PoolGauges Gauges =
+      Owners_.back()->State->gauges(nowOf(*Owners_.back()), clockMs());
   const std::optional<TaskWait> &Seen = stepOf(Task).Lasting
                                             ? Gauges.LongestLastingWait
                                             : Gauges.LongestOtherWait;
