Stop a gang whose members wait in vain before its workers end them as alone

The owner didn't know that bound, and only lasting gangs were stopped when a member was missing.

The bound is passed on by the settings (`gang_timeout_ms`) into OwnerLimits. Members of a gang that ends by itself are stopped at once if another one has no run and none has made progress; of any gang, early enough before the bound if another one's start has no answer, or its worker has accepted the start and has answered nothing since.

The known-red test is replaced by one for each of not-sent, refused and another incarnation, which also asks that the gang starts anew, and by tests for starts without an answer, and for gangs that must not be stopped.

--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -23,6 +23,7 @@
   Limits.Lease = std::min(Limits.Lease, Settings.MaxLease);
   Limits.MaxLease = Settings.MaxLease;
   Limits.StopTime = Settings.StopTime;
+  Limits.GangTimeout = Settings.GangTimeout;
   Limits.RemoteFactor = Settings.RemoteFactor;
   return Limits;
 }
--- a/src/jobs/GangMoves.cpp
+++ b/src/jobs/GangMoves.cpp
@@ -10,9 +10,17 @@
 
 /// Once a member has ended, its workers end the others within this time.
 constexpr std::chrono::milliseconds BreakTime(1000);
+/// Time for the stops of a gang to reach its workers, also when one has to be
+/// repeated.
+constexpr std::chrono::milliseconds StopDelivery(600);
 
 } // namespace
 
+bool StartPlan::hasGang(const JobRecord &Job) {
+  return std::any_of(Job.Spec.Steps.begin(), Job.Spec.Steps.end(),
+                     [](const StepSpec &Step) { return Step.Gang; });
+}
+
 /// Whether a member has no run, or only ones that are being stopped, while
 /// another one still has one.
 bool StartPlan::isBreaking(const JobRecord &Job, std::uint32_t First) {
@@ -26,17 +34,85 @@
   return HasRun && HasEnded;
 }
 
-/// Lets lasting gangs of which a member has ended start again as a whole: keeps
-/// room for all members until then, and stops those that go on without it.
+/// When the first start of a member was sent; the maximum if none was.
+core::TimePoint StartPlan::gangStartedAt(const JobRecord &Job,
+                                         std::uint32_t First) {
+  core::TimePoint At = core::TimePoint::max();
+  for (std::uint32_t T = First; T < First + PoolState::stepOf(Job, First).Tasks;
+       ++T)
+    for (const LiveRun &Run : Job.Tasks[T].Runs)
+      if (Run.SendAfter == 0 && !Run.isWaiting())
+        At = std::min(At, Run.sentAt());
+  return At;
+}
+
+/// Whether a worker has told that it has the member, with no sign since that it
+/// may have lost it.
+bool StartPlan::isPresent(const JobRecord &Job, std::uint32_t Task) const {
+  const std::vector<LiveRun> &Runs = Job.Tasks[Task].Runs;
+  return std::any_of(Runs.begin(), Runs.end(), [&](const LiveRun &Run) {
+    return Run.Listed || (Run.Confirmed &&
+                          Owner_.Workers_.at(Run.Worker)->IncarnationConfirmed);
+  });
+}
+
+/// Whether members wait for another one that will not be there before their
+/// workers end them for it.
+bool StartPlan::waitsInVain(const JobRecord &Job, std::uint32_t First) const {
+  const StepSpec &Step = PoolState::stepOf(Job, First);
+  std::uint32_t Last = First + Step.Tasks;
+  core::TimePoint StartedAt = gangStartedAt(Job, First);
+  core::Duration Timeout = Owner_.Limits_.GangTimeout;
+  if (Step.Tasks == 1 || StartedAt == core::TimePoint::max() ||
+      In_.Now - StartedAt >= Timeout)
+    return false;
+  core::Duration StopsTake = Owner_.Limits_.StopTime + StopDelivery;
+  bool MustStop =
+      In_.Now - StartedAt >= std::max(Timeout - StopsTake, Timeout / 2);
+  bool IsMissing = false;
+  for (std::uint32_t T = First; T < Last; ++T) {
+    const std::vector<LiveRun> &Runs = Job.Tasks[T].Runs;
+    if (std::any_of(Runs.begin(), Runs.end(),
+                    [](const LiveRun &Run) { return Run.Percent > 0; }))
+      return false;
+    // An unanswered start may still be carried out in time.
+    bool HasNoStart = Runs.empty() && !Step.Lasting;
+    IsMissing = IsMissing || HasNoStart || (MustStop && !isPresent(Job, T));
+  }
+  return IsMissing;
+}
+
+/// Whether members go on though another one has long had no run, or wait for it
+/// in vain.
+bool StartPlan::isIncomplete(const JobRecord &Job, std::uint32_t First) const {
+  std::uint32_t Last = First + PoolState::stepOf(Job, First).Tasks;
+  bool HasRun = false;
+  bool HasLongEnded = false;
+  for (std::uint32_t T = First; T < Last; ++T) {
+    const TaskState &State = Job.Tasks[T];
+    HasRun = HasRun || !State.Runs.empty();
+    HasLongEnded = HasLongEnded || (State.Runs.empty() &&
+                                    In_.Now - State.WaitingSince >= BreakTime);
+  }
+  return HasRun && (HasLongEnded || waitsInVain(Job, First));
+}
+
+/// Lets gangs of which a member has ended or has not started start again as a
+/// whole: stops the members that go on without it, and keeps room for all
+/// members of a lasting gang until then.
 void StartPlan::planBreakingGangs() {
   std::vector<std::pair<JobRecord *, std::uint32_t>> Breaking;
   for (JobRecord *Job : Owner_.Open_) {
-    if (!Job->Spec.Steps.front().Lasting || isHeldBack(*Job))
+    if (!hasGang(*Job) || isHeldBack(*Job))
       continue;
     for (std::uint32_t First = 0; First < Job->Tasks.size();) {
       const StepSpec &Step = PoolState::stepOf(*Job, First);
-      if (Step.Gang && isBreaking(*Job, First))
-        Breaking.emplace_back(Job, First);
+      if (Step.Gang && !Job->Tasks[First].Kept.Done) {
+        if (isIncomplete(*Job, First))
+          stopRest(*Job, First);
+        if (Step.Lasting && isBreaking(*Job, First))
+          Breaking.emplace_back(Job, First);
+      }
       First += Step.Gang ? Step.Tasks : 1;
     }
   }
@@ -44,23 +120,15 @@
     return std::tie(A.first->Spec.Id, A.second) <
            std::tie(B.first->Spec.Id, B.second);
   });
-  for (const auto &[Job, First] : Breaking) {
-    stopRest(*Job, First);
+  for (const auto &[Job, First] : Breaking)
     holdGang(*Job, First);
-  }
 }
 
-/// Stops the members that go on though another one has long had no run: they
-/// can't be at work.
+/// Stops the members that are left, which can't be at work.
 void StartPlan::stopRest(JobRecord &Job, std::uint32_t First) {
-  std::uint32_t Last = First + PoolState::stepOf(Job, First).Tasks;
-  bool Broken = std::any_of(Job.Tasks.begin() + First, Job.Tasks.begin() + Last,
-                            [&](const TaskState &State) {
-                              return State.Runs.empty() &&
-                                     In_.Now - State.WaitingSince >= BreakTime;
-                            });
-  if (!Broken || !Owner_.mayRestart(Job))
+  if (!Owner_.mayRestart(Job))
     return;
+  std::uint32_t Last = First + PoolState::stepOf(Job, First).Tasks;
   for (std::uint32_t T = First; T < Last; ++T)
     for (LiveRun &Run : Job.Tasks[T].Runs)
       if (!Run.Stopping)
--- a/src/jobs/OwnerLimits.h
+++ b/src/jobs/OwnerLimits.h
@@ -75,6 +75,9 @@
   /// Maximum time, on the worker's clock, that a worker takes to carry out a
   /// stop it has accepted.
   core::Duration StopTime = std::chrono::milliseconds(400);
+  /// How long a worker lets a member of a gang wait for the others before it
+  /// ends it.
+  core::Duration GangTimeout = std::chrono::milliseconds(3000);
   /// Delay after a report request that was not sent.
   core::Duration WithheldRetry = std::chrono::milliseconds(50);
   /// Delay after a failed report request.
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -242,7 +242,13 @@
   void holdPlacesAhead(WorkerState &W);
   bool mayLeave(const JobRecord &Job, std::uint32_t Task) const;
   void moveLasting(WorkerState &W);
+  static bool hasGang(const JobRecord &Job);
   static bool isBreaking(const JobRecord &Job, std::uint32_t First);
+  static core::TimePoint gangStartedAt(const JobRecord &Job,
+                                       std::uint32_t First);
+  bool isPresent(const JobRecord &Job, std::uint32_t Task) const;
+  bool waitsInVain(const JobRecord &Job, std::uint32_t First) const;
+  bool isIncomplete(const JobRecord &Job, std::uint32_t First) const;
   void planBreakingGangs();
   void stopRest(JobRecord &Job, std::uint32_t First);
   class GangTakenOff;
--- a/src/settings/DispatchSettings.cpp
+++ b/src/settings/DispatchSettings.cpp
@@ -46,6 +46,7 @@
   R.milliseconds("revocation_ms", Out.Revocation, {500, 600000});
   R.milliseconds("max_lease_ms", Out.MaxLease, {500, 600000});
   R.milliseconds("stop_ms", Out.StopTime, {0, 60000});
+  R.milliseconds("gang_timeout_ms", Out.GangTimeout, {500, 600000});
   R.milliseconds("absence_ms", Out.AbsenceNotice, {0, 600000});
   R.real("remote_factor", Out.RemoteFactor, {1, MaxRemoteFactor});
   R.seconds("grace_s", Out.Grace, {1, 600});
--- a/src/settings/DispatchSettings.h
+++ b/src/settings/DispatchSettings.h
@@ -40,6 +40,8 @@
   core::Duration MaxLease = std::chrono::seconds(10);
   /// Maximum time that a worker takes to stop a task.
   core::Duration StopTime = std::chrono::milliseconds(400);
+  /// How long a worker lets a member of a gang wait for the others.
+  core::Duration GangTimeout = std::chrono::milliseconds(3000);
   /// A lasting task that is unavailable for longer counts as absent, whatever
   /// the cause.
   core::Duration AbsenceNotice = std::chrono::milliseconds(4500);
--- a/tests/jobs/GangPlacementTest.cpp
+++ b/tests/jobs/GangPlacementTest.cpp
@@ -126,33 +126,108 @@
   CHECK(B.plan().Starts.size() == 2);
 }
 
+namespace {
+
+/// A gang of two on two workers, whose starts are planned. No other worker has
+/// room.
+struct StartingGang : OwnerFixture {
+  static constexpr milliseconds Timeout{3000};
+  std::vector<StartOrder> Starts;
+
+  StartingGang() {
+    listWorkers({"w1", "w2"});
+    plan();
+    for (const char *Id : {"w1", "w2"})
+      report(Id);
+    Owner.onStored(Owner.takeChanges(10).Mark);
+    JobSpec Spec = sampleJob(1, 2);
+    Spec.Steps[0].Gang = true;
+    Spec.Steps[0].MaxPerWorker = 1;
+    Owner.addJob(Spec, Now);
+    Starts = plan().Starts;
+    REQUIRE(Starts.size() == 2);
+    answer(Starts[0], OrderOutcome::Accepted);
+  }
+
+  /// Plans every 100 ms while the first member's worker reports it at
+  /// \p Percent; returns when a member there is first told to stop, if it is
+  /// before the time is over.
+  std::optional<milliseconds> stoppedWithin(milliseconds Time,
+                                            std::uint32_t Percent = 0) {
+    for (milliseconds Passed(0); Passed < Time;) {
+      for (const StopOrder &Stop : plan().Stops)
+        if (Stop.Worker == Starts[0].Worker)
+          return Passed;
+      advance(milliseconds(100));
+      Passed += milliseconds(100);
+      report(Starts[0].Worker, {runReportOf(Starts[0], Percent)});
+    }
+    return std::nullopt;
+  }
+};
+
+} // namespace
+
 TEST_CASE("the members of a gang that have started wait alone for one whose "
-          "start was not sent" *
-          doctest::should_fail()) {
-  constexpr milliseconds GangTimeout(3000);
-  OwnerFixture B;
-  B.listWorkers({"w1", "w2"});
-  B.plan();
+          "start had no effect") {
+  StartingGang B;
+  SUBCASE("not sent") { B.answer(B.Starts[1], OrderOutcome::NotSent); }
+  SUBCASE("refused") { B.answer(B.Starts[1], OrderOutcome::NoRoom); }
+  SUBCASE("another incarnation") {
+    B.answer(B.Starts[1], OrderOutcome::OtherIncarnation);
+  }
+  CHECK(B.stoppedWithin(StartingGang::Timeout) == milliseconds(0));
+  EndReport End =
+      endReportOf(1, B.Starts[0].Task, B.Starts[0].Run, RunEnd::Stopped);
+  B.report(B.Starts[0].Worker, {}, {End});
+  B.advance(milliseconds(1000));
   for (const char *Id : {"w1", "w2"})
     B.report(Id);
-  B.Owner.onStored(B.Owner.takeChanges(10).Mark);
-  JobSpec Spec = sampleJob(1, 2);
-  Spec.Steps[0].Gang = true;
-  Spec.Steps[0].MaxPerWorker = 1;
-  B.Owner.addJob(Spec, B.Now);
-  std::vector<StartOrder> Starts = B.plan().Starts;
-  REQUIRE(Starts.size() == 2);
-  B.answer(Starts[0], OrderOutcome::Accepted);
-  B.answer(Starts[1], OrderOutcome::NotSent);
-  B.Owner.setClosedWorkers({Starts[1].Worker});
-  bool Stopped = false;
-  for (milliseconds Passed(0); Passed < GangTimeout && !Stopped;
-       Passed += milliseconds(100)) {
+  CHECK(B.plan().Starts.size() == 2);
+}
+
+TEST_CASE("the members of a gang that have started wait alone for one that may "
+          "never start") {
+  StartingGang B;
+  SUBCASE("its start has no answer") {
+    B.answer(B.Starts[1], OrderOutcome::Unknown);
+  }
+  SUBCASE("its start is under way") {}
+  SUBCASE("its worker has taken it and answers no more") {
+    B.answer(B.Starts[1], OrderOutcome::Accepted);
+    HoldOrder Asked;
+    Asked.Worker = B.Starts[1].Worker;
+    B.dropReport(Asked);
+  }
+  std::optional<milliseconds> At = B.stoppedWithin(StartingGang::Timeout);
+  REQUIRE(At);
+  // An answer may yet come.
+  CHECK(*At >= StartingGang::Timeout / 2);
+  CHECK(*At <= StartingGang::Timeout - milliseconds(600));
+}
+
+TEST_CASE("a gang that is at work is stopped for a worker that does not "
+          "answer") {
+  StartingGang B;
+  B.answer(B.Starts[1], OrderOutcome::Accepted);
+  HoldOrder Asked;
+  Asked.Worker = B.Starts[1].Worker;
+  std::uint32_t Percent = 0;
+  SUBCASE("it had reported its member") {
+    B.report(Asked.Worker, {runReportOf(B.Starts[1], 0)});
+  }
+  SUBCASE("another member has made progress") { Percent = 1; }
+  B.dropReport(Asked);
+  CHECK_FALSE(B.stoppedWithin(StartingGang::Timeout, Percent));
+}
+
+TEST_CASE("a gang whose members have all started is stopped") {
+  StartingGang B;
+  B.answer(B.Starts[1], OrderOutcome::Accepted);
+  for (int Turn = 0; Turn < 60; ++Turn) {
+    CHECK(B.plan().Stops.empty());
     B.advance(milliseconds(100));
-    B.report(Starts[0].Worker, {runReportOf(Starts[0], 0)});
-    Orders Planned = B.plan();
-    REQUIRE(Planned.Starts.empty());
-    Stopped = !Planned.Stops.empty();
+    for (const StartOrder &Start : B.Starts)
+      B.report(Start.Worker, {runReportOf(Start, 0)});
   }
-  CHECK(Stopped);
 }
--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -298,6 +298,7 @@
   OwnerLimits Limits;
   if (Options_.Racks)
     Limits.RemoteFactor = RemoteFactor;
+  Limits.GangTimeout = GangPatience;
   if (Options_.ViolatedRule == RuleViolation::NoWait)
     Limits.EarlierOrders = core::Duration::zero();
   if (Options_.ViolatedRule == RuleViolation::NoStopWait)
--- a/tests/settings/DeployTest.cpp
+++ b/tests/settings/DeployTest.cpp
@@ -59,6 +59,7 @@
                              {"{{Bounds.RevocationMs|json}}", "5000"},
                              {"{{Bounds.MaxHoldMs|json}}", "10000"},
                              {"{{Bounds.StopTimeoutMs|json}}", "400"},
+                             {"{{Bounds.GangTimeoutMs|json}}", "2500"},
                              {"{{Bounds.NoticeMs|json}}", "4500"},
                              {"{{Bounds.GracePeriodS|json}}", "6"},
                              {"{{Bounds.status_s|json}}", "120"}});
--- a/tests/settings/DispatchSettingsTest.cpp
+++ b/tests/settings/DispatchSettingsTest.cpp
@@ -48,6 +48,15 @@
   CHECK(parseDispatchSettings(Good).Cores == 0);
 }
 
+TEST_CASE("the time for which members of a gang wait for the others is not "
+          "read") {
+  std::string Text = Good;
+  const std::string Bounds = "\"bounds\": {";
+  Text.insert(Text.find(Bounds) + Bounds.size(), "\"gang_timeout_ms\": 1500, ");
+  CHECK(parseDispatchSettings(Text).GangTimeout ==
+        std::chrono::milliseconds(1500));
+}
+
 TEST_CASE(
     "the factor of remote tasks is read, and none below one is accepted") {
   std::string Text = Good;
