Decide by a time of day that the entries agree on

Due times, acceptance times, slack, demand and the keeping of ended jobs came from the system clock of one entry.

The decision time is now an offset to the store's steady clock, which its answers carry, held on the boot clock between them.

"due times follow the fleet's agreed time of day...", through a whole entry, fails with the decision time taken from the system clock (a trial copy): set back, the due job never starts; ahead, `CHECK( 1 == 0 )` starts of a job that is not due.

--- a/src/dispatch/Clock.cpp
+++ b/src/dispatch/Clock.cpp
@@ -6,9 +6,14 @@
 
 core::TimePoint bootNow() { return net::bootNow(); }
 
+core::Duration ownTimeOfDay() {
+  return std::chrono::duration_cast<core::Duration>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 std::int64_t wallMs() {
-  auto Now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Now).count();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(ownTimeOfDay())
+      .count();
 }
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/Clock.h
+++ b/src/dispatch/Clock.h
@@ -9,7 +9,11 @@
 /// Leases are measured on it. Thread-safe.
 core::TimePoint bootNow();
 
-/// Wall-clock time in Unix milliseconds; used only for due times. Thread-safe.
+/// This machine's own time of day, in Unix time. May be wrong and may step;
+/// decisions use \ref FleetClock. Thread-safe.
+core::Duration ownTimeOfDay();
+
+/// The same in milliseconds; for logs. Thread-safe.
 std::int64_t wallMs();
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/Context.h
+++ b/src/dispatch/Context.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_DISPATCH_CONTEXT_H
 #define COMFREYDECK_DISPATCH_CONTEXT_H
 
+#include "dispatch/FleetClock.h"
 #include "dispatch/JobMetrics.h"
 #include "dispatch/Ports.h"
 #include "net/HttpClient.h"
@@ -24,6 +25,7 @@
   JobMetrics &Count;
   /// Distinguishes this process from earlier ones with the same name.
   std::string Life;
+  FleetClock Clock = FleetClock();
 };
 
 /// Tables, partitions and keys of the rows that this product stores.
@@ -44,6 +46,8 @@
 /// Partitions of the entries' rows, which are written all the time: one alone
 /// takes 250 transactions a second, the heartbeats of some 170 entries.
 inline constexpr std::uint32_t EntryParts = 8;
+/// The agreed time of day as each entry knows it, in its row's partition.
+inline constexpr const char *TimePrefix = "time/";
 inline constexpr const char *LimitsPart = "limits";
 inline constexpr const char *PoolPrefix = "pool/";
 inline constexpr const char *OwnerKey = "owner";
--- a/src/dispatch/EntryMonitor.cpp
+++ b/src/dispatch/EntryMonitor.cpp
@@ -46,7 +46,8 @@
       {"loop_run_most_ms", core::inMs(F.Loop.Runs.Max)},
       {"loop_busy",
        core::inMs(F.Loop.Busy) / std::max(core::inMs(F.Period), 1.0)},
-      {"loop_failures", F.Loop.Failures}};
+      {"loop_failures", F.Loop.Failures},
+      {"own_time_error_ms", core::inMs(F.OwnTimeError)}};
   for (std::size_t T = 0; T < net::HttpTargetCount; ++T)
     if (F.Calls[T].Calls > 0)
       Fields.emplace_back(net::nameOf(static_cast<net::HttpTarget>(T)),
@@ -73,6 +74,7 @@
   EntryStats Stats;
   Stats.Period = Now - PublishedAt_;
   Stats.Loop = Ctx_.Loop.takeUsage();
+  Stats.OwnTimeError = Ctx_.Clock.ownError();
   Stats.Relay = Relay_.takeCounters();
   RelayCounters ForOthers = Forwarder_.takeCounters();
   Stats.Relay.Forwarded = ForOthers.Forwarded;
--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -205,6 +205,7 @@
   EntriesBefore_.clear();
   if (All) {
     EntriesBefore_.swap(Entries_);
+    AgreedTimes_.clear();
     Pools_.clear();
     Allotments_.clear();
   }
@@ -224,7 +225,13 @@
   const std::string &Part = Row.Where.Part;
   const std::string &Key = Row.Where.Key;
   try {
-    if (Part.starts_with(rows::EntryPrefix)) {
+    if (Key.starts_with(rows::TimePrefix)) {
+      std::string Name = Key.substr(std::string_view(rows::TimePrefix).size());
+      if (Row.Removed)
+        AgreedTimes_.erase(Name);
+      else
+        AgreedTimes_[Name] = decodeTime(Row);
+    } else if (Part.starts_with(rows::EntryPrefix)) {
       std::string Name = Key.substr(std::string_view(rows::EntryPrefix).size());
       if (Row.Removed) {
         Entries_.erase(Name);
@@ -265,6 +272,24 @@
   return Views;
 }
 
+std::vector<core::TimeReport>
+FleetView::timeReports(const std::string &Self,
+                       core::Duration DeadAfter) const {
+  core::TimePoint Now = bootNow();
+  std::map<std::string, core::TimeReport> ByEntry;
+  for (const auto &[Name, Agreed] : AgreedTimes_)
+    ByEntry[Name].Agreed = Agreed;
+  for (const auto &[Name, Entry] : Entries_)
+    if (Name != Self && jobs::isAlive(Entry, Now, DeadAfter)) {
+      ByEntry[Name].Alive = true;
+      ByEntry[Name].Own = Entry.OwnTime;
+    }
+  std::vector<core::TimeReport> Reports;
+  for (auto &[Name, Report] : ByEntry)
+    Reports.push_back(Report);
+  return Reports;
+}
+
 std::vector<jobs::PoolView> FleetView::pools() const {
   std::vector<jobs::PoolView> Views;
   if (!Config_)
@@ -346,15 +371,30 @@
 
 std::string FleetView::entryValue(const jobs::EntryView &Entry,
                                   std::uint64_t HeartbeatCount) {
-  return Json({{"life", Entry.Life},
-               {"peer", Entry.PeerAddress},
-               {"dc", Entry.DataCentre},
-               {"leaving", Entry.Leaving},
-               {"capacity", Entry.Capacity},
-               {"beat", HeartbeatCount}})
+  Json Object = {{"life", Entry.Life},         {"peer", Entry.PeerAddress},
+                 {"dc", Entry.DataCentre},     {"leaving", Entry.Leaving},
+                 {"capacity", Entry.Capacity}, {"beat", HeartbeatCount}};
+  if (Entry.OwnTime)
+    Object["own_time_us"] = Entry.OwnTime->count();
+  return Object.dump();
+}
+
+std::string FleetView::timeValue(const core::AgreedTime &Time) {
+  return Json({{"offset_us", Time.Offset.count()},
+               {"at_us", Time.At.count()},
+               {"sources", Time.Sources}})
       .dump();
 }
 
+core::AgreedTime FleetView::decodeTime(const store::PartRow &Row) {
+  Json Object = Json::parse(Row.Value);
+  core::AgreedTime Time;
+  Time.Offset = core::Duration(Object.at("offset_us").get<std::int64_t>());
+  Time.At = core::Duration(Object.at("at_us").get<std::int64_t>());
+  Time.Sources = Object.at("sources").get<std::uint32_t>();
+  return Time;
+}
+
 jobs::EntryView FleetView::decodeEntry(const store::PartRow &Row) {
   Json Object = Json::parse(Row.Value);
   jobs::EntryView Entry;
@@ -364,6 +404,8 @@
   Entry.DataCentre = Object.at("dc").get<std::string>();
   Entry.Leaving = Object.at("leaving").get<bool>();
   Entry.Capacity = Object.value("capacity", jobs::DefaultCapacity);
+  if (Object.contains("own_time_us"))
+    Entry.OwnTime = core::Duration(Object["own_time_us"].get<std::int64_t>());
   Entry.Version = Row.Version;
   return Entry;
 }
--- a/src/dispatch/FleetView.h
+++ b/src/dispatch/FleetView.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_DISPATCH_FLEETVIEW_H
 #define COMFREYDECK_DISPATCH_FLEETVIEW_H
 
+#include "core/TimeOfDay.h"
 #include "dispatch/Context.h"
 #include "dispatch/TableFollower.h"
 #include "jobs/OwnerChoice.h"
@@ -44,6 +45,13 @@
   core::TimePoint configCurrentAt() const { return Operators_.currentAt(); }
   core::TimePoint controlCurrentAt() const { return Control_.currentAt(); }
   bool isSynced() const;
+  /// Whether the rows of entries have been read.
+  bool isControlSynced() const { return Control_.isSynced(); }
+  /// What entries and earlier processes, also of entry \p Self, have stored
+  /// about the time of day. An entry counts as alive up to \p DeadAfter after
+  /// its last heartbeat.
+  std::vector<core::TimeReport> timeReports(const std::string &Self,
+                                            core::Duration DeadAfter) const;
   /// Age of the last read of the worker list, in milliseconds.
   std::int64_t workersAgeMs() const;
 
@@ -83,13 +91,18 @@
   static std::string ownerValue(const std::string &Name,
                                 const std::string &Life,
                                 const jobs::OwnerHistory &Earlier);
-  /// Also accepts rows without a capacity. Throws nlohmann::json::exception.
+  /// Also accepts rows without a capacity or a time. Throws
+  /// nlohmann::json::exception.
   static jobs::EntryView decodeEntry(const store::PartRow &Row);
   /// Value of a pool's owner row after its owner released it.
   static std::string releasedValue(std::uint64_t Token,
                                    const jobs::OwnerHistory &Earlier);
   static std::string entryValue(const jobs::EntryView &Entry,
                                 std::uint64_t HeartbeatCount);
+  /// Encode and decode the row of an entry's agreed time. Decoding throws
+  /// nlohmann::json::exception.
+  static std::string timeValue(const core::AgreedTime &Time);
+  static core::AgreedTime decodeTime(const store::PartRow &Row);
   static std::string allotmentValue(const TeamAllotment &Allotment);
   /// Also accepts rows without needs, as earlier releases write them; those
   /// read the parts of rows that have them. Throws nlohmann::json::exception.
@@ -126,6 +139,8 @@
   std::map<std::string, jobs::EntryView> Entries_;
   /// The entries before the full read whose rows are being applied.
   std::map<std::string, jobs::EntryView> EntriesBefore_;
+  /// By entry.
+  std::map<std::string, core::AgreedTime> AgreedTimes_;
   std::map<std::string, jobs::PoolView> Pools_;
   std::map<std::string, TeamAllotment> Allotments_;
   core::TimePoint ControlSeenAt_;
--- a/src/dispatch/JobMetrics.cpp
+++ b/src/dispatch/JobMetrics.cpp
@@ -80,6 +80,9 @@
   GaugeFamily &LoopWaitMost =
       gauges(Registry, "comfreydeck_job_loop_wait_most_seconds",
              "Longest sampled wait of the last period");
+  GaugeFamily &OwnTimeError =
+      gauges(Registry, "comfreydeck_job_own_time_error_seconds",
+             "The machine's own time of day less the agreed one");
   GaugeFamily &LoopBusy = gauges(
       Registry, "comfreydeck_job_loop_busy_share",
       "Estimated share of the last period in which the control thread worked");
@@ -311,6 +314,7 @@
   I.LoopWaitMost.Add({}).Set(inSeconds(F.Loop.Waits.Max));
   double Period = std::max(inSeconds(F.Period), 1 / MsInSecond);
   I.LoopBusy.Add({}).Set(inSeconds(F.Loop.Busy) / Period);
+  I.OwnTimeError.Add({}).Set(inSeconds(F.OwnTimeError));
   I.LoopFailures.Add({}).Increment(static_cast<double>(F.Loop.Failures));
   const std::pair<const char *, std::uint64_t> Relayed[] = {
       {"given", F.Relay.Orders},
--- a/src/dispatch/JobMetrics.h
+++ b/src/dispatch/JobMetrics.h
@@ -64,6 +64,8 @@
   net::LoopUsage Loop;
   std::array<net::HttpCounts, net::HttpTargetCount> Calls{};
   RelayCounters Relay;
+  /// By how far the machine's own time of day differs from the one decided by.
+  core::Duration OwnTimeError{0};
 };
 
 /// Prometheus metrics of one entry of the job path. Every method is
--- a/src/dispatch/JobSubmission.cpp
+++ b/src/dispatch/JobSubmission.cpp
@@ -51,7 +51,7 @@
   Spec.Queue = C->Queue->Name;
   Spec.Pool = C->Queue->Pool;
   Spec.Team = C->Team;
-  Spec.AcceptedMs = wallMs();
+  Spec.AcceptedMs = Ctx_.Clock.nowMs();
   Spec.MaxAttempts = C->Queue->MaxAttempts;
   Spec.Priority = C->Queue->Priority;
   Spec.SlackFactor = C->Queue->SlackFactor;
--- a/src/dispatch/Ownership.cpp
+++ b/src/dispatch/Ownership.cpp
@@ -68,6 +68,7 @@
   Me.PeerAddress = Ctx_.Settings.Peers;
   Me.DataCentre = Ctx_.Settings.DataCentre;
   Me.Leaving = Leaving_;
+  Me.OwnTime = Ctx_.Clock.ownReport();
   if (Ctx_.Settings.Cores > 0 && Ctx_.Settings.LinkMbps > 0)
     Me.Capacity = jobs::capacityOf(Ctx_.Settings.Cores, Ctx_.Settings.LinkMbps);
   return Me;
@@ -82,16 +83,38 @@
   T.Puts.push_back(
       {{rows::Control, rows::entryPart(Me.Name), rows::EntryPrefix + Me.Name},
        FleetView::entryValue(Me, ++HeartbeatCount_)});
-  Ctx_.Store.commit(std::move(T), HeartbeatWriteTimeout,
-                    [this](PartAnswer Answer) {
-                      Ctx_.Loop.post([this, Outcome = Answer.Outcome] {
-                        HeartbeatInFlight_ = false;
-                        Registered_ = Registered_ || Outcome == PartOutcome::Ok;
-                      });
-                    });
+  std::optional<core::AgreedTime> Agreed = Ctx_.Clock.agreedToStore();
+  if (Agreed)
+    T.Puts.push_back(
+        {{rows::Control, rows::entryPart(Me.Name), rows::TimePrefix + Me.Name},
+         FleetView::timeValue(*Agreed)});
+  core::TimePoint SentAt = bootNow();
+  Ctx_.Store.commit(
+      std::move(T), HeartbeatWriteTimeout,
+      [this, Agreed, SentAt](const PartAnswer &Answer) {
+        Ctx_.Loop.post([this, Agreed, SentAt, ReceivedAt = bootNow(),
+                        Outcome = Answer.Outcome, Clock = Answer.Clock] {
+          HeartbeatInFlight_ = false;
+          if (Clock)
+            Ctx_.Clock.observeStore({SentAt, ReceivedAt, *Clock});
+          if (Outcome != PartOutcome::Ok)
+            return;
+          // Pools are taken from now on, by the agreed time if there is one.
+          reviewTime();
+          Registered_ = true;
+          if (Agreed)
+            Ctx_.Clock.noteStored(*Agreed);
+        });
+      });
+}
+
+void Ownership::reviewTime() {
+  if (View_.isControlSynced())
+    Ctx_.Clock.review(View_.timeReports(Ctx_.Settings.Name, HeartbeatTimeout));
 }
 
 void Ownership::review() {
+  reviewTime();
   dropLostPools();
   takePools();
   View_.followWorkersClosely(!Controllers_.empty());
--- a/src/dispatch/Ownership.h
+++ b/src/dispatch/Ownership.h
@@ -59,6 +59,7 @@
 
 private:
   void heartbeat();
+  void reviewTime();
   void writeHeartbeat();
   void takePools();
   void reclaimPools();
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -251,7 +251,7 @@
 void Peers::askLoad(const std::string &Pool,
                     std::function<void(const OwnerLoad &)> Done) {
   if (auto Controller = Owners_.controller(Pool)) {
-    Done({Controller->state().load(bootNow(), wallMs()), {}});
+    Done({Controller->state().load(bootNow(), Ctx_.Clock.nowMs()), {}});
     return;
   }
   ask(Pool, Json({{"pool", Pool}, {"load", true}}).dump(), LoadLimit,
@@ -305,7 +305,8 @@
                  {"token", Controller->token()},
                  {"clear", Clear}};
     if (Object.contains("load"))
-      Body["load"] = encodeLoad(Controller->state().load(bootNow(), wallMs()));
+      Body["load"] =
+          encodeLoad(Controller->state().load(bootNow(), Ctx_.Clock.nowMs()));
     return net::jsonResponse(StatusOk, Body.dump());
   } catch (const std::exception &E) {
     logEvent("peer_call_unreadable", {{"error", E.what()}});
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -155,7 +155,7 @@
   Ctx_.Workers.dropUnsent(State_.pool());
   if (EarlierOwners_)
     EarlierOwners_->cancel();
-  Monitor_.end(State_, bootNow(), wallMs());
+  Monitor_.end(State_, bootNow(), Ctx_.Clock.nowMs());
 }
 
 void PoolController::loseOwnership(const char *Why) {
@@ -177,7 +177,7 @@
   core::TimePoint Now = bootNow();
   Rereader_.readDue(Now);
   Monitor_.recordUnapplied(Unapplied_.stats(Now));
-  Monitor_.publishIfDue(State_, Now, wallMs());
+  Monitor_.publishIfDue(State_, Now, Ctx_.Clock.nowMs());
 }
 
 void PoolController::schedulePlan() {
@@ -208,7 +208,7 @@
   Payloads_.loadMissing();
   jobs::PlanInput In;
   In.Now = bootNow();
-  In.WallMs = wallMs();
+  In.WallMs = Ctx_.Clock.nowMs();
   In.AuthorityEnd = authorityEnd();
   In.MayStart = !Leaving_ && In.Now < In.AuthorityEnd;
   In.JobsReadAt = Jobs_.currentAt();
--- a/src/dispatch/TeamAllotments.cpp
+++ b/src/dispatch/TeamAllotments.cpp
@@ -104,7 +104,7 @@
   std::optional<core::Resources> Needed;
   if (State.isSettled() && !jobs::covers(Part, Team.UpperLimit, Use, Demand))
     Needed = jobs::neededPart(Part, Team.UpperLimit, Use,
-                              State.teamUnits(Team.Name, wallMs()));
+                              State.teamUnits(Team.Name, Ctx_.Clock.nowMs()));
   core::TimePoint Now = bootNow();
   std::pair<std::string, std::string> Key = {Team.Name, State.pool()};
   if (!Needed)
@@ -126,7 +126,7 @@
   const jobs::PoolState &State = Controller.state();
   const std::string &Pool = State.pool();
   core::Resources Use = State.teamUse(Team.Name);
-  core::Resources Demand = State.teamDemand(Team.Name, wallMs());
+  core::Resources Demand = State.teamDemand(Team.Name, Ctx_.Clock.nowMs());
   core::Resources Held = Next.ByPool[Pool];
   jobs::TurnWatch &Watch = Turns_[Team.Name];
   jobs::PoolNeeds Needs = currentNeeds(Next);
--- a/src/jobs/OwnerChoice.h
+++ b/src/jobs/OwnerChoice.h
@@ -4,6 +4,7 @@
 #include "core/Types.h"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -31,6 +32,8 @@
   bool Leaving = false;
   /// CPU available for the pools it owns, in thousandths of a core.
   std::uint32_t Capacity = DefaultCapacity;
+  /// Its own time of day less the store's clock; nothing if unknown.
+  std::optional<core::Duration> OwnTime = {};
   /// Version of its row; increases with each heartbeat.
   std::uint64_t Version = 0;
   /// When a new heartbeat was last observed.
--- a/src/store/PartitionedStore.h
+++ b/src/store/PartitionedStore.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -82,6 +83,9 @@
   std::uint64_t Version = 0;
   /// Description of the refusal or failure; for logs.
   std::string Error;
+  /// What the store's steady clock showed, which is common to all its clients;
+  /// nothing if the answer doesn't say.
+  std::optional<std::chrono::milliseconds> Clock;
 };
 
 using PartCallback = std::function<void(PartAnswer)>;
--- a/tests/adapter/FakePlatform.cpp
+++ b/tests/adapter/FakePlatform.cpp
@@ -132,6 +132,18 @@
   return Object;
 }
 
+std::chrono::milliseconds FakeStore::clock() {
+  return std::chrono::duration_cast<milliseconds>(
+             net::bootNow().time_since_epoch()) +
+         std::chrono::hours(30);
+}
+
+std::string FakeStore::answerBody(Json Fields) const {
+  Fields["RowVersion"] = Version_;
+  Fields["CurrentTimeMs"] = clock().count();
+  return Fields.dump();
+}
+
 net::HttpResponse FakeStore::commit(const Json &Body) {
   std::lock_guard<std::mutex> Lock(Mutex_);
   auto RowKeyOf = [](const Json &Entry) {
@@ -150,9 +162,8 @@
       Current.push_back(rowJson(It->first, It->second));
   }
   if (!Matches)
-    return net::jsonResponse(
-        StatusPreconditionFailed,
-        Json({{"rows", Current}, {"RowVersion", Version_}}).dump());
+    return net::jsonResponse(StatusPreconditionFailed,
+                             answerBody({{"rows", Current}}));
   ++Version_;
   for (const char *Changes : {"Puts", "Remove"})
     for (const Json &Entry : Body.at(Changes))
@@ -161,7 +172,7 @@
     Rows_[RowKeyOf(Entry)] = {Entry.at("Value"), Version_, false};
   for (const Json &Entry : Body.at("Remove"))
     Rows_[RowKeyOf(Entry)] = {"", Version_, true};
-  return net::jsonResponse(StatusOk, Json({{"RowVersion", Version_}}).dump());
+  return net::jsonResponse(StatusOk, answerBody(Json::object()));
 }
 
 net::HttpResponse
@@ -183,10 +194,8 @@
     if (!It->second.Removed)
       Rows.push_back(rowJson(It->first, It->second));
   }
-  return net::jsonResponse(
-      StatusOk,
-      Json({{"rows", Rows}, {"HasMore", More}, {"RowVersion", Version_}})
-          .dump());
+  return net::jsonResponse(StatusOk,
+                           answerBody({{"rows", Rows}, {"HasMore", More}}));
 }
 
 void FakeStore::serveFeed(const std::map<std::string, std::string> &Query,
@@ -215,8 +224,7 @@
                   });
     return;
   }
-  Respond(net::jsonResponse(
-      StatusOk, Json({{"rows", Rows}, {"RowVersion", Version_}}).dump()));
+  Respond(net::jsonResponse(StatusOk, answerBody({{"rows", Rows}})));
 }
 
 // A worker.
--- a/tests/adapter/FakePlatform.h
+++ b/tests/adapter/FakePlatform.h
@@ -30,6 +30,8 @@
   /// Commits the next \p Count transactions \p Delay later, if their conditions
   /// hold then, without answering them.
   void applyLate(int Count, core::Duration Delay);
+  /// What the store's clock shows.
+  static std::chrono::milliseconds clock();
   /// Drops the changes so far from the feed, which then answers 410 to a reader
   /// that is behind.
   void dropHistory();
@@ -50,6 +52,8 @@
   void serveFeed(const std::map<std::string, std::string> &Query,
                  int RemainingMs, const net::HttpResponder &Respond);
   nlohmann::json rowJson(const RowKey &Where, const Row &Stored) const;
+  /// The body of an answer about rows.
+  std::string answerBody(nlohmann::json Fields) const;
 
   net::Loop &Timers_;
   std::mutex Mutex_;
--- a/tests/adapter/JobPathTest.cpp
+++ b/tests/adapter/JobPathTest.cpp
@@ -6,6 +6,7 @@
 #include "dispatch/Clock.h"
 #include "dispatch/Context.h"
 #include "dispatch/DispatchEntry.h"
+#include "dispatch/FleetView.h"
 #include "standins/LoopbackPorts.h"
 
 #include <doctest/doctest.h>
@@ -321,6 +322,51 @@
   }
 }
 
+TEST_CASE("due times follow the fleet's agreed time of day, not that of an "
+          "owner whose machine is set back or ahead") {
+  constexpr std::int64_t HourMs = 3600000;
+  std::int64_t OwnMs = dispatch::wallMs();
+  bool IsDue = false;
+  core::AgreedTime Agreed;
+  Agreed.Sources = 9;
+  Agreed.At = FakeStore::clock();
+  jobs::JobSpec Spec;
+  Spec.Id = TestCluster::idOf(1);
+  Spec.Pool = "p";
+  Spec.Queue = "r";
+  Spec.Team = "t";
+  Spec.Steps.resize(1);
+  Spec.Repetitions = 1;
+  SUBCASE("set back") {
+    IsDue = true;
+    Spec.FirstDueMs = OwnMs + HourMs;
+    Agreed.Offset = std::chrono::hours(2);
+  }
+  SUBCASE("ahead") {
+    Spec.FirstDueMs = OwnMs - HourMs;
+    Agreed.Offset = -std::chrono::hours(2);
+  }
+  Agreed.Offset += std::chrono::milliseconds(OwnMs) - FakeStore::clock();
+  Spec.AcceptedMs = Spec.FirstDueMs - HourMs / 2;
+  TestCluster Cluster(0);
+  store::PartTransaction T;
+  T.Puts.push_back({{dispatch::rows::Control, dispatch::rows::entryPart("e0"),
+                     std::string(dispatch::rows::TimePrefix) + "e0"},
+                    dispatch::FleetView::timeValue(Agreed)});
+  Cluster.commit(std::move(T));
+  T = {};
+  T.Puts.push_back(
+      {{dispatch::rows::Jobs, dispatch::rows::jobPart(Spec.Id), Spec.Id},
+       codec::encodeJob(Spec)});
+  Cluster.commit(std::move(T));
+  Cluster.addEntry();
+  Cluster.submit(0, 2);
+  waitUntil([&] {
+    return Cluster.isCompleted(0, 2) && (!IsDue || Cluster.isCompleted(0, 1));
+  });
+  CHECK(Cluster.starts().count(Spec.Id + ".0.0.0") == (IsDue ? 1 : 0));
+}
+
 TEST_CASE("an entry that starts anew runs nothing twice beside a worker whose "
           "row has lapsed") {
   constexpr int LongMs = 60000;
--- a/tests/dispatch/FleetViewTest.cpp
+++ b/tests/dispatch/FleetViewTest.cpp
@@ -1,6 +1,8 @@
 #include "dispatch/FleetView.h"
 
+#include "dispatch/ConfigDecoder.h"
 #include "dispatch/InMemoryStore.h"
+#include "dispatch/LoopCalls.h"
 #include "dispatch/SilentWorkers.h"
 #include "net/HttpClient.h"
 
@@ -50,7 +52,7 @@
                  }};
 
   ViewFixture() {
-    Rows.Operator = [](const store::PartRow &) { return OperatorRow(); };
+    Rows.Operator = decoderOf(configOf({"p"})).Operator;
     Rows.WorkerWithoutHeartbeat = [](const std::string &Value) {
       return Value.substr(0, Value.find(HeartbeatMark));
     };
@@ -64,6 +66,7 @@
       Entry.Draining = Row.Value.starts_with("draining");
       return Entry;
     };
+    Store.put({"op", "", "config"}, "");
     putWorker("w1", "ready#1");
     putWorker("w2", "ready#1");
     Loop.start();
@@ -138,6 +141,36 @@
   CHECK(Read.Leaving);
 }
 
+TEST_CASE("an entry's row carries its own time of day, and one without it can "
+          "be decoded") {
+  jobs::EntryView Entry;
+  auto Read = [&] {
+    return FleetView::decodeEntry(entryRow(FleetView::entryValue(Entry, 3)));
+  };
+  CHECK_FALSE(Read().OwnTime);
+  Entry.OwnTime = core::Duration(-5);
+  CHECK(Read().OwnTime == Entry.OwnTime);
+}
+
+TEST_CASE("a row of an agreed time is no entry, and counts for the entry that "
+          "wrote it") {
+  ViewFixture B;
+  B.Store.put({rows::Control, rows::entryPart("e1"),
+               std::string(rows::TimePrefix) + "e1"},
+              FleetView::timeValue({core::Duration(7), core::Duration(8), 3}));
+  std::vector<core::TimeReport> Reports;
+  waitUntil(B.Loop, [&] {
+    Reports = B.View.timeReports("e2", std::chrono::seconds(1));
+    return !Reports.empty();
+  });
+  REQUIRE(Reports.size() == 1);
+  REQUIRE(Reports[0].Agreed);
+  CHECK(Reports[0].Agreed->Offset == core::Duration(7));
+  CHECK(Reports[0].Agreed->Sources == 3);
+  CHECK_FALSE(Reports[0].Alive);
+  B.on([&] { CHECK(B.View.entries().empty()); });
+}
+
 TEST_CASE("a team's row without needs can be read, and one with needs gives an "
           "earlier release the parts") {
   auto Read = [](const std::string &Value) {
--- a/tests/dispatch/InMemoryStore.h
+++ b/tests/dispatch/InMemoryStore.h
@@ -50,6 +50,12 @@
     std::lock_guard<std::mutex> Lock(Mutex_);
     Rows_[Where] = {Where, "", ++Version_, true};
   }
+  /// What the store's clock shows.
+  static std::chrono::milliseconds clock() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               net::bootNow().time_since_epoch()) +
+           std::chrono::hours(30);
+  }
   std::uint32_t readCount() const {
     std::lock_guard<std::mutex> Lock(Mutex_);
     return ReadCount_;
@@ -234,6 +240,7 @@
         Rows_[Key] = {Key, "", Version_, true};
     }
     Answer.Version = Version_;
+    Answer.Clock = clock();
     return Answer;
   }
   static bool isTooLong(const store::PartTransaction &T) {
@@ -282,6 +289,7 @@
     store::PartAnswer Answer;
     Answer.Outcome = store::PartOutcome::Ok;
     Answer.Version = Version_;
+    Answer.Clock = clock();
     for (const auto &[Where, Row] : Rows_)
       if (IsWanted(Row))
         Answer.Rows.push_back(Row);
