Stop the runs of a job that is cancelled while its row can't be read

It now remembers the cancellation of an awaited job, and stops its runs once a second until no report lists them. Their ends stay on the worker, as before.

There is no test over a whole owner (PoolControllerTest), and the histories have no cancels of unread jobs.

--- a/src/jobs/HeldJobs.cpp
+++ b/src/jobs/HeldJobs.cpp
@@ -5,6 +5,14 @@
 
 namespace comfreydeck::jobs {
 
+namespace {
+
+/// Interval of the stops of a run whose job is unknown, until no report lists
+/// it.
+constexpr std::chrono::milliseconds UnknownStopRetry(1000);
+
+} // namespace
+
 void PoolState::holdJob(const JobSpec &Spec, std::optional<JobState> Stored,
                         core::TimePoint Now) {
   if (Jobs_.count(Spec.Id) != 0)
@@ -70,6 +78,29 @@
   return Awaited_.count(Id) != 0 || (Job && Job->ProgressUnread);
 }
 
+/// Whether the job can't be added yet and was cancelled.
+bool PoolState::isCancelledAwaited(const std::string &Id) const {
+  auto At = Awaited_.find(Id);
+  return At != Awaited_.end() && At->second;
+}
+
+/// Stops the worker's runs of cancelled jobs that can't be added yet.
+void PoolState::planUnknownStops(WorkerState &W, core::TimePoint Now,
+                                 Orders &Out) {
+  auto MustStop = [this](const RunReport &Run) {
+    return isCancelledAwaited(Run.Task.JobId);
+  };
+  if (std::none_of(W.UnknownRuns.begin(), W.UnknownRuns.end(), MustStop))
+    return;
+  if (W.StopUnknownAt <= Now) {
+    for (const RunReport &Run : W.UnknownRuns)
+      if (MustStop(Run))
+        Out.Stops.push_back({W.Entry.Id, Run.Task, Run.Run, fenceOf(W)});
+    W.StopUnknownAt = Now + UnknownStopRetry;
+  }
+  NextStopAt_ = std::min(NextStopAt_, W.StopUnknownAt);
+}
+
 /// Whether the worker alone can tell a later owner of an end of such a job.
 bool PoolState::hasAwaitedEnds(const WorkerState &W) const {
   return std::any_of(
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -125,6 +125,7 @@
         Run.StopSentAt = In.Now;
         Out.Stops.push_back({Id, refOf(*Job, Task), Run.Run, fenceOf(*W)});
       }
+    planUnknownStops(*W, In.Now, Out);
   }
 }
 
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -365,6 +365,7 @@
   std::uint32_t Task = Job ? indexOf(*Job, Report.Task) : 0;
   if (!Job || Task >= Job->Tasks.size()) {
     W.UnknownRuns.push_back(Report);
+    StopsChanged_ = StopsChanged_ || isCancelledAwaited(Report.Task.JobId);
     return;
   }
   LiveRun *Run = findRun(*Job, Task, Report.Run);
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -119,6 +119,10 @@
 
 void PoolState::cancelJob(const std::string &Id) {
   JobRecord *Job = jobOf(Id);
+  if (auto Awaited = Awaited_.find(Id); Awaited != Awaited_.end()) {
+    Awaited->second = true;
+    StopsChanged_ = true;
+  }
   if (Job && Job->ProgressUnread) {
     Job->CancelWanted = true;
     StopsChanged_ = true;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -9,6 +9,7 @@
 #include "jobs/PoolSizes.h"
 #include "jobs/ProgressOutbox.h"
 
+#include <map>
 #include <span>
 #include <utility>
 
@@ -46,10 +47,12 @@
   /// acknowledged until it is.
   void awaitJob(const std::string &Id) {
     if (Jobs_.count(Id) == 0)
-      Awaited_.insert(Id);
+      Awaited_.try_emplace(Id, false);
   }
   /// Records that no such job will be added here.
   void forgetAwaited(const std::string &Id) { Awaited_.erase(Id); }
+  /// Cancels the job. One that can't be added yet has its runs stopped; call
+  /// again once it is added.
   void cancelJob(const std::string &Id);
   /// Open jobs that can't start before their payload is set.
   std::vector<std::string> jobsWithoutPayload() const;
@@ -203,6 +206,8 @@
   void applyEarlyReports(const JobRecord &Job, core::TimePoint Now);
   void applyKept(JobRecord &Job, const JobProgress &Kept, core::TimePoint Now);
   bool isAwaited(const std::string &Id) const;
+  bool isCancelledAwaited(const std::string &Id) const;
+  void planUnknownStops(WorkerState &W, core::TimePoint Now, Orders &Out);
   bool hasAwaitedEnds(const WorkerState &W) const;
   void openJob(JobRecord &Job);
   void closeJob(JobRecord &Job);
@@ -357,8 +362,8 @@
   ProgressOutbox Outbox_{Jobs_, Workers_};
   /// Jobs that have not ended, in no particular order.
   std::vector<JobRecord *> Open_;
-  /// Jobs that exist and can't be added yet.
-  std::set<std::string> Awaited_;
+  /// Jobs that exist and can't be added yet, and whether they were cancelled.
+  std::map<std::string, bool> Awaited_;
   /// Upper bound on the number of open jobs whose payload is missing.
   std::size_t MissingPayloads_ = 0;
   /// Jobs that have ended, by acceptance time and number.
--- a/src/jobs/WorkerState.h
+++ b/src/jobs/WorkerState.h
@@ -88,6 +88,9 @@
   /// Reported runs whose jobs are unknown, possibly because they are not loaded
   /// yet.
   std::vector<RunReport> UnknownRuns;
+  /// Earliest time to send the next stops of those among them whose jobs were
+  /// cancelled.
+  core::TimePoint StopUnknownAt;
   core::Resources Used;
   std::uint32_t Serving = 0;
   std::uint32_t Lasting = 0;
--- a/tests/jobs/HeldJobsTest.cpp
+++ b/tests/jobs/HeldJobsTest.cpp
@@ -111,6 +111,39 @@
   CHECK(B.plan().Starts.empty());
 }
 
+TEST_CASE("the runs of a job that is cancelled while its row can't be read go "
+          "on") {
+  HeldJob B;
+  RunReport Unknown;
+  Unknown.Task = {jobId(2), 0, 0, 0};
+  Unknown.Run = 1;
+  B.Owner.awaitJob(jobId(2));
+  B.report("w1", {Unknown});
+  CHECK(B.plan().Stops.empty());
+  SUBCASE("reported before") { B.Owner.cancelJob(jobId(2)); }
+  SUBCASE("reported afterwards") {
+    B.report("w1");
+    B.Owner.cancelJob(jobId(2));
+    CHECK(B.plan().Stops.empty());
+    B.report("w1", {Unknown});
+  }
+  SUBCASE("found unreadable again") {
+    B.Owner.cancelJob(jobId(2));
+    B.Owner.awaitJob(jobId(2));
+  }
+  std::vector<StopOrder> Stops = B.plan().Stops;
+  REQUIRE(Stops.size() == 1);
+  CHECK(Stops[0].Task == Unknown.Task);
+  CHECK(Stops[0].Run == Unknown.Run);
+  CHECK(B.plan().Stops.empty());
+  // The stop may have been lost.
+  B.advance(milliseconds(1000));
+  CHECK(B.plan().Stops.size() == 1);
+  B.report("w1");
+  B.advance(milliseconds(1000));
+  CHECK(B.plan().Stops.empty());
+}
+
 TEST_CASE("an end of a job whose row can't be read is kept until it can") {
   HeldJob B;
   JobSpec Other = sampleJob(2);
