List runs behind the ends of a job whose row is refused as known red

By reading until now: the ends of a job whose progress the store refuses are not acknowledged either, and beyond 500 the worker lists no new ones. The test is marked as failing: "CHECK( false )" after 30 s.

--- a/tests/jobs/HeldJobsTest.cpp
+++ b/tests/jobs/HeldJobsTest.cpp
@@ -237,6 +237,40 @@
   CHECK(B.Owner.findJob(jobId(1))->Tasks[0].Runs.empty());
 }
 
+TEST_CASE("a run that has ended counts as running for ever behind 500 ends of "
+          "a job whose row is refused" *
+          doctest::should_fail()) {
+  constexpr std::uint32_t MaxEndsListed = 500;
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.Owner.setEarlierOwnersStopped(B.Now);
+  JobSpec Other = sampleJob(2, MaxEndsListed + 1);
+  Other.Steps[0].Need.MilliCpus = 4001;
+  B.Owner.addJob(Other, B.Now);
+  B.Owner.addJob(sampleJob(1), B.Now);
+  B.plan();
+  B.report("w1");
+  B.Owner.onStored(B.Owner.takeChanges(100).Mark);
+  Orders Planned = B.plan();
+  REQUIRE(Planned.Starts.size() == 1);
+  B.answer(Planned.Starts[0], OrderOutcome::Accepted);
+  std::vector<EndReport> Ends;
+  for (std::uint32_t N = 0; N < MaxEndsListed; ++N)
+    Ends.push_back(endReportOf(N + 1, {Other.Id, 0, 0, N}, 1, RunEnd::Done));
+  B.report("w1", {}, Ends);
+  ProgressBatch Refused = B.Owner.takeChanges(100);
+  REQUIRE(Refused.Writes.size() == 1);
+  B.Owner.setAside(Refused);
+  B.Owner.onStored(Refused.Mark);
+  for (int Second = 0; Second < 30; ++Second) {
+    B.advance(std::chrono::seconds(1));
+    B.report("w1", {}, Ends);
+    B.Owner.onStored(B.Owner.takeChanges(100).Mark);
+    B.plan();
+  }
+  CHECK(B.Owner.findJob(jobId(1))->Tasks[0].Runs.empty());
+}
+
 TEST_CASE("a worker takes nothing for as long as it has a run of a job that "
           "can't be read" *
           doctest::should_fail()) {
