List machines at once on an entry whose machine has just been started

What was seen: a new fleet owner, or one whose list is no longer valid, asked for the machines only once its own machine had been up for 0.5 s; a list asked for at exactly zero counted as none, and a pool's first period of its summary that began at zero began again.

Cause: times that aren't known began as the zero of the clock, which counts from the start of the machine.

Evidence: with the old rule put back in MachineCache and PoolMonitor (a trial; the cache took the time itself before), the new test and two of PoolMonitor's, whose clocks begin at zero now, fail: CHECK( 0 == 1 ) for the lists and for the summaries.

Change: MachineCache::ListedAt_, PoolMonitor::PublishedAt_, MachineProgress::OrderedAt and MachineKinds::WorkersAddedAt_ are std::optional; refresh() is passed the time. The last two have no test, since their times are not passed in.

--- a/src/dispatch/FleetControl.cpp
+++ b/src/dispatch/FleetControl.cpp
@@ -80,7 +80,7 @@
   }
   if (mayOrder())
     Rebalancer_.tick(Token_);
-  Cache_.refresh();
+  Cache_.refresh(bootNow());
 }
 
 /// Whether no other fleet owner can be giving orders: false shortly after a
@@ -159,8 +159,7 @@
       M.Clear = P.ClearWorker == M.Worker && Now - P.ClearAt < ClearValidity &&
                 Owner && Owner->Version == P.ClearToken;
       M.Down = M.Down || P.InFlight ||
-               (P.OrderedAt != core::TimePoint() &&
-                Now - P.OrderedAt < OrderVisibleAfter);
+               (P.OrderedAt && Now - *P.OrderedAt < OrderVisibleAfter);
     }
     // A machine that no longer exists needs no maintenance.
     M.Done = M.Done || !Known;
@@ -273,7 +272,7 @@
   case MachineOrderOutcome::Busy:
   case MachineOrderOutcome::Wrong:
   case MachineOrderOutcome::NotDone:
-    P.OrderedAt = core::TimePoint();
+    P.OrderedAt.reset();
     return;
   }
 }
--- a/src/dispatch/FleetControl.h
+++ b/src/dispatch/FleetControl.h
@@ -4,6 +4,8 @@
 #include "dispatch/PoolRebalancer.h"
 #include "jobs/WavePlan.h"
 
+#include <optional>
+
 namespace comfreydeck::dispatch {
 
 /// Runs maintenance waves and moves machines between pools, at the entry that
@@ -27,7 +29,7 @@
     std::uint64_t ClearToken = 0;
     bool InFlight = false;
     bool Done = false;
-    core::TimePoint OrderedAt;
+    std::optional<core::TimePoint> OrderedAt;
   };
   struct WaveProgress {
     bool Loaded = false;
--- a/src/dispatch/MachineCache.cpp
+++ b/src/dispatch/MachineCache.cpp
@@ -1,7 +1,5 @@
 #include "dispatch/MachineCache.h"
 
-#include "dispatch/Clock.h"
-
 #include <algorithm>
 
 namespace comfreydeck::dispatch {
@@ -36,9 +34,8 @@
   return "none";
 }
 
-void MachineCache::refresh() {
-  core::TimePoint Now = bootNow();
-  if (Listing_ || Now - ListedAt_ < ListPeriod)
+void MachineCache::refresh(core::TimePoint Now) {
+  if (Listing_ || (ListedAt_ && Now - *ListedAt_ < ListPeriod))
     return;
   Listing_ = true;
   Ctx_.Machines->list([this, Now](MachineList List) {
@@ -58,7 +55,7 @@
 
 void MachineCache::invalidate() {
   Machines_.clear();
-  ListedAt_ = core::TimePoint();
+  ListedAt_.reset();
 }
 
 const Machine *MachineCache::find(const std::string &Id) const {
--- a/src/dispatch/MachineCache.h
+++ b/src/dispatch/MachineCache.h
@@ -4,6 +4,7 @@
 #include "dispatch/Context.h"
 
 #include <map>
+#include <optional>
 #include <span>
 
 namespace comfreydeck::dispatch {
@@ -28,14 +29,14 @@
 public:
   explicit MachineCache(Context &Ctx) : Ctx_(Ctx) {}
 
-  /// Requests a new list if the last one is old.
-  void refresh();
+  /// Requests a new list if the last one is old at \p Now.
+  void refresh(core::TimePoint Now);
   /// Clears the cache until the next list arrives.
   void invalidate();
 
-  bool hasList() const { return ListedAt_ != core::TimePoint(); }
-  /// Request time of the list held.
-  core::TimePoint listedAt() const { return ListedAt_; }
+  bool hasList() const { return ListedAt_.has_value(); }
+  /// Request time of the list held; nothing if there is none.
+  std::optional<core::TimePoint> listedAt() const { return ListedAt_; }
   const std::map<std::string, Machine> &machines() const { return Machines_; }
   /// Null if the machine is not listed.
   const Machine *find(const std::string &Id) const;
@@ -43,7 +44,7 @@
 private:
   Context &Ctx_;
   std::map<std::string, Machine> Machines_;
-  core::TimePoint ListedAt_;
+  std::optional<core::TimePoint> ListedAt_;
   bool Listing_ = false;
 };
 
--- a/src/dispatch/MachineKinds.cpp
+++ b/src/dispatch/MachineKinds.cpp
@@ -46,7 +46,7 @@
 
 void MachineKinds::check(const jobs::JobSpec &Spec, core::Duration Limit,
                          Callback Done) {
-  if (bootNow() - WorkersAddedAt_ >= RememberPeriod)
+  if (!WorkersAddedAt_ || bootNow() - *WorkersAddedAt_ >= RememberPeriod)
     addListedWorkers();
   std::optional<UnservedStep> Unserved = findUnserved(Spec);
   if (Unserved) {
--- a/src/dispatch/MachineKinds.h
+++ b/src/dispatch/MachineKinds.h
@@ -55,7 +55,7 @@
   const FleetView &View_;
   /// Capacities that were shown, by the labels in order.
   std::map<std::vector<std::string>, std::vector<core::Resources>> Kinds_;
-  core::TimePoint WorkersAddedAt_;
+  std::optional<core::TimePoint> WorkersAddedAt_;
   /// Request time of the first of two complete lists; all kinds that they show
   /// are known.
   std::optional<core::TimePoint> ListedAt_;
--- a/src/dispatch/PoolMonitor.cpp
+++ b/src/dispatch/PoolMonitor.cpp
@@ -134,9 +134,9 @@
 
 void PoolMonitor::publishIfDue(jobs::PoolState &State, core::TimePoint Now,
                                std::int64_t WallMs) {
-  if (PublishedAt_ == core::TimePoint())
+  if (!PublishedAt_)
     PublishedAt_ = Now;
-  if (Now - PublishedAt_ >= SummaryPeriod)
+  if (Now - *PublishedAt_ >= SummaryPeriod)
     publish(State, Now, WallMs);
 }
 
@@ -158,14 +158,14 @@
 
 void PoolMonitor::end(jobs::PoolState &State, core::TimePoint Now,
                       std::int64_t WallMs) {
-  if (PublishedAt_ != core::TimePoint())
+  if (PublishedAt_)
     publish(State, Now, WallMs);
   Metrics_.removePool(Stats_.Pool);
 }
 
 void PoolMonitor::publish(jobs::PoolState &State, core::TimePoint Now,
                           std::int64_t WallMs) {
-  Stats_.Period = Now - PublishedAt_;
+  Stats_.Period = Now - PublishedAt_.value_or(Now);
   Stats_.Gauges = State.gauges(Now, WallMs);
   Stats_.PeriodCounts = State.takeCounters();
   Stats_.UnstoredFor =
--- a/src/dispatch/PoolMonitor.h
+++ b/src/dispatch/PoolMonitor.h
@@ -61,7 +61,7 @@
 
   JobMetrics &Metrics_;
   PoolStats Stats_;
-  core::TimePoint PublishedAt_;
+  std::optional<core::TimePoint> PublishedAt_;
   std::optional<core::TimePoint> StoringSince_;
 };
 
--- a/src/dispatch/PoolRebalancer.cpp
+++ b/src/dispatch/PoolRebalancer.cpp
@@ -62,8 +62,8 @@
   std::erase_if(PendingMoves_, [&](const auto &Item) {
     const Machine *M = Cache_.find(Item.first);
     bool Arrived = M && M->Pool == Item.second.To &&
-                   M->State == MachineState::Up &&
-                   Cache_.listedAt() > Item.second.OrderedAt;
+                   M->State == MachineState::Up && Cache_.listedAt() &&
+                   *Cache_.listedAt() > Item.second.OrderedAt;
     return Arrived || Now - Item.second.OrderedAt > MoveTimeout;
   });
 }
--- a/tests/dispatch/MachineCacheTest.cpp
+++ b/tests/dispatch/MachineCacheTest.cpp
@@ -1,8 +1,34 @@
 #include "dispatch/MachineCache.h"
 
+#include "dispatch/InMemoryStore.h"
+#include "dispatch/LoopCalls.h"
+#include "dispatch/SilentWorkers.h"
+#include "net/HttpClient.h"
+
 #include <doctest/doctest.h>
 
+using namespace comfreydeck;
 using namespace comfreydeck::dispatch;
+using namespace comfreydeck::tests;
+
+namespace {
+
+struct EmptyMachines : MachineControl {
+  std::uint32_t Lists = 0;
+
+  void list(std::function<void(MachineList)> Done) override {
+    ++Lists;
+    MachineList List;
+    List.Ok = true;
+    Done(List);
+  }
+  void maintain(const std::string &, const std::string &, std::uint64_t,
+                std::function<void(MachineOrderOutcome)>) override {}
+  void move(const std::string &, const std::string &, std::uint64_t,
+            std::function<void(MachineOrderOutcome)>) override {}
+};
+
+} // namespace
 
 TEST_CASE("a worker has ended only if the state of its machine proves it") {
   struct Case {
@@ -30,3 +56,32 @@
   }
   CHECK(hasWorkerEnded("w1", {}));
 }
+
+TEST_CASE("machines are listed at once, and again at once when the list is no "
+          "longer valid, on an entry whose machine has just been started") {
+  settings::DispatchSettings Settings;
+  net::Loop Loop;
+  net::HttpClient Client{{}};
+  InMemoryStore Store;
+  SilentWorkers Workers;
+  EmptyMachines Machines;
+  RowDecoder Rows;
+  CallerCodec Codec;
+  JobMetrics Count;
+  Context Ctx{Settings,  Loop, Client, Store, Workers,
+              &Machines, Rows, Codec,  Count, "1"};
+  MachineCache Cache{Ctx};
+  Loop.start();
+  for (std::uint32_t Lists : {1U, 2U}) {
+    runOn(Loop, [&] { Cache.refresh(core::TimePoint()); });
+    CHECK(Machines.Lists == Lists);
+    runOn(Loop, [&] {
+      CHECK(Cache.hasList());
+      Cache.refresh(core::TimePoint());
+      Cache.invalidate();
+    });
+    CHECK(Machines.Lists == Lists);
+  }
+  Client.stop();
+  Loop.stop();
+}
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -745,7 +745,7 @@
   constexpr std::size_t Most = 4;
   constexpr std::uint32_t Jobs = 10;
   UnappliedJobs Unapplied;
-  core::TimePoint Now{std::chrono::hours(1)};
+  core::TimePoint Now{};
   for (std::uint32_t Job = 0; Job < Jobs; ++Job)
     Unapplied.add(std::to_string(Job), UnappliedReason::JobRow, "", Now);
   CHECK(Unapplied.takeDue(Now, Most).empty());
--- a/tests/dispatch/PoolMonitorTest.cpp
+++ b/tests/dispatch/PoolMonitorTest.cpp
@@ -60,7 +60,7 @@
   F.FoundBatches = 2;
   F.UnstoredFor = milliseconds(1250);
   UnappliedJobs Unapplied;
-  core::TimePoint Since{std::chrono::hours(1)};
+  core::TimePoint Since{};
   Unapplied.add("1", UnappliedReason::ProgressRow, "later version", Since);
   Unapplied.add("2", UnappliedReason::JobRow, "no steps",
                 Since + milliseconds(500));
@@ -186,7 +186,7 @@
 
 TEST_CASE("a pool is reported once per period and when it is lost") {
   JobMetrics Count;
-  core::TimePoint Now{std::chrono::hours(1)};
+  core::TimePoint Now{};
   jobs::PoolState State("p1", 5, Now, jobs::OwnerLimits());
   PoolMonitor Monitor(Count, "p1", 5);
   auto Plans = [&] {
@@ -212,7 +212,7 @@
 TEST_CASE("a pool's report counts batches that were repeated and found stored, "
           "and tells how long one has been under way") {
   JobMetrics Count;
-  core::TimePoint Now{std::chrono::hours(1)};
+  core::TimePoint Now{};
   jobs::PoolState State("p1", 5, Now, jobs::OwnerLimits());
   PoolMonitor Monitor(Count, "p1", 5);
   Monitor.publishIfDue(State, Now, 0);
