Count a start as the cause of a crash only once its answer allows that

A job was shown as failed though none of its runs failed: workers had crashed and others answered at their addresses before their owner knew. It learned of that by a report before the answers to starts that were on their way (421: nothing ran), and counted each of them as a run under which its worker had crashed.

Expected-Instance carries the worker's id, which a restart keeps, so that 421 means another worker at the address; a worker that is back under its id carries such a start out. A run that this report lists, or that was ordered after that incarnation was born by its steady clock, doesn't count.

--- a/src/jobs/CrashLedger.cpp
+++ b/src/jobs/CrashLedger.cpp
@@ -24,31 +24,50 @@
                       std::vector<SuspectRun> Runs, core::TimePoint Since) {
   for (SuspectRun &Run : Runs)
     if (!contains(Run))
-      Lost_[Worker].push_back({std::move(Run), Born, Since});
+      Lost_[Worker].push_back({std::move(Run), Born, Since, false, 0});
 }
 
 std::vector<LostRun>
 CrashLedger::takeEnded(const std::string &Worker,
-                       const std::deque<std::int64_t> &Borns) {
-  return take(Worker, [&Borns](std::int64_t Lost) {
+                       const std::deque<std::int64_t> &Borns,
+                       std::int64_t NextBorn) {
+  return takeAnswered(Worker, NextBorn, [&Borns](std::int64_t Lost) {
     return std::find(Borns.begin(), Borns.end(), Lost) != Borns.end();
   });
 }
 
 std::vector<LostRun> CrashLedger::takeOthers(const std::string &Worker,
-                                             std::int64_t Born) {
-  return take(Worker, [Born](std::int64_t Lost) { return Lost != Born; });
+                                             std::int64_t Born,
+                                             std::int64_t NextBorn) {
+  return takeAnswered(Worker, NextBorn,
+                      [Born](std::int64_t Lost) { return Lost != Born; });
 }
 
 std::vector<LostRun>
-CrashLedger::take(const std::string &Worker,
-                  const std::function<bool(std::int64_t)> &HasEnded) {
+CrashLedger::takeAnswered(const std::string &Worker, std::int64_t NextBorn,
+                          const std::function<bool(std::int64_t)> &HasEnded) {
+  auto At = Lost_.find(Worker);
+  if (At != Lost_.end())
+    for (LostRun &Lost : At->second)
+      if (!Lost.Ended && HasEnded(Lost.Born) &&
+          Lost.Run.Sign == StartSign::Sent) {
+        Lost.Ended = true;
+        Lost.NextBorn = NextBorn;
+      }
+  return takeIf(Worker, [&](const LostRun &Lost) {
+    return !Lost.Ended && HasEnded(Lost.Born);
+  });
+}
+
+std::vector<LostRun>
+CrashLedger::takeIf(const std::string &Worker,
+                    const std::function<bool(const LostRun &)> &Is) {
   std::vector<LostRun> Taken;
   auto At = Lost_.find(Worker);
   if (At == Lost_.end())
     return Taken;
   std::erase_if(At->second, [&](const LostRun &Lost) {
-    if (!HasEnded(Lost.Born))
+    if (!Is(Lost))
       return false;
     Taken.push_back(Lost);
     return true;
@@ -58,6 +77,16 @@
   return Taken;
 }
 
+LostRun *CrashLedger::find(const std::string &Worker, const SuspectRun &Run) {
+  auto At = Lost_.find(Worker);
+  if (At == Lost_.end())
+    return nullptr;
+  auto It =
+      std::find_if(At->second.begin(), At->second.end(),
+                   [&Run](const LostRun &Lost) { return Lost.Run == Run; });
+  return It == At->second.end() ? nullptr : &*It;
+}
+
 void CrashLedger::expire(core::TimePoint Now) {
   for (auto &[Worker, Runs] : Lost_)
     std::erase_if(
--- a/src/jobs/CrashLedger.h
+++ b/src/jobs/CrashLedger.h
@@ -59,6 +59,10 @@
   SuspectRun Run;
   std::int64_t Born = 0;
   core::TimePoint Since;
+  /// The incarnation has ended, and the run's start has no answer that tells
+  /// whether it ran there. \ref NextBorn followed; zero for another worker.
+  bool Ended = false;
+  std::int64_t NextBorn = 0;
 };
 
 /// Runs of workers that went silent. Whether such a worker crashed, or was only
@@ -73,12 +77,19 @@
   void add(const std::string &Worker, std::int64_t Born,
            std::vector<SuspectRun> Runs, core::TimePoint Since);
   /// Removes and returns the runs of these incarnations of the worker, which
-  /// have ended.
+  /// have ended: \p NextBorn has followed. Runs whose starts have no answer yet
+  /// stay.
   std::vector<LostRun> takeEnded(const std::string &Worker,
-                                 const std::deque<std::int64_t> &Borns);
-  /// Removes and returns the runs of the worker's incarnations other than \p
-  /// Born, all of which have ended.
-  std::vector<LostRun> takeOthers(const std::string &Worker, std::int64_t Born);
+                                 const std::deque<std::int64_t> &Borns,
+                                 std::int64_t NextBorn);
+  /// The same for the worker's incarnations other than \p Born.
+  std::vector<LostRun> takeOthers(const std::string &Worker, std::int64_t Born,
+                                  std::int64_t NextBorn);
+  /// Removes and returns the worker's runs for which \p Is returns true.
+  std::vector<LostRun> takeIf(const std::string &Worker,
+                              const std::function<bool(const LostRun &)> &Is);
+  /// Returns the run; null if it is not there.
+  LostRun *find(const std::string &Worker, const SuspectRun &Run);
   /// Drops the runs of workers that have been silent for too long.
   void expire(core::TimePoint Now);
   /// Drops the runs of workers for which \p IsKnown returns false.
@@ -102,8 +113,9 @@
   bool isEmpty() const { return Lost_.empty(); }
 
 private:
-  std::vector<LostRun> take(const std::string &Worker,
-                            const std::function<bool(std::int64_t)> &HasEnded);
+  std::vector<LostRun>
+  takeAnswered(const std::string &Worker, std::int64_t NextBorn,
+               const std::function<bool(std::int64_t)> &HasEnded);
 
   /// By worker.
   std::map<std::string, std::vector<LostRun>> Lost_;
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -12,6 +12,31 @@
 /// Counted runs that are remembered for logs.
 constexpr std::size_t MaxCountedRuns = 1000;
 
+/// What the answer to a start tells of it; nothing if it can't have been
+/// carried out.
+std::optional<StartSign> signOf(OrderOutcome Outcome) {
+  switch (Outcome) {
+  case OrderOutcome::Accepted:
+    return StartSign::Accepted;
+  case OrderOutcome::Unknown:
+  // It may have been carried out before.
+  case OrderOutcome::OldRun:
+    return StartSign::Unclear;
+  // A worker that refuses a start does nothing.
+  case OrderOutcome::Fenced:
+  case OrderOutcome::Late:
+  case OrderOutcome::NoRoom:
+  case OrderOutcome::NoTicket:
+  case OrderOutcome::Refused:
+  case OrderOutcome::OtherIncarnation:
+  // No worker had it.
+  case OrderOutcome::NotSent:
+  case OrderOutcome::Withheld:
+    return std::nullopt;
+  }
+  return StartSign::Unclear;
+}
+
 StartSign signOf(const LiveRun &Run) {
   if (Run.Listed)
     return StartSign::Listed;
@@ -124,7 +149,8 @@
 /// Drops the suspicion against runs of a worker whose incarnation goes on, or
 /// was ended on purpose.
 void PoolState::clearLost(const std::string &Worker) {
-  for (const LostRun &Lost : Lost_.takeOthers(Worker, AnyIncarnation))
+  for (const LostRun &Lost :
+       Lost_.takeIf(Worker, [](const LostRun &Open) { return !Open.Ended; }))
     settleUnknown(Lost.Run);
 }
 
@@ -252,11 +278,16 @@
 /// Drops the runs of an incarnation that a later one has followed, and counts
 /// its crash and those of the ones before it.
 void PoolState::dropCrashed(WorkerState &W, std::int64_t NextBorn,
-                            core::TimePoint Now) {
+                            const WorkerReport *Report, core::TimePoint Now) {
   std::deque<std::int64_t> Ended = W.EarlierBorns;
   Ended.push_back(W.Born);
-  dropEnded(
-      W, [&] { return Lost_.takeEnded(W.Entry.Id, Ended); }, NextBorn, Now);
+  auto TakeSuspects = [&] {
+    if (Report)
+      clearRunElsewhere(W, *Report, earliestTimeOf(W.Clock, W.Clock.ShownMs),
+                        Now);
+    return Lost_.takeEnded(W.Entry.Id, Ended, NextBorn);
+  };
+  dropEnded(W, TakeSuspects, NextBorn, Now);
 }
 
 /// Drops the runs of a worker at whose address another one answered, and counts
@@ -264,7 +295,8 @@
 void PoolState::dropReplaced(WorkerState &W, core::TimePoint Now) {
   noteUnheard(W);
   dropEnded(
-      W, [&] { return Lost_.takeOthers(W.Entry.Id, AnyIncarnation); }, 0, Now);
+      W, [&] { return Lost_.takeOthers(W.Entry.Id, AnyIncarnation, 0); }, 0,
+      Now);
 }
 
 /// An incarnation that left by order has not crashed.
@@ -280,6 +312,76 @@
   settleLost(W, TakeSuspects(), std::move(Record), NextBorn, Now);
 }
 
+/// Drops the suspicion against runs that can't have run on an earlier
+/// incarnation than the one that made the report: it lists them, or was born
+/// before they were ordered, but not before \p EarlierSeen, when an earlier one
+/// answered. Its clock is never fast.
+void PoolState::clearRunElsewhere(const WorkerState &W,
+                                  const WorkerReport &Report,
+                                  std::optional<core::TimePoint> EarlierSeen,
+                                  core::TimePoint Now) {
+  core::TimePoint LatestBirth = Now - std::chrono::milliseconds(Report.ClockMs);
+  auto IsListed = [&](const SuspectRun &Lost) {
+    const JobRecord *Job = jobOf(Lost.JobId);
+    if (!Job || Lost.Task >= Job->Tasks.size())
+      return false;
+    TaskRef Task = refOf(*Job, Lost.Task);
+    auto IsRun = [&](const auto &Item) {
+      return Item.Run == Lost.Run && Item.Task == Task;
+    };
+    return std::any_of(Report.Running.begin(), Report.Running.end(), IsRun) ||
+           std::any_of(Report.Ended.begin(), Report.Ended.end(), IsRun);
+  };
+  auto RanElsewhere = [&](const LostRun &Lost) {
+    bool SentLater = Report.ClockMs > 0 && EarlierSeen &&
+                     LatestBirth >= *EarlierSeen && Lost.Run.OrderedAt &&
+                     *Lost.Run.OrderedAt >= LatestBirth;
+    return SentLater || IsListed(Lost.Run);
+  };
+  for (const LostRun &Lost : Lost_.takeIf(W.Entry.Id, RanElsewhere))
+    settleUnknown(Lost.Run);
+}
+
+/// Settles the suspicion against a run of an incarnation that is lost, once its
+/// start has been answered.
+void PoolState::settleAnswered(const WorkerState &W, const SuspectRun &Run,
+                               OrderOutcome Outcome, core::TimePoint Now) {
+  LostRun *Lost = Lost_.find(W.Entry.Id, Run);
+  if (!Lost)
+    return;
+  std::optional<StartSign> Sign = signOf(Outcome);
+  auto IsThis = [&](const LostRun &Other) { return Other.Run == Run; };
+  if (!Sign) {
+    Lost_.takeIf(W.Entry.Id, IsThis);
+    settleUnknown(Run);
+    return;
+  }
+  if (Lost->Run.Sign == StartSign::Sent)
+    Lost->Run.Sign = *Sign;
+  // The next incarnation's report tells of a run that is kept until then.
+  JobRecord *Job = jobOf(Run.JobId);
+  if (Lost->Ended && !(Job && findRun(*Job, Run.Task, Run.Run)))
+    settleLost(W, Lost_.takeIf(W.Entry.Id, IsThis), {}, Lost->NextBorn, Now);
+}
+
+/// Counts the crashes under runs whose starts may have been carried out by an
+/// incarnation that has ended, and that its successor doesn't have, or has not
+/// told of in time.
+void PoolState::settleEnded(const WorkerState &W, core::TimePoint Now) {
+  std::int64_t NextBorn = 0;
+  auto IsOver = [&](const LostRun &Lost) {
+    JobRecord *Job = jobOf(Lost.Run.JobId);
+    bool IsKept = Job && findRun(*Job, Lost.Run.Task, Lost.Run.Run);
+    bool Is = Lost.Ended && Lost.Run.Sign != StartSign::Sent &&
+              (!IsKept || Now - Lost.Since >= Limits_.OutcomeWait);
+    if (Is)
+      NextBorn = Lost.NextBorn;
+    return Is;
+  };
+  std::vector<LostRun> Over = Lost_.takeIf(W.Entry.Id, IsOver);
+  settleLost(W, Over, {}, NextBorn, Now);
+}
+
 /// Counts the crashes of lost workers whose addresses have gone to others.
 void PoolState::settleReplaced(std::span<const WorkerEntry> Entries,
                                core::TimePoint Now) {
@@ -288,7 +390,7 @@
   for (const WorkerEntry &Entry : Entries)
     for (auto &[Id, W] : Workers_)
       if (W->Gone && Id != Entry.Id && W->Entry.Address == Entry.Address)
-        settleLost(*W, Lost_.takeOthers(Id, AnyIncarnation), {}, 0, Now);
+        settleLost(*W, Lost_.takeOthers(Id, AnyIncarnation, 0), {}, 0, Now);
 }
 
 void PoolState::countCrash(const CountedRun &Counted, CrashRecord &Record) {
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -32,6 +32,8 @@
                   [&](const LostStart &S) { return S.Until <= In.Now; });
     if (!W.Tasks.empty() && leaseLapsed(W, SureAt))
       dropLapsedRuns(W, In.Now);
+    if (!Lost_.isEmpty())
+      settleEnded(W, In.Now);
     bool Forget = mayForget(W, In.Now);
     if (Forget) {
       noteUnheard(W);
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -68,6 +68,8 @@
   if (!Job)
     return;
   std::uint32_t Task = indexOf(*Job, Order.Task);
+  if (!Lost_.isEmpty())
+    settleAnswered(W, {Job->Spec.Id, Task, Order.Run}, Result.Outcome, Now);
   LiveRun *Run = findRun(*Job, Task, Order.Run);
   if (Run && isOfIncarnation(*Run, W))
     recordAnswer(W.Clock, Result.ClockMs, Now);
@@ -233,9 +235,11 @@
   W.FailedReports = 0;
   const WorkerReport &Report = Result.Report;
   if (Report.Born != 0 && Report.Born != W.Born)
-    startIncarnation(W, Report.Born, true, Now);
+    startIncarnation(W, Report.Born, &Report, Now);
   if (!Lost_.isEmpty()) {
-    settleLost(W, Lost_.takeOthers(W.Entry.Id, W.Born), {}, W.Born, Now);
+    clearRunElsewhere(W, Report, std::nullopt, Now);
+    settleLost(W, Lost_.takeOthers(W.Entry.Id, W.Born, W.Born), {}, W.Born,
+               Now);
     clearLost(W.Entry.Id);
   }
   recordReport(W.Clock, Report.ClockMs, SentAt, Now);
@@ -265,6 +269,8 @@
     handleRunning(W, Run, SentAt, Now);
   if (ListsAllEnds)
     dropMissing(W, Report, Order.Fence, SentAt);
+  if (!Lost_.isEmpty())
+    settleEnded(W, Now);
 }
 
 /// Whether the report was made before one that has been applied.
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -239,8 +239,8 @@
                      core::TimePoint SentAt, core::TimePoint Now);
   void dropMissing(WorkerState &W, const WorkerReport &Report,
                    std::uint64_t Fence, core::TimePoint SentAt);
-  void startIncarnation(WorkerState &W, std::int64_t Born, bool ByReport,
-                        core::TimePoint Now);
+  void startIncarnation(WorkerState &W, std::int64_t Born,
+                        const WorkerReport *Report, core::TimePoint Now);
   void expectLateOrders(WorkerState &W) const;
   void doubtIncarnation(WorkerState &W, std::int64_t Shown, bool ByReport,
                         core::TimePoint Now);
@@ -253,7 +253,14 @@
   std::vector<SuspectRun> unlistedStarts(const WorkerState &W) const;
   void keepUnlistedStart(JobRecord &Job, std::uint32_t Task, LiveRun Run,
                          core::TimePoint Now);
-  void dropCrashed(WorkerState &W, std::int64_t NextBorn, core::TimePoint Now);
+  void dropCrashed(WorkerState &W, std::int64_t NextBorn,
+                   const WorkerReport *Report, core::TimePoint Now);
+  void clearRunElsewhere(const WorkerState &W, const WorkerReport &Report,
+                         std::optional<core::TimePoint> EarlierSeen,
+                         core::TimePoint Now);
+  void settleAnswered(const WorkerState &W, const SuspectRun &Run,
+                      OrderOutcome Outcome, core::TimePoint Now);
+  void settleEnded(const WorkerState &W, core::TimePoint Now);
   void dropReplaced(WorkerState &W, core::TimePoint Now);
   void dropEnded(WorkerState &W,
                  const std::function<std::vector<LostRun>()> &TakeSuspects,
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -19,16 +19,17 @@
 } // namespace
 
 void PoolState::startIncarnation(WorkerState &W, std::int64_t Born,
-                                 bool ByReport, core::TimePoint Now) {
+                                 const WorkerReport *Report,
+                                 core::TimePoint Now) {
   std::vector<SuspectRun> Unlisted = unlistedStarts(W);
   Events_.Restarts.push_back(
-      {W.Entry.Id, W.Born, Born, ByReport, true, Unlisted.size()});
+      {W.Entry.Id, W.Born, Born, Report != nullptr, true, Unlisted.size()});
   std::vector<LiveRun> Runs;
   Runs.reserve(Unlisted.size());
   for (const SuspectRun &Start : Unlisted)
     Runs.push_back(*findRun(*jobOf(Start.JobId), Start.Task, Start.Run));
   MissedCrash_ = MissedCrash_ || !W.Heard || !W.UnknownRuns.empty();
-  dropCrashed(W, Born, Now);
+  dropCrashed(W, Born, Report, Now);
   for (std::size_t N = 0; N < Runs.size(); ++N)
     keepUnlistedStart(*jobOf(Unlisted[N].JobId), Unlisted[N].Task, Runs[N],
                       Now);
@@ -96,7 +97,7 @@
     return;
   bool RowWasCurrent = W.Entry.Born == W.Born;
   if (W.Ended || (Born > W.Born && RowWasCurrent))
-    startIncarnation(W, Born, false, Now);
+    startIncarnation(W, Born, nullptr, Now);
   else
     doubtIncarnation(W, Born, false, Now);
 }
@@ -185,7 +186,7 @@
     return;
   // Machines are taken away only from workers without runs.
   noteUnheard(W);
-  settleLost(W, Lost_.takeOthers(Id, AnyIncarnation), {}, 0,
+  settleLost(W, Lost_.takeOthers(Id, AnyIncarnation, 0), {}, 0,
              W.Gone ? W.GoneAt : Now_);
   dropRuns(W);
   W.UnknownRuns.clear();
--- a/tests/jobs/CrashAttributionTest.cpp
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -67,6 +67,86 @@
   CHECK(F.crashes(1) == 1);
 }
 
+/// Plans until there is a start, which is not answered, for at most \p Most.
+static StartOrder unansweredStart(CrashFixture &F,
+                                  milliseconds Most = milliseconds(8000)) {
+  for (milliseconds Passed(0); Passed < Most; Passed += milliseconds(100)) {
+    F.B.advance(milliseconds(100));
+    Orders Out = F.B.plan();
+    F.store("");
+    for (const HoldOrder &Hold : Out.Holds)
+      if (F.Silent.count(Hold.Worker) == 0)
+        F.B.report(Hold, {}, F.Born[Hold.Worker]);
+    if (!Out.Starts.empty())
+      return Out.Starts.front();
+  }
+  return {};
+}
+
+/// Three workers are found to have crashed before the starts that were sent to
+/// them are answered so.
+static void checkStarts(OrderOutcome Answer, bool ByRow, std::size_t Counted) {
+  CAPTURE(ByRow);
+  CrashFixture F({"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"});
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  for (int Crash = 0; Crash < 3; ++Crash) {
+    StartOrder Start = unansweredStart(F);
+    REQUIRE(!Start.Worker.empty());
+    if (ByRow) {
+      F.crash(Start.Worker);
+    } else {
+      HoldOrder Hold;
+      Hold.Worker = Start.Worker;
+      ReportResult Result;
+      Result.Outcome = OrderOutcome::OtherIncarnation;
+      F.B.Owner.onReport(Hold, Result, F.B.Now, F.B.Now);
+      F.Silent.insert(Start.Worker);
+    }
+    F.B.answer(Start, Answer);
+  }
+  if (Counted > 0)
+    unansweredStart(F);
+  CHECK(F.crashes(1) == Counted);
+  CHECK((F.job(1).Now == JobState::Failed) == (Counted == 3));
+}
+
+TEST_CASE("a job is given up for starts that no worker carried out, as their "
+          "answers show after its owner has learned of the restarts") {
+  for (bool ByRow : {false, true}) {
+    checkStarts(OrderOutcome::OtherIncarnation, ByRow, 0);
+    checkStarts(OrderOutcome::NotSent, ByRow, 0);
+    checkStarts(OrderOutcome::NoRoom, ByRow, 0);
+    // Control.
+    checkStarts(OrderOutcome::Accepted, ByRow, 3);
+    checkStarts(OrderOutcome::Unknown, ByRow, 3);
+  }
+}
+
+TEST_CASE("a run counts as having crashed an incarnation though the next one "
+          "lists it or was born before its start was sent") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.B.Owner.addJob(sampleJob(1), F.B.Now);
+  StartOrder Start = unansweredStart(F);
+  REQUIRE(!Start.Worker.empty());
+  HoldOrder Hold;
+  Hold.Worker = Start.Worker;
+  ReportResult Result;
+  Result.Outcome = OrderOutcome::Accepted;
+  Result.Report = {50, F.Born[Start.Worker] + 1, {}, {}};
+  std::size_t Counted = 0;
+  SUBCASE("it lists the run") {
+    Result.Report.Running.push_back(runReportOf(Start, 50));
+  }
+  SUBCASE("it was born before") { Result.Report.ClockMs = 100; }
+  SUBCASE("(control: it may have been born since)") { Counted = 1; }
+  F.B.advance(milliseconds(100));
+  F.B.Owner.onStart(Start, {OrderOutcome::Unknown, 0}, F.B.Now);
+  F.B.Owner.onReport(Hold, Result, F.B.Now, F.B.Now);
+  CHECK(F.crashes(1) == Counted);
+}
+
 TEST_CASE("a job that is given up names the runs that were counted") {
   CrashFixture F(FourWorkers);
   F.turn();
--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -41,6 +41,16 @@
 constexpr std::chrono::seconds DistrustTime(8);
 /// How far an owner's time of day is ahead, if it is.
 constexpr std::int64_t FastClockMs = 200;
+/// How often a worker crashes by itself in a step, and where all do often.
+constexpr double CrashShare = 0.004;
+constexpr double FrequentCrashShare = 0.012;
+/// Share of the workers that start again with new ids, where they do.
+constexpr double NewIdShare = 0.5;
+/// A run that began so long before its worker's crash may have been too young
+/// at the last sign of life.
+constexpr milliseconds HitAge(1500);
+/// Crashes for which a job may be given up.
+constexpr std::uint32_t HitsOfGivenUp = 3;
 /// How long before its end a run is listed as done, if it is too early.
 constexpr std::chrono::milliseconds EarlyDoneTime(100);
 /// How long workers have been up at the begin of a history.
@@ -127,8 +137,9 @@
 }
 
 PoolSimulation::Worker &PoolSimulation::worker(const std::string &Id) {
+  std::string Place = Id.substr(0, Id.find('.'));
   return *std::find_if(Workers_.begin(), Workers_.end(),
-                       [&](const Worker &W) { return W.Id == Id; });
+                       [&](const Worker &W) { return W.Place == Place; });
 }
 
 std::vector<WorkerEntry> PoolSimulation::listed() const {
@@ -137,7 +148,7 @@
     if (!W.Listed)
       continue;
     WorkerEntry Entry = sampleWorker(W.Id);
-    Entry.Address = W.Id + ":1";
+    Entry.Address = W.Place + ":1";
     Entry.Born = W.ListedBorn;
     Entry.Capacity = W.Capacity;
     Entry.Labels = W.Labels;
@@ -184,6 +195,9 @@
     // Workers that crash by themselves may do so three times under one task.
     bool Hit = HitJobs_.count(Id) != 0;
     ++(Guilty ? Result_.GivenUp : Result_.Mistaken);
+    if (!Guilty && Options_.QuickRestarts && !wasHitOften(specOf(Id)))
+      fail("a job was given up though fewer than three workers crashed under "
+           "one of its tasks");
     if (!Guilty && !Hit)
       fail("a job failed for the crashes of another job's task");
   }
@@ -278,8 +292,36 @@
         HitJobs_.insert(Id);
 }
 
+/// Counts the worker's crash against what it began lately, or may have begun
+/// for all that an owner can know.
+void PoolSimulation::countHits(const Worker &W) {
+  std::set<TaskRef> Hit;
+  for (const auto &[At, Task] : W.Begun)
+    if (Now_ - At <= HitAge)
+      Hit.insert(Task);
+  auto IsHere = [&W](const AnnouncedRun &Stored) {
+    return Stored.Worker == W.Id && Stored.Born == W.Born;
+  };
+  for (const auto &[Id, Progress] : Stored_)
+    for (std::uint32_t T = 0; T < Progress.Tasks.size(); ++T) {
+      const TaskProgress &Task = Progress.Tasks[T];
+      if ((Task.Announced && IsHere(*Task.Announced)) ||
+          std::any_of(Task.Unsettled.begin(), Task.Unsettled.end(), IsHere))
+        Hit.insert({Id, 0, 0, T});
+    }
+  for (const TaskRef &Task : Hit)
+    ++Hits_[Task];
+}
+
+bool PoolSimulation::wasHitOften(const JobSpec &Spec) const {
+  return std::any_of(Hits_.begin(), Hits_.end(), [&](const auto &Item) {
+    return Item.first.JobId == Spec.Id && Item.second >= HitsOfGivenUp;
+  });
+}
+
 void PoolSimulation::injectFaultsAt(Worker &W) {
-  if (W.Up && !W.Partitioned && chance(0.004)) {
+  double Share = Options_.QuickRestarts ? FrequentCrashShare : CrashShare;
+  if (W.Up && !W.Partitioned && chance(Share)) {
     noteHits(W);
     crash(W);
   }
@@ -497,7 +539,38 @@
     sendHold(O, Order);
 }
 
+/// As on the platform, no start reaches a worker that is down or has another
+/// id; the next one under that id carries it out.
+void PoolSimulation::sendStartQuickly(const OwnerPtr &O,
+                                      const StartOrder &Order) {
+  schedule(1, 30, [this, O, Order] {
+    Worker &W = worker(Order.Worker);
+    OrderResult Result;
+    bool Lost = W.Partitioned;
+    if (!W.Up) {
+      Result.Outcome = OrderOutcome::NotSent;
+    } else if (W.Id != Order.Worker && !Lost) {
+      Result.Outcome = OrderOutcome::OtherIncarnation;
+    } else if (!Lost) {
+      Result = {start(W, Order), clockMs(W)};
+      if (!O->Replaced && Result.Outcome == OrderOutcome::Accepted &&
+          crashesWorkers(Order.Task))
+        countCrashingStart(Order.Task);
+      Lost = mayFault() && chance(0.03);
+    }
+    if (Lost)
+      W.Begun.emplace_back(Now_, Order.Task);
+    schedule(1, Lost ? 900 : 200, [this, O, Order, Result, Lost] {
+      O->State->onStart(Order, Lost ? OrderResult() : Result, nowOf(*O));
+    });
+  });
+}
+
 void PoolSimulation::sendStart(const OwnerPtr &O, const StartOrder &Order) {
+  if (Options_.QuickRestarts) {
+    sendStartQuickly(O, Order);
+    return;
+  }
   bool Late = mayFault() && chance(0.06);
   std::string Id = Order.Worker;
   std::int64_t Born = worker(Id).Born;
@@ -542,7 +615,9 @@
   schedule(1, 30, [this, O, Order] {
     Worker &W = worker(Order.Worker);
     OrderResult Result;
-    if (W.Up && !W.Partitioned) {
+    if (W.Up && !W.Partitioned && W.Id != Order.Worker) {
+      Result.Outcome = OrderOutcome::OtherIncarnation;
+    } else if (W.Up && !W.Partitioned) {
       bool Taken = !isRefused(W, Order.Fence);
       Result.Outcome = Taken ? OrderOutcome::Accepted : OrderOutcome::Fenced;
       Result.ClockMs = clockMs(W);
@@ -580,7 +655,9 @@
   schedule(1, 30, [this, O, Order, SentAt] {
     Worker &W = worker(Order.Worker);
     ReportResult Result;
-    if (W.Up && !W.Partitioned)
+    if (W.Up && !W.Partitioned && W.Id != Order.Worker)
+      Result.Outcome = OrderOutcome::OtherIncarnation;
+    else if (W.Up && !W.Partitioned)
       Result = hold(W, Order);
     if (Options_.ViolatedRule == RuleViolation::ZeroAtBoot &&
         O->Heard.insert({Order.Worker, Result.Report.Born}).second)
@@ -652,6 +729,7 @@
       Started.EndsAt = Now_ + GangPatience;
   }
   W.Running.push_back(Started);
+  W.Begun.emplace_back(Now_, Order.Task);
   if (SilencingJobs_.count(Order.Task.JobId) != 0 && !W.Partitioned &&
       mayFault() && chance(0.7))
     silence(W);
@@ -779,6 +857,8 @@
       W.Up = W.Listed = true;
       W.BornAt = Now_;
       restartClock(W);
+      if (Options_.QuickRestarts && chance(NewIdShare))
+        W.Id = W.Place + '.' + std::to_string(W.Born);
     }
     bool Lapsed = Now_ >= W.LeaseEnd;
     auto Crashing =
@@ -814,14 +894,17 @@
 /// All its state is lost; it restarts under the same id and numbers its ends
 /// from one again.
 void PoolSimulation::crash(Worker &W) {
+  countHits(W);
   W.Up = false;
+  W.Begun.clear();
   W.Fence = W.LastEnd = 0;
   W.LeaseEnd = core::TimePoint();
   W.Running.clear();
   W.Ended.clear();
   W.Highest.clear();
   W.Listed = chance(0.5);
-  W.BackAt = Now_ + milliseconds(draw(200, 6000));
+  W.BackAt = Now_ + (Options_.QuickRestarts ? milliseconds(draw(100, 1000))
+                                            : milliseconds(draw(200, 6000)));
 }
 
 /// Removes a machine that its owner considers drained.
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -139,6 +139,10 @@
   /// A new owner can't read the progress of some jobs for some seconds, nor the
   /// rows of others.
   bool UnreadRows = false;
+  /// Workers crash often and are soon up again, under their ids or new ones at
+  /// their addresses, before their owner knows. Starts to those that are down
+  /// are not sent.
+  bool QuickRestarts = false;
   /// Nothing goes wrong: no crash, partition, loss of an owner, late or lost
   /// order.
   bool Calm = false;
@@ -209,6 +213,10 @@
   };
   struct Worker {
     std::string Id;
+    /// Stays as it is when the worker starts again with a new id.
+    std::string Place;
+    /// Starts that this incarnation carried out or may have, and when.
+    std::vector<std::pair<core::TimePoint, TaskRef>> Begun;
     core::Resources Capacity;
     std::vector<std::string> Labels;
     std::string Rack;
@@ -320,6 +328,9 @@
   void watchWait(const TaskRef &Task);
   void watchRackWait(const TaskRef &Task, core::Duration Wait);
   void noteHits(const Worker &W);
+  void countHits(const Worker &W);
+  bool wasHitOften(const JobSpec &Spec) const;
+  void sendStartQuickly(const OwnerPtr &O, const StartOrder &Order);
   void silence(Worker &W);
   void closeWorkers(const OwnerPtr &O);
   void takeOver();
@@ -408,6 +419,8 @@
   /// for all that an owner can know.
   std::set<std::string> HitJobs_;
   std::map<TaskRef, std::uint32_t> LateStarts_;
+  /// Crashes of workers soon after they began the task, or may have.
+  std::map<TaskRef, std::uint32_t> Hits_;
   /// Jobs after whose starts workers are often out of reach.
   std::set<std::string> SilencingJobs_;
   /// Tasks without a run that could start, and since when.
--- a/tests/jobs/PoolSimulationKinds.cpp
+++ b/tests/jobs/PoolSimulationKinds.cpp
@@ -23,7 +23,7 @@
   int Count = Options_.Racks ? RackWorkerCount : WorkerCount;
   for (int N = 0; N < Count; ++N) {
     Worker W;
-    W.Id = "w" + std::to_string(N);
+    W.Id = W.Place = "w" + std::to_string(N);
     W.Capacity = sampleWorker(W.Id).Capacity;
     if (Options_.UnequalSizes)
       W.Capacity.MilliCpus = UnequalCores[N % WorkerCount] * 1000;
--- a/tests/jobs/PoolSimulationTest.cpp
+++ b/tests/jobs/PoolSimulationTest.cpp
@@ -154,6 +154,30 @@
   }
 }
 
+TEST_CASE(
+    "a job is given up for starts that no worker carried out in histories "
+    "in which workers restart before their owner knows") {
+  std::uint64_t Jobs = 0;
+  std::uint64_t Mistaken = 0;
+  std::uint64_t Guilty = 0;
+  for (bool Crashing : {false, true})
+    for (std::uint64_t N = 0; N < Histories; ++N) {
+      SimulationOptions Options;
+      Options.Seed = FirstSeed + N;
+      Options.QuickRestarts = true;
+      Options.RowsLag = true;
+      Options.CrashingTasks = Crashing;
+      CAPTURE(Options.Seed);
+      CAPTURE(Crashing);
+      SimulationResult Result = PoolSimulation(Options).simulate();
+      CHECK(Result.Fault == "");
+      Jobs += Result.Jobs;
+      Mistaken += Result.Mistaken;
+      Guilty += Result.GivenUp;
+    }
+  MESSAGE(Jobs, " jobs, ", Guilty, " given up, ", Mistaken, " by mistake");
+}
+
 // A task that crashed its workers was started without end.
 TEST_CASE("only jobs whose tasks crash workers are given up in random "
           "histories") {
