--- a/tests/jobs/PoolSimulationTest.cpp
+++ b/tests/jobs/PoolSimulationTest.cpp
@@ -10,7 +10,6 @@
 constexpr std::uint64_t Histories = 400;
 /// Listed in KNOWN-RED.txt.
 constexpr std::uint64_t CrashOfUnreadJob = 20261379;
-constexpr std::uint64_t GivenUpInQuickRestarts = 20261403;
 
 /// Returns the first history with a fault, or the last one.
 SimulationResult search(RuleViolation ViolatedRule, std::uint64_t Count) {
