Forget an announced run once its start is known not to have been made

What callers see: a job can be shown as failed though only two workers crashed under one of its tasks: a third start was stored, was refused or not sent, and the pool changed hands before the owner's next round of planning, or while it was being shut down.

Cause: the announcement stayed stored until a later round; the next owner takes each stored run for one that may have run, and counts it where its worker has restarted. Class: an outcome that is known is not stored.

Evidence: the test prints `CHECK( 3 == 2 )` for the crashes counted after not-sent and after other-incarnation on the code before.

Change: an answer that rules the run out drops its announcement, which is stored with the next batch.

--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -364,6 +364,17 @@
     settleLost(W, Lost_.takeIf(W.Entry.Id, IsThis), {}, Lost->NextBorn, Now);
 }
 
+/// Forgets an announced run whose start can't have been carried out, as its
+/// answer tells. A later owner would count it if its worker has restarted.
+void PoolState::dropRefusedAnnouncement(JobRecord &Job, std::uint32_t Task,
+                                        RunId Run, OrderOutcome Outcome) {
+  std::optional<AnnouncedRun> &Announced = Job.Tasks[Task].Kept.Announced;
+  if (signOf(Outcome) || !Announced || Announced->Run != Run)
+    return;
+  Announced.reset();
+  Outbox_.markChanged(Job);
+}
+
 /// Counts the crashes under runs whose starts may have been carried out by an
 /// incarnation that has ended, and that its successor doesn't have, or has not
 /// told of in time.
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -71,6 +71,8 @@
   if (!Lost_.isEmpty())
     settleAnswered(W, {Job->Spec.Id, Task, Order.Run}, Result.Outcome, Now);
   LiveRun *Run = findRun(*Job, Task, Order.Run);
+  if (!Run || !Run->Confirmed)
+    dropRefusedAnnouncement(*Job, Task, Order.Run, Result.Outcome);
   if (Run && isOfIncarnation(*Run, W))
     recordAnswer(W.Clock, Result.ClockMs, Now);
   switch (Result.Outcome) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -265,6 +265,8 @@
                          core::TimePoint Now);
   void settleAnswered(const WorkerState &W, const SuspectRun &Run,
                       OrderOutcome Outcome, core::TimePoint Now);
+  void dropRefusedAnnouncement(JobRecord &Job, std::uint32_t Task, RunId Run,
+                               OrderOutcome Outcome);
   void settleEnded(const WorkerState &W, core::TimePoint Now);
   void dropReplaced(WorkerState &W, core::TimePoint Now);
   void dropEnded(WorkerState &W,
--- a/tests/jobs/CrashAttributionTest.cpp
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -123,6 +123,39 @@
   }
 }
 
+TEST_CASE("a later owner counts a stored run though its start was refused or "
+          "not sent") {
+  std::vector<std::string> Ids = {"w1", "w2", "w3", "w4",
+                                  "w5", "w6", "w7", "w8"};
+  CrashFixture Earlier(Ids);
+  Earlier.turn();
+  Earlier.B.Owner.addJob(sampleJob(1), Earlier.B.Now);
+  for (int Crash = 0; Crash < 2; ++Crash)
+    Earlier.crash(Earlier.workerOf(taskOf(1), milliseconds(9000)));
+  StartOrder Start = unansweredStart(Earlier);
+  REQUIRE(!Start.Worker.empty());
+  OrderOutcome Answer = OrderOutcome::NotSent;
+  std::size_t Counted = 2;
+  SUBCASE("not sent") {}
+  SUBCASE("another worker") { Answer = OrderOutcome::OtherIncarnation; }
+  SUBCASE("(control: no clear answer)") {
+    Answer = OrderOutcome::Unknown;
+    Counted = 3;
+  }
+  Earlier.B.answer(Start, Answer);
+  JobProgress Stored;
+  Stored.Tasks = {Earlier.job(1).Tasks[0].Kept};
+  CrashFixture Later(Ids, 8);
+  Later.Born = Earlier.Born;
+  ++Later.Born[Start.Worker];
+  Later.listBirths();
+  Later.B.Owner.inheritJob(sampleJob(1), &Stored, Later.B.Now);
+  for (const std::string &Id : Ids)
+    Later.report(Id);
+  CHECK(Later.crashes(1) == Counted);
+  CHECK((Later.job(1).Now == JobState::Failed) == (Counted == 3));
+}
+
 TEST_CASE("a run counts as having crashed an incarnation though the next one "
           "lists it or was born before its start was sent") {
   CrashFixture F(FourWorkers);
