Leave the worker that follows one taken down by a wave open

Callers had fewer workers than were up: after the upkeep of a machine its new worker was closed for 3 s or more while its wave went on.

Cause: until the order counts as visible in the list (3 s), the machine's worker stays closed; after 2 s of upkeep that is already the next one. Since workers are released it got no task for 13 s.

Change: only the worker that its pool's owner found empty stays closed, and the owner is told that it has ended, as for moves.

--- a/src/dispatch/FleetControl.cpp
+++ b/src/dispatch/FleetControl.cpp
@@ -211,9 +211,10 @@
   std::map<std::string, CloseRequest> ByPool;
   for (const jobs::WaveMachine &M : Machines) {
     const MachineProgress &P = Status.Machines[M.Id];
-    // A machine that was taken down stays closed until the list shows it as
-    // down.
-    bool Closed = P.Closing && (!P.Done || M.Down);
+    // A worker that was taken down stays closed until the list shows that; the
+    // one that follows it is open.
+    bool Closed =
+        P.Closing && (!P.Done || (M.Down && M.Worker == P.ClearWorker));
     if (!Closed || M.Worker.empty())
       continue;
     bool Drain = bootNow() - P.ClosingSince < DrainTimeout;
@@ -262,6 +263,7 @@
   switch (Outcome) {
   case MachineOrderOutcome::Done:
     P.Done = true;
+    reportEnded(Id, P.ClearWorker);
     storeProgress(Wave);
     return;
   case MachineOrderOutcome::Fenced:
@@ -279,6 +281,17 @@
   }
 }
 
+/// Tells the pool's owner that the worker has ended with its machine.
+void FleetControl::reportEnded(const std::string &Machine,
+                               const std::string &Worker) {
+  const dispatch::Machine *M = Cache_.find(Machine);
+  if (!M || Worker.empty())
+    return;
+  CloseRequest Request;
+  Request.Ended = {Worker};
+  Peers_.askClose(M->Pool, Request, [](const CloseAnswer &) {});
+}
+
 /// Stores the wave's progress for later fleet owners, then publishes it to
 /// operators.
 void FleetControl::storeProgress(const std::string &Wave) {
--- a/src/dispatch/FleetControl.h
+++ b/src/dispatch/FleetControl.h
@@ -52,6 +52,7 @@
   void maintain(const std::string &Wave, const std::string &Machine);
   void onMaintainEnded(const std::string &Wave, const std::string &Machine,
                        MachineOrderOutcome Outcome);
+  void reportEnded(const std::string &Machine, const std::string &Worker);
   void storeProgress(const std::string &Wave);
   void publishStatus(const std::string &Wave, bool Completed);
   bool isInMaintenance(const std::string &Machine) const;
--- a/tests/dispatch/ReleasedWorkerTest.cpp
+++ b/tests/dispatch/ReleasedWorkerTest.cpp
@@ -33,16 +33,16 @@
   }
 };
 
-/// Machines m1 to m4 of pool "p" with workers w1 to w4. Orders are answered
-/// only when the test says so.
+/// Machines m1 to m4 of pool "p" with workers w1 to w4. Moves are not answered;
+/// the upkeep of m1 is done at once and gives it worker "w9", that of others is
+/// refused.
 struct UnansweredMachines : MachineControl {
   static constexpr std::size_t Count = 4;
-  struct Move {
-    std::string Worker;
-    std::function<void(MachineOrderOutcome)> Done;
-  };
+  static constexpr const char *NewWorker = "w9";
   std::mutex Mutex;
-  std::vector<Move> Moves;
+  /// Workers whose machines were ordered to move.
+  std::vector<std::string> Moving;
+  std::atomic<bool> IsMaintained = false;
 
   void list(std::function<void(MachineList)> Done) override {
     MachineList List;
@@ -52,30 +52,34 @@
       M.Id = "m" + std::to_string(N);
       M.Pool = "p";
       M.State = MachineState::Up;
-      M.Worker = "w" + std::to_string(N);
+      M.Worker = N == 1 && IsMaintained ? NewWorker : "w" + std::to_string(N);
       List.Machines.push_back(M);
     }
     Done(List);
   }
-  void maintain(const std::string &, const std::string &, std::uint64_t,
-                std::function<void(MachineOrderOutcome)>) override {}
+  void maintain(const std::string &Machine, const std::string &, std::uint64_t,
+                std::function<void(MachineOrderOutcome)> Done) override {
+    bool IsFirst = Machine == "m1";
+    IsMaintained = IsMaintained || IsFirst;
+    Done(IsFirst ? MachineOrderOutcome::Done : MachineOrderOutcome::Busy);
+  }
   void move(const std::string &Machine, const std::string &, std::uint64_t,
-            std::function<void(MachineOrderOutcome)> Done) override {
+            std::function<void(MachineOrderOutcome)>) override {
     std::lock_guard<std::mutex> Lock(Mutex);
-    Moves.push_back({"w" + Machine.substr(1), std::move(Done)});
+    Moving.push_back("w" + Machine.substr(1));
   }
   std::size_t moves() {
     std::lock_guard<std::mutex> Lock(Mutex);
-    return Moves.size();
+    return Moving.size();
   }
-  Move last() {
+  std::string lastMoving() {
     std::lock_guard<std::mutex> Lock(Mutex);
-    return Moves.back();
+    return Moving.back();
   }
 };
 
-/// An entry that owns the fleet, pool "p" with four idle machines, and pool "q"
-/// without any, to which it moves one.
+/// An entry that owns the fleet, pool "p" with four idle machines, and, unless
+/// there is no other pool, pool "q" without any, to which it moves one.
 struct FleetFixture {
   settings::DispatchSettings Settings;
   net::Loop Loop;
@@ -104,8 +108,20 @@
   FleetControl Fleet{Ctx, View, Owners, PeerCalls};
   std::shared_ptr<PoolController> NextOwner;
 
-  FleetFixture() {
+  explicit FleetFixture(bool HasOtherPool = true) {
     Settings.Name = "e1";
+    if (!HasOtherPool)
+      Rows.Operator = decoderOf(configOf({"p"})).Operator;
+    Rows.WaveStatus = [](bool) { return ""; };
+    Rows.Operator = [Config = Rows.Operator](const store::PartRow &Row) {
+      if (Row.Where.Key == "config")
+        return Config(Row);
+      OperatorRow Wave;
+      Wave.What = OperatorRow::Kind::Wave;
+      Wave.Name = "1";
+      Wave.Wave = {"1", {"m1", "m2"}, std::chrono::seconds(10), 1};
+      return Wave;
+    };
     Store.put({"op", "", "config"}, "");
     for (const char *Pool : {"p", "q", rows::FleetControl})
       Store.put({rows::Control, rows::poolPart(Pool), rows::OwnerKey},
@@ -176,7 +192,7 @@
   B.start();
   B.waitUntilMoving();
   B.changeOwner();
-  CHECK(B.isClosed(*B.NextOwner, B.Machines.last().Worker));
+  CHECK(B.isClosed(*B.NextOwner, B.Machines.lastMoving()));
 }
 
 TEST_CASE("a worker gets tasks again while the order for its machine has no "
@@ -185,7 +201,7 @@
   FleetFixture B;
   B.start();
   B.waitUntilMoving();
-  std::string Worker = B.Machines.last().Worker;
+  std::string Worker = B.Machines.lastMoving();
   std::this_thread::sleep_for(LongerThanRequests);
   CHECK(B.isClosed(*B.Owners.controller("p"), Worker));
 }
@@ -205,3 +221,25 @@
   std::this_thread::sleep_for(LongerThanMovesTake);
   CHECK(B.Machines.moves() == 0);
 }
+
+TEST_CASE("a wave closes the worker that follows the one it has taken down") {
+  // The machine counts as down for this long after the order.
+  constexpr std::chrono::milliseconds LongestDown(3000);
+  FleetFixture B(false);
+  B.Store.put({"op", "", "wave"}, "");
+  B.start();
+  waitUntil(B.Loop, [&] { return B.Machines.IsMaintained.load(); });
+  const std::string Worker = UnansweredMachines::NewWorker;
+  B.Store.remove({"servers", "", "w1"});
+  B.Store.put({"servers", "", Worker}, "");
+  waitUntil(B.Loop, [&] {
+    return B.Owners.controller("p")->state().workers().count(Worker) != 0;
+  });
+  bool WasClosed = false;
+  core::TimePoint Until = bootNow() + LongestDown;
+  while (bootNow() < Until && !WasClosed) {
+    WasClosed = B.isClosed(*B.Owners.controller("p"), Worker);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  CHECK_FALSE(WasClosed);
+}
