Show that a lasting job is given up for crashes at takeovers

In 3 of 1,000 histories with lasting tasks and workers that restart at takeovers, without tasks that crash workers, the owner gives a lasting job up: it stops all its tasks at once, whatever its step allows, and the job is shown as failed.

--- a/tests/jobs/PoolSimulationTest.cpp
+++ b/tests/jobs/PoolSimulationTest.cpp
@@ -176,6 +176,20 @@
   }
 }
 
+TEST_CASE(
+    "all tasks of a lasting job are stopped at once, as it is given up, in "
+    "histories in which workers restart at takeovers" *
+    doctest::should_fail()) {
+  for (std::uint64_t Seed : {520058, 520240, 520710}) {
+    CAPTURE(Seed);
+    SimulationOptions Options;
+    Options.Seed = Seed;
+    Options.LastingTasks = true;
+    Options.RestartsAtTakeover = true;
+    CHECK(PoolSimulation(Options).simulate().Fault == "");
+  }
+}
+
 TEST_CASE(
     "a job is given up for starts that no worker carried out in histories "
     "in which workers restart before their owner knows") {
