Let a lasting task's run go on when an earlier one has ended as done

Callers saw a lasting task at work stopped, without a line in the log and whatever its step allows.

Cause: an end counts for the task, and all its runs were stopped before the owner saw that the task lasts. A worker that is reachable again may list the end of a run whose lease had lapsed.

Change: such an end changes nothing but the run that ended.

--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -280,12 +280,15 @@
 
 void PoolState::taskDone(JobRecord &Job, std::uint32_t Task) {
   TaskState &State = Job.Tasks[Task];
+  TaskPlace Place = placeOf(Job, Task);
+  const StepSpec &Step = Job.Spec.Steps[Place.Step];
+  // It starts again; a later run of it goes on.
+  if (Step.Lasting)
+    return;
   StopsChanged_ = StopsChanged_ || !State.Runs.empty();
   for (LiveRun &Run : State.Runs)
     Run.Stopping = true;
-  TaskPlace Place = placeOf(Job, Task);
-  const StepSpec &Step = Job.Spec.Steps[Place.Step];
-  if (State.Kept.Done || isFinal(Job.Now) || Step.Lasting)
+  if (State.Kept.Done || isFinal(Job.Now))
     return;
   State.Kept.Done = true;
   State.Kept.Checkpoint.clear();
--- /dev/null
+++ b/tests/jobs/LastingCrashTest.cpp
@@ -0,0 +1,47 @@
+#include "jobs/CrashFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreydeck;
+using namespace comfreydeck::jobs;
+
+namespace {
+
+JobSpec lastingJob(std::uint32_t Tasks) {
+  JobSpec Spec = sampleJob(1, Tasks);
+  Spec.Steps[0].Lasting = true;
+  Spec.Steps[0].AbsenceAllowance = 1;
+  Spec.Steps[0].MaxPerWorker = 1;
+  return Spec;
+}
+
+} // namespace
+
+TEST_CASE("an end of an earlier run stops the later run of a lasting task") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.report("w1");
+  B.report("w2");
+  B.Owner.addJob(lastingJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  StartOrder First = Out.Starts[0];
+  B.answer(First, OrderOutcome::Accepted);
+  const std::string Other = First.Worker == "w1" ? "w2" : "w1";
+  while (Out.Starts.empty() || Out.Starts[0].Run == First.Run) {
+    REQUIRE(B.Now < core::TimePoint() + std::chrono::seconds(30));
+    B.advance(milliseconds(100));
+    for (const HoldOrder &Hold : Out.Holds)
+      if (Hold.Worker == First.Worker)
+        B.dropReport(Hold);
+    B.report(Other);
+    Out = B.plan();
+  }
+  StartOrder Second = Out.Starts[0];
+  B.answer(Second, OrderOutcome::Accepted);
+  B.advance(milliseconds(100));
+  B.report(Second.Worker, {runReportOf(Second, 100)});
+  B.report(First.Worker, {},
+           {endReportOf(1, First.Task, First.Run, RunEnd::Done)});
+  CHECK(B.plan().Stops.empty());
+}
