Number the requests for releases, ask once for each pool, store refused rows

Requests are numbered now. - A standby machine got an upkeep and a move within 40 ms, as neither looked at the other's orders. - Each move asked its pool's owner by itself, every 30 ms: up to 660 calls a second. They are asked for together. - A worker that the list of machines shows to have ended was remembered for 13 s for its release (reading).

--- a/src/dispatch/FleetControl.cpp
+++ b/src/dispatch/FleetControl.cpp
@@ -90,12 +90,12 @@
   return Now >= OrdersFrom_ && Now - View_.controlCurrentAt() < FleetAuthority;
 }
 
-/// Whether a maintenance wave is draining the machine or has taken it down.
+/// Whether a maintenance wave is draining the machine or has ordered it down.
 bool FleetControl::isInMaintenance(const std::string &Machine) const {
   return std::any_of(Waves_.begin(), Waves_.end(), [&](const auto &Item) {
     auto It = Item.second.Machines.find(Machine);
-    return It != Item.second.Machines.end() && It->second.Closing &&
-           !It->second.Done;
+    return It != Item.second.Machines.end() && !It->second.Done &&
+           (It->second.Closing || It->second.OrderedAt);
   });
 }
 
@@ -143,7 +143,7 @@
     if (Known) {
       M.Pool = Known->Pool;
       M.Worker = Known->Worker;
-      M.Up = Known->State == MachineState::Up;
+      M.Up = Known->State == MachineState::Up && !Rebalancer_.isMoving(Id);
       M.Down = Known->State == MachineState::Maintenance;
       auto Config = View_.config();
       const jobs::Pool *Pool = jobs::findPool(*Config, Known->Pool);
@@ -221,7 +221,7 @@
     (Drain ? ByPool[M.Pool].Drain : ByPool[M.Pool].Evict).push_back(M.Worker);
   }
   for (auto &[Pool, Request] : ByPool) {
-    Request.FleetToken = Token_;
+    Request.By.FleetToken = Token_;
     Peers_.askClose(Pool, Request, [this](const CloseAnswer &Closed) {
       const std::vector<std::string> &Ids = Closed.Closed.Clear;
       for (auto &[Name, Wave] : Waves_)
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -219,7 +219,8 @@
                {"ended", Request.Ended},
                {"release", Request.Release},
                {"take_back", Request.TakeBack},
-               {"fleet_token", Request.FleetToken}};
+               {"fleet_token", Request.By.FleetToken},
+               {"request", Request.By.Number}};
   ask(Pool, Body.dump(), AskLimit,
       [Done = std::move(Done)](const OwnerAnswer &Answer) {
         Done({Answer.Closed, Answer.Token});
@@ -304,7 +305,8 @@
            Object.at("ended").get<std::vector<std::string>>(),
            Object.value("release", std::vector<std::string>()),
            Object.value("take_back", std::vector<std::string>()),
-           Object.value("fleet_token", std::uint64_t{0})});
+           {Object.value("fleet_token", std::uint64_t{0}),
+            Object.value("request", std::uint64_t{0})}});
     OwnerAnswer Answer = answerHere(*Controller, Object.value("job", ""),
                                     Object.value("queue", ""));
     Json Body = {{"known", Answer.Known},
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -111,19 +111,18 @@
 ClosedWorkers PoolController::closeWorkers(const CloseRequest &Request) {
   core::TimePoint Now = bootNow();
   for (const std::string &Id : Request.Drain)
-    ClosedWorkers_[Id] = {Now, false, Request.FleetToken};
+    ClosedWorkers_[Id] = {Now, false, Request.By};
   for (const std::string &Id : Request.Evict)
-    ClosedWorkers_[Id] = {Now, true, Request.FleetToken};
+    ClosedWorkers_[Id] = {Now, true, Request.By};
   for (const std::string &Id : Request.Ended)
     State_.endIncarnation(Id);
   for (const std::string &Id : Request.TakeBack)
-    State_.takeBackWorker(Id, Request.FleetToken);
+    State_.takeBackWorker(Id, Request.By);
   applyClosed();
   ClosedWorkers Result;
   for (const auto *Asked : {&Request.Drain, &Request.Evict, &Request.Release})
     for (const std::string &Id : *Asked) {
-      jobs::ReleaseState Release =
-          State_.releaseWorker(Id, Request.FleetToken, Now);
+      jobs::ReleaseState Release = State_.releaseWorker(Id, Request.By, Now);
       if (Release == jobs::ReleaseState::Released)
         Result.Clear.push_back(Id);
       else if (Release == jobs::ReleaseState::Pending)
@@ -149,7 +148,7 @@
   State_.setEvictingWorkers(Evicted);
   // Stored by the time that the next request asks for it.
   for (const auto &[Id, Asked] : ClosedWorkers_)
-    State_.releaseWorker(Id, Asked.FleetToken, Asked.At);
+    State_.releaseWorker(Id, Asked.By, Asked.At);
 }
 
 void PoolController::shutDown(std::function<void()> Done) {
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -42,8 +42,8 @@
   std::vector<std::string> Release;
   /// Released workers whose machines are not taken away.
   std::vector<std::string> TakeBack;
-  /// Token of the fleet's owner, which asks.
-  std::uint64_t FleetToken = 0;
+  /// Of the fleet's owner, which asks.
+  jobs::ReleaseRequest By;
 };
 
 /// What became of a \ref CloseRequest.
@@ -133,7 +133,7 @@
     /// When the closing was last requested.
     core::TimePoint At;
     bool Evict = false;
-    std::uint64_t FleetToken = 0;
+    jobs::ReleaseRequest By;
   };
   std::map<std::string, CloseState> ClosedWorkers_;
   bool Loaded_ = false;
--- a/src/dispatch/PoolRebalancer.cpp
+++ b/src/dispatch/PoolRebalancer.cpp
@@ -117,106 +117,120 @@
   return Described;
 }
 
+/// Has the owners release the workers before their machines move, so that no
+/// task starts there any more.
 void PoolRebalancer::plan() {
-  for (const jobs::MachineMove &Move : jobs::planMoves(describe()))
-    begin(Move);
-}
-
-/// Has the owner release the worker before the machine moves, so that no task
-/// starts there any more.
-void PoolRebalancer::begin(const jobs::MachineMove &Move) {
-  const Machine *M = Cache_.find(Move.Machine);
-  const jobs::Pool *From = jobs::findPool(*View_.config(), Move.From);
-  if (!M || !From)
-    return;
   core::TimePoint Now = bootNow();
-  PendingMoves_[Move.Machine] = {Move.To, Now};
-  if (From->Standby)
-    sendOrder(Move, "");
-  else
-    askRelease({Move, M->Worker, Now + ReleaseLimit, Token_});
+  std::map<std::string, WantedMoves> ByPool;
+  for (const jobs::MachineMove &Move : jobs::planMoves(describe())) {
+    const Machine *M = Cache_.find(Move.Machine);
+    const jobs::Pool *From = jobs::findPool(*View_.config(), Move.From);
+    if (!M || !From)
+      continue;
+    PendingMoves_[Move.Machine] = {Move.To, Now};
+    if (From->Standby)
+      sendOrder({Move, ""});
+    else
+      ByPool[Move.From].Moves.push_back({Move, M->Worker});
+  }
+  for (auto &[Pool, Wanted] : ByPool) {
+    Wanted.From = Pool;
+    Wanted.Until = Now + ReleaseLimit;
+    Wanted.Token = Token_;
+    askReleases(Wanted);
+  }
 }
 
-void PoolRebalancer::askRelease(const WantedMove &Wanted) {
+void PoolRebalancer::askReleases(const WantedMoves &Wanted) {
   CloseRequest Request;
-  Request.Release = {Wanted.Worker};
-  Request.FleetToken = Wanted.Token;
-  Peers_.askClose(Wanted.Move.From, Request,
+  for (const WorkerMove &M : Wanted.Moves)
+    Request.Release.push_back(M.Worker);
+  Request.By = {Wanted.Token, ++LastRequest_};
+  Peers_.askClose(Wanted.From, Request,
                   [this, Wanted](const CloseAnswer &Answer) {
                     if (Wanted.Token == Token_)
                       onReleaseAnswer(Wanted, Answer);
                   });
 }
 
-void PoolRebalancer::onReleaseAnswer(const WantedMove &Wanted,
+void PoolRebalancer::onReleaseAnswer(const WantedMoves &Wanted,
                                      const CloseAnswer &Answer) {
-  const jobs::PoolView *Owner = View_.pool(Wanted.Move.From);
+  const jobs::PoolView *Owner = View_.pool(Wanted.From);
   bool SameOwner = Owner && Owner->Version == Answer.Token;
-  if (SameOwner && !Answer.Closed.Clear.empty()) {
-    sendOrder(Wanted.Move, Wanted.Worker);
-    return;
+  bool MayWait = SameOwner && bootNow() < Wanted.Until;
+  auto IsIn = [](const std::vector<std::string> &Ids, const WorkerMove &M) {
+    return std::find(Ids.begin(), Ids.end(), M.Worker) != Ids.end();
+  };
+  WantedMoves Waiting = {Wanted.From, {}, Wanted.Until, Wanted.Token};
+  std::vector<WorkerMove> GivenUp;
+  for (const WorkerMove &M : Wanted.Moves) {
+    if (SameOwner && IsIn(Answer.Closed.Clear, M))
+      sendOrder(M);
+    else if (MayWait && IsIn(Answer.Closed.Releasing, M))
+      Waiting.Moves.push_back(M);
+    else
+      GivenUp.push_back(M);
   }
-  bool Waits = SameOwner && !Answer.Closed.Releasing.empty();
-  if (!Waits || bootNow() >= Wanted.Until) {
-    giveUp(Wanted.Move, Wanted.Worker);
+  giveUp(Wanted.From, GivenUp);
+  if (Waiting.Moves.empty())
     return;
-  }
-  Ctx_.Loop.after(ReleaseRetry, [this, Wanted] {
-    if (Wanted.Token == Token_)
-      askRelease(Wanted);
+  Ctx_.Loop.after(ReleaseRetry, [this, Waiting = std::move(Waiting)] {
+    if (Waiting.Token == Token_)
+      askReleases(Waiting);
   });
 }
 
-/// Drops a move for which nothing was ordered, or whose order was refused.
-void PoolRebalancer::giveUp(const jobs::MachineMove &Move,
-                            const std::string &Worker) {
-  PendingMoves_.erase(Move.Machine);
-  if (Worker.empty())
-    return;
+/// Drops moves for which nothing was ordered, or whose orders were refused.
+void PoolRebalancer::giveUp(const std::string &From,
+                            std::span<const WorkerMove> Moves) {
   CloseRequest Request;
-  Request.TakeBack = {Worker};
-  Request.FleetToken = Token_;
-  Peers_.askClose(Move.From, Request, [](const CloseAnswer &) {});
+  for (const WorkerMove &M : Moves) {
+    PendingMoves_.erase(M.Move.Machine);
+    if (!M.Worker.empty())
+      Request.TakeBack.push_back(M.Worker);
+  }
+  Request.By = {Token_, ++LastRequest_};
+  if (!Request.TakeBack.empty())
+    Peers_.askClose(From, Request, [](const CloseAnswer &) {});
 }
 
-/// \p Worker is the machine's; empty if it has none.
-void PoolRebalancer::sendOrder(const jobs::MachineMove &Move,
-                               const std::string &Worker) {
+void PoolRebalancer::sendOrder(const WorkerMove &Order) {
+  const jobs::MachineMove &Move = Order.Move;
   // The pool's owner may have answered after this entry lost the fleet.
   if (Token_ == 0 || !Checks_.MayOrder()) {
-    giveUp(Move, Worker);
+    giveUp(Move.From, {&Order, 1});
     return;
   }
   logEvent("move", {{"machine", Move.Machine},
-                    {"worker", Worker},
+                    {"worker", Order.Worker},
                     {"from", Move.From},
                     {"to", Move.To},
                     {"token", Token_}});
   Ctx_.Machines->move(
       Move.Machine, Move.To, Token_,
-      [this, Move, Worker, Token = Token_](MachineOrderOutcome Outcome) {
-        Ctx_.Loop.post([this, Move, Worker, Token, Outcome] {
+      [this, Order, Token = Token_](MachineOrderOutcome Outcome) {
+        Ctx_.Loop.post([this, Order, Token, Outcome] {
           if (Token == Token_)
-            onMoveEnded(Move, Worker, Outcome);
+            onMoveEnded(Order, Outcome);
         });
       });
 }
 
-void PoolRebalancer::onMoveEnded(const jobs::MachineMove &Move,
-                                 const std::string &Worker,
+void PoolRebalancer::onMoveEnded(const WorkerMove &Order,
                                  MachineOrderOutcome Outcome) {
-  if (Outcome == MachineOrderOutcome::Done && !Worker.empty()) {
+  const jobs::MachineMove &Move = Order.Move;
+  if (Outcome == MachineOrderOutcome::Done && !Order.Worker.empty()) {
     CloseRequest Request;
-    Request.Ended = {Worker};
+    Request.Ended = {Order.Worker};
     Peers_.askClose(Move.From, Request, [](const CloseAnswer &) {});
   }
   if (Outcome == MachineOrderOutcome::Done ||
       Outcome == MachineOrderOutcome::Unknown)
     return;
   logEvent("move_refused", {{"machine", Move.Machine},
-                            {"worker", Worker},
+                            {"worker", Order.Worker},
                             {"outcome", nameOf(Outcome)}});
-  giveUp(Move, Worker);
+  giveUp(Move.From, {&Order, 1});
 }
 
 } // namespace comfreydeck::dispatch
--- a/src/dispatch/PoolRebalancer.h
+++ b/src/dispatch/PoolRebalancer.h
@@ -5,6 +5,8 @@
 #include "dispatch/Peers.h"
 #include "jobs/PoolSizes.h"
 
+#include <span>
+
 namespace comfreydeck::dispatch {
 
 /// What the owner of the fleet knows beside pools and machines.
@@ -26,6 +28,10 @@
   void tick(std::uint64_t Token);
   /// Forgets all moves in progress; call when the token changed.
   void reset();
+  /// Whether the machine was ordered to move, or is about to be.
+  bool isMoving(const std::string &Machine) const {
+    return PendingMoves_.count(Machine) != 0;
+  }
 
 private:
   /// A machine that is moving to a pool.
@@ -33,10 +39,15 @@
     std::string To;
     core::TimePoint OrderedAt;
   };
-  /// A move whose worker's release is asked for.
-  struct WantedMove {
+  /// A move and the worker that it ends; empty if there is none.
+  struct WorkerMove {
     jobs::MachineMove Move;
     std::string Worker;
+  };
+  /// Moves out of one pool whose workers' releases are asked for.
+  struct WantedMoves {
+    std::string From;
+    std::vector<WorkerMove> Moves;
     core::TimePoint Until;
     std::uint64_t Token = 0;
   };
@@ -44,13 +55,11 @@
   void askLoads();
   void plan();
   std::vector<jobs::PoolLoad> describe();
-  void begin(const jobs::MachineMove &Move);
-  void askRelease(const WantedMove &Wanted);
-  void onReleaseAnswer(const WantedMove &Wanted, const CloseAnswer &Answer);
-  void giveUp(const jobs::MachineMove &Move, const std::string &Worker);
-  void sendOrder(const jobs::MachineMove &Move, const std::string &Worker);
-  void onMoveEnded(const jobs::MachineMove &Move, const std::string &Worker,
-                   MachineOrderOutcome Outcome);
+  void askReleases(const WantedMoves &Wanted);
+  void onReleaseAnswer(const WantedMoves &Wanted, const CloseAnswer &Answer);
+  void giveUp(const std::string &From, std::span<const WorkerMove> Moves);
+  void sendOrder(const WorkerMove &Order);
+  void onMoveEnded(const WorkerMove &Order, MachineOrderOutcome Outcome);
   void dropFinishedMoves();
 
   Context &Ctx_;
@@ -59,6 +68,8 @@
   MachineCache &Cache_;
   FleetChecks Checks_;
   std::uint64_t Token_ = 0;
+  /// Number of the last request for releases.
+  std::uint64_t LastRequest_ = 0;
   std::map<std::string, OwnerLoad> Loads_;
   std::map<std::string, core::TimePoint> SurplusSince_;
   std::map<std::string, PendingMove> PendingMoves_;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -99,13 +99,14 @@
   /// Lets the worker's machine be taken away, if the worker has no runs. It
   /// gets none until \ref takeBackWorker, or until an order for its machine
   /// that was given at \p Now can no longer arrive. Call again until that is
-  /// stored. \p FleetToken is that of the fleet's owner.
-  ReleaseState releaseWorker(const std::string &Id, std::uint64_t FleetToken,
+  /// stored.
+  ReleaseState releaseWorker(const std::string &Id,
+                             const ReleaseRequest &Request,
                              core::TimePoint Now);
   /// Lets a released worker get runs again, as this owner of the fleet gave no
-  /// order for its machine, or that was refused. Does nothing if another one
-  /// may have given one.
-  void takeBackWorker(const std::string &Id, std::uint64_t FleetToken);
+  /// order for its machine, or that was refused. Does nothing if it has asked
+  /// for the release again since, or another one may have given an order.
+  void takeBackWorker(const std::string &Id, const ReleaseRequest &Request);
   /// Sets the maximum resources each team may use in this pool; teams without
   /// an entry are unlimited.
   void setTeamRoom(std::map<std::string, core::Resources> Room);
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -172,7 +172,7 @@
   Slot->Gone = true;
   Slot->GoneAt = Now;
   if (Entry.Released) {
-    Slot->Release = {Now, true, 0};
+    Slot->Release = {Now, true, 0, 0};
     Slot->Closed = true;
     Events_.Releases.push_back({ReleaseChange::Kind::Inherited, Entry.Id, 0});
   }
@@ -197,6 +197,7 @@
   W.UnknownRuns.clear();
   W.Parked.clear();
   W.Heard = true;
+  W.Release = {};
   // Its entry may still be listed for a while.
   W.Ended = W.Ended || !W.Gone;
 }
@@ -240,31 +241,35 @@
 }
 
 ReleaseState PoolState::releaseWorker(const std::string &Id,
-                                      std::uint64_t FleetToken,
+                                      const ReleaseRequest &Request,
                                       core::TimePoint Now) {
   if (!isDrained(Id))
     return ReleaseState::Refused;
   WorkerState &W = *Workers_.at(Id);
-  if (!W.Release.AskedAt) {
-    W.Release = {std::nullopt, false, FleetToken};
+  WorkerRelease &Release = W.Release;
+  if (!Release.AskedAt) {
+    Release = {std::nullopt, false, Request.FleetToken, 0};
     W.Closed = true;
     Outbox_.enrol(Id);
-    Events_.Releases.push_back({ReleaseChange::Kind::Released, Id, FleetToken});
+    Events_.Releases.push_back(
+        {ReleaseChange::Kind::Released, Id, Request.FleetToken});
   }
-  if (W.Release.FleetToken != FleetToken)
-    W.Release.FleetToken = 0;
-  W.Release.AskedAt = std::max(W.Release.AskedAt.value_or(Now), Now);
-  return W.Release.Stored ? ReleaseState::Released : ReleaseState::Pending;
+  if (Release.FleetToken != Request.FleetToken)
+    Release.FleetToken = 0;
+  Release.Request = std::max(Release.Request, Request.Number);
+  Release.AskedAt = std::max(Release.AskedAt.value_or(Now), Now);
+  return Release.Stored ? ReleaseState::Released : ReleaseState::Pending;
 }
 
 void PoolState::takeBackWorker(const std::string &Id,
-                               std::uint64_t FleetToken) {
+                               const ReleaseRequest &Request) {
   auto At = Workers_.find(Id);
   if (At == Workers_.end() || !At->second->Release.AskedAt)
     return;
-  WorkerState &W = *At->second;
-  if (FleetToken != 0 && W.Release.FleetToken == FleetToken)
-    takeBack(W, ReleaseChange::Kind::TakenBack);
+  const WorkerRelease &Release = At->second->Release;
+  if (Request.FleetToken != 0 && Release.FleetToken == Request.FleetToken &&
+      Request.Number >= Release.Request)
+    takeBack(*At->second, ReleaseChange::Kind::TakenBack);
 }
 
 void PoolState::takeBack(WorkerState &W, ReleaseChange::Kind Why) {
--- a/src/jobs/ProgressOutbox.cpp
+++ b/src/jobs/ProgressOutbox.cpp
@@ -20,6 +20,11 @@
   return Entry;
 }
 
+/// Whether the worker's row in the roster has yet to be stored.
+bool isRosterRowOpen(const WorkerState &W) {
+  return !W.Enrolled || (W.Release.AskedAt && !W.Release.Stored);
+}
+
 } // namespace
 
 JobRecord *ProgressOutbox::findJob(const std::string &Id) const {
@@ -171,7 +176,7 @@
       break;
     case SetAsideRow::Kind::Enrolled:
       // It may have left, or its new address may have been stored.
-      if (Worker != Workers_.end() && !Worker->second->Enrolled) {
+      if (Worker != Workers_.end() && isRosterRowOpen(*Worker->second)) {
         ToEnrol_.erase(Row.Id);
         Batch.Enrolled.push_back(rosterEntryOf(*Worker->second));
       }
--- a/src/jobs/WorkerRelease.h
+++ b/src/jobs/WorkerRelease.h
@@ -19,6 +19,14 @@
   /// Token of the fleet's owner that asked for it; zero if that isn't known, or
   /// several did.
   std::uint64_t FleetToken = 0;
+  /// Number of the latest request of that owner.
+  std::uint64_t Request = 0;
+};
+
+/// A request of the fleet's owner. Later ones have higher numbers.
+struct ReleaseRequest {
+  std::uint64_t FleetToken = 0;
+  std::uint64_t Number = 0;
 };
 
 /// What became of a request for a worker's release.
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -415,6 +415,7 @@
   /// When each lasting task was last at work.
   std::map<TaskRef, core::TimePoint> LastAtWork_;
   std::map<std::string, JobProgress> Stored_;
+  std::uint64_t Releases_ = 0;
   /// The stored roster.
   std::map<std::string, WorkerEntry> Roster_;
   /// Jobs of which a worker has begun a task.
--- a/tests/jobs/PoolSimulationMoves.cpp
+++ b/tests/jobs/PoolSimulationMoves.cpp
@@ -22,13 +22,14 @@
       if (W.Id != Id || W.Moving || O->Replaced)
         return;
       if (askRelease(W, O) == ReleaseState::Pending)
-        O->State->takeBackWorker(Id, FleetToken);
+        O->State->takeBackWorker(Id, {FleetToken, ++Releases_});
     });
 }
 
 /// Orders the machine away if the owner lets it.
 ReleaseState PoolSimulation::askRelease(Worker &W, const OwnerPtr &O) {
-  ReleaseState Release = O->State->releaseWorker(W.Id, FleetToken, nowOf(*O));
+  ReleaseState Release =
+      O->State->releaseWorker(W.Id, {FleetToken, ++Releases_}, nowOf(*O));
   if (Release == ReleaseState::Released) {
     W.Moving = true;
     schedule(0, MostOrderMs, [this, &W, Id = W.Id] { takeMachine(W, Id); });
--- a/tests/jobs/WorkerReleaseTest.cpp
+++ b/tests/jobs/WorkerReleaseTest.cpp
@@ -19,8 +19,12 @@
       B.report(Worker);
     B.plan();
   }
-  ReleaseState release(std::uint64_t Fleet = FleetToken) {
-    return B.Owner.releaseWorker("w1", Fleet, B.Now);
+  ReleaseState release(std::uint64_t Fleet = FleetToken,
+                       std::uint64_t Number = 1) {
+    return B.Owner.releaseWorker("w1", {Fleet, Number}, B.Now);
+  }
+  void takeBack(std::uint64_t Fleet = FleetToken) {
+    B.Owner.takeBackWorker("w1", {Fleet, 2});
   }
   /// Stores what has changed; returns the worker's roster row.
   std::optional<WorkerEntry> store() {
@@ -63,27 +67,36 @@
   bool IsTakenBack = true;
   SUBCASE("as the order was refused") {
     R.store();
-    R.B.Owner.takeBackWorker("w1", FleetToken);
+    R.takeBack();
   }
   SUBCASE("while its release is being stored") {
     ProgressBatch Batch = R.B.Owner.takeChanges(100);
-    R.B.Owner.takeBackWorker("w1", FleetToken);
+    R.takeBack();
     R.B.Owner.onStored(Batch.Mark);
   }
   SUBCASE("as no order can arrive any more") {
     R.store();
-    R.B.Now += std::chrono::milliseconds(13001);
+    R.B.Now += std::chrono::milliseconds(13000);
+    R.B.plan();
+    CHECK(R.isClosed());
+    R.B.Now += std::chrono::milliseconds(1);
     R.B.plan();
   }
   SUBCASE("by an owner of the fleet that didn't ask for it") {
     R.store();
-    R.B.Owner.takeBackWorker("w1", FleetToken + 1);
+    R.takeBack(FleetToken + 1);
+    IsTakenBack = false;
+  }
+  SUBCASE("by a request that is older than the latest release") {
+    R.store();
+    R.release(FleetToken, 3);
+    R.takeBack();
     IsTakenBack = false;
   }
   SUBCASE("by one of two that asked for it") {
     R.store();
     R.release(FleetToken + 1);
-    R.B.Owner.takeBackWorker("w1", FleetToken + 1);
+    R.takeBack(FleetToken + 1);
     IsTakenBack = false;
   }
   CHECK(R.isClosed() == !IsTakenBack);
@@ -108,7 +121,7 @@
   Next.Owner.setClosedWorkers({});
   CHECK(Next.plan().Starts.empty());
   SUBCASE("and lets another owner of the fleet move it") {
-    CHECK(Next.Owner.releaseWorker("w1", FleetToken, Next.Now) ==
+    CHECK(Next.Owner.releaseWorker("w1", {FleetToken, 1}, Next.Now) ==
           ReleaseState::Released);
   }
   SUBCASE("until the order can't arrive any more") {
@@ -117,3 +130,19 @@
     CHECK(Next.plan().Starts.size() == 1);
   }
 }
+
+TEST_CASE("a worker whose release the store refuses stays closed and can't be "
+          "taken down once the store accepts it") {
+  Releases R({"w1"});
+  R.store();
+  R.release();
+  ProgressBatch Refused = R.B.Owner.takeChanges(100);
+  R.B.Owner.setAside(Refused);
+  R.B.Owner.onStored(Refused.Mark);
+  CHECK(R.release() == ReleaseState::Pending);
+  ProgressBatch Again = R.B.Owner.takeSetAside();
+  REQUIRE(Again.Enrolled.size() == 1);
+  CHECK(Again.Enrolled[0].Released);
+  R.B.Owner.onStored(Again.Mark);
+  CHECK(R.release() == ReleaseState::Released);
+}
