Pause between the tries of a gang with a member that gets no start

Callers saw the other members of such a gang begin and end about three times in two seconds for as long as it went on, and the workers' room go to runs that did nothing.

Cause: once the members that had begun were stopped for the missing one, the gang started again as soon as there was room, and on the same workers where the sender had withheld the start, which avoids no worker.

Evidence: a gang of two whose one member never gets its start, planned every 100 ms for 30 s.

Change: a try in which some members began and some did not is in vain (`endGangTry`). The retry after the first is not delayed; then 0.5, 1, 2 and 3 s, until a try in which all members began. A gang of which no member began is not delayed, and workers on which a member got no start come later in the next try. A lasting gang's room is kept meanwhile. The wait is `gang-pause`, in place of `pause`, which nothing set.

The naive planner of the simulation keeps the room of pausing gangs and scores their workers in the same way.

--- a/src/jobs/GangMoves.cpp
+++ b/src/jobs/GangMoves.cpp
@@ -34,6 +34,11 @@
   return HasRun && HasEnded;
 }
 
+/// Whether the gang was stopped since a member got no start, and pauses.
+bool StartPlan::isPaused(const JobRecord &Job, std::uint32_t First) const {
+  return In_.Now < Job.Tasks[First].NotBefore;
+}
+
 /// When the first start of a member was sent; the maximum if none was.
 core::TimePoint StartPlan::gangStartedAt(const JobRecord &Job,
                                          std::uint32_t First) {
@@ -99,7 +104,7 @@
 
 /// Lets gangs of which a member has ended or has not started start again as a
 /// whole: stops the members that go on without it, and keeps room for all
-/// members of a lasting gang until then.
+/// members of a lasting gang until it may start again.
 void StartPlan::planBreakingGangs() {
   std::vector<std::pair<JobRecord *, std::uint32_t>> Breaking;
   for (JobRecord *Job : Owner_.Open_) {
@@ -110,7 +115,7 @@
       if (Step.Gang && !Job->Tasks[First].Kept.Done) {
         if (isIncomplete(*Job, First))
           stopRest(*Job, First);
-        if (Step.Lasting && isBreaking(*Job, First))
+        if (Step.Lasting && (isBreaking(*Job, First) || isPaused(*Job, First)))
           Breaking.emplace_back(Job, First);
       }
       First += Step.Gang ? Step.Tasks : 1;
--- a/src/jobs/GangPlan.cpp
+++ b/src/jobs/GangPlan.cpp
@@ -1,3 +1,4 @@
+#include "jobs/GangRetry.h"
 #include "jobs/StartPlan_p.h"
 
 #include <algorithm>
@@ -5,6 +6,12 @@
 
 namespace comfreydeck::jobs {
 
+namespace {
+
+constexpr double NoStartPenalty = 2.0;
+
+} // namespace
+
 /// Starts all members of the gang or none.
 void StartPlan::planGang(JobRecord &Job, std::uint32_t First) {
   const StepSpec &Step = PoolState::stepOf(Job, First);
@@ -77,14 +84,18 @@
 std::vector<StartPlan::GangHost>
 StartPlan::findGangHosts(JobRecord &Job, std::uint32_t First) const {
   const StepSpec &Step = PoolState::stepOf(Job, First);
-  bool Apart = std::any_of(
-      Job.Tasks.begin() + First, Job.Tasks.begin() + First + Step.Tasks,
-      [&](const TaskState &Task) { return In_.Now < Task.SpreadUntil; });
+  std::span<const TaskState> Members =
+      std::span(Job.Tasks).subspan(First, Step.Tasks);
+  bool Apart =
+      std::any_of(Members.begin(), Members.end(), [&](const TaskState &Task) {
+        return In_.Now < Task.SpreadUntil;
+      });
   std::vector<GangHost> Hosts;
   for (WorkerState *W : Usable_)
     if (meetsConstraints(*W, Job, First, Step) &&
         !(Apart && Suspects_.count(W) != 0))
-      Hosts.push_back({W, countPlaces(*W, Job, First, Step), 0, loadOf(*W)});
+      Hosts.push_back({W, countPlaces(*W, Job, First, Step), 0, loadOf(*W),
+                       gotNoStartOn(Members, W->Entry.Id)});
   return Hosts;
 }
 
@@ -104,6 +115,8 @@
                               std::uint32_t Task) const {
   const StepSpec &Step = PoolState::stepOf(Job, Task);
   double Score = score(*Host.Worker, Host.Load, Job, Task, Step);
+  if (Host.GaveNoStart)
+    Score -= NoStartPenalty;
   if (Host.Placed > 0 && isSuspect(Job, Task))
     Score -= besideSuspects(Host.Placed);
   return Score;
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -69,6 +69,13 @@
   core::TimePoint SpreadUntil;
   /// Earliest time of the next start.
   core::TimePoint NotBefore;
+  /// A worker has begun the last run.
+  bool HasBegun = false;
+  /// Of a gang's member: the worker of its last run if that was not begun.
+  std::string NoStartOn;
+  /// Of a gang's first member: tries in a row in which some members began and
+  /// some did not.
+  std::uint32_t VainTries = 0;
   /// Worker on which the last run failed or straggled.
   std::string FailedOn;
   /// A run of it was a straggler; such a task is not restarted for that reason
--- a/src/jobs/PoolMetrics.cpp
+++ b/src/jobs/PoolMetrics.cpp
@@ -48,8 +48,8 @@
     return "payload";
   case WaitReason::RowRefused:
     return "row-refused";
-  case WaitReason::Pause:
-    return "pause";
+  case WaitReason::GangPause:
+    return "gang-pause";
   case WaitReason::CrashOpen:
     return "crash-open";
   case WaitReason::TeamLimit:
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -91,8 +91,9 @@
   /// It may crash workers, so that its runs start only once they are stored,
   /// and the store refuses its job's row.
   RowRefused,
-  /// Retry delay after a run that ended.
-  Pause,
+  /// Its gang was stopped since a member got no start, and pauses before the
+  /// next try.
+  GangPause,
   /// It has crashed the maximum number of workers, if those out of reach have
   /// crashed.
   CrashOpen,
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -78,7 +78,7 @@
   switch (Result.Outcome) {
   case OrderOutcome::Accepted:
     W.UnansweredStarts = 0;
-    markStarted(*Job);
+    markBegun(*Job, Task, Order.Run);
     if (Run)
       confirmRun(*Run, Now);
     return;
@@ -320,7 +320,7 @@
   std::uint32_t Task = indexOf(Job, End.Task);
   if (Task >= Job.Tasks.size())
     return;
-  markStarted(Job);
+  markBegun(Job, Task, End.Run);
   TaskState &State = Job.Tasks[Task];
   if (!End.Checkpoint.empty() && !State.Kept.Done &&
       State.Kept.Checkpoint != End.Checkpoint) {
@@ -395,7 +395,7 @@
     if (Unneeded && !isFinal(Job->Now))
       recordStop(*Job, Task, *Run, StopReason::Duplicate, Now);
   }
-  markStarted(*Job);
+  markBegun(*Job, Task, Report.Run);
   confirmRun(*Run, Now);
   Run->Listed = true;
   if (Report.Percent != Run->Percent)
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -1,5 +1,7 @@
 #include "jobs/PoolState.h"
 
+#include "jobs/GangRetry.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -401,8 +403,10 @@
   WorkerState &W = *Workers_.at(Run.Worker);
   reserve(W, Job, stepOf(Job, Task));
   W.Tasks.insert({&Job, Task});
-  Job.Tasks[Task].Runs.push_back(std::move(Run));
-  Job.Tasks[Task].HadRun = true;
+  TaskState &State = Job.Tasks[Task];
+  State.Runs.push_back(std::move(Run));
+  State.HadRun = true;
+  State.HasBegun = false;
   Job.WaitingKnown = false;
 }
 
@@ -413,6 +417,13 @@
     Job.Now = JobState::Running;
 }
 
+/// Records that a worker has begun the run.
+void PoolState::markBegun(JobRecord &Job, std::uint32_t Task, RunId Run) {
+  markStarted(Job);
+  if (findRun(Job, Task, Run))
+    Job.Tasks[Task].HasBegun = true;
+}
+
 /// Records that the run's start has been carried out.
 void PoolState::confirmRun(LiveRun &Run, core::TimePoint Now) {
   if (Run.Confirmed)
@@ -432,9 +443,13 @@
   // A gang that found no room was never ordered.
   if (!It->Confirmed && Now_ > It->OrderedAt)
     core::addSample(Counters_.Unconfirmed, Now_ - It->OrderedAt);
+  TaskState &State = Job.Tasks[Task];
+  bool IsGang = stepOf(Job, Task).Gang;
+  if (IsGang)
+    State.NoStartOn = State.HasBegun ? "" : Worker;
   Runs.erase(It);
   if (Runs.empty())
-    Job.Tasks[Task].WaitingSince = Now_;
+    State.WaitingSince = Now_;
   Job.WaitingKnown = false;
   WorkerState &W = *Workers_.at(Worker);
   release(W, Job, stepOf(Job, Task));
@@ -443,6 +458,10 @@
   });
   if (!Another)
     W.Tasks.erase({&Job, Task});
+  if (IsGang) {
+    auto [First, Last] = unitOf(Job, Task);
+    endGangTry(std::span(Job.Tasks).subspan(First, Last - First), Now_);
+  }
 }
 
 void PoolState::dropRuns(WorkerState &W) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -233,6 +233,7 @@
 
   void addRun(JobRecord &Job, std::uint32_t Task, LiveRun Run);
   static void markStarted(JobRecord &Job);
+  void markBegun(JobRecord &Job, std::uint32_t Task, RunId Run);
   void confirmRun(LiveRun &Run, core::TimePoint Now);
   void removeRun(JobRecord &Job, std::uint32_t Task, RunId Run);
   /// Takes the worker's room for a task of the step, without its team's use.
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -207,7 +207,7 @@
       return WaitReason::NotDue;
   }
   if (Job.Tasks[Task].NotBefore > In_.Now)
-    return WaitReason::Pause;
+    return WaitReason::GangPause;
   return std::nullopt;
 }
 
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -106,6 +106,8 @@
     std::uint32_t Places = 0;
     std::uint32_t Placed = 0;
     WorkerLoad Load;
+    /// A member got no start there in the last try.
+    bool GaveNoStart = false;
   };
   /// The worker of each member of a gang, and the sum of their scores.
   struct GangPlacement {
@@ -244,6 +246,7 @@
   void moveLasting(WorkerState &W);
   static bool hasGang(const JobRecord &Job);
   static bool isBreaking(const JobRecord &Job, std::uint32_t First);
+  bool isPaused(const JobRecord &Job, std::uint32_t First) const;
   static core::TimePoint gangStartedAt(const JobRecord &Job,
                                        std::uint32_t First);
   bool isPresent(const JobRecord &Job, std::uint32_t Task) const;
--- a/tests/jobs/GangPlacementTest.cpp
+++ b/tests/jobs/GangPlacementTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
+
 using namespace comfreydeck;
 using namespace comfreydeck::jobs;
 
@@ -231,3 +233,131 @@
       B.report(Start.Worker, {runReportOf(Start, 0)});
   }
 }
+
+namespace {
+
+/// A gang of two whose members' workers answer as the test says, planned every
+/// 100 ms. Stops are carried out at once.
+struct RetriedGang : StartingGang {
+  using Outcome = std::function<OrderOutcome(const StartOrder &)>;
+  std::map<std::string, StartOrder> Running;
+  std::uint64_t Ends = 0;
+  std::size_t Stops = 0;
+  std::vector<core::TimePoint> Tries;
+  std::uint64_t MostPaused = 0;
+
+  RetriedGang() {
+    Running[Starts[0].Worker] = Starts[0];
+    Tries.push_back(Now);
+  }
+
+  void run(milliseconds Time, const Outcome &AnswerOf) {
+    for (milliseconds Passed(0); Passed < Time; Passed += milliseconds(100)) {
+      Orders Out = plan();
+      if (!Out.Starts.empty())
+        Tries.push_back(Now);
+      for (const StartOrder &Start : Out.Starts) {
+        OrderOutcome Answer = AnswerOf(Start);
+        if (Answer == OrderOutcome::Accepted)
+          Running[Start.Worker] = Start;
+        answer(Start, Answer);
+      }
+      Stops += Out.Stops.size();
+      PoolGauges Gauges = Owner.gauges(Now, 1000000);
+      MostPaused =
+          std::max(MostPaused, Gauges.Waiting[indexOf(WaitReason::GangPause)]);
+      advance(milliseconds(100));
+      for (const StopOrder &Stop : Out.Stops)
+        end(Stop.Worker, RunEnd::Stopped);
+      for (const WorkerEntry &Entry : Entries)
+        if (auto At = Running.find(Entry.Id); At != Running.end())
+          report(Entry.Id, {runReportOf(At->second, 0)});
+        else
+          report(Entry.Id);
+    }
+  }
+
+  void end(const std::string &Worker, RunEnd How) {
+    auto At = Running.find(Worker);
+    if (At == Running.end())
+      return;
+    StartOrder Start = At->second;
+    Running.erase(At);
+    report(Worker, {}, {endReportOf(++Ends, Start.Task, Start.Run, How)});
+  }
+
+  milliseconds gap(std::size_t Try) const {
+    return std::chrono::duration_cast<milliseconds>(Tries[Try] -
+                                                    Tries[Try - 1]);
+  }
+};
+
+OrderOutcome accept(const StartOrder & /*Order*/) {
+  return OrderOutcome::Accepted;
+}
+
+} // namespace
+
+TEST_CASE("a gang with a member that never gets its start is started and "
+          "stopped three times in two seconds") {
+  RetriedGang B;
+  OrderOutcome Lost = OrderOutcome::NotSent;
+  SUBCASE("not sent") {}
+  SUBCASE("withheld") { Lost = OrderOutcome::Withheld; }
+  std::string Bad = B.Starts[1].Worker;
+  RetriedGang::Outcome LoseOne = [&](const StartOrder &Order) {
+    return Order.Worker == Bad ? Lost : OrderOutcome::Accepted;
+  };
+  B.answer(B.Starts[1], Lost);
+  B.run(std::chrono::seconds(30), LoseOne);
+  MESSAGE((B.Tries.size() * 2) << " starts, " << B.Stops << " stops");
+  CHECK(B.Tries.size() <= 14);
+  CHECK(B.Stops <= 14);
+  CHECK(B.MostPaused == 2);
+  // The first retry is quick, and no pause exceeds the bound.
+  CHECK(B.gap(1) <= milliseconds(1000));
+  CHECK(B.gap(B.Tries.size() - 1) >= milliseconds(3000));
+  CHECK(B.gap(B.Tries.size() - 1) <= milliseconds(4000));
+
+  // Once all members have run, the next retry is quick again.
+  B.run(std::chrono::seconds(4), accept);
+  REQUIRE(B.Running.size() == 2);
+  for (const char *Id : {"w1", "w2"})
+    B.end(Id, RunEnd::Stopped);
+  std::size_t Before = B.Tries.size();
+  B.run(std::chrono::seconds(3), LoseOne);
+  REQUIRE(B.Tries.size() > Before + 1);
+  CHECK(B.gap(Before + 1) <= milliseconds(1000));
+}
+
+TEST_CASE("a gang is not tried at once on another worker after a member's "
+          "start was withheld") {
+  RetriedGang B;
+  std::string Bad = B.Starts[1].Worker;
+  B.Entries.push_back(sampleWorker("w3"));
+  B.Owner.addEnrolled(B.Entries.back(), B.Now);
+  B.Owner.setWorkers(B.Entries, B.Now);
+  B.Entries.back().ColdFor = std::chrono::seconds(10);
+  B.Owner.setWorkers(B.Entries, B.Now);
+  B.report("w3");
+  B.answer(B.Starts[1], OrderOutcome::Withheld);
+  B.run(std::chrono::seconds(1), [&](const StartOrder &Order) {
+    return Order.Worker == Bad ? OrderOutcome::Withheld
+                               : OrderOutcome::Accepted;
+  });
+  CHECK(B.Tries.size() == 2);
+  CHECK(B.Running.size() == 2);
+}
+
+TEST_CASE("a gang waits between tries though its members got their starts") {
+  RetriedGang B;
+  B.answer(B.Starts[1], OrderOutcome::Accepted);
+  B.Running[B.Starts[1].Worker] = B.Starts[1];
+  for (int Try = 0; Try < 8; ++Try) {
+    B.run(milliseconds(500), accept);
+    REQUIRE(B.Running.size() == 2);
+    for (const char *Id : {"w1", "w2"})
+      B.end(Id, RunEnd::Stopped);
+  }
+  CHECK(B.MostPaused == 0);
+}
--- a/tests/jobs/NaiveStarts.cpp
+++ b/tests/jobs/NaiveStarts.cpp
@@ -489,7 +489,8 @@
     for (const auto &[Id, Job] : Jobs) {
       std::vector<TaskRef> Refs = refsOf(*Job);
       for (std::uint32_t T = 0; T < Refs.size(); ++T)
-        if (Refs[T].Index == 0 && stepOf(*Job, T).Gang && isBreaking(*Job, T))
+        if (Refs[T].Index == 0 && stepOf(*Job, T).Gang &&
+            (isBreaking(*Job, T) || Input_.In.Now < Job->Tasks[T].NotBefore))
           holdGang(*Job, T);
     }
   }
@@ -998,10 +999,22 @@
     bool Spared = Entry.Rack != Step.NearRack && isWantedRack(Entry.Rack);
     Score -= Spared ? 2.5 : 0.0;
     Score -= W.Source->Tasks[Task].FailedOn == Entry.Id ? 2.0 : 0.0;
+    Score -= Step.Gang && gaveNoStart(W, Task, Step, Entry.Id) ? 2.0 : 0.0;
     Score -= Entry.ColdFor > core::Duration::zero() ? 0.5 : 0.0;
     return Score;
   }
 
+  /// Whether a member of the gang last got no start there, after tries in vain.
+  static bool gaveNoStart(const JobView &W, std::uint32_t Task,
+                          const StepSpec &Step, const std::string &Worker) {
+    const std::vector<TaskState> &Tasks = W.Source->Tasks;
+    std::uint32_t First = Task - refsOf(*W.Source)[Task].Index;
+    bool Any = false;
+    for (std::uint32_t T = First; T < First + Step.Tasks; ++T)
+      Any = Any || Tasks[T].NoStartOn == Worker;
+    return Any && Tasks[First].VainTries > 0;
+  }
+
   bool isWantedRack(const std::string &Rack) const {
     for (const auto &[Id, Job] : Owner_.jobs()) {
       if (isFinal(Job->Now))
