Take an inherited job for suspect whose runs' outcomes alone are open

A gang could be started in part after a takeover: the members that had begun waited for the others until these were stored as well, or ended.

Cause: of an inherited job, `inheritSuspicion` looked at crashes and at the announced run of each task, not at earlier runs whose outcome is open. Such a job became suspect only as the first member's start was noted in `StartPlan::start`; from then on the gang counted as one that may have crashed two workers, so that the other members' starts were held until they were stored.

The test of this commit failed: one start of two in a round.

Change: open outcomes alone make it suspect.

--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -466,7 +466,8 @@
 void PoolState::inheritSuspicion(JobRecord &Job, core::TimePoint Now) {
   for (std::uint32_t T = 0; T < Job.Tasks.size(); ++T) {
     const TaskProgress &Kept = Job.Tasks[T].Kept;
-    Job.Suspect = Job.Suspect || !Kept.CrashedRuns.empty() || Kept.Announced;
+    Job.Suspect = Job.Suspect || !Kept.CrashedRuns.empty() || Kept.Announced ||
+                  !Kept.Unsettled.empty();
     for (const AnnouncedRun &Run : Kept.Unsettled)
       Lost_.add(Run.Worker, Run.Born, {{Job.Spec.Id, T, Run.Run}},
                 Now - Run.Waited);
--- a/tests/jobs/GangPlacementTest.cpp
+++ b/tests/jobs/GangPlacementTest.cpp
@@ -361,3 +361,31 @@
   }
   CHECK(B.MostPaused == 0);
 }
+
+TEST_CASE("a gang is started in part after a takeover that finds two runs of "
+          "its members that may have crashed their workers") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2", "w3", "w4"});
+  B.Owner.setEarlierOwnersStopped(B.Now - std::chrono::seconds(20));
+  for (const char *Silent : {"w8", "w9"})
+    B.Owner.addEnrolled(sampleWorker(Silent), B.Now);
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Gang = true;
+  JobProgress Kept;
+  Kept.Tasks.resize(2);
+  Kept.Tasks[0].Unsettled = {{1, "w8", 1}};
+  Kept.Tasks[1].Unsettled = {{2, "w9", 1}};
+  B.Owner.inheritJob(Spec, &Kept, B.Now);
+  std::size_t Most = 0;
+  for (int Round = 0; Round < 100; ++Round) {
+    std::size_t Starts = B.plan().Starts.size();
+    CHECK(Starts != 1);
+    Most = std::max(Most, Starts);
+    B.Owner.onStored(B.Owner.takeChanges(10).Mark);
+    B.advance(milliseconds(100));
+    for (const char *Id : {"w1", "w2", "w3", "w4"})
+      if (Most == 0)
+        B.report(Id);
+  }
+  CHECK(Most == 2);
+}
