Count a stored run as a hit of a crash only if the worker began it

The simulation took each run that an earlier owner had stored for a worker as hit by the worker's crash, whether or not it was ever sent there. Users count only what a worker has begun, so that a job given up for such a run passed as one under which three workers had crashed.

A stored run is a hit now only if that incarnation began it, at whatever age. The check of places, which asks whether a job may have suspects, keeps the stored runs in a set of its own and is as strict as before.

--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -283,38 +283,65 @@
   // Nobody has been told of these ends, or will be.
   for (const EndReport &End : W.Ended)
     HitJobs_.insert(End.Task.JobId);
-  // A later owner can't tell whether a stored run was started.
-  auto IsHere = [&W](const AnnouncedRun &Stored) {
-    return Stored.Worker == W.Id && Stored.Born == W.Born;
-  };
   for (const auto &[Id, Progress] : Stored_)
-    for (const TaskProgress &Task : Progress.Tasks)
-      if ((Task.Announced && IsHere(*Task.Announced)) ||
-          std::any_of(Task.Unsettled.begin(), Task.Unsettled.end(), IsHere))
+    for (std::size_t T = 0; T < Progress.Tasks.size(); ++T) {
+      const TaskProgress &Kept = Progress.Tasks[T];
+      if (isStoredFor(W, Kept))
+        SuspectJobs_.insert(Id);
+      if (hasBegunStored(W, taskAt(Id, T), Kept))
         HitJobs_.insert(Id);
+    }
 }
 
 /// Counts the worker's crash against what it began lately, or may have begun
-/// for all that an owner can know.
+/// for all that an owner can know, and against stored runs that it has begun.
 void PoolSimulation::countHits(const Worker &W) {
   std::set<TaskRef> Hit;
   for (const auto &[At, Task] : W.Begun)
     if (Now_ - At <= HitAge)
       Hit.insert(Task);
-  auto IsHere = [&W](const AnnouncedRun &Stored) {
-    return Stored.Worker == W.Id && Stored.Born == W.Born;
-  };
   for (const auto &[Id, Progress] : Stored_)
-    for (std::uint32_t T = 0; T < Progress.Tasks.size(); ++T) {
-      const TaskProgress &Task = Progress.Tasks[T];
-      if ((Task.Announced && IsHere(*Task.Announced)) ||
-          std::any_of(Task.Unsettled.begin(), Task.Unsettled.end(), IsHere))
-        Hit.insert({Id, 0, 0, T});
+    for (std::size_t T = 0; T < Progress.Tasks.size(); ++T) {
+      TaskRef Task = taskAt(Id, T);
+      if (hasBegunStored(W, Task, Progress.Tasks[T]))
+        Hit.insert(Task);
     }
   for (const TaskRef &Task : Hit)
     ++Hits_[Task];
 }
 
+/// Returns the task at this index of its job's progress.
+TaskRef PoolSimulation::taskAt(const std::string &JobId,
+                               std::size_t Position) const {
+  const JobSpec &Spec = specOf(JobId);
+  std::uint32_t InOccurrence = tasksPerOccurrence(Spec);
+  auto Index = static_cast<std::uint32_t>(Position % InOccurrence);
+  std::uint32_t Step = 0;
+  for (; Index >= Spec.Steps[Step].Tasks; ++Step)
+    Index -= Spec.Steps[Step].Tasks;
+  return {JobId, static_cast<std::uint32_t>(Position / InOccurrence), Step,
+          Index};
+}
+
+/// Whether a run of the task is stored for the worker's incarnation.
+bool PoolSimulation::isStoredFor(const Worker &W, const TaskProgress &Kept) {
+  auto IsHere = [&W](const AnnouncedRun &Run) {
+    return Run.Worker == W.Id && Run.Born == W.Born;
+  };
+  return (Kept.Announced && IsHere(*Kept.Announced)) ||
+         std::any_of(Kept.Unsettled.begin(), Kept.Unsettled.end(), IsHere);
+}
+
+/// Whether the worker's incarnation has begun a stored run of the task.
+bool PoolSimulation::hasBegunStored(const Worker &W, const TaskRef &Task,
+                                    const TaskProgress &Kept) {
+  auto HasBegun = [&](const AnnouncedRun &Run) {
+    return W.BegunRuns.contains({Task, Run.Run});
+  };
+  return (Kept.Announced && HasBegun(*Kept.Announced)) ||
+         std::any_of(Kept.Unsettled.begin(), Kept.Unsettled.end(), HasBegun);
+}
+
 bool PoolSimulation::wasHitOften(const JobSpec &Spec) const {
   return std::any_of(Hits_.begin(), Hits_.end(), [&](const auto &Item) {
     return Item.first.JobId == Spec.Id && Item.second >= HitsOfGivenUp;
@@ -735,6 +762,7 @@
   }
   W.Running.push_back(Started);
   W.Begun.emplace_back(Now_, Order.Task);
+  W.BegunRuns.emplace(Order.Task, Order.Run);
   if (SilencingJobs_.count(Order.Task.JobId) != 0 && !W.Partitioned &&
       mayFault() && chance(0.7))
     silence(W);
@@ -903,6 +931,7 @@
   countHits(W);
   W.Up = false;
   W.Begun.clear();
+  W.BegunRuns.clear();
   W.Fence = W.LastEnd = 0;
   W.LeaseEnd = core::TimePoint();
   W.Running.clear();
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -224,6 +224,8 @@
     std::string Place;
     /// Starts that this incarnation carried out or may have, and when.
     std::vector<std::pair<core::TimePoint, TaskRef>> Begun;
+    /// Runs that this incarnation has begun.
+    std::set<std::pair<TaskRef, RunId>> BegunRuns;
     core::Resources Capacity;
     std::vector<std::string> Labels;
     std::string Rack;
@@ -339,6 +341,10 @@
   void watchWait(const TaskRef &Task);
   void watchRackWait(const TaskRef &Task, core::Duration Wait);
   void noteHits(const Worker &W);
+  TaskRef taskAt(const std::string &JobId, std::size_t Position) const;
+  static bool isStoredFor(const Worker &W, const TaskProgress &Kept);
+  static bool hasBegunStored(const Worker &W, const TaskRef &Task,
+                             const TaskProgress &Kept);
   void countHits(const Worker &W);
   bool wasHitOften(const JobSpec &Spec) const;
   void sendStartQuickly(const OwnerPtr &O, const StartOrder &Order);
@@ -429,9 +435,12 @@
   std::set<std::string> CrashingJobs_;
   /// Crashes under each such task, and its starts since the third.
   std::map<TaskRef, std::uint32_t> Crashes_;
-  /// Jobs of other tasks under which a worker crashed by itself, or may have
-  /// for all that an owner can know.
+  /// Jobs of other tasks under which a worker crashed by itself, or that sent a
+  /// start to one that had.
   std::set<std::string> HitJobs_;
+  /// Jobs of which runs were stored for workers that crashed by themselves,
+  /// begun or not.
+  std::set<std::string> SuspectJobs_;
   std::map<TaskRef, std::uint32_t> LateStarts_;
   /// Crashes of workers soon after they began the task, or may have.
   std::map<TaskRef, std::uint32_t> Hits_;
--- a/tests/jobs/PoolSimulationPlaces.cpp
+++ b/tests/jobs/PoolSimulationPlaces.cpp
@@ -140,6 +140,7 @@
 bool PoolSimulation::mayHaveSuspects() const {
   auto IsOpen = [&](const std::string &Id) { return !isOver(Id); };
   return std::any_of(HitJobs_.begin(), HitJobs_.end(), IsOpen) ||
+         std::any_of(SuspectJobs_.begin(), SuspectJobs_.end(), IsOpen) ||
          std::any_of(CrashingJobs_.begin(), CrashingJobs_.end(), IsOpen);
 }
 
