Let two entries outvote a time of day that one confirmed alone

Callers could see jobs with a due time start 40 s early (ORDER) or late, where the first of three entries to start has a wrong time of day.

Cause: a stored time of day is replaced by one that more than twice as many entries confirm. Two are not more than twice one, so that an entry that was alone for 3 s bound the two that started after it.

Evidence: the new test failed before, ahead and behind (39.98 and 39.99 s off 60 s after the first start); now under 0.25 s.

Change: any two entries that confirm each other's time outvote one that has nobody but itself. From two confirming entries on the bound is as before.

--- a/src/core/TimeOfDay.cpp
+++ b/src/core/TimeOfDay.cpp
@@ -39,6 +39,12 @@
                     [&](Duration Time) { return isNear(Time, Wanted); }));
 }
 
+/// Whether a time of day that \p Many entries confirm replaces one that \p Few
+/// have confirmed. Nobody but itself confirms one entry's own.
+bool outvotes(std::uint32_t Many, std::uint32_t Few) {
+  return Many > 2 * std::uint64_t(Few) || (Few == 1 && Many > 1);
+}
+
 /// The median of the well-confirmed agreed times, with the most sources of one.
 std::optional<AgreedTime> medianAgreed(std::vector<AgreedTime> Known) {
   if (Known.empty())
@@ -51,7 +57,7 @@
   std::vector<Duration> Offsets;
   for (const AgreedTime &Time : Known)
     if (Time.At >= Result.At - MaxAgreedAge &&
-        Time.Sources * 2 >= Result.Sources)
+        !outvotes(Result.Sources, Time.Sources))
       Offsets.push_back(Time.Offset);
   if (Offsets.empty())
     return std::nullopt;
@@ -162,7 +168,7 @@
     return follow(Time, Others->Offset, Others->Sources);
   if (isNear(Median, Mine))
     Time.Sources = std::max(Time.Sources, Support);
-  else if (Support > 2 * Time.Sources)
+  else if (outvotes(Support, Time.Sources))
     return follow(Time, Median, Support);
   slew(Time, Median + Store, Now);
   return {};
--- a/tests/core/TimeOfDayTest.cpp
+++ b/tests/core/TimeOfDayTest.cpp
@@ -138,6 +138,22 @@
   CHECK(F.largestError() < Early);
 }
 
+TEST_CASE("an entry that agreed with itself alone binds the two that start "
+          "after it") {
+  Duration Error = seconds(40);
+  SUBCASE("ahead") {}
+  SUBCASE("behind") { Error = seconds(-40); }
+  Fleet F({Error, milliseconds(0), milliseconds(10)});
+  for (std::size_t N : {1, 2})
+    F.Members[N].Running = false;
+  F.run(seconds(20));
+  F.start(F.Members[1]);
+  F.run(seconds(20));
+  F.start(F.Members[2]);
+  F.run(seconds(20));
+  CHECK(F.largestError() < Early);
+}
+
 TEST_CASE("entries that agreed apart from each other on different times of day "
           "agree on the one with more sources") {
   Fleet F({milliseconds(0), milliseconds(0), milliseconds(0), seconds(30)});
