Don't give a wrong time of day the support of the right one

Cause: medianAgreed took the offset of most stored rows and the highest number of sources of any row. A wrong time that two entries had confirmed got the four sources of the right one that few rows held, and could then not be outvoted by fewer than nine entries.

Change: rows weigh as many as have confirmed them, and the chosen offset counts the sources of those near it alone.

--- a/src/core/TimeOfDay.cpp
+++ b/src/core/TimeOfDay.cpp
@@ -45,23 +45,42 @@
   return Many > 2 * std::uint64_t(Few) || (Few == 1 && Many > 1);
 }
 
-/// The median of the well-confirmed agreed times, with the most sources of one.
+/// The median of the well-confirmed agreed times, each of which weighs as many
+/// as have confirmed it. It has the sources of those near it alone.
 std::optional<AgreedTime> medianAgreed(std::vector<AgreedTime> Known) {
   if (Known.empty())
     return std::nullopt;
-  AgreedTime Result;
+  Duration Newest = Known.front().At;
+  std::uint32_t MostSources = 0;
   for (const AgreedTime &Time : Known) {
-    Result.At = std::max(Result.At, Time.At);
-    Result.Sources = std::max(Result.Sources, Time.Sources);
+    Newest = std::max(Newest, Time.At);
+    MostSources = std::max(MostSources, Time.Sources);
   }
-  std::vector<Duration> Offsets;
-  for (const AgreedTime &Time : Known)
-    if (Time.At >= Result.At - MaxAgreedAge &&
-        !outvotes(Result.Sources, Time.Sources))
-      Offsets.push_back(Time.Offset);
-  if (Offsets.empty())
+  std::erase_if(Known, [&](const AgreedTime &Time) {
+    return Time.At < Newest - MaxAgreedAge ||
+           outvotes(MostSources, Time.Sources);
+  });
+  if (Known.empty())
     return std::nullopt;
-  Result.Offset = median(std::move(Offsets));
+  std::sort(Known.begin(), Known.end(),
+            [](const AgreedTime &A, const AgreedTime &B) {
+              return A.Offset < B.Offset;
+            });
+  std::uint64_t Weight = 0;
+  for (const AgreedTime &Time : Known)
+    Weight += Time.Sources;
+  std::uint64_t Below = 0;
+  AgreedTime Result = Known.front();
+  for (const AgreedTime &Time : Known) {
+    Result = Time;
+    Below += Time.Sources;
+    if (2 * Below >= Weight)
+      break;
+  }
+  for (const AgreedTime &Time : Known)
+    if (isNear(Time.Offset, Result.Offset))
+      Result.Sources = std::max(Result.Sources, Time.Sources);
+  Result.At = Newest;
   return Result;
 }
 
--- a/tests/core/TimeOfDayTest.cpp
+++ b/tests/core/TimeOfDayTest.cpp
@@ -154,6 +154,44 @@
   CHECK(F.largestError() < Early);
 }
 
+TEST_CASE("a wrong time of day that most stored rows have takes over the "
+          "support of the right one") {
+  // Of earlier entries: two confirmed the wrong time, four the right one.
+  std::size_t RightRows = 1;
+  std::size_t Starting = 5;
+  SUBCASE("one row is right, and five entries start") {}
+  SUBCASE("two rows are right, and one entry starts") {
+    RightRows = 2;
+    Starting = 1;
+  }
+  Fleet F(std::vector<Duration>(3 + RightRows + Starting));
+  for (std::size_t N = 0; N < 3 + RightRows; ++N) {
+    Fleet::Member &Gone = F.Members[N];
+    Gone.Running = false;
+    Gone.Stored.Agreed = N < 3
+                             ? AgreedTime{TrueUnix + seconds(40), F.StoreNow, 2}
+                             : AgreedTime{TrueUnix, F.StoreNow, 4};
+  }
+  F.run(seconds(10));
+  CHECK(F.largestError() < Early);
+}
+
+TEST_CASE("entries that are all wrong at the first start decide by one time "
+          "that no later step moves") {
+  Fleet F({seconds(40), seconds(40), seconds(-40)});
+  F.run(seconds(10));
+  std::vector<Duration> Before;
+  for (const Fleet::Member &M : F.Members)
+    Before.push_back(F.errorOf(M));
+  CHECK(Before[0] == Before[2]);
+  F.step(3, seconds(90));
+  F.restartAll();
+  F.run(seconds(100));
+  for (std::size_t N = 0; N < 3; ++N)
+    CHECK(std::chrono::abs(F.errorOf(F.Members[N]) - Before[N]) <
+          milliseconds(60));
+}
+
 TEST_CASE("entries that agreed apart from each other on different times of day "
           "agree on the one with more sources") {
   Fleet F({milliseconds(0), milliseconds(0), milliseconds(0), seconds(30)});
