Count and log answers of workers that are dated after now

A worker's clock that is fast or was set makes its answers look as if they were made in the future, so that its runs are no suspects of a crash or suspicion is cleared too early. Nothing showed it.

Evidence: the new test needs the counter; with that and without the check it read 0 for 2 answers and nothing was logged.

Change: an answer dated more than 1 s after its arrival, by what the worker's reports tell of its clock, is counted (pool_summary, metrics) and logged as worker_clock_ahead for each worker's first one. What is decided from such an answer is as before.

--- a/src/dispatch/JobMetrics.cpp
+++ b/src/dispatch/JobMetrics.cpp
@@ -137,6 +137,9 @@
   CounterFamily &Lapsed =
       counters(Registry, "comfreydeck_job_lapsed_total",
                "Runs given up with their worker's lease by pool");
+  CounterFamily &AnswersAhead =
+      counters(Registry, "comfreydeck_job_answers_ahead_total",
+               "Answers of workers dated after their arrival by pool");
   CounterFamily &Crashes =
       counters(Registry, "comfreydeck_job_worker_crashes_total",
                "Workers that crashed with runs by pool");
@@ -260,6 +263,8 @@
   I.Starts.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.Starts));
   I.Lapsed.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.Lapsed));
   I.Crashes.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.Crashes));
+  I.AnswersAhead.Add(Labels).Increment(
+      static_cast<double>(F.PeriodCounts.AnswersAhead));
   I.GivenUp.Add(Labels).Increment(static_cast<double>(F.PeriodCounts.GivenUp));
   add<jobs::OrderOutcome>(I.StartAnswers, F.Pool, "outcome",
                           F.PeriodCounts.StartAnswers);
--- a/src/dispatch/PoolEventLog.cpp
+++ b/src/dispatch/PoolEventLog.cpp
@@ -160,6 +160,10 @@
     logCrash(Record);
   for (const jobs::ReleaseChange &Change : Events.Releases)
     logRelease(Change);
+  for (const jobs::ClockAhead &Clock : Events.ClocksAhead)
+    logEvent("worker_clock_ahead", {{"worker", Clock.Worker},
+                                    {"pool", Pool_},
+                                    {"by_ms", core::inMs(Clock.By)}});
 }
 
 void PoolEventLog::logRelease(const jobs::ReleaseChange &Change) const {
--- a/src/dispatch/PoolMonitor.cpp
+++ b/src/dispatch/PoolMonitor.cpp
@@ -96,6 +96,7 @@
       {"lapsed", PeriodCounts.Lapsed},
       {"unexpected", PeriodCounts.UnexpectedRuns},
       {"stragglers", PeriodCounts.Stragglers},
+      {"answers_ahead", PeriodCounts.AnswersAhead},
       {"crashes", PeriodCounts.Crashes},
       {"given_up", PeriodCounts.GivenUp},
       {"report_age_mean_ms", core::meanMs(PeriodCounts.ReportAge)},
--- a/src/jobs/PoolEvents.h
+++ b/src/jobs/PoolEvents.h
@@ -34,6 +34,12 @@
   bool Doubted = false;
 };
 
+/// A worker whose answer is dated after its arrival, for logs.
+struct ClockAhead {
+  std::string Worker;
+  core::Duration By{0};
+};
+
 /// A worker that has crashed, for logs.
 struct CrashRecord {
   std::string Worker;
@@ -64,6 +70,8 @@
   std::vector<LapsedRuns> Lapsed;
   std::vector<CrashRecord> Crashes;
   std::vector<ReleaseChange> Releases;
+  /// The first for each worker.
+  std::vector<ClockAhead> ClocksAhead;
 };
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -49,6 +49,8 @@
   /// Reported runs that were unknown to this owner.
   std::uint64_t UnexpectedRuns = 0;
   std::uint64_t Stragglers = 0;
+  /// Answers of workers that are dated after their arrival.
+  std::uint64_t AnswersAhead = 0;
   /// Workers that crashed with runs.
   std::uint64_t Crashes = 0;
   /// Jobs that failed because of such crashes.
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t ReportsUntilSilent = 2;
 /// Retry interval for a stop without a successful answer.
 constexpr milliseconds StopRetry(300);
+/// Lead of an answer's date that the drift of sound clocks may build up.
+constexpr std::chrono::seconds MaxClockLead(1);
 
 /// Whether the run was certainly started on the worker's present incarnation:
 /// answers about others may have another clock.
@@ -26,6 +28,16 @@
   return W.FencedAt && Run.OrderedAt > *W.FencedAt;
 }
 
+void checkDate(WorkerState &W, std::int64_t ClockMs, core::TimePoint Now,
+               PoolCounters &Counters, PoolEvents &Events) {
+  core::Duration Lead = leadOf(W.Clock, ClockMs, Now);
+  if (Lead <= MaxClockLead)
+    return;
+  ++Counters.AnswersAhead;
+  if (!std::exchange(W.ClockAheadLogged, true))
+    Events.ClocksAhead.push_back({W.Entry.Id, Lead});
+}
+
 } // namespace
 
 void PoolState::onSending(const StartOrder &Order,
@@ -73,8 +85,10 @@
   LiveRun *Run = findRun(*Job, Task, Order.Run);
   if (!Run || !Run->Confirmed)
     dropRefusedAnnouncement(*Job, Task, Order.Run, Result.Outcome);
-  if (Run && isOfIncarnation(*Run, W))
+  if (Run && isOfIncarnation(*Run, W)) {
+    checkDate(W, Result.ClockMs, Now, Counters_, Events_);
     recordAnswer(W.Clock, Result.ClockMs, Now);
+  }
   switch (Result.Outcome) {
   case OrderOutcome::Accepted:
     W.UnansweredStarts = 0;
@@ -157,8 +171,10 @@
   LiveRun *Run = findRun(*Job, Task, Order.Run);
   if (!Run)
     return;
-  if (isOfIncarnation(*Run, W))
+  if (isOfIncarnation(*Run, W)) {
+    checkDate(W, Result.ClockMs, Now, Counters_, Events_);
     recordAnswer(W.Clock, Result.ClockMs, Now);
+  }
   bool IsOlderThanReport =
       Run->StopInFlight && Run->StopSentAt < W.ReportRequestedAt;
   Run->StopInFlight = false;
@@ -244,6 +260,7 @@
                Now);
     clearLost(W.Entry.Id);
   }
+  checkDate(W, Report.ClockMs, Now, Counters_, Events_);
   recordReport(W.Clock, Report.ClockMs, SentAt, Now);
   // A full list may leave out later ends.
   bool ListsAllEnds = Report.Ended.size() < MaxEndsListed;
--- a/src/jobs/WorkerClock.cpp
+++ b/src/jobs/WorkerClock.cpp
@@ -34,6 +34,11 @@
   return *Clock.ZeroAt + milliseconds(ClockMs);
 }
 
+core::Duration leadOf(const WorkerClock &Clock, std::int64_t ClockMs,
+                      core::TimePoint Now) {
+  return earliestTimeOf(Clock, ClockMs).value_or(Now) - Now;
+}
+
 std::int64_t leastClockMs(const WorkerClock &Clock, core::TimePoint Now,
                           double Drift) {
   double Passed = static_cast<double>(toMs(Now - Clock.ShownAt)) * (1 - Drift);
--- a/src/jobs/WorkerClock.h
+++ b/src/jobs/WorkerClock.h
@@ -39,6 +39,11 @@
 std::optional<core::TimePoint> earliestTimeOf(const WorkerClock &Clock,
                                               std::int64_t ClockMs);
 
+/// By how far after \p Now an answer with this value is dated: more than drift
+/// explains only if the clock is fast or was set. Not positive for a sound one.
+core::Duration leadOf(const WorkerClock &Clock, std::int64_t ClockMs,
+                      core::TimePoint Now);
+
 /// The least that the clock may show if it runs slow by up to \p Drift. An
 /// answer must have shown a value.
 std::int64_t leastClockMs(const WorkerClock &Clock, core::TimePoint Now,
--- a/src/jobs/WorkerState.h
+++ b/src/jobs/WorkerState.h
@@ -128,6 +128,8 @@
   bool KeptForGang = false;
   /// Being evicted: tasks that are not lasting are stopped as well.
   bool Evicting = false;
+  /// An answer dated after its arrival was logged.
+  bool ClockAheadLogged = false;
   /// When its last report arrived.
   std::optional<core::TimePoint> ReportedAt;
   /// When the first report of this incarnation to this owner arrived. It fenced
--- a/tests/jobs/PoolMetricsTest.cpp
+++ b/tests/jobs/PoolMetricsTest.cpp
@@ -225,6 +225,28 @@
   CHECK(Seen.OutOfUse[jobs::indexOf(WorkerStatus::Usable)].Total == 0);
 }
 
+TEST_CASE("an answer of a worker that is dated after now goes unnoticed") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.plan();
+  B.report("w1");
+  B.report("w2");
+  B.advance(milliseconds(100));
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  const std::string &Fast = Out.Starts[0].Worker;
+  B.report(Fast == "w1" ? "w2" : "w1");
+  B.WorkersOlderBy += milliseconds(1200);
+  B.answer(Out.Starts[0], OrderOutcome::Accepted);
+  B.report(Fast, {runReportOf(Out.Starts[0])});
+  CHECK(B.Owner.takeCounters().AnswersAhead == 2);
+  std::vector<ClockAhead> Logged = B.Owner.takeEvents().ClocksAhead;
+  REQUIRE(Logged.size() == 1);
+  CHECK(Logged[0].Worker == Fast);
+  CHECK(Logged[0].By == milliseconds(1200));
+}
+
 // A gang whose last member finds no room is not started at all.
 TEST_CASE("starts that are rolled back during planning are not counted") {
   OwnerFixture B;
