Tell an order sent at the clock's zero from one not sent

An order that was sent at exactly the zero of the machine's boot clock counted as not sent, so that its time limit did not begin.

Cause: net::BeginTime was an atomic time whose default value stood for "not begun".

Change: BeginTime is a small class that answers a std::optional; it holds the least time for "not begun". The tests that read a mark ask for that optional instead of comparing with the default value, and the one of two calls in a row requires both marks first.

--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -265,7 +265,7 @@
   Client_.send(std::move(Call), [this, Sender, Ids = std::move(Ids),
                                  BegunAt](net::HttpResult Result) {
     Loop_.post([this, Sender, Ids, BegunAt, Result = std::move(Result)] {
-      onBatchAnswered(Sender, Ids, Result, *BegunAt);
+      onBatchAnswered(Sender, Ids, Result, BegunAt->get());
     });
   });
 }
@@ -273,7 +273,7 @@
 void OrderRelay::onBatchAnswered(const std::string &Sender,
                                  const std::vector<std::uint64_t> &Ids,
                                  const net::HttpResult &Result,
-                                 core::TimePoint BegunAt) {
+                                 std::optional<core::TimePoint> BegunAt) {
   bool Answered = Result.End == core::ExchangeEnd::Answered;
   bool Taken = Answered && Result.Response.Status == StatusOk;
   bool Refused = Answered && !Taken;
@@ -287,8 +287,8 @@
   // their time limits tell.
   if (Refused || NotSent)
     completeAll(Ids, OrderOutcome::Withheld);
-  else
-    setSent(Ids, Taken ? bootNow() : BegunAt);
+  else if (Taken || BegunAt)
+    setSent(Ids, Taken ? bootNow() : *BegunAt);
   Loop_.after(BatchGap, [this, Sender] {
     Outboxes_[Sender].Sending = false;
     flush(Sender);
@@ -300,7 +300,7 @@
   for (std::uint64_t Id : Ids) {
     auto Given = Pending_.find(Id);
     if (Given != Pending_.end() && Given->second.SentAt)
-      *Given->second.SentAt = At;
+      Given->second.SentAt->set(At);
   }
 }
 
--- a/src/dispatch/OrderRelay.h
+++ b/src/dispatch/OrderRelay.h
@@ -96,7 +96,8 @@
   void flush(const std::string &Sender);
   void onBatchAnswered(const std::string &Sender,
                        const std::vector<std::uint64_t> &Ids,
-                       const net::HttpResult &Result, core::TimePoint BegunAt);
+                       const net::HttpResult &Result,
+                       std::optional<core::TimePoint> BegunAt);
   void setSent(std::span<const std::uint64_t> Ids, core::TimePoint At);
   void complete(std::uint64_t Id, const codec::RelayedResult &Result);
   void completeAll(std::span<const std::uint64_t> Ids,
--- a/src/dispatch/OrderSender.cpp
+++ b/src/dispatch/OrderSender.cpp
@@ -84,17 +84,12 @@
     std::shared_ptr<net::BeginTime> Mark = Given.SentAt.lock();
     if (!Mark)
       return true;
-    core::TimePoint SentAt = *Mark;
-    bool IsSent = SentAt != core::TimePoint();
-    if (IsSent || !Given.Waits)
-      std::visit(
-          [&](const auto &Order) {
-            State_.onSending(Order,
-                             IsSent ? std::optional(SentAt) : std::nullopt);
-          },
-          Given.Order);
-    Given.Waits = !IsSent;
-    return IsSent;
+    std::optional<core::TimePoint> SentAt = Mark->get();
+    if (SentAt || !Given.Waits)
+      std::visit([&](const auto &Order) { State_.onSending(Order, SentAt); },
+                 Given.Order);
+    Given.Waits = !SentAt;
+    return SentAt.has_value();
   });
 }
 
@@ -116,8 +111,8 @@
   core::TimePoint Now = bootNow();
   --UnansweredStarts_;
   jobs::recordAnswer(Window_, Now - GivenAt, Now);
-  core::TimePoint At = *SentAt;
-  if (Result.Outcome == jobs::OrderOutcome::Unknown && At != core::TimePoint())
+  std::optional<core::TimePoint> At = SentAt->get();
+  if (Result.Outcome == jobs::OrderOutcome::Unknown && At)
     State_.onSending(Order, At);
   State_.onStart(Order, Result, Now);
   if (Result.Outcome != jobs::OrderOutcome::Accepted)
--- a/src/net/HttpClient.cpp
+++ b/src/net/HttpClient.cpp
@@ -264,7 +264,7 @@
 
 void HttpClient::Impl::begin(Transfer &T) {
   if (T.Call.BegunAt)
-    *T.Call.BegunAt = bootNow();
+    T.Call.BegunAt->set(bootNow());
   T.Easy = acquireHandle();
   detail::setOptions(T);
   curl_multi_add_handle(Multi, T.Easy);
--- a/src/net/HttpClient.h
+++ b/src/net/HttpClient.h
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace comfreydeck::net {
 
@@ -39,9 +40,21 @@
   std::uint64_t HandlerFailed = 0;
 };
 
-/// When something began, on the clock of \ref bootNow; the default value until
-/// then. Thread-safe.
-using BeginTime = std::atomic<core::TimePoint>;
+/// When something began, on the clock of \ref bootNow. Thread-safe.
+class BeginTime {
+public:
+  void set(core::TimePoint At) { At_ = At; }
+  /// Nothing until it has begun.
+  std::optional<core::TimePoint> get() const {
+    core::TimePoint At = At_;
+    return At == NotBegun ? std::nullopt : std::optional(At);
+  }
+
+private:
+  static constexpr core::TimePoint NotBegun = core::TimePoint::min();
+
+  std::atomic<core::TimePoint> At_{NotBegun};
+};
 
 /// One request to send.
 struct HttpCall {
--- a/tests/adapter/HttpWorkersTest.cpp
+++ b/tests/adapter/HttpWorkersTest.cpp
@@ -157,8 +157,8 @@
                  [&](const jobs::ReportResult &) { Reported.set_value(); });
   Started.get_future().wait();
   Reported.get_future().wait();
-  CHECK(StartSent->load() != core::TimePoint());
-  CHECK(ReportSent->load() != core::TimePoint());
+  CHECK(StartSent->get().has_value());
+  CHECK(ReportSent->get().has_value());
 }
 
 TEST_CASE("a burst of orders to one worker opens few connections") {
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -267,14 +267,14 @@
     });
   };
   auto IsSent = [](const SendMark &SentAt) {
-    return SentAt->load() != core::TimePoint();
+    return SentAt->get().has_value();
   };
   core::TimePoint Begin = bootNow();
   SUBCASE("it is taken") {
     Start(Mark);
     waitUntil(B.Loop, [&] { return IsSent(Mark); });
-    CHECK(Mark->load() >= Begin);
-    CHECK(Mark->load() <= bootNow());
+    CHECK(Mark->get() >= Begin);
+    CHECK(Mark->get() <= bootNow());
     CHECK(B.Remote.count() == 1);
   }
   SUBCASE("the entry doesn't answer") {
@@ -286,8 +286,8 @@
     CHECK_FALSE(IsSent(Mark));
     CHECK_FALSE(IsSent(LaterMark));
     waitUntil(B.Loop, [&] { return IsSent(Mark); });
-    CHECK(Mark->load() >= Begin);
-    CHECK(Mark->load() < Begin + std::chrono::milliseconds(300));
+    CHECK(Mark->get() >= Begin);
+    CHECK(Mark->get() < Begin + std::chrono::milliseconds(300));
     CHECK_FALSE(IsSent(LaterMark));
   }
 }
--- a/tests/dispatch/OrderSenderTest.cpp
+++ b/tests/dispatch/OrderSenderTest.cpp
@@ -18,6 +18,9 @@
 /// Workers that answer starts and stops when the test says so.
 struct HeldWorkers : SilentWorkers {
   std::deque<std::function<void(jobs::OrderResult)>> Asked;
+  /// Those asked for, each sent at the zero of the machine's clock.
+  std::vector<std::pair<SendMark, std::function<void(jobs::ReportResult)>>>
+      Reports;
 
   void start(const jobs::WorkerEntry &, std::uint64_t, const jobs::StartOrder &,
              SendMark SentAt,
@@ -25,6 +28,12 @@
     setSent(SentAt);
     Asked.push_back(std::move(Done));
   }
+  void report(const jobs::WorkerEntry &, std::uint64_t, const jobs::HoldOrder &,
+              SendMark SentAt,
+              std::function<void(jobs::ReportResult)> Done) override {
+    SentAt->set(core::TimePoint());
+    Reports.push_back({std::move(SentAt), std::move(Done)});
+  }
   void stop(const jobs::WorkerEntry &, std::uint64_t, const jobs::StopOrder &,
             std::function<void(jobs::OrderResult)> Done) override {
     Asked.push_back(std::move(Done));
@@ -122,3 +131,17 @@
     CHECK(B.Host.Plans == 0);
   });
 }
+
+TEST_CASE("an order that is sent at the zero of the machine's clock counts as "
+          "not sent") {
+  SenderFixture B;
+  B.on([&] {
+    jobs::Orders Out = B.State.plan({});
+    REQUIRE(Out.Holds.size() == 1);
+    B.Sender.send(Out);
+    B.Sender.recordSending();
+    const jobs::WorkerState &W = *B.State.workers().at("w1");
+    REQUIRE(W.Requests.size() == 1);
+    CHECK(W.Requests[0].OverdueAt < core::TimePoint::max());
+  });
+}
--- a/tests/dispatch/SilentWorkers.h
+++ b/tests/dispatch/SilentWorkers.h
@@ -24,7 +24,7 @@
 protected:
   static void setSent(const dispatch::SendMark &SentAt) {
     if (SentAt)
-      *SentAt = dispatch::bootNow();
+      SentAt->set(dispatch::bootNow());
   }
 };
 
--- a/tests/net/BurstTest.cpp
+++ b/tests/net/BurstTest.cpp
@@ -149,9 +149,11 @@
   Call.BegunAt = SecondAt;
   Client.send(std::move(Call), Second.counter());
   Second.waitFor(1);
-  CHECK(FirstAt->load() >= Begin);
-  CHECK(SecondAt->load() >=
-        FirstAt->load() + std::chrono::milliseconds(DelayMs));
+  REQUIRE(FirstAt->get());
+  REQUIRE(SecondAt->get());
+  CHECK(*FirstAt->get() >= Begin);
+  CHECK(*SecondAt->get() >=
+        *FirstAt->get() + std::chrono::milliseconds(DelayMs));
 }
 
 TEST_CASE("a call that waits for a connection ends unsent at its time limit") {
