Let an owner write a team's row at once on a machine that has just booted

The first write of a team's row, and the one after a conflict, came up to 0.25 s late on a machine whose clock had just begun.

Cause: the zero of the clock stood for "never written".

Evidence: the new test of the extracted rule failed with the zero in place of nothing ("may write" was false at boot); found by reading.

Change: the last write is a std::optional, and the rule of the least time between two writes is a function of it and the time (core/Allotment).

--- a/src/core/Allotment.cpp
+++ b/src/core/Allotment.cpp
@@ -151,6 +151,10 @@
   return std::min(Given, View.Ceiling.value_or(Given));
 }
 
+bool mayWriteRow(std::optional<TimePoint> LastWrite, TimePoint Now) {
+  return !LastWrite || Now - *LastWrite >= AllotmentWriteGap;
+}
+
 std::optional<AllotmentRow> nextRow(AllotmentView &View, PoolId Pool,
                                     const PoolUse &Use, TeamLimit Limit) {
   if (View.Row.WrittenUnder.Since < Limit.Since) {
--- a/src/core/Allotment.h
+++ b/src/core/Allotment.h
@@ -75,6 +75,13 @@
 std::uint32_t usableAllotment(const AllotmentView &View, PoolId Pool,
                               TeamLimit Limit);
 
+/// Least time between two writes of one pool's part for a team.
+inline constexpr std::chrono::milliseconds AllotmentWriteGap(250);
+
+/// Whether the row may be written again; \p LastWrite is nothing if the next
+/// write must not wait.
+bool mayWriteRow(std::optional<TimePoint> LastWrite, TimePoint Now);
+
 /// The row that the pool's owner should write next; std::nullopt if no change
 /// is needed. From this call on, \p View no longer allows the use of what that
 /// row gives away. The transaction must be conditional on the view's version
--- a/src/entry/AllotmentService.cpp
+++ b/src/entry/AllotmentService.cpp
@@ -12,8 +12,6 @@
 constexpr const char *PoolTable = "pools";
 constexpr std::uint32_t PageRows = 1000;
 constexpr core::Duration PollEvery = std::chrono::milliseconds(500);
-/// Minimum time between two writes of one pool's share for a team.
-constexpr core::Duration WriteEvery = std::chrono::milliseconds(250);
 /// How long an unused share is kept for the next burst.
 constexpr core::Duration PeakRetention = std::chrono::seconds(5);
 
@@ -125,7 +123,7 @@
   core::PoolUse Seen = Use;
   Seen.Peak = updatePeak(V, Use);
   bool Idle = V.Seen.Version == 0 && Use.Running + Use.Waiting == 0;
-  if (V.Writing || Idle || net::now() - V.LastWrite < WriteEvery)
+  if (V.Writing || Idle || !core::mayWriteRow(V.LastWrite, net::now()))
     return;
   std::optional<core::AllotmentRow> Next =
       core::nextRow(V.Seen, Term.Pool, Seen, {T.UpperLimit, T.LimitSince});
@@ -172,7 +170,7 @@
   case store::CommitOutcome::Conflict:
     // Another owner wrote first: read again at once and retry.
     core::onNotApplied(V.Seen);
-    V.LastWrite = {};
+    V.LastWrite.reset();
     return poll();
   case store::CommitOutcome::Unknown:
     core::onOutcomeUnknown(V.Seen);
--- a/src/entry/AllotmentService.h
+++ b/src/entry/AllotmentService.h
@@ -47,7 +47,8 @@
   struct View {
     core::AllotmentView Seen;
     bool Writing = false;
-    core::TimePoint LastWrite;
+    /// Nothing if the next write must not wait.
+    std::optional<core::TimePoint> LastWrite;
     /// Recent maximum of running plus waiting tasks.
     std::uint32_t Peak = 0;
     core::TimePoint PeakAt;
--- a/tests/core/AllotmentTest.cpp
+++ b/tests/core/AllotmentTest.cpp
@@ -34,6 +34,14 @@
   CHECK(usableAllotment(View, A, Ten) == 10);
 }
 
+TEST_CASE("an owner on a machine that has just booted waits with its first "
+          "write of a row") {
+  constexpr TimePoint Boot;
+  CHECK(mayWriteRow(std::nullopt, Boot));
+  CHECK_FALSE(mayWriteRow(Boot, Boot + std::chrono::milliseconds(249)));
+  CHECK(mayWriteRow(Boot, Boot + AllotmentWriteGap));
+}
+
 TEST_CASE("a pool that wants more announces it to the others only once") {
   AllotmentView View = viewOf({{A, 10}});
   auto Next = nextRow(View, B, use(0, 4), Ten);
