Count a wrongly dated job in the pool's demand by when it is known

A job whose stored acceptance time lies in the future counted in its pool's demand for machines until that time plus 6 s; one dated long past never counted, so that no machine was added for it.

Cause: the age of a job was the time of day less its acceptance time, whatever that is.

Evidence: the new test failed before in both cases (1000 thousandths of a core instead of 0 after 7 s, and 0 instead of 1000 at once).

Change: where the age is negative or over 24 h, it counts from when this owner knew the job.

--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -173,6 +173,22 @@
   return Units;
 }
 
+namespace {
+
+/// Jobs with an earlier acceptance time are taken for wrongly dated.
+constexpr std::chrono::hours MaxAge(24);
+
+/// Counts from when this owner knew the job if its acceptance time can't be
+/// right.
+std::int64_t ageMs(const JobRecord &Job, core::TimePoint Now,
+                   std::int64_t WallMs) {
+  std::int64_t Age = WallMs - Job.Spec.AcceptedMs;
+  bool IsPlausible = Age >= 0 && std::chrono::milliseconds(Age) <= MaxAge;
+  return IsPlausible ? Age : toMs(Now - Job.KnownSince);
+}
+
+} // namespace
+
 PoolLoad PoolState::load(core::TimePoint Now, std::int64_t WallMs) const {
   // Jobs older than this are already late; additional machines would arrive
   // too late for them, except for lasting tasks.
@@ -209,7 +225,7 @@
                      (Step.Tasks + Step.MaxPerWorker - 1) / Step.MaxPerWorker);
     if (Job->ProgressUnread)
       continue;
-    bool TooLate = WallMs - Job->Spec.AcceptedMs > MaxUsefulAgeMs;
+    bool TooLate = ageMs(*Job, Now, WallMs) > MaxUsefulAgeMs;
     refreshWaiting(*Job);
     for (std::uint32_t T : Job->Waiting) {
       const StepSpec &Step = stepOf(*Job, T);
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -1067,6 +1067,20 @@
   CHECK(B.Owner.findJob(Whole.Id)->Spec.Payload == Whole.Payload);
 }
 
+TEST_CASE("a job with a wrong acceptance time counts in the pool's demand for "
+          "ever, or never") {
+  OwnerFixture B;
+  constexpr std::int64_t WallMs = 1700000000000;
+  constexpr std::int64_t YearMs = 31536000000;
+  JobSpec Spec = sampleJob(1);
+  SUBCASE("in the future") { Spec.AcceptedMs = WallMs + YearMs; }
+  SUBCASE("long past") { Spec.AcceptedMs = WallMs - YearMs; }
+  B.Owner.addJob(Spec, B.Now);
+  CHECK(B.Owner.load(B.Now, WallMs).WaitingCpu == 1000);
+  B.advance(milliseconds(7000));
+  CHECK(B.Owner.load(B.Now, WallMs + 7000).WaitingCpu == 0);
+}
+
 TEST_CASE("a lasting task that waits counts in the pool's demand however old "
           "its job is") {
   OwnerFixture B;
