Test two times that aren't known on a machine that has just booted

Both tests fail with the clock's zero in place of nothing (0 samples instead of 1; no long wait reported).

--- a/tests/jobs/PoolMetricsTest.cpp
+++ b/tests/jobs/PoolMetricsTest.cpp
@@ -247,6 +247,22 @@
   CHECK(Logged[0].By == milliseconds(1200));
 }
 
+TEST_CASE("a worker that is out of use as the owner's machine boots is not "
+          "counted") {
+  OwnerFixture B;
+  REQUIRE(B.Now == core::TimePoint());
+  B.listWorkers({"w1"});
+  B.plan();
+  B.advance(milliseconds(300));
+  B.report("w1");
+  B.plan();
+  PoolCounters Seen = B.Owner.takeCounters();
+  const core::DurationHistogram &Unheard =
+      Seen.OutOfUse[jobs::indexOf(WorkerStatus::Unheard)];
+  CHECK(Unheard.Total == 1);
+  CHECK(Unheard.Max == milliseconds(300));
+}
+
 // A gang whose last member finds no room is not started at all.
 TEST_CASE("starts that are rolled back during planning are not counted") {
   OwnerFixture B;
--- a/tests/jobs/TaskWaitTest.cpp
+++ b/tests/jobs/TaskWaitTest.cpp
@@ -219,6 +219,22 @@
   CHECK_FALSE(B.Owner.takeEvents().LongestWait);
 }
 
+TEST_CASE("a long wait is not reported in the first second of the owner's "
+          "clock") {
+  OwnerFixture B;
+  // The job is known for longer than the clock has run; only the first look
+  // at waits falls into that second.
+  B.Now = core::TimePoint() - milliseconds(8000);
+  B.listWorkers({"w1"});
+  JobSpec Spec = sampleJob(1);
+  Spec.Steps[0].Label = "fast";
+  B.Owner.addJob(Spec, B.Now);
+  B.report("w1");
+  B.Now = core::TimePoint() + milliseconds(500);
+  B.plan();
+  CHECK(B.Owner.takeEvents().LongestWait);
+}
+
 TEST_CASE("a report of a long wait tells how many workers are kept for tasks "
           "that may crash them") {
   HeardWorkers B({"w1", "w2"});
