--- a/src/dispatch/PoolEventLog.cpp
+++ b/src/dispatch/PoolEventLog.cpp
@@ -160,6 +160,10 @@
     logCrash(Record);
   for (const jobs::ReleaseChange &Change : Events.Releases)
     logRelease(Change);
+  for (const jobs::ClockAhead &Clock : Events.ClocksAhead)
+    logEvent("worker_clock_ahead", {{"worker", Clock.Worker},
+                                    {"pool", Pool_},
+                                    {"by_ms", core::inMs(Clock.By)}});
 }
 
 void PoolEventLog::logRelease(const jobs::ReleaseChange &Change) const {
@@ -249,6 +253,7 @@
                               {"suspects", Suspects},
                               {"too_old", Record.TooOld},
                               {"not_sent", Record.NotSent},
+                              {"delayed", Record.Delayed.size()},
                               {"token", Token_}});
   for (const jobs::TaskRef &Task : Record.GivenUp)
     logEvent("job_given_up", {{"job", Task.JobId},
--- a/src/jobs/PoolEvents.h
+++ b/src/jobs/PoolEvents.h
@@ -34,6 +34,12 @@
   bool Doubted = false;
 };
 
+/// A worker whose answer is dated after its arrival, for logs.
+struct ClockAhead {
+  std::string Worker;
+  core::Duration By{0};
+};
+
 /// A worker that has crashed, for logs.
 struct CrashRecord {
   std::string Worker;
@@ -44,6 +50,8 @@
   /// Runs that are no suspects, since they were too old or had not been sent.
   std::size_t TooOld = 0;
   std::size_t NotSent = 0;
+  /// Lasting tasks that pause because of their crashes.
+  std::vector<TaskRef> Delayed;
   /// Tasks whose jobs have failed because of their crashes.
   std::vector<TaskRef> GivenUp;
   /// The runs that were counted for these tasks, as far as they are remembered.
@@ -64,6 +72,8 @@
   std::vector<LapsedRuns> Lapsed;
   std::vector<CrashRecord> Crashes;
   std::vector<ReleaseChange> Releases;
+  /// The first for each worker.
+  std::vector<ClockAhead> ClocksAhead;
 };
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolMetrics.h
+++ b/src/jobs/PoolMetrics.h
@@ -49,6 +49,8 @@
   /// Reported runs that were unknown to this owner.
   std::uint64_t UnexpectedRuns = 0;
   std::uint64_t Stragglers = 0;
+  /// Answers of workers that are dated after their arrival.
+  std::uint64_t AnswersAhead = 0;
   /// Workers that crashed with runs.
   std::uint64_t Crashes = 0;
   /// Jobs that failed because of such crashes.
@@ -91,8 +93,9 @@
   /// It may crash workers, so that its runs start only once they are stored,
   /// and the store refuses its job's row.
   RowRefused,
-  /// Retry delay after a run that ended.
-  Pause,
+  /// Its gang was stopped since a member got no start, and pauses before the
+  /// next try.
+  GangPause,
   /// It has crashed the maximum number of workers, if those out of reach have
   /// crashed.
   CrashOpen,
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint32_t ReportsUntilSilent = 2;
 /// Retry interval for a stop without a successful answer.
 constexpr milliseconds StopRetry(300);
+/// Lead of an answer's date that the drift of sound clocks may build up.
+constexpr std::chrono::seconds MaxClockLead(1);
 
 /// Whether the run was certainly started on the worker's present incarnation:
 /// answers about others may have another clock.
@@ -26,6 +28,16 @@
   return W.FencedAt && Run.OrderedAt > *W.FencedAt;
 }
 
+void checkDate(WorkerState &W, std::int64_t ClockMs, core::TimePoint Now,
+               PoolCounters &Counters, PoolEvents &Events) {
+  core::Duration Lead = leadOf(W.Clock, ClockMs, Now);
+  if (Lead <= MaxClockLead)
+    return;
+  ++Counters.AnswersAhead;
+  if (!std::exchange(W.ClockAheadLogged, true))
+    Events.ClocksAhead.push_back({W.Entry.Id, Lead});
+}
+
 } // namespace
 
 void PoolState::onSending(const StartOrder &Order,
@@ -73,12 +85,14 @@
   LiveRun *Run = findRun(*Job, Task, Order.Run);
   if (!Run || !Run->Confirmed)
     dropRefusedAnnouncement(*Job, Task, Order.Run, Result.Outcome);
-  if (Run && isOfIncarnation(*Run, W))
+  if (Run && isOfIncarnation(*Run, W)) {
+    checkDate(W, Result.ClockMs, Now, Counters_, Events_);
     recordAnswer(W.Clock, Result.ClockMs, Now);
+  }
   switch (Result.Outcome) {
   case OrderOutcome::Accepted:
     W.UnansweredStarts = 0;
-    markStarted(*Job);
+    markBegun(*Job, Task, Order.Run);
     if (Run)
       confirmRun(*Run, Now);
     return;
@@ -157,8 +171,10 @@
   LiveRun *Run = findRun(*Job, Task, Order.Run);
   if (!Run)
     return;
-  if (isOfIncarnation(*Run, W))
+  if (isOfIncarnation(*Run, W)) {
+    checkDate(W, Result.ClockMs, Now, Counters_, Events_);
     recordAnswer(W.Clock, Result.ClockMs, Now);
+  }
   bool IsOlderThanReport =
       Run->StopInFlight && Run->StopSentAt < W.ReportRequestedAt;
   Run->StopInFlight = false;
@@ -244,6 +260,7 @@
                Now);
     clearLost(W.Entry.Id);
   }
+  checkDate(W, Report.ClockMs, Now, Counters_, Events_);
   recordReport(W.Clock, Report.ClockMs, SentAt, Now);
   // A full list may leave out later ends.
   bool ListsAllEnds = Report.Ended.size() < MaxEndsListed;
@@ -320,7 +337,7 @@
   std::uint32_t Task = indexOf(Job, End.Task);
   if (Task >= Job.Tasks.size())
     return;
-  markStarted(Job);
+  markBegun(Job, Task, End.Run);
   TaskState &State = Job.Tasks[Task];
   if (!End.Checkpoint.empty() && !State.Kept.Done &&
       State.Kept.Checkpoint != End.Checkpoint) {
@@ -395,7 +412,7 @@
     if (Unneeded && !isFinal(Job->Now))
       recordStop(*Job, Task, *Run, StopReason::Duplicate, Now);
   }
-  markStarted(*Job);
+  markBegun(*Job, Task, Report.Run);
   confirmRun(*Run, Now);
   Run->Listed = true;
   if (Report.Percent != Run->Percent)
