Name what an answer tells of a start apart from what its run does

signOf had two overloads: what the answer to a start allows, and what is known of a run. The first is signOfAnswer now.

--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -14,7 +14,7 @@
 
 /// What the answer to a start tells of it; nothing if it can't have been
 /// carried out.
-std::optional<StartSign> signOf(OrderOutcome Outcome) {
+std::optional<StartSign> signOfAnswer(OrderOutcome Outcome) {
   switch (Outcome) {
   case OrderOutcome::Accepted:
     return StartSign::Accepted;
@@ -349,7 +349,7 @@
   LostRun *Lost = Lost_.find(W.Entry.Id, Run);
   if (!Lost)
     return;
-  std::optional<StartSign> Sign = signOf(Outcome);
+  std::optional<StartSign> Sign = signOfAnswer(Outcome);
   auto IsThis = [&](const LostRun &Other) { return Other.Run == Run; };
   if (!Sign) {
     Lost_.takeIf(W.Entry.Id, IsThis);
@@ -369,7 +369,7 @@
 void PoolState::dropRefusedAnnouncement(JobRecord &Job, std::uint32_t Task,
                                         RunId Run, OrderOutcome Outcome) {
   std::optional<AnnouncedRun> &Announced = Job.Tasks[Task].Kept.Announced;
-  if (signOf(Outcome) || !Announced || Announced->Run != Run)
+  if (signOfAnswer(Outcome) || !Announced || Announced->Run != Run)
     return;
   Announced.reset();
   Outbox_.markChanged(Job);
