--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -49,6 +49,18 @@
       Amount, std::numeric_limits<std::uint32_t>::max()));
 }
 
+/// Jobs with an earlier acceptance time are taken for wrongly dated.
+constexpr std::chrono::hours MaxAge(24);
+
+/// Counts from when this owner knew the job if its acceptance time can't be
+/// right.
+std::int64_t ageMs(const JobRecord &Job, core::TimePoint Now,
+                   std::int64_t WallMs) {
+  std::int64_t Age = WallMs - Job.Spec.AcceptedMs;
+  bool IsPlausible = Age >= 0 && std::chrono::milliseconds(Age) <= MaxAge;
+  return IsPlausible ? Age : toMs(Now - Job.KnownSince);
+}
+
 } // namespace
 
 core::Resources PoolState::teamUse(const std::string &Team) const {
@@ -173,22 +185,6 @@
   return Units;
 }
 
-namespace {
-
-/// Jobs with an earlier acceptance time are taken for wrongly dated.
-constexpr std::chrono::hours MaxAge(24);
-
-/// Counts from when this owner knew the job if its acceptance time can't be
-/// right.
-std::int64_t ageMs(const JobRecord &Job, core::TimePoint Now,
-                   std::int64_t WallMs) {
-  std::int64_t Age = WallMs - Job.Spec.AcceptedMs;
-  bool IsPlausible = Age >= 0 && std::chrono::milliseconds(Age) <= MaxAge;
-  return IsPlausible ? Age : toMs(Now - Job.KnownSince);
-}
-
-} // namespace
-
 PoolLoad PoolState::load(core::TimePoint Now, std::int64_t WallMs) const {
   // Jobs older than this are already late; additional machines would arrive
   // too late for them, except for lasting tasks.
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -207,7 +207,8 @@
       return WaitReason::NotDue;
   }
   if (Job.Tasks[Task].NotBefore > In_.Now)
-    return WaitReason::GangPause;
+    return PoolState::stepOf(Job, Task).Gang ? WaitReason::GangPause
+                                             : WaitReason::CrashOpen;
   return std::nullopt;
 }
 
--- a/tests/jobs/LastingCrashTest.cpp
+++ b/tests/jobs/LastingCrashTest.cpp
@@ -25,6 +25,7 @@
   F.turn();
   F.B.Owner.addJob(lastingJob(2), F.B.Now);
   const std::string Other = F.workerOf(taskOf(1, 1));
+  std::uint64_t Delayed = 0;
   for (int Crash = 0; Crash < Crashes; ++Crash) {
     std::string Worker = F.workerOf(taskOf(1, 0), LongestAway);
     REQUIRE(!Worker.empty());
@@ -33,7 +34,10 @@
     CHECK(F.crashes(1) < OwnerLimits().MaxCrashes);
     CHECK(F.B.plan().Stops.empty());
     CHECK(F.workerOf(taskOf(1, 1)) == Other);
+    Delayed += F.B.Owner.gauges(F.B.Now, 1000000)
+                   .Waiting[indexOf(WaitReason::CrashOpen)];
   }
+  CHECK(Delayed > 0);
 }
 
 TEST_CASE("an end of an earlier run stops the later run of a lasting task") {
