--- a/tests/dispatch/ReleasedWorkerTest.cpp
+++ b/tests/dispatch/ReleasedWorkerTest.cpp
@@ -173,7 +173,6 @@
     return Closed;
   }
 
-private:
   TableFollower Jobs{Loop,
                      Store,
                      {rows::Jobs,
