--- a/tests/jobs/PoolSimulationTest.cpp
+++ b/tests/jobs/PoolSimulationTest.cpp
@@ -39,6 +39,16 @@
   return Result;
 }
 
+/// Checks that the histories of these seeds have no fault.
+void checkSeeds(SimulationOptions Options,
+                std::initializer_list<std::uint64_t> Seeds) {
+  for (std::uint64_t Seed : Seeds) {
+    CAPTURE(Seed);
+    Options.Seed = Seed;
+    CHECK(PoolSimulation(Options).simulate().Fault == "");
+  }
+}
+
 } // namespace
 
 TEST_CASE("no task runs twice at the same time and all jobs complete in random "
@@ -162,31 +172,22 @@
   MESSAGE(Histories, " histories, ", Stops, " stops, ", Takeovers, " owners");
 }
 
-// Listed in KNOWN-RED.txt.
 TEST_CASE("a job of lasting tasks is given up for crashes that none of its "
           "tasks caused in histories with tasks that crash workers") {
-  for (std::uint64_t Seed :
-       {2066, 3739, 50410, 50657, 51178, 101328, 20261273, 20261879}) {
-    CAPTURE(Seed);
-    SimulationOptions Options;
-    Options.Seed = Seed;
-    Options.LastingTasks = true;
-    Options.CrashingTasks = true;
-    CHECK(PoolSimulation(Options).simulate().Fault == "");
-  }
+  SimulationOptions Options;
+  Options.LastingTasks = true;
+  Options.CrashingTasks = true;
+  checkSeeds(Options,
+             {2066, 3739, 50410, 50657, 51178, 101328, 20261273, 20261879});
 }
 
 TEST_CASE(
     "all tasks of a lasting job are stopped at once, as it is given up, in "
     "histories in which workers restart at takeovers") {
-  for (std::uint64_t Seed : {520058, 520240, 520710}) {
-    CAPTURE(Seed);
-    SimulationOptions Options;
-    Options.Seed = Seed;
-    Options.LastingTasks = true;
-    Options.RestartsAtTakeover = true;
-    CHECK(PoolSimulation(Options).simulate().Fault == "");
-  }
+  SimulationOptions Options;
+  Options.LastingTasks = true;
+  Options.RestartsAtTakeover = true;
+  checkSeeds(Options, {520058, 520240, 520710});
 }
 
 TEST_CASE(
