Log why a job with lasting tasks ends, and each of its runs that is stopped

lasting_job_ended is logged when the end is decided, with its cause and the runs that it stops; job_ended names the cause too, and a run that is found after its job's end is logged as any other stop. No decision changes.

--- a/src/dispatch/PoolEventLog.cpp
+++ b/src/dispatch/PoolEventLog.cpp
@@ -150,6 +150,8 @@
   jobs::PoolEvents Events = State.takeEvents();
   for (const jobs::StopDecision &Decision : Events.Stops)
     logStop(Decision);
+  for (const jobs::LastingJobEnd &End : Events.LastingEnds)
+    logLastingEnd(End);
   if (Events.LongestWait)
     logWait(*Events.LongestWait);
   for (const jobs::IncarnationChange &Change : Events.Restarts)
@@ -196,6 +198,18 @@
             {"token", Token_}});
 }
 
+/// Logs the end of a job with lasting tasks when it is decided; its state may
+/// never be stored by this owner.
+void PoolEventLog::logLastingEnd(const jobs::LastingJobEnd &End) const {
+  logEvent("lasting_job_ended", {{"job", End.JobId},
+                                 {"pool", Pool_},
+                                 {"state", jobs::nameOf(End.State)},
+                                 {"why", jobs::nameOf(End.Cause)},
+                                 {"runs", End.Runs},
+                                 {"at_work", End.AtWork},
+                                 {"token", Token_}});
+}
+
 /// Logs the longest wait of a task, with what keeps it from starting.
 void PoolEventLog::logWait(const jobs::LongWait &Long) const {
   const jobs::TaskRef &Task = Long.Wait.Task;
@@ -313,14 +327,16 @@
       if (!Task.FailedOn.empty())
         FailedOn = Task.FailedOn;
     }
-    logEvent("job_ended", {{"job", Write.JobId},
-                           {"pool", Pool_},
-                           {"state", jobs::nameOf(Write.Progress.State)},
-                           {"failed_runs", FailedRuns},
-                           {"max_attempts", Job->Spec.MaxAttempts},
-                           {"last_failed_on", FailedOn},
-                           {"token", Token_},
-                           {"row_version", RowVersion}});
+    logEvent("job_ended",
+             {{"job", Write.JobId},
+              {"pool", Pool_},
+              {"state", jobs::nameOf(Write.Progress.State)},
+              {"why", Job->EndedFor ? jobs::nameOf(*Job->EndedFor) : ""},
+              {"failed_runs", FailedRuns},
+              {"max_attempts", Job->Spec.MaxAttempts},
+              {"last_failed_on", FailedOn},
+              {"token", Token_},
+              {"row_version", RowVersion}});
   }
 }
 
--- a/src/dispatch/PoolEventLog.h
+++ b/src/dispatch/PoolEventLog.h
@@ -68,6 +68,7 @@
 
 private:
   void logStop(const jobs::StopDecision &Decision) const;
+  void logLastingEnd(const jobs::LastingJobEnd &End) const;
   void logRelease(const jobs::ReleaseChange &Change) const;
   void logWait(const jobs::LongWait &Long) const;
   void logRestart(const jobs::IncarnationChange &Change) const;
--- a/src/jobs/HeldJobs.cpp
+++ b/src/jobs/HeldJobs.cpp
@@ -43,10 +43,9 @@
     markStarted(*Job);
   for (std::size_t T = 0; T < Learnt.size(); ++T) {
     TaskState &Task = Job->Tasks[T];
-    bool IsOver = isFinal(Job->Now) || Task.Kept.Done;
     for (LiveRun &Run : Task.Runs)
-      Run.Stopping = Run.Stopping || IsOver;
-    if (IsOver)
+      Run.Stopping = Run.Stopping || Task.Kept.Done;
+    if (isFinal(Job->Now) || Task.Kept.Done)
       continue;
     if (!Learnt[T].Checkpoint.empty())
       Task.Kept.Checkpoint = std::move(Learnt[T].Checkpoint);
@@ -60,8 +59,10 @@
   }
   Job->WaitingKnown = false;
   StopsChanged_ = true;
-  if (isFinal(Job->Now))
+  if (isFinal(Job->Now)) {
     closeJob(*Job);
+    stopAllRuns(*Job, JobEndCause::Stored);
+  }
   applyEarlyReports(*Job, Now);
   for (std::uint32_t T = 0; T < Job->Tasks.size() && !isFinal(Job->Now); ++T) {
     if (countCrashes(*Job, T) < Limits_.MaxCrashes)
@@ -71,10 +72,10 @@
       continue;
     }
     ++Counters_.GivenUp;
-    endJob(*Job, JobState::Failed);
+    endJob(*Job, JobEndCause::Crashes);
   }
   if (Job->CancelWanted && !isFinal(Job->Now))
-    endJob(*Job, JobState::Cancelled);
+    endJob(*Job, JobEndCause::Cancelled);
 }
 
 /// Whether the job exists and it isn't known which of its tasks have run.
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_JOBS_JOBRECORD_H
 #define COMFREYDECK_JOBS_JOBRECORD_H
 
+#include "jobs/JobEnd.h"
 #include "jobs/RunPace.h"
 #include "jobs/Worker.h"
 
@@ -124,6 +125,8 @@
   JobState Now = JobState::Queued;
   /// The persisted state. A final state becomes visible only once persisted.
   JobState Stored = JobState::Queued;
+  /// Why it has ended, if it has.
+  std::optional<JobEndCause> EndedFor;
   /// A worker has begun one of its tasks.
   bool Started = false;
   core::TimePoint KnownSince;
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -441,7 +441,7 @@
     if (C.Run.JobId == Run.JobId && C.Run.Task >= First && C.Run.Task < Last)
       Record.Counted.push_back(C);
   ++Counters_.GivenUp;
-  endJob(*Job, JobState::Failed);
+  endJob(*Job, JobEndCause::Crashes);
 }
 
 /// A lasting task has no limit of attempts, and giving its job up would end the
--- a/src/jobs/PoolEvents.h
+++ b/src/jobs/PoolEvents.h
@@ -2,6 +2,7 @@
 #define COMFREYDECK_JOBS_POOLEVENTS_H
 
 #include "jobs/CrashLedger.h"
+#include "jobs/JobEnd.h"
 #include "jobs/PoolMetrics.h"
 #include "jobs/StopDecision.h"
 #include "jobs/WorkerRelease.h"
@@ -63,6 +64,7 @@
 struct PoolEvents {
   /// Decisions to stop lasting tasks.
   std::vector<StopDecision> Stops;
+  std::vector<LastingJobEnd> LastingEnds;
   /// The wait that is longest by its bound, if the last check found a long one:
   /// a lasting task's, or one of another task for which room is there. Such
   /// checks are made about once a second.
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -409,8 +409,11 @@
     StopsChanged_ = StopsChanged_ || Unneeded;
     addRun(*Job, Task, std::move(Found));
     Run = findRun(*Job, Task, Report.Run);
-    if (Unneeded && !isFinal(Job->Now))
-      recordStop(*Job, Task, *Run, StopReason::Duplicate, Now);
+    if (Unneeded)
+      recordStop(*Job, Task, *Run,
+                 isFinal(Job->Now) || Job->CancelWanted ? StopReason::JobEnded
+                                                        : StopReason::Duplicate,
+                 Now);
   }
   markBegun(*Job, Task, Report.Run);
   confirmRun(*Run, Now);
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -108,6 +108,8 @@
                           core::TimePoint Now) {
   Job.Now = Job.Stored = Kept.State;
   Job.Started = Kept.State != JobState::Queued;
+  if (isFinal(Kept.State))
+    Job.EndedFor = JobEndCause::Stored;
   std::size_t Known = std::min(Job.Tasks.size(), Kept.Tasks.size());
   for (std::uint32_t T = 0; T < Known; ++T) {
     Job.Tasks[T].Kept = Kept.Tasks[T];
@@ -119,24 +121,6 @@
   inheritSuspicion(Job, Now);
 }
 
-void PoolState::cancelJob(const std::string &Id) {
-  JobRecord *Job = jobOf(Id);
-  if (auto Awaited = Awaited_.find(Id); Awaited != Awaited_.end()) {
-    Awaited->second = true;
-    StopsChanged_ = true;
-  }
-  if (Job && Job->ProgressUnread) {
-    Job->CancelWanted = true;
-    StopsChanged_ = true;
-    for (TaskState &Task : Job->Tasks)
-      for (LiveRun &Run : Task.Runs)
-        Run.Stopping = true;
-    return;
-  }
-  if (Job && !isFinal(Job->Now))
-    endJob(*Job, JobState::Cancelled);
-}
-
 std::vector<std::string> PoolState::jobsWithoutPayload() const {
   std::vector<std::string> Ids;
   if (MissingPayloads_ == 0)
@@ -270,91 +254,6 @@
   }
 }
 
-void PoolState::endJob(JobRecord &Job, JobState State) {
-  Job.Now = State;
-  closeJob(Job);
-  StopsChanged_ = true;
-  for (TaskState &Task : Job.Tasks)
-    for (LiveRun &Run : Task.Runs)
-      Run.Stopping = true;
-  Outbox_.markChanged(Job);
-}
-
-void PoolState::taskDone(JobRecord &Job, std::uint32_t Task) {
-  TaskState &State = Job.Tasks[Task];
-  TaskPlace Place = placeOf(Job, Task);
-  const StepSpec &Step = Job.Spec.Steps[Place.Step];
-  // It starts again; a later run of it goes on.
-  if (Step.Lasting)
-    return;
-  StopsChanged_ = StopsChanged_ || !State.Runs.empty();
-  for (LiveRun &Run : State.Runs)
-    Run.Stopping = true;
-  if (State.Kept.Done || isFinal(Job.Now))
-    return;
-  State.Kept.Done = true;
-  State.Kept.Checkpoint.clear();
-  State.Kept.CrashedRuns.clear();
-  State.Kept.Announced.reset();
-  State.Kept.Unsettled.clear();
-  ++Counters_.Done;
-  std::uint32_t &Unfinished =
-      Job.UnfinishedTasks[Place.Occurrence * Job.Spec.Steps.size() +
-                          Place.Step];
-  if (--Unfinished == 0)
-    restartWaits(Job, Place);
-  Job.WaitingKnown = false;
-  Outbox_.markChanged(Job);
-  // A gang completes as a whole when one member does.
-  if (Step.Gang)
-    for (std::uint32_t MemberIndex = 0; MemberIndex < Step.Tasks; ++MemberIndex)
-      taskDone(Job, Task - Place.Index + MemberIndex);
-  bool AllDone =
-      std::all_of(Job.UnfinishedTasks.begin(), Job.UnfinishedTasks.end(),
-                  [](std::uint32_t Left) { return Left == 0; });
-  if (AllDone && !isFinal(Job.Now))
-    endJob(Job, JobState::Completed);
-}
-
-/// Tasks of steps that depend on the ended one have waited for it until now.
-void PoolState::restartWaits(JobRecord &Job, const TaskPlace &EndedStep) {
-  std::uint32_t Begin = EndedStep.Occurrence * Job.TasksPerOccurrence;
-  for (std::size_t S = 0; S < Job.Spec.Steps.size(); ++S) {
-    const StepSpec &Step = Job.Spec.Steps[S];
-    if (std::find(Step.After.begin(), Step.After.end(), EndedStep.Step) ==
-        Step.After.end())
-      continue;
-    for (std::uint32_t Index = 0; Index < Step.Tasks; ++Index)
-      Job.Tasks[Begin + Job.StepBegin[S] + Index].WaitingSince = Now_;
-  }
-}
-
-void PoolState::taskFailed(JobRecord &Job, std::uint32_t Task, WorkerState &W,
-                           core::TimePoint Now) {
-  ++Counters_.Failed;
-  TaskState &State = Job.Tasks[Task];
-  State.FailedOn = W.Entry.Id;
-  if (W.LastFailedJob != Job.Spec.Id) {
-    W.LastFailedJob = Job.Spec.Id;
-    ++W.FailuresInRow;
-  }
-  if (W.FailuresInRow >= Limits_.QuarantineFailures)
-    quarantine(W, Now);
-  const StepSpec &Step = stepOf(Job, Task);
-  if (Step.Lasting || isFinal(Job.Now) || State.Kept.Done)
-    return;
-  Outbox_.markChanged(Job);
-  std::size_t Failures = State.Kept.FailedRuns.size();
-  if (Step.Gang) {
-    Failures = 0;
-    std::uint32_t First = Task - placeOf(Job, Task).Index;
-    for (std::uint32_t MemberIndex = 0; MemberIndex < Step.Tasks; ++MemberIndex)
-      Failures += Job.Tasks[First + MemberIndex].Kept.FailedRuns.size();
-  }
-  if (Failures >= Job.Spec.MaxAttempts)
-    endJob(Job, JobState::Failed);
-}
-
 // Runs and their resource reservations.
 
 LiveRun *PoolState::findRun(JobRecord &Job, std::uint32_t Task, RunId Run) {
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -320,7 +320,8 @@
                StopReason Reason, core::TimePoint Now);
   void recordStop(const JobRecord &Job, std::uint32_t Task, const LiveRun &Run,
                   StopReason Reason, core::TimePoint Now);
-  void endJob(JobRecord &Job, JobState State);
+  void stopAllRuns(JobRecord &Job, JobEndCause Cause);
+  void endJob(JobRecord &Job, JobEndCause Cause);
   std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
   static void recordLease(WorkerState &W, std::int64_t DeadlineMs,
                           core::TimePoint Now);
--- a/src/jobs/StopDecision.cpp
+++ b/src/jobs/StopDecision.cpp
@@ -14,6 +14,8 @@
     return "straggler";
   case StopReason::GangBroken:
     return "gang-broken";
+  case StopReason::JobEnded:
+    return "job-ended";
   }
   return "";
 }
--- a/src/jobs/StopDecision.h
+++ b/src/jobs/StopDecision.h
@@ -5,7 +5,7 @@
 
 namespace comfreydeck::jobs {
 
-/// Why an owner stops a run of a job that goes on.
+/// Why an owner stops a run.
 enum class StopReason : std::uint8_t {
   /// Its task has another run.
   Duplicate,
@@ -16,12 +16,14 @@
   Straggler,
   /// Another member of its gang has ended, so that it can't go on.
   GangBroken,
+  /// Found after its job had ended or was cancelled.
+  JobEnded,
 };
 
 const char *nameOf(StopReason Reason);
 
-/// A decision to stop a run of a lasting task whose job goes on, with the state
-/// it was based on.
+/// A decision to stop one run of a lasting task, with the state it was based
+/// on.
 struct StopDecision {
   TaskRef Task;
   RunId Run = 0;
