Let suspects share workers where many wait for one of their own

Cause: a task under which two workers have crashed starts alone on its worker until it has lasted for half a second, on half of the workers at most, so that some 40 of such tasks end a second in a pool of 49. After the crashes 1,200 waited so, the longest for 39 s, though nothing but the line kept them.

Change: where more wait than are cleared within 4 s, as many as that takes start together on one worker. A run that shares its worker is stored as shared: its crash counts, and the task has one more run alone before its job fails. So a task that crashes its workers starts once more after its third crash, of the two starts that are left to it. None share while one worker in 16 crashes each second.

Evidence: the tests fail without sharing (80 of 200 tasks begin within 14 s).

--- a/src/codec/JobJson.cpp
+++ b/src/codec/JobJson.cpp
@@ -166,19 +166,21 @@
 
 Json announcedJson(const jobs::AnnouncedRun &Run) {
   Json Column = {Run.Run, Run.Worker, Run.Born};
-  if (Run.Waited > core::Duration::zero())
+  if (Run.Waited > core::Duration::zero() || Run.Shared)
     Column.push_back(
         std::chrono::duration_cast<std::chrono::milliseconds>(Run.Waited)
             .count());
+  if (Run.Shared)
+    Column.push_back(1);
   return Column;
 }
 
 jobs::AnnouncedRun announcedFrom(const Json &Column) {
-  // Earlier versions write no waiting time.
+  // Earlier versions write no waiting time, nor whether the run was shared.
   std::chrono::milliseconds Waited(
       Column.size() > 3 ? Column.at(3).get<std::int64_t>() : 0);
   return {Column.at(0).get<jobs::RunId>(), Column.at(1).get<std::string>(),
-          Column.at(2).get<std::int64_t>(), Waited};
+          Column.at(2).get<std::int64_t>(), Waited, Column.size() > 4};
 }
 
 Json progressJson(const jobs::JobProgress &Progress) {
--- a/src/jobs/HeldJobs.cpp
+++ b/src/jobs/HeldJobs.cpp
@@ -65,7 +65,11 @@
   }
   applyEarlyReports(*Job, Now);
   for (std::uint32_t T = 0; T < Job->Tasks.size() && !isFinal(Job->Now); ++T) {
-    if (countCrashes(*Job, T) < Limits_.MaxCrashes)
+    // A stored count that has reached the limit leaves the task one more run,
+    // alone: the last crash may have been another task's.
+    bool LeftOne = T < Kept.Tasks.size() &&
+                   Kept.Tasks[T].CrashedRuns.size() >= Limits_.MaxCrashes;
+    if (countCrashes(*Job, T) < Limits_.MaxCrashes + (LeftOne ? 1 : 0))
       continue;
     if (stepOf(*Job, T).Lasting) {
       delayLasting(*Job, T, Now);
--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -14,6 +14,18 @@
 /// How long a worker that crashed is avoided for tasks that may crash it: its
 /// own fault may have been the cause.
 constexpr std::chrono::milliseconds CrashedLately(15000);
+/// From the choice of a worker for a task until the worker is free for the next
+/// one, beside the time for which the run has to last.
+constexpr std::chrono::milliseconds IsolationOverhead(200);
+/// Tasks that wait for workers of their own all get one within this time, or
+/// share it.
+constexpr std::chrono::milliseconds IsolationLine(4000);
+/// Most tasks that share a worker: its crash counts against all of them.
+constexpr std::size_t MaxSharing = 16;
+/// Tasks share no workers while one in this many has crashed within the time
+/// below: a crash would tell nothing of any of them.
+constexpr std::size_t WorkersPerCrash = 16;
+constexpr std::chrono::milliseconds CrashWindow(1000);
 
 } // namespace
 
@@ -84,12 +96,14 @@
 }
 
 /// Has the run that the task was given in this round stored.
-void StartPlan::announce(JobRecord &Job, std::uint32_t Task) {
+void StartPlan::announce(JobRecord &Job, std::uint32_t Task, bool Shared) {
   for (LiveRun &Run : Job.Tasks[Task].Runs) {
     if (Run.SendAfter != LiveRun::NotAnnounced)
       continue;
-    Owner_.setAnnounced(
-        Job, Task, {Run.Run, Run.Worker, Owner_.Workers_.at(Run.Worker)->Born});
+    Owner_.setAnnounced(Job, Task,
+                        {Run.Run, Run.Worker,
+                         Owner_.Workers_.at(Run.Worker)->Born,
+                         core::Duration::zero(), Shared});
     Run.SendAfter = Owner_.Outbox_.lastChange();
   }
 }
@@ -197,10 +211,10 @@
                   [](const JobRecord *Job) { return Job->Suspect; });
   if (!AnySuspect)
     return;
-  auto Usable = static_cast<std::size_t>(std::count_if(
+  UsableCount_ = static_cast<std::size_t>(std::count_if(
       Owner_.Workers_.begin(), Owner_.Workers_.end(),
       [this](const auto &Item) { return canTake(*Item.second); }));
-  MaxReserved_ = std::max<std::size_t>(Usable / WorkersPerReservation, 1);
+  MaxReserved_ = std::max<std::size_t>(UsableCount_ / WorkersPerReservation, 1);
   for (JobRecord *Job : Owner_.Open_) {
     if (!Job->Suspect)
       continue;
@@ -212,12 +226,14 @@
     }
   }
   std::vector<IsolatedUnit> Waiting = findIsolated();
+  std::size_t PerWorker = suspectsPerWorker(Waiting.size());
   const JobRecord *Tried = nullptr;
-  for (const IsolatedUnit &Unit : Waiting) {
+  for (std::size_t N = 0; N < Waiting.size(); ++N) {
+    const IsolatedUnit &Unit = Waiting[N];
     JobRecord &Job = *Unit.Job;
     const StepSpec &Step = PoolState::stepOf(Job, Unit.First);
     // One task at a time tells enough of a job that can fail.
-    if (&Job == Tried && !Step.Lasting)
+    if ((&Job == Tried && !Step.Lasting) || !Job.Tasks[Unit.First].Runs.empty())
       continue;
     Tried = &Job;
     if (!Owner_.mayTryAgain(Job, Unit.First))
@@ -225,11 +241,65 @@
     if (Step.Gang)
       planIsolatedGang(Job, Unit.First);
     else
-      planIsolatedTask(Job, Unit.First);
+      planIsolatedTask(Job, Unit.First, std::span(Waiting).subspan(N + 1),
+                       PerWorker);
   }
 }
 
-void StartPlan::planIsolatedTask(JobRecord &Job, std::uint32_t Task) {
+/// How many of the waiting tasks have to start together on one worker so that
+/// none waits for longer than \ref IsolationLine.
+std::size_t StartPlan::suspectsPerWorker(std::size_t Waiting) const {
+  auto Turns = static_cast<std::size_t>(
+      IsolationLine / (Owner_.Limits_.SuspicionAge + IsolationOverhead));
+  std::size_t Alone = 2 * MaxReserved_ * std::max<std::size_t>(Turns, 1);
+  if (Waiting <= Alone || haveManyCrashed())
+    return 1;
+  return std::min((Waiting + Alone - 1) / Alone, MaxSharing);
+}
+
+/// Whether workers crash by themselves, as far as can be told by their number.
+bool StartPlan::haveManyCrashed() const {
+  auto Crashed = static_cast<std::size_t>(
+      std::count_if(Owner_.CrashedAt_.begin(), Owner_.CrashedAt_.end(),
+                    [&](const auto &Address) {
+                      return In_.Now - Address.second < CrashWindow;
+                    }));
+  return Crashed * WorkersPerCrash > UsableCount_;
+}
+
+/// Whether a crash that may be another task's leaves the task a run of its own.
+bool StartPlan::mayShareWorker(const JobRecord &Job, std::uint32_t Task) const {
+  return Owner_.countPossibleCrashes(Job, Task) <=
+         Owner_.Limits_.IsolationCrashes;
+}
+
+/// Starts up to \p Most of the waiting tasks on a worker that one of them has
+/// to itself otherwise. False if none was started.
+bool StartPlan::startBeside(WorkerState &W,
+                            std::span<const IsolatedUnit> Others,
+                            std::size_t Most) {
+  std::size_t Started = 0;
+  for (const IsolatedUnit &Unit : Others) {
+    if (Started >= Most)
+      break;
+    JobRecord &Job = *Unit.Job;
+    const StepSpec &Step = PoolState::stepOf(Job, Unit.First);
+    if (Step.Gang || !Job.Tasks[Unit.First].Runs.empty() ||
+        !mayStart(Job, Unit.First) || !mayShareWorker(Job, Unit.First) ||
+        !hasTeamRoom(Job, Step, 1) ||
+        !meetsConstraints(W, Job, Unit.First, Step))
+      continue;
+    start(Job, Unit.First, W, nextRun());
+    announce(Job, Unit.First, true);
+    ++Started;
+  }
+  return Started > 0;
+}
+
+/// \p Others may start on the same worker, up to \p Most tasks in all.
+void StartPlan::planIsolatedTask(JobRecord &Job, std::uint32_t Task,
+                                 std::span<const IsolatedUnit> Others,
+                                 std::size_t Most) {
   if (!mayStart(Job, Task) ||
       !hasTeamRoom(Job, PoolState::stepOf(Job, Task), 1))
     return;
@@ -243,8 +313,9 @@
   if (Reserved_ >= MaxReserved_ * (Soon ? 2 : 1))
     return;
   if (Ready) {
+    bool MayShare = mayShareWorker(Job, Task);
     start(Job, Task, *W, nextRun());
-    announce(Job, Task);
+    announce(Job, Task, MayShare && startBeside(*W, Others, Most - 1));
   }
   isolate(*W);
 }
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -113,6 +113,9 @@
   std::int64_t Born = 0;
   /// For how long owners have waited for its outcome at least.
   core::Duration Waited{0};
+  /// It was started together with runs of other tasks that may crash the
+  /// worker.
+  bool Shared = false;
   bool operator==(const AnnouncedRun &) const = default;
 };
 
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -115,6 +115,15 @@
          (!MayBeLast || Waited);
 }
 
+/// Whether the run was started together with those of other suspects.
+bool PoolState::wasShared(const TaskProgress &Kept, RunId Run) {
+  auto Is = [Run](const AnnouncedRun &Other) {
+    return Other.Run == Run && Other.Shared;
+  };
+  return (Kept.Announced && Is(*Kept.Announced)) ||
+         std::any_of(Kept.Unsettled.begin(), Kept.Unsettled.end(), Is);
+}
+
 /// Has the run stored, beside those whose outcome is open.
 void PoolState::setAnnounced(JobRecord &Job, std::uint32_t Task,
                              AnnouncedRun Run) {
@@ -418,6 +427,7 @@
       std::find(Crashed.begin(), Crashed.end(), Run.Run) != Crashed.end();
   if (Kept.Done || IsCounted)
     return;
+  bool Shared = wasShared(Kept, Run.Run);
   Counted_.push_back(Counted);
   if (Counted_.size() > MaxCountedRuns)
     Counted_.pop_front();
@@ -428,7 +438,9 @@
   Job->Suspect = true;
   Job->Tasks[Run.Task].SpreadUntil = Counted.CountedAt + Limits_.SuspectWait;
   Outbox_.markChanged(*Job);
-  if (Job->ProgressUnread || countCrashes(*Job, Run.Task) < Limits_.MaxCrashes)
+  // Another task may be the cause: it gets one more run, alone.
+  std::size_t Most = Limits_.MaxCrashes + (Shared ? 1 : 0);
+  if (Job->ProgressUnread || countCrashes(*Job, Run.Task) < Most)
     return;
   if (stepOf(*Job, Run.Task).Lasting) {
     Record.Delayed.push_back(refOf(*Job, Run.Task));
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -68,11 +68,17 @@
     std::uint32_t First = 0;
   };
   std::vector<IsolatedUnit> findIsolated();
-  void announce(JobRecord &Job, std::uint32_t Task);
+  std::size_t suspectsPerWorker(std::size_t Waiting) const;
+  bool haveManyCrashed() const;
+  bool mayShareWorker(const JobRecord &Job, std::uint32_t Task) const;
+  bool startBeside(WorkerState &W, std::span<const IsolatedUnit> Others,
+                   std::size_t Most);
+  void announce(JobRecord &Job, std::uint32_t Task, bool Shared = false);
   void sendAnnounced(JobRecord &Job, std::uint32_t First, std::uint32_t Last);
   void forgetAnnounced(JobRecord &Job, std::uint32_t Task);
   void noteSuspectRuns(JobRecord &Job, std::uint32_t Task);
-  void planIsolatedTask(JobRecord &Job, std::uint32_t Task);
+  void planIsolatedTask(JobRecord &Job, std::uint32_t Task,
+                        std::span<const IsolatedUnit> Others, std::size_t Most);
   void planIsolatedGang(JobRecord &Job, std::uint32_t First);
   WorkerState *chooseForIsolation(JobRecord &Job, std::uint32_t Task) const;
   void isolate(WorkerState &W);
@@ -294,6 +300,8 @@
   /// be.
   std::size_t Reserved_ = 0;
   std::size_t MaxReserved_ = 0;
+  /// Number of workers that can take starts, before any is reserved.
+  std::size_t UsableCount_ = 0;
   /// Workers that were reserved in the last round.
   std::set<const WorkerState *> ReservedBefore_;
   /// Number of runs of suspect tasks by worker.
--- a/tests/codec/JobJsonTest.cpp
+++ b/tests/codec/JobJsonTest.cpp
@@ -99,6 +99,20 @@
   CHECK(Read.Tasks[0].Announced == jobs::AnnouncedRun{6, "w1", 5});
 }
 
+TEST_CASE(
+    "a later owner takes a run that shared its worker with others for one "
+    "that had it alone") {
+  jobs::JobProgress Stored;
+  Stored.Tasks.resize(1);
+  Stored.Tasks[0].Unsettled = {
+      {6, "w1", 5, std::chrono::milliseconds(12001), true}};
+  Stored.Tasks[0].Announced = {9, "w3", 4, core::Duration::zero(), true};
+  jobs::JobProgress Read = decodeProgress(encodeProgress(Stored));
+  REQUIRE(Read.Tasks.size() == 1);
+  CHECK(Read.Tasks[0].Unsettled == Stored.Tasks[0].Unsettled);
+  CHECK(Read.Tasks[0].Announced == Stored.Tasks[0].Announced);
+}
+
 // Guards against a pool that can't be taken over during an upgrade.
 TEST_CASE("progress rows of versions without crashed runs are read") {
   jobs::JobProgress Read =
--- /dev/null
+++ b/tests/jobs/IsolationLineTest.cpp
@@ -0,0 +1,111 @@
+#include "jobs/CrashFixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace comfreydeck;
+using namespace comfreydeck::jobs;
+
+namespace {
+
+constexpr unsigned JobCount = 200;
+/// A task that could run does so within this time.
+constexpr milliseconds LongestWait(14000);
+
+/// A pool in which each of many tasks has met two crashes of workers under an
+/// earlier owner.
+struct SuspectPool {
+  CrashFixture F{{"w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8"}};
+  std::set<std::string> Begun;
+  std::map<TaskRef, int> Turns;
+  /// The tasks that crash each worker that starts them, and their starts.
+  std::map<TaskRef, std::uint32_t> Deadly;
+
+  SuspectPool() {
+    F.turn();
+    F.turn();
+  }
+
+  void add(const JobSpec &Spec) {
+    JobProgress Kept;
+    Kept.State = JobState::Running;
+    Kept.Tasks.resize(Spec.Steps[0].Tasks);
+    for (TaskProgress &Task : Kept.Tasks)
+      Task.CrashedRuns = {10, 20};
+    F.B.Owner.inheritJob(Spec, &Kept, F.B.Now);
+  }
+
+  void addJobs() {
+    for (unsigned Job = 1; Job <= JobCount; ++Job) {
+      JobSpec Spec = sampleJob(Job);
+      Spec.Steps[0].Need = {100, 10, 0};
+      add(Spec);
+    }
+  }
+
+  /// Each run that crashes no worker ends after a second.
+  void turn() {
+    F.turn();
+    std::set<std::string> Crashing;
+    for (const StartOrder &Start : F.LastStarts) {
+      Begun.insert(Start.Task.JobId);
+      auto At = Deadly.find(Start.Task);
+      if (At == Deadly.end())
+        continue;
+      ++At->second;
+      Crashing.insert(Start.Worker);
+    }
+    for (const std::string &Worker : Crashing)
+      F.crash(Worker);
+    std::vector<TaskRef> Over;
+    for (const auto &[Id, Starts] : F.Running)
+      for (const StartOrder &Start : Starts)
+        if (++Turns[Start.Task] > 10)
+          Over.push_back(Start.Task);
+    for (const TaskRef &Task : Over)
+      F.finish(Task);
+  }
+
+  void run(milliseconds Time) {
+    for (milliseconds Passed(0); Passed < Time; Passed += milliseconds(100))
+      turn();
+  }
+};
+
+} // namespace
+
+TEST_CASE("tasks whose workers crashed twice wait in line for workers of their "
+          "own for longer than a task may") {
+  SuspectPool P;
+  P.addJobs();
+  P.run(LongestWait);
+  CHECK(P.Begun.size() == JobCount);
+}
+
+TEST_CASE("a job of many tasks whose workers crashed twice waits in line for "
+          "workers of its own for longer than a task may") {
+  SuspectPool P;
+  JobSpec Spec = sampleJob(1, JobCount);
+  Spec.Steps[0].Need = {100, 10, 0};
+  P.add(Spec);
+  P.run(LongestWait);
+  CHECK(P.Turns.size() == JobCount);
+}
+
+TEST_CASE("tasks that crash their workers start again and again, or others "
+          "fail for them, where many tasks wait for workers of their own") {
+  SuspectPool P;
+  for (unsigned Job : {3U, 50U, 51U, 120U})
+    P.Deadly[taskOf(Job)] = 0;
+  P.addJobs();
+  P.run(2 * LongestWait);
+  for (unsigned Job = 1; Job <= JobCount; ++Job) {
+    CAPTURE(Job);
+    auto At = P.Deadly.find(taskOf(Job));
+    JobState State = P.F.job(Job).Now;
+    CHECK(State ==
+          (At == P.Deadly.end() ? JobState::Completed : JobState::Failed));
+    // The third crash, and one start more.
+    if (At != P.Deadly.end())
+      CHECK(At->second <= 2);
+  }
+}
