--- a/tests/jobs/LastingEndTest.cpp
+++ b/tests/jobs/LastingEndTest.cpp
@@ -100,3 +100,14 @@
   REQUIRE(Stops.size() == 2);
   CHECK(Stops[0].Reason == StopReason::JobEnded);
 }
+
+TEST_CASE("a second run of a lasting task is stopped without a trace") {
+  RunningJob F;
+  RunReport Second = runReportOf(F.Starts[0]);
+  ++Second.Run;
+  F.B.report("w1", {F.reports()[0], Second, F.reports()[1], F.reports()[2]});
+  std::vector<StopDecision> Stops = F.B.Owner.takeEvents().Stops;
+  REQUIRE(Stops.size() == 1);
+  CHECK(Stops[0].Run == Second.Run);
+  CHECK(Stops[0].Reason == StopReason::Duplicate);
+}
