Stop the lasting tasks of a failed job only once its end is stored

A job with lasting tasks that fails for another step's task had them stopped at once. An owner that was lost before it had stored the failure left the next one with a job that goes on and whose tasks were away at the same time, more of them than the step allows (AVAIL); callers still read `running` meanwhile.

Cause: the stop doesn't wait for what it follows from.

Stops of lasting tasks of a failed job now wait for its row. A cancel is stored before an owner learns of it, so its stops wait for nothing.

--- a/src/jobs/JobEnd.cpp
+++ b/src/jobs/JobEnd.cpp
@@ -75,6 +75,14 @@
     Events_.LastingEnds.push_back(std::move(End));
 }
 
+/// Whether the job's end has to be stored before the task's runs are stopped: a
+/// later owner that doesn't know of a failure goes on with the job. A cancel is
+/// stored before an owner learns of it.
+bool PoolState::mustStoreEnd(const JobRecord &Job, std::uint32_t Task) {
+  return Job.Now == JobState::Failed && !isFinal(Job.Stored) &&
+         stepOf(Job, Task).Lasting;
+}
+
 void PoolState::endJob(JobRecord &Job, JobEndCause Cause) {
   Job.Now = stateAfter(Cause).value();
   Job.EndedFor = Cause;
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -124,6 +124,10 @@
       for (LiveRun &Run : Job->Tasks[Task].Runs) {
         if (!Run.Stopping || Run.StopInFlight || Run.Worker != Id)
           continue;
+        if (mustStoreEnd(*Job, Task)) {
+          StopsChanged_ = true;
+          continue;
+        }
         if (!IsDue(Run.StopAt))
           continue;
         Run.StopInFlight = true;
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -322,6 +322,7 @@
   void recordStop(const JobRecord &Job, std::uint32_t Task, const LiveRun &Run,
                   StopReason Reason, core::TimePoint Now);
   void stopAllRuns(JobRecord &Job, JobEndCause Cause);
+  static bool mustStoreEnd(const JobRecord &Job, std::uint32_t Task);
   void endJob(JobRecord &Job, JobEndCause Cause);
   std::int64_t leaseFor(const WorkerState &W, const PlanInput &In) const;
   static void recordLease(WorkerState &W, std::int64_t DeadlineMs,
--- a/tests/jobs/LastingEndTest.cpp
+++ b/tests/jobs/LastingEndTest.cpp
@@ -111,3 +111,20 @@
   CHECK(Stops[0].Run == Second.Run);
   CHECK(Stops[0].Reason == StopReason::Duplicate);
 }
+
+TEST_CASE("the lasting tasks of a job that has failed are stopped before its "
+          "end is stored") {
+  RunningJob F;
+  const StartOrder &Ending = F.Starts.back();
+  std::vector<RunReport> Lasting = {runReportOf(F.Starts[0]),
+                                    runReportOf(F.Starts[1])};
+  F.B.report("w1", Lasting,
+             {endReportOf(1, Ending.Task, Ending.Run, RunEnd::Failed)});
+  REQUIRE(F.B.Owner.findJob(jobId(1))->Now == JobState::Failed);
+  CHECK(F.B.plan().Stops.empty());
+  F.B.advance(milliseconds(100));
+  CHECK(F.B.plan().Stops.empty());
+  F.B.Owner.onStored(F.B.Owner.takeChanges(10).Mark);
+  F.B.advance(milliseconds(100));
+  CHECK(F.B.plan().Stops.size() == 2);
+}
