Choose workers for suspects among those that can take starts

Each waiting suspect went through all workers that the owner remembers, some 2,500 of which 2,000 were gone, and also once no more could be reserved. Now the workers that can take starts are found once a round, and nothing is chosen once enough are reserved.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -211,10 +211,11 @@
                   [](const JobRecord *Job) { return Job->Suspect; });
   if (!AnySuspect)
     return;
-  UsableCount_ = static_cast<std::size_t>(std::count_if(
-      Owner_.Workers_.begin(), Owner_.Workers_.end(),
-      [this](const auto &Item) { return canTake(*Item.second); }));
-  MaxReserved_ = std::max<std::size_t>(UsableCount_ / WorkersPerReservation, 1);
+  for (auto &[Id, W] : Owner_.Workers_)
+    if (canTake(*W))
+      Takers_.push_back(W.get());
+  MaxReserved_ =
+      std::max<std::size_t>(Takers_.size() / WorkersPerReservation, 1);
   for (JobRecord *Job : Owner_.Open_) {
     if (!Job->Suspect)
       continue;
@@ -264,7 +265,7 @@
                     [&](const auto &Address) {
                       return In_.Now - Address.second < CrashWindow;
                     }));
-  return Crashed * WorkersPerCrash > UsableCount_;
+  return Crashed * WorkersPerCrash > Takers_.size();
 }
 
 /// Whether a crash that may be another task's leaves the task a run of its own.
@@ -300,7 +301,8 @@
 void StartPlan::planIsolatedTask(JobRecord &Job, std::uint32_t Task,
                                  std::span<const IsolatedUnit> Others,
                                  std::size_t Most) {
-  if (!mayStart(Job, Task) ||
+  // A choice among many workers costs more than what else a task is asked.
+  if (Reserved_ >= 2 * MaxReserved_ || !mayStart(Job, Task) ||
       !hasTeamRoom(Job, PoolState::stepOf(Job, Task), 1))
     return;
   bool Waited = hasWaitedIsolated(Job, Task);
@@ -391,10 +393,16 @@
                            W.Tasks.size(), W.Entry.Id);
   };
   WorkerState *Best = nullptr;
-  for (auto &[Id, W] : Owner_.Workers_)
-    if (canTake(*W) && W->Born != 0 && Fits(*W) &&
-        (!Best || Rank(*W) < Rank(*Best)))
-      Best = W.get();
+  std::optional<decltype(Rank(*Best))> BestRank;
+  for (WorkerState *W : Takers_) {
+    if (!canTake(*W) || W->Born == 0 || !Fits(*W))
+      continue;
+    auto Its = Rank(*W);
+    if (BestRank && Its >= *BestRank)
+      continue;
+    Best = W;
+    BestRank = Its;
+  }
   return Best;
 }
 
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -300,8 +300,8 @@
   /// be.
   std::size_t Reserved_ = 0;
   std::size_t MaxReserved_ = 0;
-  /// Number of workers that can take starts, before any is reserved.
-  std::size_t UsableCount_ = 0;
+  /// Workers that could take starts before any was reserved in this round.
+  std::vector<WorkerState *> Takers_;
   /// Workers that were reserved in the last round.
   std::set<const WorkerState *> ReservedBefore_;
   /// Number of runs of suspect tasks by worker.
