Store with a crash that its run shared its worker

A job failed for one crash of a worker that its task had shared with others, once an earlier crash, open until then, became known: whether the task had another run was asked for the crash that was counted last only.

Ten of ten jobs failed in its test, and in IsolationLineTest, which fails before; none now.

The crashes of shared runs are stored beside the others, and a task with one of them has one more run. A crash that was learnt while the job's progress could not be read is judged by the row once that is read.

--- a/src/codec/JobJson.cpp
+++ b/src/codec/JobJson.cpp
@@ -187,9 +187,12 @@
   Json Object = {{"state", static_cast<unsigned>(Progress.State)}};
   std::string Done;
   Json Marks = Json::array();
+  Json Shared = Json::array();
   for (std::size_t T = 0; T < Progress.Tasks.size(); ++T) {
     const jobs::TaskProgress &Task = Progress.Tasks[T];
     Done += Task.Done ? '1' : '0';
+    if (!Task.SharedCrashes.empty())
+      Shared.push_back({T, Task.SharedCrashes});
     Json Announced = Json::array();
     for (const jobs::AnnouncedRun &Run : Task.Unsettled)
       Announced.push_back(announcedJson(Run));
@@ -214,6 +217,8 @@
     Object["done"] = Done;
   if (!Marks.empty())
     Object["marks"] = Marks;
+  if (!Shared.empty())
+    Object["shared"] = Shared;
   return Object;
 }
 
@@ -227,12 +232,19 @@
   }
 }
 
+jobs::TaskProgress &taskOfMark(const Json &Mark, jobs::JobProgress &Progress) {
+  std::size_t Number = Mark.at(0).get<std::size_t>();
+  if (Number >= Progress.Tasks.size())
+    throw std::invalid_argument("a mark refers to an unknown task");
+  return Progress.Tasks[Number];
+}
+
 void takeMarks(const Json &Object, jobs::JobProgress &Progress) {
+  for (const Json &Mark : Object.value("shared", Json::array()))
+    taskOfMark(Mark, Progress).SharedCrashes =
+        Mark.at(1).get<std::vector<jobs::RunId>>();
   for (const Json &Mark : Object.value("marks", Json::array())) {
-    std::size_t Number = Mark.at(0).get<std::size_t>();
-    if (Number >= Progress.Tasks.size())
-      throw std::invalid_argument("a mark refers to an unknown task");
-    jobs::TaskProgress &Task = Progress.Tasks[Number];
+    jobs::TaskProgress &Task = taskOfMark(Mark, Progress);
     Task.FailedRuns = Mark.at(1).get<std::vector<jobs::RunId>>();
     Task.Checkpoint = Mark.at(CheckpointColumn).get<std::string>();
     // Rows of earlier versions end here.
--- a/src/jobs/HeldJobs.cpp
+++ b/src/jobs/HeldJobs.cpp
@@ -53,6 +53,8 @@
     for (RunId Run : Learnt[T].CrashedRuns)
       if (std::find(Crashed.begin(), Crashed.end(), Run) == Crashed.end()) {
         Crashed.push_back(Run);
+        if (wasShared(Task.Kept, Run))
+          Task.Kept.SharedCrashes.push_back(Run);
         Outbox_.markChanged(*Job);
       }
     Job->Suspect = Job->Suspect || !Crashed.empty();
@@ -65,11 +67,7 @@
   }
   applyEarlyReports(*Job, Now);
   for (std::uint32_t T = 0; T < Job->Tasks.size() && !isFinal(Job->Now); ++T) {
-    // A stored count that has reached the limit leaves the task one more run,
-    // alone: the last crash may have been another task's.
-    bool LeftOne = T < Kept.Tasks.size() &&
-                   Kept.Tasks[T].CrashedRuns.size() >= Limits_.MaxCrashes;
-    if (countCrashes(*Job, T) < Limits_.MaxCrashes + (LeftOne ? 1 : 0))
+    if (countCrashes(*Job, T) < mostCrashes(*Job, T))
       continue;
     if (stepOf(*Job, T).Lasting) {
       delayLasting(*Job, T, Now);
--- a/src/jobs/Job.h
+++ b/src/jobs/Job.h
@@ -128,6 +128,9 @@
   /// Runs under which a worker crashed soon after their start. Emptied once a
   /// run of the task has lasted.
   std::vector<RunId> CrashedRuns;
+  /// Those of them that shared their workers with other suspects, so that a
+  /// crash may have been another task's.
+  std::vector<RunId> SharedCrashes;
   std::optional<AnnouncedRun> Announced;
   /// Runs announced before that one whose workers have not answered since.
   /// Emptied once a run of the task has lasted.
--- a/src/jobs/JobEnd.cpp
+++ b/src/jobs/JobEnd.cpp
@@ -106,6 +106,7 @@
   State.Kept.Done = true;
   State.Kept.Checkpoint.clear();
   State.Kept.CrashedRuns.clear();
+  State.Kept.SharedCrashes.clear();
   State.Kept.Announced.reset();
   State.Kept.Unsettled.clear();
   ++Counters_.Done;
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -124,6 +124,15 @@
          std::any_of(Kept.Unsettled.begin(), Kept.Unsettled.end(), Is);
 }
 
+/// Crashes under the task after which its job fails. Where another task may be
+/// the cause of one, it gets one more run, alone.
+std::size_t PoolState::mostCrashes(const JobRecord &Job,
+                                   std::uint32_t Task) const {
+  bool MayBeOthers =
+      !stepOf(Job, Task).Lasting && !Job.Tasks[Task].Kept.SharedCrashes.empty();
+  return Limits_.MaxCrashes + (MayBeOthers ? 1 : 0);
+}
+
 /// Has the run stored, beside those whose outcome is open.
 void PoolState::setAnnounced(JobRecord &Job, std::uint32_t Task,
                              AnnouncedRun Run) {
@@ -427,7 +436,8 @@
       std::find(Crashed.begin(), Crashed.end(), Run.Run) != Crashed.end();
   if (Kept.Done || IsCounted)
     return;
-  bool Shared = wasShared(Kept, Run.Run);
+  if (wasShared(Kept, Run.Run))
+    Kept.SharedCrashes.push_back(Run.Run);
   Counted_.push_back(Counted);
   if (Counted_.size() > MaxCountedRuns)
     Counted_.pop_front();
@@ -438,9 +448,8 @@
   Job->Suspect = true;
   Job->Tasks[Run.Task].SpreadUntil = Counted.CountedAt + Limits_.SuspectWait;
   Outbox_.markChanged(*Job);
-  // Another task may be the cause: it gets one more run, alone.
-  std::size_t Most = Limits_.MaxCrashes + (Shared ? 1 : 0);
-  if (Job->ProgressUnread || countCrashes(*Job, Run.Task) < Most)
+  if (Job->ProgressUnread ||
+      countCrashes(*Job, Run.Task) < mostCrashes(*Job, Run.Task))
     return;
   if (stepOf(*Job, Run.Task).Lasting) {
     Record.Delayed.push_back(refOf(*Job, Run.Task));
@@ -502,6 +511,7 @@
 
 /// A run that an earlier owner announced may have crashed its worker since.
 void PoolState::inheritSuspicion(JobRecord &Job, core::TimePoint Now) {
+    Kept.SharedCrashes.clear();
   for (std::uint32_t T = 0; T < Job.Tasks.size(); ++T) {
     const TaskProgress &Kept = Job.Tasks[T].Kept;
     Job.Suspect = Job.Suspect || !Kept.CrashedRuns.empty() || Kept.Announced ||
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -303,6 +303,7 @@
   std::size_t countPossibleCrashes(const JobRecord &Job,
                                    std::uint32_t Task) const;
   bool mayTryAgain(const JobRecord &Job, std::uint32_t Task) const;
+  std::size_t mostCrashes(const JobRecord &Job, std::uint32_t Task) const;
   static bool wasShared(const TaskProgress &Kept, RunId Run);
   void setAnnounced(JobRecord &Job, std::uint32_t Task, AnnouncedRun Run);
   void noteOpenOutcomes(core::TimePoint Now);
--- a/tests/codec/JobJsonTest.cpp
+++ b/tests/codec/JobJsonTest.cpp
@@ -107,10 +107,13 @@
   Stored.Tasks[0].Unsettled = {
       {6, "w1", 5, std::chrono::milliseconds(12001), true}};
   Stored.Tasks[0].Announced = {9, "w3", 4, core::Duration::zero(), true};
+  Stored.Tasks[0].CrashedRuns = {2, 3};
+  Stored.Tasks[0].SharedCrashes = {3};
   jobs::JobProgress Read = decodeProgress(encodeProgress(Stored));
   REQUIRE(Read.Tasks.size() == 1);
   CHECK(Read.Tasks[0].Unsettled == Stored.Tasks[0].Unsettled);
   CHECK(Read.Tasks[0].Announced == Stored.Tasks[0].Announced);
+  CHECK(Read.Tasks[0].SharedCrashes == Stored.Tasks[0].SharedCrashes);
 }
 
 // Guards against a pool that can't be taken over during an upgrade.
--- a/tests/jobs/IsolationLineTest.cpp
+++ b/tests/jobs/IsolationLineTest.cpp
@@ -109,3 +109,37 @@
       CHECK(At->second <= 2);
   }
 }
+
+TEST_CASE("tasks that shared a worker fail for its crash once an earlier one "
+          "becomes known") {
+  SuspectPool P;
+  P.addJobs();
+  // Under an earlier owner, each also had a run on w8, which is silent.
+  P.F.Silent.insert("w8");
+  for (unsigned Job = 1; Job <= 10; ++Job) {
+    JobSpec Spec = sampleJob(JobCount + Job);
+    Spec.Steps[0].Need = {100, 10, 0};
+    JobProgress Kept;
+    Kept.State = JobState::Running;
+    Kept.Tasks.resize(1);
+    Kept.Tasks[0].CrashedRuns = {10};
+    Kept.Tasks[0].Announced = AnnouncedRun{20, "w8", 1};
+    P.F.B.Owner.inheritJob(Spec, &Kept, P.F.B.Now);
+  }
+  std::string Shared;
+  for (milliseconds Passed(0); Shared.empty() && Passed < LongestWait;
+       Passed += milliseconds(100)) {
+    P.turn();
+    for (const auto &[Id, Starts] : P.F.Running)
+      for (const StartOrder &Start : Starts)
+        if (std::stoul(Start.Task.JobId) > JobCount && Starts.size() > 1)
+          Shared = Id;
+  }
+  REQUIRE(!Shared.empty());
+  P.F.crash(Shared);
+  P.F.Silent.clear();
+  P.F.crash("w8");
+  P.run(milliseconds(1000));
+  for (unsigned Job = 1; Job <= 10; ++Job)
+    CHECK(P.F.job(JobCount + Job).Now != JobState::Failed);
+}
