Let no task share a worker whose crashes may have been lost

A task that crashes all its workers could start three times after its third crash (BUDGET): with two crashes lost over changes of owner and two counted, a shared run and the one alone after it were the second and third start.

Tasks that an earlier owner may have started don't share while a worker may have crashed unheard, the condition under which starts are stored as they are sent. After such a takeover a long line of them is worked off one by one, as before.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -270,8 +270,10 @@
 
 /// Whether a crash that may be another task's leaves the task a run of its own.
 bool StartPlan::mayShareWorker(const JobRecord &Job, std::uint32_t Task) const {
-  return Owner_.countPossibleCrashes(Job, Task) <=
-         Owner_.Limits_.IsolationCrashes;
+  // Of crashes that were lost with earlier owners nothing is known.
+  bool MayHaveMissed = Job.Inherited && MayHaveMissedCrash_;
+  return !MayHaveMissed && Owner_.countPossibleCrashes(Job, Task) <=
+                               Owner_.Limits_.IsolationCrashes;
 }
 
 /// Starts up to \p Most of the waiting tasks on a worker that one of them has
