Work off a line of suspects in an order that keeps their bounds

Lasting tasks go first; tasks that can share go before those that can't, and they alone count for how many share; only crashes of workers without a task that had met two crashes before stop the sharing.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -196,8 +196,12 @@
   }
   std::sort(Waiting.begin(), Waiting.end(),
             [](const IsolatedUnit &A, const IsolatedUnit &B) {
-              return std::tie(A.Job->Spec.AcceptedMs, A.Job->Spec.Id, A.First) <
-                     std::tie(B.Job->Spec.AcceptedMs, B.Job->Spec.Id, B.First);
+              bool ALasts = PoolState::stepOf(*A.Job, A.First).Lasting;
+              bool BLasts = PoolState::stepOf(*B.Job, B.First).Lasting;
+              return std::tie(BLasts, A.Job->Spec.AcceptedMs, A.Job->Spec.Id,
+                              A.First) < std::tie(ALasts,
+                                                  B.Job->Spec.AcceptedMs,
+                                                  B.Job->Spec.Id, B.First);
             });
   return Waiting;
 }
@@ -227,7 +231,15 @@
     }
   }
   std::vector<IsolatedUnit> Waiting = findIsolated();
-  std::size_t PerWorker = suspectsPerWorker(Waiting.size());
+  auto MayShare = [this](const IsolatedUnit &Unit) {
+    return !PoolState::stepOf(*Unit.Job, Unit.First).Gang &&
+           mayShareWorker(*Unit.Job, Unit.First);
+  };
+  std::size_t PerWorker = suspectsPerWorker(static_cast<std::size_t>(
+      std::count_if(Waiting.begin(), Waiting.end(), MayShare)));
+  // Those that need a worker alone would hold up a line of those that don't.
+  if (PerWorker > 1)
+    std::stable_partition(Waiting.begin(), Waiting.end(), MayShare);
   const JobRecord *Tried = nullptr;
   for (std::size_t N = 0; N < Waiting.size(); ++N) {
     const IsolatedUnit &Unit = Waiting[N];
@@ -261,8 +273,8 @@
 /// Whether workers crash by themselves, as far as can be told by their number.
 bool StartPlan::haveManyCrashed() const {
   auto Crashed = static_cast<std::size_t>(
-      std::count_if(Owner_.CrashedAt_.begin(), Owner_.CrashedAt_.end(),
-                    [&](const auto &Address) {
+      std::count_if(Owner_.UnexplainedCrashAt_.begin(),
+                    Owner_.UnexplainedCrashAt_.end(), [&](const auto &Address) {
                       return In_.Now - Address.second < CrashWindow;
                     }));
   return Crashed * WorkersPerCrash > Takers_.size();
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -288,6 +288,14 @@
   if (Record.Runs == 0)
     return;
   CrashedAt_[W.Entry.Address] = Now;
+  bool HadIsolated = std::any_of(
+      Suspects.begin(), Suspects.end(), [this](const LostRun &Lost) {
+        const JobRecord *Job = findJob(Lost.Run.JobId);
+        return Job && Lost.Run.Task < Job->Tasks.size() &&
+               countCrashes(*Job, Lost.Run.Task) >= Limits_.IsolationCrashes;
+      });
+  if (!HadIsolated)
+    UnexplainedCrashAt_[W.Entry.Address] = Now;
   ++Counters_.Crashes;
   for (const LostRun &Lost : Suspects) {
     Record.Suspects.push_back(Lost.Run);
@@ -503,6 +511,7 @@
     if (Kept.CrashedRuns.empty() && !Kept.Announced && Kept.Unsettled.empty())
       continue;
     Kept.CrashedRuns.clear();
+    Kept.SharedCrashes.clear();
     Kept.Unsettled.clear();
     Kept.Announced.reset();
     Outbox_.markChanged(Job);
@@ -511,7 +520,6 @@
 
 /// A run that an earlier owner announced may have crashed its worker since.
 void PoolState::inheritSuspicion(JobRecord &Job, core::TimePoint Now) {
-    Kept.SharedCrashes.clear();
   for (std::uint32_t T = 0; T < Job.Tasks.size(); ++T) {
     const TaskProgress &Kept = Job.Tasks[T].Kept;
     Job.Suspect = Job.Suspect || !Kept.CrashedRuns.empty() || Kept.Announced ||
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -427,6 +427,8 @@
   /// When a worker was last found to have crashed, by its address. The machine
   /// may be the cause, and a restarted worker may have another id.
   std::map<std::string, core::TimePoint> CrashedAt_;
+  /// The same, of crashes without a suspect that had met two before.
+  std::map<std::string, core::TimePoint> UnexplainedCrashAt_;
 };
 
 } // namespace comfreydeck::jobs
