Wait for the leases that restarted workers took from orders to their earlier lives

Callers saw a task run twice: a new owner took a silent worker's lease for lapsed three seconds after its first report, and started its tasks elsewhere, while the worker held a lease of ten seconds.

Cause: an owner that doesn't know yet that a worker is back under its id sends it lease ends on the earlier incarnation's clock, which lie far ahead on the new one; the worker shortens them to its longest lease. The owner that sent them waits for that (EarlierOrdersUntil), a later owner didn't.

Change: the worker's first report to an owner shows how long its incarnation has been up. Until the longest lease after the last order of an earlier owner that may have reached it, its runs don't count as lapsed.

"the runs of a worker that crashed twice before its row changed..." now says that the earlier owners have stopped: its owner took the pool 0.3 s before, so that their orders may still arrive. Its bound is the same.

--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -358,7 +358,19 @@
        {EarlierStoppedAt_, W.FencedAt})
     if (NoOrdersFrom)
       End = std::min(End, latestLeaseEnd(*NoOrdersFrom, Limits_.Lease));
-  return End;
+  if (!W.FencedAt)
+    return End;
+  // An order for an earlier incarnation may have reached this one, whose clock
+  // started anew: the lease end that it names lies far ahead there. Owners
+  // plan such orders until that incarnation has been silent for a while.
+  core::TimePoint LatestBirth =
+      *W.FencedAt - milliseconds(W.Clock.FirstReportMs);
+  core::TimePoint LastPlanned =
+      std::min({LatestBirth + Limits_.ReportStale, TakenAt_ + Limits_.Authority,
+                EarlierStoppedAt_.value_or(core::TimePoint::max())});
+  return std::max(End, latestLeaseEnd(std::min(*W.FencedAt,
+                                               LastPlanned + Limits_.LateOrder),
+                                      Limits_.MaxLease));
 }
 
 /// Whether a later owner may have heard the worker before it restarted and
--- a/tests/jobs/RestartedWorkerTest.cpp
+++ b/tests/jobs/RestartedWorkerTest.cpp
@@ -142,6 +142,45 @@
 
 } // namespace
 
+namespace {
+
+/// How long after it heard a worker of this age, which is silent from then on,
+/// a new owner starts the task that runs there elsewhere.
+core::Duration timeUntilLost(core::Duration Age) {
+  OwnerFixture B;
+  B.WorkersOlderBy = Age;
+  B.listWorkers({"w1", "w2"});
+  B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+  B.plan();
+  RunReport Run;
+  Run.Task = {jobId(1), 0, 0, 0};
+  Run.Run = 1;
+  B.report("w1", {Run});
+  B.report("w2");
+  core::TimePoint Heard = B.Now;
+  while (B.Now - Heard < 3 * MaxLease) {
+    B.advance(milliseconds(50));
+    Orders Out = B.plan();
+    if (!Out.Starts.empty())
+      break;
+    if (HoldOrder Hold = holdFor(Out, "w1"); !Hold.Worker.empty())
+      B.dropReport(Hold);
+    if (HoldOrder Hold = holdFor(Out, "w2"); !Hold.Worker.empty())
+      B.report(Hold);
+  }
+  return B.Now - Heard;
+}
+
+} // namespace
+
+TEST_CASE("a run on a worker that restarted shortly before its pool changed "
+          "hands starts elsewhere only after the longest lease") {
+  CHECK(timeUntilLost(milliseconds(500)) >= MaxLease);
+  CHECK(timeUntilLost(std::chrono::seconds(14)) >= MaxLease);
+  CHECK(timeUntilLost(milliseconds(500)) < MaxLease + milliseconds(500));
+  CHECK(timeUntilLost(std::chrono::seconds(30)) < milliseconds(4000));
+}
+
 TEST_CASE("a run on a worker that has restarted twice starts elsewhere only "
           "after the lease that an extension for its first incarnation gave") {
   RestartingWorker W;
@@ -420,6 +459,8 @@
 TEST_CASE("the runs of a worker that crashed twice before its row "
           "changed start elsewhere as soon as before") {
   RestartingWorker W;
+  // No order of theirs can reach the worker any more.
+  W.B.Owner.setEarlierOwnersStopped(W.B.Now - std::chrono::seconds(30));
   W.restart(2);
   W.B.advance(milliseconds(300));
   HoldOrder Asked;
