Take no run for lapsed before its start was sent

Callers of a task whose workers had crashed waited longer than needed: its next run was dropped and planned anew in each round, with a row of its job for each, until its worker happened to report.

Cause: an idle worker has no lease, so that leaseLapsed holds for it. A suspect's run waits there for its row; the next round took it for lapsed, unless the worker had reported in the last 1.8 s and its lease was extended in the round that planned the run.

Evidence: of [QuickRestarts CrashingTasks]: w3.3 lapses at 14.52, 14.54 and 14.56 s, and runs 94, 95 and 97 of one task are stored in turn.

Change: a worker's runs lapse only if one of them was sent. A run that waits on a worker that no longer takes starts is taken back as before.

The new test fails on the code before: five runs in five rounds, and none is sent once the first row is stored.

--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -10,6 +10,18 @@
 
 constexpr std::chrono::milliseconds LongWaitCheckPeriod(1000);
 
+/// Whether the worker has a run whose start was sent. One that waits to be
+/// stored has no lease that could lapse.
+bool hasSentRun(const WorkerState &W) {
+  return std::any_of(W.Tasks.begin(), W.Tasks.end(), [&W](const auto &Item) {
+    const auto &[Job, Task] = Item;
+    const std::vector<LiveRun> &Runs = Job->Tasks[Task].Runs;
+    return std::any_of(Runs.begin(), Runs.end(), [&W](const LiveRun &Run) {
+      return Run.Worker == W.Entry.Id && Run.SendAfter == 0;
+    });
+  });
+}
+
 } // namespace
 
 /// Drops the runs of unreachable workers once their leases have expired, and
@@ -30,7 +42,7 @@
     WorkerState &W = *It->second;
     std::erase_if(W.LostStarts,
                   [&](const LostStart &S) { return S.Until <= In.Now; });
-    if (!W.Tasks.empty() && leaseLapsed(W, SureAt))
+    if (!W.Tasks.empty() && leaseLapsed(W, SureAt) && hasSentRun(W))
       dropLapsedRuns(W, In.Now);
     if (!Lost_.isEmpty())
       settleEnded(W, In.Now);
--- a/tests/jobs/CrashAttributionTest.cpp
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -585,6 +585,33 @@
   CHECK(F.Born[Worker] == Stored->Tasks[0].Announced->Born);
 }
 
+TEST_CASE("a suspect's run on an idle worker is taken for lapsed before it is "
+          "sent, and stored anew in each round") {
+  CrashFixture F(FourWorkers);
+  F.turn();
+  F.turn();
+  JobProgress Kept;
+  Kept.State = JobState::Running;
+  Kept.Tasks.resize(1);
+  Kept.Tasks[0].CrashedRuns = {1, 2};
+  // Idle workers are asked for no reports.
+  F.B.advance(std::chrono::seconds(5));
+  F.B.Owner.inheritJob(sampleJob(1), &Kept, F.B.Now);
+  F.B.plan();
+  REQUIRE(F.job(1).Tasks[0].Runs.size() == 1);
+  RunId First = F.job(1).Tasks[0].Runs[0].Run;
+  for (int Round = 0; Round < 5; ++Round) {
+    F.B.advance(milliseconds(20));
+    F.B.plan();
+    REQUIRE(F.job(1).Tasks[0].Runs.size() == 1);
+    CHECK(F.job(1).Tasks[0].Runs[0].Run == First);
+  }
+  F.store(jobId(1));
+  Orders Out = F.B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  CHECK(Out.Starts[0].Run == First);
+}
+
 TEST_CASE("a suspect's run is not sent to a worker that may have restarted "
           "unseen by an owner cut off from the store") {
   CrashFixture F(FourWorkers);
