Keep tasks from shared workers whose crashes may have been lost

Callers' jobs could break BUDGET after storms of crashes: a task that crashes its workers was started three times after its third crash.

Cause: a run that shares its worker leaves the task one run more after its third counted crash, one of the two starts that BUDGET leaves. Where two owners were lost with one unknown crash each, both were used already.

Change: a task of an inherited job shares no worker if this owner has counted a crash of it, or its crashes were counted by several. RunsAfterShared is a limit now, so that the histories can violate it.

--- a/src/jobs/HeldJobs.cpp
+++ b/src/jobs/HeldJobs.cpp
@@ -69,7 +69,8 @@
     // alone: the last crash may have been another task's.
     bool LeftOne = T < Kept.Tasks.size() &&
                    Kept.Tasks[T].CrashedRuns.size() >= Limits_.MaxCrashes;
-    if (countCrashes(*Job, T) < Limits_.MaxCrashes + (LeftOne ? 1 : 0))
+    if (countCrashes(*Job, T) <
+        Limits_.MaxCrashes + (LeftOne ? Limits_.RunsAfterShared : 0))
       continue;
     if (stepOf(*Job, T).Lasting) {
       delayLasting(*Job, T, Now);
--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -267,10 +267,25 @@
   return Crashed * WorkersPerCrash > UsableCount_;
 }
 
+/// Whether several earlier owners may have been lost with crashes of the task
+/// that none knows of. An owner that stored all the crashes that are known, and
+/// is lost, stands for one.
+bool StartPlan::mayHaveHiddenCrashes(const JobRecord &Job,
+                                     std::uint32_t Task) const {
+  const std::vector<RunId> &Crashed = Job.Tasks[Task].Kept.CrashedRuns;
+  auto TokenOf = [](RunId Run) { return Run >> RunCounterBits; };
+  return Job.Inherited &&
+         std::any_of(Crashed.begin(), Crashed.end(), [&](RunId Run) {
+           return TokenOf(Run) == Owner_.token() ||
+                  TokenOf(Run) != TokenOf(Crashed.front());
+         });
+}
+
 /// Whether a crash that may be another task's leaves the task a run of its own.
 bool StartPlan::mayShareWorker(const JobRecord &Job, std::uint32_t Task) const {
   return Owner_.countPossibleCrashes(Job, Task) <=
-         Owner_.Limits_.IsolationCrashes;
+             Owner_.Limits_.IsolationCrashes &&
+         !mayHaveHiddenCrashes(Job, Task);
 }
 
 /// Starts up to \p Most of the waiting tasks on a worker that one of them has
--- a/src/jobs/OwnerLimits.h
+++ b/src/jobs/OwnerLimits.h
@@ -103,6 +103,9 @@
   core::Duration IsolationWait = std::chrono::milliseconds(2000);
   /// Crashes under one task after which its job fails.
   std::uint32_t MaxCrashes = 3;
+  /// Runs, alone, that it has more if it shared its worker at the last of them:
+  /// another task may have been the cause.
+  std::uint32_t RunsAfterShared = 1;
   /// Most starts of a task after so many crashes. They are used while crashes
   /// are only possible.
   std::uint32_t MaxLateStarts = 2;
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -438,8 +438,8 @@
   Job->Suspect = true;
   Job->Tasks[Run.Task].SpreadUntil = Counted.CountedAt + Limits_.SuspectWait;
   Outbox_.markChanged(*Job);
-  // Another task may be the cause: it gets one more run, alone.
-  std::size_t Most = Limits_.MaxCrashes + (Shared ? 1 : 0);
+  std::size_t Most =
+      Limits_.MaxCrashes + (Shared ? Limits_.RunsAfterShared : 0);
   if (Job->ProgressUnread || countCrashes(*Job, Run.Task) < Most)
     return;
   if (stepOf(*Job, Run.Task).Lasting) {
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -70,6 +70,7 @@
   std::vector<IsolatedUnit> findIsolated();
   std::size_t suspectsPerWorker(std::size_t Waiting) const;
   bool haveManyCrashed() const;
+  bool mayHaveHiddenCrashes(const JobRecord &Job, std::uint32_t Task) const;
   bool mayShareWorker(const JobRecord &Job, std::uint32_t Task) const;
   bool startBeside(WorkerState &W, std::span<const IsolatedUnit> Others,
                    std::size_t Most);
--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -65,6 +65,7 @@
   // Some are older than the machines of all owners.
   for (Worker &W : Workers_)
     W.BornAt = Now_ - milliseconds(drawMs(MinWorkerAge, MaxWorkerAge));
+  beginStorm();
   if (!Options.LastingTasks)
     return;
   LastingJob_ = lastingJob();
@@ -162,7 +163,8 @@
 SimulationResult PoolSimulation::simulate() {
   takeOver();
   core::TimePoint Begin = Now_;
-  bool Longer = Options_.CrashingTasks || Options_.JobsGoOn;
+  bool Longer =
+      Options_.CrashingTasks || Options_.JobsGoOn || Options_.CrashStorms;
   core::Duration Most = Options_.Racks ? TotalTimeWithRacks
                         : Longer       ? TotalTimeWithCrashes
                                        : TotalTime;
@@ -195,6 +197,8 @@
     // Workers that crash by themselves may do so three times under one task.
     bool Hit = HitJobs_.count(Id) != 0;
     ++(Guilty ? Result_.GivenUp : Result_.Mistaken);
+    if (!Guilty && Options_.QuickRestarts && wasGivenUpShared(specOf(Id)))
+      fail("a job was given up for crashes of workers that its task shared");
     if (!Guilty && Options_.QuickRestarts && !wasHitOften(specOf(Id)))
       fail("a job was given up though fewer than three workers crashed under "
            "one of its tasks");
@@ -217,6 +221,7 @@
   if (Crashes_[Task] < CrashesBeforeLate)
     return;
   std::uint32_t Starts = ++LateStarts_[Task];
+  ++Result_.LateStarts;
   Result_.MostLateStarts = std::max(Result_.MostLateStarts, Starts);
   if (Starts > MaxLateStarts)
     fail("a task was started three times after its third crash");
@@ -262,6 +267,7 @@
     if (Options_.MachinesMove && chance(0.02))
       moveMachine();
   }
+  storm();
   Worker *W = &Workers_[static_cast<std::size_t>(
       draw(0, static_cast<int>(Workers_.size()) - 1))];
   if (!Options_.Calm)
@@ -308,6 +314,9 @@
     }
   for (const TaskRef &Task : Hit)
     ++Hits_[Task];
+  for (const auto &[Task, Id] : W.BegunRuns)
+    if (Hit.contains(Task) && SharedRuns_.contains(Id))
+      ++SharedHits_[Task];
 }
 
 /// Returns the task at this index of its job's progress.
@@ -406,6 +415,8 @@
     Limits.UnseenRestart = TotalTimeWithCrashes;
   if (Options_.ViolatedRule == RuleViolation::NoIsolation)
     Limits.IsolationCrashes = Limits.MaxCrashes + 1;
+  if (Options_.ViolatedRule == RuleViolation::SharedAsAlone)
+    Limits.RunsAfterShared = 0;
   if (Options_.ViolatedRule == RuleViolation::NoClearance)
     Limits.SuspicionAge = TotalTimeWithCrashes;
   O->BootedAt = Now_ - drawUptime();
@@ -546,8 +557,10 @@
   }
   if (Now_ < O->StoredAt)
     return;
-  for (const ProgressWrite &Write : O->Storing->Writes)
+  for (const ProgressWrite &Write : O->Storing->Writes) {
+    countShared(Write);
     Stored_[Write.JobId] = Write.Progress;
+  }
   for (const WorkerEntry &Entry : O->Storing->Enrolled)
     Roster_[Entry.Id] = Entry;
   for (const std::string &Id : O->Storing->Unenrolled)
@@ -929,6 +942,10 @@
 /// from one again.
 void PoolSimulation::crash(Worker &W) {
   countHits(W);
+  std::vector<Run> Denied;
+  if (Options_.ViolatedRule == RuleViolation::SharedUncounted)
+    std::copy_if(W.Running.begin(), W.Running.end(), std::back_inserter(Denied),
+                 [this](const Run &R) { return SharedRuns_.contains(R.Id); });
   W.Up = false;
   W.Begun.clear();
   W.BegunRuns.clear();
@@ -937,6 +954,8 @@
   W.Running.clear();
   W.Ended.clear();
   W.Highest.clear();
+  for (const Run &R : Denied)
+    W.Ended.push_back(endReportOf(++W.LastEnd, R.Task, R.Id, RunEnd::Stopped));
   W.Listed = chance(0.5);
   W.BackAt = Now_ + (Options_.QuickRestarts ? milliseconds(draw(100, 1000))
                                             : milliseconds(draw(200, 6000)));
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -87,6 +87,11 @@
   ZeroAtBoot,
   /// A new owner doesn't know which workers an earlier one has released.
   NoRelease,
+  /// A run beside those of other suspects counts like one that was alone.
+  SharedAsAlone,
+  /// A worker that crashed under several suspects says that their runs have
+  /// ended otherwise.
+  SharedUncounted,
 };
 
 struct SimulationOptions {
@@ -145,6 +150,11 @@
   /// their addresses, before their owner knows. Starts to those that are down
   /// are not sent.
   bool QuickRestarts = false;
+  /// For some seconds many workers crash each second and are back at once. Jobs
+  /// have many small tasks, so that many are suspects then.
+  bool CrashStorms = false;
+  /// Share of the workers that crash in a second of a storm; drawn if nothing.
+  std::optional<double> StormShare = std::nullopt;
   /// Machines of idle workers are ordered away, and the orders are carried out
   /// up to some seconds later.
   bool MachinesMove = false;
@@ -171,8 +181,11 @@
   /// Jobs without such a task that were given up after a worker had crashed
   /// under them by itself.
   std::uint32_t Mistaken = 0;
+  /// Runs that were stored as sharing a worker with other suspects.
+  std::uint32_t SharedRuns = 0;
   /// Most starts of one task after its third crash.
   std::uint32_t MostLateStarts = 0;
+  std::uint32_t LateStarts = 0;
   /// The longest time, after the last fault, for which a task that could start
   /// had no run.
   core::Duration LongestWait{0};
@@ -307,6 +320,11 @@
   bool mayFault() const;
   void injectFaults();
   void injectFaultsAt(Worker &W);
+  void beginStorm();
+  void storm();
+  void shapeStormJob(JobSpec &Spec);
+  void countShared(const ProgressWrite &Write);
+  bool wasGivenUpShared(const JobSpec &Spec) const;
   void addWorkers();
   JobSpec lastingJob() const;
   void acceptJob();
@@ -445,6 +463,13 @@
   std::map<TaskRef, std::uint32_t> LateStarts_;
   /// Crashes of workers soon after they began the task, or may have.
   std::map<TaskRef, std::uint32_t> Hits_;
+  /// Hits of stored runs that shared their worker.
+  std::map<TaskRef, std::uint32_t> SharedHits_;
+  /// Runs that were stored as sharing a worker with other suspects.
+  std::set<RunId> SharedRuns_;
+  core::TimePoint StormBegin_;
+  core::TimePoint StormEnd_;
+  double StormShare_ = 0;
   /// Jobs after whose starts workers are often out of reach.
   std::set<std::string> SilencingJobs_;
   /// Tasks without a run that could start, and since when.
--- a/tests/jobs/PoolSimulationKinds.cpp
+++ b/tests/jobs/PoolSimulationKinds.cpp
@@ -9,6 +9,7 @@
 constexpr int WorkerCount = 4;
 /// The workers' cores, if they are not all alike.
 constexpr std::uint32_t UnequalCores[WorkerCount] = {3, 5, 6, 8};
+constexpr int StormWorkerCount = 8;
 constexpr std::uint32_t LastingTaskCount = 6;
 constexpr std::uint32_t AbsenceAllowance = 2;
 /// What an owner takes for the team's limit at first.
@@ -20,7 +21,9 @@
 } // namespace
 
 void PoolSimulation::addWorkers() {
-  int Count = Options_.Racks ? RackWorkerCount : WorkerCount;
+  int Count = Options_.Racks         ? RackWorkerCount
+              : Options_.CrashStorms ? StormWorkerCount
+                                     : WorkerCount;
   for (int N = 0; N < Count; ++N) {
     Worker W;
     W.Id = W.Place = "w" + std::to_string(N);
@@ -56,6 +59,8 @@
     shapeRackJob(Spec);
     return;
   }
+  if (Options_.CrashStorms)
+    shapeStormJob(Spec);
   StepSpec &Step = Spec.Steps[0];
   if (Options_.UnequalSizes)
     Step.Need.MilliCpus = static_cast<std::uint32_t>(draw(1, 4)) * 500;
--- a/tests/jobs/PoolSimulationTest.cpp
+++ b/tests/jobs/PoolSimulationTest.cpp
@@ -11,6 +11,15 @@
 /// Listed in KNOWN-RED.txt.
 constexpr std::uint64_t CrashOfUnreadJob = 20261379;
 constexpr std::uint64_t GivenUpInQuickRestarts = 20261403;
+constexpr std::uint64_t StormHistories = 100;
+/// Listed in KNOWN-RED.txt.
+const std::set<std::uint64_t> FaultsInStorms = {20261208, 20261269, 20261274,
+                                                20261283, 20261286, 20261293};
+const std::set<std::uint64_t> FaultsInStormsOfCrashingTasks = {
+    20261204, 20261207, 20261208, 20261210, 20261211, 20261221, 20261240,
+    20261242, 20261243, 20261246, 20261253, 20261255, 20261265, 20261267,
+    20261269, 20261273, 20261275, 20261280, 20261285, 20261286, 20261292,
+    20261294, 20261296, 20261297, 20261300, 20261302};
 
 /// Returns the first history with a fault, or the last one.
 SimulationResult search(RuleViolation ViolatedRule, std::uint64_t Count) {
@@ -39,6 +48,25 @@
   return Result;
 }
 
+/// Whether one of so many histories with storms has a fault of such a kind.
+bool findsInStorms(RuleViolation ViolatedRule, std::uint64_t Count,
+                   const std::string &Kind) {
+  SimulationOptions Options;
+  Options.ViolatedRule = ViolatedRule;
+  Options.CrashStorms = true;
+  Options.CrashingTasks = true;
+  Options.QuickRestarts = true;
+  Options.RowsLag = true;
+  for (std::uint64_t N = 0; N < Count; ++N) {
+    Options.Seed = FirstSeed + N;
+    if (PoolSimulation(Options).simulate().Fault == Kind) {
+      MESSAGE("seed ", Options.Seed, ": ", Kind);
+      return true;
+    }
+  }
+  return false;
+}
+
 /// Checks that the histories of these seeds have no fault.
 void checkSeeds(SimulationOptions Options,
                 std::initializer_list<std::uint64_t> Seeds) {
@@ -243,6 +271,52 @@
   CHECK(Mistaken * 500 < Jobs);
 }
 
+TEST_CASE("a task that crashes its workers starts again and again, or others "
+          "fail for it, in histories in which many workers crash each second") {
+  std::uint64_t Jobs = 0;
+  std::uint64_t Guilty = 0;
+  std::uint64_t Mistaken = 0;
+  std::uint64_t Shared = 0;
+  for (bool Crashing : {false, true})
+    for (std::uint64_t N = 0; N < StormHistories; ++N) {
+      SimulationOptions Options;
+      Options.Seed = FirstSeed + N;
+      Options.CrashStorms = true;
+      Options.QuickRestarts = true;
+      Options.RowsLag = true;
+      Options.CrashingTasks = Crashing;
+      CAPTURE(Options.Seed);
+      CAPTURE(Crashing);
+      SimulationResult Result = PoolSimulation(Options).simulate();
+      const std::set<std::uint64_t> &Known =
+          Crashing ? FaultsInStormsOfCrashingTasks : FaultsInStorms;
+      if (Known.contains(Options.Seed))
+        WARN(Result.Fault == "");
+      else
+        CHECK(Result.Fault == "");
+      Jobs += Result.Jobs;
+      Guilty += Result.GivenUp;
+      Mistaken += Result.Mistaken;
+      Shared += Result.SharedRuns;
+    }
+  MESSAGE(Jobs, " jobs, ", Guilty, " given up, ", Mistaken, " by mistake, ",
+          Shared, " runs on shared workers");
+  CHECK(Shared > StormHistories);
+}
+
+TEST_CASE("a task whose crashes were lost with two owners starts three times "
+          "after its third crash where suspects share workers") {
+  for (bool Quick : {false, true}) {
+    CAPTURE(Quick);
+    SimulationOptions Options;
+    Options.Seed = Quick ? 166 : 92;
+    Options.CrashStorms = true;
+    Options.CrashingTasks = true;
+    Options.QuickRestarts = Options.RowsLag = Quick;
+    CHECK(PoolSimulation(Options).simulate().MostLateStarts <= 2);
+  }
+}
+
 TEST_CASE("no task starts three times after its third crash in histories in "
           "which its owners are lost before they store its crashes") {
   for (std::uint64_t Seed : {31000, 31236, 35068}) {
@@ -393,3 +467,12 @@
     CHECK(search(ViolatedRule, Histories).Fault != "");
   }
 }
+
+TEST_CASE("random histories with storms of crashes detect violated rules of "
+          "shared workers") {
+  CHECK(findsInStorms(
+      RuleViolation::SharedAsAlone, Histories,
+      "a job was given up for crashes of workers that its task shared"));
+  CHECK(findsInStorms(RuleViolation::SharedUncounted, Histories,
+                      "a task was started three times after its third crash"));
+}
