Have tasks wait for calm before a third crash in a storm

Cause: a task under which two workers have crashed starts again at once, and meets the next crash of its worker as all others there do.

Change: while more than a quarter of the usable workers, three at least, have crashed within a second, such a task (of those that end) waits for calm, 8 s at most from its last run on. No start is added, so BUDGET's bound is the same.

Guilty jobs are given up as before. Not played on a site.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -26,6 +26,13 @@
 /// below: a crash would tell nothing of any of them.
 constexpr std::size_t WorkersPerCrash = 16;
 constexpr std::chrono::milliseconds CrashWindow(1000);
+/// While one worker in this many has crashed within the time above, a task that
+/// ends waits for calm before its run that may be the last, for so long at
+/// most.
+constexpr std::size_t WorkersPerStormCrash = 4;
+/// Fewer crashes than that may all be one task's.
+constexpr std::size_t LeastStormCrashes = 3;
+constexpr std::chrono::milliseconds StormWait(8000);
 
 } // namespace
 
@@ -236,7 +243,8 @@
     if ((&Job == Tried && !Step.Lasting) || !Job.Tasks[Unit.First].Runs.empty())
       continue;
     Tried = &Job;
-    if (!Owner_.mayTryAgain(Job, Unit.First))
+    if (!Owner_.mayTryAgain(Job, Unit.First) ||
+        waitsForCalm(Job, Unit.First, Step))
       continue;
     if (Step.Gang)
       planIsolatedGang(Job, Unit.First);
@@ -252,19 +260,27 @@
   auto Turns = static_cast<std::size_t>(
       IsolationLine / (Owner_.Limits_.SuspicionAge + IsolationOverhead));
   std::size_t Alone = 2 * MaxReserved_ * std::max<std::size_t>(Turns, 1);
-  if (Waiting <= Alone || haveManyCrashed())
+  if (Waiting <= Alone || haveCrashed(WorkersPerCrash, 1))
     return 1;
   return std::min((Waiting + Alone - 1) / Alone, MaxSharing);
 }
 
-/// Whether workers crash by themselves, as far as can be told by their number.
-bool StartPlan::haveManyCrashed() const {
+/// Whether one usable worker in so many, and so many at least, have crashed
+/// lately: by themselves, as far as can be told by their number.
+bool StartPlan::haveCrashed(std::size_t OneIn, std::size_t Least) const {
   auto Crashed = static_cast<std::size_t>(
       std::count_if(Owner_.CrashedAt_.begin(), Owner_.CrashedAt_.end(),
                     [&](const auto &Address) {
                       return In_.Now - Address.second < CrashWindow;
                     }));
-  return Crashed * WorkersPerCrash > UsableCount_;
+  return Crashed >= Least && Crashed * OneIn > UsableCount_;
+}
+
+/// Whether a crash under the task would probably be another's.
+bool StartPlan::waitsForCalm(const JobRecord &Job, std::uint32_t Task,
+                             const StepSpec &Step) const {
+  return !Step.Lasting && In_.Now - Job.Tasks[Task].WaitingSince < StormWait &&
+         haveCrashed(WorkersPerStormCrash, LeastStormCrashes);
 }
 
 /// Whether several earlier owners may have been lost with crashes of the task
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -69,7 +69,9 @@
   };
   std::vector<IsolatedUnit> findIsolated();
   std::size_t suspectsPerWorker(std::size_t Waiting) const;
-  bool haveManyCrashed() const;
+  bool haveCrashed(std::size_t OneIn, std::size_t Least) const;
+  bool waitsForCalm(const JobRecord &Job, std::uint32_t Task,
+                    const StepSpec &Step) const;
   bool mayHaveHiddenCrashes(const JobRecord &Job, std::uint32_t Task) const;
   bool mayShareWorker(const JobRecord &Job, std::uint32_t Task) const;
   bool startBeside(WorkerState &W, std::span<const IsolatedUnit> Others,
--- a/tests/jobs/IsolationLineTest.cpp
+++ b/tests/jobs/IsolationLineTest.cpp
@@ -19,6 +19,7 @@
   std::map<TaskRef, int> Turns;
   /// The tasks that crash each worker that starts them, and their starts.
   std::map<TaskRef, std::uint32_t> Deadly;
+  unsigned LastFresh = 1000;
 
   SuspectPool() {
     F.turn();
@@ -65,6 +66,21 @@
       F.finish(Task);
   }
 
+  /// All workers crash each half second, and a new job comes each turn.
+  void storm(milliseconds Time) {
+    for (WorkerEntry &Entry : F.B.Entries)
+      Entry.Address = Entry.Id + ":1";
+    for (milliseconds Passed(0); Passed < Time; Passed += milliseconds(100)) {
+      JobSpec Fresh = sampleJob(++LastFresh);
+      Fresh.Steps[0].Need = {100, 10, 0};
+      F.B.Owner.addJob(Fresh, F.B.Now);
+      turn();
+      if (Passed % milliseconds(500) == milliseconds(0))
+        for (const auto &[Id, Born] : std::map(F.Born))
+          F.crash(Id);
+    }
+  }
+
   void run(milliseconds Time) {
     for (milliseconds Passed(0); Passed < Time; Passed += milliseconds(100))
       turn();
@@ -109,3 +125,27 @@
       CHECK(At->second <= 2);
   }
 }
+
+TEST_CASE("jobs are given up for crashes that nearly all workers meet at the "
+          "same time") {
+  SuspectPool P;
+  P.storm(milliseconds(1500));
+  P.addJobs();
+  P.storm(milliseconds(5000));
+  P.run(2 * LongestWait);
+  unsigned Failed = 0;
+  for (unsigned Job = 1; Job <= JobCount; ++Job)
+    Failed += P.F.job(Job).Now == JobState::Failed ? 1 : 0;
+  CHECK(Failed == 0);
+}
+
+TEST_CASE("tasks wait for as long as their pool's workers crash") {
+  SuspectPool P;
+  P.storm(milliseconds(1500));
+  P.addJobs();
+  P.storm(milliseconds(9000));
+  unsigned Begun = 0;
+  for (unsigned Job = 1; Job <= JobCount; ++Job)
+    Begun += P.Begun.contains(jobId(Job)) ? 1 : 0;
+  CHECK(Begun > 0);
+}
