--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -26,6 +26,13 @@
 /// below: a crash would tell nothing of any of them.
 constexpr std::size_t WorkersPerCrash = 16;
 constexpr std::chrono::milliseconds CrashWindow(1000);
+/// While one worker in this many has crashed within the time above, a task that
+/// ends waits for calm before its run that may be the last, for so long at
+/// most.
+constexpr std::size_t WorkersPerStormCrash = 4;
+/// Fewer crashes than that may all be one task's.
+constexpr std::size_t LeastStormCrashes = 3;
+constexpr std::chrono::milliseconds StormWait(8000);
 
 } // namespace
 
@@ -249,7 +256,8 @@
     if ((&Job == Tried && !Step.Lasting) || !Job.Tasks[Unit.First].Runs.empty())
       continue;
     Tried = &Job;
-    if (!Owner_.mayTryAgain(Job, Unit.First))
+    if (!Owner_.mayTryAgain(Job, Unit.First) ||
+        waitsForCalm(Job, Unit.First, Step))
       continue;
     if (Step.Gang)
       planIsolatedGang(Job, Unit.First);
@@ -265,27 +273,53 @@
   auto Turns = static_cast<std::size_t>(
       IsolationLine / (Owner_.Limits_.SuspicionAge + IsolationOverhead));
   std::size_t Alone = 2 * MaxReserved_ * std::max<std::size_t>(Turns, 1);
-  if (Waiting <= Alone || haveManyCrashed())
+  if (Waiting <= Alone ||
+      haveCrashed(Owner_.UnexplainedCrashAt_, WorkersPerCrash, 1))
     return 1;
   return std::min((Waiting + Alone - 1) / Alone, MaxSharing);
 }
 
-/// Whether workers crash by themselves, as far as can be told by their number.
-bool StartPlan::haveManyCrashed() const {
-  auto Crashed = static_cast<std::size_t>(
-      std::count_if(Owner_.UnexplainedCrashAt_.begin(),
-                    Owner_.UnexplainedCrashAt_.end(), [&](const auto &Address) {
-                      return In_.Now - Address.second < CrashWindow;
-                    }));
-  return Crashed * WorkersPerCrash > Takers_.size();
+/// Whether one usable worker in so many, and so many at least, have crashed
+/// lately: by themselves, as far as can be told by their number.
+bool StartPlan::haveCrashed(
+    const std::map<std::string, core::TimePoint> &CrashedAt, std::size_t OneIn,
+    std::size_t Least) const {
+  auto Crashed = static_cast<std::size_t>(std::count_if(
+      CrashedAt.begin(), CrashedAt.end(), [&](const auto &Address) {
+        return In_.Now - Address.second < CrashWindow;
+      }));
+  return Crashed >= Least && Crashed * OneIn > Takers_.size();
+}
+
+/// Whether a crash under the task would probably be another's.
+bool StartPlan::waitsForCalm(const JobRecord &Job, std::uint32_t Task,
+                             const StepSpec &Step) const {
+  return !Step.Lasting && In_.Now - Job.Tasks[Task].WaitingSince < StormWait &&
+         haveCrashed(Owner_.CrashedAt_, WorkersPerStormCrash,
+                     LeastStormCrashes);
+}
+
+/// Whether several earlier owners may have been lost with crashes of the task
+/// that none knows of. An owner that stored all the crashes that are known, and
+/// is lost, stands for one.
+bool StartPlan::mayHaveHiddenCrashes(const JobRecord &Job,
+                                     std::uint32_t Task) const {
+  const std::vector<RunId> &Crashed = Job.Tasks[Task].Kept.CrashedRuns;
+  auto TokenOf = [](RunId Run) { return Run >> RunCounterBits; };
+  return Job.Inherited &&
+         std::any_of(Crashed.begin(), Crashed.end(), [&](RunId Run) {
+           return TokenOf(Run) == Owner_.token() ||
+                  TokenOf(Run) != TokenOf(Crashed.front());
+         });
 }
 
 /// Whether a crash that may be another task's leaves the task a run of its own.
 bool StartPlan::mayShareWorker(const JobRecord &Job, std::uint32_t Task) const {
   // Of crashes that were lost with earlier owners nothing is known.
   bool MayHaveMissed = Job.Inherited && MayHaveMissedCrash_;
-  return !MayHaveMissed && Owner_.countPossibleCrashes(Job, Task) <=
-                               Owner_.Limits_.IsolationCrashes;
+  return !MayHaveMissed && !mayHaveHiddenCrashes(Job, Task) &&
+         Owner_.countPossibleCrashes(Job, Task) <=
+             Owner_.Limits_.IsolationCrashes;
 }
 
 /// Starts up to \p Most of the waiting tasks on a worker that one of them has
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -130,7 +130,7 @@
                                    std::uint32_t Task) const {
   bool MayBeOthers =
       !stepOf(Job, Task).Lasting && !Job.Tasks[Task].Kept.SharedCrashes.empty();
-  return Limits_.MaxCrashes + (MayBeOthers ? 1 : 0);
+  return Limits_.MaxCrashes + (MayBeOthers ? Limits_.RunsAfterShared : 0);
 }
 
 /// Has the run stored, beside those whose outcome is open.
