Start lasting tasks that wait for two seconds on workers with failed runs

What callers saw: a task of a long-running job that could run had no run for nine seconds (LOST), "room" to its owner, while a worker stood empty.

Cause: a worker with failed or slow runs of two jobs is avoided for 6 s by all tasks. In small pools it was the only one with room, after the lost run's lease had taken 3 s.

Change: a lasting task that has waited for 2 s starts there. The time until which a worker is quarantined is kept apart from the pause after a refused or unanswered order, in which nothing starts as before. A stored start of a lasting task is sent though its worker has been quarantined since.

The naive planner has the same rule.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -120,9 +120,9 @@
   // The worker's capacity may have shrunk since the run's room was reserved.
   auto FitsStill = [&](const auto &Item) {
     const WorkerState &W = *Owner_.Workers_.at(Item.second.Worker);
-    // Lasting tasks start on closed workers too.
+    // Lasting tasks start on closed and quarantined workers too.
     bool Takes = canTake(W) ||
-                 (PoolState::stepOf(Job, Item.first).Lasting && isSound(W));
+                 (PoolState::stepOf(Job, Item.first).Lasting && canAnswer(W));
     return Takes && core::fits(W.Used, W.Entry.Capacity);
   };
   // A gang whose member was dropped with its worker starts anew as a whole.
--- a/src/jobs/LastingDemand.cpp
+++ b/src/jobs/LastingDemand.cpp
@@ -61,7 +61,7 @@
 /// A worker that this owner has not heard yet counts as one that will have room
 /// soon.
 bool LastingDemand::mayHostNow(const WorkerState &W) const {
-  return !W.Isolated && W.AvoidUntil <= Now_ &&
+  return !W.Isolated && !isAvoided(W, Now_) &&
          (!W.Heard || Owner_.mayHostLasting(W, Now_));
 }
 
--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// How long it waits for room elsewhere before it starts on a worker that is
+/// avoided for failed or slow runs. The lease of its lost run has taken three
+/// of the nine seconds within which it has to run again.
+constexpr std::chrono::milliseconds QuarantinedAfter(2000);
 /// How long it waits for a kept worker before it starts on a closed one.
 constexpr std::chrono::milliseconds ClosedAfter(3000);
 /// Within this time a worker that was emptied is back from its upkeep, and the
@@ -177,6 +181,23 @@
   return Best;
 }
 
+/// The best worker with room among those that are avoided only since their runs
+/// failed or were slow.
+WorkerState *StartPlan::chooseQuarantined(JobRecord &Job,
+                                          std::uint32_t Task) const {
+  WorkerState *Best = nullptr;
+  const StepSpec &Step = PoolState::stepOf(Job, Task);
+  auto Score = [&](const WorkerState &W) {
+    return score(W, loadOf(W), Job, Task, Step);
+  };
+  for (auto &[Id, W] : Owner_.Workers_)
+    if (W->QuarantinedUntil > In_.Now && !W->Closed && canAnswer(*W) &&
+        meetsConstraints(*W, Job, Task, Step) &&
+        (!Best || Score(*W) > Score(*Best)))
+      Best = W.get();
+  return Best;
+}
+
 /// Whether the worker has a lasting task that is not being stopped.
 bool StartPlan::keepsLasting(const WorkerState &W) {
   return std::any_of(W.Tasks.begin(), W.Tasks.end(), [](const auto &Item) {
@@ -267,6 +288,13 @@
     if (isBounded())
       return;
     core::Duration Age = In_.Now - W.Since;
+    WorkerState *Avoided =
+        Age < QuarantinedAfter ? nullptr : chooseQuarantined(*W.Job, W.Task);
+    if (Avoided) {
+      start(*W.Job, W.Task, *Avoided, nextRun());
+      announce(*W.Job, W.Task);
+      continue;
+    }
     bool Comes = chooseToKeep(*W.Job, W.Task) != Usable_.end();
     if (Comes && (Age < KeepRoomAfter || keepWorker(*W.Job, W.Task)) &&
         Age < ClosedAfter)
--- a/src/jobs/PoolMetrics.cpp
+++ b/src/jobs/PoolMetrics.cpp
@@ -87,7 +87,7 @@
       !W.Tasks.empty() && !hasReportedWithin(W, Limits_.ReportStale, Now);
   if (!W.IncarnationConfirmed || Stale)
     return WorkerStatus::Silent;
-  if (W.AvoidUntil > Now)
+  if (isAvoided(W, Now))
     return WorkerStatus::Avoided;
   if (W.Closed || W.Entry.Draining ||
       ClosedDataCentres_.count(W.Entry.DataCentre) != 0)
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -456,7 +456,7 @@
     bool Open = !Host->Closed && !Host->Entry.Draining && !Host->Ended &&
                 !Host->Gone && Host->IncarnationConfirmed;
     if (Open && Host.get() != &W)
-      (Host->AvoidUntil > Now ? Avoided : Others).push_back(Host.get());
+      (isAvoided(*Host, Now) ? Avoided : Others).push_back(Host.get());
   }
   auto LeavesHalf = [&](const StepSpec &Step) {
     auto CouldRun = [&Step](const WorkerState *Host) {
@@ -492,7 +492,7 @@
 /// Keeps tasks away from a worker that seems at fault.
 void PoolState::quarantine(WorkerState &W, core::TimePoint Now) const {
   if (mayQuarantine(W, Now))
-    W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.Quarantine);
+    W.QuarantinedUntil = std::max(W.QuarantinedUntil, Now + Limits_.Quarantine);
 }
 
 bool PoolState::allHeard(core::TimePoint Now) const {
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -183,6 +183,8 @@
   bool canTake(const WorkerState &W) const;
   /// Whether the worker can take starts, though it may be closed.
   bool isSound(const WorkerState &W) const;
+  /// Whether it can, though its runs may have failed or been slow as well.
+  bool canAnswer(const WorkerState &W) const;
   bool meetsConstraints(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step) const;
   bool mayHost(const WorkerState &W, const StepSpec &Step) const;
@@ -267,6 +269,7 @@
   bool moveAmongClosed(WorkerState &W, std::span<WorkerState *const> Later);
   WorkerState *chooseClosed(JobRecord &Job, std::uint32_t Task,
                             std::span<WorkerState *const> Closed) const;
+  WorkerState *chooseQuarantined(JobRecord &Job, std::uint32_t Task) const;
   void stopOn(const WorkerState &W, JobRecord &Job, std::uint32_t Task,
               StopReason Reason);
   bool mayEmptyWithoutPlaces() const;
--- a/src/jobs/StragglerPlan.cpp
+++ b/src/jobs/StragglerPlan.cpp
@@ -79,7 +79,7 @@
   auto Fits = [&](const WorkerState &Other) {
     bool Usable = Other.IncarnationConfirmed && !Other.Gone && !Other.Closed &&
                   !Other.Isolated && !Other.Entry.Draining &&
-                  Other.AvoidUntil <= In_.Now;
+                  !isAvoided(Other, In_.Now);
     core::Resources Used = Other.Used;
     Used.MilliCpus += Step.Need.MilliCpus;
     Used.MemoryMb += Step.Need.MemoryMb;
--- a/src/jobs/WorkerState.h
+++ b/src/jobs/WorkerState.h
@@ -6,6 +6,7 @@
 #include "jobs/WorkerClock.h"
 #include "jobs/WorkerRelease.h"
 
+#include <algorithm>
 #include <deque>
 #include <limits>
 #include <set>
@@ -112,6 +113,9 @@
   std::uint32_t FailedReports = 0;
   core::TimePoint NextHold;
   core::TimePoint AvoidUntil;
+  /// Until then it is avoided since its runs failed or were slow. A lasting
+  /// task that waits too long starts there nevertheless.
+  core::TimePoint QuarantinedUntil;
   std::uint32_t FailuresInRow = 0;
   std::string LastFailedJob;
   /// Jobs with straggling runs since the last run that ended in time.
@@ -170,6 +174,11 @@
   return W.ReportedAt && Now - *W.ReportedAt < Age;
 }
 
+/// Whether the worker is avoided for whatever reason. Thread-safe.
+inline bool isAvoided(const WorkerState &W, core::TimePoint Now) {
+  return std::max(W.AvoidUntil, W.QuarantinedUntil) > Now;
+}
+
 /// Workers by id.
 using WorkerTable =
     std::unordered_map<std::string, std::unique_ptr<WorkerState>>;
--- a/tests/jobs/AvoidedWorkersTest.cpp
+++ b/tests/jobs/AvoidedWorkersTest.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <utility>
+
 using namespace comfreydeck;
 using namespace comfreydeck::jobs;
 
@@ -104,3 +106,36 @@
   F.addJob(true);
   CHECK(F.mostAvoided({"w1"}, false) == 1);
 }
+
+// Jobs that could run and didn't: a lasting task waited for all of the time for
+// which the only worker with room was avoided.
+TEST_CASE("a lasting task whose only room is on a worker with failed runs "
+          "starts there after two seconds") {
+  FailingFixture F;
+  F.list({"w1", "w2"});
+  F.turn();
+  F.label(1);
+  F.list({"w1", "w2"});
+  JobSpec Filler = sampleJob(++F.Jobs, 4);
+  Filler.Steps[0].Label = Label;
+  Filler.Steps[0].Lasting = true;
+  F.B.Owner.addJob(Filler, F.B.Now);
+  F.turn();
+  REQUIRE(F.Running["w1"].size() == Filler.Steps[0].Tasks);
+  while (F.countAvoided() == 0) {
+    REQUIRE(F.Jobs < 10);
+    F.addJob();
+    F.turn();
+    auto Lasting = std::exchange(F.Running["w1"], {});
+    F.endRuns({"w2"});
+    F.Running["w1"] = Lasting;
+  }
+  bool Lasting = true;
+  SUBCASE("a lasting task") {}
+  SUBCASE("(control: another task waits longer)") { Lasting = false; }
+  JobSpec Spec = sampleJob(++F.Jobs);
+  Spec.Steps[0].Lasting = Lasting;
+  F.B.Owner.addJob(Spec, F.B.Now);
+  CHECK(F.workerOf(taskOf(F.Jobs), milliseconds(1800)).empty());
+  CHECK(F.workerOf(taskOf(F.Jobs), milliseconds(500)) == (Lasting ? "w2" : ""));
+}
--- a/tests/jobs/NaiveStarts.cpp
+++ b/tests/jobs/NaiveStarts.cpp
@@ -40,8 +40,11 @@
 
   std::vector<NaiveStart> run() {
     for (const auto &[Id, W] : Owner_.workers())
-      if (isUsable(*W))
-        (W->Closed ? ClosedViews_ : WorkerViews_)
+      if (bool Avoided = W->QuarantinedUntil > Input_.In.Now;
+          isUsable(*W) && !(Avoided && W->Closed))
+        (Avoided     ? QuarantinedViews_
+         : W->Closed ? ClosedViews_
+                     : WorkerViews_)
             .push_back({W.get(), W->Used, W->Serving, W->Lasting, W->Filling});
     std::sort(ClosedViews_.begin(), ClosedViews_.end(),
               [](const WorkerView &A, const WorkerView &B) {
@@ -312,9 +315,10 @@
                                         K * Job.Spec.IntervalMs));
   }
 
-  /// Starts lasting tasks that wait on closed workers if no other will have
-  /// room, or removes the workers that have to get room for those which have
-  /// waited for a second; the longest wait first.
+  /// Starts lasting tasks that have waited for two seconds on quarantined
+  /// workers, and others on closed ones if no other will have room, or removes
+  /// the workers that have to get room for those which have waited for a
+  /// second; the longest wait first.
   void planStillWaiting(std::vector<JobView> &All) {
     std::vector<
         std::tuple<core::TimePoint, std::string, std::uint32_t, JobView *>>
@@ -334,12 +338,18 @@
     std::sort(Waiting.begin(), Waiting.end());
     for (const auto &[Since, Id, Task, W] : Waiting) {
       core::Duration Age = Input_.In.Now - Since;
+      std::vector<TaskRef> Refs = refsOf(*W->Source);
+      const StepSpec &Step = W->Source->Spec.Steps[Refs[Task].Step];
+      if (WorkerView *P =
+              chooseAmong(QuarantinedViews_, *W, Refs, Task, Step, AnyRack);
+          P && Age >= std::chrono::seconds(2)) {
+        place(*W, Task, Refs[Task], Step, *P);
+        continue;
+      }
       bool Comes = chooseToKeep(*W, Task) != nullptr;
       if (Comes && (Age < std::chrono::seconds(1) || keepWorker(*W, Task)) &&
           Age < std::chrono::seconds(3))
         continue;
-      std::vector<TaskRef> Refs = refsOf(*W->Source);
-      const StepSpec &Step = W->Source->Spec.Steps[Refs[Task].Step];
       WorkerView *Best = nullptr;
       for (WorkerView &P : ClosedViews_)
         if (keepsLasting(P) && meetsConstraints(*W, Refs, Task, Step, P) &&
@@ -1033,8 +1043,14 @@
   WorkerView *choose(const JobView &W, const std::vector<TaskRef> &Refs,
                      std::uint32_t Task, const StepSpec &Step,
                      const std::string &Rack) {
+    return chooseAmong(WorkerViews_, W, Refs, Task, Step, Rack);
+  }
+
+  WorkerView *chooseAmong(std::vector<WorkerView> &Views, const JobView &W,
+                          const std::vector<TaskRef> &Refs, std::uint32_t Task,
+                          const StepSpec &Step, const std::string &Rack) {
     WorkerView *Best = nullptr;
-    for (WorkerView &P : WorkerViews_) {
+    for (WorkerView &P : Views) {
       bool InRack = Rack == AnyRack || P.Source->Entry.Rack == Rack;
       if (!InRack || !meetsConstraints(W, Refs, Task, Step, P))
         continue;
@@ -1050,6 +1066,7 @@
   const NaiveInput &Input_;
   std::vector<WorkerView> WorkerViews_;
   std::vector<WorkerView> ClosedViews_;
+  std::vector<WorkerView> QuarantinedViews_;
   std::size_t Kept_ = 0;
   /// Tasks whose runs don't count.
   struct {
--- a/tests/jobs/NearRackTest.cpp
+++ b/tests/jobs/NearRackTest.cpp
@@ -113,7 +113,7 @@
   }
   CHECK(B.Owner.takeCounters().Stragglers == 0);
   for (const auto &[Id, W] : B.Owner.workers())
-    CHECK(W->AvoidUntil <= B.Now);
+    CHECK(!isAvoided(*W, B.Now));
 }
 
 TEST_CASE("runs away from their data lengthen the time expected of runs near "
--- a/tests/jobs/WaitBoundTest.cpp
+++ b/tests/jobs/WaitBoundTest.cpp
@@ -150,6 +150,11 @@
     CHECK(faultOf(Seed, Limits) == "");
   }
   CHECK(faultOf(101370, {"team limits", chooseSlowRuns}) == "");
+  Kind Lasting{"", chooseLastingBesideCrashes};
+  for (std::uint64_t Seed : {1510, 1881, 20262773}) {
+    CAPTURE(Seed);
+    CHECK(faultOf(Seed, Lasting) == "");
+  }
 }
 
 // Listed in KNOWN-RED.txt.
