Leave a worker to a lasting task that waits while suspects take turns on all with room

What callers saw: a task of a long-running job that could run had no run for nine seconds (LOST), "room" to its owner, while two of four workers were nearly empty.

Cause: workers are reserved for suspects before anything else is planned, so that the next one gets a worker in the round in which the last one leaves it, and nothing starts beside them.

Change: once a lasting task has waited for 2 s, the worker where it can start soonest is given to no suspect in that round. It starts there when the suspects that run there have ended.

Tests: "a lasting task waits as long as suspects take turns on the only worker with room" fails with the 2 s set to 20 s.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -226,6 +226,7 @@
     }
   }
   std::vector<IsolatedUnit> Waiting = findIsolated();
+  LeftToLasting_ = findPlaceForLasting();
   std::size_t PerWorker = suspectsPerWorker(Waiting.size());
   const JobRecord *Tried = nullptr;
   for (std::size_t N = 0; N < Waiting.size(); ++N) {
@@ -327,7 +328,7 @@
   bool Waited = hasWaitedIsolated(Job, First);
   Usable_.clear();
   for (auto &[Id, W] : Owner_.Workers_)
-    if (canTake(*W) && mayIsolateOn(*W, Waited))
+    if (mayReserve(*W) && mayIsolateOn(*W, Waited))
       Usable_.push_back(W.get());
   planGang(Job, First);
   Usable_.clear();
@@ -356,7 +357,7 @@
   for (bool Others : {false, true}) {
     Usable_.clear();
     for (auto &[Id, W] : Owner_.Workers_)
-      if (canTake(*W) &&
+      if (mayReserve(*W) &&
           (Others || isQuiet(*W) || ReservedBefore_.contains(W.get())))
         Usable_.push_back(W.get());
     Places = placeGang(Job, First);
@@ -392,7 +393,7 @@
   };
   WorkerState *Best = nullptr;
   for (auto &[Id, W] : Owner_.Workers_)
-    if (canTake(*W) && W->Born != 0 && Fits(*W) &&
+    if (mayReserve(*W) && W->Born != 0 && Fits(*W) &&
         (!Best || Rank(*W) < Rank(*Best)))
       Best = W.get();
   return Best;
--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -12,6 +12,9 @@
 /// avoided for failed or slow runs. The lease of its lost run has taken three
 /// of the nine seconds within which it has to run again.
 constexpr std::chrono::milliseconds QuarantinedAfter(2000);
+/// How long it waits until no suspect is given the worker where it can start
+/// soonest.
+constexpr std::chrono::milliseconds SuspectsMakeWayAfter(2000);
 /// How long it waits for a kept worker before it starts on a closed one.
 constexpr std::chrono::milliseconds ClosedAfter(3000);
 /// Within this time a worker that was emptied is back from its upkeep, and the
@@ -191,8 +194,8 @@
     return score(W, loadOf(W), Job, Task, Step);
   };
   for (auto &[Id, W] : Owner_.Workers_)
-    if (W->QuarantinedUntil > In_.Now && !W->Closed && canAnswer(*W) &&
-        meetsConstraints(*W, Job, Task, Step) &&
+    if (W->QuarantinedUntil > In_.Now && !W->Closed && !W->Isolated &&
+        canAnswer(*W) && meetsConstraints(*W, Job, Task, Step) &&
         (!Best || Score(*W) > Score(*Best)))
       Best = W.get();
   return Best;
@@ -255,6 +258,57 @@
   return true;
 }
 
+/// Whether the lasting task could start beside others now if there were room.
+bool StartPlan::waitsForRoom(const JobRecord &Job, std::uint32_t Task) const {
+  const StepSpec &Step = PoolState::stepOf(Job, Task);
+  return Job.Tasks[Task].Runs.empty() && !Step.Gang && mayStart(Job, Task) &&
+         !isIsolated(Job, Task) && hasTeamRoom(Job, Step, 1);
+}
+
+/// The worker on which the lasting task that has waited for longest can start
+/// soonest, if one has waited for long.
+const WorkerState *StartPlan::findPlaceForLasting() const {
+  JobRecord *Longest = nullptr;
+  std::uint32_t Position = 0;
+  core::TimePoint Since = In_.Now - SuspectsMakeWayAfter;
+  for (JobRecord *Job : Owner_.Open_) {
+    if (!Job->Spec.Steps.front().Lasting || isHeldBack(*Job))
+      continue;
+    PoolState::refreshWaiting(*Job);
+    for (std::uint32_t Task : Job->Waiting) {
+      if (Job->Tasks[Task].WaitingSince > Since || !waitsForRoom(*Job, Task))
+        continue;
+      Since = Job->Tasks[Task].WaitingSince;
+      Longest = Job;
+      Position = Task;
+    }
+  }
+  if (!Longest)
+    return nullptr;
+  const StepSpec &Step = PoolState::stepOf(*Longest, Position);
+  const WorkerState *Best = nullptr;
+  auto BestRank = std::make_pair(0.0, std::string_view());
+  for (const auto &[Id, W] : Owner_.Workers_) {
+    bool Takes = !W->Closed && W->QuarantinedUntil <= In_.Now && canAnswer(*W);
+    if (!Takes || !hasLabel(W->Entry, Step) || !mayHost(*W, Step) ||
+        !hasSpread(*W, *Longest, Position, Step))
+      continue;
+    std::optional<double> Ms = msUntilRoom(*W, Step);
+    if (!Ms)
+      continue;
+    // Nothing starts beside a suspect that has the worker to itself.
+    std::vector<ExpectedEnd> Ends = endsOn(*W);
+    if (W->Isolated && !Ends.empty())
+      Ms = Ends.back().InMs;
+    auto Rank = std::make_pair(*Ms, std::string_view(Id));
+    if (!Best || Rank < BestRank) {
+      Best = W.get();
+      BestRank = Rank;
+    }
+  }
+  return Best;
+}
+
 /// Starts lasting tasks that wait on closed workers if no other will have room,
 /// and keeps room for those that have waited for long: it comes free in pieces
 /// that each suit a short task, so that a larger one would wait for as long as
@@ -271,12 +325,8 @@
       continue;
     PoolState::refreshWaiting(*Job);
     for (std::uint32_t Task : Job->Waiting) {
-      const StepSpec &Step = PoolState::stepOf(*Job, Task);
-      const TaskState &State = Job->Tasks[Task];
-      bool Waits = State.Runs.empty() && !isWithheld(*Job, Task);
-      if (Waits && !Step.Gang && mayStart(*Job, Task) &&
-          !isIsolated(*Job, Task) && hasTeamRoom(*Job, Step, 1))
-        Longest.push_back({State.WaitingSince, Job, Task});
+      if (waitsForRoom(*Job, Task) && !isWithheld(*Job, Task))
+        Longest.push_back({Job->Tasks[Task].WaitingSince, Job, Task});
     }
   }
   std::sort(Longest.begin(), Longest.end(),
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -62,12 +62,12 @@
 }
 
 bool StartPlan::isSound(const WorkerState &W) const {
-  return W.QuarantinedUntil <= In_.Now && canAnswer(W);
+  return !W.Isolated && W.QuarantinedUntil <= In_.Now && canAnswer(W);
 }
 
 bool StartPlan::canAnswer(const WorkerState &W) const {
   return W.Enrolled && W.Heard && W.IncarnationConfirmed && !W.Ended &&
-         !W.Gone && !W.Isolated && !W.Entry.Draining && W.UnknownRuns.empty() &&
+         !W.Gone && !W.Entry.Draining && W.UnknownRuns.empty() &&
          W.LostStarts.empty() && W.Clock.ShownMs > 0 &&
          W.AvoidUntil <= In_.Now && !Owner_.mayHaveLaterOwner(W, In_) &&
          Owner_.ClosedDataCentres_.count(W.Entry.DataCentre) == 0 &&
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -183,7 +183,12 @@
   bool canTake(const WorkerState &W) const;
   /// Whether the worker can take starts, though it may be closed.
   bool isSound(const WorkerState &W) const;
-  /// Whether it can, though its runs may have failed or been slow as well.
+  /// Whether suspects may start there, or have it reserved.
+  bool mayReserve(const WorkerState &W) const {
+    return canTake(W) && &W != LeftToLasting_;
+  }
+  /// Whether it can, though its runs may have failed or been slow as well, or
+  /// it may be reserved.
   bool canAnswer(const WorkerState &W) const;
   bool meetsConstraints(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step) const;
@@ -233,6 +238,8 @@
                                std::uint32_t Task);
   /// Makes room for lasting tasks that wait, and moves those on closed workers.
   void planLastingMoves();
+  bool waitsForRoom(const JobRecord &Job, std::uint32_t Task) const;
+  const WorkerState *findPlaceForLasting() const;
   void planStillWaiting(std::span<WorkerState *const> Closed);
   std::vector<WorkerState *>::iterator chooseToKeep(JobRecord &Job,
                                                     std::uint32_t Task);
@@ -305,6 +312,8 @@
   std::size_t MaxReserved_ = 0;
   /// Number of workers that can take starts, before any is reserved.
   std::size_t UsableCount_ = 0;
+  /// Is left to a lasting task that has waited for long: no suspect gets it.
+  const WorkerState *LeftToLasting_ = nullptr;
   /// Workers that were reserved in the last round.
   std::set<const WorkerState *> ReservedBefore_;
   /// Number of runs of suspect tasks by worker.
--- a/tests/jobs/IsolationWaitTest.cpp
+++ b/tests/jobs/IsolationWaitTest.cpp
@@ -256,3 +256,25 @@
     F.crash(Worker);
   CHECK(F.crashes(1) == 0);
 }
+
+// Jobs that could run and didn't: each time that a suspect left the worker, the
+// next one was given it first.
+TEST_CASE("a lasting task waits as long as suspects take turns on the only "
+          "worker with room") {
+  constexpr std::uint32_t Suspects = 100;
+  IsolationFixture P({"w1", "w2"});
+  P.run("w1", 4000, true);
+  JobSpec Crashed = sampleJob(1, Suspects);
+  JobProgress Kept;
+  Kept.State = JobState::Running;
+  Kept.Tasks.resize(Suspects);
+  for (TaskProgress &Task : Kept.Tasks)
+    Task.CrashedRuns = {10, 20};
+  P.F.B.Owner.inheritJob(Crashed, &Kept, P.F.B.Now);
+  P.settle();
+  REQUIRE(!P.F.Running["w2"].empty());
+  JobSpec Lasting = sampleJob(2);
+  Lasting.Steps[0].Lasting = true;
+  P.F.B.Owner.addJob(Lasting, P.F.B.Now);
+  CHECK(P.startsBeside(taskOf(2), jobId(1)));
+}
--- a/tests/jobs/WaitBoundTest.cpp
+++ b/tests/jobs/WaitBoundTest.cpp
@@ -105,6 +105,11 @@
   Options.CrashingTasks = true;
 }
 
+void chooseUnequalLastingBesideCrashes(SimulationOptions &Options) {
+  chooseLasting(Options);
+  Options.CrashingTasks = true;
+}
+
 void chooseLimitsBesideCrashes(SimulationOptions &Options) {
   Options.PlacementLimits = true;
   Options.CrashingTasks = true;
@@ -157,6 +162,11 @@
   }
 }
 
+TEST_CASE("tasks that could start do so soon in histories in which suspects "
+          "take turns on the workers with room") {
+  CHECK(faultOf(911133, {"", chooseUnequalLastingBesideCrashes}) == "");
+}
+
 // Listed in KNOWN-RED.txt.
 TEST_CASE("no task starts after its end was acknowledged in a history in which "
           "a replaced owner reaches a worker before the next one does") {
