Start suspect lasting tasks that wait for two seconds on workers with failed runs too

What callers saw: a task of a long-running job that could run had no run for nine seconds (LOST), "isolated" to its owner, while two of four workers stood empty.

Cause: a lasting task under which two workers have crashed starts on a worker of its own, and none is chosen that is avoided for failed or slow runs. Traced [LastingTasks, CrashingTasks, RestartsAtTakeover]: from 0.4 to 6.2 s of the wait w1 and w3 are avoided, empty from 1.5 s on, w2 is reserved or silent, w0 full. The run that is chosen then waits for its row in a slow store.

Change: after IsolationWait (2 s) such a task may have an avoided worker, before one without room and after others with room. Gangs and tasks that end by themselves don't.

Tests: "a lasting task whose only room is on a worker with failed runs ...", subcase "whose workers crashed twice", fails without the change.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -387,13 +387,18 @@
     bool Quiet = HasRoom && isQuiet(W);
     bool Kept = Waited && ReservedBefore_.contains(&W);
     double RoomMs = Waited ? msUntilRoom(W, Step).value_or(0) : 0;
-    return std::make_tuple(Waited && !HasRoom, Waited && !Quiet, RoomMs,
-                           hasCrashedLately(W), !Kept, W.Lasting,
-                           W.Tasks.size(), W.Entry.Id);
+    return std::make_tuple(Waited && !HasRoom, isOnlyQuarantined(W),
+                           Waited && !Quiet, RoomMs, hasCrashedLately(W), !Kept,
+                           W.Lasting, W.Tasks.size(), W.Entry.Id);
+  };
+  // As other lasting tasks do that have waited for as long.
+  auto MayReserve = [&](const WorkerState &W) {
+    return mayReserve(W) || (Waited && Step.Lasting && !Step.Gang &&
+                             isOnlyQuarantined(W) && &W != LeftToLasting_);
   };
   WorkerState *Best = nullptr;
   for (auto &[Id, W] : Owner_.Workers_)
-    if (mayReserve(*W) && W->Born != 0 && Fits(*W) &&
+    if (MayReserve(*W) && W->Born != 0 && Fits(*W) &&
         (!Best || Rank(*W) < Rank(*Best)))
       Best = W.get();
   return Best;
--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -194,8 +194,7 @@
     return score(W, loadOf(W), Job, Task, Step);
   };
   for (auto &[Id, W] : Owner_.Workers_)
-    if (W->QuarantinedUntil > In_.Now && !W->Closed && !W->Isolated &&
-        canAnswer(*W) && meetsConstraints(*W, Job, Task, Step) &&
+    if (isOnlyQuarantined(*W) && meetsConstraints(*W, Job, Task, Step) &&
         (!Best || Score(*W) > Score(*Best)))
       Best = W.get();
   return Best;
--- a/src/jobs/StartPlan.cpp
+++ b/src/jobs/StartPlan.cpp
@@ -65,6 +65,11 @@
   return !W.Isolated && W.QuarantinedUntil <= In_.Now && canAnswer(W);
 }
 
+bool StartPlan::isOnlyQuarantined(const WorkerState &W) const {
+  return W.QuarantinedUntil > In_.Now && !W.Closed && !W.Isolated &&
+         canAnswer(W);
+}
+
 bool StartPlan::canAnswer(const WorkerState &W) const {
   return W.Enrolled && W.Heard && W.IncarnationConfirmed && !W.Ended &&
          !W.Gone && !W.Entry.Draining && W.UnknownRuns.empty() &&
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -183,6 +183,9 @@
   bool canTake(const WorkerState &W) const;
   /// Whether the worker can take starts, though it may be closed.
   bool isSound(const WorkerState &W) const;
+  /// Whether the worker could take starts if its runs hadn't failed or been
+  /// slow.
+  bool isOnlyQuarantined(const WorkerState &W) const;
   /// Whether suspects may start there, or have it reserved.
   bool mayReserve(const WorkerState &W) const {
     return canTake(W) && &W != LeftToLasting_;
--- a/tests/jobs/AvoidedWorkersTest.cpp
+++ b/tests/jobs/AvoidedWorkersTest.cpp
@@ -132,10 +132,21 @@
   }
   bool Lasting = true;
   SUBCASE("a lasting task") {}
+  bool Suspect = false;
+  SUBCASE("a lasting task whose workers crashed twice") { Suspect = true; }
   SUBCASE("(control: another task waits longer)") { Lasting = false; }
+  SUBCASE("(control: another such task waits longer)") {
+    Lasting = false;
+    Suspect = true;
+  }
   JobSpec Spec = sampleJob(++F.Jobs);
   Spec.Steps[0].Lasting = Lasting;
-  F.B.Owner.addJob(Spec, F.B.Now);
+  JobProgress Kept;
+  Kept.State = JobState::Running;
+  Kept.Tasks.resize(1);
+  if (Suspect)
+    Kept.Tasks[0].CrashedRuns = {10, 20};
+  F.B.Owner.inheritJob(Spec, &Kept, F.B.Now);
   CHECK(F.workerOf(taskOf(F.Jobs), milliseconds(1800)).empty());
   CHECK(F.workerOf(taskOf(F.Jobs), milliseconds(500)) == (Lasting ? "w2" : ""));
 }
