--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -313,8 +313,10 @@
   /// be.
   std::size_t Reserved_ = 0;
   std::size_t MaxReserved_ = 0;
-  /// Number of workers that can take starts, before any is reserved.
-  std::size_t UsableCount_ = 0;
+  /// Workers that could take starts before any was reserved in this round.
+  std::vector<WorkerState *> Takers_;
+  /// Workers that only their failed or slow runs kept from that.
+  std::vector<WorkerState *> Quarantined_;
   /// Is left to a lasting task that has waited for long: no suspect gets it.
   const WorkerState *LeftToLasting_ = nullptr;
   /// Workers that were reserved in the last round.
