--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -196,8 +196,12 @@
   }
   std::sort(Waiting.begin(), Waiting.end(),
             [](const IsolatedUnit &A, const IsolatedUnit &B) {
-              return std::tie(A.Job->Spec.AcceptedMs, A.Job->Spec.Id, A.First) <
-                     std::tie(B.Job->Spec.AcceptedMs, B.Job->Spec.Id, B.First);
+              bool ALasts = PoolState::stepOf(*A.Job, A.First).Lasting;
+              bool BLasts = PoolState::stepOf(*B.Job, B.First).Lasting;
+              return std::tie(BLasts, A.Job->Spec.AcceptedMs, A.Job->Spec.Id,
+                              A.First) < std::tie(ALasts,
+                                                  B.Job->Spec.AcceptedMs,
+                                                  B.Job->Spec.Id, B.First);
             });
   return Waiting;
 }
@@ -230,7 +234,15 @@
   }
   std::vector<IsolatedUnit> Waiting = findIsolated();
   LeftToLasting_ = findPlaceForLasting();
-  std::size_t PerWorker = suspectsPerWorker(Waiting.size());
+  auto MayShare = [this](const IsolatedUnit &Unit) {
+    return !PoolState::stepOf(*Unit.Job, Unit.First).Gang &&
+           mayShareWorker(*Unit.Job, Unit.First);
+  };
+  std::size_t PerWorker = suspectsPerWorker(static_cast<std::size_t>(
+      std::count_if(Waiting.begin(), Waiting.end(), MayShare)));
+  // Those that need a worker alone would hold up a line of those that don't.
+  if (PerWorker > 1)
+    std::stable_partition(Waiting.begin(), Waiting.end(), MayShare);
   const JobRecord *Tried = nullptr;
   for (std::size_t N = 0; N < Waiting.size(); ++N) {
     const IsolatedUnit &Unit = Waiting[N];
@@ -264,8 +276,8 @@
 /// Whether workers crash by themselves, as far as can be told by their number.
 bool StartPlan::haveManyCrashed() const {
   auto Crashed = static_cast<std::size_t>(
-      std::count_if(Owner_.CrashedAt_.begin(), Owner_.CrashedAt_.end(),
-                    [&](const auto &Address) {
+      std::count_if(Owner_.UnexplainedCrashAt_.begin(),
+                    Owner_.UnexplainedCrashAt_.end(), [&](const auto &Address) {
                       return In_.Now - Address.second < CrashWindow;
                     }));
   return Crashed * WorkersPerCrash > Takers_.size();
@@ -273,8 +285,10 @@
 
 /// Whether a crash that may be another task's leaves the task a run of its own.
 bool StartPlan::mayShareWorker(const JobRecord &Job, std::uint32_t Task) const {
-  return Owner_.countPossibleCrashes(Job, Task) <=
-         Owner_.Limits_.IsolationCrashes;
+  // Of crashes that were lost with earlier owners nothing is known.
+  bool MayHaveMissed = Job.Inherited && MayHaveMissedCrash_;
+  return !MayHaveMissed && Owner_.countPossibleCrashes(Job, Task) <=
+                               Owner_.Limits_.IsolationCrashes;
 }
 
 /// Starts up to \p Most of the waiting tasks on a worker that one of them has
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -124,6 +124,15 @@
          std::any_of(Kept.Unsettled.begin(), Kept.Unsettled.end(), Is);
 }
 
+/// Crashes under the task after which its job fails. Where another task may be
+/// the cause of one, it gets one more run, alone.
+std::size_t PoolState::mostCrashes(const JobRecord &Job,
+                                   std::uint32_t Task) const {
+  bool MayBeOthers =
+      !stepOf(Job, Task).Lasting && !Job.Tasks[Task].Kept.SharedCrashes.empty();
+  return Limits_.MaxCrashes + (MayBeOthers ? 1 : 0);
+}
+
 /// Has the run stored, beside those whose outcome is open.
 void PoolState::setAnnounced(JobRecord &Job, std::uint32_t Task,
                              AnnouncedRun Run) {
@@ -279,6 +288,14 @@
   if (Record.Runs == 0)
     return;
   CrashedAt_[W.Entry.Address] = Now;
+  bool HadIsolated = std::any_of(
+      Suspects.begin(), Suspects.end(), [this](const LostRun &Lost) {
+        const JobRecord *Job = findJob(Lost.Run.JobId);
+        return Job && Lost.Run.Task < Job->Tasks.size() &&
+               countCrashes(*Job, Lost.Run.Task) >= Limits_.IsolationCrashes;
+      });
+  if (!HadIsolated)
+    UnexplainedCrashAt_[W.Entry.Address] = Now;
   ++Counters_.Crashes;
   for (const LostRun &Lost : Suspects) {
     Record.Suspects.push_back(Lost.Run);
@@ -427,7 +444,8 @@
       std::find(Crashed.begin(), Crashed.end(), Run.Run) != Crashed.end();
   if (Kept.Done || IsCounted)
     return;
-  bool Shared = wasShared(Kept, Run.Run);
+  if (wasShared(Kept, Run.Run))
+    Kept.SharedCrashes.push_back(Run.Run);
   Counted_.push_back(Counted);
   if (Counted_.size() > MaxCountedRuns)
     Counted_.pop_front();
@@ -438,9 +456,8 @@
   Job->Suspect = true;
   Job->Tasks[Run.Task].SpreadUntil = Counted.CountedAt + Limits_.SuspectWait;
   Outbox_.markChanged(*Job);
-  // Another task may be the cause: it gets one more run, alone.
-  std::size_t Most = Limits_.MaxCrashes + (Shared ? 1 : 0);
-  if (Job->ProgressUnread || countCrashes(*Job, Run.Task) < Most)
+  if (Job->ProgressUnread ||
+      countCrashes(*Job, Run.Task) < mostCrashes(*Job, Run.Task))
     return;
   if (stepOf(*Job, Run.Task).Lasting) {
     Record.Delayed.push_back(refOf(*Job, Run.Task));
@@ -494,6 +511,7 @@
     if (Kept.CrashedRuns.empty() && !Kept.Announced && Kept.Unsettled.empty())
       continue;
     Kept.CrashedRuns.clear();
+    Kept.SharedCrashes.clear();
     Kept.Unsettled.clear();
     Kept.Announced.reset();
     Outbox_.markChanged(Job);
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -303,6 +303,7 @@
   std::size_t countPossibleCrashes(const JobRecord &Job,
                                    std::uint32_t Task) const;
   bool mayTryAgain(const JobRecord &Job, std::uint32_t Task) const;
+  std::size_t mostCrashes(const JobRecord &Job, std::uint32_t Task) const;
   static bool wasShared(const TaskProgress &Kept, RunId Run);
   void setAnnounced(JobRecord &Job, std::uint32_t Task, AnnouncedRun Run);
   void noteOpenOutcomes(core::TimePoint Now);
@@ -426,6 +427,8 @@
   /// When a worker was last found to have crashed, by its address. The machine
   /// may be the cause, and a restarted worker may have another id.
   std::map<std::string, core::TimePoint> CrashedAt_;
+  /// The same, of crashes without a suspect that had met two before.
+  std::map<std::string, core::TimePoint> UnexplainedCrashAt_;
 };
 
 } // namespace comfreydeck::jobs
