--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -127,9 +127,9 @@
   // The worker's capacity may have shrunk since the run's room was reserved.
   auto FitsStill = [&](const auto &Item) {
     const WorkerState &W = *Owner_.Workers_.at(Item.second.Worker);
-    // Lasting tasks start on closed workers too.
+    // Lasting tasks start on closed and quarantined workers too.
     bool Takes = canTake(W) ||
-                 (PoolState::stepOf(Job, Item.first).Lasting && isSound(W));
+                 (PoolState::stepOf(Job, Item.first).Lasting && canAnswer(W));
     return Takes && core::fits(W.Used, W.Entry.Capacity);
   };
   // A gang whose member was dropped with its worker starts anew as a whole.
@@ -225,6 +225,8 @@
   for (auto &[Id, W] : Owner_.Workers_)
     if (canTake(*W))
       Takers_.push_back(W.get());
+    else if (isOnlyQuarantined(*W))
+      Quarantined_.push_back(W.get());
   MaxReserved_ =
       std::max<std::size_t>(Takers_.size() / WorkersPerReservation, 1);
   for (JobRecord *Job : Owner_.Open_) {
@@ -238,6 +240,7 @@
     }
   }
   std::vector<IsolatedUnit> Waiting = findIsolated();
+  LeftToLasting_ = findPlaceForLasting();
   auto MayShare = [this](const IsolatedUnit &Unit) {
     return !PoolState::stepOf(*Unit.Job, Unit.First).Gang &&
            mayShareWorker(*Unit.Job, Unit.First);
@@ -377,7 +380,7 @@
   bool Waited = hasWaitedIsolated(Job, First);
   Usable_.clear();
   for (auto &[Id, W] : Owner_.Workers_)
-    if (canTake(*W) && mayIsolateOn(*W, Waited))
+    if (mayReserve(*W) && mayIsolateOn(*W, Waited))
       Usable_.push_back(W.get());
   planGang(Job, First);
   Usable_.clear();
@@ -406,7 +409,7 @@
   for (bool Others : {false, true}) {
     Usable_.clear();
     for (auto &[Id, W] : Owner_.Workers_)
-      if (canTake(*W) &&
+      if (mayReserve(*W) &&
           (Others || isQuiet(*W) || ReservedBefore_.contains(W.get())))
         Usable_.push_back(W.get());
     Places = placeGang(Job, First);
@@ -436,21 +439,27 @@
     bool Quiet = HasRoom && isQuiet(W);
     bool Kept = Waited && ReservedBefore_.contains(&W);
     double RoomMs = Waited ? msUntilRoom(W, Step).value_or(0) : 0;
-    return std::make_tuple(Waited && !HasRoom, Waited && !Quiet, RoomMs,
-                           hasCrashedLately(W), !Kept, W.Lasting,
-                           W.Tasks.size(), W.Entry.Id);
+    return std::make_tuple(Waited && !HasRoom, isOnlyQuarantined(W),
+                           Waited && !Quiet, RoomMs, hasCrashedLately(W), !Kept,
+                           W.Lasting, W.Tasks.size(), W.Entry.Id);
+  };
+  // As other lasting tasks do that have waited for as long.
+  auto MayReserve = [&](const WorkerState &W) {
+    return mayReserve(W) || (Waited && Step.Lasting && !Step.Gang &&
+                             isOnlyQuarantined(W) && &W != LeftToLasting_);
   };
   WorkerState *Best = nullptr;
   std::optional<decltype(Rank(*Best))> BestRank;
-  for (WorkerState *W : Takers_) {
-    if (!canTake(*W) || W->Born == 0 || !Fits(*W))
-      continue;
-    auto Its = Rank(*W);
-    if (BestRank && Its >= *BestRank)
-      continue;
-    Best = W;
-    BestRank = Its;
-  }
+  for (const auto *Workers : {&Takers_, &Quarantined_})
+    for (WorkerState *W : *Workers) {
+      if (!MayReserve(*W) || W->Born == 0 || !Fits(*W))
+        continue;
+      auto Its = Rank(*W);
+      if (BestRank && Its >= *BestRank)
+        continue;
+      Best = W;
+      BestRank = Its;
+    }
   return Best;
 }
 
--- a/src/jobs/LastingMoves.cpp
+++ b/src/jobs/LastingMoves.cpp
@@ -8,6 +8,13 @@
 
 namespace {
 
+/// How long it waits for room elsewhere before it starts on a worker that is
+/// avoided for failed or slow runs. The lease of its lost run has taken three
+/// of the nine seconds within which it has to run again.
+constexpr std::chrono::milliseconds QuarantinedAfter(2000);
+/// How long it waits until no suspect is given the worker where it can start
+/// soonest.
+constexpr std::chrono::milliseconds SuspectsMakeWayAfter(2000);
 /// How long it waits for a kept worker before it starts on a closed one.
 constexpr std::chrono::milliseconds ClosedAfter(3000);
 /// Within this time a worker that was emptied is back from its upkeep, and the
@@ -177,6 +184,22 @@
   return Best;
 }
 
+/// The best worker with room among those that are avoided only since their runs
+/// failed or were slow.
+WorkerState *StartPlan::chooseQuarantined(JobRecord &Job,
+                                          std::uint32_t Task) const {
+  WorkerState *Best = nullptr;
+  const StepSpec &Step = PoolState::stepOf(Job, Task);
+  auto Score = [&](const WorkerState &W) {
+    return score(W, loadOf(W), Job, Task, Step);
+  };
+  for (auto &[Id, W] : Owner_.Workers_)
+    if (isOnlyQuarantined(*W) && meetsConstraints(*W, Job, Task, Step) &&
+        (!Best || Score(*W) > Score(*Best)))
+      Best = W.get();
+  return Best;
+}
+
 /// Whether the worker has a lasting task that is not being stopped.
 bool StartPlan::keepsLasting(const WorkerState &W) {
   return std::any_of(W.Tasks.begin(), W.Tasks.end(), [](const auto &Item) {
@@ -234,6 +257,57 @@
   return true;
 }
 
+/// Whether the lasting task could start beside others now if there were room.
+bool StartPlan::waitsForRoom(const JobRecord &Job, std::uint32_t Task) const {
+  const StepSpec &Step = PoolState::stepOf(Job, Task);
+  return Job.Tasks[Task].Runs.empty() && !Step.Gang && mayStart(Job, Task) &&
+         !isIsolated(Job, Task) && hasTeamRoom(Job, Step, 1);
+}
+
+/// The worker on which the lasting task that has waited for longest can start
+/// soonest, if one has waited for long.
+const WorkerState *StartPlan::findPlaceForLasting() const {
+  JobRecord *Longest = nullptr;
+  std::uint32_t Position = 0;
+  core::TimePoint Since = In_.Now - SuspectsMakeWayAfter;
+  for (JobRecord *Job : Owner_.Open_) {
+    if (!Job->Spec.Steps.front().Lasting || isHeldBack(*Job))
+      continue;
+    PoolState::refreshWaiting(*Job);
+    for (std::uint32_t Task : Job->Waiting) {
+      if (Job->Tasks[Task].WaitingSince > Since || !waitsForRoom(*Job, Task))
+        continue;
+      Since = Job->Tasks[Task].WaitingSince;
+      Longest = Job;
+      Position = Task;
+    }
+  }
+  if (!Longest)
+    return nullptr;
+  const StepSpec &Step = PoolState::stepOf(*Longest, Position);
+  const WorkerState *Best = nullptr;
+  auto BestRank = std::make_pair(0.0, std::string_view());
+  for (const auto &[Id, W] : Owner_.Workers_) {
+    bool Takes = !W->Closed && W->QuarantinedUntil <= In_.Now && canAnswer(*W);
+    if (!Takes || !hasLabel(W->Entry, Step) || !mayHost(*W, Step) ||
+        !hasSpread(*W, *Longest, Position, Step))
+      continue;
+    std::optional<double> Ms = msUntilRoom(*W, Step);
+    if (!Ms)
+      continue;
+    // Nothing starts beside a suspect that has the worker to itself.
+    std::vector<ExpectedEnd> Ends = endsOn(*W);
+    if (W->Isolated && !Ends.empty())
+      Ms = Ends.back().InMs;
+    auto Rank = std::make_pair(*Ms, std::string_view(Id));
+    if (!Best || Rank < BestRank) {
+      Best = W.get();
+      BestRank = Rank;
+    }
+  }
+  return Best;
+}
+
 /// Starts lasting tasks that wait on closed workers if no other will have room,
 /// and keeps room for those that have waited for long: it comes free in pieces
 /// that each suit a short task, so that a larger one would wait for as long as
@@ -250,12 +324,8 @@
       continue;
     PoolState::refreshWaiting(*Job);
     for (std::uint32_t Task : Job->Waiting) {
-      const StepSpec &Step = PoolState::stepOf(*Job, Task);
-      const TaskState &State = Job->Tasks[Task];
-      bool Waits = State.Runs.empty() && !isWithheld(*Job, Task);
-      if (Waits && !Step.Gang && mayStart(*Job, Task) &&
-          !isIsolated(*Job, Task) && hasTeamRoom(*Job, Step, 1))
-        Longest.push_back({State.WaitingSince, Job, Task});
+      if (waitsForRoom(*Job, Task) && !isWithheld(*Job, Task))
+        Longest.push_back({Job->Tasks[Task].WaitingSince, Job, Task});
     }
   }
   std::sort(Longest.begin(), Longest.end(),
@@ -267,6 +337,13 @@
     if (isBounded())
       return;
     core::Duration Age = In_.Now - W.Since;
+    WorkerState *Avoided =
+        Age < QuarantinedAfter ? nullptr : chooseQuarantined(*W.Job, W.Task);
+    if (Avoided) {
+      start(*W.Job, W.Task, *Avoided, nextRun());
+      announce(*W.Job, W.Task);
+      continue;
+    }
     bool Comes = chooseToKeep(*W.Job, W.Task) != Usable_.end();
     if (Comes && (Age < KeepRoomAfter || keepWorker(*W.Job, W.Task)) &&
         Age < ClosedAfter)
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -187,6 +187,16 @@
   bool canTake(const WorkerState &W) const;
   /// Whether the worker can take starts, though it may be closed.
   bool isSound(const WorkerState &W) const;
+  /// Whether the worker could take starts if its runs hadn't failed or been
+  /// slow.
+  bool isOnlyQuarantined(const WorkerState &W) const;
+  /// Whether suspects may start there, or have it reserved.
+  bool mayReserve(const WorkerState &W) const {
+    return canTake(W) && &W != LeftToLasting_;
+  }
+  /// Whether it can, though its runs may have failed or been slow as well, or
+  /// it may be reserved.
+  bool canAnswer(const WorkerState &W) const;
   bool meetsConstraints(const WorkerState &W, JobRecord &Job,
                         std::uint32_t Task, const StepSpec &Step) const;
   bool mayHost(const WorkerState &W, const StepSpec &Step) const;
@@ -235,6 +245,8 @@
                                std::uint32_t Task);
   /// Makes room for lasting tasks that wait, and moves those on closed workers.
   void planLastingMoves();
+  bool waitsForRoom(const JobRecord &Job, std::uint32_t Task) const;
+  const WorkerState *findPlaceForLasting() const;
   void planStillWaiting(std::span<WorkerState *const> Closed);
   std::vector<WorkerState *>::iterator chooseToKeep(JobRecord &Job,
                                                     std::uint32_t Task);
@@ -271,6 +283,7 @@
   bool moveAmongClosed(WorkerState &W, std::span<WorkerState *const> Later);
   WorkerState *chooseClosed(JobRecord &Job, std::uint32_t Task,
                             std::span<WorkerState *const> Closed) const;
+  WorkerState *chooseQuarantined(JobRecord &Job, std::uint32_t Task) const;
   void stopOn(const WorkerState &W, JobRecord &Job, std::uint32_t Task,
               StopReason Reason);
   bool mayEmptyWithoutPlaces() const;
@@ -306,6 +319,10 @@
   std::size_t MaxReserved_ = 0;
   /// Workers that could take starts before any was reserved in this round.
   std::vector<WorkerState *> Takers_;
+  /// Workers that only their failed or slow runs kept from that.
+  std::vector<WorkerState *> Quarantined_;
+  /// Is left to a lasting task that has waited for long: no suspect gets it.
+  const WorkerState *LeftToLasting_ = nullptr;
   /// Workers that were reserved in the last round.
   std::set<const WorkerState *> ReservedBefore_;
   /// Number of runs of suspect tasks by worker.
--- a/tests/jobs/WaitBoundTest.cpp
+++ b/tests/jobs/WaitBoundTest.cpp
@@ -105,6 +105,11 @@
   Options.CrashingTasks = true;
 }
 
+void chooseUnequalLastingBesideCrashes(SimulationOptions &Options) {
+  chooseLasting(Options);
+  Options.CrashingTasks = true;
+}
+
 void chooseLimitsBesideCrashes(SimulationOptions &Options) {
   Options.PlacementLimits = true;
   Options.CrashingTasks = true;
@@ -150,6 +155,16 @@
     CHECK(faultOf(Seed, Limits) == "");
   }
   CHECK(faultOf(101370, {"team limits", chooseSlowRuns}) == "");
+  Kind Lasting{"", chooseLastingBesideCrashes};
+  for (std::uint64_t Seed : {1510, 1881, 20262773}) {
+    CAPTURE(Seed);
+    CHECK(faultOf(Seed, Lasting) == "");
+  }
+}
+
+TEST_CASE("tasks that could start do so soon in histories in which suspects "
+          "take turns on the workers with room") {
+  CHECK(faultOf(911133, {"", chooseUnequalLastingBesideCrashes}) == "");
 }
 
 // Listed in KNOWN-RED.txt.
