--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -318,9 +318,7 @@
 
 /// Whether a crash that may be another task's leaves the task a run of its own.
 bool StartPlan::mayShareWorker(const JobRecord &Job, std::uint32_t Task) const {
-  // Of crashes that were lost with earlier owners nothing is known.
-  bool MayHaveMissed = Job.Inherited && MayHaveMissedCrash_;
-  return !MayHaveMissed && !mayHaveHiddenCrashes(Job, Task) &&
+  return !mayHaveHiddenCrashes(Job, Task) &&
          Owner_.countPossibleCrashes(Job, Task) <=
              Owner_.Limits_.IsolationCrashes;
 }
