Look for a storm of crashes once a round

Whether many workers have crashed lately was counted anew for each waiting suspect, over all addresses at which a worker ever crashed. It is the same for all of them and is counted once now.

--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -250,6 +250,8 @@
   // Those that need a worker alone would hold up a line of those that don't.
   if (PerWorker > 1)
     std::stable_partition(Waiting.begin(), Waiting.end(), MayShare);
+  bool IsStorm =
+      haveCrashed(Owner_.CrashedAt_, WorkersPerStormCrash, LeastStormCrashes);
   const JobRecord *Tried = nullptr;
   for (std::size_t N = 0; N < Waiting.size(); ++N) {
     const IsolatedUnit &Unit = Waiting[N];
@@ -260,7 +262,7 @@
       continue;
     Tried = &Job;
     if (!Owner_.mayTryAgain(Job, Unit.First) ||
-        waitsForCalm(Job, Unit.First, Step))
+        (IsStorm && mayWaitForCalm(Job, Unit.First, Step)))
       continue;
     if (Step.Gang)
       planIsolatedGang(Job, Unit.First);
@@ -294,12 +296,11 @@
   return Crashed >= Least && Crashed * OneIn > Takers_.size();
 }
 
-/// Whether a crash under the task would probably be another's.
-bool StartPlan::waitsForCalm(const JobRecord &Job, std::uint32_t Task,
-                             const StepSpec &Step) const {
-  return !Step.Lasting && In_.Now - Job.Tasks[Task].WaitingSince < StormWait &&
-         haveCrashed(Owner_.CrashedAt_, WorkersPerStormCrash,
-                     LeastStormCrashes);
+/// Whether the task has time to wait until its pool's workers crash no more:
+/// until then a crash under it would probably be another's.
+bool StartPlan::mayWaitForCalm(const JobRecord &Job, std::uint32_t Task,
+                               const StepSpec &Step) const {
+  return !Step.Lasting && In_.Now - Job.Tasks[Task].WaitingSince < StormWait;
 }
 
 /// Whether several earlier owners may have been lost with crashes of the task
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -71,8 +71,8 @@
   std::size_t suspectsPerWorker(std::size_t Waiting) const;
   bool haveCrashed(const std::map<std::string, core::TimePoint> &CrashedAt,
                    std::size_t OneIn, std::size_t Least) const;
-  bool waitsForCalm(const JobRecord &Job, std::uint32_t Task,
-                    const StepSpec &Step) const;
+  bool mayWaitForCalm(const JobRecord &Job, std::uint32_t Task,
+                      const StepSpec &Step) const;
   bool mayHaveHiddenCrashes(const JobRecord &Job, std::uint32_t Task) const;
   bool mayShareWorker(const JobRecord &Job, std::uint32_t Task) const;
   bool startBeside(WorkerState &W, std::span<const IsolatedUnit> Others,
