--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -26,13 +26,6 @@
 /// below: a crash would tell nothing of any of them.
 constexpr std::size_t WorkersPerCrash = 16;
 constexpr std::chrono::milliseconds CrashWindow(1000);
-/// While one worker in this many has crashed within the time above, a task that
-/// ends waits for calm before its run that may be the last, for so long at
-/// most.
-constexpr std::size_t WorkersPerStormCrash = 4;
-/// Fewer crashes than that may all be one task's.
-constexpr std::size_t LeastStormCrashes = 3;
-constexpr std::chrono::milliseconds StormWait(8000);
 
 } // namespace
 
@@ -250,8 +243,6 @@
   // Those that need a worker alone would hold up a line of those that don't.
   if (PerWorker > 1)
     std::stable_partition(Waiting.begin(), Waiting.end(), MayShare);
-  bool IsStorm =
-      haveCrashed(Owner_.CrashedAt_, WorkersPerStormCrash, LeastStormCrashes);
   const JobRecord *Tried = nullptr;
   for (std::size_t N = 0; N < Waiting.size(); ++N) {
     const IsolatedUnit &Unit = Waiting[N];
@@ -261,8 +252,7 @@
     if ((&Job == Tried && !Step.Lasting) || !Job.Tasks[Unit.First].Runs.empty())
       continue;
     Tried = &Job;
-    if (!Owner_.mayTryAgain(Job, Unit.First) ||
-        (IsStorm && mayWaitForCalm(Job, Unit.First, Step)))
+    if (!Owner_.mayTryAgain(Job, Unit.First))
       continue;
     if (Step.Gang)
       planIsolatedGang(Job, Unit.First);
@@ -278,29 +268,19 @@
   auto Turns = static_cast<std::size_t>(
       IsolationLine / (Owner_.Limits_.SuspicionAge + IsolationOverhead));
   std::size_t Alone = 2 * MaxReserved_ * std::max<std::size_t>(Turns, 1);
-  if (Waiting <= Alone ||
-      haveCrashed(Owner_.UnexplainedCrashAt_, WorkersPerCrash, 1))
+  if (Waiting <= Alone || haveManyCrashed())
     return 1;
   return std::min((Waiting + Alone - 1) / Alone, MaxSharing);
 }
 
-/// Whether one usable worker in so many, and so many at least, have crashed
-/// lately: by themselves, as far as can be told by their number.
-bool StartPlan::haveCrashed(
-    const std::map<std::string, core::TimePoint> &CrashedAt, std::size_t OneIn,
-    std::size_t Least) const {
+/// Whether workers crash by themselves, as far as can be told by their number.
+bool StartPlan::haveManyCrashed() const {
+  const auto &CrashedAt = Owner_.UnexplainedCrashAt_;
   auto Crashed = static_cast<std::size_t>(std::count_if(
       CrashedAt.begin(), CrashedAt.end(), [&](const auto &Address) {
         return In_.Now - Address.second < CrashWindow;
       }));
-  return Crashed >= Least && Crashed * OneIn > Takers_.size();
-}
-
-/// Whether the task has time to wait until its pool's workers crash no more:
-/// until then a crash under it would probably be another's.
-bool StartPlan::mayWaitForCalm(const JobRecord &Job, std::uint32_t Task,
-                               const StepSpec &Step) const {
-  return !Step.Lasting && In_.Now - Job.Tasks[Task].WaitingSince < StormWait;
+  return Crashed * WorkersPerCrash > Takers_.size();
 }
 
 /// Whether several earlier owners may have been lost with crashes of the task
--- a/src/jobs/StartPlan_p.h
+++ b/src/jobs/StartPlan_p.h
@@ -69,10 +69,7 @@
   };
   std::vector<IsolatedUnit> findIsolated();
   std::size_t suspectsPerWorker(std::size_t Waiting) const;
-  bool haveCrashed(const std::map<std::string, core::TimePoint> &CrashedAt,
-                   std::size_t OneIn, std::size_t Least) const;
-  bool mayWaitForCalm(const JobRecord &Job, std::uint32_t Task,
-                      const StepSpec &Step) const;
+  bool haveManyCrashed() const;
   bool mayHaveHiddenCrashes(const JobRecord &Job, std::uint32_t Task) const;
   bool mayShareWorker(const JobRecord &Job, std::uint32_t Task) const;
   bool startBeside(WorkerState &W, std::span<const IsolatedUnit> Others,
