--- a/src/jobs/IsolatedStarts.cpp
+++ b/src/jobs/IsolatedStarts.cpp
@@ -17,8 +17,8 @@
 /// From the choice of a worker for a task until the worker is free for the next
 /// one, beside the time for which the run has to last.
 constexpr std::chrono::milliseconds IsolationOverhead(200);
-/// Tasks that wait for workers of their own all get one within this time, or
-/// share it.
+/// Tasks share workers where more wait than get one of their own within this
+/// time.
 constexpr std::chrono::milliseconds IsolationLine(4000);
 /// Most tasks that share a worker: its crash counts against all of them.
 constexpr std::size_t MaxSharing = 16;
@@ -262,8 +262,8 @@
   }
 }
 
-/// How many of the waiting tasks have to start together on one worker so that
-/// none waits for longer than \ref IsolationLine.
+/// How many of the waiting tasks start together on one worker, so that they
+/// are worked off within about \ref IsolationLine.
 std::size_t StartPlan::suspectsPerWorker(std::size_t Waiting) const {
   auto Turns = static_cast<std::size_t>(
       IsolationLine / (Owner_.Limits_.SuspicionAge + IsolationOverhead));
--- a/src/jobs/OwnerLimits.h
+++ b/src/jobs/OwnerLimits.h
@@ -103,7 +103,7 @@
   core::Duration IsolationWait = std::chrono::milliseconds(2000);
   /// Crashes under one task after which its job fails.
   std::uint32_t MaxCrashes = 3;
-  /// Runs, alone, that it has more if it shared its worker at the last of them:
+  /// Runs, alone, that it has more if it shared its worker at one of them:
   /// another task may have been the cause.
   std::uint32_t RunsAfterShared = 1;
   /// Most starts of a task after so many crashes. They are used while crashes
