Review: case 8, a tenant's limit held by a service without room

LOST: accepted jobs have nothing running beside an idle service, with nothing of their tenant running. It takes the place of the jobs that are shown as failed after crashes of workers, which stays a command of the stand-ins. Order of events: tasks that last fill a service; a tenant hands in as many jobs there as its limit allows, which wait for room; it hands in fifteen jobs for an idle service; none of them starts in 17 s.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -6,6 +6,6 @@
 cd "$HERE/../.."
 [ -x target/comfreydeck ] && [ -x target/review-2/cases ] || exit 2
 export TROUBLE=${TROUBLE:-1}
-timeout --kill-after=2 116 target/review-2/cases crashes target/comfreydeck "$HERE/record.txt"
+timeout --kill-after=2 116 target/review-2/cases limit target/comfreydeck "$HERE/record.txt"
 STATUS=$?
 case $STATUS in 0 | 1) exit $STATUS ;; *) exit 2 ;; esac
--- a/review/standin-2/CaseWorkers.cpp
+++ b/review/standin-2/CaseWorkers.cpp
@@ -68,6 +68,11 @@
   Gangs_[Job] = Members;
 }
 
+void CaseWorkers::setLasting(const std::string &Job) {
+  std::lock_guard<std::mutex> Lock(Mutex_);
+  Lasting_.insert(Job);
+}
+
 std::size_t CaseWorkers::membersOf(const std::string &Task) const {
   auto Gang = Gangs_.find(Task.substr(0, Task.find('.')));
   return Gang == Gangs_.end() ? 1 : Gang->second;
@@ -186,6 +191,10 @@
     return 0;
   auto Worked =
       std::chrono::duration_cast<milliseconds>(net::now() - *Active.BeganAt);
+  // A lasting task is at work after its startup.
+  constexpr milliseconds Startup(300);
+  if (Active.IsLasting)
+    return Worked >= Startup ? 100 : 0;
   constexpr std::int64_t Most = 99;
   return static_cast<int>(std::min(
       Most, 100 * (Active.ResumedMs + Worked.count()) / Active.WorkMs));
@@ -329,6 +338,9 @@
   long Resumed = Checkpoint.empty() ? 0 : std::stol(Checkpoint.substr(1));
   bool IsGang = membersOf(Task) > 1;
   Run Active{RunId, Now + milliseconds(Work - Resumed), Now, Resumed, Work};
+  Active.IsLasting = Lasting_.contains(Task.substr(0, Task.find('.')));
+  if (Active.IsLasting)
+    Active.EndsAt = core::TimePoint::max();
   if (IsGang) {
     Active.EndsAt = Now + GangTimeout;
     Active.BeganAt.reset();
--- a/review/standin-2/CaseWorkers.h
+++ b/review/standin-2/CaseWorkers.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,6 +44,8 @@
   std::string kind(std::size_t Worker);
   /// The tasks of the job's steps are gangs of so many members.
   void setGang(const std::string &Job, std::size_t Members);
+  /// The job's tasks run until they are stopped.
+  void setLasting(const std::string &Job);
   /// Ends all runs of the worker. It answers nothing for \p Down, and starts
   /// again under its id then.
   void crash(std::size_t Worker, core::Duration Down);
@@ -65,6 +68,7 @@
     std::optional<core::TimePoint> BeganAt;
     std::int64_t ResumedMs = 0;
     std::int64_t WorkMs = 0;
+    bool IsLasting = false;
   };
   struct Worker {
     std::unique_ptr<net::HttpServer> Server;
@@ -109,6 +113,7 @@
   std::mutex Mutex_;
   std::vector<Worker> Workers_;
   std::map<std::string, std::size_t> Gangs_;
+  std::set<std::string> Lasting_;
   std::vector<Seen> Starts_;
   std::map<std::pair<std::string, std::string>, int> Ends_;
 };
--- a/review/standin-2/Cases.cpp
+++ b/review/standin-2/Cases.cpp
@@ -36,15 +36,24 @@
 /// slow for a while; what they answer is done at once.
 class Machines {
 public:
-  Machines(net::Loop &Timers, review::CaseWorkers &Workers, std::string Pool,
-           std::size_t Count, std::function<void(const std::string &)> Write)
-      : Timers_(Timers), Workers_(Workers), Pool_(std::move(Pool)),
-        Machines_(Count), Write_(std::move(Write)),
+  /// \p Pools has the pool of each machine.
+  Machines(net::Loop &Timers, review::CaseWorkers &Workers,
+           const std::vector<std::string> &Pools,
+           std::function<void(const std::string &)> Write)
+      : Timers_(Timers), Workers_(Workers), Machines_(Pools.size()),
+        Write_(std::move(Write)),
         Server_({}, [this](const net::HttpRequest &Request,
                            const net::HttpResponder &Respond) {
           handle(Request, Respond);
-        }) {}
+        }) {
+    for (std::size_t N = 0; N < Pools.size(); ++N)
+      Machines_[N].Pool = Pools[N];
+  }
 
+  std::string poolOf(std::size_t N) {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return Machines_[N].Pool;
+  }
   void start() { Server_.start(); }
   void stop() { Server_.stop(); }
   std::string address() const {
@@ -60,20 +69,23 @@
 
 private:
   struct Machine {
+    std::string Pool;
     std::uint64_t Token = 0;
     bool InUpkeep = false;
+    bool IsMoving = false;
     std::set<std::string> Waves;
   };
 
   static std::string idOf(std::size_t N) { return "m-" + std::to_string(N); }
   Json list();
-  Json upkeep(const net::HttpRequest &Request);
+  Json order(const net::HttpRequest &Request);
+  Json upkeep(std::size_t N, const std::string &Wave, const std::string &Line);
+  Json move(std::size_t N, const std::string &Pool, const std::string &Line);
   void handle(const net::HttpRequest &Request,
               const net::HttpResponder &Respond);
 
   net::Loop &Timers_;
   review::CaseWorkers &Workers_;
-  std::string Pool_;
   std::mutex Mutex_;
   std::vector<Machine> Machines_;
   core::Duration Delay_{0};
@@ -88,8 +100,10 @@
   for (std::size_t N = 0; N < Machines_.size(); ++N)
     Rows.push_back(
         {{"Machine", idOf(N)},
-         {"Pool", Pool_},
-         {"State", Machines_[N].InUpkeep ? "upkeep" : "up"},
+         {"Pool", Machines_[N].Pool},
+         {"State", Machines_[N].InUpkeep   ? "upkeep"
+                   : Machines_[N].IsMoving ? "moving"
+                                           : "up"},
          {"Zone", "z1"},
          {"Labels", {Workers_.kind(N), "r1-" + std::to_string(1 + N / 4)}},
          {"Capacity", {{"Cpu", 4000}, {"MemoryRequestMb", 8000}, {"Gpus", 0}}},
@@ -98,21 +112,29 @@
 }
 
 /// Returns the answer's body; one with a reason is a refusal.
-Json Machines::upkeep(const net::HttpRequest &Request) {
+Json Machines::order(const net::HttpRequest &Request) {
   Json Body = Json::parse(Request.Body);
   std::size_t N = std::stoul(Body.at("Machine").get<std::string>().substr(2));
-  std::string Wave = Body.at("Wave").dump();
   std::string Holder(net::findHeader(Request.Headers, "Duty-Holder"));
   std::string Token(net::findHeader(Request.Headers, "Fencing-Token"));
+  bool IsMove = Body.contains("Pool");
+  std::string Line = std::string("machines: ") + (IsMove ? "move" : "upkeep") +
+                     " of " + idOf(N) + " by " + Holder + " with token " +
+                     Token + ": ";
   Machine &M = Machines_.at(N);
-  std::string Line = "machines: upkeep of " + idOf(N) + " by " + Holder +
-                     " with token " + Token + ": ";
   if (std::stoull(Token) < M.Token) {
     Write_(Line + "409 fence");
     return {{"Reason", "fence"}};
   }
   M.Token = std::stoull(Token);
-  if (M.InUpkeep && !M.Waves.contains(Wave)) {
+  return IsMove ? move(N, Body.at("Pool"), Line)
+                : upkeep(N, Body.at("Wave").dump(), Line);
+}
+
+Json Machines::upkeep(std::size_t N, const std::string &Wave,
+                      const std::string &Line) {
+  Machine &M = Machines_[N];
+  if ((M.InUpkeep || M.IsMoving) && !M.Waves.contains(Wave)) {
     Write_(Line + "409 busy");
     return {{"Reason", "busy"}};
   }
@@ -131,6 +153,29 @@
   return Json::object();
 }
 
+Json Machines::move(std::size_t N, const std::string &Pool,
+                    const std::string &Line) {
+  Machine &M = Machines_[N];
+  if (M.Pool == Pool) {
+    Write_(Line + "200, it is already in " + Pool);
+    return Json::object();
+  }
+  if (M.InUpkeep || M.IsMoving) {
+    Write_(Line + "409 busy");
+    return {{"Reason", "busy"}};
+  }
+  Write_(Line + "200, from " + M.Pool + " to " + Pool);
+  M.Pool = Pool;
+  M.IsMoving = true;
+  constexpr milliseconds Migration(1500);
+  Workers_.replace(N, Migration);
+  Timers_.after(Migration, [this, N] {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Machines_[N].IsMoving = false;
+  });
+  return Json::object();
+}
+
 void Machines::handle(const net::HttpRequest &Request,
                       const net::HttpResponder &Respond) {
   std::lock_guard<std::mutex> Lock(Mutex_);
@@ -138,11 +183,7 @@
     Respond(net::jsonResponse(StatusOk, list().dump()));
     return;
   }
-  if (Request.Path != "/v1/machine-upkeep") {
-    Respond(net::jsonResponse(409, R"({"Reason":"busy"})"));
-    return;
-  }
-  Json Body = upkeep(Request);
+  Json Body = order(Request);
   net::HttpResponse Answer =
       net::jsonResponse(Body.contains("Reason") ? 409 : StatusOk, Body.dump());
   if (!SlowUntil_)
@@ -163,6 +204,7 @@
   std::string Name;
   std::string Path;
   std::string Pool;
+  bool IsPublic = false;
 };
 
 /// A small deployment: the store, workers and three entries, with a thread that
@@ -177,22 +219,23 @@
   Deployment(const Deployment &) = delete;
   Deployment &operator=(const Deployment &) = delete;
 
-  void configure(std::vector<Route> Routes);
+  /// \p MaxCpu is the tenant's limit; zero for none.
+  void configure(std::vector<Route> Routes, int MaxCpu = 0);
   void start(const std::string &ReadyPath);
   void write(const std::string &Line);
   /// A call at the entry; a status of 0 stands for no answer.
   soak::Exchange call(std::size_t Entry, const std::string &Method,
                       const std::string &Path, const std::string &Body);
   review::CaseWorkers &workers() { return Workers_; }
-  /// Starts the service for machines of the pool; only before \ref start.
-  Machines &addMachines(const std::string &Pool);
+  /// Starts the service for machines; only before \ref start.
+  Machines &addMachines();
   void putWave(int DurationS, int MaxCount);
   std::string waveState();
   /// The entry that owns the pool, by its row in the store.
   std::optional<std::size_t> ownerOf(const std::string &Pool);
   void signal(std::size_t Entry, int Signal);
   /// Clients that ask the entries but \p Spared for the job's state, again and
-  /// again, until the returned flag is set. Their calls are not recorded.
+  /// again, until \p Stop is set. The record has the count of each answer.
   std::vector<std::thread> askOften(std::size_t Spared, const std::string &Id,
                                     const std::atomic<bool> &Stop);
   /// How often entries have ended, although nobody ended them, or were killed
@@ -292,7 +335,7 @@
   return Done->get_future().get();
 }
 
-void Deployment::configure(std::vector<Route> Routes) {
+void Deployment::configure(std::vector<Route> Routes, int MaxCpu) {
   Json Listed = Json::array();
   for (const Route &R : Routes)
     Listed.push_back({{"Name", R.Name},
@@ -305,7 +348,7 @@
                       {"ServiceName", R.Pool},
                       {"MaxAttempts", 4},
                       {"SlackFactor", 1.6},
-                      {"Public", false}});
+                      {"Public", R.IsPublic}});
   Json Services = Json::array();
   for (const std::string &Name : Services_)
     Services.push_back(
@@ -315,7 +358,12 @@
       {"Routes", Listed},
       {"Services", Services},
       {"Limits", {{"MaxBodyBytes", 262144}}},
-      {"Tenants", {{{"Name", "t"}, {"ApiKeys", {"k"}}, {"Weight", 1}}}}};
+      {"Tenants",
+       {{{"Name", "t"},
+         {"ApiKeys", {"k"}},
+         {"Weight", 1},
+         {"MaxCount",
+          {{"Cpu", MaxCpu}, {"MemoryRequestMb", 0}, {"Gpus", 0}}}}}}};
   store::PartTransaction T;
   T.Puts.push_back({{"op", "", "config"}, Config.dump()});
   if (!commit(std::move(T)))
@@ -331,7 +379,9 @@
     if (Workers_.isDown(N))
       continue;
     std::string Id = Workers_.id(N);
-    T.Puts.push_back({{"servers", "", Id}, Workers_.row(N, PoolOfWorker_[N])});
+    T.Puts.push_back(
+        {{"servers", "", Id},
+         Workers_.row(N, Machines_ ? Machines_->poolOf(N) : PoolOfWorker_[N])});
     Ids.insert(Id);
   }
   // A worker that has left loses its row.
@@ -363,9 +413,9 @@
   return Done->get_future().get();
 }
 
-Machines &Deployment::addMachines(const std::string &Pool) {
+Machines &Deployment::addMachines() {
   Machines_ = std::make_unique<Machines>(
-      Timers_, Workers_, Pool, PoolOfWorker_.size(),
+      Timers_, Workers_, PoolOfWorker_,
       [this](const std::string &Line) { write(Line); });
   Machines_->start();
   for (const auto &Entry : Entries_) {
@@ -483,19 +533,28 @@
                                               const std::string &Id,
                                               const std::atomic<bool> &Stop) {
   constexpr std::size_t Clients = 24;
+  write("clients: " + std::to_string(Clients) + " ask for the state of " + Id +
+        " at the entries but " + Entries_[Spared]->name() +
+        ", each 20 ms after its last answer");
   std::vector<std::thread> Threads;
   for (std::size_t N = 0; N < Clients; ++N)
     Threads.emplace_back([this, Spared, N, Id, &Stop] {
       std::size_t Entry = (Spared + 1 + N % (EntryCount - 1)) % EntryCount;
+      std::map<std::string, int> Answers;
       while (!Stop) {
         soak::CallerConnection Connection;
+        soak::Exchange X;
         if (Connection.open(Entries_[Entry]->ports().Callers))
-          Connection.exchange("GET", "/q/" + Id, "");
+          X = Connection.exchange("GET", "/q/" + Id, "");
+        ++Answers[std::to_string(X.Status) + " " + X.Body];
         std::this_thread::sleep_for(milliseconds(20));
       }
+      std::string Line = "client " + std::to_string(N) + ": GET /q/" + Id +
+                         " at " + Entries_[Entry]->name();
+      for (const auto &[Answer, Count] : Answers)
+        Line += ", " + std::to_string(Count) + " x " + Answer;
+      write(Line);
     });
-  write("clients: " + std::to_string(Clients) +
-        " ask for the job's state, each every 20 ms after its answer");
   return Threads;
 }
 
@@ -656,7 +715,7 @@
   Deployment D(O.Program, O.Directory, O.Record,
                std::vector<std::string>(4, "north"));
   D.workers().setKind(0, "b");
-  Machines &Service = D.addMachines("north");
+  Machines &Service = D.addMachines();
   // cloud_slow: its answers take fifty times as long, 40 ms before.
   if (O.Trouble)
     Service.slowDown(milliseconds(2000), milliseconds(5000));
@@ -813,6 +872,87 @@
   return Rounds > 0 ? ExitHeld : ExitNotRun;
 }
 
+/// LOST: a tenant's jobs wait for its limit, which it doesn't use.
+int runLimit(const Options &O) {
+  std::vector<std::string> Pools(4, "north");
+  Pools.insert(Pools.end(), 8, "south");
+  Deployment D(O.Program, O.Directory, O.Record, Pools);
+  // The machines of the first service are of a kind of their own.
+  for (std::size_t N = 0; N < 4; ++N)
+    D.workers().setKind(N, "b");
+  D.addMachines();
+  constexpr int MaxCpu = 16000;
+  D.configure({{"p", "/p/", "north", true},
+               {"q", "/q/", "north"},
+               {"s", "/s/", "south"}},
+              MaxCpu);
+  D.start("/q/");
+  pause(3000);
+  auto HandIn = [&](const std::string &Path, std::size_t First,
+                    std::size_t Count, int Cpu, int Ms) {
+    bool AreAccepted = true;
+    Json Step = {{"TaskCount", 1}, {"Cpu", Cpu}};
+    if (Path != "/s/")
+      Step["Requirements"] = "b";
+    for (std::size_t N = First; N < First + Count; ++N)
+      AreAccepted =
+          D.call(N % EntryCount, "POST", Path + jobId(N), jobBodyOf(Ms, Step))
+                  .Status == StatusOk &&
+          AreAccepted;
+    return AreAccepted;
+  };
+  // Tasks that last, of nobody's limit, fill the first service.
+  D.workers().setLasting(jobId(1));
+  Json Lasting = {{"TaskCount", 4},
+                  {"Cpu", 4000},
+                  {"Requirements", "b"},
+                  {"Perpetual", true}};
+  if (D.call(0, "POST", "/p/" + jobId(1), jobBodyOf(1000, Lasting)).Status !=
+      StatusOk)
+    return ExitNotRun;
+  pause(2000);
+  if (O.Trouble && !HandIn("/q/", 11, 16, 1000, 5000))
+    return ExitNotRun;
+  pause(3000);
+  // The other service is idle. This ends the traffic.
+  constexpr std::size_t Jobs = 15;
+  constexpr int Cpu = 1000;
+  if (!HandIn("/s/", 101, Jobs, Cpu, 5000))
+    return ExitNotRun;
+  // finish_s, and the 3 s of the rule.
+  pause(14000);
+  std::set<std::string> Never;
+  std::size_t MostRunning = 0;
+  for (int Step = 0; Step < 30; ++Step) {
+    std::set<std::string> Begun;
+    for (const review::CaseWorkers::Seen &Start : D.workers().starts())
+      Begun.insert(Start.Task.substr(0, Start.Task.find('.')));
+    Never.clear();
+    std::size_t Running = 0;
+    for (std::size_t N = 11; N < 101 + Jobs; ++N)
+      for (std::size_t W = 0; W < Pools.size(); ++W)
+        Running += D.workers().isRunning(W, jobId(N) + ".0.0.0");
+    for (std::size_t N = 101; N < 101 + Jobs; ++N)
+      if (!Begun.contains(jobId(N)))
+        Never.insert(jobId(N));
+    MostRunning = std::max(MostRunning, Running);
+    pause(100);
+  }
+  std::string State;
+  if (!Never.empty())
+    State = stateOf(D.call(1, "GET", "/s/" + *Never.begin(), ""));
+  D.write("judge: from 14 to 17 s after the last job was handed in: " +
+          std::to_string(Never.size()) + " of " + std::to_string(Jobs) +
+          " jobs of the idle service have never had anything running, the " +
+          "first is " + State + "; the tenant had at most " +
+          std::to_string(MostRunning * Cpu) + " of its " +
+          std::to_string(MaxCpu) + " running");
+  bool IsHalfFree = 2 * MostRunning * Cpu < MaxCpu;
+  if (!Never.empty() && IsHalfFree)
+    return ExitBroken;
+  return Never.empty() ? ExitHeld : ExitNotRun;
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -843,6 +983,8 @@
       Result = runPending(O);
     else if (Case == "counts")
       Result = runCounts(O);
+    else if (Case == "limit")
+      Result = runLimit(O);
     else if (Case == "upkeep")
       Result = runUpkeep(O);
     else if (Case == "gang")
