Count a report's age from when it can have been made, not from when it was read

Cause: mayHaveRestartedUnseen counted its second from the arrival of the report.

Change: ReportMadeAt is the earliest time at which the worker can have made its last report, by its own clock set against the tightest exchange so far. Starts and the count of tasks that are at work go by it. Nothing waits longer there: the same report that is read at once counts as new.

The new tests fail before: one start instead of none after a freeze of 2 s and after 1.2 s in a slow connection; one stop instead of none for a lasting task.

--- a/src/jobs/OwnerLimits.h
+++ b/src/jobs/OwnerLimits.h
@@ -44,9 +44,9 @@
   /// Maximum time after the takeover for which orders of earlier owners may
   /// keep a run alive.
   core::Duration EarlierOrders = Authority;
-  /// For this long after a worker's report, or after a read that confirmed the
-  /// ownership, the worker can't have restarted with the fence of a later owner
-  /// forgotten.
+  /// For this long after a worker made a report, or after a read that confirmed
+  /// the ownership, the worker can't have restarted with the fence of a later
+  /// owner forgotten.
   core::Duration UnseenRestart = std::chrono::milliseconds(1000);
   /// How long a worker may delay a report while no run ends (long polling).
   core::Duration ReportWait = std::chrono::milliseconds(800);
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -282,8 +282,12 @@
                Now);
     clearLost(W.Entry.Id);
   }
-  checkDate(W, Report.ClockMs, Now, Counters_, Events_);
+  bool IsDated = checkDate(W, Report.ClockMs, Now, Counters_, Events_);
   recordReport(W.Clock, Report.ClockMs, SentAt, Now);
+  W.ReportMadeAt = SentAt;
+  if (IsDated)
+    W.ReportMadeAt =
+        std::min(earliestTimeOf(W.Clock, Report.ClockMs).value_or(SentAt), Now);
   // A full list may leave out later ends.
   bool ListsAllEnds = Report.Ended.size() < MaxEndsListed;
   W.Heard = W.Heard || ListsAllEnds;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -264,7 +264,7 @@
 bool PoolState::isReady(const LiveRun &Run, core::TimePoint Now) const {
   const WorkerState &W = *Workers_.at(Run.Worker);
   return !Run.Stopping && Run.Percent >= ReadyPercent && !W.Gone &&
-         hasReportedWithin(W, Limits_.ReportStale, Now) &&
+         hasMadeReportWithin(W, Limits_.ReportStale, Now) &&
          !mayHaveEarlierStop(Run);
 }
 
--- a/src/jobs/WorkerLeases.cpp
+++ b/src/jobs/WorkerLeases.cpp
@@ -120,7 +120,7 @@
                                        const PlanInput &In) const {
   core::TimePoint OwnerUntil = In.AuthorityEnd - Limits_.Authority;
   core::TimePoint SureUntil =
-      std::max(OwnerUntil, W.ReportedAt.value_or(OwnerUntil));
+      std::max(OwnerUntil, W.ReportMadeAt.value_or(OwnerUntil));
   return In.Now - SureUntil > Limits_.UnseenRestart;
 }
 
--- a/src/jobs/WorkerState.h
+++ b/src/jobs/WorkerState.h
@@ -145,8 +145,11 @@
   bool Evicting = false;
   /// An answer dated after its arrival was logged.
   bool ClockAheadLogged = false;
-  /// When its last report arrived.
+  /// When its last report was read here.
   std::optional<core::TimePoint> ReportedAt;
+  /// Earliest time at which the worker can have made that report: it may have
+  /// been long under way, or have waited here while this process was paused.
+  std::optional<core::TimePoint> ReportMadeAt;
   /// When the first report of this incarnation to this owner arrived. It fenced
   /// earlier owners off there.
   std::optional<core::TimePoint> FencedAt;
@@ -178,13 +181,20 @@
   std::optional<core::TimePoint> StatusSince;
 };
 
-/// Whether the worker has reported to this owner less than \p Age before
-/// \p Now. Thread-safe.
+/// Whether a report of the worker was read less than \p Age before \p Now. It
+/// may have been made earlier. Thread-safe.
 inline bool hasReportedWithin(const WorkerState &W, core::Duration Age,
                               core::TimePoint Now) {
   return W.ReportedAt && Now - *W.ReportedAt < Age;
 }
 
+/// Whether the worker has certainly made a report less than \p Age before
+/// \p Now. Thread-safe.
+inline bool hasMadeReportWithin(const WorkerState &W, core::Duration Age,
+                                core::TimePoint Now) {
+  return W.ReportMadeAt && Now - *W.ReportMadeAt < Age;
+}
+
 /// Whether an earlier owner may have given orders to the worker and did not
 /// store that it knew the incarnation that is up. Thread-safe.
 inline bool isUnknownToEarlierOwners(const WorkerState &W) {
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -1577,6 +1577,98 @@
   CHECK(B.planConfirmed(ConfirmedAt).Starts.size() == 1);
 }
 
+// TWICE: a report that waited in the socket of a frozen owner counted as new.
+TEST_CASE(
+    "an owner that was frozen starts nothing on a worker whose report was "
+    "made before the freeze") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.report(holdFor(B.plan(), "w1"));
+  JobSpec Large = sampleJob(1);
+  Large.Steps[0].Need.MilliCpus = sampleWorker("").Capacity.MilliCpus;
+  B.Owner.addJob(Large, B.Now);
+  StartOrder First = B.plan().Starts.at(0);
+  B.answer(First, OrderOutcome::Accepted);
+  core::TimePoint ConfirmedAt = B.Now;
+  B.Owner.addJob(sampleJob(2), B.Now);
+  B.advance(milliseconds(100));
+  B.report("w1", {runReportOf(First, 10)});
+  HoldOrder Frozen = holdFor(B.planConfirmed(ConfirmedAt), "w1");
+  REQUIRE(Frozen.Worker == "w1");
+  core::TimePoint SentAt = B.Now;
+  B.advance(milliseconds(700));
+  ReportResult Answer;
+  Answer.Outcome = OrderOutcome::Accepted;
+  Answer.Report = {B.clockMs(),
+                   1,
+                   {},
+                   {endReportOf(1, First.Task, First.Run, RunEnd::Done)}};
+  milliseconds UnderWay(0);
+  bool Restarts = false;
+  SUBCASE("read at once") {}
+  SUBCASE("read after a freeze") { UnderWay = milliseconds(2000); }
+  SUBCASE("read after a freeze in which the worker restarted") {
+    UnderWay = milliseconds(2000);
+    Restarts = true;
+  }
+  SUBCASE("delayed by a slow connection") { UnderWay = milliseconds(1200); }
+  B.advance(UnderWay);
+  B.Owner.onReport(Frozen, Answer, SentAt, B.Now);
+  bool IsNew = UnderWay == milliseconds(0);
+  CHECK(B.planConfirmed(ConfirmedAt).Starts.size() == (IsNew ? 1 : 0));
+  B.advance(milliseconds(30));
+  HoldOrder Asked = holdFor(B.planConfirmed(ConfirmedAt), "w1");
+  REQUIRE(Asked.Worker == "w1");
+  B.advance(milliseconds(20));
+  if (!IsNew)
+    B.report(Asked, {}, Restarts ? 2 : 1);
+  CHECK(B.planConfirmed(ConfirmedAt).Starts.size() ==
+        (IsNew || Restarts ? 0 : 1));
+}
+
+// AVAIL: the same report counted for the others of the step being at work.
+TEST_CASE(
+    "a lasting task isn't moved for a report on another one that was made "
+    "before its owner was frozen") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2", "w3"});
+  B.plan();
+  for (const char *Id : {"w1", "w2", "w3"})
+    B.report(Id);
+  JobSpec Spec = sampleJob(1, 2);
+  Spec.Steps[0].Lasting = true;
+  Spec.Steps[0].MaxPerWorker = 1;
+  Spec.Steps[0].AbsenceAllowance = 1;
+  B.Owner.addJob(Spec, B.Now);
+  B.Owner.setClosedWorkers({"w3"});
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 2);
+  std::map<std::string, RunReport> Runs;
+  for (const StartOrder &Start : Out.Starts) {
+    B.answer(Start, OrderOutcome::Accepted);
+    Runs[Start.Worker] = runReportOf(Start, 100);
+  }
+  HoldOrder Frozen = holdFor(Out, "w2");
+  REQUIRE(Frozen.Worker == "w2");
+  core::TimePoint SentAt = B.Now;
+  B.advance(milliseconds(700));
+  ReportResult Answer;
+  Answer.Outcome = OrderOutcome::Accepted;
+  Answer.Report = {B.clockMs(), 1, {Runs.at("w2")}, {}};
+  milliseconds UnderWay(0);
+  SUBCASE("read at once") {}
+  SUBCASE("read after a freeze") { UnderWay = milliseconds(2000); }
+  B.advance(UnderWay);
+  B.report("w1", {Runs.at("w1")});
+  B.report("w3");
+  B.Owner.onReport(Frozen, Answer, SentAt, B.Now);
+  B.Owner.setClosedWorkers({"w1"});
+  CHECK(B.plan().Stops.size() == (UnderWay == milliseconds(0) ? 1 : 0));
+  B.advance(milliseconds(20));
+  B.report("w2", {Runs.at("w2")});
+  CHECK(B.plan().Stops.size() == (UnderWay == milliseconds(0) ? 0 : 1));
+}
+
 // The repeated number made a worker that had restarted unseen forget an end.
 TEST_CASE("an end that a worker has been told to forget is not acknowledged "
           "again") {
