Take a worker for ended by the list of machines, not by the answer to an order

Cause: onMaintainEnded took a 200 for the end of the worker that was found empty last. An owner of the fleet that ends between an order and its record leaves the same to the next one.

Evidence: in the record of the case on the second order for the machine is answered with "200, it is already done", after which its worker gets no start.

Change: an end is told once a list that was requested after the order shows the machine without that worker; so are those of moves. Maintenance that was ordered and is listed since counts as begun, unless another wave names the machine: the wave stood still and the next worker was closed until an answer came. A worker that was closed for maintenance done before is opened as a list shows it up; its closing used to renew its release for 13 s more.

The new tests fail before: the next worker ended for both ways to a repeated 200, and no order for the next machine within 20 s. The one for taking back was written with the fix.

--- a/src/dispatch/FleetControl.cpp
+++ b/src/dispatch/FleetControl.cpp
@@ -41,8 +41,9 @@
 FleetControl::FleetControl(Context &Ctx, FleetView &View, Ownership &Owners,
                            Peers &PeerCalls)
     : Ctx_(Ctx), View_(View), Owners_(Owners), Peers_(PeerCalls), Cache_(Ctx),
+      Ends_(PeerCalls, Cache_),
       Rebalancer_(
-          Ctx, View, PeerCalls, Cache_,
+          Ctx, View, PeerCalls, Cache_, Ends_,
           {[this](const std::string &Id) { return isInMaintenance(Id); },
            [this] { return mayOrder(); }}) {}
 
@@ -55,6 +56,7 @@
   Token_ = Token;
   Waves_.clear();
   Cache_.invalidate();
+  Ends_.reset();
   Rebalancer_.reset();
   // If an earlier process of this entry owned the fleet last, no other entry
   // has given orders since.
@@ -69,6 +71,7 @@
     reset(Owners_.fleetToken());
   if (Token_ == 0)
     return;
+  Ends_.report();
   for (const auto &[Name, Wave] : View_.waves()) {
     WaveProgress &Status = Waves_[Name];
     if (Status.Completed)
@@ -175,6 +178,8 @@
     Status.Published = true;
     storeProgress(Wave.Name);
   }
+  noteBegun(Wave, Status);
+  reopen(Status);
   std::vector<jobs::WaveMachine> Machines = describe(Wave, Status);
   bool AllDone = std::all_of(Machines.begin(), Machines.end(),
                              [](const auto &M) { return M.Done; });
@@ -204,6 +209,58 @@
     maintain(Wave.Name, Id);
 }
 
+/// Whether another wave may have ordered the machine's maintenance.
+bool FleetControl::isInOtherWave(const std::string &Wave,
+                                 const std::string &Machine) const {
+  auto Names = [&Machine](const std::vector<std::string> &Machines) {
+    return std::find(Machines.begin(), Machines.end(), Machine) !=
+           Machines.end();
+  };
+  return std::any_of(View_.waves().begin(), View_.waves().end(),
+                     [&](const auto &Item) {
+                       return Item.first != Wave && Names(Item.second.Machines);
+                     }) ||
+         std::any_of(Waves_.begin(), Waves_.end(), [&](const auto &Item) {
+           return Item.first != Wave && Item.second.Machines.contains(Machine);
+         });
+}
+
+/// Takes note of maintenance that was ordered and that a later list of machines
+/// shows: the answer may be late or lost.
+void FleetControl::noteBegun(const WaveRequest &Wave, WaveProgress &Status) {
+  bool Noted = false;
+  for (auto &[Id, P] : Status.Machines) {
+    const Machine *M = Cache_.find(Id);
+    if (P.Done || !P.OrderedAt || !M || M->State != MachineState::Maintenance ||
+        *Cache_.listedAt() <= *P.OrderedAt || isInOtherWave(Wave.Name, Id))
+      continue;
+    P.Done = Noted = true;
+    P.DoneAt = bootNow();
+    logEvent("maintain_listed", {{"wave", Wave.Name}, {"machine", Id}});
+  }
+  if (Noted)
+    storeProgress(Wave.Name);
+}
+
+/// Has workers opened that were closed for maintenance which had been done
+/// before: a list that was requested since shows them up.
+void FleetControl::reopen(WaveProgress &Status) {
+  std::map<std::string, CloseRequest> ByPool;
+  for (auto &[Id, P] : Status.Machines) {
+    const Machine *M = Cache_.find(Id);
+    if (!P.Done || !P.Closing || !M || M->State != MachineState::Up ||
+        *Cache_.listedAt() <= P.DoneAt)
+      continue;
+    P.Closing = false;
+    if (M->Worker == P.ClearWorker)
+      ByPool[M->Pool].TakeBack.push_back(M->Worker);
+  }
+  for (auto &[Pool, Request] : ByPool) {
+    Request.By.FleetToken = Token_;
+    Peers_.askClose(Pool, Request, [](const CloseAnswer &) {});
+  }
+}
+
 /// Repeats the close requests, since an owner reopens a worker whose closing is
 /// not renewed.
 void FleetControl::close(const std::vector<jobs::WaveMachine> &Machines,
@@ -241,6 +298,7 @@
   MachineProgress &P = Waves_[Wave].Machines[Id];
   P.InFlight = true;
   P.OrderedAt = bootNow();
+  Ends_.expect(Id, *P.OrderedAt);
   logEvent("maintain", {{"wave", Wave}, {"machine", Id}, {"token", Token_}});
   Ctx_.Machines->maintain(
       Id, Wave, Token_,
@@ -262,8 +320,10 @@
              {{"wave", Wave}, {"machine", Id}, {"outcome", nameOf(Outcome)}});
   switch (Outcome) {
   case MachineOrderOutcome::Done:
+    if (P.Done)
+      return;
     P.Done = true;
-    reportEnded(Id, P.ClearWorker);
+    P.DoneAt = bootNow();
     storeProgress(Wave);
     return;
   case MachineOrderOutcome::Fenced:
@@ -281,17 +341,6 @@
   }
 }
 
-/// Tells the pool's owner that the worker has ended with its machine.
-void FleetControl::reportEnded(const std::string &Machine,
-                               const std::string &Worker) {
-  const dispatch::Machine *M = Cache_.find(Machine);
-  if (!M || Worker.empty())
-    return;
-  CloseRequest Request;
-  Request.Ended = {Worker};
-  Peers_.askClose(M->Pool, Request, [](const CloseAnswer &) {});
-}
-
 /// Stores the wave's progress for later fleet owners, then publishes it to
 /// operators.
 void FleetControl::storeProgress(const std::string &Wave) {
--- a/src/dispatch/FleetControl.h
+++ b/src/dispatch/FleetControl.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_DISPATCH_FLEETCONTROL_H
 #define COMFREYDECK_DISPATCH_FLEETCONTROL_H
 
+#include "dispatch/OrderedEnds.h"
 #include "dispatch/PoolRebalancer.h"
 #include "jobs/WavePlan.h"
 
@@ -28,7 +29,10 @@
     /// tasks since.
     std::uint64_t ClearToken = 0;
     bool InFlight = false;
+    /// Its maintenance has begun.
     bool Done = false;
+    /// When this owner learned of that.
+    core::TimePoint DoneAt;
     std::optional<core::TimePoint> OrderedAt;
   };
   struct WaveProgress {
@@ -52,7 +56,9 @@
   void maintain(const std::string &Wave, const std::string &Machine);
   void onMaintainEnded(const std::string &Wave, const std::string &Machine,
                        MachineOrderOutcome Outcome);
-  void reportEnded(const std::string &Machine, const std::string &Worker);
+  void noteBegun(const WaveRequest &Wave, WaveProgress &Status);
+  bool isInOtherWave(const std::string &Wave, const std::string &Machine) const;
+  void reopen(WaveProgress &Status);
   void storeProgress(const std::string &Wave);
   void publishStatus(const std::string &Wave, bool Completed);
   bool isInMaintenance(const std::string &Machine) const;
@@ -65,6 +71,7 @@
   core::TimePoint OrdersFrom_;
   std::map<std::string, WaveProgress> Waves_;
   MachineCache Cache_;
+  OrderedEnds Ends_;
   PoolRebalancer Rebalancer_;
 };
 
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -116,8 +116,13 @@
     ClosedWorkers_[Id] = {Now, true, Request.By};
   for (const std::string &Id : Request.Ended)
     State_.endIncarnation(Id);
-  for (const std::string &Id : Request.TakeBack)
+  for (const std::string &Id : Request.TakeBack) {
+    auto Closed = ClosedWorkers_.find(Id);
+    if (Closed != ClosedWorkers_.end() &&
+        Closed->second.By.FleetToken == Request.By.FleetToken)
+      ClosedWorkers_.erase(Closed);
     State_.takeBackWorker(Id, Request.By);
+  }
   applyClosed();
   ClosedWorkers Result;
   for (const auto *Asked : {&Request.Drain, &Request.Evict, &Request.Release})
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -40,7 +40,7 @@
   std::vector<std::string> Ended;
   /// Workers that are closed only if they are empty.
   std::vector<std::string> Release;
-  /// Released workers whose machines are not taken away.
+  /// Closed or released workers whose machines are not taken away.
   std::vector<std::string> TakeBack;
   /// Of the fleet's owner, which asks.
   jobs::ReleaseRequest By;
--- a/src/dispatch/PoolRebalancer.cpp
+++ b/src/dispatch/PoolRebalancer.cpp
@@ -28,8 +28,9 @@
 } // namespace
 
 PoolRebalancer::PoolRebalancer(Context &Ctx, FleetView &View, Peers &PeerCalls,
-                               MachineCache &Cache, FleetChecks Checks)
-    : Ctx_(Ctx), View_(View), Peers_(PeerCalls), Cache_(Cache),
+                               MachineCache &Cache, OrderedEnds &Ends,
+                               FleetChecks Checks)
+    : Ctx_(Ctx), View_(View), Peers_(PeerCalls), Cache_(Cache), Ends_(Ends),
       Checks_(std::move(Checks)) {}
 
 void PoolRebalancer::reset() {
@@ -206,6 +207,8 @@
                     {"from", Move.From},
                     {"to", Move.To},
                     {"token", Token_}});
+  if (!Order.Worker.empty())
+    Ends_.expect(Move.Machine, bootNow());
   Ctx_.Machines->move(
       Move.Machine, Move.To, Token_,
       [this, Order, Token = Token_](MachineOrderOutcome Outcome) {
@@ -219,11 +222,6 @@
 void PoolRebalancer::onMoveEnded(const WorkerMove &Order,
                                  MachineOrderOutcome Outcome) {
   const jobs::MachineMove &Move = Order.Move;
-  if (Outcome == MachineOrderOutcome::Done && !Order.Worker.empty()) {
-    CloseRequest Request;
-    Request.Ended = {Order.Worker};
-    Peers_.askClose(Move.From, Request, [](const CloseAnswer &) {});
-  }
   if (Outcome == MachineOrderOutcome::Done ||
       Outcome == MachineOrderOutcome::Unknown)
     return;
--- a/src/dispatch/PoolRebalancer.h
+++ b/src/dispatch/PoolRebalancer.h
@@ -1,8 +1,7 @@
 #ifndef COMFREYDECK_DISPATCH_POOLREBALANCER_H
 #define COMFREYDECK_DISPATCH_POOLREBALANCER_H
 
-#include "dispatch/MachineCache.h"
-#include "dispatch/Peers.h"
+#include "dispatch/OrderedEnds.h"
 #include "jobs/PoolSizes.h"
 
 #include <span>
@@ -22,7 +21,7 @@
 class PoolRebalancer {
 public:
   PoolRebalancer(Context &Ctx, FleetView &View, Peers &PeerCalls,
-                 MachineCache &Cache, FleetChecks Checks);
+                 MachineCache &Cache, OrderedEnds &Ends, FleetChecks Checks);
 
   /// Requests the pools' loads and orders the resulting moves.
   void tick(std::uint64_t Token);
@@ -66,6 +65,7 @@
   FleetView &View_;
   Peers &Peers_;
   MachineCache &Cache_;
+  OrderedEnds &Ends_;
   FleetChecks Checks_;
   std::uint64_t Token_ = 0;
   /// Number of the last request for releases.
--- a/tests/dispatch/ReleasedWorkerTest.cpp
+++ b/tests/dispatch/ReleasedWorkerTest.cpp
@@ -39,6 +39,12 @@
 struct UnansweredMachines : MachineControl {
   static constexpr std::size_t Count = 4;
   static constexpr const char *NewWorker = "w9";
+  /// Answers to orders for upkeeps of m1 that are lost.
+  std::atomic<std::uint32_t> LostAnswers = 0;
+  /// Lists that show m1 during its upkeep.
+  std::atomic<std::uint32_t> ListsInUpkeep = 0;
+  std::atomic<std::uint32_t> UpkeepsAnswered = 0;
+  std::atomic<bool> IsNextOrdered = false;
   std::mutex Mutex;
   /// Workers whose machines were ordered to move.
   std::vector<std::string> Moving;
@@ -53,6 +59,10 @@
       M.Pool = "p";
       M.State = MachineState::Up;
       M.Worker = N == 1 && IsMaintained ? NewWorker : "w" + std::to_string(N);
+      if (N == 1 && IsMaintained && ListsInUpkeep > 0) {
+        --ListsInUpkeep;
+        M.State = MachineState::Maintenance;
+      }
       List.Machines.push_back(M);
     }
     Done(List);
@@ -61,7 +71,14 @@
                 std::function<void(MachineOrderOutcome)> Done) override {
     bool IsFirst = Machine == "m1";
     IsMaintained = IsMaintained || IsFirst;
+    IsNextOrdered = IsNextOrdered || !IsFirst;
+    if (IsFirst && LostAnswers > 0) {
+      --LostAnswers;
+      Done(MachineOrderOutcome::Unknown);
+      return;
+    }
     Done(IsFirst ? MachineOrderOutcome::Done : MachineOrderOutcome::Busy);
+    UpkeepsAnswered += IsFirst ? 1 : 0;
   }
   void move(const std::string &Machine, const std::string &, std::uint64_t,
             std::function<void(MachineOrderOutcome)>) override {
@@ -242,3 +259,80 @@
   }
   CHECK_FALSE(WasClosed);
 }
+
+// LOST: the worker that was up when an order was answered counted as ended.
+TEST_CASE("the worker that follows one whose machine was taken down gets tasks "
+          "though the order is answered as done already") {
+  FleetFixture B(false);
+  B.Store.put({"op", "", "wave"}, "");
+  bool ByEarlierOwner = false;
+  SUBCASE("as the first answer was lost") { B.Machines.LostAnswers = 1; }
+  SUBCASE("as an earlier owner of the fleet had given it") {
+    ByEarlierOwner = true;
+    B.Machines.IsMaintained = true;
+  }
+  const std::string Worker = UnansweredMachines::NewWorker;
+  if (ByEarlierOwner) {
+    B.Store.remove({"servers", "", "w1"});
+    B.Store.put({"servers", "", Worker}, "");
+  }
+  B.start();
+  waitUntil(B.Loop, [&] { return B.Machines.IsMaintained.load(); });
+  if (!ByEarlierOwner) {
+    B.Store.remove({"servers", "", "w1"});
+    B.Store.put({"servers", "", Worker}, "");
+  }
+  waitUntil(B.Loop, [&] { return B.Machines.UpkeepsAnswered > 0; });
+  waitUntil(B.Loop, [&] {
+    const auto &Workers = B.Owners.controller("p")->state().workers();
+    auto Next = Workers.find(Worker);
+    return Next != Workers.end() && !Next->second->Ended &&
+           !Next->second->Closed;
+  });
+}
+
+// It was closed for 13 s more, until its release expired.
+TEST_CASE(
+    "a worker that was closed for maintenance gets tasks as soon as it is "
+    "taken back") {
+  constexpr std::chrono::milliseconds SeveralPlans(300);
+  constexpr std::uint64_t FleetToken = 3;
+  FleetFixture B(false);
+  B.start();
+  waitUntil(B.Loop, [&] {
+    auto Owner = B.Owners.controller("p");
+    return Owner && Owner->state().isSettled();
+  });
+  CloseRequest Request;
+  Request.By.FleetToken = FleetToken;
+  Request.Drain = {"w2"};
+  waitUntil(B.Loop, [&] {
+    ClosedWorkers Closed = B.Owners.controller("p")->closeWorkers(Request);
+    return !Closed.Clear.empty();
+  });
+  CHECK(B.isClosed(*B.Owners.controller("p"), "w2"));
+  std::swap(Request.Drain, Request.TakeBack);
+  runOn(B.Loop, [&] { B.Owners.controller("p")->closeWorkers(Request); });
+  CHECK_FALSE(B.isClosed(*B.Owners.controller("p"), "w2"));
+  std::this_thread::sleep_for(SeveralPlans);
+  CHECK_FALSE(B.isClosed(*B.Owners.controller("p"), "w2"));
+}
+
+// The next worker was closed, and the wave stood still, until an answer came.
+TEST_CASE(
+    "a wave goes on once the list of machines shows an upkeep whose order "
+    "has no answer") {
+  constexpr std::uint32_t Always = 1000;
+  FleetFixture B(false);
+  B.Store.put({"op", "", "wave"}, "");
+  B.Machines.LostAnswers = Always;
+  B.Machines.ListsInUpkeep = 3;
+  B.start();
+  waitUntil(B.Loop, [&] { return B.Machines.IsMaintained.load(); });
+  const std::string Worker = UnansweredMachines::NewWorker;
+  B.Store.remove({"servers", "", "w1"});
+  B.Store.put({"servers", "", Worker}, "");
+  waitUntil(B.Loop, [&] { return B.Machines.IsNextOrdered.load(); });
+  CHECK(B.Machines.LostAnswers == Always - 1);
+  CHECK_FALSE(B.isClosed(*B.Owners.controller("p"), Worker));
+}
