Leave a team's limit to a pool with room while other pools have none

Cause: a pool's demand counts waiting tasks whether or not there is room for them, and a pool whose part is large enough for its tasks has no need of its own and so made way for none.

Change: what a pool holds beyond its runs and what it has room to start goes to the pool whose turn it is. Needs are told only for work with room, so that full pools pass no part to and fro. Room for lasting tasks and gangs is what lasting tasks leave, since room is kept for them. Demand is asked for as before.

The limit itself is kept as before: what is given counts as gone before it is written, and never includes what runs.

The new test of allotments fails before: the tasks in the idle pool don't start within 20 s. Those of the parts' rules test functions that are new.

--- a/src/dispatch/TeamAllotments.cpp
+++ b/src/dispatch/TeamAllotments.cpp
@@ -135,6 +135,10 @@
       jobs::wantedPart(Pool, Next.ByPool, Team.UpperLimit, Use, Demand);
   Wanted = jobs::leaveToTurn(Pool, Wanted, Next.ByPool, Needs, Watch,
                              Team.UpperLimit, Use);
+  if (jobs::isOthersTurn(Pool, Needs, Watch))
+    Wanted = jobs::leaveUnusable(
+        Pool, Wanted, Next.ByPool, Needs, Watch, Team.UpperLimit, Use,
+        State.teamStartable(Team.Name, Ctx_.Clock.nowMs()));
   // Runs of earlier owners that are not known yet count as well.
   if (!State.isSettled())
     Wanted = jobs::largerOf(Wanted, Held);
--- a/src/jobs/PoolLoad.cpp
+++ b/src/jobs/PoolLoad.cpp
@@ -68,14 +68,6 @@
   return It == Teams_.end() ? core::Resources{} : It->second.Use;
 }
 
-/// Tasks that start together, or alone.
-struct PoolState::WaitingUnit {
-  const StepSpec *Step = nullptr;
-  std::uint32_t Tasks = 1;
-  /// Number of such units.
-  std::uint32_t Count = 1;
-};
-
 /// The team's units that wait and may start soon.
 std::vector<PoolState::WaitingUnit>
 PoolState::waitingUnits(const TeamState &Team, std::int64_t WallMs) const {
@@ -169,22 +161,6 @@
           Within(Demand.Accelerators, Left.Accelerators)};
 }
 
-std::vector<core::Resources> PoolState::teamUnits(const std::string &Team,
-                                                  std::int64_t WallMs) const {
-  auto Wanted = Teams_.find(Team);
-  if (Wanted == Teams_.end())
-    return {};
-  core::Resources Left = capacityBeside(Wanted->second);
-  std::vector<core::Resources> Units;
-  for (const WaitingUnit &Unit : waitingUnits(Wanted->second, WallMs)) {
-    core::Resources Need = needOf(Unit, false);
-    if (core::fits(needOf(Unit, true), Left) &&
-        (Units.empty() || Units.back() != Need))
-      Units.push_back(Need);
-  }
-  return Units;
-}
-
 PoolLoad PoolState::load(core::TimePoint Now, std::int64_t WallMs) const {
   // Jobs older than this are already late; additional machines would arrive
   // too late for them, except for lasting tasks.
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -159,8 +159,13 @@
   /// runs. \p WallMs is the time of day, in Unix milliseconds.
   core::Resources teamDemand(const std::string &Team,
                              std::int64_t WallMs) const;
-  /// What the tasks of that demand need of the team's limit to start: each
-  /// alone, a gang as a whole. Equal ones may be left out.
+  /// The part of that demand for which there is room: beside all runs, or, as
+  /// room is kept for lasting tasks and gangs, beside those that don't end by
+  /// themselves.
+  core::Resources teamStartable(const std::string &Team,
+                                std::int64_t WallMs) const;
+  /// What the tasks for which there is such room need of the team's limit to
+  /// start: each alone, a gang as a whole. Equal ones may be left out.
   std::vector<core::Resources> teamUnits(const std::string &Team,
                                          std::int64_t WallMs) const;
 
@@ -309,11 +314,29 @@
   void noteOpenOutcomes(core::TimePoint Now);
   void clearLost(const std::string &Worker);
   void settleUnknown(const SuspectRun &Run);
-  struct WaitingUnit;
+  /// Tasks that start together, or alone.
+  struct WaitingUnit {
+    const StepSpec *Step = nullptr;
+    std::uint32_t Tasks = 1;
+    /// Number of such units.
+    std::uint32_t Count = 1;
+  };
+  /// What a worker that takes starts has left.
+  struct HostRoom {
+    const WorkerState *Worker = nullptr;
+    core::Resources Now;
+    /// Once all that ends by itself has ended.
+    core::Resources Later;
+  };
   std::vector<WaitingUnit> waitingUnits(const TeamState &Team,
                                         std::int64_t WallMs) const;
   core::Resources capacityBeside(const TeamState &Team) const;
   static core::Resources needOf(const WaitingUnit &Unit, bool OfWorkers);
+  static core::Resources heldByLasting(const WorkerState &W);
+  std::vector<HostRoom> hostRooms() const;
+  static std::uint32_t spreadLeft(const WorkerState &W, const StepSpec &Step);
+  static std::uint32_t takeRoom(std::span<HostRoom> Rooms, const StepSpec &Step,
+                                std::uint32_t Count);
   static std::pair<std::uint32_t, std::uint32_t> unitOf(const JobRecord &Job,
                                                         std::uint32_t Task);
   void inheritSuspicion(JobRecord &Job, core::TimePoint Now);
--- a/src/jobs/TeamAllotment.cpp
+++ b/src/jobs/TeamAllotment.cpp
@@ -54,6 +54,16 @@
   return Share;
 }
 
+/// The need whose turn it is; the end if it is nobody's.
+PoolNeeds::const_iterator findTurn(const PoolNeeds &Needs,
+                                   const TurnWatch &Watch) {
+  if (Watch.Turn == 0)
+    return Needs.end();
+  return std::find_if(Needs.begin(), Needs.end(), [&](const auto &Item) {
+    return Item.second.Turn == Watch.Turn;
+  });
+}
+
 } // namespace
 
 core::Resources roomOf(const std::string &Pool, const PoolParts &Parts,
@@ -152,18 +162,42 @@
   return {Part, Last + 1};
 }
 
+bool isOthersTurn(const std::string &Pool, const PoolNeeds &Needs,
+                  const TurnWatch &Watch) {
+  auto First = findTurn(Needs, Watch);
+  return First != Needs.end() && First->first != Pool;
+}
+
+core::Resources
+leaveUnusable(const std::string &Pool, const core::Resources &Wanted,
+              const PoolParts &Parts, const PoolNeeds &Needs,
+              const TurnWatch &Watch, const core::Resources &Limit,
+              const core::Resources &Use, const core::Resources &Startable) {
+  if (!isOthersTurn(Pool, Needs, Watch) || Needs.contains(Pool))
+    return Wanted;
+  auto First = findTurn(Needs, Watch);
+  core::Resources Theirs = held(First->first, Parts);
+  bool Lacks = std::any_of(std::begin(Kinds), std::end(Kinds), [&](Part Kind) {
+    return Limit.*Kind > 0 && First->second.Part.*Kind > Theirs.*Kind;
+  });
+  if (!Lacks)
+    return Wanted;
+  core::Resources Usable;
+  for (Part Kind : Kinds)
+    Usable.*Kind = static_cast<std::uint32_t>(std::min<std::uint64_t>(
+        std::uint64_t{Use.*Kind} + Startable.*Kind, Unbounded));
+  return smallerOf(Wanted, Usable);
+}
+
 core::Resources leaveToTurn(const std::string &Pool,
                             const core::Resources &Wanted,
                             const PoolParts &Parts, const PoolNeeds &Needs,
                             const TurnWatch &Watch,
                             const core::Resources &Limit,
                             const core::Resources &Use) {
-  auto First = std::find_if(Needs.begin(), Needs.end(), [&](const auto &Item) {
-    return Item.second.Turn == Watch.Turn;
-  });
-  if (Watch.Turn == 0 || First == Needs.end() || First->first == Pool ||
-      Needs.count(Pool) == 0)
+  if (!isOthersTurn(Pool, Needs, Watch) || !Needs.contains(Pool))
     return Wanted;
+  auto First = findTurn(Needs, Watch);
   core::Resources Mine = held(Pool, Parts);
   core::Resources Theirs = held(First->first, Parts);
   core::Resources Left = Wanted;
--- a/src/jobs/TeamAllotment.h
+++ b/src/jobs/TeamAllotment.h
@@ -79,6 +79,20 @@
                             const core::Resources &Limit,
                             const core::Resources &Use);
 
+/// Limits the part that a pool wants which holds enough to start something, if
+/// it had room: it leaves what it can't use to the pool whose turn it is, as
+/// long as that one lacks any. \p Startable is what the pool could start with
+/// now, beside \p Use. Thread-safe.
+core::Resources
+leaveUnusable(const std::string &Pool, const core::Resources &Wanted,
+              const PoolParts &Parts, const PoolNeeds &Needs,
+              const TurnWatch &Watch, const core::Resources &Limit,
+              const core::Resources &Use, const core::Resources &Startable);
+
+/// Whether it is another pool's turn. Thread-safe.
+bool isOthersTurn(const std::string &Pool, const PoolNeeds &Needs,
+                  const TurnWatch &Watch);
+
 /// The larger amount of each resource. Thread-safe.
 core::Resources largerOf(const core::Resources &A, const core::Resources &B);
 
--- a/tests/dispatch/TeamAllotmentsTest.cpp
+++ b/tests/dispatch/TeamAllotmentsTest.cpp
@@ -156,17 +156,26 @@
   }
   /// Adds a gang of 6,000 to the pool, and waits until its owner knows it.
   void addGang(const std::string &Pool) {
+    jobs::JobSpec Spec = jobOf("t", 6);
+    Spec.Steps[0].Gang = true;
+    add(Pool, Spec);
+  }
+  /// A job of tasks of 1,000.
+  static jobs::JobSpec jobOf(const std::string &Team, std::uint32_t Tasks) {
     jobs::JobSpec Spec;
+    Spec.Team = Team;
+    Spec.Steps.resize(1);
+    Spec.Steps[0].Tasks = Tasks;
+    Spec.Steps[0].Need = {1000, 100, 0};
+    Spec.Steps[0].EstimateMs = 1000;
+    return Spec;
+  }
+  /// Adds the job to the pool, and waits until its owner knows it.
+  void add(const std::string &Pool, jobs::JobSpec Spec) {
     Spec.Id = "000000000000000" + std::to_string(++Jobs);
     Spec.Pool = Pool;
-    Spec.Team = "t";
     Spec.Payload = "text";
     Spec.AcceptedMs = wallMs();
-    Spec.Steps.resize(1);
-    Spec.Steps[0].Tasks = 6;
-    Spec.Steps[0].Need = {1000, 100, 0};
-    Spec.Steps[0].EstimateMs = 1000;
-    Spec.Steps[0].Gang = true;
     Store.put({rows::Jobs, rows::jobPart(Spec.Id), Spec.Id},
               codec::encodeJob(Spec));
     waitUntil(Loop, [&] {
@@ -216,3 +225,22 @@
   Losing = false;
   waitUntil(B.Loop, [&] { return B.Workers.count() == 6; });
 }
+
+// LOST: a team's tasks that waited for room held its whole limit.
+TEST_CASE(
+    "a team's tasks start in an idle pool while others of it wait for room "
+    "in a full one") {
+  AllotmentsFixture B(R"({"p":[0,0,0],"q":[0,0,0]})");
+  jobs::JobSpec Filling = AllotmentsFixture::jobOf("", 8);
+  Filling.Steps[0].Lasting = true;
+  B.add("p", Filling);
+  waitUntil(B.Loop, [&] { return B.Workers.count() == 8; });
+  B.startAllotments();
+  B.add("p", AllotmentsFixture::jobOf("t", 8));
+  B.add("p", AllotmentsFixture::jobOf("t", 8));
+  waitUntil(B.Loop, [&] { return B.stored().ByPool.at("p").MilliCpus > 0; });
+  B.add("q", AllotmentsFixture::jobOf("t", 7));
+  waitUntil(B.Loop, [&] { return B.Workers.count() == 8 + 7; });
+  TeamAllotment Row = B.stored();
+  CHECK(Row.ByPool.at("p").MilliCpus + Row.ByPool.at("q").MilliCpus <= Limit);
+}
--- a/tests/jobs/TeamAllotmentTest.cpp
+++ b/tests/jobs/TeamAllotmentTest.cpp
@@ -104,6 +104,10 @@
     std::uint32_t Use = 0;
     /// Zero if nothing waits.
     std::uint32_t Unit = 0;
+    /// Number of such units.
+    std::uint32_t Count = 1;
+    /// Whether its workers have room for them.
+    bool HasRoom = true;
     TurnWatch Watch;
   };
   core::Resources Limit{1000, 0, 0};
@@ -111,6 +115,8 @@
   PoolNeeds Needs;
   std::map<std::string, Pool> Pools;
   core::TimePoint Now{};
+  /// Changes of a pool's part so far.
+  std::uint32_t Changes = 0;
 
   /// Each pool adjusts its part in turn.
   void adjustAll() {
@@ -125,22 +131,34 @@
   void adjust(const std::string &Name, Pool &P) {
     core::Resources Use{P.Use, 0, 0};
     core::Resources Unit{P.Unit, 0, 0};
+    core::Resources Demand{P.Unit * P.Count, 0, 0};
     std::vector<core::Resources> Units;
-    if (P.Unit > 0)
+    if (P.Unit > 0 && P.HasRoom)
       Units.push_back(Unit);
     watchTurn(P.Watch, Needs, Now);
     std::optional<core::Resources> Need =
         neededPart(Parts[Name], Limit, Use, Units);
     core::Resources Wanted =
-        leaveToTurn(Name, wantedPart(Name, Parts, Limit, Use, Unit), Parts,
+        leaveToTurn(Name, wantedPart(Name, Parts, Limit, Use, Demand), Parts,
                     Needs, P.Watch, Limit, Use);
+    Wanted = leaveUnusable(Name, Wanted, Parts, Needs, P.Watch, Limit, Use,
+                           P.HasRoom ? Demand : core::Resources());
     REQUIRE(Wanted.MilliCpus >= P.Use);
     if (Need)
       Needs[Name] = needToStore(Name, Needs, P.Watch, *Need);
     else
       Needs.erase(Name);
+    Changes += Parts[Name] == Wanted ? 0 : 1;
     Parts[Name] = Wanted;
   }
+  /// Starts what the pool can.
+  void start(const std::string &Name) {
+    Pool &P = Pools[Name];
+    while (P.Count > 0 && P.HasRoom && mayStart(Name)) {
+      P.Use += P.Unit;
+      --P.Count;
+    }
+  }
   bool mayStart(const std::string &Name) {
     const Pool &P = Pools[Name];
     return P.Unit > 0 && Parts[Name].MilliCpus >= P.Use + P.Unit;
@@ -339,3 +357,80 @@
                              B.Owner.teamDemand("team2", 0));
   CHECK(Parts["pool"].MilliCpus == 8000 + Limit / 16);
 }
+
+// LOST: work that waits for room held a team's whole limit, and used none.
+TEST_CASE(
+    "pools whose work has no room leave their team's limit to a pool with "
+    "room, and get it back") {
+  SharedLimit B;
+  for (const char *Full : {"a", "c"}) {
+    B.Pools[Full].Unit = 100;
+    B.Pools[Full].Count = 16;
+    B.Pools[Full].HasRoom = false;
+  }
+  B.adjustAll();
+  B.adjustAll();
+  std::uint32_t Before = B.Changes;
+  for (int Round = 0; Round < 100; ++Round)
+    B.adjustAll();
+  CHECK(B.Changes == Before);
+  SharedLimit::Pool &Idle = B.Pools["b"];
+  Idle.Unit = 100;
+  Idle.Count = 9;
+  for (int Round = 0; Round < 8; ++Round) {
+    B.adjustAll();
+    B.start("b");
+  }
+  CHECK(Idle.Use == 900);
+  Idle.Unit = Idle.Count = 0;
+  Before = B.Changes;
+  for (int Round = 0; Round < 100; ++Round)
+    B.adjustAll();
+  CHECK(B.Changes <= Before + 2);
+  Idle.Use = 0;
+  B.Pools["a"].HasRoom = true;
+  for (int Round = 0; Round < 16; ++Round) {
+    B.adjustAll();
+    B.start("a");
+  }
+  CHECK(B.Pools["a"].Use >= 900);
+}
+
+TEST_CASE(
+    "tasks need a part of their team's limit only where there is room for "
+    "them") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.report(holdFor(B.plan(), "w1"));
+  JobSpec Other = sampleJob(1);
+  Other.Steps[0].Need = {4000, 100, 0};
+  bool IsLasting = false;
+  SUBCASE("beside tasks that last") { IsLasting = true; }
+  SUBCASE("beside tasks that end") {}
+  Other.Steps[0].Lasting = IsLasting;
+  B.Owner.addJob(Other, B.Now);
+  REQUIRE(B.plan().Starts.size() == 1);
+  auto Add = [&](unsigned Number, bool Lasting, bool Gang) {
+    JobSpec Spec = sampleJob(Number, 2);
+    Spec.Team = "team" + std::to_string(Number);
+    Spec.Steps[0].Lasting = Lasting;
+    Spec.Steps[0].Gang = Gang;
+    B.Owner.addJob(Spec, B.Now);
+    return Spec.Team;
+  };
+  std::string Single = Add(2, false, false);
+  CHECK(B.Owner.teamStartable(Single, 0) == core::Resources{});
+  CHECK(B.Owner.teamUnits(Single, 0).empty());
+  JobSpec Spread = sampleJob(5, 3);
+  Spread.Team = "team5";
+  Spread.Steps[0].Need = {0, 100, 0};
+  Spread.Steps[0].MaxPerWorker = 1;
+  B.Owner.addJob(Spread, B.Now);
+  CHECK(B.Owner.teamStartable("team5", 0) == core::Resources{0, 100, 0});
+  // Room is kept for these until it is enough.
+  for (const std::string &Team : {Add(3, true, false), Add(4, false, true)}) {
+    CHECK(B.Owner.teamStartable(Team, 0) ==
+          (IsLasting ? core::Resources{} : core::Resources{2000, 200, 0}));
+    CHECK(B.Owner.teamUnits(Team, 0).size() == (IsLasting ? 0 : 1));
+  }
+}
