Count pending jobs in the pools to which a queue was routed before

Cause: the count asked the owner of the pool that the queue has now. Jobs stay in the pool for which they were accepted.

Change: each pool's owner stores the queues of jobs that wait there though they are routed elsewhere, with the version of the configuration by which it tells. A count asks the queue's pool, the pools that name it, and those that haven't told by the version in force. It is refused if one doesn't answer: a part of the sum is no count. The rows outlive owners, and entries that start later read them.

It costs a write for each pool and version of the configuration.

The tests' store answers long polls once a test changes the table; it never did, so that no test could change a configuration.

--- a/src/dispatch/Context.h
+++ b/src/dispatch/Context.h
@@ -51,6 +51,8 @@
 inline constexpr const char *LimitsPart = "limits";
 inline constexpr const char *PoolPrefix = "pool/";
 inline constexpr const char *OwnerKey = "owner";
+/// Queues of jobs that wait in a pool to which they are not routed any more.
+inline constexpr const char *StrayQueuesKey = "stray_queues";
 /// Progress of each pool's jobs, in the pool's partition.
 inline constexpr const char *Progress = "progress";
 /// Separates a job's id from the number of a further row of its progress.
--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -8,6 +8,7 @@
 #include "dispatch/OrderForwarder.h"
 #include "dispatch/OrderRelay.h"
 #include "dispatch/PeerMessages_p.h"
+#include "dispatch/StrayJobs.h"
 #include "dispatch/TeamAllotments.h"
 #include "net/HttpServer.h"
 
@@ -61,6 +62,7 @@
   Ownership Owners;
   Peers PeerCalls;
   TeamAllotments Allotments;
+  StrayJobs Stray;
   FleetControl Fleet;
   JobApi Api;
   EntryMonitor Monitor;
@@ -81,8 +83,9 @@
             Ports.Machines, Ports.Rows, Ports.Codec, Count,       Life},
         View(Ctx, [this](ViewChange What) { refresh(What); }),
         Owners(Ctx, View), PeerCalls(Ctx, View, Owners),
-        Allotments(Ctx, View, Owners), Fleet(Ctx, View, Owners, PeerCalls),
-        Api(Ctx, View, PeerCalls), Monitor(Ctx, Relay, Forwarder),
+        Allotments(Ctx, View, Owners), Stray(Ctx, View, Owners),
+        Fleet(Ctx, View, Owners, PeerCalls), Api(Ctx, View, PeerCalls),
+        Monitor(Ctx, Relay, Forwarder),
         CallerServer(
             serverOptions(Settings.Callers),
             [this](net::HttpRequest Request, net::HttpResponder Respond) {
--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -207,6 +207,7 @@
     EntriesBefore_.swap(Entries_);
     AgreedTimes_.clear();
     Pools_.clear();
+    Stray_.clear();
     Allotments_.clear();
   }
 }
@@ -244,6 +245,12 @@
       applyAllotmentRow(Key, Row);
     } else if (Key == rows::OwnerKey) {
       setPool(decodeOwner(Row));
+    } else if (Key == rows::StrayQueuesKey) {
+      std::string Pool = Part.substr(std::string_view(rows::PoolPrefix).size());
+      if (Row.Removed)
+        Stray_.erase(Pool);
+      else
+        setStrayQueues(Pool, decodeStrayQueues(Row));
     }
   } catch (const std::exception &E) {
     logEvent("control_row_unreadable", {{"key", Key}, {"error", E.what()}});
@@ -336,6 +343,30 @@
     Known = std::move(Pool);
 }
 
+void FleetView::setStrayQueues(const std::string &Pool, StrayQueues Stray) {
+  StrayQueues &Known = Stray_[Pool];
+  if (Stray.Version >= Known.Version)
+    Known = std::move(Stray);
+}
+
+const StrayQueues *FleetView::strayQueues(const std::string &Pool) const {
+  auto It = Stray_.find(Pool);
+  return It == Stray_.end() ? nullptr : &It->second;
+}
+
+std::vector<std::string>
+FleetView::poolsWithJobsOf(const jobs::Queue &Queue) const {
+  std::vector<std::string> Pools = {Queue.Pool};
+  for (const jobs::Pool &Pool : Config_->Pools) {
+    const StrayQueues *Stray = strayQueues(Pool.Name);
+    bool MayHave = !Stray || Stray->ConfigVersion < Config_->Version ||
+                   Stray->Names.contains(Queue.Name);
+    if (MayHave && Pool.Name != Queue.Pool)
+      Pools.push_back(Pool.Name);
+  }
+  return Pools;
+}
+
 void FleetView::setAllotment(const std::string &Team, TeamAllotment Allotment) {
   TeamAllotment &Known = Allotments_[Team];
   if (Allotment.Version >= Known.Version)
@@ -425,6 +456,20 @@
   return View;
 }
 
+std::string FleetView::strayQueuesValue(const StrayQueues &Stray) {
+  return Json({{"config", Stray.ConfigVersion}, {"queues", Stray.Names}})
+      .dump();
+}
+
+StrayQueues FleetView::decodeStrayQueues(const store::PartRow &Row) {
+  Json Object = Json::parse(Row.Value);
+  StrayQueues Stray;
+  Stray.ConfigVersion = Object.at("config").get<std::uint64_t>();
+  Stray.Names = Object.at("queues").get<std::set<std::string>>();
+  Stray.Version = Row.Version;
+  return Stray;
+}
+
 std::string FleetView::allotmentValue(const TeamAllotment &Allotment) {
   Json Object = Json::object();
   for (const auto &[Pool, Share] : Allotment.ByPool) {
--- a/src/dispatch/FleetView.h
+++ b/src/dispatch/FleetView.h
@@ -20,6 +20,15 @@
   std::uint64_t Version = 0;
 };
 
+/// Queues of jobs that wait in a pool though another one serves the queues, as
+/// the pool's owner has stored.
+struct StrayQueues {
+  /// Of the configuration by which the owner tells.
+  std::uint64_t ConfigVersion = 0;
+  std::set<std::string> Names;
+  std::uint64_t Version = 0;
+};
+
 /// The part of a view that changed.
 enum class ViewChange : std::uint8_t {
   /// Rows written by operators.
@@ -68,6 +77,12 @@
   std::vector<jobs::PoolView> pools() const;
   const jobs::PoolView *pool(const std::string &Name) const;
   const jobs::EntryView *entry(const std::string &Name) const;
+  /// Null if the pool's owner has not stored any.
+  const StrayQueues *strayQueues(const std::string &Pool) const;
+  /// Pools that may have jobs of the queue: its own, those whose owners have
+  /// stored that, and those whose owners haven't told by the configuration that
+  /// is in force here. Call with a queue of that configuration.
+  std::vector<std::string> poolsWithJobsOf(const jobs::Queue &Queue) const;
   const std::map<std::string, TeamAllotment> &allotments() const {
     return Allotments_;
   }
@@ -83,6 +98,7 @@
   /// back.
   void setPool(jobs::PoolView Pool);
   void setAllotment(const std::string &Team, TeamAllotment Allotment);
+  void setStrayQueues(const std::string &Pool, StrayQueues Stray);
   /// Applies a row of a team's allotments; one that can't be decoded is logged
   /// and ignored.
   void applyAllotmentRow(const std::string &Team, const store::PartRow &Row);
@@ -108,6 +124,9 @@
   /// read the parts of rows that have them. Throws nlohmann::json::exception.
   static TeamAllotment decodeAllotment(const store::PartRow &Row);
   static jobs::PoolView decodeOwner(const store::PartRow &Row);
+  static std::string strayQueuesValue(const StrayQueues &Stray);
+  /// Throws nlohmann::json::exception.
+  static StrayQueues decodeStrayQueues(const store::PartRow &Row);
 
 private:
   RowHandlers operatorHandlers();
@@ -142,6 +161,8 @@
   /// By entry.
   std::map<std::string, core::AgreedTime> AgreedTimes_;
   std::map<std::string, jobs::PoolView> Pools_;
+  /// By pool.
+  std::map<std::string, StrayQueues> Stray_;
   std::map<std::string, TeamAllotment> Allotments_;
   core::TimePoint ControlSeenAt_;
 };
--- a/src/dispatch/JobApi.cpp
+++ b/src/dispatch/JobApi.cpp
@@ -181,14 +181,31 @@
   });
 }
 
+/// Counts the queue's jobs at the owners of all pools that may have some: those
+/// accepted before its route was moved wait in another one. A part of the sum
+/// is no answer.
 void JobApi::countPending(const JobCallPtr &C) {
-  Peers_.askPending(
-      C->Queue->Pool, C->Queue->Name, [this, C](OwnerAnswer Answer) {
-        if (Answer.Answered)
-          Answers_.answer(*C, status::Ok, Ctx_.Codec.Pending(Answer.Pending));
-        else
-          Answers_.refuse(*C, status::Unavailable, "no-owner");
-      });
+  struct Count {
+    std::size_t Missing = 0;
+    std::uint32_t Pending = 0;
+  };
+  std::vector<std::string> Pools = View_.poolsWithJobsOf(*C->Queue);
+  auto Sum = std::make_shared<Count>();
+  Sum->Missing = Pools.size();
+  for (const std::string &Pool : Pools)
+    Peers_.askPending(
+        Pool, C->Queue->Name, [this, C, Sum](const OwnerAnswer &Answer) {
+          if (Sum->Missing == 0)
+            return;
+          if (!Answer.Answered) {
+            Sum->Missing = 0;
+            Answers_.refuse(*C, status::Unavailable, "no-owner");
+            return;
+          }
+          Sum->Pending += Answer.Pending;
+          if (--Sum->Missing == 0)
+            Answers_.answer(*C, status::Ok, Ctx_.Codec.Pending(Sum->Pending));
+        });
 }
 
 // Cancelling.
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -186,6 +186,24 @@
   return Count;
 }
 
+std::set<std::string> PoolState::strayQueues(const FleetConfig &Config) const {
+  std::map<std::string_view, bool> IsHere;
+  for (const JobRecord *Job : Open_) {
+    if (Job->Started)
+      continue;
+    auto [Known, IsNew] = IsHere.try_emplace(Job->Spec.Queue, false);
+    if (!IsNew)
+      continue;
+    const Queue *Routed = findQueueByName(Config, Job->Spec.Queue);
+    Known->second = Routed && Routed->Pool == Pool_;
+  }
+  std::set<std::string> Names;
+  for (const auto &[Name, Here] : IsHere)
+    if (!Here)
+      Names.emplace(Name);
+  return Names;
+}
+
 const StepSpec &PoolState::stepOf(const JobRecord &Job, std::uint32_t Task) {
   return Job.Spec.Steps[placeOf(Job, Task).Step];
 }
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -152,6 +152,9 @@
   static JobState shownState(const JobRecord &Job);
   /// Number of open jobs of the queue without a started task.
   std::uint32_t pending(const std::string &Queue) const;
+  /// Queues of open jobs without a started task that \p Config doesn't send to
+  /// this pool.
+  std::set<std::string> strayQueues(const FleetConfig &Config) const;
   /// Resources reserved by the team's runs in this pool.
   core::Resources teamUse(const std::string &Team) const;
   /// Additional resources that the team's waiting tasks need. A gang counts as
--- a/tests/dispatch/InMemoryStore.h
+++ b/tests/dispatch/InMemoryStore.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -38,18 +39,14 @@
 };
 
 /// A store in memory that answers immediately and refuses for good what the
-/// platform's store refuses as too long. Never answers a long poll for
-/// changes if there are none. Thread-safe.
+/// platform's store refuses as too long. A long poll is answered by the first
+/// change of its table that a test makes, or never. Thread-safe.
 class InMemoryStore : public store::PartitionedStore {
 public:
   void put(const store::PartKey &Where, const std::string &Value) {
-    std::lock_guard<std::mutex> Lock(Mutex_);
-    Rows_[Where] = {Where, Value, ++Version_, false};
-  }
-  void remove(const store::PartKey &Where) {
-    std::lock_guard<std::mutex> Lock(Mutex_);
-    Rows_[Where] = {Where, "", ++Version_, true};
+    change({Where, Value, 0, false});
   }
+  void remove(const store::PartKey &Where) { change({Where, "", 0, true}); }
   /// What the store's clock shows.
   static std::chrono::milliseconds clock() {
     return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -164,11 +161,39 @@
     store::PartAnswer Answer = answer([&](const store::PartRow &Row) {
       return Row.Where.Table == Table && Row.Version > After;
     });
-    if (!Answer.Rows.empty() || Wait == core::Duration::zero())
+    if (!Answer.Rows.empty() || Wait == core::Duration::zero()) {
       Done(std::move(Answer));
+      return;
+    }
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    Polls_.push_back({std::move(Table), Answer.Version, std::move(Done)});
   }
 
 private:
+  /// A long poll that has not been answered.
+  struct Poll {
+    std::string Table;
+    std::uint64_t After = 0;
+    store::PartCallback Done;
+  };
+
+  void change(store::PartRow Row) {
+    std::vector<Poll> Due;
+    {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      Row.Version = ++Version_;
+      Rows_[Row.Where] = Row;
+      auto Others =
+          std::partition(Polls_.begin(), Polls_.end(), [&](const Poll &P) {
+            return P.Table != Row.Where.Table;
+          });
+      std::move(Others, Polls_.end(), std::back_inserter(Due));
+      Polls_.erase(Others, Polls_.end());
+    }
+    for (Poll &P : Due)
+      changes(std::move(P.Table), P.After, core::Duration::zero(),
+              std::move(P.Done));
+  }
   bool isLosing() const {
     std::lock_guard<std::mutex> Lock(Mutex_);
     return FateOf_ != nullptr;
@@ -303,6 +328,7 @@
   std::set<store::PartKey> Refused_;
   std::uint32_t RefusedCommits_ = 0;
   std::vector<store::PartRow> Repeated_;
+  std::vector<Poll> Polls_;
   net::Loop *Loop_ = nullptr;
   std::function<CommitFate(std::uint32_t)> FateOf_;
   LostCommits Lost_;
