Take back the worker of a wave's last machine once the wave is completed

A worker that had been closed for maintenance done before was taken back only while its wave was going on; that of the last machine stayed released for 13 s.

The new test fails before: open after 13.03 s, when the release expires.

--- a/src/dispatch/FleetControl.cpp
+++ b/src/dispatch/FleetControl.cpp
@@ -74,6 +74,7 @@
   Ends_.report();
   for (const auto &[Name, Wave] : View_.waves()) {
     WaveProgress &Status = Waves_[Name];
+    reopen(Status);
     if (Status.Completed)
       continue;
     if (Status.Loaded)
@@ -179,7 +180,6 @@
     storeProgress(Wave.Name);
   }
   noteBegun(Wave, Status);
-  reopen(Status);
   std::vector<jobs::WaveMachine> Machines = describe(Wave, Status);
   bool AllDone = std::all_of(Machines.begin(), Machines.end(),
                              [](const auto &M) { return M.Done; });
--- a/tests/dispatch/ReleasedWorkerTest.cpp
+++ b/tests/dispatch/ReleasedWorkerTest.cpp
@@ -45,6 +45,8 @@
   std::atomic<std::uint32_t> ListsInUpkeep = 0;
   std::atomic<std::uint32_t> UpkeepsAnswered = 0;
   std::atomic<bool> IsNextOrdered = false;
+  /// The upkeep of others is answered as done, and takes none of them down.
+  std::atomic<bool> AreOthersDone = false;
   std::mutex Mutex;
   /// Workers whose machines were ordered to move.
   std::vector<std::string> Moving;
@@ -77,7 +79,8 @@
       Done(MachineOrderOutcome::Unknown);
       return;
     }
-    Done(IsFirst ? MachineOrderOutcome::Done : MachineOrderOutcome::Busy);
+    Done(IsFirst || AreOthersDone ? MachineOrderOutcome::Done
+                                  : MachineOrderOutcome::Busy);
     UpkeepsAnswered += IsFirst ? 1 : 0;
   }
   void move(const std::string &Machine, const std::string &, std::uint64_t,
@@ -318,6 +321,25 @@
   CHECK_FALSE(B.isClosed(*B.Owners.controller("p"), "w2"));
 }
 
+// With the wave's end nobody took it back, so that its release had to expire.
+TEST_CASE(
+    "the worker of a wave's last machine is taken back if the machine was "
+    "maintained before") {
+  FleetFixture B(false);
+  B.Store.put({"op", "", "wave"}, "");
+  B.Machines.AreOthersDone = true;
+  B.start();
+  waitUntil(B.Loop, [&] { return B.Machines.IsNextOrdered.load(); });
+  core::TimePoint ClosedAt;
+  waitUntil(B.Loop, [&] {
+    const jobs::WorkerState &Last =
+        *B.Owners.controller("p")->state().workers().at("w2");
+    ClosedAt = Last.Release.AskedAt.value_or(ClosedAt);
+    return !Last.Closed;
+  });
+  CHECK(bootNow() - ClosedAt < jobs::OwnerLimits().LateOrder);
+}
+
 // The next worker was closed, and the wave stood still, until an answer came.
 TEST_CASE(
     "a wave goes on once the list of machines shows an upkeep whose order "
