Log why a run counts as ended that no report has ended

run_presumed_ended names the run, the cause, what was known of its start and the age of the worker's last report. run_survived says that a report lists such a run after all: the sign that the cause was no proof. worker_unheard names the workers that a pool settled without.

--- a/src/dispatch/PoolEventLog.cpp
+++ b/src/dispatch/PoolEventLog.cpp
@@ -97,6 +97,17 @@
                             {"workers_not_listed", Count.NotListed},
                             {"workers_restarted", Count.Restarted},
                             {"waited_ms", Waited.count()}});
+  for (const auto &[Id, Worker] : State.workers())
+    if (!Worker->Heard)
+      logEvent("worker_unheard",
+               {{"worker", Id},
+                {"pool", Pool_},
+                {"token", Token_},
+                {"listed", Worker->Gone ? 0 : 1},
+                {"ended", Worker->Ended ? 1 : 0},
+                {"failed_reports", Worker->FailedReports},
+                {"asked_ms_ago",
+                 Worker->AskedAt ? core::inMs(Now - *Worker->AskedAt) : -1.0}});
 }
 
 void PoolEventLog::logLost(const char *Why) const {
@@ -163,6 +174,10 @@
     logLapsed(Lapsed);
   for (const jobs::CrashRecord &Record : Events.Crashes)
     logCrash(Record);
+  for (const jobs::PresumedEnd &End : Events.PresumedEnds)
+    logPresumedEnd(End);
+  for (const jobs::SurvivingRun &Survivor : Events.Survivors)
+    logSurvivor(Survivor);
   for (const jobs::ReleaseChange &Change : Events.Releases)
     logRelease(Change);
   for (const jobs::ClockAhead &Clock : Events.ClocksAhead)
@@ -288,6 +303,41 @@
                               {"token", Token_}});
 }
 
+void PoolEventLog::logPresumedEnd(const jobs::PresumedEnd &End) const {
+  logEvent(
+      "run_presumed_ended",
+      {{"job", End.Task.JobId},
+       {"occurrence", End.Task.Occurrence},
+       {"step", End.Task.Step},
+       {"index", End.Task.Index},
+       {"run", End.Run},
+       {"worker", End.Worker},
+       {"pool", Pool_},
+       {"token", Token_},
+       {"cause", jobs::nameOf(End.Cause)},
+       {"start", jobs::nameOf(End.Sign)},
+       {"age_ms", core::inMs(End.Age)},
+       {"report_age_ms", End.ReportAge ? core::inMs(*End.ReportAge) : -1.0}});
+}
+
+/// Logs a run that a report lists although it counted as ended, so that its
+/// task may have started again beside it.
+void PoolEventLog::logSurvivor(const jobs::SurvivingRun &Survivor) const {
+  const jobs::PresumedEnd &Presumed = Survivor.Presumed;
+  logEvent("run_survived",
+           {{"job", Presumed.Task.JobId},
+            {"occurrence", Presumed.Task.Occurrence},
+            {"step", Presumed.Task.Step},
+            {"index", Presumed.Task.Index},
+            {"run", Presumed.Run},
+            {"worker", Presumed.Worker},
+            {"pool", Pool_},
+            {"token", Token_},
+            {"cause", jobs::nameOf(Presumed.Cause)},
+            {"after_ms", core::inMs(Survivor.After)},
+            {"end", Survivor.End ? jobs::nameOf(*Survivor.End) : "running"}});
+}
+
 // Workers.
 
 void PoolEventLog::logStartRefused(const jobs::StartOrder &Order,
--- a/src/dispatch/PoolEventLog.h
+++ b/src/dispatch/PoolEventLog.h
@@ -23,8 +23,8 @@
   void logLoaded(const jobs::PoolState &State,
                  const jobs::OwnerHistory &Earlier,
                  std::int64_t ListAgeMs) const;
-  /// Logs that inherited tasks may start, with the time since the takeover, and
-  /// how many workers have reported by then.
+  /// Logs that inherited tasks may start, with the time since the takeover, how
+  /// many workers have reported by then, and one line for each that has not.
   void logSettled(const jobs::PoolState &State, core::TimePoint Now) const;
   void logLost(const char *Why) const;
 
@@ -45,8 +45,8 @@
                    std::uint64_t RowVersion) const;
 
   /// Takes the decisions since the last call from \p State and logs each: stops
-  /// of lasting tasks, the longest wait, restarts of workers, lapsed runs and
-  /// crashes.
+  /// of lasting tasks, the longest wait, restarts of workers, lapsed runs,
+  /// crashes, and runs that count as ended without a report of their end.
   void logDecisions(jobs::PoolState &State) const;
 
   void logStartRefused(const jobs::StartOrder &Order,
@@ -74,6 +74,8 @@
   void logRestart(const jobs::IncarnationChange &Change) const;
   void logLapsed(const jobs::LapsedRuns &Lapsed) const;
   void logCrash(const jobs::CrashRecord &Record) const;
+  void logPresumedEnd(const jobs::PresumedEnd &End) const;
+  void logSurvivor(const jobs::SurvivingRun &Survivor) const;
 
   std::string Pool_;
   std::uint64_t Token_;
--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_JOBS_JOBRECORD_H
 #define COMFREYDECK_JOBS_JOBRECORD_H
 
+#include "jobs/CrashLedger.h"
 #include "jobs/JobEnd.h"
 #include "jobs/RunPace.h"
 #include "jobs/Worker.h"
@@ -66,6 +67,15 @@
   }
 };
 
+/// What is known of the run's start.
+inline StartSign signOf(const LiveRun &Run) {
+  if (Run.Listed)
+    return StartSign::Listed;
+  if (Run.Confirmed)
+    return StartSign::Accepted;
+  return Run.Unclear ? StartSign::Unclear : StartSign::Sent;
+}
+
 struct TaskState {
   TaskProgress Kept;
   std::vector<LiveRun> Runs;
--- a/src/jobs/PoolCrashes.cpp
+++ b/src/jobs/PoolCrashes.cpp
@@ -40,14 +40,6 @@
   return StartSign::Unclear;
 }
 
-StartSign signOf(const LiveRun &Run) {
-  if (Run.Listed)
-    return StartSign::Listed;
-  if (Run.Confirmed)
-    return StartSign::Accepted;
-  return Run.Unclear ? StartSign::Unclear : StartSign::Sent;
-}
-
 } // namespace
 
 /// First and last task, exclusive, whose crashes count together: a gang's
@@ -316,7 +308,7 @@
                         Now);
     return Lost_.takeEnded(W.Entry.Id, Ended, NextBorn);
   };
-  dropEnded(W, TakeSuspects, NextBorn, Now);
+  dropEnded(W, PresumedCause::WorkerRestarted, TakeSuspects, NextBorn, Now);
 }
 
 /// Drops the runs of a worker at whose address another one answered, and counts
@@ -324,18 +316,19 @@
 void PoolState::dropReplaced(WorkerState &W, core::TimePoint Now) {
   noteUnheard(W);
   dropEnded(
-      W, [&] { return Lost_.takeOthers(W.Entry.Id, AnyIncarnation, 0); }, 0,
-      Now);
+      W, PresumedCause::WorkerReplaced,
+      [&] { return Lost_.takeOthers(W.Entry.Id, AnyIncarnation, 0); }, 0, Now);
 }
 
 /// An incarnation that left by order has not crashed.
 void PoolState::dropEnded(
-    WorkerState &W, const std::function<std::vector<LostRun>()> &TakeSuspects,
+    WorkerState &W, PresumedCause Cause,
+    const std::function<std::vector<LostRun>()> &TakeSuspects,
     std::int64_t NextBorn, core::TimePoint Now) {
   bool Left = W.Ended || W.Entry.Draining || W.Born == 0;
   CrashRecord Record = Left ? CrashRecord() : recordOf(W);
   recordLoss(W, Now);
-  dropRuns(W);
+  dropRuns(W, Cause);
   if (Left)
     clearLost(W.Entry.Id);
   settleLost(W, TakeSuspects(), std::move(Record), NextBorn, Now);
--- a/src/jobs/PoolEvents.h
+++ b/src/jobs/PoolEvents.h
@@ -4,6 +4,7 @@
 #include "jobs/CrashLedger.h"
 #include "jobs/JobEnd.h"
 #include "jobs/PoolMetrics.h"
+#include "jobs/PresumedEnd.h"
 #include "jobs/StopDecision.h"
 #include "jobs/WorkerRelease.h"
 
@@ -79,6 +80,8 @@
   std::vector<IncarnationChange> Restarts;
   std::vector<LapsedRuns> Lapsed;
   std::vector<CrashRecord> Crashes;
+  std::vector<PresumedEnd> PresumedEnds;
+  std::vector<SurvivingRun> Survivors;
   std::vector<ReleaseChange> Releases;
   /// The first for each worker.
   std::vector<ClockAhead> ClocksAhead;
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -80,7 +80,7 @@
   } else {
     recordLostStarts(W);
     recordLoss(W, Now);
-    dropRuns(W);
+    dropRuns(W, PresumedCause::LeaseLapsed);
   }
   std::size_t Runs = Before - W.Tasks.size();
   if (Runs == 0)
@@ -109,7 +109,8 @@
     return;
   recordLoss(W, Now);
   for (const SuspectRun &Run : Listed)
-    removeRun(*jobOf(Run.JobId), Run.Task, Run.Run);
+    presumeEnded(*jobOf(Run.JobId), Run.Task, Run.Run,
+                 PresumedCause::LeaseLapsed);
   Counters_.Lapsed += Listed.size();
 }
 
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -119,7 +119,7 @@
     if (Order.Fence >= fenceOf(W))
       Fenced_ = true;
     else if (Run && !Run->Confirmed)
-      removeRun(*Job, Task, Order.Run);
+      presumeEnded(*Job, Task, Order.Run, PresumedCause::StartRefused);
     return;
   case OrderOutcome::Unknown:
     if (++W.UnansweredStarts >= Limits_.MaxUnanswered)
@@ -132,7 +132,7 @@
     return;
   case OrderOutcome::OtherIncarnation:
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
-    removeRun(*Job, Task, Order.Run);
+    presumeEnded(*Job, Task, Order.Run, PresumedCause::StartRefused);
     return;
   case OrderOutcome::OldRun:
     // The start may have been carried out before, its answer lost, and the run
@@ -150,11 +150,11 @@
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
     // A report may already have confirmed the run; keep it then.
     if (Run && !Run->Confirmed)
-      removeRun(*Job, Task, Order.Run);
+      presumeEnded(*Job, Task, Order.Run, PresumedCause::StartRefused);
     return;
   case OrderOutcome::Withheld:
     if (Run && !Run->Confirmed)
-      removeRun(*Job, Task, Order.Run);
+      presumeEnded(*Job, Task, Order.Run, PresumedCause::StartRefused);
     return;
   }
 }
@@ -371,6 +371,8 @@
     Outbox_.markChanged(Job);
   }
   LiveRun *Run = findRun(Job, Task, End.Run);
+  if (!Run)
+    noteSurvivor(End.Task, End.Run, End.How);
   if (Run && End.How == RunEnd::Done) {
     Estimates_.recordRunTime(Job, stepOf(Job, Task),
                              Workers_.at(Run->Worker)->Entry,
@@ -422,6 +424,7 @@
   LiveRun *Run = findRun(*Job, Task, Report.Run);
   if (!Run) {
     ++Counters_.UnexpectedRuns;
+    noteSurvivor(Report.Task, Report.Run, std::nullopt);
     LiveRun Found;
     Found.Run = Report.Run;
     Found.Worker = W.Entry.Id;
@@ -478,7 +481,7 @@
           !std::binary_search(Listed.begin(), Listed.end(), Run.Run))
         Missing.emplace_back(Job, Task, Run.Run);
   for (const auto &[Job, Task, Run] : Missing)
-    removeRun(*Job, Task, Run);
+    presumeEnded(*Job, Task, Run, PresumedCause::NotReported);
 }
 
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolState.cpp
+++ b/src/jobs/PoolState.cpp
@@ -384,13 +384,57 @@
   }
 }
 
-void PoolState::dropRuns(WorkerState &W) {
+void PoolState::presumeEnded(JobRecord &Job, std::uint32_t Task, RunId Run,
+                             PresumedCause Cause) {
+  const LiveRun *Live = findRun(Job, Task, Run);
+  if (!Live)
+    return;
+  notePresumedEnd(Job, Task, *Live, Cause);
+  removeRun(Job, Task, Run);
+}
+
+void PoolState::notePresumedEnd(const JobRecord &Job, std::uint32_t Task,
+                                const LiveRun &Run, PresumedCause Cause) {
+  PresumedEnd End;
+  End.Task = refOf(Job, Task);
+  End.Run = Run.Run;
+  End.Worker = Run.Worker;
+  End.Cause = Cause;
+  End.Sign = signOf(Run);
+  End.At = Now_;
+  End.Age = Now_ - Run.OrderedAt;
+  if (const auto &ReportedAt = Workers_.at(Run.Worker)->ReportedAt)
+    End.ReportAge = Now_ - *ReportedAt;
+  // The refusal of a start is logged with its outcome.
+  if (Cause != PresumedCause::StartRefused)
+    Events_.PresumedEnds.push_back(End);
+  Presumed_.add(std::move(End));
+}
+
+/// Takes back that the run counts as ended.
+void PoolState::forgetPresumedEnd(const TaskRef &Task, RunId Run) {
+  Presumed_.take(Task, Run);
+  std::erase_if(Events_.PresumedEnds, [&](const PresumedEnd &End) {
+    return End.Run == Run && End.Task == Task;
+  });
+}
+
+/// Notes that a report lists the run, if it was presumed to have ended.
+void PoolState::noteSurvivor(const TaskRef &Task, RunId Run,
+                             std::optional<RunEnd> End) {
+  if (std::optional<PresumedEnd> Presumed = Presumed_.take(Task, Run)) {
+    core::Duration After = Now_ - Presumed->At;
+    Events_.Survivors.push_back({std::move(*Presumed), After, End});
+  }
+}
+
+void PoolState::dropRuns(WorkerState &W, PresumedCause Cause) {
   auto Tasks = W.Tasks;
   for (const auto &[Job, Task] : Tasks) {
     std::vector<LiveRun> Runs = Job->Tasks[Task].Runs;
     for (const LiveRun &Run : Runs)
       if (Run.Worker == W.Entry.Id)
-        removeRun(*Job, Task, Run.Run);
+        presumeEnded(*Job, Task, Run.Run, Cause);
   }
   Counters_.Lapsed += Tasks.size();
 }
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -273,7 +273,14 @@
   static bool isEarlierIncarnation(const WorkerState &W, std::int64_t Born);
   static bool isUnordered(const WorkerState &W, const WorkerReport &Report,
                           core::TimePoint SentAt);
-  void dropRuns(WorkerState &W);
+  /// Removes a run that counts as ended without a report of its end.
+  void presumeEnded(JobRecord &Job, std::uint32_t Task, RunId Run,
+                    PresumedCause Cause);
+  void notePresumedEnd(const JobRecord &Job, std::uint32_t Task,
+                       const LiveRun &Run, PresumedCause Cause);
+  void forgetPresumedEnd(const TaskRef &Task, RunId Run);
+  void noteSurvivor(const TaskRef &Task, RunId Run, std::optional<RunEnd> End);
+  void dropRuns(WorkerState &W, PresumedCause Cause);
   std::vector<SuspectRun> suspectsOn(const WorkerState &W) const;
   std::vector<SuspectRun> unlistedStarts(const WorkerState &W) const;
   void keepUnlistedStart(JobRecord &Job, std::uint32_t Task, LiveRun Run,
@@ -289,7 +296,7 @@
                                OrderOutcome Outcome);
   void settleEnded(const WorkerState &W, core::TimePoint Now);
   void dropReplaced(WorkerState &W, core::TimePoint Now);
-  void dropEnded(WorkerState &W,
+  void dropEnded(WorkerState &W, PresumedCause Cause,
                  const std::function<std::vector<LostRun>()> &TakeSuspects,
                  std::int64_t NextBorn, core::TimePoint Now);
   CrashRecord recordOf(const WorkerState &W) const;
@@ -446,6 +453,7 @@
   bool FenceUsedUp_ = false;
   PoolCounters Counters_;
   PoolEvents Events_;
+  PresumedEnds Presumed_;
   std::optional<core::TimePoint> WaitsCheckedAt_;
   /// Input of the last planning round.
   PlanInput LastInput_;
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -119,6 +119,7 @@
 /// not, another one until a report to a higher fence does.
 void PoolState::keepUnlistedStart(JobRecord &Job, std::uint32_t Task,
                                   LiveRun Run, core::TimePoint Now) {
+  forgetPresumedEnd(refOf(Job, Task), Run.Run);
   Run.StopOutdated = Run.StopInFlight;
   if (isFinal(Job.Now) || Job.Tasks[Task].Kept.Done) {
     Run.Stopping = true;
@@ -201,7 +202,7 @@
   noteUnheard(W);
   settleLost(W, Lost_.takeOthers(Id, AnyIncarnation, 0), {}, 0,
              W.Gone ? W.GoneAt : Now_);
-  dropRuns(W);
+  dropRuns(W, PresumedCause::MachineListed);
   W.UnknownRuns.clear();
   W.Parked.clear();
   W.Heard = true;
@@ -215,7 +216,7 @@
   if (At == Workers_.end())
     return;
   clearLost(Id);
-  dropRuns(*At->second);
+  dropRuns(*At->second, PresumedCause::MachineOrdered);
   At->second->Ended = true;
 }
 
