Count reported ends in the order of their numbers

A worker numbers its ends, and nothing says in which order it lists them. handleEnd took each number as the last one processed: an end listed after one with a higher number was skipped, acknowledged with it and forgotten by the worker, and its run then counted as missing, so that a task that was done started again.

Ends are now processed by rising numbers, whatever the order of the list.

--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -49,6 +49,19 @@
          ClockMs < (SinceReport ? W.Clock.LastReportMs : W.Clock.FirstReportMs);
 }
 
+/// The ends in the order of their numbers; a list may have another one.
+std::vector<const EndReport *> byNumber(std::span<const EndReport> Ends) {
+  std::vector<const EndReport *> Sorted;
+  Sorted.reserve(Ends.size());
+  for (const EndReport &End : Ends)
+    Sorted.push_back(&End);
+  std::sort(Sorted.begin(), Sorted.end(),
+            [](const EndReport *A, const EndReport *B) {
+              return A->Number < B->Number;
+            });
+  return Sorted;
+}
+
 } // namespace
 
 /// Applies the clock in the answer to an order for the run, which was planned
@@ -306,9 +319,9 @@
   if (SentAt > W.BornKnownAt)
     W.AcknowledgedUpTo = std::max(W.AcknowledgedUpTo, Order.AcknowledgeUpTo);
   W.NextHold = Report.Ended.empty() ? Now : Now + Limits_.ReportPause;
-  for (const EndReport &End : Report.Ended)
-    if (End.Number > W.ProcessedUpTo)
-      handleEnd(W, End, Now);
+  for (const EndReport *End : byNumber(Report.Ended))
+    if (End->Number > W.ProcessedUpTo)
+      handleEnd(W, *End, Now);
   W.UnknownRuns.clear();
   for (const RunReport &Run : Report.Running)
     handleRunning(W, Run, SentAt, Now);
