--- a/src/jobs/JobRecord.h
+++ b/src/jobs/JobRecord.h
@@ -1,6 +1,7 @@
 #ifndef COMFREYDECK_JOBS_JOBRECORD_H
 #define COMFREYDECK_JOBS_JOBRECORD_H
 
+#include "jobs/CrashLedger.h"
 #include "jobs/JobEnd.h"
 #include "jobs/RunPace.h"
 #include "jobs/Worker.h"
@@ -36,6 +37,9 @@
   bool Unclear = false;
   /// A report of the worker's present incarnation has listed it.
   bool Listed = false;
+  /// When a report was read that should list the run and doesn't; nothing if
+  /// the last one does.
+  std::optional<core::TimePoint> MissingSince;
   /// A report that listed it was made when it was too old to be the cause of a
   /// crash.
   bool HasLasted = false;
@@ -66,6 +70,15 @@
   }
 };
 
+/// What is known of the run's start.
+inline StartSign signOf(const LiveRun &Run) {
+  if (Run.Listed)
+    return StartSign::Listed;
+  if (Run.Confirmed)
+    return StartSign::Accepted;
+  return Run.Unclear ? StartSign::Unclear : StartSign::Sent;
+}
+
 struct TaskState {
   TaskProgress Kept;
   std::vector<LiveRun> Runs;
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -80,7 +80,7 @@
   } else {
     recordLostStarts(W);
     recordLoss(W, Now);
-    dropRuns(W);
+    dropRuns(W, PresumedCause::LeaseLapsed);
   }
   std::size_t Runs = Before - W.Tasks.size();
   if (Runs == 0)
@@ -109,7 +109,8 @@
     return;
   recordLoss(W, Now);
   for (const SuspectRun &Run : Listed)
-    removeRun(*jobOf(Run.JobId), Run.Task, Run.Run);
+    presumeEnded(*jobOf(Run.JobId), Run.Task, Run.Run,
+                 PresumedCause::LeaseLapsed);
   Counters_.Lapsed += Listed.size();
 }
 
@@ -199,7 +200,7 @@
   return std::none_of(
       W.Requests.begin(), W.Requests.end(), [&](const ReportRequest &R) {
         return R.OverdueAt > Now && (!W.FenceRaised || R.Fence == fenceOf(W)) &&
-               !(W.ReportWanted && R.Waits);
+               !((W.ReportWanted || W.RunsMissing) && R.Waits);
       });
 }
 
@@ -243,7 +244,7 @@
   bool Acknowledge = HasEnds && hasJustReported(W, In.Now);
   Hold.AcknowledgeUpTo = Acknowledge ? W.StoredUpTo : 0;
   bool MayWait = W.IncarnationConfirmed && !W.Tasks.empty() && !W.FenceRaised &&
-                 !W.ReportWanted && HasEnds == Acknowledge;
+                 !W.ReportWanted && !W.RunsMissing && HasEnds == Acknowledge;
   core::Duration Wait =
       W.Isolated ? Limits_.SuspectReportWait : Limits_.ReportWait;
   Hold.Wait = MayWait ? Wait : core::Duration::zero();
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -49,6 +49,19 @@
          ClockMs < (SinceReport ? W.Clock.LastReportMs : W.Clock.FirstReportMs);
 }
 
+/// The ends in the order of their numbers; a list may have another one.
+std::vector<const EndReport *> byNumber(std::span<const EndReport> Ends) {
+  std::vector<const EndReport *> Sorted;
+  Sorted.reserve(Ends.size());
+  for (const EndReport &End : Ends)
+    Sorted.push_back(&End);
+  std::sort(Sorted.begin(), Sorted.end(),
+            [](const EndReport *A, const EndReport *B) {
+              return A->Number < B->Number;
+            });
+  return Sorted;
+}
+
 } // namespace
 
 /// Applies the clock in the answer to an order for the run, which was planned
@@ -119,7 +132,7 @@
     if (Order.Fence >= fenceOf(W))
       Fenced_ = true;
     else if (Run && !Run->Confirmed)
-      removeRun(*Job, Task, Order.Run);
+      presumeEnded(*Job, Task, Order.Run, PresumedCause::StartRefused);
     return;
   case OrderOutcome::Unknown:
     if (++W.UnansweredStarts >= Limits_.MaxUnanswered)
@@ -132,7 +145,7 @@
     return;
   case OrderOutcome::OtherIncarnation:
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
-    removeRun(*Job, Task, Order.Run);
+    presumeEnded(*Job, Task, Order.Run, PresumedCause::StartRefused);
     return;
   case OrderOutcome::OldRun:
     // The start may have been carried out before, its answer lost, and the run
@@ -150,11 +163,11 @@
     W.AvoidUntil = std::max(W.AvoidUntil, Now + Limits_.RefusalPause);
     // A report may already have confirmed the run; keep it then.
     if (Run && !Run->Confirmed)
-      removeRun(*Job, Task, Order.Run);
+      presumeEnded(*Job, Task, Order.Run, PresumedCause::StartRefused);
     return;
   case OrderOutcome::Withheld:
     if (Run && !Run->Confirmed)
-      removeRun(*Job, Task, Order.Run);
+      presumeEnded(*Job, Task, Order.Run, PresumedCause::StartRefused);
     return;
   }
 }
@@ -306,14 +319,14 @@
   if (SentAt > W.BornKnownAt)
     W.AcknowledgedUpTo = std::max(W.AcknowledgedUpTo, Order.AcknowledgeUpTo);
   W.NextHold = Report.Ended.empty() ? Now : Now + Limits_.ReportPause;
-  for (const EndReport &End : Report.Ended)
-    if (End.Number > W.ProcessedUpTo)
-      handleEnd(W, End, Now);
+  for (const EndReport *End : byNumber(Report.Ended))
+    if (End->Number > W.ProcessedUpTo)
+      handleEnd(W, *End, Now);
   W.UnknownRuns.clear();
   for (const RunReport &Run : Report.Running)
     handleRunning(W, Run, SentAt, Now);
   if (ListsAllEnds)
-    dropMissing(W, Report, Order.Fence, SentAt);
+    dropMissing(W, Report, Order.Fence, SentAt, Now);
   if (!Lost_.isEmpty())
     settleEnded(W, Now);
 }
@@ -371,6 +384,8 @@
     Outbox_.markChanged(Job);
   }
   LiveRun *Run = findRun(Job, Task, End.Run);
+  if (!Run)
+    noteSurvivor(End.Task, End.Run, End.How);
   if (Run && End.How == RunEnd::Done) {
     Estimates_.recordRunTime(Job, stepOf(Job, Task),
                              Workers_.at(Run->Worker)->Entry,
@@ -422,6 +437,7 @@
   LiveRun *Run = findRun(*Job, Task, Report.Run);
   if (!Run) {
     ++Counters_.UnexpectedRuns;
+    noteSurvivor(Report.Task, Report.Run, std::nullopt);
     LiveRun Found;
     Found.Run = Report.Run;
     Found.Worker = W.Entry.Id;
@@ -459,26 +475,43 @@
     State.Kept.Checkpoint = Report.Checkpoint;
 }
 
-/// Removes runs that the report lists neither as running nor as ended, and that
-/// were confirmed before it was requested or whose start the worker refuses
-/// now.
+/// Removes runs that the report lists neither as running nor as ended: those
+/// whose starts have no answer and are refused by now, and those that have
+/// begun if a report before has left them out too. A worker may make its two
+/// lists at different moments, so that a run that ends in between is in
+/// neither.
 void PoolState::dropMissing(WorkerState &W, const WorkerReport &Report,
-                            std::uint64_t Fence, core::TimePoint SentAt) {
+                            std::uint64_t Fence, core::TimePoint SentAt,
+                            core::TimePoint Now) {
   std::vector<RunId> Listed;
   Listed.reserve(Report.Running.size());
   for (const RunReport &Run : Report.Running)
     Listed.push_back(Run.Run);
   std::sort(Listed.begin(), Listed.end());
   std::vector<std::tuple<JobRecord *, std::uint32_t, RunId>> Missing;
+  W.RunsMissing = false;
   for (const auto &[Job, Task] : W.Tasks)
-    for (const LiveRun &Run : Job->Tasks[Task].Runs)
-      if (Run.Worker == W.Entry.Id &&
-          ((Run.Confirmed && Run.ConfirmedAt < SentAt) ||
-           (Run.SendAfter == 0 && Run.Fence < Fence)) &&
-          !std::binary_search(Listed.begin(), Listed.end(), Run.Run))
+    for (LiveRun &Run : Job->Tasks[Task].Runs) {
+      if (Run.Worker != W.Entry.Id)
+        continue;
+      if (std::binary_search(Listed.begin(), Listed.end(), Run.Run)) {
+        Run.MissingSince.reset();
+        continue;
+      }
+      bool NeverBegun =
+          !Run.Confirmed && Run.SendAfter == 0 && Run.Fence < Fence;
+      bool StillMissing = Run.MissingSince && SentAt >= *Run.MissingSince;
+      if (NeverBegun || StillMissing) {
         Missing.emplace_back(Job, Task, Run.Run);
+      } else if (Run.Confirmed && Run.ConfirmedAt < SentAt) {
+        Run.MissingSince = Run.MissingSince.value_or(Now);
+        W.RunsMissing = true;
+      }
+    }
+  if (W.RunsMissing)
+    W.NextHold = Now;
   for (const auto &[Job, Task, Run] : Missing)
-    removeRun(*Job, Task, Run);
+    presumeEnded(*Job, Task, Run, PresumedCause::NotReported);
 }
 
 } // namespace comfreydeck::jobs
