Soak: reports with lists of two moments and ends in any order

The soak's workers could not show hypothesis 4 of docs/incidents/twice-86.md: they made both lists of a report at one moment, and listed ends by their numbers.

Ends keep their numbers and are acknowledged only once a report has listed them. Both are drawn by the seed, and off by default.

--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -22,6 +22,9 @@
   std::vector<std::string> Kinds;
   /// Kinds of faults that are not drawn.
   std::vector<std::string> Without;
+  /// See \ref ReportDraws.
+  bool TornReports = false;
+  bool ShuffledEnds = false;
 };
 
 struct SoakResult {
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -55,6 +55,10 @@
   App.add_option("--seconds", Seconds, "Time with faults");
   App.add_option("--kinds", Options.Kinds, "Only these kinds of faults");
   App.add_option("--without", Options.Without, "No faults of these kinds");
+  App.add_flag("--torn-reports", Options.TornReports,
+               "Some reports leave out a run that has just ended or started");
+  App.add_flag("--shuffled-ends", Options.ShuffledEnds,
+               "Reports list ends in any order");
   App.add_flag("--keep", Keep, "Keep the logs of seeds without a finding too");
   try {
     App.parse(Argc, Argv);
--- a/tests/soak/Workers.cpp
+++ b/tests/soak/Workers.cpp
@@ -1,6 +1,7 @@
 #include "soak/Workers.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace comfreydeck::soak {
 
@@ -14,6 +15,9 @@
 constexpr milliseconds MaxLease(10000);
 /// How long a member of a gang waits for the others.
 constexpr milliseconds GangTimeout(3000);
+/// One report in this many is torn, by up to \ref MaxTear.
+constexpr std::uint64_t ReportsPerTorn = 4;
+constexpr milliseconds MaxTear(50);
 constexpr int StatusOk = 200;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusConflict = 409;
@@ -32,8 +36,10 @@
 
 } // namespace
 
-WorkerFleet::WorkerFleet(net::Loop &Timers, Ledger &Seen, std::size_t Count)
-    : Timers_(Timers), Seen_(Seen), Workers_(Count) {
+WorkerFleet::WorkerFleet(net::Loop &Timers, Ledger &Seen, std::size_t Count,
+                         const ReportDraws &Draws)
+    : Timers_(Timers), Seen_(Seen), Workers_(Count), Draws_(Draws),
+      Random_(Draws.Seed) {
   for (std::size_t N = 0; N < Count; ++N) {
     Workers_[N].Name = "w" + std::to_string(N);
     Workers_[N].Rack = "r1-" + std::to_string(1 + N / WorkersPerRack);
@@ -255,7 +261,7 @@
   std::uint32_t Members = Seen_.teamworkOf(Task).Members;
   bool Waits = Members > 1;
   core::TimePoint EndsAt = Now + (Waits ? GangTimeout : Work);
-  Run Active{RunId, Now, EndsAt, Members, Waits, InTime};
+  Run Active{RunId, Now, EndsAt, Members, Waits, InTime, false};
   W.Running[Task] = Active;
   beginGang(Task, Active, Work, Now);
   return Json::object();
@@ -362,15 +368,54 @@
     });
     return;
   }
-  Json Running = Json::array();
-  for (const auto &[Task, Active] : W.Running)
-    Running.push_back({Task, Active.Id, "", Active.Waits ? 0 : 50, 0});
+  auto RespondWith = [Respond](const Worker &Reporter, const Json &Running,
+                               const Json &Ended, core::TimePoint MadeAt) {
+    Respond(responseOf(
+        {{"born", Reporter.BornMs}, {"Running", Running}, {"EndedRuns", Ended}},
+        MadeAt - Reporter.BornAt));
+  };
+  if (!Draws_.Torn || Random_() % ReportsPerTorn != 0) {
+    RespondWith(W, listRunning(W, Now), listEnded(W), Now);
+    return;
+  }
+  milliseconds Tear(
+      1 + static_cast<std::int64_t>(
+              Random_() % static_cast<std::uint64_t>(MaxTear.count())));
+  bool RunsFirst = Random_() % 2 == 0;
+  Json First = RunsFirst ? listRunning(W, Now - Tear) : listEnded(W);
+  Timers_.after(Tear, [this, N, Incarnation, RunsFirst, First, RespondWith] {
+    std::lock_guard<std::mutex> LaterLock(Mutex_);
+    core::TimePoint Later = net::now();
+    advance(Later);
+    Worker &Reporter = Workers_[N];
+    if (Reporter.Incarnation != Incarnation)
+      return;
+    if (RunsFirst)
+      RespondWith(Reporter, First, listEnded(Reporter), Later);
+    else
+      RespondWith(Reporter, listRunning(Reporter, Later), First, Later);
+  });
+}
+
+Json WorkerFleet::listEnded(const Worker &W) {
+  std::vector<End> Listed = W.Ended;
+  if (Draws_.Shuffled)
+    std::shuffle(Listed.begin(), Listed.end(), Random_);
   Json Ended = Json::array();
-  for (const End &E : W.Ended)
+  for (const End &E : Listed)
     Ended.push_back({E.Number, E.Task, E.Run, E.How, ""});
-  Respond(responseOf(
-      {{"born", W.BornMs}, {"Running", Running}, {"EndedRuns", Ended}},
-      Now - W.BornAt));
+  return Ended;
+}
+
+/// Leaves out, once, the runs that started after \p LeftOutFrom.
+Json WorkerFleet::listRunning(Worker &W, core::TimePoint LeftOutFrom) {
+  Json Running = Json::array();
+  for (auto &[Task, Active] : W.Running) {
+    if (Active.StartedAt > LeftOutFrom && !std::exchange(Active.LeftOut, true))
+      continue;
+    Running.push_back({Task, Active.Id, "", Active.Waits ? 0 : 50, 0});
+  }
+  return Running;
 }
 
 } // namespace comfreydeck::soak
--- a/tests/soak/Workers.h
+++ b/tests/soak/Workers.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <random>
 
 namespace comfreydeck::soak {
 
@@ -19,11 +20,22 @@
 /// How many times as long a gang that wants one rack works in several.
 inline constexpr int RemoteFactor = 2;
 
+/// What the pages leave free to a worker's reports.
+struct ReportDraws {
+  /// Some reports make their two lists at different moments, so that a run that
+  /// has just ended or just started may be in neither.
+  bool Torn = false;
+  /// Ends are listed in any order.
+  bool Shuffled = false;
+  std::uint64_t Seed = 1;
+};
+
 /// Workers of the platform that start whatever they are told to and report it
 /// to a \ref Ledger. The payload of a task is its run time in milliseconds.
 class WorkerFleet {
 public:
-  WorkerFleet(net::Loop &Timers, Ledger &Seen, std::size_t Count);
+  WorkerFleet(net::Loop &Timers, Ledger &Seen, std::size_t Count,
+              const ReportDraws &Draws = {});
 
   void start();
   void stop();
@@ -56,6 +68,8 @@
     bool Waits = false;
     /// Its start was carried out when it was sent.
     bool InTime = true;
+    /// A torn report has left it out.
+    bool LeftOut = false;
   };
   struct End {
     std::uint64_t Number = 0;
@@ -94,6 +108,8 @@
   void hold(std::size_t N, std::uint64_t Incarnation,
             const nlohmann::json &Body, int RemainingMs,
             const net::HttpResponder &Respond);
+  nlohmann::json listEnded(const Worker &W);
+  static nlohmann::json listRunning(Worker &W, core::TimePoint LeftOutFrom);
   void advance(core::TimePoint Now);
   bool advanceOnce(core::TimePoint Now);
   void lapse(Worker &W);
@@ -115,6 +131,8 @@
   Ledger &Seen_;
   std::mutex Mutex_;
   std::vector<Worker> Workers_;
+  ReportDraws Draws_;
+  std::mt19937_64 Random_;
 };
 
 } // namespace comfreydeck::soak
