Leave out acknowledgements that waited for over 100 ms before they were sent

Callers could see a task run again after it was done. An acknowledgement is planned within 100 ms of the worker's report, but was sent up to 0.5 s later by this entry and up to 1.5 s later through another one. A worker that restarts under its id meanwhile takes the number for one of its own, and forgets ends that no owner has read: the done task is missing from its next report and starts again.

The age was looked at when the request was planned, not when it was sent. An order now says until when it may acknowledge. Another entry is told how much time is left, from its receipt of the batch on.

An answer to such a request counted as the worker's consent all the same, so that the end would have stayed there until another one followed. A report that lists an end up to the acknowledged number now shows that the worker still has it, whoever left out the number.

Three tests, failed first: LastSeen 57 instead of 0 behind six starts of 300 ms (HttpWorkersTest) and behind a batch of 200 ms (OrderRelayTest), and an end that was not acknowledged again (PoolStateTest).

What reaches a worker late after it was sent is not covered, nor a batch that waits at an entry that is paused.

--- a/src/codec/OrderJson.cpp
+++ b/src/codec/OrderJson.cpp
@@ -128,6 +128,7 @@
     Order.DeadlineMs = Row.next<std::int64_t>();
     Order.AcknowledgeUpTo = Row.next<std::uint64_t>();
     Order.Wait = milliseconds(Row.next<std::int64_t>());
+    Result.AcknowledgeWithin = milliseconds(Row.next<std::int64_t>());
     Result.Order = std::move(Order);
     return Result;
   }
@@ -215,6 +216,8 @@
     PayloadTable *Table = Order.PayloadOmitted ? nullptr : &Payloads;
     std::visit([&](const auto &Kind) { appendOrder(Row, Kind, Table); },
                Order.Order);
+    if (std::holds_alternative<jobs::HoldOrder>(Order.Order))
+      Row.push_back(msOf(Order.AcknowledgeWithin));
     Rows.push_back(std::move(Row));
   }
   return Json({{"from", From},
--- a/src/codec/OrderJson.h
+++ b/src/codec/OrderJson.h
@@ -27,6 +27,9 @@
   /// A start's payload is left out; the entry that sends it reads it from the
   /// store.
   bool PayloadOmitted = false;
+  /// Maximum time from the receipt of the batch to the sending of what a
+  /// request for a report acknowledges.
+  core::Duration AcknowledgeWithin{0};
 };
 
 struct OrderBatch {
--- a/src/dispatch/OrderForwarder.cpp
+++ b/src/dispatch/OrderForwarder.cpp
@@ -61,6 +61,8 @@
   core::TimePoint Now = bootNow();
   for (codec::RelayedOrder &Order : Batch.Orders) {
     core::TimePoint SendBy = ReceivedAt + Order.Within;
+    if (auto *Hold = std::get_if<jobs::HoldOrder>(&Order.Order))
+      Hold->AcknowledgeBy = ReceivedAt + Order.AcknowledgeWithin;
     if (Now > SendBy)
       addResult(Owner, {Order.Id, OrderOutcome::Withheld, {}});
     else if (Order.PayloadOmitted)
--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -47,6 +47,17 @@
   return Result;
 }
 
+/// Applies the time that the order has waited here to its acknowledgement.
+void limitAcknowledgement(codec::RelayedOrder &Order, core::TimePoint Now) {
+  auto *Hold = std::get_if<jobs::HoldOrder>(&Order.Order);
+  if (!Hold)
+    return;
+  Order.AcknowledgeWithin =
+      std::max(Hold->AcknowledgeBy - Now, core::Duration::zero());
+  if (Order.AcknowledgeWithin == core::Duration::zero())
+    *Hold = jobs::withoutAcknowledgement(std::move(*Hold));
+}
+
 } // namespace
 
 OrderRelay::OrderRelay(net::Loop &Loop, net::HttpClient &Client,
@@ -236,6 +247,7 @@
     core::Duration Left = At->second.GivenAt + SendWithin - Now;
     bool IsLate = Left <= core::Duration::zero();
     Order.Within = Left;
+    limitAcknowledgement(Order, Now);
     (IsLate ? TooLate : Ids).push_back(Order.Id);
     return IsLate;
   });
--- a/src/jobs/Orders.h
+++ b/src/jobs/Orders.h
@@ -39,8 +39,14 @@
   std::uint64_t Fence = 0;
   /// Number of the request; zero if the owner has not planned it.
   std::uint64_t Number = 0;
+  /// An order that is sent later acknowledges nothing, and is answered at once.
+  core::TimePoint AcknowledgeBy{};
 };
 
+/// The order without its acknowledgement. The worker doesn't wait for an end
+/// either: those that it lists can be acknowledged soon.
+HoldOrder withoutAcknowledgement(HoldOrder Order);
+
 struct Orders {
   std::vector<StartOrder> Starts;
   std::vector<StopOrder> Stops;
--- a/src/jobs/OwnerLimits.h
+++ b/src/jobs/OwnerLimits.h
@@ -71,6 +71,9 @@
   /// after another one: an incarnation that started since would forget ends of
   /// its own by their numbers.
   core::Duration AcknowledgeAge = std::chrono::milliseconds(100);
+  /// Maximum time from planning an acknowledgement to sending it, for the same
+  /// reason.
+  core::Duration AcknowledgeDelay = std::chrono::milliseconds(100);
   /// Delay after a report with ends, so that the next one batches several.
   core::Duration ReportPause = std::chrono::milliseconds(25);
   /// Age of the last report after which a worker counts as silent; its runs may
--- a/src/jobs/PoolPlan.cpp
+++ b/src/jobs/PoolPlan.cpp
@@ -24,6 +24,13 @@
 
 } // namespace
 
+HoldOrder withoutAcknowledgement(HoldOrder Order) {
+  if (Order.AcknowledgeUpTo > 0)
+    Order.Wait = core::Duration::zero();
+  Order.AcknowledgeUpTo = 0;
+  return Order;
+}
+
 /// Drops the runs of unreachable workers once their leases have expired, and
 /// forgets workers that are gone.
 void PoolState::expireSilent(const PlanInput &In) {
@@ -243,6 +250,7 @@
   bool HasEnds = W.IncarnationConfirmed && W.StoredUpTo > W.AcknowledgedUpTo;
   bool Acknowledge = HasEnds && hasJustReported(W, In.Now);
   Hold.AcknowledgeUpTo = Acknowledge ? W.StoredUpTo : 0;
+  Hold.AcknowledgeBy = In.Now + Limits_.AcknowledgeDelay;
   bool MayWait = W.IncarnationConfirmed && !W.Tasks.empty() && !W.FenceRaised &&
                  !W.ReportWanted && HasEnds == Acknowledge;
   core::Duration Wait =
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -28,6 +28,17 @@
   return W.FencedAt && Run.OrderedAt > *W.FencedAt;
 }
 
+/// Number up to which the worker has forgotten its ends. It lists those whose
+/// acknowledgement was left out.
+std::uint64_t acknowledgedBy(const HoldOrder &Order,
+                             const WorkerReport &Report) {
+  std::uint64_t UpTo = Order.AcknowledgeUpTo;
+  for (const EndReport &End : Report.Ended)
+    if (End.Number <= UpTo)
+      UpTo = End.Number - 1;
+  return UpTo;
+}
+
 /// Returns whether the answer may have been made by its arrival.
 bool checkDate(WorkerState &W, std::int64_t ClockMs, core::TimePoint Now,
                PoolCounters &Counters, PoolEvents &Events) {
@@ -304,7 +315,8 @@
   // An order sent before this incarnation was known has an earlier one's
   // number.
   if (SentAt > W.BornKnownAt)
-    W.AcknowledgedUpTo = std::max(W.AcknowledgedUpTo, Order.AcknowledgeUpTo);
+    W.AcknowledgedUpTo =
+        std::max(W.AcknowledgedUpTo, acknowledgedBy(Order, Report));
   W.NextHold = Report.Ended.empty() ? Now : Now + Limits_.ReportPause;
   for (const EndReport &End : Report.Ended)
     if (End.Number > W.ProcessedUpTo)
--- a/tests/adapter/HttpWorkersTest.cpp
+++ b/tests/adapter/HttpWorkersTest.cpp
@@ -1,15 +1,19 @@
 #include "HttpWorkers.h"
 #include "HttpMachines.h"
 #include "HttpStore.h"
+#include "net/HttpServer.h"
+#include "net/Loop.h"
 #include "standins/FaultServer.h"
 #include "standins/LoopbackServers.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 #include <atomic>
 #include <future>
 
 using namespace comfreydeck;
+using std::chrono::milliseconds;
 
 namespace {
 
@@ -88,6 +92,50 @@
   }
 };
 
+/// A worker that takes a while for each start, and keeps the report requests.
+class RecordingServer {
+public:
+  explicit RecordingServer(milliseconds Busy)
+      : Server_({}, [this, Busy](const net::HttpRequest &Request,
+                                 const net::HttpResponder &Respond) {
+          serve(Request, Respond, Busy);
+        }) {
+    Loop_.start();
+    Server_.start();
+  }
+  ~RecordingServer() {
+    Server_.stop();
+    Loop_.stop();
+  }
+  std::uint16_t port() const { return Server_.port(); }
+  std::vector<nlohmann::json> holds() {
+    std::lock_guard<std::mutex> Lock(Mutex_);
+    return Holds_;
+  }
+
+private:
+  void serve(const net::HttpRequest &Request, const net::HttpResponder &Respond,
+             milliseconds Busy) {
+    auto Answer = [Respond] {
+      Respond(net::jsonResponse(200, R"({"ClockMs":5,"born":1})"));
+    };
+    if (Request.Path != "/v1/hold") {
+      Loop_.post([this, Busy, Answer] { Loop_.after(Busy, Answer); });
+      return;
+    }
+    {
+      std::lock_guard<std::mutex> Lock(Mutex_);
+      Holds_.push_back(nlohmann::json::parse(Request.Body));
+    }
+    Answer();
+  }
+
+  net::Loop Loop_;
+  std::mutex Mutex_;
+  std::vector<nlohmann::json> Holds_;
+  net::HttpServer Server_;
+};
+
 } // namespace
 
 // The HTTP client sent a call again by itself after a kept connection had
@@ -142,6 +190,50 @@
   CHECK(Server.wholeRequests() == 2);
 }
 
+TEST_CASE("a request that waits for its turn acknowledges ends of the worker's "
+          "earlier life") {
+  constexpr milliseconds Busy(300);
+  constexpr std::size_t CallsAtOnce = 6;
+  RecordingServer Server(Busy);
+  net::HttpClient Client(net::HttpClientOptions{});
+  platform::HttpWorkers Workers(Client);
+  jobs::WorkerEntry To;
+  To.Id = "w";
+  To.Address = "127.0.0.1:" + std::to_string(Server.port());
+  jobs::HoldOrder Order;
+  Order.DeadlineMs = 1000;
+  Order.AcknowledgeUpTo = 57;
+  Order.Wait = milliseconds(800);
+  auto Request = [&] {
+    std::promise<jobs::OrderOutcome> Ended;
+    Workers.report(To, 1, Order, nullptr, [&](const jobs::ReportResult &R) {
+      Ended.set_value(R.Outcome);
+    });
+    return Ended.get_future().get();
+  };
+  SUBCASE("not at all") {
+    Order.AcknowledgeBy = net::bootNow() + std::chrono::seconds(1);
+    CHECK(Request() == jobs::OrderOutcome::Accepted);
+    CHECK(Server.holds().at(0)["LastSeen"] == 57);
+    CHECK(Server.holds().at(0)["WaitMs"] == 800);
+  }
+  SUBCASE("before it reaches the client") {
+    Order.AcknowledgeBy = net::bootNow() - milliseconds(1);
+    CHECK(Request() == jobs::OrderOutcome::Accepted);
+    CHECK(Server.holds().at(0)["LastSeen"] == 0);
+  }
+  SUBCASE("behind other orders") {
+    for (std::uint32_t N = 0; N < CallsAtOnce; ++N)
+      Workers.start(To, 1, orderOf(N), nullptr, [](const auto &) {});
+    Order.AcknowledgeBy = net::bootNow() + milliseconds(100);
+    CHECK(Request() == jobs::OrderOutcome::Accepted);
+    REQUIRE(Server.holds().size() == 1);
+    CHECK(Server.holds()[0]["LastSeen"] == 0);
+    CHECK(Server.holds()[0]["DeadlineMs"] == 1000);
+    CHECK_FALSE(Server.holds()[0].contains("WaitMs"));
+  }
+}
+
 TEST_CASE("a report without the worker's start time counts as no answer") {
   standins::FaultScript Incomplete;
   Incomplete.Answer = standins::rawAnswer(200, "", R"({"ClockMs":5})");
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -213,6 +213,7 @@
   SUBCASE("a request for a report") {
     std::optional<jobs::ReportResult> Result;
     jobs::HoldOrder Given = {"w1", 486000, 57, std::chrono::milliseconds(800)};
+    Given.AcknowledgeBy = bootNow() + std::chrono::seconds(10);
     runOn(B.Loop, [&] {
       B.Relay.report(worker(), 5, Given, nullptr,
                      [&](const jobs::ReportResult &Got) { Result = Got; });
@@ -321,6 +322,49 @@
   CHECK(B.Remote.count() == 1);
 }
 
+TEST_CASE("an order that waits in an owner's entry, or under way, acknowledges "
+          "ends of the worker's earlier life") {
+  using std::chrono::milliseconds;
+  RelayFixture B;
+  B.Remote.Answers = false;
+  jobs::HoldOrder Given = {"w1", 486000, 57, milliseconds(800)};
+  auto Report = [&] {
+    runOn(B.Loop, [&] {
+      B.Relay.report(worker(), 5, Given, nullptr,
+                     [](const jobs::ReportResult &) {});
+    });
+    waitUntil(B.Loop, [&] { return !B.Remote.Holds.empty(); });
+    return B.Remote.Holds[0];
+  };
+  SUBCASE("not at all") {
+    Given.AcknowledgeBy = bootNow() + std::chrono::seconds(10);
+    jobs::HoldOrder Sent = Report();
+    CHECK(Sent.AcknowledgeUpTo == 57);
+    CHECK(Sent.Wait == milliseconds(800));
+    CHECK(Sent.AcknowledgeBy > bootNow() + std::chrono::seconds(8));
+    CHECK(Sent.AcknowledgeBy < bootNow() + std::chrono::seconds(10));
+  }
+  SUBCASE("behind another batch") {
+    B.HelperStalls = true;
+    runOn(B.Loop, [&] {
+      B.Relay.start(worker(), 5, sampleStart(), nullptr,
+                    [](const jobs::OrderResult &) {});
+    });
+    waitUntil(B.Loop, [&] { return !B.Unanswered.empty(); });
+    Given.AcknowledgeBy = bootNow() + milliseconds(100);
+    runOn(B.Loop, [&] {
+      B.Loop.after(milliseconds(200), [&] {
+        B.HelperStalls = false;
+        B.Unanswered[0](net::jsonResponse(200, "{}"));
+      });
+    });
+    jobs::HoldOrder Sent = Report();
+    CHECK(Sent.AcknowledgeUpTo == 0);
+    CHECK(Sent.DeadlineMs == 486000);
+    CHECK(Sent.Wait == core::Duration::zero());
+  }
+}
+
 TEST_CASE("a result counts only from the entry that was given the order, and "
           "for this process") {
   RelayFixture B;
--- a/tests/jobs/LateOrders.cpp
+++ b/tests/jobs/LateOrders.cpp
@@ -353,10 +353,12 @@
   });
 }
 
-void LateOrders::sendHold(const HoldOrder &Order) {
+void LateOrders::sendHold(const HoldOrder &Given) {
   core::TimePoint SentAt = B_.Now;
-  auto Wait = std::chrono::duration_cast<milliseconds>(Order.Wait);
-  auto Send = [this, Order, SentAt, Wait] {
+  auto Send = [this, Given, SentAt] {
+    HoldOrder Order =
+        B_.Now > Given.AcknowledgeBy ? withoutAcknowledgement(Given) : Given;
+    auto Wait = std::chrono::duration_cast<milliseconds>(Order.Wait);
     Worker &W = Workers_[Order.Worker];
     auto Answer = [this, &W, Order, SentAt](ReportResult Result) {
       endCall(W);
@@ -392,10 +394,10 @@
       answerPolls(W);
     });
   };
-  give(Order, Send, [this, Order, SentAt] {
+  give(Given, Send, [this, Given, SentAt] {
     ReportResult Withheld;
     Withheld.Outcome = OrderOutcome::Withheld;
-    B_.Owner.onReport(Order, Withheld, SentAt, B_.Now);
+    B_.Owner.onReport(Given, Withheld, SentAt, B_.Now);
   });
 }
 
--- a/tests/jobs/LateOrders.h
+++ b/tests/jobs/LateOrders.h
@@ -110,7 +110,7 @@
                const std::function<void(OrderResult)> &Answer);
   void sendStart(const StartOrder &Order);
   void sendStop(const StopOrder &Order);
-  void sendHold(const HoldOrder &Order);
+  void sendHold(const HoldOrder &Given);
   template <typename Order>
   void give(const Order &Given, std::function<void()> Send,
             std::function<void()> Withhold);
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -1704,6 +1704,33 @@
   CHECK(Next.AcknowledgeUpTo == 0);
 }
 
+TEST_CASE("an end whose acknowledgement was left out of an answered request "
+          "stays on its worker for good") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.report(holdFor(B.plan(), "w1"));
+  B.Owner.addJob(sampleJob(1), B.Now);
+  Orders Out = B.plan();
+  REQUIRE(Out.Starts.size() == 1);
+  B.answer(Out.Starts[0], OrderOutcome::Accepted);
+  B.advance(milliseconds(100));
+  std::vector<EndReport> Ends = {
+      endReportOf(1, Out.Starts[0].Task, Out.Starts[0].Run, RunEnd::Done)};
+  B.report("w1", {}, Ends);
+  B.Owner.onStored(B.Owner.takeChanges(10).Mark);
+  B.advance(milliseconds(100));
+  HoldOrder Waited = holdFor(B.plan(), "w1");
+  REQUIRE(Waited.AcknowledgeUpTo == 1);
+  CHECK(Waited.AcknowledgeBy > B.Now);
+  CHECK(Waited.AcknowledgeBy <= B.Now + milliseconds(100));
+  ReportResult Answer;
+  Answer.Outcome = OrderOutcome::Accepted;
+  Answer.Report = {B.clockMs(), 1, {}, Ends};
+  B.Owner.onReport(Waited, Answer, B.Now, B.Now);
+  B.advance(milliseconds(100));
+  CHECK(holdFor(B.plan(), "w1").AcknowledgeUpTo == 1);
+}
+
 TEST_CASE("ends of a worker's next incarnation are acknowledged though it has "
           "answered the acknowledgement of an earlier one's") {
   OwnerFixture B;
--- a/tools/orders.cpp
+++ b/tools/orders.cpp
@@ -111,6 +111,7 @@
     Order.Worker = To.Id;
     Order.DeadlineMs = 486000;
     Order.AcknowledgeUpTo = 57;
+    Order.AcknowledgeBy = core::TimePoint::max();
     Order.Wait = std::chrono::milliseconds(800);
     Workers_.report(To, Token, Order, nullptr, Done);
   }
