End only the incarnation of a worker that the fleet's owner names

A task ran twice if the news that a machine was taken down reached its pool's owner late, or for a worker whose next incarnation was up under the same id: the call between entries named an id only, so that endIncarnation dropped the runs of the living incarnation, and their tasks started elsewhere.

The call now names the worker's start time, that of the worker's row when the order for its machine is given, and the owner ends nothing if it knows another incarnation (worker_end_ignored). A start time doesn't age with the call as a time would, so no bound on the call's age is needed. Where the fleet's owner has no row, or an older one than the pool's owner, the end shows by the worker's row, the list of machines or the lease, as if the call were lost.

Calls of the former release name no incarnation, and end nothing; to an owner of that release none is named in the field that it reads. Both wait for the other signs while the entries are replaced.

The simulation names the incarnation that the worker's row shows.

Failed first: "a task runs twice since the end of a worker's earlier incarnation is told late"; "a worker counts as ended by a call that doesn't name its present incarnation" (the call of a former release, an earlier incarnation). "tasks wait for the lease of a worker whose machine the list shows during its upkeep" passed before and after: the usual case is told as soon as a list shows it.

--- a/src/dispatch/FleetControl.cpp
+++ b/src/dispatch/FleetControl.cpp
@@ -41,7 +41,7 @@
 FleetControl::FleetControl(Context &Ctx, FleetView &View, Ownership &Owners,
                            Peers &PeerCalls)
     : Ctx_(Ctx), View_(View), Owners_(Owners), Peers_(PeerCalls), Cache_(Ctx),
-      Ends_(PeerCalls, Cache_),
+      Ends_(View, PeerCalls, Cache_),
       Rebalancer_(
           Ctx, View, PeerCalls, Cache_, Ends_,
           {[this](const std::string &Id) { return isInMaintenance(Id); },
--- a/src/dispatch/FleetView.cpp
+++ b/src/dispatch/FleetView.cpp
@@ -272,6 +272,11 @@
     Do(Worker.Entry);
 }
 
+const jobs::WorkerEntry *FleetView::worker(const std::string &Id) const {
+  auto At = Listed_.find(Id);
+  return At == Listed_.end() ? nullptr : &At->second.Entry;
+}
+
 std::vector<jobs::EntryView> FleetView::entries() const {
   std::vector<jobs::EntryView> Views;
   for (const auto &[Name, Entry] : Entries_)
--- a/src/dispatch/FleetView.h
+++ b/src/dispatch/FleetView.h
@@ -72,6 +72,8 @@
   /// Calls \p Do for each listed worker of all pools.
   void
   forEachWorker(const std::function<void(const jobs::WorkerEntry &)> &Do) const;
+  /// The listed worker; null if there is none.
+  const jobs::WorkerEntry *worker(const std::string &Id) const;
   std::size_t workerCount() const { return Listed_.size(); }
   std::vector<jobs::EntryView> entries() const;
   std::vector<jobs::PoolView> pools() const;
--- a/src/dispatch/OrderedEnds.cpp
+++ b/src/dispatch/OrderedEnds.cpp
@@ -6,8 +6,10 @@
 
 void OrderedEnds::expect(const std::string &Machine, core::TimePoint Now) {
   const dispatch::Machine *Listed = Cache_.find(Machine);
-  if (Listed && !Listed->Worker.empty())
-    ByMachine_[Machine] = {Listed->Worker, Listed->Pool, Now};
+  const jobs::WorkerEntry *Entry =
+      Listed ? View_.worker(Listed->Worker) : nullptr;
+  if (Entry)
+    ByMachine_[Machine] = {{Entry->Id, Entry->Born}, Listed->Pool, Now};
 }
 
 void OrderedEnds::report() {
@@ -17,13 +19,14 @@
     const dispatch::Machine *Listed = Cache_.find(Machine);
     // A list that lacks the machine may have missed it between two pages.
     if (!Listed || *Cache_.listedAt() <= End.OrderedAt ||
-        !hasWorkerEnded(End.Worker, {Listed, 1}))
+        !hasWorkerEnded(End.Which.Worker, {Listed, 1}))
       return false;
     logEvent("worker_taken_down", {{"machine", Machine},
-                                   {"worker", End.Worker},
+                                   {"worker", End.Which.Worker},
+                                   {"born", End.Which.Born},
                                    {"pool", End.Pool},
                                    {"state", nameOf(Listed->State)}});
-    ByPool[End.Pool].Ended.push_back(End.Worker);
+    ByPool[End.Pool].Ended.push_back(End.Which);
     return true;
   });
   for (const auto &[Pool, Request] : ByPool)
--- a/src/dispatch/OrderedEnds.h
+++ b/src/dispatch/OrderedEnds.h
@@ -12,11 +12,12 @@
 /// loop's thread.
 class OrderedEnds {
 public:
-  OrderedEnds(Peers &PeerCalls, const MachineCache &Cache)
-      : Peers_(PeerCalls), Cache_(Cache) {}
+  OrderedEnds(const FleetView &View, Peers &PeerCalls,
+              const MachineCache &Cache)
+      : View_(View), Peers_(PeerCalls), Cache_(Cache) {}
 
   /// Call when an order is given that ends the machine's worker, as far as the
-  /// list of machines shows it.
+  /// lists of machines and of workers show it.
   void expect(const std::string &Machine, core::TimePoint Now);
   /// Reports the workers that a list requested after the order shows to have
   /// ended.
@@ -26,11 +27,12 @@
 
 private:
   struct ExpectedEnd {
-    std::string Worker;
+    jobs::WorkerIncarnation Which;
     std::string Pool;
     core::TimePoint OrderedAt;
   };
 
+  const FleetView &View_;
   Peers &Peers_;
   const MachineCache &Cache_;
   std::map<std::string, ExpectedEnd> ByMachine_;
--- a/src/dispatch/Peers.cpp
+++ b/src/dispatch/Peers.cpp
@@ -68,6 +68,22 @@
   return Load;
 }
 
+Json encodeIncarnations(const std::vector<jobs::WorkerIncarnation> &Ended) {
+  Json Rows = Json::array();
+  for (const jobs::WorkerIncarnation &Which : Ended)
+    Rows.push_back(Json::array({Which.Worker, Which.Born}));
+  return Rows;
+}
+
+/// Requests of former releases name no incarnations.
+std::vector<jobs::WorkerIncarnation> decodeIncarnations(const Json &Request) {
+  std::vector<jobs::WorkerIncarnation> Ended;
+  for (const Json &Row : Request.value("ended_incarnations", Json::array()))
+    Ended.push_back(
+        {Row.at(0).get<std::string>(), Row.at(1).get<std::int64_t>()});
+  return Ended;
+}
+
 /// Throws Json::exception if a field has the wrong type.
 OwnerAnswer decodeFields(const Json &Object) {
   OwnerAnswer Answer;
@@ -216,7 +232,10 @@
   Json Body = {{"pool", Pool},
                {"close", Request.Drain},
                {"press", Request.Evict},
-               {"ended", Request.Ended},
+               // Former releases need the field, and would take the ids in it
+               // for those of workers in any incarnation.
+               {"ended", Json::array()},
+               {"ended_incarnations", encodeIncarnations(Request.Ended)},
                {"release", Request.Release},
                {"take_back", Request.TakeBack},
                {"fleet_token", Request.By.FleetToken},
@@ -302,7 +321,7 @@
       Closed = Controller->closeWorkers(
           {Object["close"].get<std::vector<std::string>>(),
            Object.at("press").get<std::vector<std::string>>(),
-           Object.at("ended").get<std::vector<std::string>>(),
+           decodeIncarnations(Object),
            Object.value("release", std::vector<std::string>()),
            Object.value("take_back", std::vector<std::string>()),
            {Object.value("fleet_token", std::uint64_t{0}),
--- a/src/dispatch/PoolController.cpp
+++ b/src/dispatch/PoolController.cpp
@@ -1,6 +1,7 @@
 #include "dispatch/PoolController.h"
 
 #include "dispatch/Clock.h"
+#include "dispatch/EventLog.h"
 
 #include <algorithm>
 
@@ -114,8 +115,11 @@
     ClosedWorkers_[Id] = {Now, false, Request.By};
   for (const std::string &Id : Request.Evict)
     ClosedWorkers_[Id] = {Now, true, Request.By};
-  for (const std::string &Id : Request.Ended)
-    State_.endIncarnation(Id);
+  for (const jobs::WorkerIncarnation &Which : Request.Ended)
+    if (!State_.endIncarnation(Which))
+      logEvent("worker_end_ignored", {{"pool", State_.pool()},
+                                      {"worker", Which.Worker},
+                                      {"born", Which.Born}});
   for (const std::string &Id : Request.TakeBack) {
     auto Closed = ClosedWorkers_.find(Id);
     if (Closed != ClosedWorkers_.end() &&
--- a/src/dispatch/PoolController.h
+++ b/src/dispatch/PoolController.h
@@ -36,8 +36,9 @@
   std::vector<std::string> Drain;
   /// Workers whose tasks are stopped.
   std::vector<std::string> Evict;
-  /// Workers whose machines were taken away; no process answers there any more.
-  std::vector<std::string> Ended;
+  /// Workers whose machines were taken away. Names their incarnations: the
+  /// request may arrive once the next ones are up under their ids.
+  std::vector<jobs::WorkerIncarnation> Ended;
   /// Workers that are closed only if they are empty.
   std::vector<std::string> Release;
   /// Closed or released workers whose machines are not taken away.
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -79,9 +79,11 @@
   void setConfig(std::shared_ptr<const FleetConfig> Config);
   /// Sets the data centres whose workers get no new runs.
   void setClosedDataCentres(std::set<std::string> Names);
-  /// Records that a listed worker's machine was removed. Its entry disappears
-  /// later; the worker gets nothing until a new incarnation appears.
-  void endIncarnation(const std::string &Id);
+  /// Records that the machine of a listed worker's incarnation was removed. Its
+  /// entry disappears later; the worker gets nothing until a new incarnation
+  /// appears. Returns false, and changes nothing, if the worker's present
+  /// incarnation is another one.
+  bool endIncarnation(const WorkerIncarnation &Which);
   /// Sets the workers that are closed for maintenance: no new runs, and lasting
   /// tasks move away as their steps allow.
   void setClosedWorkers(const std::set<std::string> &Ids);
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -211,13 +211,14 @@
   W.Ended = W.Ended || !W.Gone;
 }
 
-void PoolState::endIncarnation(const std::string &Id) {
-  auto At = Workers_.find(Id);
-  if (At == Workers_.end())
-    return;
-  clearLost(Id);
+bool PoolState::endIncarnation(const WorkerIncarnation &Which) {
+  auto At = Workers_.find(Which.Worker);
+  if (At == Workers_.end() || At->second->Born != Which.Born)
+    return false;
+  clearLost(Which.Worker);
   dropRuns(*At->second, PresumedCause::MachineOrdered);
   At->second->Ended = true;
+  return true;
 }
 
 void PoolState::setConfig(std::shared_ptr<const FleetConfig> Config) {
--- a/src/jobs/Worker.h
+++ b/src/jobs/Worker.h
@@ -32,6 +32,12 @@
   std::optional<core::Duration> EarlierOrdersFor;
 };
 
+/// One life of a worker, which may start again under its id.
+struct WorkerIncarnation {
+  std::string Worker;
+  std::int64_t Born = 0;
+};
+
 /// One run in a worker's report.
 struct RunReport {
   TaskRef Task;
--- a/tests/dispatch/PeersTest.cpp
+++ b/tests/dispatch/PeersTest.cpp
@@ -7,6 +7,9 @@
 #include "net/HttpServer.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
+
+#include <mutex>
 
 using namespace comfreydeck;
 using namespace comfreydeck::dispatch;
@@ -17,8 +20,13 @@
 /// An entry that asks the owner of pool "p", which gives a fixed answer.
 struct PeersFixture {
   std::string Answer;
+  std::mutex Mutex;
+  /// The body of the last call.
+  std::string Asking;
   net::HttpServer Other{
-      {}, [this](const net::HttpRequest &, const net::HttpResponder &Respond) {
+      {}, [this](const net::HttpRequest &R, const net::HttpResponder &Respond) {
+        std::lock_guard<std::mutex> Lock(Mutex);
+        Asking = R.Body;
         Respond(net::jsonResponse(200, Answer));
       }};
   settings::DispatchSettings Settings;
@@ -83,3 +91,20 @@
   CHECK(Answer.Known);
   CHECK(Answer.State == jobs::JobState::Completed);
 }
+
+TEST_CASE("an owner of a former release takes a worker for ended in any "
+          "incarnation") {
+  PeersFixture B(R"({"token":7})");
+  CloseRequest Request;
+  Request.Ended = {{"w1", 1796680867863}};
+  std::optional<CloseAnswer> Got;
+  runOn(B.Loop, [&] {
+    B.Asked.askClose("p", Request, [&](const CloseAnswer &A) { Got = A; });
+  });
+  waitUntil(B.Loop, [&] { return Got.has_value(); });
+  CHECK(Got->Token == 7);
+  std::lock_guard<std::mutex> Lock(B.Mutex);
+  auto Body = nlohmann::json::parse(B.Asking);
+  CHECK(Body.at("ended") == nlohmann::json::array());
+  CHECK(Body.at("ended_incarnations").dump() == R"([["w1",1796680867863]])");
+}
--- a/tests/dispatch/ReleasedWorkerTest.cpp
+++ b/tests/dispatch/ReleasedWorkerTest.cpp
@@ -294,6 +294,54 @@
   });
 }
 
+TEST_CASE("a worker counts as ended by a call that doesn't name its present "
+          "incarnation") {
+  FleetFixture B(false);
+  B.start();
+  waitUntil(B.Loop, [&] {
+    auto Owner = B.Owners.controller("p");
+    return Owner && Owner->state().isSettled();
+  });
+  std::string Fields;
+  bool IsPresent = false;
+  SUBCASE("none, as in calls of former releases") {
+    Fields = R"("ended":["w2"])";
+  }
+  SUBCASE("an earlier one") {
+    Fields = R"("ended":[],"ended_incarnations":[["w2",0]])";
+  }
+  SUBCASE("the present one") {
+    IsPresent = true;
+    Fields = R"("ended":[],"ended_incarnations":[["w2",1]])";
+  }
+  net::HttpRequest Call;
+  Call.Method = "POST";
+  Call.Path = "/v1/pool";
+  Call.Body = R"({"pool":"p","close":[],"press":[],)" + Fields + "}";
+  bool Ended = false;
+  int Status = 0;
+  runOn(B.Loop, [&] {
+    Status = B.PeerCalls.handle(Call).Status;
+    Ended = B.Owners.controller("p")->state().workers().at("w2")->Ended;
+  });
+  CHECK(Status == 200);
+  CHECK(Ended == IsPresent);
+}
+
+TEST_CASE("tasks wait for the lease of a worker whose machine the list shows "
+          "during its upkeep") {
+  FleetFixture B(false);
+  B.Store.put({"op", "", "wave"}, "");
+  B.Machines.ListsInUpkeep = 3;
+  B.start();
+  waitUntil(B.Loop, [&] { return B.Machines.IsMaintained.load(); });
+  core::TimePoint OrderedAt = bootNow();
+  waitUntil(B.Loop, [&] {
+    return B.Owners.controller("p")->state().workers().at("w1")->Ended;
+  });
+  CHECK(bootNow() - OrderedAt < std::chrono::seconds(2));
+}
+
 // It was closed for 13 s more, until its release expired.
 TEST_CASE(
     "a worker that was closed for maintenance gets tasks as soon as it is "
--- a/tests/jobs/CrashAttributionTest.cpp
+++ b/tests/jobs/CrashAttributionTest.cpp
@@ -323,7 +323,7 @@
     CHECK(F.crashes(1) == 0);
   }
   SUBCASE("the worker was removed on the owner's order") {
-    F.B.Owner.endIncarnation(Worker);
+    F.B.Owner.endIncarnation({Worker, F.Born[Worker]});
     F.crash(Worker);
     CHECK(F.crashes(1) == 0);
   }
@@ -421,7 +421,7 @@
     CHECK(!F.B.Owner.mayHaveCrashed(Worker));
   }
   SUBCASE("its machine was taken away on the owner's order") {
-    F.B.Owner.endIncarnation(Worker);
+    F.B.Owner.endIncarnation({Worker, F.Born[Worker]});
     HoldOrder Order;
     Order.Worker = Worker;
     F.B.Owner.onReport(Order, {OrderOutcome::OtherIncarnation, {}}, F.B.Now,
--- a/tests/jobs/PoolMetricsTest.cpp
+++ b/tests/jobs/PoolMetricsTest.cpp
@@ -53,7 +53,7 @@
   Lost.Worker = "w2";
   B.dropReport(Lost);
   B.Owner.setClosedWorkers({"w3"});
-  B.Owner.endIncarnation("w4");
+  B.Owner.endIncarnation({"w4", 1});
   B.Entries.erase(B.Entries.begin() + 4);
   B.Owner.setWorkers(B.Entries, B.Now);
   CHECK(countWithStatus(B, WorkerStatus::Usable) == 1);
--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -555,7 +555,7 @@
   if (Options_.ViolatedRule == RuleViolation::FalseEnd)
     for (const Worker &W : Workers_)
       if (W.Partitioned)
-        O->State->endIncarnation(W.Id);
+        O->State->endIncarnation({W.Id, W.Born});
   PlanInput In;
   In.Now = nowOf(*O);
   In.WallMs = clockMs();
@@ -1026,7 +1026,7 @@
         AcknowledgedTasks_.insert(End.Task);
     crash(W);
     W.NewId = Options_.MachinesMove;
-    O->State->endIncarnation(W.Id);
+    O->State->endIncarnation({W.Id, W.ListedBorn});
     return;
   }
 }
--- a/tests/jobs/PoolSimulationMoves.cpp
+++ b/tests/jobs/PoolSimulationMoves.cpp
@@ -57,7 +57,7 @@
   crash(W);
   W.NewId = true;
   if (chance(0.5))
-    Owners_.back()->State->endIncarnation(Id);
+    Owners_.back()->State->endIncarnation({Id, W.ListedBorn});
 }
 
 } // namespace comfreydeck::jobs
--- a/tests/jobs/PoolStateTest.cpp
+++ b/tests/jobs/PoolStateTest.cpp
@@ -1026,7 +1026,7 @@
   B.listWorkers({"w1"});
   B.plan();
   B.report("w1");
-  B.Owner.endIncarnation("w1");
+  B.Owner.endIncarnation({"w1", 1});
   B.Owner.addJob(sampleJob(1), B.Now);
   Orders Out = B.plan();
   CHECK(Out.Starts.empty());
@@ -1043,6 +1043,37 @@
   CHECK(B.plan().Starts.size() == 1);
 }
 
+TEST_CASE(
+    "a task runs twice since the end of a worker's earlier incarnation is "
+    "told late") {
+  OwnerFixture B;
+  B.listWorkers({"w1"});
+  B.plan();
+  B.report("w1");
+  B.Entries[0].Born = 2;
+  B.Owner.setWorkers(B.Entries, B.Now);
+  B.advance(milliseconds(10));
+  B.plan();
+  HoldOrder Hold;
+  Hold.Worker = "w1";
+  B.report(Hold, {}, 2);
+  B.Owner.addJob(sampleJob(1), B.Now);
+  StartOrder Start = B.plan().Starts.at(0);
+  REQUIRE(Start.Worker == "w1");
+  B.answer(Start, OrderOutcome::Accepted);
+  B.Entries.push_back(sampleWorker("w2"));
+  B.Owner.addEnrolled(B.Entries[1], B.Now);
+  B.Owner.setWorkers(B.Entries, B.Now);
+  B.plan();
+  B.report("w2");
+  B.plan();
+  B.Owner.endIncarnation({"w1", 1});
+  CHECK(B.plan().Starts.empty());
+  CHECK_FALSE(B.Owner.workers().at("w1")->Ended);
+  B.Owner.endIncarnation({"w1", 2});
+  CHECK(B.plan().Starts.size() == 1);
+}
+
 TEST_CASE("a job starts only once its payload is loaded") {
   OwnerFixture B;
   B.listWorkers({"w1"});
--- a/tests/jobs/PresumedEndTest.cpp
+++ b/tests/jobs/PresumedEndTest.cpp
@@ -69,7 +69,7 @@
     CHECK(R.onlyPresumedEnd().Cause == PresumedCause::WorkerReplaced);
   }
   SUBCASE("its machine is removed") {
-    R.B.Owner.endIncarnation("w1");
+    R.B.Owner.endIncarnation({"w1", 1});
     CHECK(R.onlyPresumedEnd().Cause == PresumedCause::MachineOrdered);
   }
   SUBCASE("its worker is not listed any more and its machine is gone") {
--- a/tests/jobs/RestartedWorkerTest.cpp
+++ b/tests/jobs/RestartedWorkerTest.cpp
@@ -771,7 +771,7 @@
     W.restart(1000);
     W.list(true);
     W.idle(milliseconds(300));
-    W.B.Owner.endIncarnation("w1");
+    W.B.Owner.endIncarnation({"w1", W.Born});
     W.restart(500);
   }
   SUBCASE("with a later start time than one that its row never showed") {
@@ -781,7 +781,7 @@
     Asked.Worker = "w1";
     W.report(Asked);
     REQUIRE(W.B.Owner.workers().at("w1")->Born == 2);
-    W.B.Owner.endIncarnation("w1");
+    W.B.Owner.endIncarnation({"w1", W.Born});
     W.restart(3);
   }
   W.B.advance(milliseconds(500));
--- a/tests/jobs/SmallPool.cpp
+++ b/tests/jobs/SmallPool.cpp
@@ -437,7 +437,7 @@
   if (Options_.Broken == BrokenRule::FalseEnd)
     for (const Worker &W : Workers_)
       if (W.Cut)
-        O.State->endIncarnation(W.Id);
+        O.State->endIncarnation({W.Id, W.Born});
   PlanInput In;
   In.Now = Now_;
   In.WallMs = toMs(Now_.time_since_epoch());
