--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -51,6 +51,9 @@
 constexpr milliseconds HitAge(1500);
 /// Crashes for which a job may be given up.
 constexpr std::uint32_t HitsOfGivenUp = 3;
+/// Most that the number of an end is above that of the last one, if numbers are
+/// left out.
+constexpr std::uint64_t MaxEndStep = 3;
 /// How long before its end a run is listed as done, if it is too early.
 constexpr std::chrono::milliseconds EarlyDoneTime(100);
 /// Share of the runs that take long, where workers are cut off, and the
@@ -65,7 +68,8 @@
 } // namespace
 
 PoolSimulation::PoolSimulation(const SimulationOptions &Options)
-    : Options_(Options), Random_(Options.Seed), ClockRandom_(Options.Seed) {
+    : Options_(Options), Random_(Options.Seed), ClockRandom_(Options.Seed),
+      ReportRandom_(Options.Seed) {
   addWorkers();
   // Some are older than the machines of all owners.
   for (Worker &W : Workers_)
@@ -854,6 +858,9 @@
   for (const Run &R : W.Running)
     Result.Report.Running.push_back({R.Task, R.Id, "", percentOf(R), 0});
   Result.Report.Ended = W.Ended;
+  if (Options_.UnorderedEnds)
+    std::shuffle(Result.Report.Ended.begin(), Result.Report.Ended.end(),
+                 ReportRandom_);
   if (Options_.ViolatedRule == RuleViolation::EarlyDone)
     for (const Run &R : W.Running)
       if (R.EndsAt - Now_ < EarlyDoneTime && !R.InGang) {
@@ -875,7 +882,8 @@
 void PoolSimulation::end(Worker &W, const Run &Ended, RunEnd How) {
   RunId &Highest = W.Highest[Ended.Task];
   Highest = std::max(Highest, Ended.Id);
-  if (++W.LastEnd > W.LastSeen)
+  W.LastEnd += Options_.UnorderedEnds ? 1 + ReportRandom_() % MaxEndStep : 1;
+  if (W.LastEnd > W.LastSeen)
     W.Ended.push_back(endReportOf(W.LastEnd, Ended.Task, Ended.Id, How));
   else if (How == RunEnd::Done)
     AcknowledgedTasks_.insert(Ended.Task);
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -165,6 +165,8 @@
   /// Machines of idle workers are ordered away, and the orders are carried out
   /// up to some seconds later.
   bool MachinesMove = false;
+  /// Workers list ends in any order, and leave out numbers.
+  bool UnorderedEnds = false;
   /// Nothing goes wrong: no crash, partition, loss of an owner, late or lost
   /// order.
   bool Calm = false;
@@ -433,6 +435,7 @@
   SimulationOptions Options_;
   std::mt19937_64 Random_;
   std::mt19937_64 ClockRandom_;
+  std::mt19937_64 ReportRandom_;
   core::TimePoint Now_{std::chrono::hours(1)};
   std::set<Event> Events_;
   std::uint64_t EventCount_ = 0;
--- a/tools/histories.cpp
+++ b/tools/histories.cpp
@@ -41,6 +41,7 @@
     {"OrdersReachNextLife", &SimulationOptions::OrdersReachNextLife},
     {"CutAfterRestart", &SimulationOptions::CutAfterRestart},
     {"MachinesMove", &SimulationOptions::MachinesMove},
+    {"UnorderedEnds", &SimulationOptions::UnorderedEnds},
     {"Calm", &SimulationOptions::Calm},
 };
 
