Simulate earlier owners that are asked to stop

In the simulation nobody called setEarlierOwnersStopped, so that a new owner always waited for as long as earlier ones may have gone on, and a wrong shorter wait could show in no history.

With the option StoppableOwners, a new owner asks those before it every 300 ms, as EarlierOwners does, and is told of the last order of the latest one once all have answered. They are out of reach for up to 8 s, vanish for good or come back within 6 s, or have released the pool; answers are late or lost. An owner whose orders can't matter any more, since a later one has stored that it settled, is not asked.

--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -413,7 +413,10 @@
     Old->Storing.reset();
   }
   // Some owners vanish at once; others continue until they are fenced.
-  if (chance(0.5) && !Options_.RestartsAtTakeover)
+  bool Vanish = chance(0.5) && !Options_.RestartsAtTakeover;
+  if (Options_.StoppableOwners && !Owners_.empty())
+    endOwner(Owners_.back(), Vanish);
+  if (Vanish)
     Owners_.clear();
   if (Options_.RestartsAtTakeover)
     restartSomeWorkers();
@@ -481,6 +484,10 @@
       O->State->addEnrolled(Entry, nowOf(*O));
     }
   Owners_.push_back(O);
+  for (const std::shared_ptr<EarlierOwner> &Earlier : EarlierOwners_)
+    O->Asked.emplace_back(Earlier, std::nullopt);
+  if (Options_.StoppableOwners)
+    askEarlierOwners(O);
 }
 
 /// Has the new owner read one of the job's rows late. Returns whether it does.
@@ -607,6 +614,8 @@
     Roster_[Entry.Id] = Entry;
   for (const std::string &Id : O->Storing->Unenrolled)
     Roster_.erase(Id);
+  if (O->Storing->Settled)
+    EarlierOwners_.clear();
   if (Options_.ViolatedRule != RuleViolation::EarlyAcknowledge &&
       Options_.ViolatedRule != RuleViolation::NoConfirmation)
     O->State->onStored(O->Storing->Mark);
@@ -618,6 +627,8 @@
 void PoolSimulation::send(const OwnerPtr &O, const Orders &Out) {
   checkGangs(Out);
   checkPlaces(O, Out);
+  if (!Out.Stops.empty() || !Out.Starts.empty() || !Out.Holds.empty())
+    O->LastOrderAt = Now_;
   for (const StopOrder &Order : Out.Stops)
     sendStop(O, Order);
   for (const StartOrder &Order : Out.Starts)
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -92,6 +92,8 @@
   /// A worker that crashed under several suspects says that their runs have
   /// ended otherwise.
   SharedUncounted,
+  /// Owners that are asked to stop say that they have, and go on.
+  NoStopOfOwners,
 };
 
 struct SimulationOptions {
@@ -167,6 +169,9 @@
   bool MachinesMove = false;
   /// Workers list ends in any order, and leave out numbers.
   bool UnorderedEnds = false;
+  /// New owners ask the ones before to stop, which answer late or never. Some
+  /// have released the pool.
+  bool StoppableOwners = false;
   /// Nothing goes wrong: no crash, partition, loss of an owner, late or lost
   /// order.
   bool Calm = false;
@@ -289,6 +294,15 @@
     /// Starts that were sent to it, and when.
     std::vector<std::pair<core::TimePoint, TaskRef>> Ordered;
   };
+  struct Owner;
+  /// An owner before the present one, as others may ask it.
+  struct EarlierOwner {
+    std::weak_ptr<Owner> O;
+    /// It has no orders after this; nothing while it goes on.
+    std::optional<core::TimePoint> StoppedAt;
+    /// It is out of reach until then.
+    core::TimePoint AnswersFrom;
+  };
   struct Owner {
     std::unique_ptr<PoolState> State;
     std::uint64_t Token = 0;
@@ -307,6 +321,12 @@
     /// Incarnations that have reported to it, if it takes the zeros of their
     /// clocks for its own.
     std::set<std::pair<std::string, std::int64_t>> Heard;
+    /// Owners that it asks to stop, and since when each has sent no order, as
+    /// far as it knows.
+    std::vector<std::pair<std::shared_ptr<EarlierOwner>,
+                          std::optional<core::TimePoint>>>
+        Asked;
+    core::TimePoint LastOrderAt;
   };
   struct Event {
     core::TimePoint At;
@@ -381,6 +401,9 @@
   void silence(Worker &W);
   void closeWorkers(const OwnerPtr &O);
   void takeOver();
+  void endOwner(const OwnerPtr &O, bool Vanishes);
+  void askEarlierOwners(const OwnerPtr &O);
+  void askToStop(const OwnerPtr &O, std::size_t N);
   void restartSomeWorkers();
   void cutRestartedWorkers();
   void drive(const OwnerPtr &O);
@@ -441,6 +464,8 @@
   std::uint64_t EventCount_ = 0;
   std::vector<Worker> Workers_;
   std::vector<OwnerPtr> Owners_;
+  /// Those whose orders may still matter to the next one.
+  std::vector<std::shared_ptr<EarlierOwner>> EarlierOwners_;
   std::map<std::string, JobSpec> Jobs_;
   /// The same, to look them up, and those that were not over at the last look.
   std::unordered_map<std::string, const JobSpec *> JobsById_;
--- a/tools/histories.cpp
+++ b/tools/histories.cpp
@@ -42,6 +42,7 @@
     {"CutAfterRestart", &SimulationOptions::CutAfterRestart},
     {"MachinesMove", &SimulationOptions::MachinesMove},
     {"UnorderedEnds", &SimulationOptions::UnorderedEnds},
+    {"StoppableOwners", &SimulationOptions::StoppableOwners},
     {"Calm", &SimulationOptions::Calm},
 };
 
