Ignore a run in a report that lists it as ended too

A worker may make its list of runs before that of its ends, so that a run that ends in between is in both. The owner removed the run by its end and then added it again by the other list, until the next report: its task didn't start again meanwhile, and a lasting one counted as at work at the percent that it had had, so that a place was taken from another task of its step while as many as allowed were away (AVAIL).

Rows of Running whose end the same report lists are passed over.

--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -62,6 +62,14 @@
   return Sorted;
 }
 
+/// Whether the report lists the run as ended.
+bool hasEnded(const WorkerReport &Report, const RunReport &Run) {
+  return std::any_of(Report.Ended.begin(), Report.Ended.end(),
+                     [&Run](const EndReport &End) {
+                       return End.Run == Run.Run && End.Task == Run.Task;
+                     });
+}
+
 } // namespace
 
 /// Applies the clock in the answer to an order for the run, which was planned
@@ -323,8 +331,10 @@
     if (End->Number > W.ProcessedUpTo)
       handleEnd(W, *End, Now);
   W.UnknownRuns.clear();
+  // A worker may list its runs before its ends, so that one is in both lists.
   for (const RunReport &Run : Report.Running)
-    handleRunning(W, Run, SentAt, Now);
+    if (!hasEnded(Report, Run))
+      handleRunning(W, Run, SentAt, Now);
   if (ListsAllEnds)
     dropMissing(W, Report, Order.Fence, SentAt, Now);
   if (!Lost_.isEmpty())
