Simulate workers whose clocks are up to 2 % slow

All clocks of the simulation ran at the owners' speed, so that no history could show a lease that counts as lapsed too early.

With the option SlowClocks each life of a worker has a rate of its own, from 0.98 to 1, with a third at either end. Leases, their longest length and the time that stops take are on these clocks.

--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -64,6 +64,10 @@
 /// How long workers have been up at the begin of a history.
 constexpr std::chrono::hours MinWorkerAge(1);
 constexpr std::chrono::hours MaxWorkerAge(30 * 24);
+/// The most that a worker's clock runs slow, in thousandths.
+constexpr std::int64_t MostSlowness = 20;
+/// How many times as slow it runs, if that is too slow.
+constexpr double SlownessFactor = 10;
 
 } // namespace
 
@@ -72,9 +76,10 @@
       ReportRandom_(Options.Seed) {
   addWorkers();
   // Some are older than the machines of all owners.
-  for (Worker &W : Workers_)
-    W.BornAt = W.ZeroAt =
-        Now_ - milliseconds(drawMs(MinWorkerAge, MaxWorkerAge));
+  for (Worker &W : Workers_) {
+    startClock(W, milliseconds(drawMs(MinWorkerAge, MaxWorkerAge)));
+    W.BornAt = W.ZeroAt;
+  }
   beginStorm();
   if (!Options.LastingTasks)
     return;
@@ -129,7 +134,25 @@
 }
 
 std::int64_t PoolSimulation::clockMs(const Worker &W) const {
-  return std::chrono::duration_cast<milliseconds>(Now_ - W.ZeroAt).count() + 1;
+  core::Duration Passed = std::chrono::duration_cast<core::Duration>(
+      (Now_ - W.BornAt) * W.ClockRate);
+  return toMs(W.BornAt - W.ZeroAt + Passed) + 1;
+}
+
+/// Begins a life of the worker whose clock shows so much. The slowest clocks
+/// and sound ones are the most frequent.
+void PoolSimulation::startClock(Worker &W, core::Duration Shown) {
+  W.BornAt = Now_;
+  W.ZeroAt = Now_ - Shown;
+  if (!Options_.SlowClocks)
+    return;
+  bool TooSlow = Options_.ViolatedRule == RuleViolation::SlowerClocks;
+  std::int64_t Slowness =
+      drawMs(milliseconds(-MostSlowness), milliseconds(2 * MostSlowness));
+  double Share =
+      static_cast<double>(std::clamp<std::int64_t>(Slowness, 0, MostSlowness)) /
+      1000;
+  W.ClockRate = 1 - Share * (TooSlow ? SlownessFactor : 1);
 }
 
 /// Leases are never shortened, and none is longer than the platform's longest.
@@ -137,8 +160,10 @@
   if (DeadlineMs <= clockMs(W))
     return;
   core::Duration Length = milliseconds(DeadlineMs - clockMs(W));
-  W.LeaseEnd =
-      std::max(W.LeaseEnd, Now_ + std::min(Length, OwnerLimits().MaxLease));
+  Length = std::min(Length, OwnerLimits().MaxLease);
+  W.LeaseEnd = std::max(
+      W.LeaseEnd,
+      Now_ + std::chrono::duration_cast<core::Duration>(Length / W.ClockRate));
 }
 
 const JobSpec &PoolSimulation::specOf(const std::string &JobId) const {
@@ -916,7 +941,8 @@
   }
   if (LastingJob_ && !R->Stopping) {
     R->Stopping = true;
-    R->EndsAt = Now_ + milliseconds(draw(0, MaxStopMs));
+    R->EndsAt = Now_ + std::chrono::duration_cast<core::Duration>(
+                           milliseconds(draw(0, MaxStopMs)) / W.ClockRate);
   } else if (!LastingJob_) {
     Run Ended = *R;
     W.Running.erase(R);
@@ -972,8 +998,7 @@
   for (Worker &W : Workers_) {
     if (!W.Up && !W.Lost && Now_ >= W.BackAt) {
       W.Up = W.Listed = true;
-      W.BornAt = Now_;
-      W.ZeroAt = Now_ - drawUptime();
+      startClock(W, drawUptime());
       restartClock(W);
       if (std::exchange(W.NewId, false) ||
           (Options_.QuickRestarts && chance(NewIdShare)))
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -94,6 +94,8 @@
   SharedUncounted,
   /// Owners that are asked to stop say that they have, and go on.
   NoStopOfOwners,
+  /// Workers' clocks are ten times as slow as the platform says.
+  SlowerClocks,
 };
 
 struct SimulationOptions {
@@ -172,6 +174,8 @@
   /// New owners ask the ones before to stop, which answer late or never. Some
   /// have released the pool.
   bool StoppableOwners = false;
+  /// The clock of each life of a worker is up to 2 % slow.
+  bool SlowClocks = false;
   /// Nothing goes wrong: no crash, partition, loss of an owner, late or lost
   /// order.
   bool Calm = false;
@@ -262,6 +266,8 @@
     core::TimePoint BornAt;
     /// When its clock showed zero, which may be long before its start.
     core::TimePoint ZeroAt;
+    /// How fast its clock has gone since its start.
+    double ClockRate = 1;
     bool Up = true;
     /// Partitioned: it is unreachable but keeps running.
     bool Partitioned = false;
@@ -345,6 +351,7 @@
   int draw(int From, int To);
   std::int64_t drawMs(milliseconds From, milliseconds To);
   core::Duration drawUptime();
+  void startClock(Worker &W, core::Duration Shown);
   /// The time on the clock of the owner's machine.
   core::TimePoint nowOf(const Owner &O) const;
   void step();
--- a/tools/histories.cpp
+++ b/tools/histories.cpp
@@ -43,6 +43,7 @@
     {"MachinesMove", &SimulationOptions::MachinesMove},
     {"UnorderedEnds", &SimulationOptions::UnorderedEnds},
     {"StoppableOwners", &SimulationOptions::StoppableOwners},
+    {"SlowClocks", &SimulationOptions::SlowClocks},
     {"Calm", &SimulationOptions::Calm},
 };
 
