--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -92,6 +92,10 @@
   /// A worker that crashed under several suspects says that their runs have
   /// ended otherwise.
   SharedUncounted,
+  /// Owners that are asked to stop say that they have, and go on.
+  NoStopOfOwners,
+  /// Workers' clocks are ten times as slow as the platform says.
+  SlowerClocks,
 };
 
 struct SimulationOptions {
@@ -165,6 +169,13 @@
   /// Machines of idle workers are ordered away, and the orders are carried out
   /// up to some seconds later.
   bool MachinesMove = false;
+  /// Workers list ends in any order, and leave out numbers.
+  bool UnorderedEnds = false;
+  /// New owners ask the ones before to stop, which answer late or never. Some
+  /// have released the pool.
+  bool StoppableOwners = false;
+  /// The clock of each life of a worker is up to 2 % slow.
+  bool SlowClocks = false;
   /// Nothing goes wrong: no crash, partition, loss of an owner, late or lost
   /// order.
   bool Calm = false;
@@ -255,6 +266,8 @@
     core::TimePoint BornAt;
     /// When its clock showed zero, which may be long before its start.
     core::TimePoint ZeroAt;
+    /// How fast its clock has gone since its start.
+    double ClockRate = 1;
     bool Up = true;
     /// Partitioned: it is unreachable but keeps running.
     bool Partitioned = false;
@@ -287,6 +300,15 @@
     /// Starts that were sent to it, and when.
     std::vector<std::pair<core::TimePoint, TaskRef>> Ordered;
   };
+  struct Owner;
+  /// An owner before the present one, as others may ask it.
+  struct EarlierOwner {
+    std::weak_ptr<Owner> O;
+    /// It has no orders after this; nothing while it goes on.
+    std::optional<core::TimePoint> StoppedAt;
+    /// It is out of reach until then.
+    core::TimePoint AnswersFrom;
+  };
   struct Owner {
     std::unique_ptr<PoolState> State;
     std::uint64_t Token = 0;
@@ -305,6 +327,12 @@
     /// Incarnations that have reported to it, if it takes the zeros of their
     /// clocks for its own.
     std::set<std::pair<std::string, std::int64_t>> Heard;
+    /// Owners that it asks to stop, and since when each has sent no order, as
+    /// far as it knows.
+    std::vector<std::pair<std::shared_ptr<EarlierOwner>,
+                          std::optional<core::TimePoint>>>
+        Asked;
+    core::TimePoint LastOrderAt;
   };
   struct Event {
     core::TimePoint At;
@@ -323,6 +351,7 @@
   int draw(int From, int To);
   std::int64_t drawMs(milliseconds From, milliseconds To);
   core::Duration drawUptime();
+  void startClock(Worker &W, core::Duration Shown);
   /// The time on the clock of the owner's machine.
   core::TimePoint nowOf(const Owner &O) const;
   void step();
@@ -379,6 +408,9 @@
   void silence(Worker &W);
   void closeWorkers(const OwnerPtr &O);
   void takeOver();
+  void endOwner(const OwnerPtr &O, bool Vanishes);
+  void askEarlierOwners(const OwnerPtr &O);
+  void askToStop(const OwnerPtr &O, std::size_t N);
   void restartSomeWorkers();
   void cutRestartedWorkers();
   void drive(const OwnerPtr &O);
@@ -433,11 +465,14 @@
   SimulationOptions Options_;
   std::mt19937_64 Random_;
   std::mt19937_64 ClockRandom_;
+  std::mt19937_64 ReportRandom_;
   core::TimePoint Now_{std::chrono::hours(1)};
   std::set<Event> Events_;
   std::uint64_t EventCount_ = 0;
   std::vector<Worker> Workers_;
   std::vector<OwnerPtr> Owners_;
+  /// Those whose orders may still matter to the next one.
+  std::vector<std::shared_ptr<EarlierOwner>> EarlierOwners_;
   std::map<std::string, JobSpec> Jobs_;
   /// The same, to look them up, and those that were not over at the last look.
   std::unordered_map<std::string, const JobSpec *> JobsById_;
--- a/tools/histories.cpp
+++ b/tools/histories.cpp
@@ -41,6 +41,9 @@
     {"OrdersReachNextLife", &SimulationOptions::OrdersReachNextLife},
     {"CutAfterRestart", &SimulationOptions::CutAfterRestart},
     {"MachinesMove", &SimulationOptions::MachinesMove},
+    {"UnorderedEnds", &SimulationOptions::UnorderedEnds},
+    {"StoppableOwners", &SimulationOptions::StoppableOwners},
+    {"SlowClocks", &SimulationOptions::SlowClocks},
     {"Calm", &SimulationOptions::Calm},
 };
 
