Leave a worker that restarted while the list of machines was read

A worker that came back after its machine's upkeep got no task, and no request for a report, until its pool had another owner. The owner had asked for the list of machines while the worker was away; the list, which showed the upkeep, arrived once the worker was back under its id and had not reported yet, and the worker counted as ended. Found by reading.

UnlistedWorkers now asks for named incarnations, and what a list shows counts for these only.

--- a/src/dispatch/UnlistedWorkers.cpp
+++ b/src/dispatch/UnlistedWorkers.cpp
@@ -18,51 +18,53 @@
 void UnlistedWorkers::check() {
   if (Checking_)
     return;
-  std::vector<std::string> Open;
+  std::vector<jobs::WorkerIncarnation> Open;
   for (const auto &[Id, Worker] : State_.workers())
-    if (mayHaveEnded(Id))
-      Open.push_back(Id);
+    if (mayHaveEnded({Id, Worker->Born}))
+      Open.push_back({Id, Worker->Born});
   if (Open.empty() || Host_.isDropped() || !Ctx_.Machines)
     return;
   Checking_ = true;
   readMachines(Open, false);
 }
 
-bool UnlistedWorkers::mayHaveEnded(const std::string &Id) const {
-  auto At = State_.workers().find(Id);
-  return At != State_.workers().end() &&
+bool UnlistedWorkers::mayHaveEnded(const jobs::WorkerIncarnation &Which) const {
+  auto At = State_.workers().find(Which.Worker);
+  return At != State_.workers().end() && At->second->Born == Which.Born &&
          (jobs::PoolState::mayHaveEnded(*At->second) ||
-          (At->second->Gone && State_.mayHaveCrashed(Id)));
+          (At->second->Gone && State_.mayHaveCrashed(Which.Worker)));
 }
 
 /// Reads the list of machines. \p Again says that the last list showed none of
 /// the workers.
-void UnlistedWorkers::readMachines(const std::vector<std::string> &Ids,
-                                   bool Again) {
+void UnlistedWorkers::readMachines(
+    const std::vector<jobs::WorkerIncarnation> &Open, bool Again) {
   Ctx_.Machines->list(
-      [this, Keep = Host_.keep(), Ids, Again](MachineList List) {
-        Ctx_.Loop.post([this, Keep, Ids, Again, List = std::move(List)] {
-          onMachinesRead(Ids, List, Again);
+      [this, Keep = Host_.keep(), Open, Again](MachineList List) {
+        Ctx_.Loop.post([this, Keep, Open, Again, List = std::move(List)] {
+          onMachinesRead(Open, List, Again);
         });
       });
 }
 
 /// Pages of one list may be read while machines come and go, so that it misses
 /// some: a worker has ended without a machine only if two lists agree.
-void UnlistedWorkers::onMachinesRead(const std::vector<std::string> &Ids,
-                                     const MachineList &List, bool Again) {
+void UnlistedWorkers::onMachinesRead(
+    const std::vector<jobs::WorkerIncarnation> &Open, const MachineList &List,
+    bool Again) {
   if (!List.Ok)
     Ctx_.Count.recordRetry("list-machines");
-  std::vector<std::string> Missing;
-  for (const std::string &Id : Ids) {
-    // It may have reported since the list was requested.
-    if (!List.Ok || !mayHaveEnded(Id) || !hasWorkerEnded(Id, List.Machines))
+  std::vector<jobs::WorkerIncarnation> Missing;
+  for (const jobs::WorkerIncarnation &Which : Open) {
+    const std::string &Id = Which.Worker;
+    // It may have reported or restarted since the list was requested.
+    if (!List.Ok || !mayHaveEnded(Which) || !hasWorkerEnded(Id, List.Machines))
       continue;
     if (Again || isWorkerShown(Id, List.Machines)) {
       Log_.logWorkerEnded(*State_.workers().at(Id), List);
       State_.confirmEnded(Id);
     } else {
-      Missing.push_back(Id);
+      Missing.push_back(Which);
     }
   }
   Host_.schedulePlan();
--- a/src/dispatch/UnlistedWorkers.h
+++ b/src/dispatch/UnlistedWorkers.h
@@ -24,9 +24,10 @@
   void check();
 
 private:
-  bool mayHaveEnded(const std::string &Id) const;
-  void readMachines(const std::vector<std::string> &Ids, bool Again);
-  void onMachinesRead(const std::vector<std::string> &Ids,
+  bool mayHaveEnded(const jobs::WorkerIncarnation &Which) const;
+  void readMachines(const std::vector<jobs::WorkerIncarnation> &Open,
+                    bool Again);
+  void onMachinesRead(const std::vector<jobs::WorkerIncarnation> &Open,
                       const MachineList &List, bool Again);
 
   Context &Ctx_;
--- a/tests/dispatch/PoolControllerTest.cpp
+++ b/tests/dispatch/PoolControllerTest.cpp
@@ -18,16 +18,40 @@
 namespace {
 
 constexpr std::chrono::milliseconds PollEvery(20);
+/// Begins a worker's row that tells its start time instead of its address.
+constexpr std::string_view BornPrefix = "born ";
 
 /// Lists no machine, so that no worker is left, or after the first list that of
-/// worker w1.
+/// worker w1. Or shows that one in its upkeep, once the test says so.
 struct ListedMachines : MachineControl {
   std::atomic<std::uint32_t> Lists = 0;
   std::atomic<bool> OnlyFirstOmits = false;
+  std::atomic<bool> IsInUpkeep = false;
+  std::mutex Mutex;
+  /// Lists of the upkeep that the test has not answered.
+  std::vector<std::function<void(MachineList)>> Unanswered;
 
+  void answer() {
+    std::lock_guard<std::mutex> Lock(Mutex);
+    Machine M;
+    M.Id = "m1";
+    M.State = MachineState::Maintenance;
+    M.Worker = "w1";
+    MachineList List;
+    List.Ok = true;
+    List.Machines = {M};
+    for (const auto &Done : std::exchange(Unanswered, {}))
+      Done(List);
+  }
   void list(std::function<void(MachineList)> Done) override {
     MachineList List;
     List.Ok = true;
+    if (IsInUpkeep) {
+      std::lock_guard<std::mutex> Lock(Mutex);
+      Unanswered.push_back(std::move(Done));
+      ++Lists;
+      return;
+    }
     if (++Lists > 1 && OnlyFirstOmits) {
       Machine M;
       M.Id = "m1";
@@ -116,12 +140,13 @@
   /// \p SettledToken is the value of the row that names the settled owner; an
   /// empty one stands for no row.
   explicit ControllerFixture(const std::string &SettledToken = "",
-                             bool KeepsBack = false) {
+                             bool KeepsBack = false,
+                             const std::string &FirstRow = "") {
     Workers.KeepsBack = KeepsBack;
     if (!SettledToken.empty())
       Store.put({rows::Progress, rows::poolPart("p"), rows::SettledKey},
                 SettledToken);
-    Store.put({"servers", "", "w1"}, "");
+    Store.put({"servers", "", "w1"}, FirstRow);
     Loop.start();
     on([this] {
       View.start();
@@ -164,6 +189,8 @@
       Entry.Id = Row.Where.Key;
       Entry.Pool = "p";
       Entry.Address = Row.Value;
+      if (Row.Value.starts_with(BornPrefix))
+        Entry.Born = std::stoll(Row.Value.substr(BornPrefix.size()));
       return Entry;
     };
     return Decoder;
@@ -198,6 +225,28 @@
   B.on([&] { CHECK_FALSE(B.isHeard("w1")); });
 }
 
+TEST_CASE(
+    "a worker that is back after an upkeep gets nothing, since a late list "
+    "of machines shows the upkeep") {
+  ControllerFixture B("", false, "born 1");
+  B.waitUntil([&] { return B.Workers.answer({}); });
+  B.Machines.IsInUpkeep = true;
+  B.Store.remove({"servers", "", "w1"});
+  B.waitUntil([&] { return B.Machines.Lists > 0; });
+  std::int64_t Born = 1;
+  SUBCASE("in another incarnation") {
+    Born = 2;
+    B.Store.put({"servers", "", "w1"}, "born 2");
+    B.waitUntil(
+        [&] { return B.Controller->state().workers().at("w1")->Born == Born; });
+  }
+  SUBCASE("which goes on (control)") {}
+  B.on([&] { B.Machines.answer(); });
+  bool IsHeard = false;
+  B.on([&] { IsHeard = B.isHeard("w1"); });
+  CHECK(IsHeard == (Born == 1));
+}
+
 TEST_CASE("an owner requests no second report while the first request waits in "
           "its entry, and one once that has been sent and has no answer") {
   constexpr std::chrono::milliseconds Wait(700);
