Count a 421 only from the address at which the worker is known to be

A task could run twice: its worker lived, but another one answered an order at an address that the worker's row had shown at another time, and all runs of the worker counted as ended (dropReplaced). Two ways, found by reading: the row changed the worker's address between the order and its answer; or a late row of an incarnation that the owner never knew was applied, which only puts the known one in doubt, and the orders went to the address in it.

The owner now keeps the address at which the known incarnation is, by its row or by a report of it, and when it learned the worker's present address. A 421 ends runs if the order was sent since, and to that address; otherwise it counts as a refused report or stop, and the next one tells. A stop that the owner has not planned for the run still counts as sent when it is answered.

A 421 to a start ends that run alone, which the call did not start, and stays as it is.

--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -49,6 +49,13 @@
          ClockMs < (SinceReport ? W.Clock.LastReportMs : W.Clock.FirstReportMs);
 }
 
+/// Whether an order that was sent at that time went to the address of the
+/// present incarnation. A row may change the worker's address meanwhile, and a
+/// late one may show that of an earlier incarnation.
+bool wasSentToIncarnation(const WorkerState &W, core::TimePoint SentAt) {
+  return SentAt >= W.AddressKnownAt && W.Entry.Address == W.BornAddress;
+}
+
 } // namespace
 
 /// Applies the clock in the answer to an order for the run, which was planned
@@ -192,12 +199,13 @@
     return;
   if (isOfIncarnation(*Run, W))
     applyAnswerClock(W, *Run, Result.ClockMs, Now);
-  bool IsOlderThanReport =
-      Run->StopInFlight && Run->StopSentAt < W.ReportRequestedAt;
+  core::TimePoint SentAt = Run->StopInFlight ? Run->StopSentAt : Now;
+  bool IsOlderThanReport = SentAt < W.ReportRequestedAt;
   Run->StopInFlight = false;
   bool Outdated = std::exchange(Run->StopOutdated, false);
   StopsChanged_ = true;
-  if (Result.Outcome == OrderOutcome::OtherIncarnation && !IsOlderThanReport) {
+  if (Result.Outcome == OrderOutcome::OtherIncarnation && !IsOlderThanReport &&
+      wasSentToIncarnation(W, SentAt)) {
     // The incarnation that had the run has ended.
     dropReplaced(W, Now);
     return;
@@ -251,7 +259,8 @@
     W.NextHold = Now;
     return;
   }
-  if (Result.Outcome == OrderOutcome::OtherIncarnation) {
+  if (Result.Outcome == OrderOutcome::OtherIncarnation &&
+      wasSentToIncarnation(W, SentAt)) {
     // The incarnation that had these runs has ended.
     dropReplaced(W, Now);
     W.Heard = true;
@@ -276,6 +285,8 @@
   const WorkerReport &Report = Result.Report;
   if (Report.Born != 0 && Report.Born != W.Born)
     startIncarnation(W, Report.Born, &Report, Now);
+  if (SentAt >= W.AddressKnownAt)
+    W.BornAddress = W.Entry.Address;
   if (!Lost_.isEmpty()) {
     clearRunElsewhere(W, Report, std::nullopt, Now);
     settleLost(W, Lost_.takeOthers(W.Entry.Id, W.Born, W.Born), {}, W.Born,
--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -45,6 +45,7 @@
   W.Restarted = true;
   W.Ended = false;
   W.Born = Born;
+  W.BornAddress.clear();
   W.Clock = WorkerClock();
   W.FencedAt.reset();
   W.DeadlineMs = 0;
@@ -148,9 +149,12 @@
     // current address.
     if (Slot->Entry.Address != Entry.Address) {
       Slot->Enrolled = false;
+      Slot->AddressKnownAt = Now;
       Outbox_.enrol(Entry.Id);
     }
     Slot->Entry = Entry;
+    if (Entry.Born == Slot->Born)
+      Slot->BornAddress = Entry.Address;
     Slot->Gone = false;
   }
   for (auto &[Id, W] : Workers_) {
@@ -168,6 +172,8 @@
     return;
   Slot = std::make_unique<WorkerState>();
   Slot->Entry = Entry;
+  Slot->AddressKnownAt = Now;
+  Slot->BornAddress = Entry.Address;
   Slot->Born = Entry.Born;
   Slot->InheritedBorn = Entry.Born;
   if (Entry.EarlierOrdersFor)
--- a/src/jobs/WorkerState.h
+++ b/src/jobs/WorkerState.h
@@ -63,6 +63,10 @@
   /// When this owner first requested its report.
   std::optional<core::TimePoint> AskedAt;
   std::int64_t Born = 0;
+  /// Where that incarnation is known to be, by its row or a report of it.
+  std::string BornAddress;
+  /// When this owner learned the address in \ref Entry.
+  core::TimePoint AddressKnownAt;
   /// Start time of the incarnation in the roster that this owner has read;
   /// nothing if the worker was not in it.
   std::optional<std::int64_t> InheritedBorn;
--- a/tests/jobs/PresumedEndTest.cpp
+++ b/tests/jobs/PresumedEndTest.cpp
@@ -42,6 +42,67 @@
   }
 };
 
+/// Two tasks that run on a worker's second known incarnation. Rows of another
+/// one between the two are unknown to the owner.
+struct TwoTasksAfterRestart {
+  static constexpr std::int64_t Born = 3;
+  OwnerFixture B;
+  std::vector<RunReport> Running;
+
+  TwoTasksAfterRestart() {
+    B.listWorkers({"w1"});
+    B.plan();
+    B.report("w1");
+    list(B.Entries[0].Address, Born);
+    B.plan();
+    reportRunning();
+    B.Owner.addJob(sampleJob(1), B.Now);
+    B.Owner.addJob(sampleJob(2), B.Now);
+    std::vector<StartOrder> Starts = B.plan().Starts;
+    REQUIRE(Starts.size() == 2);
+    for (const StartOrder &Start : Starts) {
+      B.answer(Start, OrderOutcome::Accepted);
+      Running.push_back(runReportOf(Start));
+    }
+    B.advance(milliseconds(10));
+    reportRunning();
+    B.Owner.takeEvents();
+  }
+
+  void list(const std::string &Address, std::int64_t ListedBorn) {
+    B.advance(milliseconds(10));
+    B.Entries[0].Address = Address;
+    B.Entries[0].Born = ListedBorn;
+    B.Owner.setWorkers(B.Entries, B.Now);
+    B.advance(milliseconds(10));
+  }
+  void reportRunning() {
+    HoldOrder Hold;
+    Hold.Worker = "w1";
+    B.report(Hold, Running, Born);
+    B.advance(milliseconds(10));
+  }
+  /// Another worker answers a request for a report.
+  void refuseReport(core::TimePoint SentAt) {
+    HoldOrder Hold;
+    Hold.Worker = "w1";
+    B.advance(milliseconds(10));
+    B.Owner.onReport(Hold, {OrderOutcome::OtherIncarnation, {}}, SentAt, B.Now);
+  }
+  StopOrder stopFirst() {
+    B.Owner.cancelJob(jobId(1));
+    return B.plan().Stops.at(0);
+  }
+  /// Another worker answers a stop.
+  void refuseStop(const StopOrder &Stop) {
+    B.advance(milliseconds(10));
+    B.Owner.onStop(Stop, {OrderOutcome::OtherIncarnation, 0}, B.Now);
+  }
+  std::size_t presumedEnds() {
+    return B.Owner.takeEvents().PresumedEnds.size();
+  }
+};
+
 } // namespace
 
 TEST_CASE("each run that counts as ended without a report is logged with the "
@@ -130,3 +191,46 @@
   CHECK(Ends.take(Task, 2));
   CHECK_FALSE(Ends.take(Task, 2));
 }
+
+TEST_CASE(
+    "runs start elsewhere since another worker answers at an address that "
+    "isn't their worker's") {
+  TwoTasksAfterRestart R;
+  OwnerFixture &B = R.B;
+  SUBCASE("any more, asked for a report before a row showed that") {
+    core::TimePoint SentAt = B.Now;
+    R.list("next", TwoTasksAfterRestart::Born);
+    R.refuseReport(SentAt);
+    CHECK(R.presumedEnds() == 0);
+  }
+  SUBCASE("any more, told to stop a run before a row showed that") {
+    StopOrder Stop = R.stopFirst();
+    R.list("next", TwoTasksAfterRestart::Born);
+    R.refuseStop(Stop);
+    CHECK(R.presumedEnds() == 0);
+  }
+  SUBCASE("but that of a late row, asked for a report") {
+    R.list("former", TwoTasksAfterRestart::Born - 1);
+    R.refuseReport(B.Now);
+    CHECK(R.presumedEnds() == 0);
+  }
+  SUBCASE("but that of a late row, told to stop a run") {
+    R.list("former", TwoTasksAfterRestart::Born - 1);
+    R.refuseStop(R.stopFirst());
+    CHECK(R.presumedEnds() == 0);
+  }
+  SUBCASE("but it is theirs, asked for a report (control)") {
+    R.refuseReport(B.Now);
+    CHECK(R.presumedEnds() == 2);
+  }
+  SUBCASE("but it is theirs, told to stop a run (control)") {
+    R.refuseStop(R.stopFirst());
+    CHECK(R.presumedEnds() == 2);
+  }
+  SUBCASE("but it is theirs by a later report (control)") {
+    R.list("next", TwoTasksAfterRestart::Born - 1);
+    R.reportRunning();
+    R.refuseReport(B.Now);
+    CHECK(R.presumedEnds() == 2);
+  }
+}
