Tell an entry that sends orders how long a batch was under way

Callers could see a task run again after it was done: an entry that was paused with a batch in its socket counted the batch's age from its reading, after the pause, and sent orders of seconds before. An acknowledgement among them reaches a worker's next life as one of its own; a start is carried out though its owner has given it up.

Results now carry the time of their sender. The owner keeps the largest lead of that clock over its own, which is never more than the true one, takes off what clocks may drift since, and names in each batch a time on the receiver's clock at which the batch had not been sent yet. No time of day is used, and a name for another life of the receiver counts for nothing. The receiver takes the time off what acknowledgements have left, and leaves them out where it is not known (no results within 30 s); it returns all orders unsent where the batch was under way for over a second, when the owner has given it up.

The test of orders that reach a worker unchanged exchanges one start before, since the first order acknowledges nothing now.

Entries of the version before refuse the new results, and are refused, as unreadable; owners then send for themselves.

--- a/src/codec/OrderJson.cpp
+++ b/src/codec/OrderJson.cpp
@@ -207,7 +207,8 @@
 } // namespace
 
 std::string encodeOrders(const std::string &From, const std::string &Life,
-                         std::span<const RelayedOrder> Orders) {
+                         std::span<const RelayedOrder> Orders,
+                         const std::optional<PeerTime> &SentAt) {
   PayloadTable Payloads;
   Json Rows = Json::array();
   for (const RelayedOrder &Order : Orders) {
@@ -220,11 +221,13 @@
       Row.push_back(msOf(Order.AcknowledgeWithin));
     Rows.push_back(std::move(Row));
   }
-  return Json({{"from", From},
-               {"life", Life},
-               {"payloads", Payloads.take()},
-               {"orders", std::move(Rows)}})
-      .dump();
+  Json Batch = {{"from", From},
+                {"life", Life},
+                {"payloads", Payloads.take()},
+                {"orders", std::move(Rows)}};
+  if (SentAt)
+    Batch["sent_at"] = Json::array({SentAt->Life, SentAt->Ms});
+  return Batch.dump();
 }
 
 OrderBatch decodeOrders(std::string_view Text) {
@@ -233,6 +236,9 @@
     OrderBatch Batch;
     Batch.From = Object.at("from").get<std::string>();
     Batch.Life = Object.at("life").get<std::string>();
+    if (auto At = Object.find("sent_at"); At != Object.end())
+      Batch.SentAt = {At->at(0).get<std::string>(),
+                      At->at(1).get<std::int64_t>()};
     const Json &Payloads = Object.at("payloads");
     for (const Json &Row : Object.at("orders"))
       Batch.Orders.push_back(orderOf(Row, Payloads));
@@ -243,7 +249,7 @@
 }
 
 std::string encodeResults(const std::string &From, const std::string &Life,
-                          const std::string &ToLife,
+                          const std::string &ToLife, std::int64_t SentAtMs,
                           std::span<const RelayedResult> Results) {
   Json Rows = Json::array();
   for (const RelayedResult &Result : Results) {
@@ -260,6 +266,7 @@
   return Json({{"from", From},
                {"life", Life},
                {"to_life", ToLife},
+               {"sent_at", SentAtMs},
                {"results", std::move(Rows)}})
       .dump();
 }
@@ -271,6 +278,7 @@
     Batch.From = Object.at("from").get<std::string>();
     Batch.Life = Object.at("life").get<std::string>();
     Batch.ToLife = Object.at("to_life").get<std::string>();
+    Batch.SentAtMs = Object.at("sent_at").get<std::int64_t>();
     for (const Json &Row : Object.at("results"))
       Batch.Results.push_back(resultOf(Row));
     return Batch;
--- a/src/codec/OrderJson.h
+++ b/src/codec/OrderJson.h
@@ -3,6 +3,7 @@
 
 #include "jobs/PoolState.h"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -32,10 +33,19 @@
   core::Duration AcknowledgeWithin{0};
 };
 
+/// A time on the clock of one incarnation of another entry.
+struct PeerTime {
+  std::string Life;
+  std::int64_t Ms = 0;
+};
+
 struct OrderBatch {
   /// Name and incarnation of the owner's entry.
   std::string From;
   std::string Life;
+  /// The receiver's time at the sending of the batch, or an earlier one;
+  /// nothing if the owner has had no results of it.
+  std::optional<PeerTime> SentAt;
   std::vector<RelayedOrder> Orders;
 };
 
@@ -56,18 +66,21 @@
   std::string Life;
   /// Incarnation of the owner's entry that gave them.
   std::string ToLife;
+  /// The sender's time at the sending of the batch.
+  std::int64_t SentAtMs = 0;
   std::vector<RelayedResult> Results;
 };
 
 /// Orders for the same job carry its payload once. Thread-safe.
 std::string encodeOrders(const std::string &From, const std::string &Life,
-                         std::span<const RelayedOrder> Orders);
+                         std::span<const RelayedOrder> Orders,
+                         const std::optional<PeerTime> &SentAt);
 /// Throws std::invalid_argument if the text is not such a batch. Thread-safe.
 OrderBatch decodeOrders(std::string_view Text);
 
 /// Thread-safe.
 std::string encodeResults(const std::string &From, const std::string &Life,
-                          const std::string &ToLife,
+                          const std::string &ToLife, std::int64_t SentAtMs,
                           std::span<const RelayedResult> Results);
 /// Throws std::invalid_argument if the text is not such a batch. Thread-safe.
 ResultBatch decodeResults(std::string_view Text);
--- a/src/dispatch/DispatchEntry.cpp
+++ b/src/dispatch/DispatchEntry.cpp
@@ -140,8 +140,8 @@
       return net::jsonResponse(
           Forwarder.handleOrders(Request.Body, ReceivedAt, IsKnown), "{}");
     if (Request.Path == paths::Results)
-      return net::jsonResponse(Relay.handleResults(Request.Body, IsKnown),
-                               "{}");
+      return net::jsonResponse(
+          Relay.handleResults(Request.Body, ReceivedAt, IsKnown), "{}");
     return PeerCalls.handle(Request);
   }
 
--- a/src/dispatch/OrderForwarder.cpp
+++ b/src/dispatch/OrderForwarder.cpp
@@ -13,6 +13,8 @@
 
 constexpr milliseconds ConnectLimit(250);
 constexpr milliseconds ReturnLimit(600);
+/// The owner has given up batches that were under way for longer.
+constexpr milliseconds MaxWay(1000);
 /// Results for one owner are returned at least this far apart, so that batches
 /// grow under load.
 constexpr milliseconds ReturnGap(8);
@@ -59,11 +61,21 @@
     return StatusUnavailable;
   }
   core::TimePoint Now = bootNow();
+  // It may have waited here while this process was paused.
+  bool IsDated = Batch.SentAt && Batch.SentAt->Life == Me_.Life;
+  core::TimePoint SentAt =
+      IsDated ? std::min(core::TimePoint(milliseconds(Batch.SentAt->Ms)),
+                         ReceivedAt)
+              : ReceivedAt;
+  bool IsGivenUp = ReceivedAt - SentAt > MaxWay;
   for (codec::RelayedOrder &Order : Batch.Orders) {
     core::TimePoint SendBy = ReceivedAt + Order.Within;
-    if (auto *Hold = std::get_if<jobs::HoldOrder>(&Order.Order))
-      Hold->AcknowledgeBy = ReceivedAt + Order.AcknowledgeWithin;
-    if (Now > SendBy)
+    auto *Hold = std::get_if<jobs::HoldOrder>(&Order.Order);
+    if (Hold && IsDated)
+      Hold->AcknowledgeBy = SentAt + Order.AcknowledgeWithin;
+    else if (Hold)
+      *Hold = jobs::withoutAcknowledgement(std::move(*Hold));
+    if (Now > SendBy || IsGivenUp)
       addResult(Owner, {Order.Id, OrderOutcome::Withheld, {}});
     else if (Order.PayloadOmitted)
       readPayload(Owner, std::move(Order), SendBy);
@@ -149,12 +161,16 @@
   }
   std::vector<codec::RelayedResult> Batch =
       takeFront(Box.Results, BatchResults);
+  std::int64_t NowMs =
+      std::chrono::duration_cast<milliseconds>(bootNow().time_since_epoch())
+          .count();
   Box.Sending = true;
   net::HttpCall Call;
   Call.Target = net::HttpTarget::Peer;
   Call.Method = "POST";
   Call.Url = "http://" + *Address + paths::Results;
-  Call.Body = codec::encodeResults(Me_.Name, Me_.Life, Owner.Life, Batch);
+  Call.Body =
+      codec::encodeResults(Me_.Name, Me_.Life, Owner.Life, NowMs, Batch);
   Call.ConnectLimit = ConnectLimit;
   Call.TotalLimit = ReturnLimit;
   Client_.send(std::move(Call), [this, Owner, Batch = std::move(Batch)](
--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -41,6 +41,15 @@
 constexpr double PayloadShare = 0.25;
 constexpr double BytesPerMbit = 125000;
 
+/// Bound of the drift of one machine's clock against another's.
+constexpr double MaxDrift = 0.001;
+/// How long another entry's clock is known after its last results.
+constexpr milliseconds ClockKnownFor(30000);
+
+std::int64_t toMs(core::Duration Time) {
+  return std::chrono::duration_cast<milliseconds>(Time).count();
+}
+
 codec::RelayedResult resultWith(OrderOutcome Outcome) {
   codec::RelayedResult Result;
   Result.Outcome = Outcome;
@@ -60,6 +69,11 @@
 
 } // namespace
 
+core::Duration OrderRelay::PeerClock::leadAt(core::TimePoint Now) const {
+  return Lead -
+         std::chrono::duration_cast<core::Duration>((Now - At) * MaxDrift);
+}
+
 OrderRelay::OrderRelay(net::Loop &Loop, net::HttpClient &Client,
                        WorkerOrders &Direct, EntryIdentity Me,
                        AddressOf Address, double LinkMbps)
@@ -231,6 +245,28 @@
   Senders_.erase(Pool);
 }
 
+/// The entry's time at \p Now or an earlier one; nothing if it has sent no
+/// results lately.
+std::optional<codec::PeerTime> OrderRelay::timeAt(const std::string &Entry,
+                                                  core::TimePoint Now) const {
+  auto At = Clocks_.find(Entry);
+  if (At == Clocks_.end() || Now - At->second.At > ClockKnownFor)
+    return std::nullopt;
+  return codec::PeerTime{At->second.Life,
+                         toMs(Now.time_since_epoch() + At->second.leadAt(Now))};
+}
+
+/// Results were sent before they arrived, so that the entry's clock shows more.
+void OrderRelay::recordClock(const codec::ResultBatch &Batch,
+                             core::TimePoint Now) {
+  core::Duration Lead = milliseconds(Batch.SentAtMs) - Now.time_since_epoch();
+  auto [At, IsNew] = Clocks_.try_emplace(Batch.From);
+  PeerClock &Clock = At->second;
+  if (!IsNew && Clock.Life == Batch.Life)
+    Lead = std::max(Lead, Clock.leadAt(Now));
+  Clock = {Batch.Life, Lead, Now};
+}
+
 void OrderRelay::flush(const std::string &Sender) {
   Outbox &Box = Outboxes_[Sender];
   Box.Queued = false;
@@ -268,7 +304,8 @@
   Call.Target = net::HttpTarget::Peer;
   Call.Method = "POST";
   Call.Url = "http://" + *Address + paths::Orders;
-  Call.Body = codec::encodeOrders(Me_.Name, Me_.Life, Batch);
+  Call.Body =
+      codec::encodeOrders(Me_.Name, Me_.Life, Batch, timeAt(Sender, Now));
   Call.ConnectLimit = ConnectLimit;
   Call.TotalLimit = BatchLimit;
   Call.SendLimit = SendWithin;
@@ -347,7 +384,7 @@
 }
 
 int OrderRelay::handleResults(
-    const std::string &Body,
+    const std::string &Body, core::TimePoint ReceivedAt,
     const std::function<bool(const EntryIdentity &)> &Known) {
   codec::ResultBatch Batch;
   try {
@@ -365,6 +402,7 @@
   // Results for an earlier process of this entry have other numbers.
   if (Batch.ToLife != Me_.Life)
     return StatusOk;
+  recordClock(Batch, ReceivedAt);
   for (const codec::RelayedResult &Result : Batch.Results) {
     auto At = Pending_.find(Result.Id);
     if (At == Pending_.end() || At->second.Sender != Batch.From)
--- a/src/dispatch/OrderRelay.h
+++ b/src/dispatch/OrderRelay.h
@@ -55,9 +55,10 @@
               std::function<void(jobs::ReportResult)> Done) override;
   void dropUnsent(const std::string &Pool) override;
 
-  /// Applies results from an entry that sent orders. \p Known tells whether the
-  /// entry has that name and incarnation. Returns the answer's status.
-  int handleResults(const std::string &Body,
+  /// Applies results, which arrived at \p ReceivedAt, from an entry that sent
+  /// orders. \p Known tells whether the entry has that name and incarnation.
+  /// Returns the answer's status.
+  int handleResults(const std::string &Body, core::TimePoint ReceivedAt,
                     const std::function<bool(const EntryIdentity &)> &Known);
 
   RelayCounters takeCounters();
@@ -85,6 +86,19 @@
     bool Queued = false;
   };
 
+  /// What is known of another entry's clock.
+  struct PeerClock {
+    std::string Life;
+    /// By how much at least it was ahead of this one's at \ref At.
+    core::Duration Lead{0};
+    core::TimePoint At;
+
+    core::Duration leadAt(core::TimePoint Now) const;
+  };
+
+  std::optional<codec::PeerTime> timeAt(const std::string &Entry,
+                                        core::TimePoint Now) const;
+  void recordClock(const codec::ResultBatch &Batch, core::TimePoint Now);
   const std::string *senderOf(const jobs::WorkerEntry &To) const;
   void give(const std::string &Sender, const jobs::WorkerEntry &To,
             codec::RelayedOrder Order, core::Duration Limit, SendMark SentAt,
@@ -123,6 +137,7 @@
   std::map<std::string, core::TimePoint> FailedAt_;
   /// When an entry last could not read a payload.
   std::map<std::string, core::TimePoint> PayloadMissingAt_;
+  std::map<std::string, PeerClock> Clocks_;
   RelayCounters Counters_;
 };
 
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -10,6 +10,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <random>
 
 using namespace comfreydeck;
@@ -162,10 +163,16 @@
       OrderMessages += IsOrders ? 1 : 0;
       int Status =
           IsOrders ? Forwarder.handleOrders(Request.Body, bootNow(), IsKnown)
-                   : Relay.handleResults(Request.Body, IsKnown);
+                   : Relay.handleResults(Request.Body, bootNow(), IsKnown);
       Respond(net::jsonResponse(Status, "{}"));
     });
   }
+  /// Lets the owner know the other entry's clock.
+  void exchange() {
+    CHECK(start() == OrderOutcome::Accepted);
+    Remote.Starts.clear();
+    Remote.Tokens.clear();
+  }
   OrderOutcome start() {
     std::optional<OrderOutcome> Outcome;
     runOn(Loop, [&] {
@@ -211,6 +218,7 @@
     CHECK(B.Remote.Stops[0].Run == Given.Run);
   }
   SUBCASE("a request for a report") {
+    B.exchange();
     std::optional<jobs::ReportResult> Result;
     jobs::HoldOrder Given = {"w1", 486000, 57, std::chrono::milliseconds(800)};
     Given.AcknowledgeBy = bootNow() + std::chrono::seconds(10);
@@ -312,7 +320,7 @@
   Order.Within = std::chrono::milliseconds(400);
   Order.Order = sampleStart();
   std::string Text =
-      codec::encodeOrders(Owner.Name, Owner.Life, std::span(&Order, 1));
+      codec::encodeOrders(Owner.Name, Owner.Life, std::span(&Order, 1), {});
   auto All = [](const EntryIdentity &) { return true; };
   runOn(B.Loop, [&] {
     B.Forwarder.handleOrders(Text, bootNow() - std::chrono::seconds(3), All);
@@ -326,6 +334,7 @@
           "ends of the worker's earlier life") {
   using std::chrono::milliseconds;
   RelayFixture B;
+  B.exchange();
   B.Remote.Answers = false;
   jobs::HoldOrder Given = {"w1", 486000, 57, milliseconds(800)};
   auto Report = [&] {
@@ -342,7 +351,7 @@
     CHECK(Sent.AcknowledgeUpTo == 57);
     CHECK(Sent.Wait == milliseconds(800));
     CHECK(Sent.AcknowledgeBy > bootNow() + std::chrono::seconds(8));
-    CHECK(Sent.AcknowledgeBy < bootNow() + std::chrono::seconds(10));
+    CHECK(Sent.AcknowledgeBy <= Given.AcknowledgeBy);
   }
   SUBCASE("behind another batch") {
     B.HelperStalls = true;
@@ -365,6 +374,59 @@
   }
 }
 
+TEST_CASE(
+    "an order that waited in a paused entry is sent, or acknowledges ends "
+    "of the worker's earlier life") {
+  using std::chrono::milliseconds;
+  RelayFixture B;
+  B.Remote.Answers = false;
+  codec::RelayedOrder Start;
+  Start.Id = 1;
+  Start.Worker = "w1";
+  Start.Within = milliseconds(400);
+  Start.Order = sampleStart();
+  codec::RelayedOrder Hold = Start;
+  Hold.Id = 2;
+  Hold.AcknowledgeWithin = milliseconds(100);
+  Hold.Order = jobs::HoldOrder{"w1", 486000, 57, milliseconds(800)};
+  std::array Orders = {Start, Hold};
+  auto Give = [&](const std::string &Life, milliseconds Age) {
+    auto SentAt = bootNow().time_since_epoch() - Age;
+    codec::PeerTime Sent = {
+        Life, std::chrono::duration_cast<milliseconds>(SentAt).count()};
+    std::string Text =
+        codec::encodeOrders(Owner.Name, Owner.Life, Orders, Sent);
+    runOn(B.Loop, [&] {
+      B.Forwarder.handleOrders(Text, bootNow(),
+                               [](const EntryIdentity &) { return true; });
+    });
+  };
+  SUBCASE("not at all") {
+    Give(Helper.Life, milliseconds(10));
+    CHECK(B.Remote.Starts.size() == 1);
+    REQUIRE(B.Remote.Holds.size() == 1);
+    CHECK(B.Remote.Holds[0].AcknowledgeUpTo == 57);
+    CHECK(B.Remote.Holds[0].AcknowledgeBy < bootNow() + milliseconds(91));
+  }
+  SUBCASE("for a while") {
+    Give(Helper.Life, milliseconds(200));
+    CHECK(B.Remote.Starts.size() == 1);
+    REQUIRE(B.Remote.Holds.size() == 1);
+    CHECK(B.Remote.Holds[0].AcknowledgeBy < bootNow());
+  }
+  SUBCASE("for seconds") {
+    Give(Helper.Life, milliseconds(3000));
+    CHECK(B.Remote.count() == 0);
+  }
+  SUBCASE("for a time that is not known") {
+    Give("another", milliseconds(10));
+    CHECK(B.Remote.Starts.size() == 1);
+    REQUIRE(B.Remote.Holds.size() == 1);
+    CHECK(B.Remote.Holds[0].AcknowledgeUpTo == 0);
+    CHECK(B.Remote.Holds[0].Wait == core::Duration::zero());
+  }
+}
+
 TEST_CASE("a result counts only from the entry that was given the order, and "
           "for this process") {
   RelayFixture B;
@@ -382,8 +444,8 @@
   auto Return = [&](const EntryIdentity &From, const std::string &ToLife) {
     runOn(B.Loop, [&] {
       B.Relay.handleResults(codec::encodeResults(From.Name, From.Life, ToLife,
-                                                 std::span(&Result, 1)),
-                            All);
+                                                 1, std::span(&Result, 1)),
+                            bootNow(), All);
     });
   };
   Return({"other", "9"}, Owner.Life);
@@ -403,8 +465,8 @@
   codec::RelayedResult Result;
   Result.Report = {19, 5, {{{"a", 0, 1, 2}, 3, "saved", 40, 1.5}}, {}};
   const std::string Texts[] = {
-      codec::encodeOrders(Owner.Name, Owner.Life, std::span(&Order, 1)),
-      codec::encodeResults(Helper.Name, Helper.Life, Owner.Life,
+      codec::encodeOrders(Owner.Name, Owner.Life, std::span(&Order, 1), {}),
+      codec::encodeResults(Helper.Name, Helper.Life, Owner.Life, 1,
                            std::span(&Result, 1))};
   std::mt19937 Random(Seed);
   auto None = [](const EntryIdentity &) { return false; };
@@ -417,7 +479,7 @@
       else
         Text[At] = static_cast<char>(Random() % 256);
       int First = B.Forwarder.handleOrders(Text, bootNow(), None);
-      int Second = B.Relay.handleResults(Text, None);
+      int Second = B.Relay.handleResults(Text, bootNow(), None);
       CHECK((First == Bad || First == Forbidden));
       CHECK((Second == Bad || Second == Forbidden));
     }
@@ -513,7 +575,7 @@
   Order.Order = sampleStart();
   B.Store.silenceReads(rows::Payloads);
   std::string Text =
-      codec::encodeOrders(Owner.Name, Owner.Life, std::span(&Order, 1));
+      codec::encodeOrders(Owner.Name, Owner.Life, std::span(&Order, 1), {});
   auto All = [](const EntryIdentity &) { return true; };
   runOn(B.Loop, [&] { B.Forwarder.handleOrders(Text, bootNow(), All); });
   std::this_thread::sleep_for(std::chrono::milliseconds(300));
