Take messages of entries that tell no times

Such messages are taken now: they acknowledge nothing, and tell no clock.

The test failed first (results without "sent_at" threw). Tests of dispatch, the codec and the adapter pass.

--- a/src/codec/OrderJson.cpp
+++ b/src/codec/OrderJson.cpp
@@ -33,6 +33,7 @@
 
   template <typename T> T next() { return nextField().get<T>(); }
   const Json &nextField() { return Row_.at(Next_++); }
+  bool hasNext() const { return Next_ < Row_.size(); }
 
   jobs::TaskRef nextTask() {
     jobs::TaskRef Task;
@@ -128,7 +129,8 @@
     Order.DeadlineMs = Row.next<std::int64_t>();
     Order.AcknowledgeUpTo = Row.next<std::uint64_t>();
     Order.Wait = milliseconds(Row.next<std::int64_t>());
-    Result.AcknowledgeWithin = milliseconds(Row.next<std::int64_t>());
+    if (Row.hasNext())
+      Result.AcknowledgeWithin = milliseconds(Row.next<std::int64_t>());
     Result.Order = std::move(Order);
     return Result;
   }
@@ -278,7 +280,7 @@
     Batch.From = Object.at("from").get<std::string>();
     Batch.Life = Object.at("life").get<std::string>();
     Batch.ToLife = Object.at("to_life").get<std::string>();
-    Batch.SentAtMs = Object.at("sent_at").get<std::int64_t>();
+    Batch.SentAtMs = Object.value("sent_at", std::int64_t{0});
     for (const Json &Row : Object.at("results"))
       Batch.Results.push_back(resultOf(Row));
     return Batch;
--- a/src/codec/OrderJson.h
+++ b/src/codec/OrderJson.h
@@ -66,7 +66,7 @@
   std::string Life;
   /// Incarnation of the owner's entry that gave them.
   std::string ToLife;
-  /// The sender's time at the sending of the batch.
+  /// The sender's time at the sending of the batch; zero if it does not tell.
   std::int64_t SentAtMs = 0;
   std::vector<RelayedResult> Results;
 };
--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -259,6 +259,8 @@
 /// Results were sent before they arrived, so that the entry's clock shows more.
 void OrderRelay::recordClock(const codec::ResultBatch &Batch,
                              core::TimePoint Now) {
+  if (Batch.SentAtMs <= 0)
+    return;
   core::Duration Lead = milliseconds(Batch.SentAtMs) - Now.time_since_epoch();
   auto [At, IsNew] = Clocks_.try_emplace(Batch.From);
   PeerClock &Clock = At->second;
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -427,6 +427,27 @@
   }
 }
 
+TEST_CASE("messages of an entry that tells no times are refused, or their "
+          "acknowledgements are sent") {
+  codec::ResultBatch Results = codec::decodeResults(
+      R"({"from":"a","life":"1","to_life":"2","results":[[3,0,7]]})");
+  CHECK(Results.Results.size() == 1);
+  CHECK(Results.SentAtMs == 0);
+  RelayFixture B;
+  B.Remote.Answers = false;
+  int Status = 0;
+  runOn(B.Loop, [&] {
+    Status = B.Forwarder.handleOrders(
+        R"({"from":"a","life":"1","payloads":[],
+            "orders":[[3,"w1","127.0.0.1:1",5,400,2,486000,57,800]]})",
+        bootNow(), [](const EntryIdentity &) { return true; });
+  });
+  CHECK(Status == 200);
+  REQUIRE(B.Remote.Holds.size() == 1);
+  CHECK(B.Remote.Holds[0].DeadlineMs == 486000);
+  CHECK(B.Remote.Holds[0].AcknowledgeUpTo == 0);
+}
+
 TEST_CASE("a result counts only from the entry that was given the order, and "
           "for this process") {
   RelayFixture B;
