Keep runs of unknown jobs until a second report leaves them out

A run of a job that the owner doesn't know yet was forgotten once a report didn't list it, though its end may be in the next report only: the worker counted as empty, so that its machine could be taken away with the end, and the task started again if its job became known in between (TWICE).

Runs of unknown jobs now follow the rule of those of known ones: only a second report, requested once the first one was read, ends them, and it is requested at once. The key has the task, since the members of a gang share a run id.

The unit test failed with a start and with a drained worker.

--- a/src/jobs/HeldJobs.cpp
+++ b/src/jobs/HeldJobs.cpp
@@ -95,8 +95,9 @@
 /// Stops the worker's runs of cancelled jobs that can't be added yet.
 void PoolState::planUnknownStops(WorkerState &W, core::TimePoint Now,
                                  Orders &Out) {
-  auto MustStop = [this](const RunReport &Run) {
-    return isCancelledAwaited(Run.Task.JobId);
+  auto MustStop = [&](const RunReport &Run) {
+    return isCancelledAwaited(Run.Task.JobId) &&
+           !W.UnknownMissing.contains({Run.Task, Run.Run});
   };
   if (std::none_of(W.UnknownRuns.begin(), W.UnknownRuns.end(), MustStop))
     return;
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -62,6 +62,13 @@
   return Sorted;
 }
 
+bool isRunning(const WorkerReport &Report, const RunReport &Run) {
+  return std::any_of(Report.Running.begin(), Report.Running.end(),
+                     [&Run](const RunReport &Other) {
+                       return Other.Run == Run.Run && Other.Task == Run.Task;
+                     });
+}
+
 /// Whether the report lists the run as ended.
 bool hasEnded(const WorkerReport &Report, const RunReport &Run) {
   return std::any_of(Report.Ended.begin(), Report.Ended.end(),
@@ -330,13 +337,14 @@
   for (const EndReport *End : byNumber(Report.Ended))
     if (End->Number > W.ProcessedUpTo)
       handleEnd(W, *End, Now);
-  W.UnknownRuns.clear();
+  std::vector<RunReport> Unknown = std::exchange(W.UnknownRuns, {});
   // A worker may list its runs before its ends, so that one is in both lists.
   for (const RunReport &Run : Report.Running)
     if (!hasEnded(Report, Run))
       handleRunning(W, Run, SentAt, Now);
   if (ListsAllEnds)
     dropMissing(W, Report, Order.Fence, SentAt, Now);
+  keepMissing(W, Report, Unknown, SentAt, Now);
   if (!Lost_.isEmpty())
     settleEnded(W, Now);
 }
@@ -524,4 +532,28 @@
     presumeEnded(*Job, Task, Run, PresumedCause::NotReported);
 }
 
+/// Keeps runs of unknown jobs, as listed before, until a second report leaves
+/// them out.
+void PoolState::keepMissing(WorkerState &W, const WorkerReport &Report,
+                            const std::vector<RunReport> &Unknown,
+                            core::TimePoint SentAt, core::TimePoint Now) {
+  std::map<std::pair<TaskRef, RunId>, core::TimePoint> Missing;
+  for (const RunReport &Run : Unknown) {
+    if (isRunning(Report, Run) || hasEnded(Report, Run))
+      continue;
+    auto Known = W.UnknownMissing.find({Run.Task, Run.Run});
+    bool IsSecond = Known != W.UnknownMissing.end() && SentAt >= Known->second;
+    if (IsSecond)
+      continue;
+    Missing[{Run.Task, Run.Run}] =
+        Known == W.UnknownMissing.end() ? Now : Known->second;
+    W.UnknownRuns.push_back(Run);
+  }
+  W.UnknownMissing = std::move(Missing);
+  if (W.UnknownMissing.empty())
+    return;
+  W.RunsMissing = true;
+  W.NextHold = Now;
+}
+
 } // namespace comfreydeck::jobs
--- a/src/jobs/PoolState.h
+++ b/src/jobs/PoolState.h
@@ -265,6 +265,9 @@
   void dropMissing(WorkerState &W, const WorkerReport &Report,
                    std::uint64_t Fence, core::TimePoint SentAt,
                    core::TimePoint Now);
+  void keepMissing(WorkerState &W, const WorkerReport &Report,
+                   const std::vector<RunReport> &Unknown,
+                   core::TimePoint SentAt, core::TimePoint Now);
   void startIncarnation(WorkerState &W, std::int64_t Born,
                         const WorkerReport *Report, core::TimePoint Now);
   void expectLateOrders(WorkerState &W) const;
--- a/src/jobs/WorkerState.h
+++ b/src/jobs/WorkerState.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <deque>
 #include <limits>
+#include <map>
 #include <set>
 
 namespace comfreydeck::jobs {
@@ -101,6 +102,9 @@
   /// Reported runs whose jobs are unknown, possibly because they are not loaded
   /// yet.
   std::vector<RunReport> UnknownRuns;
+  /// Those among them that the last report should have listed, and when the
+  /// first one was read that didn't.
+  std::map<std::pair<TaskRef, RunId>, core::TimePoint> UnknownMissing;
   /// Earliest time to send the next stops of those among them whose jobs were
   /// cancelled.
   core::TimePoint StopUnknownAt;
--- a/tests/jobs/ReportOverlapTest.cpp
+++ b/tests/jobs/ReportOverlapTest.cpp
@@ -27,3 +27,31 @@
   B.Owner.setClosedWorkers({});
   CHECK(B.plan().Starts.size() == 1);
 }
+
+TEST_CASE("a task starts again after it was done since a report left out its "
+          "run before its job was known") {
+  OwnerFixture B;
+  B.listWorkers({"w1", "w2"});
+  B.plan();
+  B.report("w2");
+  RunReport Run;
+  Run.Task = {jobId(1), 0, 0, 0};
+  Run.Run = (RunId(3) << RunCounterBits) + 1;
+  B.report("w1", {Run});
+  B.advance(milliseconds(10));
+  B.report("w1");
+  CHECK(!B.Owner.isDrained("w1"));
+  B.advance(milliseconds(10));
+  SUBCASE("and lists its end next") {
+    B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+    CHECK(B.plan().Starts.empty());
+    B.report("w1", {}, {endReportOf(1, Run.Task, Run.Run, RunEnd::Done)});
+    CHECK(B.plan().Starts.empty());
+    CHECK(B.Owner.findJob(jobId(1))->Now == JobState::Completed);
+  }
+  SUBCASE("but not for ever") {
+    B.report("w1");
+    B.Owner.inheritJob(sampleJob(1), nullptr, B.Now);
+    CHECK(B.plan().Starts.size() == 1);
+  }
+}
