Simulate reports whose two lists are of different moments

Reports of the simulation's workers were made in one moment, so that a run was in exactly one list.

With the option TornReports one of the lists is of an earlier moment, by up to 100 ms and since the worker's last report: a run that has ended since is in neither list, or in both; the next report lists its end. Starts are always listed, as both lists are made once the request, with its fence, has come.

--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -892,8 +892,10 @@
   Result.Report.ClockMs = clockMs(W);
   Result.Report.Born = W.Born;
   for (const Run &R : W.Running)
-    Result.Report.Running.push_back({R.Task, R.Id, "", percentOf(R), 0});
+    Result.Report.Running.push_back(listingOf(R));
   Result.Report.Ended = W.Ended;
+  if (Options_.TornReports)
+    tearReport(W, Result.Report);
   if (Options_.UnorderedEnds)
     std::shuffle(Result.Report.Ended.begin(), Result.Report.Ended.end(),
                  ReportRandom_);
@@ -919,6 +921,8 @@
   RunId &Highest = W.Highest[Ended.Task];
   Highest = std::max(Highest, Ended.Id);
   W.LastEnd += Options_.UnorderedEnds ? 1 + ReportRandom_() % MaxEndStep : 1;
+  if (Options_.TornReports)
+    W.RecentEnds.push_back({Now_, W.LastEnd, Ended});
   if (W.LastEnd > W.LastSeen)
     W.Ended.push_back(endReportOf(W.LastEnd, Ended.Task, Ended.Id, How));
   else if (How == RunEnd::Done)
@@ -1050,6 +1054,8 @@
   W.LeaseEnd = core::TimePoint();
   W.Running.clear();
   W.Ended.clear();
+  W.RecentEnds.clear();
+  W.ReportedAt = core::TimePoint();
   W.Highest.clear();
   for (const Run &R : Denied)
     W.Ended.push_back(endReportOf(++W.LastEnd, R.Task, R.Id, RunEnd::Stopped));
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -176,6 +176,9 @@
   bool StoppableOwners = false;
   /// The clock of each life of a worker is up to 2 % slow.
   bool SlowClocks = false;
+  /// The runs and the ends in a worker's report may be of different moments
+  /// since its last one.
+  bool TornReports = false;
   /// Nothing goes wrong: no crash, partition, loss of an owner, late or lost
   /// order.
   bool Calm = false;
@@ -249,6 +252,11 @@
     bool InGang = false;
     bool AtWork = false;
   };
+  struct RecentEnd {
+    core::TimePoint At;
+    std::uint64_t Number = 0;
+    Run Ended;
+  };
   struct Worker {
     std::string Id;
     /// Stays as it is when the worker starts again with a new id.
@@ -286,6 +294,10 @@
     std::uint64_t LastSeen = 0;
     std::vector<Run> Running;
     std::vector<EndReport> Ended;
+    /// Those of which reports may be torn, in the order of their numbers.
+    std::vector<RecentEnd> RecentEnds;
+    /// When it made its last report.
+    core::TimePoint ReportedAt;
     std::map<TaskRef, RunId> Highest;
     /// Lost for good.
     bool Lost = false;
@@ -432,6 +444,8 @@
   void checkAbsences(const Run &Stopped);
   OrderOutcome start(Worker &W, const StartOrder &Order);
   ReportResult hold(Worker &W, const HoldOrder &Order);
+  void tearReport(Worker &W, WorkerReport &Report);
+  RunReport listingOf(const Run &R) const;
   void crash(Worker &W);
   void restartClock(Worker &W);
   bool crashesWorkers(const TaskRef &Task) const;
--- a/tests/jobs/ReportHistoriesTest.cpp
+++ b/tests/jobs/ReportHistoriesTest.cpp
@@ -29,3 +29,17 @@
   Options.EntriesDisappear = true;
   checkHistories(Options, Histories);
 }
+
+TEST_CASE(
+    "a task starts again after it was done, or a lasting one counts as at "
+    "work, since one report lists its run in neither list or in both") {
+  constexpr std::uint64_t Histories = 100;
+  for (bool LastingTasks : {false, true}) {
+    SimulationOptions Options;
+    Options.TornReports = true;
+    Options.UnorderedEnds = true;
+    Options.LastingTasks = LastingTasks;
+    CAPTURE(LastingTasks);
+    checkHistories(Options, Histories);
+  }
+}
--- a/tools/histories.cpp
+++ b/tools/histories.cpp
@@ -44,6 +44,7 @@
     {"UnorderedEnds", &SimulationOptions::UnorderedEnds},
     {"StoppableOwners", &SimulationOptions::StoppableOwners},
     {"SlowClocks", &SimulationOptions::SlowClocks},
+    {"TornReports", &SimulationOptions::TornReports},
     {"Calm", &SimulationOptions::Calm},
 };
 
