Simulate workers that are out of reach for one owner only

Workers of the simulation were cut off from all owners alike, so that no history had an owner that takes runs for lapsed while another one hears their worker.

Waits are judged by what the present owner reaches.

An owner that is cut off rightly takes runs for lapsed and starts their tasks elsewhere until it is fenced there, though a later owner has heard of their ends meanwhile. By RULES.md, TWICE, such an end isn't taken note of ("unless the worker's lease lapsed between the two"), so in these histories an acknowledgement after the lease has lapsed doesn't count; in all others each one does, as before.

--- a/tests/jobs/OwnerHistoriesTest.cpp
+++ b/tests/jobs/OwnerHistoriesTest.cpp
@@ -44,3 +44,18 @@
   }
   CHECK(!Fault.empty());
 }
+
+TEST_CASE("no task runs twice at the same time while workers are out of reach "
+          "for one owner only in random histories") {
+  constexpr std::uint64_t Histories = 100;
+  for (bool Stoppable : {false, true})
+    for (std::uint64_t N = 0; N < Histories; ++N) {
+      SimulationOptions Options;
+      Options.Seed = FirstSeed + N;
+      Options.OwnersCutOff = true;
+      Options.StoppableOwners = Options.RowsLag = Stoppable;
+      CAPTURE(Options.Seed);
+      CAPTURE(Stoppable);
+      CHECK(PoolSimulation(Options).simulate().Fault == "");
+    }
+}
--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -179,6 +179,9 @@
   /// The runs and the ends in a worker's report may be of different moments
   /// since its last one.
   bool TornReports = false;
+  /// Workers are out of reach for one owner only, or their answers to it are
+  /// lost.
+  bool OwnersCutOff = false;
   /// Nothing goes wrong: no crash, partition, loss of an owner, late or lost
   /// order.
   bool Calm = false;
@@ -290,6 +293,8 @@
     std::uint64_t Fence = 0;
     core::TimePoint LeaseEnd;
     std::uint64_t LastEnd = 0;
+    /// Number of the last end before its lease last lapsed.
+    std::uint64_t LapsedUpTo = 0;
     /// Highest number that was acknowledged; ends up to it are never listed.
     std::uint64_t LastSeen = 0;
     std::vector<Run> Running;
@@ -345,6 +350,10 @@
                           std::optional<core::TimePoint>>>
         Asked;
     core::TimePoint LastOrderAt;
+    /// Workers, by place, that its orders don't reach, and whose answers don't
+    /// reach it.
+    std::multiset<std::string> OrdersCut;
+    std::multiset<std::string> AnswersCut;
   };
   struct Event {
     core::TimePoint At;
@@ -418,6 +427,8 @@
   bool wasHitOften(const JobSpec &Spec) const;
   void sendStartQuickly(const OwnerPtr &O, const StartOrder &Order);
   void silence(Worker &W);
+  void cutOff(const OwnerPtr &O, const Worker &W);
+  bool isCutOff(const Worker &W) const;
   void closeWorkers(const OwnerPtr &O);
   void takeOver();
   void endOwner(const OwnerPtr &O, bool Vanishes);
--- a/tests/jobs/PoolSimulationOwners.cpp
+++ b/tests/jobs/PoolSimulationOwners.cpp
@@ -15,6 +15,8 @@
 /// longest such time.
 constexpr double CutShare = 0.3;
 constexpr int MostCutMs = 8000;
+/// The longest time for which a worker is out of reach for one owner.
+constexpr int MostOwnerCutMs = 9000;
 constexpr double LostAnswerShare = 0.1;
 constexpr double SlowAnswerShare = 0.2;
 constexpr int MostAnswerMs = 30;
@@ -85,4 +87,26 @@
            });
 }
 
+/// Cuts the link between the owner and the worker, at times one way only.
+void PoolSimulation::cutOff(const OwnerPtr &O, const Worker &W) {
+  int Way = draw(0, 2);
+  if (Way != 0)
+    O->OrdersCut.insert(W.Place);
+  if (Way != 1)
+    O->AnswersCut.insert(W.Place);
+  schedule(500, MostOwnerCutMs, [O, Way, Place = W.Place] {
+    if (Way != 0)
+      O->OrdersCut.erase(O->OrdersCut.find(Place));
+    if (Way != 1)
+      O->AnswersCut.erase(O->AnswersCut.find(Place));
+  });
+}
+
+/// Whether the worker is out of reach for the pool's owner.
+bool PoolSimulation::isCutOff(const Worker &W) const {
+  const Owner &O = *Owners_.back();
+  return W.Partitioned || O.OrdersCut.contains(W.Place) ||
+         O.AnswersCut.contains(W.Place);
+}
+
 } // namespace comfreydeck::jobs
--- a/tools/histories.cpp
+++ b/tools/histories.cpp
@@ -45,6 +45,7 @@
     {"StoppableOwners", &SimulationOptions::StoppableOwners},
     {"SlowClocks", &SimulationOptions::SlowClocks},
     {"TornReports", &SimulationOptions::TornReports},
+    {"OwnersCutOff", &SimulationOptions::OwnersCutOff},
     {"Calm", &SimulationOptions::Calm},
 };
 
