Settle on lapsed leases only up to the read that confirmed the owner

An owner that had been replaced, and was cut off from a worker, started an inherited task about 8 s after it took the pool: it took the worker's lease for lapsed by its own time, though the next owner had extended it or had heard and acknowledged the task's end.

allHeard now judges leases as of the last read that confirmed the ownership, as expireSilent does for the runs of known workers.

--- a/src/jobs/PoolWorkers.cpp
+++ b/src/jobs/PoolWorkers.cpp
@@ -382,6 +382,10 @@
 }
 
 bool PoolState::allHeard(core::TimePoint Now) const {
+  // A later owner may have extended a silent worker's lease since the last read
+  // that confirmed this one.
+  core::TimePoint SureAt =
+      std::min(Now, LastInput_.AuthorityEnd - Limits_.Authority);
   return std::all_of(Workers_.begin(), Workers_.end(), [&](const auto &Item) {
     const WorkerState &W = *Item.second;
     // After slow loading of the jobs, all leases may have expired before the
@@ -390,7 +394,7 @@
     bool Asked = W.AskedAt && Now - *W.AskedAt >= Limits_.ReportAnswer;
     bool Silent = Asked && !hasReportedWithin(W, Limits_.ReportStale, Now);
     bool Heard = W.Heard && !W.DoubtedSince;
-    return Heard || ((W.Ended || Silent) && leaseLapsed(W, Now));
+    return Heard || ((W.Ended || Silent) && leaseLapsed(W, SureAt));
   });
 }
 
