--- a/tests/jobs/PoolSimulation.h
+++ b/tests/jobs/PoolSimulation.h
@@ -176,6 +176,12 @@
   bool StoppableOwners = false;
   /// The clock of each life of a worker is up to 2 % slow.
   bool SlowClocks = false;
+  /// The runs and the ends in a worker's report may be of different moments
+  /// since its last one.
+  bool TornReports = false;
+  /// Workers are out of reach for one owner only, or their answers to it are
+  /// lost.
+  bool OwnersCutOff = false;
   /// Nothing goes wrong: no crash, partition, loss of an owner, late or lost
   /// order.
   bool Calm = false;
@@ -249,6 +255,11 @@
     bool InGang = false;
     bool AtWork = false;
   };
+  struct RecentEnd {
+    core::TimePoint At;
+    std::uint64_t Number = 0;
+    Run Ended;
+  };
   struct Worker {
     std::string Id;
     /// Stays as it is when the worker starts again with a new id.
@@ -282,10 +293,16 @@
     std::uint64_t Fence = 0;
     core::TimePoint LeaseEnd;
     std::uint64_t LastEnd = 0;
+    /// Number of the last end before its lease last lapsed.
+    std::uint64_t LapsedUpTo = 0;
     /// Highest number that was acknowledged; ends up to it are never listed.
     std::uint64_t LastSeen = 0;
     std::vector<Run> Running;
     std::vector<EndReport> Ended;
+    /// Those of which reports may be torn, in the order of their numbers.
+    std::vector<RecentEnd> RecentEnds;
+    /// When it made its last report.
+    core::TimePoint ReportedAt;
     std::map<TaskRef, RunId> Highest;
     /// Lost for good.
     bool Lost = false;
@@ -333,6 +350,10 @@
                           std::optional<core::TimePoint>>>
         Asked;
     core::TimePoint LastOrderAt;
+    /// Workers, by place, that its orders don't reach, and whose answers don't
+    /// reach it.
+    std::multiset<std::string> OrdersCut;
+    std::multiset<std::string> AnswersCut;
   };
   struct Event {
     core::TimePoint At;
@@ -406,6 +427,8 @@
   bool wasHitOften(const JobSpec &Spec) const;
   void sendStartQuickly(const OwnerPtr &O, const StartOrder &Order);
   void silence(Worker &W);
+  void cutOff(const OwnerPtr &O, const Worker &W);
+  bool isCutOff(const Worker &W) const;
   void closeWorkers(const OwnerPtr &O);
   void takeOver();
   void endOwner(const OwnerPtr &O, bool Vanishes);
@@ -432,6 +455,8 @@
   void checkAbsences(const Run &Stopped);
   OrderOutcome start(Worker &W, const StartOrder &Order);
   ReportResult hold(Worker &W, const HoldOrder &Order);
+  void tearReport(Worker &W, WorkerReport &Report);
+  RunReport listingOf(const Run &R) const;
   void crash(Worker &W);
   void restartClock(Worker &W);
   bool crashesWorkers(const TaskRef &Task) const;
--- a/tools/histories.cpp
+++ b/tools/histories.cpp
@@ -44,6 +44,8 @@
     {"UnorderedEnds", &SimulationOptions::UnorderedEnds},
     {"StoppableOwners", &SimulationOptions::StoppableOwners},
     {"SlowClocks", &SimulationOptions::SlowClocks},
+    {"TornReports", &SimulationOptions::TornReports},
+    {"OwnersCutOff", &SimulationOptions::OwnersCutOff},
     {"Calm", &SimulationOptions::Calm},
 };
 
