--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -24,6 +24,7 @@
   std::vector<std::string> Without;
   /// See \ref ReportDraws.
   bool TornReports = false;
+  bool TornAgain = false;
   bool ShuffledEnds = false;
 };
 
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -57,6 +57,9 @@
   App.add_option("--without", Options.Without, "No faults of these kinds");
   App.add_flag("--torn-reports", Options.TornReports,
                "Some reports leave out a run that has just ended or started");
+  App.add_flag("--torn-again", Options.TornAgain,
+               "With --torn-reports, the same run at its start and at its end")
+      ->needs("--torn-reports");
   App.add_flag("--shuffled-ends", Options.ShuffledEnds,
                "Reports list ends in any order");
   App.add_flag("--keep", Keep, "Keep the logs of seeds without a finding too");
--- a/tests/soak/Workers.h
+++ b/tests/soak/Workers.h
@@ -25,6 +25,9 @@
   /// Some reports make their two lists at different moments, so that a run that
   /// has just ended or just started may be in neither.
   bool Torn = false;
+  /// A run that was left out when it had just started may be left out again
+  /// when it has just ended.
+  bool TornAgain = false;
   /// Ends are listed in any order.
   bool Shuffled = false;
   std::uint64_t Seed = 1;
