--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -73,6 +73,28 @@
   return Sorted;
 }
 
+bool isRunning(const WorkerReport &Report, const RunReport &Run) {
+  return std::any_of(Report.Running.begin(), Report.Running.end(),
+                     [&Run](const RunReport &Other) {
+                       return Other.Run == Run.Run && Other.Task == Run.Task;
+                     });
+}
+
+/// Whether the report lists the run as ended.
+bool hasEnded(const WorkerReport &Report, const RunReport &Run) {
+  return std::any_of(Report.Ended.begin(), Report.Ended.end(),
+                     [&Run](const EndReport &End) {
+                       return End.Run == Run.Run && End.Task == Run.Task;
+                     });
+}
+
+/// Whether an order that was sent at that time went to the address of the
+/// present incarnation. A row may change the worker's address meanwhile, and a
+/// late one may show that of an earlier incarnation.
+bool wasSentToIncarnation(const WorkerState &W, core::TimePoint SentAt) {
+  return SentAt >= W.AddressKnownAt && W.Entry.Address == W.BornAddress;
+}
+
 } // namespace
 
 /// Applies the clock in the answer to an order for the run, which was planned
@@ -216,12 +238,13 @@
     return;
   if (isOfIncarnation(*Run, W))
     applyAnswerClock(W, *Run, Result.ClockMs, Now);
-  bool IsOlderThanReport =
-      Run->StopInFlight && Run->StopSentAt < W.ReportRequestedAt;
+  core::TimePoint SentAt = Run->StopInFlight ? Run->StopSentAt : Now;
+  bool IsOlderThanReport = SentAt < W.ReportRequestedAt;
   Run->StopInFlight = false;
   bool Outdated = std::exchange(Run->StopOutdated, false);
   StopsChanged_ = true;
-  if (Result.Outcome == OrderOutcome::OtherIncarnation && !IsOlderThanReport) {
+  if (Result.Outcome == OrderOutcome::OtherIncarnation && !IsOlderThanReport &&
+      wasSentToIncarnation(W, SentAt)) {
     // The incarnation that had the run has ended.
     dropReplaced(W, Now);
     return;
@@ -275,7 +298,8 @@
     W.NextHold = Now;
     return;
   }
-  if (Result.Outcome == OrderOutcome::OtherIncarnation) {
+  if (Result.Outcome == OrderOutcome::OtherIncarnation &&
+      wasSentToIncarnation(W, SentAt)) {
     // The incarnation that had these runs has ended.
     dropReplaced(W, Now);
     W.Heard = true;
@@ -300,6 +324,8 @@
   const WorkerReport &Report = Result.Report;
   if (Report.Born != 0 && Report.Born != W.Born)
     startIncarnation(W, Report.Born, &Report, Now);
+  if (SentAt >= W.AddressKnownAt)
+    W.BornAddress = W.Entry.Address;
   if (!Lost_.isEmpty()) {
     clearRunElsewhere(W, Report, std::nullopt, Now);
     settleLost(W, Lost_.takeOthers(W.Entry.Id, W.Born, W.Born), {}, W.Born,
@@ -334,11 +360,14 @@
   for (const EndReport *End : byNumber(Report.Ended))
     if (End->Number > W.ProcessedUpTo)
       handleEnd(W, *End, Now);
-  W.UnknownRuns.clear();
+  std::vector<RunReport> Unknown = std::exchange(W.UnknownRuns, {});
+  // A worker may list its runs before its ends, so that one is in both lists.
   for (const RunReport &Run : Report.Running)
-    handleRunning(W, Run, SentAt, Now);
+    if (!hasEnded(Report, Run))
+      handleRunning(W, Run, SentAt, Now);
   if (ListsAllEnds)
     dropMissing(W, Report, Order.Fence, SentAt, Now);
+  keepMissing(W, Report, Unknown, SentAt, Now);
   if (!Lost_.isEmpty())
     settleEnded(W, Now);
 }
@@ -526,4 +555,28 @@
     presumeEnded(*Job, Task, Run, PresumedCause::NotReported);
 }
 
+/// Keeps runs of unknown jobs, as listed before, until a second report leaves
+/// them out.
+void PoolState::keepMissing(WorkerState &W, const WorkerReport &Report,
+                            const std::vector<RunReport> &Unknown,
+                            core::TimePoint SentAt, core::TimePoint Now) {
+  std::map<std::pair<TaskRef, RunId>, core::TimePoint> Missing;
+  for (const RunReport &Run : Unknown) {
+    if (isRunning(Report, Run) || hasEnded(Report, Run))
+      continue;
+    auto Known = W.UnknownMissing.find({Run.Task, Run.Run});
+    bool IsSecond = Known != W.UnknownMissing.end() && SentAt >= Known->second;
+    if (IsSecond)
+      continue;
+    Missing[{Run.Task, Run.Run}] =
+        Known == W.UnknownMissing.end() ? Now : Known->second;
+    W.UnknownRuns.push_back(Run);
+  }
+  W.UnknownMissing = std::move(Missing);
+  if (W.UnknownMissing.empty())
+    return;
+  W.RunsMissing = true;
+  W.NextHold = Now;
+}
+
 } // namespace comfreydeck::jobs
--- a/src/jobs/WorkerState.h
+++ b/src/jobs/WorkerState.h
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <deque>
 #include <limits>
+#include <map>
 #include <set>
 
 namespace comfreydeck::jobs {
@@ -63,6 +64,10 @@
   /// When this owner first requested its report.
   std::optional<core::TimePoint> AskedAt;
   std::int64_t Born = 0;
+  /// Where that incarnation is known to be, by its row or a report of it.
+  std::string BornAddress;
+  /// When this owner learned the address in \ref Entry.
+  core::TimePoint AddressKnownAt;
   /// Start time of the incarnation in the roster that this owner has read;
   /// nothing if the worker was not in it.
   std::optional<std::int64_t> InheritedBorn;
@@ -101,6 +106,9 @@
   /// Reported runs whose jobs are unknown, possibly because they are not loaded
   /// yet.
   std::vector<RunReport> UnknownRuns;
+  /// Those among them that the last report should have listed, and when the
+  /// first one was read that didn't.
+  std::map<std::pair<TaskRef, RunId>, core::TimePoint> UnknownMissing;
   /// Earliest time to send the next stops of those among them whose jobs were
   /// cancelled.
   core::TimePoint StopUnknownAt;
--- a/tests/jobs/PoolSimulation.cpp
+++ b/tests/jobs/PoolSimulation.cpp
@@ -51,6 +51,9 @@
 constexpr milliseconds HitAge(1500);
 /// Crashes for which a job may be given up.
 constexpr std::uint32_t HitsOfGivenUp = 3;
+/// Most that the number of an end is above that of the last one, if numbers are
+/// left out.
+constexpr std::uint64_t MaxEndStep = 3;
 /// How long before its end a run is listed as done, if it is too early.
 constexpr std::chrono::milliseconds EarlyDoneTime(100);
 /// Share of the runs that take long, where workers are cut off, and the
@@ -61,16 +64,22 @@
 /// How long workers have been up at the begin of a history.
 constexpr std::chrono::hours MinWorkerAge(1);
 constexpr std::chrono::hours MaxWorkerAge(30 * 24);
+/// The most that a worker's clock runs slow, in thousandths.
+constexpr std::int64_t MostSlowness = 20;
+/// How many times as slow it runs, if that is too slow.
+constexpr double SlownessFactor = 10;
 
 } // namespace
 
 PoolSimulation::PoolSimulation(const SimulationOptions &Options)
-    : Options_(Options), Random_(Options.Seed), ClockRandom_(Options.Seed) {
+    : Options_(Options), Random_(Options.Seed), ClockRandom_(Options.Seed),
+      ReportRandom_(Options.Seed) {
   addWorkers();
   // Some are older than the machines of all owners.
-  for (Worker &W : Workers_)
-    W.BornAt = W.ZeroAt =
-        Now_ - milliseconds(drawMs(MinWorkerAge, MaxWorkerAge));
+  for (Worker &W : Workers_) {
+    startClock(W, milliseconds(drawMs(MinWorkerAge, MaxWorkerAge)));
+    W.BornAt = W.ZeroAt;
+  }
   beginStorm();
   if (!Options.LastingTasks)
     return;
@@ -125,7 +134,25 @@
 }
 
 std::int64_t PoolSimulation::clockMs(const Worker &W) const {
-  return std::chrono::duration_cast<milliseconds>(Now_ - W.ZeroAt).count() + 1;
+  core::Duration Passed = std::chrono::duration_cast<core::Duration>(
+      (Now_ - W.BornAt) * W.ClockRate);
+  return toMs(W.BornAt - W.ZeroAt + Passed) + 1;
+}
+
+/// Begins a life of the worker whose clock shows so much. The slowest clocks
+/// and sound ones are the most frequent.
+void PoolSimulation::startClock(Worker &W, core::Duration Shown) {
+  W.BornAt = Now_;
+  W.ZeroAt = Now_ - Shown;
+  if (!Options_.SlowClocks)
+    return;
+  bool TooSlow = Options_.ViolatedRule == RuleViolation::SlowerClocks;
+  std::int64_t Slowness =
+      drawMs(milliseconds(-MostSlowness), milliseconds(2 * MostSlowness));
+  double Share =
+      static_cast<double>(std::clamp<std::int64_t>(Slowness, 0, MostSlowness)) /
+      1000;
+  W.ClockRate = 1 - Share * (TooSlow ? SlownessFactor : 1);
 }
 
 /// Leases are never shortened, and none is longer than the platform's longest.
@@ -133,8 +160,10 @@
   if (DeadlineMs <= clockMs(W))
     return;
   core::Duration Length = milliseconds(DeadlineMs - clockMs(W));
-  W.LeaseEnd =
-      std::max(W.LeaseEnd, Now_ + std::min(Length, OwnerLimits().MaxLease));
+  Length = std::min(Length, OwnerLimits().MaxLease);
+  W.LeaseEnd = std::max(
+      W.LeaseEnd,
+      Now_ + std::chrono::duration_cast<core::Duration>(Length / W.ClockRate));
 }
 
 const JobSpec &PoolSimulation::specOf(const std::string &JobId) const {
@@ -409,7 +438,10 @@
     Old->Storing.reset();
   }
   // Some owners vanish at once; others continue until they are fenced.
-  if (chance(0.5) && !Options_.RestartsAtTakeover)
+  bool Vanish = chance(0.5) && !Options_.RestartsAtTakeover;
+  if (Options_.StoppableOwners && !Owners_.empty())
+    endOwner(Owners_.back(), Vanish);
+  if (Vanish)
     Owners_.clear();
   if (Options_.RestartsAtTakeover)
     restartSomeWorkers();
@@ -477,6 +509,10 @@
       O->State->addEnrolled(Entry, nowOf(*O));
     }
   Owners_.push_back(O);
+  for (const std::shared_ptr<EarlierOwner> &Earlier : EarlierOwners_)
+    O->Asked.emplace_back(Earlier, std::nullopt);
+  if (Options_.StoppableOwners)
+    askEarlierOwners(O);
 }
 
 /// Has the new owner read one of the job's rows late. Returns whether it does.
@@ -603,6 +639,8 @@
     Roster_[Entry.Id] = Entry;
   for (const std::string &Id : O->Storing->Unenrolled)
     Roster_.erase(Id);
+  if (O->Storing->Settled)
+    EarlierOwners_.clear();
   if (Options_.ViolatedRule != RuleViolation::EarlyAcknowledge &&
       Options_.ViolatedRule != RuleViolation::NoConfirmation)
     O->State->onStored(O->Storing->Mark);
@@ -614,6 +652,8 @@
 void PoolSimulation::send(const OwnerPtr &O, const Orders &Out) {
   checkGangs(Out);
   checkPlaces(O, Out);
+  if (!Out.Stops.empty() || !Out.Starts.empty() || !Out.Holds.empty())
+    O->LastOrderAt = Now_;
   for (const StopOrder &Order : Out.Stops)
     sendStop(O, Order);
   for (const StartOrder &Order : Out.Starts)
@@ -854,6 +894,9 @@
   for (const Run &R : W.Running)
     Result.Report.Running.push_back({R.Task, R.Id, "", percentOf(R), 0});
   Result.Report.Ended = W.Ended;
+  if (Options_.UnorderedEnds)
+    std::shuffle(Result.Report.Ended.begin(), Result.Report.Ended.end(),
+                 ReportRandom_);
   if (Options_.ViolatedRule == RuleViolation::EarlyDone)
     for (const Run &R : W.Running)
       if (R.EndsAt - Now_ < EarlyDoneTime && !R.InGang) {
@@ -875,7 +918,8 @@
 void PoolSimulation::end(Worker &W, const Run &Ended, RunEnd How) {
   RunId &Highest = W.Highest[Ended.Task];
   Highest = std::max(Highest, Ended.Id);
-  if (++W.LastEnd > W.LastSeen)
+  W.LastEnd += Options_.UnorderedEnds ? 1 + ReportRandom_() % MaxEndStep : 1;
+  if (W.LastEnd > W.LastSeen)
     W.Ended.push_back(endReportOf(W.LastEnd, Ended.Task, Ended.Id, How));
   else if (How == RunEnd::Done)
     AcknowledgedTasks_.insert(Ended.Task);
@@ -897,7 +941,8 @@
   }
   if (LastingJob_ && !R->Stopping) {
     R->Stopping = true;
-    R->EndsAt = Now_ + milliseconds(draw(0, MaxStopMs));
+    R->EndsAt = Now_ + std::chrono::duration_cast<core::Duration>(
+                           milliseconds(draw(0, MaxStopMs)) / W.ClockRate);
   } else if (!LastingJob_) {
     Run Ended = *R;
     W.Running.erase(R);
@@ -953,8 +998,7 @@
   for (Worker &W : Workers_) {
     if (!W.Up && !W.Lost && Now_ >= W.BackAt) {
       W.Up = W.Listed = true;
-      W.BornAt = Now_;
-      W.ZeroAt = Now_ - drawUptime();
+      startClock(W, drawUptime());
       restartClock(W);
       if (std::exchange(W.NewId, false) ||
           (Options_.QuickRestarts && chance(NewIdShare)))
