Tell an unknown time of a peer from zero, and read more plainly

Read through as a newcomer: results that tell no time had zero in its place, which a clock may show; the clocks of entries that are gone were kept; the sending time of a batch has a function of its own, and so has the question whether a report lists a run.

--- a/src/codec/OrderJson.cpp
+++ b/src/codec/OrderJson.cpp
@@ -280,7 +280,8 @@
     Batch.From = Object.at("from").get<std::string>();
     Batch.Life = Object.at("life").get<std::string>();
     Batch.ToLife = Object.at("to_life").get<std::string>();
-    Batch.SentAtMs = Object.value("sent_at", std::int64_t{0});
+    if (auto At = Object.find("sent_at"); At != Object.end())
+      Batch.SentAtMs = At->get<std::int64_t>();
     for (const Json &Row : Object.at("results"))
       Batch.Results.push_back(resultOf(Row));
     return Batch;
--- a/src/codec/OrderJson.h
+++ b/src/codec/OrderJson.h
@@ -28,8 +28,8 @@
   /// A start's payload is left out; the entry that sends it reads it from the
   /// store.
   bool PayloadOmitted = false;
-  /// Maximum time from the receipt of the batch to the sending of what a
-  /// request for a report acknowledges.
+  /// Maximum time from the sending of the batch to that of what a request for a
+  /// report acknowledges; zero if the owner's entry does not tell.
   core::Duration AcknowledgeWithin{0};
 };
 
@@ -66,8 +66,9 @@
   std::string Life;
   /// Incarnation of the owner's entry that gave them.
   std::string ToLife;
-  /// The sender's time at the sending of the batch; zero if it does not tell.
-  std::int64_t SentAtMs = 0;
+  /// The sender's time at the sending of the batch; nothing if it does not
+  /// tell.
+  std::optional<std::int64_t> SentAtMs;
   std::vector<RelayedResult> Results;
 };
 
--- a/src/dispatch/OrderForwarder.cpp
+++ b/src/dispatch/OrderForwarder.cpp
@@ -14,7 +14,7 @@
 constexpr milliseconds ConnectLimit(250);
 constexpr milliseconds ReturnLimit(600);
 /// The owner has given up batches that were under way for longer.
-constexpr milliseconds MaxWay(1000);
+constexpr milliseconds MaxTransit(1000);
 /// Results for one owner are returned at least this far apart, so that batches
 /// grow under load.
 constexpr milliseconds ReturnGap(8);
@@ -30,6 +30,16 @@
 constexpr int StatusForbidden = 403;
 constexpr int StatusUnavailable = 503;
 
+/// When the batch was sent, or an earlier time; nothing if that isn't known on
+/// the clock of this process. The batch may have waited while it was paused.
+std::optional<core::TimePoint> sentAt(const codec::OrderBatch &Batch,
+                                      const std::string &Life,
+                                      core::TimePoint ReceivedAt) {
+  if (!Batch.SentAt || Batch.SentAt->Life != Life)
+    return std::nullopt;
+  return std::min(core::TimePoint(milliseconds(Batch.SentAt->Ms)), ReceivedAt);
+}
+
 } // namespace
 
 OrderForwarder::OrderForwarder(net::Loop &Loop, net::HttpClient &Client,
@@ -61,18 +71,13 @@
     return StatusUnavailable;
   }
   core::TimePoint Now = bootNow();
-  // It may have waited here while this process was paused.
-  bool IsDated = Batch.SentAt && Batch.SentAt->Life == Me_.Life;
-  core::TimePoint SentAt =
-      IsDated ? std::min(core::TimePoint(milliseconds(Batch.SentAt->Ms)),
-                         ReceivedAt)
-              : ReceivedAt;
-  bool IsGivenUp = ReceivedAt - SentAt > MaxWay;
+  std::optional<core::TimePoint> SentAt = sentAt(Batch, Me_.Life, ReceivedAt);
+  bool IsGivenUp = SentAt && ReceivedAt - *SentAt > MaxTransit;
   for (codec::RelayedOrder &Order : Batch.Orders) {
     core::TimePoint SendBy = ReceivedAt + Order.Within;
     auto *Hold = std::get_if<jobs::HoldOrder>(&Order.Order);
-    if (Hold && IsDated)
-      Hold->AcknowledgeBy = SentAt + Order.AcknowledgeWithin;
+    if (Hold && SentAt)
+      Hold->AcknowledgeBy = *SentAt + Order.AcknowledgeWithin;
     else if (Hold)
       *Hold = jobs::withoutAcknowledgement(std::move(*Hold));
     if (Now > SendBy || IsGivenUp)
--- a/src/dispatch/OrderRelay.cpp
+++ b/src/dispatch/OrderRelay.cpp
@@ -56,7 +56,8 @@
   return Result;
 }
 
-/// Applies the time that the order has waited here to its acknowledgement.
+/// Shortens the time that the order's acknowledgement has by what it has waited
+/// here.
 void limitAcknowledgement(codec::RelayedOrder &Order, core::TimePoint Now) {
   auto *Hold = std::get_if<jobs::HoldOrder>(&Order.Order);
   if (!Hold)
@@ -259,9 +260,12 @@
 /// Results were sent before they arrived, so that the entry's clock shows more.
 void OrderRelay::recordClock(const codec::ResultBatch &Batch,
                              core::TimePoint Now) {
-  if (Batch.SentAtMs <= 0)
+  std::erase_if(Clocks_, [Now](const auto &Item) {
+    return Now - Item.second.At > ClockKnownFor;
+  });
+  if (!Batch.SentAtMs)
     return;
-  core::Duration Lead = milliseconds(Batch.SentAtMs) - Now.time_since_epoch();
+  core::Duration Lead = milliseconds(*Batch.SentAtMs) - Now.time_since_epoch();
   auto [At, IsNew] = Clocks_.try_emplace(Batch.From);
   PeerClock &Clock = At->second;
   if (!IsNew && Clock.Life == Batch.Life)
--- a/src/dispatch/OrderRelay.h
+++ b/src/dispatch/OrderRelay.h
@@ -137,6 +137,7 @@
   std::map<std::string, core::TimePoint> FailedAt_;
   /// When an entry last could not read a payload.
   std::map<std::string, core::TimePoint> PayloadMissingAt_;
+  /// By entry, of those that have sent results lately.
   std::map<std::string, PeerClock> Clocks_;
   RelayCounters Counters_;
 };
--- a/src/jobs/PoolReports.cpp
+++ b/src/jobs/PoolReports.cpp
@@ -73,19 +73,12 @@
   return Sorted;
 }
 
-bool isRunning(const WorkerReport &Report, const RunReport &Run) {
-  return std::any_of(Report.Running.begin(), Report.Running.end(),
-                     [&Run](const RunReport &Other) {
-                       return Other.Run == Run.Run && Other.Task == Run.Task;
-                     });
-}
-
-/// Whether the report lists the run as ended.
-bool hasEnded(const WorkerReport &Report, const RunReport &Run) {
-  return std::any_of(Report.Ended.begin(), Report.Ended.end(),
-                     [&Run](const EndReport &End) {
-                       return End.Run == Run.Run && End.Task == Run.Task;
-                     });
+/// Whether one of the rows, of runs or of ends, is of the run.
+template <typename Row>
+bool isListed(const std::vector<Row> &Rows, const RunReport &Run) {
+  return std::any_of(Rows.begin(), Rows.end(), [&Run](const Row &Other) {
+    return Other.Run == Run.Run && Other.Task == Run.Task;
+  });
 }
 
 /// Whether an order that was sent at that time went to the address of the
@@ -363,7 +356,7 @@
   std::vector<RunReport> Unknown = std::exchange(W.UnknownRuns, {});
   // A worker may list its runs before its ends, so that one is in both lists.
   for (const RunReport &Run : Report.Running)
-    if (!hasEnded(Report, Run))
+    if (!isListed(Report.Ended, Run))
       handleRunning(W, Run, SentAt, Now);
   if (ListsAllEnds)
     dropMissing(W, Report, Order.Fence, SentAt, Now);
@@ -562,7 +555,7 @@
                             core::TimePoint SentAt, core::TimePoint Now) {
   std::map<std::pair<TaskRef, RunId>, core::TimePoint> Missing;
   for (const RunReport &Run : Unknown) {
-    if (isRunning(Report, Run) || hasEnded(Report, Run))
+    if (isListed(Report.Running, Run) || isListed(Report.Ended, Run))
       continue;
     auto Known = W.UnknownMissing.find({Run.Task, Run.Run});
     bool IsSecond = Known != W.UnknownMissing.end() && SentAt >= Known->second;
--- a/tests/dispatch/OrderRelayTest.cpp
+++ b/tests/dispatch/OrderRelayTest.cpp
@@ -432,7 +432,7 @@
   codec::ResultBatch Results = codec::decodeResults(
       R"({"from":"a","life":"1","to_life":"2","results":[[3,0,7]]})");
   CHECK(Results.Results.size() == 1);
-  CHECK(Results.SentAtMs == 0);
+  CHECK_FALSE(Results.SentAtMs);
   RelayFixture B;
   B.Remote.Answers = false;
   int Status = 0;
